Lay out the workspace, the shared model and the wire formats

The core crate takes every decision without I/O, clock or random source; its inputs and actions are the interface that the event loops are written against. Cap'n Proto code is committed, so that the build needs no generator.

--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/util/src/lib.rs
@@ -0,0 +1,9 @@
+//! What all of peatdeck's binaries share besides its decisions.
+//!
+//! - [`clock`]: time, passed in as an interface.
+//! - [`logging`]: structured logs, as text or JSON.
+//! - [`metrics`]: counters, gauges and timings over UDP.
+
+pub mod clock;
+pub mod logging;
+pub mod metrics;
