State in a batch which offset was asked for

A fold that is fed batches out of order cannot otherwise tell a hole that the reader skipped (a foreign or unreadable record) from records it has not been given yet. With `from`, a batch states the range that it covers.

--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -52,6 +52,9 @@
 /// What one read of a stream gave.
 #[message]
 pub struct Batch<R> {
+    /// The offset that was asked for. Offsets between it and `next` that have
+    /// no entry hold something that is no record of ours.
+    pub from: Offset,
     /// The oldest offset that the log still keeps. Larger than the offset
     /// asked for when records have expired unread.
     pub earliest: Offset,
