Add the configuration fold and claims through the log

A claim wins by the place where it is read back, judged by the records of the last horizon alone, so that an instance which starts in the middle of the stream judges as one that read all of it.

--- /dev/null
+++ b/crates/core/src/claims/outbox.rs
@@ -0,0 +1,135 @@
+//! The facts that this instance still has to get into the claims stream.
+//!
+//! A fact stays until it is read back. One append is under way at a time, and
+//! facts go out in the order in which they arose: a claim never overtakes the
+//! void of an earlier attempt at the same key.
+
+use std::time::Duration;
+
+use crate::{claims::Settings, model::RequestId, record::ClaimFact};
+
+/// Failed appends in a row from which on the log counts as out.
+const FAILING_APPENDS: u32 = 2;
+
+/// Facts that wait to be appended or to be read back.
+pub struct Outbox {
+    facts: Vec<Pending>,
+    in_flight: bool,
+    /// No append starts earlier.
+    not_before: Duration,
+    failed: u32,
+    linger: Duration,
+    interval: Duration,
+    max_facts: usize,
+    confirm: Duration,
+    retry: Duration,
+    max_retry: Duration,
+}
+
+struct Pending {
+    fact: ClaimFact,
+    /// When it should go out, for the first time or again.
+    due: Duration,
+    was_sent: bool,
+    in_flight: bool,
+}
+
+impl Outbox {
+    /// An empty outbox.
+    pub fn new(settings: &Settings) -> Outbox {
+        Outbox {
+            facts: Vec::new(),
+            in_flight: false,
+            not_before: Duration::ZERO,
+            failed: 0,
+            linger: settings.linger,
+            interval: settings.interval,
+            max_facts: settings.max_facts,
+            confirm: settings.confirm,
+            retry: settings.retry,
+            max_retry: settings.max_retry,
+        }
+    }
+
+    /// Whether every fact was read back.
+    pub fn is_empty(&self) -> bool {
+        self.facts.is_empty()
+    }
+
+    /// Whether appends fail.
+    pub fn is_failing(&self) -> bool {
+        self.failed >= FAILING_APPENDS
+    }
+
+    /// Adds a fact, unless it waits already.
+    pub fn push(&mut self, now: Duration, fact: ClaimFact) {
+        if self.facts.iter().any(|pending| pending.fact == fact) {
+            return;
+        }
+        let due = now + self.linger;
+        self.facts.push(Pending { fact, due, was_sent: false, in_flight: false });
+    }
+
+    /// Takes a claim back, so that it is not sent again. `true` if it never was.
+    pub fn withdraw_claim(&mut self, key: &RequestId, nonce: u64) -> bool {
+        let found = self.facts.iter().position(|pending| is_claim(&pending.fact, key, nonce));
+        let Some(idx) = found else { return false };
+        let pending = self.facts.remove(idx);
+        !pending.was_sent
+    }
+
+    /// A fact of this instance was read back.
+    pub fn confirm(&mut self, fact: &ClaimFact) {
+        self.facts.retain(|pending| pending.fact != *fact);
+        self.failed = 0;
+    }
+
+    /// The facts to append now, if it is time and no append is under way.
+    pub fn flush(&mut self, now: Duration) -> Option<Vec<ClaimFact>> {
+        if self.next_wake()? > now {
+            return None;
+        }
+        let waiting = self.facts.iter_mut().filter(|pending| !pending.was_sent || pending.due <= now);
+        let mut facts = Vec::new();
+        for pending in waiting.take(self.max_facts) {
+            pending.was_sent = true;
+            pending.in_flight = true;
+            facts.push(pending.fact.clone());
+        }
+        self.in_flight = true;
+        self.not_before = now + self.interval;
+        Some(facts)
+    }
+
+    /// The append under way was acknowledged or failed.
+    pub fn append_ended(&mut self, now: Duration, ok: bool) {
+        self.in_flight = false;
+        self.failed = if ok { 0 } else { self.failed.saturating_add(1) };
+        let pause = if ok { self.confirm } else { self.backoff() };
+        for pending in self.facts.iter_mut().filter(|pending| pending.in_flight) {
+            pending.in_flight = false;
+            pending.due = now + pause;
+        }
+        if !ok {
+            self.not_before = now + pause;
+        }
+    }
+
+    /// When the next append should start; `None` while one is under way.
+    pub fn next_wake(&self) -> Option<Duration> {
+        if self.in_flight {
+            return None;
+        }
+        let due = self.facts.iter().map(|pending| pending.due).min()?;
+        Some(due.max(self.not_before))
+    }
+
+    fn backoff(&self) -> Duration {
+        let doublings = self.failed.saturating_sub(1).min(16);
+        self.retry.saturating_mul(1 << doublings).min(self.max_retry)
+    }
+}
+
+fn is_claim(fact: &ClaimFact, key: &RequestId, nonce: u64) -> bool {
+    matches!(fact, ClaimFact::Claim { key: k, nonce: n, .. } if k == key && *n == nonce)
+}
--- /dev/null
+++ b/crates/core/src/claims/window.rs
@@ -0,0 +1,189 @@
+//! What the claims stream says of each key within the horizon.
+//!
+//! The content depends only on the records of the last horizon, never on what
+//! was decided about older ones. So an instance that starts to read in the
+//! middle of the stream has, after a horizon's worth of it, the same window as
+//! one that has read from the first record on.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::{
+    claims::Holder,
+    model::RequestId,
+    record::{ClaimBatch, ClaimFact},
+};
+
+/// Where a fact stands among those of its key.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Place {
+    /// A claim with no other in its way.
+    First,
+    /// A claim behind another that is not void.
+    Behind(Holder),
+    /// A claim that was read before.
+    Repeat,
+    /// A claim whose void was read before.
+    Void,
+}
+
+/// The claims of the last horizon.
+pub struct Window {
+    keys: HashMap<RequestId, Vec<Seen>>,
+    expiry: VecDeque<Touch>,
+    horizon_ms: u64,
+    time_ms: u64,
+}
+
+/// One claim, in the order in which the claims of its key were first read.
+struct Seen {
+    claim: Holder,
+    /// Time of its newest copy; `None` while only its void was read.
+    claimed: Option<u64>,
+    /// Time of its newest void.
+    voided: Option<u64>,
+}
+
+/// A fact that keeps a claim in the window until a horizon after it.
+struct Touch {
+    time_ms: u64,
+    key: RequestId,
+    nonce: u64,
+}
+
+impl Window {
+    /// An empty window.
+    pub fn new(horizon_ms: u64) -> Window {
+        Window { keys: HashMap::new(), expiry: VecDeque::new(), horizon_ms, time_ms: 0 }
+    }
+
+    /// Number of claims in it.
+    pub fn len(&self) -> usize {
+        self.keys.values().map(Vec::len).sum()
+    }
+
+    /// Moves on to the time of the next record, and drops what is too old by
+    /// it. Time as it counts here never goes back. Returns it.
+    pub fn advance(&mut self, time_ms: u64) -> u64 {
+        self.time_ms = self.time_ms.max(time_ms);
+        while let Some(touch) = self.expiry.front() {
+            if touch.time_ms.saturating_add(self.horizon_ms) > self.time_ms {
+                break;
+            }
+            let touch = self.expiry.pop_front().expect("it was there a line ago");
+            self.drop_expired(&touch);
+        }
+        self.time_ms
+    }
+
+    /// Takes in a fact of a record, at the time last advanced to.
+    pub fn take(&mut self, batch: &ClaimBatch, fact: &ClaimFact) -> Place {
+        match fact {
+            ClaimFact::Claim { key, nonce, digest } => {
+                self.touch(key, *nonce);
+                self.claim(key, holder_in(batch, *nonce, *digest))
+            }
+            ClaimFact::Void { key, nonce } => {
+                self.touch(key, *nonce);
+                self.void(key, holder_in(batch, *nonce, 0));
+                Place::Void
+            }
+            ClaimFact::Finished { key, nonce, answered } => {
+                self.finish(key, &holder_in(batch, *nonce, 0), *answered);
+                Place::Repeat
+            }
+        }
+    }
+
+    /// The claim in the way of others for a key at a time: the first one that
+    /// is not void and not passed over.
+    pub fn holder(
+        &self,
+        key: &RequestId,
+        time_ms: u64,
+        mut passes: impl FnMut(&Holder) -> bool,
+    ) -> Option<&Holder> {
+        let seen = self.keys.get(key)?.iter();
+        let mut blocking = seen.filter(|seen| self.blocks(seen, time_ms)).map(|seen| &seen.claim);
+        blocking.find(|claim| !passes(claim))
+    }
+
+    fn blocks(&self, seen: &Seen, time_ms: u64) -> bool {
+        let Some(claimed) = seen.claimed else { return false };
+        seen.voided.is_none() && claimed.saturating_add(self.horizon_ms) > time_ms
+    }
+
+    fn touch(&mut self, key: &RequestId, nonce: u64) {
+        self.expiry.push_back(Touch { time_ms: self.time_ms, key: key.clone(), nonce });
+    }
+
+    fn claim(&mut self, key: &RequestId, claim: Holder) -> Place {
+        let time_ms = self.time_ms;
+        let holder = self.holder(key, time_ms, |_| false).cloned();
+        let seen = self.seen(key, claim);
+        let was_claimed = seen.claimed.replace(time_ms).is_some();
+        if was_claimed {
+            return Place::Repeat;
+        }
+        if seen.voided.is_some() {
+            return Place::Void;
+        }
+        holder.map_or(Place::First, Place::Behind)
+    }
+
+    fn void(&mut self, key: &RequestId, claim: Holder) {
+        let time_ms = self.time_ms;
+        let seen = self.seen(key, claim);
+        if seen.claim.finished.is_none() {
+            seen.voided = Some(time_ms);
+        }
+    }
+
+    fn finish(&mut self, key: &RequestId, claim: &Holder, answered: bool) {
+        let Some(all) = self.keys.get_mut(key) else { return };
+        let Some(seen) = all.iter_mut().find(|seen| is_same(&seen.claim, claim)) else { return };
+        if seen.claimed.is_some() && seen.voided.is_none() {
+            seen.claim.finished = Some(answered);
+        }
+    }
+
+    /// What is known of a claim, added where it is new.
+    fn seen(&mut self, key: &RequestId, claim: Holder) -> &mut Seen {
+        let all = self.keys.entry(key.clone()).or_default();
+        let idx = match all.iter().position(|seen| is_same(&seen.claim, &claim)) {
+            Some(idx) => idx,
+            None => {
+                all.push(Seen { claim, claimed: None, voided: None });
+                all.len() - 1
+            }
+        };
+        &mut all[idx]
+    }
+
+    fn drop_expired(&mut self, touch: &Touch) {
+        let Some(all) = self.keys.get_mut(&touch.key) else { return };
+        all.retain(|seen| seen.claim.nonce != touch.nonce || seen.newest() > touch.time_ms);
+        if all.is_empty() {
+            self.keys.remove(&touch.key);
+        }
+    }
+}
+
+impl Seen {
+    fn newest(&self) -> u64 {
+        self.claimed.max(self.voided).unwrap_or(0)
+    }
+}
+
+fn holder_in(batch: &ClaimBatch, nonce: u64, digest: u64) -> Holder {
+    Holder {
+        instance: batch.instance.clone(),
+        incarnation: batch.incarnation,
+        nonce,
+        digest,
+        finished: None,
+    }
+}
+
+fn is_same(a: &Holder, b: &Holder) -> bool {
+    a.nonce == b.nonce && a.incarnation == b.incarnation && a.instance == b.instance
+}
--- /dev/null
+++ b/crates/core/src/config_log/chain.rs
@@ -0,0 +1,82 @@
+//! The pure step from one state of the configuration to the next.
+
+use std::sync::Arc;
+
+use crate::{
+    config_log::Verdict,
+    document::Document,
+    record::{ConfigRecord, Drain, Entry, Offset, Publish, Snapshot},
+};
+
+/// Drains kept at the most. The oldest ones give way.
+pub const MAX_DRAINS: usize = 4096;
+
+/// The state before the first record.
+pub fn empty() -> Snapshot {
+    Snapshot {
+        as_of: None,
+        version: 0,
+        publish: None,
+        document: Arc::new(Document::default()),
+        drains: Vec::new(),
+    }
+}
+
+/// The first offset that a state does not cover.
+pub fn next_of(state: &Snapshot) -> Offset {
+    state.as_of.map_or(0, |offset| offset + 1)
+}
+
+/// The snapshot in a record; one that claims to cover its own place is none.
+pub fn snapshot_in(entry: &Entry<ConfigRecord>) -> Option<&Snapshot> {
+    match &entry.record {
+        ConfigRecord::Snapshot(snapshot) if next_of(snapshot) <= entry.offset => Some(snapshot),
+        _ => None,
+    }
+}
+
+/// Whether two drains hold for the same life of the same endpoint.
+pub fn same_life(a: &Drain, b: &Drain) -> bool {
+    a.endpoint == b.endpoint && a.incarnation == b.incarnation
+}
+
+/// Folds one record into the state. Gives the publish it decided, if any.
+pub fn step(state: &mut Snapshot, entry: &Entry<ConfigRecord>) -> Option<(Arc<str>, Verdict)> {
+    state.as_of = Some(entry.offset);
+    match &entry.record {
+        ConfigRecord::Publish(publish) => {
+            let verdict = decide(state, publish);
+            Some((publish.id.clone(), verdict))
+        }
+        ConfigRecord::Drain(drain) => {
+            add_drain(&mut state.drains, drain);
+            None
+        }
+        ConfigRecord::Snapshot(_) => None,
+    }
+}
+
+fn decide(state: &mut Snapshot, publish: &Publish) -> Verdict {
+    if publish.base != state.version {
+        return Verdict::Conflict { current: state.version };
+    }
+    state.version += 1;
+    state.publish = Some(publish.id.clone());
+    state.document = publish.document.clone();
+    Verdict::Accepted { version: state.version }
+}
+
+/// Keeps one drain an endpoint, that of its newest life.
+fn add_drain(drains: &mut Vec<Drain>, drain: &Drain) {
+    let known = drains.iter().position(|known| known.endpoint == drain.endpoint);
+    if let Some(idx) = known {
+        if drains[idx].incarnation >= drain.incarnation {
+            return;
+        }
+        drains.remove(idx);
+    }
+    if drains.len() == MAX_DRAINS {
+        drains.remove(0);
+    }
+    drains.push(drain.clone());
+}
--- /dev/null
+++ b/crates/core/src/config_log/cover.rs
@@ -0,0 +1,61 @@
+//! When the next snapshot has to be appended.
+//!
+//! The best snapshot in the stream covers every record up to its `as_of`. A
+//! new reader can start from it as long as the record behind `as_of` is kept.
+//! So the age of that record, the oldest uncovered one, decides.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::{
+    config_log::chain,
+    record::{ConfigRecord, Entry, Offset},
+};
+
+/// The first instance appends when a quarter of the retention has passed.
+const FIRST_DUE_DIVISOR: u64 = 4;
+/// Each later one waits for a further part of the retention,
+const RANK_STEP_DIVISOR: u64 = 64;
+/// but none for longer than half of it.
+const LAST_DUE_DIVISOR: u64 = 2;
+
+/// What of the stream the snapshots in it cover.
+#[derive(Default)]
+pub struct Cover {
+    /// The first offset that no snapshot in the stream covers.
+    next: Offset,
+    /// The records from there on, with the log's time of each.
+    open: VecDeque<(Offset, u64)>,
+    /// The oldest offset that the log keeps.
+    earliest: Offset,
+}
+
+impl Cover {
+    /// Notes a record that was read.
+    pub fn note(&mut self, entry: &Entry<ConfigRecord>) {
+        self.open.push_back((entry.offset, entry.time_ms));
+        if let Some(snapshot) = chain::snapshot_in(entry) {
+            self.next = self.next.max(chain::next_of(snapshot));
+        }
+        while self.open.front().is_some_and(|&(offset, _)| offset < self.next) {
+            self.open.pop_front();
+        }
+    }
+
+    /// Notes the oldest offset that is kept.
+    pub fn expired_to(&mut self, earliest: Offset) {
+        self.earliest = self.earliest.max(earliest);
+    }
+
+    /// Whether a snapshot is due for the instance of that rank.
+    pub fn is_due(&self, now_ms: u64, keep: Duration, rank: u32) -> bool {
+        if self.earliest > self.next {
+            return true;
+        }
+        let Some(&(_, time_ms)) = self.open.front() else { return false };
+        let keep_ms = u64::try_from(keep.as_millis()).unwrap_or(u64::MAX);
+        let wait = keep_ms / FIRST_DUE_DIVISOR;
+        let extra = (keep_ms / RANK_STEP_DIVISOR).saturating_mul(u64::from(rank));
+        let due = wait.saturating_add(extra).min(keep_ms / LAST_DUE_DIVISOR);
+        now_ms.saturating_sub(time_ms) >= due
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,8 @@
 //! - [`policy`]: operators' short programs.
 //! - [`instance`]: one entry instance, made of all of the above.
 
+pub mod claims;
+pub mod config_log;
 pub mod document;
 pub mod instance;
 pub mod membership;
