Add peers and their gossip

Counters tell who lives. A message is bounded: own counter first, then what was sent on least often; a configuration only to a peer that is known to lack it. A pause of the instance itself does not count against its peers.

--- a/crates/core/src/claims/attempts.rs
+++ b/crates/core/src/claims/attempts.rs
@@ -62,9 +62,7 @@
 
     /// Gives an attempt up. `false` if there is none that can be.
     pub fn give_up(&mut self, nonce: u64) -> bool {
-        self.change(nonce, State::GivenUp, |state| {
-            matches!(state, State::Waiting | State::Won)
-        })
+        self.change(nonce, State::GivenUp, |state| matches!(state, State::Waiting | State::Won))
     }
 
     /// A won attempt has ended. `false` if there is no such.
--- a/crates/core/src/claims/outbox.rs
+++ b/crates/core/src/claims/outbox.rs
@@ -89,7 +89,8 @@
         if self.next_wake()? > now {
             return None;
         }
-        let waiting = self.facts.iter_mut().filter(|pending| !pending.was_sent || pending.due <= now);
+        let waiting =
+            self.facts.iter_mut().filter(|pending| !pending.was_sent || pending.due <= now);
         let mut facts = Vec::new();
         for pending in waiting.take(self.max_facts) {
             pending.was_sent = true;
--- a/crates/core/src/config_log.rs
+++ b/crates/core/src/config_log.rs
@@ -247,11 +247,7 @@
         self.reader = Reader::Joined(state);
     }
 
-    fn joining_state(
-        &self,
-        start: Offset,
-        tail: &[Entry<ConfigRecord>],
-    ) -> Option<Arc<Snapshot>> {
+    fn joining_state(&self, start: Offset, tail: &[Entry<ConfigRecord>]) -> Option<Arc<Snapshot>> {
         let read = tail.iter().filter_map(chain::snapshot_in).map(|state| Arc::new(state.clone()));
         let usable = read.chain(self.known.clone()).filter(|state| {
             let is_joined = chain::next_of(state) >= start;
@@ -294,11 +290,7 @@
 }
 
 /// Folds one record in, unless the state covers it already.
-fn fold(
-    state: &mut Arc<Snapshot>,
-    entry: &Entry<ConfigRecord>,
-    verdicts: &mut verdicts::Verdicts,
-) {
+fn fold(state: &mut Arc<Snapshot>, entry: &Entry<ConfigRecord>, verdicts: &mut verdicts::Verdicts) {
     if entry.offset < chain::next_of(state) {
         return;
     }
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,4 +1,24 @@
 //! Peers: who they are, whether they live, and what instances tell each other.
+//!
+//! The platform's list says which peers exist; it lags. Whether they live is
+//! told by counters: each instance raises its own with every tick, and the
+//! counters travel with the gossip. A peer whose counter has not risen for a
+//! while is taken for dead until it rises again.
+//!
+//! With every tick an instance sends a few random peers what may be news to
+//! them, and they answer in kind. A message is bounded: news that was sent
+//! often enough to have reached everybody is left out, and what does not fit
+//! waits for the next one.
+//!
+//! Nothing here is needed for safety. All of it may be stale, lost or doubled.
+//!
+//! Submodules: `members` is the state machine, `peer` one peer, `spread` the
+//! choice of what goes into a message, `settings` the knobs.
+
+mod members;
+mod peer;
+mod settings;
+mod spread;
 
 use std::sync::Arc;
 
@@ -9,6 +29,9 @@
     record::{Offset, Snapshot, Version},
 };
 
+pub use members::{Envelope, Local, Members, PeerVersion};
+pub use settings::Settings;
+
 /// One message between two instances. Bounded in size; a delta, never the whole state.
 #[message]
 pub struct Gossip {
--- /dev/null
+++ b/crates/core/src/membership/members.rs
@@ -0,0 +1,374 @@
+//! The state machine of membership and gossip.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use peatdeck_macros::data;
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
+use slotmap::SlotMap;
+
+use crate::{
+    instance::input::Identity,
+    membership::{
+        ConfigMark, EndpointState, Gossip, LeavingMark, MemberState, Settings,
+        peer::Peer,
+        spread::{self, EndpointSpread, LeavingSpread},
+    },
+    model::{InstanceEntry, InstanceName, Presence},
+    record::{Snapshot, Version},
+};
+
+/// Peers that no list has named are remembered up to this number.
+const MAX_UNLISTED: usize = 1024;
+/// One peer that is not known to live is tried every so many rounds.
+const PROBE_ROUNDS: u64 = 4;
+/// A step of the clock over so many rounds is a pause of this instance.
+const PAUSE_ROUNDS: u32 = 4;
+
+slotmap::new_key_type! {
+    struct PeerKey;
+}
+
+/// What the instance itself has to tell.
+pub struct Local<'a> {
+    /// How far its configuration is.
+    pub mark: ConfigMark,
+    /// Its configuration; `None` if it is not known.
+    pub snapshot: Option<Arc<Snapshot>>,
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// Endpoints that it knows to be leaving.
+    pub leaving: &'a [LeavingMark],
+    /// Its calls in flight and the loads that it saw.
+    pub endpoints: &'a [EndpointState],
+}
+
+/// A message and where it goes.
+#[data]
+pub struct Envelope {
+    /// The peer.
+    pub to: InstanceName,
+    /// Where it listens, `ip:port`. Empty for a reply to a peer that is not
+    /// listed yet; replies go back the way that the question came.
+    pub addr: Arc<str>,
+    /// The message.
+    pub message: Gossip,
+}
+
+/// What a peer is known to have in force.
+#[data]
+pub struct PeerVersion {
+    /// The peer.
+    pub name: InstanceName,
+    /// The newest version that it said is in force there.
+    pub version: Version,
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// Whether it is taken for alive.
+    pub alive: bool,
+    /// Whether the newest list names it.
+    pub listed: bool,
+}
+
+/// The peers of one instance.
+pub struct Members {
+    identity: Identity,
+    settings: Settings,
+    rng: SmallRng,
+    peers: SlotMap<PeerKey, Peer>,
+    by_name: HashMap<InstanceName, PeerKey>,
+    leaving: LeavingSpread,
+    endpoints: EndpointSpread,
+    heartbeat: u64,
+    next_tick: Duration,
+    last_now: Duration,
+    last_heard: Option<Duration>,
+}
+
+impl Members {
+    /// An instance that knows no peer.
+    pub fn new(identity: Identity, settings: Settings, seed: u64) -> Members {
+        Members {
+            identity,
+            settings,
+            rng: SmallRng::seed_from_u64(seed),
+            peers: SlotMap::with_key(),
+            by_name: HashMap::new(),
+            leaving: LeavingSpread::default(),
+            endpoints: EndpointSpread::default(),
+            heartbeat: 0,
+            next_tick: Duration::ZERO,
+            last_now: Duration::ZERO,
+            last_heard: None,
+        }
+    }
+
+    /// Takes in the platform's list.
+    pub fn listed(&mut self, now: Duration, instances: &[InstanceEntry]) {
+        self.observe(now);
+        for peer in self.peers.values_mut() {
+            peer.presence = None;
+        }
+        for entry in instances {
+            if entry.name == self.identity.name {
+                continue;
+            }
+            let key = self.key_for(now, &entry.name);
+            self.peers[key].listed(now, entry);
+        }
+    }
+
+    /// Sends the round's messages, if it is time for one.
+    pub fn tick(&mut self, now: Duration, local: &Local<'_>) -> Vec<Envelope> {
+        self.observe(now);
+        if now < self.next_tick {
+            return Vec::new();
+        }
+        self.next_tick = now + self.jittered_tick();
+        self.heartbeat += 1;
+        self.forget(now);
+        let targets = self.targets(now, local.mark);
+        let envelopes = targets.into_iter().map(|key| self.envelope(now, key, true, local));
+        envelopes.collect()
+    }
+
+    /// Takes in a peer's message; the reply, if it wants one.
+    pub fn heard(
+        &mut self,
+        now: Duration,
+        message: &Gossip,
+        local: &Local<'_>,
+    ) -> Option<Envelope> {
+        self.observe(now);
+        if message.from == self.identity.name {
+            return None;
+        }
+        self.last_heard = Some(now);
+        for state in &message.members {
+            self.heard_of(now, state);
+        }
+        let key = self.known_key(now, &message.from)?;
+        let peer = &mut self.peers[key];
+        peer.mark = Some(message.mark);
+        peer.seen_at = now;
+        let sent = message.members.iter().find(|state| state.name == message.from);
+        if let Some(sent) = sent {
+            peer.tell_counts(now, sent, &message.endpoints);
+        }
+        message.wants_reply.then(|| self.envelope(now, key, false, local))
+    }
+
+    /// A message to a peer failed.
+    pub fn failed(&mut self, now: Duration, peer: &InstanceName) {
+        self.observe(now);
+        if let Some(&key) = self.by_name.get(peer) {
+            self.peers[key].failed();
+        }
+    }
+
+    /// The peers that are taken for alive.
+    pub fn alive(&self, now: Duration) -> Vec<InstanceName> {
+        self.alive_peers(now).map(|peer| peer.name.clone()).collect()
+    }
+
+    /// Where a peer listens, if the list has told.
+    pub fn addr(&self, peer: &str) -> Option<Arc<str>> {
+        let key = self.by_name.get(peer)?;
+        self.peers[*key].addr.clone()
+    }
+
+    /// Whether the newest list names a peer that stays.
+    pub fn has_listed_peers(&self) -> bool {
+        self.peers.values().any(|peer| peer.presence == Some(Presence::Live))
+    }
+
+    /// When any peer was last heard.
+    pub fn last_heard(&self) -> Option<Duration> {
+        self.last_heard
+    }
+
+    /// When [`Members::tick`] should be called next.
+    pub fn next_wake(&self) -> Option<Duration> {
+        Some(self.next_tick)
+    }
+
+    /// What each peer has in force, by name.
+    pub fn peer_versions(&self, now: Duration) -> Vec<PeerVersion> {
+        let time = self.unpaused(now);
+        let mut versions: Vec<_> = self
+            .peers
+            .values()
+            .map(|peer| PeerVersion {
+                name: peer.name.clone(),
+                version: peer.version(),
+                ready: peer.state.ready,
+                alive: peer.is_alive(time, self.settings.dead_after),
+                listed: peer.presence.is_some(),
+            })
+            .collect();
+        versions.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        versions
+    }
+
+    /// The peers' calls in flight to an endpoint, as they told lately.
+    pub fn in_flight(&self, now: Duration, endpoint: &str) -> u32 {
+        let time = self.unpaused(now);
+        let age = self.settings.count_age;
+        let counts = self.alive_peers(now).map(|peer| peer.in_flight(time, endpoint, age));
+        counts.fold(0, u32::saturating_add)
+    }
+
+    fn alive_peers(&self, now: Duration) -> impl Iterator<Item = &Peer> {
+        let time = self.unpaused(now);
+        self.peers.values().filter(move |peer| peer.is_alive(time, self.settings.dead_after))
+    }
+
+    /// Notes the time. While this instance was paused it could hear nobody, so
+    /// a long step does not count against the peers.
+    fn observe(&mut self, now: Duration) {
+        let step = now.saturating_sub(self.last_now);
+        if step > self.pause() {
+            for peer in self.peers.values_mut() {
+                peer.skip(step);
+            }
+        }
+        self.last_now = self.last_now.max(now);
+    }
+
+    /// The time by which peers are judged before a pause was noted.
+    fn unpaused(&self, now: Duration) -> Duration {
+        let step = now.saturating_sub(self.last_now);
+        if step > self.pause() { self.last_now } else { now }
+    }
+
+    fn pause(&self) -> Duration {
+        self.settings.tick * PAUSE_ROUNDS
+    }
+
+    fn jittered_tick(&mut self) -> Duration {
+        self.settings.tick.mul_f64(self.rng.random_range(0.9..1.1))
+    }
+
+    fn heard_of(&mut self, now: Duration, state: &MemberState) {
+        if state.name == self.identity.name {
+            return;
+        }
+        let Some(key) = self.known_key(now, &state.name) else { return };
+        self.peers[key].heard_of(now, state);
+    }
+
+    /// The peer of that name; a new one if there is room for one not listed.
+    fn known_key(&mut self, now: Duration, name: &InstanceName) -> Option<PeerKey> {
+        if let Some(&key) = self.by_name.get(name) {
+            return Some(key);
+        }
+        let unlisted = self.peers.values().filter(|peer| peer.addr.is_none()).count();
+        (unlisted < MAX_UNLISTED).then(|| self.key_for(now, name))
+    }
+
+    fn key_for(&mut self, now: Duration, name: &InstanceName) -> PeerKey {
+        if let Some(&key) = self.by_name.get(name) {
+            return key;
+        }
+        let key = self.peers.insert(Peer::new(now, name.clone()));
+        self.by_name.insert(name.clone(), key);
+        key
+    }
+
+    /// Forgets peers that are neither listed nor heard of, and old counts.
+    fn forget(&mut self, now: Duration) {
+        let Settings { forget_after, count_age, .. } = self.settings;
+        let by_name = &mut self.by_name;
+        self.peers.retain(|_, peer| {
+            peer.prune_counts(now, count_age);
+            let is_gone =
+                peer.presence.is_none() && now.saturating_sub(peer.seen_at) > forget_after;
+            if is_gone {
+                by_name.remove(&peer.name);
+            }
+            !is_gone
+        });
+    }
+
+    /// Whom to send to: some peers that may live, one that has a newer
+    /// configuration if there is one, and now and then one that seems dead.
+    fn targets(&mut self, now: Duration, mark: ConfigMark) -> Vec<PeerKey> {
+        let dead_after = self.settings.dead_after;
+        let may_live = |peer: &Peer| peer.is_unknown() || peer.is_alive(now, dead_after);
+        let reachable = self.peers.iter().filter(|(_, peer)| peer.addr.is_some());
+        let (live, dead): (Vec<_>, Vec<_>) = reachable.partition(|(_, peer)| may_live(peer));
+        let ahead = live.iter().filter(|(_, peer)| peer.version() > mark.version);
+        let ahead = ahead.map(|&(key, _)| key).choose(&mut self.rng);
+        let live = live.iter().map(|&(key, _)| key);
+        let mut targets = live.choose_multiple(&mut self.rng, self.settings.fanout);
+        targets.extend(ahead.filter(|key| !targets.contains(key)));
+        if self.heartbeat.is_multiple_of(PROBE_ROUNDS) || targets.is_empty() {
+            targets.extend(dead.iter().map(|&(key, _)| key).choose(&mut self.rng));
+        }
+        targets
+    }
+
+    fn envelope(
+        &mut self,
+        now: Duration,
+        to: PeerKey,
+        wants_reply: bool,
+        local: &Local<'_>,
+    ) -> Envelope {
+        let limit = spread::send_limit(self.peers.len());
+        let Settings { max_members, max_leaving, max_endpoints, .. } = self.settings;
+        let members = self.pick_members(now, to, limit, max_members, local);
+        let leaving = self.leaving.pick(&mut self.rng, local.leaving, limit, max_leaving);
+        let endpoints = self.endpoints.pick(local.endpoints, limit, max_endpoints);
+        let peer = &mut self.peers[to];
+        let snapshot = local.snapshot.clone().filter(|_| peer.is_behind(local.mark));
+        if snapshot.is_some() {
+            peer.mark = Some(local.mark);
+        }
+        let message = Gossip {
+            from: self.identity.name.clone(),
+            wants_reply,
+            mark: local.mark,
+            snapshot,
+            members,
+            leaving,
+            endpoints,
+        };
+        let addr = peer.addr.clone().unwrap_or_else(|| Arc::from(""));
+        Envelope { to: peer.name.clone(), addr, message }
+    }
+
+    /// The own counter and those of others that were sent least often.
+    fn pick_members(
+        &mut self,
+        now: Duration,
+        to: PeerKey,
+        limit: u32,
+        max: usize,
+        local: &Local<'_>,
+    ) -> Vec<MemberState> {
+        let dead_after = self.settings.dead_after;
+        let others = self.peers.iter().filter(|&(key, peer)| {
+            let is_told = peer.heard_at.is_some();
+            key != to && is_told && peer.is_alive(now, dead_after)
+        });
+        let news = others.map(|(key, peer)| (key, peer.sends));
+        let picked = spread::least_sent(&mut self.rng, news, limit, max.saturating_sub(1));
+        let mut states = vec![self.own_state(local)];
+        for key in picked {
+            let peer = &mut self.peers[key];
+            peer.sends += 1;
+            states.push(peer.state.clone());
+        }
+        states
+    }
+
+    fn own_state(&self, local: &Local<'_>) -> MemberState {
+        MemberState {
+            name: self.identity.name.clone(),
+            incarnation: self.identity.incarnation,
+            heartbeat: self.heartbeat,
+            version: local.mark.version,
+            ready: local.ready,
+        }
+    }
+}
