Split deadlines over stages, delay hedges, measure the drain rate

Also: limits heed reported queues and keep their usual level under steady load, a hung call that is cancelled counts as a failure, an instance that starts treats the endpoints of its first list as running at full speed, and a policy's score can choose among a few endpoints.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -5,9 +5,15 @@
 //! Otherwise it is refused at once, before anything of it runs, and told when
 //! coming back would help. That time is worked out from how fast the queue
 //! drains; it isn't a constant.
+//!
+//! [`drain`] measures that rate.
+
+pub mod drain;
 
 use std::time::Duration;
 
+use rand::{Rng, rngs::SmallRng};
+
 use crate::model::{Refusal, RefusalKind};
 
 /// What a decision rests on.
@@ -44,6 +50,8 @@
 const MIN_RETRY: Duration = Duration::from_millis(100);
 /// The latest that a caller is asked back.
 const MAX_RETRY: Duration = Duration::from_secs(60);
+/// The most that a time to come back is stretched by, as a share of it.
+const SPREAD: f64 = 0.25;
 
 /// Decides.
 ///
@@ -65,6 +73,13 @@
     Refusal { kind, retry_after: retry_after.clamp(MIN_RETRY, MAX_RETRY) }
 }
 
+/// Stretches the time to come back at random, so that callers refused together
+/// don't return together.
+pub fn spread(refusal: Refusal, rng: &mut SmallRng) -> Refusal {
+    let factor = 1.0 + rng.random::<f64>() * SPREAD;
+    Refusal { retry_after: refusal.retry_after.mul_f64(factor), ..refusal }
+}
+
 /// How long `ahead` calls keep a new one waiting when `places` work on them
 /// at once and a call takes `service` on average.
 pub fn wait(ahead: f64, places: u32, service: Duration) -> Duration {
--- a/crates/core/src/endpoints.rs
+++ b/crates/core/src/endpoints.rs
@@ -19,12 +19,15 @@
 pub mod health;
 pub mod marks;
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use slotmap::SlotMap;
 
 pub use self::entry::{Endpoint, State};
-use self::marks::Marks;
+use self::{entry::PoolView, marks::Marks};
 use crate::{
     instance::input::RefuseReason,
     limits,
@@ -98,6 +101,8 @@
     names: HashMap<EndpointName, Key>,
     pools: HashMap<PoolName, Vec<Key>>,
     marks: Marks,
+    /// Whether a list with an endpoint was seen.
+    seen: bool,
     now: Duration,
 }
 
@@ -111,6 +116,7 @@
             names: HashMap::new(),
             pools: HashMap::new(),
             marks,
+            seen: false,
             now: Duration::ZERO,
         }
     }
@@ -124,13 +130,13 @@
             }
             self.list_one(now, entry);
         }
-        let names: std::collections::HashSet<&str> =
-            entries.iter().map(|entry| &*entry.name).collect();
+        let names: HashSet<&str> = entries.iter().map(|entry| &*entry.name).collect();
         let after = self.settings.absent_after;
         for endpoint in self.slots.values_mut() {
             endpoint.set_listed(now, names.contains(&*endpoint.name), after);
         }
         self.forget_gone();
+        self.seen |= !entries.is_empty();
     }
 
     /// Marks an endpoint as leaving, for this and every earlier incarnation.
@@ -166,8 +172,8 @@
     pub fn ended(&mut self, now: Duration, name: &str, end: CallEnd) {
         self.tick(now);
         let Some(key) = self.names.get(name).copied() else { return };
-        let may_eject = self.may_eject(key);
-        self.slots[key].ended(now, &end, may_eject);
+        let pool = self.pool_view(key);
+        self.slots[key].ended(now, &end, pool);
         if end.result == CallResult::Refused(RefuseReason::Leaving) {
             let incarnation = self.slots[key].incarnation;
             self.mark_leaving(name, incarnation);
@@ -252,12 +258,22 @@
         if let Some(mark) = self.marks.incarnation(&entry.name) {
             endpoint.mark_leaving(mark);
         }
+        if !self.seen {
+            endpoint.skip_slow_start();
+        }
         let key = self.slots.insert(endpoint);
         self.names.insert(entry.name.clone(), key);
         self.pools.entry(entry.pool.clone()).or_default().push(key);
         self.marks.set_listed(&entry.name, true);
     }
 
+    fn pool_view(&self, key: Key) -> PoolView {
+        let pool = &self.slots[key].pool;
+        let mut times: Vec<Duration> = self.pool(pool).filter_map(Endpoint::took_whole).collect();
+        times.sort_unstable();
+        PoolView { may_eject: self.may_eject(key), usual: times.get(times.len() / 2).copied() }
+    }
+
     /// Whether ejecting one more endpoint leaves enough of its pool.
     fn may_eject(&self, key: Key) -> bool {
         let pool = &self.slots[key].pool;
--- a/crates/core/src/endpoints/entry.rs
+++ b/crates/core/src/endpoints/entry.rs
@@ -61,8 +61,8 @@
     absent: Option<Duration>,
     /// When this life began, as far as this instance knows.
     since: Duration,
-    /// When its slow start began.
-    ramp: Duration,
+    /// When its slow start began; `None` if it had none.
+    ramp: Option<Duration>,
     slow_start: Duration,
     health: Health,
     limit: Limit,
@@ -70,6 +70,15 @@
     report: Option<Report>,
 }
 
+/// What an endpoint has to know of its pool when a call ends.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PoolView {
+    /// Whether one more endpoint may be ejected.
+    pub may_eject: bool,
+    /// How long whole calls take in the pool; `None` if not known.
+    pub usual: Option<Duration>,
+}
+
 /// A load report, and when it was true.
 #[derive(Debug, Clone, Copy)]
 struct Report {
@@ -80,7 +89,10 @@
 /// How long calls take, as a moving average.
 #[derive(Debug, Clone, Copy, Default)]
 struct Speed {
+    /// Seconds a call, or a token for an engine.
     took: Option<f64>,
+    /// Seconds a whole call.
+    whole: Option<f64>,
     at: Duration,
     /// Share of calls that went well.
     good: f64,
@@ -88,6 +100,8 @@
 
 /// Weight of the newest call in the averages.
 const NEWEST: f64 = 0.1;
+/// Times the pool's usual time after which a cancelled call counts as failed.
+const HUNG_FACTOR: f64 = 5.0;
 /// Share of its limit that a new endpoint starts with.
 const FIRST_SHARE: f64 = 0.1;
 /// Steps of a slow start, for waking up.
@@ -96,6 +110,7 @@
 const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
 
 impl Endpoint {
+    /// A new life, with a slow start.
     pub(super) fn new(now: Duration, entry: &EndpointEntry, settings: &Settings) -> Endpoint {
         Endpoint {
             name: entry.name.clone(),
@@ -109,7 +124,7 @@
             gone: false,
             absent: None,
             since: now,
-            ramp: now,
+            ramp: Some(now),
             slow_start: settings.slow_start,
             health: Health::new(settings.health),
             limit: Limit::new(settings.limit),
@@ -118,6 +133,11 @@
         }
     }
 
+    /// Starts at full speed: it isn't new, this instance is.
+    pub(super) fn skip_slow_start(&mut self) {
+        self.ramp = None;
+    }
+
     /// Whether it gets calls.
     pub fn state(&self) -> State {
         if self.leaving {
@@ -175,11 +195,16 @@
         self.report.map(|report| report.load.places.max(1))
     }
 
-    /// How long its calls took lately, and when the last one ended.
+    /// How long its calls took lately, for an engine per token, and when the last one ended.
     pub fn took(&self) -> Option<(Duration, Duration)> {
         self.speed.took.map(|took| (Duration::from_secs_f64(took), self.speed.at))
     }
 
+    /// How long its whole calls took lately.
+    pub fn took_whole(&self) -> Option<Duration> {
+        self.speed.whole.map(Duration::from_secs_f64)
+    }
+
     /// Share of its recent calls that went well.
     pub fn good_share(&self) -> f64 {
         self.speed.good
@@ -220,7 +245,7 @@
         self.health.started(now);
     }
 
-    pub(super) fn ended(&mut self, now: Duration, end: &CallEnd, may_eject: bool) {
+    pub(super) fn ended(&mut self, now: Duration, end: &CallEnd, pool: PoolView) {
         let sent = now.saturating_sub(end.took);
         let is_stale = self.stale > 0 && (sent < self.since || self.in_flight == 0);
         if is_stale {
@@ -231,9 +256,9 @@
         self.in_flight = in_flight.saturating_sub(1);
         match end.result {
             CallResult::Ok => self.succeeded(now, sent, end, in_flight),
-            CallResult::Refused(reason) => self.refused(now, sent, end, reason),
-            CallResult::Failed => self.failed(now, sent, may_eject),
-            CallResult::Cancelled => self.health.undecided(now, sent),
+            CallResult::Refused(reason) => self.refused(now, sent, reason),
+            CallResult::Failed => self.failed(now, sent, pool.may_eject),
+            CallResult::Cancelled => self.cancelled(now, sent, end, pool),
             CallResult::Distrusted => self.distrusted(now),
         }
     }
@@ -244,6 +269,7 @@
             return;
         }
         self.report = Some(Report { load, at });
+        self.limit.reported(now, at, load.queued, load.places.max(1));
     }
 
     pub(super) fn is_worth_telling(&self) -> bool {
@@ -269,32 +295,43 @@
         if let Phase::Ejected { until } = self.health.phase() {
             return (until > now).then_some(until);
         }
-        let end = self.ramp + self.slow_start;
+        let end = self.ramp? + self.slow_start;
         (now < end).then(|| end.min(now + self.slow_start / RAMP_STEPS))
     }
 
     /// Share of the limit that a slow start allows by now.
     fn ramp_share(&self, now: Duration) -> f64 {
+        let Some(ramp) = self.ramp else { return 1.0 };
         if self.slow_start.is_zero() {
             return 1.0;
         }
-        let done = now.saturating_sub(self.ramp).as_secs_f64() / self.slow_start.as_secs_f64();
+        let done = now.saturating_sub(ramp).as_secs_f64() / self.slow_start.as_secs_f64();
         (FIRST_SHARE + (1.0 - FIRST_SHARE) * done).min(1.0)
     }
 
     fn succeeded(&mut self, now: Duration, sent: Duration, end: &CallEnd, in_flight: u32) {
         if self.health.succeeded(sent) {
-            self.ramp = now;
+            self.ramp = Some(now);
         }
         let unit = end.took.div_f64(f64::from(end.tokens.unwrap_or(1).max(1)));
         self.limit.succeeded(now, unit, in_flight);
-        self.speed.record(now, unit);
+        self.speed.record(now, unit, end.took);
     }
 
-    fn refused(&mut self, now: Duration, sent: Duration, end: &CallEnd, reason: RefuseReason) {
+    fn refused(&mut self, now: Duration, sent: Duration, reason: RefuseReason) {
         self.health.undecided(now, sent);
         if reason == RefuseReason::Busy {
-            self.limit.congested(now, end.took);
+            self.limit.refused(now, sent);
+        }
+    }
+
+    /// A cancelled call tells nothing, unless it took so long that it hung.
+    fn cancelled(&mut self, now: Duration, sent: Duration, end: &CallEnd, pool: PoolView) {
+        let hung = pool.usual.is_some_and(|usual| end.took > usual.mul_f64(HUNG_FACTOR));
+        if hung {
+            self.failed(now, sent, pool.may_eject);
+        } else {
+            self.health.undecided(now, sent);
         }
     }
 
@@ -310,10 +347,9 @@
 }
 
 impl Speed {
-    fn record(&mut self, now: Duration, took: Duration) {
-        let took = took.as_secs_f64();
-        let old = self.took.unwrap_or(took);
-        self.took = Some(old + (took - old) * NEWEST);
+    fn record(&mut self, now: Duration, unit: Duration, whole: Duration) {
+        self.took = Some(averaged(self.took, unit.as_secs_f64()));
+        self.whole = Some(averaged(self.whole, whole.as_secs_f64()));
         self.at = now;
         self.good += (1.0 - self.good) * NEWEST;
     }
@@ -322,3 +358,8 @@
         self.good -= self.good * NEWEST;
     }
 }
+
+fn averaged(old: Option<f64>, new: f64) -> f64 {
+    let old = old.unwrap_or(new);
+    old + (new - old) * NEWEST
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 //! - [`membership`]: peers, their liveness and what they tell each other.
 //! - [`endpoints`]: what is known of each endpoint; leaving is sticky.
 //! - [`routing`], [`limits`], [`latency`]: where a call goes.
+//! - [`timing`]: how the remaining time is split over stages, and when to hedge.
 //! - [`admission`], [`queue`], [`budget`]: what is taken in, in which order,
 //!   and how much repetition is allowed.
 //! - [`policy`]: operators' short programs.
@@ -44,3 +45,4 @@
 pub mod queue;
 pub mod record;
 pub mod routing;
+pub mod timing;
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -1,13 +1,20 @@
 //! How many calls one instance lets run at an endpoint at once.
 //!
-//! A [`Limit`] learns from the endpoint's own times, so that instances needn't
-//! know each other's plans: it grows by one a round while it is used up and
-//! times stay near their usual level, and shrinks by a factor when they rise
-//! above it or when the endpoint says that it is busy. A round is as many
-//! calls as the limit has places, so that growth doesn't depend on the rate.
+//! A [`Limit`] learns from the endpoint's own times and load reports, so that
+//! instances needn't know each other's plans. It grows by one a round while
+//! all of it is in use, and shrinks by a factor on a sign of congestion: times
+//! well above their usual level, a long queue in a report, or a refusal
+//! because the endpoint is busy. A round is as many calls as the limit has
+//! places, so that growth doesn't depend on the rate.
 //!
-//! Times of single calls vary widely, so a round is judged by its median, and
-//! the usual level is a slow average that forgets old bad times quickly.
+//! Traps:
+//!
+//! - Times of single calls vary widely, so a round is judged by its median.
+//! - Under steady load times stay high, and a level that followed them would
+//!   soon call them usual. So the usual level falls fast and rises slowly, and
+//!   hardly at all while the limit is used up.
+//! - One congestion is seen by many calls. Calls that were sent before the
+//!   limit shrank, and reports from before, don't shrink it again.
 
 use std::time::Duration;
 
@@ -30,6 +37,8 @@
 
 /// Rise of the median over the usual level that counts as congestion.
 const TOLERANCE: f64 = 2.0;
+/// Reported queue, as a share of the endpoint's places, that counts as congestion.
+const QUEUE_SHARE: f64 = 0.5;
 /// What is left of the limit after congestion.
 const BACKOFF: f64 = 0.8;
 /// Fewest calls in a round.
@@ -37,7 +46,9 @@
 /// Most calls in a round.
 const MAX_ROUND: usize = 64;
 /// Weight of a new median in the usual level when it lies above.
-const RISE: f64 = 0.02;
+const RISE: f64 = 0.05;
+/// The same while the limit is used up.
+const RISE_IN_USE: f64 = 0.002;
 /// Weight of a new median in the usual level when it lies below.
 const FALL: f64 = 0.3;
 
@@ -47,10 +58,12 @@
     settings: Settings,
     value: f64,
     usual: Option<f64>,
+    /// Times of the round so far, in seconds.
     round: Vec<f64>,
+    /// Whether all of the limit was in use at some time of the round.
     used: bool,
-    /// Nothing that was sent before this shrinks the limit again.
-    shrunk: Duration,
+    /// When it last shrank.
+    shrunk: Option<Duration>,
 }
 
 impl Limit {
@@ -62,7 +75,7 @@
             usual: None,
             round: Vec::new(),
             used: false,
-            shrunk: Duration::ZERO,
+            shrunk: None,
         }
     }
 
@@ -71,23 +84,29 @@
         self.value as u32
     }
 
-    /// Takes in a call that ended well. `in_flight` counts it.
-    pub fn succeeded(&mut self, now: Duration, took: Duration, in_flight: u32) {
-        self.used |= f64::from(in_flight) + 1.0 >= self.value;
-        self.round.push(took.as_secs_f64());
+    /// Takes in the time of a call that ended well. `in_flight` counts it.
+    pub fn succeeded(&mut self, now: Duration, unit: Duration, in_flight: u32) {
+        self.used |= in_flight >= self.value();
+        self.round.push(unit.as_secs_f64());
         let size = (self.value() as usize).clamp(MIN_ROUND, MAX_ROUND);
         if self.round.len() >= size {
             self.end_round(now);
         }
     }
 
-    /// Takes in a sign that the endpoint is overloaded, from a call that took `took`.
-    pub fn congested(&mut self, now: Duration, took: Duration) {
-        if now.saturating_sub(took) < self.shrunk {
-            return;
+    /// Takes in a refusal because the endpoint is busy, of a call sent at `sent`.
+    pub fn refused(&mut self, now: Duration, sent: Duration) {
+        if !self.is_old_news(sent) {
+            self.shrink(now);
+        }
+    }
+
+    /// Takes in a report that was true at `at`.
+    pub fn reported(&mut self, now: Duration, at: Duration, queued: u32, places: u32) {
+        let is_long = f64::from(queued) > f64::from(places) * QUEUE_SHARE;
+        if is_long && !self.is_old_news(at) {
+            self.shrink(now);
         }
-        self.shrunk = now;
-        self.value = (self.value * BACKOFF).max(f64::from(self.settings.min));
     }
 
     fn end_round(&mut self, now: Duration) {
@@ -95,14 +114,27 @@
         self.round.clear();
         let usual = *self.usual.get_or_insert(median);
         if median > usual * TOLERANCE {
-            self.value = (self.value * BACKOFF).max(f64::from(self.settings.min));
-            self.shrunk = now;
+            self.shrink(now);
         } else if self.used {
             self.value = (self.value + 1.0).min(f64::from(self.settings.max));
         }
-        self.used = false;
-        let weight = if median > usual { RISE } else { FALL };
+        let weight = match (median > usual, self.used) {
+            (true, true) => RISE_IN_USE,
+            (true, false) => RISE,
+            (false, _) => FALL,
+        };
         self.usual = Some(usual + (median - usual) * weight);
+        self.used = false;
+    }
+
+    fn shrink(&mut self, now: Duration) {
+        self.value = (self.value * BACKOFF).max(f64::from(self.settings.min));
+        self.shrunk = Some(now);
+        self.round.clear();
+    }
+
+    fn is_old_news(&self, at: Duration) -> bool {
+        self.shrunk.is_some_and(|shrunk| at <= shrunk)
     }
 }
 
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -14,7 +14,7 @@
 
 use std::time::Duration;
 
-use rand::{Rng, rngs::SmallRng};
+use rand::{Rng, rngs::SmallRng, seq::IndexedRandom};
 use xxhash_rust::xxh3;
 
 use crate::{
@@ -40,6 +40,8 @@
 const AFFINITY_DEPTH: usize = 2;
 /// Time after which half of an endpoint's deviation from its pool is forgotten.
 const FORGET: Duration = Duration::from_secs(10);
+/// Endpoints that a policy scores for a call.
+const SCORED: usize = 4;
 /// The least share of good calls that is counted with.
 const MIN_GOOD: f64 = 0.05;
 
@@ -50,12 +52,23 @@
     demand: &Demand<'_>,
     rng: &mut SmallRng,
 ) -> Option<EndpointName> {
-    let free: Vec<&Endpoint> = candidates(table, now, demand).collect();
     if demand.exclude.is_empty()
-        && let Some(probe) = free.iter().find(|endpoint| endpoint.is_probe_due(now))
+        && let Some(probe) = candidates(table, now, demand).find(|free| free.is_probe_due(now))
     {
         return Some(probe.name.clone());
     }
+    choose_proven(table, now, demand, rng)
+}
+
+/// As [`choose`], for a call that mustn't be risked: it is a probe only where
+/// nothing else is free.
+pub fn choose_proven(
+    table: &Table,
+    now: Duration,
+    demand: &Demand<'_>,
+    rng: &mut SmallRng,
+) -> Option<EndpointName> {
+    let free = proven(table, now, demand);
     let scale = Scale::of(table, demand.pool);
     if let Some(prefix) = demand.prefix
         && let Some(near) = nearest(&free, demand, prefix)
@@ -66,6 +79,32 @@
     better_of_two(&free, rng, cost).map(|endpoint| endpoint.name.clone())
 }
 
+/// As [`choose_proven`], by a policy's score: of a few drawn at random the one
+/// with the largest. Where the policy has no score, the built-in choice holds.
+pub fn choose_scored(
+    table: &Table,
+    now: Duration,
+    demand: &Demand<'_>,
+    rng: &mut SmallRng,
+    score: &dyn Fn(&Endpoint) -> Option<f64>,
+) -> Option<EndpointName> {
+    let free = proven(table, now, demand);
+    let drawn = free.choose_multiple(rng, SCORED);
+    let scores: Option<Vec<(f64, &Endpoint)>> =
+        drawn.map(|endpoint| Some((score(endpoint)?, *endpoint))).collect();
+    let Some(scores) = scores else { return choose_proven(table, now, demand, rng) };
+    let best = scores.into_iter().max_by(|a, b| a.0.total_cmp(&b.0));
+    best.map(|(_, endpoint)| endpoint.name.clone())
+}
+
+/// Free endpoints that aren't to be probed; those too if there are no others.
+fn proven<'t>(table: &'t Table, now: Duration, demand: &Demand<'_>) -> Vec<&'t Endpoint> {
+    let free: Vec<&Endpoint> = candidates(table, now, demand).collect();
+    let proven = free.iter().copied().filter(|endpoint| !endpoint.is_probe_due(now));
+    let proven: Vec<&Endpoint> = proven.collect();
+    if proven.is_empty() { free } else { proven }
+}
+
 fn candidates<'t>(
     table: &'t Table,
     now: Duration,
--- /dev/null
+++ b/crates/core/src/timing.rs
@@ -0,0 +1,73 @@
+//! How a request's remaining time is spent.
+//!
+//! All stages share one deadline. [`stage_time`] gives a stage what remains
+//! less what the later stages need, and gives the request up once even a quick
+//! run can't be in time. [`hedge_delay`] says how long to wait for a straggler
+//! before a second call is worth its cost.
+
+use std::time::Duration;
+
+use crate::latency::Estimator;
+
+/// Quantile that a later stage's time is reserved at.
+const RESERVED: f64 = 0.9;
+/// Quantile of a quick run: what takes longer than that can't be hoped for.
+const QUICK: f64 = 0.05;
+/// Quantile of a usual run.
+const USUAL: f64 = 0.5;
+/// Quantile after which a call counts as a straggler.
+const STRAGGLER: f64 = 0.95;
+/// Quantile of a run that a hedge must still have time for.
+const HEDGE_RUN: f64 = 0.75;
+/// Samples before a stage's quantiles are trusted for hedging.
+const MIN_SAMPLES: u64 = 20;
+
+/// Time that a stage may take; `None` if the request can't be in time any more.
+pub fn stage_time(left: Duration, stage: &Estimator, later: &[&Estimator]) -> Option<Duration> {
+    let quick = at(stage, QUICK) + sum(later, QUICK);
+    if left.is_zero() || quick > left {
+        return None;
+    }
+    let usual = at(stage, USUAL);
+    let time = left.saturating_sub(sum(later, RESERVED));
+    if time >= usual && !time.is_zero() {
+        return Some(time);
+    }
+    Some(proportion(left, usual, sum(later, USUAL)))
+}
+
+/// Time that a request's stages need from here on, at a high quantile.
+pub fn work(stages: &[&Estimator]) -> Duration {
+    sum(stages, RESERVED)
+}
+
+/// How long to wait for a call before a hedge is sent; `None` if a hedge isn't
+/// worth it: too little is known, or it couldn't be in time.
+pub fn hedge_delay(stage: &Estimator, time: Duration) -> Option<Duration> {
+    if stage.count() < MIN_SAMPLES {
+        return None;
+    }
+    let straggler = stage.quantile(STRAGGLER)?;
+    let run = stage.quantile(HEDGE_RUN)?;
+    let latest = time.checked_sub(run)?;
+    let delay = straggler.min(latest);
+    (delay >= run).then_some(delay)
+}
+
+/// The stage's part of `left` when every stage has to hurry alike.
+fn proportion(left: Duration, stage: Duration, later: Duration) -> Duration {
+    let all = (stage + later).as_secs_f64();
+    if all <= 0.0 {
+        return left;
+    }
+    left.mul_f64(stage.as_secs_f64() / all)
+}
+
+fn sum(stages: &[&Estimator], q: f64) -> Duration {
+    stages.iter().map(|stage| at(stage, q)).sum()
+}
+
+/// A stage without samples is taken to need no time: it has to be tried.
+fn at(stage: &Estimator, q: f64) -> Duration {
+    stage.quantile(q).unwrap_or_default()
+}
