--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,8 @@
 
 pub mod admission;
 pub mod budget;
+pub mod claims;
+pub mod config_log;
 pub mod document;
 pub mod endpoints;
 pub mod instance;
