--- /dev/null
+++ b/crates/core/src/instance/estimates.rs
@@ -0,0 +1,115 @@
+//! How long things will take: what admission, hedging and callers are told by.
+
+use std::{collections::HashMap, time::Duration};
+
+use peatdeck_macros::data;
+
+use crate::{
+    admission,
+    document::{Pipeline, Stage},
+    instance::{Instance, held::RequestKey},
+    latency::Estimator,
+    model::{PipelineName, Request, StageName, TeamName},
+    timing,
+};
+
+/// Times of each stage of each pipeline.
+pub type Latencies = HashMap<PipelineName, HashMap<StageName, Estimator>>;
+
+/// What a team holds here.
+#[data]
+#[derive(Copy, Default)]
+pub struct TeamUse {
+    /// Requests held.
+    pub held: u32,
+    /// The team's weight.
+    pub weight: u32,
+}
+
+impl Instance {
+    pub(super) fn estimator(&self, pipeline: &str, stage: &str) -> Option<&Estimator> {
+        self.latencies.get(pipeline)?.get(stage)
+    }
+
+    /// What is known of a pipeline's stages, from one on.
+    pub(super) fn known(&self, pipeline: &Pipeline, from: usize) -> Vec<&Estimator> {
+        let stages = pipeline.stages.iter().skip(from);
+        stages.filter_map(|stage| self.estimator(&pipeline.name, &stage.name)).collect()
+    }
+
+    /// Time left for the current stage; `None` if it cannot be in time any more.
+    pub(super) fn stage_time(&self, key: RequestKey) -> Option<Duration> {
+        let held = &self.held[key];
+        let left = held.due.saturating_sub(self.now);
+        let stage = held.stage();
+        let Some(known) = self.estimator(&held.pipeline.name, &stage.name) else {
+            return Some(left);
+        };
+        let later = self.known(&held.pipeline, held.progress.stage + 1);
+        timing::stage_time(left, known, &later)
+    }
+
+    /// What admission needs to know of a request.
+    pub(super) fn estimate(
+        &self,
+        request: &Request,
+        pipeline: &Pipeline,
+        weight: u32,
+        max_held: Option<u32>,
+    ) -> admission::Estimate {
+        let left = request.deadline.min(pipeline.max_deadline());
+        let stages = pipeline.stages.iter();
+        admission::Estimate {
+            left,
+            wait: stages.map(|stage| self.wait(stage, &request.id.team, self.now + left)).sum(),
+            work: timing::work(&self.known(pipeline, 0)),
+            share: self.share(&request.id.team, weight, max_held),
+        }
+    }
+
+    fn share(&self, team: &TeamName, weight: u32, max_held: Option<u32>) -> admission::Share {
+        let held = self.teams.get(team).map_or(0, |using| using.held);
+        let others = self.teams.iter().filter(|(name, using)| *name != team && using.held > 0);
+        let others: u32 = others.map(|(_, using)| using.weight).sum();
+        admission::Share {
+            held,
+            max_held,
+            total: u32::try_from(self.held.len()).unwrap_or(u32::MAX),
+            weight: f64::from(weight) / f64::from((weight + others).max(1)),
+            contended: self.lanes.any(),
+        }
+    }
+
+    /// How long a new call would wait for a place in a stage's pool.
+    fn wait(&self, stage: &Stage, team: &TeamName, deadline: Duration) -> Duration {
+        let ahead = self.lanes.ahead(&stage.pool, team, deadline);
+        if ahead <= 0.0 {
+            return Duration::ZERO;
+        }
+        self.lanes.wait(self.now, &stage.pool, ahead).unwrap_or_default()
+    }
+
+    /// When to come back: once what waits ahead now has drained.
+    pub(super) fn retry_after(&self, key: RequestKey) -> Duration {
+        let held = &self.held[key];
+        let stages = held.pipeline.stages.iter().skip(held.progress.stage);
+        let wait = stages.map(|stage| self.wait(stage, &held.request.id.team, held.due)).sum();
+        admission::refusal(crate::model::RefusalKind::Expired, wait).retry_after
+    }
+
+    /// Counts a request of a team in.
+    pub(super) fn team_in(&mut self, team: &TeamName, weight: u32) {
+        let using = self.teams.entry(team.clone()).or_default();
+        using.held += 1;
+        using.weight = weight;
+    }
+
+    /// Counts a request of a team out.
+    pub(super) fn team_out(&mut self, team: &TeamName) {
+        let Some(using) = self.teams.get_mut(team) else { return };
+        using.held -= 1;
+        if using.held == 0 {
+            self.teams.remove(team);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/instance/lanes.rs
@@ -0,0 +1,102 @@
+//! What waits for each pool, and how fast it gets through.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    admission::drain::Drain,
+    instance::held::RequestKey,
+    model::{PoolName, TeamName},
+    queue::{Queue, Waiting},
+};
+
+/// The name that all teams share where the order knows no teams.
+const NO_TEAM: &str = "";
+
+/// The queues of all pools.
+#[derive(Debug)]
+pub struct Lanes {
+    by_pool: BTreeMap<PoolName, Lane>,
+    fair: bool,
+}
+
+/// The queue of one pool.
+#[derive(Debug, Default)]
+struct Lane {
+    queue: Queue<RequestKey>,
+    drain: Drain,
+}
+
+impl Lanes {
+    /// No queue yet. `fair` orders by deadline and shares between teams;
+    /// otherwise it is first come, first served.
+    pub fn new(fair: bool) -> Lanes {
+        Lanes { by_pool: BTreeMap::new(), fair }
+    }
+
+    /// The pools that something has waited for.
+    pub fn pools(&self) -> Vec<PoolName> {
+        self.by_pool.keys().cloned().collect()
+    }
+
+    /// Adds a call to its pool's queue.
+    pub fn push(&mut self, now: Duration, pool: &PoolName, waiting: Waiting<RequestKey>) {
+        let waiting = if self.fair { waiting } else { by_arrival(now, waiting) };
+        let lane = self.by_pool.entry(pool.clone()).or_default();
+        lane.queue.push(waiting);
+        lane.drain.waiting(now, true);
+    }
+
+    /// Takes the next call out.
+    pub fn pop(&mut self, now: Duration, pool: &str) -> Option<RequestKey> {
+        let lane = self.by_pool.get_mut(pool)?;
+        let before = lane.queue.cost();
+        let key = lane.queue.pop(now)?;
+        lane.drain.popped(now, before - lane.queue.cost());
+        lane.drain.waiting(now, !lane.queue.is_empty());
+        Some(key)
+    }
+
+    /// Takes a call out, wherever it waits in its pool.
+    pub fn remove(&mut self, now: Duration, pool: &str, key: RequestKey) {
+        let Some(lane) = self.by_pool.get_mut(pool) else { return };
+        lane.queue.remove(key);
+        lane.drain.waiting(now, !lane.queue.is_empty());
+    }
+
+    /// Calls that wait for a pool.
+    pub fn len(&self, pool: &str) -> usize {
+        self.by_pool.get(pool).map_or(0, |lane| lane.queue.len())
+    }
+
+    /// Whether nothing waits for a pool.
+    pub fn is_empty(&self, pool: &str) -> bool {
+        self.len(pool) == 0
+    }
+
+    /// Whether anything waits for any pool.
+    pub fn any(&self) -> bool {
+        self.by_pool.values().any(|lane| !lane.queue.is_empty())
+    }
+
+    /// Cost ahead of a new call.
+    pub fn ahead(&self, pool: &str, team: &TeamName, deadline: Duration) -> f64 {
+        let Some(lane) = self.by_pool.get(pool) else { return 0.0 };
+        if self.fair { lane.queue.cost_ahead(team, deadline) } else { lane.queue.cost() }
+    }
+
+    /// How long that cost takes to leave; `None` if too little is known.
+    pub fn wait(&self, now: Duration, pool: &str, ahead: f64) -> Option<Duration> {
+        self.by_pool.get(pool)?.drain.wait(now, ahead)
+    }
+}
+
+/// First come, first served: one team, an earlier arrival before a later one.
+fn by_arrival(now: Duration, waiting: Waiting<RequestKey>) -> Waiting<RequestKey> {
+    Waiting {
+        team: NO_TEAM.into(),
+        weight: 1,
+        deadline: Duration::MAX,
+        priority: -now.as_secs_f64(),
+        ..waiting
+    }
+}
