Add the stand-ins for log, list, engine and service

The rest of the system needs something to run against. One binary with four roles speaks the formats of peatdeck-wire, keeps its state in memory, derives every answer from the call, records every call and takes faults over HTTP while it runs.

Two faults are not right yet: a service's reply cut in its middle is followed by the server's own error head, and an engine that hangs does not notice that its caller has gone.

--- /dev/null
+++ b/crates/standin/src/endpoint.rs
@@ -0,0 +1,444 @@
+//! What engines and services share: places, records, faults, load, cancel.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, UNIX_EPOCH},
+};
+
+use bpaf::Bpaf;
+use ntex::{
+    http::StatusCode,
+    web::{self, HttpResponse, types},
+};
+use peatdeck_core::{
+    instance::input::RefuseReason,
+    model::{Echo, Incarnation, Load, RequestId},
+};
+use peatdeck_macros::{data, message};
+use peatdeck_util::clock::{Clock, SystemClock};
+use peatdeck_wire::endpoint::{CallBody, CancelBody, RefusalBody};
+use slotmap::SlotMap;
+use tokio::sync::oneshot;
+
+use crate::{
+    calls::{CallBook, CallSeq, CallState},
+    faults::EndpointFaults,
+    load::LaggedLoad,
+    places::{Place, Places, Ticket},
+    prefix::PrefixCache,
+    reply,
+};
+
+/// Settings of an engine or a service.
+#[data]
+#[derive(Bpaf)]
+pub struct Settings {
+    /// Its name
+    #[bpaf(
+        long("name"),
+        env("PEATDECK_NAME"),
+        argument("NAME"),
+        fallback("endpoint".to_owned()),
+        display_fallback
+    )]
+    pub name: String,
+    /// Its life; larger after a restart
+    #[bpaf(
+        long("incarnation"),
+        env("PEATDECK_INCARNATION"),
+        argument("N"),
+        fallback(1),
+        display_fallback
+    )]
+    pub incarnation: u64,
+    /// Calls that run at once
+    #[bpaf(long("places"), env("PEATDECK_PLACES"), argument("N"), fallback(8), display_fallback)]
+    pub places: u32,
+    /// Calls that wait inside; beyond them it is busy
+    #[bpaf(long("queue"), env("PEATDECK_QUEUE"), argument("N"), fallback(16), display_fallback)]
+    pub queue: u32,
+    /// Time of a call, of an engine's prompt, in milliseconds
+    #[bpaf(
+        long("call-ms"),
+        env("PEATDECK_CALL_MS"),
+        argument("MS"),
+        fallback(5.0),
+        display_fallback
+    )]
+    pub call_ms: f64,
+    /// Time of a token, in milliseconds; engines only
+    #[bpaf(
+        long("token-ms"),
+        env("PEATDECK_TOKEN_MS"),
+        argument("MS"),
+        fallback(2.0),
+        display_fallback
+    )]
+    pub token_ms: f64,
+    /// Share by which each further running call slows a token; engines only
+    #[bpaf(
+        long("batch-cost"),
+        env("PEATDECK_BATCH_COST"),
+        argument("SHARE"),
+        fallback(0.02),
+        display_fallback
+    )]
+    pub batch_cost: f64,
+    /// Prompt prefixes that the cache holds; engines only
+    #[bpaf(
+        long("prefixes"),
+        env("PEATDECK_PREFIXES"),
+        argument("N"),
+        fallback(64),
+        display_fallback
+    )]
+    pub prefixes: usize,
+    /// How old load reports are, in milliseconds
+    #[bpaf(
+        long("load-lag-ms"),
+        env("PEATDECK_LOAD_LAG_MS"),
+        argument("MS"),
+        fallback(0),
+        display_fallback
+    )]
+    pub load_lag_ms: u64,
+    /// Call records that are kept
+    #[bpaf(
+        long("keep-calls"),
+        env("PEATDECK_KEEP_CALLS"),
+        argument("N"),
+        fallback(200_000),
+        display_fallback
+    )]
+    pub keep_calls: usize,
+}
+
+/// Body of `GET /control/state`.
+#[message]
+pub struct EndpointState {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its load as it is now, without lag.
+    pub load: Load,
+    /// Calls refused.
+    pub refused: u64,
+    /// Calls kept in the record that were finished.
+    pub finished: usize,
+    /// Calls kept in the record that were cancelled.
+    pub cancelled: usize,
+    /// Calls kept in the record that were cut.
+    pub cut: usize,
+    /// Faults that are set.
+    pub faults: EndpointFaults,
+}
+
+/// An endpoint's state.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Its settings.
+    pub settings: Settings,
+    name: Arc<str>,
+    clock: SystemClock,
+    places: Arc<Places>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    book: CallBook,
+    active: SlotMap<ActiveKey, Active>,
+    faults: EndpointFaults,
+    load: LaggedLoad,
+    prefixes: PrefixCache,
+    refused: u64,
+}
+
+slotmap::new_key_type! {
+    /// A call that has not ended.
+    struct ActiveKey;
+}
+
+#[derive(Debug)]
+struct Active {
+    echo: Echo,
+    cancel: oneshot::Sender<()>,
+}
+
+/// A call that was taken in. Dropped before [`Call::end`], it counts as cancelled.
+#[derive(Debug)]
+pub struct Call {
+    endpoint: Arc<Endpoint>,
+    key: ActiveKey,
+    seq: CallSeq,
+    place: Option<Place>,
+    ended: bool,
+    /// What was asked.
+    pub body: CallBody,
+    /// Faults that hold for it.
+    pub faults: EndpointFaults,
+}
+
+/// A call that was taken in, its place to be, and the sign to stop.
+#[derive(Debug)]
+pub struct Taken {
+    /// The call.
+    pub call: Call,
+    /// Its place in the queue.
+    pub ticket: Ticket,
+    /// Resolves when somebody cancels the call.
+    pub cancelled: oneshot::Receiver<()>,
+}
+
+impl Endpoint {
+    /// An idle endpoint.
+    pub fn new(settings: Settings) -> Arc<Endpoint> {
+        let places = Places::new(settings.places, settings.queue);
+        let lag = Duration::from_millis(settings.load_lag_ms);
+        let state = State {
+            book: CallBook::new(settings.keep_calls),
+            active: SlotMap::with_key(),
+            faults: EndpointFaults::default(),
+            load: LaggedLoad::new(lag, load_of(&places)),
+            prefixes: PrefixCache::new(settings.prefixes),
+            refused: 0,
+        };
+        let name = Arc::from(settings.name.as_str());
+        let clock = SystemClock::new();
+        Arc::new(Endpoint { settings, name, clock, places, state: Mutex::new(state) })
+    }
+
+    /// Takes a call in, or says why not.
+    ///
+    /// # Errors
+    /// If a fault refuses it or if the queue is full.
+    pub fn take(self: &Arc<Endpoint>, body: CallBody) -> Result<Taken, RefuseReason> {
+        let faults = reply::lock(&self.state).next_faults();
+        if let Some(reason) = faults.refuse {
+            return Err(self.refuse(reason));
+        }
+        let Some(ticket) = self.places.enter() else {
+            return Err(self.refuse(RefuseReason::Busy));
+        };
+        let (cancel, cancelled) = oneshot::channel();
+        let mut state = reply::lock(&self.state);
+        let seq = state.book.arrived(&body, self.now_ms());
+        let key = state.active.insert(Active { echo: body.echo.clone(), cancel });
+        drop(state);
+        self.note_load();
+        let endpoint = self.clone();
+        let call = Call { endpoint, key, seq, place: None, ended: false, body, faults };
+        Ok(Taken { call, ticket, cancelled })
+    }
+
+    /// The load as it is reported.
+    pub fn reported(&self) -> Load {
+        reply::lock(&self.state).load.report(self.clock.now())
+    }
+
+    /// Calls that run now.
+    pub fn running(&self) -> u32 {
+        self.places.running()
+    }
+
+    /// Whether the prompt's prefix was cached.
+    pub fn touch_prefix(&self, prompt: &str) -> bool {
+        reply::lock(&self.state).prefixes.touch(prompt)
+    }
+
+    fn refuse(&self, reason: RefuseReason) -> RefuseReason {
+        reply::lock(&self.state).refused += 1;
+        reason
+    }
+
+    fn note_load(&self) {
+        let load = load_of(&self.places);
+        reply::lock(&self.state).load.note(self.clock.now(), load);
+    }
+
+    fn now_ms(&self) -> u64 {
+        let since = self.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn state(&self) -> EndpointState {
+        let state = reply::lock(&self.state);
+        EndpointState {
+            name: self.name.clone(),
+            incarnation: Incarnation(self.settings.incarnation),
+            load: load_of(&self.places),
+            refused: state.refused,
+            finished: state.book.count(CallState::Finished),
+            cancelled: state.book.count(CallState::Cancelled),
+            cut: state.book.count(CallState::Cut),
+            faults: state.faults.clone(),
+        }
+    }
+
+    fn cancel(&self, echo: &Echo) {
+        let mut state = reply::lock(&self.state);
+        let keys: Vec<ActiveKey> = state.active_of(echo).collect();
+        for key in keys {
+            if let Some(active) = state.active.remove(key) {
+                active.cancel.send(()).ok();
+            }
+        }
+    }
+}
+
+impl State {
+    /// The faults that hold for one more call.
+    fn next_faults(&mut self) -> EndpointFaults {
+        let faults = self.faults.clone();
+        if let Some(calls) = &mut self.faults.calls {
+            *calls = calls.saturating_sub(1);
+        }
+        if self.faults.calls == Some(0) {
+            self.faults = EndpointFaults::default();
+        }
+        faults
+    }
+
+    fn active_of(&self, echo: &Echo) -> impl Iterator<Item = ActiveKey> {
+        let calls = self.active.iter().filter(move |(_, active)| active.echo == *echo);
+        calls.map(|(key, _)| key)
+    }
+}
+
+impl Call {
+    /// It got a place and runs.
+    pub fn start(&mut self, place: Place) {
+        self.place = Some(place);
+        let now_ms = self.endpoint.now_ms();
+        reply::lock(&self.endpoint.state).book.started(self.seq, now_ms);
+        self.endpoint.note_load();
+    }
+
+    /// One token was generated.
+    pub fn count_token(&self) {
+        reply::lock(&self.endpoint.state).book.token(self.seq);
+    }
+
+    /// It leaves the endpoint, and its place is free.
+    pub fn end(mut self, state: CallState) {
+        self.close(state);
+    }
+
+    /// A time as the endpoint's faults stretch it.
+    pub fn stretched(&self, ms: f64) -> Duration {
+        let factor = self.faults.slowdown.unwrap_or(1.0);
+        Duration::try_from_secs_f64(ms * factor / 1_000.0).unwrap_or_default()
+    }
+
+    /// The time that a fault adds before the work.
+    pub fn delay(&self) -> Duration {
+        Duration::from_millis(self.faults.delay_ms)
+    }
+
+    /// What the reply echoes: the truth unless a fault says otherwise.
+    pub fn echoed(&self) -> Echo {
+        if self.faults.wrong_echo { self.other_echo() } else { self.body.echo.clone() }
+    }
+
+    /// The request that the output is derived from.
+    pub fn answered(&self) -> RequestId {
+        if self.faults.swapped_output {
+            self.other_echo().request
+        } else {
+            self.body.echo.request.clone()
+        }
+    }
+
+    fn other_echo(&self) -> Echo {
+        let state = reply::lock(&self.endpoint.state);
+        let other = state.book.other_echo(self.seq, &self.body.echo);
+        other.unwrap_or_else(|| made_up(&self.body.echo))
+    }
+
+    fn close(&mut self, state: CallState) {
+        self.ended = true;
+        self.place = None;
+        let now_ms = self.endpoint.now_ms();
+        let mut shared = reply::lock(&self.endpoint.state);
+        shared.active.remove(self.key);
+        shared.book.ended(self.seq, state, now_ms);
+        drop(shared);
+        self.endpoint.note_load();
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.close(CallState::Cancelled);
+        }
+    }
+}
+
+/// An echo of a request that nobody sent.
+fn made_up(echo: &Echo) -> Echo {
+    let request = RequestId {
+        team: echo.request.team.clone(),
+        id: Arc::from(format!("{}-other", echo.request.id)),
+    };
+    Echo { request, ..echo.clone() }
+}
+
+fn load_of(places: &Places) -> Load {
+    Load { running: places.running(), queued: places.waiting(), places: places.limit(), age_ms: 0 }
+}
+
+/// Adds the resources that engines and services share.
+pub fn configure(cfg: &mut web::ServiceConfig, endpoint: Arc<Endpoint>) {
+    cfg.state(endpoint)
+        .route("/v1/cancel", web::post().to(cancel))
+        .route("/v1/load", web::get().to(load))
+        .route("/control/faults", web::put().to(set_faults))
+        .route("/control/calls", web::get().to(calls))
+        .route("/control/state", web::get().to(state));
+}
+
+/// The answer to a call that was not taken in.
+pub fn refusal(endpoint: &Endpoint, reason: RefuseReason) -> HttpResponse {
+    let body = RefusalBody { ran: false, reason, load: Some(endpoint.reported()) };
+    reply::json(StatusCode::SERVICE_UNAVAILABLE, &body)
+}
+
+#[message]
+struct CallsQuery {
+    #[serde(default)]
+    from: u64,
+}
+
+async fn cancel(
+    endpoint: types::State<Arc<Endpoint>>,
+    body: types::Json<CancelBody>,
+) -> HttpResponse {
+    endpoint.cancel(&body.echo);
+    HttpResponse::Ok().finish()
+}
+
+async fn load(endpoint: types::State<Arc<Endpoint>>) -> HttpResponse {
+    reply::json(StatusCode::OK, &endpoint.reported())
+}
+
+async fn set_faults(
+    endpoint: types::State<Arc<Endpoint>>,
+    body: types::Json<EndpointFaults>,
+) -> HttpResponse {
+    reply::lock(&endpoint.state).faults = body.into_inner();
+    HttpResponse::NoContent().finish()
+}
+
+async fn calls(
+    endpoint: types::State<Arc<Endpoint>>,
+    query: types::Query<CallsQuery>,
+) -> HttpResponse {
+    let body = reply::lock(&endpoint.state).book.body(&endpoint.name, query.from);
+    reply::json(StatusCode::OK, &body)
+}
+
+async fn state(endpoint: types::State<Arc<Endpoint>>) -> HttpResponse {
+    reply::json(StatusCode::OK, &endpoint.state())
+}
--- /dev/null
+++ b/crates/standin/src/list.rs
@@ -0,0 +1,95 @@
+//! The list: live and leaving instances and endpoints, as of some time ago.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bpaf::Bpaf;
+use ntex::{
+    http::StatusCode,
+    web::{self, HttpResponse, types},
+};
+use peatdeck_core::model::Listing;
+use peatdeck_macros::data;
+use peatdeck_util::clock::{Clock, SystemClock};
+
+use crate::{
+    faults::ListFaults,
+    listings::{Lag, Listings},
+    reply,
+};
+
+/// Settings of the list.
+#[data]
+#[derive(Bpaf)]
+pub struct Settings {
+    /// How long a change takes to show, in milliseconds
+    #[bpaf(long("lag-ms"), env("PEATDECK_LAG_MS"), argument("MS"), fallback(0), display_fallback)]
+    pub lag_ms: u64,
+}
+
+/// The list's state.
+#[derive(Debug)]
+pub struct List {
+    settings: Settings,
+    clock: SystemClock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    listings: Listings,
+    faults: ListFaults,
+}
+
+impl List {
+    /// An empty list.
+    pub fn new(settings: Settings) -> Arc<List> {
+        Arc::new(List { settings, clock: SystemClock::new(), state: Mutex::default() })
+    }
+
+    /// What it says now; `None` in an outage.
+    fn shown(&self) -> Option<Listing> {
+        let state = reply::lock(&self.state);
+        if state.faults.outage {
+            return None;
+        }
+        let lag_ms = state.faults.lag_ms.unwrap_or(self.settings.lag_ms);
+        let flap_ms = state.faults.flap_ms.unwrap_or(0);
+        let lag = Lag { lag: Duration::from_millis(lag_ms), flap: Duration::from_millis(flap_ms) };
+        Some(state.listings.shown(self.clock.now(), lag))
+    }
+}
+
+/// Adds the list's resources.
+pub fn configure(cfg: &mut web::ServiceConfig, list: Arc<List>) {
+    cfg.state(list)
+        .route("/v1/list", web::get().to(listing))
+        .route("/control/list", web::put().to(set_truth))
+        .route("/control/faults", web::put().to(set_faults))
+        .route("/control/state", web::get().to(truth));
+}
+
+async fn listing(list: types::State<Arc<List>>) -> HttpResponse {
+    match list.shown() {
+        Some(shown) => reply::json(StatusCode::OK, &shown),
+        None => reply::unavailable(),
+    }
+}
+
+async fn set_truth(list: types::State<Arc<List>>, body: types::Json<Listing>) -> HttpResponse {
+    let now = list.clock.now();
+    reply::lock(&list.state).listings.set(now, body.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+async fn set_faults(list: types::State<Arc<List>>, body: types::Json<ListFaults>) -> HttpResponse {
+    reply::lock(&list.state).faults = body.into_inner();
+    HttpResponse::NoContent().finish()
+}
+
+async fn truth(list: types::State<Arc<List>>) -> HttpResponse {
+    let truth = reply::lock(&list.state).listings.truth();
+    reply::json(StatusCode::OK, &truth)
+}
--- /dev/null
+++ b/crates/standin/src/listings.rs
@@ -0,0 +1,56 @@
+//! The truth about instances and endpoints, and what the list says of it.
+
+use std::{collections::VecDeque, time::Duration};
+
+use peatdeck_core::model::Listing;
+
+/// How far the list is behind and how it wavers.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Lag {
+    /// How long a change takes to show.
+    pub lag: Duration,
+    /// How often it switches between the newest shown listing and the one
+    /// before it; never when zero.
+    pub flap: Duration,
+}
+
+/// Listings over time. The first one set shows at once.
+#[derive(Debug, Default)]
+pub struct Listings {
+    history: VecDeque<(Duration, Listing)>,
+}
+
+/// Listings that are kept.
+const KEPT: usize = 1_000;
+
+impl Listings {
+    /// Sets the truth as of `now`.
+    pub fn set(&mut self, now: Duration, listing: Listing) {
+        let time = if self.history.is_empty() { Duration::ZERO } else { now };
+        self.history.push_back((time, listing));
+        if self.history.len() > KEPT {
+            self.history.pop_front();
+        }
+    }
+
+    /// The truth.
+    pub fn truth(&self) -> Listing {
+        self.history.back().map(|(_, listing)| listing.clone()).unwrap_or_default()
+    }
+
+    /// What the list says at `now`.
+    pub fn shown(&self, now: Duration, lag: Lag) -> Listing {
+        let horizon = now.saturating_sub(lag.lag);
+        let count = self.history.partition_point(|(time, _)| *time <= horizon);
+        let newest = count.saturating_sub(1);
+        let idx = if is_back(now, lag.flap) { newest.saturating_sub(1) } else { newest };
+        self.history.get(idx).map(|(_, listing)| listing.clone()).unwrap_or_default()
+    }
+}
+
+fn is_back(now: Duration, flap: Duration) -> bool {
+    if flap.is_zero() {
+        return false;
+    }
+    (now.as_nanos() / flap.as_nanos()) % 2 == 1
+}
--- /dev/null
+++ b/crates/standin/src/log.rs
@@ -0,0 +1,338 @@
+//! The log service.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::{Duration, UNIX_EPOCH},
+};
+
+use bpaf::Bpaf;
+use ntex::{
+    http::StatusCode,
+    web::{self, HttpRequest, HttpResponse, types},
+};
+use peatdeck_macros::{data, message};
+use peatdeck_util::clock::{Clock, SystemClock};
+use peatdeck_wire::platform::{AppendBody, AppendReply, ReadReply};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::{sync::Notify, time};
+
+use crate::{
+    faults::{LogFaults, LoseBy},
+    rate::TokenBucket,
+    reply,
+    streams::{Retention, StreamState, Streams},
+};
+
+/// Records that one read gives at the most.
+const MAX_READ: usize = 10_000;
+/// The longest that one read waits.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// Settings of the log service.
+#[data]
+#[derive(Bpaf)]
+pub struct Settings {
+    /// How long a record is kept, in milliseconds
+    #[bpaf(
+        long("retain-ms"),
+        env("PEATDECK_RETAIN_MS"),
+        argument("MS"),
+        fallback(3_600_000),
+        display_fallback
+    )]
+    pub retain_ms: u64,
+    /// Records of a stream that are kept
+    #[bpaf(
+        long("retain-count"),
+        env("PEATDECK_RETAIN_COUNT"),
+        argument("N"),
+        fallback(1_000_000),
+        display_fallback
+    )]
+    pub retain_count: usize,
+    /// Appends a second, over all streams; 0 for no limit
+    #[bpaf(long("rate"), env("PEATDECK_RATE"), argument("N"), fallback(500), display_fallback)]
+    pub rate: u32,
+    /// Appends at once, before the rate limits them
+    #[bpaf(long("burst"), env("PEATDECK_BURST"), argument("N"), fallback(100), display_fallback)]
+    pub burst: u32,
+}
+
+/// Body of `GET /control/state`.
+#[message]
+pub struct LogState {
+    /// Where each stream stands.
+    pub streams: BTreeMap<Arc<str>, StreamState>,
+    /// What became of appends and reads.
+    pub counts: Counts,
+    /// Faults that are set.
+    pub faults: LogFaults,
+}
+
+/// What became of appends and reads.
+#[message]
+#[derive(Copy, Default)]
+pub struct Counts {
+    /// Appends acknowledged.
+    pub appended: u64,
+    /// Appends that took effect without an acknowledgement.
+    pub lost: u64,
+    /// Appends that left nothing.
+    pub dropped: u64,
+    /// Appends over the rate.
+    pub limited: u64,
+    /// Requests turned away by an outage.
+    pub rejected: u64,
+    /// Reads answered.
+    pub reads: u64,
+}
+
+/// The log service's state.
+#[derive(Debug)]
+pub struct Log {
+    clock: SystemClock,
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Debug)]
+struct State {
+    streams: Streams,
+    bucket: TokenBucket,
+    faults: LogFaults,
+    random: SmallRng,
+    counts: Counts,
+}
+
+/// What becomes of one append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Acknowledge,
+    Lose,
+    Drop,
+}
+
+#[message]
+struct ReadQuery {
+    #[serde(default)]
+    from: u64,
+    #[serde(default = "default_max")]
+    max: usize,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+fn default_max() -> usize {
+    MAX_READ
+}
+
+impl Log {
+    /// A log without streams.
+    pub fn new(settings: &Settings) -> Arc<Log> {
+        let age = Duration::from_millis(settings.retain_ms);
+        let retention = Retention { age, count: settings.retain_count };
+        let state = State {
+            streams: Streams::new(retention),
+            bucket: TokenBucket::new(settings.rate, settings.burst),
+            faults: LogFaults::default(),
+            random: SmallRng::seed_from_u64(0),
+            counts: Counts::default(),
+        };
+        Arc::new(Log {
+            clock: SystemClock::new(),
+            state: Mutex::new(state),
+            changed: Notify::new(),
+        })
+    }
+
+    fn now_ms(&self) -> u64 {
+        let since = self.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn append(&self, stream: &str, data: Arc<str>) -> u64 {
+        let now_ms = self.now_ms();
+        let offset = reply::lock(&self.state).streams.append(stream, data, now_ms);
+        self.changed.notify_waiters();
+        offset
+    }
+
+    /// `None` in an outage.
+    fn read(&self, stream: &str, query: &ReadQuery) -> Option<ReadReply> {
+        let now_ms = self.now_ms();
+        let mut state = reply::lock(&self.state);
+        if state.faults.outage || state.faults.reject_reads {
+            state.counts.rejected += 1;
+            return None;
+        }
+        let max = query.max.min(MAX_READ);
+        Some(state.streams.read(stream, query.from, max, now_ms))
+    }
+
+    /// Reads, and waits for a record if there is none yet.
+    async fn poll(&self, stream: &str, query: &ReadQuery) -> Option<ReadReply> {
+        let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
+        let until = time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            let read = self.read(stream, query)?;
+            if !read.records.is_empty() {
+                return Some(read);
+            }
+            if time::timeout_at(until, changed).await.is_err() {
+                return self.read(stream, query);
+            }
+        }
+    }
+
+    async fn delay(&self) {
+        let delay_ms = reply::lock(&self.state).faults.delay_ms;
+        if delay_ms > 0 {
+            time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+    }
+
+    fn set_faults(&self, faults: LogFaults) {
+        let mut state = reply::lock(&self.state);
+        for expire in &faults.expire {
+            state.streams.expire(&expire.stream, expire.before);
+        }
+        state.random = SmallRng::seed_from_u64(faults.seed);
+        state.faults = faults;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    fn state(&self) -> LogState {
+        let state = reply::lock(&self.state);
+        LogState {
+            streams: state.streams.states(),
+            counts: state.counts,
+            faults: state.faults.clone(),
+        }
+    }
+}
+
+impl State {
+    /// Turns an append away, where an outage or the rate asks for it.
+    fn turn_away(&mut self, now: Duration) -> Option<StatusCode> {
+        if self.faults.outage || self.faults.reject_appends {
+            self.counts.rejected += 1;
+            return Some(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        if !self.bucket.take(now) {
+            self.counts.limited += 1;
+            return Some(StatusCode::TOO_MANY_REQUESTS);
+        }
+        None
+    }
+
+    fn fate(&mut self, stream: &str) -> Fate {
+        if self.faults.stream.as_deref().is_some_and(|only| only != stream) {
+            return Fate::Acknowledge;
+        }
+        if self.faults.drop_appends > 0 {
+            self.faults.drop_appends -= 1;
+            return Fate::Drop;
+        }
+        if self.faults.lose_appends > 0 {
+            self.faults.lose_appends -= 1;
+            return Fate::Lose;
+        }
+        let chance = self.faults.lose_chance.clamp(0.0, 1.0);
+        if chance > 0.0 && self.random.random_bool(chance) {
+            return Fate::Lose;
+        }
+        Fate::Acknowledge
+    }
+
+    fn count(&mut self, fate: Fate) {
+        match fate {
+            Fate::Acknowledge => self.counts.appended += 1,
+            Fate::Lose => self.counts.lost += 1,
+            Fate::Drop => self.counts.dropped += 1,
+        }
+    }
+}
+
+/// Adds the log service's resources.
+pub fn configure(cfg: &mut web::ServiceConfig, log: Arc<Log>) {
+    cfg.state(log)
+        .route("/v1/streams/{stream}/records", web::post().to(append))
+        .route("/v1/streams/{stream}/records", web::get().to(read))
+        .route("/control/faults", web::put().to(set_faults))
+        .route("/control/state", web::get().to(state));
+}
+
+async fn append(
+    req: HttpRequest,
+    log: types::State<Arc<Log>>,
+    stream: types::Path<String>,
+    body: types::Json<AppendBody>,
+) -> HttpResponse {
+    log.delay().await;
+    let fate = {
+        let now = log.clock.now();
+        let mut state = reply::lock(&log.state);
+        if let Some(status) = state.turn_away(now) {
+            return HttpResponse::new(status);
+        }
+        let fate = state.fate(&stream);
+        state.count(fate);
+        fate
+    };
+    let data = body.into_inner().data;
+    match fate {
+        Fate::Acknowledge => {
+            let offset = log.append(&stream, data);
+            reply::json(StatusCode::OK, &AppendReply { offset })
+        }
+        Fate::Lose => lose(&req, &log, &stream, data).await,
+        Fate::Drop => reply::hang_up(&req).await,
+    }
+}
+
+/// Lets the append take effect, now or later, and its answer go missing.
+async fn lose(req: &HttpRequest, log: &Arc<Log>, stream: &str, data: Arc<str>) -> HttpResponse {
+    let (land_ms, lose_by) = {
+        let state = reply::lock(&log.state);
+        (state.faults.land_ms, state.faults.lose_by)
+    };
+    if land_ms == 0 {
+        log.append(stream, data);
+    } else {
+        let log = log.clone();
+        let stream = stream.to_owned();
+        ntex::rt::spawn(async move {
+            time::sleep(Duration::from_millis(land_ms)).await;
+            log.append(&stream, data);
+        });
+    }
+    match lose_by {
+        LoseBy::Close => reply::hang_up(req).await,
+        LoseBy::Error => HttpResponse::InternalServerError().finish(),
+    }
+}
+
+async fn read(
+    log: types::State<Arc<Log>>,
+    stream: types::Path<String>,
+    query: types::Query<ReadQuery>,
+) -> HttpResponse {
+    log.delay().await;
+    let Some(read) = log.poll(&stream, &query).await else {
+        return reply::unavailable();
+    };
+    reply::lock(&log.state).counts.reads += 1;
+    reply::json(StatusCode::OK, &read)
+}
+
+async fn set_faults(log: types::State<Arc<Log>>, body: types::Json<LogFaults>) -> HttpResponse {
+    log.set_faults(body.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+async fn state(log: types::State<Arc<Log>>) -> HttpResponse {
+    reply::json(StatusCode::OK, &log.state())
+}
