--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,202 @@
+//! The shared HTTP client and its errors.
+//!
+//! ntex's client reports a connection that closes before the response with
+//! the same error kind as a failed connect. [`Error::from_client`] tells the
+//! two apart by the source: only a connector that returned an I/O error, ran
+//! out of time or could not resolve has certainly written nothing.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+use ntex::{
+    client::{self, Client, ClientResponse, Connector, error::ClientError, error::ConnectError},
+    http::StatusCode,
+    io::IoConfig,
+    service::cfg::SharedCfg,
+    time::{Millis, Seconds},
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// A pooled connection that was idle for longer is closed, not used again.
+/// It is below the customary idle timeout of servers, so that a request is
+/// seldom written to a connection that the server is just closing.
+const IDLE_TIMEOUT: Seconds = Seconds(3);
+/// A pooled connection that is older is closed, not used again.
+const LIFETIME: Seconds = Seconds(300);
+
+/// What went wrong with an HTTP exchange.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The connection could not be made; not a byte was written.
+    #[error("no connection to {addr}: {cause}; check the address and that the service runs")]
+    Unreachable {
+        /// The address.
+        addr: String,
+        /// What the connector said.
+        cause: String,
+    },
+    /// The connection was cut within the request or the response.
+    #[error("the connection to {addr} was cut: {cause}; the request may have taken effect")]
+    Cut {
+        /// The address.
+        addr: String,
+        /// What the connection said.
+        cause: String,
+    },
+    /// No whole response came in time.
+    #[error("{addr} gave no whole response in time; the request may have taken effect")]
+    TimedOut {
+        /// The address.
+        addr: String,
+    },
+    /// The service refused for now.
+    #[error("{addr} refused with status {status}; try again later")]
+    Refused {
+        /// The address.
+        addr: String,
+        /// The response's status.
+        status: u16,
+    },
+    /// The response is not what the interface states.
+    #[error("{addr} answered with something unreadable: {cause}; check both sides' versions")]
+    Malformed {
+        /// The address.
+        addr: String,
+        /// What is wrong with it.
+        cause: String,
+    },
+}
+
+impl Error {
+    /// Whether it is certain that not a byte of the request was written.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Error::Unreachable { .. })
+    }
+
+    pub(crate) fn from_client(addr: &str, error: ClientError) -> Error {
+        let addr = addr.to_owned();
+        match error {
+            ClientError::Connect(cause) if is_connector_failure(&cause) => {
+                Error::Unreachable { addr, cause: describe_connect(&cause) }
+            }
+            ClientError::Timeout => Error::TimedOut { addr },
+            ClientError::Response(cause) => Error::Malformed { addr, cause: cause.to_string() },
+            other => Error::Cut { addr, cause: other.to_string() },
+        }
+    }
+
+    pub(crate) fn malformed(addr: &str, cause: impl ToString) -> Error {
+        Error::Malformed { addr: addr.to_owned(), cause: cause.to_string() }
+    }
+
+    fn cut(addr: &str, cause: impl ToString) -> Error {
+        Error::Cut { addr: addr.to_owned(), cause: cause.to_string() }
+    }
+}
+
+/// Whether the error can only have come from the connector. `Disconnected`
+/// without a source is also what the client says when the peer closes the
+/// connection instead of responding.
+fn is_connector_failure(error: &ConnectError) -> bool {
+    match error {
+        ConnectError::Disconnected(source) => source.is_some(),
+        _ => true,
+    }
+}
+
+fn describe_connect(error: &ConnectError) -> String {
+    match error {
+        ConnectError::Disconnected(Some(source)) => source.to_string(),
+        other => other.to_string(),
+    }
+}
+
+/// Makes a client. `connect` bounds the time to make a connection; there is
+/// no other timeout and no limit of connections.
+///
+/// # Errors
+/// If ntex cannot build its connector.
+pub async fn client(
+    connect: Duration,
+) -> Result<Client, client::error::ClientBuilderError> {
+    let connector = Connector::new().limit(0).keep_alive(IDLE_TIMEOUT).lifetime(LIFETIME);
+    let config = IoConfig::new().set_connect_timeout(millis(connect));
+    Client::builder()
+        .connector::<()>(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .build(SharedCfg::new("peatdeck-client").add(config))
+        .await
+}
+
+/// Sends a JSON body and returns the response's head.
+pub(crate) async fn post<B: Serialize>(
+    client: &Client,
+    addr: &str,
+    path: &str,
+    body: &B,
+) -> Result<ClientResponse, Error> {
+    let json = serde_json::to_vec(body).map_err(|cause| Error::malformed(addr, cause))?;
+    client
+        .post(format!("http://{addr}{path}"))
+        .content_type("application/json")
+        .send_body(json)
+        .await
+        .map_err(|error| Error::from_client(addr, error))
+}
+
+/// Sends a GET and returns the response's head.
+pub(crate) async fn get(client: &Client, addr: &str, path: &str) -> Result<ClientResponse, Error> {
+    client
+        .get(format!("http://{addr}{path}"))
+        .send()
+        .await
+        .map_err(|error| Error::from_client(addr, error))
+}
+
+/// Reads a body of at most `limit` bytes.
+pub(crate) async fn body(
+    addr: &str,
+    response: &mut ClientResponse,
+    limit: usize,
+) -> Result<Vec<u8>, Error> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.next().await {
+        let chunk = chunk.map_err(|cause| Error::cut(addr, cause))?;
+        if body.len() + chunk.len() > limit {
+            return Err(Error::malformed(addr, format!("a body over {limit} bytes")));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
+
+/// Reads a 200's JSON body; any other status is [`Error::Refused`].
+pub(crate) async fn json<T: DeserializeOwned>(
+    addr: &str,
+    mut response: ClientResponse,
+    limit: usize,
+) -> Result<T, Error> {
+    let status = response.status();
+    if status != StatusCode::OK {
+        return Err(Error::Refused { addr: addr.to_owned(), status: status.as_u16() });
+    }
+    let body = body(addr, &mut response, limit).await?;
+    serde_json::from_slice(&body).map_err(|cause| Error::malformed(addr, cause))
+}
+
+/// Runs an exchange for at most `limit`.
+pub(crate) async fn within<T>(
+    addr: &str,
+    limit: Duration,
+    exchange: impl Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
+    match tokio::time::timeout(limit, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(Error::TimedOut { addr: addr.to_owned() }),
+    }
+}
+
+fn millis(duration: Duration) -> Millis {
+    Millis(u32::try_from(duration.as_millis()).unwrap_or(u32::MAX).max(1))
+}
--- /dev/null
+++ b/crates/platform/src/lines.rs
@@ -0,0 +1,68 @@
+//! Newline-delimited text, cut into lines as bytes arrive.
+//!
+//! Chunks of a stream end anywhere, within a line or within a character; a
+//! line is given out only when its end was seen. What is left at the end of
+//! the stream is a torn line, never a last one.
+
+/// Cuts lines out of chunks. Memory is bounded by the longest line.
+#[derive(Debug)]
+pub struct Lines {
+    buf: Vec<u8>,
+    start: usize,
+    scanned: usize,
+    limit: usize,
+}
+
+/// A line that is longer than the limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("a line is longer than {0} bytes; raise the limit or shorten the pieces sent")]
+pub struct TooLong(pub usize);
+
+impl Lines {
+    /// A cutter for lines of at most `limit` bytes, their end not counted.
+    pub fn new(limit: usize) -> Lines {
+        Lines { buf: Vec::new(), start: 0, scanned: 0, limit }
+    }
+
+    /// Takes in a chunk.
+    pub fn push(&mut self, chunk: &[u8]) {
+        self.buf.drain(..self.start);
+        self.scanned -= self.start;
+        self.start = 0;
+        self.buf.extend_from_slice(chunk);
+    }
+
+    /// The next whole line without its end; empty lines are skipped.
+    ///
+    /// # Errors
+    /// [`TooLong`] as soon as a line is known to be over the limit.
+    pub fn next_line(&mut self) -> Result<Option<&[u8]>, TooLong> {
+        loop {
+            let Some(len) = self.buf[self.scanned..].iter().position(|&byte| byte == b'\n') else {
+                self.scanned = self.buf.len();
+                return match self.is_too_long(self.start..self.scanned) {
+                    true => Err(TooLong(self.limit)),
+                    false => Ok(None),
+                };
+            };
+            let line = self.start..self.scanned + len;
+            self.start = line.end + 1;
+            self.scanned = self.start;
+            if self.is_too_long(line.clone()) {
+                return Err(TooLong(self.limit));
+            }
+            if !self.buf[line.clone()].trim_ascii().is_empty() {
+                return Ok(Some(self.buf[line].trim_ascii()));
+            }
+        }
+    }
+
+    /// Whether bytes of an unfinished line are held.
+    pub fn is_torn(&self) -> bool {
+        self.start < self.buf.len()
+    }
+
+    fn is_too_long(&self, line: std::ops::Range<usize>) -> bool {
+        line.len() > self.limit
+    }
+}
--- /dev/null
+++ b/crates/platform/src/list.rs
@@ -0,0 +1,40 @@
+//! The platform's lagging list of instances and endpoints.
+
+use std::{sync::Arc, time::Duration};
+
+use ntex::client;
+use peatdeck_core::model::Listing;
+
+use crate::http::{self, Error};
+
+/// The longest list that is read, in bytes. The planned size of 2,000 workers
+/// takes about half a megabyte.
+const MAX_LIST: usize = 8 << 20;
+/// Time for one read of the list.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A client of the list.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: client::Client,
+    addr: Arc<str>,
+}
+
+impl Client {
+    /// A client of the list at `addr`, `ip:port`.
+    pub fn new(http: client::Client, addr: Arc<str>) -> Client {
+        Client { http, addr }
+    }
+
+    /// Reads the list as it stands.
+    ///
+    /// # Errors
+    /// Any [`Error`]; reading has no effect and may be repeated.
+    pub async fn read(&self) -> Result<Listing, Error> {
+        http::within(&self.addr, READ_TIMEOUT, async {
+            let response = http::get(&self.http, &self.addr, "/v1/list").await?;
+            http::json(&self.addr, response, MAX_LIST).await
+        })
+        .await
+    }
+}
--- /dev/null
+++ b/crates/platform/src/log.rs
@@ -0,0 +1,132 @@
+//! The platform's log: append to and read from its streams.
+//!
+//! An append that fails in any way but [`http::Error::Unreachable`] may have
+//! taken effect. Only reading the stream tells.
+
+use std::{sync::Arc, time::Duration};
+
+use ntex::client;
+use peatdeck_core::record::{Batch, Entry, Offset, Stream};
+use peatdeck_wire::platform::{AppendBody, AppendReply, ReadReply};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::http;
+
+/// The longest reply to a read, in bytes.
+const MAX_READ: usize = 64 << 20;
+/// The longest reply to an append, in bytes.
+const MAX_APPEND_REPLY: usize = 4 << 10;
+/// Time that a read may take beyond its long poll.
+const READ_MARGIN: Duration = Duration::from_secs(3);
+
+/// What went wrong with the log.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The exchange with the service failed.
+    #[error("log: {0}")]
+    Http(#[from] http::Error),
+    /// A record stands in the stream that this version cannot read.
+    #[error(
+        "record {offset} of {stream} is unreadable ({cause}); upgrade this instance to the version that wrote it"
+    )]
+    Unreadable {
+        /// The stream's name.
+        stream: &'static str,
+        /// The record's offset.
+        offset: Offset,
+        /// What the parser said.
+        cause: serde_json::Error,
+    },
+    /// A record cannot be written as JSON.
+    #[error("a record for {stream} cannot be written as JSON ({cause}); report it as a bug")]
+    Unwritable {
+        /// The stream's name.
+        stream: &'static str,
+        /// What the writer said.
+        cause: serde_json::Error,
+    },
+}
+
+/// Which records to read.
+#[derive(Debug, Clone, Copy)]
+pub struct Range {
+    /// The first offset wanted.
+    pub from: Offset,
+    /// At most so many records.
+    pub max: u32,
+    /// How long the service waits for a first record.
+    pub wait: Duration,
+}
+
+/// A client of the log.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: client::Client,
+    addr: Arc<str>,
+}
+
+impl Client {
+    /// A client of the log at `addr`, `ip:port`.
+    pub fn new(http: client::Client, addr: Arc<str>) -> Client {
+        Client { http, addr }
+    }
+
+    /// Appends one record and gives its offset. It is given up after `limit`.
+    ///
+    /// # Errors
+    /// Any [`Error`]. Unless [`http::Error::is_unsent`], the record may stand.
+    pub async fn append<R: Serialize>(
+        &self,
+        stream: Stream,
+        record: &R,
+        limit: Duration,
+    ) -> Result<Offset, Error> {
+        let data = serde_json::to_string(record)
+            .map_err(|cause| Error::Unwritable { stream: stream.name(), cause })?;
+        let body = AppendBody { data: Arc::from(data) };
+        let path = format!("/v1/streams/{}/records", stream.name());
+        let reply: AppendReply = http::within(&self.addr, limit, async {
+            let response = http::post(&self.http, &self.addr, &path, &body).await?;
+            http::json(&self.addr, response, MAX_APPEND_REPLY).await
+        })
+        .await?;
+        Ok(reply.offset)
+    }
+
+    /// Reads records, waiting for the first one if there is none yet.
+    ///
+    /// # Errors
+    /// Any [`Error`]; reading has no effect and may be repeated.
+    pub async fn read<R: DeserializeOwned>(
+        &self,
+        stream: Stream,
+        range: Range,
+    ) -> Result<Batch<R>, Error> {
+        let path = format!(
+            "/v1/streams/{}/records?from={}&max={}&wait_ms={}",
+            stream.name(),
+            range.from,
+            range.max,
+            range.wait.as_millis()
+        );
+        let reply: ReadReply = http::within(&self.addr, range.wait + READ_MARGIN, async {
+            let response = http::get(&self.http, &self.addr, &path).await?;
+            http::json(&self.addr, response, MAX_READ).await
+        })
+        .await?;
+        parse(stream, reply)
+    }
+}
+
+fn parse<R: DeserializeOwned>(stream: Stream, reply: ReadReply) -> Result<Batch<R>, Error> {
+    let mut entries = Vec::with_capacity(reply.records.len());
+    for body in reply.records {
+        let record = serde_json::from_str(&body.data).map_err(|cause| Error::Unreadable {
+            stream: stream.name(),
+            offset: body.offset,
+            cause,
+        })?;
+        entries.push(Entry { offset: body.offset, time_ms: body.time_ms, record });
+    }
+    Ok(Batch { earliest: reply.earliest, next: reply.next, now_ms: reply.now_ms, entries })
+}
--- a/crates/util/src/logging.rs
+++ b/crates/util/src/logging.rs
@@ -3,7 +3,10 @@
 //! Counters tell how often something happens; a line is for a change of state
 //! only, and never holds a caller's content.
 
-use std::str::FromStr;
+use std::{
+    io::{self, IsTerminal},
+    str::FromStr,
+};
 
 use tracing_subscriber::{EnvFilter, fmt};
 
@@ -38,7 +41,8 @@
 /// `peatdeck_entry=debug,warn`; one that cannot be read counts as `info`.
 pub fn start(format: Format, filter: &str) {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let builder = fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let builder = fmt().with_env_filter(filter).with_writer(io::stderr);
+    let builder = builder.with_ansi(io::stderr().is_terminal());
     match format {
         Format::Text => builder.init(),
         Format::Json => builder.json().init(),
