--- a/crates/platform/src/endpoint.rs
+++ b/crates/platform/src/endpoint.rs
@@ -148,10 +148,7 @@
 }
 
 /// Reports the chunks and returns the end.
-async fn lines(
-    response: &mut ClientResponse,
-    on_event: &mut impl FnMut(CallEvent),
-) -> CallEvent {
+async fn lines(response: &mut ClientResponse, on_event: &mut impl FnMut(CallEvent)) -> CallEvent {
     let mut lines = Lines::new(MAX_LINE);
     while let Some(bytes) = response.next().await {
         let Ok(bytes) = bytes else { return CallEvent::Failed(CallFailure::Cut) };
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -116,9 +116,7 @@
 ///
 /// # Errors
 /// If ntex cannot build its connector.
-pub async fn client(
-    connect: Duration,
-) -> Result<Client, client::error::ClientBuilderError> {
+pub async fn client(connect: Duration) -> Result<Client, client::error::ClientBuilderError> {
     let connector = Connector::new().limit(0).keep_alive(IDLE_TIMEOUT).lifetime(LIFETIME);
     let config = IoConfig::new().set_connect_timeout(millis(connect));
     Client::builder()
