Add the entry: driver, HTTP interface, peers, burn by minute

Everything that happens becomes an input of the machine through one function; its actions are carried out in order and never feed by themselves.

ntex's graceful shutdown does not wait for responses in flight once a server has been idle before, so the exit waits itself until every response has left the write buffers.

--- /dev/null
+++ b/crates/entry/src/driver.rs
@@ -0,0 +1,350 @@
+//! The machine and everything it holds, on one thread.
+//!
+//! [`Driver::feed`] is the only way in: it takes the time, runs the machine
+//! and carries out the actions in order. Carrying out an action never feeds
+//! an input by itself; it hands over to a channel or starts a task, and the
+//! task feeds later. So the machine is never entered twice.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use futures::{
+    channel::{mpsc, oneshot},
+    future::{AbortHandle, Abortable},
+};
+use peatdeck_core::{
+    instance::{
+        Instance,
+        action::{Action, Call},
+        input::{CallEvent, Input, PeerOutcome},
+    },
+    membership::Gossip,
+    model::{
+        AppendId, CallId, CallerId, InstanceName, Outcome, Refusal, RefusalKind, Request, RequestId,
+    },
+    record::{Offset, Stream},
+};
+use peatdeck_platform::{endpoint, list, log};
+use peatdeck_util::clock::Clock;
+use slotmap::{Key, KeyData, SlotMap};
+use tokio::sync::Notify;
+
+use crate::{
+    burn::Burn,
+    callers::{CallerKey, Callers, Part},
+    calls::{Calls, Running},
+    counts::Counts,
+    peers::Peers,
+    platform_tasks,
+};
+
+/// What a request is told that arrives after the machine's exit.
+const CLOSED: Refusal =
+    Refusal { kind: RefusalKind::Stopping, retry_after: Duration::from_secs(1) };
+
+slotmap::new_key_type! {
+    /// A peer's question that waits for the machine's answer.
+    struct QuestionKey;
+}
+
+/// Clients of the platform and the endpoints.
+#[derive(Debug, Clone)]
+pub struct Clients {
+    /// The log.
+    pub log: log::Client,
+    /// The list.
+    pub list: list::Client,
+    /// All endpoints.
+    pub endpoints: endpoint::Client,
+}
+
+/// The machine and everything it holds.
+pub struct Driver {
+    machine: RefCell<Instance>,
+    clock: Rc<dyn Clock>,
+    callers: RefCell<Callers>,
+    calls: RefCell<Calls>,
+    questions: RefCell<SlotMap<QuestionKey, oneshot::Sender<PeerOutcome>>>,
+    burn: RefCell<Burn>,
+    peers: Peers,
+    rearm: Notify,
+    exit: Notify,
+    is_closed: Cell<bool>,
+    /// Clients of the platform and the endpoints.
+    pub clients: Clients,
+    /// The event loop's own counters.
+    pub counts: Counts,
+}
+
+impl Driver {
+    /// A driver of that machine.
+    pub fn new(machine: Instance, clock: Rc<dyn Clock>, clients: Clients) -> Rc<Driver> {
+        Rc::new(Driver {
+            machine: RefCell::new(machine),
+            clock,
+            callers: RefCell::default(),
+            calls: RefCell::default(),
+            questions: RefCell::default(),
+            burn: RefCell::default(),
+            peers: Peers::default(),
+            rearm: Notify::new(),
+            exit: Notify::new(),
+            is_closed: Cell::new(false),
+            clients,
+            counts: Counts::default(),
+        })
+    }
+
+    /// Feeds one input to the machine and carries out what it wants done.
+    pub fn feed(self: &Rc<Self>, input: Input) {
+        for action in self.handle(input) {
+            self.perform(action);
+        }
+        self.rearm.notify_one();
+    }
+
+    /// Feeds a peer's gossip. The machine's reply to it, if it has one, is
+    /// returned instead of sent.
+    pub fn feed_gossip(self: &Rc<Self>, message: Gossip) -> Option<Gossip> {
+        let from = message.from.clone();
+        let mut reply = None;
+        for action in self.handle(Input::Gossip(message)) {
+            match action {
+                Action::Gossip { to, message, .. }
+                    if reply.is_none() && to == from && !message.wants_reply =>
+                {
+                    reply = Some(message);
+                }
+                other => self.perform(other),
+            }
+        }
+        self.rearm.notify_one();
+        reply
+    }
+
+    /// Hands a request to the machine. Its parts come through the waiter.
+    pub fn submit(self: &Rc<Self>, request: Request) -> Waiter {
+        let (key, parts) =
+            self.callers.borrow_mut().add(request.pipeline.clone(), request.id.team.clone());
+        let waiter = Waiter { parts, _guard: Guard { driver: self.clone(), key } };
+        match self.is_closed.get() {
+            true => self.answer(key.id(), Outcome::NotRun(CLOSED)),
+            false => self.feed(Input::Submit { caller: key.id(), request }),
+        }
+        waiter
+    }
+
+    /// Asks the machine a peer's question.
+    pub async fn ask(self: &Rc<Self>, key: RequestId) -> PeerOutcome {
+        let (tx, rx) = oneshot::channel();
+        let question = self.questions.borrow_mut().insert(tx);
+        self.feed(Input::OutcomeAsked { question: question.data().as_ffi(), key });
+        rx.await.unwrap_or(PeerOutcome::Unknown)
+    }
+
+    /// The time as the machine sees it.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// When the machine wants a tick.
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.machine.borrow().next_wake()
+    }
+
+    /// Returns after the next input, when the wake may have changed.
+    pub async fn rearmed(&self) {
+        self.rearm.notified().await;
+    }
+
+    /// Returns when the machine has finished what it held after a stop.
+    pub async fn exited(&self) {
+        self.exit.notified().await;
+    }
+
+    /// Takes no input from now on. Requests are told that nothing ran.
+    pub fn close(&self) {
+        self.is_closed.set(true);
+    }
+
+    /// Where the next read of a stream starts.
+    pub fn read_from(&self, stream: Stream) -> Offset {
+        match stream {
+            Stream::Config => self.machine.borrow().config_from(),
+            Stream::Claims => self.machine.borrow().claims_from(),
+        }
+    }
+
+    /// Reads the machine. It must not be fed meanwhile.
+    pub fn with_machine<T>(&self, read: impl FnOnce(&Instance) -> T) -> T {
+        read(&self.machine.borrow())
+    }
+
+    /// Reads the outcomes by minute.
+    pub fn with_burn<T>(&self, read: impl FnOnce(&Burn) -> T) -> T {
+        read(&self.burn.borrow())
+    }
+
+    /// The clock.
+    pub fn clock(&self) -> &dyn Clock {
+        &*self.clock
+    }
+
+    /// The connections to peers.
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    fn handle(&self, input: Input) -> Vec<Action> {
+        if self.is_closed.get() {
+            return Vec::new();
+        }
+        let now = self.clock.now();
+        self.machine.borrow_mut().handle(now, input)
+    }
+
+    fn perform(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Answer { caller, outcome } => self.answer(caller, outcome),
+            Action::Stream { caller, text } => {
+                self.callers.borrow().send_text(caller.into(), text);
+            }
+            Action::Call(call) => self.start_call(call),
+            Action::Cancel(call) => self.cancel_call(call),
+            Action::AppendConfig { append, record } => {
+                self.start_append(append, Stream::Config, record);
+            }
+            Action::AppendClaims { append, batch } => {
+                self.start_append(append, Stream::Claims, batch);
+            }
+            Action::Gossip { to, addr, message } => self.start_gossip(to, addr, message),
+            Action::AskOutcome { to, addr, key } => self.start_question(to, addr, key),
+            Action::TellOutcome { question, answer } => self.tell(question, answer),
+            Action::Exit => self.exit.notify_one(),
+        }
+    }
+
+    fn answer(&self, caller: CallerId, outcome: Outcome) {
+        let mut burn = self.burn.borrow_mut();
+        let ended = outcome.clone();
+        let Some(caller) = self.callers.borrow_mut().send_end(caller.into(), outcome) else {
+            self.counts.unclaimed.add();
+            return;
+        };
+        burn.count(self.clock.wall(), &caller.pipeline, &caller.team, &ended);
+    }
+
+    fn start_call(self: &Rc<Self>, call: Call) {
+        let (abort, registration) = AbortHandle::new_pair();
+        let running = Running { addr: call.addr.clone(), echo: call.echo.clone(), abort };
+        self.calls.borrow_mut().add(call.id, running);
+        let driver = self.clone();
+        let task = async move {
+            let client = driver.clients.endpoints.clone();
+            client.call(&call, |event| driver.call_event(call.id, event)).await;
+        };
+        ntex::rt::spawn(Abortable::new(task, registration));
+    }
+
+    fn call_event(self: &Rc<Self>, call: CallId, event: CallEvent) {
+        if !self.calls.borrow_mut().takes(call, &event) {
+            self.counts.stale.add();
+            return;
+        }
+        self.feed(Input::Call { call, event });
+    }
+
+    fn cancel_call(self: &Rc<Self>, call: CallId) {
+        let Some(running) = self.calls.borrow_mut().remove(call) else { return };
+        running.abort.abort();
+        let driver = self.clone();
+        ntex::rt::spawn(async move {
+            let Running { addr, echo, .. } = running;
+            if driver.clients.endpoints.cancel(&addr, echo).await.is_err() {
+                driver.counts.cancels_failed.add();
+            }
+        });
+    }
+
+    fn start_append<R: serde::Serialize + 'static>(
+        self: &Rc<Self>,
+        append: AppendId,
+        stream: Stream,
+        record: R,
+    ) {
+        let driver = self.clone();
+        ntex::rt::spawn(async move {
+            let input = platform_tasks::append(&driver, append, stream, &record).await;
+            driver.feed(input);
+        });
+    }
+
+    fn start_gossip(self: &Rc<Self>, to: InstanceName, addr: Arc<str>, message: Gossip) {
+        let driver = self.clone();
+        ntex::rt::spawn(async move {
+            match driver.peers.gossip(&addr, &message).await {
+                Ok(Some(reply)) => driver.feed(Input::Gossip(reply)),
+                Ok(None) => {}
+                Err(_) => {
+                    driver.counts.peers_failed.add();
+                    driver.feed(Input::PeerFailed(to));
+                }
+            }
+        });
+    }
+
+    fn start_question(self: &Rc<Self>, peer: InstanceName, addr: Arc<str>, key: RequestId) {
+        let driver = self.clone();
+        ntex::rt::spawn(async move {
+            let answer = driver.peers.outcome(&addr, &key).await.ok();
+            if answer.is_none() {
+                driver.counts.peers_failed.add();
+            }
+            driver.feed(Input::OutcomeTold { key, peer, answer });
+        });
+    }
+
+    fn tell(&self, question: u64, answer: PeerOutcome) {
+        let key = QuestionKey::from(KeyData::from_ffi(question));
+        if let Some(tx) = self.questions.borrow_mut().remove(key) {
+            tx.send(answer).ok();
+        }
+    }
+
+    fn caller_gone(self: &Rc<Self>, key: CallerKey) {
+        let was_waiting = self.callers.borrow_mut().remove(key);
+        if was_waiting {
+            self.counts.gone.add();
+            self.feed(Input::CallerGone(key.id()));
+        }
+    }
+}
+
+/// One caller's side: what it is sent. Dropping it before the outcome tells
+/// the machine that the caller has gone.
+pub struct Waiter {
+    parts: mpsc::UnboundedReceiver<Part>,
+    _guard: Guard,
+}
+
+impl Waiter {
+    /// The parts as they come; the last one is [`Part::End`].
+    pub fn parts(&mut self) -> &mut mpsc::UnboundedReceiver<Part> {
+        &mut self.parts
+    }
+}
+
+struct Guard {
+    driver: Rc<Driver>,
+    key: CallerKey,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.driver.caller_gone(self.key);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/outcome.rs
@@ -0,0 +1,265 @@
+//! An outcome as status, headers and body.
+//!
+//! The table of `peatdeck_wire::caller` in code. Everything that a caller may
+//! rely on is here: codes never change their meaning.
+
+use std::{sync::Arc, time::Duration};
+
+use ntex::http::StatusCode;
+use peatdeck_core::model::{
+    Answer, Doubt, DoubtKind, Invalid, Outcome, Refusal, RefusalKind, StageReport,
+};
+use peatdeck_wire::caller::{
+    ANSWERED, AnswerBody, ErrorBody, INVALID, MAY_HAVE_RUN, NOT_RUN, StageBody,
+};
+
+/// A code, and the sentences that go with it.
+struct Words {
+    code: &'static str,
+    message: &'static str,
+    remedy: &'static str,
+}
+
+/// Anything but a whole answer, ready to be sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Failure {
+    /// The response's status.
+    pub status: StatusCode,
+    /// The response's body.
+    pub body: ErrorBody,
+}
+
+impl Failure {
+    /// The value of `Retry-After`: whole seconds, rounded up.
+    pub fn retry_after(&self) -> Option<u64> {
+        self.body.retry_after_ms.map(|ms| ms.div_ceil(1_000))
+    }
+
+    /// A request that is wrong in itself.
+    pub fn invalid(
+        status: StatusCode,
+        code: &str,
+        message: impl Into<Arc<str>>,
+        remedy: impl Into<Arc<str>>,
+    ) -> Failure {
+        let body = ErrorBody {
+            id: None,
+            outcome: Arc::from(INVALID),
+            code: Arc::from(code),
+            message: message.into(),
+            remedy: remedy.into(),
+            stage: None,
+            retry_after_ms: None,
+        };
+        Failure { status, body }
+    }
+
+    /// The same, with the request's id.
+    pub fn with_id(mut self, id: Arc<str>) -> Failure {
+        self.body.id = Some(id);
+        self
+    }
+}
+
+/// Turns an outcome into what its caller is sent.
+///
+/// # Errors
+/// [`Failure`] for every outcome but a whole answer.
+pub fn render(id: &Arc<str>, outcome: Outcome) -> Result<AnswerBody, Failure> {
+    match outcome {
+        Outcome::Answered(answer) => Ok(answer_body(id, answer)),
+        Outcome::NotRun(refusal) => Err(not_run(id, &refusal)),
+        Outcome::MayHaveRun(doubt) => Err(may_have_run(id, doubt)),
+        Outcome::Invalid(kind) => Err(invalid(kind).with_id(id.clone())),
+    }
+}
+
+/// The outcome's stable code: `answered`, or that of the refusal or doubt.
+pub fn code(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered(_) => ANSWERED,
+        Outcome::NotRun(refusal) => refusal_words(refusal.kind).code,
+        Outcome::MayHaveRun(doubt) => doubt_words(doubt.kind).code,
+        Outcome::Invalid(kind) => invalid_words(*kind).code,
+    }
+}
+
+fn answer_body(id: &Arc<str>, answer: Answer) -> AnswerBody {
+    AnswerBody {
+        id: id.clone(),
+        outcome: Arc::from(ANSWERED),
+        output: answer.output,
+        stages: answer.stages.into_iter().map(stage_body).collect(),
+    }
+}
+
+fn stage_body(report: StageReport) -> StageBody {
+    StageBody {
+        stage: report.stage,
+        endpoint: report.endpoint,
+        attempts: report.attempts,
+        took_ms: report.took.as_secs_f64() * 1_000.0,
+    }
+}
+
+fn not_run(id: &Arc<str>, refusal: &Refusal) -> Failure {
+    let words = refusal_words(refusal.kind);
+    let status = match refusal.kind {
+        RefusalKind::OverShare | RefusalKind::Policy => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let body = ErrorBody {
+        id: Some(id.clone()),
+        outcome: Arc::from(NOT_RUN),
+        code: Arc::from(words.code),
+        message: Arc::from(words.message),
+        remedy: Arc::from(words.remedy),
+        stage: None,
+        retry_after_ms: Some(millis_up(refusal.retry_after)),
+    };
+    Failure { status, body }
+}
+
+fn may_have_run(id: &Arc<str>, doubt: Doubt) -> Failure {
+    let words = doubt_words(doubt.kind);
+    let status = match doubt.kind {
+        DoubtKind::TimedOut | DoubtKind::InProgress => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    let remedy = match doubt.retry_after {
+        Some(_) => words.remedy,
+        None => "do not send the request again; find out whether its effect took place",
+    };
+    let body = ErrorBody {
+        id: Some(id.clone()),
+        outcome: Arc::from(MAY_HAVE_RUN),
+        code: Arc::from(words.code),
+        message: Arc::from(words.message),
+        remedy: Arc::from(remedy),
+        stage: doubt.stage,
+        retry_after_ms: doubt.retry_after.map(millis_up),
+    };
+    Failure { status, body }
+}
+
+fn invalid(kind: Invalid) -> Failure {
+    let status = match kind {
+        Invalid::UnknownPipeline => StatusCode::NOT_FOUND,
+        Invalid::KeyReused => StatusCode::CONFLICT,
+        Invalid::UnknownTeam | Invalid::NotIdempotent => StatusCode::BAD_REQUEST,
+    };
+    let words = invalid_words(kind);
+    Failure::invalid(status, words.code, words.message, words.remedy)
+}
+
+fn refusal_words(kind: RefusalKind) -> Words {
+    let (code, message, remedy) = match kind {
+        RefusalKind::Infeasible => (
+            "infeasible",
+            "the request would not have finished within its deadline; nothing ran",
+            "send it again after the given time, or with a longer deadline",
+        ),
+        RefusalKind::OverShare => (
+            "over_share",
+            "the team holds more than its share while others wait; nothing ran",
+            "send it again after the given time, or send fewer requests at once",
+        ),
+        RefusalKind::Expired => (
+            "expired",
+            "the deadline passed while the request waited for a place; nothing ran",
+            "send it again after the given time, or with a longer deadline",
+        ),
+        RefusalKind::Policy => (
+            "policy",
+            "the pipeline's policy refused the request; nothing ran",
+            "send it again after the given time, or ask the operators about the policy",
+        ),
+        RefusalKind::NoEndpoint => (
+            "no_endpoint",
+            "a pool that the pipeline needs has no usable endpoint; nothing ran",
+            "send it again after the given time",
+        ),
+        RefusalKind::NotReady => (
+            "not_ready",
+            "this instance does not know which configuration is in force; nothing ran",
+            "send it again after the given time, or to another instance",
+        ),
+        RefusalKind::Stopping => (
+            "stopping",
+            "this instance is stopping; nothing ran",
+            "send it again to another instance",
+        ),
+        RefusalKind::ClaimUnknown => (
+            "claim_unknown",
+            "the log did not confirm in time that the request may run; nothing ran",
+            "send it again with the same id after the given time",
+        ),
+        RefusalKind::ClaimHorizon => (
+            "claim_horizon",
+            "the log may have forgotten an earlier run of this id; nothing ran now",
+            "check whether the request already took effect, then use a new id",
+        ),
+    };
+    Words { code, message, remedy }
+}
+
+fn doubt_words(kind: DoubtKind) -> Words {
+    let (code, message, remedy) = match kind {
+        DoubtKind::TimedOut => (
+            "timed_out",
+            "the deadline passed while a stage ran; it may have run",
+            "send it again after the given time",
+        ),
+        DoubtKind::StageFailed => (
+            "stage_failed",
+            "a stage failed and may not be tried again; it may have run",
+            "send it again after the given time",
+        ),
+        DoubtKind::InProgress => (
+            "in_progress",
+            "another instance runs this request and has not finished",
+            "send it again with the same id after the given time to get its outcome",
+        ),
+        DoubtKind::ClaimedElsewhere => (
+            "claimed_elsewhere",
+            "another instance took this request; its outcome is not known",
+            "send it again with the same id after the given time to get its outcome",
+        ),
+        DoubtKind::AlreadyFinished => (
+            "already_finished",
+            "this request has already run to its end; its answer is not kept here",
+            "check whether its effect took place; do not send it again under a new id",
+        ),
+    };
+    Words { code, message, remedy }
+}
+
+fn invalid_words(kind: Invalid) -> Words {
+    let (code, message, remedy) = match kind {
+        Invalid::UnknownPipeline => (
+            "unknown_pipeline",
+            "the configuration in force has no pipeline of that name; nothing ran",
+            "check the pipeline's name in the path, or have the operators publish it",
+        ),
+        Invalid::UnknownTeam => (
+            "unknown_team",
+            "the configuration in force has no team of that name; nothing ran",
+            "check the field `team`, or have the operators publish it",
+        ),
+        Invalid::KeyReused => (
+            "key_reused",
+            "the id was used before with another body or idempotence mark; nothing ran now",
+            "use a new id for a new request, or send the earlier request unchanged",
+        ),
+        Invalid::NotIdempotent => (
+            "not_idempotent",
+            "the request is marked idempotent, but a stage of the pipeline may not be repeated; nothing ran",
+            "send it with `idempotent` false",
+        ),
+    };
+    Words { code, message, remedy }
+}
+
+fn millis_up(duration: Duration) -> u64 {
+    u64::try_from(duration.as_nanos().div_ceil(1_000_000)).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/platform_tasks.rs
@@ -0,0 +1,143 @@
+//! Readers of the platform's log and list, and appends to the log.
+//!
+//! Each stream of the log has one reader that long-polls; the list is read
+//! each second. A failure is an input like any other, then the reader backs
+//! off with jitter. A line is logged when a source fails or comes back, not
+//! at each failure.
+
+use std::{rc::Rc, time::Duration};
+
+use peatdeck_core::{
+    instance::input::Input,
+    model::AppendId,
+    record::{Batch, Stream},
+};
+use peatdeck_platform::log;
+use rand::Rng;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::driver::Driver;
+
+/// How long the log waits for a first record. Short enough that an outage is
+/// noticed within seconds, long enough that idle reads cost little.
+const POLL_WAIT: Duration = Duration::from_secs(2);
+/// The most records of one read.
+const MAX_RECORDS: u32 = 1_000;
+/// Pause after an empty read that came back at once, as from a service that
+/// does not wait.
+const EMPTY_PAUSE: Duration = Duration::from_millis(100);
+/// Time after which an append counts as unanswered.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two reads of the list.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// First pause after a failure.
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest pause after a failure.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+
+/// Reads the configuration stream for as long as the process runs.
+pub async fn read_config(driver: Rc<Driver>) {
+    read_stream(driver, Stream::Config, Input::ConfigRead).await;
+}
+
+/// Reads the claims stream for as long as the process runs.
+pub async fn read_claims(driver: Rc<Driver>) {
+    read_stream(driver, Stream::Claims, Input::ClaimsRead).await;
+}
+
+/// Reads the list for as long as the process runs.
+pub async fn read_list(driver: Rc<Driver>) {
+    let mut health = Health::new("list");
+    loop {
+        match driver.clients.list.read().await {
+            Ok(listing) => {
+                health.succeeded();
+                driver.feed(Input::Listed(listing));
+            }
+            Err(error) => {
+                driver.counts.lists_failed.add();
+                health.failed(&error);
+                driver.feed(Input::ListFailed);
+            }
+        }
+        tokio::time::sleep(jittered(LIST_PERIOD)).await;
+    }
+}
+
+/// Makes one append and gives the input that tells what came of it.
+pub async fn append<R: Serialize>(
+    driver: &Driver,
+    append: AppendId,
+    stream: Stream,
+    record: &R,
+) -> Input {
+    match driver.clients.log.append(stream, record, APPEND_TIMEOUT).await {
+        Ok(offset) => Input::Appended { append, offset },
+        Err(error) => {
+            driver.counts.appends_failed.add();
+            tracing::debug!(stream = stream.name(), %error, "append failed");
+            Input::AppendFailed(append)
+        }
+    }
+}
+
+async fn read_stream<R: DeserializeOwned>(
+    driver: Rc<Driver>,
+    stream: Stream,
+    to_input: impl Fn(Batch<R>) -> Input,
+) {
+    let mut health = Health::new(stream.name());
+    let mut backoff = MIN_BACKOFF;
+    loop {
+        let from = driver.read_from(stream);
+        let range = log::Range { from, max: MAX_RECORDS, wait: POLL_WAIT };
+        let start = driver.now();
+        match driver.clients.log.read(stream, range).await {
+            Ok(batch) => {
+                health.succeeded();
+                backoff = MIN_BACKOFF;
+                let is_empty = batch.entries.is_empty();
+                driver.feed(to_input(batch));
+                if is_empty && driver.now() - start < EMPTY_PAUSE {
+                    tokio::time::sleep(EMPTY_PAUSE).await;
+                }
+            }
+            Err(error) => {
+                driver.counts.reads_failed.add();
+                health.failed(&error);
+                driver.feed(Input::ReadFailed(stream));
+                tokio::time::sleep(jittered(backoff)).await;
+                backoff = (backoff * 2).min(MAX_BACKOFF);
+            }
+        }
+    }
+}
+
+/// Half to all of a duration, so that instances do not act in step.
+fn jittered(duration: Duration) -> Duration {
+    duration.mul_f64(rand::rng().random_range(0.5..=1.0))
+}
+
+/// Whether a source answers; logs a line when that changes.
+struct Health {
+    source: &'static str,
+    is_failing: bool,
+}
+
+impl Health {
+    fn new(source: &'static str) -> Health {
+        Health { source, is_failing: false }
+    }
+
+    fn succeeded(&mut self) {
+        if std::mem::replace(&mut self.is_failing, false) {
+            tracing::info!(source = self.source, "answers again");
+        }
+    }
+
+    fn failed(&mut self, error: &dyn std::error::Error) {
+        if !std::mem::replace(&mut self.is_failing, true) {
+            tracing::warn!(source = self.source, %error, "does not answer");
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/report.rs
@@ -0,0 +1,66 @@
+//! Status and metrics.
+
+use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+
+use peatdeck_core::instance::input::Identity;
+use peatdeck_util::metrics::Metrics;
+use peatdeck_wire::admin::{EndpointStatus, EntryStatus};
+
+use crate::driver::Driver;
+
+/// Time between two sendings of the counters.
+const METRICS_PERIOD: Duration = Duration::from_secs(1);
+
+/// The instance's status, with outcomes of slots from `since` on.
+pub fn status(driver: &Driver, identity: &Identity, since: u64) -> EntryStatus {
+    let (status, reasons) = driver.with_machine(|machine| (machine.status(), machine.ready()));
+    let endpoints = status.endpoints.into_iter().map(|endpoint| EndpointStatus {
+        endpoint: endpoint.endpoint,
+        pool: endpoint.pool,
+        incarnation: endpoint.incarnation,
+        state: Arc::from(endpoint.state),
+        in_flight: endpoint.in_flight,
+        limit: endpoint.limit,
+    });
+    EntryStatus {
+        instance: identity.name.clone(),
+        incarnation: identity.incarnation,
+        data_centre: identity.data_centre.clone(),
+        ready: reasons.is_empty(),
+        reasons,
+        version: status.version,
+        running: status.running,
+        peers: status.peers,
+        endpoints: endpoints.collect(),
+        counters: totals(driver).into_iter().map(|(name, n)| (Arc::from(name), n)).collect(),
+        outcomes: driver.with_burn(|burn| burn.rows(since)),
+    }
+}
+
+/// Sends what the counters grew by, each second, for as long as the process
+/// runs.
+pub async fn send_metrics(driver: Rc<Driver>, metrics: Metrics) {
+    let mut sent = BTreeMap::new();
+    loop {
+        tokio::time::sleep(METRICS_PERIOD).await;
+        send_growth(&driver, &metrics, &mut sent);
+    }
+}
+
+/// Sends what each counter grew by since it was last sent.
+pub fn send_growth(driver: &Driver, metrics: &Metrics, sent: &mut BTreeMap<&'static str, u64>) {
+    for (name, total) in totals(driver) {
+        let before = sent.insert(name, total).unwrap_or(0);
+        if total > before {
+            metrics.count(name, total - before);
+        }
+    }
+    let running = driver.with_machine(|machine| machine.status().running);
+    metrics.gauge("running", u64::from(running));
+}
+
+/// All counters, those of the machine and of the event loop.
+fn totals(driver: &Driver) -> BTreeMap<&'static str, u64> {
+    let of_machine = driver.with_machine(|machine| machine.counters().each().collect::<Vec<_>>());
+    of_machine.into_iter().chain(driver.counts.each()).collect()
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,205 @@
+//! Binds, starts the event loop, and stops it whole.
+//!
+//! ntex runs its accept loop and its one worker on threads of their own. The
+//! worker's thread is the event loop: everything but accepting and signals
+//! lives there, so nothing needs a lock.
+
+use std::{
+    io::Write,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use futures::{
+    StreamExt,
+    channel::{mpsc, oneshot},
+};
+use miette::{IntoDiagnostic, WrapErr, miette};
+use ntex::{
+    http::HttpServiceConfig,
+    service::cfg::SharedCfg,
+    time::Seconds,
+    web::{self, App},
+};
+use peatdeck_core::instance::{self, Instance, input::Input};
+use peatdeck_platform::{endpoint, http, list, log};
+use peatdeck_util::{clock::SystemClock, metrics::Metrics};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::{
+    driver::{Clients, Driver},
+    flush::Flush,
+    peers, platform_tasks, report, routes,
+    settings::{Limits, Settings},
+    timer,
+};
+
+/// Time for the last responses to leave the process.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for ntex to close its connections.
+const SHUTDOWN_TIMEOUT: Seconds = Seconds(2);
+/// Bytes a second below which a body counts as stalled.
+const MIN_BODY_RATE: u32 = 256;
+/// A body may take so many idle timeouts altogether.
+const MAX_BODY_TIMEOUTS: u16 = 4;
+
+/// What the event loop's thread starts with. It is taken once: a second
+/// start would be a second life under the first one's incarnation.
+struct Setup {
+    settings: Settings,
+    peers: TcpListener,
+    stops: mpsc::UnboundedReceiver<()>,
+    exited: oneshot::Sender<()>,
+}
+
+/// Runs an entry instance until it was told to stop and has finished what it
+/// held.
+///
+/// # Errors
+/// If an address cannot be bound or a socket cannot be had.
+pub async fn run(settings: Settings) -> miette::Result<()> {
+    let listener = bind("--listen", settings.listen)?;
+    let peers = bind("--peer-listen", settings.peer_listen)?;
+    let stops = watch_signals()?;
+    announce(&listener, &peers).into_diagnostic()?;
+
+    let limits = settings.limits.clone();
+    let (exited, on_exit) = oneshot::channel();
+    let setup = Setup { settings, peers, stops, exited };
+    let setup = Arc::new(Mutex::new(Some(setup)));
+    let server = web::server(async move || {
+        let setup = setup.lock().ok().and_then(|mut setup| setup.take());
+        let app = start(setup.expect("the event loop is started once")).await;
+        App::new()
+            .state(app)
+            .configure(routes::configure)
+            .default_service(web::to(routes::not_found))
+    })
+    .workers(1)
+    .maxconn(limits.connections)
+    .config(http_config(&limits))
+    .shutdown_timeout(SHUTDOWN_TIMEOUT)
+    .disable_signals()
+    .listen(listener)
+    .into_diagnostic()?
+    .run();
+
+    on_exit.await.map_err(|_| miette!("the event loop ended before it was told to stop"))?;
+    server.stop(true).await;
+    Ok(())
+}
+
+/// Starts the event loop on the current thread.
+async fn start(setup: Setup) -> routes::App {
+    let Setup { settings, peers, stops, exited } = setup;
+    let driver = driver(&settings).await;
+    let flush = Rc::new(Flush::default());
+    ntex::rt::spawn(timer::run(driver.clone()));
+    ntex::rt::spawn(platform_tasks::read_config(driver.clone()));
+    ntex::rt::spawn(platform_tasks::read_claims(driver.clone()));
+    ntex::rt::spawn(platform_tasks::read_list(driver.clone()));
+    ntex::rt::spawn(peers::serve(driver.clone(), into_tokio(peers)));
+    ntex::rt::spawn(feed_stops(driver.clone(), stops));
+    ntex::rt::spawn(finish(driver.clone(), flush.clone(), exited));
+    if let Some(addr) = settings.statsd {
+        start_metrics(&driver, addr);
+    }
+    let identity = Rc::new(settings.identity);
+    routes::App { driver, identity, flush, max_body: settings.limits.body }
+}
+
+async fn driver(settings: &Settings) -> Rc<Driver> {
+    let http = http::client(settings.connect_timeout)
+        .await
+        .expect("a client without TLS has nothing that can fail to build");
+    let clients = Clients {
+        log: log::Client::new(http.clone(), settings.log.clone()),
+        list: list::Client::new(http.clone(), settings.list.clone()),
+        endpoints: endpoint::Client::new(http),
+    };
+    let identity = settings.identity.clone();
+    let machine = Instance::new(identity, instance::Settings::default(), rand::random());
+    Driver::new(machine, Rc::new(SystemClock::new()), clients)
+}
+
+/// Waits for the machine to finish and the last responses to leave.
+async fn finish(driver: Rc<Driver>, flush: Rc<Flush>, exited: oneshot::Sender<()>) {
+    driver.exited().await;
+    if !flush.wait(FLUSH_TIMEOUT).await {
+        tracing::warn!("some callers did not take their last response in time");
+    }
+    driver.close();
+    tracing::info!("stopped");
+    exited.send(()).ok();
+}
+
+async fn feed_stops(driver: Rc<Driver>, mut stops: mpsc::UnboundedReceiver<()>) {
+    while stops.next().await.is_some() {
+        tracing::info!("told to stop");
+        driver.feed(Input::Stop);
+    }
+}
+
+/// Passes on SIGTERM and SIGINT. They are taken from here on, so one that
+/// comes while the event loop starts is not lost.
+fn watch_signals() -> miette::Result<mpsc::UnboundedReceiver<()>> {
+    let (tx, rx) = mpsc::unbounded();
+    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        let signals = signal(kind).into_diagnostic().wrap_err("signals cannot be taken")?;
+        ntex::rt::spawn(forward(signals, tx.clone()));
+    }
+    Ok(rx)
+}
+
+async fn forward(mut signals: Signal, stops: mpsc::UnboundedSender<()>) {
+    while signals.recv().await.is_some() {
+        stops.unbounded_send(()).ok();
+    }
+}
+
+fn bind(flag: &str, addr: SocketAddr) -> miette::Result<TcpListener> {
+    TcpListener::bind(addr).map_err(|error| {
+        miette!(
+            help = "stop what listens there, or give another address",
+            "{flag}: cannot listen on {addr}: {error}"
+        )
+    })
+}
+
+fn into_tokio(listener: TcpListener) -> tokio::net::TcpListener {
+    listener.set_nonblocking(true).expect("a listening socket takes the flag");
+    tokio::net::TcpListener::from_std(listener).expect("the event loop runs on this thread")
+}
+
+fn start_metrics(driver: &Rc<Driver>, addr: SocketAddr) {
+    match Metrics::to(addr) {
+        Ok(metrics) => {
+            ntex::rt::spawn(report::send_metrics(driver.clone(), metrics));
+        }
+        Err(error) => tracing::warn!(%addr, %error, "metrics are off: no UDP socket"),
+    }
+}
+
+/// Tells on standard output where the instance listens.
+fn announce(callers: &TcpListener, peers: &TcpListener) -> std::io::Result<()> {
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "listening {}", callers.local_addr()?)?;
+    writeln!(out, "peers {}", peers.local_addr()?)?;
+    out.flush()
+}
+
+fn http_config(limits: &Limits) -> SharedCfg {
+    let idle = u16::try_from(limits.idle.as_secs()).unwrap_or(u16::MAX);
+    let config = HttpServiceConfig::new()
+        .set_max_buf_size(limits.header)
+        .set_keepalive(Seconds(idle))
+        .set_client_timeout(Seconds(idle))
+        .set_payload_read_rate(
+            Seconds(idle),
+            Seconds(idle.saturating_mul(MAX_BODY_TIMEOUTS)),
+            MIN_BODY_RATE,
+        );
+    SharedCfg::new("peatdeck-entry").add(config).build()
+}
--- /dev/null
+++ b/crates/entry/src/timer.rs
@@ -0,0 +1,31 @@
+//! Wakes the machine when it asked to be.
+
+use std::{rc::Rc, time::Duration};
+
+use peatdeck_core::instance::input::Input;
+
+use crate::driver::Driver;
+
+/// The shortest time between two ticks, so that a wake that stays in the past
+/// cannot starve the event loop.
+const MIN_GAP: Duration = Duration::from_millis(1);
+
+/// Runs for as long as the process does.
+pub async fn run(driver: Rc<Driver>) {
+    loop {
+        let Some(wake) = driver.next_wake() else {
+            driver.rearmed().await;
+            continue;
+        };
+        let left = wake.saturating_sub(driver.now());
+        if left.is_zero() {
+            driver.feed(Input::Tick);
+            tokio::time::sleep(MIN_GAP).await;
+            continue;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(left) => {}
+            () = driver.rearmed() => {}
+        }
+    }
+}
