Check a configuration document as a whole

Operators and the administration API must refuse the same documents for the same reasons. One pure checker reports every problem with its place and a remedy; the policy compiler is passed in, so that tools without it can check the rest.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 //! - [`policy`]: operators' short programs.
 //! - [`instance`]: one entry instance, made of all of the above.
 
+pub mod check;
 pub mod document;
 pub mod instance;
 pub mod membership;
--- /dev/null
+++ b/crates/core/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the decisions, a module per feature.
+
+mod check;
