Serve the administration API

Publish, history, verdict, drain and status over HTTP with a bearer token. An append is settled by reading its record back: acknowledgements prove nothing, lost ones disprove nothing.

--- /dev/null
+++ b/crates/admin/src/error.rs
@@ -0,0 +1,212 @@
+//! Everything that an operator can be told when an operation fails.
+//!
+//! Each kind has a stable code, a status, a message and a remedy. What is said
+//! of the log is exact: `log_out` only where nothing was appended, `unknown`
+//! where it may have been.
+
+use std::{sync::Arc, time::Duration};
+
+use ntex::{
+    http::{StatusCode, header},
+    web::{HttpRequest, HttpResponse, WebResponseError},
+};
+use peatdeck_core::{
+    check::Problem,
+    model::{EndpointName, Incarnation},
+    record::Version,
+};
+use peatdeck_wire::admin::{ApiError, ErrorDetail, Winner};
+
+/// When an operator should come back after a failure of the platform.
+const RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// Why an operation failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The token is missing or wrong.
+    #[error("the bearer token is missing or wrong")]
+    Unauthorized,
+    /// No operation has that path and method.
+    #[error("no operation has this path and method")]
+    NoRoute,
+    /// The request's form is wrong.
+    #[error("{0}")]
+    Malformed(String),
+    /// The body is too large.
+    #[error("the body takes more than {0} bytes")]
+    TooLarge(usize),
+    /// The document is not valid.
+    #[error("the document has {} problem(s), the first: {}", .0.len(), first(.0))]
+    Invalid(Vec<Problem>),
+    /// Another publish came first.
+    #[error("{}, but this publish was made from {base}", in_force(.winner))]
+    Conflict {
+        /// The version that the publish was made from.
+        base: Version,
+        /// The version that it met.
+        winner: Winner,
+    },
+    /// Another document was published under the same id.
+    #[error("publish `{0}` stands in the log with another document, base or author")]
+    IdReused(Arc<str>),
+    /// The platform's list has no such endpoint.
+    #[error("the platform's list has no endpoint `{0}`")]
+    UnknownEndpoint(EndpointName),
+    /// The endpoint was started again since.
+    #[error("endpoint `{endpoint}` is in life {listed}, not {given}", listed = .listed.0, given = .given.0)]
+    OtherLife {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// The life in the platform's list.
+        listed: Incarnation,
+        /// The life that was given.
+        given: Incarnation,
+    },
+    /// No record of the publish was read.
+    #[error("the log holds no publish `{0}`")]
+    UnknownPublish(Arc<str>),
+    /// The log is out; nothing was appended.
+    #[error("nothing was appended: {0}")]
+    LogOut(String),
+    /// The list is out; nothing was appended.
+    #[error("nothing was done: {0}")]
+    ListOut(String),
+    /// The log no longer holds what makes up the configuration in force.
+    #[error("nothing was appended: the log keeps neither a snapshot nor its first record")]
+    NoState,
+    /// The publish may have been appended.
+    #[error("unknown: publish `{0}` may have taken effect, and the log did not say in time")]
+    Unknown(Arc<str>),
+    /// The drain may have been appended.
+    #[error("unknown: the drain of `{0}` may have taken effect, and the log did not say in time")]
+    DrainUnknown(EndpointName),
+}
+
+impl Error {
+    /// A code that never changes its meaning.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Error::Unauthorized => "unauthorized",
+            Error::NoRoute => "no_route",
+            Error::Malformed(_) => "malformed",
+            Error::TooLarge(_) => "too_large",
+            Error::Invalid(_) => "invalid_document",
+            Error::Conflict { .. } => "conflict",
+            Error::IdReused(_) => "id_reused",
+            Error::UnknownEndpoint(_) => "unknown_endpoint",
+            Error::OtherLife { .. } => "other_life",
+            Error::UnknownPublish(_) => "unknown_publish",
+            Error::LogOut(_) => "log_out",
+            Error::ListOut(_) => "list_out",
+            Error::NoState => "no_state",
+            Error::Unknown(_) | Error::DrainUnknown(_) => "unknown",
+        }
+    }
+
+    fn remedy(&self) -> String {
+        match self {
+            Error::Unauthorized => {
+                "send `Authorization: Bearer` with the token that the process was started with"
+                    .to_owned()
+            }
+            Error::NoRoute => "see the reference of the administration API".to_owned(),
+            Error::Malformed(_) => "correct the request and send it again".to_owned(),
+            Error::TooLarge(_) => "shorten policies or remove what is unused".to_owned(),
+            Error::Invalid(_) => "mend every problem listed and publish again".to_owned(),
+            Error::Conflict { winner, .. } => format!(
+                "fetch version {version} (`peatdeck show`), apply the change to it and publish it with a new id and base {version}",
+                version = winner.version
+            ),
+            Error::IdReused(_) => "publish with a new id".to_owned(),
+            Error::UnknownEndpoint(_) => {
+                "check the name; a new endpoint shows in the list after some seconds".to_owned()
+            }
+            Error::OtherLife { .. } => "leave the life out to drain the present one".to_owned(),
+            Error::UnknownPublish(_) => {
+                "if an append of it may still be on its way, publish again with the same id: it counts once"
+                    .to_owned()
+            }
+            Error::LogOut(_) => "send it again when the platform's log is back".to_owned(),
+            Error::ListOut(_) => "send it again when the platform's list is back".to_owned(),
+            Error::NoState => {
+                "wait until an instance has appended its snapshot; if none runs, publish from a saved document"
+                    .to_owned()
+            }
+            Error::Unknown(id) => format!(
+                "ask for the verdict of `{id}` (GET /v1/config/verdict/{id}), or publish again with the same id: it counts once"
+            ),
+            Error::DrainUnknown(_) => "send the drain again: it counts once".to_owned(),
+        }
+    }
+
+    fn detail(&self) -> Option<ErrorDetail> {
+        match self {
+            Error::Invalid(problems) => Some(ErrorDetail::Invalid { problems: problems.clone() }),
+            Error::Conflict { winner, .. } => Some(ErrorDetail::Conflict(winner.clone())),
+            Error::Unknown(id) => Some(ErrorDetail::Unknown { id: Arc::clone(id) }),
+            _ => None,
+        }
+    }
+
+    /// The error as the API gives it.
+    pub fn to_api(&self) -> ApiError {
+        ApiError {
+            code: self.code().into(),
+            message: self.to_string().into(),
+            remedy: self.remedy().into(),
+            detail: self.detail(),
+        }
+    }
+
+    /// The status that goes with it.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Error::Unauthorized => StatusCode::UNAUTHORIZED,
+            Error::NoRoute | Error::UnknownEndpoint(_) | Error::UnknownPublish(_) => {
+                StatusCode::NOT_FOUND
+            }
+            Error::Malformed(_) => StatusCode::BAD_REQUEST,
+            Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Error::Invalid(_) => StatusCode::UNPROCESSABLE_ENTITY,
+            Error::Conflict { .. } | Error::IdReused(_) | Error::OtherLife { .. } => {
+                StatusCode::CONFLICT
+            }
+            Error::LogOut(_)
+            | Error::ListOut(_)
+            | Error::NoState
+            | Error::Unknown(_)
+            | Error::DrainUnknown(_) => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+impl WebResponseError for Error {
+    fn status_code(&self) -> StatusCode {
+        self.status()
+    }
+
+    fn error_response(&self, _: &HttpRequest) -> HttpResponse {
+        let mut response = HttpResponse::build(self.status());
+        match self.status() {
+            StatusCode::SERVICE_UNAVAILABLE => {
+                response.set_header(header::RETRY_AFTER, RETRY_AFTER.as_secs().to_string());
+            }
+            StatusCode::UNAUTHORIZED => {
+                response.set_header(header::WWW_AUTHENTICATE, "Bearer");
+            }
+            _ => {}
+        }
+        response.json(&self.to_api())
+    }
+}
+
+fn first(problems: &[Problem]) -> String {
+    problems.first().map_or_else(String::new, |p| format!("{}: {}", p.path, p.message))
+}
+
+fn in_force(winner: &Winner) -> String {
+    match &winner.author {
+        Some(author) => format!("version {}, published by {author}, is in force", winner.version),
+        None => format!("version {} is in force", winner.version),
+    }
+}
--- /dev/null
+++ b/crates/admin/src/history.rs
@@ -0,0 +1,160 @@
+//! Who did what to the configuration, from the records of the log.
+//!
+//! Fed with the same batches as the fold, after it. Pure: no I/O, no clock.
+//! A repeated record of the same publish counts once, as in the fold; the
+//! first one stands for it.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+};
+
+use peatdeck_core::{
+    config_log::{Fold, Verdict},
+    record::{Batch, ConfigRecord, Drain, Entry, Offset, Publish, Version},
+};
+use peatdeck_wire::admin::{Act, ActKind, HistoryReply, PublishVerdict};
+use xxhash_rust::xxh3;
+
+/// Acts kept at the most; the oldest go first. Some days of 2,000 changes.
+const MAX_ACTS: usize = 20_000;
+
+/// Who did what, oldest first.
+#[derive(Debug, Default)]
+pub struct History {
+    acts: VecDeque<Act>,
+    publishes: HashMap<Arc<str>, Known>,
+    /// Offsets of publishes that the fold has not decided yet.
+    undecided: Vec<Offset>,
+    earliest: Offset,
+}
+
+/// What is kept of a publish, to tell its repeat from another one.
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    offset: Offset,
+    digest: u64,
+}
+
+impl History {
+    /// Takes in a batch that `fold` has just read.
+    pub fn read(&mut self, batch: &Batch<ConfigRecord>, fold: &Fold) {
+        self.earliest = batch.earliest;
+        for entry in &batch.entries {
+            match &entry.record {
+                ConfigRecord::Publish(publish) => self.publish(entry, publish),
+                ConfigRecord::Drain(drain) => self.drain(entry, drain),
+                ConfigRecord::Snapshot(_) => {}
+            }
+        }
+        self.decide(fold);
+        while self.acts.len() > MAX_ACTS {
+            self.forget_oldest();
+        }
+    }
+
+    /// At most `limit` acts from offset `from` on.
+    pub fn page(&self, from: Offset, limit: usize) -> HistoryReply {
+        let start = self.acts.partition_point(|act| act.offset < from);
+        let end = start.saturating_add(limit).min(self.acts.len());
+        HistoryReply {
+            acts: self.acts.range(start..end).cloned().collect(),
+            next: self.acts.get(end).map(|act| act.offset),
+            earliest: self.earliest,
+        }
+    }
+
+    /// The act of a publish, if its record was read.
+    pub fn act(&self, id: &str) -> Option<&Act> {
+        let known = self.publishes.get(id)?;
+        let idx = self.acts.binary_search_by_key(&known.offset, |act| act.offset).ok()?;
+        self.acts.get(idx)
+    }
+
+    /// What became of a publish, if its record was read and decided.
+    pub fn verdict(&self, id: &str) -> Option<PublishVerdict> {
+        match &self.act(id)?.what {
+            ActKind::Publish { verdict: PublishVerdict::Forgotten, .. } => None,
+            ActKind::Publish { verdict, .. } => Some(verdict.clone()),
+            ActKind::Drain { .. } => None,
+        }
+    }
+
+    /// Whether the publish that stands under this id is the same one;
+    /// `None` if none stands.
+    pub fn is_same(&self, publish: &Publish) -> Option<bool> {
+        self.publishes.get(&publish.id).map(|known| known.digest == digest(publish))
+    }
+
+    /// The publish that made a version and its author, if the log keeps it.
+    pub fn maker(&self, wanted: Version) -> Option<(Arc<str>, Arc<str>)> {
+        self.acts.iter().rev().find_map(|act| match &act.what {
+            ActKind::Publish { id, verdict: PublishVerdict::Accepted { version }, .. }
+                if *version == wanted =>
+            {
+                Some((Arc::clone(id), Arc::clone(&act.author)))
+            }
+            _ => None,
+        })
+    }
+
+    fn publish(&mut self, entry: &Entry<ConfigRecord>, publish: &Publish) {
+        if self.publishes.contains_key(&publish.id) {
+            return;
+        }
+        let known = Known { offset: entry.offset, digest: digest(publish) };
+        self.publishes.insert(Arc::clone(&publish.id), known);
+        self.undecided.push(entry.offset);
+        let what = ActKind::Publish {
+            id: Arc::clone(&publish.id),
+            base: publish.base,
+            verdict: PublishVerdict::Forgotten,
+        };
+        self.push(entry, &publish.author, what);
+    }
+
+    fn drain(&mut self, entry: &Entry<ConfigRecord>, drain: &Drain) {
+        let what = ActKind::Drain {
+            endpoint: Arc::clone(&drain.endpoint),
+            incarnation: drain.incarnation,
+        };
+        self.push(entry, &drain.author, what);
+    }
+
+    fn push(&mut self, entry: &Entry<ConfigRecord>, author: &Arc<str>, what: ActKind) {
+        let author = Arc::clone(author);
+        self.acts.push_back(Act { offset: entry.offset, time_ms: entry.time_ms, author, what });
+    }
+
+    /// Asks the fold for what it had not decided before. A fold that lost
+    /// records decides only once it has joined the stream again.
+    fn decide(&mut self, fold: &Fold) {
+        let acts = &mut self.acts;
+        self.undecided.retain(|offset| {
+            let Ok(idx) = acts.binary_search_by_key(offset, |act| act.offset) else { return false };
+            let ActKind::Publish { id, verdict, .. } = &mut acts[idx].what else { return false };
+            let Some(decided) = fold.verdict(id) else { return true };
+            *verdict = to_wire(decided);
+            false
+        });
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some(act) = self.acts.pop_front() else { return };
+        if let ActKind::Publish { id, .. } = act.what {
+            self.publishes.remove(&id);
+        }
+    }
+}
+
+fn to_wire(verdict: Verdict) -> PublishVerdict {
+    match verdict {
+        Verdict::Accepted { version } => PublishVerdict::Accepted { version },
+        Verdict::Conflict { current } => PublishVerdict::Conflict { current },
+    }
+}
+
+fn digest(publish: &Publish) -> u64 {
+    let json = serde_json::to_vec(publish).unwrap_or_default();
+    xxh3::xxh3_64(&json)
+}
--- a/crates/admin/src/main.rs
+++ b/crates/admin/src/main.rs
@@ -1,2 +1,17 @@
-//! Placeholder.
-fn main() {}
+//! `peatdeck-admin`: serves the administration API.
+
+use miette::{IntoDiagnostic, WrapErr};
+use peatdeck_admin::{server, settings};
+use peatdeck_util::logging;
+
+#[ntex::main]
+async fn main() -> miette::Result<()> {
+    let raw = settings::options().run();
+    let token = std::env::var(settings::TOKEN_VARIABLE).ok();
+    let settings = settings::check(raw, token)?;
+    logging::start(settings.log_format, &settings.log_filter);
+    let listener = server::bind(settings.listen)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("cannot listen on {}; choose a free one", settings.listen))?;
+    server::serve(listener, settings).await.into_diagnostic()
+}
--- /dev/null
+++ b/crates/admin/src/ops.rs
@@ -0,0 +1,9 @@
+//! The operations, one module each. They take what they need and know nothing
+//! of HTTP paths.
+
+pub mod check;
+pub mod drain;
+pub mod publish;
+pub mod settle;
+pub mod show;
+pub mod status;
--- /dev/null
+++ b/crates/admin/src/ops/drain.rs
@@ -0,0 +1,81 @@
+//! Orders that an endpoint gets no new work in its present life.
+
+use std::sync::Arc;
+
+use peatdeck_core::{
+    model::{EndpointName, Incarnation},
+    record::{ConfigRecord, Drain},
+};
+use peatdeck_wire::admin::{DrainBody, DrainReply};
+
+use crate::{
+    context::Context,
+    error::Error,
+    ops::{
+        publish,
+        settle::{self, Failure},
+    },
+    reader::State,
+};
+
+/// Drains the endpoint. A drain that already stands is not appended again.
+///
+/// # Errors
+/// Any [`Error`] but those of publishes.
+pub async fn drain(
+    ctx: &Context,
+    endpoint: EndpointName,
+    body: DrainBody,
+) -> Result<DrainReply, Error> {
+    publish::check_text("endpoint", &endpoint)?;
+    publish::check_text("author", &body.author)?;
+    let incarnation = life(ctx, &endpoint, body.incarnation).await?;
+    let drain = Drain { endpoint, incarnation, author: body.author };
+    ctx.reader.catch_up().await.map_err(|cause| Error::LogOut(cause.to_string()))?;
+    if !ctx.reader.look(|state| stands(state, &drain)) {
+        append(ctx, &drain).await?;
+    }
+    ctx.metrics.count("admin.drain.accepted", 1);
+    tracing::info!(
+        endpoint = &*drain.endpoint,
+        incarnation = incarnation.0,
+        author = &*drain.author,
+        "drained"
+    );
+    Ok(DrainReply { endpoint: drain.endpoint, incarnation })
+}
+
+async fn append(ctx: &Context, drain: &Drain) -> Result<(), Error> {
+    let record = ConfigRecord::Drain(drain.clone());
+    let see = |state: &State| stands(state, drain).then_some(());
+    settle::settle(ctx, &record, see).await.map_err(|failure| match failure {
+        Failure::NotAppended(cause) => Error::LogOut(cause.to_string()),
+        Failure::Unknown => Error::DrainUnknown(Arc::clone(&drain.endpoint)),
+    })
+}
+
+/// The life to drain: the listed one. A life that is given must be that one.
+async fn life(
+    ctx: &Context,
+    endpoint: &EndpointName,
+    given: Option<Incarnation>,
+) -> Result<Incarnation, Error> {
+    let listing = ctx.list.read().await.map_err(|cause| Error::ListOut(cause.to_string()))?;
+    let entry = listing.endpoints.iter().find(|entry| entry.name == *endpoint);
+    let listed = entry.ok_or_else(|| Error::UnknownEndpoint(Arc::clone(endpoint)))?.incarnation;
+    match given {
+        Some(given) if given < listed => {
+            Err(Error::OtherLife { endpoint: Arc::clone(endpoint), listed, given })
+        }
+        Some(given) => Ok(given),
+        None => Ok(listed),
+    }
+}
+
+/// Whether the drain is in force, or one of a later life.
+fn stands(state: &State, wanted: &Drain) -> bool {
+    let drains = state.current().map(|snapshot| snapshot.drains.as_slice()).unwrap_or_default();
+    drains
+        .iter()
+        .any(|drain| drain.endpoint == wanted.endpoint && drain.incarnation >= wanted.incarnation)
+}
--- /dev/null
+++ b/crates/admin/src/ops/publish.rs
@@ -0,0 +1,115 @@
+//! Publishes a document as the next version.
+//!
+//! In phases: the form, the document, what the log already says of this id and
+//! of the base, the append with its read-back, and at last who has the version
+//! in force. A conflict that shows before the append costs the log nothing.
+
+use std::sync::Arc;
+
+use peatdeck_core::{
+    check,
+    model::MAX_ID_BYTES,
+    record::{ConfigRecord, Publish, Version},
+};
+use peatdeck_wire::admin::{PublishBody, PublishReply, PublishVerdict, Winner};
+
+use crate::{
+    context::Context,
+    error::Error,
+    ops::{
+        settle::{self, Failure},
+        status,
+    },
+    reader::State,
+};
+
+/// Publishes, and waits for the instances to have it in force.
+///
+/// # Errors
+/// Any [`Error`] but those of drains.
+pub async fn publish(ctx: &Context, body: PublishBody) -> Result<PublishReply, Error> {
+    check_form(&body)?;
+    check_document(ctx, &body)?;
+    let publish =
+        Publish { id: body.id, base: body.base, author: body.author, document: body.document };
+    let verdict = decide(ctx, &publish).await?;
+    let version = accepted(ctx, &publish, verdict)?;
+    ctx.metrics.count("admin.publish.accepted", 1);
+    tracing::info!(version, publish = &*publish.id, author = &*publish.author, "accepted");
+    let spread = status::wait_in_force(ctx, version).await;
+    Ok(PublishReply { id: publish.id, version, in_force: spread.in_force, missing: spread.missing })
+}
+
+/// Checks a name or an id that comes with a request.
+///
+/// # Errors
+/// [`Error::Malformed`].
+pub fn check_text(what: &str, text: &str) -> Result<(), Error> {
+    if text.is_empty() || text.len() > MAX_ID_BYTES || text.chars().any(char::is_control) {
+        let cause = format!("`{what}` must have 1 to {MAX_ID_BYTES} bytes, all printable");
+        return Err(Error::Malformed(cause));
+    }
+    Ok(())
+}
+
+fn check_form(body: &PublishBody) -> Result<(), Error> {
+    check_text("id", &body.id)?;
+    check_text("author", &body.author)
+}
+
+fn check_document(ctx: &Context, body: &PublishBody) -> Result<(), Error> {
+    let problems = check::check(&body.document, ctx.compile);
+    if problems.is_empty() {
+        return Ok(());
+    }
+    ctx.metrics.count("admin.publish.invalid", 1);
+    Err(Error::Invalid(problems))
+}
+
+/// What the log makes of the publish; appends it if it isn't there yet.
+async fn decide(ctx: &Context, publish: &Publish) -> Result<PublishVerdict, Error> {
+    ctx.reader.catch_up().await.map_err(|cause| Error::LogOut(cause.to_string()))?;
+    match ctx.reader.look(|state| state.history.is_same(publish)) {
+        Some(true) => {
+            let verdict = ctx.reader.look(|state| state.history.verdict(&publish.id));
+            return verdict.ok_or_else(|| Error::Unknown(Arc::clone(&publish.id)));
+        }
+        Some(false) => return Err(Error::IdReused(Arc::clone(&publish.id))),
+        None => {}
+    }
+    let current = ctx.reader.look(current_version).ok_or(Error::NoState)?;
+    if current != publish.base {
+        return Ok(PublishVerdict::Conflict { current });
+    }
+    let record = ConfigRecord::Publish(publish.clone());
+    let settled = settle::settle(ctx, &record, |state| state.history.verdict(&publish.id));
+    settled.await.map_err(|failure| match failure {
+        Failure::NotAppended(cause) => Error::LogOut(cause.to_string()),
+        Failure::Unknown => Error::Unknown(Arc::clone(&publish.id)),
+    })
+}
+
+fn accepted(ctx: &Context, publish: &Publish, verdict: PublishVerdict) -> Result<Version, Error> {
+    match verdict {
+        PublishVerdict::Accepted { version } => Ok(version),
+        PublishVerdict::Conflict { current } => {
+            ctx.metrics.count("admin.publish.conflict", 1);
+            let winner = ctx.reader.look(|state| winner(state, current));
+            Err(Error::Conflict { base: publish.base, winner })
+        }
+        PublishVerdict::Forgotten => Err(Error::Unknown(Arc::clone(&publish.id))),
+    }
+}
+
+/// The version in force; `None` where the log no longer tells.
+fn current_version(state: &State) -> Option<Version> {
+    if state.fold.is_gapped() {
+        return None;
+    }
+    state.current().map(|snapshot| snapshot.version)
+}
+
+fn winner(state: &State, version: Version) -> Winner {
+    let (publish, author) = state.history.maker(version).unzip();
+    Winner { version, publish, author }
+}
--- /dev/null
+++ b/crates/admin/src/ops/settle.rs
@@ -0,0 +1,67 @@
+//! Appends a record and reads it back.
+//!
+//! The acknowledgement of an append is not what counts: the record counts once
+//! it was read. An append whose answer is lost is therefore settled by reading,
+//! and sent again only while reading doesn't show it. The records of this
+//! stream count once however often they stand, so that is harmless.
+
+use std::time::Duration;
+
+use peatdeck_core::record::{ConfigRecord, Stream};
+use peatdeck_platform::{http, log};
+
+use crate::{context::Context, reader::State};
+
+/// How long reading goes on before an append without an answer is sent again.
+const REPEAT_AFTER: Duration = Duration::from_secs(1);
+/// The status with which the log refuses an append over its rate: it has no effect.
+const OVER_RATE: u16 = 429;
+
+/// Why a record could not be settled.
+#[derive(Debug)]
+pub enum Failure {
+    /// It was certainly not appended.
+    NotAppended(log::Error),
+    /// It may have been appended.
+    Unknown,
+}
+
+/// Appends `record` and reads on until `see` shows its effect.
+pub async fn settle<T>(
+    ctx: &Context,
+    record: &ConfigRecord,
+    see: impl Fn(&State) -> Option<T>,
+) -> Result<T, Failure> {
+    let end = ctx.clock.now() + ctx.bounds.settle;
+    let mut may_stand = false;
+    loop {
+        let left = end.saturating_sub(ctx.clock.now());
+        if left.is_zero() {
+            ctx.metrics.count("admin.append.unknown", 1);
+            return Err(Failure::Unknown);
+        }
+        let appended = ctx.log.append(Stream::Config, record, left.min(ctx.bounds.append)).await;
+        let left = end.saturating_sub(ctx.clock.now());
+        let patience = match appended {
+            Ok(_) => left,
+            Err(error) if has_no_effect(&error) && !may_stand => {
+                return Err(Failure::NotAppended(error));
+            }
+            Err(_) => left.min(REPEAT_AFTER),
+        };
+        may_stand = true;
+        if let Some(seen) = ctx.reader.wait_for(&*ctx.clock, patience, &see).await {
+            return Ok(seen);
+        }
+    }
+}
+
+fn has_no_effect(error: &log::Error) -> bool {
+    match error {
+        log::Error::Http(error) => {
+            error.is_unsent() || matches!(error, http::Error::Refused { status: OVER_RATE, .. })
+        }
+        log::Error::Unwritable { .. } => true,
+        log::Error::Unreadable { .. } => false,
+    }
+}
--- /dev/null
+++ b/crates/admin/src/routes.rs
@@ -0,0 +1,126 @@
+//! What each path of the API does: reads the request, runs the operation,
+//! writes the answer.
+
+use std::{rc::Rc, sync::Arc};
+
+use futures::StreamExt;
+use ntex::{
+    http::StatusCode,
+    web::{self, HttpRequest, HttpResponse, types},
+};
+use peatdeck_core::record::Offset;
+use peatdeck_wire::admin::{CheckBody, DrainBody, PublishBody};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::{auth::Operator, context::Context, error::Error, ops};
+
+/// The largest body that is read, in bytes: a document and what escapes and
+/// spaces may add to it.
+const MAX_BODY: usize = 1024 * 1024;
+/// Acts on a page of the history where the request names no limit.
+const DEFAULT_PAGE: usize = 50;
+/// Acts on a page of the history at the most.
+const MAX_PAGE: usize = 500;
+
+/// Adds the API's paths to a server.
+pub fn configure(cfg: &mut web::ServiceConfig) {
+    cfg.service((
+        web::resource("/livez").route(web::get().to(live)),
+        web::resource("/readyz").route(web::get().to(ready)),
+        web::resource("/v1/config").route(web::get().to(config)),
+        web::resource("/v1/config/check").route(web::post().to(check)),
+        web::resource("/v1/config/publish").route(web::post().to(publish)),
+        web::resource("/v1/config/history").route(web::get().to(history)),
+        web::resource("/v1/config/verdict/{id}").route(web::get().to(verdict)),
+        web::resource("/v1/endpoints/{name}/drain").route(web::post().to(drain)),
+        web::resource("/v1/status").route(web::get().to(status)),
+    ));
+}
+
+/// Any other path or method.
+pub async fn no_route() -> Result<HttpResponse, Error> {
+    Err(Error::NoRoute)
+}
+
+async fn live() -> HttpResponse {
+    HttpResponse::Ok().body("live\n")
+}
+
+/// Ready once the configuration stream was read to its end; afterwards a log
+/// that is out is reported by the operations that need it.
+async fn ready(ctx: types::State<Rc<Context>>) -> HttpResponse {
+    let known = ctx.reader.look(|state| state.current().is_some());
+    if known {
+        return HttpResponse::Ok().body("ready\n");
+    }
+    match ctx.reader.catch_up().await {
+        Ok(()) => HttpResponse::Ok().body("ready\n"),
+        Err(cause) => HttpResponse::ServiceUnavailable().body(format!("not ready: {cause}\n")),
+    }
+}
+
+async fn config(operator: Operator) -> Result<HttpResponse, Error> {
+    ops::show::config(&operator.ctx).await.map(reply)
+}
+
+async fn check(operator: Operator, payload: types::Payload) -> Result<HttpResponse, Error> {
+    let body: CheckBody = read(payload).await?;
+    Ok(reply(ops::check::check(&operator.ctx, &body.document)))
+}
+
+async fn publish(operator: Operator, payload: types::Payload) -> Result<HttpResponse, Error> {
+    let body: PublishBody = read(payload).await?;
+    ops::publish::publish(&operator.ctx, body).await.map(reply)
+}
+
+/// The query of a page of the history.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Page {
+    #[serde(default)]
+    from: Offset,
+    limit: Option<usize>,
+}
+
+async fn history(operator: Operator, req: HttpRequest) -> Result<HttpResponse, Error> {
+    let page = types::Query::<Page>::from_query(req.query_string())
+        .map_err(|cause| Error::Malformed(format!("the query is not readable: {cause}")))?;
+    let limit = page.limit.unwrap_or(DEFAULT_PAGE).clamp(1, MAX_PAGE);
+    ops::show::history(&operator.ctx, page.from, limit).await.map(reply)
+}
+
+async fn verdict(operator: Operator, id: types::Path<String>) -> Result<HttpResponse, Error> {
+    ops::show::verdict(&operator.ctx, Arc::from(id.into_inner())).await.map(reply)
+}
+
+async fn drain(
+    operator: Operator,
+    name: types::Path<String>,
+    payload: types::Payload,
+) -> Result<HttpResponse, Error> {
+    let body: DrainBody = read(payload).await?;
+    ops::drain::drain(&operator.ctx, Arc::from(name.into_inner()), body).await.map(reply)
+}
+
+async fn status(operator: Operator) -> Result<HttpResponse, Error> {
+    ops::status::status(&operator.ctx).await.map(reply)
+}
+
+fn reply<T: Serialize>(body: T) -> HttpResponse {
+    HttpResponse::build(StatusCode::OK).json(&body)
+}
+
+/// Reads a JSON body of bounded size.
+async fn read<T: DeserializeOwned>(mut payload: types::Payload) -> Result<T, Error> {
+    let mut body = Vec::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk =
+            chunk.map_err(|cause| Error::Malformed(format!("the body broke off: {cause}")))?;
+        if body.len() + chunk.len() > MAX_BODY {
+            return Err(Error::TooLarge(MAX_BODY));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    serde_json::from_slice(&body)
+        .map_err(|cause| Error::Malformed(format!("the body is not readable: {cause}")))
+}
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -1,10 +1,27 @@
 //! The administration API, and the status that an entry gives.
 //!
 //! An entry serves `GET /livez`, `GET /readyz` and `GET /v1/status`.
+//!
+//! The administration API serves, with a bearer token:
+//!
+//! - `POST /v1/config/check`: [`CheckBody`] to [`CheckReply`].
+//! - `POST /v1/config/publish`: [`PublishBody`] to [`PublishReply`].
+//! - `GET /v1/config`: [`ConfigReply`].
+//! - `GET /v1/config/history?from=&limit=`: [`HistoryReply`].
+//! - `GET /v1/config/verdict/{id}`: [`VerdictReply`].
+//! - `POST /v1/endpoints/{name}/drain`: [`DrainBody`] to [`DrainReply`].
+//! - `GET /v1/status`: [`StatusReply`].
+//!
+//! Every other status than 200 comes with an [`ApiError`].
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use peatdeck_core::{model::Incarnation, record::Version};
+use peatdeck_core::{
+    check::Problem,
+    document::Document,
+    model::Incarnation,
+    record::{Drain, Offset, Version},
+};
 use peatdeck_macros::message;
 
 /// An entry's status.
@@ -78,4 +95,212 @@
     pub message: Arc<str>,
     /// What to do about it.
     pub remedy: Arc<str>,
+    /// What a program may want to know besides, where there is more.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub detail: Option<ErrorDetail>,
+}
+
+/// What belongs to an error beyond its text.
+#[message]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum ErrorDetail {
+    /// The document is not valid.
+    Invalid {
+        /// Everything that is wrong with it.
+        problems: Vec<Problem>,
+    },
+    /// Another publish came first.
+    Conflict(Winner),
+    /// The record of this id may stand in the log.
+    Unknown {
+        /// The publish's id.
+        id: Arc<str>,
+    },
+}
+
+/// The version that a conflicting publish met.
+#[message]
+pub struct Winner {
+    /// The version that was in force.
+    pub version: Version,
+    /// The publish that made it; `None` for the empty document.
+    pub publish: Option<Arc<str>>,
+    /// Who published it; `None` where the log no longer keeps the record.
+    pub author: Option<Arc<str>>,
+}
+
+/// Asks whether a document is valid. Nothing is published.
+#[message]
+#[serde(deny_unknown_fields)]
+pub struct CheckBody {
+    /// The document.
+    pub document: Document,
+}
+
+/// What is wrong with a document.
+#[message]
+pub struct CheckReply {
+    /// Whether it may be published.
+    pub valid: bool,
+    /// Everything that is wrong with it; empty if it is valid.
+    pub problems: Vec<Problem>,
+}
+
+/// Publishes a document as the next version.
+#[message]
+#[serde(deny_unknown_fields)]
+pub struct PublishBody {
+    /// The publish's own id: sending it again counts once.
+    pub id: Arc<str>,
+    /// The version that the document was made from.
+    pub base: Version,
+    /// Who publishes.
+    pub author: Arc<str>,
+    /// The whole document.
+    pub document: Arc<Document>,
+}
+
+/// A publish that was accepted.
+#[message]
+pub struct PublishReply {
+    /// The publish.
+    pub id: Arc<str>,
+    /// The version that it made.
+    pub version: Version,
+    /// Instances that have this version or a later one in force.
+    pub in_force: Vec<Arc<str>>,
+    /// Listed instances that did not say so in time.
+    pub missing: Vec<Missing>,
+}
+
+/// An instance that did not say what was asked of it.
+#[message]
+pub struct Missing {
+    /// The instance.
+    pub instance: Arc<str>,
+    /// Why.
+    pub reason: Arc<str>,
+}
+
+/// The configuration in force.
+#[message]
+pub struct ConfigReply {
+    /// Its version.
+    pub version: Version,
+    /// The publish that made it; `None` for the empty document.
+    pub publish: Option<Arc<str>>,
+    /// Who published it; `None` where the log no longer keeps the record.
+    pub author: Option<Arc<str>>,
+    /// Whether the log was read just now. If not, a later version may exist.
+    pub confirmed: bool,
+    /// The document.
+    pub document: Arc<Document>,
+    /// Drains in force.
+    pub drains: Vec<Drain>,
+}
+
+/// One page of what was done to the configuration, oldest first.
+#[message]
+pub struct HistoryReply {
+    /// The acts.
+    pub acts: Vec<Act>,
+    /// `from` of the next page; `None` on the last one.
+    pub next: Option<Offset>,
+    /// The oldest offset that the log still kept.
+    pub earliest: Offset,
+}
+
+/// One thing that an operator did to the configuration.
+#[message]
+pub struct Act {
+    /// Where its first record stands in the log.
+    pub offset: Offset,
+    /// When the log took it, in milliseconds of the log's own clock.
+    pub time_ms: u64,
+    /// Who did it.
+    pub author: Arc<str>,
+    /// What was done.
+    pub what: ActKind,
+}
+
+/// What an operator did.
+#[message]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum ActKind {
+    /// Published a document.
+    Publish {
+        /// The publish.
+        id: Arc<str>,
+        /// The version that it was based on.
+        base: Version,
+        /// What became of it.
+        verdict: PublishVerdict,
+    },
+    /// Drained an endpoint.
+    Drain {
+        /// The endpoint.
+        endpoint: Arc<str>,
+        /// The life it holds for.
+        incarnation: Incarnation,
+    },
+}
+
+/// What became of a publish.
+#[message]
+#[derive(Eq)]
+#[serde(tag = "verdict", rename_all = "snake_case")]
+pub enum PublishVerdict {
+    /// It made a version.
+    Accepted {
+        /// The version.
+        version: Version,
+    },
+    /// Another publish came first.
+    Conflict {
+        /// The version that was in force.
+        current: Version,
+    },
+    /// The log no longer keeps enough to tell.
+    Forgotten,
+}
+
+/// What became of the publish that was asked for.
+#[message]
+pub struct VerdictReply {
+    /// The publish.
+    pub id: Arc<str>,
+    /// Who published.
+    pub author: Arc<str>,
+    /// What became of it.
+    #[serde(flatten)]
+    pub verdict: PublishVerdict,
+}
+
+/// Drains an endpoint: it gets no new work in this life.
+#[message]
+#[serde(deny_unknown_fields)]
+pub struct DrainBody {
+    /// Who orders it.
+    pub author: Arc<str>,
+    /// The life it holds for; the one in the platform's list if not given.
+    #[serde(default)]
+    pub incarnation: Option<Incarnation>,
+}
+
+/// A drain that is in force.
+#[message]
+pub struct DrainReply {
+    /// The endpoint.
+    pub endpoint: Arc<str>,
+    /// The life it holds for.
+    pub incarnation: Incarnation,
+}
+
+/// The status of all instances.
+#[message]
+pub struct StatusReply {
+    /// What the instances say, by name.
+    pub entries: Vec<EntryStatus>,
+    /// Listed instances that did not answer.
+    pub missing: Vec<Missing>,
 }
