--- /dev/null
+++ b/crates/cli/src/commands.rs
@@ -0,0 +1,54 @@
+//! The commands: a file each, its flags beside what it does.
+
+use bpaf::{Parser, construct, long};
+
+use crate::{error::Error, ops::client, shell::Format, shell::Shell};
+
+pub mod check;
+pub mod drain;
+pub mod publish;
+pub mod show;
+pub mod status;
+
+/// How a command's result is written.
+pub fn format() -> impl Parser<Format> {
+    long("format")
+        .env("PEATDECK_FORMAT")
+        .help("How the result is written: table or json")
+        .argument::<Format>("FORMAT")
+        .fallback(Format::Table)
+}
+
+/// Where peatdeck-admin is.
+pub fn admin() -> impl Parser<String> {
+    let admin = long("admin")
+        .env("PEATDECK_ADMIN")
+        .help("Where peatdeck-admin is, such as http://10.0.0.7:7300")
+        .argument::<String>("URL")
+        .parse(admin_url);
+    construct!(admin)
+}
+
+/// Who acts, for the history.
+pub fn author() -> impl Parser<String> {
+    long("author")
+        .env("PEATDECK_AUTHOR")
+        .help("Who acts, for the history")
+        .argument::<String>("NAME")
+}
+
+/// A client of the administration API.
+///
+/// # Errors
+/// [`Error::NoToken`], [`Error::Unreachable`].
+pub async fn connect(shell: &Shell, admin: &str) -> Result<client::Client, Error> {
+    let token = shell.token.clone().ok_or(Error::NoToken)?;
+    client::Client::new(client::Remote { admin: admin.to_owned(), token }).await
+}
+
+fn admin_url(url: String) -> Result<String, String> {
+    if !url.starts_with("http://") {
+        return Err(format!("`{url}` does not start with http://; give it as http://IP:PORT"));
+    }
+    Ok(url.trim_end_matches('/').to_owned())
+}
--- /dev/null
+++ b/crates/cli/src/commands/drain.rs
@@ -0,0 +1,54 @@
+//! `peatdeck drain`: an endpoint gets no new work in its present life.
+
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use peatdeck_core::model::Incarnation;
+use peatdeck_wire::admin::DrainBody;
+
+use crate::{
+    commands,
+    error::Error,
+    shell::{self, Format, Output, Shell},
+};
+
+/// The flags.
+#[derive(Debug, Clone)]
+pub struct Args {
+    format: Format,
+    admin: String,
+    author: String,
+    life: Option<u64>,
+    endpoint: String,
+}
+
+/// The command line.
+pub fn cli() -> OptionParser<Args> {
+    let format = commands::format();
+    let admin = commands::admin();
+    let author = commands::author();
+    let life = long("life")
+        .help("Life (incarnation) of the endpoint that it holds for; the listed one if not given")
+        .argument::<u64>("N")
+        .optional();
+    let endpoint = positional::<String>("ENDPOINT").help("Endpoint, as the platform's list names it");
+    construct!(Args { format, admin, author, life, endpoint })
+        .to_options()
+        .descr("Drain an endpoint: it gets no new work until it is started again.")
+        .footer("Example:\n  peatdeck drain engine-07 --author mair")
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Any [`Error`] of the API.
+pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
+    let client = commands::connect(shell, &args.admin).await?;
+    let body =
+        DrainBody { author: args.author.into(), incarnation: args.life.map(Incarnation) };
+    let reply = client.drain(&args.endpoint, &body).await?;
+    Ok(Output::done(match args.format {
+        Format::Json => shell::json(&reply)?,
+        Format::Table => {
+            format!("accepted: {} gets no new work in life {}\n", reply.endpoint, reply.incarnation.0)
+        }
+    }))
+}
--- /dev/null
+++ b/crates/cli/src/commands/publish.rs
@@ -0,0 +1,109 @@
+//! `peatdeck publish`: make a file the next version of the configuration.
+
+use std::{fmt::Write, sync::Arc};
+
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use peatdeck_core::record::Version;
+use peatdeck_wire::admin::{ConfigReply, PublishBody, PublishReply};
+
+use crate::{
+    commands,
+    error::Error,
+    ops::source,
+    shell::{self, Format, Output, Shell},
+};
+
+/// The flags.
+#[derive(Debug, Clone)]
+pub struct Args {
+    format: Format,
+    admin: String,
+    author: String,
+    base: Option<Version>,
+    id: Option<String>,
+    file: String,
+}
+
+/// The command line.
+pub fn cli() -> OptionParser<Args> {
+    let format = commands::format();
+    let admin = commands::admin();
+    let author = commands::author();
+    let base = long("base")
+        .help("Version that the file was made from; the one in force if not given")
+        .argument::<Version>("N")
+        .optional();
+    let id = long("id")
+        .help("Id of the publish, to send one again that got no answer; a new one if not given")
+        .argument::<String>("ID")
+        .optional();
+    let file = positional::<String>("FILE").help("Configuration file in TOML");
+    construct!(Args { format, admin, author, base, id, file })
+        .to_options()
+        .descr("Publish a configuration file as the next version.")
+        .footer(
+            "Give --base when others may publish too: a change that came between is then a\n\
+             conflict instead of being overwritten.\n\n\
+             Example:\n  peatdeck publish fleet.toml --base 12 --author mair",
+        )
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Any [`Error`].
+pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
+    let document = source::load(&args.file)?;
+    let client = commands::connect(shell, &args.admin).await?;
+    let mut text = String::new();
+    let base = match args.base {
+        Some(base) => base,
+        None => {
+            let config = client.config().await?;
+            text = describe_base(&config);
+            config.version
+        }
+    };
+    let id = args.id.unwrap_or_else(new_id);
+    let body = PublishBody {
+        id: id.into(),
+        base,
+        author: args.author.into(),
+        document: Arc::new(document),
+    };
+    let reply = client.publish(&body).await?;
+    match args.format {
+        Format::Json => text = shell::json(&reply)?,
+        Format::Table => text.push_str(&describe(&reply)),
+    }
+    Ok(Output::partial_unless(reply.missing.is_empty(), text))
+}
+
+fn describe_base(config: &ConfigReply) -> String {
+    match &config.author {
+        Some(author) => format!("base: version {}, published by {author}\n", config.version),
+        None => format!("base: version {}\n", config.version),
+    }
+}
+
+fn describe(reply: &PublishReply) -> String {
+    let mut text = format!("accepted: version {} (publish {})\n", reply.version, reply.id);
+    let names = reply.in_force.join(", ");
+    let _ = writeln!(text, "in force on {}: {names}", count(reply.in_force.len()));
+    for missing in &reply.missing {
+        let _ = writeln!(text, "not known to be in force on {}: {}", missing.instance, missing.reason);
+    }
+    text
+}
+
+fn count(instances: usize) -> String {
+    match instances {
+        1 => "1 instance".to_owned(),
+        more => format!("{more} instances"),
+    }
+}
+
+/// An id that nobody else uses.
+fn new_id() -> String {
+    format!("p-{:016x}", rand::random::<u64>())
+}
--- /dev/null
+++ b/crates/cli/src/commands/show.rs
@@ -0,0 +1,125 @@
+//! `peatdeck show`: the configuration in force, or who did what to it.
+
+use std::{
+    fmt::Write,
+    time::{Duration, SystemTime},
+};
+
+use bpaf::{OptionParser, Parser, construct, long};
+use peatdeck_core::record::Offset;
+use peatdeck_wire::admin::{ActKind, ConfigReply, HistoryReply, PublishVerdict};
+
+use crate::{
+    commands,
+    error::Error,
+    shell::{self, Format, Output, Shell},
+    table::{self, Table},
+};
+
+/// The flags.
+#[derive(Debug, Clone)]
+pub struct Args {
+    format: Format,
+    admin: String,
+    history: bool,
+    from: Offset,
+    limit: usize,
+}
+
+/// The command line.
+pub fn cli() -> OptionParser<Args> {
+    let format = commands::format();
+    let admin = commands::admin();
+    let history = long("history").help("Show who did what instead of the document").switch();
+    let from = long("from")
+        .help("With --history: offset of the log to start from")
+        .argument::<Offset>("OFFSET")
+        .fallback(0)
+        .display_fallback();
+    let limit = long("limit")
+        .help("With --history: rows at the most")
+        .argument::<usize>("ROWS")
+        .fallback(50)
+        .display_fallback();
+    construct!(Args { format, admin, history, from, limit })
+        .to_options()
+        .descr("Show the configuration in force, as a file that can be edited and published.")
+        .footer("Examples:\n  peatdeck show > fleet.toml\n  peatdeck show --history --limit 20")
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Any [`Error`] of the API.
+pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
+    let client = commands::connect(shell, &args.admin).await?;
+    if args.history {
+        let history = client.history(args.from, args.limit).await?;
+        return Ok(Output::done(match args.format {
+            Format::Json => shell::json(&history)?,
+            Format::Table => history_table(&history),
+        }));
+    }
+    let config = client.config().await?;
+    let text = match args.format {
+        Format::Json => shell::json(&config)?,
+        Format::Table => config_file(&config)?,
+    };
+    Ok(Output::partial_unless(config.confirmed, text))
+}
+
+/// The document in TOML under a comment that says which version it is.
+fn config_file(config: &ConfigReply) -> Result<String, Error> {
+    let mut text = format!("# version {}", config.version);
+    if let Some(author) = &config.author {
+        let _ = write!(text, ", published by {author}");
+    }
+    if let Some(publish) = &config.publish {
+        let _ = write!(text, " (publish {publish})");
+    }
+    text.push('\n');
+    if !config.confirmed {
+        text.push_str("# the log is out: a later version may exist\n");
+    }
+    for drain in &config.drains {
+        let life = drain.incarnation.0;
+        let _ = writeln!(text, "# drained: {} (life {life}), by {}", drain.endpoint, drain.author);
+    }
+    let document = toml::to_string_pretty(&*config.document)
+        .map_err(|cause| Error::Unreadable { cause: cause.to_string() })?;
+    text.push_str(&document);
+    Ok(text)
+}
+
+fn history_table(history: &HistoryReply) -> String {
+    let mut rows = Table::new(["OFFSET", "TIME", "AUTHOR", "ACT", "VERDICT"]);
+    for act in &history.acts {
+        let time = SystemTime::UNIX_EPOCH + Duration::from_millis(act.time_ms);
+        let (what, verdict) = describe(&act.what);
+        rows.row([act.offset.to_string(), table::utc(time), act.author.to_string(), what, verdict]);
+    }
+    let mut text = rows.render();
+    if let Some(next) = history.next {
+        let _ = writeln!(text, "more with --from {next}");
+    }
+    text
+}
+
+fn describe(what: &ActKind) -> (String, String) {
+    match what {
+        ActKind::Publish { id, base, verdict } => {
+            (format!("publish {id} on {base}"), describe_verdict(verdict))
+        }
+        ActKind::Drain { endpoint, incarnation } => {
+            (format!("drain {endpoint} (life {})", incarnation.0), "in force".to_owned())
+        }
+    }
+}
+
+fn describe_verdict(verdict: &PublishVerdict) -> String {
+    match verdict {
+        PublishVerdict::Accepted { version } => format!("accepted as {version}"),
+        PublishVerdict::Conflict { current } => format!("conflict with {current}"),
+        PublishVerdict::Forgotten => "not known any more".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/status.rs
@@ -0,0 +1,108 @@
+//! `peatdeck status`: what all instances say of themselves.
+
+use std::{collections::BTreeMap, fmt::Write, sync::Arc};
+
+use bpaf::{OptionParser, Parser, construct, long};
+use peatdeck_wire::admin::StatusReply;
+
+use crate::{
+    commands,
+    error::Error,
+    shell::{self, Format, Output, Shell},
+    table::Table,
+};
+
+/// The flags.
+#[derive(Debug, Clone)]
+pub struct Args {
+    format: Format,
+    admin: String,
+    endpoints: bool,
+}
+
+/// The command line.
+pub fn cli() -> OptionParser<Args> {
+    let format = commands::format();
+    let admin = commands::admin();
+    let endpoints = long("endpoints").help("Show the endpoints as the instances see them").switch();
+    construct!(Args { format, admin, endpoints })
+        .to_options()
+        .descr("Show the status of all instances.")
+        .footer("Examples:\n  peatdeck status\n  peatdeck status --endpoints")
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Any [`Error`] of the API.
+pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
+    let client = commands::connect(shell, &args.admin).await?;
+    let status = client.status().await?;
+    let text = match args.format {
+        Format::Json => shell::json(&status)?,
+        Format::Table if args.endpoints => with_missing(endpoint_table(&status), &status),
+        Format::Table => with_missing(instance_table(&status), &status),
+    };
+    Ok(Output::partial_unless(status.missing.is_empty(), text))
+}
+
+fn instance_table(status: &StatusReply) -> String {
+    let titles = ["INSTANCE", "DATA CENTRE", "READY", "VERSION", "RUNNING", "PEERS", "REASONS"];
+    let mut rows = Table::new(titles);
+    for entry in &status.entries {
+        rows.row([
+            entry.instance.to_string(),
+            entry.data_centre.to_string(),
+            if entry.ready { "yes" } else { "no" }.to_owned(),
+            entry.version.to_string(),
+            entry.running.to_string(),
+            entry.peers.len().to_string(),
+            entry.reasons.join("; "),
+        ]);
+    }
+    rows.render()
+}
+
+/// What the instances together say of one endpoint.
+#[derive(Debug, Default)]
+struct Seen {
+    pool: Arc<str>,
+    life: u64,
+    states: BTreeMap<Arc<str>, usize>,
+    in_flight: u32,
+}
+
+fn endpoint_table(status: &StatusReply) -> String {
+    let mut seen: BTreeMap<Arc<str>, Seen> = BTreeMap::new();
+    for endpoint in status.entries.iter().flat_map(|entry| &entry.endpoints) {
+        let known = seen.entry(Arc::clone(&endpoint.endpoint)).or_default();
+        known.pool = Arc::clone(&endpoint.pool);
+        known.life = known.life.max(endpoint.incarnation.0);
+        *known.states.entry(Arc::clone(&endpoint.state)).or_default() += 1;
+        known.in_flight += endpoint.in_flight;
+    }
+    let mut rows = Table::new(["ENDPOINT", "POOL", "LIFE", "STATE", "IN FLIGHT"]);
+    for (name, known) in seen {
+        let (pool, life) = (known.pool.to_string(), known.life.to_string());
+        rows.row([name.to_string(), pool, life, states(&known.states), known.in_flight.to_string()]);
+    }
+    rows.render()
+}
+
+/// One word if all instances agree, else each with its count.
+fn states(states: &BTreeMap<Arc<str>, usize>) -> String {
+    match states.iter().next() {
+        Some((state, _)) if states.len() == 1 => state.to_string(),
+        _ => {
+            let counted: Vec<_> = states.iter().map(|(s, count)| format!("{s} on {count}")).collect();
+            counted.join(", ")
+        }
+    }
+}
+
+fn with_missing(mut text: String, status: &StatusReply) -> String {
+    for missing in &status.missing {
+        let _ = writeln!(text, "no answer from {}: {}", missing.instance, missing.reason);
+    }
+    text
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,39 @@
-//! Placeholder.
-fn main() {}
+//! `peatdeck`: the operator's command line.
+
+use std::{process::ExitCode, time::SystemTime};
+
+use bpaf::{Args, ParseFailure};
+use peatdeck::{app, exit, shell::Shell};
+
+/// Columns that help texts are wrapped at.
+const HELP_WIDTH: usize = 100;
+
+#[ntex::main]
+async fn main() -> ExitCode {
+    let command = match app::options().run_inner(Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return refuse(failure),
+    };
+    let shell =
+        Shell { token: std::env::var("PEATDECK_ADMIN_TOKEN").ok(), now: SystemTime::now() };
+    match app::exec(&shell, command).await {
+        Ok(output) => {
+            print!("{}", output.text);
+            output.code.into()
+        }
+        Err(error) => {
+            let code = error.code();
+            eprintln!("{:?}", miette::Report::new(error));
+            code.into()
+        }
+    }
+}
+
+/// Prints help, or what is wrong with the command line.
+fn refuse(failure: ParseFailure) -> ExitCode {
+    failure.print_message(HELP_WIDTH);
+    match failure.exit_code() {
+        0 => exit::Code::Done.into(),
+        _ => exit::Code::Usage.into(),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/ops/client.rs
@@ -0,0 +1,205 @@
+//! The administration API, as the commands call it.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::StreamExt;
+use ntex::{
+    client::{ClientRequest, ClientResponse},
+    http::{Method, StatusCode},
+};
+use peatdeck_core::record::Offset;
+use peatdeck_platform::http;
+use peatdeck_wire::admin::{
+    ApiError, ConfigReply, DrainBody, DrainReply, HistoryReply, PublishBody, PublishReply,
+    StatusReply,
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::error::Error;
+
+/// Time to make a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for an answer. A publish may wait a minute for the instances.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(90);
+/// The longest answer that is read, in bytes: the status of several hundred instances.
+const MAX_ANSWER: usize = 64 << 20;
+/// Times that a publish is sent when no answer comes. Its id makes it count once.
+const PUBLISH_ATTEMPTS: u32 = 3;
+
+/// Where the API is and how to get in.
+#[derive(Debug, Clone)]
+pub struct Remote {
+    /// `http://ip:port`.
+    pub admin: String,
+    /// The operators' token.
+    pub token: String,
+}
+
+/// A client of the API.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: ntex::client::Client,
+    remote: Remote,
+}
+
+/// How an exchange failed below the API.
+enum Failure {
+    NotSent(String),
+    NoAnswer(String),
+}
+
+impl Client {
+    /// A client; nothing is connected yet.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`] if ntex cannot build its connector.
+    pub async fn new(remote: Remote) -> Result<Client, Error> {
+        let http = http::client(CONNECT_TIMEOUT).await.map_err(|cause| Error::Unreachable {
+            admin: remote.admin.clone(),
+            cause: cause.to_string(),
+        })?;
+        Ok(Client { http, remote })
+    }
+
+    /// The configuration in force.
+    ///
+    /// # Errors
+    /// Any [`Error`] of the API.
+    pub async fn config(&self) -> Result<ConfigReply, Error> {
+        self.get("/v1/config").await
+    }
+
+    /// One page of the history.
+    ///
+    /// # Errors
+    /// Any [`Error`] of the API.
+    pub async fn history(&self, from: Offset, limit: usize) -> Result<HistoryReply, Error> {
+        self.get(&format!("/v1/config/history?from={from}&limit={limit}")).await
+    }
+
+    /// The status of all instances.
+    ///
+    /// # Errors
+    /// Any [`Error`] of the API.
+    pub async fn status(&self) -> Result<StatusReply, Error> {
+        self.get("/v1/status").await
+    }
+
+    /// Publishes. Sent again where no answer comes, under the same id.
+    ///
+    /// # Errors
+    /// Any [`Error`] of the API; [`Error::NoAnswer`] where it may have taken effect.
+    pub async fn publish(&self, body: &PublishBody) -> Result<PublishReply, Error> {
+        let remedy = format!(
+            "it may have taken effect: publish the same file again with --id {} --base {}, it counts once",
+            body.id, body.base
+        );
+        self.post_repeated("/v1/config/publish", body, &remedy).await
+    }
+
+    /// Drains an endpoint. Sent again where no answer comes; it counts once.
+    ///
+    /// # Errors
+    /// Any [`Error`] of the API; [`Error::NoAnswer`] where it may have taken effect.
+    pub async fn drain(&self, endpoint: &str, body: &DrainBody) -> Result<DrainReply, Error> {
+        let path = format!("/v1/endpoints/{}/drain", encode(endpoint));
+        self.post_repeated(&path, body, "it may have taken effect: drain again, it counts once").await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let request = self.request(Method::GET, path);
+        match exchange(request, Vec::new()).await {
+            Ok((status, body)) => read(status, &body),
+            Err(Failure::NotSent(cause)) => Err(self.unreachable(cause)),
+            Err(Failure::NoAnswer(cause)) => {
+                Err(self.no_answer(cause, "nothing was changed: ask again", false))
+            }
+        }
+    }
+
+    async fn post_repeated<B: Serialize, T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &B,
+        remedy: &str,
+    ) -> Result<T, Error> {
+        let json = serde_json::to_vec(body)
+            .map_err(|cause| Error::Unreadable { cause: cause.to_string() })?;
+        let mut may_stand = None;
+        for _ in 0..PUBLISH_ATTEMPTS {
+            match exchange(self.request(Method::POST, path), json.clone()).await {
+                Ok((status, body)) => return read(status, &body),
+                Err(Failure::NoAnswer(cause)) => may_stand = Some(cause),
+                Err(Failure::NotSent(cause)) if may_stand.is_none() => {
+                    return Err(self.unreachable(cause));
+                }
+                Err(Failure::NotSent(_)) => {}
+            }
+        }
+        Err(self.no_answer(may_stand.unwrap_or_default(), remedy, true))
+    }
+
+    fn request(&self, method: Method, path: &str) -> ClientRequest {
+        self.http
+            .request(method, format!("{}{path}", self.remote.admin))
+            .bearer_auth(&self.remote.token)
+            .content_type("application/json")
+    }
+
+    fn unreachable(&self, cause: String) -> Error {
+        Error::Unreachable { admin: self.remote.admin.clone(), cause }
+    }
+
+    fn no_answer(&self, cause: String, remedy: &str, may_stand: bool) -> Error {
+        let admin = self.remote.admin.clone();
+        Error::NoAnswer { admin, cause, remedy: remedy.to_owned(), may_stand }
+    }
+}
+
+async fn exchange(request: ClientRequest, body: Vec<u8>) -> Result<(StatusCode, Vec<u8>), Failure> {
+    let whole = async {
+        let response = request.send_body(body).await.map_err(|error| {
+            let error = http::Error::from_client("", error);
+            let cause = error.cause().to_owned();
+            if error.is_unsent() { Failure::NotSent(cause) } else { Failure::NoAnswer(cause) }
+        })?;
+        let status = response.status();
+        Ok((status, read_body(response).await?))
+    };
+    let late = |_| Failure::NoAnswer(format!("nothing for {} s", ANSWER_TIMEOUT.as_secs()));
+    tokio::time::timeout(ANSWER_TIMEOUT, whole).await.map_err(late)?
+}
+
+async fn read_body(mut response: ClientResponse) -> Result<Vec<u8>, Failure> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.next().await {
+        let chunk = chunk.map_err(|cause| Failure::NoAnswer(cause.to_string()))?;
+        if body.len() + chunk.len() > MAX_ANSWER {
+            return Err(Failure::NoAnswer(format!("the answer takes over {MAX_ANSWER} bytes")));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
+
+fn read<T: DeserializeOwned>(status: StatusCode, body: &[u8]) -> Result<T, Error> {
+    let unreadable = |cause: serde_json::Error| Error::Unreadable { cause: cause.to_string() };
+    if status == StatusCode::OK {
+        return serde_json::from_slice(body).map_err(unreadable);
+    }
+    let error: ApiError = serde_json::from_slice(body).map_err(unreadable)?;
+    Err(Error::Api(Box::new(error)))
+}
+
+/// A name as one segment of a path.
+fn encode(name: &str) -> Arc<str> {
+    let mut text = String::with_capacity(name.len());
+    for byte in name.bytes() {
+        if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'.' | b'_' | b'~') {
+            text.push(char::from(byte));
+        } else {
+            text.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    text.into()
+}
