--- /dev/null
+++ b/crates/load/src/paired.rs
@@ -0,0 +1,88 @@
+//! Two settings set beside each other: A B A B …, a difference for each pair.
+//!
+//! The machine's own drift hits both halves of a pair alike, so the spread
+//! given is that of the differences, not that of the values.
+
+use std::collections::BTreeMap;
+
+use peatdeck_macros::message;
+
+use crate::report::Report;
+
+/// A metric over all repeats.
+#[message]
+pub struct Comparison {
+    /// Each repeat's value under A.
+    pub a: Vec<f64>,
+    /// Each repeat's value under B.
+    pub b: Vec<f64>,
+    /// Each repeat's B less A.
+    pub differences: Vec<f64>,
+    /// Mean of the differences.
+    pub mean: f64,
+    /// Standard deviation of the differences (of a sample, n - 1).
+    pub deviation: f64,
+    /// The smallest difference.
+    pub least: f64,
+    /// The largest difference.
+    pub most: f64,
+}
+
+impl Comparison {
+    /// Compares the values of pairs.
+    pub fn new(a: Vec<f64>, b: Vec<f64>) -> Comparison {
+        let differences: Vec<f64> = a.iter().zip(&b).map(|(a, b)| b - a).collect();
+        let count = differences.len() as f64;
+        let mean = differences.iter().sum::<f64>() / count;
+        let squares: f64 = differences.iter().map(|value| (value - mean).powi(2)).sum();
+        let deviation = if count > 1.0 { (squares / (count - 1.0)).sqrt() } else { 0.0 };
+        let least = differences.iter().copied().fold(f64::INFINITY, f64::min);
+        let most = differences.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        Comparison { a, b, differences, mean, deviation, least, most }
+    }
+}
+
+/// Compares the reports of pairs, metric by metric.
+pub fn compare(pairs: &[(Report, Report)]) -> BTreeMap<String, Comparison> {
+    let mut columns: BTreeMap<String, (Vec<f64>, Vec<f64>)> = BTreeMap::new();
+    for (a, b) in pairs {
+        let (a, b) = (metrics(a), metrics(b));
+        for (name, value) in &a {
+            let Some(other) = b.get(name) else { continue };
+            let column = columns.entry(name.clone()).or_default();
+            column.0.push(*value);
+            column.1.push(*other);
+        }
+    }
+    columns.into_iter().map(|(name, (a, b))| (name, Comparison::new(a, b))).collect()
+}
+
+/// A report's numbers by name.
+fn metrics(report: &Report) -> BTreeMap<String, f64> {
+    let mut metrics = BTreeMap::new();
+    let mut put = |name: String, value: f64| {
+        metrics.insert(name, value);
+    };
+    put("attainment".to_owned(), report.total.attainment());
+    put("goodput /s".to_owned(), report.goodput);
+    put("latency p50 ms".to_owned(), report.latency.p50);
+    put("latency p99 ms".to_owned(), report.latency.p99);
+    if report.first_token.count > 0 {
+        put("first token p99 ms".to_owned(), report.first_token.p99);
+    }
+    if let Some(waste) = report.waste {
+        put("waste".to_owned(), waste);
+    }
+    for (team, share) in &report.teams {
+        put(format!("attainment team {team}"), share.attainment());
+    }
+    for (pipeline, share) in &report.pipelines {
+        put(format!("attainment pipeline {pipeline}"), share.attainment());
+    }
+    for stage in &report.stages {
+        if let Some(cost) = stage.cost_ms {
+            put(format!("cost ms {}/{}", stage.pipeline, stage.stage), cost);
+        }
+    }
+    metrics
+}
