--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -85,6 +85,9 @@
     pub events: Vec<Event>,
     /// Contradictions between answers and records.
     pub violations: Vec<Violation>,
+    /// Set where records are missing, so that contradictions may be unseen:
+    /// the endpoints that gave none.
+    pub blind: Option<Vec<Arc<str>>>,
 }
 
 /// How many of some requests were answered in time.
@@ -198,6 +201,7 @@
             timeline: timeline(frame.length, samples),
             events: frame.events.clone(),
             violations,
+            blind: None,
             total,
         }
     }
--- a/crates/load/src/schedule.rs
+++ b/crates/load/src/schedule.rs
@@ -79,6 +79,33 @@
     },
 }
 
+impl Kind {
+    /// Its name in schedules.
+    pub fn label(&self) -> String {
+        let label = match self {
+            Kind::Straggler { .. } => "straggler",
+            Kind::KillEngines { .. } => "kill-engines",
+            Kind::KillEntry { .. } => "kill-entry",
+            Kind::Burst { .. } => "burst",
+            Kind::LateLoad { .. } => "late-load",
+            Kind::LogOutage { .. } => "log-outage",
+            Kind::Drain { .. } => "drain",
+        };
+        label.to_owned()
+    }
+
+    /// How long it lasts; `None` where it stays.
+    pub fn length(&self) -> Option<Duration> {
+        match self {
+            Kind::Straggler { length, .. }
+            | Kind::LateLoad { length, .. }
+            | Kind::LogOutage { length } => *length,
+            Kind::Burst { length, .. } => Some(*length),
+            Kind::KillEngines { .. } | Kind::KillEntry { .. } | Kind::Drain { .. } => None,
+        }
+    }
+}
+
 /// How a fault is written in a flag.
 const USAGE: &str =
     "KIND@AT[,KEY=VALUE]…, such as `straggler@5s,factor=10,length=10s` or `kill-engines@8s,count=2`";
--- a/crates/load/src/table.rs
+++ b/crates/load/src/table.rs
@@ -113,6 +113,9 @@
 }
 
 fn violations(report: &Report, f: &mut Formatter<'_>) -> fmt::Result {
+    if let Some(unread) = &report.blind {
+        writeln!(f, "records are not whole (no records of: {})", unread.join(", "))?;
+    }
     if report.violations.is_empty() {
         return writeln!(f, "violations: none");
     }
--- a/crates/load/src/verify.rs
+++ b/crates/load/src/verify.rs
@@ -2,7 +2,8 @@
 
 use std::{fmt, sync::Arc};
 
-use peatdeck_core::document::Document;
+use peatdeck_core::{document::Document, model::RequestId};
+use peatdeck_standin::answer;
 
 use crate::arrivals::Arrival;
 
@@ -32,8 +33,9 @@
     /// Compares with what the stand-ins make of a request under a configuration.
     pub fn standins(document: Arc<Document>) -> Verifier {
         Verifier::new(move |arrival| {
-            let _pipeline = document.pipeline(&arrival.pipeline)?;
-            None
+            let pipeline = document.pipeline(&arrival.pipeline)?;
+            let request = RequestId { team: arrival.team.clone(), id: arrival.id.clone() };
+            answer::expected(&document, pipeline, &request, &arrival.input)
         })
     }
 
--- a/crates/load/src/work.rs
+++ b/crates/load/src/work.rs
@@ -23,6 +23,8 @@
     pub endpoint: Arc<str>,
     /// Its pool.
     pub pool: Arc<str>,
+    /// The call's number at the endpoint.
+    pub number: u64,
     /// The request.
     pub request: RequestId,
     /// The stage's position.
