--- /dev/null
+++ b/crates/load/src/output.rs
@@ -0,0 +1,48 @@
+//! Prints and writes what runs gave.
+
+use crate::{
+    args, error,
+    experiment::Outcome,
+    plot,
+    report::Report,
+};
+
+/// Prints a run's report and writes the files that were asked for.
+///
+/// # Errors
+/// If a file cannot be written, or if the report has contradictions.
+pub fn write(output: &args::Output, outcome: &Outcome) -> error::Result<()> {
+    println!("{}", outcome.report);
+    if let Some(path) = &output.json {
+        args::write(path, &json(&outcome.report))?;
+    }
+    if let Some(path) = &output.svg {
+        args::write(path, &plot::attainment(&[&outcome.report]))?;
+    }
+    if let Some(path) = &output.samples {
+        let lines: String =
+            outcome.samples.iter().map(|sample| format!("{}\n", line(sample))).collect();
+        args::write(path, &lines)?;
+    }
+    refuse_violations([&outcome.report])
+}
+
+/// An error if any report has contradictions, so that the exit code tells.
+///
+/// # Errors
+/// [`error::Error::Violations`].
+pub fn refuse_violations<'a>(
+    reports: impl IntoIterator<Item = &'a Report>,
+) -> error::Result<()> {
+    let count = reports.into_iter().map(|report| report.violations.len()).sum();
+    if count == 0 { Ok(()) } else { Err(error::Error::Violations(count)) }
+}
+
+/// A value as JSON, spread over lines.
+pub fn json(value: &impl serde::Serialize) -> String {
+    serde_json::to_string_pretty(value).expect("reports have string keys only")
+}
+
+fn line(value: &impl serde::Serialize) -> String {
+    serde_json::to_string(value).expect("samples have string keys only")
+}
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -262,6 +262,13 @@
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     }
 
+    fn set_faults(&self, faults: EndpointFaults) {
+        let lag_ms = faults.load_lag_ms.unwrap_or(self.settings.load_lag_ms);
+        let mut state = reply::lock(&self.state);
+        state.load.set_lag(Duration::from_millis(lag_ms));
+        state.faults = faults;
+    }
+
     fn state(&self) -> EndpointState {
         let state = reply::lock(&self.state);
         EndpointState {
@@ -427,7 +434,7 @@
     endpoint: types::State<Arc<Endpoint>>,
     body: types::Json<EndpointFaults>,
 ) -> HttpResponse {
-    reply::lock(&endpoint.state).faults = body.into_inner();
+    endpoint.set_faults(body.into_inner());
     HttpResponse::NoContent().finish()
 }
 
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -34,6 +34,8 @@
     pub reorder: bool,
     /// Multiply all times by this factor.
     pub slowdown: Option<f64>,
+    /// Report load that is this old instead of as the setting says, in milliseconds.
+    pub load_lag_ms: Option<u64>,
 }
 
 /// Faults of the log service.
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -17,6 +17,12 @@
         LaggedLoad { lag, history: VecDeque::from([(Duration::ZERO, load)]) }
     }
 
+    /// Lags by `lag` from now on. What is older than the lag before is gone, so
+    /// that a longer lag takes its time to show.
+    pub fn set_lag(&mut self, lag: Duration) {
+        self.lag = lag;
+    }
+
     /// Takes in the load as of `now`.
     pub fn note(&mut self, now: Duration, load: Load) {
         self.history.push_back((now, load));
