--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 //! - [`policy`]: operators' short programs.
 //! - [`instance`]: one entry instance, made of all of the above.
 
+pub mod check;
 pub mod admission;
 pub mod budget;
 pub mod claims;
