Test the administration API over a fake log

The fake loses answers, swallows appends, refuses over the rate and lets others overtake, so that every way an append can end is seen.

--- a/crates/admin/src/context.rs
+++ b/crates/admin/src/context.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use ntex::client;
+use peatdeck_core::check;
 use peatdeck_platform::{http, list, log};
 use peatdeck_util::{
     clock::{Clock, SystemClock},
@@ -84,7 +85,7 @@
         Ok(Context {
             token: Token::new(&settings.token),
             bounds: settings.bounds,
-            compile: |_| Ok(()),
+            compile: check::compile,
             clock: Rc::new(SystemClock::new()),
             list: list::Client::new(http.clone(), settings.list.clone()),
             reader: Reader::new(log.clone()),
--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -72,7 +72,9 @@
     #[error("nothing was done: {0}")]
     ListOut(String),
     /// The log no longer holds what makes up the configuration in force.
-    #[error("nothing was appended: the log keeps neither a snapshot nor its first record")]
+    #[error(
+        "the log keeps neither a snapshot nor its first record, so nobody can tell from it what is in force; nothing was appended"
+    )]
     NoState,
     /// The publish may have been appended.
     #[error("unknown: publish `{0}` may have taken effect, and the log did not say in time")]
@@ -129,7 +131,7 @@
             Error::LogOut(_) => "send it again when the platform's log is back".to_owned(),
             Error::ListOut(_) => "send it again when the platform's list is back".to_owned(),
             Error::NoState => {
-                "wait until an instance has appended its snapshot; if none runs, publish from a saved document"
+                "wait for an entry that still has the configuration: it appends a snapshot; then send it again"
                     .to_owned()
             }
             Error::Unknown(id) => format!(
--- a/crates/admin/src/main.rs
+++ b/crates/admin/src/main.rs
@@ -13,5 +13,5 @@
     let listener = server::bind(settings.listen)
         .into_diagnostic()
         .wrap_err_with(|| format!("cannot listen on {}; choose a free one", settings.listen))?;
-    server::serve(listener, settings).await.into_diagnostic()
+    server::start(listener, settings).into_diagnostic()?.await.into_diagnostic()
 }
--- a/crates/admin/src/reader.rs
+++ b/crates/admin/src/reader.rs
@@ -80,7 +80,8 @@
             if left.is_zero() {
                 return None;
             }
-            if self.read(left.min(LONG_POLL)).await.is_err() {
+            let read = tokio::time::timeout(left, self.read(left.min(LONG_POLL)));
+            if !matches!(read.await, Ok(Ok(_))) {
                 tokio::time::sleep(left.min(READ_PAUSE)).await;
             }
         }
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -7,6 +7,7 @@
 
 use ntex::{
     SharedCfg, http,
+    server::Server,
     time::Seconds,
     web::{self, App},
 };
@@ -25,11 +26,11 @@
 /// Connections held at once.
 const MAX_CONNECTIONS: usize = 1024;
 
-/// Serves on `listener` until the process is told to stop.
+/// Starts to serve on `listener`. The result ends when the server has stopped.
 ///
 /// # Errors
 /// If the server cannot be started.
-pub async fn serve(listener: TcpListener, settings: Settings) -> std::io::Result<()> {
+pub fn start(listener: TcpListener, settings: Settings) -> std::io::Result<Server> {
     let addr = listener.local_addr()?;
     tracing::info!(%addr, "listening");
     let factory = async move || {
@@ -42,14 +43,14 @@
     let http = http::HttpServiceConfig::new()
         .set_keepalive(http::KeepAlive::Timeout(IDLE_TIMEOUT))
         .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, MIN_RATE);
-    web::server(factory)
+    let server = web::server(factory)
         .workers(1)
         .maxconn(MAX_CONNECTIONS)
         .shutdown_timeout(STOP_TIMEOUT)
         .config(SharedCfg::new("peatdeck-admin").add(http))
         .listen(listener)?
-        .run()
-        .await
+        .run();
+    Ok(server)
 }
 
 /// Binds the address to listen on.
--- /dev/null
+++ b/crates/admin/tests/testsuite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the administration API, a module per feature.
+
+mod drain;
+mod publish;
+mod settings;
+mod show;
+mod support;
+mod token;
--- /dev/null
+++ b/crates/admin/tests/testsuite/show.rs
@@ -0,0 +1,166 @@
+//! What is in force, who did what, and the status of the instances.
+
+use expect_test::expect;
+
+use crate::support::Bench;
+
+const TEAM: &str = "[[team]]\nname = \"bala\"\n";
+
+#[ntex::test]
+async fn the_empty_document_is_version_0() {
+    let bench = Bench::start().await;
+    expect![[r#"
+        200
+        {
+          "author": null,
+          "confirmed": true,
+          "document": {
+            "pipeline": [],
+            "policy": [],
+            "pool": [],
+            "team": []
+          },
+          "drains": [],
+          "publish": null,
+          "version": 0
+        }
+    "#]]
+    .assert_eq(&bench.get("/v1/config").await);
+}
+
+#[ntex::test]
+async fn an_outage_of_the_log_is_said_and_hides_nothing() {
+    let bench = Bench::start().await;
+    bench.publish("p-1", 0, TEAM).await;
+    bench.platform.state().reads_out = true;
+    let answer = bench.get("/v1/config").await;
+    assert!(answer.starts_with("200"), "{answer}");
+    assert!(answer.contains("\"confirmed\": false"), "{answer}");
+    let fresh = bench.another().await.get("/v1/config").await;
+    assert!(fresh.contains("\"code\": \"log_out\""), "{fresh}");
+}
+
+#[ntex::test]
+async fn expired_records_without_a_snapshot_are_not_taken_for_a_state() {
+    let bench = Bench::start().await;
+    bench.publish("p-1", 0, TEAM).await;
+    bench.publish("p-2", 1, TEAM).await;
+    bench.platform.state().earliest = 1;
+    let late = bench.another().await;
+    expect![[r#"
+        503
+        Retry-After: 5
+        {
+          "code": "no_state",
+          "message": "the log keeps neither a snapshot nor its first record, so nobody can tell from it what is in force; nothing was appended",
+          "remedy": "wait for an entry that still has the configuration: it appends a snapshot; then send it again"
+        }
+    "#]].assert_eq(&late.get("/v1/config").await);
+    let answer = late.publish("p-3", 1, TEAM).await;
+    assert!(answer.contains("\"code\": \"no_state\""), "{answer}");
+}
+
+#[ntex::test]
+async fn the_history_comes_in_pages() {
+    let bench = Bench::start().await;
+    bench.platform.list_endpoint("engine-1", 3);
+    bench.publish("p-1", 0, TEAM).await;
+    bench.post("/v1/endpoints/engine-1/drain", serde_json::json!({"author": "ann"})).await;
+    bench.publish("p-2", 1, TEAM).await;
+    expect![[r#"
+        200
+        {
+          "acts": [
+            {
+              "author": "mair",
+              "offset": 0,
+              "time_ms": 1772346600000,
+              "what": {
+                "base": 0,
+                "id": "p-1",
+                "kind": "publish",
+                "verdict": {
+                  "verdict": "accepted",
+                  "version": 1
+                }
+              }
+            },
+            {
+              "author": "ann",
+              "offset": 1,
+              "time_ms": 1772346601000,
+              "what": {
+                "endpoint": "engine-1",
+                "incarnation": 3,
+                "kind": "drain"
+              }
+            }
+          ],
+          "earliest": 0,
+          "next": 2
+        }
+    "#]]
+    .assert_eq(&bench.get("/v1/config/history?limit=2").await);
+    expect![[r#"
+        200
+        {
+          "acts": [
+            {
+              "author": "mair",
+              "offset": 2,
+              "time_ms": 1772346602000,
+              "what": {
+                "base": 1,
+                "id": "p-2",
+                "kind": "publish",
+                "verdict": {
+                  "verdict": "accepted",
+                  "version": 2
+                }
+              }
+            }
+          ],
+          "earliest": 0,
+          "next": null
+        }
+    "#]]
+    .assert_eq(&bench.get("/v1/config/history?from=2&limit=2").await);
+    let wrong = bench.get("/v1/config/history?form=2").await;
+    assert!(wrong.starts_with("400"), "{wrong}");
+}
+
+#[ntex::test]
+async fn the_status_names_those_that_did_not_answer() {
+    let bench = Bench::start().await;
+    let _one = bench.platform.add_instance("entry-1").await;
+    bench.platform.list_instance("entry-2", "127.0.0.1:1");
+    expect![[r#"
+        200
+        {
+          "entries": [
+            {
+              "counters": {},
+              "data_centre": "dc1",
+              "endpoints": [],
+              "incarnation": 1,
+              "instance": "entry-1",
+              "outcomes": [],
+              "peers": [],
+              "ready": true,
+              "reasons": [],
+              "running": 0,
+              "version": 0
+            }
+          ],
+          "missing": [
+            {
+              "instance": "entry-2",
+              "reason": "no connection to 127.0.0.1:1: Connection refused (os error 111); check the address and that the service runs"
+            }
+          ]
+        }
+    "#]].assert_eq(&bench.get("/v1/status").await);
+    bench.platform.state().list_out = true;
+    let answer = bench.get("/v1/status").await;
+    assert!(answer.contains("\"code\": \"list_out\""), "{answer}");
+}
--- /dev/null
+++ b/crates/admin/tests/testsuite/support.rs
@@ -0,0 +1,102 @@
+//! An administration API on a platform of the test's own.
+
+use std::{net::TcpListener, time::Duration};
+
+use ntex::{
+    client::{Client, ClientRequest},
+    http::Method,
+    web::test::TestServer,
+};
+use peatdeck_admin::{
+    context::Bounds,
+    server,
+    settings::{self, Settings},
+};
+use peatdeck_core::document::Document;
+use peatdeck_test_support::platform::Platform;
+use serde_json::{Value, json};
+
+pub const TOKEN: &str = "a token of the test's own";
+
+/// A running API and the platform under it.
+pub struct Bench {
+    pub platform: Platform,
+    _server: TestServer,
+    url: String,
+    client: Client,
+}
+
+impl Bench {
+    /// An API on an empty platform.
+    pub async fn start() -> Bench {
+        let platform = Platform::default();
+        let served = platform.serve().await;
+        let url = admin(settings(&served.addr().to_string()));
+        Bench { platform, _server: served, url, client: Client::new().await }
+    }
+
+    /// Another API on the same platform.
+    pub async fn another(&self) -> Bench {
+        let served = self.platform.serve().await;
+        let url = admin(settings(&served.addr().to_string()));
+        let platform = self.platform.clone();
+        Bench { platform, _server: served, url, client: Client::new().await }
+    }
+
+    pub async fn get(&self, path: &str) -> String {
+        answer(self.request(Method::GET, path), None).await
+    }
+
+    pub async fn post(&self, path: &str, body: Value) -> String {
+        answer(self.request(Method::POST, path), Some(body.to_string())).await
+    }
+
+    pub async fn publish(&self, id: &str, base: u64, source: &str) -> String {
+        let document: Document = toml::from_str(source).expect("the test writes TOML");
+        let body = json!({"id": id, "base": base, "author": "mair", "document": document});
+        self.post("/v1/config/publish", body).await
+    }
+
+    pub fn request(&self, method: Method, path: &str) -> ClientRequest {
+        self.bare(method, path).bearer_auth(TOKEN)
+    }
+
+    /// A request without a token.
+    pub fn bare(&self, method: Method, path: &str) -> ClientRequest {
+        self.client.request(method, format!("{}{path}", self.url)).timeout(Duration::from_secs(30))
+    }
+}
+
+/// Status, Retry-After if there is one, and the body.
+pub async fn answer(request: ClientRequest, body: Option<String>) -> String {
+    let response = request.send_body(body.unwrap_or_default()).await.expect("an answer");
+    let retry =
+        response.header("retry-after").map(|value| value.to_str().unwrap_or("?").to_owned());
+    let retry = retry.map(|after| format!("Retry-After: {after}\n")).unwrap_or_default();
+    let body = response.body().await.expect("a whole answer");
+    let body = match serde_json::from_slice::<Value>(&body) {
+        Ok(json) => serde_json::to_string_pretty(&json).expect("JSON"),
+        Err(_) => String::from_utf8_lossy(&body).trim_end().to_owned(),
+    };
+    format!("{}\n{retry}{}\n", response.status().as_u16(), body)
+}
+
+fn settings(platform: &str) -> Settings {
+    let args = ["--listen", "127.0.0.1:0", "--log", platform, "--list", platform];
+    let raw = settings::options().run_inner(&args[..]).expect("right settings");
+    let mut settings = settings::check(raw, Some(TOKEN.to_owned())).expect("right settings");
+    settings.bounds = Bounds {
+        append: Duration::from_millis(500),
+        settle: Duration::from_millis(1500),
+        in_force: Duration::from_millis(200),
+        status: Duration::from_millis(500),
+    };
+    settings
+}
+
+fn admin(settings: Settings) -> String {
+    let listener: TcpListener = server::bind(settings.listen).expect("a free port");
+    let url = format!("http://{}", listener.local_addr().expect("bound"));
+    ntex::rt::spawn(server::start(listener, settings).expect("a server"));
+    url
+}
--- /dev/null
+++ b/crates/admin/tests/testsuite/token.rs
@@ -0,0 +1,71 @@
+//! The operators' token.
+
+use expect_test::expect;
+use ntex::http::Method;
+
+use crate::support::{self, Bench};
+
+const PATHS: [(Method, &str); 7] = [
+    (Method::GET, "/v1/config"),
+    (Method::GET, "/v1/config/history"),
+    (Method::GET, "/v1/config/verdict/x"),
+    (Method::GET, "/v1/status"),
+    (Method::POST, "/v1/config/check"),
+    (Method::POST, "/v1/config/publish"),
+    (Method::POST, "/v1/endpoints/e/drain"),
+];
+
+#[ntex::test]
+async fn a_wrong_token_is_refused() {
+    let bench = Bench::start().await;
+    let request = bench.bare(Method::GET, "/v1/config").bearer_auth("a token of another's own");
+    expect![[r#"
+        401
+        {
+          "code": "unauthorized",
+          "message": "the bearer token is missing or wrong",
+          "remedy": "send `Authorization: Bearer` with the token that the process was started with"
+        }
+    "#]]
+    .assert_eq(&support::answer(request, None).await);
+}
+
+#[ntex::test]
+async fn every_operation_needs_the_token() {
+    let bench = Bench::start().await;
+    for (method, path) in PATHS {
+        let bare = support::answer(bench.bare(method.clone(), path), None).await;
+        assert!(bare.starts_with("401"), "{method} {path}: {bare}");
+        let basic = bench.bare(method.clone(), path).basic_auth(support::TOKEN, None);
+        let basic = support::answer(basic, None).await;
+        assert!(basic.starts_with("401"), "{method} {path}: {basic}");
+    }
+    assert!(bench.platform.state().records.is_empty());
+}
+
+#[ntex::test]
+async fn liveness_and_readiness_need_no_token() {
+    let bench = Bench::start().await;
+    let live = support::answer(bench.bare(Method::GET, "/livez"), None).await;
+    assert_eq!(live, "200\nlive\n");
+    bench.platform.state().reads_out = true;
+    let ready = support::answer(bench.bare(Method::GET, "/readyz"), None).await;
+    assert!(ready.starts_with("503\nnot ready: "), "{ready}");
+    bench.platform.state().reads_out = false;
+    let ready = support::answer(bench.bare(Method::GET, "/readyz"), None).await;
+    assert_eq!(ready, "200\nready\n");
+}
+
+#[ntex::test]
+async fn an_unknown_path_is_told_so() {
+    let bench = Bench::start().await;
+    expect![[r#"
+        404
+        {
+          "code": "no_route",
+          "message": "no operation has this path and method",
+          "remedy": "see the reference of the administration API"
+        }
+    "#]]
+    .assert_eq(&bench.get("/v2/config").await);
+}
--- a/crates/cli/src/ops/client.rs
+++ b/crates/cli/src/ops/client.rs
@@ -103,7 +103,8 @@
     /// Any [`Error`] of the API; [`Error::NoAnswer`] where it may have taken effect.
     pub async fn drain(&self, endpoint: &str, body: &DrainBody) -> Result<DrainReply, Error> {
         let path = format!("/v1/endpoints/{}/drain", encode(endpoint));
-        self.post_repeated(&path, body, "it may have taken effect: drain again, it counts once").await
+        self.post_repeated(&path, body, "it may have taken effect: drain again, it counts once")
+            .await
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
@@ -159,9 +160,11 @@
 async fn exchange(request: ClientRequest, body: Vec<u8>) -> Result<(StatusCode, Vec<u8>), Failure> {
     let whole = async {
         let response = request.send_body(body).await.map_err(|error| {
-            let error = http::Error::from_client("", error);
-            let cause = error.cause().to_owned();
-            if error.is_unsent() { Failure::NotSent(cause) } else { Failure::NoAnswer(cause) }
+            let cause = error.to_string();
+            match http::Error::from_client("", error).is_unsent() {
+                true => Failure::NotSent(cause),
+                false => Failure::NoAnswer(cause),
+            }
         })?;
         let status = response.status();
         Ok((status, read_body(response).await?))
--- a/crates/cli/src/ops/source.rs
+++ b/crates/cli/src/ops/source.rs
@@ -64,7 +64,7 @@
 pub fn load(path: &str) -> Result<Document, error::Error> {
     let text = std::fs::read_to_string(path)
         .map_err(|cause| error::Error::File { path: path.to_owned(), cause })?;
-    Ok(parse(path, &text, compile)?)
+    Ok(parse(path, &text, check::compile)?)
 }
 
 /// Reads and checks a document. `name` is the file's name, for errors.
@@ -112,8 +112,3 @@
 fn find<'t, 'i>(table: &'t DeTable<'i>, key: &str) -> Option<&'t Spanned<DeValue<'i>>> {
     table.iter().find(|(name, _)| name.get_ref() == key).map(|(_, value)| value)
 }
-
-/// Whether a policy's source compiles.
-fn compile(_: &str) -> Result<(), String> {
-    Ok(())
-}
--- a/crates/core/src/check.rs
+++ b/crates/core/src/check.rs
@@ -15,6 +15,7 @@
 use crate::{
     document::{Document, Pipeline, Policy, Pool, PoolKind, Stage, Team},
     model::MAX_DEADLINE,
+    policy,
 };
 
 /// The largest document that is accepted, in bytes of its JSON form. Every
@@ -225,11 +226,7 @@
 
     fn policy(&mut self, policy: &Policy, compile: impl Fn(&str) -> Result<(), String>) {
         let Err(cause) = compile(&policy.script) else { return };
-        self.report(
-            Some("script"),
-            format!("the policy does not compile: {cause}"),
-            "mend the script at the place named",
-        );
+        self.report(Some("script"), cause, "mend the script, then check again");
     }
 
     /// Checks the names of one kind of table: form, and that none is used twice.
@@ -293,3 +290,14 @@
         names => format!("add a [[{table}]] of that name, or use one of {}", names.join(", ")),
     }
 }
+
+/// Whether a policy's source compiles, in the form that [`check`] asks it.
+///
+/// # Errors
+/// What is wrong with it, for the operator.
+pub fn compile(script: &str) -> Result<(), String> {
+    match policy::compile(script) {
+        Ok(_) => Ok(()),
+        Err(error) => Err(error.to_string()),
+    }
+}
--- a/crates/core/tests/testsuite/check.rs
+++ b/crates/core/tests/testsuite/check.rs
@@ -210,7 +210,7 @@
         "fn admit() { true }",
         "broken",
         expect![[r#"
-            policy "gate" script: the policy does not compile: line 1: not a program; mend the script at the place named
+            policy "gate" script: line 1: not a program; mend the script, then check again
         "#]],
     );
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -73,7 +73,8 @@
         matches!(self, Error::Unreachable { .. })
     }
 
-    pub(crate) fn from_client(addr: &str, error: ClientError) -> Error {
+    /// What the client's error means for an exchange with `addr`.
+    pub fn from_client(addr: &str, error: ClientError) -> Error {
         let addr = addr.to_owned();
         match error {
             ClientError::Connect(cause) if is_connector_failure(&cause) => {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,8 +13,10 @@
 //! - [`log`]: append to and read from the log's streams.
 //! - [`list`]: the lagging list of instances and endpoints.
 //! - [`endpoint`]: calls to engines and services.
+//! - [`entry`]: the status of entry instances of ours.
 
 pub mod endpoint;
+pub mod entry;
 pub mod http;
 pub mod lines;
 pub mod list;
--- /dev/null
+++ b/crates/test-support/src/platform.rs
@@ -0,0 +1,215 @@
+//! A log, a list and instances in the test's own process.
+//!
+//! Small on purpose: what it does is the interface's text and the faults that
+//! a test sets, one for each append to come.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use ntex::web::{self, App, HttpResponse, test::TestServer, types};
+use peatdeck_core::{
+    config_log::Fold,
+    model::{EndpointEntry, Incarnation, InstanceEntry, Listing, Presence},
+    record::{Batch, ConfigRecord, Entry},
+};
+use peatdeck_wire::{
+    admin::EntryStatus,
+    platform::{AppendBody, AppendReply, ReadReply, RecordBody},
+};
+use serde::Deserialize;
+
+/// Pause between two looks of a long poll.
+const LOOK_PAUSE: Duration = Duration::from_millis(5);
+
+/// What goes wrong with one append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AppendFault {
+    /// It takes effect; its answer is lost.
+    LoseAnswer,
+    /// It takes no effect; no answer tells so.
+    Swallow,
+    /// It is refused over the rate: no effect, and said so.
+    OverRate,
+}
+
+/// The platform: share it, set it, look into it.
+#[derive(Debug, Clone, Default)]
+pub struct Platform(Arc<Mutex<State>>);
+
+/// What the platform holds.
+#[derive(Debug, Default)]
+pub struct State {
+    /// Records of the configuration stream, by offset.
+    pub records: Vec<Arc<str>>,
+    /// The oldest offset kept.
+    pub earliest: usize,
+    /// Faults of the appends to come.
+    pub append_faults: VecDeque<AppendFault>,
+    /// What somebody else appends just before the next append.
+    pub overtaker: Option<Arc<str>>,
+    /// Whether reads are refused.
+    pub reads_out: bool,
+    /// Whether the list is refused.
+    pub list_out: bool,
+    /// The list.
+    pub listing: Listing,
+}
+
+impl Platform {
+    /// Looks into it or sets it.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().expect("no test panics while it holds the lock")
+    }
+
+    /// Serves the log and the list.
+    pub async fn serve(&self) -> TestServer {
+        let platform = self.clone();
+        web::test::server(async move || {
+            App::new().state(platform.clone()).service((
+                web::resource("/v1/streams/{stream}/records")
+                    .route(web::post().to(append))
+                    .route(web::get().to(read)),
+                web::resource("/v1/list").route(web::get().to(list)),
+            ))
+        })
+        .await
+    }
+
+    /// Adds an instance that has in force what the log says.
+    pub async fn add_instance(&self, name: &str) -> TestServer {
+        let (platform, instance) = (self.clone(), Arc::<str>::from(name));
+        let server = web::test::server(async move || {
+            let state = (platform.clone(), Arc::clone(&instance));
+            App::new()
+                .state(state)
+                .service(web::resource("/v1/status").route(web::get().to(status)))
+        })
+        .await;
+        self.list_instance(name, &server.addr().to_string());
+        server
+    }
+
+    /// Lists an instance at an address, whether it runs or not.
+    pub fn list_instance(&self, name: &str, addr: &str) {
+        self.state().listing.instances.push(InstanceEntry {
+            name: name.into(),
+            peer_addr: addr.into(),
+            http_addr: addr.into(),
+            data_centre: "dc1".into(),
+            presence: Presence::Live,
+        });
+    }
+
+    /// Lists an endpoint.
+    pub fn list_endpoint(&self, name: &str, incarnation: u64) {
+        self.state().listing.endpoints.push(EndpointEntry {
+            name: name.into(),
+            pool: "writers".into(),
+            addr: "127.0.0.1:1".into(),
+            data_centre: "dc1".into(),
+            incarnation: Incarnation(incarnation),
+            presence: Presence::Live,
+        });
+    }
+
+    /// Lets somebody else append a record just before the next append.
+    pub fn overtake(&self, record: &ConfigRecord) {
+        let json = serde_json::to_string(record).expect("records have a JSON form");
+        self.state().overtaker = Some(json.into());
+    }
+}
+
+impl State {
+    fn version(&self) -> u64 {
+        let entries: Vec<_> = (0..)
+            .zip(&self.records)
+            .map(|(offset, data)| Entry {
+                offset,
+                time_ms: 0,
+                record: serde_json::from_str(data).expect("tests append readable records"),
+            })
+            .collect();
+        let next = entries.len() as u64;
+        let mut fold = Fold::new();
+        fold.read(&Batch { from: 0, earliest: 0, next, now_ms: 0, entries });
+        fold.read(&Batch { from: next, earliest: 0, next, now_ms: 0, entries: Vec::new() });
+        fold.current().map_or(0, |snapshot| snapshot.version)
+    }
+}
+
+async fn append(platform: types::State<Platform>, body: types::Json<AppendBody>) -> HttpResponse {
+    let mut state = platform.state();
+    let overtaker = state.overtaker.take();
+    state.records.extend(overtaker);
+    let fault = state.append_faults.pop_front();
+    match fault {
+        Some(AppendFault::OverRate) => return HttpResponse::TooManyRequests().finish(),
+        Some(AppendFault::Swallow) => return HttpResponse::ServiceUnavailable().finish(),
+        Some(AppendFault::LoseAnswer) | None => {}
+    }
+    let offset = state.records.len() as u64;
+    state.records.push(Arc::clone(&body.data));
+    if fault.is_some() {
+        return HttpResponse::InternalServerError().finish();
+    }
+    HttpResponse::Ok().json(&AppendReply { offset })
+}
+
+#[derive(Deserialize)]
+struct Range {
+    from: usize,
+    max: usize,
+    wait_ms: u64,
+}
+
+async fn read(platform: types::State<Platform>, range: types::Query<Range>) -> HttpResponse {
+    let end = Instant::now() + Duration::from_millis(range.wait_ms);
+    while platform.state().records.len() <= range.from && Instant::now() < end {
+        ntex::time::sleep(LOOK_PAUSE).await;
+    }
+    if platform.state().reads_out {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let state = platform.state();
+    let from = range.from.max(state.earliest);
+    let end = state.records.len().min(from + range.max);
+    let records = (from..end).map(|offset| RecordBody {
+        offset: offset as u64,
+        time_ms: 1_772_346_600_000 + offset as u64 * 1000,
+        data: Arc::clone(&state.records[offset]),
+    });
+    HttpResponse::Ok().json(&ReadReply {
+        earliest: state.earliest as u64,
+        next: end.max(range.from) as u64,
+        now_ms: 0,
+        records: records.collect(),
+    })
+}
+
+async fn list(platform: types::State<Platform>) -> HttpResponse {
+    let state = platform.state();
+    if state.list_out {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    HttpResponse::Ok().json(&state.listing)
+}
+
+async fn status(state: types::State<(Platform, Arc<str>)>) -> HttpResponse {
+    let (platform, instance) = &*state;
+    HttpResponse::Ok().json(&EntryStatus {
+        instance: Arc::clone(instance),
+        incarnation: Incarnation(1),
+        data_centre: "dc1".into(),
+        ready: true,
+        reasons: Vec::new(),
+        version: platform.state().version(),
+        running: 0,
+        peers: Vec::new(),
+        endpoints: Vec::new(),
+        counters: Default::default(),
+        outcomes: Vec::new(),
+    })
+}
