--- a/crates/admin/tests/testsuite/publish.rs
+++ b/crates/admin/tests/testsuite/publish.rs
@@ -129,6 +129,8 @@
     bench.platform.state().records.push(record);
     let answer = bench.get("/v1/config").await;
     assert!(answer.contains("\"version\": 1"), "{answer}");
+    let history = bench.get("/v1/config/history").await;
+    assert_eq!(history.matches("\"id\": \"p-1\"").count(), 1, "{history}");
     let verdict = bench.get("/v1/config/verdict/p-1").await;
     expect![[r#"
         200
--- a/crates/admin/tests/testsuite/show.rs
+++ b/crates/admin/tests/testsuite/show.rs
@@ -1,6 +1,9 @@
 //! What is in force, who did what, and the status of the instances.
 
+use std::sync::Arc;
+
 use expect_test::expect;
+use peatdeck_core::record::{ConfigRecord, Snapshot};
 
 use crate::support::Bench;
 
@@ -60,6 +63,31 @@
     assert!(answer.contains("\"code\": \"no_state\""), "{answer}");
 }
 
+#[ntex::test]
+async fn an_api_that_missed_records_waits_for_a_snapshot() {
+    let bench = Bench::start().await;
+    let another = bench.another().await;
+    bench.publish("p-1", 0, TEAM).await;
+    another.publish("p-2", 1, TEAM).await;
+    another.publish("p-3", 2, TEAM).await;
+    bench.platform.state().earliest = 2;
+    let config = bench.get("/v1/config").await;
+    assert!(config.contains("\"confirmed\": false"), "{config}");
+    let answer = bench.publish("p-4", 1, TEAM).await;
+    assert!(answer.contains("\"code\": \"no_state\""), "{answer}");
+    bench.platform.overtake(&ConfigRecord::Snapshot(Snapshot {
+        as_of: Some(2),
+        version: 3,
+        publish: Some("p-3".into()),
+        document: Arc::default(),
+        drains: Vec::new(),
+    }));
+    another.publish("p-4", 3, TEAM).await;
+    let config = bench.get("/v1/config").await;
+    assert!(config.contains("\"confirmed\": true"), "{config}");
+    assert!(config.contains("\"version\": 4"), "{config}");
+}
+
 #[ntex::test]
 async fn the_history_comes_in_pages() {
     let bench = Bench::start().await;
