--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -66,7 +66,7 @@
     #[error("the log holds no publish `{0}`")]
     UnknownPublish(Arc<str>),
     /// The log is out; nothing was appended.
-    #[error("nothing was appended: {0}")]
+    #[error("this request appended nothing: {0}")]
     LogOut(String),
     /// The list is out; nothing was appended.
     #[error("nothing was done: {0}")]
@@ -135,7 +135,7 @@
                     .to_owned()
             }
             Error::Unknown(id) => format!(
-                "ask for the verdict of `{id}` (GET /v1/config/verdict/{id}), or publish again with the same id: it counts once"
+                "ask for the verdict of `{id}` (GET /v1/config/verdict/{id}, `peatdeck show --verdict {id}`), or publish again with the same id: it counts once"
             ),
             Error::DrainUnknown(_) => "send the drain again: it counts once".to_owned(),
         }
--- a/crates/admin/tests/testsuite/publish.rs
+++ b/crates/admin/tests/testsuite/publish.rs
@@ -151,7 +151,7 @@
     let answer = bench.publish("p-1", 0, TEAM).await;
     assert!(answer.starts_with("503\nRetry-After: 5\n"), "{answer}");
     assert!(answer.contains("\"code\": \"log_out\""), "{answer}");
-    assert!(answer.contains("nothing was appended"), "{answer}");
+    assert!(answer.contains("this request appended nothing"), "{answer}");
     assert!(bench.platform.state().records.is_empty());
 }
 
@@ -169,7 +169,7 @@
             "kind": "unknown"
           },
           "message": "unknown: publish `p-1` may have taken effect, and the log did not say in time",
-          "remedy": "ask for the verdict of `p-1` (GET /v1/config/verdict/p-1), or publish again with the same id: it counts once"
+          "remedy": "ask for the verdict of `p-1` (GET /v1/config/verdict/p-1, `peatdeck show --verdict p-1`), or publish again with the same id: it counts once"
         }
     "#]].assert_eq(&bench.publish("p-1", 0, TEAM).await);
     expect![[r#"
--- a/crates/cli/src/commands/publish.rs
+++ b/crates/cli/src/commands/publish.rs
@@ -88,8 +88,12 @@
 
 fn describe(reply: &PublishReply) -> String {
     let mut text = format!("accepted: version {} (publish {})\n", reply.version, reply.id);
-    let names = reply.in_force.join(", ");
-    let _ = writeln!(text, "in force on {}: {names}", count(reply.in_force.len()));
+    match reply.in_force.as_slice() {
+        [] => text.push_str("not known to be in force on any instance\n"),
+        names => {
+            let _ = writeln!(text, "in force on {}: {}", count(names.len()), names.join(", "));
+        }
+    }
     for missing in &reply.missing {
         let _ =
             writeln!(text, "not known to be in force on {}: {}", missing.instance, missing.reason);
--- a/crates/cli/src/commands/show.rs
+++ b/crates/cli/src/commands/show.rs
@@ -21,6 +21,7 @@
 pub struct Args {
     format: Format,
     admin: String,
+    verdict: Option<String>,
     history: bool,
     from: Offset,
     limit: usize,
@@ -30,6 +31,10 @@
 pub fn cli() -> OptionParser<Args> {
     let format = commands::format();
     let admin = commands::admin();
+    let verdict = long("verdict")
+        .help("Show what became of the publish with this id instead of the document")
+        .argument::<String>("ID")
+        .optional();
     let history = long("history").help("Show who did what instead of the document").switch();
     let from = long("from")
         .help("With --history: offset of the log to start from")
@@ -41,10 +46,10 @@
         .argument::<usize>("ROWS")
         .fallback(50)
         .display_fallback();
-    construct!(Args { format, admin, history, from, limit })
+    construct!(Args { format, admin, verdict, history, from, limit })
         .to_options()
         .descr("Show the configuration in force, as a file that can be edited and published.")
-        .footer("Examples:\n  peatdeck show > fleet.toml\n  peatdeck show --history --limit 20")
+        .footer("Examples:\n  peatdeck show > fleet.toml\n  peatdeck show --history --limit 20\n  peatdeck show --verdict p-00c0ffee00c0ffee")
 }
 
 /// Runs the command.
@@ -53,6 +58,16 @@
 /// Any [`Error`] of the API.
 pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
     let client = commands::connect(shell, &args.admin).await?;
+    if let Some(id) = &args.verdict {
+        let reply = client.verdict(id).await?;
+        return Ok(Output::done(match args.format {
+            Format::Json => shell::json(&reply)?,
+            Format::Table => {
+                let verdict = describe_verdict(&reply.verdict);
+                format!("publish {} by {}: {verdict}\n", reply.id, reply.author)
+            }
+        }));
+    }
     if args.history {
         let history = client.history(args.from, args.limit).await?;
         return Ok(Output::done(match args.format {
--- a/crates/cli/src/ops/client.rs
+++ b/crates/cli/src/ops/client.rs
@@ -11,7 +11,7 @@
 use peatdeck_platform::http;
 use peatdeck_wire::admin::{
     ApiError, ConfigReply, DrainBody, DrainReply, HistoryReply, PublishBody, PublishReply,
-    StatusReply,
+    StatusReply, VerdictReply,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -44,7 +44,17 @@
 
 /// How an exchange failed below the API.
 enum Failure {
+    /// Not a byte was written.
     NotSent(String),
+    /// No whole answer came.
+    NoAnswer(String),
+}
+
+/// How one attempt at an operation failed.
+enum Attempt {
+    /// This attempt had no effect, or the API itself says what is known.
+    Refused(Error),
+    /// It may have had an effect.
     NoAnswer(String),
 }
 
@@ -69,6 +79,14 @@
         self.get("/v1/config").await
     }
 
+    /// What became of a publish.
+    ///
+    /// # Errors
+    /// Any [`Error`] of the API.
+    pub async fn verdict(&self, id: &str) -> Result<VerdictReply, Error> {
+        self.get(&format!("/v1/config/verdict/{}", encode(id))).await
+    }
+
     /// One page of the history.
     ///
     /// # Errors
@@ -126,18 +144,33 @@
     ) -> Result<T, Error> {
         let json = serde_json::to_vec(body)
             .map_err(|cause| Error::Unreadable { cause: cause.to_string() })?;
-        let mut may_stand = None;
+        let mut doubt = None;
         for _ in 0..PUBLISH_ATTEMPTS {
-            match exchange(self.request(Method::POST, path), json.clone()).await {
-                Ok((status, body)) => return read(status, &body),
-                Err(Failure::NoAnswer(cause)) => may_stand = Some(cause),
-                Err(Failure::NotSent(cause)) if may_stand.is_none() => {
-                    return Err(self.unreachable(cause));
+            match self.post(path, json.clone()).await {
+                Ok(reply) => return Ok(reply),
+                Err(Attempt::Refused(error)) if doubt.is_none() || settles(&error) => {
+                    return Err(error);
                 }
-                Err(Failure::NotSent(_)) => {}
+                Err(Attempt::Refused(_)) => {}
+                Err(Attempt::NoAnswer(cause)) => doubt = Some(cause),
             }
         }
-        Err(self.no_answer(may_stand.unwrap_or_default(), remedy, true))
+        Err(self.no_answer(doubt.unwrap_or_default(), remedy, true))
+    }
+
+    /// One attempt at an operation that changes something.
+    async fn post<T: DeserializeOwned>(&self, path: &str, body: Vec<u8>) -> Result<T, Attempt> {
+        let (status, body) = match exchange(self.request(Method::POST, path), body).await {
+            Ok(answer) => answer,
+            Err(Failure::NotSent(cause)) => return Err(Attempt::Refused(self.unreachable(cause))),
+            Err(Failure::NoAnswer(cause)) => return Err(Attempt::NoAnswer(cause)),
+        };
+        read(status, &body).map_err(|error| match error {
+            Error::Unreadable { cause } => {
+                Attempt::NoAnswer(format!("status {}, {cause}", status.as_u16()))
+            }
+            error => Attempt::Refused(error),
+        })
     }
 
     fn request(&self, method: Method, path: &str) -> ClientRequest {
@@ -159,13 +192,13 @@
 
 async fn exchange(request: ClientRequest, body: Vec<u8>) -> Result<(StatusCode, Vec<u8>), Failure> {
     let whole = async {
-        let response = request.send_body(body).await.map_err(|error| {
-            let cause = error.to_string();
-            match http::Error::from_client("", error).is_unsent() {
-                true => Failure::NotSent(cause),
-                false => Failure::NoAnswer(cause),
-            }
-        })?;
+        let response =
+            request.send_body(body).await.map_err(|error| {
+                match http::Error::from_client("it", error) {
+                    http::Error::Unreachable { cause, .. } => Failure::NotSent(cause),
+                    other => Failure::NoAnswer(other.to_string()),
+                }
+            })?;
         let status = response.status();
         Ok((status, read_body(response).await?))
     };
@@ -194,6 +227,13 @@
     Err(Error::Api(Box::new(error)))
 }
 
+/// Whether a refusal also settles earlier attempts that got no answer: under
+/// the same id and base, they too can't have been accepted.
+fn settles(error: &Error) -> bool {
+    let Error::Api(error) = error else { return false };
+    matches!(&*error.code, "conflict" | "invalid_document" | "id_reused" | "malformed")
+}
+
 /// A name as one segment of a path.
 fn encode(name: &str) -> Arc<str> {
     let mut text = String::with_capacity(name.len());
--- /dev/null
+++ b/crates/cli/tests/testsuite/drain.rs
@@ -0,0 +1,29 @@
+//! `peatdeck drain`.
+
+use expect_test::expect;
+
+use crate::support::Bench;
+
+#[ntex::test]
+async fn a_drain_says_which_life_it_holds_for() {
+    let bench = Bench::start("drain").await;
+    bench.platform.list_endpoint("engine 1/a", 3);
+    let answer = bench.run(&["drain", "engine 1/a", "--author", "mair"]).await;
+    expect![[r#"
+        exit 0
+        accepted: engine 1/a gets no new work in life 3
+    "#]]
+    .assert_eq(&answer);
+}
+
+#[ntex::test]
+async fn an_endpoint_that_is_not_listed_is_told() {
+    let bench = Bench::start("drain-unknown").await;
+    let answer = bench.run(&["drain", "engine-9", "--author", "mair"]).await;
+    expect![[r#"
+        exit 1
+          x the platform's list has no endpoint `engine-9` (unknown_endpoint)
+          help: check the name; a new endpoint shows in the list after some seconds
+    "#]]
+    .assert_eq(&answer);
+}
--- /dev/null
+++ b/crates/cli/tests/testsuite/publish.rs
@@ -0,0 +1,172 @@
+//! `peatdeck publish`.
+
+use std::io::{Read, Write};
+
+use expect_test::expect;
+use peatdeck_test_support::platform::AppendFault;
+
+use crate::support::{self, Bench};
+
+const TEAM: &str = "[[team]]\nname = \"bala\"\n";
+const PUBLISH: [&str; 5] = ["publish", "--author", "mair", "--id", "p-1"];
+
+#[ntex::test]
+async fn without_a_base_the_version_in_force_is_taken_and_said() {
+    let bench = Bench::start("publish-base").await;
+    let _one = bench.platform.add_instance("entry-1").await;
+    let file = bench.file("fleet.toml", TEAM);
+    let args = [&PUBLISH[..], &[&file]].concat();
+    expect![[r#"
+        exit 0
+        base: version 0
+        accepted: version 1 (publish p-1)
+        in force on 1 instance: entry-1
+    "#]]
+    .assert_eq(&bench.run(&args).await);
+}
+
+#[ntex::test]
+async fn an_instance_that_lags_is_said() {
+    let bench = Bench::start("publish-missing").await;
+    bench.platform.list_instance("entry-2", "127.0.0.1:1");
+    let file = bench.file("fleet.toml", TEAM);
+    let args = [&PUBLISH[..], &["--base", "0", &file]].concat();
+    expect![[r#"
+        exit 6
+        accepted: version 1 (publish p-1)
+        not known to be in force on any instance
+        not known to be in force on entry-2: no connection to 127.0.0.1:1: Connection refused (os error 111); check the address and that the service runs
+    "#]].assert_eq(&bench.run(&args).await);
+}
+
+#[ntex::test]
+async fn a_conflict_has_its_own_exit_code() {
+    let bench = Bench::start("publish-conflict").await;
+    let file = bench.file("fleet.toml", TEAM);
+    bench.run(&["publish", "--author", "ann", "--base", "0", "--id", "p-0", &file]).await;
+    let args = [&PUBLISH[..], &["--base", "0", &file]].concat();
+    expect![[r#"
+        exit 4
+          x version 1, published by ann, is in force, but this publish was made from 0 (conflict)
+          help: fetch version 1 (`peatdeck show`), apply the change to it and publish it with a new id and
+                base 1
+    "#]].assert_eq(&bench.run(&args).await);
+}
+
+#[ntex::test]
+async fn what_is_unknown_is_not_called_a_failure() {
+    let bench = Bench::start("publish-unknown").await;
+    bench.platform.state().append_faults.extend([AppendFault::Swallow; 100]);
+    let file = bench.file("fleet.toml", TEAM);
+    let args = [&PUBLISH[..], &["--base", "0", &file]].concat();
+    expect![[r#"
+        exit 5
+          x unknown: publish `p-1` may have taken effect, and the log did not say in time (unknown)
+          help: ask for the verdict of `p-1` (GET /v1/config/verdict/p-1, `peatdeck show --verdict p-1`),
+                or publish again with the same id: it counts once
+    "#]].assert_eq(&bench.run(&args).await);
+}
+
+#[ntex::test]
+async fn an_invalid_file_is_not_sent() {
+    let bench = Bench::start("publish-invalid").await;
+    let file = bench.file("fleet.toml", "[[team]]\nname = \"\"\n");
+    let answer = bench.run(&[&PUBLISH[..], &[&file]].concat()).await;
+    assert!(answer.starts_with("exit 3\n"), "{answer}");
+    assert!(bench.platform.state().records.is_empty());
+}
+
+#[ntex::test]
+async fn a_missing_or_wrong_token_is_told() {
+    let mut bench = Bench::start("publish-token").await;
+    let file = bench.file("fleet.toml", TEAM);
+    let args = [&PUBLISH[..], &[&file]].concat();
+    bench.token = None;
+    expect![[r#"
+        exit 2
+          x PEATDECK_ADMIN_TOKEN is not set
+          help: set it to the token that peatdeck-admin was started with
+    "#]]
+    .assert_eq(&bench.run(&args).await);
+    bench.token = Some("another token than the API's".to_owned());
+    expect![[r#"
+        exit 1
+          x the bearer token is missing or wrong (unauthorized)
+          help: send `Authorization: Bearer` with the token that the process was started with
+    "#]]
+    .assert_eq(&bench.run(&args).await);
+}
+
+#[ntex::test]
+async fn an_api_that_is_not_there_is_told() {
+    let bench = Bench::start("publish-unreachable").await;
+    let file = bench.file("fleet.toml", TEAM);
+    let admin = ["--admin", "http://127.0.0.1:1", &file];
+    let args = [&PUBLISH[..], &admin].concat();
+    expect![[r#"
+        exit 1
+          x cannot reach peatdeck-admin at http://127.0.0.1:1: Connection refused (os error 111)
+          help: check --admin (PEATDECK_ADMIN) and that it runs; nothing was done
+    "#]].assert_eq(&support::run(bench.token.clone(), &args).await);
+}
+
+/// Publishes to something that gives these bytes to each attempt in turn.
+async fn publish_to(name: &str, replies: [&'static str; 3]) -> String {
+    let bench = Bench::start(name).await;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let server = std::thread::spawn(move || {
+        for reply in replies {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut head = [0; 64];
+            stream.read_exact(&mut head).unwrap();
+            stream.write_all(reply.as_bytes()).unwrap();
+        }
+    });
+    let file = bench.file("fleet.toml", TEAM);
+    let args = [&PUBLISH[..], &["--admin", &url, "--base", "0", &file]].concat();
+    let answer = support::run(bench.token.clone(), &args).await;
+    server.join().unwrap();
+    answer
+}
+
+const CUT: &str = "";
+const GATEWAY: &str =
+    "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 4\r\nConnection: close\r\n\r\noops";
+const LOG_OUT: &str = "HTTP/1.1 503 Out\r\nContent-Length: 43\r\nConnection: close\r\n\r\n\
+                       {\"code\":\"log_out\",\"message\":\"\",\"remedy\":\"\"}";
+
+#[ntex::test]
+async fn an_api_that_breaks_off_leaves_it_unknown() {
+    let answer = publish_to("publish-cut", [CUT, CUT, CUT]).await;
+    assert!(answer.starts_with("exit 5\n"), "{answer}");
+    assert!(answer.contains("--id p-1 --base 0"), "{answer}");
+}
+
+#[ntex::test]
+async fn an_answer_of_something_else_leaves_it_unknown() {
+    let answer = publish_to("publish-gateway", [GATEWAY, GATEWAY, GATEWAY]).await;
+    assert!(answer.starts_with("exit 5\n"), "{answer}");
+}
+
+#[ntex::test]
+async fn a_later_refusal_does_not_hide_an_earlier_doubt() {
+    let answer = publish_to("publish-doubt", [CUT, LOG_OUT, LOG_OUT]).await;
+    assert!(answer.starts_with("exit 5\n"), "{answer}");
+}
+
+#[ntex::test]
+async fn a_wrong_command_line_is_told() {
+    let bench = Bench::start("publish-usage").await;
+    let answer = bench.run(&["publish", "--author", "mair", "--base", "one", "f"]).await;
+    expect![[r#"
+        exit 2
+        couldn't parse `one`: invalid digit found in string"#]]
+    .assert_eq(&answer);
+    let answer = support::run(None, &["show", "--admin", "127.0.0.1:7300"]).await;
+    expect![[r#"
+        exit 2
+        couldn't parse `127.0.0.1:7300`: `127.0.0.1:7300` does not start with http://; give it as
+        http://IP:PORT"#]]
+    .assert_eq(&answer);
+}
--- /dev/null
+++ b/crates/cli/tests/testsuite/support.rs
@@ -0,0 +1,96 @@
+//! Commands run as the process would run them, against a real API on a
+//! platform of the test's own.
+
+use std::{
+    path::PathBuf,
+    time::{Duration, SystemTime},
+};
+
+use miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme};
+use ntex::web::test::TestServer;
+use peatdeck::{app, shell::Shell};
+use peatdeck_admin::{context::Bounds, server, settings};
+use peatdeck_test_support::platform::Platform;
+
+const TOKEN: &str = "a token of the test's own";
+
+/// A running API, the platform under it, and files.
+pub struct Bench {
+    pub platform: Platform,
+    pub url: String,
+    pub token: Option<String>,
+    _server: TestServer,
+    files: PathBuf,
+}
+
+impl Bench {
+    /// An API on an empty platform. `name` keeps the files of tests apart.
+    pub async fn start(name: &str) -> Bench {
+        let platform = Platform::default();
+        let served = platform.serve().await;
+        let files = std::env::temp_dir().join(format!("peatdeck-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&files).expect("a directory for the test's files");
+        let url = admin(&served.addr().to_string());
+        Bench { platform, url, token: Some(TOKEN.to_owned()), _server: served, files }
+    }
+
+    /// Writes a file and gives its path.
+    pub fn file(&self, name: &str, text: &str) -> String {
+        let path = self.files.join(name);
+        std::fs::write(&path, text).expect("the directory takes files");
+        path.to_str().expect("an ordinary path").to_owned()
+    }
+
+    /// Runs a command line; a command of the API gets `--admin`.
+    pub async fn run(&self, args: &[&str]) -> String {
+        let mut args = args.to_vec();
+        if args[0] != "check" {
+            args.extend(["--admin", &self.url]);
+        }
+        let shown = run(self.token.clone(), &args).await;
+        shown.replace(&format!("{}/", self.files.display()), "").replace(&self.url, "http://admin")
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.files).ok();
+    }
+}
+
+/// Runs a command line; gives the exit code and what it prints.
+pub async fn run(token: Option<String>, args: &[&str]) -> String {
+    let command = match app::options().run_inner(args) {
+        Ok(command) => command,
+        Err(failure) => return format!("exit 2\n{}", failure.unwrap_stderr()),
+    };
+    let shell = Shell { token, now: SystemTime::UNIX_EPOCH };
+    match app::exec(&shell, command).await {
+        Ok(output) => format!("exit {}\n{}", output.code as u8, output.text),
+        Err(error) => format!("exit {}\n{}", error.code() as u8, report(&error)),
+    }
+}
+
+fn report(error: &dyn Diagnostic) -> String {
+    let mut text = String::new();
+    let handler = GraphicalReportHandler::new_themed(GraphicalTheme::none()).with_width(100);
+    handler.render_report(&mut text, error).expect("a report");
+    let lines: Vec<&str> = text.lines().map(str::trim_end).collect();
+    lines.join("\n") + "\n"
+}
+
+fn admin(platform: &str) -> String {
+    let args = ["--listen", "127.0.0.1:0", "--log", platform, "--list", platform];
+    let raw = settings::options().run_inner(&args[..]).expect("right settings");
+    let mut settings = settings::check(raw, Some(TOKEN.to_owned())).expect("right settings");
+    settings.bounds = Bounds {
+        append: Duration::from_millis(500),
+        settle: Duration::from_millis(500),
+        in_force: Duration::from_millis(200),
+        status: Duration::from_millis(500),
+    };
+    let listener = server::bind(settings.listen).expect("a free port");
+    let url = format!("http://{}", listener.local_addr().expect("bound"));
+    ntex::rt::spawn(server::start(listener, settings).expect("a server"));
+    url
+}
