--- a/crates/cli/src/commands/drain.rs
+++ b/crates/cli/src/commands/drain.rs
@@ -29,7 +29,8 @@
         .help("Life (incarnation) of the endpoint that it holds for; the listed one if not given")
         .argument::<u64>("N")
         .optional();
-    let endpoint = positional::<String>("ENDPOINT").help("Endpoint, as the platform's list names it");
+    let endpoint =
+        positional::<String>("ENDPOINT").help("Endpoint, as the platform's list names it");
     construct!(Args { format, admin, author, life, endpoint })
         .to_options()
         .descr("Drain an endpoint: it gets no new work until it is started again.")
@@ -42,13 +43,15 @@
 /// Any [`Error`] of the API.
 pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
     let client = commands::connect(shell, &args.admin).await?;
-    let body =
-        DrainBody { author: args.author.into(), incarnation: args.life.map(Incarnation) };
+    let body = DrainBody { author: args.author.into(), incarnation: args.life.map(Incarnation) };
     let reply = client.drain(&args.endpoint, &body).await?;
     Ok(Output::done(match args.format {
         Format::Json => shell::json(&reply)?,
         Format::Table => {
-            format!("accepted: {} gets no new work in life {}\n", reply.endpoint, reply.incarnation.0)
+            format!(
+                "accepted: {} gets no new work in life {}\n",
+                reply.endpoint, reply.incarnation.0
+            )
         }
     }))
 }
--- a/crates/cli/src/commands/publish.rs
+++ b/crates/cli/src/commands/publish.rs
@@ -91,7 +91,8 @@
     let names = reply.in_force.join(", ");
     let _ = writeln!(text, "in force on {}: {names}", count(reply.in_force.len()));
     for missing in &reply.missing {
-        let _ = writeln!(text, "not known to be in force on {}: {}", missing.instance, missing.reason);
+        let _ =
+            writeln!(text, "not known to be in force on {}: {}", missing.instance, missing.reason);
     }
     text
 }
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -84,7 +84,13 @@
     let mut rows = Table::new(["ENDPOINT", "POOL", "LIFE", "STATE", "IN FLIGHT"]);
     for (name, known) in seen {
         let (pool, life) = (known.pool.to_string(), known.life.to_string());
-        rows.row([name.to_string(), pool, life, states(&known.states), known.in_flight.to_string()]);
+        rows.row([
+            name.to_string(),
+            pool,
+            life,
+            states(&known.states),
+            known.in_flight.to_string(),
+        ]);
     }
     rows.render()
 }
@@ -94,7 +100,8 @@
     match states.iter().next() {
         Some((state, _)) if states.len() == 1 => state.to_string(),
         _ => {
-            let counted: Vec<_> = states.iter().map(|(s, count)| format!("{s} on {count}")).collect();
+            let counted: Vec<_> =
+                states.iter().map(|(s, count)| format!("{s} on {count}")).collect();
             counted.join(", ")
         }
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -14,8 +14,7 @@
         Ok(command) => command,
         Err(failure) => return refuse(failure),
     };
-    let shell =
-        Shell { token: std::env::var("PEATDECK_ADMIN_TOKEN").ok(), now: SystemTime::now() };
+    let shell = Shell { token: std::env::var("PEATDECK_ADMIN_TOKEN").ok(), now: SystemTime::now() };
     match app::exec(&shell, command).await {
         Ok(output) => {
             print!("{}", output.text);
--- a/crates/cli/src/ops/client.rs
+++ b/crates/cli/src/ops/client.rs
@@ -103,7 +103,8 @@
     /// Any [`Error`] of the API; [`Error::NoAnswer`] where it may have taken effect.
     pub async fn drain(&self, endpoint: &str, body: &DrainBody) -> Result<DrainReply, Error> {
         let path = format!("/v1/endpoints/{}/drain", encode(endpoint));
-        self.post_repeated(&path, body, "it may have taken effect: drain again, it counts once").await
+        self.post_repeated(&path, body, "it may have taken effect: drain again, it counts once")
+            .await
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,9 +32,9 @@
 //! - [`policy`]: operators' short programs.
 //! - [`instance`]: one entry instance, made of all of the above.
 
-pub mod check;
 pub mod admission;
 pub mod budget;
+pub mod check;
 pub mod claims;
 pub mod config_log;
 pub mod document;
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -146,7 +146,7 @@
     let status = match kind {
         Invalid::UnknownPipeline => StatusCode::NOT_FOUND,
         Invalid::KeyReused => StatusCode::CONFLICT,
-        Invalid::UnknownTeam | Invalid::NotIdempotent => StatusCode::BAD_REQUEST,
+        Invalid::UnknownTeam => StatusCode::BAD_REQUEST,
     };
     let words = invalid_words(kind);
     Failure::invalid(status, words.code, words.message, words.remedy)
@@ -251,11 +251,6 @@
             "the id was used before with another body or idempotence mark; nothing ran now",
             "use a new id for a new request, or send the earlier request unchanged",
         ),
-        Invalid::NotIdempotent => (
-            "not_idempotent",
-            "the request is marked idempotent, but a stage of the pipeline may not be repeated; nothing ran",
-            "send it with `idempotent` false",
-        ),
     };
     Words { code, message, remedy }
 }
--- a/crates/entry/src/report.rs
+++ b/crates/entry/src/report.rs
@@ -15,10 +15,10 @@
 pub fn status(driver: &Driver, identity: &Identity, since: u64) -> EntryStatus {
     let (status, reasons) = driver.with_machine(|machine| (machine.status(), machine.ready()));
     let endpoints = status.endpoints.into_iter().map(|endpoint| EndpointStatus {
-        endpoint: endpoint.endpoint,
+        endpoint: endpoint.name,
         pool: endpoint.pool,
         incarnation: endpoint.incarnation,
-        state: Arc::from(endpoint.state),
+        state: Arc::from(endpoint.state.name()),
         in_flight: endpoint.in_flight,
         limit: endpoint.limit,
     });
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -120,7 +120,7 @@
         endpoints: endpoint::Client::new(http),
     };
     let identity = settings.identity.clone();
-    let machine = Instance::new(identity, instance::Settings::default(), rand::random());
+    let machine = Instance::new(identity, instance::settings::Settings::default(), rand::random());
     Driver::new(machine, Rc::new(SystemClock::new()), clients)
 }
 
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -7,7 +7,7 @@
 
 use ntex::client;
 use peatdeck_core::record::{Batch, Entry, Offset, Stream};
-use peatdeck_wire::platform::{AppendBody, AppendReply, ReadReply};
+use peatdeck_wire::platform::{AppendBody, AppendReply, ReadReply, RecordBody};
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::http;
@@ -114,19 +114,30 @@
             http::json(&self.addr, response, MAX_READ).await
         })
         .await?;
-        parse(stream, reply)
+        parse(stream, range.from, reply)
     }
 }
 
-fn parse<R: DeserializeOwned>(stream: Stream, reply: ReadReply) -> Result<Batch<R>, Error> {
+/// Reads the records of a reply.
+///
+/// What is not JSON was not written by any version of ours and is passed over.
+/// JSON that this version cannot read was: going on without it could bring
+/// this instance to another state than the others', so it is an error.
+fn parse<R: DeserializeOwned>(
+    stream: Stream,
+    from: Offset,
+    reply: ReadReply,
+) -> Result<Batch<R>, Error> {
     let mut entries = Vec::with_capacity(reply.records.len());
-    for body in reply.records {
-        let record = serde_json::from_str(&body.data).map_err(|cause| Error::Unreadable {
-            stream: stream.name(),
-            offset: body.offset,
-            cause,
-        })?;
-        entries.push(Entry { offset: body.offset, time_ms: body.time_ms, record });
+    for RecordBody { offset, time_ms, data } in reply.records {
+        match serde_json::from_str(&data) {
+            Ok(record) => entries.push(Entry { offset, time_ms, record }),
+            Err(cause) if cause.is_data() => {
+                return Err(Error::Unreadable { stream: stream.name(), offset, cause });
+            }
+            Err(_) => {}
+        }
     }
-    Ok(Batch { earliest: reply.earliest, next: reply.next, now_ms: reply.now_ms, entries })
+    let ReadReply { earliest, next, now_ms, .. } = reply;
+    Ok(Batch { from, earliest, next, now_ms, entries })
 }
