--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -317,7 +317,8 @@
             self.report(flag, "is missing", format!("give {flag} or set {}", variable(flag)));
             return any;
         };
-        match text.parse() {
+        // The platform's services speak plain HTTP; its scheme may be written out.
+        match text.strip_prefix("http://").unwrap_or(text).parse() {
             Ok(addr) => addr,
             Err(_) => {
                 self.report(
