--- a/crates/core/src/instance/settings.rs
+++ b/crates/core/src/instance/settings.rs
@@ -125,4 +125,32 @@
             budget: false,
         }
     }
+    /// Names by which single decisions are switched off.
+    pub const NAMES: [&str; 8] = [
+        "admission",
+        "hedging",
+        "affinity",
+        "ejection",
+        "adaptive-limits",
+        "fair-queue",
+        "load-aware",
+        "budget",
+    ];
+
+    /// Switches one decision off. False if there is none of that name.
+    pub fn switch_off(&mut self, name: &str) -> bool {
+        let decision = match name {
+            "admission" => &mut self.admission,
+            "hedging" => &mut self.hedging,
+            "affinity" => &mut self.affinity,
+            "ejection" => &mut self.ejection,
+            "adaptive-limits" => &mut self.adaptive_limits,
+            "fair-queue" => &mut self.fair_queue,
+            "load-aware" => &mut self.load_aware,
+            "budget" => &mut self.budget,
+            _ => return false,
+        };
+        *decision = false;
+        true
+    }
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -23,7 +23,7 @@
     time::Seconds,
     web::{self, App},
 };
-use peatdeck_core::instance::{self, Instance, input::Input};
+use peatdeck_core::instance::{Instance, input::Input};
 use peatdeck_platform::{endpoint, http, list, log};
 use peatdeck_util::{clock::SystemClock, metrics::Metrics};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -120,7 +120,7 @@
         endpoints: endpoint::Client::new(http),
     };
     let identity = settings.identity.clone();
-    let machine = Instance::new(identity, instance::settings::Settings::default(), rand::random());
+    let machine = Instance::new(identity, settings.instance.clone(), rand::random());
     Driver::new(machine, Rc::new(SystemClock::new()), clients)
 }
 
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -14,7 +14,10 @@
 
 use bpaf::{OptionParser, Parser, construct, long};
 use miette::Diagnostic;
-use peatdeck_core::{instance::input::Identity, model::Incarnation};
+use peatdeck_core::{
+    instance::{self, input::Identity, settings::Decisions},
+    model::Incarnation,
+};
 use peatdeck_macros::data;
 use peatdeck_util::logging;
 
@@ -62,6 +65,16 @@
     pub idle_timeout: Option<String>,
     /// Time to connect to an endpoint.
     pub connect_timeout: Option<String>,
+    /// The set of decisions.
+    pub decisions: Option<String>,
+    /// Decisions that are switched off.
+    pub without: Option<String>,
+    /// How long the log keeps records.
+    pub retention: Option<String>,
+    /// How long a claim is remembered.
+    pub horizon: Option<String>,
+    /// How long a stopping instance still takes requests.
+    pub grace: Option<String>,
     /// Where metrics go.
     pub statsd: Option<String>,
     /// How log lines are written.
@@ -87,6 +100,8 @@
     pub limits: Limits,
     /// Time to connect to an endpoint.
     pub connect_timeout: Duration,
+    /// Settings of the decisions.
+    pub instance: instance::settings::Settings,
     /// Where metrics go, if anywhere.
     pub statsd: Option<SocketAddr>,
     /// How log lines are written.
@@ -170,6 +185,36 @@
         "MS",
         "Time to connect to an endpoint or the platform [default: 1000]",
     );
+    let decisions = text(
+        "decisions",
+        "PEATDECK_DECISIONS",
+        "SET",
+        "`full`, or `plain` for the baseline of experiments [default: full]",
+    );
+    let without = text(
+        "without",
+        "PEATDECK_WITHOUT",
+        "NAMES",
+        "Decisions to switch off, for experiments, such as `hedging,affinity`",
+    );
+    let retention = text(
+        "retention",
+        "PEATDECK_RETENTION",
+        "SECONDS",
+        "How long the log keeps records [default: 86400]",
+    );
+    let horizon = text(
+        "horizon",
+        "PEATDECK_HORIZON",
+        "SECONDS",
+        "How long the key of a non-idempotent request is protected [default: 3600]",
+    );
+    let grace = text(
+        "grace",
+        "PEATDECK_GRACE",
+        "MS",
+        "How long a stopping instance still takes requests [default: 2000]",
+    );
     let statsd = text(
         "statsd",
         "PEATDECK_STATSD",
@@ -197,6 +242,11 @@
         max_connections,
         idle_timeout,
         connect_timeout,
+        decisions,
+        without,
+        retention,
+        horizon,
+        grace,
         statsd,
         log_format,
         log_filter,
@@ -270,6 +320,7 @@
                 DEFAULT_CONNECT_MS,
                 1,
             )),
+            instance: self.instance(&mut check),
             statsd: self.statsd.as_deref().map(|text| check.addr("--statsd", Some(text))),
             log_format: check.format(self.log_format.as_deref()),
             log_filter: self.log_filter.clone().unwrap_or_else(|| DEFAULT_FILTER.to_owned()),
@@ -280,6 +331,25 @@
             false => Err(Problems { problems: check.problems }),
         }
     }
+
+    fn instance(&self, check: &mut Check) -> instance::settings::Settings {
+        let default = instance::settings::Settings::default();
+        let seconds = |check: &mut Check, flag, value: &Option<String>, default: Duration| {
+            Duration::from_secs(check.number(flag, value.as_deref(), default.as_secs(), 1))
+        };
+        instance::settings::Settings {
+            decisions: check.decisions(self.decisions.as_deref(), self.without.as_deref()),
+            retention: seconds(check, "--retention", &self.retention, default.retention),
+            horizon: seconds(check, "--horizon", &self.horizon, default.horizon),
+            grace: Duration::from_millis(check.number(
+                "--grace",
+                self.grace.as_deref(),
+                u64::try_from(default.grace.as_millis()).unwrap_or(u64::MAX),
+                0,
+            )),
+            ..default
+        }
+    }
 }
 
 /// Collects problems. A wrong setting gets a stand-in value, so that the
@@ -311,6 +381,30 @@
         Arc::from(name)
     }
 
+    fn decisions(&mut self, set: Option<&str>, without: Option<&str>) -> Decisions {
+        let mut decisions = match set {
+            None | Some("" | "full") => Decisions::full(),
+            Some("plain") => Decisions::plain(),
+            Some(other) => {
+                let message = format!("`{}` is not a set of decisions", other.escape_debug());
+                self.report("--decisions", message, "use `full` or `plain`");
+                Decisions::full()
+            }
+        };
+        let names = without.unwrap_or_default().split(',').filter(|name| !name.is_empty());
+        for name in names {
+            if !decisions.switch_off(name) {
+                let message = format!("`{}` is not a decision", name.escape_debug());
+                self.report(
+                    "--without",
+                    message,
+                    format!("use some of {}", Decisions::NAMES.join(",")),
+                );
+            }
+        }
+        decisions
+    }
+
     fn addr(&mut self, flag: &str, value: Option<&str>) -> SocketAddr {
         let any = SocketAddr::from(([0, 0, 0, 0], 0));
         let Some(text) = value.filter(|text| !text.is_empty()) else {
