--- a/crates/cli/src/ops/client.rs
+++ b/crates/cli/src/ops/client.rs
@@ -160,9 +160,11 @@
 async fn exchange(request: ClientRequest, body: Vec<u8>) -> Result<(StatusCode, Vec<u8>), Failure> {
     let whole = async {
         let response = request.send_body(body).await.map_err(|error| {
-            let error = http::Error::from_client("", error);
-            let cause = error.cause().to_owned();
-            if error.is_unsent() { Failure::NotSent(cause) } else { Failure::NoAnswer(cause) }
+            let cause = error.to_string();
+            match http::Error::from_client("", error).is_unsent() {
+                true => Failure::NotSent(cause),
+                false => Failure::NoAnswer(cause),
+            }
         })?;
         let status = response.status();
         Ok((status, read_body(response).await?))
