--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -384,6 +384,7 @@
             resends: self.resends,
             threads: self.threads,
             direct: false,
+            records: true,
         }
     }
 }
--- /dev/null
+++ b/crates/load/src/commands/claims.rs
@@ -0,0 +1,234 @@
+//! `claims`: what a claim adds to a request, and appends a second, at rising
+//! load.
+//!
+//! Two classes of the preset are sent in turn at each rate: the first one that
+//! is idempotent and the first one that is not. Give a preset in which both
+//! run the same pools; the difference is then the claim.
+
+use std::{fmt::Write, str::FromStr, time::Duration};
+
+use bpaf::{Parser, construct, long};
+use peatdeck_macros::{data, message};
+use peatdeck_standin::log::LogState;
+
+use crate::{
+    args,
+    arrivals::Plan,
+    commands::ceiling::median,
+    control::Request,
+    error,
+    experiment::{self, Setup, Target},
+    launch, output,
+    preset::Preset,
+    report::Report,
+    workload::{Class, Workload},
+};
+
+/// Flags.
+#[data]
+pub struct Args {
+    /// The preset.
+    pub started: args::Started,
+    /// Requests a second.
+    pub rates: Vec<f64>,
+    /// Phases of each kind at each rate.
+    pub repeats: usize,
+    /// Length of a phase.
+    pub length: Duration,
+    /// The seed of the arrivals.
+    pub seed: u64,
+    /// Threads that send.
+    pub threads: usize,
+    /// Where results go.
+    pub output: args::Output,
+}
+
+/// Time at a phase's start that does not count.
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// What was found at one rate.
+#[message]
+pub struct Rate {
+    /// Requests a second.
+    pub rate: f64,
+    /// What the claim added to the p50, in milliseconds, in each repeat.
+    pub added_p50: Vec<f64>,
+    /// What the claim added to the p99, in milliseconds, in each repeat.
+    pub added_p99: Vec<f64>,
+    /// Appends a second while claims were made, in each repeat.
+    pub appends: Vec<f64>,
+    /// Appends a second that were over the log's rate, in each repeat.
+    pub limited: Vec<f64>,
+    /// Share of the claimed requests answered in time, in each repeat.
+    pub attainment: Vec<f64>,
+}
+
+/// Parses the flags.
+pub fn cli() -> impl Parser<Args> {
+    let started = args::started();
+    let rates = long("rates")
+        .help("Requests a second, apart by commas")
+        .argument::<String>("LIST")
+        .fallback("25,50,100,200,400".to_owned())
+        .display_fallback()
+        .parse(|text| parse_rates(&text));
+    let repeats = long("repeats")
+        .help("Phases of each kind at each rate")
+        .argument::<usize>("N")
+        .fallback(3)
+        .display_fallback();
+    let length = args::time("length", "Length of a phase", "6s");
+    let seed = long("seed")
+        .help("Seed of the arrivals")
+        .argument::<u64>("N")
+        .fallback(1)
+        .display_fallback();
+    let threads = long("threads")
+        .help("Threads that send")
+        .argument::<usize>("N")
+        .fallback(2)
+        .display_fallback();
+    let output = args::output();
+    construct!(Args { started, rates, repeats, length, seed, threads, output })
+}
+
+fn parse_rates(text: &str) -> Result<Vec<f64>, String> {
+    text.split(',')
+        .map(|rate| match f64::from_str(rate.trim()) {
+            Ok(rate) if rate.is_finite() && rate > 0.0 => Ok(rate),
+            _ => Err(format!("`{rate}` is not a rate; write them as `50,100,200`")),
+        })
+        .collect()
+}
+
+/// Measures.
+///
+/// # Errors
+/// If the preset lacks a class of either kind, or the system breaks.
+pub fn exec(args: &Args) -> error::Result<()> {
+    let named = args::Started {
+        preset: args.started.preset.clone().or_else(|| Some("thin".to_owned())),
+        count: args.started.count.or(Some(4)),
+        ..args.started.clone()
+    };
+    let preset = named.preset()?.expect("a name was filled in");
+    let plain = only(&preset, |class| class.idempotent)?;
+    let claimed = only(&preset, |class| !class.idempotent)?;
+    let system = launch::start(&preset, &named.launch()?)?;
+    let log = system.log();
+    let mut target = Target::Started(Box::new(system));
+    let mut rates = Vec::new();
+    let mut reports = Vec::new();
+    for rate in &args.rates {
+        let mut row = Rate::new(*rate);
+        for repeat in 0..args.repeats.max(1) {
+            let seed = args.seed + repeat as u64;
+            let without = phase(args, &preset, &plain, &mut target, *rate, seed)?;
+            let before = log_state(&log)?;
+            let with = phase(args, &preset, &claimed, &mut target, *rate, seed)?;
+            let after = log_state(&log)?;
+            row.add(args.length, &without, &with, &before, &after);
+            reports.extend([without, with]);
+        }
+        rates.push(row);
+    }
+    println!("{}", table(&rates, preset.entries));
+    if let Some(path) = &args.output.json {
+        args::write(path, &output::json(&rates))?;
+    }
+    output::refuse_violations(&reports)
+}
+
+/// The preset's traffic with its first class of one kind only.
+fn only(preset: &Preset, wanted: impl Fn(&Class) -> bool) -> error::Result<Workload> {
+    let class = preset.traffic.classes.iter().find(|class| wanted(class)).cloned();
+    let class = class.ok_or_else(|| error::Error::Setting {
+        problem: format!("preset {} lacks a class with claims or one without", preset.name),
+        remedy: "use a preset that has both, such as thin".into(),
+    })?;
+    let classes = vec![Class { share: 1.0, ..class }];
+    Ok(Workload { teams: preset.traffic.teams.clone(), classes })
+}
+
+fn phase(
+    args: &Args,
+    preset: &Preset,
+    workload: &Workload,
+    target: &mut Target,
+    rate: f64,
+    seed: u64,
+) -> error::Result<Report> {
+    let plan =
+        Plan { rate, length: args.length, bursts: Vec::new(), seed, tag: args::fresh_tag() };
+    let arrivals = plan.draw(workload);
+    let setup = Setup {
+        label: preset.name.clone(),
+        seed,
+        length: args.length,
+        warm_up: WARM_UP.min(args.length / 2),
+        capacity: None,
+        faults: Vec::new(),
+        resends: 0,
+        threads: args.threads,
+        direct: false,
+        records: true,
+    };
+    Ok(experiment::run(target, &setup, &arrivals)?.report)
+}
+
+fn log_state(log: &str) -> error::Result<LogState> {
+    Request::get(format!("{log}/control/state")).json()
+}
+
+impl Rate {
+    fn new(rate: f64) -> Rate {
+        Rate {
+            rate,
+            added_p50: Vec::new(),
+            added_p99: Vec::new(),
+            appends: Vec::new(),
+            limited: Vec::new(),
+            attainment: Vec::new(),
+        }
+    }
+
+    fn add(
+        &mut self,
+        length: Duration,
+        without: &Report,
+        with: &Report,
+        before: &LogState,
+        after: &LogState,
+    ) {
+        let seconds = length.as_secs_f64();
+        let appended = after.counts.appended - before.counts.appended;
+        let limited = after.counts.limited - before.counts.limited;
+        self.added_p50.push(with.latency.p50 - without.latency.p50);
+        self.added_p99.push(with.latency.p99 - without.latency.p99);
+        self.appends.push(appended as f64 / seconds);
+        self.limited.push(limited as f64 / seconds);
+        self.attainment.push(with.total.attainment());
+    }
+}
+
+/// The rates as a table; medians of the repeats.
+pub fn table(rates: &[Rate], entries: usize) -> String {
+    let mut text = format!(
+        "what a claim adds, {entries} entries, medians\n{:>8} {:>12} {:>12} {:>11} {:>11} {:>11}\n",
+        "rate /s", "p50, ms", "p99, ms", "appends /s", "limited /s", "attainment"
+    );
+    for rate in rates {
+        writeln!(
+            text,
+            "{:>8.0} {:>12.2} {:>12.2} {:>11.1} {:>11.1} {:>10.2}%",
+            rate.rate,
+            median(&rate.added_p50),
+            median(&rate.added_p99),
+            median(&rate.appends),
+            median(&rate.limited),
+            median(&rate.attainment) * 100.0,
+        )
+        .ok();
+    }
+    text
+}
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -70,6 +70,8 @@
     pub threads: usize,
     /// Whether requests go past the entries.
     pub direct: bool,
+    /// Whether the endpoints' records are read: cost and contradictions need them.
+    pub records: bool,
 }
 
 /// What a run gave.
@@ -228,7 +230,7 @@
         capacity: setup.capacity,
         events,
     };
-    let records = target.records()?;
+    let records = if setup.records { target.records()? } else { None };
     let document = target.document().unwrap_or_default();
     let Some(records) = records else {
         let violations = Ledger::new([]).violations(samples, &document);
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -17,24 +17,38 @@
 //! 4. [`report`] does the arithmetic, [`table`] and [`plot`] print it,
 //!    [`paired`] compares two settings.
 //!
+//! [`preset`] and [`launch`] start whole systems, [`system`] does to them what
+//! the schedule says, [`commands`] are what the tool offers.
+//!
 //! Traps: latency counts from the planned time, not from the send; a run in
 //! which the tool's own delay is large says nothing about the system.
 
+pub mod args;
 pub mod arrivals;
 pub mod balancer;
 pub mod caller;
+pub mod children;
+pub mod cli;
+pub mod commands;
+pub mod control;
 pub mod direct;
 pub mod driver;
 pub mod error;
 pub mod events;
+pub mod experiment;
+pub mod launch;
+pub mod output;
 pub mod paired;
 pub mod plot;
+pub mod preset;
 pub mod process;
+pub mod records;
 pub mod report;
 pub mod runtime;
 pub mod sample;
 pub mod schedule;
 pub mod span;
+pub mod system;
 pub mod table;
 pub mod trace;
 pub mod verify;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,2 +1,10 @@
-//! Placeholder.
-fn main() {}
+//! `peatdeck-load`: load and experiments against real processes.
+
+use peatdeck_load::cli;
+use peatdeck_util::logging;
+
+fn main() -> miette::Result<()> {
+    let command = cli::options().run();
+    logging::start(logging::Format::Text, "warn");
+    Ok(cli::exec(&command)?)
+}
