--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -114,11 +114,15 @@
             http::json(&self.addr, response, MAX_READ).await
         })
         .await?;
-        parse(stream, reply)
+        parse(stream, range.from, reply)
     }
 }
 
-fn parse<R: DeserializeOwned>(stream: Stream, reply: ReadReply) -> Result<Batch<R>, Error> {
+fn parse<R: DeserializeOwned>(
+    stream: Stream,
+    from: Offset,
+    reply: ReadReply,
+) -> Result<Batch<R>, Error> {
     let mut entries = Vec::with_capacity(reply.records.len());
     for body in reply.records {
         let record = serde_json::from_str(&body.data).map_err(|cause| Error::Unreadable {
@@ -128,5 +132,5 @@
         })?;
         entries.push(Entry { offset: body.offset, time_ms: body.time_ms, record });
     }
-    Ok(Batch { earliest: reply.earliest, next: reply.next, now_ms: reply.now_ms, entries })
+    Ok(Batch { from, earliest: reply.earliest, next: reply.next, now_ms: reply.now_ms, entries })
 }
