Let a request through against the estimate from time to time

An estimate that says that nothing can be in time would otherwise never meet a request that could correct it.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -48,6 +48,7 @@
 use slotmap::SlotMap;
 
 use crate::{
+    admission::probe::Probe,
     budget, claims, config_log, endpoints,
     instance::{
         action::Action,
@@ -62,7 +63,7 @@
         timers::{Timer, Timers},
     },
     membership,
-    model::{AppendId, CallerId, RequestId, TeamName},
+    model::{AppendId, CallerId, PipelineName, RequestId, TeamName},
     record::Offset,
 };
 
@@ -82,6 +83,7 @@
     calls: SlotMap<CallKey, Flight>,
     callers: HashMap<CallerId, RequestKey>,
     single: HashMap<RequestId, RequestKey>,
+    probes: HashMap<PipelineName, Probe>,
     teams: HashMap<TeamName, TeamUse>,
     lanes: Lanes,
     latencies: Latencies,
@@ -128,6 +130,7 @@
             calls: SlotMap::with_key(),
             callers: HashMap::new(),
             single: HashMap::new(),
+            probes: HashMap::new(),
             teams: HashMap::new(),
             lanes: Lanes::new(settings.decisions.fair_queue),
             latencies: Latencies::new(),
--- a/crates/core/src/instance/admit.rs
+++ b/crates/core/src/instance/admit.rs
@@ -42,8 +42,8 @@
         let accepted = accepted(&plan, request)?;
         self.check_repeat(&request.id, accepted.digest)?;
         self.check_endpoints(&accepted.pipeline)?;
-        self.check_feasible(request, &plan, &accepted)?;
-        Ok(accepted)
+        let probe = self.check_feasible(request, &plan, &accepted)?;
+        Ok(Accepted { probe, ..accepted })
     }
 
     fn check_open(&self) -> Result<(), Outcome> {
@@ -77,19 +77,31 @@
         if all { Ok(()) } else { Err(refused(RefusalKind::NoEndpoint)) }
     }
 
+    /// True for a request that is let through against the estimate.
     fn check_feasible(
         &mut self,
         request: &Request,
         plan: &Plan,
         accepted: &Accepted,
-    ) -> Result<(), Outcome> {
+    ) -> Result<bool, Outcome> {
         if !self.settings.decisions.admission {
-            return Ok(());
+            return Ok(false);
         }
         let Accepted { pipeline, team, .. } = accepted;
         let estimate = self.estimate(request, pipeline, team.weight, team.max_running);
         let decision = self.decide(request, plan, &estimate);
-        decision.map_err(|refusal| Outcome::NotRun(admission::spread(refusal, &mut self.rng)))
+        let probe = self.probes.entry(pipeline.name.clone()).or_default();
+        match decision {
+            Ok(()) => {
+                probe.admitted(self.now);
+                Ok(false)
+            }
+            Err(refusal) if refusal.kind == RefusalKind::Infeasible && probe.is_due(self.now) => {
+                probe.admitted(self.now);
+                Ok(true)
+            }
+            Err(refusal) => Err(Outcome::NotRun(admission::spread(refusal, &mut self.rng))),
+        }
     }
 
     fn hold(&mut self, caller: CallerId, request: Request, accepted: Accepted) {
@@ -104,6 +116,7 @@
             written: 0,
             progress,
             reports: Vec::new(),
+            probe: accepted.probe,
             weight: accepted.team.weight,
             request,
         });
@@ -150,13 +163,19 @@
     pub(super) pipeline: Rc<Pipeline>,
     pub(super) team: Rc<Team>,
     digest: u64,
+    probe: bool,
 }
 
 fn accepted(plan: &Plan, request: &Request) -> Result<Accepted, Outcome> {
     let pipeline = plan.pipeline(&request.pipeline);
     let pipeline = pipeline.ok_or(Outcome::Invalid(Invalid::UnknownPipeline))?;
     let team = plan.team(&request.id.team).ok_or(Outcome::Invalid(Invalid::UnknownTeam))?;
-    Ok(Accepted { pipeline: pipeline.clone(), team: team.clone(), digest: digest(request) })
+    Ok(Accepted {
+        pipeline: pipeline.clone(),
+        team: team.clone(),
+        digest: digest(request),
+        probe: false,
+    })
 }
 
 /// Digest of what must be equal in two requests with the same key.
--- a/crates/core/src/instance/held.rs
+++ b/crates/core/src/instance/held.rs
@@ -51,6 +51,9 @@
     pub progress: Progress,
     /// The stages that are done.
     pub reports: Vec<StageReport>,
+    /// Whether it was let through against the estimate, so that the estimate
+    /// can change. It is not given up by that estimate either.
+    pub probe: bool,
     /// Weight of its team.
     pub weight: u32,
 }
@@ -136,6 +139,8 @@
     pub sent: Duration,
     /// When the last piece came; `None` before the first.
     pub heard: Option<Duration>,
+    /// Pieces that it brought.
+    pub pieces: u32,
     /// Pieces that came ahead of their turn.
     pub early: BTreeMap<u32, Text>,
 }
--- a/crates/core/src/instance/lanes.rs
+++ b/crates/core/src/instance/lanes.rs
@@ -33,9 +33,10 @@
         Lanes { by_pool: BTreeMap::new(), fair }
     }
 
-    /// The pools that something has waited for.
+    /// The pools that something waits for.
     pub fn pools(&self) -> Vec<PoolName> {
-        self.by_pool.keys().cloned().collect()
+        let waiting = self.by_pool.iter().filter(|(_, lane)| !lane.queue.is_empty());
+        waiting.map(|(pool, _)| pool.clone()).collect()
     }
 
     /// Adds a call to its pool's queue.
--- a/crates/core/src/instance/replies.rs
+++ b/crates/core/src/instance/replies.rs
@@ -79,6 +79,7 @@
         }
         let flight = &mut self.calls[call];
         flight.heard = Some(self.now);
+        flight.pieces += 1;
         flight.early.insert(index, text);
         self.take_pieces(key, call);
         self.set_stall(key, call);
--- a/crates/core/src/instance/stages.rs
+++ b/crates/core/src/instance/stages.rs
@@ -95,6 +95,7 @@
             attempt: held.progress.attempts,
             sent: self.now,
             heard: None,
+            pieces: 0,
             early: Default::default(),
         });
         held.progress.calls.push(call);
@@ -174,7 +175,7 @@
     }
 
     fn is_hopeless(&self, key: RequestKey) -> bool {
-        if !self.settings.decisions.admission {
+        if !self.settings.decisions.admission || self.held[key].probe {
             return false;
         }
         self.stage_time(key).is_none()
@@ -298,7 +299,7 @@
     pub(super) fn cancel(&mut self, call: CallKey) {
         let Some(flight) = self.calls.remove(call) else { return };
         self.counters.cancelled += 1;
-        self.end_call(&flight, CallResult::Cancelled, None);
+        self.end_call(&flight, CallResult::Cancelled, (flight.pieces > 0).then_some(flight.pieces));
         self.actions.push(Action::Cancel(call.id()));
     }
 
