Give each attempt of a publish its own reply in the tests

The fake read only a part of the request and closed, so every attempt ended as a reset and the two tests of doubtful answers could not fail. It now reads the whole request; both were seen to fail with the logic they guard taken out.

--- a/crates/cli/tests/testsuite/publish.rs
+++ b/crates/cli/tests/testsuite/publish.rs
@@ -1,6 +1,9 @@
 //! `peatdeck publish`.
 
-use std::io::{Read, Write};
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::TcpListener,
+};
 
 use expect_test::expect;
 use peatdeck_test_support::platform::AppendFault;
@@ -107,27 +110,39 @@
         exit 1
           x cannot reach peatdeck-admin at http://127.0.0.1:1: Connection refused (os error 111)
           help: check --admin (PEATDECK_ADMIN) and that it runs; nothing was done
-    "#]].assert_eq(&support::run(bench.token.clone(), &args).await);
+    "#]]
+    .assert_eq(&support::run(bench.token.clone(), &args).await);
 }
 
 /// Publishes to something that gives these bytes to each attempt in turn.
 async fn publish_to(name: &str, replies: [&'static str; 3]) -> String {
     let bench = Bench::start(name).await;
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let url = format!("http://{}", listener.local_addr().unwrap());
-    let server = std::thread::spawn(move || {
-        for reply in replies {
-            let (mut stream, _) = listener.accept().unwrap();
-            let mut head = [0; 64];
-            stream.read_exact(&mut head).unwrap();
-            stream.write_all(reply.as_bytes()).unwrap();
-        }
-    });
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let url = format!("http://{}", listener.local_addr().expect("bound"));
+    std::thread::spawn(move || replies.into_iter().try_for_each(|reply| give(&listener, reply)));
     let file = bench.file("fleet.toml", TEAM);
     let args = [&PUBLISH[..], &["--admin", &url, "--base", "0", &file]].concat();
-    let answer = support::run(bench.token.clone(), &args).await;
-    server.join().unwrap();
-    answer
+    support::run(bench.token.clone(), &args).await
+}
+
+/// Reads one request whole, gives the reply and closes.
+fn give(listener: &TcpListener, reply: &str) -> std::io::Result<()> {
+    let (mut stream, _) = listener.accept()?;
+    let mut request = BufReader::new(stream.try_clone()?);
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        request.read_line(&mut line)?;
+        let line = line.trim_end().to_ascii_lowercase();
+        if let Some(value) = line.strip_prefix("content-length: ") {
+            length = value.parse().map_err(std::io::Error::other)?;
+        }
+        if line.is_empty() {
+            break;
+        }
+    }
+    request.read_exact(&mut vec![0; length])?;
+    stream.write_all(reply.as_bytes())
 }
 
 const CUT: &str = "";
