Say "not run" of a repeat only where its claim was read

A caller that sends a request again after a cut says so with `repeat`. An instance that cannot read the claims then cannot know whether the earlier attempt ran, and says so; before, it said "not run" of a request that may have run. A key whose claim is already known skips the refusals for the same reason: its holder is asked.

--- a/crates/core/src/instance/admit.rs
+++ b/crates/core/src/instance/admit.rs
@@ -31,16 +31,24 @@
         self.counters.received += 1;
         match self.admit(&request) {
             Ok(accepted) => self.hold(caller, request, accepted),
-            Err(outcome) => self.send(caller, outcome),
+            Err(outcome) => self.send(caller, truthful(&request, false, outcome)),
         }
     }
 
     /// Every reason not to take a request, cheapest first.
     fn admit(&mut self, request: &Request) -> Result<Accepted, Outcome> {
-        self.check_open()?;
+        let digest = digest(request);
+        self.check_repeat(&request.id, digest)?;
+        let claimed = !request.idempotent && self.claims.holder(&request.id).is_some();
+        if !claimed {
+            self.check_open()?;
+        }
         let plan = self.plan.clone().ok_or_else(|| refused(RefusalKind::NotReady))?;
-        let accepted = accepted(&plan, request)?;
-        self.check_repeat(&request.id, accepted.digest)?;
+        let accepted = accepted(&plan, request, digest)?;
+        if claimed {
+            // "Not run" would be untrue: the holder of the claim is asked instead.
+            return Ok(accepted);
+        }
         self.check_endpoints(&accepted.pipeline)?;
         let probe = self.check_feasible(request, &plan, &accepted)?;
         Ok(Accepted { probe, ..accepted })
@@ -166,16 +174,11 @@
     probe: bool,
 }
 
-fn accepted(plan: &Plan, request: &Request) -> Result<Accepted, Outcome> {
+fn accepted(plan: &Plan, request: &Request, digest: u64) -> Result<Accepted, Outcome> {
     let pipeline = plan.pipeline(&request.pipeline);
     let pipeline = pipeline.ok_or(Outcome::Invalid(Invalid::UnknownPipeline))?;
     let team = plan.team(&request.id.team).ok_or(Outcome::Invalid(Invalid::UnknownTeam))?;
-    Ok(Accepted {
-        pipeline: pipeline.clone(),
-        team: team.clone(),
-        digest: digest(request),
-        probe: false,
-    })
+    Ok(Accepted { pipeline: pipeline.clone(), team: team.clone(), digest, probe: false })
 }
 
 /// Digest of what must be equal in two requests with the same key.
@@ -187,6 +190,17 @@
     hasher.digest()
 }
 
+/// The outcome as it may be told. "Not run" speaks for the request, and a
+/// repeat whose claim was not read cannot know of its earlier attempts.
+pub(super) fn truthful(request: &Request, won: bool, outcome: Outcome) -> Outcome {
+    match outcome {
+        Outcome::NotRun(refusal) if request.repeat && !request.idempotent && !won => {
+            doubt(DoubtKind::EarlierUnknown, None, Some(refusal.retry_after))
+        }
+        outcome => outcome,
+    }
+}
+
 /// A refusal by this instance that another instance may not share.
 pub(super) fn refused(kind: RefusalKind) -> Outcome {
     Outcome::NotRun(Refusal { kind, retry_after: RETRY_ELSEWHERE })
--- a/crates/core/src/instance/ending.rs
+++ b/crates/core/src/instance/ending.rs
@@ -4,6 +4,7 @@
     instance::{
         Instance,
         action::Action,
+        admit::truthful,
         finished::Ended,
         held::{ClaimState, Held, RequestKey},
     },
@@ -18,7 +19,8 @@
         self.settle_claim(&held, &outcome);
         if let Some(caller) = held.caller {
             self.callers.remove(&caller);
-            self.send(caller, outcome);
+            let won = held.claim.is_some_and(|claim| claim.state == ClaimState::Won);
+            self.send(caller, truthful(&held.request, won, outcome));
         }
     }
 
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -68,6 +68,8 @@
     pub deadline: Duration,
     /// Whether running it twice does no harm.
     pub idempotent: bool,
+    /// Whether the caller sent it before and does not know what became of it.
+    pub repeat: bool,
     /// Whether the answer's text is wanted piece by piece.
     pub stream: bool,
     /// The first stage's input.
@@ -194,6 +196,9 @@
     ClaimedElsewhere,
     /// The request already ran to its end; its answer is not kept here.
     AlreadyFinished,
+    /// Nothing of this attempt ran; what became of an earlier one cannot be
+    /// known now.
+    EarlierUnknown,
 }
 
 /// Why a request is wrong in itself.
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -67,6 +67,7 @@
         pipeline: PipelineName::from(pipeline),
         deadline,
         idempotent: body.idempotent,
+        repeat: body.repeat,
         stream: body.stream,
         input: body.input,
     })
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -230,6 +230,11 @@
             "this request has already run to its end; its answer is not kept here",
             "check whether its effect took place; do not send it again under a new id",
         ),
+        DoubtKind::EarlierUnknown => (
+            "earlier_unknown",
+            "nothing of this attempt ran; what became of an earlier one cannot be known now",
+            "send it again with the same id and `repeat` true after the given time",
+        ),
     };
     Words { code, message, remedy }
 }
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -70,6 +70,7 @@
         team: arrival.team.clone(),
         deadline_ms: i64::try_from(left.as_millis()).unwrap_or(i64::MAX),
         idempotent: arrival.idempotent,
+        repeat: false,
         stream: arrival.stream,
         input: arrival.input.clone(),
     };
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -31,6 +31,10 @@
     /// Whether running it twice does no harm. False unless said.
     #[serde(default)]
     pub idempotent: bool,
+    /// Whether it was sent before and its outcome is not known, as after a cut
+    /// connection. "Not run" then speaks for the earlier attempts too.
+    #[serde(default)]
+    pub repeat: bool,
     /// Whether the text is wanted piece by piece.
     #[serde(default)]
     pub stream: bool,
