--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -144,8 +144,7 @@
 
 /// Parses [`Traffic`].
 pub fn traffic() -> impl Parser<Traffic> {
-    let rate =
-        long("rate").help("Requests a second").argument::<f64>("N").optional();
+    let rate = long("rate").help("Requests a second").argument::<f64>("N").optional();
     let load = long("load")
         .help("Requests a second as a multiple of the preset's capacity")
         .argument::<f64>("FACTOR")
@@ -169,10 +168,8 @@
         .help("A fault, KIND@AT[,KEY=VALUE]…, such as straggler@5s,factor=10,length=10s; may be repeated")
         .argument::<String>("FAULT")
         .many();
-    let schedule = long("schedule")
-        .help("Faults as a TOML file")
-        .argument::<PathBuf>("FILE")
-        .optional();
+    let schedule =
+        long("schedule").help("Faults as a TOML file").argument::<PathBuf>("FILE").optional();
     let resends = long("resends")
         .help("How often a caller sends again after a refusal, when Retry-After says so")
         .argument::<u32>("N")
@@ -201,10 +198,8 @@
 /// Parses [`Output`].
 pub fn output() -> impl Parser<Output> {
     let json = long("json").help("Write the report as JSON").argument::<PathBuf>("FILE").optional();
-    let svg = long("svg")
-        .help("Draw attainment over time as SVG")
-        .argument::<PathBuf>("FILE")
-        .optional();
+    let svg =
+        long("svg").help("Draw attainment over time as SVG").argument::<PathBuf>("FILE").optional();
     let samples = long("samples")
         .help("Write every request's end, a line of JSON each")
         .argument::<PathBuf>("FILE")
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -41,11 +41,7 @@
             let other = format!("the answer carries the id {}", body.id);
             return Reply::bare(Ending::Wrong(other.into()));
         }
-        Reply {
-            output: Some(body.output),
-            stages: body.stages,
-            ..Reply::bare(Ending::Answered)
-        }
+        Reply { output: Some(body.output), stages: body.stages, ..Reply::bare(Ending::Answered) }
     }
 
     fn error(body: caller::ErrorBody) -> Reply {
@@ -114,11 +110,7 @@
     }
 }
 
-async fn read_events(
-    mut response: ClientResponse,
-    id: &str,
-    sent: std::time::Instant,
-) -> Reply {
+async fn read_events(mut response: ClientResponse, id: &str, sent: std::time::Instant) -> Reply {
     let mut parser = events::Parser::default();
     let mut first_token = None;
     let mut text = String::new();
--- a/crates/load/src/children.rs
+++ b/crates/load/src/children.rs
@@ -94,8 +94,10 @@
             None => own_dir()?,
         };
         if let Some(logs) = &logs {
-            std::fs::create_dir_all(logs)
-                .map_err(|source| error::Error::File { path: logs.display().to_string(), source })?;
+            std::fs::create_dir_all(logs).map_err(|source| error::Error::File {
+                path: logs.display().to_string(),
+                source,
+            })?;
         }
         Ok(Children { bin_dir, logs, children: Vec::new() })
     }
@@ -182,11 +184,7 @@
     rx
 }
 
-fn wait_for(
-    lines: &mpsc::Receiver<String>,
-    start: &str,
-    name: &str,
-) -> error::Result<Arc<str>> {
+fn wait_for(lines: &mpsc::Receiver<String>, start: &str, name: &str) -> error::Result<Arc<str>> {
     loop {
         let Ok(line) = lines.recv_timeout(START_TIME) else {
             let message = format!("{name} did not write `{}…`", start);
--- a/crates/load/src/commands/ceiling.rs
+++ b/crates/load/src/commands/ceiling.rs
@@ -191,12 +191,7 @@
     }
 }
 
-fn try_rate(
-    args: &Args,
-    preset: &Preset,
-    target: &mut Target,
-    rate: f64,
-) -> error::Result<Rate> {
+fn try_rate(args: &Args, preset: &Preset, target: &mut Target, rate: f64) -> error::Result<Rate> {
     let mut tried = Rate {
         rate,
         held: false,
@@ -249,8 +244,7 @@
     seed: u64,
     direct: bool,
 ) -> error::Result<Report> {
-    let plan =
-        Plan { rate, length: args.length, bursts: Vec::new(), seed, tag: args::fresh_tag() };
+    let plan = Plan { rate, length: args.length, bursts: Vec::new(), seed, tag: args::fresh_tag() };
     let arrivals = plan.draw(&preset.traffic);
     let setup = Setup {
         label: preset.name.clone(),
@@ -303,7 +297,8 @@
 
 fn table(ceiling: &Ceiling, bound: Duration) -> String {
     let mut text = String::new();
-    let rate = |rate: Option<f64>| rate.map_or_else(|| "none".to_owned(), |rate| format!("{rate:.0}/s"));
+    let rate =
+        |rate: Option<f64>| rate.map_or_else(|| "none".to_owned(), |rate| format!("{rate:.0}/s"));
     writeln!(
         text,
         "held {}, not held {} (added p99 over {:.1} ms or fewer than {:.1}% answered)",
--- a/crates/load/src/commands/claims.rs
+++ b/crates/load/src/commands/claims.rs
@@ -158,8 +158,7 @@
     rate: f64,
     seed: u64,
 ) -> error::Result<Report> {
-    let plan =
-        Plan { rate, length: args.length, bursts: Vec::new(), seed, tag: args::fresh_tag() };
+    let plan = Plan { rate, length: args.length, bursts: Vec::new(), seed, tag: args::fresh_tag() };
     let arrivals = plan.draw(workload);
     let setup = Setup {
         label: preset.name.clone(),
--- a/crates/load/src/commands/in_force.rs
+++ b/crates/load/src/commands/in_force.rs
@@ -136,9 +136,8 @@
     };
     let entries: Vec<Entry> = system.live_entries().to_vec();
     let next = current.version + 1;
-    let watch = std::thread::spawn(move || {
-        runtime::block_on(async move { watch(&entries, next).await })
-    });
+    let watch =
+        std::thread::spawn(move || runtime::block_on(async move { watch(&entries, next).await }));
     let request = Request::post(format!("{}/v1/config/publish", admin.url), &body);
     let reply: error::Result<PublishReply> = request.token(&admin.token).json();
     let seen = watch.join().expect("watching does not panic");
--- a/crates/load/src/direct.rs
+++ b/crates/load/src/direct.rs
@@ -47,9 +47,7 @@
         patience: Duration,
     ) -> Reply {
         match ntex::time::timeout(patience, self.run(client, arrival, left)).await {
-            Ok(Some(output)) => {
-                Reply { output: Some(output), ..Reply::bare(Ending::Answered) }
-            }
+            Ok(Some(output)) => Reply { output: Some(output), ..Reply::bare(Ending::Answered) },
             Ok(None) => Reply::bare(Ending::Cut),
             Err(()) => Reply::bare(Ending::Silent),
         }
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -106,10 +106,9 @@
     /// If it cannot be read.
     pub fn listing(&self) -> error::Result<Listing> {
         match self {
-            Target::Given(given) => given
-                .list
-                .as_deref()
-                .map_or_else(|| Ok(Listing::default()), records::listing),
+            Target::Given(given) => {
+                given.list.as_deref().map_or_else(|| Ok(Listing::default()), records::listing)
+            }
             Target::Started(system) => records::listing(&system.list()),
         }
     }
@@ -164,9 +163,7 @@
 /// Bursts are part of the arrivals; everything else needs a started system.
 fn check_faults(target: &Target, faults: &[Fault]) -> error::Result<()> {
     match target {
-        Target::Started(system) => {
-            faults.iter().try_for_each(|fault| system.check(&fault.kind))
-        }
+        Target::Started(system) => faults.iter().try_for_each(|fault| system.check(&fault.kind)),
         Target::Given(_) => {
             let other = faults.iter().find(|fault| !matches!(fault.kind, Kind::Burst { .. }));
             match other {
--- a/crates/load/src/launch.rs
+++ b/crates/load/src/launch.rs
@@ -70,9 +70,7 @@
     let mut children = Children::new(launch.bin_dir.clone(), launch.logs.clone())?;
     let log = children.start(Command::new("peatdeck-standin", "log").arg("log"))?;
     let list = children.start(
-        Command::new("peatdeck-standin", "list")
-            .arg("list")
-            .pair("--lag-ms", LIST_LAG.as_millis()),
+        Command::new("peatdeck-standin", "list").arg("list").pair("--lag-ms", LIST_LAG.as_millis()),
     )?;
     let endpoints = start_endpoints(preset, &mut children)?;
     let admin = start_admin(&mut children, &log, &list)?;
@@ -94,10 +92,7 @@
     })
 }
 
-fn start_endpoints(
-    preset: &Preset,
-    children: &mut Children,
-) -> error::Result<Vec<EndpointEntry>> {
+fn start_endpoints(preset: &Preset, children: &mut Children) -> error::Result<Vec<EndpointEntry>> {
     let mut endpoints = Vec::new();
     for service in &preset.services {
         for index in 0..service.endpoints {
@@ -189,9 +184,8 @@
 fn wait_ready(entries: &[Entry]) -> error::Result<()> {
     let tries = READY_TIME.as_millis() / READY_EVERY.as_millis();
     for _ in 0..tries {
-        let ready = entries
-            .iter()
-            .all(|entry| runtime::get(&format!("{}/readyz", entry.url)).is_some());
+        let ready =
+            entries.iter().all(|entry| runtime::get(&format!("{}/readyz", entry.url)).is_some());
         if ready {
             return Ok(());
         }
--- a/crates/load/src/output.rs
+++ b/crates/load/src/output.rs
@@ -1,11 +1,6 @@
 //! Prints and writes what runs gave.
 
-use crate::{
-    args, error,
-    experiment::Outcome,
-    plot,
-    report::Report,
-};
+use crate::{args, error, experiment::Outcome, plot, report::Report};
 
 /// Prints a run's report and writes the files that were asked for.
 ///
@@ -31,9 +26,7 @@
 ///
 /// # Errors
 /// [`error::Error::Violations`].
-pub fn refuse_violations<'a>(
-    reports: impl IntoIterator<Item = &'a Report>,
-) -> error::Result<()> {
+pub fn refuse_violations<'a>(reports: impl IntoIterator<Item = &'a Report>) -> error::Result<()> {
     let count = reports.into_iter().map(|report| report.violations.len()).sum();
     if count == 0 { Ok(()) } else { Err(error::Error::Violations(count)) }
 }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -236,10 +236,7 @@
 /// Microseconds in a millisecond.
 const MICROS_IN_MILLI: f64 = 1000.0;
 
-fn shares(
-    samples: &[&Sample],
-    key: impl Fn(&Sample) -> Arc<str>,
-) -> BTreeMap<Arc<str>, Share> {
+fn shares(samples: &[&Sample], key: impl Fn(&Sample) -> Arc<str>) -> BTreeMap<Arc<str>, Share> {
     let mut shares: BTreeMap<Arc<str>, Share> = BTreeMap::new();
     for sample in samples {
         shares.entry(key(sample)).or_default().add(sample);
--- a/crates/load/src/schedule.rs
+++ b/crates/load/src/schedule.rs
@@ -107,11 +107,9 @@
 }
 
 /// How a fault is written in a flag.
-const USAGE: &str =
-    "KIND@AT[,KEY=VALUE]…, such as `straggler@5s,factor=10,length=10s` or `kill-engines@8s,count=2`";
+const USAGE: &str = "KIND@AT[,KEY=VALUE]…, such as `straggler@5s,factor=10,length=10s` or `kill-engines@8s,count=2`";
 /// The kinds, for messages.
-const KINDS: &str =
-    "straggler, kill-engines, kill-entry, burst, late-load, log-outage, drain";
+const KINDS: &str = "straggler, kill-engines, kill-entry, burst, late-load, log-outage, drain";
 /// Times as long that a straggler takes where nothing is said.
 const STRAGGLE: f64 = 10.0;
 /// Times as often that requests arrive in a burst where nothing is said.
@@ -173,8 +171,7 @@
     let mut parts = text.split(',');
     let head = parts.next().unwrap_or_default();
     let (kind, at) = head.split_once('@').ok_or("there is no `@` with a time")?;
-    let mut written =
-        Written { kind: kind.to_owned(), at: at.to_owned(), ..Written::default() };
+    let mut written = Written { kind: kind.to_owned(), at: at.to_owned(), ..Written::default() };
     for part in parts {
         let (key, value) = part.split_once('=').ok_or(format!("`{part}` has no `=`"))?;
         match key {
@@ -215,9 +212,7 @@
                 Kind::LateLoad { delay: delay.ok_or("late load needs `delay`")?, length }
             }
             "log-outage" => Kind::LogOutage { length },
-            "drain" => {
-                Kind::Drain { endpoint: self.endpoint.ok_or("a drain needs `endpoint`")? }
-            }
+            "drain" => Kind::Drain { endpoint: self.endpoint.ok_or("a drain needs `endpoint`")? },
             other => return Err(format!("there is no kind `{other}`; the kinds are {KINDS}")),
         };
         Ok(Fault { at, kind })
--- a/crates/load/src/table.rs
+++ b/crates/load/src/table.rs
@@ -29,7 +29,11 @@
 }
 
 fn shares(report: &Report, f: &mut Formatter<'_>) -> fmt::Result {
-    writeln!(f, "\n{:<28} {:>8} {:>9} {:>8} {:>8} {:>11}", "", "planned", "answered", "in time", "not run", "attainment")?;
+    writeln!(
+        f,
+        "\n{:<28} {:>8} {:>9} {:>8} {:>8} {:>11}",
+        "", "planned", "answered", "in time", "not run", "attainment"
+    )?;
     share("all", &report.total, f)?;
     for (team, part) in &report.teams {
         share(&format!("team {team}"), part, f)?;
@@ -61,7 +65,11 @@
 }
 
 fn times(report: &Report, f: &mut Formatter<'_>) -> fmt::Result {
-    writeln!(f, "\n{:<16} {:>8} {:>9} {:>9} {:>9} {:>9} {:>9}", "times, ms", "count", "p50", "p90", "p99", "p99.9", "max")?;
+    writeln!(
+        f,
+        "\n{:<16} {:>8} {:>9} {:>9} {:>9} {:>9} {:>9}",
+        "times, ms", "count", "p50", "p90", "p99", "p99.9", "max"
+    )?;
     quantiles("answer", &report.latency, f)?;
     quantiles("first token", &report.first_token, f)?;
     quantiles("tool's delay", &report.lag, f)
--- a/crates/load/src/trace.rs
+++ b/crates/load/src/trace.rs
@@ -75,8 +75,7 @@
             check_header(&line)?;
             continue;
         }
-        let line: Line =
-            serde_json::from_str(&line).map_err(|err| bad(number, err.to_string()))?;
+        let line: Line = serde_json::from_str(&line).map_err(|err| bad(number, err.to_string()))?;
         let arrival = Arrival::from(line);
         if arrivals.last().is_some_and(|last| last.at > arrival.at) {
             return Err(bad(number, "`at_us` is smaller than on the line before".to_owned()));
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -75,8 +75,8 @@
     /// # Errors
     /// If the text is no workload, or nothing could be drawn from it.
     pub fn parse(text: &str) -> Result<Workload, error::Error> {
-        let workload: Workload = toml::from_str(text)
-            .map_err(|err| error::Error::Workload(err.message().to_owned()))?;
+        let workload: Workload =
+            toml::from_str(text).map_err(|err| error::Error::Workload(err.message().to_owned()))?;
         workload.check()?;
         Ok(workload)
     }
