Judge limits by calls that were cut, too, and by shorter reported queues

Calls cancelled at the deadline taught the limit nothing, so an overloaded endpoint was judged by its few quick calls.

--- a/crates/core/examples/pool/world.rs
+++ b/crates/core/examples/pool/world.rs
@@ -347,6 +347,14 @@
         self.dispatch(instance);
     }
 
+    /// A call that the deadline cuts short would have taken longer still.
+    fn record_cut(&mut self, request: usize) {
+        let Request { instance, ref calls, .. } = self.requests[request];
+        let open = calls.iter().map(|call| &self.calls[*call]).filter(|call| !call.over);
+        let took = &mut self.instances[instance].took;
+        open.for_each(|call| took.record(self.now, self.now - call.sent));
+    }
+
     fn cancel_all(&mut self, request: usize) {
         for call in self.requests[request].calls.clone() {
             self.end_call(call, CallResult::Cancelled);
@@ -378,6 +386,7 @@
         let inst = &mut self.instances[self.requests[request].instance];
         inst.queue.remove(request);
         inst.drain.waiting(self.now, !inst.queue.is_empty());
+        self.record_cut(request);
         self.cancel_all(request);
     }
 
--- a/crates/core/src/endpoints/entry.rs
+++ b/crates/core/src/endpoints/entry.rs
@@ -94,6 +94,8 @@
     /// Seconds a whole call.
     whole: Option<f64>,
     at: Duration,
+    /// Whether the endpoint says how many tokens it made.
+    by_token: bool,
     /// Share of calls that went well.
     good: f64,
 }
@@ -254,7 +256,7 @@
             CallResult::Ok => self.succeeded(now, sent, end, in_flight),
             CallResult::Refused(reason) => self.refused(now, sent, reason),
             CallResult::Failed => self.failed(now, sent, pool.may_eject),
-            CallResult::Cancelled => self.cancelled(now, sent, end, pool),
+            CallResult::Cancelled => self.cancelled(now, end, in_flight, pool),
             CallResult::Distrusted => self.distrusted(now),
         }
     }
@@ -309,8 +311,9 @@
         if self.health.succeeded(sent) {
             self.ramp = Some(now);
         }
-        let unit = end.took.div_f64(f64::from(end.tokens.unwrap_or(1).max(1)));
-        self.limit.succeeded(now, unit, in_flight);
+        let unit = unit(end);
+        self.speed.by_token |= end.tokens.is_some();
+        self.limit.ended(now, unit, in_flight);
         self.speed.record(now, unit, end.took);
     }
 
@@ -322,13 +325,17 @@
     }
 
     /// A cancelled call tells nothing, unless it took so long that it hung.
-    fn cancelled(&mut self, now: Duration, sent: Duration, end: &CallEnd, pool: PoolView) {
+    fn cancelled(&mut self, now: Duration, end: &CallEnd, in_flight: u32, pool: PoolView) {
+        let sent = now.saturating_sub(end.took);
         let hung = pool.usual.is_some_and(|usual| end.took > usual.mul_f64(HUNG_FACTOR));
         if hung {
             self.failed(now, sent, pool.may_eject);
         } else {
             self.health.undecided(now, sent);
         }
+        if !self.speed.by_token || end.tokens.is_some() {
+            self.limit.cancelled(now, unit(end), in_flight);
+        }
     }
 
     fn failed(&mut self, now: Duration, sent: Duration, may_eject: bool) {
@@ -355,6 +362,11 @@
     }
 }
 
+/// The time of a call, for an engine per token.
+fn unit(end: &CallEnd) -> Duration {
+    end.took.div_f64(f64::from(end.tokens.unwrap_or(1).max(1)))
+}
+
 fn averaged(old: Option<f64>, new: f64) -> f64 {
     let old = old.unwrap_or(new);
     old + (new - old) * NEWEST
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -38,7 +38,7 @@
 /// Rise of the median over the usual level that counts as congestion.
 const TOLERANCE: f64 = 2.0;
 /// Reported queue, as a share of the endpoint's places, that counts as congestion.
-const QUEUE_SHARE: f64 = 0.5;
+const QUEUE_SHARE: f64 = 0.25;
 /// What is left of the limit after congestion.
 const BACKOFF: f64 = 0.8;
 /// Fewest calls in a round.
@@ -85,7 +85,7 @@
     }
 
     /// Takes in the time of a call that ended well. `in_flight` counts it.
-    pub fn succeeded(&mut self, now: Duration, unit: Duration, in_flight: u32) {
+    pub fn ended(&mut self, now: Duration, unit: Duration, in_flight: u32) {
         self.used |= in_flight >= self.value();
         self.round.push(unit.as_secs_f64());
         let size = (self.value() as usize).clamp(MIN_ROUND, MAX_ROUND);
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Takes in a call that was cancelled after `unit`. A quick end tells nothing,
+    /// a late one that the call would have taken longer still. Without these, an
+    /// endpoint that answers few calls in time would be judged by those few.
+    pub fn cancelled(&mut self, now: Duration, unit: Duration, in_flight: u32) {
+        let is_slow = self.usual.is_some_and(|usual| unit.as_secs_f64() > usual * TOLERANCE);
+        if is_slow {
+            self.ended(now, unit, in_flight);
+        }
+    }
+
     /// Takes in a refusal because the endpoint is busy, of a call sent at `sent`.
     pub fn refused(&mut self, now: Duration, sent: Duration) {
         if !self.is_old_news(sent) {
--- a/crates/core/src/timing.rs
+++ b/crates/core/src/timing.rs
@@ -13,6 +13,8 @@
 const RESERVED: f64 = 0.9;
 /// Quantile of a quick run: with less time than that, a try isn't worth its cost.
 const QUICK: f64 = 0.25;
+/// Quantile of a run that a started request must still have time for.
+const WORTH_STARTING: f64 = 0.5;
 /// Quantile of a usual run.
 const USUAL: f64 = 0.5;
 /// Quantile after which a call counts as a straggler.
@@ -29,8 +31,8 @@
 
 /// Time that a stage may take; `None` if the request can't be in time any more.
 pub fn stage_time(left: Duration, stage: &Estimator, later: &[&Estimator]) -> Option<Duration> {
-    let quick = at(stage, QUICK) + sum(later, QUICK);
-    if left.is_zero() || quick > left {
+    let least = at(stage, WORTH_STARTING) + sum(later, WORTH_STARTING);
+    if left.is_zero() || least > left {
         return None;
     }
     let usual = at(stage, USUAL);
