Probe ejected endpoints under a route policy, too

A policy's score never reached an endpoint that waited for its probe, so an ejected one stayed out for good.

--- a/crates/core/src/instance/estimates.rs
+++ b/crates/core/src/instance/estimates.rs
@@ -63,6 +63,7 @@
             left,
             wait: stages.map(|stage| self.wait(stage, &request.id.team, self.now + left)).sum(),
             work: timing::work(&self.known(pipeline, 0)),
+            quick: timing::quick_work(&self.known(pipeline, 0)),
             share: self.share(&request.id.team, weight, max_held),
         }
     }
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -58,12 +58,7 @@
     demand: &Demand<'_>,
     rng: &mut SmallRng,
 ) -> Option<EndpointName> {
-    if demand.exclude.is_empty()
-        && let Some(probe) = candidates(table, now, demand).find(|free| free.is_probe_due(now))
-    {
-        return Some(probe.name.clone());
-    }
-    choose_proven(table, now, demand, rng)
+    probe(table, now, demand).or_else(|| choose_proven(table, now, demand, rng))
 }
 
 /// As [`choose`], for a call that mustn't be risked: it is a probe only where
@@ -85,7 +80,7 @@
     better_of_two(&free, rng, cost).map(|endpoint| endpoint.name.clone())
 }
 
-/// As [`choose_proven`], by a policy's score: of a few drawn at random the one
+/// As [`choose`], by a policy's score: of a few drawn at random the one
 /// with the largest. Where the policy has no score, the built-in choice holds.
 pub fn choose_scored(
     table: &Table,
@@ -94,6 +89,9 @@
     rng: &mut SmallRng,
     score: &dyn Fn(&Endpoint) -> Option<f64>,
 ) -> Option<EndpointName> {
+    if let Some(probe) = probe(table, now, demand) {
+        return Some(probe);
+    }
     let free = proven(table, now, demand);
     let drawn = free.choose_multiple(rng, SCORED);
     let scores: Option<Vec<(f64, &Endpoint)>> =
@@ -103,6 +101,15 @@
     best.map(|(_, endpoint)| endpoint.name.clone())
 }
 
+/// An endpoint that waits for its probe, unless the call is a repeat.
+fn probe(table: &Table, now: Duration, demand: &Demand<'_>) -> Option<EndpointName> {
+    if !demand.exclude.is_empty() {
+        return None;
+    }
+    let due = candidates(table, now, demand).find(|endpoint| endpoint.is_probe_due(now))?;
+    Some(due.name.clone())
+}
+
 /// Free endpoints that aren't to be probed; those too if there are no others.
 fn proven<'t>(table: &'t Table, now: Duration, demand: &Demand<'_>) -> Vec<&'t Endpoint> {
     let free: Vec<&Endpoint> = candidates(table, now, demand).collect();
