--- a/crates/cli/tests/testsuite/show.rs
+++ b/crates/cli/tests/testsuite/show.rs
@@ -90,7 +90,8 @@
     expect![[r#"
         exit 0
         publish p-1 by mair: accepted as 1
-    "#]].assert_eq(&bench.run(&["show", "--verdict", "p-1"]).await);
+    "#]]
+    .assert_eq(&bench.run(&["show", "--verdict", "p-1"]).await);
     expect![[r#"
         exit 1
           x the log holds no publish `p-2` (unknown_publish)
--- a/crates/core/src/instance/policies.rs
+++ b/crates/core/src/instance/policies.rs
@@ -89,7 +89,7 @@
             local: endpoint.data_centre == self.identity.data_centre,
             in_flight: endpoint.in_flight,
             peers: self.members.in_flight(self.now, &endpoint.name),
-            queued: endpoint.reported_queue(self.now).map_or(0, |(queued, _)| queued),
+            queued: endpoint.aged_queue(self.now),
             limit: endpoint.limit(self.now),
             took: endpoint.took().map_or(Duration::ZERO, |(usual, _)| usual),
         }
