--- a/crates/cli/tests/testsuite/main.rs
+++ b/crates/cli/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the operator's command line, a module per command.
 
+#![allow(clippy::unwrap_used)]
+
 mod check;
 mod drain;
 mod publish;
--- a/crates/xtask/tests/capacity.rs
+++ b/crates/xtask/tests/capacity.rs
@@ -1,5 +1,7 @@
 //! The capacity page: its arithmetic, and that page and data agree.
 
+#![allow(clippy::unwrap_used)]
+
 use std::path::Path;
 
 use expect_test::{Expect, expect};
