--- a/crates/admin/src/context.rs
+++ b/crates/admin/src/context.rs
@@ -78,7 +78,7 @@
     pub async fn new(settings: &Settings) -> std::io::Result<Context> {
         let http = http::client(CONNECT_TIMEOUT).await.map_err(std::io::Error::other)?;
         let log = log::Client::new(http.clone(), settings.log.clone());
-        let metrics = match settings.metrics {
+        let metrics = match settings.statsd {
             Some(addr) => Metrics::to(addr)?,
             None => Metrics::off(),
         };
--- a/crates/admin/src/main.rs
+++ b/crates/admin/src/main.rs
@@ -13,5 +13,7 @@
     let listener = server::bind(settings.listen)
         .into_diagnostic()
         .wrap_err_with(|| format!("cannot listen on {}; choose a free one", settings.listen))?;
+    let addr = listener.local_addr().into_diagnostic()?;
+    println!("listening {addr}");
     server::start(listener, settings).into_diagnostic()?.await.into_diagnostic()
 }
--- a/crates/admin/src/ops/status.rs
+++ b/crates/admin/src/ops/status.rs
@@ -1,14 +1,18 @@
-//! Gathers the status of all listed instances.
+//! Gathers the status of all listed instances, and their outcomes.
+//!
+//! Outcomes are asked for only where they are wanted, and added up as they
+//! come: a status with a day of them takes megabytes.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, pin::pin, sync::Arc, time::Duration};
 
-use futures::{StreamExt, stream};
+use futures::{Stream, StreamExt, stream};
 use peatdeck_core::{
     model::{InstanceEntry, InstanceName},
     record::Version,
 };
+use peatdeck_macros::id;
 use peatdeck_platform::entry;
-use peatdeck_wire::admin::{EntryStatus, Missing, StatusReply};
+use peatdeck_wire::admin::{EntryStatus, Missing, OutcomeCount, OutcomesReply, StatusReply};
 
 use crate::{context::Context, error::Error};
 
@@ -19,6 +23,9 @@
 /// The longest such pause.
 const MAX_PAUSE: Duration = Duration::from_secs(1);
 
+/// A slot that no outcome is in.
+const NEVER: u64 = u64::MAX;
+
 /// Who has a version in force.
 #[derive(Debug, Default)]
 pub struct Spread {
@@ -35,7 +42,8 @@
 pub async fn status(ctx: &Context) -> Result<StatusReply, Error> {
     let listing = ctx.list.read().await.map_err(|cause| Error::ListOut(cause.to_string()))?;
     let mut reply = StatusReply { entries: Vec::new(), missing: Vec::new() };
-    for (instance, answer) in ask(ctx, &listing.instances).await {
+    let mut answers = pin!(ask(ctx, &listing.instances, NEVER));
+    while let Some((instance, answer)) = answers.next().await {
         match answer {
             Ok(status) => reply.entries.push(status),
             Err(reason) => reply.missing.push(Missing { instance, reason: reason.into() }),
@@ -46,6 +54,53 @@
     Ok(reply)
 }
 
+/// The outcomes of every listed instance from `since` on, added up.
+///
+/// # Errors
+/// [`Error::ListOut`].
+pub async fn outcomes(ctx: &Context, since: u64) -> Result<OutcomesReply, Error> {
+    let listing = ctx.list.read().await.map_err(|cause| Error::ListOut(cause.to_string()))?;
+    let (mut sums, mut instances, mut missing) = (BTreeMap::new(), Vec::new(), Vec::new());
+    let mut answers = pin!(ask(ctx, &listing.instances, since));
+    while let Some((instance, answer)) = answers.next().await {
+        match answer {
+            Ok(status) => {
+                instances.push(instance);
+                add(&mut sums, status.outcomes);
+            }
+            Err(reason) => missing.push(Missing { instance, reason: reason.into() }),
+        }
+    }
+    instances.sort();
+    missing.sort_by(|a, b| a.instance.cmp(&b.instance));
+    let outcomes = sums.into_iter().map(|(key, count)| key.with(count)).collect();
+    Ok(OutcomesReply { outcomes, instances, missing })
+}
+
+/// What tells one row of outcomes from another.
+#[id]
+struct Key {
+    slot: u64,
+    pipeline: Arc<str>,
+    team: Arc<str>,
+    outcome: Arc<str>,
+    stage: Option<Arc<str>>,
+}
+
+impl Key {
+    fn with(self, count: u64) -> OutcomeCount {
+        let Key { slot, pipeline, team, outcome, stage } = self;
+        OutcomeCount { slot, pipeline, team, outcome, stage, count }
+    }
+}
+
+fn add(sums: &mut BTreeMap<Key, u64>, rows: Vec<OutcomeCount>) {
+    for row in rows {
+        let OutcomeCount { slot, pipeline, team, outcome, stage, count } = row;
+        *sums.entry(Key { slot, pipeline, team, outcome, stage }).or_default() += count;
+    }
+}
+
 /// Asks until all listed instances have `version` in force, for a bounded time.
 /// Only those that haven't said so are asked again.
 pub async fn wait_in_force(ctx: &Context, version: Version) -> Spread {
@@ -75,7 +130,8 @@
     let instances: Vec<InstanceEntry> =
         listing.instances.into_iter().filter(|i| !spread.in_force.contains(&i.name)).collect();
     let mut missing = BTreeMap::new();
-    for (instance, answer) in ask(ctx, &instances).await {
+    let mut answers = pin!(ask(ctx, &instances, NEVER));
+    while let Some((instance, answer)) = answers.next().await {
         match answer.and_then(|status| has_version(&status, version)) {
             Ok(()) => spread.in_force.push(instance),
             Err(reason) => {
@@ -100,17 +156,17 @@
     }
 }
 
-/// Each instance's status, or why there is none.
-async fn ask(
+/// Each instance's status, with outcomes from `since` on, or why there is none.
+fn ask(
     ctx: &Context,
     instances: &[InstanceEntry],
-) -> Vec<(InstanceName, Result<EntryStatus, String>)> {
+    since: u64,
+) -> impl Stream<Item = (InstanceName, Result<EntryStatus, String>)> {
     stream::iter(instances)
-        .map(|instance| async {
-            let answer = entry::status(&ctx.http, &instance.http_addr, ctx.bounds.status).await;
+        .map(move |instance| async move {
+            let answer =
+                entry::status(&ctx.http, &instance.http_addr, since, ctx.bounds.status).await;
             (instance.name.clone(), answer.map_err(|cause| cause.to_string()))
         })
         .buffer_unordered(PARALLEL)
-        .collect()
-        .await
 }
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -34,6 +34,7 @@
         web::resource("/v1/config/verdict/{id}").route(web::get().to(verdict)),
         web::resource("/v1/endpoints/{name}/drain").route(web::post().to(drain)),
         web::resource("/v1/status").route(web::get().to(status)),
+        web::resource("/v1/outcomes").route(web::get().to(outcomes)),
     ));
 }
 
@@ -83,8 +84,7 @@
 }
 
 async fn history(operator: Operator, req: HttpRequest) -> Result<HttpResponse, Error> {
-    let page = types::Query::<Page>::from_query(req.query_string())
-        .map_err(|cause| Error::Malformed(format!("the query is not readable: {cause}")))?;
+    let page: Page = query(&req)?;
     let limit = page.limit.unwrap_or(DEFAULT_PAGE).clamp(1, MAX_PAGE);
     ops::show::history(&operator.ctx, page.from, limit).await.map(reply)
 }
@@ -106,6 +106,26 @@
     ops::status::status(&operator.ctx).await.map(reply)
 }
 
+/// The query of the outcomes.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Since {
+    #[serde(default)]
+    since: u64,
+}
+
+async fn outcomes(operator: Operator, req: HttpRequest) -> Result<HttpResponse, Error> {
+    let Since { since } = query(&req)?;
+    ops::status::outcomes(&operator.ctx, since).await.map(reply)
+}
+
+fn query<T: DeserializeOwned>(req: &HttpRequest) -> Result<T, Error> {
+    match types::Query::<T>::from_query(req.query_string()) {
+        Ok(query) => Ok(query.into_inner()),
+        Err(cause) => Err(Error::Malformed(format!("the query is not readable: {cause}"))),
+    }
+}
+
 fn reply<T: Serialize>(body: T) -> HttpResponse {
     HttpResponse::build(StatusCode::OK).json(&body)
 }
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -31,8 +31,6 @@
 /// # Errors
 /// If the server cannot be started.
 pub fn start(listener: TcpListener, settings: Settings) -> std::io::Result<Server> {
-    let addr = listener.local_addr()?;
-    tracing::info!(%addr, "listening");
     let factory = async move || {
         let ctx = Context::new(&settings).await.expect("the metrics socket was tried at the start");
         App::new()
--- a/crates/admin/src/settings.rs
+++ b/crates/admin/src/settings.rs
@@ -16,6 +16,10 @@
 /// The longest wait for the instances that may be set.
 const MAX_IN_FORCE: Duration = Duration::from_secs(60);
 
+/// Log filter where none is set. The HTTP library logs each of its steps as
+/// info; they are not changes of state.
+const DEFAULT_FILTER: &str = "info,ntex_net=warn,ntex_rt=warn,ntex_server=warn,ntex_service=warn";
+
 /// Settings as they are given, unchecked.
 #[derive(Debug, Clone)]
 pub struct Raw {
@@ -23,7 +27,7 @@
     log: String,
     list: String,
     in_force_ms: String,
-    metrics: Option<String>,
+    statsd: Option<String>,
     log_format: String,
     log_filter: String,
 }
@@ -42,7 +46,7 @@
     /// How long things may take.
     pub bounds: Bounds,
     /// Where metrics go; off if not set.
-    pub metrics: Option<SocketAddr>,
+    pub statsd: Option<SocketAddr>,
     /// How log lines are written.
     pub log_format: logging::Format,
     /// Which log lines are written.
@@ -70,7 +74,7 @@
 /// The command line.
 pub fn options() -> OptionParser<Raw> {
     let listen = long("listen")
-        .env("PEATDECK_ADMIN_LISTEN")
+        .env("PEATDECK_LISTEN")
         .help("Address to serve operators on")
         .argument::<String>("IP:PORT")
         .fallback("127.0.0.1:7300".to_owned())
@@ -84,14 +88,14 @@
         .help("Address of the platform's list")
         .argument::<String>("IP:PORT");
     let in_force_ms = long("in-force-ms")
-        .env("PEATDECK_ADMIN_IN_FORCE_MS")
+        .env("PEATDECK_IN_FORCE_MS")
         .help("How long a publish waits for the instances to have it in force, in milliseconds")
         .argument::<String>("MS")
         .fallback("8000".to_owned())
         .display_fallback();
-    let metrics = long("metrics")
-        .env("PEATDECK_METRICS")
-        .help("Address to send statsd metrics to over UDP; off if not given")
+    let statsd = long("statsd")
+        .env("PEATDECK_STATSD")
+        .help("Where metrics are sent over UDP; nowhere if not given")
         .argument::<String>("IP:PORT")
         .optional();
     let log_format = long("log-format")
@@ -102,11 +106,11 @@
         .display_fallback();
     let log_filter = long("log-filter")
         .env("PEATDECK_LOG_FILTER")
-        .help("Which log lines are written, such as info or peatdeck_admin=debug")
+        .help("Which log lines are written, such as `peatdeck_admin=debug,warn`")
         .argument::<String>("FILTER")
-        .fallback("info".to_owned())
+        .fallback(DEFAULT_FILTER.to_owned())
         .display_fallback();
-    construct!(Raw { listen, log, list, in_force_ms, metrics, log_format, log_filter })
+    construct!(Raw { listen, log, list, in_force_ms, statsd, log_format, log_filter })
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Administration API of peatdeck: publish, history, drain, status.")
@@ -125,12 +129,12 @@
     let listen = keep(&mut problems, address("--listen", &raw.listen));
     let log = keep(&mut problems, address("--log", &raw.log));
     let list = keep(&mut problems, address("--list", &raw.list));
-    let metrics = raw.metrics.as_deref().map(|text| address("--metrics", text)).transpose();
-    let metrics = keep(&mut problems, metrics);
+    let statsd = raw.statsd.as_deref().map(|text| address("--statsd", text)).transpose();
+    let statsd = keep(&mut problems, statsd);
     let in_force = keep(&mut problems, in_force(&raw.in_force_ms));
     let log_format = keep(&mut problems, log_format(&raw.log_format));
     let token = keep(&mut problems, check_token(token));
-    let (Some(listen), Some(log), Some(list), Some(metrics)) = (listen, log, list, metrics) else {
+    let (Some(listen), Some(log), Some(list), Some(statsd)) = (listen, log, list, statsd) else {
         return Err(Problems { problems });
     };
     let (Some(in_force), Some(log_format), Some(token)) = (in_force, log_format, token) else {
@@ -142,7 +146,7 @@
         list: list.to_string().into(),
         token: token.into(),
         bounds: Bounds { in_force, ..Bounds::default() },
-        metrics,
+        statsd,
         log_format,
         log_filter: raw.log_filter,
     })
--- a/crates/admin/tests/testsuite/settings.rs
+++ b/crates/admin/tests/testsuite/settings.rs
@@ -34,7 +34,7 @@
         "--listen=nowhere",
         "--log=1.2.3.4",
         "--list=log:80",
-        "--metrics=x",
+        "--statsd=x",
         "--in-force-ms=60001",
         "--log-format=xml",
     ];
@@ -54,7 +54,7 @@
           help: give it as IP:PORT, such as 10.0.0.5:7100
 
         Error: 
-          x --metrics: `x` is not an IP address with a port
+          x --statsd: `x` is not an IP address with a port
           help: give it as IP:PORT, such as 10.0.0.5:7100
 
         Error: 
--- a/crates/admin/tests/testsuite/show.rs
+++ b/crates/admin/tests/testsuite/show.rs
@@ -4,6 +4,7 @@
 
 use expect_test::expect;
 use peatdeck_core::record::{ConfigRecord, Snapshot};
+use peatdeck_wire::admin::OutcomeCount;
 
 use crate::support::Bench;
 
@@ -192,3 +193,45 @@
     let answer = bench.get("/v1/status").await;
     assert!(answer.contains("\"code\": \"list_out\""), "{answer}");
 }
+
+#[ntex::test]
+async fn outcomes_are_added_up_over_the_instances() {
+    let bench = Bench::start().await;
+    let row = |slot, count| OutcomeCount {
+        slot,
+        pipeline: "ticket".into(),
+        team: "bala".into(),
+        outcome: "timed_out".into(),
+        stage: Some("write".into()),
+        count,
+    };
+    bench.platform.state().outcomes = vec![row(60, 5), row(120, 7)];
+    let _one = bench.platform.add_instance("entry-1").await;
+    let _two = bench.platform.add_instance("entry-2").await;
+    bench.platform.list_instance("entry-3", "127.0.0.1:1");
+    expect![[r#"
+        200
+        {
+          "instances": [
+            "entry-1",
+            "entry-2"
+          ],
+          "missing": [
+            {
+              "instance": "entry-3",
+              "reason": "no connection to 127.0.0.1:1: Connection refused (os error 111); check the address and that the service runs"
+            }
+          ],
+          "outcomes": [
+            {
+              "count": 14,
+              "outcome": "timed_out",
+              "pipeline": "ticket",
+              "slot": 120,
+              "stage": "write",
+              "team": "bala"
+            }
+          ]
+        }
+    "#]].assert_eq(&bench.get("/v1/outcomes?since=120").await);
+}
--- a/crates/admin/tests/testsuite/token.rs
+++ b/crates/admin/tests/testsuite/token.rs
@@ -5,7 +5,8 @@
 
 use crate::support::{self, Bench};
 
-const PATHS: [(Method, &str); 7] = [
+const PATHS: [(Method, &str); 8] = [
+    (Method::GET, "/v1/outcomes"),
     (Method::GET, "/v1/config"),
     (Method::GET, "/v1/config/history"),
     (Method::GET, "/v1/config/verdict/x"),
--- a/crates/platform/src/entry.rs
+++ b/crates/platform/src/entry.rs
@@ -7,20 +7,24 @@
 
 use crate::http::{self, Error};
 
-/// The longest status that is read, in bytes.
-const MAX_STATUS: usize = 8 << 20;
+/// The longest status that is read, in bytes. Outcomes of six hours by minute
+/// at the most rows that an entry keeps take about half of it.
+const MAX_STATUS: usize = 64 << 20;
 
-/// The status of the entry at `addr`, `ip:port`. It is given up after `limit`.
+/// The status of the entry at `addr`, `ip:port`, with outcomes of slots from
+/// `since` on, in seconds of Unix time. It is given up after `limit`.
 ///
 /// # Errors
 /// Any [`Error`]; reading has no effect and may be repeated.
 pub async fn status(
     client: &client::Client,
     addr: &str,
+    since: u64,
     limit: Duration,
 ) -> Result<EntryStatus, Error> {
     http::within(addr, limit, async {
-        let response = http::get(client, addr, "/v1/status").await?;
+        let path = format!("/v1/status?since={since}");
+        let response = http::get(client, addr, &path).await?;
         http::json(addr, response, MAX_STATUS).await
     })
     .await
--- a/crates/test-support/src/platform.rs
+++ b/crates/test-support/src/platform.rs
@@ -16,7 +16,7 @@
     record::{Batch, ConfigRecord, Entry},
 };
 use peatdeck_wire::{
-    admin::EntryStatus,
+    admin::{EntryStatus, OutcomeCount},
     platform::{AppendBody, AppendReply, ReadReply, RecordBody},
 };
 use serde::Deserialize;
@@ -56,6 +56,8 @@
     pub list_out: bool,
     /// The list.
     pub listing: Listing,
+    /// Outcomes that each instance says it counted.
+    pub outcomes: Vec<OutcomeCount>,
 }
 
 impl Platform {
@@ -197,8 +199,18 @@
     HttpResponse::Ok().json(&state.listing)
 }
 
-async fn status(state: types::State<(Platform, Arc<str>)>) -> HttpResponse {
+#[derive(Deserialize)]
+struct Since {
+    since: u64,
+}
+
+async fn status(
+    state: types::State<(Platform, Arc<str>)>,
+    query: types::Query<Since>,
+) -> HttpResponse {
     let (platform, instance) = &*state;
+    let mut outcomes = platform.state().outcomes.clone();
+    outcomes.retain(|row| row.slot >= query.since);
     HttpResponse::Ok().json(&EntryStatus {
         instance: Arc::clone(instance),
         incarnation: Incarnation(1),
@@ -210,6 +222,6 @@
         peers: Vec::new(),
         endpoints: Vec::new(),
         counters: Default::default(),
-        outcomes: Vec::new(),
+        outcomes,
     })
 }
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -11,6 +11,7 @@
 //! - `GET /v1/config/verdict/{id}`: [`VerdictReply`].
 //! - `POST /v1/endpoints/{name}/drain`: [`DrainBody`] to [`DrainReply`].
 //! - `GET /v1/status`: [`StatusReply`].
+//! - `GET /v1/outcomes?since=`: [`OutcomesReply`].
 //!
 //! Every other status than 200 comes with an [`ApiError`].
 
@@ -299,8 +300,19 @@
 /// The status of all instances.
 #[message]
 pub struct StatusReply {
-    /// What the instances say, by name.
+    /// What the instances say, by name; without outcomes.
     pub entries: Vec<EntryStatus>,
     /// Listed instances that did not answer.
     pub missing: Vec<Missing>,
 }
+
+/// Outcomes of all instances together.
+#[message]
+pub struct OutcomesReply {
+    /// Counts of the instances that answered, added up.
+    pub outcomes: Vec<OutcomeCount>,
+    /// Instances that answered.
+    pub instances: Vec<Arc<str>>,
+    /// Listed instances that did not answer.
+    pub missing: Vec<Missing>,
+}
