Report service-level burn

peatdeck burn gathers outcomes of all entries and gives attainment, error budget and burn rates by pipeline and team, with the largest causes, as a table, JSON or one self-contained page. It names the instances that did not answer and says that counts go with their instance.

--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -3,7 +3,7 @@
 use bpaf::{OptionParser, Parser, construct};
 
 use crate::{
-    commands::{check, drain, publish, show, status},
+    commands::{burn, check, drain, publish, show, status},
     error::Error,
     shell::{Output, Shell},
 };
@@ -21,6 +21,8 @@
     Drain(drain::Args),
     /// `status`.
     Status(status::Args),
+    /// `burn`.
+    Burn(burn::Args),
 }
 
 /// The command line.
@@ -30,7 +32,8 @@
     let show = show::cli().command("show").map(Command::Show);
     let drain = drain::cli().command("drain").map(Command::Drain);
     let status = status::cli().command("status").map(Command::Status);
-    construct!([check, publish, show, drain, status])
+    let burn = burn::cli().command("burn").map(Command::Burn);
+    construct!([check, publish, show, drain, status, burn])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operate peatdeck: publish configurations, drain endpoints, see what happens.")
@@ -54,5 +57,6 @@
         Command::Show(args) => show::exec(shell, args).await,
         Command::Drain(args) => drain::exec(shell, args).await,
         Command::Status(args) => status::exec(shell, args).await,
+        Command::Burn(args) => burn::exec(shell, args).await,
     }
 }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -4,6 +4,7 @@
 
 use crate::{error::Error, ops::client, shell::Format, shell::Shell};
 
+pub mod burn;
 pub mod check;
 pub mod drain;
 pub mod publish;
--- /dev/null
+++ b/crates/cli/src/commands/burn.rs
@@ -0,0 +1,141 @@
+//! `peatdeck burn`: the report on service-level burn.
+
+use std::{
+    fmt::Write,
+    time::{Duration, SystemTime},
+};
+
+use bpaf::{OptionParser, Parser, construct, long};
+
+use crate::{
+    commands,
+    error::Error,
+    ops::burn::{self, Alert, Report, page},
+    shell::{self, Format, Output, Shell},
+    table::{self, Table},
+};
+
+/// Causes shown at the most in a table.
+const MAX_CAUSES: usize = 10;
+
+/// The flags.
+#[derive(Debug, Clone)]
+pub struct Args {
+    format: Format,
+    admin: String,
+    html: Option<String>,
+}
+
+/// The command line.
+pub fn cli() -> OptionParser<Args> {
+    let format = commands::format();
+    let admin = commands::admin();
+    let html = long("html")
+        .help("Also write the report as a web page to this file")
+        .argument::<String>("FILE")
+        .optional();
+    construct!(Args { format, admin, html })
+        .to_options()
+        .descr("Report how fast each pipeline and team uses up its error budget.")
+        .footer("Examples:\n  peatdeck burn\n  peatdeck burn --html burn.html")
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Any [`Error`] of the API; [`Error::Write`].
+pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
+    let client = commands::connect(shell, &args.admin).await?;
+    let now = shell.now.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_secs();
+    let config = client.config().await?;
+    let outcomes = client.outcomes(now.saturating_sub(burn::LONG)).await?;
+    let report = burn::report(now, &config.document, outcomes);
+    if let Some(path) = args.html {
+        std::fs::write(&path, page::render(&report))
+            .map_err(|cause| Error::Write { path, cause })?;
+    }
+    let text = match args.format {
+        Format::Json => shell::json(&report)?,
+        Format::Table => describe(&report),
+    };
+    Ok(Output::partial_unless(report.missing.is_empty(), text))
+}
+
+fn describe(report: &Report) -> String {
+    let at = table::utc(SystemTime::UNIX_EPOCH + Duration::from_secs(report.at));
+    let mut text = format!("Service-level burn, six hours to {at}\n\n{}", rows(report));
+    if !report.causes.is_empty() {
+        let _ = write!(text, "\nLargest causes of misses\n\n{}", causes(report));
+    }
+    if report.invalid > 0 {
+        let _ = writeln!(
+            text,
+            "\n{} request(s) were wrong in themselves and count neither way.",
+            report.invalid
+        );
+    }
+    let _ = writeln!(
+        text,
+        "\nCounts of {} instance(s): {}.",
+        report.instances.len(),
+        report.instances.join(", ")
+    );
+    for missing in &report.missing {
+        let _ = writeln!(text, "No answer from {}: {}", missing.instance, missing.reason);
+    }
+    let _ = writeln!(text, "{}", page::LOSS);
+    text
+}
+
+fn rows(report: &Report) -> String {
+    let mut rows = Table::new([
+        "PIPELINE",
+        "TEAM",
+        "REQUESTS",
+        "ATTAINMENT",
+        "OBJECTIVE",
+        "BUDGET LEFT",
+        "BURN 5 MIN",
+        "1 H",
+        "6 H",
+        "ALERT",
+    ]);
+    for row in &report.rows {
+        rows.row([
+            table::named(&row.pipeline).to_owned(),
+            row.team.as_deref().map_or("(all)", table::named).to_owned(),
+            row.requests.to_string(),
+            table::percent(row.attainment),
+            table::percent(row.objective),
+            table::percent(row.budget_left),
+            table::rate(row.burn.short),
+            table::rate(row.burn.middle),
+            table::rate(row.burn.long),
+            alert(row.alert).to_owned(),
+        ]);
+    }
+    rows.render()
+}
+
+fn causes(report: &Report) -> String {
+    let mut rows = Table::new(["PIPELINE", "TEAM", "CAUSE", "STAGE", "REQUESTS", "SHARE"]);
+    for cause in report.causes.iter().take(MAX_CAUSES) {
+        rows.row([
+            table::named(&cause.pipeline).to_owned(),
+            table::named(&cause.team).to_owned(),
+            format!("{}: {}", page::kind_text(cause.kind), cause.outcome),
+            cause.stage.as_deref().unwrap_or("").to_owned(),
+            cause.count.to_string(),
+            table::percent(Some(cause.share)),
+        ]);
+    }
+    rows.render()
+}
+
+fn alert(alert: Alert) -> &'static str {
+    match alert {
+        Alert::Quiet => "",
+        Alert::Slow => "slow burn",
+        Alert::Fast => "fast burn",
+    }
+}
--- a/crates/cli/src/ops/client.rs
+++ b/crates/cli/src/ops/client.rs
@@ -10,8 +10,8 @@
 use peatdeck_core::record::Offset;
 use peatdeck_platform::http;
 use peatdeck_wire::admin::{
-    ApiError, ConfigReply, DrainBody, DrainReply, HistoryReply, PublishBody, PublishReply,
-    StatusReply, VerdictReply,
+    ApiError, ConfigReply, DrainBody, DrainReply, HistoryReply, OutcomesReply, PublishBody,
+    PublishReply, StatusReply, VerdictReply,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -103,6 +103,14 @@
         self.get("/v1/status").await
     }
 
+    /// Outcomes of all instances from `since` on, in seconds of Unix time.
+    ///
+    /// # Errors
+    /// Any [`Error`] of the API.
+    pub async fn outcomes(&self, since: u64) -> Result<OutcomesReply, Error> {
+        self.get(&format!("/v1/outcomes?since={since}")).await
+    }
+
     /// Publishes. Sent again where no answer comes, under the same id.
     ///
     /// # Errors
--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -50,6 +50,29 @@
     }
 }
 
+/// A share in percent, rounded down so that a miss never shows as 100 %; a dash
+/// where there is none.
+pub fn percent(share: Option<f64>) -> String {
+    /// Steps of a thousandth of a percent in a share of 1.
+    const STEPS: f64 = 100_000.0;
+    /// What a binary fraction may lack of the decimal one it stands for.
+    const SLACK: f64 = 1e-6;
+    match share {
+        Some(share) => format!("{:.3} %", (share * STEPS + SLACK).floor() / STEPS * 100.0),
+        None => "–".to_owned(),
+    }
+}
+
+/// A burn rate; a dash where there is none.
+pub fn rate(rate: Option<f64>) -> String {
+    rate.map_or_else(|| "–".to_owned(), |rate| format!("{rate:.1}"))
+}
+
+/// A name, or a word for its absence.
+pub fn named(name: &str) -> &str {
+    if name.is_empty() { "(not named)" } else { name }
+}
+
 /// A moment as `2026-03-01T06:30:00Z`.
 pub fn utc(time: SystemTime) -> String {
     let since = time.duration_since(SystemTime::UNIX_EPOCH).unwrap_or(Duration::ZERO).as_secs();
--- a/crates/cli/tests/testsuite/main.rs
+++ b/crates/cli/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod burn;
 mod check;
 mod drain;
 mod publish;
--- a/crates/cli/tests/testsuite/support.rs
+++ b/crates/cli/tests/testsuite/support.rs
@@ -12,6 +12,9 @@
 use peatdeck_admin::{context::Bounds, server, settings};
 use peatdeck_test_support::platform::Platform;
 
+/// When commands run: 2026-03-01T06:30:00Z.
+pub const NOW: u64 = 1_772_346_600;
+
 const TOKEN: &str = "a token of the test's own";
 
 /// A running API, the platform under it, and files.
@@ -41,6 +44,11 @@
         path.to_str().expect("an ordinary path").to_owned()
     }
 
+    /// Reads a file that a command wrote.
+    pub fn read(&self, name: &str) -> String {
+        std::fs::read_to_string(self.files.join(name)).expect("the command wrote it")
+    }
+
     /// Runs a command line; a command of the API gets `--admin`.
     pub async fn run(&self, args: &[&str]) -> String {
         let mut args = args.to_vec();
@@ -64,7 +72,7 @@
         Ok(command) => command,
         Err(failure) => return format!("exit 2\n{}", failure.unwrap_stderr()),
     };
-    let shell = Shell { token, now: SystemTime::UNIX_EPOCH };
+    let shell = Shell { token, now: SystemTime::UNIX_EPOCH + Duration::from_secs(NOW) };
     match app::exec(&shell, command).await {
         Ok(output) => format!("exit {}\n{}", output.code as u8, output.text),
         Err(error) => format!("exit {}\n{}", error.code() as u8, report(&error)),
