Cut replies without a trace of the server's own

A reply cut in its middle was followed by the server's error head, because a body that fails makes the server report it. A graceful close from within a streamed body never ended, since the server does not read meanwhile. What is written is now sent at once and the connection closed behind it. An engine notices a closed connection also while it sends nothing.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -5,12 +5,13 @@
 //! tokens of all, as in a continuous batch. A call stops as soon as it is
 //! cancelled or its connection is closed.
 
-use std::sync::Arc;
+use std::{convert::Infallible, sync::Arc};
 
-use futures::stream;
+use futures::{Stream, stream};
 use ntex::{
+    io::IoRef,
     util::Bytes,
-    web::{self, HttpResponse, types},
+    web::{self, HttpRequest, HttpResponse, types},
 };
 use peatdeck_core::model::Echo;
 use peatdeck_wire::endpoint::{CallBody, EngineLine};
@@ -24,6 +25,7 @@
     calls::CallState,
     endpoint::{self, Call, Endpoint, Taken},
     places::Ticket,
+    reply,
 };
 
 /// What a cached prefix leaves of the prompt's time.
@@ -33,9 +35,7 @@
 type Line = Result<Bytes, Cut>;
 type Lines = mpsc::UnboundedSender<Line>;
 
-/// A stream that ends without its last line.
-#[derive(Debug, thiserror::Error)]
-#[error("the stream was cut")]
+/// The stream ends here, without its last line.
 struct Cut;
 
 /// Adds an engine's resources.
@@ -44,29 +44,55 @@
     cfg.route("/v1/call", web::post().to(call));
 }
 
-async fn call(endpoint: types::State<Arc<Endpoint>>, body: types::Json<CallBody>) -> HttpResponse {
+async fn call(
+    req: HttpRequest,
+    endpoint: types::State<Arc<Endpoint>>,
+    body: types::Json<CallBody>,
+) -> HttpResponse {
     let taken = match endpoint.take(body.into_inner()) {
         Ok(taken) => taken,
         Err(reason) => return endpoint::refusal(&endpoint, reason),
     };
-    let (tx, mut rx) = mpsc::unbounded_channel();
-    ntex::rt::spawn(run(Arc::clone(&endpoint), taken, tx));
-    let lines = stream::poll_fn(move |cx| rx.poll_recv(cx));
-    HttpResponse::Ok().content_type("application/x-ndjson").streaming(Box::pin(lines))
+    let (tx, rx) = mpsc::unbounded_channel();
+    let io = req.io().cloned();
+    ntex::rt::spawn(run(Arc::clone(&endpoint), taken, tx, io.clone()));
+    HttpResponse::Ok().content_type("application/x-ndjson").streaming(stream_body(rx, io))
 }
 
-async fn run(endpoint: Arc<Endpoint>, taken: Taken, lines: Lines) {
+/// The reply's body. A cut closes the connection behind what was sent before
+/// it, without the mark that ends a whole body.
+fn stream_body(
+    lines: mpsc::UnboundedReceiver<Line>,
+    io: Option<IoRef>,
+) -> impl Stream<Item = Result<Bytes, Infallible>> + Unpin {
+    let body = stream::unfold((lines, io), async |(mut lines, io)| match lines.recv().await? {
+        Ok(line) => Some((Ok(line), (lines, io))),
+        Err(Cut) => reply::break_off(io.as_ref()).await,
+    });
+    Box::pin(body)
+}
+
+async fn run(endpoint: Arc<Endpoint>, taken: Taken, lines: Lines, io: Option<IoRef>) {
     let Taken { call, ticket, cancelled } = taken;
     let work = generate(&endpoint, call, ticket, &lines);
     tokio::select! {
         () = work => {}
-        () = lines.closed() => {}
+        () = gone(&lines, io.as_ref()) => {}
         () = stopped(cancelled) => {
             lines.send(Err(Cut)).ok();
         }
     }
 }
 
+/// Resolves when the caller's connection is closed.
+async fn gone(lines: &Lines, io: Option<&IoRef>) {
+    let Some(io) = io else { return lines.closed().await };
+    tokio::select! {
+        () = lines.closed() => {}
+        () = io.on_disconnect() => {}
+    }
+}
+
 /// Resolves when the call is cancelled, not when it ends.
 async fn stopped(cancelled: oneshot::Receiver<()>) {
     if cancelled.await.is_err() {
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -4,6 +4,7 @@
 
 use ntex::{
     http::StatusCode,
+    io::IoRef,
     web::{HttpRequest, HttpResponse},
 };
 use serde::Serialize;
@@ -18,15 +19,37 @@
     HttpResponse::ServiceUnavailable().body("outage")
 }
 
-/// Closes the connection without an answer. The server drops the handler's
-/// future as soon as it sees the connection gone.
-pub async fn hang_up(req: &HttpRequest) -> HttpResponse {
-    if let Some(io) = req.io() {
+/// Sends what was written so far and closes the connection. The server drops
+/// the future that waits here as soon as it sees the connection gone.
+pub async fn break_off<T>(io: Option<&IoRef>) -> T {
+    if let Some(io) = io {
+        io.send_buf().ok();
         io.terminate();
     }
     std::future::pending().await
 }
 
+/// Closes the connection without an answer.
+pub async fn hang_up(req: &HttpRequest) -> HttpResponse {
+    break_off(req.io()).await
+}
+
+/// Writes `text` as it is and closes the connection behind it. The server's
+/// own reply never follows.
+pub async fn cut(req: &HttpRequest, text: &str) -> HttpResponse {
+    if let Some(io) = req.io() {
+        io.encode_slice(text.as_bytes()).ok();
+    }
+    break_off(req.io()).await
+}
+
+/// One whole JSON response as it stands on the connection.
+pub fn raw_json(body: &str) -> String {
+    let length = body.len();
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length:";
+    format!("{head} {length}\r\n\r\n{body}")
+}
+
 /// Locks; what a panicking holder left behind is used as it is.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -5,10 +5,9 @@
 
 use std::sync::Arc;
 
-use futures::{channel::oneshot, stream};
+use futures::channel::oneshot;
 use ntex::{
     http::StatusCode,
-    util::Bytes,
     web::{self, HttpRequest, HttpResponse, types},
 };
 use peatdeck_wire::endpoint::{CallBody, ReplyBody};
@@ -29,11 +28,6 @@
     is_doubled: bool,
 }
 
-/// A reply that ends in its middle.
-#[derive(Debug, thiserror::Error)]
-#[error("the reply was cut")]
-struct Cut;
-
 /// Adds a service's resources.
 pub fn configure(cfg: &mut web::ServiceConfig, endpoint: Arc<Endpoint>) {
     endpoint::configure(cfg, endpoint);
@@ -96,7 +90,7 @@
     match done.cut_after {
         None => reply::json(StatusCode::OK, &done.body),
         Some(0) => reply::hang_up(req).await,
-        Some(bytes) => cut_reply(&text, bytes as usize),
+        Some(bytes) => reply::cut(req, &cut_response(&text, bytes as usize)).await,
     }
 }
 
@@ -104,19 +98,13 @@
 /// that a second response stands on the connection, unasked for.
 fn send_early_copy(req: &HttpRequest, text: &str) {
     let Some(io) = req.io() else { return };
-    let length = text.len();
-    let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length:";
-    let response = format!("{head} {length}\r\n\r\n{text}");
-    io.encode_slice(response.as_bytes()).ok();
+    io.encode_slice(reply::raw_json(text).as_bytes()).ok();
 }
 
-fn cut_reply(text: &str, bytes: usize) -> HttpResponse {
+/// The response without the end of its body; `bytes` of the body remain.
+fn cut_response(text: &str, bytes: usize) -> String {
+    let whole = reply::raw_json(text);
+    let head = whole.len() - text.len();
     let kept = bytes.min(text.len().saturating_sub(1));
-    let part = Bytes::copy_from_slice(&text.as_bytes()[..kept]);
-    let parts = stream::iter([Ok(part), Err(Cut)]);
-    HttpResponse::Ok()
-        .content_type("application/json")
-        .content_length(text.len() as u64)
-        .no_chunking()
-        .streaming(parts)
+    whole[..head + kept].to_owned()
 }
