--- /dev/null
+++ b/crates/cli/tests/testsuite/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the operator's command line, a module per command.
+
+#![allow(clippy::unwrap_used)]
+
+mod check;
+mod drain;
+mod publish;
+mod show;
+mod status;
+mod support;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,13 +26,26 @@
 //! - [`membership`]: peers, their liveness and what they tell each other.
 //! - [`endpoints`]: what is known of each endpoint; leaving is sticky.
 //! - [`routing`], [`limits`], [`latency`]: where a call goes.
+//! - [`timing`]: how the remaining time is split over stages, and when to hedge.
 //! - [`admission`], [`queue`], [`budget`]: what is taken in, in which order,
 //!   and how much repetition is allowed.
 //! - [`policy`]: operators' short programs.
 //! - [`instance`]: one entry instance, made of all of the above.
 
+pub mod admission;
+pub mod budget;
+pub mod check;
+pub mod claims;
+pub mod config_log;
 pub mod document;
+pub mod endpoints;
 pub mod instance;
+pub mod latency;
+pub mod limits;
 pub mod membership;
 pub mod model;
+pub mod policy;
+pub mod queue;
 pub mod record;
+pub mod routing;
+pub mod timing;
