Add process fixtures and cargo xtask demo

Tests of failures need whole systems as processes that can be killed, frozen and broken, and a newcomer needs one command that shows a request answered. The fixture starts the built binaries, learns their ports from what they print, tells the list, publishes through the administration API and waits for events with a bound. The demo is that fixture with the sample configuration.

The administration process does not print its port, unlike the other binaries; it gets one that was free just before.

--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,5 +1,15 @@
 //! Fixtures for tests.
 //!
 //! - [`platform`]: a log, a list and instances that a test holds in its hand.
+//! - [`processes`]: a whole system as processes, that a test kills, freezes
+//!   and breaks; with [`process`], one of them, and [`http`], calls to them.
+//! - [`fixture`]: documents and requests.
+//! - [`wait`]: bounded waits for an event.
 
+pub mod error;
+pub mod fixture;
+pub mod http;
 pub mod platform;
+pub mod process;
+pub mod processes;
+pub mod wait;
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,20 +1,26 @@
 //! `cargo xtask <chore>`.
 
-use std::{env, path::Path, process::ExitCode};
+use std::{env, fmt::Display, path::Path, process::ExitCode};
 
-use xtask::capacity;
+use xtask::{capacity, demo};
+
+const USAGE: &str = "usage:\n  cargo xtask demo\n  cargo xtask capacity [--check]";
 
 fn main() -> ExitCode {
     let args: Vec<String> = env::args().skip(1).collect();
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
-    let result = match args[..] {
-        ["capacity"] => capacity::run(root(), false),
-        ["capacity", "--check"] => capacity::run(root(), true),
+    match args[..] {
+        ["demo"] => exit_code(demo::run(root())),
+        ["capacity"] => exit_code(capacity::run(root(), false)),
+        ["capacity", "--check"] => exit_code(capacity::run(root(), true)),
         _ => {
-            eprintln!("usage: cargo xtask capacity [--check]");
-            return ExitCode::FAILURE;
+            eprintln!("{USAGE}");
+            ExitCode::FAILURE
         }
-    };
+    }
+}
+
+fn exit_code<E: Display>(result: Result<(), E>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
