--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -86,6 +86,8 @@
     pub rejected: u64,
     /// Reads answered.
     pub reads: u64,
+    /// Reads that wait for a record now.
+    pub waiting: u64,
 }
 
 /// The log service's state.
@@ -105,6 +107,22 @@
     counts: Counts,
 }
 
+/// A read that waits; counted until it is dropped.
+struct Waiting<'a>(&'a Log);
+
+impl<'a> Waiting<'a> {
+    fn new(log: &'a Log) -> Waiting<'a> {
+        reply::lock(&log.state).counts.waiting += 1;
+        Waiting(log)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        reply::lock(&self.0.state).counts.waiting -= 1;
+    }
+}
+
 /// What becomes of one append.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fate {
@@ -180,6 +198,7 @@
             if !read.records.is_empty() {
                 return Some(read);
             }
+            let _waiting = Waiting::new(self);
             if time::timeout_at(until, changed).await.is_err() {
                 return self.read(stream, query);
             }
