--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -6,29 +6,31 @@
 };
 
 use bpaf::Bpaf;
-use ntex::{
-    http::StatusCode,
-    web::{self, HttpResponse, types},
-};
 use peatdeck_core::{
     instance::input::RefuseReason,
-    model::{Echo, Incarnation, Load, RequestId},
+    model::{Echo, Incarnation, Load},
 };
 use peatdeck_macros::{data, message};
 use peatdeck_util::clock::{Clock, SystemClock};
-use peatdeck_wire::endpoint::{CallBody, CancelBody, RefusalBody};
+use peatdeck_wire::endpoint::CallBody;
 use slotmap::SlotMap;
 use tokio::sync::oneshot;
 
 use crate::{
-    calls::{CallBook, CallSeq, CallState},
+    calls::{CallBook, CallState},
     faults::EndpointFaults,
     load::LaggedLoad,
-    places::{Place, Places, Ticket},
+    places::{Places, Ticket},
     prefix::PrefixCache,
     reply,
 };
 
+mod call;
+mod routes;
+
+pub use call::Call;
+pub use routes::{configure, refusal};
+
 /// Settings of an engine or a service.
 #[data]
 #[derive(Bpaf)]
@@ -166,20 +168,6 @@
     cancel: oneshot::Sender<()>,
 }
 
-/// A call that was taken in. Dropped before [`Call::end`], it counts as cancelled.
-#[derive(Debug)]
-pub struct Call {
-    endpoint: Arc<Endpoint>,
-    key: ActiveKey,
-    seq: CallSeq,
-    place: Option<Place>,
-    ended: bool,
-    /// What was asked.
-    pub body: CallBody,
-    /// Faults that hold for it.
-    pub faults: EndpointFaults,
-}
-
 /// A call that was taken in, its place to be, and the sign to stop.
 #[derive(Debug)]
 pub struct Taken {
@@ -227,8 +215,7 @@
         let key = state.active.insert(Active { echo: body.echo.clone(), cancel });
         drop(state);
         self.note_load();
-        let endpoint = self.clone();
-        let call = Call { endpoint, key, seq, place: None, ended: false, body, faults };
+        let call = Call::new(self.clone(), key, seq, body, faults);
         Ok(Taken { call, ticket, cancelled })
     }
 
@@ -313,139 +300,6 @@
     }
 }
 
-impl Call {
-    /// It got a place and runs.
-    pub fn start(&mut self, place: Place) {
-        self.place = Some(place);
-        let now_ms = self.endpoint.now_ms();
-        reply::lock(&self.endpoint.state).book.started(self.seq, now_ms);
-        self.endpoint.note_load();
-    }
-
-    /// One token was generated.
-    pub fn count_token(&self) {
-        reply::lock(&self.endpoint.state).book.token(self.seq);
-    }
-
-    /// It leaves the endpoint, and its place is free.
-    pub fn end(mut self, state: CallState) {
-        self.close(state);
-    }
-
-    /// A time as the endpoint's faults stretch it.
-    pub fn stretched(&self, ms: f64) -> Duration {
-        let factor = self.faults.slowdown.unwrap_or(1.0);
-        Duration::try_from_secs_f64(ms * factor / 1_000.0).unwrap_or_default()
-    }
-
-    /// The time that a fault adds before the work.
-    pub fn delay(&self) -> Duration {
-        Duration::from_millis(self.faults.delay_ms)
-    }
-
-    /// What the reply echoes: the truth unless a fault says otherwise.
-    pub fn echoed(&self) -> Echo {
-        if self.faults.wrong_echo { self.other_echo() } else { self.body.echo.clone() }
-    }
-
-    /// The request that the output is derived from.
-    pub fn answered(&self) -> RequestId {
-        if self.faults.swapped_output {
-            self.other_echo().request
-        } else {
-            self.body.echo.request.clone()
-        }
-    }
-
-    fn other_echo(&self) -> Echo {
-        let state = reply::lock(&self.endpoint.state);
-        let other = state.book.other_echo(self.seq, &self.body.echo);
-        other.unwrap_or_else(|| made_up(&self.body.echo))
-    }
-
-    fn close(&mut self, state: CallState) {
-        self.ended = true;
-        self.place = None;
-        let now_ms = self.endpoint.now_ms();
-        let mut shared = reply::lock(&self.endpoint.state);
-        shared.active.remove(self.key);
-        shared.book.ended(self.seq, state, now_ms);
-        drop(shared);
-        self.endpoint.note_load();
-    }
-}
-
-impl Drop for Call {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.close(CallState::Cancelled);
-        }
-    }
-}
-
-/// An echo of a request that nobody sent.
-fn made_up(echo: &Echo) -> Echo {
-    let request = RequestId {
-        team: echo.request.team.clone(),
-        id: Arc::from(format!("{}-other", echo.request.id)),
-    };
-    Echo { request, ..echo.clone() }
-}
-
 fn load_of(places: &Places) -> Load {
     Load { running: places.running(), queued: places.waiting(), places: places.limit(), age_ms: 0 }
 }
-
-/// Adds the resources that engines and services share.
-pub fn configure(cfg: &mut web::ServiceConfig, endpoint: Arc<Endpoint>) {
-    cfg.state(endpoint)
-        .route("/v1/cancel", web::post().to(cancel))
-        .route("/v1/load", web::get().to(load))
-        .route("/control/faults", web::put().to(set_faults))
-        .route("/control/calls", web::get().to(calls))
-        .route("/control/state", web::get().to(state));
-}
-
-/// The answer to a call that was not taken in.
-pub fn refusal(endpoint: &Endpoint, reason: RefuseReason) -> HttpResponse {
-    let body = RefusalBody { ran: false, reason, load: Some(endpoint.reported()) };
-    reply::json(StatusCode::SERVICE_UNAVAILABLE, &body)
-}
-
-#[message]
-struct CallsQuery {
-    #[serde(default)]
-    from: u64,
-}
-
-async fn cancel(
-    endpoint: types::State<Arc<Endpoint>>,
-    body: types::Json<CancelBody>,
-) -> HttpResponse {
-    endpoint.cancel(&body.echo);
-    HttpResponse::Ok().finish()
-}
-
-async fn load(endpoint: types::State<Arc<Endpoint>>) -> HttpResponse {
-    reply::json(StatusCode::OK, &endpoint.reported())
-}
-
-async fn set_faults(
-    endpoint: types::State<Arc<Endpoint>>,
-    body: types::Json<EndpointFaults>,
-) -> HttpResponse {
-    endpoint.set_faults(body.into_inner());
-    HttpResponse::NoContent().finish()
-}
-
-async fn calls(
-    endpoint: types::State<Arc<Endpoint>>,
-    query: types::Query<CallsQuery>,
-) -> HttpResponse {
-    let body = reply::lock(&endpoint.state).book.body(&endpoint.name, query.from);
-    reply::json(StatusCode::OK, &body)
-}
-
-async fn state(endpoint: types::State<Arc<Endpoint>>) -> HttpResponse {
-    reply::json(StatusCode::OK, &endpoint.state())
-}
--- a/crates/test-support/src/processes.rs
+++ b/crates/test-support/src/processes.rs
@@ -12,8 +12,8 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use peatdeck_core::{
-    document::{Document, PoolKind},
-    model::{EndpointEntry, Incarnation, InstanceEntry, Listing, Presence},
+    document::Document,
+    model::{Listing, Presence},
     record::{ConfigRecord, Publish, Stream, Version},
 };
 use peatdeck_standin::{
@@ -32,20 +32,19 @@
     error::{Error, Result},
     fixture,
     http::{Http, Reply},
-    process::{Process, Spec},
+    process::Process,
     wait::{self, BOUND},
 };
 
 pub mod builder;
+mod node;
+
+use node::{Endpoint, Entry, Node};
 
 /// The operators' token of every system.
 pub const TOKEN: &str = "operators-token-for-tests";
 /// Who publishes.
 pub const AUTHOR: &str = "test";
-/// What a process prints before the address it serves on.
-const LISTENING: &str = "listening ";
-/// What an entry prints before the address for its peers.
-const PEERS: &str = "peers ";
 
 /// A running system.
 #[derive(Debug)]
@@ -61,83 +60,6 @@
     entries: BTreeMap<String, Entry>,
 }
 
-/// A process and how it was started.
-#[derive(Debug)]
-struct Node {
-    spec: Spec,
-    process: Process,
-    addr: String,
-}
-
-#[derive(Debug)]
-struct Endpoint {
-    node: Node,
-    pool: Arc<str>,
-    kind: PoolKind,
-    incarnation: u64,
-    presence: Presence,
-    data_centre: Arc<str>,
-}
-
-#[derive(Debug)]
-struct Entry {
-    node: Node,
-    peer_addr: String,
-    presence: Presence,
-    data_centre: Arc<str>,
-}
-
-impl Node {
-    fn start(spec: Spec) -> Result<Node> {
-        let mut process = Process::start(&spec)?;
-        let addr = process.line(LISTENING)?;
-        Ok(Node { spec, process, addr })
-    }
-}
-
-impl Endpoint {
-    fn start(
-        spec: Spec,
-        pool: Arc<str>,
-        kind: PoolKind,
-        incarnation: u64,
-        data_centre: Arc<str>,
-    ) -> Result<Endpoint> {
-        let life = incarnation.to_string();
-        let node = Node::start(spec.env("PEATDECK_INCARNATION", &life))?;
-        Ok(Endpoint { node, pool, kind, incarnation, presence: Presence::Live, data_centre })
-    }
-
-    fn listed(&self, name: &str) -> EndpointEntry {
-        EndpointEntry {
-            name: name.into(),
-            pool: self.pool.clone(),
-            addr: self.node.addr.as_str().into(),
-            data_centre: self.data_centre.clone(),
-            incarnation: Incarnation(self.incarnation),
-            presence: self.presence,
-        }
-    }
-}
-
-impl Entry {
-    fn start(spec: Spec, data_centre: Arc<str>) -> Result<Entry> {
-        let mut node = Node::start(spec)?;
-        let peer_addr = node.process.line(PEERS)?;
-        Ok(Entry { node, peer_addr, presence: Presence::Live, data_centre })
-    }
-
-    fn listed(&self, name: &str) -> InstanceEntry {
-        InstanceEntry {
-            name: name.into(),
-            peer_addr: self.peer_addr.as_str().into(),
-            http_addr: self.node.addr.as_str().into(),
-            data_centre: self.data_centre.clone(),
-            presence: self.presence,
-        }
-    }
-}
-
 /// Processes, by name.
 impl System {
     /// The names of the entries, in order.
--- a/crates/test-support/src/processes/builder.rs
+++ b/crates/test-support/src/processes/builder.rs
@@ -4,7 +4,10 @@
 
 use peatdeck_core::document::{Document, Pool, PoolKind};
 
-use super::{Endpoint, Entry, Node, System, TOKEN};
+use super::{
+    System, TOKEN,
+    node::{Endpoint, Entry, Node},
+};
 use crate::{
     error::{Error, Result},
     fixture,
