--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -210,8 +210,8 @@
 impl Quantiles {
     /// Quantiles of durations.
     pub fn of(values: impl Iterator<Item = Duration>) -> Quantiles {
-        let mut histogram = Histogram::<u64>::new(SIGNIFICANT)
-            .expect("three significant digits are within what the histogram allows");
+        let mut histogram = Histogram::<u64>::new_with_max(LONGEST, SIGNIFICANT)
+            .expect("the bounds are within what the histogram allows");
         for value in values {
             let micros = u64::try_from(value.as_micros()).unwrap_or(u64::MAX);
             histogram.saturating_record(micros);
@@ -231,6 +231,8 @@
     }
 }
 
+/// The longest time that is told apart, in microseconds: an hour.
+const LONGEST: u64 = 3_600_000_000;
 /// Significant digits of recorded times.
 const SIGNIFICANT: u8 = 3;
 /// Microseconds in a millisecond.
--- /dev/null
+++ b/crates/load/tests/load/main.rs
@@ -0,0 +1,15 @@
+//! Tests of the load tool: its arithmetic, formats and plans. None measures
+//! the machine.
+
+mod arrivals;
+mod ceiling;
+mod events;
+mod paired;
+mod plot;
+mod preset;
+mod process;
+mod report;
+mod schedule;
+mod support;
+mod trace;
+mod work;
--- /dev/null
+++ b/crates/load/tests/load/support.rs
@@ -0,0 +1,95 @@
+//! Small samples and records.
+
+use std::{sync::Arc, time::Duration};
+
+use peatdeck_core::{
+    document::{Document, Pipeline, Stage},
+    model::RequestId,
+};
+use peatdeck_load::{
+    report::Frame,
+    sample::{Ending, Sample},
+    work::{End, Work},
+};
+use peatdeck_wire::caller::StageBody;
+
+/// A span in milliseconds.
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// An idempotent request of team `big` that was planned at `at` and ended `took` later.
+pub fn sample(id: &str, at: u64, took: u64, ending: Ending) -> Sample {
+    Sample {
+        id: id.into(),
+        team: "big".into(),
+        pipeline: "draft".into(),
+        idempotent: true,
+        planned: ms(at),
+        lag: Duration::ZERO,
+        deadline: ms(1000),
+        took: ms(took),
+        first_token: None,
+        sends: 1,
+        doubted: false,
+        ending,
+        stages: Vec::new(),
+    }
+}
+
+/// The same, answered by one stage at an endpoint.
+pub fn answered(id: &str, at: u64, took: u64, endpoint: &str) -> Sample {
+    let stage = StageBody {
+        stage: "generate".into(),
+        endpoint: endpoint.into(),
+        attempts: 1,
+        took_ms: took as f64,
+    };
+    Sample { stages: vec![stage], ..sample(id, at, took, Ending::Answered) }
+}
+
+/// A call of the first stage.
+pub fn work(id: &str, attempt: u32, endpoint: &str, began: u64, busy: u64, end: End) -> Work {
+    Work {
+        endpoint: endpoint.into(),
+        pool: "engines".into(),
+        number: u64::from(attempt),
+        request: RequestId { team: "big".into(), id: id.into() },
+        stage: 0,
+        name: "generate".into(),
+        attempt,
+        began: ms(began),
+        busy: ms(busy),
+        end,
+    }
+}
+
+/// A configuration whose one stage may not be repeated.
+pub fn document() -> Document {
+    let stage = Stage {
+        name: "generate".into(),
+        pool: "engines".into(),
+        repeatable: false,
+        max_tokens: None,
+    };
+    let pipeline = Pipeline {
+        name: "draft".into(),
+        max_deadline_ms: 1000,
+        objective: 0.99,
+        policy: None,
+        stages: vec![stage],
+    };
+    Document { pipelines: vec![pipeline], ..Document::default() }
+}
+
+/// Three seconds of which the first does not count.
+pub fn frame() -> Frame {
+    Frame {
+        label: Arc::from("small"),
+        seed: 7,
+        length: ms(3000),
+        warm_up: ms(1000),
+        capacity: Some(2.0),
+        events: Vec::new(),
+    }
+}
