--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -66,13 +66,15 @@
     #[error("the log holds no publish `{0}`")]
     UnknownPublish(Arc<str>),
     /// The log is out; nothing was appended.
-    #[error("nothing was appended: {0}")]
+    #[error("this request appended nothing: {0}")]
     LogOut(String),
     /// The list is out; nothing was appended.
     #[error("nothing was done: {0}")]
     ListOut(String),
     /// The log no longer holds what makes up the configuration in force.
-    #[error("nothing was appended: the log keeps neither a snapshot nor its first record")]
+    #[error(
+        "the log keeps neither a snapshot nor its first record, so nobody can tell from it what is in force; nothing was appended"
+    )]
     NoState,
     /// The publish may have been appended.
     #[error("unknown: publish `{0}` may have taken effect, and the log did not say in time")]
@@ -129,11 +131,11 @@
             Error::LogOut(_) => "send it again when the platform's log is back".to_owned(),
             Error::ListOut(_) => "send it again when the platform's list is back".to_owned(),
             Error::NoState => {
-                "wait until an instance has appended its snapshot; if none runs, publish from a saved document"
+                "wait for an entry that still has the configuration: it appends a snapshot; then send it again"
                     .to_owned()
             }
             Error::Unknown(id) => format!(
-                "ask for the verdict of `{id}` (GET /v1/config/verdict/{id}), or publish again with the same id: it counts once"
+                "ask for the verdict of `{id}` (GET /v1/config/verdict/{id}, `peatdeck show --verdict {id}`), or publish again with the same id: it counts once"
             ),
             Error::DrainUnknown(_) => "send the drain again: it counts once".to_owned(),
         }
