--- a/crates/load/tests/load/arrivals.rs
+++ b/crates/load/tests/load/arrivals.rs
@@ -31,7 +31,7 @@
 }
 
 fn draw(plan: &Plan) -> Vec<Arrival> {
-    plan.draw(&Workload::parse(MIX).unwrap())
+    plan.draw(&Workload::parse(MIX).expect("the mix is right"))
 }
 
 fn within(arrivals: &[Arrival], from: u64, to: u64) -> usize {
--- a/crates/load/tests/load/preset.rs
+++ b/crates/load/tests/load/preset.rs
@@ -2,7 +2,7 @@
 use peatdeck_load::preset::Preset;
 
 fn thin() -> Preset {
-    Preset::load("thin").unwrap()
+    Preset::load("thin").expect("it is built in")
 }
 
 #[test]
--- a/crates/load/tests/load/trace.rs
+++ b/crates/load/tests/load/trace.rs
@@ -18,7 +18,7 @@
 }
 
 fn refused(text: &str, expected: &Expect) {
-    expected.assert_eq(&trace::read(text.as_bytes()).unwrap_err().to_string());
+    expected.assert_eq(&trace::read(text.as_bytes()).expect_err("it is no trace").to_string());
 }
 
 #[test]
