--- a/crates/load/src/children.rs
+++ b/crates/load/src/children.rs
@@ -5,6 +5,7 @@
     fmt::Display,
     fs::File,
     io::{BufRead, BufReader},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, ChildStdout, Stdio},
     sync::{Arc, mpsc},
@@ -112,6 +113,14 @@
         wait_for(&lines, LISTENING, &name)
     }
 
+    /// Starts a process that does not say where it listens but was told so.
+    ///
+    /// # Errors
+    /// If it does not start.
+    pub fn start_silent(&mut self, command: Command) -> error::Result<()> {
+        self.spawn(command).map(drop)
+    }
+
     /// Starts a process that listens for peers too.
     ///
     /// # Errors
@@ -172,6 +181,16 @@
     }
 }
 
+/// An address that nothing listens on just now.
+///
+/// # Errors
+/// If the machine has no free port.
+pub fn free_addr() -> error::Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let addr = listener.and_then(|listener| listener.local_addr());
+    addr.map_err(|err| error::Error::Start(format!("there is no free port: {err}")))
+}
+
 /// The lines that a process writes. They are read to the end, so that it never
 /// waits for a full pipe.
 fn lines(stdout: ChildStdout) -> mpsc::Receiver<String> {
--- a/crates/load/src/launch.rs
+++ b/crates/load/src/launch.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     args,
-    children::{Children, Command},
+    children::{self, Children, Command},
     control::Request,
     error,
     preset::{Preset, Service},
@@ -127,13 +127,16 @@
 }
 
 fn start_admin(children: &mut Children, log: &str, list: &str) -> error::Result<Admin> {
+    let addr = children::free_addr()?;
     let command = Command::new("peatdeck-admin", "admin")
-        .pair("--listen", "127.0.0.1:0")
+        .pair("--listen", addr)
         .pair("--log", log)
         .pair("--list", list)
         .env("PEATDECK_ADMIN_TOKEN", TOKEN);
-    let addr = children.start(command)?;
-    Ok(Admin { url: url(&addr), token: TOKEN.into() })
+    children.start_silent(command)?;
+    let admin = Admin { url: url(&addr.to_string()), token: TOKEN.into() };
+    wait_for(&[format!("{}/readyz", admin.url)])?;
+    Ok(admin)
 }
 
 fn start_entries(
@@ -182,17 +185,21 @@
 }
 
 fn wait_ready(entries: &[Entry]) -> error::Result<()> {
+    let urls: Vec<String> = entries.iter().map(|entry| format!("{}/readyz", entry.url)).collect();
+    wait_for(&urls)
+}
+
+/// Waits until each of the URLs answers 200.
+fn wait_for(urls: &[String]) -> error::Result<()> {
     let tries = READY_TIME.as_millis() / READY_EVERY.as_millis();
     for _ in 0..tries {
-        let ready =
-            entries.iter().all(|entry| runtime::get(&format!("{}/readyz", entry.url)).is_some());
-        if ready {
+        if urls.iter().all(|url| runtime::get(url).is_some()) {
             return Ok(());
         }
         thread::sleep(READY_EVERY);
     }
-    let seconds = READY_TIME.as_secs();
-    Err(error::Error::Start(format!("not every entry was ready within {seconds} s")))
+    let (urls, seconds) = (urls.join(", "), READY_TIME.as_secs());
+    Err(error::Error::Start(format!("not all ready within {seconds} s: {urls}")))
 }
 
 fn data_centre(preset: &Preset, index: usize) -> Arc<str> {
