Let the log stand-in hold its answers back

A delay before the effect alone leaves readers that already wait unharmed: with the log 1 s slow a version was in force after 7 ms, which tells nothing.

--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -51,6 +51,8 @@
     pub reject_appends: bool,
     /// Wait this long before anything is done, in milliseconds.
     pub delay_ms: u64,
+    /// Hold the answer back for this long when all is done, in milliseconds.
+    pub answer_ms: u64,
     /// Lose the answers of the next so many appends. They take effect.
     pub lose_appends: u32,
     /// Lose an append's answer with this chance, between 0 and 1.
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -188,9 +188,12 @@
 
     async fn delay(&self) {
         let delay_ms = reply::lock(&self.state).faults.delay_ms;
-        if delay_ms > 0 {
-            time::sleep(Duration::from_millis(delay_ms)).await;
-        }
+        pause(delay_ms).await;
+    }
+
+    async fn hold_answer(&self) {
+        let answer_ms = reply::lock(&self.state).faults.answer_ms;
+        pause(answer_ms).await;
     }
 
     fn set_faults(&self, faults: LogFaults) {
@@ -256,6 +259,12 @@
     }
 }
 
+async fn pause(ms: u64) {
+    if ms > 0 {
+        time::sleep(Duration::from_millis(ms)).await;
+    }
+}
+
 /// Adds the log service's resources.
 pub fn configure(cfg: &mut web::ServiceConfig, log: Arc<Log>) {
     cfg.state(log)
@@ -286,6 +295,7 @@
     match fate {
         Fate::Acknowledge => {
             let offset = log.append(&stream, data);
+            log.hold_answer().await;
             reply::json(StatusCode::OK, &AppendReply { offset })
         }
         Fate::Lose => lose(&req, &log, &stream, data).await,
@@ -325,6 +335,7 @@
         return reply::unavailable();
     };
     reply::lock(&log.state).counts.reads += 1;
+    log.hold_answer().await;
     reply::json(StatusCode::OK, &read)
 }
 
