--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -43,8 +43,6 @@
     pub flags: Vec<String>,
     /// More environment for the entries, `NAME=VALUE`.
     pub env: Vec<String>,
-    /// Where the binaries are.
-    pub bin_dir: Option<PathBuf>,
     /// Where the processes' logs go.
     pub logs: Option<PathBuf>,
 }
@@ -130,16 +128,11 @@
         .help("One more environment variable for the entries; may be repeated")
         .argument::<String>("NAME=VALUE")
         .many();
-    let bin_dir = long("bin-dir")
-        .env("PEATDECK_BIN_DIR")
-        .help("Where the other binaries are; beside this one if not given")
-        .argument::<PathBuf>("DIR")
-        .optional();
     let logs = long("logs")
-        .help("Folder for the logs of the processes")
+        .help("Folder for the ends of the logs of the processes")
         .argument::<PathBuf>("DIR")
         .optional();
-    construct!(Started { preset, time_scale, count, flags, env, bin_dir, logs })
+    construct!(Started { preset, time_scale, count, flags, env, logs })
 }
 
 /// Parses [`Traffic`].
@@ -245,12 +238,7 @@
     /// If an environment variable is not of the form.
     pub fn launch(&self) -> error::Result<launch::Launch> {
         let env = self.env.iter().map(|pair| variable(pair)).collect::<error::Result<_>>()?;
-        Ok(launch::Launch {
-            flags: self.flags.clone(),
-            env,
-            bin_dir: self.bin_dir.clone(),
-            logs: self.logs.clone(),
-        })
+        Ok(launch::Launch { flags: self.flags.clone(), env, logs: self.logs.clone() })
     }
 }
 
--- a/crates/load/src/commands/in_force.rs
+++ b/crates/load/src/commands/in_force.rs
@@ -45,7 +45,7 @@
 }
 
 /// How often an entry is asked.
-const ASK_EVERY: Duration = Duration::from_millis(10);
+const ASK_EVERY: Duration = Duration::from_millis(4);
 /// How long an entry may take to answer.
 const ASK_TIME: Duration = Duration::from_secs(5);
 /// After this a version counts as not in force.
--- a/crates/load/src/error.rs
+++ b/crates/load/src/error.rs
@@ -69,7 +69,7 @@
     },
     /// A system that could not be started.
     #[error(
-        "the system could not be started: {0}; build all binaries first (`cargo build --release --workspace`) and give their folder with --bin-dir"
+        "the system could not be started: {0}; build all binaries first (`cargo build --release --workspace`) and run this one from beside them"
     )]
     Start(String),
     /// A process of the system that did not do what it was asked.
--- a/crates/load/src/launch.rs
+++ b/crates/load/src/launch.rs
@@ -4,21 +4,22 @@
 //! told of all of them, the configuration is published, and the launch is
 //! done when every entry has it in force and is ready.
 
-use std::{path::PathBuf, sync::Arc, thread, time::Duration};
+use std::{net::TcpListener, path::PathBuf, sync::Arc, thread, time::Duration};
 
 use peatdeck_core::{
     document::PoolKind,
     model::{EndpointEntry, Incarnation, InstanceEntry, Listing, Presence},
 };
 use peatdeck_macros::data;
+use peatdeck_test_support::process::Spec;
 use peatdeck_wire::admin::{PublishBody, PublishReply};
 
 use crate::{
     args,
-    children::{self, Children, Command},
     control::Request,
     error,
     preset::{Preset, Service},
+    processes::Processes,
     runtime,
     system::{AUTHOR, Admin, Entry, Parts, System},
 };
@@ -31,12 +32,14 @@
     pub flags: Vec<String>,
     /// More environment of the entries.
     pub env: Vec<(String, String)>,
-    /// Where the binaries are; beside this one if `None`.
-    pub bin_dir: Option<PathBuf>,
-    /// Where their logs go; nowhere if `None`.
+    /// Where the ends of their logs go; nowhere if `None`.
     pub logs: Option<PathBuf>,
 }
 
+/// The binary of all stand-ins.
+const STANDIN: &str = "peatdeck-standin";
+/// Lets the kernel choose a port.
+const ANY_PORT: &str = "127.0.0.1:0";
 /// How long the list lags behind the truth.
 const LIST_LAG: Duration = Duration::from_secs(1);
 /// How long the entries get to be ready.
@@ -67,14 +70,22 @@
 /// # Errors
 /// If a process does not start, or the entries do not become ready.
 pub fn start(preset: &Preset, launch: &Launch) -> error::Result<System> {
-    let mut children = Children::new(launch.bin_dir.clone(), launch.logs.clone())?;
-    let log = children.start(Command::new("peatdeck-standin", "log").arg("log"))?;
-    let list = children.start(
-        Command::new("peatdeck-standin", "list").arg("list").pair("--lag-ms", LIST_LAG.as_millis()),
-    )?;
-    let endpoints = start_endpoints(preset, &mut children)?;
-    let admin = start_admin(&mut children, &log, &list)?;
-    let (entries, instances) = start_entries(preset, launch, &mut children, &log, &list)?;
+    let mut processes = Processes::new(launch.logs.clone())?;
+    let log = processes.start(&Spec::new("log", STANDIN).args(["log"]))?;
+    let lag = LIST_LAG.as_millis().to_string();
+    let list = processes.start(&Spec::new("list", STANDIN).args(["list", "--lag-ms", &lag]))?;
+    let endpoints = start_endpoints(preset, &mut processes)?;
+    let admin = start_admin(&mut processes, &log, &list)?;
+    let mut entries = Vec::new();
+    let mut instances = Vec::new();
+    for index in 0..preset.entries {
+        let data_centre = data_centre(preset, index);
+        let name = format!("entry-{}", index + 1);
+        let spec = entry_spec(&name, &data_centre, launch).args(["--log", &log, "--list", &list]);
+        let (entry, instance) = start_entry(&spec, data_centre, &mut processes)?;
+        entries.push(entry);
+        instances.push(instance);
+    }
     let listing = Listing { instances, endpoints: endpoints.clone() };
     let list = url(&list);
     Request::put(format!("{list}/control/list"), &listing).send()?;
@@ -88,20 +99,23 @@
         log: url(&log),
         list,
         log_delay: preset.way(),
-        kill: Box::new(move |name| children.kill(name)),
+        processes,
     })
 }
 
-fn start_endpoints(preset: &Preset, children: &mut Children) -> error::Result<Vec<EndpointEntry>> {
+fn start_endpoints(
+    preset: &Preset,
+    processes: &mut Processes,
+) -> error::Result<Vec<EndpointEntry>> {
     let mut endpoints = Vec::new();
     for service in &preset.services {
         for index in 0..service.endpoints {
             let name = format!("{}-{}", service.pool, index + 1);
-            let addr = children.start(endpoint_command(preset, service, &name))?;
+            let addr = processes.start(&endpoint_spec(preset, service, &name))?;
             endpoints.push(EndpointEntry {
                 name: name.into(),
                 pool: service.pool.clone(),
-                addr,
+                addr: addr.into(),
                 data_centre: data_centre(preset, index),
                 incarnation: Incarnation(1),
                 presence: Presence::Live,
@@ -112,65 +126,66 @@
 }
 
 /// The way between data centres is part of an endpoint's own time.
-fn endpoint_command(preset: &Preset, service: &Service, name: &str) -> Command {
+fn endpoint_spec(preset: &Preset, service: &Service, name: &str) -> Spec {
     let kind = preset.config.pool(&service.pool).map(|pool| pool.kind);
     let role = if kind == Some(PoolKind::Engine) { "engine" } else { "service" };
     let call_ms = service.call_ms + preset.way().as_secs_f64() * 1000.0;
-    Command::new("peatdeck-standin", name)
-        .arg(role)
-        .pair("--name", name)
-        .pair("--places", service.places)
-        .pair("--queue", service.queue)
-        .pair("--call-ms", call_ms)
-        .pair("--token-ms", service.token_ms)
-        .pair("--batch-cost", service.batch_cost)
+    Spec::new(name, STANDIN)
+        .args([role, "--name", name])
+        .args(["--places", &service.places.to_string()])
+        .args(["--queue", &service.queue.to_string()])
+        .args(["--call-ms", &call_ms.to_string()])
+        .args(["--token-ms", &service.token_ms.to_string()])
+        .args(["--batch-cost", &service.batch_cost.to_string()])
 }
 
-fn start_admin(children: &mut Children, log: &str, list: &str) -> error::Result<Admin> {
-    let addr = children::free_addr()?;
-    let command = Command::new("peatdeck-admin", "admin")
-        .pair("--listen", addr)
-        .pair("--log", log)
-        .pair("--list", list)
+/// The administration process does not say where it listens: it gets a port
+/// that was free just now.
+fn start_admin(processes: &mut Processes, log: &str, list: &str) -> error::Result<Admin> {
+    let addr = free_addr()?;
+    let spec = Spec::new("admin", "peatdeck-admin")
+        .args(["--listen", &addr, "--log", log, "--list", list])
         .env("PEATDECK_ADMIN_TOKEN", TOKEN);
-    children.start_silent(command)?;
-    let admin = Admin { url: url(&addr.to_string()), token: TOKEN.into() };
+    processes.start_silent(&spec)?;
+    let admin = Admin { url: url(&addr), token: TOKEN.into() };
     wait_for(&[format!("{}/readyz", admin.url)])?;
     Ok(admin)
 }
 
-fn start_entries(
-    preset: &Preset,
-    launch: &Launch,
-    children: &mut Children,
-    log: &str,
-    list: &str,
-) -> error::Result<(Vec<Entry>, Vec<InstanceEntry>)> {
-    let mut entries = Vec::new();
-    let mut instances = Vec::new();
-    for index in 0..preset.entries {
-        let name: Arc<str> = format!("entry-{}", index + 1).into();
-        let data_centre = data_centre(preset, index);
-        let mut command = Command::new("peatdeck-entry", &name)
-            .pair("--name", &name)
-            .pair("--listen", "127.0.0.1:0")
-            .pair("--peer-listen", "127.0.0.1:0")
-            .pair("--data-centre", &data_centre)
-            .pair("--log", log)
-            .pair("--list", list);
-        command.args.extend(launch.flags.iter().cloned());
-        command.env.extend(launch.env.iter().cloned());
-        let started = children.start_peer(command)?;
-        entries.push(Entry { name: name.clone(), url: url(&started.addr), pid: started.pid });
-        instances.push(InstanceEntry {
-            name,
-            peer_addr: started.peers,
-            http_addr: started.addr,
-            data_centre,
-            presence: Presence::Live,
-        });
-    }
-    Ok((entries, instances))
+fn entry_spec(name: &str, data_centre: &str, launch: &Launch) -> Spec {
+    let mut spec = Spec::new(name, "peatdeck-entry")
+        .args(["--name", name, "--data-centre", data_centre])
+        .args(["--listen", ANY_PORT, "--peer-listen", ANY_PORT])
+        .args(&launch.flags);
+    spec.env.extend(launch.env.iter().cloned());
+    spec
+}
+
+fn start_entry(
+    spec: &Spec,
+    data_centre: Arc<str>,
+    processes: &mut Processes,
+) -> error::Result<(Entry, InstanceEntry)> {
+    let addr = processes.start(spec)?;
+    let peers = processes.peers(&spec.name)?;
+    let name: Arc<str> = spec.name.as_str().into();
+    let pid = processes.id(&name).unwrap_or_default();
+    let entry = Entry { name: name.clone(), url: url(&addr), pid };
+    let instance = InstanceEntry {
+        name,
+        peer_addr: peers.into(),
+        http_addr: addr.into(),
+        data_centre,
+        presence: Presence::Live,
+    };
+    Ok((entry, instance))
+}
+
+fn free_addr() -> error::Result<String> {
+    let listener = TcpListener::bind(ANY_PORT);
+    let addr = listener.and_then(|listener| listener.local_addr());
+    let addr = addr.map_err(|err| error::Error::Start(format!("there is no free port: {err}")))?;
+    Ok(addr.to_string())
 }
 
 fn publish(preset: &Preset, admin: &Admin) -> error::Result<PublishReply> {
--- a/crates/load/src/system.rs
+++ b/crates/load/src/system.rs
@@ -13,6 +13,7 @@
 use crate::{
     control::Request,
     error,
+    processes::Processes,
     records::{self, Records},
     schedule::Kind,
 };
@@ -56,13 +57,10 @@
     pub list: Arc<str>,
     /// Time that the log takes to answer where nothing is wrong.
     pub log_delay: Duration,
-    /// Kills the process of that name. What it holds ends with the system.
-    pub kill: Killer,
+    /// The processes. They end with the system.
+    pub processes: Processes,
 }
 
-/// Kills a process by its name.
-pub type Killer = Box<dyn FnMut(&str) -> Result<(), String> + Send + Sync>;
-
 /// A running system.
 pub struct System {
     parts: Parts,
@@ -191,12 +189,14 @@
         self.set_log(false)
     }
 
-    /// Sets how long the log takes for everything.
+    /// Sets how long the log takes for everything: half of it before the
+    /// effect, half before the answer.
     ///
     /// # Errors
     /// If it cannot be reached.
     pub fn slow_log(&self, delay: Duration) -> error::Result<()> {
-        self.put_log(&LogFaults { delay_ms: millis(delay), ..LogFaults::default() })
+        let half = millis(delay / 2);
+        self.put_log(&LogFaults { delay_ms: half, answer_ms: half, ..LogFaults::default() })
     }
 
     fn engines(&self) -> impl Iterator<Item = &EndpointEntry> {
@@ -227,7 +227,7 @@
         let doomed: Vec<EndpointEntry> = self.engines().take(count).cloned().collect();
         self.kept.add(records::read(&doomed));
         for entry in &doomed {
-            self.kill(&entry.name)?;
+            self.parts.processes.kill(&entry.name)?;
         }
         let gone = |name: &Arc<str>| doomed.iter().any(|entry| entry.name == *name);
         self.parts.endpoints.retain(|entry| !gone(&entry.name));
@@ -238,18 +238,13 @@
     fn kill_entries(&mut self, count: usize) -> error::Result<String> {
         let doomed: Vec<Entry> = self.parts.entries.drain(..count).collect();
         for entry in &doomed {
-            self.kill(&entry.name)?;
+            self.parts.processes.kill(&entry.name)?;
         }
         let gone = |name: &Arc<str>| doomed.iter().any(|entry| entry.name == *name);
         self.unlist(|listing| listing.instances.retain(|entry| !gone(&entry.name)))?;
         Ok(format!("killed {}", names(doomed.iter().map(|entry| &entry.name))))
     }
 
-    fn kill(&mut self, name: &str) -> error::Result<()> {
-        (self.parts.kill)(name)
-            .map_err(|message| error::Error::Control { what: format!("killing {name}"), message })
-    }
-
     /// Takes something out of the list's truth; it shows after the list's lag.
     fn unlist(&self, change: impl FnOnce(&mut Listing)) -> error::Result<()> {
         let list = &self.parts.list;
