--- /dev/null
+++ b/crates/platform/tests/platform/lines.rs
@@ -0,0 +1,78 @@
+use expect_test::{Expect, expect};
+use peatdeck_platform::lines::Lines;
+
+fn check(chunks: &[&str], expected: Expect) {
+    let mut lines = Lines::new(8);
+    let mut seen = Vec::new();
+    'chunks: for chunk in chunks {
+        lines.push(chunk.as_bytes());
+        loop {
+            match lines.next_line() {
+                Ok(Some(line)) => seen.push(String::from_utf8_lossy(line).into_owned()),
+                Ok(None) => break,
+                Err(error) => {
+                    seen.push(format!("({error})"));
+                    break 'chunks;
+                }
+            }
+        }
+    }
+    if lines.is_torn() {
+        seen.push("(torn)".to_owned());
+    }
+    expected.assert_eq(&seen.join(" "));
+}
+
+#[test]
+fn whole_lines_come_one_by_one() {
+    check(&["a\nbc\n", "d\n"], expect!["a bc d"]);
+}
+
+#[test]
+fn a_line_torn_over_chunks_comes_once_whole() {
+    check(&["a", "b", "c\nd", "e\n"], expect!["abc de"]);
+}
+
+#[test]
+fn a_character_torn_over_chunks_comes_whole() {
+    let mut lines = Lines::new(8);
+    lines.push(&"ŵ\n".as_bytes()[..1]);
+    assert_eq!(lines.next_line(), Ok(None));
+    lines.push(&"ŵ\n".as_bytes()[1..]);
+    assert_eq!(lines.next_line(), Ok(Some("ŵ".as_bytes())));
+}
+
+#[test]
+fn empty_lines_and_carriage_returns_are_dropped() {
+    check(&["\n\r\n", "a\r\n \n"], expect!["a"]);
+}
+
+#[test]
+fn a_last_line_without_end_is_torn() {
+    check(&["a\nb"], expect!["a (torn)"]);
+}
+
+#[test]
+fn a_line_of_the_limit_is_taken() {
+    check(&["12345678\n"], expect!["12345678"]);
+}
+
+#[test]
+fn a_whole_line_over_the_limit_is_refused() {
+    check(
+        &["a\n123456789\nb\n"],
+        expect![
+            "a (a line is longer than 8 bytes; raise the limit or shorten the pieces sent) (torn)"
+        ],
+    );
+}
+
+#[test]
+fn a_line_without_end_over_the_limit_is_refused_early() {
+    check(
+        &["12345", "6789"],
+        expect![
+            "(a line is longer than 8 bytes; raise the limit or shorten the pieces sent) (torn)"
+        ],
+    );
+}
--- /dev/null
+++ b/crates/platform/tests/platform/log.rs
@@ -0,0 +1,78 @@
+use std::{sync::Arc, time::Duration};
+
+use expect_test::{Expect, expect};
+use peatdeck_core::record::{Offset, Stream};
+use peatdeck_platform::{
+    http,
+    log::{Client, Error, Range},
+};
+
+use crate::support::{self, Server};
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+async fn append(addr: &str) -> Result<Offset, Error> {
+    let client = Client::new(support::client().await, Arc::from(addr));
+    client.append(Stream::Claims, &7, LIMIT).await
+}
+
+async fn read(body: &str) -> Result<String, Error> {
+    let server = Server::start(vec![vec![support::response("200 OK", body)]]);
+    let client = Client::new(support::client().await, Arc::from(&*server.addr));
+    let range = Range { from: 3, max: 10, wait: Duration::ZERO };
+    let batch = client.read::<u32>(Stream::Config, range).await?;
+    let records: Vec<_> = batch.entries.iter().map(|entry| (entry.offset, entry.record)).collect();
+    Ok(format!("{} {} {records:?}", batch.earliest, batch.next))
+}
+
+fn check_error<T: std::fmt::Debug>(addr: &str, result: Result<T, Error>, expected: Expect) {
+    let error = result.unwrap_err();
+    let is_unsent = matches!(&error, Error::Http(error) if http::Error::is_unsent(error));
+    let text = error.to_string().replace(addr, "ADDR");
+    expected.assert_eq(&format!("{text} (unsent: {is_unsent})"));
+}
+
+#[ntex::test]
+async fn an_append_gives_its_offset() {
+    let server = Server::start(vec![vec![support::response("200 OK", r#"{"offset":42}"#)]]);
+    assert_eq!(append(&server.addr).await.unwrap(), 42);
+    expect![[r#"{"data":"7"}"#]].assert_eq(&server.requests().await[0]);
+}
+
+#[ntex::test]
+async fn an_append_that_was_not_sent_says_so() {
+    let addr = support::nobody();
+    check_error(
+        &addr,
+        append(&addr).await,
+        expect![
+            "log: no connection to ADDR: Connection refused (os error 111); check the address and that the service runs (unsent: true)"
+        ],
+    );
+}
+
+#[ntex::test]
+async fn a_lost_acknowledgement_may_have_taken_effect() {
+    let server = Server::start(vec![vec![]]);
+    check_error(&server.addr, append(&server.addr).await, expect!["log: the connection to ADDR was cut: Failed to connect to host: Connector has been disconnected; the request may have taken effect (unsent: false)"]);
+}
+
+#[ntex::test]
+async fn an_append_over_the_rate_is_refused() {
+    let server = Server::start(vec![vec![support::response("429 Too Many Requests", "")]]);
+    check_error(&server.addr, append(&server.addr).await, expect!["log: ADDR refused with status 429; try again later (unsent: false)"]);
+}
+
+#[ntex::test]
+async fn a_read_gives_records_and_where_to_go_on() {
+    let body = r#"{"earliest":3,"next":5,"now_ms":9,"records":[
+        {"offset":3,"time_ms":1,"data":"30"},{"offset":4,"time_ms":2,"data":"40"}]}"#;
+    expect!["3 5 [(3, 30), (4, 40)]"].assert_eq(&read(body).await.unwrap());
+}
+
+#[ntex::test]
+async fn an_unreadable_record_stops_the_read_and_is_named() {
+    let body = r#"{"earliest":0,"next":5,"now_ms":9,"records":[
+        {"offset":4,"time_ms":2,"data":"not a number"}]}"#;
+    check_error("-", read(body).await, expect!["record 4 of peatdeckADDRconfig is unreadable (expected ident at line 1 column 2); upgrade this instance to the version that wrote it (unsent: false)"]);
+}
--- /dev/null
+++ b/crates/platform/tests/platform/support.rs
@@ -0,0 +1,103 @@
+//! A TCP server that plays a script, byte for byte.
+
+use std::{
+    io::{Read, Write},
+    net::{TcpListener, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use futures::channel::oneshot;
+use ntex::client::Client;
+use peatdeck_platform::http;
+
+/// A server for one connection. Each reply answers one request; behind the
+/// last one the connection is closed.
+pub struct Server {
+    pub addr: String,
+    requests: oneshot::Receiver<Vec<String>>,
+}
+
+impl Server {
+    pub fn start(replies: Vec<Vec<String>>) -> Server {
+        Server::spawn(|listener| play(&listener, replies))
+    }
+
+    /// Accepts one connection and closes it unread.
+    pub fn deaf() -> Server {
+        Server::spawn(|listener| {
+            drop(listener.accept().unwrap());
+            Vec::new()
+        })
+    }
+
+    /// The bodies of the requests that it read, then `closed` if the client
+    /// closed the connection instead of sending one more.
+    pub async fn requests(self) -> Vec<String> {
+        self.requests.await.unwrap()
+    }
+
+    fn spawn(serve: impl FnOnce(TcpListener) -> Vec<String> + Send + 'static) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap().to_string();
+        let (tx, requests) = oneshot::channel();
+        thread::spawn(move || tx.send(serve(listener)).ok());
+        Server { addr, requests }
+    }
+}
+
+/// An address that nothing listens on.
+pub fn nobody() -> String {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+}
+
+pub async fn client() -> Client {
+    http::client(Duration::from_secs(5)).await.unwrap()
+}
+
+/// A response with a length.
+pub fn response(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// A chunked 200: its head, a part for each piece, its end.
+pub fn chunked(pieces: &[&str]) -> Vec<String> {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_owned();
+    let pieces = pieces.iter().map(|piece| format!("{:x}\r\n{piece}\r\n", piece.len()));
+    [head].into_iter().chain(pieces).chain(["0\r\n\r\n".to_owned()]).collect()
+}
+
+fn play(listener: &TcpListener, replies: Vec<Vec<String>>) -> Vec<String> {
+    let (mut stream, _) = listener.accept().unwrap();
+    stream.set_nodelay(true).unwrap();
+    let mut requests = Vec::new();
+    for parts in replies {
+        let Some(request) = read_request(&mut stream) else {
+            requests.push("closed".to_owned());
+            return requests;
+        };
+        requests.push(request);
+        for part in parts {
+            stream.write_all(part.as_bytes()).unwrap();
+        }
+    }
+    requests
+}
+
+fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut buf = [0; 1024];
+    loop {
+        let n = stream.read(&mut buf).ok()?;
+        if n == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&buf[..n]);
+        let text = String::from_utf8_lossy(&bytes);
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        if body.len() >= length.map_or(0, |length| length.parse().unwrap()) {
+            return Some(body.to_owned());
+        }
+    }
+}
