--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -146,7 +146,7 @@
     let status = match kind {
         Invalid::UnknownPipeline => StatusCode::NOT_FOUND,
         Invalid::KeyReused => StatusCode::CONFLICT,
-        Invalid::UnknownTeam | Invalid::NotIdempotent => StatusCode::BAD_REQUEST,
+        Invalid::UnknownTeam => StatusCode::BAD_REQUEST,
     };
     let words = invalid_words(kind);
     Failure::invalid(status, words.code, words.message, words.remedy)
@@ -230,6 +230,11 @@
             "this request has already run to its end; its answer is not kept here",
             "check whether its effect took place; do not send it again under a new id",
         ),
+        DoubtKind::EarlierUnknown => (
+            "earlier_unknown",
+            "nothing of this attempt ran; what became of an earlier one cannot be known now",
+            "send it again with the same id and `repeat` true after the given time",
+        ),
     };
     Words { code, message, remedy }
 }
@@ -251,11 +256,6 @@
             "the id was used before with another body or idempotence mark; nothing ran now",
             "use a new id for a new request, or send the earlier request unchanged",
         ),
-        Invalid::NotIdempotent => (
-            "not_idempotent",
-            "the request is marked idempotent, but a stage of the pipeline may not be repeated; nothing ran",
-            "send it with `idempotent` false",
-        ),
     };
     Words { code, message, remedy }
 }
