--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -23,7 +23,7 @@
     ("input", "input_missing", "the first stage's input"),
 ];
 /// The fields that a body may have.
-const OPTIONAL: [&str; 2] = ["idempotent", "stream"];
+const OPTIONAL: [&str; 3] = ["idempotent", "repeat", "stream"];
 
 /// Parses and checks a body.
 ///
