Close gaps that altered code showed in the tests of endpoints and queues

One was equivalent (a guard that the bound already covers; removed), four lacked a case and have one now.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -96,9 +96,7 @@
 /// How long `ahead` calls keep a new one waiting when `places` work on them
 /// at once and a call takes `service` on average.
 pub fn wait(ahead: f64, places: u32, service: Duration) -> Duration {
-    if places == 0 {
-        return MAX_RETRY;
-    }
+    // Without places it is for ever, which the bound below cuts off.
     let rounds = ahead.max(0.0) / f64::from(places);
     Duration::try_from_secs_f64(service.as_secs_f64() * rounds).unwrap_or(MAX_RETRY).min(MAX_RETRY)
 }
--- a/crates/core/tests/testsuite/endpoints.rs
+++ b/crates/core/tests/testsuite/endpoints.rs
@@ -88,8 +88,10 @@
 #[test]
 fn a_list_with_an_older_incarnation_changes_nothing() {
     let mut table = table(&[entry("a", 2)]);
-    let old = EndpointEntry { presence: Presence::Leaving, ..entry("a", 1) };
+    let addr = Arc::from("127.0.0.1:2");
+    let old = EndpointEntry { presence: Presence::Leaving, addr, ..entry("a", 1) };
     table.listed(secs(1.0), &[old]);
+    assert_eq!(&*table.endpoint("a").unwrap().addr, "127.0.0.1:1");
     assert_eq!(table.endpoint("a").unwrap().incarnation, Incarnation(2));
     assert_eq!(state(&table, "a"), Some(State::Usable));
 }
@@ -219,20 +221,34 @@
     assert_eq!(state(&table, "a"), Some(State::Ejected));
 }
 
-#[test]
-fn calls_that_hang_until_cancelled_eject() {
+/// The state of an endpoint after three calls that were cancelled after
+/// `took`, in a pool where a call takes a tenth of a second.
+fn after_cancelled(took: f64) -> Option<State> {
     let mut table = table(&[entry("a", 1), entry("b", 1), entry("c", 1)]);
     for name in ["b", "c"] {
         run(&mut table, secs(0.0), name, secs(0.1), CallResult::Ok);
     }
     for at in [1.0, 2.0, 3.0] {
-        run(&mut table, secs(at), "a", secs(0.9), CallResult::Cancelled);
-    }
-    assert_eq!(state(&table, "a"), Some(State::Ejected));
-    for at in [5.0, 6.0, 7.0] {
-        run(&mut table, secs(at), "b", secs(0.2), CallResult::Cancelled);
+        run(&mut table, secs(at), "a", secs(took), CallResult::Cancelled);
     }
-    assert_eq!(state(&table, "b"), Some(State::Usable));
+    state(&table, "a")
+}
+
+#[test]
+fn calls_that_hang_until_cancelled_eject() {
+    assert_eq!(after_cancelled(0.9), Some(State::Ejected));
+    assert_eq!(after_cancelled(0.2), Some(State::Usable));
+}
+
+#[test]
+fn a_probe_needs_a_place_besides_older_calls() {
+    let mut table = pair();
+    (0..9).for_each(|_| table.started(secs(0.0), "a"));
+    let end = CallEnd { took: secs(0.1), result: CallResult::Distrusted, tokens: None };
+    table.ended(secs(0.1), "a", end);
+    assert_eq!(table.endpoint("a").unwrap().free(secs(3.0)), 0);
+    table.ended(secs(3.0), "a", CallEnd { took: secs(3.0), result: CallResult::Ok, tokens: None });
+    assert_eq!(table.endpoint("a").unwrap().free(secs(3.0)), 1);
 }
 
 #[test]
--- a/crates/core/tests/testsuite/queue.rs
+++ b/crates/core/tests/testsuite/queue.rs
@@ -80,6 +80,19 @@
     assert_eq!(next.iter().filter(|key| **key >= 100).count(), 5);
 }
 
+#[test]
+fn credit_that_an_urgent_call_leaves_over_is_kept() {
+    let mut queue = Queue::new();
+    queue.push(Waiting { cost: 10.0, ..waiting(1, "a", 200) });
+    (100..120).for_each(|key| queue.push(waiting(key, "b", 100)));
+    (0..5).for_each(|_| assert!(queue.pop(Duration::ZERO).is_some()));
+    queue.push(waiting(2, "a", 100));
+    let order = drain(&mut queue);
+    assert_eq!(order[0], 2);
+    // Five units were saved up and one was spent: six more rounds, not ten.
+    assert_eq!(order.iter().position(|key| *key == 1), Some(6));
+}
+
 #[test]
 fn an_expired_call_comes_out_first_and_costs_nothing() {
     let mut queue = Queue::new();
