--- a/crates/core/src/endpoints/entry.rs
+++ b/crates/core/src/endpoints/entry.rs
@@ -106,6 +106,8 @@
 const HUNG_FACTOR: f64 = 5.0;
 /// Share of its limit that a new endpoint starts with.
 const FIRST_SHARE: f64 = 0.1;
+/// Age at which a reported queue counts half, where nothing else is known.
+const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Steps of a slow start, for waking up.
 const RAMP_STEPS: u32 = 10;
 
@@ -183,6 +185,12 @@
         self.report.map(|report| (report.load.queued, now.saturating_sub(report.at)))
     }
 
+    /// Calls that it reported as waiting, worth less the older the report is.
+    pub fn aged_queue(&self, now: Duration) -> f64 {
+        let Some((queued, age)) = self.reported_queue(now) else { return 0.0 };
+        f64::from(queued) * (-age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64()).exp2()
+    }
+
     /// Calls that it can work on at once, where it reported that.
     pub fn places(&self) -> Option<u32> {
         self.report.map(|report| report.load.places.max(1))
--- a/crates/core/src/policy/facts.rs
+++ b/crates/core/src/policy/facts.rs
@@ -58,8 +58,8 @@
     pub in_flight: u32,
     /// `peers`: calls of the peers there.
     pub peers: u32,
-    /// `queued`: calls that it reported as waiting.
-    pub queued: u32,
+    /// `queued`: calls that it reported as waiting, worth less with age.
+    pub queued: f64,
     /// `limit`: calls that this instance may have there.
     pub limit: u32,
     /// `took_ms`: how long its calls take; 0 if not known. For an engine, per token.
@@ -136,7 +136,7 @@
         endpoint.insert("local".into(), Dynamic::from(self.local));
         endpoint.insert("in_flight".into(), count(self.in_flight));
         endpoint.insert("peers".into(), count(self.peers));
-        endpoint.insert("queued".into(), count(self.queued));
+        endpoint.insert("queued".into(), Dynamic::from(self.queued));
         endpoint.insert("limit".into(), count(self.limit));
         endpoint.insert("took_ms".into(), ms(self.took));
         let mut map = facts.to_map();
@@ -152,7 +152,7 @@
             local: true,
             in_flight: 0,
             peers: 0,
-            queued: 0,
+            queued: 0.0,
             limit: 8,
             took: Duration::ZERO,
         };
@@ -160,7 +160,7 @@
             local: false,
             in_flight: 8,
             peers: 40,
-            queued: 7,
+            queued: 7.5,
             took: Duration::from_millis(900),
             ..idle.clone()
         };
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -9,7 +9,8 @@
 //!
 //! A call with a prompt prefix goes where that prefix is likely cached: to
 //! the pool's first endpoint by rendezvous hash, unless it holds clearly more
-//! than the average, then to the second, then as without a prefix.
+//! than the average or is much slower, then to the second, then as without a
+//! prefix.
 //!
 //! A probe that is due is sent first: nothing else brings an ejected endpoint
 //! back. A repeated call never is a probe.
@@ -44,6 +45,8 @@
 const MIN_WHOLE: f64 = 1e-3;
 /// Endpoints tried for a prefix.
 const AFFINITY_DEPTH: usize = 2;
+/// How far above the usual cost an endpoint may be for a prefix's sake.
+const COST_BOUND: f64 = 3.0;
 /// Time after which half of an endpoint's deviation from its pool is forgotten.
 const FORGET: Duration = Duration::from_secs(10);
 /// Endpoints that a policy scores for a call.
@@ -71,12 +74,12 @@
 ) -> Option<EndpointName> {
     let free = proven(table, now, demand);
     let scale = Scale::of(table, demand.pool);
+    let cost = |endpoint: &Endpoint| cost(endpoint, now, demand, &scale);
     if let Some(prefix) = demand.prefix
-        && let Some(near) = nearest(&free, demand, prefix)
+        && let Some(near) = nearest(&free, demand, prefix, cost)
     {
         return Some(near.name.clone());
     }
-    let cost = |endpoint: &Endpoint| cost(endpoint, now, demand, &scale);
     better_of_two(&free, rng, cost).map(|endpoint| endpoint.name.clone())
 }
 
@@ -145,16 +148,29 @@
     }
 }
 
-/// The endpoint that likely holds the prefix, if it isn't too full.
-fn nearest<'t>(free: &[&'t Endpoint], demand: &Demand<'_>, prefix: u64) -> Option<&'t Endpoint> {
+/// The endpoint that likely holds the prefix, if it isn't too full or too slow.
+fn nearest<'t>(
+    free: &[&'t Endpoint],
+    demand: &Demand<'_>,
+    prefix: u64,
+    cost: impl Fn(&Endpoint) -> f64,
+) -> Option<&'t Endpoint> {
     let load = |endpoint: &Endpoint| f64::from(endpoint.in_flight + (demand.peers)(&endpoint.name));
     let total: f64 = free.iter().map(|endpoint| load(endpoint)).sum();
-    let bound = ((total + 1.0) / free.len() as f64 * LOAD_BOUND).ceil();
+    let most = ((total + 1.0) / free.len() as f64 * LOAD_BOUND).ceil();
+    let slowest = lower_median(free.iter().map(|endpoint| cost(endpoint)))? * COST_BOUND;
     let mut ranked: Vec<&Endpoint> = free.to_vec();
-    ranked.sort_by_key(|endpoint| {
+    ranked.sort_by_cached_key(|endpoint| {
         std::cmp::Reverse(xxh3::xxh3_64_with_seed(endpoint.name.as_bytes(), prefix))
     });
-    ranked.into_iter().take(AFFINITY_DEPTH).find(|endpoint| load(endpoint) + 1.0 <= bound)
+    let mut near = ranked.into_iter().take(AFFINITY_DEPTH);
+    near.find(|endpoint| load(endpoint) + 1.0 <= most && cost(endpoint) <= slowest)
+}
+
+fn lower_median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_unstable_by(f64::total_cmp);
+    values.get(values.len().saturating_sub(1) / 2).copied()
 }
 
 /// What is usual in a pool.
--- a/crates/core/tests/testsuite/routing.rs
+++ b/crates/core/tests/testsuite/routing.rs
@@ -147,6 +147,19 @@
     assert_eq!(counts(&table, &near), first);
 }
 
+#[test]
+fn a_prefix_does_not_stay_on_a_straggler() {
+    let near = Demand { prefix: Some(42), ..demand() };
+    let first = counts(&four(), &near);
+    let slow = first.strip_suffix(" 1000").unwrap();
+    let mut table = four();
+    for name in ["a", "b", "c", "d"] {
+        let took = if name == slow { 1.0 } else { 0.1 };
+        run(&mut table, Duration::ZERO, name, secs(took), CallResult::Ok);
+    }
+    assert!(!counts(&table, &near).contains(slow));
+}
+
 #[test]
 fn prefixes_spread_over_the_pool() {
     let table = four();
