--- /dev/null
+++ b/crates/core/tests/testsuite/fuzz.rs
@@ -0,0 +1,123 @@
+//! Stateful fuzzing of what instances agree on.
+//!
+//! A machine is a world of several instances, a modelled log and a network,
+//! driven by a generated list of operations in virtual time. A simple oracle
+//! looks on and panics where a promise is broken.
+//!
+//! The seed is fixed. `PEATDECK_FUZZ_CASES` sets the number of cases for a long
+//! run, `PEATDECK_FUZZ_SEED` another seed.
+//!
+//! The oracles are shown to bite by [`Found`]: a world is driven with a
+//! deliberate fault, and the shrunk case that breaks a promise is a part of
+//! the test's expectation.
+
+mod claims;
+mod log;
+
+use std::{env, fmt::Debug, panic};
+
+use proptest::test_runner::{Config, RngSeed, TestError, TestRunner};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+/// Seed of the runs in CI.
+const SEED: u64 = 0x7065_6174;
+/// Cases of a run in CI, unless the environment sets another number.
+const CASES: u32 = 256;
+/// Cases within which a deliberate fault has to be found.
+const BITE_CASES: u32 = 20_000;
+/// Steps of shrinking at the most.
+const SHRINK_ITERS: u32 = 5_000;
+/// Operations in a case.
+const STEPS: std::ops::Range<usize> = 1..120;
+
+/// The smallest case that breaks a promise.
+struct Found {
+    case: String,
+}
+
+/// Runs a machine whose promises must hold.
+fn holds<M: StateMachineTest>()
+where
+    State<M>: Debug,
+{
+    let cases = from_env("PEATDECK_FUZZ_CASES").map_or(CASES, |cases| cases as u32);
+    let seed = from_env("PEATDECK_FUZZ_SEED").unwrap_or(SEED);
+    if let Err(found) = run::<M>(seed, cases, |state| state) {
+        panic!("seed {seed:#x}, {cases} cases:\n{}", found.case);
+    }
+}
+
+/// Runs a machine with a deliberate fault, which must be found.
+fn bites<M: StateMachineTest>(set: impl Fn(State<M>) -> State<M>) -> String {
+    match run::<M>(SEED, BITE_CASES, set) {
+        Ok(()) => panic!("the fault was not found in {BITE_CASES} cases"),
+        Err(found) => found.case,
+    }
+}
+
+type State<M> = <<M as StateMachineTest>::Reference as ReferenceStateMachine>::State;
+type Op<M> = <<M as StateMachineTest>::Reference as ReferenceStateMachine>::Transition;
+
+fn run<M: StateMachineTest>(
+    seed: u64,
+    cases: u32,
+    set: impl Fn(State<M>) -> State<M>,
+) -> Result<(), Found> {
+    let config = Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: SHRINK_ITERS,
+        ..Config::default()
+    };
+    let mut runner = TestRunner::new(config.clone());
+    let strategy = M::Reference::sequential_strategy(STEPS);
+    let result = runner.run(&strategy, |(state, ops, seen)| {
+        M::test_sequential(config.clone(), set(state), ops, seen);
+        Ok(())
+    });
+    let (state, ops) = match result {
+        Ok(()) => return Ok(()),
+        Err(TestError::Abort(reason)) => panic!("the run was given up: {reason}"),
+        Err(TestError::Fail(_, (state, ops, _))) => (set(state), ops),
+    };
+    let broken = |ops: &[Op<M>]| broken_promise::<M>(&config, &state, ops);
+    let (ops, promise) = shortest(ops, broken);
+    let ops: String = ops.iter().map(|op| format!("{op:?}\n")).collect();
+    Err(Found { case: format!("{promise}\n{state:?}\n{ops}") })
+}
+
+/// Leaves out every operation that is not needed, one at a time; what shrinking
+/// leaves still holds operations that only keep indices in place.
+fn shortest<T: Clone>(
+    mut ops: Vec<T>,
+    broken: impl Fn(&[T]) -> Option<String>,
+) -> (Vec<T>, String) {
+    let mut promise = broken(&ops).expect("a shrunk case fails again");
+    let mut idx = 0;
+    while idx < ops.len() {
+        let mut fewer = ops.clone();
+        fewer.remove(idx);
+        match broken(&fewer) {
+            Some(found) => (ops, promise, idx) = (fewer, found, 0),
+            None => idx += 1,
+        }
+    }
+    (ops, promise)
+}
+
+fn broken_promise<M: StateMachineTest>(
+    config: &Config,
+    state: &State<M>,
+    ops: &[Op<M>],
+) -> Option<String> {
+    let (config, state, ops) = (config.clone(), state.clone(), ops.to_vec());
+    let run = panic::AssertUnwindSafe(|| M::test_sequential(config, state, ops, None));
+    let payload = panic::catch_unwind(run).err()?;
+    let text = payload.downcast_ref::<String>().cloned();
+    Some(text.unwrap_or_else(|| "a panic without a text".to_owned()))
+}
+
+fn from_env(name: &str) -> Option<u64> {
+    env::var(name).ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/core/tests/testsuite/fuzz/claims/world.rs
@@ -0,0 +1,500 @@
+//! Processes that claim, and a log that they agree through.
+
+use std::{sync::Arc, time::Duration};
+
+use peatdeck_core::{
+    claims::{Claims, Decided, Settings, Verdict, settings::MIN_HORIZON},
+    instance::input::Identity,
+    model::{Incarnation, RequestId},
+    record::{Batch, ClaimBatch, ClaimFact},
+};
+
+use super::{Fault, Op, Setup, oracle::Oracle};
+use crate::fuzz::log::Log;
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+/// Places for processes.
+pub const PLACES: usize = 4;
+const KEYS: usize = 2;
+/// No attempt runs later than this after its request.
+const DEADLINE: Duration = Duration::from_secs(10);
+/// Retention that is long enough for the horizon, and one that is not.
+const LONG_KEEP: Duration = Duration::from_secs(3_600);
+const SHORT_KEEP: Duration = Duration::from_secs(900);
+/// Rounds within which everything settles once nothing fails.
+const HEAL_ROUNDS: usize = 20;
+const HEAL_STEP_MS: u64 = 2_500;
+const READ_ALL: usize = 1_000;
+
+pub struct World {
+    setup: Setup,
+    clock_ms: u64,
+    log: Log<ClaimBatch>,
+    processes: [Option<Process>; PLACES],
+    packets: Vec<Packet>,
+    oracle: Oracle,
+    next_nonce: u64,
+    next_life: u64,
+}
+
+struct Process {
+    identity: Identity,
+    claims: Claims,
+    born_ms: u64,
+    frozen: bool,
+    attempts: Vec<Attempt>,
+    /// The append under way, and whether the log took it.
+    append: Option<Append>,
+    late: Vec<Batch<ClaimBatch>>,
+}
+
+struct Append {
+    life: u64,
+    nonces: Vec<u64>,
+    taken: bool,
+}
+
+struct Packet {
+    life: u64,
+    append: u64,
+    batch: ClaimBatch,
+}
+
+struct Attempt {
+    key: usize,
+    nonce: u64,
+    asked_at: Duration,
+    state: State,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Waiting,
+    Won,
+    Running,
+    Over,
+}
+
+impl World {
+    pub fn new(setup: Setup) -> World {
+        let keep = if setup.keeps_short { SHORT_KEEP } else { LONG_KEEP };
+        let mut world = World {
+            log: Log::new(millis(keep)),
+            setup,
+            clock_ms: 0,
+            processes: [const { None }; PLACES],
+            packets: Vec::new(),
+            oracle: Oracle::default(),
+            next_nonce: 1,
+            next_life: 1,
+        };
+        world.spawn(0, 0);
+        world.spawn(1, 1);
+        world
+    }
+
+    pub fn apply(&mut self, op: Op) {
+        match op {
+            Op::Request { process, key, body } => self.on(process, |world, idx| {
+                world.request(idx, key, body);
+            }),
+            Op::GiveUp { process, attempt } => self.on(process, |world, idx| {
+                let open = [State::Waiting, State::Won];
+                world.with_attempt(idx, attempt, &open, World::give_up);
+            }),
+            Op::Start { process, attempt } => self.on(process, |world, idx| {
+                world.with_attempt(idx, attempt, &[State::Won], World::start);
+            }),
+            Op::Finish { process, attempt, answered } => self.on(process, |world, idx| {
+                world.with_attempt(idx, attempt, &[State::Running], |world, idx, attempt| {
+                    world.finish(idx, attempt, answered);
+                });
+            }),
+            Op::Append { process } => self.on(process, World::append),
+            Op::Deliver { packet, again } => self.deliver(packet, again),
+            Op::Drop { packet } => {
+                if !self.packets.is_empty() {
+                    self.packets.remove(packet % self.packets.len());
+                }
+            }
+            Op::Ack { process, ok } => self.on(process, |world, idx| world.ack(idx, ok)),
+            Op::Read { process, max } => self.on(process, |world, idx| world.read(idx, max)),
+            Op::ReadLate { process, max } => self.on(process, |world, idx| {
+                if let Some(batch) = world.fetch(idx, max) {
+                    at(&mut world.processes, idx).late.push(batch);
+                }
+            }),
+            Op::Arrive { process, batch, again } => self.on(process, |world, idx| {
+                world.arrive(idx, batch, again);
+            }),
+            Op::Round { process } => self.on(process, World::round),
+            Op::Advance { ms } => self.advance(ms),
+            Op::Freeze { process } => self.set_frozen(process, true),
+            Op::Thaw { process } => self.set_frozen(process, false),
+            Op::Kill { process } => self.processes[process] = None,
+            Op::Spawn { process, name } => self.spawn(process, name),
+            Op::Outage { out } => self.log.out = out,
+        }
+    }
+
+    /// Ends every failure. Then every fact gets out, and a key whose claims are
+    /// all void is free again.
+    pub fn heal_and_check(mut self) {
+        self.log.out = false;
+        self.spawn(0, 0);
+        for idx in self.places() {
+            at(&mut self.processes, idx).frozen = false;
+            self.end_attempts(idx);
+        }
+        while !self.packets.is_empty() {
+            self.deliver(0, false);
+        }
+        for idx in self.places() {
+            self.ack(idx, false);
+        }
+        for _ in 0..HEAL_ROUNDS {
+            self.advance(HEAL_STEP_MS);
+            for idx in self.places() {
+                self.round(idx);
+                self.end_attempts(idx);
+            }
+        }
+        for process in self.processes.iter().flatten() {
+            assert!(process.claims.is_settled(), "{:?} is not settled", process.identity);
+        }
+        for key in 0..KEYS {
+            self.check_free(0, key);
+        }
+    }
+
+    fn check_free(&mut self, idx: usize, key: usize) {
+        if at(&mut self.processes, idx).claims.unready().is_some() {
+            return;
+        }
+        let (end, now_ms) = (self.log.all.len(), self.log.now_ms());
+        let nonce = self.next_nonce;
+        self.request(idx, key, 0);
+        self.round(idx);
+        let won = at(&mut self.processes, idx)
+            .attempts
+            .iter()
+            .any(|a| a.nonce == nonce && a.state == State::Won);
+        let horizon_ms = now_ms - millis(MIN_HORIZON);
+        let blocked = self.has_open_claim(key, end, horizon_ms, 0);
+        assert!(!(won && blocked), "key {key} is won though a claim stands");
+        let may_be_blocked = self.has_open_claim(key, end, horizon_ms, horizon_ms);
+        assert!(won || may_be_blocked, "key {key} is not free though no claim stands");
+        self.end_attempts(idx);
+    }
+
+    /// Whether among the records before `end`, a claim since one time stands
+    /// that its process has not voided since another.
+    fn has_open_claim(&self, key: usize, end: usize, claims_ms: u64, voids_ms: u64) -> bool {
+        let facts_since = |since_ms| {
+            let records = self.log.all[..end].iter().filter(move |e| e.time_ms > since_ms);
+            records.flat_map(|entry| &entry.record.facts)
+        };
+        let is_void = |nonce: u64| {
+            let mut facts = facts_since(voids_ms);
+            facts.any(|fact| matches!(fact, ClaimFact::Void { nonce: void, .. } if *void == nonce))
+        };
+        facts_since(claims_ms).any(|fact| match fact {
+            ClaimFact::Claim { key: claimed, nonce, .. } => {
+                *claimed == request_id(key) && !is_void(*nonce)
+            }
+            _ => false,
+        })
+    }
+
+    fn places(&self) -> Vec<usize> {
+        (0..PLACES).filter(|&idx| self.processes[idx].is_some()).collect()
+    }
+
+    fn end_attempts(&mut self, idx: usize) {
+        for attempt in 0..at(&mut self.processes, idx).attempts.len() {
+            match at(&mut self.processes, idx).attempts[attempt].state {
+                State::Waiting | State::Won => self.give_up(idx, attempt),
+                State::Running => self.finish(idx, attempt, true),
+                State::Over => {}
+            }
+        }
+    }
+
+    /// Runs a step of the process that an index means, unless it is paused.
+    fn on(&mut self, process: usize, step: impl FnOnce(&mut World, usize)) {
+        let is_up = self.processes[process].as_ref().is_some_and(|process| !process.frozen);
+        if is_up {
+            step(self, process);
+        }
+    }
+
+    fn with_attempt(
+        &mut self,
+        idx: usize,
+        attempt: usize,
+        states: &[State],
+        step: impl FnOnce(&mut World, usize, usize),
+    ) {
+        let attempts = at(&mut self.processes, idx).attempts.iter().enumerate();
+        let open = attempts.filter(|(_, attempt)| states.contains(&attempt.state));
+        let open: Vec<usize> = open.map(|(idx, _)| idx).collect();
+        if !open.is_empty() {
+            step(self, idx, open[attempt % open.len()]);
+        }
+    }
+
+    fn now(&self, idx: usize) -> Duration {
+        let born_ms = self.processes[idx].as_ref().expect("the place is taken").born_ms;
+        Duration::from_millis(self.clock_ms - born_ms)
+    }
+
+    fn advance(&mut self, ms: u64) {
+        self.clock_ms += ms;
+        self.log.advance(ms);
+    }
+
+    fn set_frozen(&mut self, process: usize, frozen: bool) {
+        if let Some(process) = &mut self.processes[process] {
+            process.frozen = frozen;
+        }
+    }
+
+    fn spawn(&mut self, idx: usize, name: usize) {
+        let identity = Identity {
+            name: Arc::from(NAMES[name % NAMES.len()]),
+            incarnation: Incarnation(self.next_life),
+            data_centre: Arc::from("dc"),
+        };
+        self.next_life += 1;
+        let keep = if self.setup.keeps_short { SHORT_KEEP } else { LONG_KEEP };
+        let mut settings = Settings::default().with_horizon(MIN_HORIZON).with_retention(keep);
+        settings.linger = Duration::ZERO;
+        settings.interval = Duration::ZERO;
+        settings.max_facts = 3;
+        let mut claims = Claims::new(identity.clone(), settings);
+        if self.setup.fault == Fault::StartsAtEnd {
+            skip_to_end(&mut claims, &self.log);
+        }
+        self.processes[idx] = Some(Process {
+            identity,
+            claims,
+            born_ms: self.clock_ms,
+            frozen: false,
+            attempts: Vec::new(),
+            append: None,
+            late: Vec::new(),
+        });
+    }
+
+    fn request(&mut self, idx: usize, key: usize, body: u64) {
+        let now = self.now(idx);
+        let nonce = self.next_nonce;
+        self.next_nonce += 1;
+        let process = at(&mut self.processes, idx);
+        let verdict = process.claims.request(now, request_id(key), body, nonce);
+        match verdict {
+            Verdict::Waiting => {
+                let state = State::Waiting;
+                process.attempts.push(Attempt { key, nonce, asked_at: now, state });
+            }
+            Verdict::Won => panic!("{nonce} has won without a read"),
+            Verdict::Lost(holder) => {
+                self.oracle.told_holder(holder.nonce, holder.finished);
+                self.oracle.refused(nonce);
+            }
+            Verdict::Mismatch | Verdict::Unready(_) => self.oracle.refused(nonce),
+        }
+    }
+
+    fn give_up(&mut self, idx: usize, attempt: usize) {
+        let now = self.now(idx);
+        let process = at(&mut self.processes, idx);
+        let attempt = &mut process.attempts[attempt];
+        attempt.state = State::Over;
+        process.claims.give_up(now, &request_id(attempt.key), attempt.nonce);
+        self.oracle.refused(attempt.nonce);
+    }
+
+    fn start(&mut self, idx: usize, attempt: usize) {
+        let late =
+            self.now(idx) - at(&mut self.processes, idx).attempts[attempt].asked_at > DEADLINE;
+        if late && self.setup.fault != Fault::IgnoresDeadline {
+            self.give_up(idx, attempt);
+            return;
+        }
+        let attempt = &mut at(&mut self.processes, idx).attempts[attempt];
+        attempt.state = State::Running;
+        let apart_ms = millis(MIN_HORIZON - DEADLINE);
+        self.oracle.runs(attempt.key, attempt.nonce, self.clock_ms, apart_ms);
+    }
+
+    fn finish(&mut self, idx: usize, attempt: usize, answered: bool) {
+        let now = self.now(idx);
+        let process = at(&mut self.processes, idx);
+        let attempt = &mut process.attempts[attempt];
+        attempt.state = State::Over;
+        self.oracle.finishes(attempt.nonce, answered);
+        process.claims.finished(now, &request_id(attempt.key), attempt.nonce, answered);
+    }
+
+    fn append(&mut self, idx: usize) {
+        let now = self.now(idx);
+        let process = at(&mut self.processes, idx);
+        let Some(mut facts) = process.claims.flush(now) else { return };
+        assert!(process.append.is_none(), "two appends of one process at once");
+        assert!(!facts.is_empty(), "an append of nothing");
+        if self.setup.fault == Fault::DropsVoids {
+            facts.retain(|fact| !matches!(fact, ClaimFact::Void { .. }));
+        }
+        let nonces = facts.iter().filter_map(claim_nonce).collect();
+        let life = self.next_life;
+        self.next_life += 1;
+        process.append = Some(Append { life, nonces, taken: false });
+        let Identity { name, incarnation, .. } = process.identity.clone();
+        let batch = ClaimBatch { instance: name, incarnation, facts };
+        self.packets.push(Packet { life: incarnation.0, append: life, batch });
+    }
+
+    fn deliver(&mut self, packet: usize, again: bool) {
+        if self.packets.is_empty() {
+            return;
+        }
+        let idx = packet % self.packets.len();
+        if !self.log.append(self.packets[idx].batch.clone()) {
+            return;
+        }
+        let Packet { life, append, .. } = self.packets[idx];
+        let sender = self.processes.iter_mut().flatten().find(|p| p.identity.incarnation.0 == life);
+        let under_way = sender.and_then(|process| process.append.as_mut());
+        if let Some(under_way) = under_way.filter(|under_way| under_way.life == append) {
+            under_way.taken = true;
+        }
+        if !again {
+            self.packets.remove(idx);
+        }
+    }
+
+    /// The answer to an append, which may be lost, but never lies.
+    fn ack(&mut self, idx: usize, ok: bool) {
+        let now = self.now(idx);
+        let process = at(&mut self.processes, idx);
+        let Some(append) = process.append.take() else { return };
+        let ok = ok && append.taken;
+        process.claims.append_ended(now, ok);
+        for attempt in &mut process.attempts {
+            if !append.nonces.contains(&attempt.nonce) || attempt.state != State::Waiting {
+                continue;
+            }
+            if ok && self.setup.fault == Fault::AckIsProof {
+                attempt.state = State::Won;
+            }
+            if !ok && self.setup.fault == Fault::FailureIsDisproof {
+                self.oracle.refused(attempt.nonce);
+            }
+        }
+    }
+
+    fn fetch(&mut self, idx: usize, max: usize) -> Option<Batch<ClaimBatch>> {
+        let claims = &mut at(&mut self.processes, idx).claims;
+        let Some(mut batch) = self.log.read(claims.next_offset(), max) else {
+            claims.read_failed();
+            return None;
+        };
+        if self.setup.fault == Fault::HidesGaps {
+            batch.earliest = batch.earliest.min(batch.from);
+        }
+        Some(batch)
+    }
+
+    fn read(&mut self, idx: usize, max: usize) {
+        if let Some(batch) = self.fetch(idx, max) {
+            self.take_in(idx, &batch);
+        }
+    }
+
+    fn arrive(&mut self, idx: usize, batch: usize, again: bool) {
+        let late = &mut at(&mut self.processes, idx).late;
+        if late.is_empty() {
+            return;
+        }
+        let which = batch % late.len();
+        let batch = if again { late[which].clone() } else { late.remove(which) };
+        self.take_in(idx, &batch);
+    }
+
+    fn take_in(&mut self, idx: usize, batch: &Batch<ClaimBatch>) {
+        let now = self.now(idx);
+        let before = at(&mut self.processes, idx).claims.next_offset();
+        let decided = at(&mut self.processes, idx).claims.read(now, batch);
+        assert!(
+            at(&mut self.processes, idx).claims.next_offset() >= before,
+            "the reader went back"
+        );
+        for Decided { nonce, verdict, .. } in decided {
+            self.decide(idx, nonce, verdict);
+        }
+    }
+
+    fn decide(&mut self, idx: usize, nonce: u64, verdict: Verdict) {
+        let mut attempts = at(&mut self.processes, idx).attempts.iter_mut();
+        let attempt = attempts.find(|attempt| attempt.nonce == nonce).expect("it was asked for");
+        if self.setup.fault == Fault::AckIsProof && attempt.state != State::Waiting {
+            return;
+        }
+        assert_eq!(attempt.state, State::Waiting, "{nonce} is decided twice");
+        attempt.state = if verdict == Verdict::Won { State::Won } else { State::Over };
+        match verdict {
+            Verdict::Won => {}
+            Verdict::Waiting => panic!("{nonce} is decided to wait"),
+            Verdict::Lost(holder) => {
+                assert_ne!(holder.nonce, nonce, "a claim has lost to itself");
+                self.oracle.told_holder(holder.nonce, holder.finished);
+                self.oracle.refused(nonce);
+            }
+            Verdict::Mismatch | Verdict::Unready(_) => self.oracle.refused(nonce),
+        }
+    }
+
+    fn round(&mut self, idx: usize) {
+        self.append(idx);
+        let under_way = at(&mut self.processes, idx).append.as_ref().map(|append| append.life);
+        if let Some(packet) = self.packets.iter().position(|p| Some(p.append) == under_way) {
+            self.deliver(packet, false);
+        }
+        self.ack(idx, true);
+        let fetched = (0..4).map_while(|_| {
+            self.read(idx, READ_ALL);
+            (!self.log.out).then_some(())
+        });
+        fetched.count();
+    }
+}
+
+fn at(processes: &mut [Option<Process>], idx: usize) -> &mut Process {
+    processes[idx].as_mut().expect("the place is taken")
+}
+
+/// The fault of a process that takes the stream's end for its start.
+fn skip_to_end(claims: &mut Claims, log: &Log<ClaimBatch>) {
+    let next = log.all.len() as u64;
+    let now_ms = log.now_ms();
+    for from in [0, next] {
+        let batch = Batch { from, earliest: 0, next, now_ms, entries: Vec::new() };
+        claims.read(Duration::ZERO, &batch);
+    }
+}
+
+fn claim_nonce(fact: &ClaimFact) -> Option<u64> {
+    match fact {
+        ClaimFact::Claim { nonce, .. } => Some(*nonce),
+        _ => None,
+    }
+}
+
+fn request_id(key: usize) -> RequestId {
+    RequestId { team: Arc::from("team"), id: Arc::from(format!("key-{key}")) }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).expect("small")
+}
