Call a publish a conflict only where that is certain

Now a conflict is told only for a base that was in force since the fold began: an accepted earlier copy would have taken the version past such a base. For an older base there is no verdict; whoever appends has to see first that its base is in force.

The machine stands beside the one for claims: four instances, peers, a log that expires records, and a worked-out chain as the oracle.

--- a/crates/core/src/config_log.rs
+++ b/crates/core/src/config_log.rs
@@ -85,7 +85,8 @@
 /// Whether what was read continues a known state.
 enum Reader {
     /// The state covers every record before `position`, and maybe later ones.
-    Joined(Arc<Snapshot>),
+    /// Fold began with a state of version `since`.
+    Joined { state: Arc<Snapshot>, since: Version },
     /// Records before `start` are lost; what was read from there on waits for
     /// a state to start from.
     Broken { start: Offset, tail: Vec<Entry<ConfigRecord>> },
@@ -101,7 +102,7 @@
     /// A reader that has read nothing.
     pub fn new() -> Fold {
         Fold {
-            reader: Reader::Joined(Arc::new(chain::empty())),
+            reader: Reader::Joined { state: Arc::new(chain::empty()), since: 0 },
             position: 0,
             known: None,
             reached_end: false,
@@ -186,7 +187,9 @@
         self.log_now
     }
 
-    /// What became of a publish; `None` while it was not read.
+    /// What became of a publish; `None` while it was not read, and for one
+    /// from a base that is older than all that was folded here: whoever appends
+    /// a publish has to see first that its base is in force.
     pub fn verdict(&self, publish: &str) -> Option<Verdict> {
         if let Some(verdict) = self.verdicts.find(publish) {
             return Some(verdict);
@@ -217,7 +220,7 @@
     fn lose_to(&mut self, earliest: Offset) {
         self.position = earliest;
         let needs_break = match &self.reader {
-            Reader::Joined(state) => chain::next_of(state) < earliest,
+            Reader::Joined { state, .. } => chain::next_of(state) < earliest,
             Reader::Broken { .. } => true,
         };
         if needs_break {
@@ -232,7 +235,7 @@
         self.position = entry.offset + 1;
         self.cover.note(entry);
         match &mut self.reader {
-            Reader::Joined(state) => fold(state, entry, &mut self.verdicts),
+            Reader::Joined { state, since } => fold(state, *since, entry, &mut self.verdicts),
             Reader::Broken { tail, .. } => tail.push(entry.clone()),
         }
     }
@@ -241,10 +244,11 @@
     fn join(&mut self) {
         let Reader::Broken { start, tail } = &self.reader else { return };
         let Some(mut state) = self.joining_state(*start, tail) else { return };
+        let since = state.version;
         for entry in tail {
-            fold(&mut state, entry, &mut self.verdicts);
+            fold(&mut state, since, entry, &mut self.verdicts);
         }
-        self.reader = Reader::Joined(state);
+        self.reader = Reader::Joined { state, since };
     }
 
     fn joining_state(&self, start: Offset, tail: &[Entry<ConfigRecord>]) -> Option<Arc<Snapshot>> {
@@ -258,7 +262,7 @@
 
     /// Makes the folded state the known one where it is newer.
     fn publish_state(&mut self) -> Vec<Change> {
-        let Reader::Joined(state) = &self.reader else { return Vec::new() };
+        let Reader::Joined { state, .. } = &self.reader else { return Vec::new() };
         if !self.reached_end || !self.is_forward(state) {
             return Vec::new();
         }
@@ -290,12 +294,22 @@
 }
 
 /// Folds one record in, unless the state covers it already.
-fn fold(state: &mut Arc<Snapshot>, entry: &Entry<ConfigRecord>, verdicts: &mut verdicts::Verdicts) {
+///
+/// A conflict is certain only for a base that was in force since the fold
+/// began. A publish from an older base may be the repeat of one that was
+/// accepted before, in a record that was not folded here.
+fn fold(
+    state: &mut Arc<Snapshot>,
+    since: Version,
+    entry: &Entry<ConfigRecord>,
+    verdicts: &mut verdicts::Verdicts,
+) {
     if entry.offset < chain::next_of(state) {
         return;
     }
-    let state = Arc::make_mut(state);
-    if let Some((publish, verdict)) = chain::step(state, entry) {
-        verdicts.note(publish, verdict);
+    let Some(publish) = chain::step(Arc::make_mut(state), entry) else { return };
+    let is_accepted = matches!(publish.verdict, Verdict::Accepted { .. });
+    if is_accepted || publish.base >= since {
+        verdicts.note(publish.id, publish.verdict);
     }
 }
--- a/crates/core/src/config_log/chain.rs
+++ b/crates/core/src/config_log/chain.rs
@@ -5,7 +5,7 @@
 use crate::{
     config_log::Verdict,
     document::Document,
-    record::{ConfigRecord, Drain, Entry, Offset, Publish, Snapshot},
+    record::{ConfigRecord, Drain, Entry, Offset, Publish, Snapshot, Version},
 };
 
 /// Drains kept at the most. The oldest ones give way.
@@ -40,13 +40,23 @@
     a.endpoint == b.endpoint && a.incarnation == b.incarnation
 }
 
+/// A publish that a step has decided.
+pub struct Decided {
+    /// The publish's own id.
+    pub id: Arc<str>,
+    /// The version it was made from.
+    pub base: Version,
+    /// What became of it.
+    pub verdict: Verdict,
+}
+
 /// Folds one record into the state. Gives the publish it decided, if any.
-pub fn step(state: &mut Snapshot, entry: &Entry<ConfigRecord>) -> Option<(Arc<str>, Verdict)> {
+pub fn step(state: &mut Snapshot, entry: &Entry<ConfigRecord>) -> Option<Decided> {
     state.as_of = Some(entry.offset);
     match &entry.record {
         ConfigRecord::Publish(publish) => {
             let verdict = decide(state, publish);
-            Some((publish.id.clone(), verdict))
+            Some(Decided { id: publish.id.clone(), base: publish.base, verdict })
         }
         ConfigRecord::Drain(drain) => {
             add_drain(&mut state.drains, drain);
--- a/crates/core/tests/testsuite/fuzz.rs
+++ b/crates/core/tests/testsuite/fuzz.rs
@@ -12,6 +12,7 @@
 //! the test's expectation.
 
 mod claims;
+mod config;
 mod log;
 
 use std::{env, fmt::Debug, panic};
