Name the promise that each deliberate fault must break

Shrinking may slip from one broken promise to another; the shrunk case is now one that breaks the promise the test names. Two promises more: a claim that never ran is void in the end, and an instance's first version in force is no older than the log was at its start.

--- a/crates/core/tests/testsuite/fuzz.rs
+++ b/crates/core/tests/testsuite/fuzz.rs
@@ -15,9 +15,14 @@
 mod config;
 mod log;
 
-use std::{env, fmt::Debug, panic};
+use std::{
+    env,
+    fmt::Debug,
+    panic,
+    sync::{Arc, atomic::AtomicUsize},
+};
 
-use proptest::test_runner::{Config, RngSeed, TestError, TestRunner};
+use proptest::test_runner::{Config, RngSeed, TestCaseError, TestError, TestRunner};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
 /// Seed of the runs in CI.
@@ -43,14 +48,15 @@
 {
     let cases = from_env("PEATDECK_FUZZ_CASES").map_or(CASES, |cases| cases as u32);
     let seed = from_env("PEATDECK_FUZZ_SEED").unwrap_or(SEED);
-    if let Err(found) = run::<M>(seed, cases, |state| state) {
+    if let Err(found) = run::<M>(seed, cases, "", |state| state) {
         panic!("seed {seed:#x}, {cases} cases:\n{}", found.case);
     }
 }
 
-/// Runs a machine with a deliberate fault, which must be found.
-fn bites<M: StateMachineTest>(set: impl Fn(State<M>) -> State<M>) -> String {
-    match run::<M>(SEED, BITE_CASES, set) {
+/// Runs a machine with a deliberate fault, by which a certain promise must be
+/// found broken; part of the promise's text is given.
+fn bites<M: StateMachineTest>(promise: &str, set: impl Fn(State<M>) -> State<M>) -> String {
+    match run::<M>(SEED, BITE_CASES, promise, set) {
         Ok(()) => panic!("the fault was not found in {BITE_CASES} cases"),
         Err(found) => found.case,
     }
@@ -62,6 +68,7 @@
 fn run<M: StateMachineTest>(
     seed: u64,
     cases: u32,
+    promise: &str,
     set: impl Fn(State<M>) -> State<M>,
 ) -> Result<(), Found> {
     let config = Config {
@@ -74,18 +81,23 @@
     let mut runner = TestRunner::new(config.clone());
     let strategy = M::Reference::sequential_strategy(STEPS);
     let result = runner.run(&strategy, |(state, ops, seen)| {
-        M::test_sequential(config.clone(), set(state), ops, seen);
-        Ok(())
+        match broken_promise::<M>(&config, set(state), ops, seen) {
+            Some(broken) if broken.contains(promise) => Err(TestCaseError::fail(broken)),
+            _ => Ok(()),
+        }
     });
     let (state, ops) = match result {
         Ok(()) => return Ok(()),
         Err(TestError::Abort(reason)) => panic!("the run was given up: {reason}"),
         Err(TestError::Fail(_, (state, ops, _))) => (set(state), ops),
     };
-    let broken = |ops: &[Op<M>]| broken_promise::<M>(&config, &state, ops);
-    let (ops, promise) = shortest(ops, broken);
+    let broken = |ops: &[Op<M>]| {
+        broken_promise::<M>(&config, state.clone(), ops.to_vec(), None)
+            .filter(|broken| broken.contains(promise))
+    };
+    let (ops, broken) = shortest(ops, broken);
     let ops: String = ops.iter().map(|op| format!("{op:?}\n")).collect();
-    Err(Found { case: format!("{promise}\n{state:?}\n{ops}") })
+    Err(Found { case: format!("{broken}\n{state:?}\n{ops}") })
 }
 
 /// Leaves out every operation that is not needed, one at a time; what shrinking
@@ -107,13 +119,14 @@
     (ops, promise)
 }
 
+/// Runs one case. The text of the promise that it breaks, if any.
 fn broken_promise<M: StateMachineTest>(
     config: &Config,
-    state: &State<M>,
-    ops: &[Op<M>],
+    state: State<M>,
+    ops: Vec<Op<M>>,
+    seen: Option<Arc<AtomicUsize>>,
 ) -> Option<String> {
-    let (config, state, ops) = (config.clone(), state.clone(), ops.to_vec());
-    let run = panic::AssertUnwindSafe(|| M::test_sequential(config, state, ops, None));
+    let run = panic::AssertUnwindSafe(|| M::test_sequential(config.clone(), state, ops, seen));
     let payload = panic::catch_unwind(run).err()?;
     let text = payload.downcast_ref::<String>().cloned();
     Some(text.unwrap_or_else(|| "a panic without a text".to_owned()))
--- a/crates/core/tests/testsuite/fuzz/claims.rs
+++ b/crates/core/tests/testsuite/fuzz/claims.rs
@@ -154,8 +154,8 @@
     super::holds::<Machine>();
 }
 
-fn check(fault: Fault, expect: Expect) {
-    let case = super::bites::<Machine>(|setup| Setup { fault, ..setup });
+fn check(fault: Fault, promise: &str, expect: Expect) {
+    let case = super::bites::<Machine>(promise, |setup| Setup { fault, ..setup });
     expect.assert_eq(&case);
 }
 
@@ -163,6 +163,7 @@
 fn taking_an_acknowledgement_for_proof_is_found() {
     check(
         Fault::AckIsProof,
+        "runs twice",
         expect![[r#"
         key 1 runs twice: 1 and 2
         Setup { fault: AckIsProof, keeps_short: false }
@@ -182,6 +183,7 @@
 fn taking_a_failure_for_disproof_is_found() {
     check(
         Fault::FailureIsDisproof,
+        "runs after it was refused",
         expect![[r#"
         1 runs after it was refused
         Setup { fault: FailureIsDisproof, keeps_short: false }
@@ -200,6 +202,7 @@
 fn dropping_voids_is_found() {
     check(
         Fault::DropsVoids,
+        "is not settled",
         expect![[r#"
         Identity { name: "b", incarnation: Incarnation(2), data_centre: "dc" } is not settled
         Setup { fault: DropsVoids, keeps_short: false }
@@ -214,6 +217,7 @@
 fn starting_at_the_end_of_the_stream_is_found() {
     check(
         Fault::StartsAtEnd,
+        "is won though a claim stands",
         expect![[r#"
         key 0 is won though a claim stands
         Setup { fault: StartsAtEnd, keeps_short: false }
@@ -228,6 +232,7 @@
 fn hiding_a_gap_is_found() {
     check(
         Fault::HidesGaps,
+        "is won though a claim stands",
         expect![[r#"
         key 0 is won though a claim stands
         Setup { fault: HidesGaps, keeps_short: true }
@@ -244,6 +249,7 @@
 fn running_past_the_deadline_is_found() {
     check(
         Fault::IgnoresDeadline,
+        "runs twice",
         expect![[r#"
         key 0 runs twice: 1 and 2
         Setup { fault: IgnoresDeadline, keeps_short: false }
--- a/crates/core/tests/testsuite/fuzz/claims/oracle.rs
+++ b/crates/core/tests/testsuite/fuzz/claims/oracle.rs
@@ -35,6 +35,11 @@
         self.refused.insert(nonce);
     }
 
+    /// Whether an attempt was started.
+    pub fn has_run(&self, nonce: u64) -> bool {
+        self.started.contains(&nonce)
+    }
+
     /// A run has ended.
     pub fn finishes(&mut self, nonce: u64, answered: bool) {
         self.finished.insert(nonce, answered);
--- a/crates/core/tests/testsuite/fuzz/claims/world.rs
+++ b/crates/core/tests/testsuite/fuzz/claims/world.rs
@@ -1,6 +1,6 @@
 //! Processes that claim, and a log that they agree through.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use peatdeck_core::{
     claims::{Claims, Decided, Settings, Verdict, settings::MIN_HORIZON},
@@ -162,11 +162,26 @@
         for process in self.processes.iter().flatten() {
             assert!(process.claims.is_settled(), "{:?} is not settled", process.identity);
         }
+        self.check_voids();
         for key in 0..KEYS {
             self.check_free(0, key);
         }
     }
 
+    /// Each claim in the log that never ran is void, if its process lives.
+    fn check_voids(&self) {
+        let living: HashSet<Incarnation> =
+            self.processes.iter().flatten().map(|process| process.identity.incarnation).collect();
+        let records = self.log.all.iter().map(|entry| &entry.record);
+        let facts = records.filter(|batch| living.contains(&batch.incarnation));
+        let facts: Vec<_> = facts.flat_map(|batch| &batch.facts).collect();
+        let voids: HashSet<u64> = facts.iter().filter_map(|fact| void_nonce(fact)).collect();
+        for nonce in facts.iter().filter_map(|fact| claim_nonce(fact)) {
+            let is_right = self.oracle.has_run(nonce) != voids.contains(&nonce);
+            assert!(is_right, "{nonce} ran, or else is void: not so");
+        }
+    }
+
     fn check_free(&mut self, idx: usize, key: usize) {
         if at(&mut self.processes, idx).claims.unready().is_some() {
             return;
@@ -491,6 +506,13 @@
     }
 }
 
+fn void_nonce(fact: &ClaimFact) -> Option<u64> {
+    match fact {
+        ClaimFact::Void { nonce, .. } => Some(*nonce),
+        _ => None,
+    }
+}
+
 fn request_id(key: usize) -> RequestId {
     RequestId { team: Arc::from("team"), id: Arc::from(format!("key-{key}")) }
 }
--- a/crates/core/tests/testsuite/fuzz/config.rs
+++ b/crates/core/tests/testsuite/fuzz/config.rs
@@ -155,8 +155,8 @@
     super::holds::<Machine>();
 }
 
-fn check(fault: Fault, expect: Expect) {
-    let case = super::bites::<Machine>(|_| Setup { fault });
+fn check(fault: Fault, promise: &str, expect: Expect) {
+    let case = super::bites::<Machine>(promise, |_| Setup { fault });
     expect.assert_eq(&case);
 }
 
@@ -164,6 +164,7 @@
 fn taking_an_acknowledgement_for_proof_is_found() {
     check(
         Fault::AckIsProof,
+        "was called accepted",
         expect![[r#"
         publish-2 was called accepted
         Setup { fault: AckIsProof }
@@ -178,15 +179,19 @@
 fn folding_from_a_bare_publish_is_found() {
     check(
         Fault::HidesGaps,
+        "not on the chain",
         expect![[r#"
-        assertion `left == right` failed: a is behind
-          left: Truth { version: 0, publish: None, drains: {} }
-         right: Truth { version: 1, publish: Some("publish-1"), drains: {} }
-        Setup { fault: HidesGaps }
-        Read { process: 0, max: 1 }
-        Publish { process: 0, behind: 0 }
-        Deliver { packet: 0, again: false }
-    "#]],
+            assertion `left == right` failed: not on the chain
+              left: Truth { version: 1, publish: Some("publish-2"), drains: {} }
+             right: Truth { version: 1, publish: Some("publish-1"), drains: {} }
+            Setup { fault: HidesGaps }
+            Read { process: 0, max: 1 }
+            Publish { process: 0, behind: 0 }
+            Deliver { packet: 0, again: false }
+            Publish { process: 0, behind: 0 }
+            Advance { ms: 3700000 }
+            Deliver { packet: 0, again: false }
+        "#]],
     );
 }
 
@@ -194,6 +199,7 @@
 fn adopting_an_older_snapshot_is_found() {
     check(
         Fault::AdoptsOlder,
+        "comes into force after",
         expect![[r#"
         1 comes into force after Some(1)
         Setup { fault: AdoptsOlder }
@@ -209,6 +215,7 @@
 fn skipping_snapshots_is_found() {
     check(
         Fault::SkipsSnapshots,
+        "still has a gap",
         expect![[r#"
         a still has a gap
         Setup { fault: SkipsSnapshots }
--- a/crates/core/tests/testsuite/fuzz/config/world.rs
+++ b/crates/core/tests/testsuite/fuzz/config/world.rs
@@ -47,6 +47,8 @@
     born_ms: u64,
     frozen: bool,
     late: Vec<Batch<ConfigRecord>>,
+    /// The newest version that the log held when the process started.
+    born_version: Version,
     in_force: Option<Version>,
     as_of: Option<Offset>,
     /// Publishes that the operator here was told to be accepted.
@@ -277,12 +279,15 @@
         let mut members = Members::new(identity, Settings::default(), self.next_life);
         self.next_life += 1;
         members.listed(Duration::ZERO, &listing());
+        self.oracle.follow(&self.log.all);
+        let born_version = self.oracle.newest().version;
         self.processes[idx] = Some(Process {
             fold: Fold::new(),
             members,
             born_ms: self.clock_ms,
             frozen: false,
             late: Vec::new(),
+            born_version,
             in_force: None,
             as_of: None,
             accepted: Vec::new(),
@@ -343,7 +348,11 @@
     fn take_in(&mut self, idx: usize, batch: &Batch<ConfigRecord>) {
         let process = at(&mut self.processes, idx);
         let before = process.fold.next_offset();
+        let knew_none = process.fold.current().is_none();
         let changes = process.fold.read(batch);
+        let known = process.fold.current().filter(|_| knew_none);
+        let is_new = known.is_none_or(|known| known.version >= process.born_version);
+        assert!(is_new, "the first version in force is older than the log at the start");
         assert!(process.fold.next_offset() >= before, "the reader went back");
         process.note(&changes);
     }
