--- a/crates/core/tests/testsuite/fuzz.rs
+++ b/crates/core/tests/testsuite/fuzz.rs
@@ -28,7 +28,7 @@
 /// Seed of the runs in CI.
 const SEED: u64 = 0x7065_6174;
 /// Cases of a run in CI, unless the environment sets another number.
-const CASES: u32 = 256;
+const CASES: u32 = 1_000;
 /// Cases within which a deliberate fault has to be found.
 const BITE_CASES: u32 = 20_000;
 /// Steps of shrinking at the most.
@@ -129,7 +129,8 @@
     let run = panic::AssertUnwindSafe(|| M::test_sequential(config.clone(), state, ops, seen));
     let payload = panic::catch_unwind(run).err()?;
     let text = payload.downcast_ref::<String>().cloned();
-    Some(text.unwrap_or_else(|| "a panic without a text".to_owned()))
+    let text = text.or_else(|| payload.downcast_ref::<&str>().map(|text| (*text).to_owned()));
+    Some(text.expect("a panic has a text"))
 }
 
 fn from_env(name: &str) -> Option<u64> {
--- a/crates/core/tests/testsuite/fuzz/claims.rs
+++ b/crates/core/tests/testsuite/fuzz/claims.rs
@@ -43,6 +43,8 @@
 pub enum Op {
     /// A caller sends a request to a process.
     Request { process: usize, key: usize, body: u64 },
+    /// A caller sends a request to every process at once.
+    RequestAll { key: usize },
     /// A process gives up an attempt that was not started.
     GiveUp { process: usize, attempt: usize },
     /// A process starts what it has won.
@@ -98,6 +100,7 @@
         prop_oneof![
             6 => (process(), 0..2_usize, prop_oneof![9 => Just(0), 1 => Just(1)])
                 .prop_map(|(process, key, body)| Op::Request { process, key, body }),
+            2 => (0..2_usize).prop_map(|key| Op::RequestAll { key }),
             2 => (process(), any_of()).prop_map(|(process, attempt)| Op::GiveUp { process, attempt }),
             6 => (process(), any_of()).prop_map(|(process, attempt)| Op::Start { process, attempt }),
             2 => (process(), any_of(), any::<bool>()).prop_map(|(process, attempt, answered)| {
@@ -165,17 +168,15 @@
         Fault::AckIsProof,
         "runs twice",
         expect![[r#"
-        key 1 runs twice: 1 and 2
-        Setup { fault: AckIsProof, keeps_short: false }
-        Read { process: 0, max: 1 }
-        Read { process: 1, max: 1 }
-        Request { process: 0, key: 1, body: 0 }
-        Round { process: 0 }
-        Start { process: 0, attempt: 0 }
-        Request { process: 1, key: 1, body: 0 }
-        Round { process: 1 }
-        Start { process: 1, attempt: 0 }
-    "#]],
+            key 1 runs twice: 2 and 1
+            Setup { fault: AckIsProof, keeps_short: false }
+            Request { process: 1, key: 1, body: 0 }
+            Request { process: 3, key: 1, body: 0 }
+            Round { process: 3 }
+            Start { process: 3, attempt: 0 }
+            Round { process: 1 }
+            Start { process: 1, attempt: 0 }
+        "#]],
     );
 }
 
@@ -185,16 +186,15 @@
         Fault::FailureIsDisproof,
         "runs after it was refused",
         expect![[r#"
-        1 runs after it was refused
-        Setup { fault: FailureIsDisproof, keeps_short: false }
-        Read { process: 0, max: 1 }
-        Request { process: 0, key: 0, body: 0 }
-        Append { process: 0 }
-        Deliver { packet: 0, again: false }
-        Ack { process: 0, ok: false }
-        Round { process: 0 }
-        Start { process: 0, attempt: 0 }
-    "#]],
+            1 runs after it was refused
+            Setup { fault: FailureIsDisproof, keeps_short: false }
+            Request { process: 1, key: 0, body: 0 }
+            Append { process: 1 }
+            Ack { process: 1, ok: false }
+            Deliver { packet: 0, again: false }
+            Read { process: 1, max: 1 }
+            Start { process: 1, attempt: 0 }
+        "#]],
     );
 }
 
@@ -204,12 +204,11 @@
         Fault::DropsVoids,
         "is not settled",
         expect![[r#"
-        Identity { name: "b", incarnation: Incarnation(2), data_centre: "dc" } is not settled
-        Setup { fault: DropsVoids, keeps_short: false }
-        Read { process: 1, max: 1 }
-        Request { process: 1, key: 0, body: 0 }
-        Round { process: 1 }
-    "#]],
+            Identity { name: "b", incarnation: Incarnation(2), data_centre: "dc" } is not settled
+            Setup { fault: DropsVoids, keeps_short: false }
+            RequestAll { key: 0 }
+            Append { process: 1 }
+        "#]],
     );
 }
 
@@ -219,12 +218,12 @@
         Fault::StartsAtEnd,
         "is won though a claim stands",
         expect![[r#"
-        key 0 is won though a claim stands
-        Setup { fault: StartsAtEnd, keeps_short: false }
-        Request { process: 1, key: 0, body: 0 }
-        Round { process: 1 }
-        Spawn { process: 1, name: 0 }
-    "#]],
+            key 0 is won though a claim stands
+            Setup { fault: StartsAtEnd, keeps_short: false }
+            RequestAll { key: 0 }
+            Append { process: 0 }
+            Deliver { packet: 0, again: false }
+        "#]],
     );
 }
 
@@ -234,14 +233,12 @@
         Fault::HidesGaps,
         "is won though a claim stands",
         expect![[r#"
-        key 0 is won though a claim stands
-        Setup { fault: HidesGaps, keeps_short: true }
-        Read { process: 1, max: 1 }
-        Request { process: 1, key: 0, body: 0 }
-        Round { process: 1 }
-        Start { process: 1, attempt: 0 }
-        Advance { ms: 950000 }
-    "#]],
+            key 0 is won though a claim stands
+            Setup { fault: HidesGaps, keeps_short: true }
+            Request { process: 0, key: 0, body: 0 }
+            Round { process: 0 }
+            Advance { ms: 950000 }
+        "#]],
     );
 }
 
@@ -251,17 +248,15 @@
         Fault::IgnoresDeadline,
         "runs twice",
         expect![[r#"
-        key 0 runs twice: 1 and 2
-        Setup { fault: IgnoresDeadline, keeps_short: false }
-        Read { process: 0, max: 1 }
-        Read { process: 1, max: 1 }
-        Request { process: 0, key: 0, body: 0 }
-        Round { process: 0 }
-        Advance { ms: 1300000 }
-        Start { process: 0, attempt: 0 }
-        Request { process: 1, key: 0, body: 0 }
-        Round { process: 1 }
-        Start { process: 1, attempt: 0 }
-    "#]],
+            key 1 runs twice: 3 and 2
+            Setup { fault: IgnoresDeadline, keeps_short: false }
+            RequestAll { key: 1 }
+            Round { process: 2 }
+            Advance { ms: 11000 }
+            Advance { ms: 1190000 }
+            Start { process: 2, attempt: 0 }
+            Round { process: 1 }
+            Start { process: 1, attempt: 0 }
+        "#]],
     );
 }
--- a/crates/core/tests/testsuite/fuzz/claims/world.rs
+++ b/crates/core/tests/testsuite/fuzz/claims/world.rs
@@ -88,8 +88,10 @@
             next_nonce: 1,
             next_life: 1,
         };
-        world.spawn(0, 0);
-        world.spawn(1, 1);
+        for place in 0..PLACES {
+            world.spawn(place, place);
+            world.round(place);
+        }
         world
     }
 
@@ -98,6 +100,11 @@
             Op::Request { process, key, body } => self.on(process, |world, idx| {
                 world.request(idx, key, body);
             }),
+            Op::RequestAll { key } => {
+                for process in self.places() {
+                    self.on(process, |world, idx| world.request(idx, key, 0));
+                }
+            }
             Op::GiveUp { process, attempt } => self.on(process, |world, idx| {
                 let open = [State::Waiting, State::Won];
                 world.with_attempt(idx, attempt, &open, World::give_up);
