--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod check;
 pub mod claims;
 pub mod config_log;
 pub mod document;
--- a/crates/core/tests/mutations/check.sh
+++ b/crates/core/tests/mutations/check.sh
@@ -22,6 +22,7 @@
 for patch in "$@"; do
     name=$(basename "$patch" .patch)
     test=$(sed -n 's/^Found by: //p' "$dir/$name.patch")
+    cases=$(sed -n 's/^Cases: //p' "$dir/$name.patch")
     git apply "$dir/$name.patch" || exit 2
     current=$dir/$name.patch
     if ! cargo build -q -p peatdeck-core; then
@@ -29,6 +30,7 @@
         exit 2
     fi
     echo "== $name"
+    export PEATDECK_FUZZ_CASES="${cases:-1000}"
     if out=$(RUST_BACKTRACE=0 cargo test -q -p peatdeck-core --test testsuite "$test" 2>&1); then
         echo "NOT FOUND"
         missed=$((missed + 1))
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -1,3 +1,7 @@
-//! Tests of the decisions: focused ones by feature, and stateful fuzzing.
+//! Tests of the decisions: a module per feature, and stateful fuzzing.
 
+mod check;
+mod claims;
+mod config_log;
 mod fuzz;
+mod membership;
