--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -1,12 +1,16 @@
-//! Tests of the decisions, a module per feature.
+//! Tests of the decisions: a module per feature, and stateful fuzzing.
 
 mod admission;
 mod budget;
 mod check;
+mod claims;
+mod config_log;
 mod endpoint_states;
 mod endpoints;
+mod fuzz;
 mod latency;
 mod limits;
+mod membership;
 mod policy;
 mod queue;
 mod queue_states;
