--- a/crates/xtask/tests/capacity.rs
+++ b/crates/xtask/tests/capacity.rs
@@ -35,7 +35,7 @@
         range = "10 to 390 members"
         date = "2026-12-02"
     "#;
-    Sheet::parse(&format!("{inputs}\n{lines}")).unwrap()
+    Sheet::parse(&format!("{inputs}\n{lines}")).expect("the data is well-formed")
 }
 
 const GOSSIP: &str = r#"
