--- /dev/null
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests across crates, a module a feature.
+
+mod pages;
