--- a/crates/core/examples/instance_cost.rs
+++ b/crates/core/examples/instance_cost.rs
@@ -190,6 +190,7 @@
             pipeline: name("pipeline", 0),
             deadline: Duration::from_secs(12),
             idempotent: true,
+            repeat: false,
             stream: true,
             input: input.clone(),
         };
--- /dev/null
+++ b/crates/load/examples/rest_cost.rs
@@ -0,0 +1,218 @@
+//! What entry instances use while they serve nothing.
+//!
+//! For each size it starts a log, a list and some entries as processes, lists
+//! endpoints that do not run (none is called), publishes a document, waits for
+//! the entries to be ready, and then reads their processor time and memory
+//! over some seconds. One line a size, the mean over the entries.
+//!
+//! `cargo build --release --workspace`, then
+//! `cargo run --release -p peatdeck-load --example rest_cost`
+//!
+//! Sizes are arguments `ENTRIES,ENDPOINTS,TEAMS`; a default set otherwise.
+
+use std::{collections::BTreeMap, env, path::PathBuf, sync::Arc, thread, time::Duration};
+
+use peatdeck_core::{
+    document::{Document, Pipeline, Pool, PoolKind, Stage, Team},
+    model::{EndpointEntry, Incarnation, InstanceEntry, Listing, Presence},
+    record::{ConfigRecord, Publish, Stream},
+};
+use peatdeck_load::{
+    children::{Children, Command, Started},
+    control::Request,
+    process, runtime,
+};
+use peatdeck_wire::{admin::EntryStatus, platform::AppendBody};
+
+/// Time for connections and gossip to settle.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Time that is measured.
+const MEASURE: Duration = Duration::from_secs(20);
+/// Time to wait for an entry to be ready, in tenths of a second.
+const READY_TRIES: u32 = 300;
+/// Pools that the endpoints are dealt over.
+const POOLS: usize = 16;
+
+type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
+
+/// What one size was found to use, means over the entries.
+struct Found {
+    core: f64,
+    resident: f64,
+    counters: BTreeMap<Arc<str>, f64>,
+}
+
+fn main() -> Result<()> {
+    println!(
+        "{:>7} {:>9} {:>6} {:>9} {:>9} {:>9} {:>9}",
+        "entries", "endpoints", "teams", "core_%", "MB", "sent/s", "received/s"
+    );
+    for (entries, endpoints, teams) in sizes()? {
+        let found = measure(entries, endpoints, teams)?;
+        let rate = |name| found.counters.get(name).copied().unwrap_or(0.0);
+        println!(
+            "{entries:>7} {endpoints:>9} {teams:>6} {:>9.3} {:>9.1} {:>9.1} {:>9.1}",
+            found.core * 100.0,
+            found.resident / 1e6,
+            rate("gossip_sent"),
+            rate("gossip_received"),
+        );
+    }
+    Ok(())
+}
+
+fn sizes() -> Result<Vec<(usize, usize, usize)>> {
+    let args: Vec<String> = env::args().skip(1).collect();
+    if args.is_empty() {
+        let usual = [(1, 30, 5), (8, 30, 5), (32, 30, 5), (8, 500, 5), (8, 2000, 5), (8, 30, 2800)];
+        return Ok(usual.to_vec());
+    }
+    args.iter().map(|arg| size(arg)).collect()
+}
+
+fn size(arg: &str) -> Result<(usize, usize, usize)> {
+    let numbers: Vec<usize> =
+        arg.split(',').map(str::parse).collect::<std::result::Result<_, _>>()?;
+    match numbers[..] {
+        [entries, endpoints, teams] => Ok((entries, endpoints, teams)),
+        _ => Err(format!("`{arg}` is not a size; give ENTRIES,ENDPOINTS,TEAMS").into()),
+    }
+}
+
+fn measure(entries: usize, endpoints: usize, teams: usize) -> Result<Found> {
+    let mut children = Children::new(Some(bin_dir()?), None)?;
+    let log = children.start(Command::new("peatdeck-standin", "log").arg("log"))?;
+    let list = children.start(Command::new("peatdeck-standin", "list").arg("list"))?;
+    append(&log, teams)?;
+    let started = (0..entries)
+        .map(|idx| Ok(children.start_peer(command(idx, &log, &list))?))
+        .collect::<Result<Vec<_>>>()?;
+    Request::put(format!("http://{list}/control/list"), &listing(&started, endpoints)).send()?;
+    started.iter().try_for_each(wait_ready)?;
+    thread::sleep(SETTLE);
+    let before = started.iter().map(used).collect::<Result<Vec<_>>>()?;
+    thread::sleep(MEASURE);
+    let after = started.iter().map(used).collect::<Result<Vec<_>>>()?;
+    Ok(mean(&before, &after))
+}
+
+/// Processor time, resident bytes and counters of one entry.
+type Used = (Duration, f64, BTreeMap<Arc<str>, u64>);
+
+fn used(started: &Started) -> Result<Used> {
+    let usage = process::usage(started.pid).ok_or("an entry has ended")?;
+    let status: EntryStatus = Request::get(format!("http://{}/v1/status", started.addr)).json()?;
+    Ok((usage.processor, usage.resident_kib as f64 * 1024.0, status.counters))
+}
+
+fn mean(before: &[Used], after: &[Used]) -> Found {
+    let count = before.len() as f64;
+    let seconds = MEASURE.as_secs_f64();
+    let pairs = || before.iter().zip(after);
+    let core = pairs().map(|(b, a)| (a.0 - b.0).as_secs_f64() / seconds).sum::<f64>() / count;
+    let resident = after.iter().map(|used| used.1).sum::<f64>() / count;
+    let mut counters = BTreeMap::new();
+    for (before, after) in pairs() {
+        for (name, total) in &after.2 {
+            let grown = total - before.2.get(name).copied().unwrap_or(0);
+            *counters.entry(name.clone()).or_insert(0.0) += grown as f64 / seconds / count;
+        }
+    }
+    Found { core, resident, counters }
+}
+
+fn wait_ready(started: &Started) -> Result<()> {
+    for _ in 0..READY_TRIES {
+        if runtime::get(&format!("http://{}/readyz", started.addr)).is_some() {
+            return Ok(());
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    Err(format!("the entry at {} was not ready in time", started.addr).into())
+}
+
+fn command(idx: usize, log: &str, list: &str) -> Command {
+    Command::new("peatdeck-entry", &format!("entry-{idx}"))
+        .pair("--name", entry_name(idx))
+        .pair("--listen", "127.0.0.1:0")
+        .pair("--peer-listen", "127.0.0.1:0")
+        .pair("--data-centre", "dc07")
+        .pair("--log", log)
+        .pair("--list", list)
+}
+
+fn append(log: &str, teams: usize) -> Result<()> {
+    let record = ConfigRecord::Publish(Publish {
+        id: Arc::from("first"),
+        base: 0,
+        author: Arc::from("operator"),
+        document: Arc::new(document(teams)),
+    });
+    let body = AppendBody { data: serde_json::to_string(&record)?.into() };
+    let stream = Stream::Config.name();
+    Request::post(format!("http://{log}/v1/streams/{stream}/records"), &body).send()?;
+    Ok(())
+}
+
+fn listing(started: &[Started], endpoints: usize) -> Listing {
+    let instance = |(idx, started): (usize, &Started)| InstanceEntry {
+        name: entry_name(idx),
+        peer_addr: started.peers.clone(),
+        http_addr: started.addr.clone(),
+        data_centre: Arc::from("dc07"),
+        presence: Presence::Live,
+    };
+    let endpoint = |idx| EndpointEntry {
+        name: format!("engine-dc07-{idx:04}").into(),
+        pool: format!("pool-{:04}", idx % POOLS).into(),
+        addr: Arc::from("127.0.0.1:9"),
+        data_centre: Arc::from("dc07"),
+        incarnation: Incarnation(1),
+        presence: Presence::Live,
+    };
+    Listing {
+        instances: started.iter().enumerate().map(instance).collect(),
+        endpoints: (0..endpoints).map(endpoint).collect(),
+    }
+}
+
+fn document(teams: usize) -> Document {
+    let pool = |idx: usize| Pool {
+        name: format!("pool-{idx:04}").into(),
+        kind: PoolKind::Service,
+        cost: 1.0,
+        fenced: false,
+    };
+    let stage = |idx: usize| Stage {
+        name: format!("stage-{idx}").into(),
+        pool: format!("pool-{idx:04}").into(),
+        repeatable: true,
+        max_tokens: None,
+    };
+    let pipeline = |idx: usize| Pipeline {
+        name: format!("pipeline-{idx:02}").into(),
+        max_deadline_ms: 12_000,
+        objective: 0.99,
+        policy: None,
+        stages: (0..3 + idx % 4).map(stage).collect(),
+    };
+    let team =
+        |idx: usize| Team { name: format!("team-{idx:04}").into(), weight: 1, max_running: None };
+    Document {
+        pools: (0..POOLS).map(pool).collect(),
+        pipelines: (0..21).map(pipeline).collect(),
+        teams: (0..teams).map(team).collect(),
+        policies: Vec::new(),
+    }
+}
+
+fn entry_name(idx: usize) -> Arc<str> {
+    format!("entry-dc07-{idx:03}").into()
+}
+
+/// The folder of the binaries: the one above the examples'.
+fn bin_dir() -> Result<PathBuf> {
+    let binary = env::current_exe()?;
+    let folder = binary.parent().and_then(|examples| examples.parent());
+    Ok(folder.ok_or("this binary has no folder")?.to_owned())
+}
