--- a/crates/admin/tests/testsuite/drain.rs
+++ b/crates/admin/tests/testsuite/drain.rs
@@ -1,5 +1,7 @@
 //! Draining endpoints.
 
+#![allow(clippy::unwrap_used)]
+
 use expect_test::expect;
 use peatdeck_test_support::platform::AppendFault;
 use serde_json::json;
--- a/crates/admin/tests/testsuite/main.rs
+++ b/crates/admin/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the administration API, a module per feature.
 
+#![allow(clippy::unwrap_used)]
+
 mod drain;
 mod publish;
 mod settings;
--- a/crates/admin/tests/testsuite/publish.rs
+++ b/crates/admin/tests/testsuite/publish.rs
@@ -1,5 +1,7 @@
 //! Publishing: accepted, refused, in conflict, and settled after lost answers.
 
+#![allow(clippy::unwrap_used)]
+
 use std::sync::Arc;
 
 use expect_test::expect;
--- a/crates/admin/tests/testsuite/settings.rs
+++ b/crates/admin/tests/testsuite/settings.rs
@@ -1,5 +1,7 @@
 //! Settings, checked as a whole.
 
+#![allow(clippy::unwrap_used)]
+
 use expect_test::expect;
 use miette::{GraphicalReportHandler, GraphicalTheme};
 use peatdeck_admin::settings;
--- a/crates/admin/tests/testsuite/show.rs
+++ b/crates/admin/tests/testsuite/show.rs
@@ -1,5 +1,7 @@
 //! What is in force, who did what, and the status of the instances.
 
+#![allow(clippy::unwrap_used)]
+
 use std::sync::Arc;
 
 use expect_test::expect;
--- a/crates/admin/tests/testsuite/support.rs
+++ b/crates/admin/tests/testsuite/support.rs
@@ -1,5 +1,7 @@
 //! An administration API on a platform of the test's own.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{net::TcpListener, time::Duration};
 
 use ntex::{
--- a/crates/admin/tests/testsuite/token.rs
+++ b/crates/admin/tests/testsuite/token.rs
@@ -1,5 +1,7 @@
 //! The operators' token.
 
+#![allow(clippy::unwrap_used)]
+
 use expect_test::expect;
 use ntex::http::Method;
 
--- a/crates/cli/tests/testsuite/check.rs
+++ b/crates/cli/tests/testsuite/check.rs
@@ -1,5 +1,7 @@
 //! `peatdeck check`: errors that point into the file.
 
+#![allow(clippy::unwrap_used)]
+
 use expect_test::{Expect, expect};
 
 use crate::support::Bench;
--- a/crates/cli/tests/testsuite/publish.rs
+++ b/crates/cli/tests/testsuite/publish.rs
@@ -1,5 +1,7 @@
 //! `peatdeck publish`.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{
     io::{BufRead, BufReader, Read, Write},
     net::TcpListener,
--- a/crates/cli/tests/testsuite/show.rs
+++ b/crates/cli/tests/testsuite/show.rs
@@ -1,5 +1,7 @@
 //! `peatdeck show`.
 
+#![allow(clippy::unwrap_used)]
+
 use expect_test::expect;
 
 use crate::support::Bench;
--- a/crates/cli/tests/testsuite/status.rs
+++ b/crates/cli/tests/testsuite/status.rs
@@ -1,5 +1,7 @@
 //! `peatdeck status`.
 
+#![allow(clippy::unwrap_used)]
+
 use expect_test::expect;
 
 use crate::support::Bench;
--- a/crates/cli/tests/testsuite/support.rs
+++ b/crates/cli/tests/testsuite/support.rs
@@ -1,6 +1,8 @@
 //! Commands run as the process would run them, against a real API on a
 //! platform of the test's own.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{
     path::PathBuf,
     time::{Duration, SystemTime},
--- a/crates/core/tests/testsuite/admission.rs
+++ b/crates/core/tests/testsuite/admission.rs
@@ -1,5 +1,7 @@
 //! Whether a request is taken in, and when a refused one should come back.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use expect_test::{Expect, expect};
--- a/crates/core/tests/testsuite/budget.rs
+++ b/crates/core/tests/testsuite/budget.rs
@@ -1,5 +1,7 @@
 //! The budget of retries and hedges.
 
+#![allow(clippy::unwrap_used)]
+
 use peatdeck_core::budget::{Budget, Settings};
 
 #[test]
--- a/crates/core/tests/testsuite/check.rs
+++ b/crates/core/tests/testsuite/check.rs
@@ -1,5 +1,7 @@
 //! Validity of a document.
 
+#![allow(clippy::unwrap_used)]
+
 use expect_test::{Expect, expect};
 use peatdeck_core::{check, document::Document};
 
--- a/crates/core/tests/testsuite/claims.rs
+++ b/crates/core/tests/testsuite/claims.rs
@@ -1,5 +1,7 @@
 //! What fuzzing does not judge of claims: when facts go out, and what is told.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{fmt::Write, sync::Arc, time::Duration};
 
 use expect_test::expect;
--- a/crates/core/tests/testsuite/config_log.rs
+++ b/crates/core/tests/testsuite/config_log.rs
@@ -1,5 +1,7 @@
 //! What fuzzing does not judge of the configuration fold.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{sync::Arc, time::Duration};
 
 use expect_test::expect;
--- a/crates/core/tests/testsuite/endpoint_states.rs
+++ b/crates/core/tests/testsuite/endpoint_states.rs
@@ -2,6 +2,8 @@
 //! simple oracle: an endpoint gets work only in an incarnation that was listed
 //! and that nobody has marked, itself or a later one.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{collections::BTreeMap, time::Duration};
 
 use peatdeck_core::{
--- a/crates/core/tests/testsuite/endpoints.rs
+++ b/crates/core/tests/testsuite/endpoints.rs
@@ -1,5 +1,7 @@
 //! What a table knows of endpoints: lists, marks, ejection, slow start.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{sync::Arc, time::Duration};
 
 use expect_test::expect;
--- a/crates/core/tests/testsuite/fuzz.rs
+++ b/crates/core/tests/testsuite/fuzz.rs
@@ -11,6 +11,8 @@
 //! deliberate fault, and the shrunk case that breaks a promise is a part of
 //! the test's expectation.
 
+#![allow(clippy::unwrap_used)]
+
 mod claims;
 mod config;
 mod log;
--- a/crates/core/tests/testsuite/fuzz/claims.rs
+++ b/crates/core/tests/testsuite/fuzz/claims.rs
@@ -1,5 +1,7 @@
 //! Fuzzing of claims: at most one run of a key, and "not run" is the truth.
 
+#![allow(clippy::unwrap_used)]
+
 mod oracle;
 mod world;
 
--- a/crates/core/tests/testsuite/fuzz/claims/oracle.rs
+++ b/crates/core/tests/testsuite/fuzz/claims/oracle.rs
@@ -1,5 +1,7 @@
 //! What must hold of runs, stated without a word on how.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::{HashMap, HashSet};
 
 /// Looks on, and panics where a promise is broken.
--- a/crates/core/tests/testsuite/fuzz/claims/world.rs
+++ b/crates/core/tests/testsuite/fuzz/claims/world.rs
@@ -1,5 +1,7 @@
 //! Processes that claim, and a log that they agree through.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use peatdeck_core::{
--- a/crates/core/tests/testsuite/fuzz/config.rs
+++ b/crates/core/tests/testsuite/fuzz/config.rs
@@ -1,6 +1,8 @@
 //! Fuzzing of the configuration in force: one chain on all instances, which
 //! never goes back, through the log and through peers.
 
+#![allow(clippy::unwrap_used)]
+
 mod oracle;
 mod world;
 
--- a/crates/core/tests/testsuite/fuzz/config/oracle.rs
+++ b/crates/core/tests/testsuite/fuzz/config/oracle.rs
@@ -1,5 +1,7 @@
 //! What is in force after each record, worked out from the whole history.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::BTreeMap;
 
 use peatdeck_core::{
--- a/crates/core/tests/testsuite/fuzz/config/world.rs
+++ b/crates/core/tests/testsuite/fuzz/config/world.rs
@@ -1,5 +1,7 @@
 //! Instances that follow the configuration, a log and a network of peers.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use peatdeck_core::{
--- a/crates/core/tests/testsuite/fuzz/log.rs
+++ b/crates/core/tests/testsuite/fuzz/log.rs
@@ -1,6 +1,8 @@
 //! A modelled log: it takes appends late, twice or never, expires records, and
 //! loses answers.
 
+#![allow(clippy::unwrap_used)]
+
 use peatdeck_core::record::{Batch, Entry, Offset};
 
 /// What the log's clock shows when the world starts, in milliseconds.
--- a/crates/core/tests/testsuite/latency.rs
+++ b/crates/core/tests/testsuite/latency.rs
@@ -1,5 +1,7 @@
 //! Online quantiles.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use peatdeck_core::latency::Estimator;
--- a/crates/core/tests/testsuite/limits.rs
+++ b/crates/core/tests/testsuite/limits.rs
@@ -1,5 +1,7 @@
 //! How limits move.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use peatdeck_core::limits::{Limit, Settings};
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the decisions: a module per feature, and stateful fuzzing.
 
+#![allow(clippy::unwrap_used)]
+
 mod admission;
 mod budget;
 mod check;
--- a/crates/core/tests/testsuite/membership.rs
+++ b/crates/core/tests/testsuite/membership.rs
@@ -1,5 +1,7 @@
 //! Who is taken for alive, and what goes into a message.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{sync::Arc, time::Duration};
 
 use peatdeck_core::{
--- a/crates/core/tests/testsuite/policy.rs
+++ b/crates/core/tests/testsuite/policy.rs
@@ -1,6 +1,8 @@
 //! Operators' scripts: what they decide, what stops them, and the examples of
 //! the reference page.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use expect_test::{Expect, expect};
--- a/crates/core/tests/testsuite/queue.rs
+++ b/crates/core/tests/testsuite/queue.rs
@@ -1,5 +1,7 @@
 //! Order within a team and shares between teams.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{sync::Arc, time::Duration};
 
 use expect_test::expect;
--- a/crates/core/tests/testsuite/queue_states.rs
+++ b/crates/core/tests/testsuite/queue_states.rs
@@ -1,6 +1,8 @@
 //! The queue under any order of pushes, pops and removals: nothing is lost or
 //! doubled, and no team with demand stays behind its share.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
--- a/crates/core/tests/testsuite/routing.rs
+++ b/crates/core/tests/testsuite/routing.rs
@@ -1,5 +1,7 @@
 //! Which endpoint is chosen.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{collections::BTreeMap, time::Duration};
 
 use expect_test::expect;
--- a/crates/core/tests/testsuite/timing.rs
+++ b/crates/core/tests/testsuite/timing.rs
@@ -1,5 +1,7 @@
 //! The split of a deadline over stages, and when to hedge.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use peatdeck_core::{latency::Estimator, timing};
--- a/crates/load/examples/rest_cost.rs
+++ b/crates/load/examples/rest_cost.rs
@@ -10,18 +10,15 @@
 //!
 //! Sizes are arguments `ENTRIES,ENDPOINTS,TEAMS`; a default set otherwise.
 
-use std::{collections::BTreeMap, env, path::PathBuf, sync::Arc, thread, time::Duration};
+use std::{collections::BTreeMap, env, sync::Arc, thread, time::Duration};
 
 use peatdeck_core::{
     document::{Document, Pipeline, Pool, PoolKind, Stage, Team},
     model::{EndpointEntry, Incarnation, InstanceEntry, Listing, Presence},
     record::{ConfigRecord, Publish, Stream},
 };
-use peatdeck_load::{
-    children::{Children, Command, Started},
-    control::Request,
-    process, runtime,
-};
+use peatdeck_load::{control::Request, process, runtime};
+use peatdeck_test_support::process::{Process, Spec};
 use peatdeck_wire::{admin::EntryStatus, platform::AppendBody};
 
 /// Time for connections and gossip to settle.
@@ -35,6 +32,13 @@
 
 type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
 
+/// An entry that runs, and where.
+struct Started {
+    process: Process,
+    addr: Arc<str>,
+    peers: Arc<str>,
+}
+
 /// What one size was found to use, means over the entries.
 struct Found {
     core: f64,
@@ -80,13 +84,11 @@
 }
 
 fn measure(entries: usize, endpoints: usize, teams: usize) -> Result<Found> {
-    let mut children = Children::new(Some(bin_dir()?), None)?;
-    let log = children.start(Command::new("peatdeck-standin", "log").arg("log"))?;
-    let list = children.start(Command::new("peatdeck-standin", "list").arg("list"))?;
+    let (_log, log) = standin("log")?;
+    let (_list, list) = standin("list")?;
     append(&log, teams)?;
-    let started = (0..entries)
-        .map(|idx| Ok(children.start_peer(command(idx, &log, &list))?))
-        .collect::<Result<Vec<_>>>()?;
+    let started =
+        (0..entries).map(|idx| start(idx, &log, &list)).collect::<Result<Vec<Started>>>()?;
     Request::put(format!("http://{list}/control/list"), &listing(&started, endpoints)).send()?;
     started.iter().try_for_each(wait_ready)?;
     thread::sleep(SETTLE);
@@ -100,7 +102,7 @@
 type Used = (Duration, f64, BTreeMap<Arc<str>, u64>);
 
 fn used(started: &Started) -> Result<Used> {
-    let usage = process::usage(started.pid).ok_or("an entry has ended")?;
+    let usage = process::usage(started.process.id()).ok_or("an entry has ended")?;
     let status: EntryStatus = Request::get(format!("http://{}/v1/status", started.addr)).json()?;
     Ok((usage.processor, usage.resident_kib as f64 * 1024.0, status.counters))
 }
@@ -131,14 +133,22 @@
     Err(format!("the entry at {} was not ready in time", started.addr).into())
 }
 
-fn command(idx: usize, log: &str, list: &str) -> Command {
-    Command::new("peatdeck-entry", &format!("entry-{idx}"))
-        .pair("--name", entry_name(idx))
-        .pair("--listen", "127.0.0.1:0")
-        .pair("--peer-listen", "127.0.0.1:0")
-        .pair("--data-centre", "dc07")
-        .pair("--log", log)
-        .pair("--list", list)
+fn standin(role: &str) -> Result<(Process, String)> {
+    let spec = Spec::new(role, "peatdeck-standin").args([role, "--listen", "127.0.0.1:0"]);
+    let mut process = Process::start(&spec)?;
+    let addr = process.line("listening ")?;
+    Ok((process, addr))
+}
+
+fn start(idx: usize, log: &str, list: &str) -> Result<Started> {
+    let name = entry_name(idx);
+    let spec = Spec::new(&name, "peatdeck-entry")
+        .args(["--name", &name, "--data-centre", "dc07", "--log", log, "--list", list])
+        .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"]);
+    let mut process = Process::start(&spec)?;
+    let addr = process.line("listening ")?.into();
+    let peers = process.line("peers ")?.into();
+    Ok(Started { process, addr, peers })
 }
 
 fn append(log: &str, teams: usize) -> Result<()> {
@@ -209,10 +219,3 @@
 fn entry_name(idx: usize) -> Arc<str> {
     format!("entry-dc07-{idx:03}").into()
 }
-
-/// The folder of the binaries: the one above the examples'.
-fn bin_dir() -> Result<PathBuf> {
-    let binary = env::current_exe()?;
-    let folder = binary.parent().and_then(|examples| examples.parent());
-    Ok(folder.ok_or("this binary has no folder")?.to_owned())
-}
--- a/crates/load/tests/load/arrivals.rs
+++ b/crates/load/tests/load/arrivals.rs
@@ -1,3 +1,5 @@
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use peatdeck_load::{
--- a/crates/load/tests/load/ceiling.rs
+++ b/crates/load/tests/load/ceiling.rs
@@ -1,3 +1,5 @@
+#![allow(clippy::unwrap_used)]
+
 use peatdeck_load::commands::ceiling::median;
 
 #[test]
--- a/crates/load/tests/load/events.rs
+++ b/crates/load/tests/load/events.rs
@@ -1,3 +1,5 @@
+#![allow(clippy::unwrap_used)]
+
 use peatdeck_load::events::{Event, Parser};
 
 fn event(name: &str, data: &str) -> Event {
--- a/crates/load/tests/load/main.rs
+++ b/crates/load/tests/load/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the load tool: its arithmetic, formats and plans. None measures
 //! the machine.
 
+#![allow(clippy::unwrap_used)]
+
 mod arrivals;
 mod ceiling;
 mod events;
--- a/crates/load/tests/load/plot.rs
+++ b/crates/load/tests/load/plot.rs
@@ -1,3 +1,5 @@
+#![allow(clippy::unwrap_used)]
+
 use expect_test::expect;
 use peatdeck_load::plot;
 
--- a/crates/load/tests/load/schedule.rs
+++ b/crates/load/tests/load/schedule.rs
@@ -1,3 +1,5 @@
+#![allow(clippy::unwrap_used)]
+
 use expect_test::{Expect, expect};
 use peatdeck_load::schedule;
 
--- a/crates/load/tests/load/support.rs
+++ b/crates/load/tests/load/support.rs
@@ -1,5 +1,7 @@
 //! Small samples and records.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{sync::Arc, time::Duration};
 
 use peatdeck_core::{
--- a/crates/load/tests/load/work.rs
+++ b/crates/load/tests/load/work.rs
@@ -1,3 +1,5 @@
+#![allow(clippy::unwrap_used)]
+
 use peatdeck_load::{
     sample::{Ending, Sample},
     work::{End, Ledger, Use, Violation, Work},
--- a/crates/platform/tests/platform/log.rs
+++ b/crates/platform/tests/platform/log.rs
@@ -1,3 +1,5 @@
+#![allow(clippy::unwrap_used)]
+
 use std::{sync::Arc, time::Duration};
 
 use expect_test::{Expect, expect};
--- a/crates/platform/tests/platform/support.rs
+++ b/crates/platform/tests/platform/support.rs
@@ -1,5 +1,7 @@
 //! A TCP server that plays a script, byte for byte.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{
     io::{Read, Write},
     net::{TcpListener, TcpStream},
--- a/crates/standin/tests/testsuite/answer.rs
+++ b/crates/standin/tests/testsuite/answer.rs
@@ -1,5 +1,7 @@
 //! Derived answers.
 
+#![allow(clippy::unwrap_used)]
+
 use expect_test::expect;
 use peatdeck_core::model::RequestId;
 use peatdeck_standin::answer;
--- a/crates/standin/tests/testsuite/engine.rs
+++ b/crates/standin/tests/testsuite/engine.rs
@@ -1,5 +1,7 @@
 //! The engine: streams, resume, cancel, places and faults.
 
+#![allow(clippy::unwrap_used)]
+
 use ntex::time;
 use peatdeck_core::{instance::input::RefuseReason, model::Echo};
 use peatdeck_standin::{
--- a/crates/standin/tests/testsuite/list.rs
+++ b/crates/standin/tests/testsuite/list.rs
@@ -1,5 +1,7 @@
 //! The list: lag, flapping, outage.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use peatdeck_core::model::{InstanceEntry, Listing, Presence};
--- a/crates/standin/tests/testsuite/load_lag.rs
+++ b/crates/standin/tests/testsuite/load_lag.rs
@@ -1,5 +1,7 @@
 //! Load reports lag by as much as was asked for last.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use peatdeck_core::model::Load;
--- a/crates/standin/tests/testsuite/log.rs
+++ b/crates/standin/tests/testsuite/log.rs
@@ -1,5 +1,7 @@
 //! The log service over HTTP, right and broken.
 
+#![allow(clippy::unwrap_used)]
+
 use futures::future;
 use ntex::time;
 use peatdeck_standin::{
--- a/crates/standin/tests/testsuite/service.rs
+++ b/crates/standin/tests/testsuite/service.rs
@@ -1,5 +1,7 @@
 //! The plain service: one reply, records and faults.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{
     io::{Read, Write},
     net::{Shutdown, TcpStream},
--- a/crates/standin/tests/testsuite/streams.rs
+++ b/crates/standin/tests/testsuite/streams.rs
@@ -1,5 +1,7 @@
 //! Offsets, retention and rate, in virtual time.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use peatdeck_standin::{
--- a/crates/standin/tests/testsuite/support.rs
+++ b/crates/standin/tests/testsuite/support.rs
@@ -1,5 +1,7 @@
 //! One stand-in as a process, and calls to it.
 
+#![allow(clippy::unwrap_used)]
+
 use futures::StreamExt;
 use ntex::{client::ClientResponse, http::StatusCode};
 use peatdeck_core::{
--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -1,3 +1,5 @@
 //! Tests across crates, a module a feature.
 
+#![allow(clippy::unwrap_used)]
+
 mod pages;
--- a/crates/testsuite/tests/testsuite/pages.rs
+++ b/crates/testsuite/tests/testsuite/pages.rs
@@ -1,5 +1,7 @@
 //! Reference pages say what the code says.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{fs, path::Path};
 
 use peatdeck_core::instance::counters::Counters;
