Describe the administration API, the command line and the settings

The settings page holds the help text of every program and command, and a test compares them. Messages, flags and tables say incarnation, as the other programs do.

--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -53,13 +53,13 @@
     #[error("the platform's list has no endpoint `{0}`")]
     UnknownEndpoint(EndpointName),
     /// The endpoint was started again since.
-    #[error("endpoint `{endpoint}` is in life {listed}, not {given}", listed = .listed.0, given = .given.0)]
-    OtherLife {
+    #[error("endpoint `{endpoint}` is in incarnation {listed}, not {given}", listed = .listed.0, given = .given.0)]
+    OtherIncarnation {
         /// The endpoint.
         endpoint: EndpointName,
-        /// The life in the platform's list.
+        /// The incarnation in the platform's list.
         listed: Incarnation,
-        /// The life that was given.
+        /// The incarnation that was given.
         given: Incarnation,
     },
     /// No record of the publish was read.
@@ -96,7 +96,7 @@
             Error::Conflict { .. } => "conflict",
             Error::IdReused(_) => "id_reused",
             Error::UnknownEndpoint(_) => "unknown_endpoint",
-            Error::OtherLife { .. } => "other_life",
+            Error::OtherIncarnation { .. } => "other_incarnation",
             Error::UnknownPublish(_) => "unknown_publish",
             Error::LogOut(_) => "log_out",
             Error::ListOut(_) => "list_out",
@@ -123,7 +123,7 @@
             Error::UnknownEndpoint(_) => {
                 "check the name; a new endpoint shows in the list after some seconds".to_owned()
             }
-            Error::OtherLife { .. } => "leave the life out to drain the present one".to_owned(),
+            Error::OtherIncarnation { .. } => "leave the incarnation out to drain the present one".to_owned(),
             Error::UnknownPublish(_) => {
                 "if an append of it may still be on its way, publish again with the same id: it counts once"
                     .to_owned()
@@ -170,7 +170,7 @@
             Error::Malformed(_) => StatusCode::BAD_REQUEST,
             Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Error::Invalid(_) => StatusCode::UNPROCESSABLE_ENTITY,
-            Error::Conflict { .. } | Error::IdReused(_) | Error::OtherLife { .. } => {
+            Error::Conflict { .. } | Error::IdReused(_) | Error::OtherIncarnation { .. } => {
                 StatusCode::CONFLICT
             }
             Error::LogOut(_)
--- a/crates/admin/src/ops/drain.rs
+++ b/crates/admin/src/ops/drain.rs
@@ -1,4 +1,4 @@
-//! Orders that an endpoint gets no new work in its present life.
+//! Orders that an endpoint gets no new work in its present incarnation.
 
 use std::sync::Arc;
 
@@ -29,7 +29,7 @@
 ) -> Result<DrainReply, Error> {
     publish::check_text("endpoint", &endpoint)?;
     publish::check_text("author", &body.author)?;
-    let incarnation = life(ctx, &endpoint, body.incarnation).await?;
+    let incarnation = incarnation_of(ctx, &endpoint, body.incarnation).await?;
     let drain = Drain { endpoint, incarnation, author: body.author };
     ctx.reader.catch_up().await.map_err(|cause| Error::LogOut(cause.to_string()))?;
     if !ctx.reader.look(|state| stands(state, &drain)) {
@@ -54,8 +54,8 @@
     })
 }
 
-/// The life to drain: the listed one. A life that is given must be that one.
-async fn life(
+/// The incarnation to drain: the listed one, or a given one that is not over.
+async fn incarnation_of(
     ctx: &Context,
     endpoint: &EndpointName,
     given: Option<Incarnation>,
@@ -65,14 +65,14 @@
     let listed = entry.ok_or_else(|| Error::UnknownEndpoint(Arc::clone(endpoint)))?.incarnation;
     match given {
         Some(given) if given < listed => {
-            Err(Error::OtherLife { endpoint: Arc::clone(endpoint), listed, given })
+            Err(Error::OtherIncarnation { endpoint: Arc::clone(endpoint), listed, given })
         }
         Some(given) => Ok(given),
         None => Ok(listed),
     }
 }
 
-/// Whether the drain is in force, or one of a later life.
+/// Whether the drain is in force, or one of a later incarnation.
 fn stands(state: &State, wanted: &Drain) -> bool {
     let drains = state.current().map(|snapshot| snapshot.drains.as_slice()).unwrap_or_default();
     drains
--- a/crates/admin/src/settings.rs
+++ b/crates/admin/src/settings.rs
@@ -115,8 +115,8 @@
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Administration API of peatdeck: publish, history, drain, status.")
         .footer(
-            "The operators' token is read from PEATDECK_ADMIN_TOKEN, which must be set.\n\n\
-             Example:\n  PEATDECK_ADMIN_TOKEN=… peatdeck-admin --log 10.0.0.5:7100 --list 10.0.0.5:7101",
+            "The operators' token is read from PEATDECK_ADMIN_TOKEN, which must be set.\n \
+             Example:\n   PEATDECK_ADMIN_TOKEN=… peatdeck-admin --log 10.0.0.5:7100 --list 10.0.0.5:7101",
         )
 }
 
--- a/crates/admin/tests/testsuite/drain.rs
+++ b/crates/admin/tests/testsuite/drain.rs
@@ -11,7 +11,7 @@
 const PATH: &str = "/v1/endpoints/engine-1/drain";
 
 #[ntex::test]
-async fn a_drain_holds_for_the_listed_life() {
+async fn a_drain_holds_for_the_listed_incarnation() {
     let bench = Bench::start().await;
     bench.platform.list_endpoint("engine-1", 3);
     expect![[r#"
@@ -53,16 +53,16 @@
 }
 
 #[ntex::test]
-async fn a_life_that_is_over_is_refused() {
+async fn an_incarnation_that_is_over_is_refused() {
     let bench = Bench::start().await;
     bench.platform.list_endpoint("engine-1", 3);
     let body = json!({"author": "mair", "incarnation": 2});
     expect![[r#"
         409
         {
-          "code": "other_life",
-          "message": "endpoint `engine-1` is in life 3, not 2",
-          "remedy": "leave the life out to drain the present one"
+          "code": "other_incarnation",
+          "message": "endpoint `engine-1` is in incarnation 3, not 2",
+          "remedy": "leave the incarnation out to drain the present one"
         }
     "#]]
     .assert_eq(&bench.post(PATH, body).await);
--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -38,11 +38,16 @@
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operate peatdeck: publish configurations, drain endpoints, see what happens.")
         .footer(
-            "The operators' token is read from PEATDECK_ADMIN_TOKEN.\n\n\
-             Exit codes: 0 done; 1 failed, nothing took effect; 2 wrong usage; 3 the document is\n\
-             not valid; 4 conflict, nothing took effect; 5 it may have taken effect; 6 done, but\n\
-             some instances did not answer.\n\n\
-             Examples:\n  peatdeck check fleet.toml\n  peatdeck publish fleet.toml --base 12",
+            "The operators' token is read from PEATDECK_ADMIN_TOKEN.\n \
+             Exit codes:\n   \
+             0  done\n   \
+             1  failed, nothing took effect\n   \
+             2  the command line or a setting is wrong\n   \
+             3  the document is not valid\n   \
+             4  conflict, nothing took effect\n   \
+             5  it may have taken effect\n   \
+             6  done, but not every instance answered, or the log is out\n \
+             Examples:\n   peatdeck check fleet.toml\n   peatdeck publish fleet.toml --base 12",
         )
 }
 
--- a/crates/cli/src/commands/burn.rs
+++ b/crates/cli/src/commands/burn.rs
@@ -37,7 +37,7 @@
     construct!(Args { format, admin, html })
         .to_options()
         .descr("Report how fast each pipeline and team uses up its error budget.")
-        .footer("Examples:\n  peatdeck burn\n  peatdeck burn --html burn.html")
+        .footer("Examples:\n   peatdeck burn\n   peatdeck burn --html burn.html")
 }
 
 /// Runs the command.
--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -23,7 +23,7 @@
     construct!(Args { format, file })
         .to_options()
         .descr("Check a configuration file without publishing it.")
-        .footer("Example:\n  peatdeck check fleet.toml")
+        .footer("Example:\n   peatdeck check fleet.toml")
 }
 
 /// Runs the command.
--- a/crates/cli/src/commands/drain.rs
+++ b/crates/cli/src/commands/drain.rs
@@ -1,4 +1,4 @@
-//! `peatdeck drain`: an endpoint gets no new work in its present life.
+//! `peatdeck drain`: an endpoint gets no new work in its present incarnation.
 
 use bpaf::{OptionParser, Parser, construct, long, positional};
 use peatdeck_core::model::Incarnation;
@@ -16,7 +16,7 @@
     format: Format,
     admin: String,
     author: String,
-    life: Option<u64>,
+    incarnation: Option<u64>,
     endpoint: String,
 }
 
@@ -25,16 +25,16 @@
     let format = commands::format();
     let admin = commands::admin();
     let author = commands::author();
-    let life = long("life")
-        .help("Life (incarnation) of the endpoint that it holds for; the listed one if not given")
+    let incarnation = long("incarnation")
+        .help("Incarnation of the endpoint that it holds for; the listed one if not given")
         .argument::<u64>("N")
         .optional();
     let endpoint =
         positional::<String>("ENDPOINT").help("Endpoint, as the platform's list names it");
-    construct!(Args { format, admin, author, life, endpoint })
+    construct!(Args { format, admin, author, incarnation, endpoint })
         .to_options()
         .descr("Drain an endpoint: it gets no new work until it is started again.")
-        .footer("Example:\n  peatdeck drain engine-07 --author mair")
+        .footer("Example:\n   peatdeck drain engine-07 --author mair")
 }
 
 /// Runs the command.
@@ -43,13 +43,14 @@
 /// Any [`Error`] of the API.
 pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
     let client = commands::connect(shell, &args.admin).await?;
-    let body = DrainBody { author: args.author.into(), incarnation: args.life.map(Incarnation) };
+    let body =
+        DrainBody { author: args.author.into(), incarnation: args.incarnation.map(Incarnation) };
     let reply = client.drain(&args.endpoint, &body).await?;
     Ok(Output::done(match args.format {
         Format::Json => shell::json(&reply)?,
         Format::Table => {
             format!(
-                "accepted: {} gets no new work in life {}\n",
+                "accepted: {} gets no new work in incarnation {}\n",
                 reply.endpoint, reply.incarnation.0
             )
         }
--- a/crates/cli/src/commands/publish.rs
+++ b/crates/cli/src/commands/publish.rs
@@ -42,9 +42,9 @@
         .to_options()
         .descr("Publish a configuration file as the next version.")
         .footer(
-            "Give --base when others may publish too: a change that came between is then a\n\
-             conflict instead of being overwritten.\n\n\
-             Example:\n  peatdeck publish fleet.toml --base 12 --author mair",
+            "Give --base when others may publish too: a change that came between is then a \
+             conflict instead of being overwritten.\n \
+             Example:\n   peatdeck publish fleet.toml --base 12 --author mair",
         )
 }
 
--- a/crates/cli/src/commands/show.rs
+++ b/crates/cli/src/commands/show.rs
@@ -49,7 +49,7 @@
     construct!(Args { format, admin, verdict, history, from, limit })
         .to_options()
         .descr("Show the configuration in force, as a file that can be edited and published.")
-        .footer("Examples:\n  peatdeck show > fleet.toml\n  peatdeck show --history --limit 20\n  peatdeck show --verdict p-00c0ffee00c0ffee")
+        .footer("Examples:\n   peatdeck show > fleet.toml\n   peatdeck show --history --limit 20\n   peatdeck show --verdict p-00c0ffee00c0ffee")
 }
 
 /// Runs the command.
@@ -97,8 +97,12 @@
         text.push_str("# the log is out: a later version may exist\n");
     }
     for drain in &config.drains {
-        let life = drain.incarnation.0;
-        let _ = writeln!(text, "# drained: {} (life {life}), by {}", drain.endpoint, drain.author);
+        let incarnation = drain.incarnation.0;
+        let _ = writeln!(
+            text,
+            "# drained: {} (incarnation {incarnation}), by {}",
+            drain.endpoint, drain.author
+        );
     }
     let document = toml::to_string_pretty(&*config.document)
         .map_err(|cause| Error::Unreadable { cause: cause.to_string() })?;
@@ -126,7 +130,7 @@
             (format!("publish {id} on {base}"), describe_verdict(verdict))
         }
         ActKind::Drain { endpoint, incarnation } => {
-            (format!("drain {endpoint} (life {})", incarnation.0), "in force".to_owned())
+            (format!("drain {endpoint} (incarnation {})", incarnation.0), "in force".to_owned())
         }
     }
 }
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -28,7 +28,7 @@
     construct!(Args { format, admin, endpoints })
         .to_options()
         .descr("Show the status of all instances.")
-        .footer("Examples:\n  peatdeck status\n  peatdeck status --endpoints")
+        .footer("Examples:\n   peatdeck status\n   peatdeck status --endpoints")
 }
 
 /// Runs the command.
@@ -67,7 +67,7 @@
 #[derive(Debug, Default)]
 struct Seen {
     pool: Arc<str>,
-    life: u64,
+    incarnation: u64,
     states: BTreeMap<Arc<str>, usize>,
     in_flight: u32,
 }
@@ -77,17 +77,17 @@
     for endpoint in status.entries.iter().flat_map(|entry| &entry.endpoints) {
         let known = seen.entry(Arc::clone(&endpoint.endpoint)).or_default();
         known.pool = Arc::clone(&endpoint.pool);
-        known.life = known.life.max(endpoint.incarnation.0);
+        known.incarnation = known.incarnation.max(endpoint.incarnation.0);
         *known.states.entry(Arc::clone(&endpoint.state)).or_default() += 1;
         known.in_flight += endpoint.in_flight;
     }
-    let mut rows = Table::new(["ENDPOINT", "POOL", "LIFE", "STATE", "IN FLIGHT"]);
+    let mut rows = Table::new(["ENDPOINT", "POOL", "INCARNATION", "STATE", "IN FLIGHT"]);
     for (name, known) in seen {
-        let (pool, life) = (known.pool.to_string(), known.life.to_string());
+        let (pool, incarnation) = (known.pool.to_string(), known.incarnation.to_string());
         rows.row([
             name.to_string(),
             pool,
-            life,
+            incarnation,
             states(&known.states),
             known.in_flight.to_string(),
         ]);
--- a/crates/cli/tests/testsuite/burn.rs
+++ b/crates/cli/tests/testsuite/burn.rs
@@ -70,10 +70,13 @@
 
 #[test]
 fn without_requests_nothing_burns() {
-    check(&[], expect![[r#"
+    check(
+        &[],
+        expect![[r#"
         summary/* 0 attained - left - burn - - - Quiet
         ticket/* 0 attained - left - burn - - - Quiet
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
@@ -309,5 +312,6 @@
         exit 1
           x cannot write /nowhere/burn.html: No such file or directory (os error 2)
           help: check that the directory exists and may be written to
-    "#]].assert_eq(&answer);
+    "#]]
+    .assert_eq(&answer);
 }
--- a/crates/cli/tests/testsuite/drain.rs
+++ b/crates/cli/tests/testsuite/drain.rs
@@ -7,13 +7,13 @@
 use crate::support::Bench;
 
 #[ntex::test]
-async fn a_drain_says_which_life_it_holds_for() {
+async fn a_drain_says_which_incarnation_it_holds_for() {
     let bench = Bench::start("drain").await;
     bench.platform.list_endpoint("engine 1/a", 3);
     let answer = bench.run(&["drain", "engine 1/a", "--author", "mair"]).await;
     expect![[r#"
         exit 0
-        accepted: engine 1/a gets no new work in life 3
+        accepted: engine 1/a gets no new work in incarnation 3
     "#]]
     .assert_eq(&answer);
 }
--- a/crates/cli/tests/testsuite/show.rs
+++ b/crates/cli/tests/testsuite/show.rs
@@ -34,7 +34,7 @@
     expect![[r#"
         exit 0
         # version 1, published by mair (publish p-1)
-        # drained: engine-1 (life 3), by ann
+        # drained: engine-1 (incarnation 3), by ann
         team = []
         policy = []
 
@@ -70,9 +70,9 @@
     bench.run(&["publish", "--author", "mair", "--id", "p-2", &file]).await;
     expect![[r#"
         exit 0
-        OFFSET  TIME                  AUTHOR  ACT                      VERDICT
-        0       2026-03-01T06:30:00Z  mair    publish p-1 on 0         accepted as 1
-        1       2026-03-01T06:30:01Z  ann     drain engine-1 (life 3)  in force
+        OFFSET  TIME                  AUTHOR  ACT                             VERDICT
+        0       2026-03-01T06:30:00Z  mair    publish p-1 on 0                accepted as 1
+        1       2026-03-01T06:30:01Z  ann     drain engine-1 (incarnation 3)  in force
         more with --from 2
     "#]]
     .assert_eq(&bench.run(&["show", "--history", "--limit", "2"]).await);
--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -3,3 +3,4 @@
 #![allow(clippy::unwrap_used)]
 
 mod pages;
+mod settings_page;
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -241,7 +241,7 @@
     Drain {
         /// The endpoint.
         endpoint: Arc<str>,
-        /// The life it holds for.
+        /// The incarnation it holds for.
         incarnation: Incarnation,
     },
 }
@@ -277,13 +277,13 @@
     pub verdict: PublishVerdict,
 }
 
-/// Drains an endpoint: it gets no new work in this life.
+/// Drains an endpoint: it gets no new work in this incarnation.
 #[message]
 #[serde(deny_unknown_fields)]
 pub struct DrainBody {
     /// Who orders it.
     pub author: Arc<str>,
-    /// The life it holds for; the one in the platform's list if not given.
+    /// The incarnation it holds for; the one in the platform's list if not given.
     #[serde(default)]
     pub incarnation: Option<Incarnation>,
 }
@@ -293,7 +293,7 @@
 pub struct DrainReply {
     /// The endpoint.
     pub endpoint: Arc<str>,
-    /// The life it holds for.
+    /// The incarnation it holds for.
     pub incarnation: Incarnation,
 }
 
