Let the endpoint table see time pass in every step

Fuzzing whole instances: after an endpoint came back, its slow start asked to be woken at a time that had passed, again and again, since the table's clock stood still between calls; the instance span. Shrunk case: one step, an endpoint leaves and returns. The instance now lets the table's time pass first in every step.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -64,7 +64,7 @@
     },
     membership,
     model::{AppendId, CallerId, PipelineName, RequestId, TeamName},
-    record::Offset,
+    record::{Offset, Snapshot},
 };
 
 /// One entry instance.
@@ -153,6 +153,7 @@
     /// `now` never goes back; it may jump ahead by any amount.
     pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Action> {
         self.now = self.now.max(now);
+        self.table.tick(self.now);
         self.fire_timers();
         self.take(input);
         self.gossip_round();
@@ -187,6 +188,11 @@
         self.claims.next_offset()
     }
 
+    /// The configuration in force as it was folded; `None` while it is not known.
+    pub fn in_force(&self) -> Option<&Snapshot> {
+        self.fold.current()
+    }
+
     /// Events counted so far.
     pub fn counters(&self) -> &Counters {
         &self.counters
