Ask for no wake-up while a stopping instance waits for its requests

Fuzzing whole instances: once the grace of a stop had passed with a request still held, the stop asked to be woken at the current time, again and again. Shrunk case: stop, submit with a claim that outlives the grace. A stop is now woken by time only for its grace and its settling.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -165,13 +165,12 @@
 
     /// When [`Input::Tick`] is wanted, on the clock of `handle`.
     pub fn next_wake(&self) -> Option<Duration> {
-        let stop = self.stopping.filter(|stop| !stop.exited).map(|stop| self.stop_wake(stop));
         [
             self.timers.next(),
             self.members.next_wake(),
             self.claims.next_wake(),
             self.table.next_wake(),
-            stop,
+            self.stop_wake(),
         ]
         .into_iter()
         .flatten()
--- a/crates/core/src/instance/ending.rs
+++ b/crates/core/src/instance/ending.rs
@@ -1,5 +1,7 @@
 //! Ending a request: its one outcome is sent, everything of it is let go.
 
+use std::time::Duration;
+
 use crate::{
     instance::{
         Instance,
@@ -93,11 +95,14 @@
         self.stopping = Some(stop);
     }
 
-    /// When a stop should be looked at again.
-    pub(super) fn stop_wake(&self, stop: super::Stopping) -> std::time::Duration {
-        match stop.idle {
+    /// When a stop should be looked at again by time alone; while requests
+    /// are held, their ends bring it on.
+    pub(super) fn stop_wake(&self) -> Option<Duration> {
+        let stop = self.stopping.filter(|stop| !stop.exited)?;
+        let next = match stop.idle {
             Some(since) => since + self.settings.settle,
-            None => (stop.since + self.settings.grace).max(self.now),
-        }
+            None => stop.since + self.settings.grace,
+        };
+        (next > self.now).then_some(next)
     }
 }
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod endpoint_states;
 mod endpoints;
 mod fuzz;
+mod instances;
 mod latency;
 mod limits;
 mod membership;
