Tell a repeat the truth after an instance's exit, too

Fuzzing whole instances: a request marked as a repeat that reached a process after its machine had exited was told "not run", though another instance had run it. Shrunk case: submit at one, stop and pause another past its grace, submit the same id there.

--- a/crates/core/src/instance/admit.rs
+++ b/crates/core/src/instance/admit.rs
@@ -190,6 +190,11 @@
     hasher.digest()
 }
 
+/// What a request is told that arrives after the instance's exit.
+pub fn closed(request: &Request) -> Outcome {
+    truthful(request, false, refused(RefusalKind::Stopping))
+}
+
 /// The outcome as it may be told. "Not run" speaks for the request, and a
 /// repeat whose claim was not read cannot know of its earlier attempts.
 pub(super) fn truthful(request: &Request, won: bool, outcome: Outcome) -> Outcome {
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -20,12 +20,11 @@
     instance::{
         Instance,
         action::{Action, Call},
+        admit,
         input::{CallEvent, Input, PeerOutcome},
     },
     membership::Gossip,
-    model::{
-        AppendId, CallId, CallerId, InstanceName, Outcome, Refusal, RefusalKind, Request, RequestId,
-    },
+    model::{AppendId, CallId, CallerId, InstanceName, Outcome, Request, RequestId},
     record::{Offset, Stream},
 };
 use peatdeck_platform::{endpoint, list, log};
@@ -42,10 +41,6 @@
     platform_tasks,
 };
 
-/// What a request is told that arrives after the machine's exit.
-const CLOSED: Refusal =
-    Refusal { kind: RefusalKind::Stopping, retry_after: Duration::from_secs(1) };
-
 slotmap::new_key_type! {
     /// A peer's question that waits for the machine's answer.
     struct QuestionKey;
@@ -132,7 +127,7 @@
             self.callers.borrow_mut().add(request.pipeline.clone(), request.id.team.clone());
         let waiter = Waiter { parts, _guard: Guard { driver: self.clone(), key } };
         match self.is_closed.get() {
-            true => self.answer(key.id(), Outcome::NotRun(CLOSED)),
+            true => self.answer(key.id(), admit::closed(&request)),
             false => self.feed(Input::Submit { caller: key.id(), request }),
         }
         waiter
