--- a/crates/admin/tests/testsuite/drain.rs
+++ b/crates/admin/tests/testsuite/drain.rs
@@ -16,14 +16,11 @@
     bench.platform.list_endpoint("engine-1", 3);
     expect![[r#"
         200
-        {
-          "endpoint": "engine-1",
-          "incarnation": 3
-        }
+        {"endpoint":"engine-1","incarnation":3}
     "#]]
     .assert_eq(&bench.post(PATH, json!({"author": "mair"})).await);
     let config = bench.get("/v1/config").await;
-    assert!(config.contains("\"endpoint\": \"engine-1\""), "{config}");
+    assert!(config.contains("\"endpoint\":\"engine-1\""), "{config}");
 }
 
 #[ntex::test]
@@ -43,11 +40,7 @@
     let bench = Bench::start().await;
     expect![[r#"
         404
-        {
-          "code": "unknown_endpoint",
-          "message": "the platform's list has no endpoint `engine-1`",
-          "remedy": "check the name; a new endpoint shows in the list after some seconds"
-        }
+        {"code":"unknown_endpoint","message":"the platform's list has no endpoint `engine-1`","remedy":"check the name; a new endpoint shows in the list after some seconds"}
     "#]]
     .assert_eq(&bench.post(PATH, json!({"author": "mair"})).await);
 }
@@ -59,11 +52,7 @@
     let body = json!({"author": "mair", "incarnation": 2});
     expect![[r#"
         409
-        {
-          "code": "other_incarnation",
-          "message": "endpoint `engine-1` is in incarnation 3, not 2",
-          "remedy": "leave the incarnation out to drain the present one"
-        }
+        {"code":"other_incarnation","message":"endpoint `engine-1` is in incarnation 3, not 2","remedy":"leave the incarnation out to drain the present one"}
     "#]]
     .assert_eq(&bench.post(PATH, body).await);
 }
@@ -75,5 +64,5 @@
     bench.platform.state().append_faults.extend([AppendFault::Swallow; 100]);
     let answer = bench.post(PATH, json!({"author": "mair"})).await;
     assert!(answer.starts_with("503\nRetry-After: 5\n"), "{answer}");
-    assert!(answer.contains("\"code\": \"unknown\""), "{answer}");
+    assert!(answer.contains("\"code\":\"unknown\""), "{answer}");
 }
--- a/crates/admin/tests/testsuite/show.rs
+++ b/crates/admin/tests/testsuite/show.rs
@@ -17,19 +17,7 @@
     let bench = Bench::start().await;
     expect![[r#"
         200
-        {
-          "author": null,
-          "confirmed": true,
-          "document": {
-            "pipeline": [],
-            "policy": [],
-            "pool": [],
-            "team": []
-          },
-          "drains": [],
-          "publish": null,
-          "version": 0
-        }
+        {"author":null,"confirmed":true,"document":{"pipeline":[],"policy":[],"pool":[],"team":[]},"drains":[],"publish":null,"version":0}
     "#]]
     .assert_eq(&bench.get("/v1/config").await);
 }
@@ -41,9 +29,9 @@
     bench.platform.state().reads_out = true;
     let answer = bench.get("/v1/config").await;
     assert!(answer.starts_with("200"), "{answer}");
-    assert!(answer.contains("\"confirmed\": false"), "{answer}");
+    assert!(answer.contains("\"confirmed\":false"), "{answer}");
     let fresh = bench.another().await.get("/v1/config").await;
-    assert!(fresh.contains("\"code\": \"log_out\""), "{fresh}");
+    assert!(fresh.contains("\"code\":\"log_out\""), "{fresh}");
 }
 
 #[ntex::test]
@@ -56,14 +44,10 @@
     expect![[r#"
         503
         Retry-After: 5
-        {
-          "code": "no_state",
-          "message": "the log keeps neither a snapshot nor its first record, so nobody can tell from it what is in force; nothing was appended",
-          "remedy": "wait for an entry that still has the configuration: it appends a snapshot; then send it again"
-        }
+        {"code":"no_state","message":"the log keeps neither a snapshot nor its first record, so nobody can tell from it what is in force; nothing was appended","remedy":"wait for an entry that still has the configuration: it appends a snapshot; then send it again"}
     "#]].assert_eq(&late.get("/v1/config").await);
     let answer = late.publish("p-3", 1, TEAM).await;
-    assert!(answer.contains("\"code\": \"no_state\""), "{answer}");
+    assert!(answer.contains("\"code\":\"no_state\""), "{answer}");
 }
 
 #[ntex::test]
@@ -75,9 +59,9 @@
     another.publish("p-3", 2, TEAM).await;
     bench.platform.state().earliest = 2;
     let config = bench.get("/v1/config").await;
-    assert!(config.contains("\"confirmed\": false"), "{config}");
+    assert!(config.contains("\"confirmed\":false"), "{config}");
     let answer = bench.publish("p-4", 1, TEAM).await;
-    assert!(answer.contains("\"code\": \"no_state\""), "{answer}");
+    assert!(answer.contains("\"code\":\"no_state\""), "{answer}");
     bench.platform.overtake(&ConfigRecord::Snapshot(Snapshot {
         as_of: Some(2),
         version: 3,
@@ -87,8 +71,8 @@
     }));
     another.publish("p-4", 3, TEAM).await;
     let config = bench.get("/v1/config").await;
-    assert!(config.contains("\"confirmed\": true"), "{config}");
-    assert!(config.contains("\"version\": 4"), "{config}");
+    assert!(config.contains("\"confirmed\":true"), "{config}");
+    assert!(config.contains("\"version\":4"), "{config}");
 }
 
 #[ntex::test]
@@ -100,60 +84,12 @@
     bench.publish("p-2", 1, TEAM).await;
     expect![[r#"
         200
-        {
-          "acts": [
-            {
-              "author": "mair",
-              "offset": 0,
-              "time_ms": 1772346600000,
-              "what": {
-                "base": 0,
-                "id": "p-1",
-                "kind": "publish",
-                "verdict": {
-                  "verdict": "accepted",
-                  "version": 1
-                }
-              }
-            },
-            {
-              "author": "ann",
-              "offset": 1,
-              "time_ms": 1772346601000,
-              "what": {
-                "endpoint": "engine-1",
-                "incarnation": 3,
-                "kind": "drain"
-              }
-            }
-          ],
-          "earliest": 0,
-          "next": 2
-        }
+        {"acts":[{"author":"mair","offset":0,"time_ms":1772346600000,"what":{"base":0,"id":"p-1","kind":"publish","verdict":{"verdict":"accepted","version":1}}},{"author":"ann","offset":1,"time_ms":1772346601000,"what":{"endpoint":"engine-1","incarnation":3,"kind":"drain"}}],"earliest":0,"next":2}
     "#]]
     .assert_eq(&bench.get("/v1/config/history?limit=2").await);
     expect![[r#"
         200
-        {
-          "acts": [
-            {
-              "author": "mair",
-              "offset": 2,
-              "time_ms": 1772346602000,
-              "what": {
-                "base": 1,
-                "id": "p-2",
-                "kind": "publish",
-                "verdict": {
-                  "verdict": "accepted",
-                  "version": 2
-                }
-              }
-            }
-          ],
-          "earliest": 0,
-          "next": null
-        }
+        {"acts":[{"author":"mair","offset":2,"time_ms":1772346602000,"what":{"base":1,"id":"p-2","kind":"publish","verdict":{"verdict":"accepted","version":2}}}],"earliest":0,"next":null}
     "#]]
     .assert_eq(&bench.get("/v1/config/history?from=2&limit=2").await);
     let wrong = bench.get("/v1/config/history?form=2").await;
@@ -167,33 +103,11 @@
     bench.platform.list_instance("entry-2", "127.0.0.1:1");
     expect![[r#"
         200
-        {
-          "entries": [
-            {
-              "counters": {},
-              "data_centre": "dc1",
-              "endpoints": [],
-              "incarnation": 1,
-              "instance": "entry-1",
-              "outcomes": [],
-              "peers": [],
-              "ready": true,
-              "reasons": [],
-              "running": 0,
-              "version": 0
-            }
-          ],
-          "missing": [
-            {
-              "instance": "entry-2",
-              "reason": "no connection to 127.0.0.1:1: Connection refused (os error 111); check the address and that the service runs"
-            }
-          ]
-        }
+        {"entries":[{"counters":{},"data_centre":"dc1","endpoints":[],"incarnation":1,"instance":"entry-1","outcomes":[],"peers":[],"ready":true,"reasons":[],"running":0,"version":0}],"missing":[{"instance":"entry-2","reason":"no connection to 127.0.0.1:1: Connection refused (os error 111); check the address and that the service runs"}]}
     "#]].assert_eq(&bench.get("/v1/status").await);
     bench.platform.state().list_out = true;
     let answer = bench.get("/v1/status").await;
-    assert!(answer.contains("\"code\": \"list_out\""), "{answer}");
+    assert!(answer.contains("\"code\":\"list_out\""), "{answer}");
 }
 
 #[ntex::test]
@@ -213,27 +127,6 @@
     bench.platform.list_instance("entry-3", "127.0.0.1:1");
     expect![[r#"
         200
-        {
-          "instances": [
-            "entry-1",
-            "entry-2"
-          ],
-          "missing": [
-            {
-              "instance": "entry-3",
-              "reason": "no connection to 127.0.0.1:1: Connection refused (os error 111); check the address and that the service runs"
-            }
-          ],
-          "outcomes": [
-            {
-              "count": 14,
-              "outcome": "timed_out",
-              "pipeline": "ticket",
-              "slot": 120,
-              "stage": "write",
-              "team": "bala"
-            }
-          ]
-        }
+        {"instances":["entry-1","entry-2"],"missing":[{"instance":"entry-3","reason":"no connection to 127.0.0.1:1: Connection refused (os error 111); check the address and that the service runs"}],"outcomes":[{"count":14,"outcome":"timed_out","pipeline":"ticket","slot":120,"stage":"write","team":"bala"}]}
     "#]].assert_eq(&bench.get("/v1/outcomes?since=120").await);
 }
--- a/crates/admin/tests/testsuite/support.rs
+++ b/crates/admin/tests/testsuite/support.rs
@@ -77,7 +77,7 @@
     let retry = retry.map(|after| format!("Retry-After: {after}\n")).unwrap_or_default();
     let body = response.body().await.expect("a whole answer");
     let body = match serde_json::from_slice::<Value>(&body) {
-        Ok(json) => serde_json::to_string_pretty(&json).expect("JSON"),
+        Ok(json) => json.to_string(),
         Err(_) => String::from_utf8_lossy(&body).trim_end().to_owned(),
     };
     format!("{}\n{retry}{}\n", response.status().as_u16(), body)
--- a/crates/admin/tests/testsuite/token.rs
+++ b/crates/admin/tests/testsuite/token.rs
@@ -24,11 +24,7 @@
     let request = bench.bare(Method::GET, "/v1/config").bearer_auth("a token of another's own");
     expect![[r#"
         401
-        {
-          "code": "unauthorized",
-          "message": "the bearer token is missing or wrong",
-          "remedy": "send `Authorization: Bearer` with the token that the process was started with"
-        }
+        {"code":"unauthorized","message":"the bearer token is missing or wrong","remedy":"send `Authorization: Bearer` with the token that the process was started with"}
     "#]]
     .assert_eq(&support::answer(request, None).await);
 }
@@ -64,11 +60,7 @@
     let bench = Bench::start().await;
     expect![[r#"
         404
-        {
-          "code": "no_route",
-          "message": "no operation has this path and method",
-          "remedy": "see the reference of the administration API"
-        }
+        {"code":"no_route","message":"no operation has this path and method","remedy":"see the reference of the administration API"}
     "#]]
     .assert_eq(&bench.get("/v2/config").await);
 }
