--- a/crates/cli/src/ops/burn/plot.rs
+++ b/crates/cli/src/ops/burn/plot.rs
@@ -10,8 +10,8 @@
 const HEIGHT: f64 = 170.0;
 /// Space for the labels left of the plot.
 const LEFT: f64 = 62.0;
-/// Space right of the plot.
-const RIGHT: f64 = 12.0;
+/// Space for the objective's label right of the plot, clear of the others.
+const RIGHT: f64 = 62.0;
 /// Space above the plot.
 const TOP: f64 = 10.0;
 /// Space for the labels below the plot.
@@ -30,10 +30,13 @@
         "<svg viewBox=\"0 0 {WIDTH} {HEIGHT}\" role=\"img\" aria-label=\"Attainment over time\">\n"
     );
     time_axis(&mut svg, &scale);
-    value_label(&mut svg, &scale, 1.0, "grid");
-    value_label(&mut svg, &scale, scale.low, "grid");
+    for value in [1.0, scale.low] {
+        value_line(&mut svg, scale.y(value), "grid");
+        value_label(&mut svg, scale.y(value), LEFT - 6.0, "y grid", value);
+    }
     if let Some(objective) = series.objective {
-        value_label(&mut svg, &scale, objective, "objective");
+        value_line(&mut svg, scale.y(objective), "objective");
+        value_label(&mut svg, scale.y(objective), WIDTH - RIGHT + 6.0, "objective", objective);
     }
     for run in runs(&series.points) {
         line(&mut svg, &scale, &run);
@@ -79,18 +82,18 @@
     }
 }
 
-fn value_label(svg: &mut String, scale: &Scale, value: f64, class: &str) {
-    let (y, right, text) = (scale.y(value), WIDTH - RIGHT, LEFT - 6.0);
+fn value_line(svg: &mut String, y: f64, class: &str) {
+    let right = WIDTH - RIGHT;
     let _ = writeln!(
         svg,
         "<line x1=\"{LEFT}\" x2=\"{right}\" y1=\"{y:.1}\" y2=\"{y:.1}\" class=\"{class}\"/>"
     );
-    let percent = value * 100.0;
-    let _ = writeln!(
-        svg,
-        "<text x=\"{text}\" y=\"{:.1}\" class=\"y {class}\">{percent:.2} %</text>",
-        y + 4.0
-    );
+}
+
+fn value_label(svg: &mut String, y: f64, x: f64, class: &str, value: f64) {
+    let (base, percent) = (y + 4.0, value * 100.0);
+    let _ =
+        writeln!(svg, "<text x=\"{x}\" y=\"{base:.1}\" class=\"{class}\">{percent:.2} %</text>");
 }
 
 /// Points that follow each other without a gap, with their values.
--- a/crates/cli/tests/testsuite/burn.rs
+++ b/crates/cli/tests/testsuite/burn.rs
@@ -207,40 +207,40 @@
         <h2>Attainment over time</h2>
         <h3>summary</h3>
         <svg viewBox="0 0 720 170" role="img" aria-label="Attainment over time">
-        <text x="703.5" y="164.0" class="x">now</text>
-        <text x="595.8" y="164.0" class="x">−1 h</text>
-        <text x="488.2" y="164.0" class="x">−2 h</text>
-        <text x="380.5" y="164.0" class="x">−3 h</text>
-        <text x="272.8" y="164.0" class="x">−4 h</text>
-        <text x="165.2" y="164.0" class="x">−5 h</text>
-        <text x="66.5" y="164.0" class="x">−6 h</text>
-        <line x1="62" x2="708" y1="10.0" y2="10.0" class="grid"/>
+        <text x="653.9" y="164.0" class="x">now</text>
+        <text x="554.5" y="164.0" class="x">−1 h</text>
+        <text x="455.2" y="164.0" class="x">−2 h</text>
+        <text x="355.9" y="164.0" class="x">−3 h</text>
+        <text x="256.5" y="164.0" class="x">−4 h</text>
+        <text x="157.2" y="164.0" class="x">−5 h</text>
+        <text x="66.1" y="164.0" class="x">−6 h</text>
+        <line x1="62" x2="658" y1="10.0" y2="10.0" class="grid"/>
         <text x="56" y="14.0" class="y grid">100.00 %</text>
-        <line x1="62" x2="708" y1="146.0" y2="146.0" class="grid"/>
+        <line x1="62" x2="658" y1="146.0" y2="146.0" class="grid"/>
         <text x="56" y="150.0" class="y grid">0.00 %</text>
-        <line x1="62" x2="708" y1="23.6" y2="23.6" class="objective"/>
-        <text x="56" y="27.6" class="y objective">90.00 %</text>
-        <circle cx="586.9" cy="10.0" r="2.5" class="dot"/>
-        <circle cx="658.7" cy="146.0" r="2.5" class="dot"/>
+        <line x1="62" x2="658" y1="23.6" y2="23.6" class="objective"/>
+        <text x="664" y="27.6" class="objective">90.00 %</text>
+        <circle cx="546.2" cy="10.0" r="2.5" class="dot"/>
+        <circle cx="612.5" cy="146.0" r="2.5" class="dot"/>
         </svg>
 
         <h3>ticket</h3>
         <svg viewBox="0 0 720 170" role="img" aria-label="Attainment over time">
-        <text x="703.5" y="164.0" class="x">now</text>
-        <text x="595.8" y="164.0" class="x">−1 h</text>
-        <text x="488.2" y="164.0" class="x">−2 h</text>
-        <text x="380.5" y="164.0" class="x">−3 h</text>
-        <text x="272.8" y="164.0" class="x">−4 h</text>
-        <text x="165.2" y="164.0" class="x">−5 h</text>
-        <text x="66.5" y="164.0" class="x">−6 h</text>
-        <line x1="62" x2="708" y1="10.0" y2="10.0" class="grid"/>
+        <text x="653.9" y="164.0" class="x">now</text>
+        <text x="554.5" y="164.0" class="x">−1 h</text>
+        <text x="455.2" y="164.0" class="x">−2 h</text>
+        <text x="355.9" y="164.0" class="x">−3 h</text>
+        <text x="256.5" y="164.0" class="x">−4 h</text>
+        <text x="157.2" y="164.0" class="x">−5 h</text>
+        <text x="66.1" y="164.0" class="x">−6 h</text>
+        <line x1="62" x2="658" y1="10.0" y2="10.0" class="grid"/>
         <text x="56" y="14.0" class="y grid">100.00 %</text>
-        <line x1="62" x2="708" y1="146.0" y2="146.0" class="grid"/>
+        <line x1="62" x2="658" y1="146.0" y2="146.0" class="grid"/>
         <text x="56" y="150.0" class="y grid">84.74 %</text>
-        <line x1="62" x2="708" y1="18.9" y2="18.9" class="objective"/>
-        <text x="56" y="22.9" class="y objective">99.00 %</text>
-        <circle cx="658.7" cy="10.0" r="2.5" class="dot"/>
-        <circle cx="703.5" cy="133.6" r="2.5" class="dot"/>
+        <line x1="62" x2="658" y1="18.9" y2="18.9" class="objective"/>
+        <text x="664" y="22.9" class="objective">99.00 %</text>
+        <circle cx="612.5" cy="10.0" r="2.5" class="dot"/>
+        <circle cx="653.9" cy="133.6" r="2.5" class="dot"/>
         </svg>
 
         <h2>Largest causes of misses</h2>
