Test the entry's parts; bound its numeric settings; keep the status small

A wrong number is answered with the whole range, not with the default, which for the incarnation is the clock.

--- a/crates/entry/src/report.rs
+++ b/crates/entry/src/report.rs
@@ -1,6 +1,11 @@
 //! Status and metrics.
 
-use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, UNIX_EPOCH},
+};
 
 use peatdeck_core::instance::input::Identity;
 use peatdeck_util::metrics::Metrics;
@@ -11,6 +16,9 @@
 /// Time between two sendings of the counters.
 const METRICS_PERIOD: Duration = Duration::from_secs(1);
 
+/// An hour, in seconds.
+const HOUR_SECONDS: u64 = 60 * 60;
+
 /// The instance's status, with outcomes of slots from `since` on.
 pub fn status(driver: &Driver, identity: &Identity, since: u64) -> EntryStatus {
     let (status, reasons) = driver.with_machine(|machine| (machine.status(), machine.ready()));
@@ -37,6 +45,13 @@
     }
 }
 
+/// Start of the last hour, in seconds of Unix time. A status that is asked for
+/// often stays small this way; the whole day is had by asking for it.
+pub fn last_hour(driver: &Driver) -> u64 {
+    let wall = driver.clock().wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    wall.as_secs().saturating_sub(HOUR_SECONDS)
+}
+
 /// Sends what the counters grew by, each second, for as long as the process
 /// runs.
 pub async fn send_metrics(driver: Rc<Driver>, metrics: Metrics) {
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -225,11 +225,12 @@
 #[data]
 #[derive(Deserialize)]
 struct StatusQuery {
-    /// Only outcomes of slots from this second of Unix time on.
-    #[serde(default)]
-    since: u64,
+    /// Only outcomes of slots from this second of Unix time on; the last hour
+    /// unless given.
+    since: Option<u64>,
 }
 
 async fn status(app: types::State<App>, query: types::Query<StatusQuery>) -> HttpResponse {
-    HttpResponse::Ok().json(&report::status(&app.driver, &app.identity, query.since))
+    let since = query.since.unwrap_or_else(|| report::last_hour(&app.driver));
+    HttpResponse::Ok().json(&report::status(&app.driver, &app.identity, since))
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,7 @@
 use std::{
     fmt::Display,
     net::SocketAddr,
+    ops::RangeInclusive,
     str::FromStr,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -23,6 +24,22 @@
 
 /// Longest name of an instance or a data centre, in bytes.
 const MAX_NAME_BYTES: usize = 64;
+/// The largest value of `--max-body`.
+const MAX_MAX_BODY: usize = 64 << 20;
+/// The smallest value of `--max-header`.
+const MIN_MAX_HEADER: usize = 1 << 10;
+/// The largest value of `--max-header`.
+const MAX_MAX_HEADER: usize = 1 << 20;
+/// The largest value of `--max-connections`.
+const MAX_MAX_CONNECTIONS: usize = 1_000_000;
+/// The largest value of `--idle-timeout`, in seconds.
+const MAX_IDLE_SECONDS: u16 = 3_600;
+/// The largest value of `--connect-timeout`, in milliseconds.
+const MAX_CONNECT_MS: u64 = 60_000;
+/// The largest value of `--retention` and `--horizon`, in seconds: a year.
+const MAX_KEEP_SECONDS: u64 = 366 * 24 * 60 * 60;
+/// The largest value of `--grace`, in milliseconds.
+const MAX_GRACE_MS: u64 = 600_000;
 /// The longest body, in bytes, where none is set.
 const DEFAULT_MAX_BODY: usize = 1 << 20;
 /// The longest header, in bytes, where none is set.
@@ -285,7 +302,7 @@
                     "--incarnation",
                     self.incarnation.as_deref(),
                     wall_millis(),
-                    1,
+                    1..=u64::MAX,
                 )),
                 data_centre: check.name("--data-centre", self.data_centre.as_deref()),
             },
@@ -294,31 +311,36 @@
             log: check.remote("--log", self.log.as_deref()),
             list: check.remote("--list", self.list.as_deref()),
             limits: Limits {
-                body: check.number("--max-body", self.max_body.as_deref(), DEFAULT_MAX_BODY, 1),
+                body: check.number(
+                    "--max-body",
+                    self.max_body.as_deref(),
+                    DEFAULT_MAX_BODY,
+                    1..=MAX_MAX_BODY,
+                ),
                 header: check.number(
                     "--max-header",
                     self.max_header.as_deref(),
                     DEFAULT_MAX_HEADER,
-                    1 << 10,
+                    MIN_MAX_HEADER..=MAX_MAX_HEADER,
                 ),
                 connections: check.number(
                     "--max-connections",
                     self.max_connections.as_deref(),
                     DEFAULT_MAX_CONNECTIONS,
-                    1,
+                    1..=MAX_MAX_CONNECTIONS,
                 ),
                 idle: Duration::from_secs(u64::from(check.number(
                     "--idle-timeout",
                     self.idle_timeout.as_deref(),
                     DEFAULT_IDLE_SECONDS,
-                    1,
+                    1..=MAX_IDLE_SECONDS,
                 ))),
             },
             connect_timeout: Duration::from_millis(check.number(
                 "--connect-timeout",
                 self.connect_timeout.as_deref(),
                 DEFAULT_CONNECT_MS,
-                1,
+                1..=MAX_CONNECT_MS,
             )),
             instance: self.instance(&mut check),
             statsd: self.statsd.as_deref().map(|text| check.addr("--statsd", Some(text))),
@@ -335,7 +357,12 @@
     fn instance(&self, check: &mut Check) -> instance::settings::Settings {
         let default = instance::settings::Settings::default();
         let seconds = |check: &mut Check, flag, value: &Option<String>, default: Duration| {
-            Duration::from_secs(check.number(flag, value.as_deref(), default.as_secs(), 1))
+            Duration::from_secs(check.number(
+                flag,
+                value.as_deref(),
+                default.as_secs(),
+                1..=MAX_KEEP_SECONDS,
+            ))
         };
         instance::settings::Settings {
             decisions: check.decisions(self.decisions.as_deref(), self.without.as_deref()),
@@ -345,7 +372,7 @@
                 "--grace",
                 self.grace.as_deref(),
                 u64::try_from(default.grace.as_millis()).unwrap_or(u64::MAX),
-                0,
+                0..=MAX_GRACE_MS,
             )),
             ..default
         }
@@ -434,18 +461,28 @@
         Arc::from(addr.to_string())
     }
 
-    fn number<N>(&mut self, flag: &str, value: Option<&str>, default: N, min: N) -> N
+    fn number<N>(
+        &mut self,
+        flag: &str,
+        value: Option<&str>,
+        default: N,
+        range: RangeInclusive<N>,
+    ) -> N
     where
         N: FromStr + PartialOrd + Display + Copy,
     {
         let Some(text) = value else { return default };
         match text.parse() {
-            Ok(number) if number >= min => number,
+            Ok(number) if range.contains(&number) => number,
             _ => {
                 self.report(
                     flag,
                     format!("`{}` is not a number that can be used here", text.escape_debug()),
-                    format!("give a whole number from {min} on, or leave it out for {default}"),
+                    format!(
+                        "give a whole number from {} to {}, or leave it out",
+                        range.start(),
+                        range.end()
+                    ),
                 );
                 default
             }
--- /dev/null
+++ b/crates/entry/tests/entry/burn.rs
@@ -0,0 +1,99 @@
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use expect_test::{Expect, expect};
+use peatdeck_core::model::{Answer, Doubt, DoubtKind, Invalid, Outcome, Refusal, RefusalKind};
+use peatdeck_entry::burn::{Burn, MAX_ROWS, MAX_SLOTS, SLOT_SECONDS};
+
+fn at(seconds: u64) -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(seconds)
+}
+
+fn answered() -> Outcome {
+    Outcome::Answered(Answer { output: Arc::from(""), stages: Vec::new() })
+}
+
+fn count(burn: &mut Burn, seconds: u64, pipeline: &str, team: &str, outcome: &Outcome) {
+    burn.count(at(seconds), &Arc::from(pipeline), &Arc::from(team), outcome);
+}
+
+fn check(burn: &Burn, since: u64, expected: Expect) {
+    let rows = burn.rows(since);
+    let lines: Vec<_> = rows
+        .iter()
+        .map(|row| {
+            let stage = row.stage.as_deref().unwrap_or("-");
+            let (pipeline, team) = (&row.pipeline, &row.team);
+            format!("{} [{pipeline}] [{team}] {} {stage} {}", row.slot, row.outcome, row.count)
+        })
+        .collect();
+    expected.assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn outcomes_are_counted_by_minute_and_kind() {
+    let mut burn = Burn::default();
+    let refusal = Refusal { kind: RefusalKind::Infeasible, retry_after: Duration::ZERO };
+    let stage = Some(Arc::from("generate"));
+    let doubt = Doubt { kind: DoubtKind::TimedOut, stage, retry_after: None };
+    count(&mut burn, 60, "p", "t", &answered());
+    count(&mut burn, 119, "p", "t", &answered());
+    count(&mut burn, 119, "p", "t", &Outcome::NotRun(refusal));
+    count(&mut burn, 120, "p", "u", &Outcome::MayHaveRun(doubt));
+    check(
+        &burn,
+        0,
+        expect![[r#"
+        60 [p] [t] answered - 2
+        60 [p] [t] infeasible - 1
+        120 [p] [u] timed_out generate 1"#]],
+    );
+    check(&burn, 120, expect!["120 [p] [u] timed_out generate 1"]);
+}
+
+#[test]
+fn names_that_callers_made_up_are_not_kept() {
+    let mut burn = Burn::default();
+    count(&mut burn, 0, "made-up-1", "t", &Outcome::Invalid(Invalid::UnknownPipeline));
+    count(&mut burn, 0, "p", "made-up-2", &Outcome::Invalid(Invalid::UnknownTeam));
+    check(
+        &burn,
+        0,
+        expect![[r#"
+        0 [] [] unknown_pipeline - 1
+        0 [] [] unknown_team - 1"#]],
+    );
+}
+
+#[test]
+fn a_clock_that_jumps_back_counts_in_the_newest_slot() {
+    let mut burn = Burn::default();
+    count(&mut burn, 600, "p", "t", &answered());
+    count(&mut burn, 10, "p", "t", &answered());
+    check(&burn, 0, expect!["600 [p] [t] answered - 2"]);
+}
+
+#[test]
+fn only_the_last_day_is_kept() {
+    let mut burn = Burn::default();
+    for slot in 0..=MAX_SLOTS as u64 {
+        count(&mut burn, slot * SLOT_SECONDS, "p", "t", &answered());
+    }
+    let rows = burn.rows(0);
+    assert_eq!(rows.len(), MAX_SLOTS);
+    assert_eq!(rows[0].slot, SLOT_SECONDS);
+}
+
+#[test]
+fn a_minute_holds_a_bounded_number_of_rows_and_loses_no_count() {
+    let mut burn = Burn::default();
+    let total = 2 * MAX_ROWS;
+    for idx in 0..total {
+        count(&mut burn, 0, "p", &format!("t{idx}"), &answered());
+    }
+    let rows = burn.rows(0);
+    assert!(rows.len() <= MAX_ROWS + 1, "{}", rows.len());
+    assert_eq!(rows.iter().map(|row| row.count).sum::<u64>(), total as u64);
+}
--- /dev/null
+++ b/crates/entry/tests/entry/main.rs
@@ -0,0 +1,8 @@
+//! An entry: its parts, and as a process on stand-ins.
+
+#![allow(clippy::unwrap_used)]
+
+mod burn;
+mod intake;
+mod outcome;
+mod settings;
--- a/crates/platform/tests/platform/main.rs
+++ b/crates/platform/tests/platform/main.rs
@@ -1,5 +1,7 @@
 //! Clients against servers that do what their script says.
 
+#![allow(clippy::unwrap_used)]
+
 mod endpoint;
 mod lines;
 mod log;
