--- /dev/null
+++ b/crates/core/tests/testsuite/config_log.rs
@@ -0,0 +1,88 @@
+//! What fuzzing does not judge of the configuration fold.
+
+use std::{sync::Arc, time::Duration};
+
+use expect_test::expect;
+use peatdeck_core::{
+    config_log::{Change, Fold, MAX_DRAINS, Verdict},
+    document::Document,
+    model::Incarnation,
+    record::{Batch, ConfigRecord, Drain, Entry, Publish},
+};
+
+const KEEP: Duration = Duration::from_secs(6_400);
+
+fn batch(from: u64, now_ms: u64, records: Vec<ConfigRecord>) -> Batch<ConfigRecord> {
+    let entry = |(offset, record)| Entry { offset, time_ms: now_ms, record };
+    let entries: Vec<_> = (from..).zip(records).map(entry).collect();
+    let next = from + entries.len() as u64;
+    Batch { from, earliest: 0, next, now_ms, entries }
+}
+
+fn publish(id: &str, base: u64) -> ConfigRecord {
+    let document = Arc::new(Document::default());
+    ConfigRecord::Publish(Publish { id: Arc::from(id), base, author: Arc::from("op"), document })
+}
+
+fn drain(endpoint: &str, life: u64) -> ConfigRecord {
+    ConfigRecord::Drain(Drain {
+        endpoint: Arc::from(endpoint),
+        incarnation: Incarnation(life),
+        author: Arc::from("op"),
+    })
+}
+
+/// A fold that has read records to the end.
+fn fold_of(records: Vec<ConfigRecord>) -> Fold {
+    let mut fold = Fold::new();
+    fold.read(&batch(0, 0, records));
+    fold.read(&batch(fold.next_offset(), 0, Vec::new()));
+    fold
+}
+
+#[test]
+fn one_publish_a_base_is_accepted() {
+    let fold = fold_of(vec![publish("a", 0), publish("b", 0), publish("a", 0), publish("c", 1)]);
+    let verdicts = ["a", "b", "c", "d"].map(|id| fold.verdict(id));
+    expect![[r#"
+        [Some(Accepted { version: 1 }), Some(Conflict { current: 1 }), Some(Accepted { version: 2 }), None]"#]]
+    .assert_eq(&format!("{verdicts:?}"));
+    assert_eq!(fold.verdict("b"), Some(Verdict::Conflict { current: 1 }));
+}
+
+#[test]
+fn nothing_is_in_force_before_the_end_is_reached() {
+    let mut fold = Fold::new();
+    assert_eq!(fold.read(&batch(0, 0, vec![publish("a", 0)])), Vec::new());
+    assert!(fold.current().is_none());
+    let changes = fold.read(&batch(1, 0, Vec::new()));
+    assert!(matches!(changes[..], [Change::InForce(_, 1)]));
+}
+
+#[test]
+fn a_foreign_record_is_passed_over() {
+    let mut fold = fold_of(vec![publish("a", 0)]);
+    let foreign = Batch { next: 3, ..batch(1, 0, Vec::new()) };
+    fold.read(&foreign);
+    assert_eq!(fold.next_offset(), 3);
+    assert!(!fold.is_gapped());
+}
+
+#[test]
+fn a_drain_holds_for_the_newest_life_and_drains_are_bounded() {
+    let fold = fold_of(vec![drain("x", 2), drain("x", 3), drain("y", 1), drain("x", 1)]);
+    let current = fold.current().unwrap();
+    let lives: Vec<_> = current.drains.iter().map(|d| (&*d.endpoint, d.incarnation.0)).collect();
+    assert_eq!(lives, [("x", 3), ("y", 1)]);
+    let many = (0..=MAX_DRAINS).map(|idx| drain(&format!("endpoint-{idx}"), 1)).collect();
+    assert_eq!(fold_of(many).current().unwrap().drains.len(), MAX_DRAINS);
+}
+
+#[test]
+fn the_first_instance_appends_the_snapshot_and_the_others_wait() {
+    let fold = fold_of(vec![publish("a", 0)]);
+    let due = |secs: u64, rank| fold.snapshot_due(secs * 1_000, KEEP, rank).is_some();
+    assert_eq!([due(1_599, 0), due(1_600, 0)], [false, true]);
+    assert_eq!([due(1_699, 1), due(1_700, 1)], [false, true]);
+    assert_eq!([due(3_199, 999), due(3_200, 999)], [false, true]);
+}
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -86,6 +86,8 @@
     pub rejected: u64,
     /// Reads answered.
     pub reads: u64,
+    /// Reads that wait for a record now.
+    pub waiting: u64,
 }
 
 /// The log service's state.
@@ -105,6 +107,22 @@
     counts: Counts,
 }
 
+/// A read that waits; counted until it is dropped.
+struct Waiting<'a>(&'a Log);
+
+impl<'a> Waiting<'a> {
+    fn new(log: &'a Log) -> Waiting<'a> {
+        reply::lock(&log.state).counts.waiting += 1;
+        Waiting(log)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        reply::lock(&self.0.state).counts.waiting -= 1;
+    }
+}
+
 /// What becomes of one append.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fate {
@@ -180,6 +198,7 @@
             if !read.records.is_empty() {
                 return Some(read);
             }
+            let _waiting = Waiting::new(self);
             if time::timeout_at(until, changed).await.is_err() {
                 return self.read(stream, query);
             }
@@ -188,9 +207,12 @@
 
     async fn delay(&self) {
         let delay_ms = reply::lock(&self.state).faults.delay_ms;
-        if delay_ms > 0 {
-            time::sleep(Duration::from_millis(delay_ms)).await;
-        }
+        pause(delay_ms).await;
+    }
+
+    async fn hold_answer(&self) {
+        let answer_ms = reply::lock(&self.state).faults.answer_ms;
+        pause(answer_ms).await;
     }
 
     fn set_faults(&self, faults: LogFaults) {
@@ -256,6 +278,12 @@
     }
 }
 
+async fn pause(ms: u64) {
+    if ms > 0 {
+        time::sleep(Duration::from_millis(ms)).await;
+    }
+}
+
 /// Adds the log service's resources.
 pub fn configure(cfg: &mut web::ServiceConfig, log: Arc<Log>) {
     cfg.state(log)
@@ -286,6 +314,7 @@
     match fate {
         Fate::Acknowledge => {
             let offset = log.append(&stream, data);
+            log.hold_answer().await;
             reply::json(StatusCode::OK, &AppendReply { offset })
         }
         Fate::Lose => lose(&req, &log, &stream, data).await,
@@ -325,6 +354,7 @@
         return reply::unavailable();
     };
     reply::lock(&log.state).counts.reads += 1;
+    log.hold_answer().await;
     reply::json(StatusCode::OK, &read)
 }
 
