--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -5,4 +5,7 @@
 mod burn;
 mod intake;
 mod outcome;
+mod serving;
 mod settings;
+mod stopping;
+mod support;
--- /dev/null
+++ b/crates/entry/tests/entry/support.rs
@@ -0,0 +1,293 @@
+//! An entry as a process, on stand-ins in the test's own process.
+
+use std::{
+    io::{BufRead, BufReader},
+    process::{Child, ChildStdout, Command, ExitStatus, Stdio},
+    sync::Arc,
+    time::Duration,
+};
+
+use ntex::{
+    client::{Client, ClientResponse},
+    web::{self, App, test::TestServer},
+};
+use peatdeck_core::{
+    document::{Document, Pipeline},
+    model::{EndpointEntry, Incarnation, InstanceEntry, Listing, Presence, RequestId},
+    record::{ConfigRecord, Publish, Stream},
+};
+use peatdeck_platform::{http, log};
+use peatdeck_standin::{answer, calls::CallsBody, cli, cli::Role, endpoint, engine, list, service};
+use peatdeck_wire::admin::EntryStatus;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+/// Pause between two looks at a state that a test waits for.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+/// A test that waits for longer has failed.
+const LIMIT: Duration = Duration::from_secs(60);
+
+const DOCUMENT: &str = r#"
+    pool = [{ name = "services", kind = "service" }, { name = "engines", kind = "engine" }]
+    team = [{ name = "t" }]
+
+    [[pipeline]]
+    name = "two"
+    max_deadline_ms = 60000
+    stage = [
+        { name = "encode", pool = "services", repeatable = true },
+        { name = "generate", pool = "engines", repeatable = true, max_tokens = 40 },
+    ]
+"#;
+
+/// A platform with one service and one engine, and any entries on it.
+pub struct Bench {
+    pub client: Client,
+    pub document: Document,
+    log: TestServer,
+    list: TestServer,
+    service: TestServer,
+    engine: TestServer,
+}
+
+impl Bench {
+    /// Stand-ins with a published configuration. `engine` are the engine's flags.
+    pub async fn start(engine: &[&str]) -> Bench {
+        let bench = Bench {
+            client: http::client(Duration::from_secs(5)).await.unwrap(),
+            document: toml::from_str(DOCUMENT).unwrap(),
+            log: standin(&["log"]).await,
+            list: standin(&["list"]).await,
+            service: standin(&["service"]).await,
+            engine: standin(&[&["engine"], engine].concat()).await,
+        };
+        bench.publish().await;
+        bench.list_instances(&[]).await;
+        bench
+    }
+
+    /// Starts an entry and waits until it is ready.
+    pub async fn entry(&self, name: &str) -> Entry {
+        let entry = self.unready_entry(name);
+        let url = format!("http://{}/readyz", entry.addr);
+        eventually(async || self.client.get(&url).send().await.unwrap().status() == 200).await;
+        entry
+    }
+
+    /// Starts an entry.
+    pub fn unready_entry(&self, name: &str) -> Entry {
+        let (log, list) = (self.log.addr().to_string(), self.list.addr().to_string());
+        let args = ["--name", name, "--data-centre", "d", "--log", &log, "--list", &list];
+        Entry::start(&args)
+    }
+
+    /// Lists these entries beside the endpoints.
+    pub async fn list_instances(&self, entries: &[&Entry]) {
+        let endpoints = [("s1", "services", &self.service), ("g1", "engines", &self.engine)];
+        let listing = Listing {
+            instances: entries.iter().map(|entry| entry.listed()).collect(),
+            endpoints: endpoints.map(|(name, pool, at)| listed(name, pool, at)).into(),
+        };
+        let url = format!("http://{}/control/list", self.list.addr());
+        let response = self.client.put(url).send_json(&listing).await.unwrap();
+        assert!(response.status().is_success(), "{response:?}");
+    }
+
+    /// Sends a request.
+    pub async fn send(&self, entry: &Entry, id: &str, stream: bool) -> ClientResponse {
+        let url = format!("http://{}/v1/pipelines/two/requests", entry.addr);
+        self.client.post(url).send_json(&body(id, stream)).await.unwrap()
+    }
+
+    /// Status and JSON body of any exchange.
+    pub async fn post(&self, entry: &Entry, path: &str, body: &Value) -> (u16, Value) {
+        let url = format!("http://{}{path}", entry.addr);
+        read(self.client.post(url).send_json(body).await.unwrap()).await
+    }
+
+    /// What the request's answer must be.
+    pub fn expected(&self, id: &str) -> String {
+        let pipeline: &Pipeline = self.document.pipeline("two").unwrap();
+        let request = RequestId { team: Arc::from("t"), id: Arc::from(id) };
+        answer::expected(&self.document, pipeline, &request, "input").unwrap()
+    }
+
+    /// Sets faults of the engine.
+    pub async fn engine_faults(&self, faults: Value) {
+        let url = format!("http://{}/control/faults", self.engine.addr());
+        let response = self.client.put(url).send_json(&faults).await.unwrap();
+        assert!(response.status().is_success(), "{response:?}");
+    }
+
+    /// What the engine ran.
+    pub async fn engine_calls(&self) -> CallsBody {
+        self.get(&format!("{}/control/calls", self.engine.addr())).await
+    }
+
+    /// What the service ran.
+    pub async fn service_calls(&self) -> CallsBody {
+        self.get(&format!("{}/control/calls", self.service.addr())).await
+    }
+
+    /// The entry's status.
+    pub async fn status(&self, entry: &Entry) -> EntryStatus {
+        self.get(&format!("{}/v1/status", entry.addr)).await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, url: &str) -> T {
+        let response = self.client.get(format!("http://{url}")).send().await.unwrap();
+        serde_json::from_slice(&response.body().await.unwrap()).unwrap()
+    }
+
+    async fn publish(&self) {
+        let publish = Publish {
+            id: Arc::from("p1"),
+            base: 0,
+            author: Arc::from("test"),
+            document: Arc::new(self.document.clone()),
+        };
+        let log = log::Client::new(self.client.clone(), self.log.addr().to_string().into());
+        log.append(Stream::Config, &ConfigRecord::Publish(publish), LIMIT).await.unwrap();
+    }
+}
+
+/// An entry's process. Dropping it kills it.
+pub struct Entry {
+    pub addr: String,
+    name: String,
+    peers: String,
+    child: Child,
+    _stdout: BufReader<ChildStdout>,
+}
+
+impl Entry {
+    /// Starts one; returns when it says where it listens.
+    pub fn start(args: &[&str]) -> Entry {
+        let mut child = command()
+            .args([
+                "--listen",
+                "127.0.0.1:0",
+                "--peer-listen",
+                "127.0.0.1:0",
+                "--grace",
+                "50",
+                "--log-filter",
+                "error",
+            ])
+            .args(args)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut stdout = BufReader::new(child.stdout.take().unwrap());
+        let addr = told(&mut stdout, "listening ");
+        let peers = told(&mut stdout, "peers ");
+        Entry { addr, name: args[1].to_owned(), peers, child, _stdout: stdout }
+    }
+
+    /// Sends it SIGTERM.
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    /// Waits for its end.
+    pub async fn exit(mut self) -> ExitStatus {
+        let mut status = None;
+        eventually(async || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        })
+        .await;
+        status.unwrap()
+    }
+
+    fn listed(&self) -> InstanceEntry {
+        InstanceEntry {
+            name: Arc::from(&*self.name),
+            peer_addr: Arc::from(&*self.peers),
+            http_addr: Arc::from(&*self.addr),
+            data_centre: Arc::from("d"),
+            presence: Presence::Live,
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+/// The binary, with nothing of the test's own environment.
+pub fn command() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_peatdeck-entry"));
+    command.env_clear();
+    command
+}
+
+/// A request's body.
+pub fn body(id: &str, stream: bool) -> Value {
+    json!({
+        "id": id, "team": "t", "deadline_ms": 30_000, "idempotent": true, "stream": stream,
+        "input": "input",
+    })
+}
+
+/// Status and JSON body.
+pub async fn read(response: ClientResponse) -> (u16, Value) {
+    let body = response.body().await.unwrap();
+    (response.status().as_u16(), serde_json::from_slice(&body).unwrap())
+}
+
+/// Returns when the state is reached.
+pub async fn eventually(mut is_reached: impl AsyncFnMut() -> bool) {
+    let wait = async {
+        while !is_reached().await {
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, wait).await.expect("the state is reached");
+}
+
+async fn standin(args: &[&str]) -> TestServer {
+    let role = cli::options().run_inner(args).unwrap();
+    web::test::server(async move || {
+        let role = role.clone();
+        App::new().configure(move |cfg| configure(cfg, role))
+    })
+    .await
+}
+
+fn configure(cfg: &mut web::ServiceConfig, role: Role) {
+    match role {
+        Role::Log { settings, .. } => {
+            let log = peatdeck_standin::log::Log::new(&settings);
+            peatdeck_standin::log::configure(cfg, log);
+        }
+        Role::List { settings, .. } => list::configure(cfg, list::List::new(settings)),
+        Role::Engine { settings, .. } => {
+            engine::configure(cfg, endpoint::Endpoint::new(settings));
+        }
+        Role::Service { settings, .. } => {
+            service::configure(cfg, endpoint::Endpoint::new(settings));
+        }
+    }
+}
+
+fn listed(name: &str, pool: &str, at: &TestServer) -> EndpointEntry {
+    EndpointEntry {
+        name: Arc::from(name),
+        pool: Arc::from(pool),
+        addr: Arc::from(at.addr().to_string()),
+        data_centre: Arc::from("d"),
+        incarnation: Incarnation(1),
+        presence: Presence::Live,
+    }
+}
+
+fn told(stdout: &mut BufReader<ChildStdout>, word: &str) -> String {
+    let mut line = String::new();
+    stdout.read_line(&mut line).unwrap();
+    line.trim().strip_prefix(word).unwrap().to_owned()
+}
