Leave noticing a caller's going to ntex, and test the wait for the last bytes

ntex drops a response's stream as soon as its connection closes, also while no text comes: a test with an engine that is silent after its first token passes with and without a watch of our own, so the watch goes.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -1,12 +1,13 @@
 //! An answer as a stream of server-sent events.
 //!
-//! Text events, then exactly one `answer` or `error` event. A caller that
-//! goes away is noticed even while no text comes, and the machine is told.
+//! Text events, then exactly one `answer` or `error` event. ntex drops the
+//! stream when the caller goes away, even while no text comes; dropping it
+//! tells the machine.
 
 use std::{convert::Infallible, sync::Arc};
 
-use futures::{Stream, StreamExt, future::Either};
-use ntex::{io::OnDisconnect, util::Bytes};
+use futures::{Stream, StreamExt};
+use ntex::util::Bytes;
 use peatdeck_core::model::Outcome;
 use peatdeck_wire::caller::TextEvent;
 use serde::Serialize;
@@ -21,8 +22,6 @@
     pub waiter: Waiter,
     /// The part that was taken to find out whether to stream.
     pub first: Option<Part>,
-    /// Resolves when the caller's connection closes.
-    pub gone: Option<OnDisconnect>,
 }
 
 /// The events of one answer.
@@ -47,17 +46,11 @@
     }
 }
 
-/// The next part; `None` when the caller has gone.
+/// The next part; `None` if the machine ended without an outcome.
 async fn next_part(source: &mut Source) -> Option<Part> {
-    if let Some(part) = source.first.take() {
-        return Some(part);
-    }
-    let Some(gone) = &mut source.gone else {
-        return source.waiter.parts().next().await;
-    };
-    match futures::future::select(source.waiter.parts().next(), gone).await {
-        Either::Left((part, _)) => part,
-        Either::Right(_) => None,
+    match source.first.take() {
+        Some(part) => Some(part),
+        None => source.waiter.parts().next().await,
     }
 }
 
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -91,7 +91,7 @@
         }
     };
     match request.stream {
-        true => answer_stream(&app, &http, request, response).await,
+        true => answer_stream(&app, request, response).await,
         false => answer_whole(&app, request).await,
     }
 }
@@ -110,12 +110,7 @@
 
 /// A request that ends before any text came gets its plain status; only from
 /// the first text on the response is a stream.
-async fn answer_stream(
-    app: &App,
-    http: &HttpRequest,
-    request: Request,
-    response: flush::Response,
-) -> HttpResponse {
+async fn answer_stream(app: &App, request: Request, response: flush::Response) -> HttpResponse {
     let id = request.id.id.clone();
     let mut waiter = app.driver.submit(request);
     let first = match waiter.parts().next().await {
@@ -125,8 +120,7 @@
         Some(part) => part,
         None => return lost_response(),
     };
-    let gone = http.io().map(|io| io.on_disconnect());
-    let source = events::Source { id, waiter, first: Some(first), gone };
+    let source = events::Source { id, waiter, first: Some(first) };
     let events = events::stream(source).map(move |event| {
         // Held until the stream is dropped, behind its last event.
         let _ = &response;
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod burn;
+mod flush;
 mod intake;
 mod outcome;
 mod serving;
--- a/crates/entry/tests/entry/serving.rs
+++ b/crates/entry/tests/entry/serving.rs
@@ -64,8 +64,8 @@
 }
 
 #[ntex::test]
-async fn a_caller_that_closes_its_stream_cancels_its_call() {
-    let bench = Bench::start(&["--token-ms", "200"]).await;
+async fn a_caller_that_closes_its_stream_is_noticed_while_no_text_comes() {
+    let bench = Bench::start(&["--token-ms", "600000"]).await;
     let entry = bench.entry("e1").await;
     let mut connection = open(&entry, "r1", true).await;
     let mut seen = String::new();
@@ -75,6 +75,8 @@
         seen.push_str(&String::from_utf8_lossy(&buf[..n]));
     }
     drop(connection);
+    support::eventually(async || bench.status(&entry).await.counters["entry.caller_gone"] == 1)
+        .await;
     support::eventually(async || state(&bench).await == Some(CallState::Cancelled)).await;
 }
 
