--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -58,7 +58,12 @@
 }
 
 /// Answers a path that does not exist.
-pub async fn not_found() -> HttpResponse {
+pub async fn not_found(
+    app: types::State<App>,
+    http: HttpRequest,
+    payload: types::Payload,
+) -> HttpResponse {
+    read_body(&http, payload, app.max_body).await.ok();
     error_response(&Failure::invalid(
         StatusCode::NOT_FOUND,
         "not_found",
@@ -67,7 +72,12 @@
     ))
 }
 
-async fn wrong_method() -> HttpResponse {
+async fn wrong_method(
+    app: types::State<App>,
+    http: HttpRequest,
+    payload: types::Payload,
+) -> HttpResponse {
+    read_body(&http, payload, app.max_body).await.ok();
     error_response(&Failure::invalid(
         StatusCode::METHOD_NOT_ALLOWED,
         "wrong_method",
@@ -142,6 +152,9 @@
     intake::parse(pipeline, &body)
 }
 
+/// Reads a body to its end, also where it is of no use: a response that
+/// overtakes the body closes the connection, and a caller that still writes
+/// may never see it.
 async fn read_body(
     http: &HttpRequest,
     mut payload: types::Payload,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,25 +5,27 @@
 //! once, each with its remedy, before anything starts.
 
 use std::{
-    fmt::Display,
     net::SocketAddr,
-    ops::RangeInclusive,
-    str::FromStr,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use bpaf::{OptionParser, Parser, construct, long};
-use miette::Diagnostic;
 use peatdeck_core::{
-    instance::{self, input::Identity, settings::Decisions},
+    instance::{self, input::Identity},
     model::Incarnation,
 };
 use peatdeck_macros::data;
 use peatdeck_util::logging;
 
-/// Longest name of an instance or a data centre, in bytes.
-const MAX_NAME_BYTES: usize = 64;
+mod check;
+mod flags;
+
+use self::check::Check;
+pub use self::{
+    check::{Problem, Problems},
+    flags::{Flags, parser},
+};
+
 /// The largest value of `--max-body`.
 const MAX_MAX_BODY: usize = 64 << 20;
 /// The smallest value of `--max-header`.
@@ -54,52 +56,6 @@
 /// info; they are not changes of state of the instance.
 const DEFAULT_FILTER: &str = "info,ntex_net=warn,ntex_rt=warn,ntex_server=warn,ntex_service=warn";
 
-/// What the command line and the environment say, as text.
-#[data]
-#[derive(Default)]
-pub struct Flags {
-    /// The instance's name.
-    pub name: Option<String>,
-    /// Where callers connect.
-    pub listen: Option<String>,
-    /// Where peers connect.
-    pub peer_listen: Option<String>,
-    /// The data centre.
-    pub data_centre: Option<String>,
-    /// The log's address.
-    pub log: Option<String>,
-    /// The list's address.
-    pub list: Option<String>,
-    /// The process's life.
-    pub incarnation: Option<String>,
-    /// The longest body.
-    pub max_body: Option<String>,
-    /// The longest header.
-    pub max_header: Option<String>,
-    /// Connections held at once.
-    pub max_connections: Option<String>,
-    /// Idle time of a connection.
-    pub idle_timeout: Option<String>,
-    /// Time to connect to an endpoint.
-    pub connect_timeout: Option<String>,
-    /// The set of decisions.
-    pub decisions: Option<String>,
-    /// Decisions that are switched off.
-    pub without: Option<String>,
-    /// How long the log keeps records.
-    pub retention: Option<String>,
-    /// How long a claim is remembered.
-    pub horizon: Option<String>,
-    /// How long a stopping instance still takes requests.
-    pub grace: Option<String>,
-    /// Where metrics go.
-    pub statsd: Option<String>,
-    /// How log lines are written.
-    pub log_format: Option<String>,
-    /// Which log lines are written.
-    pub log_filter: Option<String>,
-}
-
 /// Checked settings.
 #[data]
 pub struct Settings {
@@ -140,154 +96,6 @@
     pub idle: Duration,
 }
 
-/// One setting that is wrong.
-#[derive(Debug, Clone, PartialEq, thiserror::Error, Diagnostic)]
-#[error("{flag}: {message}")]
-pub struct Problem {
-    flag: String,
-    message: String,
-    #[help]
-    remedy: String,
-}
-
-/// All settings that are wrong.
-#[derive(Debug, Clone, PartialEq, thiserror::Error, Diagnostic)]
-#[error("{} of the settings cannot be used; nothing was started", .problems.len())]
-#[diagnostic(help("run `peatdeck-entry --help` for all settings with examples"))]
-pub struct Problems {
-    /// Each of them.
-    #[related]
-    pub problems: Vec<Problem>,
-}
-
-/// The command line.
-pub fn parser() -> OptionParser<Flags> {
-    let name = text("name", "PEATDECK_NAME", "NAME", "Name of this instance in the list");
-    let listen = text("listen", "PEATDECK_LISTEN", "IP:PORT", "Where callers connect");
-    let peer_listen =
-        text("peer-listen", "PEATDECK_PEER_LISTEN", "IP:PORT", "Where other instances connect");
-    let data_centre =
-        text("data-centre", "PEATDECK_DATA_CENTRE", "NAME", "Data centre of this instance");
-    let log = text("log", "PEATDECK_LOG", "IP:PORT", "The platform's log service");
-    let list = text("list", "PEATDECK_LIST", "IP:PORT", "The platform's instance list");
-    let incarnation = text(
-        "incarnation",
-        "PEATDECK_INCARNATION",
-        "N",
-        "Life of this process, larger after each restart [default: wall clock in ms]",
-    );
-    let max_body =
-        text("max-body", "PEATDECK_MAX_BODY", "BYTES", "Longest request body [default: 1048576]");
-    let max_header = text(
-        "max-header",
-        "PEATDECK_MAX_HEADER",
-        "BYTES",
-        "Longest request header [default: 16384]",
-    );
-    let max_connections = text(
-        "max-connections",
-        "PEATDECK_MAX_CONNECTIONS",
-        "N",
-        "Callers' connections held at once [default: 4096]",
-    );
-    let idle_timeout = text(
-        "idle-timeout",
-        "PEATDECK_IDLE_TIMEOUT",
-        "SECONDS",
-        "Time after which an idle or stalled connection is closed [default: 30]",
-    );
-    let connect_timeout = text(
-        "connect-timeout",
-        "PEATDECK_CONNECT_TIMEOUT",
-        "MS",
-        "Time to connect to an endpoint or the platform [default: 1000]",
-    );
-    let decisions = text(
-        "decisions",
-        "PEATDECK_DECISIONS",
-        "SET",
-        "`full`, or `plain` for the baseline of experiments [default: full]",
-    );
-    let without = text(
-        "without",
-        "PEATDECK_WITHOUT",
-        "NAMES",
-        "Decisions to switch off, for experiments, such as `hedging,affinity`",
-    );
-    let retention = text(
-        "retention",
-        "PEATDECK_RETENTION",
-        "SECONDS",
-        "How long the log keeps records [default: 86400]",
-    );
-    let horizon = text(
-        "horizon",
-        "PEATDECK_HORIZON",
-        "SECONDS",
-        "How long the key of a non-idempotent request is protected [default: 3600]",
-    );
-    let grace = text(
-        "grace",
-        "PEATDECK_GRACE",
-        "MS",
-        "How long a stopping instance still takes requests [default: 2000]",
-    );
-    let statsd = text(
-        "statsd",
-        "PEATDECK_STATSD",
-        "IP:PORT",
-        "Where metrics are sent over UDP [default: nowhere]",
-    );
-    let log_format =
-        text("log-format", "PEATDECK_LOG_FORMAT", "FORMAT", "`text` or `json` [default: text]");
-    let log_filter = text(
-        "log-filter",
-        "PEATDECK_LOG_FILTER",
-        "FILTER",
-        "Which log lines are written, such as `peatdeck_entry=debug,warn` [default: info, less of the HTTP library]",
-    );
-    construct!(Flags {
-        name,
-        listen,
-        peer_listen,
-        data_centre,
-        log,
-        list,
-        incarnation,
-        max_body,
-        max_header,
-        max_connections,
-        idle_timeout,
-        connect_timeout,
-        decisions,
-        without,
-        retention,
-        horizon,
-        grace,
-        statsd,
-        log_format,
-        log_filter,
-    })
-    .to_options()
-    .descr("Entry instance of peatdeck: serves callers and runs their pipelines")
-    .footer(EXAMPLES)
-    .version(env!("CARGO_PKG_VERSION"))
-}
-
-const EXAMPLES: &str = "Examples:\n 
-    peatdeck-entry --name entry-1 --data-centre north --listen 10.0.0.5:8080 \\
-        --peer-listen 10.0.0.5:8081 --log 10.0.1.1:7000 --list 10.0.1.1:7001
-    PEATDECK_NAME=entry-1 PEATDECK_LOG=10.0.1.1:7000 … peatdeck-entry --log-format json";
-
-fn text(
-    flag: &'static str,
-    variable: &'static str,
-    value: &'static str,
-    help: &'static str,
-) -> impl Parser<Option<String>> {
-    long(flag).env(variable).help(help).argument::<String>(value).optional()
-}
-
 impl Flags {
     /// Checks everything.
     ///
@@ -379,145 +187,6 @@
     }
 }
 
-/// Collects problems. A wrong setting gets a stand-in value, so that the
-/// others are still checked; the stand-in is never used.
-#[derive(Default)]
-struct Check {
-    problems: Vec<Problem>,
-}
-
-impl Check {
-    fn report(&mut self, flag: &str, message: impl Into<String>, remedy: impl Into<String>) {
-        let (flag, message, remedy) = (flag.to_owned(), message.into(), remedy.into());
-        self.problems.push(Problem { flag, message, remedy });
-    }
-
-    fn name(&mut self, flag: &str, value: Option<&str>) -> Arc<str> {
-        let Some(name) = value.filter(|name| !name.is_empty()) else {
-            self.report(flag, "is missing", format!("give {flag} or set {}", variable(flag)));
-            return Arc::from("");
-        };
-        let is_plain = name.chars().all(|char| char.is_ascii_graphic());
-        if name.len() > MAX_NAME_BYTES || !is_plain {
-            self.report(
-                flag,
-                format!("`{}` is not a name", name.escape_debug()),
-                format!("use at most {MAX_NAME_BYTES} printable ASCII characters, no spaces"),
-            );
-        }
-        Arc::from(name)
-    }
-
-    fn decisions(&mut self, set: Option<&str>, without: Option<&str>) -> Decisions {
-        let mut decisions = match set {
-            None | Some("" | "full") => Decisions::full(),
-            Some("plain") => Decisions::plain(),
-            Some(other) => {
-                let message = format!("`{}` is not a set of decisions", other.escape_debug());
-                self.report("--decisions", message, "use `full` or `plain`");
-                Decisions::full()
-            }
-        };
-        let names = without.unwrap_or_default().split(',').filter(|name| !name.is_empty());
-        for name in names {
-            if !decisions.switch_off(name) {
-                let message = format!("`{}` is not a decision", name.escape_debug());
-                self.report(
-                    "--without",
-                    message,
-                    format!("use some of {}", Decisions::NAMES.join(",")),
-                );
-            }
-        }
-        decisions
-    }
-
-    fn addr(&mut self, flag: &str, value: Option<&str>) -> SocketAddr {
-        let any = SocketAddr::from(([0, 0, 0, 0], 0));
-        let Some(text) = value.filter(|text| !text.is_empty()) else {
-            self.report(flag, "is missing", format!("give {flag} or set {}", variable(flag)));
-            return any;
-        };
-        // The platform's services speak plain HTTP; its scheme may be written out.
-        match text.strip_prefix("http://").unwrap_or(text).parse() {
-            Ok(addr) => addr,
-            Err(_) => {
-                self.report(
-                    flag,
-                    format!("`{}` is not an address", text.escape_debug()),
-                    "use an IP number and a port, such as 10.0.0.5:8080",
-                );
-                any
-            }
-        }
-    }
-
-    fn remote(&mut self, flag: &str, value: Option<&str>) -> Arc<str> {
-        let before = self.problems.len();
-        let addr = self.addr(flag, value);
-        if addr.port() == 0 && self.problems.len() == before {
-            self.report(flag, "has port 0, which nothing can listen on", "give the service's port");
-        }
-        Arc::from(addr.to_string())
-    }
-
-    fn number<N>(
-        &mut self,
-        flag: &str,
-        value: Option<&str>,
-        default: N,
-        range: RangeInclusive<N>,
-    ) -> N
-    where
-        N: FromStr + PartialOrd + Display + Copy,
-    {
-        let Some(text) = value else { return default };
-        match text.parse() {
-            Ok(number) if range.contains(&number) => number,
-            _ => {
-                self.report(
-                    flag,
-                    format!("`{}` is not a number that can be used here", text.escape_debug()),
-                    format!(
-                        "give a whole number from {} to {}, or leave it out",
-                        range.start(),
-                        range.end()
-                    ),
-                );
-                default
-            }
-        }
-    }
-
-    fn format(&mut self, value: Option<&str>) -> logging::Format {
-        let Some(text) = value else { return logging::Format::default() };
-        text.parse().unwrap_or_else(|_| {
-            self.report(
-                "--log-format",
-                format!("`{}` is not a log format", text.escape_debug()),
-                "use `text` or `json`",
-            );
-            logging::Format::default()
-        })
-    }
-
-    fn distinct(&mut self, settings: &Settings) {
-        let is_fixed = settings.listen.port() != 0;
-        if is_fixed && settings.listen == settings.peer_listen {
-            self.report(
-                "--peer-listen",
-                "is the same address as --listen",
-                "give callers and peers different ports",
-            );
-        }
-    }
-}
-
-/// The environment variable of a flag.
-fn variable(flag: &str) -> String {
-    format!("PEATDECK_{}", flag.trim_start_matches('-').replace('-', "_").to_uppercase())
-}
-
 fn wall_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
--- /dev/null
+++ b/crates/entry/src/settings/flags.rs
@@ -0,0 +1,179 @@
+//! The command line and the environment, as text.
+
+use bpaf::{OptionParser, Parser, construct, long};
+use peatdeck_macros::data;
+
+/// What the command line and the environment say, as text.
+#[data]
+#[derive(Default)]
+pub struct Flags {
+    /// The instance's name.
+    pub name: Option<String>,
+    /// Where callers connect.
+    pub listen: Option<String>,
+    /// Where peers connect.
+    pub peer_listen: Option<String>,
+    /// The data centre.
+    pub data_centre: Option<String>,
+    /// The log's address.
+    pub log: Option<String>,
+    /// The list's address.
+    pub list: Option<String>,
+    /// The process's life.
+    pub incarnation: Option<String>,
+    /// The longest body.
+    pub max_body: Option<String>,
+    /// The longest header.
+    pub max_header: Option<String>,
+    /// Connections held at once.
+    pub max_connections: Option<String>,
+    /// Idle time of a connection.
+    pub idle_timeout: Option<String>,
+    /// Time to connect to an endpoint.
+    pub connect_timeout: Option<String>,
+    /// The set of decisions.
+    pub decisions: Option<String>,
+    /// Decisions that are switched off.
+    pub without: Option<String>,
+    /// How long the log keeps records.
+    pub retention: Option<String>,
+    /// How long a claim is remembered.
+    pub horizon: Option<String>,
+    /// How long a stopping instance still takes requests.
+    pub grace: Option<String>,
+    /// Where metrics go.
+    pub statsd: Option<String>,
+    /// How log lines are written.
+    pub log_format: Option<String>,
+    /// Which log lines are written.
+    pub log_filter: Option<String>,
+}
+
+/// The command line.
+pub fn parser() -> OptionParser<Flags> {
+    let name = text("name", "PEATDECK_NAME", "NAME", "Name of this instance in the list");
+    let listen = text("listen", "PEATDECK_LISTEN", "IP:PORT", "Where callers connect");
+    let peer_listen =
+        text("peer-listen", "PEATDECK_PEER_LISTEN", "IP:PORT", "Where other instances connect");
+    let data_centre =
+        text("data-centre", "PEATDECK_DATA_CENTRE", "NAME", "Data centre of this instance");
+    let log = text("log", "PEATDECK_LOG", "IP:PORT", "The platform's log service");
+    let list = text("list", "PEATDECK_LIST", "IP:PORT", "The platform's instance list");
+    let incarnation = text(
+        "incarnation",
+        "PEATDECK_INCARNATION",
+        "N",
+        "Life of this process, larger after each restart [default: wall clock in ms]",
+    );
+    let max_body =
+        text("max-body", "PEATDECK_MAX_BODY", "BYTES", "Longest request body [default: 1048576]");
+    let max_header = text(
+        "max-header",
+        "PEATDECK_MAX_HEADER",
+        "BYTES",
+        "Longest request header [default: 16384]",
+    );
+    let max_connections = text(
+        "max-connections",
+        "PEATDECK_MAX_CONNECTIONS",
+        "N",
+        "Callers' connections held at once [default: 4096]",
+    );
+    let idle_timeout = text(
+        "idle-timeout",
+        "PEATDECK_IDLE_TIMEOUT",
+        "SECONDS",
+        "Time after which an idle or stalled connection is closed [default: 30]",
+    );
+    let connect_timeout = text(
+        "connect-timeout",
+        "PEATDECK_CONNECT_TIMEOUT",
+        "MS",
+        "Time to connect to an endpoint or the platform [default: 1000]",
+    );
+    let decisions = text(
+        "decisions",
+        "PEATDECK_DECISIONS",
+        "SET",
+        "`full`, or `plain` for the baseline of experiments [default: full]",
+    );
+    let without = text(
+        "without",
+        "PEATDECK_WITHOUT",
+        "NAMES",
+        "Decisions to switch off, for experiments, such as `hedging,affinity`",
+    );
+    let retention = text(
+        "retention",
+        "PEATDECK_RETENTION",
+        "SECONDS",
+        "How long the log keeps records [default: 86400]",
+    );
+    let horizon = text(
+        "horizon",
+        "PEATDECK_HORIZON",
+        "SECONDS",
+        "How long the key of a non-idempotent request is protected [default: 3600]",
+    );
+    let grace = text(
+        "grace",
+        "PEATDECK_GRACE",
+        "MS",
+        "How long a stopping instance still takes requests [default: 2000]",
+    );
+    let statsd = text(
+        "statsd",
+        "PEATDECK_STATSD",
+        "IP:PORT",
+        "Where metrics are sent over UDP [default: nowhere]",
+    );
+    let log_format =
+        text("log-format", "PEATDECK_LOG_FORMAT", "FORMAT", "`text` or `json` [default: text]");
+    let log_filter = text(
+        "log-filter",
+        "PEATDECK_LOG_FILTER",
+        "FILTER",
+        "Which log lines are written, such as `peatdeck_entry=debug,warn` [default: info, less of the HTTP library]",
+    );
+    construct!(Flags {
+        name,
+        listen,
+        peer_listen,
+        data_centre,
+        log,
+        list,
+        incarnation,
+        max_body,
+        max_header,
+        max_connections,
+        idle_timeout,
+        connect_timeout,
+        decisions,
+        without,
+        retention,
+        horizon,
+        grace,
+        statsd,
+        log_format,
+        log_filter,
+    })
+    .to_options()
+    .descr("Entry instance of peatdeck: serves callers and runs their pipelines")
+    .footer(EXAMPLES)
+    .version(env!("CARGO_PKG_VERSION"))
+}
+
+/// Shown behind the flags. The line of one space keeps the first line apart.
+const EXAMPLES: &str = "Examples:\n \
+    \n    peatdeck-entry --name entry-1 --data-centre north --listen 10.0.0.5:8080 \\
+        --peer-listen 10.0.0.5:8081 --log 10.0.1.1:7000 --list 10.0.1.1:7001
+    PEATDECK_NAME=entry-1 PEATDECK_LOG=10.0.1.1:7000 … peatdeck-entry --log-format json";
+
+fn text(
+    flag: &'static str,
+    variable: &'static str,
+    value: &'static str,
+    help: &'static str,
+) -> impl Parser<Option<String>> {
+    long(flag).env(variable).help(help).argument::<String>(value).optional()
+}
