--- /dev/null
+++ b/crates/entry/tests/entry/main.rs
@@ -0,0 +1,12 @@
+//! An entry: its parts, and as a process on stand-ins.
+
+#![allow(clippy::unwrap_used)]
+
+mod burn;
+mod flush;
+mod intake;
+mod outcome;
+mod serving;
+mod settings;
+mod stopping;
+mod support;
