--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -13,7 +13,7 @@
     arrivals::Arrival,
     balancer::Balancer,
     driver::{Driver, Route},
-    error,
+    error, fairness,
     records::{self, Records},
     report::{Event, Frame, Report},
     sample::Sample,
@@ -219,6 +219,7 @@
     samples: &[Sample],
     events: Vec<Event>,
 ) -> error::Result<Report> {
+    let document = target.document().unwrap_or_default();
     let frame = Frame {
         label: setup.label.clone(),
         seed: setup.seed,
@@ -226,9 +227,9 @@
         warm_up: setup.warm_up,
         capacity: setup.capacity,
         events,
+        weights: fairness::weights(&document),
     };
     let records = if setup.records { target.records()? } else { None };
-    let document = target.document().unwrap_or_default();
     let Some(records) = records else {
         let violations = Ledger::new([]).violations(samples, &document);
         return Ok(Report::new(&frame, samples, None, violations));
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod error;
 pub mod events;
 pub mod experiment;
+pub mod fairness;
 pub mod launch;
 pub mod output;
 pub mod paired;
--- a/crates/load/src/paired.rs
+++ b/crates/load/src/paired.rs
@@ -76,6 +76,10 @@
     for (team, share) in &report.teams {
         put(format!("attainment team {team}"), share.attainment());
     }
+    let least = report.of_share.values().copied().reduce(f64::min);
+    if let Some(least) = least {
+        put("least team's part of its share".to_owned(), least);
+    }
     for (pipeline, share) in &report.pipelines {
         put(format!("attainment pipeline {pipeline}"), share.attainment());
     }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -11,6 +11,7 @@
 use peatdeck_macros::{data, message};
 
 use crate::{
+    fairness,
     sample::{Ending, Sample},
     work::{Ledger, USES, Use, Violation},
 };
@@ -33,6 +34,8 @@
     pub capacity: Option<f64>,
     /// What was done to the system, and when.
     pub events: Vec<Event>,
+    /// The teams' weights, where they are known.
+    pub weights: BTreeMap<Arc<str>, u32>,
 }
 
 /// Something done to the system during the run.
@@ -63,6 +66,8 @@
     pub total: Share,
     /// By team.
     pub teams: BTreeMap<Arc<str>, Share>,
+    /// What each team got of its share, see [`fairness`].
+    pub of_share: BTreeMap<Arc<str>, f64>,
     /// By pipeline.
     pub pipelines: BTreeMap<Arc<str>, Share>,
     /// How many requests ended in each way.
@@ -181,6 +186,7 @@
         let seconds = frame.length.saturating_sub(frame.warm_up).as_secs_f64();
         let mut total = Share::default();
         counted.iter().for_each(|sample| total.add(sample));
+        let teams = shares(&counted, |sample| sample.team.clone());
         let stages = ledger.map_or_else(Vec::new, |ledger| stage_costs(&counted, ledger));
         Report {
             label: frame.label.clone(),
@@ -189,7 +195,8 @@
             capacity: frame.capacity,
             offered: total.planned as f64 / seconds,
             goodput: total.in_time as f64 / seconds,
-            teams: shares(&counted, |sample| sample.team.clone()),
+            of_share: fairness::of_share(&frame.weights, &teams),
+            teams,
             pipelines: shares(&counted, |sample| sample.pipeline.clone()),
             endings: endings(&counted),
             waste: ledger.map(|_| waste(&stages)),
--- a/crates/load/src/table.rs
+++ b/crates/load/src/table.rs
@@ -31,21 +31,21 @@
 fn shares(report: &Report, f: &mut Formatter<'_>) -> fmt::Result {
     writeln!(
         f,
-        "\n{:<28} {:>8} {:>9} {:>8} {:>8} {:>11}",
-        "", "planned", "answered", "in time", "not run", "attainment"
+        "\n{:<28} {:>8} {:>9} {:>8} {:>8} {:>11} {:>9}",
+        "", "planned", "answered", "in time", "not run", "attainment", "of share"
     )?;
-    share("all", &report.total, f)?;
+    share("all", &report.total, None, f)?;
     for (team, part) in &report.teams {
-        share(&format!("team {team}"), part, f)?;
+        share(&format!("team {team}"), part, report.of_share.get(team), f)?;
     }
     for (pipeline, part) in &report.pipelines {
-        share(&format!("pipeline {pipeline}"), part, f)?;
+        share(&format!("pipeline {pipeline}"), part, None, f)?;
     }
     Ok(())
 }
 
-fn share(name: &str, share: &Share, f: &mut Formatter<'_>) -> fmt::Result {
-    writeln!(
+fn share(name: &str, share: &Share, got: Option<&f64>, f: &mut Formatter<'_>) -> fmt::Result {
+    write!(
         f,
         "{name:<28} {:>8} {:>9} {:>8} {:>8} {:>10.2}%",
         share.planned,
@@ -53,7 +53,11 @@
         share.in_time,
         share.not_run,
         PERCENT * share.attainment(),
-    )
+    )?;
+    match got {
+        Some(got) => writeln!(f, " {got:>9.3}"),
+        None => writeln!(f),
+    }
 }
 
 fn endings(report: &Report, f: &mut Formatter<'_>) -> fmt::Result {
--- a/crates/load/tests/load/main.rs
+++ b/crates/load/tests/load/main.rs
@@ -4,6 +4,7 @@
 mod arrivals;
 mod ceiling;
 mod events;
+mod fairness;
 mod paired;
 mod plot;
 mod preset;
--- a/crates/load/tests/load/paired.rs
+++ b/crates/load/tests/load/paired.rs
@@ -45,6 +45,7 @@
         goodput /s
         latency p50 ms
         latency p99 ms
+        least team's part of its share
         waste"#]]
     .assert_eq(&names.join("\n"));
 }
--- a/crates/load/tests/load/report.rs
+++ b/crates/load/tests/load/report.rs
@@ -43,10 +43,10 @@
         small (seed 7, 2 s counted)
         offered 2.5/s = 1.25 x capacity 2.0/s, goodput 1.0/s, sends 1.000 a request
 
-                                      planned  answered  in time  not run  attainment
+                                      planned  answered  in time  not run  attainment  of share
         all                                 5         3        2        1      40.00%
-        team big                            4         3        2        0      50.00%
-        team small                          1         0        0        1       0.00%
+        team big                            4         3        2        0      50.00%     2.000
+        team small                          1         0        0        1       0.00%     0.000
         pipeline draft                      5         3        2        1      40.00%
 
         endings
--- a/crates/load/tests/load/support.rs
+++ b/crates/load/tests/load/support.rs
@@ -91,5 +91,6 @@
         warm_up: ms(1000),
         capacity: Some(2.0),
         events: Vec::new(),
+        weights: [("big".into(), 1), ("small".into(), 1)].into(),
     }
 }
