--- a/crates/core/examples/pool/main.rs
+++ b/crates/core/examples/pool/main.rs
@@ -24,29 +24,38 @@
 
 fn main() {
     let seeds = std::env::args().nth(1).and_then(|arg| arg.parse().ok()).unwrap_or(DEFAULT_SEEDS);
-    println!("share of requests in time: mean over {seeds} seeds (least, most); waste: share of");
-    println!("endpoint work spent on requests that weren't in time; p99 of those in time\n");
+    println!(
+        "in time: share of requests, mean over {seeds} seeds; less: what is lost against `full`"
+    );
+    println!("on the same seed, mean (least, most); waste: share of endpoint work that no reply");
+    println!("was taken from; p99: of the times of requests in time");
     for scenario in scenarios() {
-        println!("{}", scenario.name());
+        println!("\n{}", scenario.name());
+        println!("  {:<24} in time  less                       waste  p99 ms", "");
+        let full = run(&scenario, &Variant::full(), seeds);
         for variant in variants() {
-            let outcomes: Vec<Outcome> =
-                (0..seeds).map(|seed| World::new(&scenario, &variant, seed).run()).collect();
-            report(&variant, &outcomes);
+            report(&variant, &run(&scenario, &variant, seeds), &full);
         }
-        println!();
     }
 }
 
-fn report(variant: &Variant, outcomes: &[Outcome]) {
+fn run(scenario: &Scenario, variant: &Variant, seeds: u64) -> Vec<Outcome> {
+    (0..seeds).map(|seed| World::new(scenario, variant, seed).run()).collect()
+}
+
+fn report(variant: &Variant, outcomes: &[Outcome], full: &[Outcome]) {
     let shares: Vec<f64> = outcomes.iter().map(Outcome::attained).collect();
-    let least = shares.iter().copied().fold(f64::INFINITY, f64::min);
-    let most = shares.iter().copied().fold(0.0, f64::max);
+    let pairs = shares.iter().zip(full);
+    let less: Vec<f64> = pairs.map(|(share, full)| full.attained() - share).collect();
+    let least = less.iter().copied().fold(f64::INFINITY, f64::min);
+    let most = less.iter().copied().fold(f64::NEG_INFINITY, f64::max);
     let waste: Vec<f64> = outcomes.iter().map(Outcome::wasted).collect();
     let p99: Vec<f64> = outcomes.iter().map(|outcome| outcome.p99() * 1000.0).collect();
     println!(
-        "  {:<28} {:.3} ({:.3}, {:.3})  waste {:.3}  p99 {:>4.0} ms",
+        "  {:<24} {:.3}    {:>6.3} ({:>6.3}, {:>6.3})  {:.3}  {:>6.0}",
         variant.name,
         mean(&shares),
+        mean(&less),
         least,
         most,
         mean(&waste),
@@ -69,6 +78,7 @@
         Variant { name: "full, no peers", peers: false, ..full },
         Variant { name: "full, fixed limit of 64", adaptive: false, ..full },
         Variant { name: "full, no admission", admission: false, ..full },
+        Variant { name: "full, no ejection", ejection: false, ..full },
         Variant { name: "full, no hedges", hedges: false, ..full },
     ]
 }
--- a/crates/core/examples/pool/model.rs
+++ b/crates/core/examples/pool/model.rs
@@ -28,6 +28,8 @@
     pub admission: bool,
     /// Whether stragglers are hedged.
     pub hedges: bool,
+    /// Whether failing endpoints are ejected.
+    pub ejection: bool,
 }
 
 impl Variant {
@@ -41,6 +43,7 @@
             adaptive: true,
             admission: true,
             hedges: true,
+            ejection: true,
         }
     }
 
@@ -54,6 +57,7 @@
             adaptive: false,
             admission: false,
             hedges: false,
+            ejection: false,
         }
     }
 }
--- a/crates/core/examples/pool/world.rs
+++ b/crates/core/examples/pool/world.rs
@@ -347,14 +347,6 @@
         self.dispatch(instance);
     }
 
-    /// A call that the deadline cuts short would have taken longer still.
-    fn record_cut(&mut self, request: usize) {
-        let Request { instance, ref calls, .. } = self.requests[request];
-        let open = calls.iter().map(|call| &self.calls[*call]).filter(|call| !call.over);
-        let took = &mut self.instances[instance].took;
-        open.for_each(|call| took.record(self.now, self.now - call.sent));
-    }
-
     fn cancel_all(&mut self, request: usize) {
         for call in self.requests[request].calls.clone() {
             self.end_call(call, CallResult::Cancelled);
@@ -386,7 +378,7 @@
         let inst = &mut self.instances[self.requests[request].instance];
         inst.queue.remove(request);
         inst.drain.waiting(self.now, !inst.queue.is_empty());
-        self.record_cut(request);
+
         self.cancel_all(request);
     }
 
@@ -438,7 +430,11 @@
 fn instance(variant: &Variant, names: &[EndpointName]) -> Instance {
     let fixed = limits::Settings { initial: 64, min: 64, max: 64 };
     let limit = if variant.adaptive { limits::Settings::default() } else { fixed };
-    let mut table = Table::new(endpoints::Settings { limit, ..endpoints::Settings::default() });
+    let mut settings = endpoints::Settings { limit, ..endpoints::Settings::default() };
+    if !variant.ejection {
+        settings.health.max_share = 0.0;
+    }
+    let mut table = Table::new(settings);
     let entries: Vec<EndpointEntry> = names.iter().map(entry).collect();
     table.listed(Duration::ZERO, &entries);
     Instance {
--- a/crates/core/src/timing.rs
+++ b/crates/core/src/timing.rs
@@ -1,7 +1,7 @@
 //! How a request's remaining time is spent.
 //!
 //! All stages share one deadline. [`stage_time`] gives a stage what remains
-//! less what the later stages need, and gives the request up once even a quick
+//! less what the later stages need, and gives the request up once even a usual
 //! run can't be in time. [`hedge_delay`] says how long to wait for a straggler
 //! before a second call is worth its cost.
 
@@ -13,8 +13,8 @@
 const RESERVED: f64 = 0.9;
 /// Quantile of a quick run: with less time than that, a try isn't worth its cost.
 const QUICK: f64 = 0.25;
-/// Quantile of a run that a started request must still have time for.
-const WORTH_STARTING: f64 = 0.5;
+/// Quantile of a stage's run that a call must still have time for.
+const WORTH_STARTING: f64 = 0.75;
 /// Quantile of a usual run.
 const USUAL: f64 = 0.5;
 /// Quantile after which a call counts as a straggler.
@@ -31,7 +31,7 @@
 
 /// Time that a stage may take; `None` if the request can't be in time any more.
 pub fn stage_time(left: Duration, stage: &Estimator, later: &[&Estimator]) -> Option<Duration> {
-    let least = at(stage, WORTH_STARTING) + sum(later, WORTH_STARTING);
+    let least = at(stage, WORTH_STARTING) + sum(later, USUAL);
     if left.is_zero() || least > left {
         return None;
     }
