--- a/crates/core/tests/testsuite/instances/world.rs
+++ b/crates/core/tests/testsuite/instances/world.rs
@@ -66,7 +66,7 @@
     LandConfig { life: Life, append: AppendId, record: ConfigRecord },
     LandClaims { life: Life, append: AppendId, batch: ClaimBatch },
     CallArrives { life: Life, call: Call },
-    CallEvent { life: Life, call: CallId, event: CallEvent },
+    Reply { life: Life, call: CallId, event: CallEvent },
     Told { question: u64, answer: PeerOutcome },
     RefreshList,
 }
@@ -389,7 +389,7 @@
                 self.appended(life, append, out);
             }
             Event::CallArrives { life, call } => self.call_arrives(life, call),
-            Event::CallEvent { life, call, event } => {
+            Event::Reply { life, call, event } => {
                 self.deliver(life, Input::Call { call, event });
             }
             Event::Told { question, answer } => {
@@ -552,7 +552,7 @@
         }
         for (after, event) in effect.events {
             let at = self.now + after;
-            self.at(at, Event::CallEvent { life, call: call.id, event });
+            self.at(at, Event::Reply { life, call: call.id, event });
         }
     }
 
