--- a/crates/core/src/latency.rs
+++ b/crates/core/src/latency.rs
@@ -66,19 +66,18 @@
             return None;
         }
         let wanted = self.total * q.clamp(0.0, 1.0);
-        let mut sum = 0.0;
-        let mut last = 0;
-        for (idx, weight) in self.buckets.iter().enumerate() {
-            if *weight <= 0.0 {
-                continue;
-            }
-            sum += weight;
-            last = idx;
-            if sum >= wanted {
+        let mut below = 0.0;
+        let mut found = Duration::ZERO;
+        let filled = self.buckets.iter().enumerate().filter(|(_, weight)| **weight > 0.0);
+        for (idx, weight) in filled {
+            let part = ((wanted - below) / weight).clamp(0.0, 1.0);
+            found = within(idx, part);
+            below += weight;
+            if below >= wanted {
                 break;
             }
         }
-        Some(bound(last))
+        Some(found)
     }
 
     /// Samples taken in since the start.
@@ -109,6 +108,12 @@
     idx.min(BUCKETS - 1)
 }
 
+/// The duration that a part of a bucket's samples stays within, if they lie evenly in it.
+fn within(idx: usize, part: f64) -> Duration {
+    let lower = idx.checked_sub(1).map_or(Duration::ZERO, bound);
+    lower + (bound(idx) - lower).mul_f64(part)
+}
+
 fn bound(idx: usize) -> Duration {
     FLOOR.mul_f64(GROWTH.powi(idx as i32))
 }
