--- /dev/null
+++ b/crates/load/tests/load/main.rs
@@ -0,0 +1,18 @@
+//! Tests of the load tool: its arithmetic, formats and plans. None measures
+//! the machine.
+
+#![allow(clippy::unwrap_used)]
+
+mod arrivals;
+mod ceiling;
+mod events;
+mod fairness;
+mod paired;
+mod plot;
+mod preset;
+mod process;
+mod report;
+mod schedule;
+mod support;
+mod trace;
+mod work;
