Let silence last longer in a large group before a peer is dead

A message holds 64 counters. Measured over 390 members with the five seconds that suit a small group: 95,627 of 151,710 pairs were wrong suspicions, since a counter takes longer than that to reach everybody; with 128 members none. The time now grows with the members beyond what two messages hold.

--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -24,6 +24,9 @@
 /// A step of the clock over so many rounds is a pause of this instance.
 const PAUSE_ROUNDS: u32 = 4;
 
+/// A counter reaches everybody in time while this many messages hold them all.
+const SPREAD_MESSAGES: usize = 2;
+
 slotmap::new_key_type! {
     struct PeerKey;
 }
@@ -193,7 +196,7 @@
 
     /// What each peer has in force, by name.
     pub fn peer_versions(&self, now: Duration) -> Vec<PeerVersion> {
-        let time = self.unpaused(now);
+        let (time, dead_after) = (self.unpaused(now), self.dead_after());
         let mut versions: Vec<_> = self
             .peers
             .values()
@@ -201,7 +204,7 @@
                 name: peer.name.clone(),
                 version: peer.version(),
                 ready: peer.state.ready,
-                alive: peer.is_alive(time, self.settings.dead_after),
+                alive: peer.is_alive(time, dead_after),
                 listed: peer.presence.is_some(),
             })
             .collect();
@@ -218,8 +221,8 @@
     }
 
     fn alive_peers(&self, now: Duration) -> impl Iterator<Item = &Peer> {
-        let time = self.unpaused(now);
-        self.peers.values().filter(move |peer| peer.is_alive(time, self.settings.dead_after))
+        let (time, dead_after) = (self.unpaused(now), self.dead_after());
+        self.peers.values().filter(move |peer| peer.is_alive(time, dead_after))
     }
 
     /// Notes the time. While this instance was paused it could hear nobody, so
@@ -240,6 +243,14 @@
         if step > self.pause() { self.last_now } else { now }
     }
 
+    /// The silence that makes a peer dead. A message has room for a limited
+    /// number of counters, so in a large group each one takes longer to spread.
+    fn dead_after(&self) -> Duration {
+        let room = SPREAD_MESSAGES * self.settings.max_members;
+        let crowding = self.peers.len() as f64 / room as f64;
+        self.settings.dead_after.mul_f64(crowding.max(1.0))
+    }
+
     fn pause(&self) -> Duration {
         self.settings.tick * PAUSE_ROUNDS
     }
@@ -292,7 +303,7 @@
     /// Whom to send to: some peers that may live, one that has a newer
     /// configuration if there is one, and now and then one that seems dead.
     fn targets(&mut self, now: Duration, mark: ConfigMark) -> Vec<PeerKey> {
-        let dead_after = self.settings.dead_after;
+        let dead_after = self.dead_after();
         let may_live = |peer: &Peer| peer.is_unknown() || peer.is_alive(now, dead_after);
         let reachable = self.peers.iter().filter(|(_, peer)| peer.addr.is_some());
         let (live, dead): (Vec<_>, Vec<_>) = reachable.partition(|(_, peer)| may_live(peer));
@@ -346,7 +357,7 @@
         max: usize,
         local: &Local<'_>,
     ) -> Vec<MemberState> {
-        let dead_after = self.settings.dead_after;
+        let dead_after = self.dead_after();
         let others = self.peers.iter().filter(|&(key, peer)| {
             let is_told = peer.heard_at.is_some();
             key != to && is_told && peer.is_alive(now, dead_after)
--- a/crates/core/src/membership/settings.rs
+++ b/crates/core/src/membership/settings.rs
@@ -11,7 +11,8 @@
     pub tick: Duration,
     /// Peers that are sent to in a round.
     pub fanout: usize,
-    /// A peer is taken for dead when its counter has not risen for this long.
+    /// A peer is taken for dead when its counter has not risen for this long;
+    /// longer in a group whose counters do not fit into two messages.
     pub dead_after: Duration,
     /// A peer that is neither listed nor heard of is forgotten after this long.
     pub forget_after: Duration,
--- /dev/null
+++ b/crates/wire/examples/peer_cost/gossip.rs
@@ -0,0 +1,195 @@
+//! The members of the product, with messages in their wire form.
+
+use std::{
+    collections::HashSet,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use capnp::{
+    message::{self, ReaderOptions},
+    serialize,
+};
+use peatdeck_core::{
+    instance::input::Identity,
+    membership::{ConfigMark, EndpointState, Envelope, Gossip, Local, Members, Settings},
+    model::{Incarnation, InstanceEntry, Load, Presence},
+};
+use peatdeck_wire::{peer, peer_capnp};
+use rand::{Rng, rngs::SmallRng};
+
+use crate::{
+    DEAD_AFTER, MEASURED, WARM_UP,
+    network::{Event, Network},
+    report::Figures,
+};
+
+/// How often it is looked at who takes whom for dead.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Runs `count` members that tell of so many endpoints.
+pub fn run(count: usize, endpoints: usize) -> Figures {
+    let mut world = World::new(count, endpoints);
+    let mut next_look = WARM_UP;
+    while let Some((member, event)) = world.network.next() {
+        match event {
+            Event::Tick => world.tick(member),
+            Event::Message(bytes) => world.hear(member, &bytes),
+        }
+        if world.network.now >= next_look {
+            next_look = world.network.now + LOOK;
+            world.look();
+        }
+    }
+    world.figures.wrong_short = world.wrong_short.len();
+    world.figures.wrong_long = world.wrong_long.len();
+    world.figures
+}
+
+struct World {
+    network: Network<Vec<u8>>,
+    members: Vec<Members>,
+    endpoints: Vec<EndpointState>,
+    figures: Figures,
+    wrong_short: HashSet<(usize, usize)>,
+    wrong_long: HashSet<(usize, usize)>,
+}
+
+impl World {
+    fn new(count: usize, endpoints: usize) -> World {
+        let entries: Vec<_> = (0..count).map(entry).collect();
+        let member = |idx: usize| {
+            let identity = Identity {
+                name: name(idx),
+                incarnation: Incarnation(1),
+                data_centre: Arc::from("dc"),
+            };
+            let mut members = Members::new(identity, Settings::default(), idx as u64);
+            members.listed(Duration::ZERO, &entries);
+            members
+        };
+        let state = |idx| EndpointState {
+            endpoint: Arc::from(format!("endpoint-{idx}")),
+            in_flight: 0,
+            load: None,
+        };
+        World {
+            network: Network::new(count),
+            members: (0..count).map(member).collect(),
+            endpoints: (0..endpoints).map(state).collect(),
+            figures: Figures { detected: vec![None; count - 1], ..Figures::default() },
+            wrong_short: HashSet::new(),
+            wrong_long: HashSet::new(),
+        }
+    }
+
+    fn is_measured(&self) -> bool {
+        (WARM_UP..WARM_UP + MEASURED).contains(&self.network.now)
+    }
+
+    fn tick(&mut self, member: usize) {
+        shuffle(&mut self.network.rng, &mut self.endpoints);
+        let started = Instant::now();
+        let now = self.network.now;
+        let envelopes = self.members[member].tick(now, &local(&self.endpoints));
+        let bytes: Vec<_> = envelopes.iter().map(encode).collect();
+        self.spend(started);
+        for bytes in bytes {
+            self.send(bytes);
+        }
+        let wake = self.members[member].next_wake().expect("there is a next round");
+        self.network.wake(wake.max(now), member);
+    }
+
+    fn hear(&mut self, member: usize, bytes: &[u8]) {
+        let started = Instant::now();
+        let now = self.network.now;
+        let gossip = decode(bytes);
+        let reply = self.members[member].heard(now, &gossip, &local(&self.endpoints));
+        let reply = reply.as_ref().map(encode);
+        self.spend(started);
+        if let Some(reply) = reply {
+            self.send(reply);
+        }
+    }
+
+    fn send(&mut self, (to, bytes): (usize, Vec<u8>)) {
+        if self.is_measured() {
+            self.figures.sent(bytes.len());
+        }
+        self.network.send(to, bytes);
+    }
+
+    fn spend(&mut self, started: Instant) {
+        if self.is_measured() {
+            self.figures.processor += started.elapsed();
+        }
+    }
+
+    /// Looks at who takes whom for dead.
+    fn look(&mut self) {
+        let now = self.network.now;
+        for (observer, members) in self.members.iter().enumerate() {
+            if !self.network.is_running(observer) {
+                continue;
+            }
+            let alive: HashSet<_> = members.alive(now).into_iter().collect();
+            for other in (0..self.members.len()).filter(|&other| other != observer) {
+                if alive.contains(&name(other)) {
+                    continue;
+                }
+                if other == self.network.victim && now >= self.network.dies_at {
+                    self.figures.detected[observer].get_or_insert(now - self.network.dies_at);
+                } else if self.network.is_well(other, DEAD_AFTER) {
+                    self.wrong_short.insert((observer, other));
+                } else {
+                    self.wrong_long.insert((observer, other));
+                }
+            }
+        }
+    }
+}
+
+/// Changes some in-flight counts and loads, as traffic does.
+fn shuffle(rng: &mut SmallRng, endpoints: &mut [EndpointState]) {
+    for endpoint in endpoints {
+        endpoint.in_flight = rng.random_range(0..4);
+        endpoint.load =
+            Some(Load { running: rng.random_range(0..8), queued: 0, places: 8, age_ms: 300 });
+    }
+}
+
+fn local(endpoints: &[EndpointState]) -> Local<'_> {
+    let mark = ConfigMark { version: 3, offset: Some(9) };
+    Local { mark, snapshot: None, ready: true, leaving: &[], endpoints }
+}
+
+/// The receiver and the bytes of an envelope.
+fn encode(envelope: &Envelope) -> (usize, Vec<u8>) {
+    let mut message = message::Builder::new_default();
+    peer::write_gossip(&envelope.message, message.init_root()).expect("no snapshot to fail");
+    let to = envelope.to.trim_start_matches("instance-").parse().expect("a number");
+    (to, serialize::write_message_to_words(&message))
+}
+
+fn decode(mut bytes: &[u8]) -> Gossip {
+    let options = ReaderOptions::new();
+    let message =
+        serialize::read_message_from_flat_slice(&mut bytes, options).expect("it was whole");
+    let root = message.get_root::<peer_capnp::gossip::Reader<'_>>().expect("a gossip");
+    peer::read_gossip(root).expect("a gossip")
+}
+
+fn name(idx: usize) -> Arc<str> {
+    Arc::from(format!("instance-{idx}"))
+}
+
+fn entry(idx: usize) -> InstanceEntry {
+    InstanceEntry {
+        name: name(idx),
+        peer_addr: Arc::from("10.0.0.1:7000"),
+        http_addr: Arc::from("10.0.0.1:7001"),
+        data_centre: Arc::from("dc"),
+        presence: Presence::Live,
+    }
+}
--- /dev/null
+++ b/crates/wire/examples/peer_cost/network.rs
@@ -0,0 +1,144 @@
+//! A network in virtual time: messages in order of arrival, pauses, one death.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{MEASURED, TICK, WARM_UP};
+
+const SEED: u64 = 7;
+const MIN_LATENCY: Duration = Duration::from_micros(500);
+const MAX_LATENCY: Duration = Duration::from_millis(2);
+/// One member in this many is paused for a short while, and one for a long one.
+const PAUSED_ONE_IN: usize = 8;
+/// A pause that is not to be taken for a death.
+const SHORT_PAUSE: Duration = Duration::from_secs(3);
+/// A pause that cannot be told from a death while it lasts.
+const LONG_PAUSE: Duration = Duration::from_secs(8);
+
+/// Something that happens to a member.
+pub enum Event<M> {
+    /// Its timer fires.
+    Tick,
+    /// A message arrives.
+    Message(M),
+}
+
+/// Members, what is on its way to them, and what is wrong with them.
+pub struct Network<M> {
+    /// The time.
+    pub now: Duration,
+    /// Random numbers with a fixed seed.
+    pub rng: SmallRng,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: HashMap<u64, (usize, Event<M>)>,
+    next_event: u64,
+    pauses: Vec<Vec<(Duration, Duration)>>,
+    /// The member that dies.
+    pub victim: usize,
+    /// When it dies.
+    pub dies_at: Duration,
+}
+
+impl<M> Network<M> {
+    /// A network whose members' timers have started, in random phase.
+    pub fn new(members: usize) -> Network<M> {
+        let mut rng = SmallRng::seed_from_u64(SEED);
+        let pauses = pauses(&mut rng, members);
+        let mut network = Network {
+            now: Duration::ZERO,
+            rng,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            next_event: 0,
+            pauses,
+            victim: members - 1,
+            dies_at: WARM_UP + MEASURED + MEASURED,
+        };
+        for member in 0..members {
+            let phase = network.rng.random_range(Duration::ZERO..TICK);
+            network.push(phase, member, Event::Tick);
+        }
+        network
+    }
+
+    /// When everything ends.
+    pub fn end(&self) -> Duration {
+        self.dies_at + MEASURED
+    }
+
+    /// Sends a message.
+    pub fn send(&mut self, to: usize, message: M) {
+        let at = self.now + self.rng.random_range(MIN_LATENCY..MAX_LATENCY);
+        self.push(at, to, Event::Message(message));
+    }
+
+    /// Sets a member's timer.
+    pub fn wake(&mut self, at: Duration, member: usize) {
+        self.push(at, member, Event::Tick);
+    }
+
+    /// The next event of a member that lives, put off while it is paused.
+    pub fn next(&mut self) -> Option<(usize, Event<M>)> {
+        loop {
+            let Reverse((at, id)) = self.queue.pop()?;
+            if at > self.end() {
+                return None;
+            }
+            let (member, event) = self.events.remove(&id).expect("it was queued");
+            self.now = at;
+            if member == self.victim && at >= self.dies_at {
+                continue;
+            }
+            match self.paused_until(member, at) {
+                Some(until) => self.push(until, member, event),
+                None => return Some((member, event)),
+            }
+        }
+    }
+
+    /// Whether a member lives and was not paused for long lately, so that taking
+    /// it for dead is wrong.
+    pub fn is_well(&self, member: usize, lately: Duration) -> bool {
+        let is_dead = member == self.victim && self.now >= self.dies_at;
+        let pauses = self.pauses[member].iter();
+        let mut long = pauses.filter(|(from, until)| *until - *from > SHORT_PAUSE);
+        !is_dead && !long.any(|&(from, until)| from <= self.now && self.now < until + lately)
+    }
+
+    /// Whether a member runs now.
+    pub fn is_running(&self, member: usize) -> bool {
+        let is_dead = member == self.victim && self.now >= self.dies_at;
+        !is_dead && self.paused_until(member, self.now).is_none()
+    }
+
+    fn paused_until(&self, member: usize, at: Duration) -> Option<Duration> {
+        let mut pauses = self.pauses[member].iter();
+        pauses.find(|(from, until)| (*from..*until).contains(&at)).map(|&(_, until)| until)
+    }
+
+    fn push(&mut self, at: Duration, member: usize, event: Event<M>) {
+        let id = self.next_event;
+        self.next_event += 1;
+        self.events.insert(id, (member, event));
+        self.queue.push(Reverse((at, id)));
+    }
+}
+
+/// Pauses in the minute behind the one in which the cost is measured.
+fn pauses(rng: &mut SmallRng, members: usize) -> Vec<Vec<(Duration, Duration)>> {
+    let start = WARM_UP + MEASURED;
+    let mut pauses = vec![Vec::new(); members];
+    for lasting in [SHORT_PAUSE, LONG_PAUSE] {
+        for _ in 0..members.div_ceil(PAUSED_ONE_IN) {
+            let member = rng.random_range(0..members);
+            let from = start + rng.random_range(Duration::ZERO..MEASURED - 2 * LONG_PAUSE);
+            pauses[member].push((from, from + lasting));
+        }
+    }
+    pauses
+}
