--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -11,6 +11,7 @@
 //! - `GET /v1/config/verdict/{id}`: [`VerdictReply`].
 //! - `POST /v1/endpoints/{name}/drain`: [`DrainBody`] to [`DrainReply`].
 //! - `GET /v1/status`: [`StatusReply`].
+//! - `GET /v1/outcomes?since=`: [`OutcomesReply`].
 //!
 //! Every other status than 200 comes with an [`ApiError`].
 
@@ -240,7 +241,7 @@
     Drain {
         /// The endpoint.
         endpoint: Arc<str>,
-        /// The life it holds for.
+        /// The incarnation it holds for.
         incarnation: Incarnation,
     },
 }
@@ -276,13 +277,13 @@
     pub verdict: PublishVerdict,
 }
 
-/// Drains an endpoint: it gets no new work in this life.
+/// Drains an endpoint: it gets no new work in this incarnation.
 #[message]
 #[serde(deny_unknown_fields)]
 pub struct DrainBody {
     /// Who orders it.
     pub author: Arc<str>,
-    /// The life it holds for; the one in the platform's list if not given.
+    /// The incarnation it holds for; the one in the platform's list if not given.
     #[serde(default)]
     pub incarnation: Option<Incarnation>,
 }
@@ -292,15 +293,26 @@
 pub struct DrainReply {
     /// The endpoint.
     pub endpoint: Arc<str>,
-    /// The life it holds for.
+    /// The incarnation it holds for.
     pub incarnation: Incarnation,
 }
 
 /// The status of all instances.
 #[message]
 pub struct StatusReply {
-    /// What the instances say, by name.
+    /// What the instances say, by name; without outcomes.
     pub entries: Vec<EntryStatus>,
     /// Listed instances that did not answer.
     pub missing: Vec<Missing>,
 }
+
+/// Outcomes of all instances together.
+#[message]
+pub struct OutcomesReply {
+    /// Counts of the instances that answered, added up.
+    pub outcomes: Vec<OutcomeCount>,
+    /// Instances that answered.
+    pub instances: Vec<Arc<str>>,
+    /// Listed instances that did not answer.
+    pub missing: Vec<Missing>,
+}
