--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -3,7 +3,7 @@
 use bpaf::{OptionParser, Parser, construct};
 
 use crate::{
-    commands::{check, drain, publish, show, status},
+    commands::{burn, check, drain, publish, show, status},
     error::Error,
     shell::{Output, Shell},
 };
@@ -21,6 +21,8 @@
     Drain(drain::Args),
     /// `status`.
     Status(status::Args),
+    /// `burn`.
+    Burn(burn::Args),
 }
 
 /// The command line.
@@ -30,16 +32,22 @@
     let show = show::cli().command("show").map(Command::Show);
     let drain = drain::cli().command("drain").map(Command::Drain);
     let status = status::cli().command("status").map(Command::Status);
-    construct!([check, publish, show, drain, status])
+    let burn = burn::cli().command("burn").map(Command::Burn);
+    construct!([check, publish, show, drain, status, burn])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operate peatdeck: publish configurations, drain endpoints, see what happens.")
         .footer(
-            "The operators' token is read from PEATDECK_ADMIN_TOKEN.\n\n\
-             Exit codes: 0 done; 1 failed, nothing took effect; 2 wrong usage; 3 the document is\n\
-             not valid; 4 conflict, nothing took effect; 5 it may have taken effect; 6 done, but\n\
-             some instances did not answer.\n\n\
-             Examples:\n  peatdeck check fleet.toml\n  peatdeck publish fleet.toml --base 12",
+            "The operators' token is read from PEATDECK_ADMIN_TOKEN.\n \
+             Exit codes:\n   \
+             0  done\n   \
+             1  failed, nothing took effect\n   \
+             2  the command line or a setting is wrong\n   \
+             3  the document is not valid\n   \
+             4  conflict, nothing took effect\n   \
+             5  it may have taken effect\n   \
+             6  done, but not every instance answered, or the log is out\n \
+             Examples:\n   peatdeck check fleet.toml\n   peatdeck publish fleet.toml --base 12",
         )
 }
 
@@ -54,5 +62,6 @@
         Command::Show(args) => show::exec(shell, args).await,
         Command::Drain(args) => drain::exec(shell, args).await,
         Command::Status(args) => status::exec(shell, args).await,
+        Command::Burn(args) => burn::exec(shell, args).await,
     }
 }
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -64,7 +64,7 @@
     },
     membership,
     model::{AppendId, CallerId, PipelineName, RequestId, TeamName},
-    record::Offset,
+    record::{Offset, Snapshot},
 };
 
 /// One entry instance.
@@ -153,6 +153,7 @@
     /// `now` never goes back; it may jump ahead by any amount.
     pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Action> {
         self.now = self.now.max(now);
+        self.table.tick(self.now);
         self.fire_timers();
         self.take(input);
         self.gossip_round();
@@ -164,13 +165,12 @@
 
     /// When [`Input::Tick`] is wanted, on the clock of `handle`.
     pub fn next_wake(&self) -> Option<Duration> {
-        let stop = self.stopping.filter(|stop| !stop.exited).map(|stop| self.stop_wake(stop));
         [
             self.timers.next(),
             self.members.next_wake(),
             self.claims.next_wake(),
             self.table.next_wake(),
-            stop,
+            self.stop_wake(),
         ]
         .into_iter()
         .flatten()
@@ -187,6 +187,11 @@
         self.claims.next_offset()
     }
 
+    /// The configuration in force as it was folded; `None` while it is not known.
+    pub fn in_force(&self) -> Option<&Snapshot> {
+        self.fold.current()
+    }
+
     /// Events counted so far.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the decisions: a module per feature, and stateful fuzzing.
 
+#![allow(clippy::unwrap_used)]
+
 mod admission;
 mod budget;
 mod check;
@@ -8,6 +10,7 @@
 mod endpoint_states;
 mod endpoints;
 mod fuzz;
+mod instances;
 mod latency;
 mod limits;
 mod membership;
--- a/crates/load/tests/load/main.rs
+++ b/crates/load/tests/load/main.rs
@@ -1,9 +1,12 @@
 //! Tests of the load tool: its arithmetic, formats and plans. None measures
 //! the machine.
 
+#![allow(clippy::unwrap_used)]
+
 mod arrivals;
 mod ceiling;
 mod events;
+mod fairness;
 mod paired;
 mod plot;
 mod preset;
--- a/crates/load/tests/load/support.rs
+++ b/crates/load/tests/load/support.rs
@@ -1,5 +1,7 @@
 //! Small samples and records.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{sync::Arc, time::Duration};
 
 use peatdeck_core::{
@@ -91,5 +93,6 @@
         warm_up: ms(1000),
         capacity: Some(2.0),
         events: Vec::new(),
+        weights: [("big".into(), 1), ("small".into(), 1)].into(),
     }
 }
--- a/crates/standin/tests/testsuite/streams.rs
+++ b/crates/standin/tests/testsuite/streams.rs
@@ -1,5 +1,7 @@
 //! Offsets, retention and rate, in virtual time.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use peatdeck_standin::{
@@ -94,6 +96,9 @@
     assert!(!cache.touch("a"));
     assert!(!cache.touch("b"));
     assert!(cache.touch("a"));
+    assert!(cache.touch("a"));
+    assert!(cache.touch("b"));
+    assert!(cache.touch("a"));
     assert!(!cache.touch("c"));
     assert!(cache.touch("a"));
     assert!(!cache.touch("b"));
