Hedge within the stage's own time; take a silent stream up only on budget

A hedge was timed by all that remained of the request's time, so early stages hedged too late. A stream that fell silent was given up even where the budget allowed no second call, which ended a request that was still going on; it now goes on then. A call whose echo is foreign is cancelled, so that its place is free.

--- a/crates/core/src/instance/replies.rs
+++ b/crates/core/src/instance/replies.rs
@@ -14,6 +14,7 @@
         action::Action,
         held::{CallKey, Flight, MAX_EARLY, Progress, RequestKey},
         input::{CallEvent, CallFailure, RefuseReason},
+        stages::MAX_ATTEMPTS,
         timers::Timer,
     },
     model::{Answer, CallId, Echo, Load, Outcome, StageReport, Text},
@@ -58,6 +59,7 @@
             return true;
         }
         self.counters.echo_mismatch += 1;
+        self.actions.push(Action::Cancel(call.id()));
         self.fail(call, CallResult::Distrusted);
         false
     }
@@ -143,12 +145,15 @@
             return self.timers.set(silent, Timer::Stall(call));
         }
         let pool = stage.pool.clone();
-        if self.table.pool_free(self.now, &pool) == 0 {
+        let tired = held.progress.attempts >= MAX_ATTEMPTS;
+        if tired || self.table.pool_free(self.now, &pool) == 0 || !self.spend() {
             return self.timers.set(self.now + wait, Timer::Stall(call));
         }
         self.actions.push(Action::Cancel(call.id()));
         self.counters.cancelled += 1;
-        self.fail(call, CallResult::Failed);
+        self.counters.resumes += 1;
+        self.drop_call(call, CallResult::Failed);
+        self.begin_stage(key);
     }
 
     fn reply(&mut self, call: CallKey, echo: &Echo, output: Option<Text>, tokens: Option<u32>) {
--- a/crates/core/src/instance/stages.rs
+++ b/crates/core/src/instance/stages.rs
@@ -246,7 +246,12 @@
         if !self.settings.decisions.budget {
             return attempts < PLAIN_ATTEMPTS;
         }
-        let allowed = attempts < MAX_ATTEMPTS && self.budget.spend();
+        attempts < MAX_ATTEMPTS && self.spend()
+    }
+
+    /// Takes a repetition out of the shared budget.
+    pub(super) fn spend(&mut self) -> bool {
+        let allowed = self.budget.spend();
         self.counters.budget_denied += u64::from(!allowed);
         allowed
     }
@@ -270,7 +275,7 @@
             return;
         }
         let known = self.estimator(&held.pipeline.name, &held.stage().name);
-        let left = held.due.saturating_sub(self.now);
+        let Some(left) = self.stage_time(key) else { return };
         let Some(after) = known.and_then(|known| timing::hedge_delay(known, left)) else { return };
         self.timers.set(self.now + after.max(MIN_HEDGE), Timer::Hedge(call));
     }
@@ -288,11 +293,9 @@
         if self.table.pool_free(self.now, &pool) == 0 || !self.lanes.is_empty(&pool) {
             return;
         }
-        if !self.budget.spend() {
-            self.counters.budget_denied += 1;
-            return;
+        if self.spend() {
+            self.dispatch(key, Why::Hedge);
         }
-        self.dispatch(key, Why::Hedge);
     }
 
     /// Cancels a call and frees its place.
