Note a refusal to leave in one place only

The table of endpoints marks an endpoint that refuses as leaving; the instance did so again. A mutation that dropped the second mark was not found, which is how it showed.

--- a/crates/core/src/instance/counters.rs
+++ b/crates/core/src/instance/counters.rs
@@ -80,6 +80,6 @@
     gossip_sent,
     /// Gossip messages received.
     gossip_received,
-    /// Endpoints newly learnt to be leaving.
+    /// Endpoints learnt to be leaving from the list, an operator or a peer.
     leaving_learnt,
 }
--- a/crates/core/src/instance/platform.rs
+++ b/crates/core/src/instance/platform.rs
@@ -84,14 +84,6 @@
         self.counters.leaving_learnt += after.saturating_sub(before) as u64;
     }
 
-    /// An endpoint said that it is leaving.
-    pub(super) fn leaving(&mut self, endpoint: &str) {
-        let Some(incarnation) = self.table.endpoint(endpoint).map(|known| known.incarnation) else {
-            return;
-        };
-        self.mark_leaving(endpoint, incarnation);
-    }
-
     pub(super) fn mark_leaving(&mut self, endpoint: &str, incarnation: Incarnation) {
         let new = self.table.mark_leaving(endpoint, incarnation);
         self.counters.leaving_learnt += u64::from(new);
--- a/crates/core/src/instance/replies.rs
+++ b/crates/core/src/instance/replies.rs
@@ -203,13 +203,10 @@
         self.conclude(key, Outcome::Answered(Answer { output, stages }));
     }
 
-    /// The endpoint says that it did not run the call.
+    /// The endpoint says that it did not run the call. That it is leaving, the
+    /// table notes with the call's end.
     fn refused_call(&mut self, call: CallKey, reason: RefuseReason) {
         self.counters.refused_calls += 1;
-        let endpoint = self.calls[call].endpoint.clone();
-        if reason == RefuseReason::Leaving {
-            self.leaving(&endpoint);
-        }
         self.unrun_call(call, CallResult::Refused(reason));
     }
 
