Show that the fuzzing of whole instances finds deliberate faults

Two were missed at first: a peer's configuration that isn't taken, since the log brought it as well, and a foreign reply that was taken, since the fake's foreign reply held the right text. The oracle now asks that a started instance learns the configuration in an outage, and the fake's foreign replies are foreign.

--- a/crates/core/tests/mutations/check.sh
+++ b/crates/core/tests/mutations/check.sh
@@ -35,7 +35,7 @@
         echo "NOT FOUND"
         missed=$((missed + 1))
     else
-        echo "$out" | sed -n '/^seed /,/^$/p'
+        echo "$out" | sed -n -e '/^seed /,/^$/p' -e '/^Test failed/,/successes/p'
     fi
     restore
 done
--- a/crates/core/tests/testsuite/instances/endpoints.rs
+++ b/crates/core/tests/testsuite/instances/endpoints.rs
@@ -149,8 +149,17 @@
     format!("{stage}{index}[{id},{}]", input.len()).into()
 }
 
+/// Turns an event into one that belongs to another request, content and all.
 fn spoil_echo(event: &mut CallEvent) {
-    if let CallEvent::Chunk { echo, .. } | CallEvent::Reply { echo, .. } = event {
-        echo.request.id = "somebody-else".into();
+    match event {
+        CallEvent::Chunk { echo, text, .. } => {
+            echo.request.id = "somebody-else".into();
+            *text = "foreign".into();
+        }
+        CallEvent::Reply { echo, output, .. } => {
+            echo.request.id = "somebody-else".into();
+            *output = output.as_ref().map(|_| "foreign".into());
+        }
+        CallEvent::Refused { .. } | CallEvent::Failed(_) => {}
     }
 }
--- a/crates/core/tests/testsuite/instances/world.rs
+++ b/crates/core/tests/testsuite/instances/world.rs
@@ -42,6 +42,9 @@
 const APPEND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Events at one time beyond which an instance must be spinning.
 const MAX_MOMENT: u32 = 10_000;
+/// Time after which a started instance knows a configuration, if any
+/// instance that it sees does, whatever the log does.
+const INFORM_BOUND: Duration = Duration::from_secs(8);
 /// How long the log keeps records.
 const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -95,6 +98,8 @@
     nodes: Vec<Node>,
     listing: Listing,
     cuts: HashSet<(usize, usize)>,
+    /// Since when all instances see each other.
+    healed: Duration,
     questions: HashMap<u64, (Life, RequestId, usize)>,
     oracle: Oracle,
     /// The endpoints.
@@ -119,6 +124,7 @@
             nodes: Vec::new(),
             listing: Listing::default(),
             cuts: HashSet::new(),
+            healed: Duration::ZERO,
             questions: HashMap::new(),
             oracle: Oracle::default(),
             endpoints: each.collect(),
@@ -154,6 +160,7 @@
         }
         self.now = end;
         self.oracle.check_due(end);
+        self.check_informed();
     }
 
     /// A caller sends a request.
@@ -266,11 +273,15 @@
 
     /// Two instances lose sight of each other.
     pub fn cut(&mut self, a: usize, b: usize) {
+        self.healed = Duration::MAX;
         self.cuts.extend([(a, b), (b, a)]);
     }
 
     /// All instances see each other again.
     pub fn heal(&mut self) {
+        if self.healed == Duration::MAX {
+            self.healed = self.now;
+        }
         self.cuts.clear();
     }
 
@@ -521,6 +532,18 @@
         );
     }
 
+    /// A configuration reaches a started instance from its peers, too.
+    fn check_informed(&self) {
+        let sound = self.nodes.iter().filter(|node| {
+            let since = node.thawed.max(self.healed);
+            node.frozen.is_none() && self.now.saturating_sub(INFORM_BOUND) > since
+        });
+        let versions = sound.filter_map(|node| Some(node.machine.as_ref()?.status().version));
+        let versions: Vec<u64> = versions.collect();
+        let informed = versions.iter().filter(|version| **version > 0).count();
+        assert!(informed == 0 || informed == versions.len(), "only some are told: {versions:?}");
+    }
+
     fn endpoint(&self, name: &str) -> &Endpoint {
         let mut all = self.endpoints.iter();
         all.find(|endpoint| &*endpoint.entry.name == name).expect("calls go to known endpoints")
