--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -3,17 +3,16 @@
 use std::{path::PathBuf, sync::Arc, time::Duration};
 
 use bpaf::{Parser, construct, long};
-use peatdeck_core::document::Document;
 use peatdeck_macros::data;
 
 use crate::{
     arrivals::Plan,
     error,
     experiment::{Given, Setup, Target},
-    launch,
+    files, launch,
     preset::Preset,
     schedule::{self, Fault},
-    span, trace,
+    span, tag,
     workload::Workload,
 };
 
@@ -262,7 +261,7 @@
     }
 
     fn given(&self) -> error::Result<Given> {
-        let document = self.document.as_deref().map(read_document).transpose()?;
+        let document = self.document.as_deref().map(files::read_document).transpose()?;
         Ok(Given {
             entries: self.entries.iter().map(|entry| entry.as_str().into()).collect(),
             list: self.list.as_deref().map(|list| list.trim_end_matches('/').into()),
@@ -302,7 +301,7 @@
     /// If there is none.
     pub fn workload(&self, preset: Option<&Preset>) -> error::Result<Workload> {
         match (&self.workload, preset) {
-            (Some(path), _) => Workload::parse(&read(path)?),
+            (Some(path), _) => Workload::parse(&files::read(path)?),
             (None, Some(preset)) => Ok(preset.traffic.clone()),
             (None, None) => Err(error::Error::Setting {
                 problem: "what to send is not clear".to_owned(),
@@ -317,7 +316,7 @@
     /// If one cannot be read.
     pub fn faults(&self) -> error::Result<Vec<Fault>> {
         let mut faults = match &self.schedule {
-            Some(path) => schedule::parse_file(&read(path)?)?,
+            Some(path) => schedule::parse_file(&files::read(path)?)?,
             None => Vec::new(),
         };
         for fault in &self.faults {
@@ -351,7 +350,7 @@
     pub fn tag(&self) -> Arc<str> {
         match &self.tag {
             Some(tag) => tag.as_str().into(),
-            None => fresh_tag(),
+            None => tag::fresh(),
         }
     }
 
@@ -372,45 +371,6 @@
     }
 }
 
-/// A first part of ids that no earlier run had.
-pub fn fresh_tag() -> Arc<str> {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    format!("{:x}", now.unwrap_or_default().as_micros()).into()
-}
-
-/// Reads a text file.
-///
-/// # Errors
-/// If it cannot be read.
-pub fn read(path: &std::path::Path) -> error::Result<String> {
-    std::fs::read_to_string(path)
-        .map_err(|source| error::Error::File { path: path.display().to_string(), source })
-}
-
-/// Writes a text file.
-///
-/// # Errors
-/// If it cannot be written.
-pub fn write(path: &std::path::Path, text: &str) -> error::Result<()> {
-    std::fs::write(path, text)
-        .map_err(|source| error::Error::File { path: path.display().to_string(), source })
-}
-
-/// Reads a trace file.
-///
-/// # Errors
-/// If it cannot be read or is no trace.
-pub fn read_trace(path: &std::path::Path) -> error::Result<Vec<crate::arrivals::Arrival>> {
-    trace::read(read(path)?.as_bytes())
-}
-
-fn read_document(path: &std::path::Path) -> error::Result<Document> {
-    toml::from_str(&read(path)?).map_err(|err| error::Error::Setting {
-        problem: format!("{} is no configuration: {err}", path.display()),
-        remedy: "correct it; `peatdeck check FILE` points at what is wrong".into(),
-    })
-}
-
 fn variable(pair: &str) -> error::Result<(String, String)> {
     match pair.split_once('=') {
         Some((name, value)) if !name.is_empty() => Ok((name.to_owned(), value.to_owned())),
--- a/crates/load/src/commands/ceiling.rs
+++ b/crates/load/src/commands/ceiling.rs
@@ -16,11 +16,12 @@
     arrivals::Plan,
     error,
     experiment::{self, Setup, Target},
-    launch, output,
+    files, launch, output,
     preset::Preset,
     process,
     report::Report,
     system::System,
+    tag,
 };
 
 /// Flags.
@@ -161,7 +162,7 @@
     }
     println!("{}", table(&ceiling, args.bound));
     if let Some(path) = &args.output.json {
-        args::write(path, &output::json(&ceiling))?;
+        files::write(path, &output::json(&ceiling))?;
     }
     Ok(())
 }
@@ -244,7 +245,7 @@
     seed: u64,
     direct: bool,
 ) -> error::Result<Report> {
-    let plan = Plan { rate, length: args.length, bursts: Vec::new(), seed, tag: args::fresh_tag() };
+    let plan = Plan { rate, length: args.length, bursts: Vec::new(), seed, tag: tag::fresh() };
     let arrivals = plan.draw(&preset.traffic);
     let setup = Setup {
         label: preset.name.clone(),
--- a/crates/load/src/commands/claims.rs
+++ b/crates/load/src/commands/claims.rs
@@ -18,9 +18,10 @@
     control::Request,
     error,
     experiment::{self, Setup, Target},
-    launch, output,
+    files, launch, output,
     preset::Preset,
     report::Report,
+    tag,
     workload::{Class, Workload},
 };
 
@@ -134,7 +135,7 @@
     }
     println!("{}", table(&rates, preset.entries));
     if let Some(path) = &args.output.json {
-        args::write(path, &output::json(&rates))?;
+        files::write(path, &output::json(&rates))?;
     }
     output::refuse_violations(&reports)
 }
@@ -158,7 +159,7 @@
     rate: f64,
     seed: u64,
 ) -> error::Result<Report> {
-    let plan = Plan { rate, length: args.length, bursts: Vec::new(), seed, tag: args::fresh_tag() };
+    let plan = Plan { rate, length: args.length, bursts: Vec::new(), seed, tag: tag::fresh() };
     let arrivals = plan.draw(workload);
     let setup = Setup {
         label: preset.name.clone(),
--- a/crates/load/src/commands/in_force.rs
+++ b/crates/load/src/commands/in_force.rs
@@ -25,10 +25,11 @@
 use crate::{
     args,
     control::Request,
-    error, launch, output,
+    error, files, launch, output,
     report::Quantiles,
     runtime,
     system::{AUTHOR, Entry, System},
+    tag,
 };
 
 /// Flags.
@@ -98,7 +99,7 @@
     let weathers = [good, slow];
     println!("{}", table(&weathers, preset.entries));
     if let Some(path) = &args.output.json {
-        args::write(path, &output::json(&weathers))?;
+        files::write(path, &output::json(&weathers))?;
     }
     Ok(())
 }
@@ -127,7 +128,7 @@
     let admin = system.admin();
     let current: ConfigReply =
         Request::get(format!("{}/v1/config", admin.url)).token(&admin.token).json()?;
-    let id = args::fresh_tag();
+    let id = tag::fresh();
     let body = PublishBody {
         id: id.clone(),
         base: current.version,
--- a/crates/load/src/commands/pair.rs
+++ b/crates/load/src/commands/pair.rs
@@ -10,7 +10,7 @@
     arrivals::Plan,
     error,
     experiment::{self, Target},
-    launch, output,
+    files, launch, output,
     paired::{self, Comparison},
     plot,
     preset::Preset,
@@ -83,11 +83,11 @@
     let pairs = Pairs { a: args.a.clone(), b: args.b.clone(), reports, comparisons };
     println!("{}", table(&pairs));
     if let Some(path) = &args.output.json {
-        args::write(path, &output::json(&pairs))?;
+        files::write(path, &output::json(&pairs))?;
     }
     if let Some(path) = &args.output.svg {
         let panels: Vec<&Report> = pairs.reports.iter().flat_map(|(a, b)| [a, b]).collect();
-        args::write(path, &plot::attainment(&panels))?;
+        files::write(path, &plot::attainment(&panels))?;
     }
     output::refuse_violations(pairs.reports.iter().flat_map(|(a, b)| [a, b]))
 }
--- a/crates/load/src/commands/replay.rs
+++ b/crates/load/src/commands/replay.rs
@@ -5,7 +5,7 @@
 use bpaf::{Parser, construct, long};
 use peatdeck_macros::data;
 
-use crate::{args, arrivals::Arrival, commands::run, error, experiment, output};
+use crate::{args, arrivals::Arrival, commands::run, error, experiment, files, output};
 
 /// Flags.
 #[data]
@@ -53,7 +53,7 @@
         });
     }
     let tag = (!args.keep_ids).then(|| args.traffic.tag());
-    let arrivals = prepared(args::read_trace(&args.trace)?, args.speed, tag.as_deref());
+    let arrivals = prepared(files::read_trace(&args.trace)?, args.speed, tag.as_deref());
     let preset = args.system.started.preset()?;
     let label = format!("replay on {}", run::label(preset.as_ref()));
     let mut setup = args.traffic.setup(&label, preset.as_ref(), args.traffic.faults()?);
--- a/crates/load/src/launch.rs
+++ b/crates/load/src/launch.rs
@@ -15,13 +15,13 @@
 use peatdeck_wire::admin::{PublishBody, PublishReply};
 
 use crate::{
-    args,
     control::Request,
     error,
     preset::{Preset, Service},
     processes::Processes,
     runtime,
     system::{AUTHOR, Admin, Entry, Parts, System},
+    tag,
 };
 
 /// How the processes are started.
@@ -190,7 +190,7 @@
 
 fn publish(preset: &Preset, admin: &Admin) -> error::Result<PublishReply> {
     let body = PublishBody {
-        id: args::fresh_tag(),
+        id: tag::fresh(),
         base: 0,
         author: AUTHOR.into(),
         document: Arc::new(preset.config.clone()),
--- a/crates/load/src/output.rs
+++ b/crates/load/src/output.rs
@@ -1,6 +1,6 @@
 //! Prints and writes what runs gave.
 
-use crate::{args, error, experiment::Outcome, plot, report::Report};
+use crate::{args, error, experiment::Outcome, files, plot, report::Report};
 
 /// Prints a run's report and writes the files that were asked for.
 ///
@@ -9,15 +9,15 @@
 pub fn write(output: &args::Output, outcome: &Outcome) -> error::Result<()> {
     println!("{}", outcome.report);
     if let Some(path) = &output.json {
-        args::write(path, &json(&outcome.report))?;
+        files::write(path, &json(&outcome.report))?;
     }
     if let Some(path) = &output.svg {
-        args::write(path, &plot::attainment(&[&outcome.report]))?;
+        files::write(path, &plot::attainment(&[&outcome.report]))?;
     }
     if let Some(path) = &output.samples {
         let lines: String =
             outcome.samples.iter().map(|sample| format!("{}\n", line(sample))).collect();
-        args::write(path, &lines)?;
+        files::write(path, &lines)?;
     }
     refuse_violations([&outcome.report])
 }
