--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -58,7 +58,12 @@
 }
 
 /// Answers a path that does not exist.
-pub async fn not_found() -> HttpResponse {
+pub async fn not_found(
+    app: types::State<App>,
+    http: HttpRequest,
+    payload: types::Payload,
+) -> HttpResponse {
+    read_body(&http, payload, app.max_body).await.ok();
     error_response(&Failure::invalid(
         StatusCode::NOT_FOUND,
         "not_found",
@@ -67,7 +72,12 @@
     ))
 }
 
-async fn wrong_method() -> HttpResponse {
+async fn wrong_method(
+    app: types::State<App>,
+    http: HttpRequest,
+    payload: types::Payload,
+) -> HttpResponse {
+    read_body(&http, payload, app.max_body).await.ok();
     error_response(&Failure::invalid(
         StatusCode::METHOD_NOT_ALLOWED,
         "wrong_method",
@@ -91,7 +101,7 @@
         }
     };
     match request.stream {
-        true => answer_stream(&app, &http, request, response).await,
+        true => answer_stream(&app, request, response).await,
         false => answer_whole(&app, request).await,
     }
 }
@@ -110,12 +120,7 @@
 
 /// A request that ends before any text came gets its plain status; only from
 /// the first text on the response is a stream.
-async fn answer_stream(
-    app: &App,
-    http: &HttpRequest,
-    request: Request,
-    response: flush::Response,
-) -> HttpResponse {
+async fn answer_stream(app: &App, request: Request, response: flush::Response) -> HttpResponse {
     let id = request.id.id.clone();
     let mut waiter = app.driver.submit(request);
     let first = match waiter.parts().next().await {
@@ -125,8 +130,7 @@
         Some(part) => part,
         None => return lost_response(),
     };
-    let gone = http.io().map(|io| io.on_disconnect());
-    let source = events::Source { id, waiter, first: Some(first), gone };
+    let source = events::Source { id, waiter, first: Some(first) };
     let events = events::stream(source).map(move |event| {
         // Held until the stream is dropped, behind its last event.
         let _ = &response;
@@ -148,6 +152,9 @@
     intake::parse(pipeline, &body)
 }
 
+/// Reads a body to its end, also where it is of no use: a response that
+/// overtakes the body closes the connection, and a caller that still writes
+/// may never see it.
 async fn read_body(
     http: &HttpRequest,
     mut payload: types::Payload,
@@ -225,11 +232,12 @@
 #[data]
 #[derive(Deserialize)]
 struct StatusQuery {
-    /// Only outcomes of slots from this second of Unix time on.
-    #[serde(default)]
-    since: u64,
+    /// Only outcomes of slots from this second of Unix time on; the last hour
+    /// unless given.
+    since: Option<u64>,
 }
 
 async fn status(app: types::State<App>, query: types::Query<StatusQuery>) -> HttpResponse {
-    HttpResponse::Ok().json(&report::status(&app.driver, &app.identity, query.since))
+    let since = query.since.unwrap_or_else(|| report::last_hour(&app.driver));
+    HttpResponse::Ok().json(&report::status(&app.driver, &app.identity, since))
 }
