--- a/crates/standin/tests/testsuite/engine.rs
+++ b/crates/standin/tests/testsuite/engine.rs
@@ -1,13 +1,11 @@
 //! The engine: streams, resume, cancel, places and faults.
 
-use ntex::time;
 use peatdeck_core::{instance::input::RefuseReason, model::Echo};
 use peatdeck_standin::{
     answer,
     calls::CallState::{Cancelled, Cut, Finished, Running, Waiting},
     faults::EndpointFaults,
 };
-use peatdeck_test_support::wait::BOUND;
 use peatdeck_wire::endpoint::{CallBody, EngineLine};
 
 use crate::support::{self, Standin, call, check_refused, key};
@@ -142,8 +140,7 @@
     let engine = start().await;
     engine.fail_next(EndpointFaults { cut_after: Some(3), ..EndpointFaults::default() }).await;
     let body = call("r1");
-    let cut = time::timeout(BOUND, engine.lines(&body)).await;
-    let (lines, is_whole) = cut.expect("the stream was cut");
+    let (lines, is_whole) = engine.lines(&body).await;
     assert_eq!(chunks(&lines), right(&body, 0)[..3]);
     assert!(!is_whole);
     engine.wait_states(&[Cut]).await;
--- a/crates/standin/tests/testsuite/support.rs
+++ b/crates/standin/tests/testsuite/support.rs
@@ -1,7 +1,7 @@
 //! One stand-in as a process, and calls to it.
 
 use futures::StreamExt;
-use ntex::{client::ClientResponse, http::StatusCode};
+use ntex::{client::ClientResponse, http::StatusCode, time};
 use peatdeck_core::{
     instance::input::RefuseReason,
     model::{Echo, RequestId},
@@ -85,7 +85,11 @@
 }
 
 /// The lines of a stream, and whether it ended as a whole body does.
-pub async fn read_lines(mut response: ClientResponse) -> (Vec<EngineLine>, bool) {
+pub async fn read_lines(response: ClientResponse) -> (Vec<EngineLine>, bool) {
+    time::timeout(BOUND, read_to_end(response)).await.expect("the stream ends")
+}
+
+async fn read_to_end(mut response: ClientResponse) -> (Vec<EngineLine>, bool) {
     let mut text = Vec::new();
     let mut is_whole = true;
     while let Some(chunk) = response.next().await {
