--- a/crates/core/src/endpoints/entry.rs
+++ b/crates/core/src/endpoints/entry.rs
@@ -166,9 +166,6 @@
 
     /// Calls of this instance that may run there at once.
     pub fn limit(&self, now: Duration) -> u32 {
-        if self.health.phase() != Phase::Well {
-            return 1;
-        }
         let full = f64::from(self.limit.value());
         let share = self.ramp_share(now);
         ((full * share) as u32).max(1)
@@ -179,10 +176,8 @@
         if !self.is_usable(now) {
             return 0;
         }
-        if self.is_probe_due(now) {
-            return 1;
-        }
-        self.limit(now).saturating_sub(self.in_flight)
+        let free = self.limit(now).saturating_sub(self.in_flight);
+        if self.is_probe_due(now) { free.min(1) } else { free }
     }
 
     /// Calls that it reported as waiting, and how old the report is.
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -207,9 +207,12 @@
 
     async fn delay(&self) {
         let delay_ms = reply::lock(&self.state).faults.delay_ms;
-        if delay_ms > 0 {
-            time::sleep(Duration::from_millis(delay_ms)).await;
-        }
+        pause(delay_ms).await;
+    }
+
+    async fn hold_answer(&self) {
+        let answer_ms = reply::lock(&self.state).faults.answer_ms;
+        pause(answer_ms).await;
     }
 
     fn set_faults(&self, faults: LogFaults) {
@@ -275,6 +278,12 @@
     }
 }
 
+async fn pause(ms: u64) {
+    if ms > 0 {
+        time::sleep(Duration::from_millis(ms)).await;
+    }
+}
+
 /// Adds the log service's resources.
 pub fn configure(cfg: &mut web::ServiceConfig, log: Arc<Log>) {
     cfg.state(log)
@@ -305,6 +314,7 @@
     match fate {
         Fate::Acknowledge => {
             let offset = log.append(&stream, data);
+            log.hold_answer().await;
             reply::json(StatusCode::OK, &AppendReply { offset })
         }
         Fate::Lose => lose(&req, &log, &stream, data).await,
@@ -344,6 +354,7 @@
         return reply::unavailable();
     };
     reply::lock(&log.state).counts.reads += 1;
+    log.hold_answer().await;
     reply::json(StatusCode::OK, &read)
 }
 
