Walk a newcomer through the system in the README, by commands that run

cargo xtask up keeps the demo's system running; cargo xtask walk runs the README's commands against it and writes their output into the page.

--- a/crates/xtask/src/demo.rs
+++ b/crates/xtask/src/demo.rs
@@ -36,6 +36,14 @@
         /// Why.
         cause: String,
     },
+    /// A file could not be read or written.
+    #[error("{path} cannot be used: {cause}; check that it is there and its permissions")]
+    File {
+        /// The file.
+        path: String,
+        /// Why.
+        cause: String,
+    },
     /// The system did not come up or a call to it failed.
     #[error(transparent)]
     System(#[from] SystemError),
@@ -60,7 +68,8 @@
     rt::System::build().name("demo").build(rt::DefaultRuntime).block_on(demo)
 }
 
-fn build(root: &Path) -> Result<(), Error> {
+/// Builds every binary.
+pub(crate) fn build(root: &Path) -> Result<(), Error> {
     println!("Building the binaries …");
     let cargo = env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let args = ["build", "--quiet", "--workspace", "--bins", "--locked"];
@@ -71,7 +80,8 @@
     }
 }
 
-fn sample(root: &Path) -> Result<Document, Error> {
+/// The sample configuration.
+pub(crate) fn sample(root: &Path) -> Result<Document, Error> {
     let path = root.join(SAMPLE);
     let fail = |cause: String| Error::Sample { path: path.display().to_string(), cause };
     let text = fs::read_to_string(&path).map_err(|err| fail(err.to_string()))?;
@@ -94,7 +104,8 @@
     Ok(())
 }
 
-fn describe(system: &System) {
+/// Says what runs.
+pub(crate) fn describe(system: &System) {
     let listing = system.listing();
     println!(
         "{} endpoints in {} pools, {} entries; {SAMPLE} is in force as version 1.",
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,15 +2,17 @@
 
 use std::{env, fmt::Display, path::Path, process::ExitCode};
 
-use xtask::{capacity, demo};
+use xtask::{capacity, demo, up, walk};
 
-const USAGE: &str = "usage:\n  cargo xtask demo\n  cargo xtask capacity [--check]";
+const USAGE: &str = "usage:\n  cargo xtask demo\n  cargo xtask up\n  cargo xtask walk\n  cargo xtask capacity [--check]";
 
 fn main() -> ExitCode {
     let args: Vec<String> = env::args().skip(1).collect();
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     match args[..] {
         ["demo"] => exit_code(demo::run(root())),
+        ["up"] => exit_code(up::run(root())),
+        ["walk"] => exit_code(walk::run(root())),
         ["capacity"] => exit_code(capacity::run(root(), false)),
         ["capacity", "--check"] => exit_code(capacity::run(root(), true)),
         _ => {
