--- a/crates/testsuite/tests/testsuite/pages.rs
+++ b/crates/testsuite/tests/testsuite/pages.rs
@@ -2,10 +2,21 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::{fs, path::Path};
+use std::{fs, path::Path, time::Duration};
 
-use peatdeck_core::instance::counters::Counters;
-use peatdeck_entry::counts::Counts;
+use peatdeck_core::{
+    instance::{
+        Instance,
+        counters::Counters,
+        input::{Identity, Input},
+        settings::Settings,
+    },
+    model::{
+        Doubt, DoubtKind, Incarnation, InstanceEntry, Listing, Outcome, Presence, Refusal,
+        RefusalKind,
+    },
+};
+use peatdeck_entry::{counts::Counts, outcome};
 
 fn page(name: &str) -> String {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs").join(name);
@@ -32,3 +43,70 @@
         .collect();
     assert!(missing.is_empty(), "docs/reference/metrics.md must name {missing:?}");
 }
+
+/// A whole `Outcome` of each kind that a caller can be told.
+fn outcomes() -> Vec<Outcome> {
+    let refusals = [
+        RefusalKind::Infeasible,
+        RefusalKind::OverShare,
+        RefusalKind::Expired,
+        RefusalKind::Policy,
+        RefusalKind::NoEndpoint,
+        RefusalKind::NotReady,
+        RefusalKind::Stopping,
+        RefusalKind::ClaimUnknown,
+        RefusalKind::ClaimHorizon,
+    ];
+    let doubts = [
+        DoubtKind::TimedOut,
+        DoubtKind::StageFailed,
+        DoubtKind::InProgress,
+        DoubtKind::ClaimedElsewhere,
+        DoubtKind::AlreadyFinished,
+        DoubtKind::EarlierUnknown,
+    ];
+    let refusal = |kind| Outcome::NotRun(Refusal { kind, retry_after: Duration::ZERO });
+    let doubt = |kind| Outcome::MayHaveRun(Doubt { kind, stage: None, retry_after: None });
+    refusals.into_iter().map(refusal).chain(doubts.into_iter().map(doubt)).collect()
+}
+
+#[test]
+fn runbook_has_every_code_of_a_refusal_or_doubt() {
+    let page = page("runbook.md");
+    let codes = outcomes().into_iter().map(|outcome| outcome::code(&outcome));
+    let missing: Vec<_> = codes.filter(|code| !page.contains(&format!("`{code}`"))).collect();
+    assert!(missing.is_empty(), "docs/runbook.md must name {missing:?}");
+}
+
+#[test]
+fn runbook_has_every_reason_for_not_being_ready() {
+    let page = page("runbook.md");
+    let reasons = unready().into_iter().flat_map(|instance| instance.ready());
+    let missing: Vec<_> = reasons.filter(|reason| !page.contains(&**reason)).collect();
+    assert!(missing.is_empty(), "docs/runbook.md must name {missing:?}");
+}
+
+/// Instances that are not ready, each for another reason: one that was just
+/// started, one that stops, and one that has heard nothing for long.
+fn unready() -> [Instance; 3] {
+    let identity = Identity {
+        name: "entry-1".into(),
+        incarnation: Incarnation(1),
+        data_centre: "north".into(),
+    };
+    let start = || Instance::new(identity.clone(), Settings::default(), 1);
+    let mut stopping = start();
+    stopping.handle(Duration::ZERO, Input::Stop);
+    let mut cut_off = start();
+    let peer = InstanceEntry {
+        name: "entry-2".into(),
+        peer_addr: "10.0.0.2:7400".into(),
+        http_addr: "10.0.0.2:7480".into(),
+        data_centre: "north".into(),
+        presence: Presence::Live,
+    };
+    let listing = Listing { instances: vec![peer], endpoints: Vec::new() };
+    cut_off.handle(Duration::ZERO, Input::Listed(listing));
+    cut_off.handle(Duration::from_secs(60), Input::Tick);
+    [start(), stopping, cut_off]
+}
