Record an instance's inputs and replay them

An instance decides by its inputs, their times and its seed alone, so a recorded run can be replayed and its answers compared. The trace holds the answers that callers got and statements written by hand; the replay checks them, and what must always hold over any trace, by an account of its own.

Callers' texts are hashed unless they are asked for: marks keep equality, joining of pieces, the prefix that routing looks at, and the digest of a claim, so that the replay decides the same. The machine sees whole microseconds, as a trace holds them.

--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -3,7 +3,7 @@
 use bpaf::{OptionParser, Parser, construct};
 
 use crate::{
-    commands::{burn, check, drain, publish, show, status},
+    commands::{burn, check, drain, publish, replay, show, status},
     error::Error,
     shell::{Output, Shell},
 };
@@ -23,6 +23,8 @@
     Status(status::Args),
     /// `burn`.
     Burn(burn::Args),
+    /// `replay`.
+    Replay(replay::Args),
 }
 
 /// The command line.
@@ -33,7 +35,8 @@
     let drain = drain::cli().command("drain").map(Command::Drain);
     let status = status::cli().command("status").map(Command::Status);
     let burn = burn::cli().command("burn").map(Command::Burn);
-    construct!([check, publish, show, drain, status, burn])
+    let replay = replay::cli().command("replay").map(Command::Replay);
+    construct!([check, publish, show, drain, status, burn, replay])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operate peatdeck: publish configurations, drain endpoints, see what happens.")
@@ -46,7 +49,8 @@
              3  the document is not valid\n   \
              4  conflict, nothing took effect\n   \
              5  it may have taken effect\n   \
-             6  done, but not every instance answered, or the log is out\n \
+             6  done, but not every instance answered, or the log is out\n   \
+             7  a replay differs from its trace\n \
              Examples:\n   peatdeck check fleet.toml\n   peatdeck publish fleet.toml --base 12",
         )
 }
@@ -63,5 +67,6 @@
         Command::Drain(args) => drain::exec(shell, args).await,
         Command::Status(args) => status::exec(shell, args).await,
         Command::Burn(args) => burn::exec(shell, args).await,
+        Command::Replay(args) => replay::exec(shell, args).await,
     }
 }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -8,6 +8,7 @@
 pub mod check;
 pub mod drain;
 pub mod publish;
+pub mod replay;
 pub mod show;
 pub mod status;
 
--- /dev/null
+++ b/crates/cli/src/commands/replay.rs
@@ -0,0 +1,78 @@
+//! `peatdeck replay`: does a recorded trace give the same answers again? Asks
+//! nobody.
+
+use std::{fs::File, io::BufReader};
+
+use bpaf::{OptionParser, Parser, construct, positional};
+use peatdeck_core::trace::{self, OutcomeKind, Report};
+
+use crate::{
+    commands,
+    error::Error,
+    exit,
+    shell::{self, Format, Output, Shell},
+    table::Table,
+};
+
+/// The flags.
+#[derive(Debug, Clone)]
+pub struct Args {
+    format: Format,
+    file: String,
+}
+
+/// The command line.
+pub fn cli() -> OptionParser<Args> {
+    let format = commands::format();
+    let file = positional::<String>("FILE").help("Trace that peatdeck-entry --trace wrote");
+    construct!(Args { format, file })
+        .to_options()
+        .descr("Replay a recorded trace and compare what callers were told.")
+        .footer("Example:\n   peatdeck replay entry-1.trace")
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// [`Error::File`], [`Error::Trace`].
+pub async fn exec(_: &Shell, args: Args) -> Result<Output, Error> {
+    let path = args.file;
+    let file = File::open(&path).map_err(|cause| Error::File { path: path.clone(), cause })?;
+    let report = trace::replay(BufReader::new(file));
+    let report = report.map_err(|cause| Error::Trace { path, cause })?;
+    let text = match args.format {
+        Format::Json => shell::json(&report)?,
+        Format::Table => render(&report),
+    };
+    let code = if report.is_clean() { exit::Code::Done } else { exit::Code::Differs };
+    Ok(Output { text, code })
+}
+
+fn render(report: &Report) -> String {
+    let mut table = Table::new(["CALLER", "TEAM", "REQUEST", "CALLS", "TOLD", "REPLAY TELLS"]);
+    for line in &report.callers {
+        table.row([
+            line.caller.0.to_string(),
+            line.key.team.to_string(),
+            line.key.id.to_string(),
+            line.calls.to_string(),
+            shown(line.recorded),
+            shown(line.replayed),
+        ]);
+    }
+    let mut text = table.render();
+    for found in &report.faults {
+        text.push_str(&format!("line {}: {}\n", found.line, found.fault));
+    }
+    let (name, faults) = (&report.identity.name, report.faults.len());
+    let cut = if report.torn { "; the last line is cut off" } else { "" };
+    text.push_str(&format!(
+        "{name}: {} inputs, {} calls, {faults} differences{cut}\n",
+        report.inputs, report.calls
+    ));
+    text
+}
+
+fn shown(kind: Option<OutcomeKind>) -> String {
+    kind.map_or("nothing", OutcomeKind::name).replace('_', " ")
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,6 +1,7 @@
 //! What can go wrong, with the remedy and the exit code of each kind.
 
 use miette::Diagnostic;
+use peatdeck_core::trace;
 use peatdeck_wire::admin::{ApiError, ErrorDetail};
 
 use crate::{exit, ops::source};
@@ -30,6 +31,15 @@
         /// What the system said.
         cause: std::io::Error,
     },
+    /// A trace could not be replayed.
+    #[error("cannot replay {path}: {cause}")]
+    #[diagnostic(help("give a file that peatdeck-entry --trace wrote"))]
+    Trace {
+        /// The file.
+        path: String,
+        /// What is wrong with it.
+        cause: trace::Error,
+    },
     /// The document is not valid.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -77,6 +87,7 @@
             Error::File { .. } | Error::Write { .. } | Error::Unreachable { .. } => {
                 exit::Code::Failed
             }
+            Error::Trace { .. } => exit::Code::Failed,
             Error::Source(_) => exit::Code::Invalid,
             Error::NoAnswer { may_stand: true, .. } => exit::Code::Unknown,
             Error::NoAnswer { .. } | Error::Unreadable { .. } => exit::Code::Failed,
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -17,6 +17,8 @@
     Unknown = 5,
     /// Done, but not every instance answered or has the version in force.
     Partial = 6,
+    /// A replay differs from its trace, or breaks what must hold.
+    Differs = 7,
 }
 
 impl From<Code> for std::process::ExitCode {
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -49,7 +49,9 @@
 
 use crate::{
     admission::probe::Probe,
-    budget, claims, config_log, endpoints,
+    budget, claims, config_log,
+    content::Content,
+    endpoints,
     instance::{
         action::Action,
         counters::Counters,
@@ -71,6 +73,7 @@
 pub struct Instance {
     identity: Identity,
     settings: Settings,
+    content: Content,
     now: Duration,
     rng: SmallRng,
     fold: config_log::Fold,
@@ -119,6 +122,7 @@
     pub fn new(identity: Identity, settings: Settings, seed: u64) -> Instance {
         Instance {
             rng: SmallRng::seed_from_u64(seed),
+            content: Content::Keep,
             now: Duration::ZERO,
             fold: config_log::Fold::new(),
             plan: None,
@@ -148,6 +152,12 @@
         }
     }
 
+    /// As [`Instance::new`], for a replay of texts that may be hashed.
+    #[must_use]
+    pub fn with_content(self, content: Content) -> Instance {
+        Instance { content, ..self }
+    }
+
     /// Takes one input and says what is to be done, in order.
     ///
     /// `now` never goes back; it may jump ahead by any amount.
--- a/crates/core/src/instance/admit.rs
+++ b/crates/core/src/instance/admit.rs
@@ -2,8 +2,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use xxhash_rust::xxh3;
-
 use crate::{
     admission,
     document::{Pipeline, Team},
@@ -37,7 +35,7 @@
 
     /// Every reason not to take a request, cheapest first.
     fn admit(&mut self, request: &Request) -> Result<Accepted, Outcome> {
-        let digest = digest(request);
+        let digest = self.content.digest(request);
         self.check_repeat(&request.id, digest)?;
         let claimed = !request.idempotent && self.claims.holder(&request.id).is_some();
         if !claimed {
@@ -181,15 +179,6 @@
     Ok(Accepted { pipeline: pipeline.clone(), team: team.clone(), digest, probe: false })
 }
 
-/// Digest of what must be equal in two requests with the same key.
-fn digest(request: &Request) -> u64 {
-    let mut hasher = xxh3::Xxh3::new();
-    hasher.update(request.pipeline.as_bytes());
-    hasher.update(&[0, u8::from(request.idempotent)]);
-    hasher.update(request.input.as_bytes());
-    hasher.digest()
-}
-
 /// What a request is told that arrives after the instance's exit.
 pub fn closed(request: &Request) -> Outcome {
     truthful(request, false, refused(RefusalKind::Stopping))
--- a/crates/core/src/instance/settings.rs
+++ b/crates/core/src/instance/settings.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use peatdeck_macros::data;
+use peatdeck_macros::message;
 
 use crate::{claims, endpoints, limits, membership};
 
 /// Settings of the decisions. The defaults are what operators should run.
-#[data]
+#[message]
+#[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Which decisions are on.
     pub decisions: Decisions,
@@ -75,8 +76,9 @@
 }
 
 /// Switches of the single decisions, for experiments.
-#[data]
+#[message]
 #[derive(Copy, Eq)]
+#[serde(deny_unknown_fields)]
 pub struct Decisions {
     /// Refuse at once what the estimate says cannot be in time.
     pub admission: bool,
--- a/crates/core/src/instance/stages.rs
+++ b/crates/core/src/instance/stages.rs
@@ -26,8 +26,6 @@
 const MAX_REQUEUE: Duration = Duration::from_millis(500);
 /// A hedge is never sent sooner than this.
 const MIN_HEDGE: Duration = Duration::from_millis(20);
-/// Bytes of a prompt's start that name its cached prefix.
-const PREFIX_BYTES: usize = 64;
 
 /// Why a call is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -127,7 +125,7 @@
         let held = &self.held[key];
         let stage = held.stage();
         let prefixed = decisions.affinity && self.is_engine(stage);
-        let prefix = prefixed.then(|| prefix(&held.progress.input));
+        let prefix = prefixed.then(|| self.content.prefix(&held.progress.input));
         let mut rng = self.rng.clone();
         let peers = |name: &str| self.members.in_flight(self.now, name);
         let demand = routing::Demand { pool: &stage.pool, prefix, exclude, peers: &peers };
@@ -326,8 +324,3 @@
         }
     }
 }
-
-fn prefix(input: &str) -> u64 {
-    let end = input.len().min(PREFIX_BYTES);
-    xxhash_rust::xxh3::xxh3_64(&input.as_bytes()[..end])
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,12 +31,15 @@
 //!   and how much repetition is allowed.
 //! - [`policy`]: operators' short programs.
 //! - [`instance`]: one entry instance, made of all of the above.
+//! - [`trace`]: an instance's inputs recorded and replayed, [`content`]: the
+//!   callers' texts in them, kept or hashed.
 
 pub mod admission;
 pub mod budget;
 pub mod check;
 pub mod claims;
 pub mod config_log;
+pub mod content;
 pub mod document;
 pub mod endpoints;
 pub mod instance;
@@ -49,3 +52,4 @@
 pub mod record;
 pub mod routing;
 pub mod timing;
+pub mod trace;
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -39,6 +39,7 @@
     counts::Counts,
     peers::Peers,
     platform_tasks,
+    trace::Trace,
 };
 
 slotmap::new_key_type! {
@@ -60,6 +61,7 @@
 /// The machine and everything it holds.
 pub struct Driver {
     machine: RefCell<Instance>,
+    trace: RefCell<Trace>,
     clock: Rc<dyn Clock>,
     callers: RefCell<Callers>,
     calls: RefCell<Calls>,
@@ -76,10 +78,16 @@
 }
 
 impl Driver {
-    /// A driver of that machine.
-    pub fn new(machine: Instance, clock: Rc<dyn Clock>, clients: Clients) -> Rc<Driver> {
+    /// A driver of that machine, which has taken no input yet.
+    pub fn new(
+        machine: Instance,
+        trace: Trace,
+        clock: Rc<dyn Clock>,
+        clients: Clients,
+    ) -> Rc<Driver> {
         Rc::new(Driver {
             machine: RefCell::new(machine),
+            trace: RefCell::new(trace),
             clock,
             callers: RefCell::default(),
             calls: RefCell::default(),
@@ -141,9 +149,10 @@
         rx.await.unwrap_or(PeerOutcome::Unknown)
     }
 
-    /// The time as the machine sees it.
+    /// The time as the machine sees it: whole microseconds, as a trace holds.
     pub fn now(&self) -> Duration {
-        self.clock.now()
+        let micros = u64::try_from(self.clock.now().as_micros()).unwrap_or(u64::MAX);
+        Duration::from_micros(micros)
     }
 
     /// When the machine wants a tick.
@@ -198,8 +207,12 @@
         if self.is_closed.get() {
             return Vec::new();
         }
-        let now = self.clock.now();
-        self.machine.borrow_mut().handle(now, input)
+        let now = self.now();
+        let mut trace = self.trace.borrow_mut();
+        trace.input(now, &input);
+        let actions = self.machine.borrow_mut().handle(now, input);
+        trace.answers(now, &actions);
+        actions
     }
 
     fn perform(self: &Rc<Self>, action: Action) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 //! - [`routes`]: the HTTP interface.
 //! - [`burn`]: outcomes by minute, for the report on service-level burn.
 //! - [`report`]: status and metrics.
+//! - [`trace`]: records the machine's inputs, where that is asked for.
 
 pub mod burn;
 pub mod callers;
@@ -40,3 +41,4 @@
 pub mod server;
 pub mod settings;
 pub mod timer;
+pub mod trace;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -23,7 +23,10 @@
     time::Seconds,
     web::{self, App},
 };
-use peatdeck_core::instance::{Instance, input::Input};
+use peatdeck_core::{
+    instance::{Instance, input::Input},
+    trace::{Header, VERSION},
+};
 use peatdeck_platform::{endpoint, http, list, log};
 use peatdeck_util::{clock::SystemClock, metrics::Metrics};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -34,6 +37,7 @@
     peers, platform_tasks, report, routes,
     settings::{Limits, Settings},
     timer,
+    trace::Trace,
 };
 
 /// Time for the last responses to leave the process.
@@ -119,9 +123,22 @@
         list: list::Client::new(http.clone(), settings.list.clone()),
         endpoints: endpoint::Client::new(http),
     };
-    let identity = settings.identity.clone();
-    let machine = Instance::new(identity, settings.instance.clone(), rand::random());
-    Driver::new(machine, Rc::new(SystemClock::new()), clients)
+    let seed = rand::random();
+    let trace = start_trace(settings, seed);
+    let machine = Instance::new(settings.identity.clone(), settings.instance.clone(), seed);
+    Driver::new(machine, trace, Rc::new(SystemClock::new()), clients)
+}
+
+fn start_trace(settings: &Settings, seed: u64) -> Trace {
+    let Some(wanted) = &settings.trace else { return Trace::default() };
+    let header = Header {
+        peatdeck_inputs: VERSION,
+        content: wanted.content,
+        identity: settings.identity.clone(),
+        settings: settings.instance.clone(),
+        seed,
+    };
+    Trace::start(wanted, &header)
 }
 
 /// Waits for the machine to finish and the last responses to leave.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -17,6 +17,8 @@
 use peatdeck_macros::data;
 use peatdeck_util::logging;
 
+use crate::trace;
+
 mod check;
 mod flags;
 
@@ -77,6 +79,8 @@
     pub instance: instance::settings::Settings,
     /// Where metrics go, if anywhere.
     pub statsd: Option<SocketAddr>,
+    /// Where the machine's inputs are recorded, if anywhere.
+    pub trace: Option<trace::Settings>,
     /// How log lines are written.
     pub log_format: logging::Format,
     /// Which log lines are written.
@@ -152,6 +156,7 @@
             )),
             instance: self.instance(&mut check),
             statsd: self.statsd.as_deref().map(|text| check.addr("--statsd", Some(text))),
+            trace: self.trace(&mut check),
             log_format: check.format(self.log_format.as_deref()),
             log_filter: self.log_filter.clone().unwrap_or_else(|| DEFAULT_FILTER.to_owned()),
         };
@@ -162,6 +167,12 @@
         }
     }
 
+    fn trace(&self, check: &mut Check) -> Option<trace::Settings> {
+        let content = check.content(self.trace_content.as_deref());
+        let file = self.trace.as_deref().filter(|file| !file.is_empty())?;
+        Some(trace::Settings { file: file.into(), content })
+    }
+
     fn instance(&self, check: &mut Check) -> instance::settings::Settings {
         let default = instance::settings::Settings::default();
         let seconds = |check: &mut Check, flag, value: &Option<String>, default: Duration| {
--- a/crates/entry/src/settings/check.rs
+++ b/crates/entry/src/settings/check.rs
@@ -3,7 +3,7 @@
 use std::{fmt::Display, net::SocketAddr, ops::RangeInclusive, str::FromStr, sync::Arc};
 
 use miette::Diagnostic;
-use peatdeck_core::instance::settings::Decisions;
+use peatdeck_core::{content::Content, instance::settings::Decisions};
 use peatdeck_util::logging;
 
 use crate::settings::Settings;
@@ -153,6 +153,18 @@
         })
     }
 
+    pub(super) fn content(&mut self, value: Option<&str>) -> Content {
+        match value {
+            None | Some("" | "hash") => Content::Hash,
+            Some("keep") => Content::Keep,
+            Some(other) => {
+                let message = format!("`{}` is not a way to record texts", other.escape_debug());
+                self.report("--trace-content", message, "use `hash` or `keep`");
+                Content::Hash
+            }
+        }
+    }
+
     pub(super) fn distinct(&mut self, settings: &Settings) {
         let is_fixed = settings.listen.port() != 0;
         if is_fixed && settings.listen == settings.peer_listen {
--- a/crates/entry/src/settings/flags.rs
+++ b/crates/entry/src/settings/flags.rs
@@ -43,6 +43,10 @@
     pub grace: Option<String>,
     /// Where metrics go.
     pub statsd: Option<String>,
+    /// Where the machine's inputs are recorded.
+    pub trace: Option<String>,
+    /// Whether callers' texts are kept in the record.
+    pub trace_content: Option<String>,
     /// How log lines are written.
     pub log_format: Option<String>,
     /// Which log lines are written.
@@ -127,6 +131,18 @@
         "IP:PORT",
         "Where metrics are sent over UDP [default: nowhere]",
     );
+    let trace = text(
+        "trace",
+        "PEATDECK_TRACE",
+        "FILE",
+        "Record every input into this new file, for tests and incidents [default: nowhere]",
+    );
+    let trace_content = text(
+        "trace-content",
+        "PEATDECK_TRACE_CONTENT",
+        "HOW",
+        "Callers' texts in the trace: `hash`, or `keep` as they are [default: hash]",
+    );
     let log_format =
         text("log-format", "PEATDECK_LOG_FORMAT", "FORMAT", "`text` or `json` [default: text]");
     let log_filter = text(
@@ -154,6 +170,8 @@
         horizon,
         grace,
         statsd,
+        trace,
+        trace_content,
         log_format,
         log_filter,
     })
