--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -19,3 +19,4 @@
 mod queue_states;
 mod routing;
 mod timing;
+mod trace;
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -10,3 +10,4 @@
 mod settings;
 mod stopping;
 mod support;
+mod trace;
--- a/crates/entry/tests/entry/settings.rs
+++ b/crates/entry/tests/entry/settings.rs
@@ -122,6 +122,8 @@
             "0",
             "--statsd",
             "localhost:8125",
+            "--trace-content",
+            "some",
             "--log-format",
             "xml",
             "--decisions",
@@ -130,7 +132,7 @@
             "luck",
         ]),
         expect![[r#"
-              x 9 of the settings cannot be used; nothing was started
+              x 10 of the settings cannot be used; nothing was started
               help: run `peatdeck-entry --help` for all settings with examples
 
             Error: 
@@ -165,6 +167,10 @@
               x --statsd: `localhost:8125` is not an address
               help: use an IP number and a port, such as 10.0.0.5:8080
 
+            Error: 
+              x --trace-content: `some` is not a way to record texts
+              help: use `hash` or `keep`
+
             Error: 
               x --log-format: `xml` is not a log format
               help: use `text` or `json`
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -68,7 +68,12 @@
 
     /// Starts an entry and waits until it is ready.
     pub async fn entry(&self, name: &str) -> Entry {
-        let entry = self.unready_entry(name);
+        self.entry_with(name, &[]).await
+    }
+
+    /// Starts an entry with more flags and waits until it is ready.
+    pub async fn entry_with(&self, name: &str, flags: &[&str]) -> Entry {
+        let entry = self.unready_entry_with(name, flags);
         let url = format!("http://{}/readyz", entry.addr);
         eventually(async || self.client.get(&url).send().await.unwrap().status() == 200).await;
         entry
@@ -76,9 +81,13 @@
 
     /// Starts an entry.
     pub fn unready_entry(&self, name: &str) -> Entry {
+        self.unready_entry_with(name, &[])
+    }
+
+    fn unready_entry_with(&self, name: &str, flags: &[&str]) -> Entry {
         let (log, list) = (self.log.addr().to_string(), self.list.addr().to_string());
         let args = ["--name", name, "--data-centre", "d", "--log", &log, "--list", &list];
-        Entry::start(&args)
+        Entry::start(&[&args, flags].concat())
     }
 
     /// Lists these entries beside the endpoints.
--- a/crates/test-support/src/processes/builder.rs
+++ b/crates/test-support/src/processes/builder.rs
@@ -1,6 +1,6 @@
 //! Settings of a system of processes, and its start.
 
-use std::{collections::BTreeMap, io, net::TcpListener, sync::Arc};
+use std::{collections::BTreeMap, io, net::TcpListener, path::PathBuf, sync::Arc};
 
 use peatdeck_core::document::{Document, Pool, PoolKind};
 
@@ -34,6 +34,7 @@
     pool_flags: BTreeMap<String, Vec<String>>,
     entry_flags: Vec<String>,
     entry_env: Vec<(String, String)>,
+    traces: Option<PathBuf>,
 }
 
 impl Default for Builder {
@@ -56,6 +57,7 @@
             pool_flags: BTreeMap::new(),
             entry_flags: Vec::new(),
             entry_env: Vec::new(),
+            traces: None,
         }
     }
 
@@ -113,6 +115,12 @@
         self
     }
 
+    /// Each entry records its first life into `NAME.trace` in this folder.
+    #[must_use]
+    pub fn traces(self, folder: impl Into<PathBuf>) -> Builder {
+        Builder { traces: Some(folder.into()), ..self }
+    }
+
     /// Starts everything; returns when every entry is ready with the first
     /// document in force.
     ///
@@ -182,6 +190,10 @@
             .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
             .args(["--log", &system.log.addr, "--list", &system.list.addr])
             .args(&self.entry_flags);
+        if let Some(folder) = &self.traces {
+            let file = folder.join(format!("{name}.trace"));
+            spec = spec.args(["--trace", &file.to_string_lossy()]);
+        }
         spec.env.extend(self.entry_env.iter().cloned());
         Entry::start(spec, data_centre)
     }
--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -3,4 +3,5 @@
 #![allow(clippy::unwrap_used)]
 
 mod pages;
+mod replay;
 mod settings_page;
