--- a/crates/core/src/claims/coverage.rs
+++ b/crates/core/src/claims/coverage.rs
@@ -90,7 +90,7 @@
         self.failed_reads = 0;
         self.log_now = self.log_now.max(batch.now_ms);
         self.note_expired(batch);
-        self.at_end = batch.next == self.position && batch.earliest <= self.position;
+        self.at_end = batch.shows_end_at(self.position);
         if batch.earliest > self.position {
             self.lose(batch);
         }
--- a/crates/core/src/config_log.rs
+++ b/crates/core/src/config_log.rs
@@ -119,7 +119,7 @@
         }
         self.log_now = self.log_now.max(batch.now_ms);
         self.cover.expired_to(batch.earliest);
-        let at_end = batch.next == self.position && batch.earliest <= self.position;
+        let at_end = batch.shows_end_at(self.position);
         if batch.earliest > self.position {
             self.lose_to(batch.earliest);
         }
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -66,6 +66,14 @@
     pub entries: Vec<Entry<R>>,
 }
 
+impl<R> Batch<R> {
+    /// Whether the read shows that a stream ends at `position`. A read that
+    /// gave something does not, however far it got: it may be a late copy.
+    pub fn shows_end_at(&self, position: Offset) -> bool {
+        self.from == position && self.next == position && self.earliest <= position
+    }
+}
+
 /// A version of the configuration; 0 is the empty document before any publish.
 pub type Version = u64;
 
--- a/crates/core/tests/testsuite/claims.rs
+++ b/crates/core/tests/testsuite/claims.rs
@@ -194,3 +194,12 @@
     }
     assert_eq!(claims.remembered(), 6);
 }
+
+#[test]
+fn a_late_copy_of_a_read_does_not_show_the_end() {
+    let mut claims = new_claims(Settings::default());
+    let first = batch(0, 0, NOW_MS, vec![(NOW_MS, "b", claim("x", 1))]);
+    claims.read(ms(0), &first);
+    claims.read(ms(1), &first);
+    assert!(!claims.is_caught_up());
+}
--- a/crates/core/tests/testsuite/fuzz/claims/world.rs
+++ b/crates/core/tests/testsuite/fuzz/claims/world.rs
@@ -43,6 +43,8 @@
     identity: Identity,
     claims: Claims,
     born_ms: u64,
+    /// Where the stream ended when the process started.
+    born_end: u64,
     frozen: bool,
     attempts: Vec<Attempt>,
     /// The append under way, and whether the log took it.
@@ -307,6 +309,7 @@
             identity,
             claims,
             born_ms: self.clock_ms,
+            born_end: self.log.all.len() as u64,
             frozen: false,
             attempts: Vec::new(),
             append: None,
@@ -322,6 +325,9 @@
         let verdict = process.claims.request(now, request_id(key), body, nonce);
         match verdict {
             Verdict::Waiting => {
+                let has_read = process.claims.next_offset() >= process.born_end;
+                let skips = self.setup.fault == Fault::StartsAtEnd;
+                assert!(has_read || skips, "{nonce} is claimed before the end was reached");
                 let state = State::Waiting;
                 process.attempts.push(Attempt { key, nonce, asked_at: now, state });
             }
