Wake requests that wait while another one connects

Of 200 requests sent at once over two entries up to 100 were never answered before their deadline: a call was counted as in flight, and no endpoint had it in its record. The HTTP client lets one connection at a time be made to an address and queues the others. With the limit 0, which its documentation gives as 'no limit', the queue is never looked at again, since it is woken only while fewer than the limit are in use. Ruled out: the endpoints (their record and the socket table show no such connection) and the instance's queues (the calls were dispatched).

The limit is now the largest number instead. The new test was red with 0: no reply within 20 s.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -24,6 +24,11 @@
 /// A pooled connection that is older is closed, not used again.
 const LIFETIME: Seconds = Seconds(300);
 
+/// More connections than a process can have. The pool's own 0 for "no limit"
+/// is a trap: requests that wait while another one connects to the same
+/// address are then never woken.
+const NO_LIMIT: usize = usize::MAX;
+
 /// What went wrong with an HTTP exchange.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -118,7 +123,7 @@
 /// # Errors
 /// If ntex cannot build its connector.
 pub async fn client(connect: Duration) -> Result<Client, client::error::ClientBuilderError> {
-    let connector = Connector::new().limit(0).keep_alive(IDLE_TIMEOUT).lifetime(LIFETIME);
+    let connector = Connector::new().limit(NO_LIMIT).keep_alive(IDLE_TIMEOUT).lifetime(LIFETIME);
     let config = IoConfig::new().set_connect_timeout(millis(connect));
     Client::builder()
         .connector::<()>(connector)
--- a/crates/platform/tests/platform/endpoint.rs
+++ b/crates/platform/tests/platform/endpoint.rs
@@ -4,11 +4,13 @@
 
 use expect_test::{Expect, expect};
 use futures::future;
+use ntex::time;
 use peatdeck_core::{
     instance::{action::Call, input::CallEvent},
     model::{CallId, Echo, RequestId},
 };
 use peatdeck_platform::endpoint::Client;
+use tokio::task;
 
 use crate::support::{self, Server};
 
@@ -222,3 +224,19 @@
     expect![[r#"{"echo":{"request":{"team":"t","id":"r"},"stage":0,"attempt":1},"stage":"s","input":"in","deadline_ms":1500}"#]]
         .assert_eq(&server.requests().await[0]);
 }
+
+#[ntex::test]
+async fn calls_that_start_while_another_connects_all_get_a_connection() {
+    let whole = support::response("200 OK", &format!(r#"{{"echo":{ECHO},"output":"out"}}"#));
+    let client = Client::new(support::client().await);
+    let call = call(&support::serve_all(whole), false);
+    let all = future::join_all((0..32).map(async |idx| {
+        // Each starts at another step of the connecting ones.
+        for _ in 0..idx {
+            task::yield_now().await;
+        }
+        events(&client, &call).await
+    }));
+    let all = time::timeout(Duration::from_secs(20), all).await.expect("no call waits for ever");
+    expect![[r#"reply Some("out") None queued None"#]].assert_eq(&all[31].join("; "));
+}
--- a/crates/platform/tests/platform/support.rs
+++ b/crates/platform/tests/platform/support.rs
@@ -53,6 +53,23 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
 }
 
+/// A server that answers every request of every connection alike.
+pub fn serve_all(reply: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let reply = reply.clone();
+            thread::spawn(move || {
+                while read_request(&mut stream).is_some() {
+                    stream.write_all(reply.as_bytes()).unwrap();
+                }
+            });
+        }
+    });
+    addr
+}
+
 pub async fn client() -> Client {
     http::client(Duration::from_secs(5)).await.unwrap()
 }
--- a/crates/test-support/src/http.rs
+++ b/crates/test-support/src/http.rs
@@ -14,6 +14,9 @@
 
 /// How long a call may take.
 const CALL_TIME: Duration = Duration::from_secs(60);
+/// More connections than a process can have. With the pool's own 0 for "no
+/// limit", requests that wait for a connection are never woken.
+const NO_LIMIT: usize = usize::MAX;
 /// The largest body that is read, in bytes.
 const MAX_BODY: usize = 256 << 20;
 
@@ -55,7 +58,7 @@
     /// A client of this thread.
     pub async fn new() -> Http {
         let client = Client::builder()
-            .connector::<()>(Connector::new().limit(0))
+            .connector::<()>(Connector::new().limit(NO_LIMIT))
             .disable_timeout()
             .disable_redirects()
             .build(SharedCfg::new("test"))
