--- /dev/null
+++ b/crates/test-support/src/callers.rs
@@ -0,0 +1,276 @@
+//! Callers that remember what they were told, and whether it was true.
+//!
+//! Every request of a test goes through [`Callers::send`]. At the test's end
+//! [`Callers::check`] compares what all of them were told with what the
+//! stand-ins recorded:
+//!
+//! - an answer is the one right answer of that request and input;
+//! - of a request that was told "not run", nothing ran. A caller that sends an
+//!   id again and marks it as a repeat is told so of the earlier attempts too;
+//! - a request that is not idempotent ran at most once.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashSet},
+    fmt,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use ntex::rt;
+use peatdeck_standin::calls::CallRecord;
+use peatdeck_wire::caller::{AnswerBody, ErrorBody, NOT_RUN, RequestBody};
+
+use crate::{error::Result, http::Http, processes::System};
+
+/// What a caller was told, and when.
+#[derive(Debug, Clone)]
+pub struct Told {
+    /// The status; 0 where no whole response came.
+    pub status: u16,
+    /// The `Retry-After` header, in seconds.
+    pub retry_after: Option<u64>,
+    /// The response.
+    pub what: What,
+    /// Time from the sending to the end of the response.
+    pub took: Duration,
+}
+
+/// A response.
+#[derive(Debug, Clone)]
+pub enum What {
+    /// A whole answer.
+    Answered(AnswerBody),
+    /// Any other outcome.
+    Failed(ErrorBody),
+    /// No whole response, or one of no known form.
+    Lost(String),
+}
+
+impl Told {
+    /// The output of a whole answer.
+    pub fn output(&self) -> Option<&str> {
+        match &self.what {
+            What::Answered(body) => Some(&body.output),
+            What::Failed(_) | What::Lost(_) => None,
+        }
+    }
+
+    /// The endpoint that ran a stage of a whole answer.
+    pub fn endpoint(&self, stage: &str) -> Option<&str> {
+        let What::Answered(body) = &self.what else { return None };
+        let line = body.stages.iter().find(|line| &*line.stage == stage)?;
+        Some(&line.endpoint)
+    }
+
+    /// The remedy of any other outcome.
+    pub fn remedy(&self) -> Option<&str> {
+        match &self.what {
+            What::Failed(body) => Some(&body.remedy),
+            What::Answered(_) | What::Lost(_) => None,
+        }
+    }
+
+    /// Whether the caller was told that nothing ran.
+    pub fn is_not_run(&self) -> bool {
+        matches!(&self.what, What::Failed(body) if &*body.outcome == NOT_RUN)
+    }
+}
+
+/// `200 answered`, `503 not_run/claim_unknown` or `lost`.
+impl fmt::Display for Told {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.what {
+            What::Answered(_) => write!(f, "{} answered", self.status),
+            What::Failed(body) => write!(f, "{} {}/{}", self.status, body.outcome, body.code),
+            What::Lost(_) => write!(f, "lost"),
+        }
+    }
+}
+
+/// One sending of a request.
+#[derive(Debug)]
+struct Sent {
+    body: RequestBody,
+    expected: Option<String>,
+    at_ms: u64,
+    told: Option<(u64, Told)>,
+}
+
+/// All callers of a test.
+#[derive(Debug, Default)]
+pub struct Callers {
+    sent: Rc<RefCell<Vec<Sent>>>,
+}
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Pending(rt::JoinHandle<Told>);
+
+impl Pending {
+    /// Waits for what the caller is told.
+    pub async fn told(self) -> Told {
+        self.0.await.expect("the task is only ended by its own end")
+    }
+
+    /// Whether the caller was told already.
+    pub fn is_told(&self) -> bool {
+        self.0.is_finished()
+    }
+}
+
+impl Callers {
+    /// Sends a request to an entry. It goes on by itself.
+    ///
+    /// # Errors
+    /// If there is no such entry.
+    pub fn send(
+        &self,
+        system: &System,
+        entry: &str,
+        pipeline: &str,
+        body: &RequestBody,
+    ) -> Result<Pending> {
+        let expected = system.expected(pipeline, &body.id, &body.input);
+        let sent = Sent { body: body.clone(), expected, at_ms: now_ms(), told: None };
+        let idx = self.sent.borrow().len();
+        self.sent.borrow_mut().push(sent);
+        let all = Rc::clone(&self.sent);
+        let addr = system.addr(entry)?.to_owned();
+        let path = format!("/v1/pipelines/{pipeline}/requests");
+        let (http, body) = (system.http.clone(), body.clone());
+        Ok(Pending(rt::spawn(async move {
+            let told = exchange(&http, &addr, &path, &body).await;
+            all.borrow_mut()[idx].told = Some((now_ms(), told.clone()));
+            told
+        })))
+    }
+
+    /// How many were told something that `is_so` holds of.
+    pub fn count(&self, is_so: impl Fn(&Told) -> bool) -> usize {
+        let sent = self.sent.borrow();
+        sent.iter().filter(|one| one.told.as_ref().is_some_and(|(_, told)| is_so(told))).count()
+    }
+
+    /// How many were told what, over all of them.
+    pub fn tally(&self) -> BTreeMap<String, usize> {
+        let mut tally = BTreeMap::new();
+        for one in self.sent.borrow().iter() {
+            let told = one.told.as_ref().map_or("nothing".to_owned(), |(_, told)| told.to_string());
+            *tally.entry(told).or_default() += 1;
+        }
+        tally
+    }
+
+    /// Everything that callers were told and that was not true, by the
+    /// records of every endpoint of the system.
+    ///
+    /// # Errors
+    /// If a record cannot be had.
+    pub async fn check(&self, system: &System) -> Result<Vec<String>> {
+        let runs = runs(system).await?;
+        let sent = self.sent.borrow();
+        let mut by_id: BTreeMap<&Arc<str>, Vec<&Sent>> = BTreeMap::new();
+        for one in sent.iter() {
+            by_id.entry(&one.body.id).or_default().push(one);
+        }
+        let mut wrong = Vec::new();
+        for (id, sent) in by_id {
+            let runs = runs.get(id).map_or(&[][..], Vec::as_slice);
+            wrong.extend(wrong_answers(id, &sent));
+            wrong.extend(untrue_not_run(id, &sent, runs));
+            wrong.extend(ran_twice(system, id, &sent, runs));
+        }
+        Ok(wrong)
+    }
+}
+
+/// A call that ran: where, and its record.
+type Run = (String, CallRecord);
+
+/// Calls that ran, by the request's id.
+async fn runs(system: &System) -> Result<BTreeMap<Arc<str>, Vec<Run>>> {
+    let mut runs: BTreeMap<Arc<str>, Vec<Run>> = BTreeMap::new();
+    for (endpoint, call) in system.all_calls().await? {
+        if call.ran() {
+            runs.entry(call.echo.request.id.clone()).or_default().push((endpoint, call));
+        }
+    }
+    Ok(runs)
+}
+
+fn wrong_answers(id: &str, sent: &[&Sent]) -> Vec<String> {
+    let answered = sent.iter().filter_map(|one| {
+        let output = one.told.as_ref()?.1.output()?;
+        let is_right = Some(output) == one.expected.as_deref();
+        (!is_right).then(|| format!("{id}: answered `{output}`, not `{:?}`", one.expected))
+    });
+    answered.collect()
+}
+
+fn untrue_not_run(id: &str, sent: &[&Sent], runs: &[Run]) -> Vec<String> {
+    let mut wrong = Vec::new();
+    for one in sent {
+        let Some((told_ms, told)) = one.told.as_ref().filter(|(_, told)| told.is_not_run()) else {
+            continue;
+        };
+        for (endpoint, call) in runs {
+            let started_ms = call.started_ms.unwrap_or_default();
+            let is_earlier = one.body.repeat && started_ms < *told_ms;
+            let is_own = !sent.iter().any(|other| other.explains(started_ms));
+            if is_earlier || is_own {
+                wrong
+                    .push(format!("{id}: told {told}, but stage {} ran at {endpoint}", call.stage));
+            }
+        }
+    }
+    wrong
+}
+
+impl Sent {
+    /// Whether a call that started then may be one of this sending.
+    fn explains(&self, started_ms: u64) -> bool {
+        let is_not_run = self.told.as_ref().is_some_and(|(_, told)| told.is_not_run());
+        !is_not_run && self.at_ms <= started_ms
+    }
+}
+
+/// Each attempt of a stage at most once, and a stage that may not be repeated
+/// once altogether.
+fn ran_twice(system: &System, id: &str, sent: &[&Sent], runs: &[Run]) -> Vec<String> {
+    if sent.iter().any(|one| one.body.idempotent) {
+        return Vec::new();
+    }
+    let mut seen = HashSet::new();
+    let mut wrong = Vec::new();
+    for (endpoint, call) in runs {
+        let attempt = if system.is_repeatable(&call.stage) { call.echo.attempt } else { 0 };
+        if !seen.insert((call.stage.clone(), attempt)) {
+            wrong.push(format!("{id}: stage {} ran again at {endpoint}", call.stage));
+        }
+    }
+    wrong
+}
+
+async fn exchange(http: &Http, addr: &str, path: &str, body: &RequestBody) -> Told {
+    let start = Instant::now();
+    let reply = http.post(addr, path, body).await;
+    let took = start.elapsed();
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(error) => {
+            let what = What::Lost(error.to_string());
+            return Told { status: 0, retry_after: None, what, took };
+        }
+    };
+    let answer = reply.json().map(What::Answered).filter(|_| reply.status == 200);
+    let other = || reply.json().map(What::Failed).filter(|_| reply.status != 200);
+    let what = answer.or_else(other).unwrap_or_else(|| What::Lost(reply.text()));
+    Told { status: reply.status, retry_after: reply.retry_after, what, took }
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -3,9 +3,11 @@
 //! - [`platform`]: a log, a list and instances that a test holds in its hand.
 //! - [`processes`]: a whole system as processes, that a test kills, freezes
 //!   and breaks; with [`process`], one of them, and [`http`], calls to them.
+//! - [`callers`]: callers that check what they were told.
 //! - [`fixture`]: documents and requests.
 //! - [`wait`]: bounded waits for an event.
 
+pub mod callers;
 pub mod error;
 pub mod fixture;
 pub mod http;
--- a/crates/test-support/src/processes.rs
+++ b/crates/test-support/src/processes.rs
@@ -254,6 +254,15 @@
         self.http.put(&self.list.addr, "/control/faults", faults).await
     }
 
+    /// The offset of the next append to a stream of the log.
+    ///
+    /// # Errors
+    /// If the log cannot be reached.
+    pub async fn log_next(&self, stream: Stream) -> Result<u64> {
+        let state = self.log_state().await?;
+        Ok(state.streams.get(stream.name()).map_or(0, |stream| stream.next))
+    }
+
     /// Where the log stands.
     ///
     /// # Errors
@@ -293,21 +302,37 @@
         Ok(body.calls)
     }
 
-    /// Every call for one request, over all endpoints, with the endpoint's name.
+    /// Every call that every endpoint took in, with the endpoint's name.
     ///
     /// # Errors
     /// If an endpoint cannot be reached.
-    pub async fn calls_for(&self, id: &str) -> Result<Vec<(String, CallRecord)>> {
-        let key = fixture::key(id);
+    pub async fn all_calls(&self) -> Result<Vec<(String, CallRecord)>> {
         let mut found = Vec::new();
         for name in self.endpoints.keys() {
-            let calls = self.calls(name).await?;
-            let calls = calls.into_iter().filter(|call| call.echo.request == key);
+            let calls = self.calls(name).await?.into_iter();
             found.extend(calls.map(|call| (name.clone(), call)));
         }
         Ok(found)
     }
 
+    /// Whether a stage of the first document may be repeated.
+    pub fn is_repeatable(&self, stage: &str) -> bool {
+        let pipelines = self.document.pipelines.iter();
+        let mut stages = pipelines.flat_map(|pipeline| &pipeline.stages);
+        stages.find(|known| &*known.name == stage).is_none_or(|known| known.repeatable)
+    }
+
+    /// Every call for one request, over all endpoints, with the endpoint's name.
+    ///
+    /// # Errors
+    /// If an endpoint cannot be reached.
+    pub async fn calls_for(&self, id: &str) -> Result<Vec<(String, CallRecord)>> {
+        let key = fixture::key(id);
+        let mut calls = self.all_calls().await?;
+        calls.retain(|(_, call)| call.echo.request == key);
+        Ok(calls)
+    }
+
     /// The one right output of a pipeline of the first document.
     pub fn expected(&self, pipeline: &str, id: &str, input: &str) -> Option<String> {
         let pipeline = self.document.pipeline(pipeline)?;
--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -2,4 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod claims;
 mod pages;
+mod path;
+mod support;
--- /dev/null
+++ b/crates/testsuite/tests/testsuite/path.rs
@@ -0,0 +1,37 @@
+//! The whole path: callers, entries, four pools of endpoints, and back.
+
+use std::collections::HashSet;
+
+use peatdeck_core::document::Document;
+use peatdeck_test_support::{
+    fixture::{self, CERTIFICATE},
+    processes::builder::Builder,
+};
+
+use crate::support::Bench;
+
+/// Requests over both entries.
+const REQUESTS: usize = 200;
+
+/// The document without the pool and the pipeline that the path does not need.
+fn four_pools() -> Document {
+    let mut document = fixture::document();
+    document.pools.retain(|pool| &*pool.name != "ledger");
+    document.pipelines.retain(|pipeline| &*pipeline.name == CERTIFICATE);
+    document
+}
+
+#[ntex::test]
+async fn requests_over_two_entries_get_their_own_answers() {
+    let bench = Bench::start(Builder::new(four_pools())).await;
+    let told = bench.ask_many(&["entry-1", "entry-2"], CERTIFICATE, "path", REQUESTS).await;
+    let outputs: HashSet<_> = told.iter().filter_map(|one| one.output()).collect();
+    assert_eq!(outputs.len(), REQUESTS, "{:?}", bench.callers.tally());
+    for pool in ["encode", "retrieve", "rerank", "generate"] {
+        for endpoint in bench.system.pool(pool) {
+            let calls = bench.system.calls(&endpoint).await.unwrap();
+            assert!(!calls.is_empty(), "{endpoint} got no call");
+        }
+    }
+    bench.finish().await;
+}
--- /dev/null
+++ b/crates/testsuite/tests/testsuite/support.rs
@@ -0,0 +1,175 @@
+//! A system of processes with callers that check what they are told.
+
+use std::{
+    sync::{Condvar, Mutex, PoisonError},
+    time::Duration,
+};
+
+use futures::future;
+use peatdeck_core::{model::Incarnation, record::Stream};
+use peatdeck_standin::{calls::CallRecord, faults::LogFaults};
+use peatdeck_test_support::{
+    callers::{Callers, Pending, Told},
+    fixture,
+    processes::{System, builder::Builder},
+    wait,
+};
+use peatdeck_wire::caller::RequestBody;
+
+/// Systems that run at once. Each is some fifteen processes.
+const SYSTEMS: usize = 2;
+
+/// A running system and its callers.
+pub struct Bench {
+    pub system: System,
+    pub callers: Callers,
+    _place: Place,
+}
+
+impl Bench {
+    /// Starts a system once there is a place for it.
+    pub async fn start(builder: Builder) -> Bench {
+        let place = Place::take();
+        let system = builder.start().await.unwrap();
+        Bench { system, callers: Callers::default(), _place: place }
+    }
+
+    /// Sends a request; it goes on by itself.
+    pub fn send(&self, entry: &str, pipeline: &str, body: &RequestBody) -> Pending {
+        self.callers.send(&self.system, entry, pipeline, body).unwrap()
+    }
+
+    /// Sends a request and waits for what its caller is told.
+    pub async fn ask(&self, entry: &str, pipeline: &str, body: &RequestBody) -> Told {
+        self.send(entry, pipeline, body).told().await
+    }
+
+    /// Sends a request, waits, and compares what its caller is told.
+    pub async fn check(&self, entry: &str, pipeline: &str, body: &RequestBody, told: &str) -> Told {
+        let heard = self.ask(entry, pipeline, body).await;
+        assert_eq!(heard.to_string(), told, "{} at {entry}: {heard:?}", body.id);
+        heard
+    }
+
+    /// Sends requests `PREFIX-0`… by turns to the entries, all at once, and
+    /// waits for all.
+    pub async fn ask_many(
+        &self,
+        entries: &[&str],
+        pipeline: &str,
+        prefix: &str,
+        count: usize,
+    ) -> Vec<Told> {
+        let sent = (0..count).map(|idx| {
+            let body = fixture::request(&format!("{prefix}-{idx}"), &format!("input {idx}"));
+            self.send(entries[idx % entries.len()], pipeline, &body).told()
+        });
+        future::join_all(sent).await
+    }
+
+    /// Waits for calls of one request that are as asked for.
+    pub async fn wait_calls(
+        &self,
+        id: &str,
+        what: &str,
+        is_so: impl Fn(&CallRecord) -> bool,
+    ) -> Vec<(String, CallRecord)> {
+        let look = async || {
+            let mut calls = self.system.calls_for(id).await.ok()?;
+            calls.retain(|(_, call)| is_so(call));
+            (!calls.is_empty()).then_some(calls)
+        };
+        wait::until(what, wait::BOUND, look).await.unwrap()
+    }
+
+    /// Waits until a stream of the log holds records behind an offset.
+    pub async fn wait_log(&self, stream: Stream, offset: u64) {
+        let look = async || {
+            let next = self.system.log_next(stream).await.ok()?;
+            (next > offset).then_some(())
+        };
+        wait::until(&format!("a record behind {offset}"), wait::BOUND, look).await.unwrap();
+    }
+
+    /// Waits until an entry has noticed that the log is out.
+    pub async fn wait_log_missed(&self, entry: &str) {
+        let before = self.counter(entry, "log_read_failures").await;
+        self.wait_counter(entry, "log_read_failures", before + 4).await;
+    }
+
+    /// Waits until a counter of an entry has reached a value.
+    pub async fn wait_counter(&self, entry: &str, name: &str, value: u64) {
+        let what = format!("{name} of {entry} at {value}");
+        let is_so = |status: &peatdeck_wire::admin::EntryStatus| {
+            status.counters.get(name).is_some_and(|count| *count >= value)
+        };
+        self.system.wait_status(entry, &what, wait::BOUND, is_so).await.unwrap();
+    }
+
+    /// A counter of an entry.
+    pub async fn counter(&self, entry: &str, name: &str) -> u64 {
+        let status = self.system.status(entry).await.unwrap();
+        status.counters.get(name).copied().unwrap_or_default()
+    }
+
+    /// Waits until every entry sees an endpoint as leaving.
+    pub async fn wait_leaving(&self, endpoint: &str, incarnation: u64, bound: Duration) {
+        for entry in self.system.entries() {
+            let what = format!("{endpoint} leaving at {entry}");
+            let is_so = |status: &peatdeck_wire::admin::EntryStatus| {
+                status.endpoints.iter().any(|known| {
+                    let is_life = known.incarnation == Incarnation(incarnation);
+                    &*known.endpoint == endpoint && is_life && &*known.state == "leaving"
+                })
+            };
+            self.system.wait_status(&entry, &what, bound, is_so).await.unwrap();
+        }
+    }
+
+    /// Mends the log.
+    pub async fn mend_log(&self) {
+        self.set_log(LogFaults::default()).await;
+    }
+
+    /// Sets the log's faults.
+    pub async fn set_log(&self, faults: LogFaults) {
+        self.system.set_log_faults(&faults).await.unwrap();
+    }
+
+    /// Ends the test: everything that callers were told has to be true by the
+    /// records of the stand-ins.
+    pub async fn finish(self) {
+        let wrong = self.callers.check(&self.system).await.unwrap();
+        assert!(wrong.is_empty(), "{:?}\n{}", self.callers.tally(), wrong.join("\n"));
+    }
+}
+
+/// The same request, sent again because its outcome is not known.
+pub fn again(body: &RequestBody) -> RequestBody {
+    RequestBody { repeat: true, ..body.clone() }
+}
+
+/// A place among the systems that run at once.
+struct Place;
+
+static TAKEN: Mutex<usize> = Mutex::new(0);
+static FREED: Condvar = Condvar::new();
+
+impl Place {
+    /// Waits for a place. Each test has a thread of its own.
+    fn take() -> Place {
+        let taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut taken = FREED
+            .wait_while(taken, |taken| *taken >= SYSTEMS)
+            .unwrap_or_else(PoisonError::into_inner);
+        *taken += 1;
+        Place
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *TAKEN.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        FREED.notify_one();
+    }
+}
