--- a/crates/test-support/src/callers.rs
+++ b/crates/test-support/src/callers.rs
@@ -19,10 +19,11 @@
 };
 
 use ntex::rt;
-use peatdeck_standin::calls::CallRecord;
+use peatdeck_core::document::Document;
+use peatdeck_standin::{answer, calls::CallRecord};
 use peatdeck_wire::caller::{AnswerBody, ErrorBody, NOT_RUN, RequestBody};
 
-use crate::{error::Result, http::Http, processes::System};
+use crate::{error::Result, fixture, http::Http, processes::System};
 
 /// What a caller was told, and when.
 #[derive(Debug, Clone)]
@@ -99,8 +100,16 @@
 }
 
 /// All callers of a test.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Callers {
+    caller: Caller,
+}
+
+/// Sends requests to any address; what it is told counts with the others'.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    http: Http,
+    document: Rc<Document>,
     sent: Rc<RefCell<Vec<Sent>>>,
 }
 
@@ -114,13 +123,54 @@
         self.0.await.expect("the task is only ended by its own end")
     }
 
+    /// Goes away: closes the connection without waiting for an answer.
+    pub fn leave(self) {
+        self.0.cancel();
+    }
+
     /// Whether the caller was told already.
     pub fn is_told(&self) -> bool {
         self.0.is_finished()
     }
 }
 
+impl Caller {
+    /// Sends a request to an address. It goes on by itself.
+    pub fn send(&self, addr: &str, pipeline: &str, body: &RequestBody) -> Pending {
+        let expected = self.expected(pipeline, body);
+        let sent = Sent { body: body.clone(), expected, at_ms: now_ms(), told: None };
+        let idx = self.sent.borrow().len();
+        self.sent.borrow_mut().push(sent);
+        let (caller, addr, body) = (self.clone(), addr.to_owned(), body.clone());
+        let path = format!("/v1/pipelines/{pipeline}/requests");
+        Pending(rt::spawn(async move {
+            let told = exchange(&caller.http, &addr, &path, &body).await;
+            caller.sent.borrow_mut()[idx].told = Some((now_ms(), told.clone()));
+            told
+        }))
+    }
+
+    /// The one right output, by the document that was published first. A
+    /// pipeline that came later has the stages of the first one.
+    fn expected(&self, pipeline: &str, body: &RequestBody) -> Option<String> {
+        let document = &self.document;
+        let pipeline = document.pipeline(pipeline).or(document.pipelines.first())?;
+        answer::expected(document, pipeline, &fixture::key(&body.id), &body.input)
+    }
+}
+
 impl Callers {
+    /// Callers of a system that have sent nothing yet.
+    pub fn new(system: &System) -> Callers {
+        let document = Rc::new(system.document.clone());
+        Callers { caller: Caller { http: system.http.clone(), document, sent: Rc::default() } }
+    }
+
+    /// One of them, to be moved into a task.
+    pub fn caller(&self) -> Caller {
+        self.caller.clone()
+    }
+
     /// Sends a request to an entry. It goes on by itself.
     ///
     /// # Errors
@@ -132,31 +182,19 @@
         pipeline: &str,
         body: &RequestBody,
     ) -> Result<Pending> {
-        let expected = system.expected(pipeline, &body.id, &body.input);
-        let sent = Sent { body: body.clone(), expected, at_ms: now_ms(), told: None };
-        let idx = self.sent.borrow().len();
-        self.sent.borrow_mut().push(sent);
-        let all = Rc::clone(&self.sent);
-        let addr = system.addr(entry)?.to_owned();
-        let path = format!("/v1/pipelines/{pipeline}/requests");
-        let (http, body) = (system.http.clone(), body.clone());
-        Ok(Pending(rt::spawn(async move {
-            let told = exchange(&http, &addr, &path, &body).await;
-            all.borrow_mut()[idx].told = Some((now_ms(), told.clone()));
-            told
-        })))
+        Ok(self.caller.send(system.addr(entry)?, pipeline, body))
     }
 
     /// How many were told something that `is_so` holds of.
     pub fn count(&self, is_so: impl Fn(&Told) -> bool) -> usize {
-        let sent = self.sent.borrow();
+        let sent = self.caller.sent.borrow();
         sent.iter().filter(|one| one.told.as_ref().is_some_and(|(_, told)| is_so(told))).count()
     }
 
     /// How many were told what, over all of them.
     pub fn tally(&self) -> BTreeMap<String, usize> {
         let mut tally = BTreeMap::new();
-        for one in self.sent.borrow().iter() {
+        for one in self.caller.sent.borrow().iter() {
             let told = one.told.as_ref().map_or("nothing".to_owned(), |(_, told)| told.to_string());
             *tally.entry(told).or_default() += 1;
         }
@@ -170,7 +208,7 @@
     /// If a record cannot be had.
     pub async fn check(&self, system: &System) -> Result<Vec<String>> {
         let runs = runs(system).await?;
-        let sent = self.sent.borrow();
+        let sent = self.caller.sent.borrow();
         let mut by_id: BTreeMap<&Arc<str>, Vec<&Sent>> = BTreeMap::new();
         for one in sent.iter() {
             by_id.entry(&one.body.id).or_default().push(one);
--- a/crates/test-support/src/http.rs
+++ b/crates/test-support/src/http.rs
@@ -93,6 +93,25 @@
         self.send(request, Some(json(body)), &what("POST", addr, path)).await
     }
 
+    /// `POST` of a text as it is, with an operator's token if one is given,
+    /// whatever the status.
+    ///
+    /// # Errors
+    /// If there is no whole reply.
+    pub async fn post_text(
+        &self,
+        token: Option<&str>,
+        addr: &str,
+        path: &str,
+        body: String,
+    ) -> Result<Reply> {
+        let mut request = self.request(Method::POST, addr, path);
+        if let Some(token) = token {
+            request = request.bearer_auth(token);
+        }
+        self.send(request, Some(body), &what("POST", addr, path)).await
+    }
+
     /// `POST` of JSON with an operator's token, for JSON.
     ///
     /// # Errors
--- a/crates/test-support/src/processes.rs
+++ b/crates/test-support/src/processes.rs
@@ -23,7 +23,7 @@
     log::LogState,
 };
 use peatdeck_wire::{
-    admin::{EntryStatus, PublishBody, PublishReply},
+    admin::{DrainBody, DrainReply, EntryStatus, PublishBody, PublishReply},
     caller::RequestBody,
     platform::{AppendBody, AppendReply},
 };
@@ -43,6 +43,8 @@
 
 /// The operators' token of every system.
 pub const TOKEN: &str = "operators-token-for-tests";
+/// The first administration process.
+pub const ADMIN: &str = "admin";
 /// Who publishes.
 pub const AUTHOR: &str = "test";
 
@@ -55,7 +57,7 @@
     pub document: Document,
     log: Node,
     list: Node,
-    admin: Option<Node>,
+    admins: BTreeMap<String, Node>,
     endpoints: BTreeMap<String, Endpoint>,
     entries: BTreeMap<String, Entry>,
 }
@@ -145,19 +147,19 @@
     }
 
     fn node(&self, name: &str) -> Result<&Node> {
-        let fixed = [Some(&self.log), Some(&self.list), self.admin.as_ref()];
+        let fixed = [&self.log, &self.list].into_iter().chain(self.admins.values());
         let endpoints = self.endpoints.values().map(|endpoint| &endpoint.node);
         let entries = self.entries.values().map(|entry| &entry.node);
-        let mut nodes = fixed.into_iter().flatten().chain(endpoints).chain(entries);
+        let mut nodes = fixed.chain(endpoints).chain(entries);
         let found = nodes.find(|node| node.spec.name == name);
         found.ok_or_else(|| Error::Unknown(name.to_owned()))
     }
 
     fn node_mut(&mut self, name: &str) -> Result<&mut Node> {
-        let fixed = [Some(&mut self.log), Some(&mut self.list), self.admin.as_mut()];
+        let fixed = [&mut self.log, &mut self.list].into_iter().chain(self.admins.values_mut());
         let endpoints = self.endpoints.values_mut().map(|endpoint| &mut endpoint.node);
         let entries = self.entries.values_mut().map(|entry| &mut entry.node);
-        let mut nodes = fixed.into_iter().flatten().chain(endpoints).chain(entries);
+        let mut nodes = fixed.chain(endpoints).chain(entries);
         let found = nodes.find(|node| node.spec.name == name);
         found.ok_or_else(|| Error::Unknown(name.to_owned()))
     }
@@ -208,12 +210,48 @@
         base: Version,
         document: &Document,
     ) -> Result<PublishReply> {
-        let admin = self.admin.as_ref().ok_or(Error::NoAdmin)?;
+        self.publish_by(ADMIN, id, base, document).await
+    }
+
+    /// Publishes through one of several administration processes.
+    ///
+    /// # Errors
+    /// If there is no such process, or it does not accept.
+    pub async fn publish_by(
+        &self,
+        admin: &str,
+        id: &str,
+        base: Version,
+        document: &Document,
+    ) -> Result<PublishReply> {
+        let admin = self.admins.get(admin).ok_or(Error::NoAdmin)?;
         let document = Arc::new(document.clone());
         let body = PublishBody { id: id.into(), base, author: AUTHOR.into(), document };
         self.http.post_as(TOKEN, &admin.addr, "/v1/config/publish", &body).await
     }
 
+    /// Starts one more administration process.
+    ///
+    /// # Errors
+    /// If it does not start.
+    pub async fn add_admin(&mut self, name: &str) -> Result<()> {
+        let admin = builder::start_admin(self, name).await?;
+        self.admins.insert(name.to_owned(), admin);
+        Ok(())
+    }
+
+    /// Orders through the administration process that an endpoint gets no new
+    /// work.
+    ///
+    /// # Errors
+    /// If there is none, or it does not accept.
+    pub async fn drain(&self, endpoint: &str) -> Result<DrainReply> {
+        let admin = self.admins.get(ADMIN).ok_or(Error::NoAdmin)?;
+        let body = DrainBody { author: AUTHOR.into(), incarnation: None };
+        let path = format!("/v1/endpoints/{endpoint}/drain");
+        self.http.post_as(TOKEN, &admin.addr, &path, &body).await
+    }
+
     /// Appends a publish to the log, without anybody's check.
     ///
     /// # Errors
--- a/crates/test-support/src/processes/builder.rs
+++ b/crates/test-support/src/processes/builder.rs
@@ -5,7 +5,7 @@
 use peatdeck_core::document::{Document, Pool, PoolKind};
 
 use super::{
-    System, TOKEN,
+    ADMIN, System, TOKEN,
     node::{Endpoint, Entry, Node},
 };
 use crate::{
@@ -127,14 +127,14 @@
             document: self.document.clone(),
             log,
             list,
-            admin: None,
+            admins: BTreeMap::new(),
             endpoints,
             entries: BTreeMap::new(),
         };
         system.entries = self.start_entries(&system)?;
         system.tell_list().await?;
         if self.has_admin {
-            system.admin = Some(start_admin(&system).await?);
+            system.add_admin(ADMIN).await?;
         }
         self.publish(&system).await?;
         for name in system.entries.keys() {
@@ -201,9 +201,9 @@
 
 /// The administration process does not print the port that it was given, so
 /// it gets one that was free just now.
-async fn start_admin(system: &System) -> Result<Node> {
-    let addr = free_addr().map_err(|source| Error::Process { name: "admin".to_owned(), source })?;
-    let spec = Spec::new("admin", "peatdeck-admin")
+pub(super) async fn start_admin(system: &System, name: &str) -> Result<Node> {
+    let addr = free_addr().map_err(|source| Error::Process { name: name.to_owned(), source })?;
+    let spec = Spec::new(name, "peatdeck-admin")
         .args(["--listen", &addr, "--log", &system.log.addr, "--list", &system.list.addr])
         .env("PEATDECK_ADMIN_TOKEN", TOKEN);
     let process = Process::start(&spec)?;
--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -3,6 +3,13 @@
 #![allow(clippy::unwrap_used)]
 
 mod claims;
+mod config;
+mod drain;
+mod invalid;
+mod load;
+mod outage;
 mod pages;
 mod path;
+mod replies;
+mod stop;
 mod support;
--- /dev/null
+++ b/crates/testsuite/tests/testsuite/outage.rs
@@ -0,0 +1,112 @@
+//! The log is out, or everything is.
+
+use std::time::{Duration, Instant};
+
+use peatdeck_standin::faults::LogFaults;
+use peatdeck_test_support::{
+    fixture::{self, CERTIFICATE, TICKET},
+    processes::builder::Builder,
+    wait::{self, BOUND},
+};
+
+use crate::support::{Bench, again};
+
+/// How long an instance may hear neither the log nor a peer before it is
+/// unready, and a little more.
+const PAST_ISOLATION: Duration = Duration::from_secs(7);
+
+fn outage() -> LogFaults {
+    LogFaults { outage: true, ..LogFaults::default() }
+}
+
+/// Two entries that have noticed that the log is out.
+async fn start_out(builder: Builder) -> Bench {
+    let bench = Bench::start(builder).await;
+    bench.set_log(outage()).await;
+    for entry in bench.system.entries() {
+        bench.wait_log_missed(&entry).await;
+    }
+    bench
+}
+
+#[ntex::test]
+async fn without_the_log_only_idempotent_requests_run() {
+    let bench = start_out(Builder::default()).await;
+    let start = Instant::now();
+    let mut turn = 0;
+    while start.elapsed() < PAST_ISOLATION {
+        for entry in ["entry-1", "entry-2"] {
+            let body = fixture::request(&format!("out-{turn}-{entry}"), "licence");
+            bench.check(entry, CERTIFICATE, &body, "200 answered").await;
+            let body = fixture::once(&format!("once-{turn}-{entry}"), "ticket");
+            let told = bench.check(entry, TICKET, &body, "503 not_run/claim_unknown").await;
+            assert!(told.retry_after.is_some(), "{told:?}");
+            // At once: far below the deadline, at which it is told anyway.
+            assert!(told.took < Duration::from_secs(5), "{told:?}");
+            let calls = bench.system.calls_for(&body.id).await.unwrap();
+            assert_eq!(calls, [], "{} was told not to have run", body.id);
+        }
+        turn += 1;
+    }
+    bench.mend_log().await;
+    let body = fixture::once("once-0-entry-1", "ticket");
+    let look = async || {
+        let told = bench.ask("entry-2", TICKET, &again(&body)).await;
+        told.output().map(drop)
+    };
+    wait::until("the refused request's run after the outage", BOUND, look).await.unwrap();
+    bench.finish().await;
+}
+
+#[ntex::test]
+async fn a_repeat_in_an_outage_is_not_told_that_nothing_ran() {
+    let bench = Bench::start(Builder::default()).await;
+    let body = fixture::once("ran-before", "ticket");
+    bench.check("entry-1", TICKET, &body, "200 answered").await;
+    bench.set_log(outage()).await;
+    for entry in ["entry-1", "entry-2"] {
+        bench.wait_log_missed(entry).await;
+        let told = bench.ask(entry, TICKET, &again(&body)).await;
+        assert!(!told.is_not_run(), "{told:?}");
+    }
+    let other = fixture::once("never-seen", "ticket");
+    let told = "502 may_have_run/earlier_unknown";
+    bench.check("entry-2", TICKET, &again(&other), told).await;
+    bench.finish().await;
+}
+
+#[ntex::test]
+async fn an_entry_started_in_an_outage_has_the_newest_version_from_its_peers() {
+    let mut bench = Bench::start(Builder::default().entries(3)).await;
+    bench.system.publish("second", 1, &fixture::document()).await.unwrap();
+    bench.system.wait_version(2).await.unwrap();
+    bench.set_log(outage()).await;
+    bench.system.restart("entry-3").await.unwrap();
+    bench.system.wait_ready("entry-3").await.unwrap();
+    let status = bench.system.status("entry-3").await.unwrap();
+    assert_eq!(status.version, 2);
+    let body = fixture::request("started-out", "licence");
+    bench.check("entry-3", CERTIFICATE, &body, "200 answered").await;
+    let body = fixture::once("started-out-once", "ticket");
+    bench.check("entry-3", TICKET, &body, "503 not_run/claim_unknown").await;
+    bench.finish().await;
+}
+
+#[ntex::test]
+async fn an_entry_that_is_cut_off_goes_unready_and_comes_back() {
+    let mut bench = start_out(Builder::default()).await;
+    bench.system.freeze("entry-2").unwrap();
+    let is_unready = |status: &peatdeck_wire::admin::EntryStatus| !status.ready;
+    let what = "entry-1 being unready";
+    bench.system.wait_status("entry-1", what, BOUND, is_unready).await.unwrap();
+    let body = fixture::request("cut-off", "licence");
+    bench.check("entry-1", CERTIFICATE, &body, "503 not_run/not_ready").await;
+    let body = fixture::once("cut-off-once", "ticket");
+    bench.check("entry-1", TICKET, &body, "503 not_run/not_ready").await;
+    // A peer is enough to know what is in force.
+    bench.system.thaw("entry-2").unwrap();
+    bench.system.wait_ready("entry-1").await.unwrap();
+    let body = fixture::request("back", "licence");
+    bench.check("entry-1", CERTIFICATE, &body, "200 answered").await;
+    bench.finish().await;
+}
--- /dev/null
+++ b/crates/testsuite/tests/testsuite/replies.rs
@@ -0,0 +1,164 @@
+//! Replies that are late, doubled, cut, out of order or of another request:
+//! callers only ever get their own whole answers.
+
+use futures::StreamExt;
+use peatdeck_standin::{
+    calls::{CallRecord, CallState},
+    faults::EndpointFaults,
+};
+use peatdeck_test_support::{
+    fixture::{self, CERTIFICATE, TICKET},
+    processes::builder::Builder,
+    wait::{self, BOUND},
+};
+use peatdeck_wire::caller::RequestBody;
+
+use crate::support::{Bench, again};
+
+/// Requests of each burst.
+const BURST: usize = 40;
+
+fn faults(calls: u32) -> EndpointFaults {
+    EndpointFaults { calls: Some(calls), ..EndpointFaults::default() }
+}
+
+/// Sends a burst while one endpoint misbehaves for some calls; all callers
+/// get their own whole answer, and a counter shows that it was noticed.
+async fn check(bench: &Bench, endpoint: &str, faults: EndpointFaults, name: &str, counter: &str) {
+    let before = count(bench, counter).await;
+    bench.system.set_faults(endpoint, &faults).await.unwrap();
+    let told = bench.ask_many(&["entry-1", "entry-2"], CERTIFICATE, name, BURST).await;
+    let failed: Vec<_> = told.iter().filter(|told| told.output().is_none()).collect();
+    assert!(failed.is_empty(), "{name}: {failed:?}");
+    let after = count(bench, counter).await;
+    assert!(after > before, "{name}: no {counter}");
+}
+
+/// A counter over both entries.
+async fn count(bench: &Bench, counter: &str) -> u64 {
+    bench.counter("entry-1", counter).await + bench.counter("entry-2", counter).await
+}
+
+#[ntex::test]
+async fn callers_get_their_own_answers_from_services_that_misbehave() {
+    let bench = Bench::start(Builder::default()).await;
+    // So that the endpoint has calls of other requests to mix up.
+    bench.ask_many(&["entry-1", "entry-2"], CERTIFICATE, "warm", BURST).await;
+    let of_other = EndpointFaults { wrong_echo: true, ..faults(2) };
+    check(&bench, "rerank-1", of_other, "of-other", "echo_mismatch").await;
+    let doubled = EndpointFaults { duplicate: true, ..faults(2) };
+    check(&bench, "retrieve-1", doubled, "doubled", "answered").await;
+    let cut = EndpointFaults { cut_after: Some(20), ..faults(2) };
+    check(&bench, "retrieve-2", cut, "cut", "failed_calls").await;
+    let closed = EndpointFaults { cut_after: Some(0), ..faults(2) };
+    check(&bench, "rerank-2", closed, "closed", "failed_calls").await;
+    let late = EndpointFaults { delay_ms: 3_000, ..faults(2) };
+    check(&bench, "encode-1", late, "late", "hedges").await;
+    bench.finish().await;
+}
+
+#[ntex::test]
+async fn callers_get_their_own_answers_from_engines_that_misbehave() {
+    let bench = Bench::start(Builder::default()).await;
+    bench.ask_many(&["entry-1", "entry-2"], CERTIFICATE, "warm", BURST).await;
+    let of_other = EndpointFaults { wrong_echo: true, ..faults(2) };
+    check(&bench, "generate-1", of_other, "of-other", "echo_mismatch").await;
+    let doubled = EndpointFaults { duplicate: true, ..faults(4) };
+    check(&bench, "generate-2", doubled, "doubled", "duplicate_pieces").await;
+    let reordered = EndpointFaults { reorder: true, ..faults(4) };
+    check(&bench, "generate-1", reordered, "reordered", "answered").await;
+    let cut = EndpointFaults { cut_after: Some(3), ..faults(2) };
+    check(&bench, "generate-2", cut, "cut", "resumes").await;
+    bench.finish().await;
+}
+
+#[ntex::test]
+async fn a_cut_generation_goes_on_at_another_engine() {
+    let bench = Bench::start(Builder::default()).await;
+    let cut = EndpointFaults { cut_after: Some(3), ..faults(1) };
+    bench.system.set_pool_faults("generate", &cut).await.unwrap();
+    let body = fixture::request("resumed", "licence");
+    bench.check("entry-1", CERTIFICATE, &body, "200 answered").await;
+    let calls = bench.system.calls_for("resumed").await.unwrap();
+    let mut engines: Vec<_> =
+        calls.into_iter().filter(|(_, call)| &*call.stage == "generate").collect();
+    engines.sort_by_key(|(_, call)| call.echo.attempt);
+    // Both engines cut after three pieces; each call goes on behind the last.
+    let resumed: Vec<u32> = engines.iter().map(|(_, call)| call.resumed).collect();
+    let mut sums = Vec::new();
+    let mut held = 0;
+    for (_, call) in &engines {
+        sums.push(held);
+        held += call.tokens;
+    }
+    assert!(engines.len() > 1, "{engines:?}");
+    assert_eq!(resumed, sums, "{engines:?}");
+    assert_ne!(engines[0].0, engines[1].0);
+    bench.finish().await;
+}
+
+#[ntex::test]
+async fn a_ledger_reply_of_another_request_is_never_passed_on() {
+    let bench = Bench::start(Builder::default()).await;
+    for idx in 0..4 {
+        let body = fixture::once(&format!("first-{idx}"), "ticket");
+        bench.check("entry-1", TICKET, &body, "200 answered").await;
+    }
+    let of_other = EndpointFaults { wrong_echo: true, ..EndpointFaults::default() };
+    bench.system.set_pool_faults("ledger", &of_other).await.unwrap();
+    for idx in 0..4 {
+        let body = fixture::once(&format!("second-{idx}"), "ticket");
+        bench.check("entry-1", TICKET, &body, "502 may_have_run/stage_failed").await;
+        bench.check("entry-2", TICKET, &again(&body), "502 may_have_run/stage_failed").await;
+    }
+    bench.finish().await;
+}
+
+/// Whether a call of that stage is in that state.
+fn is_at(stage: &str, state: CallState) -> impl Fn(&CallRecord) -> bool {
+    move |call| &*call.stage == stage && call.state == state
+}
+
+#[ntex::test]
+async fn a_caller_that_goes_away_cancels_idempotent_work() {
+    let builder = Builder::default().pool_flags("generate", &["--token-ms", "2000"]);
+    let bench = Bench::start(builder).await;
+    let body = fixture::request("gone", "licence");
+    let pending = bench.send("entry-1", CERTIFICATE, &body);
+    bench.wait_calls("gone", "the generation", is_at("generate", CallState::Running)).await;
+    pending.leave();
+    let what = "the generation's cancel";
+    bench.wait_calls("gone", what, is_at("generate", CallState::Cancelled)).await;
+
+    let body = RequestBody { stream: true, ..fixture::request("gone-streamed", "licence") };
+    let path = format!("/v1/pipelines/{CERTIFICATE}/requests");
+    let addr = bench.system.addr("entry-2").unwrap().to_owned();
+    let mut response = bench.system.http.open(&addr, &path, &body).await.unwrap();
+    response.next().await.unwrap().unwrap();
+    drop(response);
+    bench.wait_calls("gone-streamed", what, is_at("generate", CallState::Cancelled)).await;
+    for entry in ["entry-1", "entry-2"] {
+        let idle = |status: &peatdeck_wire::admin::EntryStatus| status.running == 0;
+        bench.system.wait_status(entry, "nothing held", BOUND, idle).await.unwrap();
+    }
+    bench.finish().await;
+}
+
+#[ntex::test]
+async fn a_caller_that_goes_away_leaves_a_ticket_to_its_end() {
+    let bench = Bench::start(Builder::default()).await;
+    let slow = EndpointFaults { delay_ms: 500, ..EndpointFaults::default() };
+    bench.system.set_pool_faults("ledger", &slow).await.unwrap();
+    let body = fixture::once("ticket-gone", "ticket");
+    let pending = bench.send("entry-1", TICKET, &body);
+    bench.wait_calls("ticket-gone", "the ledger call", is_at("ledger", CallState::Running)).await;
+    pending.leave();
+    let done = is_at("ledger", CallState::Finished);
+    bench.wait_calls("ticket-gone", "the ledger's end", done).await;
+    let look = async || {
+        let told = bench.ask("entry-2", TICKET, &again(&body)).await;
+        told.output().map(drop)
+    };
+    wait::until("the answer at the other entry", BOUND, look).await.unwrap();
+    bench.finish().await;
+}
--- /dev/null
+++ b/crates/testsuite/tests/testsuite/stop.rs
@@ -0,0 +1,103 @@
+//! A planned stop cuts off no request and loses none.
+
+use futures::StreamExt;
+use peatdeck_standin::faults::EndpointFaults;
+use peatdeck_test_support::{
+    fixture::{self, CERTIFICATE, TICKET},
+    processes::builder::Builder,
+    wait::BOUND,
+};
+use peatdeck_wire::caller::RequestBody;
+
+use crate::{
+    load::{Load, Work},
+    support::Bench,
+};
+
+/// How long the ledger works: longer than an entry's grace.
+const LEDGER_MS: u64 = 4_000;
+const CERTIFICATES: Work =
+    Work { pipeline: CERTIFICATE, prefix: "certificate", idempotent: true, callers: 6 };
+const TICKETS: Work = Work { pipeline: TICKET, prefix: "ticket", idempotent: false, callers: 3 };
+
+/// Everybody was answered, or told by an entry that stops to go to another.
+fn check_tally(bench: &Bench) {
+    let tally = bench.callers.tally();
+    let is_known = |told: &String| told == "200 answered" || told == "503 not_run/stopping";
+    assert!(tally.keys().all(is_known), "{tally:?}");
+}
+
+/// Tells an entry to stop and waits for its end by itself.
+async fn stop(bench: &mut Bench, entry: &str) {
+    bench.system.terminate(entry).unwrap();
+    let process = bench.system.process(entry).unwrap();
+    let status = process.wait(BOUND).await.unwrap();
+    assert_eq!(status.code(), Some(0), "{entry}: {status}\n{}", process.log());
+}
+
+#[ntex::test]
+async fn an_entry_that_stops_under_load_ends_what_it_holds() {
+    let mut bench = Bench::start(Builder::default()).await;
+    let slow = EndpointFaults { delay_ms: LEDGER_MS, ..EndpointFaults::default() };
+    bench.system.set_pool_faults("ledger", &slow).await.unwrap();
+    let load = Load::start(&bench, CERTIFICATES).await;
+    load.wait_more(50).await;
+    let body = fixture::once("in-flight", "ticket");
+    let pending = bench.send("entry-1", TICKET, &body);
+    let at_ledger = |call: &peatdeck_standin::calls::CallRecord| &*call.stage == "ledger";
+    bench.wait_calls("in-flight", "the ledger call", at_ledger).await;
+    stop(&mut bench, "entry-1").await;
+    assert_eq!(pending.told().await.to_string(), "200 answered");
+    load.wait_more(50).await;
+    load.finish().await;
+    check_tally(&bench);
+    bench.finish().await;
+}
+
+#[ntex::test]
+async fn a_stream_goes_on_to_its_end_mark_while_its_entry_stops() {
+    let slow_tokens = ["--token-ms", "400"];
+    let builder = Builder::default().pool_flags("generate", &slow_tokens);
+    let mut bench = Bench::start(builder).await;
+    let body = RequestBody { stream: true, ..fixture::request("streamed", "licence") };
+    let path = format!("/v1/pipelines/{CERTIFICATE}/requests");
+    let addr = bench.system.addr("entry-1").unwrap().to_owned();
+    let mut response = bench.system.http.open(&addr, &path, &body).await.unwrap();
+    let mut text = String::new();
+    while !text.contains("event: text") {
+        let piece = response.next().await.unwrap().unwrap();
+        text.push_str(std::str::from_utf8(&piece).unwrap());
+    }
+    bench.system.terminate("entry-1").unwrap();
+    while let Some(piece) = response.next().await {
+        text.push_str(std::str::from_utf8(&piece.unwrap()).unwrap());
+    }
+    assert_eq!(text.matches("event: answer").count(), 1, "{text}");
+    let expected = bench.system.expected(CERTIFICATE, "streamed", "licence").unwrap();
+    let output = serde_json::to_string(&expected).unwrap();
+    assert!(text.contains(&format!("\"output\":{output}")), "{text}");
+    let status = bench.system.process("entry-1").unwrap().wait(BOUND).await.unwrap();
+    assert_eq!(status.code(), Some(0));
+    bench.finish().await;
+}
+
+#[ntex::test]
+async fn entries_are_replaced_one_by_one_under_load() {
+    let mut bench = Bench::start(Builder::default().entries(3)).await;
+    let certificates = Load::start(&bench, CERTIFICATES).await;
+    let tickets = Load::start(&bench, TICKETS).await;
+    certificates.wait_more(50).await;
+    for entry in ["entry-1", "entry-2", "entry-3"] {
+        stop(&mut bench, entry).await;
+        bench.system.restart(entry).await.unwrap();
+        bench.system.wait_ready(entry).await.unwrap();
+        certificates.look_up(&bench);
+        tickets.look_up(&bench);
+        certificates.wait_more(50).await;
+        tickets.wait_more(20).await;
+    }
+    certificates.finish().await;
+    tickets.finish().await;
+    check_tally(&bench);
+    bench.finish().await;
+}
--- a/crates/testsuite/tests/testsuite/support.rs
+++ b/crates/testsuite/tests/testsuite/support.rs
@@ -31,7 +31,8 @@
     pub async fn start(builder: Builder) -> Bench {
         let place = Place::take();
         let system = builder.start().await.unwrap();
-        Bench { system, callers: Callers::default(), _place: place }
+        let callers = Callers::new(&system);
+        Bench { system, callers, _place: place }
     }
 
     /// Sends a request; it goes on by itself.
