--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -11,5 +11,6 @@
 mod pages;
 mod path;
 mod replies;
+mod settings_page;
 mod stop;
 mod support;
