Read a stream to its end without waiting for new records

An entry that was started again while others claimed refused every request that is not idempotent, for as long as the load lasted: it takes the claims stream as read only after a read that gives nothing, and each of its reads waited two seconds for a record, so under load each gave one. Ruled out: the claims' rule itself (horizon and coverage held).

Until the end is reached, reads do not wait.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -64,7 +64,7 @@
     },
     membership,
     model::{AppendId, CallerId, PipelineName, RequestId, TeamName},
-    record::{Offset, Snapshot},
+    record::{Offset, Snapshot, Stream},
 };
 
 /// One entry instance.
@@ -192,6 +192,16 @@
         self.fold.current()
     }
 
+    /// Whether a stream was once read to its end. Until then it should be read
+    /// without waiting for new records: only a read that gives none shows the
+    /// end, and under load a read that waits always gives some.
+    pub fn has_reached_end(&self, stream: Stream) -> bool {
+        match stream {
+            Stream::Config => self.fold.has_reached_end(),
+            Stream::Claims => self.claims.is_caught_up(),
+        }
+    }
+
     /// Events counted so far.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/crates/entry/src/platform_tasks.rs
+++ b/crates/entry/src/platform_tasks.rs
@@ -90,7 +90,9 @@
     let mut backoff = MIN_BACKOFF;
     loop {
         let from = driver.read_from(stream);
-        let range = log::Range { from, max: MAX_RECORDS, wait: POLL_WAIT };
+        let at_end = driver.with_machine(|machine| machine.has_reached_end(stream));
+        let wait = if at_end { POLL_WAIT } else { Duration::ZERO };
+        let range = log::Range { from, max: MAX_RECORDS, wait };
         let start = driver.now();
         match driver.clients.log.read(stream, range).await {
             Ok(batch) => {
