--- a/crates/core/src/instance/platform.rs
+++ b/crates/core/src/instance/platform.rs
@@ -78,6 +78,7 @@
     }
 
     pub(super) fn listed(&mut self, listing: &Listing) {
+        self.was_listed = true;
         self.members.listed(self.now, &listing.instances);
         let before = self.table.leaving_marks().len();
         let chooser = Chooser {
@@ -120,6 +121,9 @@
         if self.plan.is_none() && self.broken.is_none() {
             reasons.push("no configuration is known; publish one, or check the log".into());
         }
+        if !self.was_listed {
+            reasons.push("no endpoint is known; the platform's list was not read yet".into());
+        }
         if self.is_isolated() {
             reasons.push("neither the log nor a peer was heard lately; check the network".into());
         }
--- a/crates/test-support/src/http.rs
+++ b/crates/test-support/src/http.rs
@@ -14,6 +14,9 @@
 
 /// How long a call may take.
 const CALL_TIME: Duration = Duration::from_secs(60);
+/// More connections than a process can have. With the pool's own 0 for "no
+/// limit", requests that wait for a connection are never woken.
+const NO_LIMIT: usize = usize::MAX;
 /// The largest body that is read, in bytes.
 const MAX_BODY: usize = 256 << 20;
 
@@ -55,7 +58,7 @@
     /// A client of this thread.
     pub async fn new() -> Http {
         let client = Client::builder()
-            .connector::<()>(Connector::new().limit(0))
+            .connector::<()>(Connector::new().limit(NO_LIMIT))
             .disable_timeout()
             .disable_redirects()
             .build(SharedCfg::new("test"))
@@ -90,6 +93,25 @@
         self.send(request, Some(json(body)), &what("POST", addr, path)).await
     }
 
+    /// `POST` of a text as it is, with an operator's token if one is given,
+    /// whatever the status.
+    ///
+    /// # Errors
+    /// If there is no whole reply.
+    pub async fn post_text(
+        &self,
+        token: Option<&str>,
+        addr: &str,
+        path: &str,
+        body: String,
+    ) -> Result<Reply> {
+        let mut request = self.request(Method::POST, addr, path);
+        if let Some(token) = token {
+            request = request.bearer_auth(token);
+        }
+        self.send(request, Some(body), &what("POST", addr, path)).await
+    }
+
     /// `POST` of JSON with an operator's token, for JSON.
     ///
     /// # Errors
--- a/crates/test-support/src/processes.rs
+++ b/crates/test-support/src/processes.rs
@@ -23,7 +23,7 @@
     log::LogState,
 };
 use peatdeck_wire::{
-    admin::{EntryStatus, PublishBody, PublishReply},
+    admin::{DrainBody, DrainReply, EntryStatus, PublishBody, PublishReply},
     caller::RequestBody,
     platform::{AppendBody, AppendReply},
 };
@@ -43,6 +43,8 @@
 
 /// The operators' token of every system.
 pub const TOKEN: &str = "operators-token-for-tests";
+/// The first administration process.
+pub const ADMIN: &str = "admin";
 /// Who publishes.
 pub const AUTHOR: &str = "test";
 
@@ -55,7 +57,7 @@
     pub document: Document,
     log: Node,
     list: Node,
-    admin: Option<Node>,
+    admins: BTreeMap<String, Node>,
     endpoints: BTreeMap<String, Endpoint>,
     entries: BTreeMap<String, Entry>,
 }
@@ -145,19 +147,19 @@
     }
 
     fn node(&self, name: &str) -> Result<&Node> {
-        let fixed = [Some(&self.log), Some(&self.list), self.admin.as_ref()];
+        let fixed = [&self.log, &self.list].into_iter().chain(self.admins.values());
         let endpoints = self.endpoints.values().map(|endpoint| &endpoint.node);
         let entries = self.entries.values().map(|entry| &entry.node);
-        let mut nodes = fixed.into_iter().flatten().chain(endpoints).chain(entries);
+        let mut nodes = fixed.chain(endpoints).chain(entries);
         let found = nodes.find(|node| node.spec.name == name);
         found.ok_or_else(|| Error::Unknown(name.to_owned()))
     }
 
     fn node_mut(&mut self, name: &str) -> Result<&mut Node> {
-        let fixed = [Some(&mut self.log), Some(&mut self.list), self.admin.as_mut()];
+        let fixed = [&mut self.log, &mut self.list].into_iter().chain(self.admins.values_mut());
         let endpoints = self.endpoints.values_mut().map(|endpoint| &mut endpoint.node);
         let entries = self.entries.values_mut().map(|entry| &mut entry.node);
-        let mut nodes = fixed.into_iter().flatten().chain(endpoints).chain(entries);
+        let mut nodes = fixed.chain(endpoints).chain(entries);
         let found = nodes.find(|node| node.spec.name == name);
         found.ok_or_else(|| Error::Unknown(name.to_owned()))
     }
@@ -208,12 +210,48 @@
         base: Version,
         document: &Document,
     ) -> Result<PublishReply> {
-        let admin = self.admin.as_ref().ok_or(Error::NoAdmin)?;
+        self.publish_by(ADMIN, id, base, document).await
+    }
+
+    /// Publishes through one of several administration processes.
+    ///
+    /// # Errors
+    /// If there is no such process, or it does not accept.
+    pub async fn publish_by(
+        &self,
+        admin: &str,
+        id: &str,
+        base: Version,
+        document: &Document,
+    ) -> Result<PublishReply> {
+        let admin = self.admins.get(admin).ok_or(Error::NoAdmin)?;
         let document = Arc::new(document.clone());
         let body = PublishBody { id: id.into(), base, author: AUTHOR.into(), document };
         self.http.post_as(TOKEN, &admin.addr, "/v1/config/publish", &body).await
     }
 
+    /// Starts one more administration process.
+    ///
+    /// # Errors
+    /// If it does not start.
+    pub async fn add_admin(&mut self, name: &str) -> Result<()> {
+        let admin = builder::start_admin(self, name).await?;
+        self.admins.insert(name.to_owned(), admin);
+        Ok(())
+    }
+
+    /// Orders through the administration process that an endpoint gets no new
+    /// work.
+    ///
+    /// # Errors
+    /// If there is none, or it does not accept.
+    pub async fn drain(&self, endpoint: &str) -> Result<DrainReply> {
+        let admin = self.admins.get(ADMIN).ok_or(Error::NoAdmin)?;
+        let body = DrainBody { author: AUTHOR.into(), incarnation: None };
+        let path = format!("/v1/endpoints/{endpoint}/drain");
+        self.http.post_as(TOKEN, &admin.addr, &path, &body).await
+    }
+
     /// Appends a publish to the log, without anybody's check.
     ///
     /// # Errors
@@ -254,6 +292,15 @@
         self.http.put(&self.list.addr, "/control/faults", faults).await
     }
 
+    /// The offset of the next append to a stream of the log.
+    ///
+    /// # Errors
+    /// If the log cannot be reached.
+    pub async fn log_next(&self, stream: Stream) -> Result<u64> {
+        let state = self.log_state().await?;
+        Ok(state.streams.get(stream.name()).map_or(0, |stream| stream.next))
+    }
+
     /// Where the log stands.
     ///
     /// # Errors
@@ -293,21 +340,37 @@
         Ok(body.calls)
     }
 
-    /// Every call for one request, over all endpoints, with the endpoint's name.
+    /// Every call that every endpoint took in, with the endpoint's name.
     ///
     /// # Errors
     /// If an endpoint cannot be reached.
-    pub async fn calls_for(&self, id: &str) -> Result<Vec<(String, CallRecord)>> {
-        let key = fixture::key(id);
+    pub async fn all_calls(&self) -> Result<Vec<(String, CallRecord)>> {
         let mut found = Vec::new();
         for name in self.endpoints.keys() {
-            let calls = self.calls(name).await?;
-            let calls = calls.into_iter().filter(|call| call.echo.request == key);
+            let calls = self.calls(name).await?.into_iter();
             found.extend(calls.map(|call| (name.clone(), call)));
         }
         Ok(found)
     }
 
+    /// Whether a stage of the first document may be repeated.
+    pub fn is_repeatable(&self, stage: &str) -> bool {
+        let pipelines = self.document.pipelines.iter();
+        let mut stages = pipelines.flat_map(|pipeline| &pipeline.stages);
+        stages.find(|known| &*known.name == stage).is_none_or(|known| known.repeatable)
+    }
+
+    /// Every call for one request, over all endpoints, with the endpoint's name.
+    ///
+    /// # Errors
+    /// If an endpoint cannot be reached.
+    pub async fn calls_for(&self, id: &str) -> Result<Vec<(String, CallRecord)>> {
+        let key = fixture::key(id);
+        let mut calls = self.all_calls().await?;
+        calls.retain(|(_, call)| call.echo.request == key);
+        Ok(calls)
+    }
+
     /// The one right output of a pipeline of the first document.
     pub fn expected(&self, pipeline: &str, id: &str, input: &str) -> Option<String> {
         let pipeline = self.document.pipeline(pipeline)?;
