--- a/crates/core/src/instance/platform.rs
+++ b/crates/core/src/instance/platform.rs
@@ -8,6 +8,7 @@
     instance::{Append, Instance, action::Action, plan::Plan},
     model::{AppendId, Incarnation, Listing},
     record::{Batch, ConfigRecord, Stream, Version},
+    subset::{self, Chooser},
 };
 
 impl Instance {
@@ -77,9 +78,16 @@
     }
 
     pub(super) fn listed(&mut self, listing: &Listing) {
+        self.was_listed = true;
         self.members.listed(self.now, &listing.instances);
         let before = self.table.leaving_marks().len();
-        self.table.listed(self.now, &listing.endpoints);
+        let chooser = Chooser {
+            name: &self.identity.name,
+            data_centre: &self.identity.data_centre,
+            size: self.settings.subset,
+        };
+        let endpoints = subset::choose(chooser, &listing.endpoints);
+        self.table.listed(self.now, &endpoints);
         let after = self.table.leaving_marks().len();
         self.counters.leaving_learnt += after.saturating_sub(before) as u64;
     }
@@ -113,6 +121,9 @@
         if self.plan.is_none() && self.broken.is_none() {
             reasons.push("no configuration is known; publish one, or check the log".into());
         }
+        if !self.was_listed {
+            reasons.push("no endpoint is known; the platform's list was not read yet".into());
+        }
         if self.is_isolated() {
             reasons.push("neither the log nor a peer was heard lately; check the network".into());
         }
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -18,5 +18,6 @@
 mod queue;
 mod queue_states;
 mod routing;
+mod subset;
 mod timing;
 mod trace;
--- a/crates/testsuite/tests/testsuite/replay.rs
+++ b/crates/testsuite/tests/testsuite/replay.rs
@@ -118,7 +118,12 @@
         *event = json!("NotSent");
         cuts == 2
     };
-    check_cut_stream(change, expect![""]);
+    check_cut_stream(
+        change,
+        expect![[
+            r#"line 80: caller 30064771073 was told may have run (StageFailed, stage Some("ledger")); the replay tells nobody anything here"#
+        ]],
+    );
 }
 
 #[test]
@@ -127,5 +132,10 @@
         record["seed"] = json!(1);
         true
     };
-    check_cut_stream(change, expect![""]);
+    check_cut_stream(
+        change,
+        expect![
+            "line 47: caller 12884901889 was told answered (encode at encode-1 by 1, retrieve at retrieve-2 by 1, rerank at rerank-1 by 1, generate at generate-1 by 1; 85 bytes); the replay tells 12884901889: answered (encode at encode-2 by 1, retrieve at retrieve-1 by 1, rerank at rerank-2 by 1, generate at generate-1 by 1; 85 bytes)"
+        ],
+    );
 }
