Record refusals and a lost race of publishes as traces

A deliberate fault in the code, a refused call that counts as written, went unseen by the five traces: none had a request that was called and did not run. The trace `refused` has one, and `log-out` a publish that lost its race, with the version that must be in force.

--- a/crates/cli/tests/testsuite/replay.rs
+++ b/crates/cli/tests/testsuite/replay.rs
@@ -19,13 +19,13 @@
         "replay-same",
         TRACE,
         expect![[r#"
-        exit 0
-        CALLER       TEAM     REQUEST  CALLS  TOLD          REPLAY TELLS
-        4294967297   station  paid     0      may have run  may have run
-        12884901889  station  other    3      answered      answered
-        21474836481  station  read     4      answered      answered
-        entry-1: 69 inputs, 7 calls, 0 differences
-    "#]],
+            exit 0
+            CALLER       TEAM     REQUEST  CALLS  TOLD          REPLAY TELLS
+            4294967297   station  paid     0      may have run  may have run
+            12884901889  station  other    3      answered      answered
+            21474836481  station  read     4      answered      answered
+            entry-1: 44 inputs, 7 calls, 0 differences
+        "#]],
     )
     .await;
 }
@@ -39,8 +39,8 @@
         4294967297   station  paid     0      may have run  may have run
         12884901889  station  other    3      answered      answered
         21474836481  station  read     4      answered      answered
-        line 37: caller 4294967297 was told may have run (TimedOut, stage None); the replay tells 4294967297: may have run (ClaimedElsewhere, stage None)
-        entry-1: 69 inputs, 7 calls, 1 differences
+        line 12: caller 4294967297 was told may have run (TimedOut, stage None); the replay tells 4294967297: may have run (ClaimedElsewhere, stage None)
+        entry-1: 44 inputs, 7 calls, 1 differences
     "#]]).await;
 }
 
--- a/crates/core/src/trace.rs
+++ b/crates/core/src/trace.rs
@@ -32,6 +32,7 @@
         settings::Settings,
     },
     model::{CallerId, Outcome, RequestId, StageName},
+    record::Version,
 };
 
 /// Version of the format that is written, and the only one that is read.
@@ -103,6 +104,11 @@
         /// The most calls.
         most: u32,
     },
+    /// That version is in force at the end.
+    InForce {
+        /// The version.
+        version: Version,
+    },
 }
 
 /// The kinds of outcome.
--- a/crates/core/src/trace/replay.rs
+++ b/crates/core/src/trace/replay.rs
@@ -231,6 +231,11 @@
                 let stated = format!("{least} to {most} calls for {}", key.id);
                 (stated, format!("{calls}"), (*least..=*most).contains(&calls))
             }
+            Expect::InForce { version } => {
+                let found = self.instance.in_force().map_or(0, |snapshot| snapshot.version);
+                let stated = format!("version {version} is in force at the end");
+                (stated, format!("version {found}"), found == *version)
+            }
         };
         if !is_met {
             self.found(Fault::Unmet { stated, found });
--- a/crates/testsuite/examples/record.rs
+++ b/crates/testsuite/examples/record.rs
@@ -32,6 +32,7 @@
     log_out(folder).await;
     cut_stream(folder).await;
     wrong_echo(folder).await;
+    refused(folder).await;
     drain(folder).await;
 }
 
@@ -74,10 +75,15 @@
     .await;
 }
 
-/// The log is out for a while.
+/// A second version is published, and one that lost the race; then the log is
+/// out for a while.
 async fn log_out(folder: &Path) {
     record(folder, "log-out", Builder::default().entries(1), async |system| {
         tell(system, TICKET, &fixture::once("before", "input")).await;
+        let document = system.document.clone();
+        system.append_publish("second", 1, &document).await.unwrap();
+        system.append_publish("late", 1, &document).await.unwrap();
+        system.wait_version(2).await.unwrap();
         let out = LogFaults { outage: true, ..Default::default() };
         system.set_log_faults(&out).await.unwrap();
         let body = RequestBody { deadline_ms: SHORT_MS, ..fixture::once("during", "input") };
@@ -130,6 +136,25 @@
     .await;
 }
 
+/// Every endpoint of a pool refuses, or is gone.
+async fn refused(folder: &Path) {
+    record(folder, "refused", Builder::default().entries(1), async |system| {
+        let busy = EndpointFaults { refuse: Some(RefuseReason::Busy), ..Default::default() };
+        system.set_pool_faults("encode", &busy).await.unwrap();
+        let body = RequestBody { deadline_ms: SHORT_MS, ..fixture::request("read", "input") };
+        tell(system, CERTIFICATE, &body).await;
+        let body = RequestBody { deadline_ms: SHORT_MS, ..fixture::once("paid", "input") };
+        tell(system, TICKET, &body).await;
+        system.set_pool_faults("encode", &EndpointFaults::default()).await.unwrap();
+        tell(system, TICKET, &RequestBody { repeat: true, ..fixture::once("paid", "input") }).await;
+        system.kill("rerank-1").unwrap();
+        system.kill("rerank-2").unwrap();
+        let body = RequestBody { deadline_ms: SHORT_MS, ..fixture::request("late", "input") };
+        tell(system, CERTIFICATE, &body).await;
+    })
+    .await;
+}
+
 /// Endpoints leave, by the list and by their own word, then the entry stops.
 async fn drain(folder: &Path) {
     record(folder, "drain", Builder::default().entries(1), async |system| {
--- a/crates/testsuite/tests/testsuite/replay.rs
+++ b/crates/testsuite/tests/testsuite/replay.rs
@@ -64,11 +64,12 @@
         })
         .collect();
     expect![[r#"
-        cut-stream: 80 inputs, 5 callers, 16 calls, 8 stated
-        drain: 228 inputs, 13 callers, 44 calls, 16 stated
-        killed-neighbour: 69 inputs, 3 callers, 7 calls, 6 stated
-        log-out: 107 inputs, 9 callers, 10 calls, 10 stated
-        wrong-echo: 88 inputs, 5 callers, 21 calls, 6 stated"#]]
+        cut-stream: 69 inputs, 5 callers, 16 calls, 8 stated
+        drain: 218 inputs, 13 callers, 44 calls, 16 stated
+        killed-neighbour: 44 inputs, 3 callers, 7 calls, 6 stated
+        log-out: 103 inputs, 9 callers, 10 calls, 11 stated
+        refused: 107 inputs, 4 callers, 26 calls, 6 stated
+        wrong-echo: 78 inputs, 5 callers, 21 calls, 6 stated"#]]
     .assert_eq(&seen.join("\n"));
 }
 
@@ -121,7 +122,7 @@
     check_cut_stream(
         change,
         expect![[
-            r#"line 80: caller 30064771073 was told may have run (StageFailed, stage Some("ledger")); the replay tells nobody anything here"#
+            r#"line 70: caller 30064771073 was told may have run (StageFailed, stage Some("ledger")); the replay tells nobody anything here"#
         ]],
     );
 }
