--- a/crates/core/src/trace/replay.rs
+++ b/crates/core/src/trace/replay.rs
@@ -257,7 +257,9 @@
     match outcome {
         Outcome::Answered(answer) => {
             let stages = answer.stages.iter();
-            let stages = stages.map(|s| format!("{} at {} by {}", s.stage, s.endpoint, s.attempts));
+            let stages = stages.map(|s| {
+                format!("{} at {} by {} in {:?}", s.stage, s.endpoint, s.attempts, s.took)
+            });
             let bytes = answer.output.len();
             format!("answered ({}; {bytes} bytes)", stages.collect::<Vec<_>>().join(", "))
         }
