Wait longer for a winner's answer, and say whether asking again helps

On a machine under heavy load a repeat was told already_finished after 1 s where the winner lived and had the answer: the exchange's bound, not the winner, was at fault. The bounds are 5 s for the question and 3 s for an exchange; the request's own deadline still ends it sooner. A loser is given a time to come back while the winner's life is taken for alive, and none otherwise.

--- a/crates/core/src/instance/claiming.rs
+++ b/crates/core/src/instance/claiming.rs
@@ -11,7 +11,7 @@
     instance::{
         Append, Instance,
         action::Action,
-        admit::{doubt, in_progress, key_reused, refused},
+        admit::{RETRY_IN_PROGRESS, doubt, in_progress, key_reused, refused},
         held::{Claim, ClaimState, RequestKey},
         input::PeerOutcome,
         timers::Timer,
@@ -73,7 +73,8 @@
         let addr = self.members.addr(&holder.instance);
         let same = holder.instance == self.identity.name;
         let Some(addr) = addr.filter(|_| !same) else {
-            return self.lose(key, unreachable_winner(holder.finished.is_some()));
+            let outcome = self.winner_unknown(holder);
+            return self.lose(key, outcome);
         };
         let id = self.held[key].request.id.clone();
         if let Some(claim) = &mut self.held[key].claim {
@@ -91,7 +92,7 @@
         let outcome = match answer {
             Some(PeerOutcome::Finished(outcome)) => outcome,
             Some(PeerOutcome::Running) => in_progress(),
-            Some(PeerOutcome::Unknown) | None => self.winner_unknown(id),
+            Some(PeerOutcome::Unknown) | None => self.winner_silent(id),
         };
         self.lose(key, outcome);
     }
@@ -101,7 +102,7 @@
             return;
         }
         let id = self.held[key].request.id.clone();
-        let outcome = self.winner_unknown(&id);
+        let outcome = self.winner_silent(&id);
         self.lose(key, outcome);
     }
 
@@ -110,9 +111,20 @@
         claim.is_some_and(|claim| claim.state == ClaimState::Lost)
     }
 
-    fn winner_unknown(&self, id: &RequestId) -> Outcome {
-        let finished = self.claims.holder(id).is_some_and(|holder| holder.finished.is_some());
-        unreachable_winner(finished)
+    fn winner_silent(&self, id: &RequestId) -> Outcome {
+        match self.claims.holder(id) {
+            Some(holder) => self.winner_unknown(holder),
+            None => in_progress(),
+        }
+    }
+
+    /// What a loser says that the winner did not answer. Asking again helps
+    /// only while that life of the winner may still answer.
+    fn winner_unknown(&self, holder: &claims::Holder) -> Outcome {
+        let finished = holder.finished.is_some();
+        let kind = if finished { DoubtKind::AlreadyFinished } else { DoubtKind::ClaimedElsewhere };
+        let lives = self.members.lives(self.now, &holder.instance, holder.incarnation);
+        doubt(kind, None, lives.then_some(RETRY_IN_PROGRESS))
     }
 
     /// Ends a request that does not hold its claim.
@@ -153,11 +165,6 @@
     }
 }
 
-fn unreachable_winner(finished: bool) -> Outcome {
-    let kind = if finished { DoubtKind::AlreadyFinished } else { DoubtKind::ClaimedElsewhere };
-    doubt(kind, None, None)
-}
-
 impl claims::UnreadyKind {
     /// What a caller is told.
     pub fn refusal(self) -> RefusalKind {
--- a/crates/core/src/instance/settings.rs
+++ b/crates/core/src/instance/settings.rs
@@ -44,7 +44,7 @@
             isolation: Duration::from_secs(5),
             grace: Duration::from_secs(2),
             settle: Duration::from_secs(5),
-            ask: Duration::from_secs(1),
+            ask: Duration::from_secs(5),
             finished: 4096,
             limit: 64,
             subset: 20,
--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -13,7 +13,7 @@
         peer::Peer,
         spread::{self, EndpointSpread, LeavingSpread},
     },
-    model::{InstanceEntry, InstanceName, Presence},
+    model::{Incarnation, InstanceEntry, InstanceName, Presence},
     record::{Snapshot, Version},
 };
 
@@ -173,6 +173,12 @@
         self.alive_peers(now).map(|peer| peer.name.clone()).collect()
     }
 
+    /// Whether that life of a peer is taken for alive.
+    pub fn lives(&self, now: Duration, peer: &str, incarnation: Incarnation) -> bool {
+        let mut alive = self.alive_peers(now);
+        alive.any(|known| *known.name == *peer && known.state.incarnation == incarnation)
+    }
+
     /// Where a peer listens, if the list has told.
     pub fn addr(&self, peer: &str) -> Option<Arc<str>> {
         let key = self.by_name.get(peer)?;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -26,7 +26,7 @@
 use crate::driver::Driver;
 
 /// Time for one exchange with a peer, making the connection included.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time that the machine has to answer a peer's question.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// A connection that was not used for longer is closed.
