Check settings in one place

The entry and the administration process each had their own checks of addresses, numbers, names and log formats, with other words and other gaps: the administration process stopped at a missing address before it looked at the rest, and took no http://.

peatdeck_util::settings now reads flags as text, checks them one by one and reports all problems at once with their remedies. Both processes, the command line and the stand-ins take ip:port and http://ip:port alike.

--- a/crates/admin/src/context.rs
+++ b/crates/admin/src/context.rs
@@ -4,6 +4,7 @@
 
 use ntex::client;
 use peatdeck_core::check;
+use peatdeck_macros::data;
 use peatdeck_platform::{http, list, log};
 use peatdeck_util::{
     clock::{Clock, SystemClock},
@@ -47,7 +48,8 @@
 }
 
 /// How long things may take.
-#[derive(Debug, Clone, Copy)]
+#[data]
+#[derive(Copy)]
 pub struct Bounds {
     /// One append.
     pub append: Duration,
--- a/crates/admin/src/main.rs
+++ b/crates/admin/src/main.rs
@@ -6,9 +6,9 @@
 
 #[ntex::main]
 async fn main() -> miette::Result<()> {
-    let raw = settings::options().run();
+    let flags = settings::options().run();
     let token = std::env::var(settings::TOKEN_VARIABLE).ok();
-    let settings = settings::check(raw, token)?;
+    let settings = settings::check(&flags, token)?;
     logging::start(settings.log_format, &settings.log_filter);
     let listener = server::bind(settings.listen)
         .into_diagnostic()
--- a/crates/admin/src/settings.rs
+++ b/crates/admin/src/settings.rs
@@ -4,36 +4,46 @@
 //! start reports all problems. The token comes from the environment only: a
 //! flag would show in the list of processes.
 
-use std::{net::SocketAddr, str::FromStr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bpaf::{OptionParser, Parser, construct, long};
-use peatdeck_util::logging;
+use bpaf::{OptionParser, Parser, construct};
+use peatdeck_macros::data;
+use peatdeck_util::{
+    logging,
+    settings::{Check, Problems, text},
+};
 
 use crate::{auth::MIN_TOKEN_BYTES, context::Bounds};
 
 /// The environment variable that holds the operators' token.
 pub const TOKEN_VARIABLE: &str = "PEATDECK_ADMIN_TOKEN";
-/// The longest wait for the instances that may be set.
-const MAX_IN_FORCE: Duration = Duration::from_secs(60);
-
-/// Log filter where none is set. The HTTP library logs each of its steps as
-/// info; they are not changes of state.
-const DEFAULT_FILTER: &str = "info,ntex_net=warn,ntex_rt=warn,ntex_server=warn,ntex_service=warn";
-
-/// Settings as they are given, unchecked.
-#[derive(Debug, Clone)]
-pub struct Raw {
-    listen: String,
-    log: String,
-    list: String,
-    in_force_ms: String,
-    statsd: Option<String>,
-    log_format: String,
-    log_filter: String,
+/// Where operators connect, where nothing is set.
+const DEFAULT_LISTEN: &str = "127.0.0.1:7300";
+/// The longest wait for the instances that may be set, in milliseconds.
+const MAX_IN_FORCE_MS: u64 = 60_000;
+
+/// What the command line and the environment say, as text.
+#[data]
+#[derive(Default)]
+pub struct Flags {
+    /// Where operators connect.
+    pub listen: Option<String>,
+    /// The log's address.
+    pub log: Option<String>,
+    /// The list's address.
+    pub list: Option<String>,
+    /// How long a publish waits for the instances.
+    pub in_force_ms: Option<String>,
+    /// Where metrics go.
+    pub statsd: Option<String>,
+    /// How log lines are written.
+    pub log_format: Option<String>,
+    /// Which log lines are written.
+    pub log_filter: Option<String>,
 }
 
 /// Settings that were checked.
-#[derive(Debug, Clone)]
+#[data]
 pub struct Settings {
     /// Where to listen.
     pub listen: SocketAddr,
@@ -53,64 +63,37 @@
     pub log_filter: String,
 }
 
-/// One setting that is wrong.
-#[derive(Debug, thiserror::Error, miette::Diagnostic)]
-#[error("{setting}: {message}")]
-#[diagnostic(help("{remedy}"))]
-pub struct Problem {
-    setting: &'static str,
-    message: String,
-    remedy: String,
-}
-
-/// Every setting that is wrong.
-#[derive(Debug, thiserror::Error, miette::Diagnostic)]
-#[error("{} setting(s) are wrong; nothing was started", .problems.len())]
-pub struct Problems {
-    #[related]
-    problems: Vec<Problem>,
-}
-
 /// The command line.
-pub fn options() -> OptionParser<Raw> {
-    let listen = long("listen")
-        .env("PEATDECK_LISTEN")
-        .help("Address to serve operators on")
-        .argument::<String>("IP:PORT")
-        .fallback("127.0.0.1:7300".to_owned())
-        .display_fallback();
-    let log = long("log")
-        .env("PEATDECK_LOG")
-        .help("Address of the platform's log")
-        .argument::<String>("IP:PORT");
-    let list = long("list")
-        .env("PEATDECK_LIST")
-        .help("Address of the platform's list")
-        .argument::<String>("IP:PORT");
-    let in_force_ms = long("in-force-ms")
-        .env("PEATDECK_IN_FORCE_MS")
-        .help("How long a publish waits for the instances to have it in force, in milliseconds")
-        .argument::<String>("MS")
-        .fallback("8000".to_owned())
-        .display_fallback();
-    let statsd = long("statsd")
-        .env("PEATDECK_STATSD")
-        .help("Where metrics are sent over UDP; nowhere if not given")
-        .argument::<String>("IP:PORT")
-        .optional();
-    let log_format = long("log-format")
-        .env("PEATDECK_LOG_FORMAT")
-        .help("How log lines are written: text or json")
-        .argument::<String>("FORMAT")
-        .fallback("text".to_owned())
-        .display_fallback();
-    let log_filter = long("log-filter")
-        .env("PEATDECK_LOG_FILTER")
-        .help("Which log lines are written, such as `peatdeck_admin=debug,warn`")
-        .argument::<String>("FILTER")
-        .fallback(DEFAULT_FILTER.to_owned())
-        .display_fallback();
-    construct!(Raw { listen, log, list, in_force_ms, statsd, log_format, log_filter })
+pub fn options() -> OptionParser<Flags> {
+    let listen = text(
+        "listen",
+        "PEATDECK_LISTEN",
+        "IP:PORT",
+        "Address to serve operators on [default: 127.0.0.1:7300]",
+    );
+    let log = text("log", "PEATDECK_LOG", "IP:PORT", "Address of the platform's log");
+    let list = text("list", "PEATDECK_LIST", "IP:PORT", "Address of the platform's list");
+    let in_force_ms = text(
+        "in-force-ms",
+        "PEATDECK_IN_FORCE_MS",
+        "MS",
+        "How long a publish waits for the instances to have it in force, in milliseconds [default: 8000]",
+    );
+    let statsd = text(
+        "statsd",
+        "PEATDECK_STATSD",
+        "IP:PORT",
+        "Where metrics are sent over UDP [default: nowhere]",
+    );
+    let log_format =
+        text("log-format", "PEATDECK_LOG_FORMAT", "FORMAT", "`text` or `json` [default: text]");
+    let log_filter = text(
+        "log-filter",
+        "PEATDECK_LOG_FILTER",
+        "FILTER",
+        "Which log lines are written, such as `peatdeck_admin=debug,warn` [default: info, less of the HTTP library]",
+    );
+    construct!(Flags { listen, log, list, in_force_ms, statsd, log_format, log_filter })
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Administration API of peatdeck: publish, history, drain, status.")
@@ -124,72 +107,37 @@
 ///
 /// # Errors
 /// [`Problems`] with everything that is wrong.
-pub fn check(raw: Raw, token: Option<String>) -> Result<Settings, Problems> {
-    let mut problems = Vec::new();
-    let listen = keep(&mut problems, address("--listen", &raw.listen));
-    let log = keep(&mut problems, address("--log", &raw.log));
-    let list = keep(&mut problems, address("--list", &raw.list));
-    let statsd = raw.statsd.as_deref().map(|text| address("--statsd", text)).transpose();
-    let statsd = keep(&mut problems, statsd);
-    let in_force = keep(&mut problems, in_force(&raw.in_force_ms));
-    let log_format = keep(&mut problems, log_format(&raw.log_format));
-    let token = keep(&mut problems, check_token(token));
-    let (Some(listen), Some(log), Some(list), Some(statsd)) = (listen, log, list, statsd) else {
-        return Err(Problems { problems });
-    };
-    let (Some(in_force), Some(log_format), Some(token)) = (in_force, log_format, token) else {
-        return Err(Problems { problems });
+pub fn check(flags: &Flags, token: Option<String>) -> Result<Settings, Problems> {
+    let mut check = Check::new("peatdeck-admin");
+    let default = Bounds::default();
+    let settings = Settings {
+        listen: check.addr("--listen", Some(flags.listen.as_deref().unwrap_or(DEFAULT_LISTEN))),
+        log: check.remote("--log", flags.log.as_deref()),
+        list: check.remote("--list", flags.list.as_deref()),
+        statsd: flags.statsd.as_deref().map(|text| check.addr("--statsd", Some(text))),
+        bounds: Bounds {
+            in_force: Duration::from_millis(check.number(
+                "--in-force-ms",
+                flags.in_force_ms.as_deref(),
+                u64::try_from(default.in_force.as_millis()).unwrap_or(MAX_IN_FORCE_MS),
+                0..=MAX_IN_FORCE_MS,
+            )),
+            ..default
+        },
+        log_format: check.format("--log-format", flags.log_format.as_deref()),
+        log_filter: flags.log_filter.clone().unwrap_or_else(|| logging::DEFAULT_FILTER.to_owned()),
+        token: check_token(&mut check, token),
     };
-    Ok(Settings {
-        listen,
-        log: log.to_string().into(),
-        list: list.to_string().into(),
-        token: token.into(),
-        bounds: Bounds { in_force, ..Bounds::default() },
-        statsd,
-        log_format,
-        log_filter: raw.log_filter,
-    })
-}
-
-fn keep<T>(problems: &mut Vec<Problem>, checked: Result<T, Problem>) -> Option<T> {
-    checked.map_err(|problem| problems.push(problem)).ok()
-}
-
-fn address(setting: &'static str, text: &str) -> Result<SocketAddr, Problem> {
-    SocketAddr::from_str(text).map_err(|_| Problem {
-        setting,
-        message: format!("`{text}` is not an IP address with a port"),
-        remedy: "give it as IP:PORT, such as 10.0.0.5:7100".to_owned(),
-    })
-}
-
-fn in_force(text: &str) -> Result<Duration, Problem> {
-    let parsed = text.parse().map(Duration::from_millis).ok();
-    parsed.filter(|wait| *wait <= MAX_IN_FORCE).ok_or_else(|| Problem {
-        setting: "--in-force-ms",
-        message: format!(
-            "`{text}` is not a number of milliseconds up to {}",
-            MAX_IN_FORCE.as_millis()
-        ),
-        remedy: "give a whole number, such as 8000".to_owned(),
-    })
-}
-
-fn log_format(text: &str) -> Result<logging::Format, Problem> {
-    text.parse().map_err(|_| Problem {
-        setting: "--log-format",
-        message: format!("unknown log format `{text}`"),
-        remedy: "use text or json".to_owned(),
-    })
+    check.finish(settings)
 }
 
-fn check_token(token: Option<String>) -> Result<String, Problem> {
+fn check_token(check: &mut Check, token: Option<String>) -> Arc<str> {
     let message = match token {
-        Some(token) if token.len() >= MIN_TOKEN_BYTES => return Ok(token),
+        Some(token) if token.len() >= MIN_TOKEN_BYTES => return token.into(),
         Some(_) => format!("the token has fewer than {MIN_TOKEN_BYTES} bytes"),
         None => "no token is set, and without one anybody could publish".to_owned(),
     };
     let remedy = "set it to a long random text, such as the output of `openssl rand -hex 32`";
-    Err(Problem { setting: TOKEN_VARIABLE, message, remedy: remedy.to_owned() })
+    check.report(TOKEN_VARIABLE, message, remedy);
+    Arc::from("")
 }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands: a file each, its flags beside what it does.
 
 use bpaf::{Parser, construct, long};
+use peatdeck_util::settings;
 
 use crate::{error::Error, ops::client, shell::Format, shell::Shell};
 
@@ -24,9 +25,9 @@
 pub fn admin() -> impl Parser<String> {
     let admin = long("admin")
         .env("PEATDECK_ADMIN")
-        .help("Where peatdeck-admin is, such as http://10.0.0.7:7300")
+        .help("Where peatdeck-admin is, such as http://10.0.0.7:7300 or 10.0.0.7:7300")
         .argument::<String>("URL")
-        .parse(admin_url);
+        .parse(|text| settings::base_url(&text));
     construct!(admin)
 }
 
@@ -46,10 +47,3 @@
     let token = shell.token.clone().ok_or(Error::NoToken)?;
     client::Client::new(client::Remote { admin: admin.to_owned(), token }).await
 }
-
-fn admin_url(url: String) -> Result<String, String> {
-    if !url.starts_with("http://") {
-        return Err(format!("`{url}` does not start with http://; give it as http://IP:PORT"));
-    }
-    Ok(url.trim_end_matches('/').to_owned())
-}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -15,16 +15,15 @@
     model::Incarnation,
 };
 use peatdeck_macros::data;
-use peatdeck_util::logging;
+use peatdeck_util::{
+    logging,
+    settings::{Check, Problems},
+};
 
 mod check;
 mod flags;
 
-use self::check::Check;
-pub use self::{
-    check::{Problem, Problems},
-    flags::{Flags, parser},
-};
+pub use self::flags::{Flags, parser};
 
 /// The largest value of `--max-body`.
 const MAX_MAX_BODY: usize = 64 << 20;
@@ -52,9 +51,6 @@
 const DEFAULT_IDLE_SECONDS: u16 = 30;
 /// Time to connect to an endpoint, in milliseconds, where none is set.
 const DEFAULT_CONNECT_MS: u64 = 1_000;
-/// Log filter where none is set. The HTTP library logs each of its steps as
-/// info; they are not changes of state of the instance.
-const DEFAULT_FILTER: &str = "info,ntex_net=warn,ntex_rt=warn,ntex_server=warn,ntex_service=warn";
 
 /// Checked settings.
 #[data]
@@ -102,7 +98,7 @@
     /// # Errors
     /// [`Problems`] with every setting that is wrong, not only the first.
     pub fn check(&self) -> Result<Settings, Problems> {
-        let mut check = Check::default();
+        let mut check = Check::new("peatdeck-entry");
         let settings = Settings {
             identity: Identity {
                 name: check.name("--name", self.name.as_deref()),
@@ -152,14 +148,11 @@
             )),
             instance: self.instance(&mut check),
             statsd: self.statsd.as_deref().map(|text| check.addr("--statsd", Some(text))),
-            log_format: check.format(self.log_format.as_deref()),
-            log_filter: self.log_filter.clone().unwrap_or_else(|| DEFAULT_FILTER.to_owned()),
+            log_format: check.format("--log-format", self.log_format.as_deref()),
+            log_filter: self.log_filter.clone().unwrap_or_else(default_filter),
         };
-        check.distinct(&settings);
-        match check.problems.is_empty() {
-            true => Ok(settings),
-            false => Err(Problems { problems: check.problems }),
-        }
+        check::distinct(&mut check, &settings);
+        check.finish(settings)
     }
 
     fn instance(&self, check: &mut Check) -> instance::settings::Settings {
@@ -173,7 +166,7 @@
             ))
         };
         instance::settings::Settings {
-            decisions: check.decisions(self.decisions.as_deref(), self.without.as_deref()),
+            decisions: check::decisions(check, self.decisions.as_deref(), self.without.as_deref()),
             retention: seconds(check, "--retention", &self.retention, default.retention),
             horizon: seconds(check, "--horizon", &self.horizon, default.horizon),
             grace: Duration::from_millis(check.number(
@@ -187,6 +180,10 @@
     }
 }
 
+fn default_filter() -> String {
+    logging::DEFAULT_FILTER.to_owned()
+}
+
 fn wall_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
--- a/crates/entry/src/settings/flags.rs
+++ b/crates/entry/src/settings/flags.rs
@@ -1,7 +1,8 @@
 //! The command line and the environment, as text.
 
-use bpaf::{OptionParser, Parser, construct, long};
+use bpaf::{OptionParser, Parser, construct};
 use peatdeck_macros::data;
+use peatdeck_util::settings::text;
 
 /// What the command line and the environment say, as text.
 #[data]
@@ -168,12 +169,3 @@
     \n    peatdeck-entry --name entry-1 --data-centre north --listen 10.0.0.5:8080 \\
         --peer-listen 10.0.0.5:8081 --log 10.0.1.1:7000 --list 10.0.1.1:7001
     PEATDECK_NAME=entry-1 PEATDECK_LOG=10.0.1.1:7000 … peatdeck-entry --log-format json";
-
-fn text(
-    flag: &'static str,
-    variable: &'static str,
-    value: &'static str,
-    help: &'static str,
-) -> impl Parser<Option<String>> {
-    long(flag).env(variable).help(help).argument::<String>(value).optional()
-}
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -4,6 +4,7 @@
 
 use bpaf::{Bpaf, OptionParser, Parser};
 use peatdeck_macros::data;
+use peatdeck_util::settings;
 
 use crate::{endpoint, list, log};
 
@@ -82,7 +83,8 @@
     bpaf::long("listen")
         .env("PEATDECK_LISTEN")
         .help("Where to listen; port 0 takes a free one, printed as `listening IP:PORT`")
-        .argument("IP:PORT")
+        .argument::<String>("IP:PORT")
+        .parse(|text| settings::address(&text))
         .fallback(SocketAddr::from(([127, 0, 0, 1], 0)))
         .display_fallback()
 }
--- a/crates/util/src/lib.rs
+++ b/crates/util/src/lib.rs
@@ -3,7 +3,9 @@
 //! - [`clock`]: time, passed in as an interface.
 //! - [`logging`]: structured logs, as text or JSON.
 //! - [`metrics`]: counters, gauges and timings over UDP.
+//! - [`settings`]: flags and environment variables, checked as a whole.
 
 pub mod clock;
 pub mod logging;
 pub mod metrics;
+pub mod settings;
--- a/crates/util/src/logging.rs
+++ b/crates/util/src/logging.rs
@@ -10,6 +10,11 @@
 
 use tracing_subscriber::{EnvFilter, fmt};
 
+/// Log filter where none is set. The HTTP library logs each of its steps as
+/// info; they are not changes of state of the process.
+pub const DEFAULT_FILTER: &str =
+    "info,ntex_net=warn,ntex_rt=warn,ntex_server=warn,ntex_service=warn";
+
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Format {
