Read the administration process's address from its first line

It has printed it since it learnt to listen on port 0, but the fixture and the load tool still looked for a free port first, which another process could take in between.

--- a/crates/load/src/launch.rs
+++ b/crates/load/src/launch.rs
@@ -4,7 +4,7 @@
 //! told of all of them, the configuration is published, and the launch is
 //! done when every entry has it in force and is ready.
 
-use std::{net::TcpListener, path::PathBuf, sync::Arc, thread, time::Duration};
+use std::{path::PathBuf, sync::Arc, thread, time::Duration};
 
 use peatdeck_core::{
     document::PoolKind,
@@ -139,14 +139,11 @@
         .args(["--batch-cost", &service.batch_cost.to_string()])
 }
 
-/// The administration process does not say where it listens: it gets a port
-/// that was free just now.
 fn start_admin(processes: &mut Processes, log: &str, list: &str) -> error::Result<Admin> {
-    let addr = free_addr()?;
     let spec = Spec::new("admin", "peatdeck-admin")
-        .args(["--listen", &addr, "--log", log, "--list", list])
+        .args(["--listen", ANY_PORT, "--log", log, "--list", list])
         .env("PEATDECK_ADMIN_TOKEN", TOKEN);
-    processes.start_silent(&spec)?;
+    let addr = processes.start(&spec)?;
     let admin = Admin { url: url(&addr), token: TOKEN.into() };
     wait_for(&[format!("{}/readyz", admin.url)])?;
     Ok(admin)
@@ -181,13 +178,6 @@
     Ok((entry, instance))
 }
 
-fn free_addr() -> error::Result<String> {
-    let listener = TcpListener::bind(ANY_PORT);
-    let addr = listener.and_then(|listener| listener.local_addr());
-    let addr = addr.map_err(|err| error::Error::Start(format!("there is no free port: {err}")))?;
-    Ok(addr.to_string())
-}
-
 fn publish(preset: &Preset, admin: &Admin) -> error::Result<PublishReply> {
     let body = PublishBody {
         id: tag::fresh(),
--- a/crates/load/src/processes.rs
+++ b/crates/load/src/processes.rs
@@ -41,7 +41,8 @@
     /// # Errors
     /// If it does not start, or does not say where it listens in time.
     pub fn start(&mut self, spec: &Spec) -> error::Result<String> {
-        let process = self.start_silent(spec)?;
+        let process = Process::start(spec).map_err(failed)?;
+        let process = self.running.entry(spec.name.clone()).insert_entry(process).into_mut();
         process.line(LISTENING).map_err(failed)
     }
 
@@ -55,15 +56,6 @@
         process.line(PEERS).map_err(failed)
     }
 
-    /// Starts a process that was told where to listen.
-    ///
-    /// # Errors
-    /// If it does not start.
-    pub fn start_silent(&mut self, spec: &Spec) -> error::Result<&mut Process> {
-        let process = Process::start(spec).map_err(failed)?;
-        Ok(self.running.entry(spec.name.clone()).insert_entry(process).into_mut())
-    }
-
     /// The id of a process.
     pub fn id(&self, name: &str) -> Option<u32> {
         self.running.get(name).map(Process::id)
--- a/crates/test-support/src/processes/builder.rs
+++ b/crates/test-support/src/processes/builder.rs
@@ -1,6 +1,6 @@
 //! Settings of a system of processes, and its start.
 
-use std::{collections::BTreeMap, io, net::TcpListener, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc};
 
 use peatdeck_core::document::{Document, Pool, PoolKind};
 
@@ -8,13 +8,7 @@
     System, TOKEN,
     node::{Endpoint, Entry, Node},
 };
-use crate::{
-    error::{Error, Result},
-    fixture,
-    http::Http,
-    process::{Process, Spec},
-    wait::{self, BOUND},
-};
+use crate::{error::Result, fixture, http::Http, process::Spec};
 
 /// The binary of all stand-ins.
 const STANDIN: &str = "peatdeck-standin";
@@ -134,7 +128,7 @@
         system.entries = self.start_entries(&system)?;
         system.tell_list().await?;
         if self.has_admin {
-            system.admin = Some(start_admin(&system).await?);
+            system.admin = Some(start_admin(&system)?);
         }
         self.publish(&system).await?;
         for name in system.entries.keys() {
@@ -199,22 +193,12 @@
     }
 }
 
-/// The administration process does not print the port that it was given, so
-/// it gets one that was free just now.
-async fn start_admin(system: &System) -> Result<Node> {
-    let addr = free_addr().map_err(|source| Error::Process { name: "admin".to_owned(), source })?;
+fn start_admin(system: &System) -> Result<Node> {
     let spec = Spec::new("admin", "peatdeck-admin")
-        .args(["--listen", &addr, "--log", &system.log.addr, "--list", &system.list.addr])
+        .args(["--listen", "127.0.0.1:0"])
+        .args(["--log", &system.log.addr, "--list", &system.list.addr])
         .env("PEATDECK_ADMIN_TOKEN", TOKEN);
-    let process = Process::start(&spec)?;
-    let look = async || system.http.get(&addr, "/livez").await.ok();
-    wait::until("the administration process", BOUND, look).await?;
-    Ok(Node { spec, process, addr })
-}
-
-fn free_addr() -> io::Result<String> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    Ok(listener.local_addr()?.to_string())
+    Node::start(spec)
 }
 
 fn owned<'a>(flags: &'a [&str]) -> impl Iterator<Item = String> + 'a {
