Merge doubles in examples, load flags and burn figures

Three examples measured processor time and memory with the same code, three commands of the load tool had the same flags, and the report on burn wrote its figures twice.

--- a/crates/cli/src/commands/burn.rs
+++ b/crates/cli/src/commands/burn.rs
@@ -101,18 +101,11 @@
         "ALERT",
     ]);
     for row in &report.rows {
-        rows.row([
-            table::named(&row.pipeline).to_owned(),
-            row.team.as_deref().map_or("(all)", table::named).to_owned(),
-            row.requests.to_string(),
-            table::percent(row.attainment),
-            table::percent(row.objective),
-            table::percent(row.budget_left),
-            table::rate(row.burn.short),
-            table::rate(row.burn.middle),
-            table::rate(row.burn.long),
-            alert(row.alert).to_owned(),
-        ]);
+        let pipeline = table::named(&row.pipeline).to_owned();
+        let team = row.team.as_deref().map_or("(all)", table::named).to_owned();
+        let [requests, attained, objective, left, short, middle, long] = row.figures();
+        let alert = alert(row.alert).to_owned();
+        rows.row([pipeline, team, requests, attained, objective, left, short, middle, long, alert]);
     }
     rows.render()
 }
--- a/crates/cli/src/ops/burn.rs
+++ b/crates/cli/src/ops/burn.rs
@@ -28,6 +28,8 @@
 };
 use serde::de::DeserializeOwned;
 
+use crate::table;
+
 /// The short window, in seconds.
 pub const SHORT: u64 = 5 * 60;
 /// The middle window, in seconds.
@@ -85,6 +87,22 @@
     pub alert: Alert,
 }
 
+impl Row {
+    /// Its figures as text: requests, attainment, objective, budget left, and
+    /// the burn rates over the short, the middle and the long window.
+    pub fn figures(&self) -> [String; 7] {
+        [
+            self.requests.to_string(),
+            table::percent(self.attainment),
+            table::percent(self.objective),
+            table::percent(self.budget_left),
+            table::rate(self.burn.short),
+            table::rate(self.burn.middle),
+            table::rate(self.burn.long),
+        ]
+    }
+}
+
 /// Burn rates; `None` without requests or without an objective.
 #[message]
 #[derive(Copy)]
--- a/crates/cli/src/ops/burn/page.rs
+++ b/crates/cli/src/ops/burn/page.rs
@@ -110,16 +110,7 @@
         Alert::Slow => "<span class=\"slow\">slow burn</span>",
         Alert::Fast => "<span class=\"fast\">fast burn</span>",
     };
-    let cells = [
-        row.requests.to_string(),
-        table::percent(row.attainment),
-        table::percent(row.objective),
-        table::percent(row.budget_left),
-        table::rate(row.burn.short),
-        table::rate(row.burn.middle),
-        table::rate(row.burn.long),
-    ];
-    let cells: String = cells.iter().map(|cell| format!("<td>{cell}</td>")).collect();
+    let cells: String = row.figures().iter().map(|cell| format!("<td>{cell}</td>")).collect();
     let name = escape(name);
     format!(
         "<tr class=\"{class}\"><td class=\"{cell}\">{name}</td>{cells}\
--- a/crates/core/examples/instance_cost.rs
+++ b/crates/core/examples/instance_cost.rs
@@ -6,7 +6,7 @@
 //!
 //! `cargo run --release -p peatdeck-core --example instance_cost`
 
-use std::{fs, hint::black_box, sync::Arc, time::Duration};
+use std::{hint::black_box, sync::Arc, time::Duration};
 
 use peatdeck_core::{
     claims::{self, Claims},
@@ -25,13 +25,10 @@
     },
     record::{Batch, ClaimBatch, ClaimFact, ConfigRecord, Entry, Publish},
 };
+use peatdeck_util::cost::{self, Effort};
 
-/// Clock ticks a second in `/proc/self/stat`.
-const TICKS: f64 = 100.0;
-/// Bytes of a page of memory.
-const PAGE: f64 = 4096.0;
-/// Processor time to spend on each figure, in seconds.
-const SPEND: f64 = 0.5;
+/// How each figure is measured.
+const EFFORT: Effort = Effort { spend: Duration::from_millis(500), rounds: 500 };
 /// Pools of the document, and stages of its one pipeline.
 const POOLS: usize = 4;
 /// Pieces that the last stage generates.
@@ -63,9 +60,9 @@
 
 fn memory() {
     println!("{:<40} {:>10}", "memory of one", "bytes");
-    let start = resident();
+    let start = cost::resident();
     let mut bench = Bench::new(0, 30, 5);
-    let empty = resident();
+    let empty = cost::resident();
     println!("{:<40} {:>10.0}", "instance, 30 endpoints, 5 teams", empty - start);
 
     let input: Text = "x".repeat(2048).into();
@@ -73,36 +70,40 @@
         bench.submit(idx, &input);
     }
     assert_eq!(u64::from(bench.instance.status().running), HELD, "none should be refused");
-    let per = (resident() - empty) / HELD as f64;
+    let per = (cost::resident() - empty) / HELD as f64;
     println!("{:<40} {per:>10.0}", "held request (input of 2 kB shared)");
     std::mem::forget(bench);
 
-    let start = resident();
+    let start = cost::resident();
     let peers = 5_000;
     let mut bench = Bench::new(0, 0, 5);
     bench.feed(Input::Listed(listing(peers, 0)));
-    println!("{:<40} {:>10.0}", "listed peer", (resident() - start) / peers as f64);
+    println!("{:<40} {:>10.0}", "listed peer", (cost::resident() - start) / peers as f64);
     std::mem::forget(bench);
 
-    let start = resident();
+    let start = cost::resident();
     let endpoints = 10_000;
     let bench = Bench::new(0, endpoints, 5);
-    println!("{:<40} {:>10.0}", "endpoint", (resident() - start) / endpoints as f64);
+    println!("{:<40} {:>10.0}", "endpoint", (cost::resident() - start) / endpoints as f64);
     std::mem::forget(bench);
 
     claims_memory();
 }
 
 fn claims_memory() {
-    let start = resident();
+    let start = cost::resident();
     let mut claims = Claims::new(identity(), claims::Settings::default());
     claims.read(Duration::from_secs(1), &claims_batch(0, 0));
-    let before = processor_time();
+    let before = cost::processor_time();
     for idx in 0..CLAIMS / 100 {
         black_box(claims.read(Duration::from_secs(1), &claims_batch(idx, 100)));
     }
-    let spent = (processor_time() - before) / CLAIMS as f64;
-    println!("{:<40} {:>10.0}", "claim with its outcome", (resident() - start) / CLAIMS as f64);
+    let spent = (cost::processor_time() - before) / CLAIMS as f64;
+    println!(
+        "{:<40} {:>10.0}",
+        "claim with its outcome",
+        (cost::resident() - start) / CLAIMS as f64
+    );
     println!("{:<40} {:>10.2}", "  its fold, in µs (making it included)", spent * 1e6);
     std::mem::forget(claims);
 }
@@ -132,7 +133,7 @@
     println!("\n{:<40} {:>10}", "compile of a document", "µs");
     for teams in [5, 1000, 2800] {
         let document = Arc::new(document(teams));
-        let us = cost(|| {
+        let us = cost::of(EFFORT, || {
             black_box(Plan::new(1, document.clone()).expect("it has no policy"));
         });
         println!("{:<40} {us:>10.1}", format!("{teams} teams"));
@@ -144,14 +145,14 @@
     let input: Text = "x".repeat(2048).into();
     let (request_us, piece_us) = bench.requests(&input);
     let listed = listing(peers, endpoints);
-    let list_us = cost(|| bench.feed(Input::Listed(listed.clone())));
+    let list_us = cost::of(EFFORT, || bench.feed(Input::Listed(listed.clone())));
     let mut heartbeat = 0;
-    let gossip_us = cost(|| {
+    let gossip_us = cost::of(EFFORT, || {
         heartbeat += 1;
         let message = gossip(peers, endpoints, heartbeat);
         bench.feed(Input::Gossip(message));
     });
-    let round_us = cost(|| {
+    let round_us = cost::of(EFFORT, || {
         bench.now += Duration::from_millis(500);
         bench.feed(Input::Tick);
     });
@@ -202,7 +203,7 @@
     fn requests(&mut self, input: &Text) -> (f64, f64) {
         let (mut plain, mut idx) = (0.0, 0);
         for pieces in [0, PIECES] {
-            let us = cost(|| {
+            let us = cost::of(EFFORT, || {
                 idx += 1;
                 self.request(idx, input, pieces);
             });
@@ -362,37 +363,3 @@
 fn name(kind: &str, idx: usize) -> Arc<str> {
     Arc::from(format!("{kind}-{idx:04}"))
 }
-
-/// Processor time of one round, in microseconds.
-fn cost(mut round: impl FnMut()) -> f64 {
-    let start = processor_time();
-    let (mut rounds, mut step) = (0_u32, 1_u32);
-    loop {
-        for _ in 0..step {
-            round();
-        }
-        rounds += step;
-        let spent = processor_time() - start;
-        if spent >= SPEND {
-            return spent / f64::from(rounds) * 1e6;
-        }
-        step = step.saturating_mul(2).min(500);
-    }
-}
-
-/// Processor time of this process in user space, in seconds.
-fn processor_time() -> f64 {
-    /// Position of the user time behind the command's name.
-    const USER: usize = 11;
-    let stat = fs::read_to_string("/proc/self/stat").expect("Linux has this file");
-    let (_, fields) = stat.rsplit_once(") ").expect("the command stands in parentheses");
-    let ticks = fields.split(' ').nth(USER).expect("the file has 52 fields");
-    ticks.parse::<f64>().expect("ticks are a number") / TICKS
-}
-
-/// Resident memory of this process, in bytes.
-fn resident() -> f64 {
-    let statm = fs::read_to_string("/proc/self/statm").expect("Linux has this file");
-    let pages = statm.split(' ').nth(1).expect("the file has 7 fields");
-    pages.parse::<f64>().expect("pages are a number") * PAGE
-}
--- a/crates/core/examples/record_cost.rs
+++ b/crates/core/examples/record_cost.rs
@@ -13,20 +13,17 @@
 //! output instead, so that its compressed size can be had:
 //! `… --example record_cost -- 2800 | gzip -6 | wc -c`
 
-use std::{env, fs, hint::black_box, sync::Arc};
+use std::{env, sync::Arc, time::Duration};
 
 use peatdeck_core::{
     document::{Document, Pipeline, Policy, Pool, PoolKind, Stage, Team},
     model::{EndpointEntry, Incarnation, InstanceEntry, Listing, Presence, RequestId},
     record::{ClaimBatch, ClaimFact, ConfigRecord, Publish},
 };
+use peatdeck_util::cost::{self, Effort};
 
-/// Clock ticks a second in `/proc/self/stat`.
-const TICKS: f64 = 100.0;
-/// Bytes of a page of memory.
-const PAGE: f64 = 4096.0;
-/// Processor time to spend on each figure, in seconds.
-const SPEND: f64 = 1.0;
+/// How each figure is measured.
+const EFFORT: Effort = Effort { spend: Duration::from_secs(1), rounds: 20_000 };
 /// Copies of a document held to measure its memory.
 const COPIES: usize = 50;
 /// A policy of the usual length.
@@ -58,8 +55,8 @@
         let record = publish(pipelines, teams);
         let text = json(&record);
         let append = serde_json::to_string(&text).expect("a string is JSON");
-        let write_us = cost(|| json(&record).len());
-        let parse_us = cost(|| match parse(&text) {
+        let write_us = cost::of(EFFORT, || json(&record).len());
+        let parse_us = cost::of(EFFORT, || match parse(&text) {
             ConfigRecord::Publish(publish) => publish.document.teams.len(),
             _ => 0,
         });
@@ -82,8 +79,8 @@
             let batch = batch(kind, count);
             let text = json(&batch);
             let append = serde_json::to_string(&text).expect("a string is JSON");
-            let write_us = cost(|| json(&batch).len());
-            let parse_us = cost(|| {
+            let write_us = cost::of(EFFORT, || json(&batch).len());
+            let parse_us = cost::of(EFFORT, || {
                 let batch: ClaimBatch = serde_json::from_str(&text).expect("written above");
                 batch.facts.len()
             });
@@ -105,7 +102,7 @@
             endpoints: (0..endpoints).map(endpoint).collect(),
         };
         let text = json(&listing);
-        let parse_us = cost(|| {
+        let parse_us = cost::of(EFFORT, || {
             let listing: Listing = serde_json::from_str(&text).expect("written above");
             listing.endpoints.len()
         });
@@ -219,47 +216,13 @@
     serde_json::from_str(text).expect("the record was written above")
 }
 
-/// Processor time of one round, in microseconds.
-fn cost(mut round: impl FnMut() -> usize) -> f64 {
-    let start = processor_time();
-    let (mut rounds, mut step) = (0_u32, 1_u32);
-    loop {
-        for _ in 0..step {
-            black_box(round());
-        }
-        rounds += step;
-        let spent = processor_time() - start;
-        if spent >= SPEND {
-            return spent / f64::from(rounds) * 1e6;
-        }
-        step = step.saturating_mul(2).min(20_000);
-    }
-}
-
 /// Memory of one value, in bytes, from what many copies add to the process.
 fn memory<T>(mut make: impl FnMut() -> T) -> f64 {
     drop(make());
-    let start = resident();
+    let start = cost::resident();
     let copies: Vec<T> = (0..COPIES).map(|_| make()).collect();
-    let grown = resident() - start;
+    let grown = cost::resident() - start;
     // Kept, so that the next value cannot take their place.
     std::mem::forget(copies);
     grown / COPIES as f64
 }
-
-/// Processor time of this process in user space, in seconds.
-fn processor_time() -> f64 {
-    /// Position of the user time behind the command's name.
-    const USER: usize = 11;
-    let stat = fs::read_to_string("/proc/self/stat").expect("Linux has this file");
-    let (_, fields) = stat.rsplit_once(") ").expect("the command stands in parentheses");
-    let ticks = fields.split(' ').nth(USER).expect("the file has 52 fields");
-    ticks.parse::<f64>().expect("ticks are a number") / TICKS
-}
-
-/// Resident memory of this process, in bytes.
-fn resident() -> f64 {
-    let statm = fs::read_to_string("/proc/self/statm").expect("Linux has this file");
-    let pages = statm.split(' ').nth(1).expect("the file has 7 fields");
-    pages.parse::<f64>().expect("pages are a number") * PAGE
-}
--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -1,20 +1,14 @@
 //! Flags that several commands share.
 
-use std::{path::PathBuf, sync::Arc, time::Duration};
+use std::{path::PathBuf, time::Duration};
 
 use bpaf::{Parser, construct, long};
 use peatdeck_macros::data;
+use peatdeck_util::settings;
 
-use crate::{
-    arrivals::Plan,
-    error,
-    experiment::{Given, Setup, Target},
-    files, launch,
-    preset::Preset,
-    schedule::{self, Fault},
-    span, tag,
-    workload::Workload,
-};
+use crate::span;
+
+mod meaning;
 
 /// What is tried: entries that run already, or a preset to start.
 #[data]
@@ -87,13 +81,17 @@
 /// Parses [`System`].
 pub fn system() -> impl Parser<System> {
     let entries = long("entry")
-        .help("An entry instance that runs already, such as http://10.0.0.1:8080; may be repeated")
+        .help("An entry instance that runs already, such as 10.0.0.1:8080 or http://10.0.0.1:8080; may be repeated")
         .argument::<String>("URL")
+        .parse(|text| settings::base_url(&text))
         .many();
     let list = long("list")
         .env("PEATDECK_LIST_URL")
-        .help("With --entry: the list of the stand-ins, such as http://10.0.0.1:7001, to read their records")
+        .help(
+            "With --entry: the list of the stand-ins, such as 10.0.0.1:7001, to read their records",
+        )
         .argument::<String>("URL")
+        .parse(|text| settings::base_url(&text))
         .optional();
     let document = long("document")
         .help("With --entry: the configuration in force (TOML), to compare answers by")
@@ -143,11 +141,7 @@
         .optional();
     let length = time("length", "For how long requests are sent", "20s");
     let warm_up = time("warm-up", "Time at the start that does not count", "2s");
-    let seed = long("seed")
-        .help("Seed of the arrivals")
-        .argument::<u64>("N")
-        .fallback(1)
-        .display_fallback();
+    let seed = seed();
     let tag = long("tag")
         .help("First part of the requests' ids; from the clock if not given")
         .argument::<String>("TEXT")
@@ -167,11 +161,7 @@
         .argument::<u32>("N")
         .fallback(0)
         .display_fallback();
-    let threads = long("threads")
-        .help("Threads that send")
-        .argument::<usize>("N")
-        .fallback(2)
-        .display_fallback();
+    let threads = threads(2);
     construct!(Traffic {
         rate,
         load,
@@ -199,6 +189,29 @@
     construct!(Output { json, svg, samples })
 }
 
+/// The seed of the arrivals.
+pub fn seed() -> impl Parser<u64> {
+    long("seed").help("Seed of the arrivals").argument::<u64>("N").fallback(1).display_fallback()
+}
+
+/// How many threads send.
+pub fn threads(fallback: usize) -> impl Parser<usize> {
+    long("threads")
+        .help("Threads that send")
+        .argument::<usize>("N")
+        .fallback(fallback)
+        .display_fallback()
+}
+
+/// How often each kind of phase is run.
+pub fn repeats() -> impl Parser<usize> {
+    long("repeats")
+        .help("Phases of each kind at each rate")
+        .argument::<usize>("N")
+        .fallback(3)
+        .display_fallback()
+}
+
 /// A flag that takes a span of time.
 pub fn time(
     name: &'static str,
@@ -212,171 +225,3 @@
         .display_fallback()
         .parse(|text| span::parse(&text))
 }
-
-impl Started {
-    /// The preset, scaled; `None` where none is named.
-    ///
-    /// # Errors
-    /// If it cannot be used.
-    pub fn preset(&self) -> error::Result<Option<Preset>> {
-        let Some(name) = &self.preset else { return Ok(None) };
-        if !self.time_scale.is_finite() || self.time_scale <= 0.0 {
-            return Err(error::Error::Setting {
-                problem: format!("--time-scale {} is not above 0", self.time_scale),
-                remedy: "give a factor such as 0.5".into(),
-            });
-        }
-        let mut preset = Preset::load(name)?.scaled(self.time_scale);
-        preset.entries = self.count.unwrap_or(preset.entries);
-        Ok(Some(preset))
-    }
-
-    /// How the preset is started.
-    ///
-    /// # Errors
-    /// If an environment variable is not of the form.
-    pub fn launch(&self) -> error::Result<launch::Launch> {
-        let env = self.env.iter().map(|pair| variable(pair)).collect::<error::Result<_>>()?;
-        Ok(launch::Launch { flags: self.flags.clone(), env, logs: self.logs.clone() })
-    }
-}
-
-impl System {
-    /// The target, started where it has to be, and its preset.
-    ///
-    /// # Errors
-    /// If neither or both kinds are given, or the system does not start.
-    pub fn target(&self) -> error::Result<(Target, Option<Preset>)> {
-        match (self.started.preset()?, self.entries.is_empty()) {
-            (Some(preset), true) => {
-                let system = launch::start(&preset, &self.started.launch()?)?;
-                Ok((Target::Started(Box::new(system)), Some(preset)))
-            }
-            (None, false) => Ok((Target::Given(self.given()?), None)),
-            _ => Err(error::Error::Setting {
-                problem: "what to try is not clear".to_owned(),
-                remedy: "give either --preset or --entry".into(),
-            }),
-        }
-    }
-
-    fn given(&self) -> error::Result<Given> {
-        let document = self.document.as_deref().map(files::read_document).transpose()?;
-        Ok(Given {
-            entries: self.entries.iter().map(|entry| entry.as_str().into()).collect(),
-            list: self.list.as_deref().map(|list| list.trim_end_matches('/').into()),
-            document: document.map(Arc::new),
-        })
-    }
-}
-
-impl Traffic {
-    /// The rate, from itself or from the preset's capacity.
-    ///
-    /// # Errors
-    /// If neither or both are given, or it is not above 0.
-    pub fn rate(&self, preset: Option<&Preset>) -> error::Result<f64> {
-        let rate = match (self.rate, self.load, preset) {
-            (Some(rate), None, _) => rate,
-            (None, Some(load), Some(preset)) => load * preset.capacity(),
-            _ => {
-                return Err(error::Error::Setting {
-                    problem: "the rate is not clear".to_owned(),
-                    remedy: "give either --rate, or --load together with --preset".into(),
-                });
-            }
-        };
-        if rate.is_finite() && rate > 0.0 {
-            return Ok(rate);
-        }
-        Err(error::Error::Setting {
-            problem: format!("the rate {rate} is not above 0"),
-            remedy: "give a positive --rate or --load".into(),
-        })
-    }
-
-    /// The mix that is sent.
-    ///
-    /// # Errors
-    /// If there is none.
-    pub fn workload(&self, preset: Option<&Preset>) -> error::Result<Workload> {
-        match (&self.workload, preset) {
-            (Some(path), _) => Workload::parse(&files::read(path)?),
-            (None, Some(preset)) => Ok(preset.traffic.clone()),
-            (None, None) => Err(error::Error::Setting {
-                problem: "what to send is not clear".to_owned(),
-                remedy: "give --workload with a file, or --preset".into(),
-            }),
-        }
-    }
-
-    /// The faults of flags and file, by rising time.
-    ///
-    /// # Errors
-    /// If one cannot be read.
-    pub fn faults(&self) -> error::Result<Vec<Fault>> {
-        let mut faults = match &self.schedule {
-            Some(path) => schedule::parse_file(&files::read(path)?)?,
-            None => Vec::new(),
-        };
-        for fault in &self.faults {
-            faults.push(schedule::parse_flag(fault)?);
-        }
-        faults.sort_by_key(|fault| fault.at);
-        Ok(faults)
-    }
-
-    /// The plan of arrivals.
-    ///
-    /// # Errors
-    /// If the rate is not clear or the warm-up leaves nothing.
-    pub fn plan(&self, preset: Option<&Preset>, faults: &[Fault]) -> error::Result<Plan> {
-        if self.warm_up >= self.length {
-            return Err(error::Error::Setting {
-                problem: "the warm-up is not shorter than the run".to_owned(),
-                remedy: "raise --length or lower --warm-up".into(),
-            });
-        }
-        Ok(Plan {
-            rate: self.rate(preset)?,
-            length: self.length,
-            bursts: schedule::bursts(faults),
-            seed: self.seed,
-            tag: self.tag(),
-        })
-    }
-
-    /// First part of the requests' ids.
-    pub fn tag(&self) -> Arc<str> {
-        match &self.tag {
-            Some(tag) => tag.as_str().into(),
-            None => tag::fresh(),
-        }
-    }
-
-    /// The setup of a run.
-    pub fn setup(&self, label: &str, preset: Option<&Preset>, faults: Vec<Fault>) -> Setup {
-        Setup {
-            label: label.into(),
-            seed: self.seed,
-            length: self.length,
-            warm_up: self.warm_up,
-            capacity: preset.map(Preset::capacity),
-            faults,
-            resends: self.resends,
-            threads: self.threads,
-            direct: false,
-            records: true,
-        }
-    }
-}
-
-fn variable(pair: &str) -> error::Result<(String, String)> {
-    match pair.split_once('=') {
-        Some((name, value)) if !name.is_empty() => Ok((name.to_owned(), value.to_owned())),
-        _ => Err(error::Error::Setting {
-            problem: format!("--entry-env {pair} has no name and value"),
-            remedy: "write it as NAME=VALUE".into(),
-        }),
-    }
-}
--- a/crates/load/src/commands/ceiling.rs
+++ b/crates/load/src/commands/ceiling.rs
@@ -102,24 +102,12 @@
         .argument::<usize>("N")
         .fallback(3)
         .display_fallback();
-    let repeats = long("repeats")
-        .help("Phases of each kind at each rate")
-        .argument::<usize>("N")
-        .fallback(3)
-        .display_fallback();
+    let repeats = args::repeats();
     let length = args::time("length", "Length of a phase", "4s");
     let warm_up = args::time("warm-up", "Time at a phase's start that does not count", "1s");
     let bound = args::time("bound", "What the entry may add to the p99", "5ms");
-    let seed = long("seed")
-        .help("Seed of the arrivals")
-        .argument::<u64>("N")
-        .fallback(1)
-        .display_fallback();
-    let threads = long("threads")
-        .help("Threads that send")
-        .argument::<usize>("N")
-        .fallback(3)
-        .display_fallback();
+    let seed = args::seed();
+    let threads = args::threads(3);
     let output = args::output();
     construct!(Args {
         started,
--- a/crates/load/src/commands/claims.rs
+++ b/crates/load/src/commands/claims.rs
@@ -73,22 +73,10 @@
         .fallback("25,50,100,200,400".to_owned())
         .display_fallback()
         .parse(|text| parse_rates(&text));
-    let repeats = long("repeats")
-        .help("Phases of each kind at each rate")
-        .argument::<usize>("N")
-        .fallback(3)
-        .display_fallback();
+    let repeats = args::repeats();
     let length = args::time("length", "Length of a phase", "6s");
-    let seed = long("seed")
-        .help("Seed of the arrivals")
-        .argument::<u64>("N")
-        .fallback(1)
-        .display_fallback();
-    let threads = long("threads")
-        .help("Threads that send")
-        .argument::<usize>("N")
-        .fallback(2)
-        .display_fallback();
+    let seed = args::seed();
+    let threads = args::threads(2);
     let output = args::output();
     construct!(Args { started, rates, repeats, length, seed, threads, output })
 }
--- /dev/null
+++ b/crates/util/src/cost.rs
@@ -0,0 +1,55 @@
+//! What a piece of code costs: processor time and memory of this process, for
+//! the examples that print figures. Reads `/proc/self`.
+
+use std::{fs, hint::black_box, time::Duration};
+
+/// Clock ticks a second in `/proc/self/stat`.
+const TICKS: f64 = 100.0;
+/// Position of the user time in `/proc/self/stat`, behind the command's name.
+const USER: usize = 11;
+/// Bytes of a page of memory.
+const PAGE: f64 = 4096.0;
+/// Microseconds in a second.
+const MICROS: f64 = 1e6;
+
+/// How a figure is measured.
+#[derive(Debug, Clone, Copy)]
+pub struct Effort {
+    /// Processor time to spend. The kernel's resolution is 10 ms, so this
+    /// should be a good multiple of it.
+    pub spend: Duration,
+    /// Rounds between two looks at the processor time, at the most.
+    pub rounds: u32,
+}
+
+/// Processor time of one round, in microseconds.
+pub fn of<T>(effort: Effort, mut round: impl FnMut() -> T) -> f64 {
+    let start = processor_time();
+    let (mut rounds, mut step) = (0_u32, 1_u32);
+    loop {
+        for _ in 0..step {
+            black_box(round());
+        }
+        rounds += step;
+        let spent = processor_time() - start;
+        if spent >= effort.spend.as_secs_f64() {
+            return spent / f64::from(rounds) * MICROS;
+        }
+        step = step.saturating_mul(2).min(effort.rounds);
+    }
+}
+
+/// Processor time of this process in user space, in seconds.
+pub fn processor_time() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").expect("Linux has this file");
+    let (_, fields) = stat.rsplit_once(") ").expect("the command stands in parentheses");
+    let ticks = fields.split(' ').nth(USER).expect("the file has 52 fields");
+    ticks.parse::<f64>().expect("ticks are a number") / TICKS
+}
+
+/// Resident memory of this process, in bytes.
+pub fn resident() -> f64 {
+    let statm = fs::read_to_string("/proc/self/statm").expect("Linux has this file");
+    let pages = statm.split(' ').nth(1).expect("the file has 7 fields");
+    pages.parse::<f64>().expect("pages are a number") * PAGE
+}
--- a/crates/util/src/lib.rs
+++ b/crates/util/src/lib.rs
@@ -1,11 +1,13 @@
 //! What all of peatdeck's binaries share besides its decisions.
 //!
 //! - [`clock`]: time, passed in as an interface.
+//! - [`cost`]: what a piece of code costs, for examples.
 //! - [`logging`]: structured logs, as text or JSON.
 //! - [`metrics`]: counters, gauges and timings over UDP.
 //! - [`settings`]: flags and environment variables, checked as a whole.
 
 pub mod clock;
+pub mod cost;
 pub mod logging;
 pub mod metrics;
 pub mod settings;
--- a/crates/wire/examples/gossip_cost.rs
+++ b/crates/wire/examples/gossip_cost.rs
@@ -7,20 +7,17 @@
 //!
 //! `cargo run --release -p peatdeck-wire --example gossip_cost`
 
-use std::{fs, hint::black_box, sync::Arc};
+use std::{sync::Arc, time::Duration};
 
 use peatdeck_core::{
     membership::{ConfigMark, EndpointState, Gossip, LeavingMark, MemberState},
     model::{Incarnation, Load},
 };
+use peatdeck_util::cost::{self, Effort};
 use peatdeck_wire::{peer, peer_capnp};
 
-/// Clock ticks a second in `/proc/self/stat`.
-const TICKS: f64 = 100.0;
-/// Processor time to spend on each figure, in seconds.
-const SPEND: f64 = 1.0;
-/// Rounds between two looks at the processor time.
-const ROUNDS: u32 = 500;
+/// How each figure is measured.
+const EFFORT: Effort = Effort { spend: Duration::from_secs(1), rounds: 500 };
 
 fn main() {
     println!("{:<24} {:>8} {:>10} {:>10}", "content", "bytes", "write_us", "read_us");
@@ -38,8 +35,8 @@
 
 fn report(name: &str, gossip: &Gossip) {
     let bytes = write(gossip);
-    let write_us = cost(|| write(gossip).len());
-    let read_us = cost(|| read(&bytes).members.len());
+    let write_us = cost::of(EFFORT, || write(gossip).len());
+    let read_us = cost::of(EFFORT, || read(&bytes).members.len());
     println!("{name:<24} {:>8} {write_us:>10.2} {read_us:>10.2}", bytes.len());
 }
 
@@ -93,29 +90,3 @@
     let root = message.get_root().expect("the message has a root");
     peer::read_gossip(root).expect("the message was written above")
 }
-
-/// Processor time of one round, in microseconds.
-fn cost(mut round: impl FnMut() -> usize) -> f64 {
-    let start = processor_time();
-    let mut rounds = 0;
-    loop {
-        for _ in 0..ROUNDS {
-            black_box(round());
-        }
-        rounds += ROUNDS;
-        let spent = processor_time() - start;
-        if spent >= SPEND {
-            return spent / f64::from(rounds) * 1e6;
-        }
-    }
-}
-
-/// Processor time of this process in user space, in seconds.
-fn processor_time() -> f64 {
-    /// Position of the user time behind the command's name.
-    const USER: usize = 11;
-    let stat = fs::read_to_string("/proc/self/stat").expect("Linux has this file");
-    let (_, fields) = stat.rsplit_once(") ").expect("the command stands in parentheses");
-    let ticks = fields.split(' ').nth(USER).expect("the file has 52 fields");
-    ticks.parse::<f64>().expect("ticks are a number") / TICKS
-}
