Split the worlds of the fuzzing and of the pool trials

Each held more than one job in over 400 lines: driving, the exchange with the log, and what holds at rest. Moved without a change; the oracles and the deliberate faults are untouched.

--- a/crates/core/examples/pool/world.rs
+++ b/crates/core/examples/pool/world.rs
@@ -1,5 +1,8 @@
 //! Instances, endpoints and the order of events.
 
+mod fresh;
+mod reports;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap, VecDeque},
@@ -9,11 +12,10 @@
 
 use peatdeck_core::{
     admission::{self, Estimate, Share, drain::Drain, probe::Probe},
-    budget::{self, Budget},
-    endpoints::{self, CallEnd, CallResult, Table},
+    budget::Budget,
+    endpoints::{CallEnd, CallResult, Table},
     latency::Estimator,
-    limits,
-    model::{EndpointEntry, EndpointName, Incarnation, Load, Presence},
+    model::EndpointName,
     queue::{Queue, Waiting},
     routing::{self, Demand},
     timing,
@@ -119,7 +121,7 @@
             events: BinaryHeap::new(),
             arrivals: SmallRng::seed_from_u64(seed),
             choices: SmallRng::seed_from_u64(seed + 1_000_000),
-            instances: (0..INSTANCES).map(|_| instance(variant, &names)).collect(),
+            instances: (0..INSTANCES).map(|_| fresh::instance(variant, &names)).collect(),
             endpoints: (0..ENDPOINTS).map(|_| Endpoint::default()).collect(),
             names,
             requests: Vec::new(),
@@ -179,7 +181,7 @@
             (ENDPOINTS * PLACES) as f64 / self.scenario.mean.as_secs_f64() * self.scenario.load;
         let gap = -(1.0 - self.arrivals.random::<f64>()).ln() / rate;
         let mean = self.scenario.mean.as_secs_f64();
-        let service = std::array::from_fn(|_| lognormal(&mut self.arrivals, mean));
+        let service = std::array::from_fn(|_| fresh::lognormal(&mut self.arrivals, mean));
         let instance = self.arrivals.random_range(0..INSTANCES);
         self.after(Duration::from_secs_f64(gap), Event::Arrive);
         self.outcome.arrived += 1;
@@ -387,86 +389,4 @@
 
         self.cancel_all(request);
     }
-
-    fn report(&mut self) {
-        if self.is_over() {
-            return;
-        }
-        let is_late = self.scenario.fault == Fault::LateReports;
-        let lag = if is_late { LATE_LAG } else { REPORT_LAG };
-        for endpoint in 0..ENDPOINTS {
-            let Endpoint { running, waiting } = &self.endpoints[endpoint];
-            let (queued, running) = (waiting.len() as u32, *running as u32);
-            self.after(lag, Event::Deliver { endpoint, queued, running });
-        }
-        self.after(REPORT_EVERY, Event::Report);
-    }
-
-    /// A report arrives everywhere. Its sender doesn't know how late it is.
-    fn deliver(&mut self, endpoint: usize, queued: u32, running: u32) {
-        if !self.variant.reports {
-            return;
-        }
-        let load = Load { running, queued, places: PLACES as u32, age_ms: 0 };
-        for inst in &mut self.instances {
-            inst.table.reported(self.now, &self.names[endpoint], load);
-        }
-    }
-
-    fn gossip(&mut self) {
-        if self.is_over() {
-            return;
-        }
-        self.after(GOSSIP_EVERY, Event::Gossip);
-        if !self.variant.peers {
-            return;
-        }
-        let mut total: HashMap<EndpointName, u32> = HashMap::new();
-        for endpoint in self.instances.iter().flat_map(|inst| inst.table.each()) {
-            *total.entry(endpoint.name.clone()).or_default() += endpoint.in_flight;
-        }
-        for inst in &mut self.instances {
-            let own = |name: &str| inst.table.endpoint(name).map_or(0, |known| known.in_flight);
-            let others = total.iter().map(|(name, count)| (name.clone(), count - own(name)));
-            inst.peers = others.collect();
-        }
-    }
-}
-
-fn instance(variant: &Variant, names: &[EndpointName]) -> Instance {
-    let fixed = limits::Settings { initial: 64, min: 64, max: 64 };
-    let limit = if variant.adaptive { limits::Settings::default() } else { fixed };
-    let mut settings = endpoints::Settings { limit, ..endpoints::Settings::default() };
-    if !variant.ejection {
-        settings.health.max_share = 0.0;
-    }
-    let mut table = Table::new(settings);
-    let entries: Vec<EndpointEntry> = names.iter().map(entry).collect();
-    table.listed(Duration::ZERO, &entries);
-    Instance {
-        table,
-        queue: Queue::new(),
-        drain: Drain::new(),
-        probe: Probe::new(),
-        took: Estimator::new(),
-        budget: Budget::new(budget::Settings::default()),
-        peers: HashMap::new(),
-    }
-}
-
-fn entry(name: &EndpointName) -> EndpointEntry {
-    EndpointEntry {
-        name: name.clone(),
-        pool: Arc::from(POOL),
-        addr: Arc::from("127.0.0.1:1"),
-        data_centre: Arc::from("data-centre"),
-        incarnation: Incarnation(1),
-        presence: Presence::Live,
-    }
-}
-
-fn lognormal(rng: &mut SmallRng, mean: f64) -> f64 {
-    let (a, b) = (1.0 - rng.random::<f64>(), rng.random::<f64>());
-    let normal = (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos();
-    mean * (SIGMA * normal - SIGMA * SIGMA / 2.0).exp()
 }
--- a/crates/core/tests/testsuite/fuzz/claims/world.rs
+++ b/crates/core/tests/testsuite/fuzz/claims/world.rs
@@ -2,10 +2,13 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+mod exchange;
+mod settle;
+
+use std::{sync::Arc, time::Duration};
 
 use peatdeck_core::{
-    claims::{Claims, Decided, Settings, Verdict, settings::MIN_HORIZON},
+    claims::{Claims, Settings, Verdict, settings::MIN_HORIZON},
     instance::input::Identity,
     model::{Incarnation, RequestId},
     record::{Batch, ClaimBatch, ClaimFact},
@@ -152,104 +155,10 @@
         }
     }
 
-    /// Ends every failure. Then every fact gets out, and a key whose claims are
-    /// all void is free again.
-    pub fn heal_and_check(mut self) {
-        self.log.out = false;
-        self.spawn(0, 0);
-        for idx in self.places() {
-            at(&mut self.processes, idx).frozen = false;
-            self.end_attempts(idx);
-        }
-        while !self.packets.is_empty() {
-            self.deliver(0, false);
-        }
-        for idx in self.places() {
-            self.ack(idx, false);
-        }
-        for _ in 0..HEAL_ROUNDS {
-            self.advance(HEAL_STEP_MS);
-            for idx in self.places() {
-                self.round(idx);
-                self.end_attempts(idx);
-            }
-        }
-        for process in self.processes.iter().flatten() {
-            assert!(process.claims.is_settled(), "{:?} is not settled", process.identity);
-        }
-        self.check_voids();
-        for key in 0..KEYS {
-            self.check_free(0, key);
-        }
-    }
-
-    /// Each claim in the log that never ran is void, if its process lives.
-    fn check_voids(&self) {
-        let living: HashSet<Incarnation> =
-            self.processes.iter().flatten().map(|process| process.identity.incarnation).collect();
-        let records = self.log.all.iter().map(|entry| &entry.record);
-        let facts = records.filter(|batch| living.contains(&batch.incarnation));
-        let facts: Vec<_> = facts.flat_map(|batch| &batch.facts).collect();
-        let voids: HashSet<u64> = facts.iter().filter_map(|fact| void_nonce(fact)).collect();
-        for nonce in facts.iter().filter_map(|fact| claim_nonce(fact)) {
-            let is_right = self.oracle.has_run(nonce) != voids.contains(&nonce);
-            assert!(is_right, "{nonce} ran, or else is void: not so");
-        }
-    }
-
-    fn check_free(&mut self, idx: usize, key: usize) {
-        if at(&mut self.processes, idx).claims.unready().is_some() {
-            return;
-        }
-        let (end, now_ms) = (self.log.all.len(), self.log.now_ms());
-        let nonce = self.next_nonce;
-        self.request(idx, key, 0);
-        self.round(idx);
-        let won = at(&mut self.processes, idx)
-            .attempts
-            .iter()
-            .any(|a| a.nonce == nonce && a.state == State::Won);
-        let horizon_ms = now_ms - millis(MIN_HORIZON);
-        let blocked = self.has_open_claim(key, end, horizon_ms, 0);
-        assert!(!(won && blocked), "key {key} is won though a claim stands");
-        let may_be_blocked = self.has_open_claim(key, end, horizon_ms, horizon_ms);
-        assert!(won || may_be_blocked, "key {key} is not free though no claim stands");
-        self.end_attempts(idx);
-    }
-
-    /// Whether among the records before `end`, a claim since one time stands
-    /// that its process has not voided since another.
-    fn has_open_claim(&self, key: usize, end: usize, claims_ms: u64, voids_ms: u64) -> bool {
-        let facts_since = |since_ms| {
-            let records = self.log.all[..end].iter().filter(move |e| e.time_ms > since_ms);
-            records.flat_map(|entry| &entry.record.facts)
-        };
-        let is_void = |nonce: u64| {
-            let mut facts = facts_since(voids_ms);
-            facts.any(|fact| matches!(fact, ClaimFact::Void { nonce: void, .. } if *void == nonce))
-        };
-        facts_since(claims_ms).any(|fact| match fact {
-            ClaimFact::Claim { key: claimed, nonce, .. } => {
-                *claimed == request_id(key) && !is_void(*nonce)
-            }
-            _ => false,
-        })
-    }
-
     fn places(&self) -> Vec<usize> {
         (0..PLACES).filter(|&idx| self.processes[idx].is_some()).collect()
     }
 
-    fn end_attempts(&mut self, idx: usize) {
-        for attempt in 0..at(&mut self.processes, idx).attempts.len() {
-            match at(&mut self.processes, idx).attempts[attempt].state {
-                State::Waiting | State::Won => self.give_up(idx, attempt),
-                State::Running => self.finish(idx, attempt, true),
-                State::Over => {}
-            }
-        }
-    }
-
     /// Runs a step of the process that an index means, unless it is paused.
     fn on(&mut self, process: usize, step: impl FnOnce(&mut World, usize)) {
         let is_up = self.processes[process].as_ref().is_some_and(|process| !process.frozen);
@@ -370,138 +279,6 @@
         self.oracle.finishes(attempt.nonce, answered);
         process.claims.finished(now, &request_id(attempt.key), attempt.nonce, answered);
     }
-
-    fn append(&mut self, idx: usize) {
-        let now = self.now(idx);
-        let process = at(&mut self.processes, idx);
-        let Some(mut facts) = process.claims.flush(now) else { return };
-        assert!(process.append.is_none(), "two appends of one process at once");
-        assert!(!facts.is_empty(), "an append of nothing");
-        if self.setup.fault == Fault::DropsVoids {
-            facts.retain(|fact| !matches!(fact, ClaimFact::Void { .. }));
-        }
-        let nonces = facts.iter().filter_map(claim_nonce).collect();
-        let life = self.next_life;
-        self.next_life += 1;
-        process.append = Some(Append { life, nonces, taken: false });
-        let Identity { name, incarnation, .. } = process.identity.clone();
-        let batch = ClaimBatch { instance: name, incarnation, facts };
-        self.packets.push(Packet { life: incarnation.0, append: life, batch });
-    }
-
-    fn deliver(&mut self, packet: usize, again: bool) {
-        if self.packets.is_empty() {
-            return;
-        }
-        let idx = packet % self.packets.len();
-        if !self.log.append(self.packets[idx].batch.clone()) {
-            return;
-        }
-        let Packet { life, append, .. } = self.packets[idx];
-        let sender = self.processes.iter_mut().flatten().find(|p| p.identity.incarnation.0 == life);
-        let under_way = sender.and_then(|process| process.append.as_mut());
-        if let Some(under_way) = under_way.filter(|under_way| under_way.life == append) {
-            under_way.taken = true;
-        }
-        if !again {
-            self.packets.remove(idx);
-        }
-    }
-
-    /// The answer to an append, which may be lost, but never lies.
-    fn ack(&mut self, idx: usize, ok: bool) {
-        let now = self.now(idx);
-        let process = at(&mut self.processes, idx);
-        let Some(append) = process.append.take() else { return };
-        let ok = ok && append.taken;
-        process.claims.append_ended(now, ok);
-        for attempt in &mut process.attempts {
-            if !append.nonces.contains(&attempt.nonce) || attempt.state != State::Waiting {
-                continue;
-            }
-            if ok && self.setup.fault == Fault::AckIsProof {
-                attempt.state = State::Won;
-            }
-            if !ok && self.setup.fault == Fault::FailureIsDisproof {
-                self.oracle.refused(attempt.nonce);
-            }
-        }
-    }
-
-    fn fetch(&mut self, idx: usize, max: usize) -> Option<Batch<ClaimBatch>> {
-        let claims = &mut at(&mut self.processes, idx).claims;
-        let Some(mut batch) = self.log.read(claims.next_offset(), max) else {
-            claims.read_failed();
-            return None;
-        };
-        if self.setup.fault == Fault::HidesGaps {
-            batch.earliest = batch.earliest.min(batch.from);
-        }
-        Some(batch)
-    }
-
-    fn read(&mut self, idx: usize, max: usize) {
-        if let Some(batch) = self.fetch(idx, max) {
-            self.take_in(idx, &batch);
-        }
-    }
-
-    fn arrive(&mut self, idx: usize, batch: usize, again: bool) {
-        let late = &mut at(&mut self.processes, idx).late;
-        if late.is_empty() {
-            return;
-        }
-        let which = batch % late.len();
-        let batch = if again { late[which].clone() } else { late.remove(which) };
-        self.take_in(idx, &batch);
-    }
-
-    fn take_in(&mut self, idx: usize, batch: &Batch<ClaimBatch>) {
-        let now = self.now(idx);
-        let before = at(&mut self.processes, idx).claims.next_offset();
-        let decided = at(&mut self.processes, idx).claims.read(now, batch);
-        assert!(
-            at(&mut self.processes, idx).claims.next_offset() >= before,
-            "the reader went back"
-        );
-        for Decided { nonce, verdict, .. } in decided {
-            self.decide(idx, nonce, verdict);
-        }
-    }
-
-    fn decide(&mut self, idx: usize, nonce: u64, verdict: Verdict) {
-        let mut attempts = at(&mut self.processes, idx).attempts.iter_mut();
-        let attempt = attempts.find(|attempt| attempt.nonce == nonce).expect("it was asked for");
-        if self.setup.fault == Fault::AckIsProof && attempt.state != State::Waiting {
-            return;
-        }
-        assert_eq!(attempt.state, State::Waiting, "{nonce} is decided twice");
-        attempt.state = if verdict == Verdict::Won { State::Won } else { State::Over };
-        match verdict {
-            Verdict::Won => {}
-            Verdict::Waiting => panic!("{nonce} is decided to wait"),
-            Verdict::Lost(holder) => {
-                assert_ne!(holder.nonce, nonce, "a claim has lost to itself");
-                self.oracle.told_holder(holder.nonce, holder.finished);
-                self.oracle.refused(nonce);
-            }
-            Verdict::Mismatch | Verdict::Unready(_) => self.oracle.refused(nonce),
-        }
-    }
-
-    fn round(&mut self, idx: usize) {
-        self.append(idx);
-        let under_way = at(&mut self.processes, idx).append.as_ref().map(|append| append.life);
-        if let Some(packet) = self.packets.iter().position(|p| Some(p.append) == under_way) {
-            self.deliver(packet, false);
-        }
-        self.ack(idx, true);
-        let fetched = (0..4).map_while(|_| {
-            self.read(idx, READ_ALL);
-            (!self.log.out).then_some(())
-        });
-        fetched.count();
-    }
 }
 
 fn at(processes: &mut [Option<Process>], idx: usize) -> &mut Process {
