Read the body of a publish that is refused for its token

A publish without the token sometimes got a closed connection instead of its 401: the process answered with the body unread and closed, and the reset overtook the reply. Seen once in three runs of the test on processes.

--- a/crates/admin/src/auth.rs
+++ b/crates/admin/src/auth.rs
@@ -6,6 +6,7 @@
 
 use std::{fmt, rc::Rc};
 
+use futures::StreamExt;
 use ntex::{
     http::{Payload, header},
     web::{ErrorRenderer, FromRequest, HttpRequest},
@@ -17,6 +18,9 @@
 /// The shortest token that is accepted, in bytes.
 pub const MIN_TOKEN_BYTES: usize = 16;
 
+/// The most that is read of a body that came without the token, in bytes.
+const MAX_DISCARDED: usize = 1 << 20;
+
 /// A secret that admits an operator. Never printed.
 #[derive(Clone)]
 pub struct Token(Rc<str>);
@@ -50,16 +54,29 @@
 impl<Err: ErrorRenderer> FromRequest<Err> for Operator {
     type Error = Error;
 
-    async fn from_request(req: &HttpRequest, _: &mut Payload) -> Result<Operator, Error> {
+    async fn from_request(req: &HttpRequest, payload: &mut Payload) -> Result<Operator, Error> {
         let ctx = req.app_state::<Rc<Context>>().expect("the server sets the context");
         if !bearer(req).is_some_and(|given| ctx.token.admits(given)) {
             ctx.metrics.count("admin.unauthorized", 1);
+            discard(payload).await;
             return Err(Error::Unauthorized);
         }
         Ok(Operator { ctx: Rc::clone(ctx) })
     }
 }
 
+/// Reads a body to its end, up to a limit. A connection that is closed with
+/// unread bytes is reset, and the reply may be lost with it.
+async fn discard(payload: &mut Payload) {
+    let mut total = 0;
+    while let Some(Ok(chunk)) = payload.next().await {
+        total += chunk.len();
+        if total > MAX_DISCARDED {
+            return;
+        }
+    }
+}
+
 fn bearer(req: &HttpRequest) -> Option<&str> {
     let value = req.headers().get(header::AUTHORIZATION)?.to_str().ok()?;
     let (scheme, token) = value.split_once(' ')?;
