Start entries of a test system with the endpoints listed

An entry could read the list before the fixture had filled it, so the first request of a test was now and then told no_endpoint. The endpoints are listed first, and the start waits until the entries know each other.

An entry is ready only once it has read the list: without it neither endpoints nor peers are known.

--- a/crates/test-support/src/processes.rs
+++ b/crates/test-support/src/processes.rs
@@ -419,6 +419,19 @@
         Ok(())
     }
 
+    /// Waits until every entry believes every other one alive.
+    ///
+    /// # Errors
+    /// If one does not in time.
+    pub async fn wait_peers(&self) -> Result<()> {
+        let others = self.entries.len().saturating_sub(1);
+        for name in self.entries.keys() {
+            let what = format!("{others} peers of {name}");
+            self.wait_status(name, &what, BOUND, |status| status.peers.len() >= others).await?;
+        }
+        Ok(())
+    }
+
     /// Waits until an entry's status is as asked for.
     ///
     /// # Errors
--- a/crates/test-support/src/processes/builder.rs
+++ b/crates/test-support/src/processes/builder.rs
@@ -113,8 +113,8 @@
         self
     }
 
-    /// Starts everything; returns when every entry is ready with the first
-    /// document in force.
+    /// Starts everything; returns when every entry is ready, with the first
+    /// document in force and all its peers known.
     ///
     /// # Errors
     /// If a binary is missing, or a process does not start or become ready.
@@ -131,6 +131,8 @@
             endpoints,
             entries: BTreeMap::new(),
         };
+        // Entries find every endpoint with their first look at the list.
+        system.tell_list().await?;
         system.entries = self.start_entries(&system)?;
         system.tell_list().await?;
         if self.has_admin {
@@ -141,6 +143,7 @@
             system.wait_ready(name).await?;
         }
         system.wait_version(1).await?;
+        system.wait_peers().await?;
         Ok(system)
     }
 
