--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -20,3 +20,4 @@
 mod routing;
 mod subset;
 mod timing;
+mod trace;
