--- a/crates/test-support/src/processes/builder.rs
+++ b/crates/test-support/src/processes/builder.rs
@@ -1,6 +1,6 @@
 //! Settings of a system of processes, and its start.
 
-use std::{collections::BTreeMap, io, net::TcpListener, path::PathBuf, sync::Arc};
+use std::{collections::BTreeMap, path::PathBuf, sync::Arc};
 
 use peatdeck_core::document::{Document, Pool, PoolKind};
 
@@ -8,13 +8,7 @@
     ADMIN, System, TOKEN,
     node::{Endpoint, Entry, Node},
 };
-use crate::{
-    error::{Error, Result},
-    fixture,
-    http::Http,
-    process::{Process, Spec},
-    wait::{self, BOUND},
-};
+use crate::{error::Result, fixture, http::Http, process::Spec};
 
 /// The binary of all stand-ins.
 const STANDIN: &str = "peatdeck-standin";
@@ -121,8 +115,8 @@
         Builder { traces: Some(folder.into()), ..self }
     }
 
-    /// Starts everything; returns when every entry is ready with the first
-    /// document in force.
+    /// Starts everything; returns when every entry is ready, with the first
+    /// document in force and all its peers known.
     ///
     /// # Errors
     /// If a binary is missing, or a process does not start or become ready.
@@ -139,6 +133,8 @@
             endpoints,
             entries: BTreeMap::new(),
         };
+        // Entries find every endpoint with their first look at the list.
+        system.tell_list().await?;
         system.entries = self.start_entries(&system)?;
         system.tell_list().await?;
         if self.has_admin {
@@ -149,6 +145,7 @@
             system.wait_ready(name).await?;
         }
         system.wait_version(1).await?;
+        system.wait_peers().await?;
         Ok(system)
     }
 
@@ -211,22 +208,12 @@
     }
 }
 
-/// The administration process does not print the port that it was given, so
-/// it gets one that was free just now.
 pub(super) async fn start_admin(system: &System, name: &str) -> Result<Node> {
-    let addr = free_addr().map_err(|source| Error::Process { name: name.to_owned(), source })?;
     let spec = Spec::new(name, "peatdeck-admin")
-        .args(["--listen", &addr, "--log", &system.log.addr, "--list", &system.list.addr])
+        .args(["--listen", "127.0.0.1:0"])
+        .args(["--log", &system.log.addr, "--list", &system.list.addr])
         .env("PEATDECK_ADMIN_TOKEN", TOKEN);
-    let process = Process::start(&spec)?;
-    let look = async || system.http.get(&addr, "/livez").await.ok();
-    wait::until("the administration process", BOUND, look).await?;
-    Ok(Node { spec, process, addr })
-}
-
-fn free_addr() -> io::Result<String> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    Ok(listener.local_addr()?.to_string())
+    Node::start(spec)
 }
 
 fn owned<'a>(flags: &'a [&str]) -> impl Iterator<Item = String> + 'a {
