--- a/crates/core/tests/testsuite/trace.rs
+++ b/crates/core/tests/testsuite/trace.rs
@@ -1,23 +1,18 @@
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use expect_test::{Expect, expect};
 use peatdeck_core::{
     content::{self, Content},
-    document::Document,
     instance::{
         Instance,
         action::{Action, Call},
-        input::{CallEvent, CallFailure, Identity, Input},
+        input::{Identity, Input},
         settings::Settings,
     },
-    membership::{ConfigMark, Gossip, LeavingMark},
-    model::{
-        CallId, CallerId, Echo, EndpointEntry, Incarnation, Listing, Outcome, Presence, Refusal,
-        RefusalKind, Request, RequestId,
-    },
-    record::Snapshot,
+    model::{CallId, CallerId, Echo, Incarnation, Request, RequestId},
     trace::{self, Header, invariants::Account},
 };
+use serde_json::{Value, json};
 
 fn identity() -> Identity {
     Identity { name: "n".into(), incarnation: Incarnation(1), data_centre: "d".into() }
@@ -39,12 +34,22 @@
     }
 }
 
-fn submit(caller: u64, idempotent: bool) -> Input {
-    Input::Submit { caller: CallerId(caller), request: request(idempotent, "input") }
+/// One thing that an account is told.
+enum Step {
+    In(Input),
+    Out(Action),
+}
+
+fn input(value: Value) -> Step {
+    Step::In(serde_json::from_value(value).unwrap())
 }
 
-fn call(id: u64) -> Action {
-    Action::Call(Call {
+fn submit(caller: u64, idempotent: bool) -> Step {
+    Step::In(Input::Submit { caller: CallerId(caller), request: request(idempotent, "input") })
+}
+
+fn call(id: u64) -> Step {
+    Step::Out(Action::Call(Call {
         id: CallId(id),
         endpoint: "e".into(),
         addr: "a".into(),
@@ -55,50 +60,35 @@
         engine: false,
         max_tokens: None,
         resume: Vec::new(),
-    })
+    }))
 }
 
-fn failed(id: u64, failure: CallFailure) -> Input {
-    Input::Call { call: CallId(id), event: CallEvent::Failed(failure) }
+fn failed(call: u64, failure: &str) -> Step {
+    input(json!({"Call": {"call": call, "event": {"Failed": failure}}}))
 }
 
-fn not_run(caller: u64) -> Action {
-    let refusal = Refusal { kind: RefusalKind::Expired, retry_after: Duration::ZERO };
-    Action::Answer { caller: CallerId(caller), outcome: Outcome::NotRun(refusal) }
+fn not_run(caller: u64) -> Step {
+    let refusal = json!({"kind": "expired", "retry_after": {"secs": 0, "nanos": 0}});
+    let outcome = serde_json::from_value(json!({"NotRun": refusal})).unwrap();
+    Step::Out(Action::Answer { caller: CallerId(caller), outcome })
 }
 
-fn listed(incarnation: u64) -> Input {
-    let entry = EndpointEntry {
-        name: "e".into(),
-        pool: "s".into(),
-        addr: "a".into(),
-        data_centre: "d".into(),
-        incarnation: Incarnation(incarnation),
-        presence: Presence::Live,
-    };
-    Input::Listed(Listing { instances: Vec::new(), endpoints: vec![entry] })
+fn listed(incarnation: u64) -> Step {
+    input(json!({"Listed": {"instances": [], "endpoints": [{
+        "name": "e", "pool": "s", "addr": "a", "data_centre": "d", "incarnation": incarnation,
+        "presence": "live",
+    }]}}))
 }
 
-fn left(incarnation: u64) -> Input {
-    let mark = LeavingMark { endpoint: "e".into(), incarnation: Incarnation(incarnation) };
-    Input::Gossip(Gossip {
-        from: "m".into(),
-        wants_reply: false,
-        mark: ConfigMark::default(),
-        snapshot: None,
-        members: Vec::new(),
-        leaving: vec![mark],
-        endpoints: Vec::new(),
-    })
-}
-
-/// One thing that an account is told.
-enum Step {
-    In(Input),
-    Out(Action),
+fn left(incarnation: u64) -> Step {
+    input(json!({"Gossip": {
+        "from": "m", "wants_reply": false, "mark": {"version": 0, "offset": null},
+        "snapshot": null, "members": [], "endpoints": [],
+        "leaving": [{"endpoint": "e", "incarnation": incarnation}],
+    }}))
 }
 
-fn check(steps: Vec<Step>, expected: Expect) {
+fn check<const N: usize>(steps: [Step; N], expected: Expect) {
     let instance = Instance::new(identity(), Settings::default(), 1);
     let mut account = Account::default();
     for step in steps {
@@ -114,83 +104,63 @@
     expected.assert_eq(&faults.join("\n"));
 }
 
-use Step::{In, Out};
-
 #[test]
 fn a_second_outcome_and_one_for_nobody_are_found() {
-    let steps = vec![In(submit(1, true)), Out(not_run(1)), Out(not_run(1)), Out(not_run(2))];
     check(
-        steps,
+        [submit(1, true), not_run(1), not_run(1), not_run(2)],
         expect![[r#"
-        caller 1 is told a second outcome
-        caller 2 is told an outcome and never asked"#]],
+            caller 1 is told a second outcome
+            caller 2 is told an outcome and never asked"#]],
     );
 }
 
 #[test]
 fn not_run_is_true_only_while_nothing_was_written() {
-    let unsent = failed(1, CallFailure::NotSent);
-    check(vec![In(submit(1, true)), Out(call(1)), In(unsent), Out(not_run(1))], expect![""]);
-    let cut = failed(1, CallFailure::Cut);
-    check(
-        vec![In(submit(1, true)), Out(call(1)), In(cut), Out(not_run(1))],
-        expect![[r#"caller 1 is told "not run", and a call of r was written"#]],
-    );
+    check([submit(1, true), call(1), failed(1, "NotSent"), not_run(1)], expect![""]);
+    let found = expect![[r#"caller 1 is told "not run", and a call of r was written"#]];
+    check([submit(1, true), call(1), failed(1, "Cut"), not_run(1)], found);
 }
 
 #[test]
 fn not_run_of_a_single_request_speaks_for_earlier_sendings() {
-    let gone = Input::CallerGone(CallerId(1));
-    let steps =
-        vec![In(submit(1, false)), Out(call(1)), In(gone), In(submit(2, false)), Out(not_run(2))];
-    check(steps, expect![[r#"caller 2 is told "not run", and a call of r was written"#]]);
+    let gone = input(json!({"CallerGone": 1}));
+    let found = expect![[r#"caller 2 is told "not run", and a call of r was written"#]];
+    check([submit(1, false), call(1), gone, submit(2, false), not_run(2)], found);
 }
 
 #[test]
 fn a_single_stage_is_called_again_only_if_the_first_call_was_not_written() {
-    let unsent = failed(1, CallFailure::NotSent);
-    check(vec![In(submit(1, false)), Out(call(1)), In(unsent), Out(call(2))], expect![""]);
-    let cut = failed(1, CallFailure::Cut);
-    check(
-        vec![In(submit(1, false)), Out(call(1)), In(cut.clone()), Out(call(2))],
-        expect!["stage s of r may run once, and is called again"],
-    );
-    check(vec![In(submit(1, true)), Out(call(1)), In(cut), Out(call(2))], expect![""]);
+    check([submit(1, false), call(1), failed(1, "NotSent"), call(2)], expect![""]);
+    let found = expect!["stage s of r may run once, and is called again"];
+    check([submit(1, false), call(1), failed(1, "Cut"), call(2)], found);
+    check([submit(1, true), call(1), failed(1, "Cut"), call(2)], expect![""]);
 }
 
 #[test]
 fn a_call_after_the_end_is_found() {
-    check(
-        vec![In(submit(1, true)), Out(not_run(1)), Out(call(1))],
-        expect!["stage s of r is called after its end"],
-    );
+    let found = expect!["stage s of r is called after its end"];
+    check([submit(1, true), not_run(1), call(1)], found);
 }
 
 #[test]
 fn a_call_to_a_leaving_life_is_found() {
-    check(
-        vec![In(listed(1)), In(left(1)), In(submit(1, true)), Out(call(1))],
-        expect!["e is known to be leaving, and is called"],
-    );
-    check(vec![In(listed(2)), In(left(1)), In(submit(1, true)), Out(call(1))], expect![""]);
+    let found = expect!["e is known to be leaving, and is called"];
+    check([listed(1), left(1), submit(1, true), call(1)], found);
+    check([listed(2), left(1), submit(1, true), call(1)], expect![""]);
 }
 
 #[test]
 fn a_version_that_goes_back_is_found() {
-    let snapshot = |version| Snapshot {
-        as_of: Some(version),
-        version,
-        publish: None,
-        document: Arc::new(Document::default()),
-        drains: Vec::new(),
-    };
     let mut account = Account::default();
-    account.in_force(Some(&snapshot(2)));
-    account.in_force(Some(&snapshot(3)));
-    assert_eq!(account.take_faults(), []);
-    account.in_force(Some(&snapshot(2)));
-    expect!["the version in force goes back from 3 to 2"]
-        .assert_eq(&account.take_faults()[0].to_string());
+    for version in [2, 3, 2] {
+        let snapshot = json!({
+            "as_of": null, "version": version, "publish": null, "document": {}, "drains": [],
+        });
+        assert_eq!(account.take_faults(), []);
+        account.in_force(Some(&serde_json::from_value(snapshot).unwrap()));
+    }
+    let [fault] = &account.take_faults()[..] else { panic!("one fault") };
+    assert_eq!(fault.to_string(), "the version in force goes back from 3 to 2");
 }
 
 #[test]
