Give up on a silent winner while its loser's caller still waits

With the longer bound a request with a short deadline waited for its winner to the very end and was told that it is in progress. The wait is now at most half of what remains, and a loser that is due is told what is known of the holder.

--- a/crates/core/src/instance/claiming.rs
+++ b/crates/core/src/instance/claiming.rs
@@ -81,7 +81,9 @@
             claim.state = ClaimState::Lost;
         }
         self.actions.push(Action::AskOutcome { to: holder.instance.clone(), addr, key: id });
-        self.timers.set(self.now + self.settings.ask, Timer::Ask(key));
+        let left = self.held[key].due.saturating_sub(self.now);
+        let wait = self.settings.ask.min(left / 2);
+        self.timers.set(self.now + wait, Timer::Ask(key));
     }
 
     pub(super) fn outcome_told(&mut self, id: &RequestId, answer: Option<PeerOutcome>) {
@@ -111,7 +113,7 @@
         claim.is_some_and(|claim| claim.state == ClaimState::Lost)
     }
 
-    fn winner_silent(&self, id: &RequestId) -> Outcome {
+    pub(super) fn winner_silent(&self, id: &RequestId) -> Outcome {
         match self.claims.holder(id) {
             Some(holder) => self.winner_unknown(holder),
             None => in_progress(),
--- a/crates/core/src/instance/settings.rs
+++ b/crates/core/src/instance/settings.rs
@@ -21,7 +21,8 @@
     /// How long a stopping instance tries to write what it owes the log,
     /// after its last request has ended.
     pub settle: Duration,
-    /// How long to wait for another instance to tell a request's outcome.
+    /// How long to wait for another instance to tell a request's outcome, at
+    /// the most; half of the request's remaining time, where that is less.
     pub ask: Duration,
     /// Finished non-idempotent requests whose outcome is kept for repeats.
     pub finished: usize,
--- a/crates/core/src/instance/stages.rs
+++ b/crates/core/src/instance/stages.rs
@@ -8,7 +8,7 @@
     instance::{
         Instance,
         action::{Action, Call},
-        admit::{doubt, in_progress, refused},
+        admit::{doubt, refused},
         held::{CallKey, ClaimState, Flight, RequestKey},
         timers::Timer,
     },
@@ -196,7 +196,7 @@
     fn unrun(&self, key: RequestKey) -> Outcome {
         match self.held[key].claim.map(|claim| claim.state) {
             Some(ClaimState::Waiting) => refused(RefusalKind::ClaimUnknown),
-            Some(ClaimState::Lost) => in_progress(),
+            Some(ClaimState::Lost) => self.winner_silent(&self.held[key].request.id),
             Some(ClaimState::Won) | None => {
                 let retry_after = self.retry_after(key);
                 Outcome::NotRun(Refusal { kind: RefusalKind::Expired, retry_after })
