Read over records of others to the stream's end

The administration process took a read without records for the end of the stream. A read that only passed over expired or foreign records moves on without any, so a new process behind 64 such records said no_state for a configuration that the log holds.

--- a/crates/admin/src/reader.rs
+++ b/crates/admin/src/reader.rs
@@ -87,7 +87,8 @@
         }
     }
 
-    /// One read. Whether it brought records.
+    /// One read. Whether there may be more to read: a read that gives nothing
+    /// but moves on is not the end.
     async fn read(&self, wait: Duration) -> Result<bool, log::Error> {
         let from = self.look(|state| state.fold.next_offset());
         let range = log::Range { from, max: READ_RECORDS, wait };
@@ -99,6 +100,6 @@
         }
         fold.read(&batch);
         history.read(&batch, fold);
-        Ok(!batch.entries.is_empty())
+        Ok(!batch.shows_end_at(from))
     }
 }
--- a/crates/admin/tests/testsuite/show.rs
+++ b/crates/admin/tests/testsuite/show.rs
@@ -50,6 +50,15 @@
     assert!(answer.contains("\"code\":\"no_state\""), "{answer}");
 }
 
+#[ntex::test]
+async fn records_of_others_are_read_over_to_the_end() {
+    let bench = Bench::start().await;
+    bench.platform.state().records = vec!["of others".into(); 200];
+    bench.publish("p-1", 0, TEAM).await;
+    let config = bench.another().await.get("/v1/config").await;
+    assert!(config.contains("\"version\":1"), "{config}");
+}
+
 #[ntex::test]
 async fn an_api_that_missed_records_waits_for_a_snapshot() {
     let bench = Bench::start().await;
