Do not wait for a leaving instance after a publish

It ends with what it holds and takes no new request, so it counted as missing and made a publish that was in force everywhere look as if it was not. The test failed without the change.

--- a/crates/admin/src/ops/status.rs
+++ b/crates/admin/src/ops/status.rs
@@ -7,7 +7,7 @@
 
 use futures::{Stream, StreamExt, stream};
 use peatdeck_core::{
-    model::{InstanceEntry, InstanceName},
+    model::{InstanceEntry, InstanceName, Presence},
     record::Version,
 };
 use peatdeck_macros::id;
@@ -31,7 +31,7 @@
 pub struct Spread {
     /// Instances that have it or a later one.
     pub in_force: Vec<InstanceName>,
-    /// Listed instances that did not say so.
+    /// Live instances of the list that did not say so.
     pub missing: Vec<Missing>,
 }
 
@@ -101,8 +101,9 @@
     }
 }
 
-/// Asks until all listed instances have `version` in force, for a bounded time.
-/// Only those that haven't said so are asked again.
+/// Asks until all live instances of the list have `version` in force, for a
+/// bounded time. Only those that haven't said so are asked again. One that is
+/// leaving ends with what it holds and is not waited for.
 pub async fn wait_in_force(ctx: &Context, version: Version) -> Spread {
     let end = ctx.clock.now() + ctx.bounds.in_force;
     let mut spread = Spread::default();
@@ -127,8 +128,10 @@
         spread.missing = vec![Missing { instance: "*".into(), reason: reason.into() }];
         return false;
     };
-    let instances: Vec<InstanceEntry> =
-        listing.instances.into_iter().filter(|i| !spread.in_force.contains(&i.name)).collect();
+    let is_asked = |instance: &InstanceEntry| {
+        instance.presence == Presence::Live && !spread.in_force.contains(&instance.name)
+    };
+    let instances: Vec<InstanceEntry> = listing.instances.into_iter().filter(is_asked).collect();
     let mut missing = BTreeMap::new();
     let mut answers = pin!(ask(ctx, &instances, NEVER));
     while let Some((instance, answer)) = answers.next().await {
--- a/crates/admin/tests/testsuite/publish.rs
+++ b/crates/admin/tests/testsuite/publish.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 
 use expect_test::expect;
-use peatdeck_core::record::{ConfigRecord, Publish};
+use peatdeck_core::{
+    model::Presence,
+    record::{ConfigRecord, Publish},
+};
 use peatdeck_test_support::platform::AppendFault;
 use serde_json::json;
 
@@ -25,6 +28,19 @@
     "#]].assert_eq(&bench.publish("p-1", 0, TEAM).await);
 }
 
+#[ntex::test]
+async fn a_leaving_instance_is_not_missing() {
+    let bench = Bench::start().await;
+    let _one = bench.platform.add_instance("entry-1").await;
+    bench.platform.list_instance("entry-2", "127.0.0.1:1");
+    bench.platform.state().listing.instances[1].presence = Presence::Leaving;
+    expect![[r#"
+        200
+        {"id":"p-1","in_force":["entry-1"],"missing":[],"version":1}
+    "#]]
+    .assert_eq(&bench.publish("p-1", 0, TEAM).await);
+}
+
 #[ntex::test]
 async fn a_conflict_names_the_version_and_its_author() {
     let bench = Bench::start().await;
