Restore a configuration that the log has lost

It is refused while the log tells what is in force, while a listed instance still has a version, and for a version older than one that was read. A repeat with the same id counts once.

Two restores at once may both stand, since the log appends without condition. A reader of both in one batch started from the last one, a reader of single records from the first; now both start from the first.

--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -12,7 +12,7 @@
 };
 use peatdeck_core::{
     check::Problem,
-    model::{EndpointName, Incarnation},
+    model::{EndpointName, Incarnation, InstanceName},
     record::Version,
 };
 use peatdeck_wire::admin::{ApiError, ErrorDetail, Winner};
@@ -76,9 +76,35 @@
         "the log keeps neither a snapshot nor its first record, so nobody can tell from it what is in force; nothing was appended"
     )]
     NoState,
+    /// The log tells what is in force, so there is nothing to restore.
+    #[error("version {} is in force, so there is nothing to restore; this restore has no effect", .0.version)]
+    NotLost(Winner),
+    /// A listed instance still has a version in force.
+    #[error(
+        "instance `{instance}` still has version {version} in force, so it is not lost; nothing was appended"
+    )]
+    StillHeld {
+        /// The instance.
+        instance: InstanceName,
+        /// Its version.
+        version: Version,
+    },
+    /// The version is older than one that this process has seen.
+    #[error(
+        "version {known} was in force, so a restore cannot follow version {given}; nothing was appended"
+    )]
+    OldVersion {
+        /// The version that was given.
+        given: Version,
+        /// The newest version that this process has seen.
+        known: Version,
+    },
     /// The publish may have been appended.
     #[error("unknown: publish `{0}` may have taken effect, and the log did not say in time")]
     Unknown(Arc<str>),
+    /// The restore may have been appended.
+    #[error("unknown: restore `{0}` may have taken effect, and the log did not say in time")]
+    RestoreUnknown(Arc<str>),
     /// The drain may have been appended.
     #[error("unknown: the drain of `{0}` may have taken effect, and the log did not say in time")]
     DrainUnknown(EndpointName),
@@ -101,7 +127,10 @@
             Error::LogOut(_) => "log_out",
             Error::ListOut(_) => "list_out",
             Error::NoState => "no_state",
-            Error::Unknown(_) | Error::DrainUnknown(_) => "unknown",
+            Error::NotLost(_) => "not_lost",
+            Error::StillHeld { .. } => "still_held",
+            Error::OldVersion { .. } => "old_version",
+            Error::Unknown(_) | Error::RestoreUnknown(_) | Error::DrainUnknown(_) => "unknown",
         }
     }
 
@@ -131,12 +160,22 @@
             Error::LogOut(_) => "send it again when the platform's log is back".to_owned(),
             Error::ListOut(_) => "send it again when the platform's list is back".to_owned(),
             Error::NoState => {
-                "wait for an entry that still has the configuration: it appends a snapshot; then send it again"
+                "wait for an entry that still has the configuration: it appends a snapshot; then send it again. If none has it any more, restore it (`peatdeck restore FILE --version N`)"
                     .to_owned()
             }
             Error::Unknown(id) => format!(
                 "ask for the verdict of `{id}` (GET /v1/config/verdict/{id}, `peatdeck show --verdict {id}`), or publish again with the same id: it counts once"
             ),
+            Error::NotLost(winner) => {
+                format!("publish on base {} instead", winner.version)
+            }
+            Error::StillHeld { .. } => {
+                "wait for its snapshot, or stop it if its version is not the one to go on from; then send it again".to_owned()
+            }
+            Error::OldVersion { known, .. } => format!("restore with version {known} or a newer one"),
+            Error::RestoreUnknown(_) => {
+                "send the restore again with the same id: it counts once".to_owned()
+            }
             Error::DrainUnknown(_) => "send the drain again: it counts once".to_owned(),
         }
     }
@@ -144,8 +183,12 @@
     fn detail(&self) -> Option<ErrorDetail> {
         match self {
             Error::Invalid(problems) => Some(ErrorDetail::Invalid { problems: problems.clone() }),
-            Error::Conflict { winner, .. } => Some(ErrorDetail::Conflict(winner.clone())),
-            Error::Unknown(id) => Some(ErrorDetail::Unknown { id: Arc::clone(id) }),
+            Error::Conflict { winner, .. } | Error::NotLost(winner) => {
+                Some(ErrorDetail::Conflict(winner.clone()))
+            }
+            Error::Unknown(id) | Error::RestoreUnknown(id) => {
+                Some(ErrorDetail::Unknown { id: Arc::clone(id) })
+            }
             _ => None,
         }
     }
@@ -170,13 +213,17 @@
             Error::Malformed(_) => StatusCode::BAD_REQUEST,
             Error::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Error::Invalid(_) => StatusCode::UNPROCESSABLE_ENTITY,
-            Error::Conflict { .. } | Error::IdReused(_) | Error::OtherIncarnation { .. } => {
-                StatusCode::CONFLICT
-            }
+            Error::Conflict { .. }
+            | Error::IdReused(_)
+            | Error::OtherIncarnation { .. }
+            | Error::NotLost(_)
+            | Error::StillHeld { .. }
+            | Error::OldVersion { .. } => StatusCode::CONFLICT,
             Error::LogOut(_)
             | Error::ListOut(_)
             | Error::NoState
             | Error::Unknown(_)
+            | Error::RestoreUnknown(_)
             | Error::DrainUnknown(_) => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/crates/admin/src/history.rs
+++ b/crates/admin/src/history.rs
@@ -11,7 +11,7 @@
 
 use peatdeck_core::{
     config_log::{Fold, Verdict},
-    record::{Batch, ConfigRecord, Drain, Entry, Offset, Publish, Version},
+    record::{Batch, ConfigRecord, Drain, Entry, Offset, Publish, Snapshot, Version},
 };
 use peatdeck_wire::admin::{Act, ActKind, HistoryReply, PublishVerdict};
 use xxhash_rust::xxh3;
@@ -44,7 +44,7 @@
             match &entry.record {
                 ConfigRecord::Publish(publish) => self.publish(entry, publish),
                 ConfigRecord::Drain(drain) => self.drain(entry, drain),
-                ConfigRecord::Snapshot(_) => {}
+                ConfigRecord::Snapshot(snapshot) => self.restore(entry, snapshot),
             }
         }
         self.decide(fold);
@@ -76,7 +76,7 @@
         match &self.act(id)?.what {
             ActKind::Publish { verdict: PublishVerdict::Forgotten, .. } => None,
             ActKind::Publish { verdict, .. } => Some(verdict.clone()),
-            ActKind::Drain { .. } => None,
+            ActKind::Restore { .. } | ActKind::Drain { .. } => None,
         }
     }
 
@@ -86,7 +86,7 @@
         self.publishes.get(&publish.id).map(|known| known.digest == digest(publish))
     }
 
-    /// The publish that made a version and its author, if the log keeps it.
+    /// The publish or restore that made a version and its author, if the log keeps it.
     pub fn maker(&self, wanted: Version) -> Option<(Arc<str>, Arc<str>)> {
         self.acts.iter().rev().find_map(|act| match &act.what {
             ActKind::Publish { id, verdict: PublishVerdict::Accepted { version }, .. }
@@ -94,6 +94,9 @@
             {
                 Some((Arc::clone(id), Arc::clone(&act.author)))
             }
+            ActKind::Restore { id, version } if *version == wanted => {
+                Some((Arc::clone(id), Arc::clone(&act.author)))
+            }
             _ => None,
         })
     }
@@ -121,6 +124,18 @@
         self.push(entry, &drain.author, what);
     }
 
+    /// Later snapshots of the same state name the restore again.
+    fn restore(&mut self, entry: &Entry<ConfigRecord>, snapshot: &Snapshot) {
+        let (Some(author), Some(id)) = (&snapshot.restorer, &snapshot.publish) else { return };
+        let is_known =
+            |act: &Act| matches!(&act.what, ActKind::Restore { id: known, .. } if known == id);
+        if self.acts.iter().any(is_known) {
+            return;
+        }
+        let what = ActKind::Restore { id: Arc::clone(id), version: snapshot.version };
+        self.push(entry, author, what);
+    }
+
     fn push(&mut self, entry: &Entry<ConfigRecord>, author: &Arc<str>, what: ActKind) {
         let author = Arc::clone(author);
         self.acts.push_back(Act { offset: entry.offset, time_ms: entry.time_ms, author, what });
--- a/crates/admin/src/ops.rs
+++ b/crates/admin/src/ops.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod drain;
 pub mod publish;
+pub mod restore;
 pub mod settle;
 pub mod show;
 pub mod status;
--- a/crates/admin/src/ops/publish.rs
+++ b/crates/admin/src/ops/publish.rs
@@ -8,6 +8,7 @@
 
 use peatdeck_core::{
     check,
+    document::Document,
     model::MAX_ID_BYTES,
     record::{ConfigRecord, Publish, Version},
 };
@@ -29,7 +30,7 @@
 /// Any [`Error`] but those of drains.
 pub async fn publish(ctx: &Context, body: PublishBody) -> Result<PublishReply, Error> {
     check_form(&body)?;
-    check_document(ctx, &body)?;
+    check_document(ctx, &body.document)?;
     let publish =
         Publish { id: body.id, base: body.base, author: body.author, document: body.document };
     let verdict = decide(ctx, &publish).await?;
@@ -57,8 +58,12 @@
     check_text("author", &body.author)
 }
 
-fn check_document(ctx: &Context, body: &PublishBody) -> Result<(), Error> {
-    let problems = check::check(&body.document, ctx.compile);
+/// Checks a document that is to be in force.
+///
+/// # Errors
+/// [`Error::Invalid`].
+pub fn check_document(ctx: &Context, document: &Document) -> Result<(), Error> {
+    let problems = check::check(document, ctx.compile);
     if problems.is_empty() {
         return Ok(());
     }
@@ -109,7 +114,8 @@
     state.current().map(|snapshot| snapshot.version)
 }
 
-fn winner(state: &State, version: Version) -> Winner {
+/// A version with who made it, for an operator who met it.
+pub fn winner(state: &State, version: Version) -> Winner {
     let (publish, author) = state.history.maker(version).unzip();
     Winner { version, publish, author }
 }
--- a/crates/admin/src/ops/show.rs
+++ b/crates/admin/src/ops/show.rs
@@ -50,7 +50,8 @@
 fn reply(state: &State, confirmed: bool) -> Option<ConfigReply> {
     let snapshot = state.current()?;
     let confirmed = confirmed && !state.fold.is_gapped();
-    let author = state.history.maker(snapshot.version).map(|(_, author)| author);
+    let maker = state.history.maker(snapshot.version).map(|(_, author)| author);
+    let author = maker.or_else(|| snapshot.restorer.clone());
     Some(ConfigReply {
         version: snapshot.version,
         publish: snapshot.publish.clone(),
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -9,7 +9,7 @@
     web::{self, HttpRequest, HttpResponse, types},
 };
 use peatdeck_core::record::Offset;
-use peatdeck_wire::admin::{CheckBody, DrainBody, PublishBody};
+use peatdeck_wire::admin::{CheckBody, DrainBody, PublishBody, RestoreBody};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{auth::Operator, context::Context, error::Error, ops};
@@ -30,6 +30,7 @@
         web::resource("/v1/config").route(web::get().to(config)),
         web::resource("/v1/config/check").route(web::post().to(check)),
         web::resource("/v1/config/publish").route(web::post().to(publish)),
+        web::resource("/v1/config/restore").route(web::post().to(restore)),
         web::resource("/v1/config/history").route(web::get().to(history)),
         web::resource("/v1/config/verdict/{id}").route(web::get().to(verdict)),
         web::resource("/v1/endpoints/{name}/drain").route(web::post().to(drain)),
@@ -74,6 +75,11 @@
     ops::publish::publish(&operator.ctx, body).await.map(reply)
 }
 
+async fn restore(operator: Operator, payload: types::Payload) -> Result<HttpResponse, Error> {
+    let body: RestoreBody = read(payload).await?;
+    ops::restore::restore(&operator.ctx, body).await.map(reply)
+}
+
 /// The query of a page of the history.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/admin/tests/testsuite/main.rs
+++ b/crates/admin/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod drain;
 mod publish;
+mod restore;
 mod settings;
 mod show;
 mod support;
--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -3,7 +3,7 @@
 use bpaf::{OptionParser, Parser, construct};
 
 use crate::{
-    commands::{burn, check, drain, publish, show, status},
+    commands::{burn, check, drain, publish, restore, show, status},
     error::Error,
     shell::{Output, Shell},
 };
@@ -15,6 +15,8 @@
     Check(check::Args),
     /// `publish`.
     Publish(publish::Args),
+    /// `restore`.
+    Restore(restore::Args),
     /// `show`.
     Show(show::Args),
     /// `drain`.
@@ -29,11 +31,12 @@
 pub fn options() -> OptionParser<Command> {
     let check = check::cli().command("check").map(Command::Check);
     let publish = publish::cli().command("publish").map(Command::Publish);
+    let restore = restore::cli().command("restore").map(Command::Restore);
     let show = show::cli().command("show").map(Command::Show);
     let drain = drain::cli().command("drain").map(Command::Drain);
     let status = status::cli().command("status").map(Command::Status);
     let burn = burn::cli().command("burn").map(Command::Burn);
-    construct!([check, publish, show, drain, status, burn])
+    construct!([check, publish, restore, show, drain, status, burn])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operate peatdeck: publish configurations, drain endpoints, see what happens.")
@@ -59,6 +62,7 @@
     match command {
         Command::Check(args) => check::exec(shell, args).await,
         Command::Publish(args) => publish::exec(shell, args).await,
+        Command::Restore(args) => restore::exec(shell, args).await,
         Command::Show(args) => show::exec(shell, args).await,
         Command::Drain(args) => drain::exec(shell, args).await,
         Command::Status(args) => status::exec(shell, args).await,
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -9,6 +9,7 @@
 pub mod check;
 pub mod drain;
 pub mod publish;
+pub mod restore;
 pub mod show;
 pub mod status;
 
--- a/crates/cli/src/commands/publish.rs
+++ b/crates/cli/src/commands/publish.rs
@@ -64,7 +64,7 @@
             config.version
         }
     };
-    let id = args.id.unwrap_or_else(new_id);
+    let id = args.id.unwrap_or_else(|| new_id("p"));
     let body = PublishBody {
         id: id.into(),
         base,
@@ -74,7 +74,7 @@
     let reply = client.publish(&body).await?;
     match args.format {
         Format::Json => text = shell::json(&reply)?,
-        Format::Table => text.push_str(&describe(&reply)),
+        Format::Table => text.push_str(&describe("publish", &reply)),
     }
     Ok(Output::partial_unless(reply.missing.is_empty(), text))
 }
@@ -86,8 +86,9 @@
     }
 }
 
-fn describe(reply: &PublishReply) -> String {
-    let mut text = format!("accepted: version {} (publish {})\n", reply.version, reply.id);
+/// What became of a publish or a restore, and where it is in force.
+pub fn describe(what: &str, reply: &PublishReply) -> String {
+    let mut text = format!("accepted: version {} ({what} {})\n", reply.version, reply.id);
     match reply.in_force.as_slice() {
         [] => text.push_str("not known to be in force on any instance\n"),
         names => {
@@ -109,6 +110,6 @@
 }
 
 /// An id that nobody else uses.
-fn new_id() -> String {
-    format!("p-{:016x}", rand::random::<u64>())
+pub fn new_id(kind: &str) -> String {
+    format!("{kind}-{:016x}", rand::random::<u64>())
 }
--- a/crates/cli/src/commands/show.rs
+++ b/crates/cli/src/commands/show.rs
@@ -129,6 +129,9 @@
         ActKind::Publish { id, base, verdict } => {
             (format!("publish {id} on {base}"), describe_verdict(verdict))
         }
+        ActKind::Restore { id, version } => {
+            (format!("restore {id}"), format!("accepted as {version}"))
+        }
         ActKind::Drain { endpoint, incarnation } => {
             (format!("drain {endpoint} (incarnation {})", incarnation.0), "in force".to_owned())
         }
--- a/crates/cli/src/ops/client.rs
+++ b/crates/cli/src/ops/client.rs
@@ -11,7 +11,7 @@
 use peatdeck_platform::http;
 use peatdeck_wire::admin::{
     ApiError, ConfigReply, DrainBody, DrainReply, HistoryReply, OutcomesReply, PublishBody,
-    PublishReply, StatusReply, VerdictReply,
+    PublishReply, RestoreBody, StatusReply, VerdictReply,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -123,6 +123,18 @@
         self.post_repeated("/v1/config/publish", body, &remedy).await
     }
 
+    /// Restores. Sent again where no answer comes, under the same id.
+    ///
+    /// # Errors
+    /// Any [`Error`] of the API; [`Error::NoAnswer`] where it may have taken effect.
+    pub async fn restore(&self, body: &RestoreBody) -> Result<PublishReply, Error> {
+        let remedy = format!(
+            "it may have taken effect: restore the same file again with --id {}, it counts once",
+            body.id
+        );
+        self.post_repeated("/v1/config/restore", body, &remedy).await
+    }
+
     /// Drains an endpoint. Sent again where no answer comes; it counts once.
     ///
     /// # Errors
@@ -239,7 +251,7 @@
 /// the same id and base, they too can't have been accepted.
 fn settles(error: &Error) -> bool {
     let Error::Api(error) = error else { return false };
-    matches!(&*error.code, "conflict" | "invalid_document" | "id_reused" | "malformed")
+    matches!(&*error.code, "conflict" | "not_lost" | "invalid_document" | "id_reused" | "malformed")
 }
 
 /// A name as one segment of a path.
--- a/crates/cli/tests/testsuite/main.rs
+++ b/crates/cli/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod check;
 mod drain;
 mod publish;
+mod restore;
 mod show;
 mod status;
 mod support;
--- a/crates/core/src/config_log.rs
+++ b/crates/core/src/config_log.rs
@@ -34,7 +34,7 @@
 mod cover;
 mod verdicts;
 
-use std::{sync::Arc, time::Duration};
+use std::{cmp::Reverse, sync::Arc, time::Duration};
 
 use peatdeck_macros::data;
 
@@ -257,7 +257,8 @@
             let is_joined = chain::next_of(state) >= start;
             is_joined && state.version >= self.version()
         });
-        usable.max_by_key(|state| state.as_of)
+        // The first of equal ones, which a reader of single records joins at, too.
+        usable.min_by_key(|state| Reverse(state.as_of))
     }
 
     /// Makes the folded state the known one where it is newer.
--- a/crates/core/src/config_log/chain.rs
+++ b/crates/core/src/config_log/chain.rs
@@ -19,6 +19,7 @@
         publish: None,
         document: Arc::new(Document::default()),
         drains: Vec::new(),
+        restorer: None,
     }
 }
 
@@ -73,6 +74,7 @@
     state.version += 1;
     state.publish = Some(publish.id.clone());
     state.document = publish.document.clone();
+    state.restorer = None;
     Verdict::Accepted { version: state.version }
 }
 
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -126,6 +126,9 @@
     pub document: Arc<Document>,
     /// Drains in force.
     pub drains: Vec<Drain>,
+    /// Who restored this version; `None` where a publish made it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub restorer: Option<Arc<str>>,
 }
 
 /// A record of [`Stream::Claims`]: what one instance batched into one append.
--- a/crates/core/tests/testsuite/config_log.rs
+++ b/crates/core/tests/testsuite/config_log.rs
@@ -9,7 +9,7 @@
     config_log::{Change, Fold, MAX_DRAINS, Verdict},
     document::Document,
     model::Incarnation,
-    record::{Batch, ConfigRecord, Drain, Entry, Publish},
+    record::{Batch, ConfigRecord, Drain, Entry, Publish, Snapshot},
 };
 
 const KEEP: Duration = Duration::from_secs(6_400);
@@ -70,6 +70,48 @@
     assert!(!fold.is_gapped());
 }
 
+/// The state that an operator restored, as the log's only record.
+fn restored(id: &str) -> ConfigRecord {
+    ConfigRecord::Snapshot(Snapshot {
+        as_of: Some(4),
+        version: 9,
+        publish: Some(Arc::from(id)),
+        document: Arc::default(),
+        drains: Vec::new(),
+        restorer: Some(Arc::from("op")),
+    })
+}
+
+/// A fold that has read to the end, after five records that have expired.
+fn late_fold_of(batches: Vec<Vec<ConfigRecord>>) -> Fold {
+    let late = |batch| Batch { earliest: 5, ..batch };
+    let mut fold = Fold::new();
+    fold.read(&late(Batch { next: 5, ..batch(0, 0, Vec::new()) }));
+    for records in batches {
+        fold.read(&late(batch(fold.next_offset(), 0, records)));
+    }
+    fold.read(&late(batch(fold.next_offset(), 0, Vec::new())));
+    fold
+}
+
+#[test]
+fn of_equal_states_to_start_from_the_first_counts() {
+    let at_once = late_fold_of(vec![vec![restored("a"), restored("b")]]);
+    let singly = late_fold_of(vec![vec![restored("a")], vec![restored("b")]]);
+    for fold in [at_once, singly] {
+        assert_eq!(fold.current().unwrap().publish.as_deref(), Some("a"));
+    }
+}
+
+#[test]
+fn a_restored_version_names_its_restorer_until_the_next_publish() {
+    let fold = late_fold_of(vec![vec![restored("a")]]);
+    assert_eq!(fold.current().unwrap().restorer.as_deref(), Some("op"));
+    let fold = late_fold_of(vec![vec![restored("a"), publish("b", 9)]]);
+    let current = fold.current().unwrap();
+    assert_eq!((current.version, &current.restorer), (10, &None));
+}
+
 #[test]
 fn a_drain_holds_for_the_newest_life_and_drains_are_bounded() {
     let fold = fold_of(vec![drain("x", 2), drain("x", 3), drain("y", 1), drain("x", 1)]);
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -6,6 +6,7 @@
 //!
 //! - `POST /v1/config/check`: [`CheckBody`] to [`CheckReply`].
 //! - `POST /v1/config/publish`: [`PublishBody`] to [`PublishReply`].
+//! - `POST /v1/config/restore`: [`RestoreBody`] to [`PublishReply`].
 //! - `GET /v1/config`: [`ConfigReply`].
 //! - `GET /v1/config/history?from=&limit=`: [`HistoryReply`].
 //! - `GET /v1/config/verdict/{id}`: [`VerdictReply`].
@@ -161,10 +162,25 @@
     pub document: Arc<Document>,
 }
 
-/// A publish that was accepted.
+/// Restores a document as the version behind the last one known, where the
+/// log no longer tells what is in force.
+#[message]
+#[serde(deny_unknown_fields)]
+pub struct RestoreBody {
+    /// The restore's own id: sending it again counts once.
+    pub id: Arc<str>,
+    /// The newest version that was ever in force.
+    pub version: Version,
+    /// Who restores.
+    pub author: Arc<str>,
+    /// The whole document.
+    pub document: Arc<Document>,
+}
+
+/// A publish or a restore that was accepted.
 #[message]
 pub struct PublishReply {
-    /// The publish.
+    /// Its id.
     pub id: Arc<str>,
     /// The version that it made.
     pub version: Version,
@@ -237,6 +253,13 @@
         /// What became of it.
         verdict: PublishVerdict,
     },
+    /// Restored a document when the log no longer told what is in force.
+    Restore {
+        /// The restore.
+        id: Arc<str>,
+        /// The version that it made.
+        version: Version,
+    },
     /// Drained an endpoint.
     Drain {
         /// The endpoint.
