--- a/crates/core/tests/testsuite/trace.rs
+++ b/crates/core/tests/testsuite/trace.rs
@@ -183,6 +183,7 @@
         publish: None,
         document: Arc::new(Document::default()),
         drains: Vec::new(),
+        restorer: None,
     };
     let mut account = Account::default();
     account.in_force(Some(&snapshot(2)));
