--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod outage;
 mod pages;
 mod path;
+mod replay;
 mod replies;
 mod settings_page;
 mod stop;
