--- a/crates/testsuite/tests/testsuite/pages.rs
+++ b/crates/testsuite/tests/testsuite/pages.rs
@@ -2,7 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::{fs, path::Path, time::Duration};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
 use peatdeck_core::{
     instance::{
@@ -110,3 +114,30 @@
     cut_off.handle(Duration::from_secs(60), Input::Tick);
     [start(), stopping, cut_off]
 }
+
+#[test]
+fn links_between_pages_lead_somewhere() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut pages = Vec::new();
+    for folder in ["", "docs", "docs/design", "docs/reference"] {
+        pages.extend(markdown_in(&root.join(folder)));
+    }
+    let broken: Vec<_> = pages.iter().flat_map(|page| broken_links(page)).collect();
+    assert!(broken.is_empty(), "these links lead nowhere: {broken:#?}");
+}
+
+fn markdown_in(folder: &Path) -> Vec<PathBuf> {
+    let entries = fs::read_dir(folder).expect("the folder exists");
+    let paths = entries.map(|entry| entry.expect("the folder can be read").path());
+    paths.filter(|path| path.extension().is_some_and(|kind| kind == "md")).collect()
+}
+
+/// Links to files that are not there, each with its page.
+fn broken_links(page: &Path) -> Vec<String> {
+    let text = fs::read_to_string(page).expect("the page can be read");
+    let targets = text.split("](").skip(1).filter_map(|rest| rest.split_once(')'));
+    let files = targets.map(|(target, _)| target.split('#').next().unwrap_or_default());
+    let local = files.filter(|file| !file.is_empty() && !file.contains("://"));
+    let broken = local.filter(|file| !page.with_file_name(file).exists());
+    broken.map(|file| format!("{}: {file}", page.display())).collect()
+}
