--- a/crates/cli/tests/testsuite/main.rs
+++ b/crates/cli/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod publish;
 mod replay;
+mod restore;
 mod show;
 mod status;
 mod support;
