--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -49,7 +49,9 @@
 
 use crate::{
     admission::probe::Probe,
-    budget, claims, config_log, endpoints,
+    budget, claims, config_log,
+    content::Content,
+    endpoints,
     instance::{
         action::Action,
         counters::Counters,
@@ -64,13 +66,14 @@
     },
     membership,
     model::{AppendId, CallerId, PipelineName, RequestId, TeamName},
-    record::{Offset, Snapshot},
+    record::{Offset, Snapshot, Stream},
 };
 
 /// One entry instance.
 pub struct Instance {
     identity: Identity,
     settings: Settings,
+    content: Content,
     now: Duration,
     rng: SmallRng,
     fold: config_log::Fold,
@@ -94,6 +97,7 @@
     appends: HashMap<AppendId, Append>,
     last_append: u64,
     last_read: Option<Duration>,
+    was_listed: bool,
     stopping: Option<Stopping>,
     actions: Vec<Action>,
 }
@@ -119,6 +123,7 @@
     pub fn new(identity: Identity, settings: Settings, seed: u64) -> Instance {
         Instance {
             rng: SmallRng::seed_from_u64(seed),
+            content: Content::Keep,
             now: Duration::ZERO,
             fold: config_log::Fold::new(),
             plan: None,
@@ -141,6 +146,7 @@
             appends: HashMap::new(),
             last_append: 0,
             last_read: None,
+            was_listed: false,
             stopping: None,
             actions: Vec::new(),
             identity,
@@ -148,6 +154,12 @@
         }
     }
 
+    /// As [`Instance::new`], for a replay of texts that may be hashed.
+    #[must_use]
+    pub fn with_content(self, content: Content) -> Instance {
+        Instance { content, ..self }
+    }
+
     /// Takes one input and says what is to be done, in order.
     ///
     /// `now` never goes back; it may jump ahead by any amount.
@@ -192,6 +204,16 @@
         self.fold.current()
     }
 
+    /// Whether a stream was once read to its end. Until then it should be read
+    /// without waiting for new records: only a read that gives none shows the
+    /// end, and under load a read that waits always gives some.
+    pub fn has_reached_end(&self, stream: Stream) -> bool {
+        match stream {
+            Stream::Config => self.fold.has_reached_end(),
+            Stream::Claims => self.claims.is_caught_up(),
+        }
+    }
+
     /// Events counted so far.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/crates/core/src/instance/settings.rs
+++ b/crates/core/src/instance/settings.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use peatdeck_macros::data;
+use peatdeck_macros::message;
 
 use crate::{claims, endpoints, limits, membership};
 
 /// Settings of the decisions. The defaults are what operators should run.
-#[data]
+#[message]
+#[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Which decisions are on.
     pub decisions: Decisions,
@@ -26,6 +27,8 @@
     pub finished: usize,
     /// Calls in flight at one endpoint where its limit does not adapt.
     pub limit: u32,
+    /// Endpoints of one pool that the instance keeps to, at the most.
+    pub subset: usize,
     /// Time between gossip rounds.
     pub gossip: Duration,
     /// How long the log keeps records, as its operators state it.
@@ -41,9 +44,10 @@
             isolation: Duration::from_secs(5),
             grace: Duration::from_secs(2),
             settle: Duration::from_secs(5),
-            ask: Duration::from_secs(1),
+            ask: Duration::from_secs(5),
             finished: 4096,
             limit: 64,
+            subset: 20,
             gossip: Duration::from_millis(250),
             retention: Duration::from_secs(24 * 60 * 60),
             horizon: Duration::from_secs(60 * 60),
@@ -75,8 +79,9 @@
 }
 
 /// Switches of the single decisions, for experiments.
-#[data]
+#[message]
 #[derive(Copy, Eq)]
+#[serde(deny_unknown_fields)]
 pub struct Decisions {
     /// Refuse at once what the estimate says cannot be in time.
     pub admission: bool,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,18 +25,22 @@
 //! - [`claims`]: at most one run of a non-idempotent request.
 //! - [`membership`]: peers, their liveness and what they tell each other.
 //! - [`endpoints`]: what is known of each endpoint; leaving is sticky.
+//! - [`subset`]: which endpoints of a large pool an instance keeps to.
 //! - [`routing`], [`limits`], [`latency`]: where a call goes.
 //! - [`timing`]: how the remaining time is split over stages, and when to hedge.
 //! - [`admission`], [`queue`], [`budget`]: what is taken in, in which order,
 //!   and how much repetition is allowed.
 //! - [`policy`]: operators' short programs.
 //! - [`instance`]: one entry instance, made of all of the above.
+//! - [`trace`]: an instance's inputs recorded and replayed, [`content`]: the
+//!   callers' texts in them, kept or hashed.
 
 pub mod admission;
 pub mod budget;
 pub mod check;
 pub mod claims;
 pub mod config_log;
+pub mod content;
 pub mod document;
 pub mod endpoints;
 pub mod instance;
@@ -48,4 +52,6 @@
 pub mod queue;
 pub mod record;
 pub mod routing;
+pub mod subset;
 pub mod timing;
+pub mod trace;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -20,6 +20,8 @@
     settings::{Check, Problems},
 };
 
+use crate::trace;
+
 mod check;
 mod flags;
 
@@ -73,6 +75,8 @@
     pub instance: instance::settings::Settings,
     /// Where metrics go, if anywhere.
     pub statsd: Option<SocketAddr>,
+    /// Where the machine's inputs are recorded, if anywhere.
+    pub trace: Option<trace::Settings>,
     /// How log lines are written.
     pub log_format: logging::Format,
     /// Which log lines are written.
@@ -148,6 +152,7 @@
             )),
             instance: self.instance(&mut check),
             statsd: self.statsd.as_deref().map(|text| check.addr("--statsd", Some(text))),
+            trace: self.trace(&mut check),
             log_format: check.format("--log-format", self.log_format.as_deref()),
             log_filter: self.log_filter.clone().unwrap_or_else(default_filter),
         };
@@ -155,6 +160,12 @@
         check.finish(settings)
     }
 
+    fn trace(&self, check: &mut Check) -> Option<trace::Settings> {
+        let content = check::content(check, self.trace_content.as_deref());
+        let file = self.trace.as_deref().filter(|file| !file.is_empty())?;
+        Some(trace::Settings { file: file.into(), content })
+    }
+
     fn instance(&self, check: &mut Check) -> instance::settings::Settings {
         let default = instance::settings::Settings::default();
         let seconds = |check: &mut Check, flag, value: &Option<String>, default: Duration| {
--- a/crates/entry/src/settings/check.rs
+++ b/crates/entry/src/settings/check.rs
@@ -1,6 +1,6 @@
 //! The checks that only an entry's settings need.
 
-use peatdeck_core::instance::settings::Decisions;
+use peatdeck_core::{content::Content, instance::settings::Decisions};
 use peatdeck_util::settings::Check;
 
 use crate::settings::Settings;
@@ -27,6 +27,19 @@
     decisions
 }
 
+/// How texts are recorded.
+pub(super) fn content(check: &mut Check, value: Option<&str>) -> Content {
+    match value {
+        None | Some("" | "hash") => Content::Hash,
+        Some("keep") => Content::Keep,
+        Some(other) => {
+            let message = format!("`{}` is not a way to record texts", other.escape_debug());
+            check.report("--trace-content", message, "use `hash` or `keep`");
+            Content::Hash
+        }
+    }
+}
+
 /// Callers and peers connect to different addresses.
 pub(super) fn distinct(check: &mut Check, settings: &Settings) {
     let is_fixed = settings.listen.port() != 0;
