--- a/crates/core/src/trace/replay.rs
+++ b/crates/core/src/trace/replay.rs
@@ -231,6 +231,11 @@
                 let stated = format!("{least} to {most} calls for {}", key.id);
                 (stated, format!("{calls}"), (*least..=*most).contains(&calls))
             }
+            Expect::InForce { version } => {
+                let found = self.instance.in_force().map_or(0, |snapshot| snapshot.version);
+                let stated = format!("version {version} is in force at the end");
+                (stated, format!("version {found}"), found == *version)
+            }
         };
         if !is_met {
             self.found(Fault::Unmet { stated, found });
@@ -252,7 +257,9 @@
     match outcome {
         Outcome::Answered(answer) => {
             let stages = answer.stages.iter();
-            let stages = stages.map(|s| format!("{} at {} by {}", s.stage, s.endpoint, s.attempts));
+            let stages = stages.map(|s| {
+                format!("{} at {} by {} in {:?}", s.stage, s.endpoint, s.attempts, s.took)
+            });
             let bytes = answer.output.len();
             format!("answered ({}; {bytes} bytes)", stages.collect::<Vec<_>>().join(", "))
         }
