--- a/crates/cli/tests/testsuite/main.rs
+++ b/crates/cli/tests/testsuite/main.rs
@@ -6,6 +6,8 @@
 mod check;
 mod drain;
 mod publish;
+mod replay;
+mod restore;
 mod show;
 mod status;
 mod support;
--- a/crates/core/src/instance/settings.rs
+++ b/crates/core/src/instance/settings.rs
@@ -21,7 +21,8 @@
     /// How long a stopping instance tries to write what it owes the log,
     /// after its last request has ended.
     pub settle: Duration,
-    /// How long to wait for another instance to tell a request's outcome.
+    /// How long to wait for another instance to tell a request's outcome, at
+    /// the most; half of the request's remaining time, where that is less.
     pub ask: Duration,
     /// Finished non-idempotent requests whose outcome is kept for repeats.
     pub finished: usize,
@@ -44,7 +45,7 @@
             isolation: Duration::from_secs(5),
             grace: Duration::from_secs(2),
             settle: Duration::from_secs(5),
-            ask: Duration::from_secs(1),
+            ask: Duration::from_secs(5),
             finished: 4096,
             limit: 64,
             subset: 20,
