Measure a queue's drain by calls that got a place; hold to shares only in long queues

Cause: a call that was given up as it came out of its queue counted as served, so the more was hopeless, the faster the queue seemed, and the more was let in. It also cost its team a turn. And any waiting call of any pool held every team to its share, so that with few requests held a small team was refused by chance below capacity.

Change: only calls that got a place count; a call given up leaves its team its turn. A team is held to its share while others wait in a pool that the request needs and that queue takes over half of its time; four requests may be held whatever the share.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -49,12 +49,14 @@
     pub total: u32,
     /// The team's weight over the weights of all teams that have requests here, itself included.
     pub weight: f64,
-    /// Whether requests of other teams wait for a place.
+    /// Whether requests of other teams wait long for places that this one needs.
     pub contended: bool,
 }
 
 /// How far beyond its share a team may go while others wait.
 const LENT_SHARE: f64 = 2.0;
+/// Requests that a team may hold whatever its share: so few are chance.
+const FEW: f64 = 4.0;
 /// The soonest that a caller is asked back.
 const MIN_RETRY: Duration = Duration::from_millis(100);
 /// The latest that a caller is asked back.
@@ -132,5 +134,5 @@
         return most;
     }
     let fair = share.weight * f64::from(share.total + 1) * LENT_SHARE;
-    most.min(fair.max(1.0))
+    most.min(fair.max(FEW))
 }
--- a/crates/core/src/instance/estimates.rs
+++ b/crates/core/src/instance/estimates.rs
@@ -13,6 +13,9 @@
     timing,
 };
 
+/// Part of a request's time from which on a queue is long: shares are held to.
+const LONG_QUEUE: f64 = 0.5;
+
 /// Times of each stage of each pipeline.
 pub type Latencies = HashMap<PipelineName, HashMap<StageName, Estimator>>;
 
@@ -64,23 +67,38 @@
             wait: stages.map(|stage| self.wait(stage, &request.id.team, self.now + left)).sum(),
             work: timing::work(&self.known(pipeline, 0)),
             quick: timing::quick_work(&self.known(pipeline, 0)),
-            share: self.share(&request.id.team, weight, max_held),
+            share: admission::Share {
+                max_held,
+                contended: self.is_contended(pipeline, &request.id.team, left),
+                ..self.share(&request.id.team, weight)
+            },
         }
     }
 
-    fn share(&self, team: &TeamName, weight: u32, max_held: Option<u32>) -> admission::Share {
+    fn share(&self, team: &TeamName, weight: u32) -> admission::Share {
         let held = self.teams.get(team).map_or(0, |using| using.held);
         let others = self.teams.iter().filter(|(name, using)| *name != team && using.held > 0);
         let others: u32 = others.map(|(_, using)| using.weight).sum();
         admission::Share {
             held,
-            max_held,
             total: u32::try_from(self.held.len()).unwrap_or(u32::MAX),
             weight: f64::from(weight) / f64::from((weight + others).max(1)),
-            contended: self.lanes.any(),
+            ..Default::default()
         }
     }
 
+    /// Whether a request would take places that other teams need: they wait in
+    /// a pool of its pipeline, and long. A short queue is the chance of
+    /// arrivals, and all in it are served in time.
+    fn is_contended(&self, pipeline: &Pipeline, team: &TeamName, left: Duration) -> bool {
+        let long = left.mul_f64(LONG_QUEUE);
+        let mut pools = pipeline.stages.iter().map(|stage| &*stage.pool);
+        pools.any(|pool| {
+            let backlog = self.lanes.backlog(self.now, pool).unwrap_or_default();
+            backlog > long && self.lanes.others_wait(pool, team)
+        })
+    }
+
     /// How long a new call would wait for a place in a stage's pool.
     fn wait(&self, stage: &Stage, team: &TeamName, deadline: Duration) -> Duration {
         let ahead = self.lanes.ahead(&stage.pool, team, deadline);
--- a/crates/core/src/instance/lanes.rs
+++ b/crates/core/src/instance/lanes.rs
@@ -47,14 +47,25 @@
         lane.drain.waiting(now, true);
     }
 
-    /// Takes the next call out.
+    /// Takes the next call out. [`Lanes::sent`] or [`Lanes::left`] says what became of it.
     pub fn pop(&mut self, now: Duration, pool: &str) -> Option<RequestKey> {
-        let lane = self.by_pool.get_mut(pool)?;
-        let before = lane.queue.cost();
-        let key = lane.queue.pop(now)?;
-        lane.drain.popped(now, before - lane.queue.cost());
+        self.by_pool.get_mut(pool)?.queue.pop(now)
+    }
+
+    /// A call that came out got a place.
+    pub fn sent(&mut self, now: Duration, pool: &str, cost: f64) {
+        let Some(lane) = self.by_pool.get_mut(pool) else { return };
+        lane.drain.popped(now, cost);
+        lane.drain.waiting(now, !lane.queue.is_empty());
+    }
+
+    /// A call that came out got no place. So it says nothing of how fast places
+    /// come free, and its team has not had its turn.
+    pub fn left(&mut self, now: Duration, pool: &str, team: &str, cost: f64) {
+        let Some(lane) = self.by_pool.get_mut(pool) else { return };
+        let team = if self.fair { team } else { NO_TEAM };
+        lane.queue.give_back(team, cost);
         lane.drain.waiting(now, !lane.queue.is_empty());
-        Some(key)
     }
 
     /// Takes a call out, wherever it waits in its pool.
@@ -74,9 +85,15 @@
         self.len(pool) == 0
     }
 
-    /// Whether anything waits for any pool.
-    pub fn any(&self) -> bool {
-        self.by_pool.values().any(|lane| !lane.queue.is_empty())
+    /// Whether calls of other teams wait for a pool.
+    pub fn others_wait(&self, pool: &str, team: &str) -> bool {
+        self.by_pool.get(pool).is_some_and(|lane| lane.queue.others_wait(team))
+    }
+
+    /// How long all that waits for a pool takes to leave; `None` if too little is known.
+    pub fn backlog(&self, now: Duration, pool: &str) -> Option<Duration> {
+        let lane = self.by_pool.get(pool)?;
+        lane.drain.wait(now, lane.queue.cost())
     }
 
     /// Cost ahead of a new call.
--- a/crates/core/src/instance/stages.rs
+++ b/crates/core/src/instance/stages.rs
@@ -66,18 +66,29 @@
             let Some(key) = self.lanes.pop(self.now, pool) else { return };
             self.held[key].progress.queued = false;
             if self.is_hopeless(key) {
+                self.leave_lane(key, pool);
                 self.due(key);
                 continue;
             }
             let first = self.held[key].progress.attempts == 0;
             let why = if first { Why::First } else { Why::Retry };
             if !self.dispatch(key, why) {
+                self.leave_lane(key, pool);
                 self.back_off(key);
                 return;
             }
+            self.lanes.sent(self.now, pool, self.cost(pool));
         }
     }
 
+    /// A call that came out of its queue gets no place after all.
+    fn leave_lane(&mut self, key: RequestKey, pool: &str) {
+        let held = &self.held[key];
+        // Past its deadline it came out at no cost.
+        let cost = if held.due <= self.now { 0.0 } else { self.cost(pool) };
+        self.lanes.left(self.now, pool, &held.request.id.team, cost);
+    }
+
     /// Sends one call. False if no endpoint may take it now.
     fn dispatch(&mut self, key: RequestKey, why: Why) -> bool {
         let Some(endpoint) = self.choose(key, why) else { return false };
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -130,6 +130,14 @@
         Some(call.key)
     }
 
+    /// Gives a team back what a call cost that came out and got no place. A call
+    /// whose deadline had passed cost nothing: nothing is given back for it.
+    pub fn give_back(&mut self, name: &str, cost: f64) {
+        let Some(team) = self.teams.iter_mut().find(|team| &*team.name == name) else { return };
+        team.deficit += cost;
+        team.settle();
+    }
+
     /// Takes a call out, wherever it is; false if it doesn't wait.
     pub fn remove(&mut self, key: K) -> bool {
         for team in &mut self.teams {
@@ -153,6 +161,11 @@
         self.len == 0
     }
 
+    /// Whether calls of any other team wait.
+    pub fn others_wait(&self, name: &str) -> bool {
+        self.teams.iter().any(|team| &*team.name != name && !team.waiting.is_empty())
+    }
+
     /// Cost of all that would go before a new call of that team with that deadline.
     ///
     /// The team's own earlier calls, and of each other team what its weight
--- a/crates/core/tests/testsuite/admission.rs
+++ b/crates/core/tests/testsuite/admission.rs
@@ -73,6 +73,16 @@
     check(&Estimate { share, ..estimate(5000, 1000, 500) }, expect!["admitted"]);
 }
 
+#[test]
+fn a_few_requests_say_nothing_of_a_share() {
+    let share = Share { held: 3, max_held: None, total: 15, weight: 0.09, contended: true };
+    check(&Estimate { share, ..estimate(5000, 1000, 500) }, expect!["admitted"]);
+    let share = Share { held: 4, ..share };
+    check(&Estimate { share, ..estimate(5000, 1000, 500) }, expect!["OverShare, in 375ms"]);
+    let share = Share { held: 3, max_held: Some(3), ..share };
+    check(&Estimate { share, ..estimate(5000, 1000, 500) }, expect!["OverShare, in 500ms"]);
+}
+
 #[test]
 fn refused_callers_do_not_come_back_together() {
     let mut rng = SmallRng::seed_from_u64(1);
--- a/crates/core/tests/testsuite/queue.rs
+++ b/crates/core/tests/testsuite/queue.rs
@@ -107,6 +107,39 @@
     assert_eq!(order, [1, 2, 3, 4]);
 }
 
+#[test]
+fn a_call_that_got_no_place_leaves_its_team_its_turn() {
+    let mut queue = Queue::new();
+    for key in 0..20 {
+        queue.push(waiting(key, "a", 100));
+        queue.push(waiting(100 + key, "b", 100));
+    }
+    let mut served = Vec::new();
+    while served.len() < 10 {
+        match queue.pop(Duration::ZERO) {
+            // Every other call of "a" is given up.
+            Some(key) if key < 100 && key % 2 == 0 => queue.give_back("a", 1.0),
+            Some(key) => served.push(key),
+            None => break,
+        }
+    }
+    assert_eq!(served.iter().filter(|key| **key < 100).count(), 5);
+}
+
+#[test]
+fn what_is_given_back_to_a_team_without_calls_is_not_owed() {
+    let mut queue = Queue::new();
+    queue.push(waiting(1, "a", 100));
+    queue.pop(Duration::ZERO);
+    queue.give_back("a", 50.0);
+    for key in 0..10 {
+        queue.push(waiting(key, "a", 100));
+        queue.push(waiting(100 + key, "b", 100));
+    }
+    let first: Vec<u32> = drain(&mut queue).into_iter().take(6).collect();
+    assert_eq!(first.iter().filter(|key| **key < 100).count(), 3);
+}
+
 #[test]
 fn a_removed_call_is_gone() {
     let mut queue = Queue::new();
