Estimate a team's wait by its own rate as well

Cause: the wait was worked out from what waits now, so it left out what other teams would send meanwhile. Small teams with no backlog took a quarter of the places ahead of the large ones' queues.

Change: the wait is the longer of the pool's estimate and of the team's own cost ahead over the rate at which the team's calls get places.

--- a/crates/core/src/instance/estimates.rs
+++ b/crates/core/src/instance/estimates.rs
@@ -7,7 +7,7 @@
 use crate::{
     admission,
     document::{Pipeline, Stage},
-    instance::{Instance, held::RequestKey},
+    instance::{Instance, held::RequestKey, lanes},
     latency::Estimator,
     model::{PipelineName, Request, StageName, TeamName},
     timing,
@@ -101,11 +101,8 @@
 
     /// How long a new call would wait for a place in a stage's pool.
     fn wait(&self, stage: &Stage, team: &TeamName, deadline: Duration) -> Duration {
-        let ahead = self.lanes.ahead(&stage.pool, team, deadline);
-        if ahead <= 0.0 {
-            return Duration::ZERO;
-        }
-        self.lanes.wait(self.now, &stage.pool, ahead).unwrap_or_default()
+        let cost = self.cost(&stage.pool);
+        self.lanes.wait(self.now, &stage.pool, &lanes::Ahead { team, deadline, cost })
     }
 
     /// When to come back: once what waits ahead now has drained.
--- a/crates/core/src/instance/lanes.rs
+++ b/crates/core/src/instance/lanes.rs
@@ -24,6 +24,19 @@
 struct Lane {
     queue: Queue<RequestKey>,
     drain: Drain,
+    /// How fast each team's calls get through. What the other teams will send
+    /// meanwhile shows here only, not in what waits now.
+    teams: BTreeMap<TeamName, Drain>,
+}
+
+impl Lane {
+    /// Tells the meters who waits; after each change of the queue.
+    fn note(&mut self, now: Duration) {
+        self.drain.waiting(now, !self.queue.is_empty());
+        for (team, drain) in &mut self.teams {
+            drain.waiting(now, self.queue.team_waits(team));
+        }
+    }
 }
 
 impl Lanes {
@@ -43,8 +56,9 @@
     pub fn push(&mut self, now: Duration, pool: &PoolName, waiting: Waiting<RequestKey>) {
         let waiting = if self.fair { waiting } else { by_arrival(now, waiting) };
         let lane = self.by_pool.entry(pool.clone()).or_default();
+        lane.teams.entry(waiting.team.clone()).or_default();
         lane.queue.push(waiting);
-        lane.drain.waiting(now, true);
+        lane.note(now);
     }
 
     /// Takes the next call out. [`Lanes::sent`] or [`Lanes::left`] says what became of it.
@@ -53,10 +67,13 @@
     }
 
     /// A call that came out got a place.
-    pub fn sent(&mut self, now: Duration, pool: &str, cost: f64) {
+    pub fn sent(&mut self, now: Duration, pool: &str, team: &str, cost: f64) {
         let Some(lane) = self.by_pool.get_mut(pool) else { return };
         lane.drain.popped(now, cost);
-        lane.drain.waiting(now, !lane.queue.is_empty());
+        if let Some(drain) = lane.teams.get_mut(team) {
+            drain.popped(now, cost);
+        }
+        lane.note(now);
     }
 
     /// A call that came out got no place. So it says nothing of how fast places
@@ -65,14 +82,14 @@
         let Some(lane) = self.by_pool.get_mut(pool) else { return };
         let team = if self.fair { team } else { NO_TEAM };
         lane.queue.give_back(team, cost);
-        lane.drain.waiting(now, !lane.queue.is_empty());
+        lane.note(now);
     }
 
     /// Takes a call out, wherever it waits in its pool.
     pub fn remove(&mut self, now: Duration, pool: &str, key: RequestKey) {
         let Some(lane) = self.by_pool.get_mut(pool) else { return };
         lane.queue.remove(key);
-        lane.drain.waiting(now, !lane.queue.is_empty());
+        lane.note(now);
     }
 
     /// Calls that wait for a pool.
@@ -96,16 +113,35 @@
         lane.drain.wait(now, lane.queue.cost())
     }
 
-    /// Cost ahead of a new call.
-    pub fn ahead(&self, pool: &str, team: &TeamName, deadline: Duration) -> f64 {
-        let Some(lane) = self.by_pool.get(pool) else { return 0.0 };
-        if self.fair { lane.queue.cost_ahead(team, deadline) } else { lane.queue.cost() }
+    /// How long a new call of that cost waits for a pool.
+    ///
+    /// The cost ahead over the rate of the pool, or the team's own over the
+    /// team's rate if that is longer. Zero where too little is known.
+    pub fn wait(&self, now: Duration, pool: &str, call: &Ahead<'_>) -> Duration {
+        let Some(lane) = self.by_pool.get(pool) else { return Duration::ZERO };
+        if !self.fair {
+            return lane.drain.wait(now, lane.queue.cost()).unwrap_or_default();
+        }
+        let ahead = lane.queue.cost_ahead(call.team, call.deadline);
+        let all = lane.drain.wait(now, ahead).unwrap_or_default();
+        let own = lane.queue.own_ahead(call.team, call.deadline);
+        if own <= 0.0 {
+            return all;
+        }
+        let team = lane.teams.get(call.team).and_then(|drain| drain.wait(now, own + call.cost));
+        all.max(team.unwrap_or_default())
     }
+}
 
-    /// How long that cost takes to leave; `None` if too little is known.
-    pub fn wait(&self, now: Duration, pool: &str, ahead: f64) -> Option<Duration> {
-        self.by_pool.get(pool)?.drain.wait(now, ahead)
-    }
+/// A new call, as far as its wait depends on it.
+#[derive(Debug, Clone, Copy)]
+pub struct Ahead<'a> {
+    /// Its team.
+    pub team: &'a str,
+    /// When it is due.
+    pub deadline: Duration,
+    /// Its cost.
+    pub cost: f64,
 }
 
 /// First come, first served: one team, an earlier arrival before a later one.
--- a/crates/core/src/instance/stages.rs
+++ b/crates/core/src/instance/stages.rs
@@ -77,7 +77,8 @@
                 self.back_off(key);
                 return;
             }
-            self.lanes.sent(self.now, pool, self.cost(pool));
+            let team = &self.held[key].request.id.team;
+            self.lanes.sent(self.now, pool, team, self.cost(pool));
         }
     }
 
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -161,6 +161,17 @@
         self.len == 0
     }
 
+    /// Whether calls of a team wait.
+    pub fn team_waits(&self, name: &str) -> bool {
+        self.teams.iter().any(|team| &*team.name == name && !team.waiting.is_empty())
+    }
+
+    /// Cost of a team's waiting calls that would go before its new one with that deadline.
+    pub fn own_ahead(&self, name: &str, deadline: Duration) -> f64 {
+        let own = self.teams.iter().find(|team| &*team.name == name);
+        own.map_or(0.0, |own| own.cost_before(deadline))
+    }
+
     /// Whether calls of any other team wait.
     pub fn others_wait(&self, name: &str) -> bool {
         self.teams.iter().any(|team| &*team.name != name && !team.waiting.is_empty())
--- /dev/null
+++ b/crates/core/tests/testsuite/lanes.rs
@@ -0,0 +1,76 @@
+//! How long a new call waits for a pool, as the lanes measure it.
+
+use std::time::Duration;
+
+use peatdeck_core::{
+    instance::{
+        held::RequestKey,
+        lanes::{Ahead, Lanes},
+    },
+    queue::Waiting,
+};
+use slotmap::KeyData;
+
+const POOL: &str = "models";
+const DUE: Duration = Duration::from_secs(60);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn push(lanes: &mut Lanes, now: Duration, number: u64, team: &str) {
+    let key = RequestKey::from(KeyData::from_ffi((1 << 32) | number));
+    let team = team.into();
+    let waiting = Waiting { key, team, weight: 1, deadline: DUE, cost: 1.0, priority: 0.0 };
+    lanes.push(now, &POOL.into(), waiting);
+}
+
+fn wait(lanes: &Lanes, now: Duration, team: &str) -> Duration {
+    lanes.wait(now, POOL, &Ahead { team, deadline: DUE, cost: 1.0 })
+}
+
+#[test]
+fn calls_that_get_no_place_say_nothing_of_the_rate() {
+    let mut lanes = Lanes::new(true);
+    (0..40).for_each(|number| push(&mut lanes, ms(0), number, "a"));
+    for round in 1..=10 {
+        let now = ms(round * 100);
+        lanes.pop(now, POOL).unwrap();
+        lanes.sent(now, POOL, "a", 1.0);
+        lanes.pop(now, POOL).unwrap();
+        lanes.left(now, POOL, "a", 1.0);
+    }
+    // Twenty wait, and one in 100 ms gets a place.
+    let wait = wait(&lanes, ms(1000), "a");
+    assert!((ms(1900)..ms(2200)).contains(&wait), "{wait:?}");
+}
+
+#[test]
+fn a_team_waits_for_what_others_will_send_too() {
+    let mut lanes = Lanes::new(true);
+    (0..40).for_each(|number| push(&mut lanes, ms(0), number, "a"));
+    for round in 1..=40 {
+        let now = ms(round * 100);
+        if round % 2 == 0 {
+            push(&mut lanes, now, 100 + round, "b");
+        }
+        let key = lanes.pop(now, POOL).unwrap();
+        let is_late = slotmap::Key::data(&key).as_ffi() & 0xff >= 100;
+        lanes.sent(now, POOL, if is_late { "b" } else { "a" }, 1.0);
+    }
+    // Twenty of "a" wait. Half of the places go to "b", of which none waits now.
+    let wait = wait(&lanes, ms(4000), "a");
+    assert!((ms(3800)..ms(4400)).contains(&wait), "{wait:?}");
+}
+
+#[test]
+fn a_team_without_waiting_calls_goes_by_the_pool() {
+    let mut lanes = Lanes::new(true);
+    (0..40).for_each(|number| push(&mut lanes, ms(0), number, "a"));
+    for round in 1..=10 {
+        lanes.pop(ms(round * 100), POOL).unwrap();
+        lanes.sent(ms(round * 100), POOL, "a", 1.0);
+    }
+    assert!(wait(&lanes, ms(1000), "b") < ms(200));
+    assert!(lanes.others_wait(POOL, "b") && !lanes.others_wait(POOL, "a"));
+}
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod endpoints;
 mod fuzz;
 mod instances;
+mod lanes;
 mod latency;
 mod limits;
 mod membership;
