--- a/crates/core/src/instance/lanes.rs
+++ b/crates/core/src/instance/lanes.rs
@@ -9,6 +9,8 @@
     queue::{Queue, Waiting},
 };
 
+/// How many times its usual spread a wait is taken to exceed its mean by.
+const SPREAD: f64 = 1.0;
 /// The name that all teams share where the order knows no teams.
 const NO_TEAM: &str = "";
 
@@ -37,6 +39,17 @@
             drain.waiting(now, self.queue.team_waits(team));
         }
     }
+
+    /// The cost ahead over the rate of the pool, or the team's own over the
+    /// team's rate if that is longer.
+    fn fair_wait(&self, now: Duration, call: &Ahead<'_>) -> Option<Duration> {
+        let all = self.drain.wait(now, self.queue.cost_ahead(call.team, call.deadline));
+        let own = self.queue.own_ahead(call.team, call.deadline);
+        if own <= 0.0 {
+            return all;
+        }
+        all.max(self.teams.get(call.team)?.wait(now, own))
+    }
 }
 
 impl Lanes {
@@ -113,26 +126,24 @@
         lane.drain.wait(now, lane.queue.cost())
     }
 
-    /// How long a new call of that cost waits for a pool.
-    ///
-    /// The cost ahead over the rate of the pool, or the team's own over the
-    /// team's rate if that is longer. Zero where too little is known.
+    /// How long a new call waits for a pool, at a high quantile. Zero where too
+    /// little is known.
     pub fn wait(&self, now: Duration, pool: &str, call: &Ahead<'_>) -> Duration {
         let Some(lane) = self.by_pool.get(pool) else { return Duration::ZERO };
-        if !self.fair {
-            return lane.drain.wait(now, lane.queue.cost()).unwrap_or_default();
-        }
-        let ahead = lane.queue.cost_ahead(call.team, call.deadline);
-        let all = lane.drain.wait(now, ahead).unwrap_or_default();
-        let own = lane.queue.own_ahead(call.team, call.deadline);
-        if own <= 0.0 {
-            return all;
-        }
-        let team = lane.teams.get(call.team).and_then(|drain| drain.wait(now, own + call.cost));
-        all.max(team.unwrap_or_default())
+        let mean = if self.fair { lane.fair_wait(now, call) } else { self.backlog(now, pool) };
+        let mean = mean.unwrap_or_default();
+        let turn = lane.drain.wait(now, call.cost).unwrap_or(mean);
+        high(mean, turn)
     }
 }
 
+/// The wait that is hardly exceeded, from the mean wait and the time between
+/// two calls that get a place: their number in a given time spreads by its root.
+fn high(mean: Duration, turn: Duration) -> Duration {
+    let calls = (mean.as_secs_f64() / turn.as_secs_f64().max(f64::MIN_POSITIVE)).max(1.0);
+    mean.mul_f64(1.0 + SPREAD / calls.sqrt())
+}
+
 /// A new call, as far as its wait depends on it.
 #[derive(Debug, Clone, Copy)]
 pub struct Ahead<'a> {
