--- a/crates/entry/src/settings/flags.rs
+++ b/crates/entry/src/settings/flags.rs
@@ -1,7 +1,8 @@
 //! The command line and the environment, as text.
 
-use bpaf::{OptionParser, Parser, construct, long};
+use bpaf::{OptionParser, Parser, construct};
 use peatdeck_macros::data;
+use peatdeck_util::settings::text;
 
 /// What the command line and the environment say, as text.
 #[data]
@@ -43,6 +44,10 @@
     pub grace: Option<String>,
     /// Where metrics go.
     pub statsd: Option<String>,
+    /// Where the machine's inputs are recorded.
+    pub trace: Option<String>,
+    /// Whether callers' texts are kept in the record.
+    pub trace_content: Option<String>,
     /// How log lines are written.
     pub log_format: Option<String>,
     /// Which log lines are written.
@@ -127,6 +132,18 @@
         "IP:PORT",
         "Where metrics are sent over UDP [default: nowhere]",
     );
+    let trace = text(
+        "trace",
+        "PEATDECK_TRACE",
+        "FILE",
+        "Record every input into this new file, for tests and incidents [default: nowhere]",
+    );
+    let trace_content = text(
+        "trace-content",
+        "PEATDECK_TRACE_CONTENT",
+        "HOW",
+        "Callers' texts in the trace: `hash`, or `keep` as they are [default: hash]",
+    );
     let log_format =
         text("log-format", "PEATDECK_LOG_FORMAT", "FORMAT", "`text` or `json` [default: text]");
     let log_filter = text(
@@ -154,6 +171,8 @@
         horizon,
         grace,
         statsd,
+        trace,
+        trace_content,
         log_format,
         log_filter,
     })
@@ -168,12 +187,3 @@
     \n    peatdeck-entry --name entry-1 --data-centre north --listen 10.0.0.5:8080 \\
         --peer-listen 10.0.0.5:8081 --log 10.0.1.1:7000 --list 10.0.1.1:7001
     PEATDECK_NAME=entry-1 PEATDECK_LOG=10.0.1.1:7000 … peatdeck-entry --log-format json";
-
-fn text(
-    flag: &'static str,
-    variable: &'static str,
-    value: &'static str,
-    help: &'static str,
-) -> impl Parser<Option<String>> {
-    long(flag).env(variable).help(help).argument::<String>(value).optional()
-}
--- a/crates/test-support/src/processes/builder.rs
+++ b/crates/test-support/src/processes/builder.rs
@@ -1,20 +1,14 @@
 //! Settings of a system of processes, and its start.
 
-use std::{collections::BTreeMap, io, net::TcpListener, sync::Arc};
+use std::{collections::BTreeMap, path::PathBuf, sync::Arc};
 
 use peatdeck_core::document::{Document, Pool, PoolKind};
 
 use super::{
-    System, TOKEN,
+    ADMIN, System, TOKEN,
     node::{Endpoint, Entry, Node},
 };
-use crate::{
-    error::{Error, Result},
-    fixture,
-    http::Http,
-    process::{Process, Spec},
-    wait::{self, BOUND},
-};
+use crate::{error::Result, fixture, http::Http, process::Spec};
 
 /// The binary of all stand-ins.
 const STANDIN: &str = "peatdeck-standin";
@@ -34,6 +28,7 @@
     pool_flags: BTreeMap<String, Vec<String>>,
     entry_flags: Vec<String>,
     entry_env: Vec<(String, String)>,
+    traces: Option<PathBuf>,
 }
 
 impl Default for Builder {
@@ -56,6 +51,7 @@
             pool_flags: BTreeMap::new(),
             entry_flags: Vec::new(),
             entry_env: Vec::new(),
+            traces: None,
         }
     }
 
@@ -113,8 +109,14 @@
         self
     }
 
-    /// Starts everything; returns when every entry is ready with the first
-    /// document in force.
+    /// Each entry records its first life into `NAME.trace` in this folder.
+    #[must_use]
+    pub fn traces(self, folder: impl Into<PathBuf>) -> Builder {
+        Builder { traces: Some(folder.into()), ..self }
+    }
+
+    /// Starts everything; returns when every entry is ready, with the first
+    /// document in force and all its peers known.
     ///
     /// # Errors
     /// If a binary is missing, or a process does not start or become ready.
@@ -127,20 +129,23 @@
             document: self.document.clone(),
             log,
             list,
-            admin: None,
+            admins: BTreeMap::new(),
             endpoints,
             entries: BTreeMap::new(),
         };
+        // Entries find every endpoint with their first look at the list.
+        system.tell_list().await?;
         system.entries = self.start_entries(&system)?;
         system.tell_list().await?;
         if self.has_admin {
-            system.admin = Some(start_admin(&system).await?);
+            system.add_admin(ADMIN).await?;
         }
         self.publish(&system).await?;
         for name in system.entries.keys() {
             system.wait_ready(name).await?;
         }
         system.wait_version(1).await?;
+        system.wait_peers().await?;
         Ok(system)
     }
 
@@ -182,6 +187,10 @@
             .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
             .args(["--log", &system.log.addr, "--list", &system.list.addr])
             .args(&self.entry_flags);
+        if let Some(folder) = &self.traces {
+            let file = folder.join(format!("{name}.trace"));
+            spec = spec.args(["--trace", &file.to_string_lossy()]);
+        }
         spec.env.extend(self.entry_env.iter().cloned());
         Entry::start(spec, data_centre)
     }
@@ -199,22 +208,12 @@
     }
 }
 
-/// The administration process does not print the port that it was given, so
-/// it gets one that was free just now.
-async fn start_admin(system: &System) -> Result<Node> {
-    let addr = free_addr().map_err(|source| Error::Process { name: "admin".to_owned(), source })?;
-    let spec = Spec::new("admin", "peatdeck-admin")
-        .args(["--listen", &addr, "--log", &system.log.addr, "--list", &system.list.addr])
+pub(super) async fn start_admin(system: &System, name: &str) -> Result<Node> {
+    let spec = Spec::new(name, "peatdeck-admin")
+        .args(["--listen", "127.0.0.1:0"])
+        .args(["--log", &system.log.addr, "--list", &system.list.addr])
         .env("PEATDECK_ADMIN_TOKEN", TOKEN);
-    let process = Process::start(&spec)?;
-    let look = async || system.http.get(&addr, "/livez").await.ok();
-    wait::until("the administration process", BOUND, look).await?;
-    Ok(Node { spec, process, addr })
-}
-
-fn free_addr() -> io::Result<String> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    Ok(listener.local_addr()?.to_string())
+    Node::start(spec)
 }
 
 fn owned<'a>(flags: &'a [&str]) -> impl Iterator<Item = String> + 'a {
