--- a/crates/core/src/instance/lanes.rs
+++ b/crates/core/src/instance/lanes.rs
@@ -9,6 +9,8 @@
     queue::{Queue, Waiting},
 };
 
+/// How many times its usual spread a wait is taken to exceed its mean by.
+const SPREAD: f64 = 1.0;
 /// The name that all teams share where the order knows no teams.
 const NO_TEAM: &str = "";
 
@@ -24,6 +26,30 @@
 struct Lane {
     queue: Queue<RequestKey>,
     drain: Drain,
+    /// How fast each team's calls get through. What the other teams will send
+    /// meanwhile shows here only, not in what waits now.
+    teams: BTreeMap<TeamName, Drain>,
+}
+
+impl Lane {
+    /// Tells the meters who waits; after each change of the queue.
+    fn note(&mut self, now: Duration) {
+        self.drain.waiting(now, !self.queue.is_empty());
+        for (team, drain) in &mut self.teams {
+            drain.waiting(now, self.queue.team_waits(team));
+        }
+    }
+
+    /// The cost ahead over the rate of the pool, or the team's own over the
+    /// team's rate if that is longer.
+    fn fair_wait(&self, now: Duration, call: &Ahead<'_>) -> Option<Duration> {
+        let all = self.drain.wait(now, self.queue.cost_ahead(call.team, call.deadline));
+        let own = self.queue.own_ahead(call.team, call.deadline);
+        if own <= 0.0 {
+            return all;
+        }
+        all.max(self.teams.get(call.team)?.wait(now, own))
+    }
 }
 
 impl Lanes {
@@ -43,25 +69,40 @@
     pub fn push(&mut self, now: Duration, pool: &PoolName, waiting: Waiting<RequestKey>) {
         let waiting = if self.fair { waiting } else { by_arrival(now, waiting) };
         let lane = self.by_pool.entry(pool.clone()).or_default();
+        lane.teams.entry(waiting.team.clone()).or_default();
         lane.queue.push(waiting);
-        lane.drain.waiting(now, true);
+        lane.note(now);
     }
 
-    /// Takes the next call out.
+    /// Takes the next call out. [`Lanes::sent`] or [`Lanes::left`] says what became of it.
     pub fn pop(&mut self, now: Duration, pool: &str) -> Option<RequestKey> {
-        let lane = self.by_pool.get_mut(pool)?;
-        let before = lane.queue.cost();
-        let key = lane.queue.pop(now)?;
-        lane.drain.popped(now, before - lane.queue.cost());
-        lane.drain.waiting(now, !lane.queue.is_empty());
-        Some(key)
+        self.by_pool.get_mut(pool)?.queue.pop(now)
+    }
+
+    /// A call that came out got a place.
+    pub fn sent(&mut self, now: Duration, pool: &str, team: &str, cost: f64) {
+        let Some(lane) = self.by_pool.get_mut(pool) else { return };
+        lane.drain.popped(now, cost);
+        if let Some(drain) = lane.teams.get_mut(team) {
+            drain.popped(now, cost);
+        }
+        lane.note(now);
+    }
+
+    /// A call that came out got no place. So it says nothing of how fast places
+    /// come free, and its team has not had its turn.
+    pub fn left(&mut self, now: Duration, pool: &str, team: &str, cost: f64) {
+        let Some(lane) = self.by_pool.get_mut(pool) else { return };
+        let team = if self.fair { team } else { NO_TEAM };
+        lane.queue.give_back(team, cost);
+        lane.note(now);
     }
 
     /// Takes a call out, wherever it waits in its pool.
     pub fn remove(&mut self, now: Duration, pool: &str, key: RequestKey) {
         let Some(lane) = self.by_pool.get_mut(pool) else { return };
         lane.queue.remove(key);
-        lane.drain.waiting(now, !lane.queue.is_empty());
+        lane.note(now);
     }
 
     /// Calls that wait for a pool.
@@ -74,23 +115,46 @@
         self.len(pool) == 0
     }
 
-    /// Whether anything waits for any pool.
-    pub fn any(&self) -> bool {
-        self.by_pool.values().any(|lane| !lane.queue.is_empty())
+    /// Whether calls of other teams wait for a pool.
+    pub fn others_wait(&self, pool: &str, team: &str) -> bool {
+        self.by_pool.get(pool).is_some_and(|lane| lane.queue.others_wait(team))
     }
 
-    /// Cost ahead of a new call.
-    pub fn ahead(&self, pool: &str, team: &TeamName, deadline: Duration) -> f64 {
-        let Some(lane) = self.by_pool.get(pool) else { return 0.0 };
-        if self.fair { lane.queue.cost_ahead(team, deadline) } else { lane.queue.cost() }
+    /// How long all that waits for a pool takes to leave; `None` if too little is known.
+    pub fn backlog(&self, now: Duration, pool: &str) -> Option<Duration> {
+        let lane = self.by_pool.get(pool)?;
+        lane.drain.wait(now, lane.queue.cost())
     }
 
-    /// How long that cost takes to leave; `None` if too little is known.
-    pub fn wait(&self, now: Duration, pool: &str, ahead: f64) -> Option<Duration> {
-        self.by_pool.get(pool)?.drain.wait(now, ahead)
+    /// How long a new call waits for a pool, at a high quantile. Zero where too
+    /// little is known.
+    pub fn wait(&self, now: Duration, pool: &str, call: &Ahead<'_>) -> Duration {
+        let Some(lane) = self.by_pool.get(pool) else { return Duration::ZERO };
+        let mean = if self.fair { lane.fair_wait(now, call) } else { self.backlog(now, pool) };
+        let mean = mean.unwrap_or_default();
+        let turn = lane.drain.wait(now, call.cost).unwrap_or(mean);
+        high(mean, turn)
     }
 }
 
+/// The wait that is hardly exceeded, from the mean wait and the time between
+/// two calls that get a place: their number in a given time spreads by its root.
+fn high(mean: Duration, turn: Duration) -> Duration {
+    let calls = (mean.as_secs_f64() / turn.as_secs_f64().max(f64::MIN_POSITIVE)).max(1.0);
+    mean.mul_f64(1.0 + SPREAD / calls.sqrt())
+}
+
+/// A new call, as far as its wait depends on it.
+#[derive(Debug, Clone, Copy)]
+pub struct Ahead<'a> {
+    /// Its team.
+    pub team: &'a str,
+    /// When it is due.
+    pub deadline: Duration,
+    /// Its cost.
+    pub cost: f64,
+}
+
 /// First come, first served: one team, an earlier arrival before a later one.
 fn by_arrival(now: Duration, waiting: Waiting<RequestKey>) -> Waiting<RequestKey> {
     Waiting {
--- a/crates/core/tests/testsuite/queue.rs
+++ b/crates/core/tests/testsuite/queue.rs
@@ -82,6 +82,19 @@
     assert_eq!(next.iter().filter(|key| **key >= 100).count(), 5);
 }
 
+#[test]
+fn a_small_team_that_comes_back_goes_first_once() {
+    let mut queue = Queue::new();
+    (0..60).for_each(|key| queue.push(Waiting { weight: 4, ..waiting(key, "large", 100) }));
+    queue.push(waiting(100, "small", 100));
+    (0..20).for_each(|_| assert!(queue.pop(Duration::ZERO).is_some()));
+    (101..104).for_each(|key| queue.push(waiting(key, "small", 100)));
+    let next: Vec<u32> = drain(&mut queue).into_iter().take(11).collect();
+    let small: Vec<usize> = (0..11).filter(|idx| next[*idx] >= 100).collect();
+    // Once at once, then one in five; the turn decides between equals.
+    assert_eq!(small, [0, 4, 9]);
+}
+
 #[test]
 fn credit_that_an_urgent_call_leaves_over_is_kept() {
     let mut queue = Queue::new();
@@ -107,6 +120,39 @@
     assert_eq!(order, [1, 2, 3, 4]);
 }
 
+#[test]
+fn a_call_that_got_no_place_leaves_its_team_its_turn() {
+    let mut queue = Queue::new();
+    for key in 0..20 {
+        queue.push(waiting(key, "a", 100));
+        queue.push(waiting(100 + key, "b", 100));
+    }
+    let mut served = Vec::new();
+    while served.len() < 10 {
+        match queue.pop(Duration::ZERO) {
+            // Every other call of "a" is given up.
+            Some(key) if key < 100 && key % 2 == 0 => queue.give_back("a", 1.0),
+            Some(key) => served.push(key),
+            None => break,
+        }
+    }
+    assert_eq!(served.iter().filter(|key| **key < 100).count(), 5);
+}
+
+#[test]
+fn what_is_given_back_to_a_team_without_calls_is_not_owed() {
+    let mut queue = Queue::new();
+    queue.push(waiting(1, "a", 100));
+    queue.pop(Duration::ZERO);
+    queue.give_back("a", 50.0);
+    for key in 0..10 {
+        queue.push(waiting(key, "a", 100));
+        queue.push(waiting(100 + key, "b", 100));
+    }
+    let first: Vec<u32> = drain(&mut queue).into_iter().take(6).collect();
+    assert_eq!(first.iter().filter(|key| **key < 100).count(), 3);
+}
+
 #[test]
 fn a_removed_call_is_gone() {
     let mut queue = Queue::new();
