--- a/crates/test-support/src/processes/builder.rs
+++ b/crates/test-support/src/processes/builder.rs
@@ -208,7 +208,7 @@
     }
 }
 
-pub(super) async fn start_admin(system: &System, name: &str) -> Result<Node> {
+pub(super) fn start_admin(system: &System, name: &str) -> Result<Node> {
     let spec = Spec::new(name, "peatdeck-admin")
         .args(["--listen", "127.0.0.1:0"])
         .args(["--log", &system.log.addr, "--list", &system.list.addr])
