Make the administration tools easier to read

The commands that change something share their flags and how a publish or a restore is reported; showing is one function a form; remedies are no longer copied before they are sent. in_doubt says what may_stand meant, the attempts are not only a publish's, and an instance's life is its incarnation.

--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -4,7 +4,7 @@
 //! of the log is exact: `log_out` only where nothing was appended, `unknown`
 //! where it may have been.
 
-use std::{sync::Arc, time::Duration};
+use std::{borrow::Cow, sync::Arc, time::Duration};
 
 use ntex::{
     http::{StatusCode, header},
@@ -134,49 +134,46 @@
         }
     }
 
-    fn remedy(&self) -> String {
+    fn remedy(&self) -> Cow<'static, str> {
         match self {
             Error::Unauthorized => {
-                "send `Authorization: Bearer` with the token that the process was started with"
-                    .to_owned()
+                "send `Authorization: Bearer` with the token that the process was started with".into()
             }
-            Error::NoRoute => "see the reference of the administration API".to_owned(),
-            Error::Malformed(_) => "correct the request and send it again".to_owned(),
-            Error::TooLarge(_) => "shorten policies or remove what is unused".to_owned(),
-            Error::Invalid(_) => "mend every problem listed and publish again".to_owned(),
+            Error::NoRoute => "see the reference of the administration API".into(),
+            Error::Malformed(_) => "correct the request and send it again".into(),
+            Error::TooLarge(_) => "shorten policies or remove what is unused".into(),
+            Error::Invalid(_) => "mend every problem listed and publish again".into(),
             Error::Conflict { winner, .. } => format!(
                 "fetch version {version} (`peatdeck show`), apply the change to it and publish it with a new id and base {version}",
                 version = winner.version
-            ),
-            Error::IdReused(_) => "publish with a new id".to_owned(),
+            ).into(),
+            Error::IdReused(_) => "publish with a new id".into(),
             Error::UnknownEndpoint(_) => {
-                "check the name; a new endpoint shows in the list after some seconds".to_owned()
+                "check the name; a new endpoint shows in the list after some seconds".into()
             }
-            Error::OtherIncarnation { .. } => "leave the incarnation out to drain the present one".to_owned(),
+            Error::OtherIncarnation { .. } => "leave the incarnation out to drain the present one".into(),
             Error::UnknownPublish(_) => {
-                "if an append of it may still be on its way, publish again with the same id: it counts once"
-                    .to_owned()
+                "if an append of it may still be on its way, publish again with the same id: it counts once".into()
             }
-            Error::LogOut(_) => "send it again when the platform's log is back".to_owned(),
-            Error::ListOut(_) => "send it again when the platform's list is back".to_owned(),
+            Error::LogOut(_) => "send it again when the platform's log is back".into(),
+            Error::ListOut(_) => "send it again when the platform's list is back".into(),
             Error::NoState => {
-                "wait for an entry that still has the configuration: it appends a snapshot; then send it again. If none has it any more, restore it (`peatdeck restore FILE --version N`)"
-                    .to_owned()
+                "wait for an entry that still has the configuration: it appends a snapshot; then send it again. If none has it any more, restore it (`peatdeck restore FILE --version N`)".into()
             }
             Error::Unknown(id) => format!(
                 "ask for the verdict of `{id}` (GET /v1/config/verdict/{id}, `peatdeck show --verdict {id}`), or publish again with the same id: it counts once"
-            ),
+            ).into(),
             Error::NotLost(winner) => {
-                format!("publish on base {} instead", winner.version)
+                format!("publish on base {} instead", winner.version).into()
             }
             Error::StillHeld { .. } => {
-                "wait for its snapshot, or stop it if its version is not the one to go on from; then send it again".to_owned()
+                "wait for its snapshot, or stop it if its version is not the one to go on from; then send it again".into()
             }
-            Error::OldVersion { known, .. } => format!("restore with version {known} or a newer one"),
+            Error::OldVersion { known, .. } => format!("restore with version {known} or a newer one").into(),
             Error::RestoreUnknown(_) => {
-                "send the restore again with the same id: it counts once".to_owned()
+                "send the restore again with the same id: it counts once".into()
             }
-            Error::DrainUnknown(_) => "send the drain again: it counts once".to_owned(),
+            Error::DrainUnknown(_) => "send the drain again: it counts once".into(),
         }
     }
 
@@ -198,7 +195,7 @@
         ApiError {
             code: self.code().into(),
             message: self.to_string().into(),
-            remedy: self.remedy().into(),
+            remedy: Arc::from(self.remedy()),
             detail: self.detail(),
         }
     }
--- a/crates/admin/src/ops/settle.rs
+++ b/crates/admin/src/ops/settle.rs
@@ -33,7 +33,7 @@
     see: impl Fn(&State) -> Option<T>,
 ) -> Result<T, Failure> {
     let end = ctx.clock.now() + ctx.bounds.settle;
-    let mut may_stand = false;
+    let mut in_doubt = false;
     loop {
         let left = end.saturating_sub(ctx.clock.now());
         if left.is_zero() {
@@ -44,12 +44,12 @@
         let left = end.saturating_sub(ctx.clock.now());
         let patience = match appended {
             Ok(_) => left,
-            Err(error) if has_no_effect(&error) && !may_stand => {
+            Err(error) if has_no_effect(&error) && !in_doubt => {
                 return Err(Failure::NotAppended(error));
             }
             Err(_) => left.min(REPEAT_AFTER),
         };
-        may_stand = true;
+        in_doubt = true;
         if let Some(seen) = ctx.reader.wait_for(&*ctx.clock, patience, &see).await {
             return Ok(seen);
         }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -33,8 +33,26 @@
     construct!(admin)
 }
 
-/// Who acts, for the history.
-pub fn author() -> impl Parser<String> {
+/// What every command that changes something is given.
+#[derive(Debug, Clone)]
+pub struct Change {
+    /// How its result is written.
+    pub format: Format,
+    /// Where peatdeck-admin is.
+    pub admin: String,
+    /// Who acts.
+    pub author: String,
+}
+
+/// The flags of [`Change`].
+pub fn change() -> impl Parser<Change> {
+    let format = format();
+    let admin = admin();
+    let author = author();
+    construct!(Change { format, admin, author })
+}
+
+fn author() -> impl Parser<String> {
     long("author")
         .env("PEATDECK_AUTHOR")
         .help("Who acts, for the history")
--- a/crates/cli/src/commands/drain.rs
+++ b/crates/cli/src/commands/drain.rs
@@ -5,7 +5,7 @@
 use peatdeck_wire::admin::DrainBody;
 
 use crate::{
-    commands,
+    commands::{self, Change},
     error::Error,
     shell::{self, Format, Output, Shell},
 };
@@ -13,25 +13,21 @@
 /// The flags.
 #[derive(Debug, Clone)]
 pub struct Args {
-    format: Format,
-    admin: String,
-    author: String,
+    change: Change,
     incarnation: Option<u64>,
     endpoint: String,
 }
 
 /// The command line.
 pub fn cli() -> OptionParser<Args> {
-    let format = commands::format();
-    let admin = commands::admin();
-    let author = commands::author();
+    let change = commands::change();
     let incarnation = long("incarnation")
         .help("Incarnation of the endpoint that it holds for; the listed one if not given")
         .argument::<u64>("N")
         .optional();
     let endpoint =
         positional::<String>("ENDPOINT").help("Endpoint, as the platform's list names it");
-    construct!(Args { format, admin, author, incarnation, endpoint })
+    construct!(Args { change, incarnation, endpoint })
         .to_options()
         .descr("Drain an endpoint: it gets no new work until it is started again.")
         .footer("Example:\n   peatdeck drain engine-07 --author mair")
@@ -42,11 +38,13 @@
 /// # Errors
 /// Any [`Error`] of the API.
 pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
-    let client = commands::connect(shell, &args.admin).await?;
-    let body =
-        DrainBody { author: args.author.into(), incarnation: args.incarnation.map(Incarnation) };
+    let client = commands::connect(shell, &args.change.admin).await?;
+    let body = DrainBody {
+        author: args.change.author.into(),
+        incarnation: args.incarnation.map(Incarnation),
+    };
     let reply = client.drain(&args.endpoint, &body).await?;
-    Ok(Output::done(match args.format {
+    Ok(Output::done(match args.change.format {
         Format::Json => shell::json(&reply)?,
         Format::Table => {
             format!(
--- a/crates/cli/src/commands/publish.rs
+++ b/crates/cli/src/commands/publish.rs
@@ -7,7 +7,7 @@
 use peatdeck_wire::admin::{ConfigReply, PublishBody, PublishReply};
 
 use crate::{
-    commands,
+    commands::{self, Change},
     error::Error,
     ops::source,
     shell::{self, Format, Output, Shell},
@@ -16,9 +16,7 @@
 /// The flags.
 #[derive(Debug, Clone)]
 pub struct Args {
-    format: Format,
-    admin: String,
-    author: String,
+    change: Change,
     base: Option<Version>,
     id: Option<String>,
     file: String,
@@ -26,9 +24,7 @@
 
 /// The command line.
 pub fn cli() -> OptionParser<Args> {
-    let format = commands::format();
-    let admin = commands::admin();
-    let author = commands::author();
+    let change = commands::change();
     let base = long("base")
         .help("Version that the file was made from; the one in force if not given")
         .argument::<Version>("N")
@@ -38,7 +34,7 @@
         .argument::<String>("ID")
         .optional();
     let file = positional::<String>("FILE").help("Configuration file in TOML");
-    construct!(Args { format, admin, author, base, id, file })
+    construct!(Args { change, base, id, file })
         .to_options()
         .descr("Publish a configuration file as the next version.")
         .footer(
@@ -54,28 +50,38 @@
 /// Any [`Error`].
 pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
     let document = source::load(&args.file)?;
-    let client = commands::connect(shell, &args.admin).await?;
-    let mut text = String::new();
-    let base = match args.base {
-        Some(base) => base,
+    let client = commands::connect(shell, &args.change.admin).await?;
+    let (base, base_line) = match args.base {
+        Some(base) => (base, String::new()),
         None => {
             let config = client.config().await?;
-            text = describe_base(&config);
-            config.version
+            (config.version, describe_base(&config))
         }
     };
     let id = args.id.unwrap_or_else(|| new_id("p"));
     let body = PublishBody {
         id: id.into(),
         base,
-        author: args.author.into(),
+        author: args.change.author.into(),
         document: Arc::new(document),
     };
     let reply = client.publish(&body).await?;
-    match args.format {
-        Format::Json => text = shell::json(&reply)?,
-        Format::Table => text.push_str(&describe("publish", &reply)),
+    let mut output = output(args.change.format, "publish", &reply)?;
+    if args.change.format == Format::Table {
+        output.text.insert_str(0, &base_line);
     }
+    Ok(output)
+}
+
+/// What became of a publish or a restore, as the command gives it back.
+///
+/// # Errors
+/// [`Error::Unreadable`] if it has no JSON form.
+pub fn output(format: Format, what: &str, reply: &PublishReply) -> Result<Output, Error> {
+    let text = match format {
+        Format::Json => shell::json(reply)?,
+        Format::Table => describe(what, reply),
+    };
     Ok(Output::partial_unless(reply.missing.is_empty(), text))
 }
 
@@ -86,8 +92,7 @@
     }
 }
 
-/// What became of a publish or a restore, and where it is in force.
-pub fn describe(what: &str, reply: &PublishReply) -> String {
+fn describe(what: &str, reply: &PublishReply) -> String {
     let mut text = format!("accepted: version {} ({what} {})\n", reply.version, reply.id);
     match reply.in_force.as_slice() {
         [] => text.push_str("not known to be in force on any instance\n"),
--- a/crates/cli/src/commands/restore.rs
+++ b/crates/cli/src/commands/restore.rs
@@ -7,18 +7,16 @@
 use peatdeck_wire::admin::RestoreBody;
 
 use crate::{
-    commands::{self, publish},
+    commands::{self, Change, publish},
     error::Error,
     ops::source,
-    shell::{self, Format, Output, Shell},
+    shell::{Output, Shell},
 };
 
 /// The flags.
 #[derive(Debug, Clone)]
 pub struct Args {
-    format: Format,
-    admin: String,
-    author: String,
+    change: Change,
     version: Version,
     id: Option<String>,
     file: String,
@@ -26,9 +24,7 @@
 
 /// The command line.
 pub fn cli() -> OptionParser<Args> {
-    let format = commands::format();
-    let admin = commands::admin();
-    let author = commands::author();
+    let change = commands::change();
     let version = long("version")
         .help("Newest version that was ever in force; the file becomes the next one")
         .argument::<Version>("N");
@@ -37,7 +33,7 @@
         .argument::<String>("ID")
         .optional();
     let file = positional::<String>("FILE").help("Configuration file in TOML");
-    construct!(Args { format, admin, author, version, id, file })
+    construct!(Args { change, version, id, file })
         .to_options()
         .descr("Put a configuration file in force when the log has lost what was.")
         .footer(
@@ -53,18 +49,14 @@
 /// Any [`Error`].
 pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
     let document = source::load(&args.file)?;
-    let client = commands::connect(shell, &args.admin).await?;
+    let client = commands::connect(shell, &args.change.admin).await?;
     let id = args.id.unwrap_or_else(|| publish::new_id("r"));
     let body = RestoreBody {
         id: id.into(),
         version: args.version,
-        author: args.author.into(),
+        author: args.change.author.into(),
         document: Arc::new(document),
     };
     let reply = client.restore(&body).await?;
-    let text = match args.format {
-        Format::Json => shell::json(&reply)?,
-        Format::Table => publish::describe("restore", &reply),
-    };
-    Ok(Output::partial_unless(reply.missing.is_empty(), text))
+    publish::output(args.change.format, "restore", &reply)
 }
--- a/crates/cli/src/commands/show.rs
+++ b/crates/cli/src/commands/show.rs
@@ -12,6 +12,7 @@
 use crate::{
     commands,
     error::Error,
+    ops::client::Client,
     shell::{self, Format, Output, Shell},
     table::{self, Table},
 };
@@ -59,24 +60,38 @@
 pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
     let client = commands::connect(shell, &args.admin).await?;
     if let Some(id) = &args.verdict {
-        let reply = client.verdict(id).await?;
-        return Ok(Output::done(match args.format {
-            Format::Json => shell::json(&reply)?,
-            Format::Table => {
-                let verdict = describe_verdict(&reply.verdict);
-                format!("publish {} by {}: {verdict}\n", reply.id, reply.author)
-            }
-        }));
+        return verdict(&client, args.format, id).await;
     }
     if args.history {
-        let history = client.history(args.from, args.limit).await?;
-        return Ok(Output::done(match args.format {
-            Format::Json => shell::json(&history)?,
-            Format::Table => history_table(&history),
-        }));
+        return history(&client, &args).await;
     }
-    let config = client.config().await?;
+    config(&client, args.format).await
+}
+
+async fn verdict(client: &Client, format: Format, id: &str) -> Result<Output, Error> {
+    let reply = client.verdict(id).await?;
+    let text = match format {
+        Format::Json => shell::json(&reply)?,
+        Format::Table => {
+            let verdict = describe_verdict(&reply.verdict);
+            format!("publish {} by {}: {verdict}\n", reply.id, reply.author)
+        }
+    };
+    Ok(Output::done(text))
+}
+
+async fn history(client: &Client, args: &Args) -> Result<Output, Error> {
+    let history = client.history(args.from, args.limit).await?;
     let text = match args.format {
+        Format::Json => shell::json(&history)?,
+        Format::Table => history_table(&history),
+    };
+    Ok(Output::done(text))
+}
+
+async fn config(client: &Client, format: Format) -> Result<Output, Error> {
+    let config = client.config().await?;
+    let text = match format {
         Format::Json => shell::json(&config)?,
         Format::Table => config_file(&config)?,
     };
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -64,7 +64,7 @@
         /// What to do.
         remedy: String,
         /// Whether something may have taken effect.
-        may_stand: bool,
+        in_doubt: bool,
     },
     /// Something that should be JSON isn't.
     #[error("a message of the administration API is not readable: {cause}")]
@@ -89,7 +89,7 @@
             }
             Error::Trace { .. } => exit::Code::Failed,
             Error::Source(_) => exit::Code::Invalid,
-            Error::NoAnswer { may_stand: true, .. } => exit::Code::Unknown,
+            Error::NoAnswer { in_doubt: true, .. } => exit::Code::Unknown,
             Error::NoAnswer { .. } | Error::Unreadable { .. } => exit::Code::Failed,
             Error::Api(error) => api_code(error),
         }
--- a/crates/cli/src/ops/client.rs
+++ b/crates/cli/src/ops/client.rs
@@ -23,8 +23,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(90);
 /// The longest answer that is read, in bytes: the status of several hundred instances.
 const MAX_ANSWER: usize = 64 << 20;
-/// Times that a publish is sent when no answer comes. Its id makes it count once.
-const PUBLISH_ATTEMPTS: u32 = 3;
+/// Times that a change is sent when no answer comes. It counts once all the same.
+const ATTEMPTS: u32 = 3;
 
 /// Where the API is and how to get in.
 #[derive(Debug, Clone)]
@@ -165,7 +165,7 @@
         let json = serde_json::to_vec(body)
             .map_err(|cause| Error::Unreadable { cause: cause.to_string() })?;
         let mut doubt = None;
-        for _ in 0..PUBLISH_ATTEMPTS {
+        for _ in 0..ATTEMPTS {
             match self.post(path, json.clone()).await {
                 Ok(reply) => return Ok(reply),
                 Err(Attempt::Refused(error)) if doubt.is_none() || settles(&error) => {
@@ -204,9 +204,9 @@
         Error::Unreachable { admin: self.remote.admin.clone(), cause }
     }
 
-    fn no_answer(&self, cause: String, remedy: &str, may_stand: bool) -> Error {
+    fn no_answer(&self, cause: String, remedy: &str, in_doubt: bool) -> Error {
         let admin = self.remote.admin.clone();
-        Error::NoAnswer { admin, cause, remedy: remedy.to_owned(), may_stand }
+        Error::NoAnswer { admin, cause, remedy: remedy.to_owned(), in_doubt }
     }
 }
 
--- a/crates/util/src/clock.rs
+++ b/crates/util/src/clock.rs
@@ -14,7 +14,7 @@
     fn wall(&self) -> SystemTime;
 }
 
-/// The machine's clocks.
+/// The operating system's clocks.
 #[derive(Debug, Clone)]
 pub struct SystemClock {
     start: Instant,
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -31,7 +31,7 @@
 pub struct EntryStatus {
     /// Its name.
     pub instance: Arc<str>,
-    /// Its life.
+    /// Its incarnation, larger after each start.
     pub incarnation: Incarnation,
     /// Its data centre.
     pub data_centre: Arc<str>,
@@ -60,7 +60,7 @@
     pub endpoint: Arc<str>,
     /// Its pool.
     pub pool: Arc<str>,
-    /// Its life.
+    /// Its incarnation, larger after each start.
     pub incarnation: Incarnation,
     /// `usable`, `leaving` or `ejected`.
     pub state: Arc<str>,
