Watch every stream for silence from its first piece

The watch was set at the first piece of the stage, so a stream that another engine had taken up was not watched. The two places that worked out the longest silence are one.

--- a/crates/core/src/instance/replies.rs
+++ b/crates/core/src/instance/replies.rs
@@ -80,11 +80,14 @@
             return self.fail(call, CallResult::Failed);
         }
         let flight = &mut self.calls[call];
+        let is_first = flight.heard.is_none();
         flight.heard = Some(self.now);
         flight.pieces += 1;
         flight.early.insert(index, text);
         self.take_pieces(key, call);
-        self.set_stall(key, call);
+        if is_first {
+            self.watch_silence(key, call);
+        }
     }
 
     /// Makes a call the one whose text counts.
@@ -116,36 +119,38 @@
         }
     }
 
-    fn set_stall(&mut self, key: RequestKey, call: CallKey) {
+    /// Sets the timer by which a stream must have brought another piece. There
+    /// is one a stream: it is set again when it fires.
+    fn watch_silence(&mut self, key: RequestKey, call: CallKey) {
         if !self.settings.decisions.hedging || !self.held[key].request.idempotent {
             return;
         }
-        let held = &self.held[key];
-        let stage = held.stage();
-        let known = self.estimator(&held.pipeline.name, &stage.name);
-        let Some(usual) = known.and_then(|known| known.quantile(0.5)) else { return };
-        let wait = usual.mul_f64(STALL_FACTOR).max(MIN_STALL);
-        // One timer a stream: it is set again when it fires.
-        if held.progress.pieces.len() == 1 || self.calls[call].early.len() == 1 {
+        if let Some(wait) = self.longest_silence(key) {
             self.timers.set(self.now + wait, Timer::Stall(call));
         }
     }
 
-    /// A stream may have fallen silent: another engine takes it up.
+    /// How long a stream of the current stage may be silent; `None` if too
+    /// little is known.
+    fn longest_silence(&self, key: RequestKey) -> Option<Duration> {
+        let held = &self.held[key];
+        let usual = self.estimator(&held.pipeline.name, &held.stage().name)?.quantile(0.5)?;
+        Some(usual.mul_f64(STALL_FACTOR).max(MIN_STALL))
+    }
+
+    /// A stream may have fallen silent: another engine takes it up, if there is
+    /// room for the call and the budget allows it.
     pub(super) fn stalled(&mut self, call: CallKey) {
         let Some(flight) = self.calls.get(call) else { return };
         let key = flight.request;
-        let held = &self.held[key];
-        let stage = held.stage();
-        let known = self.estimator(&held.pipeline.name, &stage.name);
-        let Some(usual) = known.and_then(|known| known.quantile(0.5)) else { return };
-        let wait = usual.mul_f64(STALL_FACTOR).max(MIN_STALL);
+        let Some(wait) = self.longest_silence(key) else { return };
         let silent = flight.heard.unwrap_or(flight.sent) + wait;
         if self.now < silent {
             return self.timers.set(silent, Timer::Stall(call));
         }
-        let pool = stage.pool.clone();
-        let tired = held.progress.attempts >= MAX_ATTEMPTS;
+        let progress = &self.held[key].progress;
+        let pool = self.held[key].stage().pool.clone();
+        let tired = progress.attempts >= MAX_ATTEMPTS;
         if tired || self.table.pool_free(self.now, &pool) == 0 || !self.spend() {
             return self.timers.set(self.now + wait, Timer::Stall(call));
         }
