--- a/crates/testsuite/tests/testsuite/drain.rs
+++ b/crates/testsuite/tests/testsuite/drain.rs
@@ -147,6 +147,7 @@
         (arrivals(&bench, "encode-1").await.1 > 0).then_some(())
     };
     peatdeck_test_support::wait::until("a call in the next life", BOUND, look).await.unwrap();
+    bench.finish().await;
 }
 
 #[ntex::test]
