--- a/crates/core/src/instance/admit.rs
+++ b/crates/core/src/instance/admit.rs
@@ -15,6 +15,7 @@
     },
     model::{
         CallerId, Doubt, DoubtKind, Invalid, Outcome, Refusal, RefusalKind, Request, RequestId,
+        StageName,
     },
 };
 
@@ -202,7 +203,7 @@
 
 pub(super) fn doubt(
     kind: DoubtKind,
-    stage: Option<crate::model::StageName>,
+    stage: Option<StageName>,
     retry_after: Option<Duration>,
 ) -> Outcome {
     Outcome::MayHaveRun(Doubt { kind, stage, retry_after })
--- a/crates/core/src/instance/ending.rs
+++ b/crates/core/src/instance/ending.rs
@@ -4,13 +4,13 @@
 
 use crate::{
     instance::{
-        Instance,
+        Instance, Stopping,
         action::Action,
         admit::truthful,
         finished::Ended,
         held::{ClaimState, Held, RequestKey},
     },
-    model::Outcome,
+    model::{Outcome, RequestId},
 };
 
 impl Instance {
@@ -56,7 +56,7 @@
         }
     }
 
-    fn void(&mut self, id: &crate::model::RequestId, nonce: u64) {
+    fn void(&mut self, id: &RequestId, nonce: u64) {
         self.counters.claims_voided += 1;
         self.claims.give_up(self.now, id, nonce);
     }
@@ -76,7 +76,7 @@
         if self.stopping.is_some() {
             return;
         }
-        self.stopping = Some(super::Stopping { since: self.now, idle: None, exited: false });
+        self.stopping = Some(Stopping { since: self.now, idle: None, exited: false });
     }
 
     /// Exits once nothing is held and the log has what it is owed.
--- a/crates/core/src/instance/estimates.rs
+++ b/crates/core/src/instance/estimates.rs
@@ -9,7 +9,7 @@
     document::{Pipeline, Stage},
     instance::{Instance, held::RequestKey, lanes},
     latency::Estimator,
-    model::{PipelineName, Request, StageName, TeamName},
+    model::{PipelineName, RefusalKind, Request, StageName, TeamName},
     timing,
 };
 
@@ -110,7 +110,7 @@
         let held = &self.held[key];
         let stages = held.pipeline.stages.iter().skip(held.progress.stage);
         let wait = stages.map(|stage| self.wait(stage, &held.request.id.team, held.due)).sum();
-        admission::refusal(crate::model::RefusalKind::Expired, wait).retry_after
+        admission::refusal(RefusalKind::Expired, wait).retry_after
     }
 
     /// Counts a request of a team in.
--- a/crates/core/src/instance/input.rs
+++ b/crates/core/src/instance/input.rs
@@ -7,8 +7,8 @@
 use crate::{
     membership::Gossip,
     model::{
-        AppendId, CallId, CallerId, Echo, InstanceName, Listing, Load, Outcome, Request, RequestId,
-        Text,
+        AppendId, CallId, CallerId, Echo, Incarnation, InstanceName, Listing, Load, Outcome,
+        Request, RequestId, Text,
     },
     record::{Batch, ClaimBatch, ConfigRecord, Offset, Stream},
 };
@@ -151,7 +151,7 @@
     /// Its name in the platform's list.
     pub name: InstanceName,
     /// Its life.
-    pub incarnation: crate::model::Incarnation,
+    pub incarnation: Incarnation,
     /// Its data centre.
     pub data_centre: Arc<str>,
 }
--- a/crates/core/src/instance/peers.rs
+++ b/crates/core/src/instance/peers.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     instance::{Instance, action::Action},
-    membership::{Envelope, Gossip, Local},
+    membership::{ConfigMark, EndpointState, Envelope, Gossip, LeavingMark, Local},
     record::Snapshot,
 };
 
@@ -49,7 +49,7 @@
     fn local_facts(&self) -> Facts {
         Facts {
             mark: self.fold.mark(),
-            snapshot: self.fold.current().cloned().map(Arc::new),
+            snapshot: self.fold.shared(),
             ready: self.ready().is_empty(),
             leaving: self.table.leaving_marks(),
             endpoints: self.table.states(self.now),
@@ -59,11 +59,11 @@
 
 /// What this instance can tell, gathered for one message.
 struct Facts {
-    mark: crate::membership::ConfigMark,
+    mark: ConfigMark,
     snapshot: Option<Arc<Snapshot>>,
     ready: bool,
-    leaving: Vec<crate::membership::LeavingMark>,
-    endpoints: Vec<crate::membership::EndpointState>,
+    leaving: Vec<LeavingMark>,
+    endpoints: Vec<EndpointState>,
 }
 
 impl Facts {
