Refuse a wrong path and a wrong method in one place

Both read the body to its end before they answer, each for itself and without saying why: a connection closed with its body unread may lose the response. Behaviour stays.

--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -63,13 +63,13 @@
     http: HttpRequest,
     payload: types::Payload,
 ) -> HttpResponse {
-    read_body(&http, payload, app.max_body).await.ok();
-    error_response(&Failure::invalid(
+    let failure = Failure::invalid(
         StatusCode::NOT_FOUND,
         "not_found",
         "there is nothing at this path; nothing ran",
         "send requests to /v1/pipelines/{pipeline}/requests",
-    ))
+    );
+    refuse(&app, &http, payload, &failure).await
 }
 
 async fn wrong_method(
@@ -77,13 +77,25 @@
     http: HttpRequest,
     payload: types::Payload,
 ) -> HttpResponse {
-    read_body(&http, payload, app.max_body).await.ok();
-    error_response(&Failure::invalid(
+    let failure = Failure::invalid(
         StatusCode::METHOD_NOT_ALLOWED,
         "wrong_method",
         "this path does not take this method; nothing ran",
         "send requests with POST, ask for the status with GET",
-    ))
+    );
+    refuse(&app, &http, payload, &failure).await
+}
+
+/// Reads the body before the error is sent: a connection that is closed with
+/// its body unread may lose the response.
+async fn refuse(
+    app: &App,
+    http: &HttpRequest,
+    payload: types::Payload,
+    failure: &Failure,
+) -> HttpResponse {
+    read_body(http, payload, app.max_body).await.ok();
+    error_response(failure)
 }
 
 async fn submit(
