--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 //!   and how much repetition is allowed.
 //! - [`policy`]: operators' short programs.
 //! - [`instance`]: one entry instance, made of all of the above.
+//! - [`relay`]: opaque exchanges, routed by host and path.
 //! - [`trace`]: an instance's inputs recorded and replayed, [`content`]: the
 //!   callers' texts in them, kept or hashed.
 
@@ -51,6 +52,7 @@
 pub mod policy;
 pub mod queue;
 pub mod record;
+pub mod relay;
 pub mod routing;
 pub mod subset;
 pub mod timing;
--- /dev/null
+++ b/crates/core/src/relay/directory.rs
@@ -0,0 +1,302 @@
+//! What is known of each endpoint.
+//!
+//! The platform's directory says which endpoints there are; what their calls
+//! brought says how they fare. Leaving is sticky: an endpoint that was seen to
+//! leave gets nothing more in this life, whatever an older record says. An
+//! entry that vanished without a word may only have lapsed while the platform
+//! was away, so it stays a last resort for a moment.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use peatdeck_macros::data;
+use slotmap::SlotMap;
+
+use crate::{
+    model::{DataCentre, EndpointName, Load},
+    relay::model::{EndpointKey, Failure, ServiceName},
+};
+
+/// An entry that vanished is used for so long where nothing else is left. The
+/// platform's pages allow entries that lapsed about two seconds to come back.
+const MISSING_GRACE: Duration = Duration::from_millis(1500);
+/// An endpoint that is gone is remembered for so long, so that an old record
+/// cannot bring it back.
+const REMEMBERED: Duration = Duration::from_secs(60);
+/// How long an endpoint is passed over after its first failure in a row. It
+/// doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// The longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Weight of a new time in the moving average.
+const NEWEST_SHARE: f64 = 0.2;
+/// A report of load is not used any more after this time.
+const LOAD_AGE: Duration = Duration::from_secs(2);
+
+/// An endpoint as the platform's directory names it.
+#[data]
+pub struct Entry {
+    /// Its name, which is new with each start.
+    pub name: EndpointName,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it listens, `ip:port`.
+    pub addr: Arc<str>,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Calls that it works on at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub is_leaving: bool,
+}
+
+/// A change of the directory.
+#[data]
+pub enum Change {
+    /// An entry is new or changed.
+    Put(Entry),
+    /// An entry is not there any more.
+    Removed(EndpointName),
+}
+
+#[data]
+#[derive(Copy)]
+enum State {
+    Ready,
+    Missing(Duration),
+    Leaving(Duration),
+}
+
+/// One life of an endpoint.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    /// What the directory says.
+    pub entry: Entry,
+    /// Own calls in flight.
+    pub in_flight: u32,
+    /// Prompt tokens of own calls that have not been answered yet.
+    pub backlog: u64,
+    /// Moving average of the time to the first byte of an answer.
+    pub response_time: Option<Duration>,
+    state: State,
+    load: Option<(Duration, Load)>,
+    sent_since: u32,
+    failures: u32,
+    paused_until: Duration,
+}
+
+impl Endpoint {
+    fn new(entry: Entry) -> Endpoint {
+        Endpoint {
+            entry,
+            in_flight: 0,
+            backlog: 0,
+            response_time: None,
+            state: State::Ready,
+            load: None,
+            sent_since: 0,
+            failures: 0,
+            paused_until: Duration::ZERO,
+        }
+    }
+
+    /// Whether it takes new work.
+    pub fn is_ready(&self) -> bool {
+        self.state == State::Ready
+    }
+
+    /// Whether it may be used where nothing else is left.
+    pub fn is_last_resort(&self, now: Duration) -> bool {
+        matches!(self.state, State::Missing(since) if now < since + MISSING_GRACE)
+    }
+
+    /// Whether it is passed over because its last calls failed. Afterwards
+    /// one call at a time finds out whether it serves again.
+    pub fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until || (self.failures > 0 && self.in_flight > 0)
+    }
+
+    /// Calls that it works on or keeps waiting, as far as is known.
+    pub fn calls(&self, now: Duration) -> u32 {
+        let Some((at, load)) = self.load else { return self.in_flight };
+        if now > at + LOAD_AGE {
+            return self.in_flight;
+        }
+        self.in_flight.max(load.running + load.queued + self.sent_since)
+    }
+
+    /// How full it is: calls for each place.
+    pub fn fullness(&self, now: Duration) -> f64 {
+        f64::from(self.calls(now)) / f64::from(self.entry.slots.max(1))
+    }
+
+    /// A call is sent to it.
+    pub fn sent(&mut self, tokens: u64) {
+        self.in_flight += 1;
+        self.sent_since += 1;
+        self.backlog += tokens;
+    }
+
+    /// The first byte of an answer came.
+    pub fn answered(&mut self, now: Duration, took: Duration, load: Option<Load>) {
+        self.failures = 0;
+        self.paused_until = Duration::ZERO;
+        if let Some(load) = load {
+            self.load = Some((now, load));
+            self.sent_since = 0;
+        }
+        self.response_time = Some(match self.response_time {
+            None => took,
+            Some(average) => average.mul_f64(1.0 - NEWEST_SHARE) + took.mul_f64(NEWEST_SHARE),
+        });
+    }
+
+    /// A call has ended, however.
+    pub fn ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Tokens of a call need not be read any more.
+    pub fn read(&mut self, tokens: u64) {
+        self.backlog = self.backlog.saturating_sub(tokens);
+    }
+
+    /// A call failed. Returns whether that begins or prolongs a pause.
+    pub fn failed(&mut self, now: Duration, failure: Failure) -> bool {
+        let was_paused = now < self.paused_until;
+        if was_paused && failure != Failure::Unsent {
+            return false;
+        }
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.paused_until = now + pause.min(LONGEST_PAUSE);
+        true
+    }
+}
+
+/// All endpoints that are or were lately known.
+#[derive(Debug, Clone, Default)]
+pub struct Directory {
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    by_name: HashMap<EndpointName, EndpointKey>,
+    by_service: HashMap<ServiceName, Vec<EndpointKey>>,
+}
+
+impl Directory {
+    /// Takes in a change. Returns whether it says anything new.
+    pub fn change(&mut self, now: Duration, change: Change) -> bool {
+        match change {
+            Change::Put(entry) => self.put(now, entry),
+            Change::Removed(name) => self.remove(now, &name),
+        }
+    }
+
+    /// The endpoint, if it is still remembered.
+    pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.get(key)
+    }
+
+    /// The endpoint, to note what its calls bring.
+    pub fn get_mut(&mut self, key: EndpointKey) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(key)
+    }
+
+    /// The endpoints of a service that take new work; where there is none,
+    /// those that may only have lapsed.
+    pub fn usable(&self, now: Duration, service: &str) -> Vec<EndpointKey> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let is_ready = |key: &&EndpointKey| self.endpoints[**key].is_ready();
+        let ready: Vec<_> = keys.iter().filter(is_ready).copied().collect();
+        if !ready.is_empty() {
+            return ready;
+        }
+        let lapsed = keys.iter().filter(|key| self.endpoints[**key].is_last_resort(now));
+        lapsed.copied().collect()
+    }
+
+    /// The endpoint that a name belongs to.
+    pub fn by_name(&self, name: &str) -> Option<EndpointKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// The data centre that a result lies in: that of the endpoint that made
+    /// it, or that of the address its handle begins with.
+    pub fn place_of(&self, handle: &str, maker: Option<EndpointKey>) -> Option<DataCentre> {
+        let (addr, _) = handle.split_once('/')?;
+        let maker = maker.and_then(|key| self.endpoints.get(key));
+        let at_addr = |endpoint: &&Endpoint| *endpoint.entry.addr == *addr;
+        let endpoint = maker.or_else(|| self.endpoints.values().find(at_addr))?;
+        Some(endpoint.entry.data_centre.clone())
+    }
+
+    /// How many endpoints take new work.
+    pub fn ready_count(&self) -> usize {
+        self.endpoints.values().filter(|endpoint| endpoint.is_ready()).count()
+    }
+
+    /// An endpoint said itself that it leaves, or that another one has its
+    /// address now.
+    pub fn leaves(&mut self, now: Duration, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.entry.is_leaving = true;
+            if !matches!(endpoint.state, State::Leaving(_)) {
+                endpoint.state = State::Leaving(now);
+            }
+        }
+    }
+
+    /// Forgets endpoints that have been gone for long.
+    pub fn forget(&mut self, now: Duration) {
+        let by_name = &mut self.by_name;
+        let by_service = &mut self.by_service;
+        self.endpoints.retain(|key, endpoint| {
+            let since = match endpoint.state {
+                State::Ready => return true,
+                State::Missing(since) | State::Leaving(since) => since,
+            };
+            let is_kept = endpoint.in_flight > 0 || now < since + REMEMBERED;
+            if !is_kept {
+                by_name.remove(&endpoint.entry.name);
+                if let Some(keys) = by_service.get_mut(&endpoint.entry.service) {
+                    keys.retain(|other| *other != key);
+                }
+            }
+            is_kept
+        });
+    }
+
+    fn put(&mut self, now: Duration, entry: Entry) -> bool {
+        let Some(&key) = self.by_name.get(&entry.name) else {
+            self.insert(now, entry);
+            return true;
+        };
+        let endpoint = &mut self.endpoints[key];
+        if matches!(endpoint.state, State::Leaving(_)) {
+            return false;
+        }
+        let was_ready = endpoint.is_ready();
+        endpoint.state = if entry.is_leaving { State::Leaving(now) } else { State::Ready };
+        endpoint.entry = entry;
+        was_ready != endpoint.is_ready()
+    }
+
+    fn insert(&mut self, now: Duration, entry: Entry) {
+        let (name, service) = (entry.name.clone(), entry.service.clone());
+        let mut endpoint = Endpoint::new(entry);
+        if endpoint.entry.is_leaving {
+            endpoint.state = State::Leaving(now);
+        }
+        let key = self.endpoints.insert(endpoint);
+        self.by_name.insert(name, key);
+        self.by_service.entry(service).or_default().push(key);
+    }
+
+    fn remove(&mut self, now: Duration, name: &str) -> bool {
+        let Some(&key) = self.by_name.get(name) else { return false };
+        let endpoint = &mut self.endpoints[key];
+        let was_ready = endpoint.is_ready();
+        if was_ready {
+            endpoint.state = State::Missing(now);
+        }
+        was_ready
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/exchange.rs
@@ -0,0 +1,66 @@
+//! The state of one exchange and of one call.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    model::{DataCentre, TeamName},
+    relay::{
+        config::Route,
+        graph::Graph,
+        model::{Arrival, CallKey, EndpointKey, HandoverKey, ServiceName},
+    },
+};
+
+/// One request of a caller, from its arrival to its answer.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    pub(crate) arrival: Arrival,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceName,
+    pub(crate) team: Option<TeamName>,
+    pub(crate) priority: u8,
+    /// When it arrived.
+    pub(crate) started: Duration,
+    /// When the caller or the route gives up.
+    pub(crate) due: Duration,
+    /// Until when an answer is in good time.
+    pub(crate) aim: Duration,
+    pub(crate) graph: Graph,
+    /// Where the call will probably go, for the place of large results.
+    pub(crate) home: Option<DataCentre>,
+    pub(crate) handovers: Vec<HandoverKey>,
+    pub(crate) call: Option<CallKey>,
+    pub(crate) tried: Vec<EndpointKey>,
+    /// Endpoints that it was sent to.
+    pub(crate) attempts: u32,
+    /// Whether any part of it may have run.
+    pub(crate) has_run: bool,
+    /// Whether the request itself, not just its pieces, may have run.
+    pub(crate) was_called: bool,
+    /// The number of the last event that was passed on.
+    pub(crate) last_event: Option<u64>,
+    /// Whether the caller holds the head of an answer.
+    pub(crate) has_begun: bool,
+    /// Rounds of making its pieces.
+    pub(crate) rounds: u32,
+    /// Until when it waits for an endpoint to become usable.
+    pub(crate) patience: Option<Duration>,
+}
+
+/// A call to an endpoint.
+#[derive(Debug)]
+pub(crate) struct CallState {
+    pub(crate) exchange: ExchangeOf,
+    pub(crate) endpoint: EndpointKey,
+    pub(crate) started: Duration,
+    /// Prompt tokens that the engine has not read yet.
+    pub(crate) tokens: u64,
+    pub(crate) is_answered: bool,
+}
+
+/// What a call is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ExchangeOf {
+    Exchange(crate::relay::model::ExchangeKey),
+    Pieces,
+}
--- /dev/null
+++ b/crates/core/src/relay/graph.rs
@@ -0,0 +1,164 @@
+//! The stages of one exchange: what has been made, what can be made next.
+
+use crate::{
+    model::DataCentre,
+    relay::{
+        config::Route,
+        model::Handle,
+    },
+};
+
+/// A result and where it lies.
+#[derive(Debug, Clone)]
+struct Result {
+    handle: Handle,
+    place: Option<DataCentre>,
+}
+
+/// One stage's pieces.
+#[derive(Debug, Clone)]
+struct Progress {
+    results: Vec<Option<Result>>,
+    is_started: bool,
+    is_freed: bool,
+}
+
+impl Progress {
+    fn is_complete(&self) -> bool {
+        self.results.iter().all(Option::is_some)
+    }
+
+    fn handles(&self) -> impl Iterator<Item = &Handle> {
+        self.results.iter().flatten().map(|result| &result.handle)
+    }
+}
+
+/// How far an exchange's stages have got.
+#[derive(Debug, Clone, Default)]
+pub struct Graph {
+    stages: Vec<Progress>,
+}
+
+/// Where a result was made.
+#[derive(Debug, Clone)]
+pub struct Made {
+    /// The result.
+    pub handle: Handle,
+    /// The endpoint's data centre, if it is known.
+    pub place: Option<DataCentre>,
+}
+
+impl Graph {
+    /// Stages that have made nothing. `pieces` says how many each has; a stage
+    /// with none is left out.
+    pub fn new(route: &Route, pieces: &[u16]) -> Graph {
+        let count = |idx: usize| usize::from(pieces.get(idx).copied().unwrap_or(0));
+        let progress = |idx| Progress {
+            results: vec![None; count(idx)],
+            is_started: count(idx) == 0,
+            is_freed: false,
+        };
+        Graph { stages: (0..route.stages.len()).map(progress).collect() }
+    }
+
+    /// Whether all pieces of all stages have been made.
+    pub fn is_complete(&self) -> bool {
+        self.stages.iter().all(Progress::is_complete)
+    }
+
+    /// Starts the stages whose inputs have all been made.
+    pub fn start_ready(&mut self, route: &Route) -> Vec<usize> {
+        let is_ready = |graph: &Graph, idx: usize| {
+            let after = &route.stages[idx].after;
+            after.iter().all(|stage| graph.stages[*stage].is_complete())
+        };
+        let waiting = (0..self.stages.len()).filter(|idx| !self.stages[*idx].is_started);
+        let ready: Vec<_> = waiting.filter(|idx| is_ready(self, *idx)).collect();
+        for idx in &ready {
+            self.stages[*idx].is_started = true;
+        }
+        ready
+    }
+
+    /// How many pieces a stage has.
+    pub fn pieces(&self, stage: usize) -> usize {
+        self.stages[stage].results.len()
+    }
+
+    /// The results that a stage's pieces are made from.
+    pub fn inputs(&self, route: &Route, stage: usize) -> Vec<Handle> {
+        let after = route.stages[stage].after.iter();
+        after.flat_map(|idx| self.stages[*idx].handles()).cloned().collect()
+    }
+
+    /// The results that the call takes in: those of the stages that no other
+    /// stage follows.
+    pub fn outputs(&self, route: &Route) -> Vec<Handle> {
+        let last = self.last_stages(route);
+        last.flat_map(|idx| self.stages[idx].handles()).cloned().collect()
+    }
+
+    /// Bytes of the outputs by data centre.
+    pub fn output_places(&self, route: &Route) -> Vec<(DataCentre, u64)> {
+        let mut places: Vec<(DataCentre, u64)> = Vec::new();
+        for idx in self.last_stages(route) {
+            for place in self.stages[idx].results.iter().flatten().filter_map(|r| r.place.as_ref())
+            {
+                let bytes = route.stages[idx].bytes;
+                match places.iter_mut().find(|(known, _)| known == place) {
+                    Some((_, sum)) => *sum += bytes,
+                    None => places.push((place.clone(), bytes)),
+                }
+            }
+        }
+        places
+    }
+
+    /// Takes in a result. One that is there already is kept.
+    pub fn made(&mut self, stage: usize, number: usize, made: Made) {
+        let Some(progress) = self.stages.get_mut(stage) else { return };
+        let Some(slot) = progress.results.get_mut(number) else { return };
+        if slot.is_none() {
+            *slot = Some(Result { handle: made.handle, place: made.place });
+        }
+    }
+
+    /// Results that nothing needs any more: those of stages whose followers
+    /// have all been made. They are returned once.
+    pub fn take_used(&mut self, route: &Route) -> Vec<Handle> {
+        let mut used = Vec::new();
+        for idx in 0..self.stages.len() {
+            let followers: Vec<_> = self.followers(route, idx).collect();
+            let is_made = |next: &usize| self.stages[*next].is_complete();
+            let is_used = !followers.is_empty() && followers.iter().all(is_made);
+            if is_used && !self.stages[idx].is_freed {
+                self.stages[idx].is_freed = true;
+                used.extend(self.stages[idx].handles().cloned());
+            }
+        }
+        used
+    }
+
+    /// All results that were not returned by [`Graph::take_used`].
+    pub fn take_all(&mut self) -> Vec<Handle> {
+        let kept = self.stages.iter_mut().filter(|progress| !progress.is_freed);
+        let mut all = Vec::new();
+        for progress in kept {
+            progress.is_freed = true;
+            all.extend(progress.handles().cloned());
+        }
+        all
+    }
+
+    fn last_stages<'a>(&'a self, route: &'a Route) -> impl Iterator<Item = usize> + 'a {
+        (0..self.stages.len()).filter(|idx| self.followers(route, *idx).next().is_none())
+    }
+
+    /// Stages that follow one and are not left out.
+    fn followers<'a>(&'a self, route: &'a Route, idx: usize) -> impl Iterator<Item = usize> + 'a {
+        let follows = move |next: &usize| {
+            route.stages[*next].after.contains(&idx) && !self.stages[*next].results.is_empty()
+        };
+        (0..self.stages.len()).filter(follows)
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/model.rs
@@ -0,0 +1,288 @@
+//! Values that the relay's modules and its event loop share.
+
+use std::{sync::Arc, time::Duration};
+
+use peatdeck_macros::{data, id};
+
+use crate::model::{DataCentre, EndpointName, InstanceName, Load, TeamName};
+
+/// A group of endpoints that serve the same routes or stages.
+pub type ServiceName = Arc<str>;
+/// Where a result lies, as its endpoint names it.
+pub type Handle = Arc<str>;
+
+slotmap::new_key_type! {
+    /// One request of a caller, from its arrival to its answer.
+    pub struct ExchangeKey;
+    /// One call to an endpoint.
+    pub struct CallKey;
+    /// One life of an endpoint.
+    pub struct EndpointKey;
+    /// Pieces that were handed to a peer and are not back yet.
+    pub struct HandoverKey;
+}
+
+/// A part of a prompt; requests that begin with the same parts share them.
+#[data]
+#[derive(Copy)]
+pub struct Part {
+    /// Its identity.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// What a generation asks of an engine.
+#[data]
+pub struct Prompt {
+    /// The parts in order. The last one belongs to this request or session.
+    pub parts: Vec<Part>,
+    /// Tokens to read, all parts together.
+    pub input: u32,
+    /// Tokens to generate at the most.
+    pub output: u32,
+}
+
+/// A caller's request, as far as decisions need it.
+#[data]
+pub struct Arrival {
+    /// The caller's id of this attempt. Endpoints echo it.
+    pub id: Arc<str>,
+    /// The host that the caller named, without a port.
+    pub host: Arc<str>,
+    /// The path, without a query.
+    pub path: Arc<str>,
+    /// The caller's key, if it gave one.
+    pub key: Option<Arc<str>>,
+    /// How long the caller still waits.
+    pub deadline: Option<Duration>,
+    /// The last event that the caller holds of a stream that was cut.
+    pub resume: Option<u64>,
+    /// The generation, if this asks for one.
+    pub prompt: Option<Prompt>,
+    /// Pieces of each stage of the route, in the route's order.
+    pub pieces: Vec<u16>,
+    /// What pieces without inputs are made from.
+    pub piece_key: Option<Arc<str>>,
+}
+
+/// The first line and headers of an endpoint's reply, as far as decisions
+/// need them.
+#[data]
+pub struct ReplyHead {
+    /// The status.
+    pub status: u16,
+    /// Whether it echoes the request's id.
+    pub is_ours: bool,
+    /// Whether the endpoint states that it did not run the request.
+    pub is_unrun: bool,
+    /// Whether it is the endpoint's own whole answer, by the endpoint's seal.
+    pub is_sealed: bool,
+    /// How busy the endpoint is.
+    pub load: Option<Load>,
+}
+
+/// How a call failed without a whole reply.
+#[id]
+#[derive(Copy)]
+pub enum Failure {
+    /// Not a byte was sent.
+    Unsent,
+    /// The connection ended or went silent after bytes were sent.
+    Cut,
+    /// What came back is not an answer to this request.
+    Foreign,
+}
+
+/// A call to an endpoint that an exchange needs.
+#[data]
+pub struct Call {
+    /// Its key.
+    pub key: CallKey,
+    /// The exchange that it is for.
+    pub exchange: ExchangeKey,
+    /// The endpoint, which must refuse a call meant for another.
+    pub endpoint: EndpointName,
+    /// Where it listens, `ip:port`.
+    pub addr: Arc<str>,
+    /// How long the caller still waits.
+    pub remaining: Duration,
+    /// The team that the caller's key belongs to.
+    pub team: Option<TeamName>,
+    /// Results of the stages that the call takes in.
+    pub inputs: Vec<Handle>,
+    /// The last event that the caller holds; the stream goes on behind it.
+    pub resume: Option<u64>,
+    /// Urgency at an engine, 0 first; `None` for the engine's default.
+    pub rank: Option<u8>,
+    /// Which attempt this is, from 1.
+    pub attempt: u32,
+}
+
+/// One piece of a stage's work, as it is sent to an endpoint.
+#[data]
+pub struct Piece {
+    /// The service that makes it.
+    pub service: ServiceName,
+    /// The caller's id of the request.
+    pub request: Arc<str>,
+    /// The stage's position in its route.
+    pub stage: u16,
+    /// The piece's number within the stage.
+    pub number: u16,
+    /// What it is made from, where the stage follows no other.
+    pub key: Option<Arc<str>>,
+    /// The results that it is made from, where the stage follows others.
+    pub inputs: Vec<Handle>,
+    /// Approximate size of its result, in bytes.
+    pub bytes: u64,
+    /// When the caller gives up.
+    pub due: Duration,
+    /// When it should be done for the caller to be served in good time.
+    pub aim: Duration,
+    /// Urgency of its request, 0 first.
+    pub priority: u8,
+    /// Where its result will be used, if that is known and matters.
+    pub home: Option<DataCentre>,
+    /// Whether it was sent before.
+    pub is_repeat: bool,
+}
+
+/// Why a piece has no result.
+#[id]
+#[derive(Copy)]
+pub enum PieceFailure {
+    /// Its time was over before its turn came.
+    Late,
+    /// A result that it is made from is gone.
+    InputGone,
+    /// The endpoint had no room for its result.
+    NoRoom,
+    /// It failed, or nobody could make it.
+    Failed,
+}
+
+/// A piece's result: its handle, or why there is none.
+pub type PieceResult = Result<Handle, PieceFailure>;
+
+/// Why an exchange ends without an endpoint's answer.
+#[id]
+#[derive(Copy)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    NotReady,
+    /// No route matches.
+    NoRoute,
+    /// The key is unknown or missing.
+    UnknownKey,
+    /// The request lacks what its route needs.
+    Malformed,
+    /// Nothing ran and nothing will: no endpoint can take it.
+    Unserved,
+    /// Nothing ran and nothing will: it cannot be done in time.
+    Infeasible,
+    /// The time is over; something may have run.
+    TimedOut,
+    /// An endpoint failed; something may have run.
+    Failed,
+}
+
+impl Refusal {
+    /// The HTTP status that says so.
+    pub fn status(self) -> u16 {
+        match self {
+            Refusal::NotReady | Refusal::Unserved | Refusal::Infeasible => 503,
+            Refusal::NoRoute => 404,
+            Refusal::UnknownKey => 401,
+            Refusal::Malformed => 400,
+            Refusal::TimedOut => 504,
+            Refusal::Failed => 502,
+        }
+    }
+
+    /// A word for logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Refusal::NotReady => "not_ready",
+            Refusal::NoRoute => "no_route",
+            Refusal::UnknownKey => "unknown_key",
+            Refusal::Malformed => "malformed",
+            Refusal::Unserved => "unserved",
+            Refusal::Infeasible => "infeasible",
+            Refusal::TimedOut => "timed_out",
+            Refusal::Failed => "failed",
+        }
+    }
+}
+
+/// What the event loop is to do.
+#[data]
+pub enum Action {
+    /// Call an endpoint.
+    Send(Call),
+    /// Give a call up and close its connection.
+    Cancel(CallKey),
+    /// Pass on the call's whole reply.
+    Answer {
+        /// The exchange.
+        exchange: ExchangeKey,
+        /// The call.
+        call: CallKey,
+    },
+    /// Pass on the head of the call's stream; its events follow.
+    Begin {
+        /// The exchange.
+        exchange: ExchangeKey,
+        /// The call.
+        call: CallKey,
+    },
+    /// The stream has ended whole.
+    Finish(ExchangeKey),
+    /// End the stream so that the caller sees that it is not whole.
+    Break(ExchangeKey),
+    /// Tell the caller that no endpoint's answer comes.
+    Refuse {
+        /// The exchange.
+        exchange: ExchangeKey,
+        /// Why.
+        refusal: Refusal,
+        /// When to come back; `None` where a repeat is not known to be safe.
+        retry_after: Option<Duration>,
+    },
+    /// Have pieces made.
+    Make {
+        /// The call's key.
+        call: CallKey,
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// Where it listens.
+        addr: Arc<str>,
+        /// The pieces.
+        pieces: Vec<Piece>,
+    },
+    /// Give up results at an endpoint.
+    Free {
+        /// Where they lie.
+        addr: Arc<str>,
+        /// The results.
+        handles: Vec<Handle>,
+    },
+    /// Hand pieces to the peer that batches their service.
+    HandOver {
+        /// The hand-over's key.
+        key: HandoverKey,
+        /// The peer.
+        peer: InstanceName,
+        /// The pieces.
+        pieces: Vec<Piece>,
+    },
+    /// Take back pieces that were handed over.
+    Recall(HandoverKey),
+    /// Give a peer the results of its pieces.
+    Return {
+        /// The number that the event loop gave to the peer's pieces.
+        ticket: u64,
+        /// The results, in the order of the pieces.
+        results: Vec<PieceResult>,
+    },
+}
--- /dev/null
+++ b/crates/relay/src/calls.rs
@@ -0,0 +1,221 @@
+//! Calls to endpoints, and what came of them.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use peatdeck_core::{
+    model::{EndpointName, Load},
+    relay::{
+        events::Splitter,
+        model::{Call, CallKey, Failure, Handle, Piece, PieceResult, ReplyHead},
+    },
+};
+
+use crate::{
+    decisions,
+    dialect::{self, Order},
+    driver::{self, Driver, Reply},
+    pool::{self, Lease},
+};
+
+/// Largest whole answer that is passed on, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+/// Largest answer to a call for pieces, in bytes.
+const MAX_MADE: usize = 1 << 20;
+/// How much longer than usual a call for pieces may take. An endpoint that is
+/// five times slower than usual is still worth waiting for.
+const PIECES_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time to give results up.
+const FREE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Makes a call and tells the machine what came of it.
+pub async fn run(driver: Rc<Driver>, call: Call) {
+    let Some(request) = driver.request_of(call.exchange) else { return };
+    let started = driver.now();
+    let outcome = exchange(&driver, &call, &request).await;
+    let Err((failure, cause)) = outcome else { return };
+    let took = (driver.now() - started).as_millis() as u64;
+    decisions::log_failure(&request.id, &call.endpoint, failure, &cause, took);
+    driver.metrics.count("relay.calls_failed", 1);
+    driver.failed(call.key, failure);
+}
+
+async fn exchange(
+    driver: &Rc<Driver>,
+    call: &Call,
+    request: &driver::Request,
+) -> Result<(), (Failure, String)> {
+    let started = driver.now();
+    let sent = driver.pool.send(&call.addr, outgoing(driver, call, request)).await;
+    let (response, lease) = sent.map_err(|error| (failure_of(&error), error.to_string()))?;
+    let (parts, body) = response.into_parts();
+    let dialect = &driver.surroundings.dialect;
+    let head = dialect.reply_head(&request.id, parts.status, &parts.headers);
+    let took = driver.now() - started;
+    driver.metrics.time("relay.first_byte", took);
+    decisions::log_reply(&request.id, &call.endpoint, &head, took.as_millis() as u64);
+    if !head.is_ours {
+        return Err((Failure::Foreign, "the reply is to another request".to_owned()));
+    }
+    let mut reply =
+        Reply { status: parts.status, headers: passed_on(parts.headers), body: Bytes::new() };
+    if driver.feed(|machine, now| machine.opened(now, call.key, &head)) {
+        driver.hold_head(call.key, reply);
+        return pump(driver, call, body, lease).await;
+    }
+    reply.body = read_whole(body, MAX_ANSWER).await.map_err(|cause| (Failure::Cut, cause))?;
+    driver.pool.keep(lease);
+    driver.replied(call.key, &head, reply);
+    Ok(())
+}
+
+/// Passes a stream's events on, one by one.
+async fn pump(
+    driver: &Rc<Driver>,
+    call: &Call,
+    mut body: Incoming,
+    lease: Lease,
+) -> Result<(), (Failure, String)> {
+    let mut splitter = Splitter::default();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| (Failure::Cut, error.to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        splitter.push(&data);
+        while let Some(event) = splitter.next_event() {
+            if driver.feed(|machine, now| machine.pass_event(now, call.key, event.id)) {
+                driver.send_event(call.exchange, event.bytes);
+            }
+        }
+    }
+    if !splitter.rest().is_empty() {
+        return Err((Failure::Cut, "the stream ended within an event".to_owned()));
+    }
+    driver.pool.keep(lease);
+    driver.forget_call(call.key);
+    driver.feed(|machine, now| machine.ended(now, call.key));
+    Ok(())
+}
+
+/// Has pieces made and tells the machine what came of it.
+pub async fn make(
+    driver: Rc<Driver>,
+    call: CallKey,
+    endpoint: EndpointName,
+    addr: Arc<str>,
+    pieces: Vec<Piece>,
+) {
+    let dialect = &driver.surroundings.dialect;
+    let order = (dialect.make)(&pieces, driver.now());
+    let started = driver.now();
+    let posted = post(&driver, &addr, Some(&endpoint), order);
+    let made = match tokio::time::timeout(PIECES_TIMEOUT, posted).await {
+        Ok(made) => made,
+        Err(_) => Err((Failure::Cut, "no answer in time".to_owned())),
+    };
+    let took = (driver.now() - started).as_millis() as u64;
+    driver.forget_call(call);
+    match made {
+        Err((failure, cause)) => {
+            tracing::warn!(event = "make_failed", call = ?call, endpoint = &*endpoint, failure = ?failure, cause, took_ms = took);
+            driver.feed(|machine, now| machine.make_failed(now, call, failure, false));
+        }
+        Ok((head, _)) if head.is_unrun => {
+            tracing::info!(event = "make_refused", call = ?call, endpoint = &*endpoint, status = head.status, took_ms = took);
+            driver.feed(|machine, now| machine.make_failed(now, call, Failure::Cut, true));
+        }
+        Ok((head, body)) => take_made(&driver, call, &endpoint, &pieces, head, &body, took),
+    }
+}
+
+fn take_made(
+    driver: &Rc<Driver>,
+    call: CallKey,
+    endpoint: &str,
+    pieces: &[Piece],
+    head: ReplyHead,
+    body: &[u8],
+    took_ms: u64,
+) {
+    let results = (driver.surroundings.dialect.read_made)(body);
+    let results = results.filter(|results| results.len() == pieces.len());
+    let Some(results) = results else {
+        let status = head.status;
+        tracing::warn!(event = "make_unreadable", call = ?call, endpoint, status, took_ms);
+        driver.feed(|machine, now| machine.make_failed(now, call, Failure::Foreign, false));
+        return;
+    };
+    log_made(call, endpoint, &results, head.load, took_ms);
+    driver.metrics.time("relay.piece_call", Duration::from_millis(took_ms));
+    driver.feed(|machine, now| machine.made(now, call, results, head.load));
+}
+
+fn log_made(
+    call: CallKey,
+    endpoint: &str,
+    results: &[PieceResult],
+    load: Option<Load>,
+    took_ms: u64,
+) {
+    let failures: Vec<_> = results.iter().filter_map(|result| result.as_ref().err()).collect();
+    let count = results.len();
+    let load = load.map(|load| format!("{},{},{}", load.running, load.queued, load.places));
+    tracing::info!(event = "made", call = ?call, endpoint, count, failures = ?failures, load, took_ms);
+}
+
+/// Gives results up. One that cannot be given up ends by itself.
+pub async fn free(driver: Rc<Driver>, addr: Arc<str>, handles: Vec<Handle>) {
+    let order = (driver.surroundings.dialect.free)(&handles);
+    let posted = post(&driver, &addr, None, order);
+    if !matches!(tokio::time::timeout(FREE_TIMEOUT, posted).await, Ok(Ok(_))) {
+        driver.metrics.count("relay.frees_failed", 1);
+    }
+}
+
+async fn post(
+    driver: &Rc<Driver>,
+    addr: &Arc<str>,
+    endpoint: Option<&str>,
+    order: Order,
+) -> Result<(ReplyHead, Bytes), (Failure, String)> {
+    let dialect = &driver.surroundings.dialect;
+    let mut request = Request::post(order.path)
+        .header(header::HOST, &**addr)
+        .header(header::CONTENT_TYPE, "application/json");
+    if let Some(endpoint) = endpoint {
+        request = request.header(&dialect.names.endpoint, endpoint);
+    }
+    let request = request.body(Full::new(order.body));
+    let request = request.map_err(|error| (Failure::Unsent, error.to_string()))?;
+    let sent = driver.pool.send(addr, request).await;
+    let (response, lease) = sent.map_err(|error| (failure_of(&error), error.to_string()))?;
+    let (parts, body) = response.into_parts();
+    let body = read_whole(body, MAX_MADE).await.map_err(|cause| (Failure::Cut, cause))?;
+    driver.pool.keep(lease);
+    Ok((dialect.reply_head("", parts.status, &parts.headers), body))
+}
+
+fn outgoing(driver: &Driver, call: &Call, request: &driver::Request) -> Request<Full<Bytes>> {
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.target.parse().expect("it was a request's target");
+    *outgoing.headers_mut() = driver.surroundings.dialect.call_headers(call, &request.headers);
+    outgoing
+}
+
+/// The headers of a reply that go to the caller.
+fn passed_on(mut headers: HeaderMap) -> HeaderMap {
+    dialect::strip_hop_headers(&mut headers);
+    headers
+}
+
+async fn read_whole(body: Incoming, limit: usize) -> Result<Bytes, String> {
+    let whole = Limited::new(body, limit).collect().await;
+    whole.map(|whole| whole.to_bytes()).map_err(|error| error.to_string())
+}
+
+fn failure_of(error: &pool::Error) -> Failure {
+    if error.is_unsent() { Failure::Unsent } else { Failure::Cut }
+}
--- /dev/null
+++ b/crates/relay/src/decisions.rs
@@ -0,0 +1,79 @@
+//! One log line for each decision that touches a request or changes what this
+//! instance believes.
+
+use peatdeck_core::relay::model::{Action, Call, Failure, Refusal, ReplyHead};
+
+/// Logs an action of the machine. `id` gives the caller's id of an exchange.
+pub fn log_action(action: &Action, id: &str) {
+    match action {
+        Action::Send(call) => log_send(call, id),
+        Action::Cancel(call) => tracing::info!(event = "cancel", id, call = ?call),
+        Action::Answer { .. } => tracing::info!(event = "answer", id),
+        Action::Begin { .. } => tracing::info!(event = "begin", id),
+        Action::Finish(_) => tracing::info!(event = "finish", id),
+        Action::Break(_) => tracing::warn!(event = "break", id),
+        Action::Refuse { refusal, retry_after, .. } => {
+            let retry_ms = retry_after.map(|after| after.as_millis() as u64);
+            log_refusal(id, *refusal, retry_ms);
+        }
+        Action::Make { call, endpoint, pieces, .. } => {
+            let requests: Vec<_> = pieces
+                .iter()
+                .map(|piece| format!("{}/{}/{}", piece.request, piece.stage, piece.number))
+                .collect();
+            tracing::info!(event = "make", call = ?call, endpoint = &**endpoint, pieces = requests.join(" "));
+        }
+        Action::HandOver { key, peer, pieces } => {
+            let stage = pieces.first().map_or(0, |piece| piece.stage);
+            let count = pieces.len();
+            tracing::info!(event = "hand_over", id, handover = ?key, peer = &**peer, stage, count);
+        }
+        Action::Recall(key) => tracing::info!(event = "recall", handover = ?key),
+        Action::Return { ticket, results } => {
+            let failed = results.iter().filter(|result| result.is_err()).count();
+            tracing::debug!(event = "return", ticket, pieces = results.len(), failed);
+        }
+        Action::Free { addr, handles } => {
+            tracing::debug!(event = "free", addr = &**addr, count = handles.len());
+        }
+    }
+}
+
+/// Logs a refusal.
+pub fn log_refusal(id: &str, refusal: Refusal, retry_ms: Option<u64>) {
+    let (reason, status) = (refusal.name(), refusal.status());
+    tracing::warn!(event = "refuse", id, reason, status, retry_ms);
+}
+
+/// Logs an endpoint's reply.
+pub fn log_reply(id: &str, endpoint: &str, head: &ReplyHead, took_ms: u64) {
+    let load = head.load.map(|load| format!("{},{},{}", load.running, load.queued, load.places));
+    tracing::info!(
+        event = "reply",
+        id,
+        endpoint,
+        status = head.status,
+        unrun = head.is_unrun,
+        ours = head.is_ours,
+        load,
+        took_ms
+    );
+}
+
+/// Logs a call that brought no whole reply.
+pub fn log_failure(id: &str, endpoint: &str, failure: Failure, cause: &str, took_ms: u64) {
+    tracing::warn!(event = "call_failed", id, endpoint, failure = ?failure, cause, took_ms);
+}
+
+fn log_send(call: &Call, id: &str) {
+    tracing::info!(
+        event = "send",
+        id,
+        call = ?call.key,
+        endpoint = &*call.endpoint,
+        attempt = call.attempt,
+        left_ms = call.remaining.as_millis() as u64,
+        inputs = call.inputs.len(),
+        resume = call.resume,
+    );
+}
--- /dev/null
+++ b/crates/relay/src/dialect.rs
@@ -0,0 +1,216 @@
+//! The headers that callers and endpoints speak.
+//!
+//! What a header's value looks like is the product's own; only the names
+//! differ between platforms, so a [`Dialect`] is a table of names and two
+//! functions for the bodies of piece calls.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use peatdeck_core::{
+    model::Load,
+    relay::model::{Arrival, Call, Handle, Part, Piece, PieceResult, Prompt, ReplyHead},
+};
+
+/// Headers that concern one connection only and are never passed on.
+const HOP_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::CONTENT_LENGTH,
+];
+/// The same, of those that have no constant.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Names of the headers.
+#[derive(Debug, Clone)]
+pub struct Names {
+    /// The caller's id of the request; endpoints echo it.
+    pub request: HeaderName,
+    /// How long the caller still waits, in milliseconds.
+    pub deadline: HeaderName,
+    /// The caller's key. Endpoints never see it.
+    pub key: HeaderName,
+    /// The team, for endpoints.
+    pub team: HeaderName,
+    /// The endpoint that a call is meant for.
+    pub endpoint: HeaderName,
+    /// The last event of a stream that the caller holds.
+    pub resume: HeaderName,
+    /// States that an endpoint did not run the request.
+    pub unrun: HeaderName,
+    /// An endpoint's load: running, waiting, places.
+    pub load: HeaderName,
+    /// Marks an endpoint's own whole answer.
+    pub seal: HeaderName,
+    /// Urgency at an engine.
+    pub rank: HeaderName,
+    /// Tokens of the prompt and at most of the answer.
+    pub tokens: HeaderName,
+    /// Parts of the prompt, `id:tokens`, in order.
+    pub parts: HeaderName,
+    /// Pieces of each stage.
+    pub pieces: HeaderName,
+    /// What pieces without inputs are made from.
+    pub piece_key: HeaderName,
+    /// Results that a call takes in.
+    pub inputs: HeaderName,
+}
+
+/// A call's path and body.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// The path.
+    pub path: &'static str,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// How callers and endpoints are spoken to.
+#[derive(Debug, Clone)]
+pub struct Dialect {
+    /// Names of the headers.
+    pub names: Names,
+    /// Has pieces made. Given the time from now until each has to be done.
+    pub make: fn(&[Piece], Duration) -> Order,
+    /// Reads what came of it; `None` if it cannot be read.
+    pub read_made: fn(&[u8]) -> Option<Vec<PieceResult>>,
+    /// Gives results up.
+    pub free: fn(&[Handle]) -> Order,
+}
+
+/// A request that cannot be passed on as it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Malformed {
+    /// The header of the request's id is missing.
+    #[error("the request has no id; send one that is new for each attempt")]
+    Id,
+    /// The header of the deadline is no number.
+    #[error("the deadline is not a whole number of milliseconds; send one, or leave it out")]
+    Deadline,
+    /// The request names no host.
+    #[error("the request names no host; send the header `Host`")]
+    Host,
+}
+
+impl Dialect {
+    /// What decisions need of a caller's request.
+    ///
+    /// # Errors
+    /// [`Malformed`] if something that every request needs is missing.
+    pub fn arrival(&self, path: &str, headers: &HeaderMap) -> Result<Arrival, Malformed> {
+        let names = &self.names;
+        let deadline = match text(headers, &names.deadline) {
+            None => None,
+            Some(text) => Some(text.trim().parse().map_err(|_| Malformed::Deadline)?),
+        };
+        let host = text(headers, &header::HOST).ok_or(Malformed::Host)?;
+        let host = host.split_once(':').map_or(host, |(host, _)| host);
+        Ok(Arrival {
+            id: Arc::from(text(headers, &names.request).ok_or(Malformed::Id)?),
+            host: Arc::from(host),
+            path: Arc::from(path),
+            key: text(headers, &names.key).map(Arc::from),
+            deadline: deadline.map(Duration::from_millis),
+            resume: text(headers, &names.resume).and_then(|text| text.trim().parse().ok()),
+            prompt: self.prompt(headers),
+            pieces: text(headers, &names.pieces).map(counts).unwrap_or_default(),
+            piece_key: text(headers, &names.piece_key).map(Arc::from),
+        })
+    }
+
+    /// The headers of a call: the caller's own, and those that the relay sets
+    /// whatever the caller sent.
+    pub fn call_headers(&self, call: &Call, caller: &HeaderMap) -> HeaderMap {
+        let names = &self.names;
+        let mut headers = caller.clone();
+        strip_hop_headers(&mut headers);
+        for name in [&names.key, &names.team, &names.endpoint, &names.inputs, &names.rank] {
+            headers.remove(name);
+        }
+        let millis = call.remaining.as_millis().max(1);
+        set(&mut headers, &names.deadline, &millis.to_string());
+        set(&mut headers, &names.endpoint, &call.endpoint);
+        if let Some(team) = &call.team {
+            set(&mut headers, &names.team, team);
+        }
+        if !call.inputs.is_empty() {
+            set(&mut headers, &names.inputs, &call.inputs.join(","));
+        }
+        if let Some(rank) = call.rank {
+            set(&mut headers, &names.rank, &rank.to_string());
+        }
+        match call.resume {
+            Some(event) => set(&mut headers, &names.resume, &event.to_string()),
+            None => drop(headers.remove(&names.resume)),
+        }
+        headers
+    }
+
+    /// What decisions need of a reply to the request with that id.
+    pub fn reply_head(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> ReplyHead {
+        let names = &self.names;
+        let echo = text(headers, &names.request);
+        let is_unrun = headers.contains_key(&names.unrun) || status.as_u16() == 421;
+        ReplyHead {
+            status: status.as_u16(),
+            is_ours: echo.map_or(is_unrun, |echo| echo == id),
+            is_unrun,
+            is_sealed: headers.contains_key(&names.seal)
+                && !headers.contains_key(header::CONTENT_ENCODING),
+            load: text(headers, &names.load).and_then(load),
+        }
+    }
+
+    fn prompt(&self, headers: &HeaderMap) -> Option<Prompt> {
+        let tokens = text(headers, &self.names.tokens)?;
+        let (input, output) = tokens.split_once(',')?;
+        let parts = text(headers, &self.names.parts).unwrap_or_default();
+        Some(Prompt {
+            parts: parts.split(',').filter_map(part).collect(),
+            input: input.trim().parse().ok()?,
+            output: output.trim().parse().ok()?,
+        })
+    }
+}
+
+/// Removes what concerns one connection only.
+pub fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named = text(headers, &header::CONNECTION).unwrap_or_default();
+    let named: Vec<_> =
+        named.split(',').filter_map(|name| HeaderName::try_from(name.trim()).ok()).collect();
+    for name in HOP_HEADERS.iter().chain([&KEEP_ALIVE]).chain(&named) {
+        headers.remove(name);
+    }
+}
+
+/// A header's value as text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn set(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+fn counts(text: &str) -> Vec<u16> {
+    text.split(',').map(|count| count.trim().parse().unwrap_or(0)).collect()
+}
+
+fn part(text: &str) -> Option<Part> {
+    let (id, tokens) = text.trim().split_once(':')?;
+    Some(Part { id: u64::from_str_radix(id, 16).ok()?, tokens: tokens.parse().ok()? })
+}
+
+fn load(text: &str) -> Option<Load> {
+    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+    let mut next = || numbers.next().flatten();
+    Some(Load { running: next()?, queued: next()?, places: next()?, age_ms: 0 })
+}
--- /dev/null
+++ b/crates/relay/src/follow.rs
@@ -0,0 +1,206 @@
+//! Keeps the copies of the platform's tables up to date.
+//!
+//! Each table is read whole once and followed from there. The store is scarce:
+//! one call at a time for each table, with a time limit, a pause that grows
+//! while it fails, and a counter. What a peer tells goes into the same copies.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use peatdeck_core::relay::table::{Record, Table};
+use peatdeck_wire::relay::Delta;
+use rand::Rng;
+
+use crate::{
+    driver::Driver,
+    surroundings::{Page, Read, StoreError, TABLES, TableName},
+};
+
+/// Longest wait of one read. Short enough that a read which hangs in a store
+/// that fell silent ends soon after the store is back.
+const LONGEST_WAIT: Duration = Duration::from_secs(4);
+/// Time limit of a call beyond its wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause between two reads of the directory: it changes all the time, and
+/// every call is paid for. Well below the two seconds in which an endpoint
+/// that leaves has to be left.
+const DIRECTORY_PAUSE: Duration = Duration::from_millis(700);
+/// First pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause after failed calls in a row.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
+/// Instances of a platform begin together; their first calls do not.
+const START_JITTER: Duration = Duration::from_millis(60);
+
+/// The copies of the platform's tables.
+#[derive(Debug, Default)]
+pub struct Tables {
+    copies: [RefCell<Table>; TABLES.len()],
+}
+
+impl Tables {
+    fn copy(&self, name: TableName) -> &RefCell<Table> {
+        &self.copies[name as usize]
+    }
+
+    /// The ends of all copies, in the order of [`TABLES`].
+    pub fn ends(&self) -> Vec<u64> {
+        self.copies.iter().map(|copy| copy.borrow().end()).collect()
+    }
+
+    /// What a peer lacks that has the tables up to `ends`.
+    pub fn since(&self, ends: &[u64]) -> Vec<Delta> {
+        let pairs = self.copies.iter().zip(ends);
+        pairs.map(|(copy, from)| delta(&copy.borrow(), *from)).collect()
+    }
+}
+
+fn delta(table: &Table, from: u64) -> Delta {
+    if !table.is_known() || table.end() <= from {
+        return Delta { from, end: 0, records: Vec::new() };
+    }
+    Delta { from, end: table.end(), records: table.since(from) }
+}
+
+/// Follows a table for as long as the process runs.
+pub async fn run(driver: Rc<Driver>, name: TableName) {
+    let mut failures = 0_u32;
+    tokio::time::sleep(START_JITTER.mul_f64(rand::rng().random())).await;
+    loop {
+        match step(&driver, name).await {
+            Ok(()) => {
+                if failures > 0 {
+                    tracing::info!(event = "store_regained", table = name.name(), failures);
+                }
+                failures = 0;
+                if name == TableName::Endpoints {
+                    tokio::time::sleep(jittered(DIRECTORY_PAUSE)).await;
+                }
+            }
+            Err(error) => {
+                driver.metrics.count("relay.store_failed", 1);
+                if failures == 0 {
+                    tracing::warn!(event = "store_lost", table = name.name(), error = %error);
+                }
+                failures += 1;
+                let pause = FIRST_PAUSE * 2_u32.saturating_pow(failures.min(8) - 1);
+                tokio::time::sleep(jittered(pause.min(LONGEST_PAUSE))).await;
+            }
+        }
+    }
+}
+
+/// One call and what it brings.
+async fn step(driver: &Rc<Driver>, name: TableName) -> Result<(), StoreError> {
+    let (is_known, end) = {
+        let copy = driver.peers.tables.copy(name).borrow();
+        (copy.is_known(), copy.end())
+    };
+    if !is_known {
+        return read_whole(driver, name).await;
+    }
+    let wait = match name {
+        TableName::Endpoints => Duration::ZERO,
+        TableName::Config | TableName::Instances => LONGEST_WAIT,
+    };
+    driver.metrics.count("relay.store_reads", 1);
+    let read = (driver.surroundings.store.read)(name, end, wait);
+    match limited(wait, read).await? {
+        Read::Records { records, end } => {
+            let copy = driver.peers.tables.copy(name);
+            let changed = copy.borrow_mut().follow(records, end);
+            apply(driver, name, "store", changed);
+            Ok(())
+        }
+        Read::Expired => read_whole(driver, name).await,
+    }
+}
+
+/// Reads the newest record of every key. The pages are no snapshot: whatever
+/// is written meanwhile is read again from where the log ended at first.
+async fn read_whole(driver: &Rc<Driver>, name: TableName) -> Result<(), StoreError> {
+    let (mut records, mut end, mut after) = (Vec::new(), None, None);
+    loop {
+        driver.metrics.count("relay.store_reads", 1);
+        let page: Page =
+            limited(Duration::ZERO, (driver.surroundings.store.newest)(name, after)).await?;
+        records.extend(page.records);
+        end = end.or(Some(page.end));
+        after = page.more;
+        if after.is_none() {
+            break;
+        }
+    }
+    let copy = driver.peers.tables.copy(name);
+    let changed = copy.borrow_mut().replace(records, end.unwrap_or_default());
+    apply(driver, name, "store", changed);
+    Ok(())
+}
+
+async fn limited<T>(
+    wait: Duration,
+    call: crate::surroundings::StoreCall<T>,
+) -> Result<T, StoreError> {
+    match tokio::time::timeout(wait + CALL_TIMEOUT, call).await {
+        Ok(result) => result,
+        Err(_) => Err(StoreError::TimedOut),
+    }
+}
+
+/// Takes in what a peer told.
+pub fn merge(driver: &Rc<Driver>, peer: &str, deltas: Vec<Delta>) {
+    for (name, delta) in TABLES.into_iter().zip(deltas) {
+        let copy = driver.peers.tables.copy(name);
+        let changed = copy.borrow_mut().merge(delta.from, delta.records, delta.end);
+        apply(driver, name, peer, changed);
+    }
+}
+
+/// Tells the machine what changed in a table.
+fn apply(driver: &Rc<Driver>, name: TableName, source: &str, changed: Vec<Record>) {
+    for record in changed {
+        match name {
+            TableName::Config => apply_config(driver, source, &record),
+            TableName::Endpoints => apply_endpoint(driver, source, &record),
+            TableName::Instances => driver.peers.apply(driver.now(), &record),
+        }
+    }
+    driver.update_ready();
+}
+
+fn apply_config(driver: &Rc<Driver>, source: &str, record: &Record) {
+    let offset = record.offset;
+    match (driver.surroundings.read_config)(record) {
+        Ok(Some(config)) => {
+            let version = config.version;
+            let routes = config.routes.len();
+            let is_newer = driver.feed(|machine, _| machine.configure(config.into()));
+            driver.metrics.gauge("relay.config_version", version);
+            tracing::info!(event = "config", version, offset, source, routes, taken = is_newer);
+        }
+        Ok(None) => {}
+        Err(error) => {
+            driver.metrics.count("relay.config_unreadable", 1);
+            tracing::error!(event = "config_unreadable", offset, source, error);
+        }
+    }
+}
+
+fn apply_endpoint(driver: &Rc<Driver>, source: &str, record: &Record) {
+    let (name, offset) = (&*record.key, record.offset);
+    match (driver.surroundings.read_endpoint)(record) {
+        Ok(change) => {
+            let change_text = format!("{change:?}");
+            if driver.feed(|machine, now| machine.change(now, change)) {
+                tracing::info!(event = "endpoint", name, offset, source, change = change_text);
+            }
+        }
+        Err(error) => {
+            driver.metrics.count("relay.endpoints_unreadable", 1);
+            tracing::warn!(event = "endpoint_unreadable", name, offset, source, error);
+        }
+    }
+}
+
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.8..1.2))
+}
--- /dev/null
+++ b/crates/relay/src/peers.rs
@@ -0,0 +1,430 @@
+//! The other instances, over Cap'n Proto.
+//!
+//! With every round an instance sends some peers its liveness counters and the
+//! ends of its copies of the platform's tables; each answers in kind, with the
+//! records that the asker lacks. So an instance that the platform's store
+//! turns away still learns what is in force. Pieces are handed to the peer
+//! that batches their service; a peer that stops answering gets them taken
+//! back.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use futures::{
+    channel::oneshot,
+    future::{AbortHandle, Abortable, Either},
+};
+use peatdeck_core::{
+    instance::input::Identity,
+    membership::{self, ConfigMark, Envelope, Gossip, Local, Members},
+    model::{InstanceEntry, InstanceName, Presence},
+    relay::{
+        model::{HandoverKey, Piece, PieceResult},
+        table::Record,
+    },
+};
+use peatdeck_macros::message;
+use peatdeck_wire::{
+    link::{self, Error, Links},
+    peer as peer_wire, relay as wire,
+    relay_capnp::relay,
+};
+use rand::seq::IndexedRandom;
+use slotmap::SecondaryMap;
+use tokio::net::TcpListener;
+
+use crate::{driver::Driver, follow, follow::Tables, settings::Settings};
+
+/// Time for one exchange of gossip, making the connection included.
+const GOSSIP_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time for a peer to say that it still works.
+const PING_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause between two such questions while pieces are with a peer.
+const PING_PAUSE: Duration = Duration::from_millis(300);
+/// Longest time that pieces stay with a peer.
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time between two rounds of gossip.
+const TICK: Duration = Duration::from_millis(400);
+/// A peer whose counter has not risen for this long is taken for dead.
+const DEAD_AFTER: Duration = Duration::from_millis(2400);
+/// Pause before this instance's record is written again after a failure.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(600);
+/// Pause after a failed accept, as when no file descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// An instance's own record in the platform's table of instances.
+#[message]
+pub struct Announcement {
+    /// Where its peers reach it.
+    pub peers: Arc<str>,
+    /// Its data centre.
+    pub place: Arc<str>,
+}
+
+/// What is known of the other instances, and what is under way with them.
+pub struct Peers {
+    /// The copies of the platform's tables.
+    pub tables: Tables,
+    members: RefCell<Members>,
+    listed: RefCell<HashMap<InstanceName, InstanceEntry>>,
+    links: Links<relay::Client>,
+    handovers: RefCell<SecondaryMap<HandoverKey, AbortHandle>>,
+    tickets: RefCell<HashMap<u64, oneshot::Sender<Vec<PieceResult>>>>,
+    next_ticket: Cell<u64>,
+}
+
+impl Peers {
+    /// An instance that knows no peer.
+    pub fn new(settings: &Settings) -> Peers {
+        let identity = Identity {
+            name: settings.name.clone(),
+            incarnation: settings.incarnation,
+            data_centre: settings.data_centre.clone(),
+        };
+        let gossip = membership::Settings {
+            tick: TICK,
+            dead_after: DEAD_AFTER,
+            ..membership::Settings::default()
+        };
+        Peers {
+            tables: Tables::default(),
+            members: RefCell::new(Members::new(identity, gossip, rand::random())),
+            listed: RefCell::default(),
+            links: Links::default(),
+            handovers: RefCell::default(),
+            tickets: RefCell::default(),
+            next_ticket: Cell::new(0),
+        }
+    }
+
+    /// Takes in an instance's record.
+    pub fn apply(&self, now: Duration, record: &Record) {
+        let mut listed = self.listed.borrow_mut();
+        let value = record.value.as_deref();
+        match value.map(serde_json::from_slice::<Announcement>) {
+            None => drop(listed.remove(&record.key)),
+            Some(Err(error)) => {
+                let name = &*record.key;
+                tracing::warn!(event = "instance_unreadable", name, error = %error);
+            }
+            Some(Ok(announced)) => {
+                let entry = InstanceEntry {
+                    name: record.key.clone(),
+                    peer_addr: announced.peers.clone(),
+                    http_addr: announced.peers,
+                    data_centre: announced.place,
+                    presence: Presence::Live,
+                };
+                listed.insert(record.key.clone(), entry);
+            }
+        }
+        let entries: Vec<_> = listed.values().cloned().collect();
+        self.members.borrow_mut().listed(now, &entries);
+    }
+
+    /// How many peers are taken for alive.
+    pub fn alive(&self, now: Duration) -> usize {
+        self.members.borrow().alive(now).len()
+    }
+
+    /// Hands pieces to a peer.
+    pub fn hand_over(
+        &self,
+        driver: &Rc<Driver>,
+        key: HandoverKey,
+        peer: InstanceName,
+        pieces: Vec<Piece>,
+    ) {
+        let (abort, registration) = AbortHandle::new_pair();
+        self.handovers.borrow_mut().insert(key, abort);
+        let driver = driver.clone();
+        let task = async move {
+            let made = make(&driver, &peer, &pieces).await;
+            driver.peers.handovers.borrow_mut().remove(key);
+            let results = match made {
+                Ok(results) if results.len() == pieces.len() => Some(results),
+                Ok(_) => None,
+                Err(error) => {
+                    driver.metrics.count("relay.handovers_failed", 1);
+                    tracing::warn!(event = "handover_failed", handover = ?key, peer = &*peer, error = %error);
+                    driver.peers.members.borrow_mut().failed(driver.now(), &peer);
+                    update(&driver);
+                    None
+                }
+            };
+            driver.handed_back(key, results);
+        };
+        ntex::rt::spawn(Abortable::new(task, registration));
+    }
+
+    /// Takes pieces back from a peer.
+    pub fn recall(&self, key: HandoverKey) {
+        if let Some(task) = self.handovers.borrow_mut().remove(key) {
+            task.abort();
+        }
+    }
+
+    /// Gives a peer its results.
+    pub fn give_back(&self, ticket: u64, results: Vec<PieceResult>) {
+        if let Some(waiting) = self.tickets.borrow_mut().remove(&ticket) {
+            // A peer that has gone does not need them.
+            waiting.send(results).ok();
+        }
+    }
+}
+
+/// Writes this instance's record until the platform has taken it.
+pub async fn announce(driver: Rc<Driver>) {
+    let settings = &driver.settings;
+    let announcement = Announcement {
+        peers: Arc::from(settings.peers.to_string()),
+        place: settings.data_centre.clone(),
+    };
+    let value = serde_json::to_vec(&announcement).expect("two names are JSON");
+    loop {
+        let call = (driver.surroundings.store.announce)(
+            settings.name.clone(),
+            bytes::Bytes::from(value.clone()),
+        );
+        match tokio::time::timeout(GOSSIP_TIMEOUT, call).await {
+            Ok(Ok(())) => {
+                tracing::info!(event = "announced", peers = &*announcement.peers);
+                return;
+            }
+            Ok(Err(error)) => tracing::warn!(event = "announce_failed", error = %error),
+            Err(_) => tracing::warn!(event = "announce_failed", error = "timed out"),
+        }
+        tokio::time::sleep(ANNOUNCE_PAUSE).await;
+    }
+}
+
+/// Sends gossip for as long as the process runs.
+pub async fn run(driver: Rc<Driver>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = driver.now();
+        let local = local(&driver);
+        let envelopes = driver.peers.members.borrow_mut().tick(now, &local);
+        if envelopes.is_empty() {
+            ask_a_seed(&driver);
+        }
+        for envelope in envelopes {
+            ntex::rt::spawn(send(driver.clone(), envelope));
+        }
+        update(&driver);
+    }
+}
+
+/// Serves peers for as long as the process runs.
+pub async fn serve(driver: Rc<Driver>, listener: TcpListener) {
+    let service: relay::Client = capnp_rpc::new_client(Service { driver });
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                ntex::rt::spawn(link::serve(service.clone(), stream));
+            }
+            Err(error) => {
+                tracing::warn!(event = "peer_not_accepted", error = %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// An instance that knows no peer asks one that it was told of at its start.
+fn ask_a_seed(driver: &Rc<Driver>) {
+    let own = driver.settings.peers.to_string();
+    let others: Vec<_> = driver.settings.seeds.iter().filter(|seed| ***seed != *own).collect();
+    let Some(addr) = others.choose(&mut rand::rng()).map(|addr| Arc::clone(addr)) else { return };
+    let message = Gossip {
+        from: driver.settings.name.clone(),
+        wants_reply: true,
+        mark: local(driver).mark,
+        snapshot: None,
+        members: Vec::new(),
+        leaving: Vec::new(),
+        endpoints: Vec::new(),
+    };
+    let envelope = Envelope { to: Arc::from(""), addr, message };
+    ntex::rt::spawn(send(driver.clone(), envelope));
+}
+
+async fn send(driver: Rc<Driver>, envelope: Envelope) {
+    let Envelope { to, addr, message } = envelope;
+    let asked = driver.peers.tables.ends();
+    let exchange = async |client: relay::Client| {
+        let mut request = client.gossip_request();
+        peer_wire::write_gossip(&message, request.get().init_message())?;
+        write_marks(&asked, request.get().init_marks(asked.len() as u32));
+        let response = request.send().promise.await?;
+        let response = response.get()?;
+        let reply = response.get_reply()?;
+        let reply = if reply.has_from() { Some(peer_wire::read_gossip(reply)?) } else { None };
+        let deltas = response.get_tables()?.iter().map(wire::read_delta);
+        Ok((reply, deltas.collect::<Result<Vec<_>, _>>()?))
+    };
+    driver.metrics.count("relay.gossip", 1);
+    match driver.peers.links.exchange(&addr, GOSSIP_TIMEOUT, exchange).await {
+        Ok((reply, deltas)) => {
+            follow::merge(&driver, &to, deltas);
+            if let Some(reply) = reply {
+                let local = local(&driver);
+                driver.peers.members.borrow_mut().heard(driver.now(), &reply, &local);
+            }
+        }
+        Err(error) => {
+            driver.metrics.count("relay.gossip_failed", 1);
+            tracing::debug!(event = "gossip_failed", peer = &*to, error = %error);
+            driver.peers.members.borrow_mut().failed(driver.now(), &to);
+        }
+    }
+}
+
+/// What this instance tells of itself.
+fn local(driver: &Driver) -> Local<'static> {
+    let version = driver.look(|machine| machine.config().map_or(0, |config| config.version));
+    Local {
+        mark: ConfigMark { version, offset: None },
+        snapshot: None,
+        ready: driver.shared.is_ready.load(Ordering::Relaxed),
+        leaving: &[],
+        endpoints: &[],
+    }
+}
+
+/// Tells the machine which peers may batch pieces.
+fn update(driver: &Rc<Driver>) {
+    let now = driver.now();
+    let members = driver.peers.members.borrow();
+    let versions = members.peer_versions(now);
+    let usable = versions.into_iter().filter(|peer| peer.alive && peer.ready);
+    let peers = usable.filter(|peer| members.addr(&peer.name).is_some());
+    let peers: Vec<_> = peers.map(|peer| peer.name).collect();
+    drop(members);
+    driver.metrics.gauge("relay.peers", peers.len() as u64);
+    driver.feed(|machine, _| machine.set_peers(peers));
+}
+
+/// Has a peer make pieces, and watches that it still works.
+async fn make(
+    driver: &Rc<Driver>,
+    peer: &str,
+    pieces: &[Piece],
+) -> Result<Vec<PieceResult>, Error> {
+    let addr = driver.peers.members.borrow().addr(peer).ok_or(Error::TimedOut)?;
+    let exchange = async |client: relay::Client| {
+        let mut request = client.make_request();
+        let list = request.get().init_pieces(pieces.len() as u32);
+        wire::write_pieces(driver.now(), pieces, list);
+        let mut made = request.send().promise;
+        loop {
+            let pause = Box::pin(tokio::time::sleep(PING_PAUSE));
+            match futures::future::select(made, pause).await {
+                Either::Left((response, _)) => {
+                    return Ok(wire::read_results(response?.get()?.get_results()?)?);
+                }
+                Either::Right((_, unfinished)) => made = unfinished,
+            }
+            ping(&client).await?;
+        }
+    };
+    driver.peers.links.exchange(&addr, HANDOVER_TIMEOUT, exchange).await
+}
+
+async fn ping(client: &relay::Client) -> Result<(), Error> {
+    let answer = client.ping_request().send().promise;
+    match tokio::time::timeout(PING_TIMEOUT, answer).await {
+        Ok(answer) => Ok(answer.map(|_| ())?),
+        Err(_) => Err(Error::TimedOut),
+    }
+}
+
+fn write_marks(ends: &[u64], mut list: capnp::primitive_list::Builder<'_, u64>) {
+    for (idx, end) in (0..).zip(ends) {
+        list.set(idx, *end);
+    }
+}
+
+/// What peers can call.
+struct Service {
+    driver: Rc<Driver>,
+}
+
+impl relay::Server for Service {
+    async fn gossip(
+        self: Rc<Self>,
+        params: relay::GossipParams,
+        mut results: relay::GossipResults,
+    ) -> Result<(), capnp::Error> {
+        let driver = &self.driver;
+        let params = params.get()?;
+        let message = peer_wire::read_gossip(params.get_message()?).map_err(failed)?;
+        let asked: Vec<u64> = params.get_marks()?.iter().collect();
+        let local = local(driver);
+        let reply = driver.peers.members.borrow_mut().heard(driver.now(), &message, &local);
+        if let Some(reply) = reply {
+            peer_wire::write_gossip(&reply.message, results.get().init_reply()).map_err(failed)?;
+        }
+        let ends = driver.peers.tables.ends();
+        write_marks(&ends, results.get().init_marks(ends.len() as u32));
+        let deltas = driver.peers.tables.since(&asked);
+        let mut list = results.get().init_tables(deltas.len() as u32);
+        for (idx, delta) in (0..).zip(&deltas) {
+            wire::write_delta(delta, list.reborrow().get(idx));
+        }
+        Ok(())
+    }
+
+    async fn make(
+        self: Rc<Self>,
+        params: relay::MakeParams,
+        mut results: relay::MakeResults,
+    ) -> Result<(), capnp::Error> {
+        let driver = &self.driver;
+        let pieces =
+            wire::read_pieces(driver.now(), params.get()?.get_pieces()?).map_err(failed)?;
+        let ticket = driver.peers.next_ticket.get();
+        driver.peers.next_ticket.set(ticket + 1);
+        let (tx, rx) = oneshot::channel();
+        driver.peers.tickets.borrow_mut().insert(ticket, tx);
+        let guard = Ticket { driver: driver.clone(), ticket };
+        driver.feed(|machine, now| machine.take_over(now, ticket, pieces));
+        let made = rx.await.map_err(failed)?;
+        drop(guard);
+        wire::write_results(&made, results.get().init_results(made.len() as u32));
+        Ok(())
+    }
+
+    async fn ping(
+        self: Rc<Self>,
+        _params: relay::PingParams,
+        _results: relay::PingResults,
+    ) -> Result<(), capnp::Error> {
+        Ok(())
+    }
+}
+
+/// A peer's pieces that are being made here. Dropped when the peer does not
+/// want them any more.
+struct Ticket {
+    driver: Rc<Driver>,
+    ticket: u64,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let was_waiting = self.driver.peers.tickets.borrow_mut().remove(&self.ticket).is_some();
+        if was_waiting {
+            self.driver.feed(|machine, _| machine.recalled(self.ticket));
+        }
+    }
+}
+
+fn failed(error: impl ToString) -> capnp::Error {
+    capnp::Error::failed(error.to_string())
+}
--- /dev/null
+++ b/crates/relay/src/pool.rs
@@ -0,0 +1,258 @@
+//! Connections to endpoints and to the platform.
+//!
+//! A connection carries one exchange at a time and goes back to the pool only
+//! when its reply was whole and nothing followed it. It is watched while it is
+//! idle, so that bytes which nobody asked for end it. A connection that is
+//! dropped instead of given back is closed at once, which is how a call is
+//! cancelled.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures::future::{AbortHandle, Abortable};
+use http::{HeaderMap, Request, Response, header};
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+/// Time to make a connection. Data centres are a few milliseconds apart; an
+/// opening packet that is lost is sent again after a second, and another
+/// endpoint is the better choice by then.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Silence after which bytes that were not acknowledged mean a dead peer.
+const DEAD_AFTER: Duration = Duration::from_millis(1200);
+/// Pause before and between probes of a silent connection; the kernel counts
+/// in seconds.
+const PROBE_PAUSE: Duration = Duration::from_secs(1);
+/// An idle connection is used again within this time where the peer does not
+/// say for how long it keeps it.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// A connection is not used any more so long before the peer closes it.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// Idle connections to one address at the most.
+const MAX_IDLE: usize = 64;
+
+/// Why a request brought no reply.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// Not a byte was sent.
+    #[error("no connection to {addr}: {cause}; check that it runs and can be reached")]
+    Unsent {
+        /// The address.
+        addr: Arc<str>,
+        /// What the system said.
+        cause: String,
+    },
+    /// The connection ended after bytes were sent.
+    #[error("the connection to {addr} ended without a reply: {cause}; the request may have run")]
+    Cut {
+        /// The address.
+        addr: Arc<str>,
+        /// What the connection said.
+        cause: String,
+    },
+}
+
+impl Error {
+    /// Whether certainly not a byte was sent.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Error::Unsent { .. })
+    }
+}
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// An open connection. Dropping it closes it.
+struct Connection {
+    sender: Sender,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A connection that carries one exchange. Dropping it closes it.
+pub struct Lease {
+    addr: Arc<str>,
+    connection: Connection,
+    keep: Duration,
+}
+
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+impl Idle {
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.until && !self.connection.sender.is_closed()
+    }
+}
+
+/// What a pool has done.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Counts {
+    /// Connections made.
+    pub opened: u64,
+    /// Exchanges on a connection that was there.
+    pub reused: u64,
+}
+
+/// Idle connections by address.
+#[derive(Default)]
+pub struct Pool {
+    idle: RefCell<HashMap<Arc<str>, Vec<Idle>>>,
+    counts: RefCell<Counts>,
+}
+
+impl Pool {
+    /// A pool without connections.
+    pub fn new() -> Rc<Pool> {
+        Rc::default()
+    }
+
+    /// What it has done so far.
+    pub fn counts(&self) -> Counts {
+        *self.counts.borrow()
+    }
+
+    /// Sends a request and waits for the head of its reply.
+    ///
+    /// # Errors
+    /// Any [`Error`]; [`Error::Unsent`] is certain.
+    pub async fn send(
+        &self,
+        addr: &Arc<str>,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Lease), Error> {
+        loop {
+            let (mut lease, is_fresh) = match self.take_idle(addr) {
+                Some(lease) => (lease, false),
+                None => (connect(addr).await?, true),
+            };
+            self.count(is_fresh);
+            let sender = &mut lease.connection.sender;
+            if sender.ready().await.is_err() {
+                if is_fresh {
+                    return Err(unsent(addr, "closed as soon as it was made"));
+                }
+                continue;
+            }
+            match sender.try_send_request(request).await {
+                Ok(response) => {
+                    lease.keep = keep_time(response.headers());
+                    return Ok((response, lease));
+                }
+                Err(mut error) => {
+                    let Some(unused) = error.take_message() else {
+                        let cause = error.into_error().to_string();
+                        return Err(Error::Cut { addr: addr.clone(), cause });
+                    };
+                    if is_fresh {
+                        return Err(unsent(addr, error.into_error()));
+                    }
+                    request = unused;
+                }
+            }
+        }
+    }
+
+    /// Gives a connection back whose reply was read whole.
+    pub fn keep(&self, lease: Lease) {
+        if lease.keep.is_zero() || lease.connection.sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.entry(lease.addr.clone()).or_default();
+        let now = Instant::now();
+        list.retain(|idle| idle.is_usable(now));
+        if list.len() < MAX_IDLE {
+            list.push(Idle { connection: lease.connection, until: now + lease.keep });
+        }
+    }
+
+    /// Closes idle connections that will not be used again.
+    pub fn prune(&self) {
+        let now = Instant::now();
+        self.idle.borrow_mut().retain(|_, list| {
+            list.retain(|idle| idle.is_usable(now));
+            !list.is_empty()
+        });
+    }
+
+    /// The connection that was used last is taken first, so that few stay.
+    fn take_idle(&self, addr: &Arc<str>) -> Option<Lease> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(addr)?;
+        let now = Instant::now();
+        list.retain(|idle| idle.is_usable(now));
+        let Idle { connection, .. } = list.pop()?;
+        Some(Lease { addr: addr.clone(), connection, keep: Duration::ZERO })
+    }
+
+    fn count(&self, is_fresh: bool) {
+        let mut counts = self.counts.borrow_mut();
+        match is_fresh {
+            true => counts.opened += 1,
+            false => counts.reused += 1,
+        }
+    }
+}
+
+async fn connect(addr: &Arc<str>) -> Result<Lease, Error> {
+    let opening = TcpStream::connect(&**addr);
+    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(unsent(addr, error)),
+        Err(_) => return Err(unsent(addr, "timed out")),
+    };
+    watch_for_death(&stream).map_err(|error| unsent(addr, error))?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|error| unsent(addr, error))?;
+    let (task, registration) = AbortHandle::new_pair();
+    ntex::rt::spawn(Abortable::new(
+        async move {
+            // What ended it is seen by whoever uses it.
+            connection.await.ok();
+        },
+        registration,
+    ));
+    let connection = Connection { sender, task };
+    Ok(Lease { addr: addr.clone(), connection, keep: Duration::ZERO })
+}
+
+fn watch_for_death(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(DEAD_AFTER))?;
+    let probes = TcpKeepalive::new().with_time(PROBE_PAUSE).with_interval(PROBE_PAUSE);
+    socket.set_tcp_keepalive(&probes)
+}
+
+/// How long a connection may be idle, as its peer says.
+fn keep_time(headers: &HeaderMap) -> Duration {
+    let value = |name: &http::HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    if value(&header::CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+        return Duration::ZERO;
+    }
+    let keep_alive = value(&http::HeaderName::from_static("keep-alive")).unwrap_or_default();
+    let timeout = keep_alive.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+    let timeout = timeout.and_then(|seconds| seconds.trim().parse().ok());
+    let stated = timeout.map(Duration::from_secs_f64);
+    stated.map_or(DEFAULT_IDLE, |stated| stated.saturating_sub(IDLE_MARGIN))
+}
+
+fn unsent(addr: &Arc<str>, cause: impl ToString) -> Error {
+    Error::Unsent { addr: addr.clone(), cause: cause.to_string() }
+}
--- /dev/null
+++ b/crates/relay/src/surroundings.rs
@@ -0,0 +1,111 @@
+//! The platform that a relay runs on, as functions.
+//!
+//! The platform keeps three tables for the relay: the operator's
+//! configuration, the directory of endpoints, and the instances themselves.
+//! Each is a log of keyed records of which the newest counts. A platform
+//! adapter fills in [`Surroundings`]; tests fill it in with stand-ins.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::future::LocalBoxFuture;
+use peatdeck_core::relay::{config::Config, directory::Change, table::Record};
+use peatdeck_macros::{data, id};
+
+use crate::dialect::Dialect;
+
+/// A table that the platform keeps.
+#[id]
+#[derive(Copy)]
+pub enum TableName {
+    /// The operator's configuration.
+    Config,
+    /// The directory of endpoints.
+    Endpoints,
+    /// The instances of the relay.
+    Instances,
+}
+
+/// All tables, in the order in which instances tell each other of them.
+pub const TABLES: [TableName; 3] =
+    [TableName::Config, TableName::Endpoints, TableName::Instances];
+
+impl TableName {
+    /// A word for logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            TableName::Config => "config",
+            TableName::Endpoints => "endpoints",
+            TableName::Instances => "instances",
+        }
+    }
+}
+
+/// The newest record of some keys.
+#[data]
+pub struct Page {
+    /// The records.
+    pub records: Vec<Record>,
+    /// The key to go on behind, if there are more.
+    pub more: Option<Arc<str>>,
+    /// Where the log ended.
+    pub end: u64,
+}
+
+/// What a read of a table's log brought.
+#[data]
+pub enum Read {
+    /// The records from the asked offset up to `end`.
+    Records {
+        /// The records.
+        records: Vec<Record>,
+        /// The offset behind the last of them.
+        end: u64,
+    },
+    /// The asked offset is not kept any more.
+    Expired,
+}
+
+/// Why the platform's store did not answer.
+#[derive(Debug, Clone, thiserror::Error)]
+pub enum StoreError {
+    /// It cannot be reached, or the answer was lost.
+    #[error("the store cannot be reached: {0}; check its address and that it runs")]
+    Unreachable(String),
+    /// It gave no answer in time.
+    #[error("the store gave no answer in time; it is asked again")]
+    TimedOut,
+    /// It refused.
+    #[error("the store refused with status {0}; it is asked again later")]
+    Refused(u16),
+    /// Its answer cannot be read.
+    #[error("the store's answer cannot be read: {0}; check that the adapter fits its version")]
+    Malformed(String),
+}
+
+/// A store call under way.
+pub type StoreCall<T> = LocalBoxFuture<'static, Result<T, StoreError>>;
+
+/// The platform's store.
+#[derive(Clone)]
+pub struct Store {
+    /// Reads the newest records behind a key.
+    pub newest: Rc<dyn Fn(TableName, Option<Arc<str>>) -> StoreCall<Page>>,
+    /// Reads records from an offset on; waits for so long if there are none.
+    pub read: Rc<dyn Fn(TableName, u64, Duration) -> StoreCall<Read>>,
+    /// Writes this instance's record.
+    pub announce: Rc<dyn Fn(Arc<str>, Bytes) -> StoreCall<()>>,
+}
+
+/// The platform that a relay runs on.
+#[derive(Clone)]
+pub struct Surroundings {
+    /// How callers and endpoints are spoken to.
+    pub dialect: Dialect,
+    /// The store.
+    pub store: Store,
+    /// Reads a record of the configuration; `Ok(None)` if it is another matter.
+    pub read_config: fn(&Record) -> Result<Option<Config>, String>,
+    /// Reads a record of the directory.
+    pub read_endpoint: fn(&Record) -> Result<Change, String>,
+}
--- a/crates/util/src/logging.rs
+++ b/crates/util/src/logging.rs
@@ -1,13 +1,15 @@
-//! Structured logs on standard error, as text or JSON.
+//! Structured logs, as text or JSON.
 //!
-//! Counters tell how often something happens; a line is for a change of state
-//! only, and never holds a caller's content.
+//! [`start`] is for programs whose lines are few: changes of state, on standard
+//! error. [`start_bounded`] is for those that write a line for each decision,
+//! on standard output. No line holds a caller's content.
 
 use std::{
     io::{self, IsTerminal},
     str::FromStr,
 };
 
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{EnvFilter, fmt};
 
 /// Log filter where none is set. The HTTP library logs each of its steps as
@@ -53,3 +55,32 @@
         Format::Json => builder.json().init(),
     }
 }
+
+/// Lines that may wait to be written. At 400 bytes a line this is 1.6 MB.
+const WAITING_LINES: usize = 4096;
+
+/// Logs that are written by a thread of their own. Dropping it writes what
+/// still waits.
+pub struct Bounded {
+    dropped: ErrorCounter,
+    _guard: WorkerGuard,
+}
+
+impl Bounded {
+    /// Lines that were dropped because too many waited.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.dropped_lines() as u64
+    }
+}
+
+/// Starts logging for the process as JSON on standard output. Whoever logs
+/// never waits: a line that finds the buffer full is dropped and counted.
+pub fn start_bounded(filter: &str) -> Bounded {
+    let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(WAITING_LINES);
+    let (writer, guard) = builder.finish(io::stdout());
+    let dropped = writer.error_counter();
+    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    let fields = fmt().with_env_filter(filter).with_writer(writer).json();
+    fields.flatten_event(true).with_target(false).init();
+    Bounded { dropped, _guard: guard }
+}
--- a/crates/util/src/metrics.rs
+++ b/crates/util/src/metrics.rs
@@ -1,12 +1,20 @@
-//! Counters, gauges and timings over UDP in the statsd format.
+//! Counters, gauges and timings: over UDP in the statsd format, or kept in a
+//! [`Registry`] that is read over HTTP.
 
 use std::{
+    collections::BTreeMap,
+    fmt::Write,
+    io,
     net::{SocketAddr, UdpSocket},
     rc::Rc,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use cadence::{Counted, Gauged, NopMetricSink, StatsdClient, Timed, UdpMetricSink};
+use cadence::{
+    Counted, Gauged, MetricSink, NopMetricSink, StatsdClient, Timed, UdpMetricSink,
+};
+use hdrhistogram::Histogram;
 
 /// Prefix of every metric's name.
 pub const PREFIX: &str = "peatdeck";
@@ -35,6 +43,12 @@
         Ok(Metrics { client: Rc::new(StatsdClient::from_sink(PREFIX, sink)) })
     }
 
+    /// Metrics that are kept in a registry.
+    pub fn into_registry(registry: &Arc<Registry>) -> Metrics {
+        let sink = RegistrySink { registry: registry.clone() };
+        Metrics { client: Rc::new(StatsdClient::from_sink(PREFIX, sink)) }
+    }
+
     /// Adds to a counter.
     pub fn count(&self, name: &str, by: u64) {
         let by = i64::try_from(by).unwrap_or(i64::MAX);
@@ -51,3 +65,84 @@
         self.client.time(name, took).ok();
     }
 }
+
+/// Quantiles of a timing that are shown.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
+/// Longest timing that is told apart from longer ones, in milliseconds.
+const LONGEST_TIMING: u64 = 600_000;
+
+/// Counters, gauges and timings since the start of the process.
+#[derive(Debug, Default)]
+pub struct Registry {
+    values: Mutex<Values>,
+}
+
+#[derive(Debug, Default)]
+struct Values {
+    counters: BTreeMap<String, u64>,
+    gauges: BTreeMap<String, u64>,
+    timings: BTreeMap<String, Histogram<u32>>,
+}
+
+impl Registry {
+    /// An empty registry.
+    pub fn new() -> Arc<Registry> {
+        Arc::default()
+    }
+
+    /// All values as text: a name and a value a line; a timing has its count
+    /// and some quantiles, in milliseconds.
+    pub fn render(&self) -> String {
+        let values = self.lock();
+        let mut text = String::new();
+        for (name, value) in values.counters.iter().chain(&values.gauges) {
+            writeln!(text, "{name} {value}").expect("a string takes all text");
+        }
+        for (name, timing) in &values.timings {
+            writeln!(text, "{name}.count {}", timing.len()).expect("a string takes all text");
+            for quantile in QUANTILES {
+                let value = timing.value_at_quantile(quantile);
+                writeln!(text, "{name}.p{} {value}", quantile * 100.0)
+                    .expect("a string takes all text");
+            }
+        }
+        text
+    }
+
+    /// Takes in one metric in the statsd format, `name:value|kind`.
+    fn take(&self, metric: &str) -> Option<()> {
+        let (name, rest) = metric.split_once(':')?;
+        let (value, kind) = rest.split_once('|')?;
+        let value: u64 = value.parse().ok()?;
+        let mut values = self.lock();
+        match kind {
+            "c" => *values.counters.entry(name.to_owned()).or_default() += value,
+            "g" => drop(values.gauges.insert(name.to_owned(), value)),
+            _ => {
+                let timing = values.timings.entry(name.to_owned()).or_insert_with(new_timing);
+                timing.saturating_record(value);
+            }
+        }
+        Some(())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Values> {
+        self.values.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn new_timing() -> Histogram<u32> {
+    Histogram::new_with_max(LONGEST_TIMING, 2).expect("the bounds are right")
+}
+
+#[derive(Debug)]
+struct RegistrySink {
+    registry: Arc<Registry>,
+}
+
+impl MetricSink for RegistrySink {
+    fn emit(&self, metric: &str) -> io::Result<usize> {
+        self.registry.take(metric);
+        Ok(metric.len())
+    }
+}
--- /dev/null
+++ b/crates/wire/schema/relay.capnp
@@ -0,0 +1,64 @@
+@0xa63d0b1f5e2c9847;
+# What instances that relay tell each other. One connection carries one way.
+
+using Peer = import "peer.capnp";
+
+interface Relay {
+  gossip @0 (message :Peer.Gossip, marks :List(UInt64))
+      -> (reply :Peer.Gossip, marks :List(UInt64), tables :List(Table));
+  # Exchanges what both sides know. `marks` are the ends of the asker's copies
+  # of the shared tables; the reply holds what it lacks of each, and the ends
+  # of the receiver's copies.
+
+  make @1 (pieces :List(Piece)) -> (results :List(Result));
+  # Has pieces made by the receiver's calls. Dropping the call takes back the
+  # pieces that still wait.
+
+  ping @2 () -> ();
+  # Asks whether the receiver still works.
+}
+
+struct Table {
+  from @0 :UInt64;
+  # The end that the asker told; nothing between it and the records is missing.
+  end @1 :UInt64;
+  records @2 :List(Record);
+}
+
+struct Record {
+  key @0 :Text;
+  offset @1 :UInt64;
+  isRemoved @2 :Bool;
+  value @3 :Data;
+}
+
+struct Piece {
+  service @0 :Text;
+  request @1 :Text;
+  stage @2 :UInt16;
+  number @3 :UInt16;
+  key @4 :Text;
+  # Empty where the piece is made from inputs.
+  inputs @5 :List(Text);
+  bytes @6 :UInt64;
+  dueMicros @7 :UInt64;
+  # Time left when the call was sent.
+  aimMicros @8 :UInt64;
+  priority @9 :UInt8;
+  home @10 :Text;
+  # Empty where the place of the result does not matter.
+  isRepeat @11 :Bool;
+}
+
+struct Result {
+  handle @0 :Text;
+  # Empty where there is no result.
+  failure @1 :Failure;
+}
+
+enum Failure {
+  late @0;
+  inputGone @1;
+  noRoom @2;
+  failed @3;
+}
--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,158 @@
+//! Connections between instances, over Cap'n Proto.
+//!
+//! One connection a peer is kept for what this instance sends; peers connect
+//! for what they send. A connection that fails is dropped and made again for
+//! the next message. Nothing is repeated here.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use capnp::capability::FromClientHook;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use futures::{
+    future::{AbortHandle, Abortable},
+    io::{BufReader, BufWriter},
+};
+use tokio::net::TcpStream;
+use tokio_util::compat::{Compat, TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use crate::peer;
+
+/// A connection that was not used for longer is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// What went wrong with a peer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The connection could not be made.
+    #[error("no connection to the peer: {0}; check that it runs and its address in the list")]
+    Connect(#[from] std::io::Error),
+    /// The exchange failed.
+    #[error("the exchange with the peer failed: {0}; it is tried again with the next message")]
+    Rpc(#[from] capnp::Error),
+    /// The peer's message cannot be read.
+    #[error(transparent)]
+    Message(#[from] peer::Error),
+    /// The peer did not answer in time.
+    #[error("the peer did not answer in time; it is tried again with the next message")]
+    TimedOut,
+}
+
+type Network = twoparty::VatNetwork<BufReader<Compat<tokio::net::tcp::OwnedReadHalf>>>;
+
+/// A connection to a peer. Dropping it closes it.
+struct Link<C> {
+    client: C,
+    used: Instant,
+    abort: AbortHandle,
+}
+
+impl<C> Drop for Link<C> {
+    fn drop(&mut self) {
+        self.abort.abort();
+    }
+}
+
+/// Connections to peers, by address.
+pub struct Links<C> {
+    links: RefCell<HashMap<Arc<str>, Link<C>>>,
+}
+
+impl<C> Default for Links<C> {
+    fn default() -> Links<C> {
+        Links { links: RefCell::default() }
+    }
+}
+
+impl<C: FromClientHook + Clone> Links<C> {
+    /// How many connections are open.
+    pub fn len(&self) -> usize {
+        self.links.borrow().len()
+    }
+
+    /// Whether no connection is open.
+    pub fn is_empty(&self) -> bool {
+        self.links.borrow().is_empty()
+    }
+
+    /// Runs one exchange on the peer's connection within the time limit; one
+    /// that fails costs the connection.
+    ///
+    /// # Errors
+    /// Any [`Error`]; the message may have reached the peer.
+    pub async fn exchange<T>(
+        &self,
+        addr: &Arc<str>,
+        limit: Duration,
+        exchange: impl AsyncFnOnce(C) -> Result<T, Error>,
+    ) -> Result<T, Error> {
+        let bounded = async {
+            let client = self.client(addr).await?;
+            exchange(client).await
+        };
+        let result = match tokio::time::timeout(limit, bounded).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::TimedOut),
+        };
+        if result.is_err() {
+            self.close(addr);
+        }
+        result
+    }
+
+    /// Closes the connection to a peer.
+    pub fn close(&self, addr: &Arc<str>) {
+        self.links.borrow_mut().remove(addr);
+    }
+
+    async fn client(&self, addr: &Arc<str>) -> Result<C, Error> {
+        if let Some(client) = self.cached(addr) {
+            return Ok(client);
+        }
+        let link: Link<C> = connect(addr).await?;
+        let client = link.client.clone();
+        self.links.borrow_mut().insert(addr.clone(), link);
+        Ok(client)
+    }
+
+    fn cached(&self, addr: &Arc<str>) -> Option<C> {
+        let now = Instant::now();
+        let mut links = self.links.borrow_mut();
+        links.retain(|_, link| now - link.used < IDLE_TIMEOUT);
+        let link = links.get_mut(addr)?;
+        link.used = now;
+        Some(link.client.clone())
+    }
+}
+
+/// Serves one peer's connection with `service` for as long as it is open.
+pub async fn serve<C: FromClientHook + Clone>(service: C, stream: TcpStream) {
+    let Ok(network) = network(stream, Side::Server) else { return };
+    let client = capnp::capability::Client::new(service.into_client_hook());
+    // The connection's end is noticed by whoever waits on it.
+    RpcSystem::new(network, Some(client)).await.ok();
+}
+
+async fn connect<C: FromClientHook + Clone>(addr: &str) -> Result<Link<C>, Error> {
+    let stream = TcpStream::connect(addr).await?;
+    let mut rpc = RpcSystem::new(network(stream, Side::Client)?, None);
+    let client = rpc.bootstrap(Side::Server);
+    let (abort, registration) = AbortHandle::new_pair();
+    tokio::task::spawn_local(Abortable::new(rpc, registration));
+    Ok(Link { client, used: Instant::now(), abort })
+}
+
+fn network(stream: TcpStream, side: Side) -> std::io::Result<Box<Network>> {
+    stream.set_nodelay(true)?;
+    let (read, write) = stream.into_split();
+    Ok(Box::new(twoparty::VatNetwork::new(
+        BufReader::new(read.compat()),
+        BufWriter::new(write.compat_write()),
+        side,
+        capnp::message::ReaderOptions::default(),
+    )))
+}
--- /dev/null
+++ b/crates/wire/src/relay.rs
@@ -0,0 +1,178 @@
+//! Shared tables and pieces between instances in Cap'n Proto form.
+//!
+//! Times travel as what is left, since clocks of two instances differ; both
+//! sides give their own current time.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use peatdeck_core::relay::{
+    model::{Piece, PieceFailure, PieceResult},
+    table::Record,
+};
+
+use crate::{peer::Error, relay_capnp};
+
+/// What a peer told of one table.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Delta {
+    /// The end that was asked from.
+    pub from: u64,
+    /// The end of the peer's copy.
+    pub end: u64,
+    /// The records between.
+    pub records: Vec<Record>,
+}
+
+/// Writes what a peer lacks of a table.
+pub fn write_delta(delta: &Delta, mut to: relay_capnp::table::Builder<'_>) {
+    to.set_from(delta.from);
+    to.set_end(delta.end);
+    let mut list = to.init_records(len(&delta.records));
+    for (idx, record) in (0..).zip(&delta.records) {
+        let mut to = list.reborrow().get(idx);
+        to.set_key(&*record.key);
+        to.set_offset(record.offset);
+        to.set_is_removed(record.value.is_none());
+        to.set_value(record.value.as_deref().unwrap_or_default());
+    }
+}
+
+/// Reads what a peer told of a table.
+///
+/// # Errors
+/// Any [`Error`]: nothing of a damaged message is used.
+pub fn read_delta(from: relay_capnp::table::Reader<'_>) -> Result<Delta, Error> {
+    let records = from.get_records()?.iter().map(read_record).collect::<Result<_, _>>()?;
+    Ok(Delta { from: from.get_from(), end: from.get_end(), records })
+}
+
+/// Writes pieces.
+pub fn write_pieces(
+    now: Duration,
+    pieces: &[Piece],
+    mut list: capnp::struct_list::Builder<'_, relay_capnp::piece::Owned>,
+) {
+    for (idx, piece) in (0..).zip(pieces) {
+        let mut to = list.reborrow().get(idx);
+        to.set_service(&*piece.service);
+        to.set_request(&*piece.request);
+        to.set_stage(piece.stage);
+        to.set_number(piece.number);
+        to.set_key(piece.key.as_deref().unwrap_or_default());
+        to.set_bytes(piece.bytes);
+        to.set_due_micros(left(now, piece.due));
+        to.set_aim_micros(left(now, piece.aim));
+        to.set_priority(piece.priority);
+        to.set_home(piece.home.as_deref().unwrap_or_default());
+        to.set_is_repeat(piece.is_repeat);
+        let mut inputs = to.init_inputs(len(&piece.inputs));
+        for (idx, input) in (0..).zip(&piece.inputs) {
+            inputs.set(idx, &**input);
+        }
+    }
+}
+
+/// Reads pieces.
+///
+/// # Errors
+/// Any [`Error`].
+pub fn read_pieces(
+    now: Duration,
+    list: capnp::struct_list::Reader<'_, relay_capnp::piece::Owned>,
+) -> Result<Vec<Piece>, Error> {
+    list.iter().map(|from| read_piece(now, from)).collect()
+}
+
+/// Writes results.
+pub fn write_results(
+    results: &[PieceResult],
+    mut list: capnp::struct_list::Builder<'_, relay_capnp::result::Owned>,
+) {
+    for (idx, result) in (0..).zip(results) {
+        let mut to = list.reborrow().get(idx);
+        match result {
+            Ok(handle) => to.set_handle(&**handle),
+            Err(failure) => to.set_failure(write_failure(*failure)),
+        }
+    }
+}
+
+/// Reads results.
+///
+/// # Errors
+/// Any [`Error`].
+pub fn read_results(
+    list: capnp::struct_list::Reader<'_, relay_capnp::result::Owned>,
+) -> Result<Vec<PieceResult>, Error> {
+    list.iter().map(read_result).collect()
+}
+
+fn read_record(from: relay_capnp::record::Reader<'_>) -> Result<Record, Error> {
+    let value = Bytes::copy_from_slice(from.get_value()?);
+    Ok(Record {
+        key: text(from.get_key()?)?,
+        offset: from.get_offset(),
+        value: (!from.get_is_removed()).then_some(value),
+    })
+}
+
+fn read_piece(now: Duration, from: relay_capnp::piece::Reader<'_>) -> Result<Piece, Error> {
+    let inputs = from.get_inputs()?.iter().map(|input| text(input?));
+    Ok(Piece {
+        service: text(from.get_service()?)?,
+        request: text(from.get_request()?)?,
+        stage: from.get_stage(),
+        number: from.get_number(),
+        key: optional(from.get_key()?)?,
+        inputs: inputs.collect::<Result<_, _>>()?,
+        bytes: from.get_bytes(),
+        due: now + Duration::from_micros(from.get_due_micros()),
+        aim: now + Duration::from_micros(from.get_aim_micros()),
+        priority: from.get_priority(),
+        home: optional(from.get_home()?)?,
+        is_repeat: from.get_is_repeat(),
+    })
+}
+
+fn read_result(from: relay_capnp::result::Reader<'_>) -> Result<PieceResult, Error> {
+    match optional(from.get_handle()?)? {
+        Some(handle) => Ok(Ok(handle)),
+        None => Ok(Err(read_failure(from.get_failure().map_err(capnp::Error::from)?))),
+    }
+}
+
+fn write_failure(failure: PieceFailure) -> relay_capnp::Failure {
+    match failure {
+        PieceFailure::Late => relay_capnp::Failure::Late,
+        PieceFailure::InputGone => relay_capnp::Failure::InputGone,
+        PieceFailure::NoRoom => relay_capnp::Failure::NoRoom,
+        PieceFailure::Failed => relay_capnp::Failure::Failed,
+    }
+}
+
+fn read_failure(failure: relay_capnp::Failure) -> PieceFailure {
+    match failure {
+        relay_capnp::Failure::Late => PieceFailure::Late,
+        relay_capnp::Failure::InputGone => PieceFailure::InputGone,
+        relay_capnp::Failure::NoRoom => PieceFailure::NoRoom,
+        relay_capnp::Failure::Failed => PieceFailure::Failed,
+    }
+}
+
+fn left(now: Duration, at: Duration) -> u64 {
+    u64::try_from(at.saturating_sub(now).as_micros()).unwrap_or(u64::MAX)
+}
+
+fn text(from: capnp::text::Reader<'_>) -> Result<Arc<str>, Error> {
+    Ok(Arc::from(from.to_str()?))
+}
+
+fn optional(from: capnp::text::Reader<'_>) -> Result<Option<Arc<str>>, Error> {
+    let text = from.to_str()?;
+    Ok((!text.is_empty()).then(|| Arc::from(text)))
+}
+
+fn len<T>(list: &[T]) -> u32 {
+    u32::try_from(list.len()).expect("a message is bounded")
+}
