--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -171,11 +171,24 @@
                 Some((Ok(bytes), Some((waiter, io, held))))
             }
             Some(Part::End) => None,
-            _ => Some((Err(io::Error::other("the stream is not whole")), None)),
+            _ => Some((Err(break_off(io.as_ref()).await), None)),
         }
     })
 }
 
+/// Closes the caller's connection without the mark that ends a body. If the
+/// server saw an error instead, it would write an answer of its own into the
+/// unfinished one.
+async fn break_off(io: Option<&IoRef>) -> io::Error {
+    match io {
+        Some(io) => {
+            io.close();
+            std::future::pending().await
+        }
+        None => io::Error::other("the stream is not whole"),
+    }
+}
+
 /// The next part; `None` if the caller has gone. The server itself would look
 /// at the connection only when there is something to send.
 async fn next_part(waiter: &mut Waiter, io: Option<&IoRef>) -> Option<Part> {
