--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -14,7 +14,9 @@
 use crate::relay::{
     config::Pieces,
     directory::Directory,
-    model::{CallKey, EndpointKey, ExchangeKey, Piece, PieceFailure, PieceResult, ServiceName},
+    model::{
+        CallKey, EndpointKey, ExchangeKey, Handle, Piece, PieceFailure, PieceResult, ServiceName,
+    },
 };
 
 /// An endpoint that refused a call is left alone for so long: it is busy with
@@ -28,8 +30,11 @@
 /// Time after which half of an endpoint's slowness is forgotten, so that it
 /// is tried again.
 const SLOW_HALF_LIFE: Duration = Duration::from_secs(3);
-/// Calls to one endpoint at a time, on top of its slots.
-const EXTRA_CALLS: usize = 0;
+/// A piece whose result belongs in another data centre waits for an endpoint
+/// there while it has this much time to spare: about a full call.
+const HOME_PATIENCE: Duration = Duration::from_millis(200);
+/// An endpoint that had no room for a result gets nothing for so long.
+const ROOM_PAUSE: Duration = Duration::from_millis(100);
 
 slotmap::new_key_type! {
     struct PieceKey;
@@ -82,21 +87,38 @@
 #[derive(Debug)]
 struct Running {
     endpoint: EndpointKey,
-    service: ServiceName,
     keys: Vec<PieceKey>,
     started: Duration,
     expected: Duration,
+    lease: Duration,
+}
+
+/// A result that takes up room.
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    bytes: u64,
+    until: Duration,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct Worker {
     calls: usize,
     blocked_until: Duration,
     slowness: f64,
     slowed_at: Duration,
+    held: HashMap<Handle, Held>,
+    /// Bytes of results that are being made.
+    promised: u64,
 }
 
 impl Worker {
+    /// Room for further results.
+    fn room(&mut self, now: Duration, shape: &Pieces) -> u64 {
+        self.held.retain(|_, held| now < held.until);
+        let held: u64 = self.held.values().map(|held| held.bytes).sum();
+        shape.room.saturating_sub(held + self.promised)
+    }
+
     fn slowness(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.slowed_at).as_secs_f64();
         let kept = 0.5_f64.powf(age / SLOW_HALF_LIFE.as_secs_f64());
@@ -183,18 +205,21 @@
         shape: &Pieces,
         directory: &Directory,
     ) -> Vec<Order> {
-        let mut idle = self.idle_workers(now, service, shape, directory);
+        let idle = self.idle_workers(now, service, shape, directory);
         let mut orders = Vec::new();
-        while !idle.is_empty() && self.waiting(service) > 0 {
-            let size = self.call_size(service, shape, idle.len());
-            let endpoint = self.pick_worker(now, service, &idle, directory);
-            idle.retain(|other| *other != endpoint);
-            if self.is_too_slow(now, endpoint, service, shape, directory) {
+        for (position, endpoint) in idle.iter().enumerate() {
+            if self.waiting(service) == 0 {
+                break;
+            }
+            if self.is_too_slow(now, *endpoint, service, shape, directory) {
                 continue;
             }
-            let keys = self.take_urgent(now, service, shape, size);
-            let pieces = keys.iter().map(|key| self.pieces[*key].piece.clone()).collect();
-            orders.push(Order { endpoint, pieces, keys });
+            let others = idle.len() - position;
+            let keys = self.take_for(now, *endpoint, service, shape, directory, others);
+            if !keys.is_empty() {
+                let pieces = keys.iter().map(|key| self.pieces[*key].piece.clone()).collect();
+                orders.push(Order { endpoint: *endpoint, pieces, keys });
+            }
         }
         orders
     }
@@ -204,12 +229,12 @@
         for key in &order.keys {
             self.pieces[*key].call = Some(call);
         }
-        self.workers.entry(order.endpoint).or_default().calls += 1;
-        let service = order.pieces[0].service.clone();
+        let worker = self.workers.entry(order.endpoint).or_default();
+        worker.calls += 1;
+        worker.promised += order.pieces.iter().map(|piece| piece.bytes).sum::<u64>();
         let expected = Batches::call_time(shape, order.pieces.len());
-        let (endpoint, keys) = (order.endpoint, order.keys.clone());
-        let running = Running { endpoint, service, keys, started: now, expected };
-        self.running.insert(call, running);
+        let (endpoint, keys, lease) = (order.endpoint, order.keys.clone(), shape.lease);
+        self.running.insert(call, Running { endpoint, keys, started: now, expected, lease });
     }
 
     /// A call brought results, in the order of its pieces.
@@ -220,44 +245,62 @@
         results: Vec<PieceResult>,
     ) -> Vec<Finished> {
         let Some(running) = self.running.remove(&call) else { return Vec::new() };
+        self.release(&running);
         let worker = self.workers.entry(running.endpoint).or_default();
-        worker.calls = worker.calls.saturating_sub(1);
         let took = now.saturating_sub(running.started).as_secs_f64();
         let factor = took / running.expected.as_secs_f64();
         let known = worker.slowness(now);
         worker.slowness = known * (1.0 - NEWEST_SHARE) + factor * NEWEST_SHARE;
         worker.slowed_at = now;
+        for (key, result) in running.keys.iter().zip(&results) {
+            match result {
+                Ok(handle) => {
+                    let bytes = self.pieces.get(*key).map_or(0, |entry| entry.piece.bytes);
+                    let held = Held { bytes, until: now + running.lease };
+                    worker.held.insert(handle.clone(), held);
+                }
+                Err(PieceFailure::NoRoom) => worker.blocked_until = now + ROOM_PAUSE,
+                Err(_) => {}
+            }
+        }
         self.finish(running, results)
     }
 
+    /// Results at an endpoint have been given up.
+    pub fn freed(&mut self, handles: &[Handle]) {
+        for worker in self.workers.values_mut() {
+            for handle in handles {
+                worker.held.remove(handle);
+            }
+        }
+    }
+
     /// A call failed; `is_unrun` says that the endpoint refused it. All its
     /// pieces come back.
     pub fn failed(&mut self, now: Duration, call: CallKey, is_unrun: bool) -> Vec<Finished> {
         let Some(running) = self.running.remove(&call) else { return Vec::new() };
-        let worker = self.workers.entry(running.endpoint).or_default();
-        worker.calls = worker.calls.saturating_sub(1);
+        self.release(&running);
         if is_unrun {
+            let worker = self.workers.entry(running.endpoint).or_default();
             worker.blocked_until = now + BUSY_PAUSE;
         }
         let results = running.keys.iter().map(|_| Err(PieceFailure::Failed)).collect();
         self.finish(running, results)
     }
 
-    /// The service that a call is for.
-    pub fn service_of(&self, call: CallKey) -> Option<&ServiceName> {
-        self.running.get(&call).map(|running| &running.service)
-    }
-
-    /// The endpoint that a call went to.
-    pub fn endpoint_of(&self, call: CallKey) -> Option<EndpointKey> {
-        self.running.get(&call).map(|running| running.endpoint)
-    }
-
     /// Forgets endpoints that the directory does not know any more.
     pub fn forget(&mut self, directory: &Directory) {
         self.workers.retain(|key, _| directory.get(*key).is_some());
     }
 
+    fn release(&mut self, running: &Running) {
+        let bytes = running.keys.iter().filter_map(|key| self.pieces.get(*key));
+        let bytes: u64 = bytes.map(|entry| entry.piece.bytes).sum();
+        let worker = self.workers.entry(running.endpoint).or_default();
+        worker.calls = worker.calls.saturating_sub(1);
+        worker.promised = worker.promised.saturating_sub(bytes);
+    }
+
     fn finish(&mut self, running: Running, results: Vec<PieceResult>) -> Vec<Finished> {
         let entries = running.keys.into_iter().zip(results);
         let entries = entries.filter_map(|(key, result)| Some((self.pieces.remove(key)?, result)));
@@ -265,6 +308,7 @@
         entries.map(|(entry, result)| entry.finished(result, endpoint)).collect()
     }
 
+    /// Endpoints that can take a call, the fastest first.
     fn idle_workers(
         &self,
         now: Duration,
@@ -272,42 +316,20 @@
         shape: &Pieces,
         directory: &Directory,
     ) -> Vec<EndpointKey> {
-        let room = shape.slots as usize + EXTRA_CALLS;
         let mut keys = directory.usable(now, service);
         keys.retain(|key| {
-            let worker = self.workers.get(key).copied().unwrap_or_default();
             let is_paused = directory.get(*key).is_some_and(|endpoint| endpoint.is_paused(now));
-            worker.calls < room && now >= worker.blocked_until && !is_paused
+            let is_busy = self.workers.get(key).is_some_and(|worker| {
+                worker.calls >= shape.slots as usize || now < worker.blocked_until
+            });
+            !is_busy && !is_paused
         });
+        keys.sort_by(|a, b| self.slowness(now, a).total_cmp(&self.slowness(now, b)));
         keys
     }
 
-    /// Pieces of one call: all that wait where they are few, an even share of
-    /// them where they would fill several calls.
-    fn call_size(&self, service: &str, shape: &Pieces, idle: usize) -> usize {
-        let (waiting, batch) = (self.waiting(service), shape.batch as usize);
-        waiting.div_ceil(idle).max(batch / 2).min(batch)
-    }
-
-    /// The idle endpoint for the most urgent pieces: where their results are
-    /// needed, if that is known, and else the fastest.
-    fn pick_worker(
-        &self,
-        now: Duration,
-        service: &str,
-        idle: &[EndpointKey],
-        directory: &Directory,
-    ) -> EndpointKey {
-        let first = self.waiting[service].iter().min_by_key(|key| self.urgency(now, **key));
-        let home = first.and_then(|key| self.pieces[*key].piece.home.clone());
-        let cost = |key: &EndpointKey| {
-            let slowness = self.workers.get(key).map_or(1.0, |worker| worker.slowness(now));
-            let place = directory.get(*key).map(|endpoint| &endpoint.entry.data_centre);
-            let is_far = home.is_some() && place != home.as_ref();
-            slowness + if is_far { 0.5 } else { 0.0 }
-        };
-        let best = idle.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        *best.expect("the caller has an idle endpoint")
+    fn slowness(&self, now: Duration, endpoint: &EndpointKey) -> f64 {
+        self.workers.get(endpoint).map_or(1.0, |worker| worker.slowness(now))
     }
 
     /// Whether the other endpoints make the waiting pieces sooner.
@@ -319,31 +341,65 @@
         shape: &Pieces,
         directory: &Directory,
     ) -> bool {
-        let slowness =
-            |key: &EndpointKey| self.workers.get(key).map_or(1.0, |worker| worker.slowness(now));
-        let own = slowness(&endpoint);
+        let own = self.slowness(now, &endpoint);
         if own < SLOW_FACTOR {
             return false;
         }
         let usable = directory.usable(now, service);
-        let sound = usable.iter().filter(|key| slowness(key) < SLOW_FACTOR).count();
+        let sound = usable.iter().filter(|key| self.slowness(now, key) < SLOW_FACTOR).count();
         let rounds = self.waiting(service) as f64 / (sound as f64 * f64::from(shape.batch));
         sound > 0 && rounds + 1.0 < own
     }
 
-    fn take_urgent(
+    /// Takes the pieces of an endpoint's next call: the most urgent ones whose
+    /// results have room there and do not belong elsewhere. `idle` endpoints
+    /// share what waits, as long as that makes half a call or more for each.
+    fn take_for(
         &mut self,
         now: Duration,
+        endpoint: EndpointKey,
         service: &str,
         shape: &Pieces,
-        size: usize,
+        directory: &Directory,
+        idle: usize,
     ) -> Vec<PieceKey> {
+        let horizon = now + Batches::call_time(shape, shape.batch as usize);
         let mut keys = std::mem::take(self.waiting.get_mut(service).expect("pieces wait"));
-        let horizon = now + Batches::call_time(shape, size);
         keys.sort_by_cached_key(|key| self.urgency(horizon, *key));
-        let rest = keys.split_off(size.min(keys.len()));
-        self.waiting.insert(ServiceName::from(service), rest);
-        keys
+        let batch = shape.batch as usize;
+        let size = keys.len().div_ceil(idle).max(batch / 2).min(batch);
+        let mut room = self.workers.entry(endpoint).or_default().room(now, shape);
+        let (mut taken, mut left) = (Vec::new(), Vec::new());
+        for key in keys {
+            let bytes = self.pieces[key].piece.bytes;
+            let belongs = self.belongs(horizon, key, endpoint, directory);
+            if taken.len() < size && bytes <= room && belongs {
+                room -= bytes;
+                taken.push(key);
+            } else {
+                left.push(key);
+            }
+        }
+        self.waiting.insert(ServiceName::from(service), left);
+        taken
+    }
+
+    /// Whether a piece may be made at an endpoint: its result is needed there,
+    /// or it has no time to wait for one that is nearer.
+    fn belongs(
+        &self,
+        done: Duration,
+        key: PieceKey,
+        endpoint: EndpointKey,
+        directory: &Directory,
+    ) -> bool {
+        let piece = &self.pieces[key].piece;
+        let Some(home) = &piece.home else { return true };
+        let place = |key: &EndpointKey| directory.get(*key).map(|known| &known.entry.data_centre);
+        let is_urgent = piece.aim < done + HOME_PATIENCE;
+        let mut usable = directory.usable(done, &piece.service).into_iter();
+        let has_home = usable.any(|key| place(&key) == Some(home));
+        place(&endpoint) == Some(home) || is_urgent || !has_home
     }
 
     /// Pieces that can be in good time come first, the most urgent in front.
--- a/crates/core/src/relay/graph.rs
+++ b/crates/core/src/relay/graph.rs
@@ -66,11 +66,17 @@
         self.stages.iter().all(Progress::is_complete)
     }
 
-    /// Starts the stages whose inputs have all been made.
-    pub fn start_ready(&mut self, route: &Route) -> Vec<usize> {
+    /// Starts the stages whose inputs have all been made. Results of at least
+    /// `large` bytes that only the call itself takes in are made last, beside
+    /// the last stage of the longest chain: they would only take up room while
+    /// the chain is worked on.
+    pub fn start_ready(&mut self, route: &Route, large: u64) -> Vec<usize> {
         let is_ready = |graph: &Graph, idx: usize| {
             let after = &route.stages[idx].after;
-            after.iter().all(|stage| graph.stages[*stage].is_complete())
+            let has_inputs = after.iter().all(|stage| graph.stages[*stage].is_complete());
+            let is_last = graph.followers(route, idx).next().is_none();
+            let may_wait = is_last && route.stages[idx].bytes >= large;
+            has_inputs && (!may_wait || graph.has_started_chain(route, idx))
         };
         let waiting = (0..self.stages.len()).filter(|idx| !self.stages[*idx].is_started);
         let ready: Vec<_> = waiting.filter(|idx| is_ready(self, *idx)).collect();
@@ -80,6 +86,14 @@
         ready
     }
 
+    /// Whether all stages that others follow have been started, but for one.
+    fn has_started_chain(&self, route: &Route, but: usize) -> bool {
+        let inner = (0..self.stages.len()).filter(|idx| {
+            *idx != but && self.followers(route, *idx).next().is_some()
+        });
+        inner.into_iter().all(|idx| self.stages[idx].is_started)
+    }
+
     /// How many pieces a stage has.
     pub fn pieces(&self, stage: usize) -> usize {
         self.stages[stage].results.len()
@@ -123,9 +137,9 @@
         }
     }
 
-    /// Results that nothing needs any more: those of stages whose followers
-    /// have all been made. They are returned once.
-    pub fn take_used(&mut self, route: &Route) -> Vec<Handle> {
+    /// Results that nothing needs any more, with their stages: those whose
+    /// followers have all been made. They are returned once.
+    pub fn take_used(&mut self, route: &Route) -> Vec<(usize, Handle)> {
         let mut used = Vec::new();
         for idx in 0..self.stages.len() {
             let followers: Vec<_> = self.followers(route, idx).collect();
@@ -133,19 +147,19 @@
             let is_used = !followers.is_empty() && followers.iter().all(is_made);
             if is_used && !self.stages[idx].is_freed {
                 self.stages[idx].is_freed = true;
-                used.extend(self.stages[idx].handles().cloned());
+                used.extend(self.stages[idx].handles().map(|handle| (idx, handle.clone())));
             }
         }
         used
     }
 
     /// All results that were not returned by [`Graph::take_used`].
-    pub fn take_all(&mut self) -> Vec<Handle> {
-        let kept = self.stages.iter_mut().filter(|progress| !progress.is_freed);
+    pub fn take_all(&mut self) -> Vec<(usize, Handle)> {
+        let kept = self.stages.iter_mut().enumerate().filter(|(_, stage)| !stage.is_freed);
         let mut all = Vec::new();
-        for progress in kept {
-            progress.is_freed = true;
-            all.extend(progress.handles().cloned());
+        for (idx, stage) in kept {
+            stage.is_freed = true;
+            all.extend(stage.handles().map(|handle| (idx, handle.clone())));
         }
         all
     }
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -49,6 +49,8 @@
 const READ_TOKENS_PER_MS: u32 = 20;
 /// How often an exchange's pieces are made at the most.
 const MAX_ROUNDS: u32 = 2;
+/// How often a piece is sent at the most.
+const MAX_TRIES: u8 = 3;
 /// A result of at least this size is made where it will be used.
 const LARGE_RESULT: u64 = 200_000;
 /// Pause between two clean-ups of what is not needed any more.
@@ -441,10 +443,16 @@
 
     fn start_stages(&mut self, now: Duration, key: ExchangeKey) {
         self.find_home(now, key);
-        let exchange = &mut self.exchanges[key];
-        let route = exchange.route.clone();
-        for stage in exchange.graph.start_ready(&route) {
-            self.start_stage(now, key, stage);
+        loop {
+            let exchange = &mut self.exchanges[key];
+            let route = exchange.route.clone();
+            let ready = exchange.graph.start_ready(&route, LARGE_RESULT);
+            if ready.is_empty() {
+                break;
+            }
+            for stage in ready {
+                self.start_stage(now, key, stage);
+            }
         }
         let services = self.batches.services();
         for service in services {
@@ -559,8 +567,7 @@
             self.free_stray(one);
             return;
         };
-        if needs_another_try(&one.result) && now < one.piece.due && !one.piece.is_repeat {
-            let piece = Piece { is_repeat: true, ..one.piece };
+        if let Some(piece) = another_try(&one) {
             if self.spend(now, &piece.service.clone(), 1) {
                 self.batches.add(piece, Origin::Peer { ticket, index });
                 return;
@@ -593,11 +600,14 @@
             }
             Err(PieceFailure::Late) => self.give_up(now, key, Refusal::Infeasible),
             Err(PieceFailure::InputGone) => self.restart_stages_of(now, key),
-            Err(_) if !one.piece.is_repeat && self.spend(now, &one.piece.service.clone(), 1) => {
-                let piece = Piece { is_repeat: true, ..one.piece };
-                self.batches.add(piece, Origin::Own(key));
+            Err(_) => {
+                let piece = another_try(&one);
+                let piece = piece.filter(|piece| self.spend(now, &piece.service.clone(), 1));
+                match piece {
+                    Some(piece) => self.batches.add(piece, Origin::Own(key)),
+                    None => self.give_up(now, key, Refusal::Failed),
+                }
             }
-            Err(_) => self.give_up(now, key, Refusal::Failed),
         }
     }
 
@@ -626,7 +636,7 @@
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
         let route = exchange.route.clone();
         let used = exchange.graph.take_used(&route);
-        self.free(used);
+        self.free(&route, used);
         let is_calling = self.exchanges[key].call.is_some();
         if !is_calling {
             self.advance(now, key);
@@ -813,9 +823,9 @@
             return;
         }
         let used = exchange.graph.take_all();
-        let pieces = exchange.arrival.pieces.clone();
-        exchange.graph = Graph::new(&exchange.route, &pieces);
-        self.free(used);
+        let (route, pieces) = (exchange.route.clone(), exchange.arrival.pieces.clone());
+        exchange.graph = Graph::new(&route, &pieces);
+        self.free(&route, used);
         self.advance(now, key);
     }
 
@@ -851,22 +861,48 @@
             self.actions.push(Action::Recall(handover));
         }
         let held = exchange.graph.take_all();
-        self.free(held);
+        self.free(&exchange.route, held);
     }
 
     fn free_results(&mut self, key: ExchangeKey) {
-        let held = self.exchanges[key].graph.take_all();
-        self.free(held);
+        let exchange = &mut self.exchanges[key];
+        let (route, held) = (exchange.route.clone(), exchange.graph.take_all());
+        self.free(&route, held);
     }
 
     fn free_stray(&mut self, one: Finished) {
         if let Ok(handle) = one.result {
-            self.free(vec![handle]);
+            self.free_at(&one.piece.service, vec![handle]);
+        }
+    }
+
+    /// Gives up results of an exchange's stages.
+    fn free(&mut self, route: &Route, results: Vec<(usize, Handle)>) {
+        let mut by_service: Vec<(ServiceName, Vec<Handle>)> = Vec::new();
+        for (stage, handle) in results {
+            let service = &route.stages[stage].service;
+            match by_service.iter_mut().find(|(known, _)| known == service) {
+                Some((_, handles)) => handles.push(handle),
+                None => by_service.push((service.clone(), vec![handle])),
+            }
+        }
+        for (service, handles) in by_service {
+            self.free_at(&service, handles);
+        }
+    }
+
+    /// Gives results up through the instance that batches their service, so
+    /// that it knows how much room its endpoints have.
+    fn free_at(&mut self, service: &str, handles: Vec<Handle>) {
+        match self.owner(service) {
+            Some(peer) => self.actions.push(Action::FreeThrough { peer, handles }),
+            None => self.free_here(handles),
         }
     }
 
     /// Gives results up at the endpoints that hold them.
-    fn free(&mut self, handles: Vec<Handle>) {
+    pub fn free_here(&mut self, handles: Vec<Handle>) {
+        self.batches.freed(&handles);
         let mut by_addr: Vec<(Arc<str>, Vec<Handle>)> = Vec::new();
         for handle in handles {
             let Some(addr) = holder(&handle) else { continue };
@@ -958,15 +994,20 @@
             aim: self.aim.saturating_sub(rest),
             priority: self.priority,
             home: home.clone(),
+            tries: 0,
             is_repeat: self.rounds > 0,
         };
         (0..self.graph.pieces(stage) as u16).map(piece).collect()
     }
 }
 
-/// Whether another endpoint may do better.
-fn needs_another_try(result: &PieceResult) -> bool {
-    matches!(result, Err(PieceFailure::NoRoom | PieceFailure::Failed))
+/// The piece, if another call may do better.
+fn another_try(one: &Finished) -> Option<Piece> {
+    let may_do_better = matches!(one.result, Err(PieceFailure::NoRoom | PieceFailure::Failed));
+    let piece = &one.piece;
+    let tries = piece.tries + 1;
+    let is_repeat = one.result != Err(PieceFailure::NoRoom);
+    (may_do_better && tries < MAX_TRIES).then(|| Piece { tries, is_repeat, ..piece.clone() })
 }
 
 /// Time from the last stage to the first token.
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -144,7 +144,9 @@
     pub priority: u8,
     /// Where its result will be used, if that is known and matters.
     pub home: Option<DataCentre>,
-    /// Whether it was sent before.
+    /// How often it was sent without coming back whole.
+    pub tries: u8,
+    /// Whether it was made or may have been made before.
     pub is_repeat: bool,
 }
 
@@ -267,6 +269,13 @@
         /// The results.
         handles: Vec<Handle>,
     },
+    /// Have the peer that batches their service give results up.
+    FreeThrough {
+        /// The peer.
+        peer: InstanceName,
+        /// The results.
+        handles: Vec<Handle>,
+    },
     /// Hand pieces to the peer that batches their service.
     HandOver {
         /// The hand-over's key.
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -33,6 +33,9 @@
             let failed = results.iter().filter(|result| result.is_err()).count();
             tracing::debug!(event = "return", ticket, pieces = results.len(), failed);
         }
+        Action::FreeThrough { peer, handles } => {
+            tracing::debug!(event = "free_through", peer = &**peer, count = handles.len());
+        }
         Action::Free { addr, handles } => {
             tracing::debug!(event = "free", addr = &**addr, count = handles.len());
         }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -24,7 +24,7 @@
     membership::{self, ConfigMark, Envelope, Gossip, Local, Members},
     model::{InstanceEntry, InstanceName, Presence},
     relay::{
-        model::{HandoverKey, Piece, PieceResult},
+        model::{Handle, HandoverKey, Piece, PieceResult},
         table::Record,
     },
 };
@@ -169,6 +169,16 @@
         }
     }
 
+    /// Has a peer give results up; does it itself if that fails.
+    pub fn free_through(&self, driver: &Rc<Driver>, peer: InstanceName, handles: Vec<Handle>) {
+        let driver = driver.clone();
+        ntex::rt::spawn(async move {
+            if free(&driver, &peer, &handles).await.is_err() {
+                driver.feed(|machine, _| machine.free_here(handles));
+            }
+        });
+    }
+
     /// Gives a peer its results.
     pub fn give_back(&self, ticket: u64, results: Vec<PieceResult>) {
         if let Some(waiting) = self.tickets.borrow_mut().remove(&ticket) {
@@ -336,6 +346,20 @@
     driver.peers.links.exchange(&addr, HANDOVER_TIMEOUT, exchange).await
 }
 
+async fn free(driver: &Rc<Driver>, peer: &str, handles: &[Handle]) -> Result<(), Error> {
+    let addr = driver.peers.members.borrow().addr(peer).ok_or(Error::TimedOut)?;
+    let exchange = async |client: relay::Client| {
+        let mut request = client.free_request();
+        let mut list = request.get().init_handles(handles.len() as u32);
+        for (idx, handle) in (0..).zip(handles) {
+            list.set(idx, &**handle);
+        }
+        request.send().promise.await?;
+        Ok(())
+    };
+    driver.peers.links.exchange(&addr, GOSSIP_TIMEOUT, exchange).await
+}
+
 async fn ping(client: &relay::Client) -> Result<(), Error> {
     let answer = client.ping_request().send().promise;
     match tokio::time::timeout(PING_TIMEOUT, answer).await {
@@ -400,6 +424,16 @@
         Ok(())
     }
 
+    async fn free(
+        self: Rc<Self>,
+        params: relay::FreeParams,
+        _results: relay::FreeResults,
+    ) -> Result<(), capnp::Error> {
+        let handles = wire::read_handles(params.get()?.get_handles()?).map_err(failed)?;
+        self.driver.feed(|machine, _| machine.free_here(handles));
+        Ok(())
+    }
+
     async fn ping(
         self: Rc<Self>,
         _params: relay::PingParams,
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -16,6 +16,9 @@
 
   ping @2 () -> ();
   # Asks whether the receiver still works.
+
+  free @3 (handles :List(Text)) -> ();
+  # Has the receiver give up results that its calls made.
 }
 
 struct Table {
@@ -48,6 +51,7 @@
   home @10 :Text;
   # Empty where the place of the result does not matter.
   isRepeat @11 :Bool;
+  tries @12 :UInt8;
 }
 
 struct Result {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use peatdeck_core::relay::{
-    model::{Piece, PieceFailure, PieceResult},
+    model::{Handle, Piece, PieceFailure, PieceResult},
     table::Record,
 };
 
@@ -66,6 +66,7 @@
         to.set_priority(piece.priority);
         to.set_home(piece.home.as_deref().unwrap_or_default());
         to.set_is_repeat(piece.is_repeat);
+        to.set_tries(piece.tries);
         let mut inputs = to.init_inputs(len(&piece.inputs));
         for (idx, input) in (0..).zip(&piece.inputs) {
             inputs.set(idx, &**input);
@@ -108,6 +109,14 @@
     list.iter().map(read_result).collect()
 }
 
+/// Reads the names of results.
+///
+/// # Errors
+/// Any [`Error`].
+pub fn read_handles(list: capnp::text_list::Reader<'_>) -> Result<Vec<Handle>, Error> {
+    list.iter().map(|handle| text(handle?)).collect()
+}
+
 fn read_record(from: relay_capnp::record::Reader<'_>) -> Result<Record, Error> {
     let value = Bytes::copy_from_slice(from.get_value()?);
     Ok(Record {
@@ -131,6 +140,7 @@
         aim: now + Duration::from_micros(from.get_aim_micros()),
         priority: from.get_priority(),
         home: optional(from.get_home()?)?,
+        tries: from.get_tries(),
         is_repeat: from.get_is_repeat(),
     })
 }
--- a/crates/wire/src/relay_capnp.rs
+++ b/crates/wire/src/relay_capnp.rs
@@ -14,6 +14,8 @@
     pub type MakeResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::make_results::Owned>;
     pub type PingParams<> = ::capnp::capability::Params<crate::relay_capnp::relay::ping_params::Owned>;
     pub type PingResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::ping_results::Owned>;
+    pub type FreeParams<> = ::capnp::capability::Params<crate::relay_capnp::relay::free_params::Owned>;
+    pub type FreeResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::free_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -72,11 +74,15 @@
         pub fn ping_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay::ping_params::Owned,crate::relay_capnp::relay::ping_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
+        pub fn free_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay::free_params::Owned,crate::relay_capnp::relay::free_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn gossip(self: ::capnp::capability::Rc<Self>, _: GossipParams<>, _: GossipResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::gossip not implemented".to_string()))) }
         fn make(self: ::capnp::capability::Rc<Self>, _: MakeParams<>, _: MakeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::make not implemented".to_string()))) }
         fn ping(self: ::capnp::capability::Rc<Self>, _: PingParams<>, _: PingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::ping not implemented".to_string()))) }
+        fn free(self: ::capnp::capability::Rc<Self>, _: FreeParams<>, _: FreeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::free not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -109,6 +115,7 @@
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::gossip(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::make(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ping(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::free(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -1419,6 +1426,381 @@
             pub(crate) const TYPE_ID: u64 = 0x9d5d_3957_0b8d_7552;
         }
     }
+
+    pub mod free_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_handles(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_handles(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_handles(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_handles(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_handles(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_handles(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(52, 16, 240, 209, 34, 255, 27, 193),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 102, 114, 101, 101, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 97, 110, 100, 108, 101, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xc11b_ff22_d1f0_1034;
+        }
+    }
+
+    pub mod free_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(227, 108, 110, 45, 3, 230, 246, 245),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 102, 114, 101, 101, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xf5f6_e603_2d6e_6ce3;
+        }
+    }
 }
 
 pub mod table {
@@ -2121,6 +2503,10 @@
         pub fn get_is_repeat(self) -> bool {
             self.reader.get_bool_field(40)
         }
+        #[inline]
+        pub fn get_tries(self) -> u8 {
+            self.reader.get_data_field::<u8>(6)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -2311,6 +2697,14 @@
         pub fn set_is_repeat(&mut self, value: bool)  {
             self.builder.set_bool_field(40, value);
         }
+        #[inline]
+        pub fn get_tries(self) -> u8 {
+            self.builder.get_data_field::<u8>(6)
+        }
+        #[inline]
+        pub fn set_tries(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(6, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2322,7 +2716,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 205] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 220] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(51, 234, 131, 33, 118, 208, 65, 242),
             ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
@@ -2332,98 +2726,105 @@
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 105, 101, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 40, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2528,6 +2929,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 105, 101, 115, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2543,6 +2952,7 @@
                 9 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 11 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                12 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2556,9 +2966,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,6,7,10,5,11,4,3,9,1,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,6,7,10,5,11,4,3,9,1,0,2,12];
         pub(crate) const TYPE_ID: u64 = 0xf241_d076_2183_ea33;
     }
 }
