--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -33,8 +33,9 @@
 /// A piece whose result belongs in another data centre waits for an endpoint
 /// there while it has this much time to spare: about a full call.
 const HOME_PATIENCE: Duration = Duration::from_millis(200);
-/// An endpoint that had no room for a result gets nothing for so long.
-const ROOM_PAUSE: Duration = Duration::from_millis(100);
+/// An endpoint that had no room for a result holds some that are not known
+/// here. They are reckoned with for so long.
+const UNKNOWN_HELD: Duration = Duration::from_millis(400);
 
 slotmap::new_key_type! {
     struct PieceKey;
@@ -109,6 +110,8 @@
     held: HashMap<Handle, Held>,
     /// Bytes of results that are being made.
     promised: u64,
+    /// Room that it has at the most, as a refusal showed, and until when.
+    bound: Option<(u64, Duration)>,
 }
 
 impl Worker {
@@ -116,7 +119,11 @@
     fn room(&mut self, now: Duration, shape: &Pieces) -> u64 {
         self.held.retain(|_, held| now < held.until);
         let held: u64 = self.held.values().map(|held| held.bytes).sum();
-        shape.room.saturating_sub(held + self.promised)
+        let room = shape.room.saturating_sub(held + self.promised);
+        match self.bound {
+            Some((bound, until)) if now < until => room.min(bound),
+            _ => room,
+        }
     }
 
     fn slowness(&self, now: Duration) -> f64 {
@@ -175,7 +182,9 @@
             return None;
         }
         let blocked = self.workers.values().map(|worker| worker.blocked_until);
-        blocked.filter(|until| *until > now).min()
+        let bound = self.workers.values().filter_map(|worker| worker.bound);
+        let all = blocked.chain(bound.map(|(_, until)| until));
+        all.filter(|until| *until > now).min()
     }
 
     /// The time that a call of so many pieces takes.
@@ -253,13 +262,16 @@
         worker.slowness = known * (1.0 - NEWEST_SHARE) + factor * NEWEST_SHARE;
         worker.slowed_at = now;
         for (key, result) in running.keys.iter().zip(&results) {
+            let bytes = self.pieces.get(*key).map_or(0, |entry| entry.piece.bytes);
             match result {
                 Ok(handle) => {
-                    let bytes = self.pieces.get(*key).map_or(0, |entry| entry.piece.bytes);
                     let held = Held { bytes, until: now + running.lease };
                     worker.held.insert(handle.clone(), held);
                 }
-                Err(PieceFailure::NoRoom) => worker.blocked_until = now + ROOM_PAUSE,
+                Err(PieceFailure::NoRoom) => {
+                    let bound = bytes.saturating_sub(1);
+                    worker.bound = Some((bound, now + UNKNOWN_HELD));
+                }
                 Err(_) => {}
             }
         }
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -85,6 +85,7 @@
     tickets: HashMap<u64, Ticket>,
     allowances: HashMap<ServiceName, Allowance>,
     peers: Vec<InstanceName>,
+    is_batching: bool,
     due: BTreeSet<(Duration, ExchangeKey)>,
     searching: BTreeSet<ExchangeKey>,
     next_search: Duration,
@@ -114,6 +115,7 @@
             tickets: HashMap::new(),
             allowances: HashMap::new(),
             peers: Vec::new(),
+            is_batching: true,
             due: BTreeSet::new(),
             searching: BTreeSet::new(),
             next_search: Duration::ZERO,
@@ -174,6 +176,12 @@
         is_new
     }
 
+    /// Hands no piece to itself any more where a peer can batch it: its peers
+    /// do not count on this instance from now on.
+    pub fn stop_batching(&mut self) {
+        self.is_batching = false;
+    }
+
     /// Takes in which peers are taken for alive.
     pub fn set_peers(&mut self, peers: Vec<InstanceName>) {
         self.peers = peers;
@@ -491,7 +499,7 @@
         };
         let own = weight(&self.settings.name);
         let best = self.peers.iter().max_by_key(|name| weight(name))?;
-        (weight(best) > own).then(|| best.clone())
+        (weight(best) > own || !self.is_batching).then(|| best.clone())
     }
 
     /// Time that is needed behind a stage until the first byte of an answer.
@@ -568,7 +576,7 @@
             return;
         };
         if let Some(piece) = another_try(&one) {
-            if self.spend(now, &piece.service.clone(), 1) {
+            if self.may_send_again(now, &piece) {
                 self.batches.add(piece, Origin::Peer { ticket, index });
                 return;
             }
@@ -602,7 +610,7 @@
             Err(PieceFailure::InputGone) => self.restart_stages_of(now, key),
             Err(_) => {
                 let piece = another_try(&one);
-                let piece = piece.filter(|piece| self.spend(now, &piece.service.clone(), 1));
+                let piece = piece.filter(|piece| self.may_send_again(now, piece));
                 match piece {
                     Some(piece) => self.batches.add(piece, Origin::Own(key)),
                     None => self.give_up(now, key, Refusal::Failed),
@@ -959,6 +967,11 @@
         }
     }
 
+    /// Pays for sending a piece again that was or may have been made.
+    fn may_send_again(&mut self, now: Duration, piece: &Piece) -> bool {
+        !piece.is_repeat || self.spend(now, &piece.service.clone(), 1)
+    }
+
     fn earn(&mut self, now: Duration, service: &ServiceName, count: u32) {
         self.allowance(service).earn(now, count);
     }
@@ -1005,8 +1018,8 @@
 fn another_try(one: &Finished) -> Option<Piece> {
     let may_do_better = matches!(one.result, Err(PieceFailure::NoRoom | PieceFailure::Failed));
     let piece = &one.piece;
-    let tries = piece.tries + 1;
     let is_repeat = one.result != Err(PieceFailure::NoRoom);
+    let tries = piece.tries + u8::from(is_repeat);
     (may_do_better && tries < MAX_TRIES).then(|| Piece { tries, is_repeat, ..piece.clone() })
 }
 
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -33,6 +33,10 @@
     calls, decisions, peers::Peers, pool::Pool, settings::Settings, surroundings::Surroundings,
 };
 
+/// After being told to stop, an instance takes requests for so long. The
+/// balancer needs two questions a second apart to notice, and a moment more.
+const OPEN_AFTER_STOP: Duration = Duration::from_millis(2900);
+
 /// A caller's request, as it is passed on.
 #[derive(Debug)]
 pub struct Request {
@@ -223,10 +227,17 @@
         self.stopping.get().is_some()
     }
 
+    /// Whether the balancer has had time to notice that the instance stops. A
+    /// request that still comes is told so: it might not be finished in time.
+    pub fn is_closed(&self) -> bool {
+        self.stopping.get().is_some_and(|since| self.now() > since + OPEN_AFTER_STOP)
+    }
+
     /// Takes no new callers from the balancer from now on.
-    pub fn stop(&self) {
+    pub fn stop(self: &Rc<Self>) {
         if self.stopping.get().is_none() {
             self.stopping.set(Some(self.now()));
+            self.feed(|machine, _| machine.stop_batching());
             self.update_ready();
         }
     }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -13,6 +13,10 @@
 
 use crate::driver::{Driver, Part, Reply, Request, Waiter};
 
+/// When a caller that an instance which stops cannot serve should come back,
+/// in seconds: at once, to another instance.
+const COME_BACK: f64 = 0.05;
+
 /// Why a body was not taken in.
 enum Rejected {
     /// It is larger than allowed.
@@ -79,6 +83,11 @@
     let target = req.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let method = req.method().clone();
     let request = Request { id: arrival.id.clone(), method, target, headers, body };
+    if driver.is_closed() {
+        driver.metrics.count("relay.refused.closed", 1);
+        tracing::info!(event = "refuse", id = &*request.id, reason = "stopping", status = 503);
+        return Ok(refuse(&driver, Refusal::Unserved, Some(COME_BACK)));
+    }
     let mut waiter = match driver.submit(arrival, request) {
         Ok(waiter) => waiter,
         Err(refusal) => return Ok(refuse(&driver, refusal, None)),
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -38,11 +38,13 @@
 /// balancer needs three questions to notice, and a moment more.
 const LINGER: Duration = Duration::from_millis(3500);
 /// An instance has ended so long before it would be killed.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
+const EXIT_MARGIN: Duration = Duration::from_millis(600);
 /// Pause between two looks at whether all is finished.
 const FINISH_PAUSE: Duration = Duration::from_millis(50);
 /// Time for the last responses to leave the process.
 const FLUSH: Duration = Duration::from_millis(100);
+/// Time for the server to end its threads.
+const SHUTDOWN: Duration = Duration::from_millis(200);
 /// Largest head of a request, in bytes. Above what the operators allow.
 const MAX_HEAD: usize = 64 << 10;
 /// How long a caller's connection may be idle. Above what the operators state,
@@ -144,7 +146,9 @@
         .run();
 
     on_exit.await.map_err(|_| miette!("the event loop ended before it was told to stop"))?;
-    server.stop(true).await;
+    if tokio::time::timeout(SHUTDOWN, server.stop(false)).await.is_err() {
+        tracing::warn!(event = "shutdown_cut", limit_ms = SHUTDOWN.as_millis() as u64);
+    }
     tracing::info!(event = "stopped");
     Ok(())
 }
