Make all pieces of a request's stage in one call

Ruled out: idle endpoints (busy 0.80 to 0.99), late frees (first event and reply head come together). Change: pieces of one stage of one request are taken together or not at all.

--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -377,25 +377,37 @@
     ) -> Vec<PieceKey> {
         let horizon = now + Batches::call_time(shape, shape.batch as usize);
         let mut keys = std::mem::take(self.waiting.get_mut(service).expect("pieces wait"));
-        keys.sort_by_cached_key(|key| self.urgency(horizon, *key));
+        keys.sort_by_cached_key(|key| {
+            let piece = &self.pieces[*key].piece;
+            (self.urgency(horizon, *key), piece.request.clone(), piece.stage)
+        });
         let batch = shape.batch as usize;
         let size = keys.len().div_ceil(idle).max(batch / 2).min(batch);
         let mut room = self.workers.entry(endpoint).or_default().room(now, shape);
-        let (mut taken, mut left) = (Vec::new(), Vec::new());
-        for key in keys {
-            let bytes = self.pieces[key].piece.bytes;
-            let belongs = self.belongs(horizon, key, endpoint, directory);
-            if taken.len() < size && bytes <= room && belongs {
+        let (mut taken, mut left): (Vec<PieceKey>, Vec<PieceKey>) = (Vec::new(), Vec::new());
+        for group in keys.chunk_by(|a, b| self.is_same_stage(*a, *b)) {
+            let part = &group[..group.len().min(batch)];
+            let bytes: u64 = part.iter().map(|key| self.pieces[*key].piece.bytes).sum();
+            let has_place = taken.len() < size && taken.len() + part.len() <= batch;
+            if has_place && bytes <= room && self.belongs(horizon, part[0], endpoint, directory) {
                 room -= bytes;
-                taken.push(key);
+                taken.extend(part);
+                left.extend(&group[part.len()..]);
             } else {
-                left.push(key);
+                left.extend(group);
             }
         }
         self.waiting.insert(ServiceName::from(service), left);
         taken
     }
 
+    /// Whether two pieces belong to one stage of one request. Such pieces are
+    /// made together: results that wait for the others only take up room.
+    fn is_same_stage(&self, a: PieceKey, b: PieceKey) -> bool {
+        let (a, b) = (&self.pieces[a].piece, &self.pieces[b].piece);
+        a.stage == b.stage && a.request == b.request
+    }
+
     /// Whether a piece may be made at an endpoint: its result is needed there,
     /// or it has no time to wait for one that is nearer.
     fn belongs(
