--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Who the instance is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
     /// Takes in the platform's list.
     pub fn listed(&mut self, now: Duration, instances: &[InstanceEntry]) {
         self.observe(now);
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -26,7 +26,7 @@
 //! - Timers of an instance that was paused all fire at once, late.
 //!
 //! Map: [`model`] and [`config`] are the data; [`table`] the copy of what the
-//! platform keeps; [`directory`] the endpoints; [`allowance`] the budget for
+//! platform keeps, [`readers`] who reads it; [`directory`] the endpoints; [`allowance`] the budget for
 //! repetition; [`graph`] one exchange's stages; [`batch`] pieces of all
 //! exchanges; [`choice`] where a call goes; [`events`] server-sent events cut
 //! into whole ones; `machine` puts it together, `exchange` is its state.
@@ -39,6 +39,7 @@
 pub mod events;
 pub mod graph;
 pub mod model;
+pub mod readers;
 pub mod table;
 
 mod exchange;
--- /dev/null
+++ b/crates/core/src/relay/readers.rs
@@ -0,0 +1,37 @@
+//! Which instances read the platform's tables.
+//!
+//! Every call to the platform's store is paid for, so only a few instances
+//! read it; the others ask one of those. All instances work the readers out
+//! from the peers that they take for alive, so they agree without a message,
+//! and where they do not for a moment, there is a reader more or less.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3;
+
+use crate::model::InstanceName;
+
+/// Readers at the least: one of them may be cut off from the store.
+const FEWEST: usize = 2;
+/// Instances that one reader answers at the most. At a question every
+/// [`PACE`] that is about 30 answers a second.
+const ANSWERED: usize = 18;
+/// Pause between two looks at the tables, of readers and of those who ask
+/// them. An endpoint that leaves, or a new configuration, has to be known to
+/// everybody within two seconds.
+pub const PACE: Duration = Duration::from_millis(450);
+/// Copies that were compared with the store longer ago are stale: two paces,
+/// and the time of their calls. An instance whose copies are stale calls the
+/// store itself, so this bounds what a reader that is cut off can delay.
+pub const STALE: Duration = Duration::from_millis(1300);
+/// Pause between two looks at the table of instances, which is not urgent.
+pub const SLOW_PACE: Duration = Duration::from_secs(2);
+
+/// The instances that read the store, of those given.
+pub fn readers(instances: &[InstanceName]) -> Vec<InstanceName> {
+    let count = FEWEST.max(instances.len().div_ceil(ANSWERED));
+    let mut ranked = instances.to_vec();
+    ranked.sort_by_key(|name| xxh3::xxh3_64(name.as_bytes()));
+    ranked.truncate(count);
+    ranked
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -1,12 +1,21 @@
 //! Keeps the copies of the platform's tables up to date.
 //!
 //! Each table is read whole once and followed from there. The store is scarce:
-//! one call at a time for each table, with a time limit, a pause that grows
-//! while it fails, and a counter. What a peer tells goes into the same copies.
-
-use std::{cell::RefCell, rc::Rc, time::Duration};
+//! only the readers ([`readers`]) call it, one call at a time for each table,
+//! with a time limit, a pause that grows while it fails, and a counter. The
+//! other instances ask a reader; one that gets no fresh answer calls the store
+//! itself. What a peer tells goes into the same copies.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
-use peatdeck_core::relay::table::{Record, Table};
+use peatdeck_core::relay::{
+    readers,
+    table::{Record, Table},
+};
 use peatdeck_wire::relay::Delta;
 use rand::Rng;
 
@@ -15,19 +24,14 @@
     surroundings::{Page, Read, StoreError, TABLES, TableName},
 };
 
-/// Longest wait of one read. Short enough that a read which hangs in a store
-/// that fell silent ends soon after the store is back.
-const LONGEST_WAIT: Duration = Duration::from_secs(4);
 /// Time limit of a call beyond its wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Pause between two reads of the directory: it changes all the time, and
-/// every call is paid for. Well below the two seconds in which an endpoint
-/// that leaves has to be left.
-const DIRECTORY_PAUSE: Duration = Duration::from_millis(700);
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls in a row.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
+/// Pause before an instance looks again whether it has to read the store.
+const LOOK_PAUSE: Duration = Duration::from_millis(150);
 /// Instances of a platform begin together; their first calls do not.
 const START_JITTER: Duration = Duration::from_millis(60);
 
@@ -35,6 +39,7 @@
 #[derive(Debug, Default)]
 pub struct Tables {
     copies: [RefCell<Table>; TABLES.len()],
+    compared: [Cell<Option<Duration>>; TABLES.len()],
 }
 
 impl Tables {
@@ -47,6 +52,26 @@
         self.copies.iter().map(|copy| copy.borrow().end()).collect()
     }
 
+    /// How long ago the copies of the urgent tables were both compared with the
+    /// store.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        let urgent = [TableName::Config, TableName::Endpoints];
+        let compared: Option<Vec<_>> =
+            urgent.iter().map(|name| self.compared[*name as usize].get()).collect();
+        compared?.into_iter().min().map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether all tables were read whole.
+    pub fn are_known(&self) -> bool {
+        self.copies.iter().all(|copy| copy.borrow().is_known())
+    }
+
+    /// A copy was compared with the store at that time.
+    fn compare(&self, name: TableName, at: Duration) {
+        let known = &self.compared[name as usize];
+        known.set(known.get().max(Some(at)));
+    }
+
     /// What a peer lacks that has the tables up to `ends`.
     pub fn since(&self, ends: &[u64]) -> Vec<Delta> {
         let pairs = self.copies.iter().zip(ends);
@@ -66,14 +91,18 @@
     let mut failures = 0_u32;
     tokio::time::sleep(START_JITTER.mul_f64(rand::rng().random())).await;
     loop {
+        if !driver.peers.reads_store(driver.now()) {
+            tokio::time::sleep(LOOK_PAUSE).await;
+            continue;
+        }
         match step(&driver, name).await {
             Ok(()) => {
                 if failures > 0 {
                     tracing::info!(event = "store_regained", table = name.name(), failures);
                 }
                 failures = 0;
-                if name == TableName::Endpoints {
-                    tokio::time::sleep(jittered(DIRECTORY_PAUSE)).await;
+                if let Some(pause) = pause_after(name) {
+                    tokio::time::sleep(jittered(pause)).await;
                 }
             }
             Err(error) => {
@@ -89,6 +118,16 @@
     }
 }
 
+/// The configuration is waited for at the store; the other tables change all
+/// the time, so each answer would come at once.
+fn pause_after(name: TableName) -> Option<Duration> {
+    match name {
+        TableName::Config => None,
+        TableName::Endpoints => Some(readers::PACE),
+        TableName::Instances => Some(readers::SLOW_PACE),
+    }
+}
+
 /// One call and what it brings.
 async fn step(driver: &Rc<Driver>, name: TableName) -> Result<(), StoreError> {
     let (is_known, end) = {
@@ -99,15 +138,17 @@
         return read_whole(driver, name).await;
     }
     let wait = match name {
-        TableName::Endpoints => Duration::ZERO,
-        TableName::Config | TableName::Instances => LONGEST_WAIT,
+        TableName::Config => readers::PACE,
+        TableName::Endpoints | TableName::Instances => Duration::ZERO,
     };
     driver.metrics.count("relay.store_reads", 1);
+    let asked = driver.now();
     let read = (driver.surroundings.store.read)(name, end, wait);
     match limited(wait, read).await? {
         Read::Records { records, end } => {
             let copy = driver.peers.tables.copy(name);
             let changed = copy.borrow_mut().follow(records, end);
+            driver.peers.tables.compare(name, asked);
             apply(driver, name, "store", changed);
             Ok(())
         }
@@ -118,6 +159,7 @@
 /// Reads the newest record of every key. The pages are no snapshot: whatever
 /// is written meanwhile is read again from where the log ended at first.
 async fn read_whole(driver: &Rc<Driver>, name: TableName) -> Result<(), StoreError> {
+    let asked = driver.now();
     let (mut records, mut end, mut after) = (Vec::new(), None, None);
     loop {
         driver.metrics.count("relay.store_reads", 1);
@@ -132,6 +174,7 @@
     }
     let copy = driver.peers.tables.copy(name);
     let changed = copy.borrow_mut().replace(records, end.unwrap_or_default());
+    driver.peers.tables.compare(name, asked);
     apply(driver, name, "store", changed);
     Ok(())
 }
@@ -146,9 +189,13 @@
     }
 }
 
-/// Takes in what a peer told.
-pub fn merge(driver: &Rc<Driver>, peer: &str, deltas: Vec<Delta>) {
+/// Takes in what a peer told, whose copies were compared with the store at
+/// that time.
+pub fn merge(driver: &Rc<Driver>, peer: &str, deltas: Vec<Delta>, compared: Option<Duration>) {
     for (name, delta) in TABLES.into_iter().zip(deltas) {
+        if let Some(at) = compared {
+            driver.peers.tables.compare(name, at);
+        }
         let copy = driver.peers.tables.copy(name);
         let changed = copy.borrow_mut().merge(delta.from, delta.records, delta.end);
         apply(driver, name, peer, changed);
@@ -202,5 +249,5 @@
 }
 
 fn jittered(pause: Duration) -> Duration {
-    pause.mul_f64(rand::rng().random_range(0.8..1.2))
+    pause.mul_f64(rand::rng().random_range(0.9..1.1))
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -25,6 +25,7 @@
     model::{InstanceEntry, InstanceName, Presence},
     relay::{
         model::{Handle, HandoverKey, Piece, PieceResult},
+        readers,
         table::Record,
     },
 };
@@ -34,7 +35,7 @@
     peer as peer_wire, relay as wire,
     relay_capnp::relay,
 };
-use rand::seq::IndexedRandom;
+use rand::{Rng, seq::IndexedRandom};
 use slotmap::SecondaryMap;
 use tokio::net::TcpListener;
 
@@ -127,9 +128,27 @@
         self.members.borrow_mut().listed(now, &entries);
     }
 
-    /// How many peers are taken for alive.
-    pub fn alive(&self, now: Duration) -> usize {
-        self.members.borrow().alive(now).len()
+    /// Whether this instance reads the platform's tables itself: it is one of
+    /// the readers, or nobody has given it a fresh copy.
+    pub fn reads_store(&self, now: Duration) -> bool {
+        if !self.tables.are_known() || self.is_stale(now) {
+            return true;
+        }
+        let own = &self.members.borrow().identity().name.clone();
+        self.readers(now).contains(own)
+    }
+
+    fn is_stale(&self, now: Duration) -> bool {
+        self.tables.age(now).is_none_or(|age| age > readers::STALE)
+    }
+
+    /// The readers among the instances that are taken for alive.
+    fn readers(&self, now: Duration) -> Vec<InstanceName> {
+        let members = self.members.borrow();
+        let mut instances = members.alive(now);
+        instances.retain(|name| members.addr(name).is_some());
+        instances.push(members.identity().name.clone());
+        readers::readers(&instances)
     }
 
     /// Hands pieces to a peer.
@@ -230,6 +249,25 @@
     }
 }
 
+/// Asks readers for what is new, for as long as the process runs.
+pub async fn ask_readers(driver: Rc<Driver>) {
+    loop {
+        let pace = readers::PACE.mul_f64(rand::rng().random_range(0.9..1.1));
+        tokio::time::sleep(pace).await;
+        let now = driver.now();
+        let own = driver.settings.name.clone();
+        let readers = driver.peers.readers(now);
+        if readers.contains(&own) && !driver.peers.is_stale(now) {
+            continue;
+        }
+        let others: Vec<_> = readers.into_iter().filter(|name| *name != own).collect();
+        let Some(reader) = others.choose(&mut rand::rng()).cloned() else { continue };
+        let Some(addr) = driver.peers.members.borrow().addr(&reader) else { continue };
+        let message = greeting(&driver, false);
+        send(driver.clone(), Envelope { to: reader, addr, message }).await;
+    }
+}
+
 /// Serves peers for as long as the process runs.
 pub async fn serve(driver: Rc<Driver>, listener: TcpListener) {
     let service: relay::Client = capnp_rpc::new_client(Service { driver });
@@ -251,22 +289,27 @@
     let own = driver.settings.peers.to_string();
     let others: Vec<_> = driver.settings.seeds.iter().filter(|seed| ***seed != *own).collect();
     let Some(addr) = others.choose(&mut rand::rng()).map(|addr| Arc::clone(addr)) else { return };
-    let message = Gossip {
+    let envelope = Envelope { to: Arc::from(""), addr, message: greeting(driver, true) };
+    ntex::rt::spawn(send(driver.clone(), envelope));
+}
+
+/// A message that tells nothing but who asks.
+fn greeting(driver: &Driver, wants_reply: bool) -> Gossip {
+    Gossip {
         from: driver.settings.name.clone(),
-        wants_reply: true,
+        wants_reply,
         mark: local(driver).mark,
         snapshot: None,
         members: Vec::new(),
         leaving: Vec::new(),
         endpoints: Vec::new(),
-    };
-    let envelope = Envelope { to: Arc::from(""), addr, message };
-    ntex::rt::spawn(send(driver.clone(), envelope));
+    }
 }
 
 async fn send(driver: Rc<Driver>, envelope: Envelope) {
     let Envelope { to, addr, message } = envelope;
     let asked = driver.peers.tables.ends();
+    let asked_at = driver.now();
     let exchange = async |client: relay::Client| {
         let mut request = client.gossip_request();
         peer_wire::write_gossip(&message, request.get().init_message())?;
@@ -276,12 +319,13 @@
         let reply = response.get_reply()?;
         let reply = if reply.has_from() { Some(peer_wire::read_gossip(reply)?) } else { None };
         let deltas = response.get_tables()?.iter().map(wire::read_delta);
-        Ok((reply, deltas.collect::<Result<Vec<_>, _>>()?))
+        let age = Duration::from_millis(u64::from(response.get_age_ms()));
+        Ok((reply, deltas.collect::<Result<Vec<_>, _>>()?, age))
     };
     driver.metrics.count("relay.gossip", 1);
     match driver.peers.links.exchange(&addr, GOSSIP_TIMEOUT, exchange).await {
-        Ok((reply, deltas)) => {
-            follow::merge(&driver, &to, deltas);
+        Ok((reply, deltas, age)) => {
+            follow::merge(&driver, &to, deltas, asked_at.checked_sub(age));
             if let Some(reply) = reply {
                 let local = local(&driver);
                 driver.peers.members.borrow_mut().heard(driver.now(), &reply, &local);
@@ -394,8 +438,8 @@
         if let Some(reply) = reply {
             peer_wire::write_gossip(&reply.message, results.get().init_reply()).map_err(failed)?;
         }
-        let ends = driver.peers.tables.ends();
-        write_marks(&ends, results.get().init_marks(ends.len() as u32));
+        let age = driver.peers.tables.age(driver.now()).unwrap_or(Duration::MAX);
+        results.get().set_age_ms(u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
         let deltas = driver.peers.tables.since(&asked);
         let mut list = results.get().init_tables(deltas.len() as u32);
         for (idx, delta) in (0..).zip(&deltas) {
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -5,10 +5,11 @@
 
 interface Relay {
   gossip @0 (message :Peer.Gossip, marks :List(UInt64))
-      -> (reply :Peer.Gossip, marks :List(UInt64), tables :List(Table));
+      -> (reply :Peer.Gossip, tables :List(Table), ageMs :UInt32);
   # Exchanges what both sides know. `marks` are the ends of the asker's copies
-  # of the shared tables; the reply holds what it lacks of each, and the ends
-  # of the receiver's copies.
+  # of the shared tables; the reply holds what it lacks of each. `ageMs` says
+  # how long ago the receiver's copies were compared with the platform's store,
+  # by itself or by whom it has them from.
 
   make @1 (pieces :List(Piece)) -> (results :List(Result));
   # Has pieces made by the receiver's calls. Dropping the call takes back the
--- a/crates/wire/src/relay_capnp.rs
+++ b/crates/wire/src/relay_capnp.rs
@@ -448,26 +448,22 @@
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_marks(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            pub fn get_tables(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::table::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_marks(&self) -> bool {
+            pub fn has_tables(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
             #[inline]
-            pub fn get_tables(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::table::Owned>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_tables(&self) -> bool {
-                !self.reader.get_pointer_field(2).is_null()
+            pub fn get_age_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -534,36 +530,28 @@
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_marks(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            pub fn get_tables(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::table::Owned>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_marks(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            pub fn set_tables(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::table::Owned>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
             }
             #[inline]
-            pub fn init_marks(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            pub fn init_tables(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::table::Owned> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
             }
             #[inline]
-            pub fn has_marks(&self) -> bool {
+            pub fn has_tables(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
             #[inline]
-            pub fn get_tables(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::table::Owned>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_tables(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::table::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-            }
-            #[inline]
-            pub fn init_tables(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::table::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            pub fn get_age_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn has_tables(&self) -> bool {
-                !self.builder.is_pointer_field_null(2)
+            pub fn set_age_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
             }
         }
 
@@ -579,12 +567,12 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 71] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(162, 103, 141, 96, 228, 174, 196, 165),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -608,17 +596,17 @@
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(93, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(171, 26, 36, 128, 42, 156, 41, 169),
@@ -627,36 +615,32 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 97, 114, 107, 115, 0, 0, 0),
+                ::capnp::word(116, 97, 98, 108, 101, 115, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 125, 2, 103, 167, 20, 69, 196),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 97, 98, 108, 101, 115, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(98, 125, 2, 103, 167, 20, 69, 196),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::gossip::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::struct_list::Owned<crate::relay_capnp::table::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::struct_list::Owned<crate::relay_capnp::table::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -672,7 +656,7 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
             pub(crate) const TYPE_ID: u64 = 0xa5c4_aee4_608d_67a2;
         }
     }
