--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -5,9 +5,8 @@
 //! tokens that the engine would have to read because it does not hold them,
 //! those it still has to read for others, and the requests that share its
 //! steps. Which engine holds a shared part nobody tells in time; all instances
-//! therefore agree, by rendezvous hash, on the engines where a part should be,
-//! and each remembers what it sent itself. A prompt's first part is shared by
-//! most: a few engines keep it, and its later parts are spread over those.
+//! therefore agree, by rendezvous hash, on the engine where a part should be,
+//! and each remembers what it sent itself.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -35,10 +34,6 @@
 const HELD_FOR: Duration = Duration::from_secs(30);
 /// An engine that is so much slower than the usual one is passed over.
 const SLOW_FACTOR: f64 = 2.5;
-/// One engine in so many keeps a prompt's first part.
-const KEEPER_SHARE: usize = 4;
-/// Engines that keep a prompt's first part at the least.
-const FEWEST_KEEPERS: usize = 2;
 /// Parts that are remembered for all engines together.
 const MAX_REMEMBERED: usize = 20_000;
 
@@ -110,9 +105,10 @@
 ) -> Option<(EndpointKey, u64)> {
     let candidates = candidates(directory, now, service, wanted);
     let usual = usual_time(&candidates);
-    let keepers = keepers(&candidates, prompt);
+    let shared = prompt.parts.len().saturating_sub(1);
+    let owner = prompt.parts[..shared].last().and_then(|part| owner(&candidates, part));
     let costs = candidates.into_iter().map(|(key, endpoint)| {
-        let tokens = unread(memory, now, key, prompt, &keepers);
+        let tokens = unread(memory, now, key, prompt, owner == Some(key));
         let reading = (tokens + endpoint.backlog) as f64 / TOKENS_PER_MS;
         let running = f64::from(endpoint.calls(now)) * RUNNING_MS;
         let far = far_megabytes(wanted.inputs, &endpoint.entry.data_centre) * INPUT_MS_PER_MB;
@@ -146,11 +142,12 @@
     now: Duration,
     engine: EndpointKey,
     prompt: &Prompt,
-    keepers: &Keepers,
+    is_owner: bool,
 ) -> u64 {
+    let shared = prompt.parts.len().saturating_sub(1);
     let mut total = u64::from(prompt.input);
     for (idx, part) in prompt.parts.iter().enumerate() {
-        let is_held = memory.holds(now, engine, part.id) || keepers.keeps(engine, idx);
+        let is_held = memory.holds(now, engine, part.id) || (is_owner && idx < shared);
         if !is_held {
             break;
         }
@@ -159,40 +156,13 @@
     total
 }
 
-/// The engines where all instances agree that shared parts should be.
-struct Keepers {
-    /// Those of the first part.
-    first: Vec<EndpointKey>,
-    /// The one of them that keeps the later shared parts too.
-    all: Option<EndpointKey>,
-    /// How many parts are shared.
-    shared: usize,
-}
-
-impl Keepers {
-    fn keeps(&self, engine: EndpointKey, idx: usize) -> bool {
-        let is_first = idx == 0 && self.first.contains(&engine);
-        idx < self.shared && (is_first || self.all == Some(engine))
-    }
-}
-
-fn keepers(candidates: &[(EndpointKey, &Endpoint)], prompt: &Prompt) -> Keepers {
-    let shared = prompt.parts.len().saturating_sub(1);
-    let Some(part) = prompt.parts[..shared].first() else {
-        return Keepers { first: Vec::new(), all: None, shared };
+/// The engine that all instances agree on for a part.
+fn owner(candidates: &[(EndpointKey, &Endpoint)], part: &Part) -> Option<EndpointKey> {
+    let weight = |endpoint: &Endpoint| {
+        xxh3::xxh3_64_with_seed(endpoint.entry.name.as_bytes(), part.id)
     };
-    let count = candidates.len().div_ceil(KEEPER_SHARE).max(FEWEST_KEEPERS);
-    let mut ranked: Vec<_> = candidates.iter().collect();
-    ranked.sort_by_key(|(_, endpoint)| std::cmp::Reverse(weight(endpoint, part)));
-    ranked.truncate(count);
-    let last = prompt.parts[..shared].last().expect("there is a first one");
-    let all = ranked.iter().max_by_key(|(_, endpoint)| weight(endpoint, last));
-    let all = all.map(|(key, _)| *key);
-    Keepers { first: ranked.into_iter().map(|(key, _)| *key).collect(), all, shared }
-}
-
-fn weight(endpoint: &Endpoint, part: &Part) -> u64 {
-    xxh3::xxh3_64_with_seed(endpoint.entry.name.as_bytes(), part.id)
+    let first = candidates.iter().max_by_key(|(_, endpoint)| weight(endpoint));
+    first.map(|(key, _)| *key)
 }
 
 fn far_megabytes(inputs: &[(crate::model::DataCentre, u64)], data_centre: &str) -> f64 {
