--- a/crates/core/src/relay/graph.rs
+++ b/crates/core/src/relay/graph.rs
@@ -114,8 +114,23 @@
 
     /// Bytes of the outputs by data centre.
     pub fn output_places(&self, route: &Route) -> Vec<(DataCentre, u64)> {
+        self.places(route, self.last_stages(route))
+    }
+
+    /// Bytes that a stage's pieces take in, all together, by data centre.
+    pub fn input_places(&self, route: &Route, stage: usize) -> Vec<(DataCentre, u64)> {
+        let pieces = self.pieces(stage) as u64;
+        let places = self.places(route, route.stages[stage].after.iter().copied());
+        places.into_iter().map(|(place, bytes)| (place, bytes * pieces)).collect()
+    }
+
+    fn places(
+        &self,
+        route: &Route,
+        stages: impl Iterator<Item = usize>,
+    ) -> Vec<(DataCentre, u64)> {
         let mut places: Vec<(DataCentre, u64)> = Vec::new();
-        for idx in self.last_stages(route) {
+        for idx in stages {
             for place in self.stages[idx].results.iter().flatten().filter_map(|r| r.place.as_ref())
             {
                 let bytes = route.stages[idx].bytes;
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -993,8 +993,7 @@
         let Route { stages, .. } = &*self.route;
         let inputs = self.graph.inputs(&self.route, stage);
         let key = if inputs.is_empty() { self.arrival.piece_key.clone() } else { None };
-        let is_large = stages[stage].bytes >= LARGE_RESULT;
-        let home = self.home.clone().filter(|_| is_large);
+        let home = self.home_of(stage);
         let piece = |number| Piece {
             service: stages[stage].service.clone(),
             request: self.arrival.id.clone(),
@@ -1012,6 +1011,16 @@
         };
         (0..self.graph.pieces(stage) as u16).map(piece).collect()
     }
+
+    /// Where a stage should be done: where most of what it takes in lies, or
+    /// where its results will be taken in, if either is large.
+    fn home_of(&self, stage: usize) -> Option<DataCentre> {
+        let inputs = self.graph.input_places(&self.route, stage);
+        let most = inputs.into_iter().max_by_key(|(_, bytes)| *bytes);
+        let near_inputs = most.filter(|(_, bytes)| *bytes >= LARGE_RESULT).map(|(place, _)| place);
+        let has_large = self.route.stages[stage].bytes >= LARGE_RESULT;
+        near_inputs.or_else(|| self.home.clone().filter(|_| has_large))
+    }
 }
 
 /// The piece, if another call may do better.
