--- a/crates/core/src/relay/graph.rs
+++ b/crates/core/src/relay/graph.rs
@@ -67,9 +67,9 @@
     }
 
     /// Starts the stages whose inputs have all been made. Results of at least
-    /// `large` bytes that only the call itself takes in are made last, beside
-    /// the last stage of the longest chain: they would only take up room while
-    /// the chain is worked on.
+    /// `large` bytes that only the call itself takes in are made late, from the
+    /// last stage but one of the others on: they would only take up room while
+    /// the first ones are worked on.
     pub fn start_ready(&mut self, route: &Route, large: u64) -> Vec<usize> {
         let is_ready = |graph: &Graph, idx: usize| {
             let after = &route.stages[idx].after;
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -86,6 +86,8 @@
     allowances: HashMap<ServiceName, Allowance>,
     peers: Vec<InstanceName>,
     is_batching: bool,
+    /// Room has become free that waiting pieces may need.
+    has_room: bool,
     due: BTreeSet<(Duration, ExchangeKey)>,
     searching: BTreeSet<ExchangeKey>,
     next_search: Duration,
@@ -116,6 +118,7 @@
             allowances: HashMap::new(),
             peers: Vec::new(),
             is_batching: true,
+            has_room: false,
             due: BTreeSet::new(),
             searching: BTreeSet::new(),
             next_search: Duration::ZERO,
@@ -151,6 +154,9 @@
 
     /// When [`Relay::tick`] should be called next.
     pub fn next_wake(&self, now: Duration) -> Duration {
+        if self.has_room && !self.batches.services().is_empty() {
+            return now;
+        }
         let due = self.due.first().map(|(at, _)| *at);
         let search = (!self.searching.is_empty()).then_some(self.next_search);
         let batch = self.batches.next_wake(now);
@@ -243,6 +249,7 @@
         let is_stream = self.exchanges[exchange].route.kind.is_stream();
         let is_success = (200..300).contains(&head.status);
         if is_stream && is_success {
+            self.exchanges[exchange].was_called = true;
             self.note_answer(now, call, head.load);
         }
         is_stream && is_success
@@ -295,9 +302,11 @@
             self.close(key);
             return;
         }
-        let inputs_gone = head.is_unrun && head.status == 409;
+        let has_inputs = !self.exchanges[key].route.stages.is_empty();
+        let inputs_gone = head.is_unrun && head.status == 409 && has_inputs;
         if inputs_gone {
-            self.restart_stages(now, key, call);
+            self.exchanges[key].attempts -= 1;
+            self.restart_stages(now, key);
             return;
         }
         let exchange = &mut self.exchanges[key];
@@ -522,6 +531,7 @@
     }
 
     fn make_all(&mut self, now: Duration) {
+        self.has_room = false;
         for service in self.batches.services() {
             self.make(now, &service);
         }
@@ -607,7 +617,7 @@
                 exchange.graph.made(stage, number, made);
             }
             Err(PieceFailure::Late) => self.give_up(now, key, Refusal::Infeasible),
-            Err(PieceFailure::InputGone) => self.restart_stages_of(now, key),
+            Err(PieceFailure::InputGone) => self.restart_stages(now, key),
             Err(_) => {
                 let piece = another_try(&one);
                 let piece = piece.filter(|piece| self.may_send_again(now, piece));
@@ -793,7 +803,7 @@
         let may_try = may_run && can_go_on && has_attempts && has_time;
         if may_try && (is_first || self.spend(now, &service, 1)) {
             if self.exchanges[key].has_begun {
-                self.restart_stages_of(now, key);
+                self.restart_stages(now, key);
             }
             if self.exchanges.get(key).is_some_and(|exchange| exchange.call.is_none()) {
                 self.advance(now, key);
@@ -814,13 +824,8 @@
         }
     }
 
-    /// The results that a call was to take in are gone: they are made again.
-    fn restart_stages(&mut self, now: Duration, key: ExchangeKey, _call: CallKey) {
-        self.exchanges[key].attempts -= 1;
-        self.restart_stages_of(now, key);
-    }
-
-    fn restart_stages_of(&mut self, now: Duration, key: ExchangeKey) {
+    /// The results of an exchange's stages are gone: they are made again.
+    fn restart_stages(&mut self, now: Duration, key: ExchangeKey) {
         let exchange = &mut self.exchanges[key];
         if exchange.route.stages.is_empty() {
             return;
@@ -911,6 +916,7 @@
     /// Gives results up at the endpoints that hold them.
     pub fn free_here(&mut self, handles: Vec<Handle>) {
         self.batches.freed(&handles);
+        self.has_room = true;
         let mut by_addr: Vec<(Arc<str>, Vec<Handle>)> = Vec::new();
         for handle in handles {
             let Some(addr) = holder(&handle) else { continue };
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod policy;
 mod queue;
 mod queue_states;
+mod relay;
 mod routing;
 mod subset;
 mod timing;
--- /dev/null
+++ b/crates/core/tests/testsuite/relay.rs
@@ -0,0 +1,17 @@
+//! The relay: opaque exchanges, their stages, and who repeats what.
+
+#![allow(clippy::unwrap_used)]
+
+mod allowance;
+mod batch;
+mod calls;
+mod config;
+mod directory;
+mod events;
+mod fixture;
+mod fuzz;
+mod peers;
+mod readers;
+mod stages;
+mod streams;
+mod table;
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/batch.rs
@@ -0,0 +1,151 @@
+//! Pieces of several requests put together into calls.
+
+use peatdeck_core::relay::{
+    config::{Kind, Route},
+    model::Arrival,
+};
+
+use super::fixture::{ConfigBuilder, Order, World, arrival, entry, ms, route, stage};
+
+fn world(room: u64, bytes: u64, endpoints: &[&str]) -> World {
+    let stages = vec![stage("ledger", &[], bytes)];
+    let slow = Route { stages, ..route("r", Kind::Idempotent, "desk") };
+    let quick = Route {
+        stages: vec![stage("ledger", &[], bytes)],
+        objective: ms(400),
+        ..route("quick", Kind::Idempotent, "desk")
+    };
+    let config = ConfigBuilder::new(1).service("desk").maker("ledger", room).route(slow);
+    let mut world = World::new(config.route(quick).build());
+    for name in endpoints {
+        world.put(entry(name, "ledger"));
+    }
+    world
+}
+
+fn asking(id: &str, route: &str, pieces: u16) -> Arrival {
+    Arrival { pieces: vec![pieces], deadline: Some(ms(8000)), ..arrival(id, route) }
+}
+
+fn names(orders: &[Order]) -> Vec<Vec<String>> {
+    orders.iter().map(Order::names).collect()
+}
+
+#[test]
+fn pieces_wait_here_while_endpoints_are_busy() {
+    let mut world = world(1 << 30, 1, &["l1"]);
+    world.arrive(asking("1", "r", 1));
+    let first = world.orders().remove(0);
+    for id in ["2", "3", "4"] {
+        world.arrive(asking(id, "r", 1));
+    }
+    assert!(world.orders().is_empty());
+    world.make(&first);
+    assert_eq!(names(&world.orders()), [["2/0/0", "3/0/0", "4/0/0"]]);
+}
+
+#[test]
+fn a_call_is_full_at_its_batch() {
+    let mut world = world(1 << 30, 1, &["l1"]);
+    world.arrive(asking("1", "r", 1));
+    let first = world.orders().remove(0);
+    for id in ["2", "3", "4", "5", "6"] {
+        world.arrive(asking(id, "r", 1));
+    }
+    world.make(&first);
+    assert_eq!(world.orders()[0].pieces.len(), 4);
+}
+
+#[test]
+fn pieces_of_one_stage_are_not_torn_apart() {
+    let mut world = world(1 << 30, 1, &["l1"]);
+    world.arrive(asking("1", "r", 1));
+    let first = world.orders().remove(0);
+    world.arrive(asking("2", "r", 3));
+    world.arrive(asking("3", "r", 3));
+    world.arrive(asking("4", "r", 1));
+    world.make(&first);
+    assert_eq!(names(&world.orders()), [["2/0/0", "2/0/1", "2/0/2", "4/0/0"]]);
+}
+
+#[test]
+fn more_pieces_than_a_call_takes_are_made_in_several() {
+    let mut world = world(1 << 30, 1, &["l1"]);
+    world.arrive(asking("1", "r", 6));
+    let first = world.orders().remove(0);
+    assert_eq!(first.pieces.len(), 4);
+    world.make(&first);
+    assert_eq!(names(&world.orders()), [["1/0/4", "1/0/5"]]);
+}
+
+#[test]
+fn what_is_sooner_due_goes_first() {
+    let mut world = world(1 << 30, 1, &["l1"]);
+    world.arrive(asking("1", "r", 4));
+    let first = world.orders().remove(0);
+    world.arrive(asking("slow", "r", 4));
+    world.arrive(asking("fast", "quick", 4));
+    world.make(&first);
+    assert_eq!(world.orders()[0].names()[0], "fast/0/0");
+}
+
+#[test]
+fn what_can_still_be_in_good_time_goes_before_what_is_late() {
+    let mut world = world(1 << 30, 1, &["l1"]);
+    world.arrive(asking("1", "r", 4));
+    let first = world.orders().remove(0);
+    world.arrive(asking("late", "quick", 4));
+    world.advance(ms(450));
+    world.arrive(asking("good", "r", 4));
+    world.make(&first);
+    assert_eq!(world.orders()[0].names()[0], "good/0/0");
+}
+
+#[test]
+fn results_never_need_more_room_than_there_is() {
+    let mut world = world(10, 4, &["l1"]);
+    world.arrive(asking("1", "r", 2));
+    let first = world.orders().remove(0);
+    world.arrive(asking("2", "r", 2));
+    world.make(&first);
+    assert!(world.orders().is_empty(), "2 units of room are left");
+    let call = world.call_for_desk();
+    world.replied(call, &super::fixture::head(200));
+    assert_eq!(world.relay.next_wake(world.now), world.now, "there is room now");
+    world.advance(ms(0));
+    assert_eq!(names(&world.orders()), [["2/0/0", "2/0/1"]]);
+}
+
+#[test]
+fn idle_endpoints_share_a_long_queue() {
+    let mut world = world(1 << 30, 1, &["l1", "l2"]);
+    world.arrive(asking("1", "r", 4));
+    world.arrive(asking("2", "r", 4));
+    let orders = world.orders();
+    assert_eq!(orders.iter().map(|order| order.pieces.len()).collect::<Vec<_>>(), [4, 4]);
+    assert_ne!(orders[0].endpoint, orders[1].endpoint);
+}
+
+#[test]
+fn a_slow_endpoint_is_left_to_the_others_while_they_keep_up() {
+    let mut world = world(1 << 30, 1, &["l1", "l2"]);
+    world.arrive(asking("1", "r", 1));
+    let slow = world.orders().remove(0);
+    world.advance(ms(1400));
+    world.make(&slow);
+    for id in 2..6 {
+        world.arrive(asking(&id.to_string(), "r", 1));
+        let order = world.orders().remove(0);
+        assert_ne!(order.endpoint, slow.endpoint);
+        world.advance(ms(220));
+        world.make(&order);
+    }
+}
+
+impl World {
+    /// The call of an exchange whose pieces are made, once there is a desk.
+    fn call_for_desk(&mut self) -> peatdeck_core::relay::model::CallKey {
+        self.put(entry("d1", "desk"));
+        self.call().key
+    }
+}
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/calls.rs
@@ -0,0 +1,218 @@
+//! Calls: what may be repeated, and what callers are told.
+
+use expect_test::expect;
+use peatdeck_core::relay::{
+    allowance::Bound,
+    config::{Kind, Route},
+    model::{Action, Failure},
+};
+
+use super::fixture::{ConfigBuilder, World, arrival, entry, head, ms, route, unrun};
+
+#[test]
+fn an_answer_is_passed_on() {
+    let mut world = World::plain(Kind::Once);
+    let exchange = world.arrive(arrival("1", "r"));
+    let call = world.call();
+    assert_eq!(call.remaining, ms(2000));
+    world.replied(call.key, &head(200));
+    assert_eq!(world.actions, [Action::Answer { exchange, call: call.key }]);
+    assert_eq!(world.relay.open_exchanges(), 0);
+}
+
+#[test]
+fn what_may_not_run_twice_is_not_sent_again_after_silence() {
+    for failure in [Failure::Cut, Failure::Foreign] {
+        let mut world = World::plain(Kind::Once);
+        world.arrive(arrival("1", "r"));
+        let call = world.call();
+        world.failed(call.key, failure);
+        assert!(world.calls().is_empty());
+        assert_eq!(world.refusals(), ["502 failed never"], "{failure:?}");
+    }
+}
+
+#[test]
+fn what_was_not_sent_goes_to_another_endpoint() {
+    let mut world = World::plain(Kind::Once);
+    world.arrive(arrival("1", "r"));
+    let first = world.call();
+    world.failed(first.key, Failure::Unsent);
+    let second = world.call();
+    assert_ne!(first.endpoint, second.endpoint);
+    assert_eq!(second.attempt, 1);
+}
+
+#[test]
+fn what_certainly_did_not_run_is_told_so_with_a_time_to_come_back() {
+    let mut world = World::plain(Kind::Once);
+    world.arrive(arrival("1", "r"));
+    let call = world.call();
+    world.replied(call.key, &unrun(503));
+    let second = world.call();
+    world.replied(second.key, &unrun(503));
+    expect![[r#"
+        [
+            "503 unserved 400ms",
+        ]
+    "#]]
+    .assert_debug_eq(&world.refusals());
+}
+
+#[test]
+fn a_time_to_come_back_leaves_time_for_a_second_attempt() {
+    let mut world = World::plain(Kind::Once);
+    let mut hurried = arrival("1", "r");
+    hurried.deadline = Some(ms(600));
+    world.arrive(hurried);
+    let call = world.call();
+    world.replied(call.key, &unrun(503));
+    let call = world.call();
+    world.replied(call.key, &unrun(503));
+    assert_eq!(world.refusals(), ["503 unserved 180ms"]);
+}
+
+#[test]
+fn an_idempotent_request_is_repeated_after_silence_and_after_a_failure() {
+    let mut world = World::plain(Kind::Idempotent);
+    world.arrive(arrival("1", "r"));
+    let call = world.call();
+    world.failed(call.key, Failure::Cut);
+    assert_eq!(world.calls().len(), 1);
+    world.arrive(arrival("2", "r"));
+    let call = world.call();
+    world.replied(call.key, &head(500));
+    assert_eq!(world.calls().len(), 1);
+}
+
+#[test]
+fn attempts_end_at_the_routes_number() {
+    let mut world = World::plain(Kind::Idempotent);
+    world.put(entry("c", "desk"));
+    let exchange = world.arrive(arrival("1", "r"));
+    let call = world.call();
+    world.replied(call.key, &head(500));
+    let call = world.call();
+    world.replied(call.key, &head(500));
+    assert!(world.calls().is_empty());
+    assert_eq!(world.actions, [Action::Answer { exchange, call: call.key }]);
+}
+
+#[test]
+fn an_endpoints_own_failure_is_passed_on_with_its_seal() {
+    let mut world = World::plain(Kind::Once);
+    let exchange = world.arrive(arrival("1", "r"));
+    let call = world.call();
+    world.replied(call.key, &head(500));
+    assert_eq!(world.actions, [Action::Answer { exchange, call: call.key }]);
+}
+
+#[test]
+fn an_answer_without_a_seal_is_no_answer() {
+    let mut world = World::plain(Kind::Once);
+    world.arrive(arrival("1", "r"));
+    let call = world.call();
+    let mut bare = head(200);
+    bare.is_sealed = false;
+    world.replied(call.key, &bare);
+    assert_eq!(world.refusals(), ["502 failed never"]);
+}
+
+#[test]
+fn repetition_keeps_its_bound() {
+    let config =
+        ConfigBuilder::new(1).service("desk").route(route("r", Kind::Idempotent, "desk"));
+    let bound = Bound { ratio: 0.0, slack: 2.5, window: ms(10_000) };
+    let mut world = World::with_bound(config.build(), bound);
+    world.put(entry("a", "desk"));
+    world.put(entry("b", "desk"));
+    let mut repeated = 0;
+    for id in 0..5 {
+        world.arrive(arrival(&id.to_string(), "r"));
+        let call = world.call();
+        world.replied(call.key, &head(500));
+        repeated += world.calls().len();
+    }
+    assert_eq!(repeated, 2);
+}
+
+#[test]
+fn another_endpoint_at_the_address_means_that_this_one_is_gone() {
+    let mut world = World::plain(Kind::Once);
+    world.arrive(arrival("1", "r"));
+    let first = world.call();
+    world.replied(first.key, &unrun(421));
+    let second = world.call();
+    assert_ne!(first.endpoint, second.endpoint);
+    for id in 2..9 {
+        world.arrive(arrival(&id.to_string(), "r"));
+        assert_eq!(world.call().endpoint, second.endpoint);
+    }
+}
+
+#[test]
+fn the_time_is_over_at_the_routes_timeout() {
+    let hasty = Route { timeout: ms(300), ..route("r", Kind::Once, "desk") };
+    let config = ConfigBuilder::new(1).service("desk").route(hasty);
+    let mut world = World::new(config.build());
+    world.put(entry("a", "desk"));
+    world.arrive(arrival("1", "r"));
+    let call = world.call();
+    assert_eq!(call.remaining, ms(300));
+    world.advance(ms(299));
+    assert!(world.refusals().is_empty());
+    world.advance(ms(1));
+    assert_eq!(world.refusals(), ["504 timed_out never"]);
+    assert_eq!(world.actions, [Action::Cancel(call.key)]);
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_call() {
+    let mut world = World::plain(Kind::Idempotent);
+    let exchange = world.arrive(arrival("1", "r"));
+    let call = world.call();
+    world.leave(exchange);
+    assert_eq!(world.actions, [Action::Cancel(call.key)]);
+    world.failed(call.key, Failure::Cut);
+    assert_eq!(world.relay.open_exchanges(), 0);
+    assert!(world.calls().is_empty());
+}
+
+#[test]
+fn without_endpoints_a_request_waits_a_moment() {
+    let config = ConfigBuilder::new(1).service("desk").route(route("r", Kind::Once, "desk"));
+    let mut world = World::new(config.build());
+    world.arrive(arrival("1", "r"));
+    world.advance(ms(100));
+    assert!(world.actions.is_empty());
+    world.put(entry("a", "desk"));
+    assert_eq!(world.calls().len(), 1);
+    world.arrive(arrival("2", "r"));
+    let call = world.call();
+    world.failed(call.key, Failure::Unsent);
+    for _ in 0..6 {
+        world.advance(ms(40));
+    }
+    assert_eq!(world.refusals(), ["503 unserved 400ms"]);
+}
+
+#[test]
+fn an_endpoint_that_leaves_gets_nothing_new() {
+    let mut world = World::plain(Kind::Idempotent);
+    world.put(peatdeck_core::relay::directory::Entry { is_leaving: true, ..entry("a", "desk") });
+    for id in 0..10 {
+        world.arrive(arrival(&id.to_string(), "r"));
+    }
+    assert!(world.calls().iter().all(|call| &*call.endpoint == "b"));
+}
+
+#[test]
+fn a_paused_instance_first_looks_at_the_time() {
+    let mut world = World::plain(Kind::Stream);
+    world.arrive(arrival("1", "r"));
+    let call = world.call();
+    world.now += ms(60_000);
+    assert!(!world.event(call.key, 1) || world.refusals().is_empty());
+    world.advance(ms(0));
+    assert_eq!(world.relay.open_exchanges(), 0);
+}
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/config.rs
@@ -0,0 +1,92 @@
+//! Routes, splits and keys.
+
+use std::sync::Arc;
+
+use peatdeck_core::relay::{
+    config::{Kind, Route, Target},
+    model::Refusal,
+};
+
+use super::fixture::{ConfigBuilder, World, arrival, entry, ms, route};
+
+fn prefixed(prefix: &str, service: &str) -> Route {
+    Route { prefix: Arc::from(prefix), ..route(service, Kind::Idempotent, service) }
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let config = ConfigBuilder::new(1)
+        .route(prefixed("/a/", "short"))
+        .route(prefixed("/a/b/", "long"))
+        .build();
+    let service = |path| config.route("fleet.example", path).map(|route| route.name.clone());
+    assert_eq!(service("/a/b/c").as_deref(), Some("long"));
+    assert_eq!(service("/a/bc").as_deref(), Some("short"));
+    assert_eq!(service("/a"), None);
+}
+
+#[test]
+fn hosts_are_compared_without_case() {
+    let config = ConfigBuilder::new(1).route(prefixed("/", "s")).build();
+    assert!(config.route("FLEET.example", "/x").is_some());
+    assert!(config.route("other.example", "/x").is_none());
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let target = |service: &str, weight| Target { service: Arc::from(service), weight };
+    let targets = vec![target("a", 9), target("b", 1)];
+    let route = Route { targets, ..route("r", Kind::Idempotent, "a") };
+    let spread = |idx: u64| (idx << 32).div_ceil(1000) as u32;
+    let to_b = (0..1000).filter(|idx| &**route.target(spread(*idx)).unwrap() == "b").count();
+    assert_eq!(to_b, 100);
+}
+
+#[test]
+fn a_relay_that_knows_no_configuration_is_not_ready() {
+    let mut world = World::new(ConfigBuilder::new(1).build());
+    world.relay = peatdeck_core::relay::Relay::new(
+        peatdeck_core::relay::Settings {
+            name: Arc::from("own"),
+            data_centre: Arc::from("east"),
+            bound: peatdeck_core::relay::allowance::Bound {
+                ratio: 0.2,
+                slack: 10.0,
+                window: ms(10_000),
+            },
+            instances: 1,
+        },
+        1,
+    );
+    assert_eq!(world.try_arrive(arrival("1", "r")), Err(Refusal::NotReady));
+}
+
+#[test]
+fn a_key_is_needed_but_on_public_routes() {
+    let open = Route { is_public: true, ..route("open", Kind::Idempotent, "desk") };
+    let config = ConfigBuilder::new(1)
+        .service("desk")
+        .key("k1", "markets")
+        .route(route("shut", Kind::Idempotent, "desk"))
+        .route(open);
+    let mut world = World::new(config.build());
+    world.put(entry("a", "desk"));
+
+    assert_eq!(world.try_arrive(arrival("1", "none")), Err(Refusal::NoRoute));
+    assert_eq!(world.try_arrive(arrival("2", "shut")), Err(Refusal::UnknownKey));
+    let mut known = arrival("3", "shut");
+    known.key = Some(Arc::from("k1"));
+    world.arrive(known);
+    assert_eq!(world.call().team.as_deref(), Some("markets"));
+    world.arrive(arrival("4", "open"));
+    assert_eq!(world.call().team, None);
+}
+
+#[test]
+fn a_configuration_never_goes_back() {
+    let mut world = World::new(ConfigBuilder::new(5).build());
+    assert!(!world.relay.configure(ConfigBuilder::new(4).build()));
+    assert!(!world.relay.configure(ConfigBuilder::new(5).build()));
+    assert!(world.relay.configure(ConfigBuilder::new(9).build()));
+    assert_eq!(world.relay.config().unwrap().version, 9);
+}
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/events.rs
@@ -0,0 +1,38 @@
+//! Server-sent events cut into whole ones.
+
+use peatdeck_core::relay::events::Splitter;
+
+fn split(chunks: &[&str]) -> (Vec<(Option<u64>, String)>, String) {
+    let mut splitter = Splitter::default();
+    let mut events = Vec::new();
+    for chunk in chunks {
+        splitter.push(chunk.as_bytes());
+        while let Some(event) = splitter.next_event() {
+            events.push((event.id, String::from_utf8(event.bytes.to_vec()).unwrap()));
+        }
+    }
+    (events, String::from_utf8(splitter.rest().to_vec()).unwrap())
+}
+
+#[test]
+fn an_event_ends_with_an_empty_line() {
+    let (events, rest) = split(&["id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n"]);
+    assert_eq!(
+        events,
+        [
+            (Some(1), "id: 1\ndata: a\n\n".to_owned()),
+            (Some(2), "id: 2\ndata: b\n\n".to_owned())
+        ]
+    );
+    assert_eq!(rest, "id: 3\n");
+}
+
+#[test]
+fn a_cut_anywhere_makes_no_difference() {
+    let text = "id: 7\ndata: x\n\ndata: without a number\r\n\r\nid:8\n\n";
+    let whole = split(&[text]);
+    for at in 0..text.len() {
+        assert_eq!(split(&[&text[..at], &text[at..]]), whole, "cut at {at}");
+    }
+    assert_eq!(whole.0.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [Some(7), None, Some(8)]);
+}
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -0,0 +1,304 @@
+//! A relay with a few routes and endpoints, driven by hand.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use peatdeck_core::relay::{
+    Relay, Settings,
+    allowance::Bound,
+    config::{Config, Kind, Limits, Pieces, Route, Service, Stage, Target, Team},
+    directory::{Change, Entry},
+    model::{
+        Action, Arrival, Call, CallKey, ExchangeKey, Failure, Handle, Part, Piece, PieceFailure,
+        PieceResult, Prompt, Refusal, ReplyHead,
+    },
+};
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A configuration under construction.
+pub struct ConfigBuilder {
+    config: Config,
+}
+
+impl ConfigBuilder {
+    pub fn new(version: u64) -> ConfigBuilder {
+        let limits = Limits { body: 1 << 20, idle: ms(15_000) };
+        let config =
+            Config { version, routes: Vec::new(), services: HashMap::new(), keys: None, limits };
+        ConfigBuilder { config }
+    }
+
+    pub fn key(mut self, key: &str, team: &str) -> ConfigBuilder {
+        let team = Team { name: Arc::from(team), priority: None };
+        self.config.keys.get_or_insert_default().insert(Arc::from(key), team);
+        self
+    }
+
+    pub fn service(mut self, name: &str) -> ConfigBuilder {
+        let service = Service { connections: 800, engine: None, pieces: None };
+        self.config.services.insert(Arc::from(name), service);
+        self
+    }
+
+    pub fn maker(mut self, name: &str, room: u64) -> ConfigBuilder {
+        let pieces = Pieces {
+            slots: 1,
+            queue: 2,
+            batch: 4,
+            call_time: ms(200),
+            piece_time: ms(20),
+            room,
+            lease: ms(4000),
+        };
+        let service = Service { connections: 800, engine: None, pieces: Some(pieces) };
+        self.config.services.insert(Arc::from(name), service);
+        self
+    }
+
+    pub fn route(mut self, route: Route) -> ConfigBuilder {
+        self.config.routes.push(Arc::new(route));
+        self
+    }
+
+    pub fn build(self) -> Arc<Config> {
+        Arc::new(self.config)
+    }
+}
+
+/// A route to one service, for paths that begin with its name.
+pub fn route(name: &str, kind: Kind, service: &str) -> Route {
+    Route {
+        name: Arc::from(name),
+        host: Arc::from("fleet.example"),
+        prefix: Arc::from(format!("/{name}/")),
+        targets: vec![Target { service: Arc::from(service), weight: 1 }],
+        kind,
+        timeout: ms(8000),
+        objective: ms(1000),
+        max_attempts: 2,
+        priority: 1,
+        is_public: false,
+        stages: Vec::new(),
+    }
+}
+
+pub fn stage(service: &str, after: &[usize], bytes: u64) -> Stage {
+    Stage { service: Arc::from(service), after: after.to_vec(), bytes }
+}
+
+pub fn entry(name: &str, service: &str) -> Entry {
+    Entry {
+        name: Arc::from(name),
+        service: Arc::from(service),
+        addr: Arc::from(format!("{name}:80")),
+        data_centre: Arc::from("east"),
+        slots: 4,
+        is_leaving: false,
+    }
+}
+
+pub fn arrival(id: &str, route: &str) -> Arrival {
+    Arrival {
+        id: Arc::from(id),
+        host: Arc::from("fleet.example"),
+        path: Arc::from(format!("/{route}/x")),
+        key: None,
+        deadline: Some(ms(2000)),
+        resume: None,
+        prompt: None,
+        pieces: Vec::new(),
+        piece_key: Some(Arc::from("key")),
+    }
+}
+
+pub fn prompt(shared: u64, own: u64) -> Prompt {
+    let part = |id, tokens| Part { id, tokens };
+    Prompt { parts: vec![part(shared, 6000), part(own, 1000)], input: 7000, output: 50 }
+}
+
+/// The head of an endpoint's own whole answer.
+pub fn head(status: u16) -> ReplyHead {
+    ReplyHead { status, is_ours: true, is_unrun: false, is_sealed: true, load: None }
+}
+
+/// The head of a reply that says that nothing ran.
+pub fn unrun(status: u16) -> ReplyHead {
+    ReplyHead { is_unrun: true, is_sealed: false, ..head(status) }
+}
+
+/// A relay under test and its clock.
+pub struct World {
+    pub relay: Relay,
+    pub now: Duration,
+    pub actions: Vec<Action>,
+}
+
+impl World {
+    pub fn new(config: Arc<Config>) -> World {
+        let bound = Bound { ratio: 0.2, slack: 40.0, window: ms(10_000) };
+        World::with_bound(config, bound)
+    }
+
+    pub fn with_bound(config: Arc<Config>, bound: Bound) -> World {
+        let settings = Settings {
+            name: Arc::from("own"),
+            data_centre: Arc::from("east"),
+            bound,
+            instances: 1,
+        };
+        let mut relay = Relay::new(settings, 7);
+        relay.configure(config);
+        World { relay, now: Duration::ZERO, actions: Vec::new() }
+    }
+
+    /// A world with one plain route of that kind and two endpoints.
+    pub fn plain(kind: Kind) -> World {
+        let config = ConfigBuilder::new(1).service("desk").route(route("r", kind, "desk"));
+        let mut world = World::new(config.build());
+        world.put(entry("a", "desk"));
+        world.put(entry("b", "desk"));
+        world
+    }
+
+    pub fn put(&mut self, entry: Entry) {
+        self.relay.change(self.now, Change::Put(entry));
+        self.collect();
+    }
+
+    pub fn arrive(&mut self, arrival: Arrival) -> ExchangeKey {
+        self.try_arrive(arrival).unwrap()
+    }
+
+    pub fn try_arrive(&mut self, arrival: Arrival) -> Result<ExchangeKey, Refusal> {
+        let arrived = self.relay.arrive(self.now, arrival);
+        self.collect();
+        arrived
+    }
+
+    pub fn advance(&mut self, by: Duration) {
+        self.now += by;
+        self.relay.tick(self.now);
+        self.collect();
+    }
+
+    pub fn replied(&mut self, call: CallKey, head: &ReplyHead) {
+        self.relay.replied(self.now, call, head);
+        self.collect();
+    }
+
+    pub fn failed(&mut self, call: CallKey, failure: Failure) {
+        self.relay.failed(self.now, call, failure);
+        self.collect();
+    }
+
+    pub fn leave(&mut self, exchange: ExchangeKey) {
+        self.relay.leave(self.now, exchange);
+        self.collect();
+    }
+
+    pub fn event(&mut self, call: CallKey, id: u64) -> bool {
+        let is_passed = self.relay.pass_event(self.now, call, Some(id));
+        self.collect();
+        is_passed
+    }
+
+    pub fn made(&mut self, call: CallKey, results: Vec<PieceResult>) {
+        self.relay.made(self.now, call, results, None);
+        self.collect();
+    }
+
+    /// Every piece of a call is made; handles name request, stage and piece.
+    pub fn make(&mut self, order: &Order) {
+        let handle = |piece: &Piece| {
+            let Piece { request, stage, number, .. } = piece;
+            Ok(Handle::from(format!("{}/{request}-{stage}-{number}", order.addr)))
+        };
+        let results = order.pieces.iter().map(handle).collect();
+        self.made(order.call, results);
+    }
+
+    pub fn collect(&mut self) {
+        self.actions.extend(self.relay.take_actions());
+    }
+
+    /// The newest call, which has to be there.
+    pub fn call(&mut self) -> Call {
+        self.calls().pop().expect("a call was sent")
+    }
+
+    /// Takes all calls out of the actions.
+    pub fn calls(&mut self) -> Vec<Call> {
+        self.take(|action| match action {
+            Action::Send(call) => Ok(call),
+            other => Err(other),
+        })
+    }
+
+    /// Takes all calls for pieces out of the actions.
+    pub fn orders(&mut self) -> Vec<Order> {
+        self.take(|action| match action {
+            Action::Make { call, endpoint, addr, pieces } => {
+                Ok(Order { call, endpoint, addr, pieces })
+            }
+            other => Err(other),
+        })
+    }
+
+    /// Takes the results that were given up out of the actions.
+    pub fn freed(&mut self) -> Vec<Handle> {
+        let freed = self.take(|action| match action {
+            Action::Free { handles, .. } => Ok(handles),
+            other => Err(other),
+        });
+        let mut freed: Vec<_> = freed.into_iter().flatten().collect();
+        freed.sort_unstable();
+        freed
+    }
+
+    /// Takes all refusals out of the actions, as text.
+    pub fn refusals(&mut self) -> Vec<String> {
+        self.take(|action| match action {
+            Action::Refuse { refusal, retry_after, .. } => {
+                let after = retry_after.map_or("never".to_owned(), |after| format!("{after:?}"));
+                Ok(format!("{} {} {after}", refusal.status(), refusal.name()))
+            }
+            other => Err(other),
+        })
+    }
+
+    pub fn take<T>(&mut self, pick: impl Fn(Action) -> Result<T, Action>) -> Vec<T> {
+        let (mut taken, mut left) = (Vec::new(), Vec::new());
+        for action in self.actions.drain(..) {
+            match pick(action) {
+                Ok(item) => taken.push(item),
+                Err(other) => left.push(other),
+            }
+        }
+        self.actions = left;
+        taken
+    }
+}
+
+/// A call for pieces.
+#[derive(Debug, Clone)]
+pub struct Order {
+    pub call: CallKey,
+    pub endpoint: Arc<str>,
+    pub addr: Arc<str>,
+    pub pieces: Vec<Piece>,
+}
+
+impl Order {
+    /// Its pieces as `request/stage/number`.
+    pub fn names(&self) -> Vec<String> {
+        let name = |piece: &Piece| format!("{}/{}/{}", piece.request, piece.stage, piece.number);
+        self.pieces.iter().map(name).collect()
+    }
+
+    /// A result for each piece.
+    pub fn all(&self, failure: PieceFailure) -> Vec<PieceResult> {
+        self.pieces.iter().map(|_| Err(failure)).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/fuzz.rs
@@ -0,0 +1,259 @@
+//! Random histories against a simple oracle.
+//!
+//! Whatever endpoints answer, lose or refuse, and in whatever order: each
+//! exchange ends exactly once, nothing that may run once is called again after
+//! it may have run, "not run" is only said where nothing may have run, nothing
+//! is sent to an endpoint that leaves, and nothing stays behind.
+
+use std::collections::{HashMap, HashSet};
+
+use peatdeck_core::relay::{
+    config::{Kind, Route},
+    directory::Entry,
+    model::{Action, Arrival, CallKey, ExchangeKey, Failure, PieceFailure},
+};
+use proptest::prelude::*;
+
+use super::fixture::{ConfigBuilder, Order, World, arrival, entry, head, ms, route, stage, unrun};
+
+#[derive(Debug, Clone)]
+enum Step {
+    Arrive(u8),
+    Reply(u8, u8),
+    Event(u8),
+    End(u8),
+    Fail(u8, u8),
+    Make(u8, u8),
+    Leave(u8),
+    Drain(u8),
+    Join,
+    Wait(u16),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => any::<u8>().prop_map(Step::Arrive),
+        4 => (any::<u8>(), any::<u8>()).prop_map(|(call, how)| Step::Reply(call, how)),
+        3 => any::<u8>().prop_map(Step::Event),
+        2 => any::<u8>().prop_map(Step::End),
+        2 => (any::<u8>(), any::<u8>()).prop_map(|(call, how)| Step::Fail(call, how)),
+        5 => (any::<u8>(), any::<u8>()).prop_map(|(call, how)| Step::Make(call, how)),
+        1 => any::<u8>().prop_map(Step::Leave),
+        1 => any::<u8>().prop_map(Step::Drain),
+        1 => Just(Step::Join),
+        2 => (0_u16..900).prop_map(Step::Wait),
+    ]
+}
+
+const KINDS: [Kind; 4] = [Kind::Idempotent, Kind::Once, Kind::Stream, Kind::Resumable];
+
+#[derive(Default)]
+struct Oracle {
+    open: HashMap<ExchangeKey, Kind>,
+    /// Exchanges of which something may have run.
+    ran: HashSet<ExchangeKey>,
+    calls: Vec<(CallKey, ExchangeKey)>,
+    orders: Vec<Order>,
+    leaving: HashSet<String>,
+    next_event: HashMap<ExchangeKey, u64>,
+}
+
+impl Oracle {
+    fn check(&mut self, world: &mut World) {
+        for action in std::mem::take(&mut world.actions) {
+            match action {
+                Action::Send(call) => {
+                    assert!(!self.leaving.contains(&*call.endpoint), "sent to one that leaves");
+                    let kind = self.open.get(&call.exchange);
+                    let is_repeat = self.ran.contains(&call.exchange);
+                    let may_repeat = kind.is_none_or(|kind| kind.may_repeat());
+                    assert!(may_repeat || !is_repeat, "{kind:?} was called again");
+                    self.calls.push((call.key, call.exchange));
+                }
+                Action::Make { call, endpoint, addr, pieces } => {
+                    assert!(!self.leaving.contains(&*endpoint), "made at one that leaves");
+                    self.orders.push(Order { call, endpoint, addr, pieces });
+                }
+                Action::Cancel(call) => self.calls.retain(|(other, _)| *other != call),
+                Action::Answer { exchange, .. }
+                | Action::Finish(exchange)
+                | Action::Break(exchange) => self.end(exchange),
+                Action::Refuse { exchange, refusal, .. } => {
+                    let says_unrun = refusal.status() == 503;
+                    assert!(!says_unrun || !self.ran.contains(&exchange), "an untrue refusal");
+                    self.end(exchange);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn end(&mut self, exchange: ExchangeKey) {
+        assert!(self.open.remove(&exchange).is_some(), "an exchange ended twice");
+    }
+
+    fn call(&self, pick: u8) -> Option<(CallKey, ExchangeKey)> {
+        let count = self.calls.len().max(1);
+        self.calls.get(usize::from(pick) % count).copied()
+    }
+
+    fn forget(&mut self, call: CallKey) {
+        self.calls.retain(|(other, _)| *other != call);
+    }
+}
+
+fn world() -> World {
+    let mut config =
+        ConfigBuilder::new(1).service("desk").maker("ledger", 6_000_000).maker("mart", 100_000);
+    for (idx, kind) in KINDS.into_iter().enumerate() {
+        config = config.route(route(&format!("plain{idx}"), kind, "desk"));
+        let stages = vec![
+            stage("ledger", &[], 1_500_000),
+            stage("ledger", &[], 8_000),
+            stage("mart", &[1], 6_000),
+        ];
+        config = config.route(Route { stages, ..route(&format!("staged{idx}"), kind, "desk") });
+    }
+    let mut world = World::new(config.build());
+    for name in ["d0", "d1", "d2"] {
+        world.put(entry(name, "desk"));
+    }
+    for name in ["l0", "l1"] {
+        world.put(entry(name, "ledger"));
+    }
+    world.put(entry("m0", "mart"));
+    world
+}
+
+fn play(steps: Vec<Step>) {
+    let (mut world, mut oracle) = (world(), Oracle::default());
+    let mut joined = 0;
+    for (idx, step) in steps.into_iter().enumerate() {
+        match step {
+            Step::Arrive(pick) => {
+                let kind = usize::from(pick) % KINDS.len();
+                let is_staged = pick >= 128;
+                let name = if is_staged { "staged" } else { "plain" };
+                let pieces = if is_staged { vec![u16::from(pick % 3), 1, 2] } else { Vec::new() };
+                let id = idx.to_string();
+                let asking = Arrival { pieces, ..arrival(&id, &format!("{name}{kind}")) };
+                let key = world.relay.arrive(world.now, asking).unwrap();
+                oracle.open.insert(key, KINDS[kind]);
+                world.collect();
+            }
+            Step::Reply(pick, how) => {
+                let Some((call, exchange)) = oracle.call(pick) else { continue };
+                let head = match how % 6 {
+                    0 => unrun(503),
+                    1 => unrun(421),
+                    2 => head(500),
+                    3 => unrun(409),
+                    _ => head(200),
+                };
+                if world.relay.opened(world.now, call, &head) {
+                    oracle.ran.insert(exchange);
+                    continue;
+                }
+                if !head.is_unrun {
+                    oracle.ran.insert(exchange);
+                }
+                oracle.forget(call);
+                world.replied(call, &head);
+            }
+            Step::Event(pick) => {
+                let Some((call, exchange)) = oracle.call(pick) else { continue };
+                if !oracle.open.get(&exchange).is_some_and(|kind| kind.is_stream()) {
+                    continue;
+                }
+                oracle.ran.insert(exchange);
+                let next = oracle.next_event.entry(exchange).or_default();
+                *next += 1;
+                let id = *next;
+                world.event(call, id);
+            }
+            Step::End(pick) => {
+                let Some((call, exchange)) = oracle.call(pick) else { continue };
+                if !oracle.open.get(&exchange).is_some_and(|kind| kind.is_stream()) {
+                    continue;
+                }
+                oracle.ran.insert(exchange);
+                oracle.forget(call);
+                world.relay.ended(world.now, call);
+                world.collect();
+            }
+            Step::Fail(pick, how) => {
+                let Some((call, exchange)) = oracle.call(pick) else { continue };
+                let failure = match how % 3 {
+                    0 => Failure::Unsent,
+                    1 => Failure::Cut,
+                    _ => Failure::Foreign,
+                };
+                if failure != Failure::Unsent {
+                    oracle.ran.insert(exchange);
+                }
+                oracle.forget(call);
+                world.failed(call, failure);
+            }
+            Step::Make(pick, how) => {
+                if oracle.orders.is_empty() {
+                    continue;
+                }
+                let order = oracle.orders.remove(usize::from(pick) % oracle.orders.len());
+                match how % 8 {
+                    0 => world.made(order.call, order.all(PieceFailure::NoRoom)),
+                    1 => world.made(order.call, order.all(PieceFailure::InputGone)),
+                    2 => world.relay.make_failed(world.now, order.call, Failure::Cut, false),
+                    3 => world.relay.make_failed(world.now, order.call, Failure::Cut, true),
+                    _ => {
+                        world.make(&order);
+                    }
+                }
+                world.collect();
+            }
+            Step::Leave(pick) => {
+                let mut open: Vec<_> = oracle.open.keys().copied().collect();
+                open.sort();
+                if open.is_empty() {
+                    continue;
+                }
+                let key = open[usize::from(pick) % open.len()];
+                oracle.open.remove(&key);
+                world.leave(key);
+            }
+            Step::Drain(pick) => {
+                let name = format!("d{}", pick % 3);
+                oracle.leaving.insert(name.clone());
+                world.put(Entry { is_leaving: true, ..entry(&name, "desk") });
+            }
+            Step::Join => {
+                joined += 1;
+                world.put(entry(&format!("new{joined}"), "desk"));
+            }
+            Step::Wait(millis) => world.advance(ms(millis.into())),
+        }
+        oracle.check(&mut world);
+    }
+    for _ in 0..40 {
+        for order in std::mem::take(&mut oracle.orders) {
+            world.make(&order);
+        }
+        world.advance(ms(250));
+        oracle.check(&mut world);
+    }
+    assert!(oracle.open.is_empty(), "exchanges without an end: {:?}", oracle.open);
+    assert_eq!(world.relay.open_exchanges(), 0);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_202),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_exchange_ends_once_and_truthfully(steps in proptest::collection::vec(step(), 1..120)) {
+        play(steps);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/peers.rs
@@ -0,0 +1,155 @@
+//! Pieces that are handed to the instance that batches their service.
+
+use std::sync::Arc;
+
+use peatdeck_core::relay::{
+    config::{Kind, Route},
+    model::{Action, Arrival, HandoverKey, Piece, PieceFailure},
+};
+
+use super::fixture::{ConfigBuilder, World, arrival, entry, route, stage};
+
+fn world() -> World {
+    let stages = vec![stage("ledger", &[], 10)];
+    let config = ConfigBuilder::new(1)
+        .service("desk")
+        .maker("ledger", 1 << 30)
+        .route(Route { stages, ..route("r", Kind::Idempotent, "desk") });
+    let mut world = World::new(config.build());
+    world.put(entry("d1", "desk"));
+    world.put(entry("l1", "ledger"));
+    world
+}
+
+/// A world in which a peer batches the ledger's pieces.
+fn with_owner() -> World {
+    let mut world = world();
+    for idx in 0..50 {
+        world.relay.set_peers(vec![Arc::from(format!("peer-{idx}"))]);
+        let exchange = world.arrive(asking("probe", 1));
+        let is_handed = !handed(&mut world).is_empty();
+        world.leave(exchange);
+        world.actions.clear();
+        if is_handed {
+            return world;
+        }
+        world = self::world();
+    }
+    panic!("of 50 names none ranks before this instance's own");
+}
+
+fn asking(id: &str, pieces: u16) -> Arrival {
+    Arrival { pieces: vec![pieces], ..arrival(id, "r") }
+}
+
+fn handed(world: &mut World) -> Vec<(HandoverKey, Vec<Piece>)> {
+    world.take(|action| match action {
+        Action::HandOver { key, pieces, .. } => Ok((key, pieces)),
+        other => Err(other),
+    })
+}
+
+fn returned(world: &mut World) -> Vec<(u64, usize)> {
+    world.take(|action| match action {
+        Action::Return { ticket, results } => Ok((ticket, results.len())),
+        other => Err(other),
+    })
+}
+
+#[test]
+fn results_come_back_from_the_peer() {
+    let mut world = with_owner();
+    world.arrive(asking("1", 2));
+    let (key, pieces) = handed(&mut world).remove(0);
+    assert_eq!(pieces.len(), 2);
+    let results = vec![Ok(Arc::from("l1:80/x")), Ok(Arc::from("l1:80/y"))];
+    world.relay.returned(world.now, key, Some(results));
+    world.collect();
+    assert_eq!(world.call().inputs.len(), 2);
+}
+
+#[test]
+fn pieces_of_a_peer_that_is_gone_are_made_here() {
+    let mut world = with_owner();
+    world.arrive(asking("1", 2));
+    let (key, _) = handed(&mut world).remove(0);
+    assert!(world.orders().is_empty());
+    world.relay.returned(world.now, key, None);
+    world.collect();
+    assert_eq!(world.orders()[0].names(), ["1/0/0", "1/0/1"]);
+}
+
+#[test]
+fn a_caller_that_leaves_takes_its_pieces_back() {
+    let mut world = with_owner();
+    let exchange = world.arrive(asking("1", 2));
+    let (key, _) = handed(&mut world).remove(0);
+    world.leave(exchange);
+    assert_eq!(world.actions, [Action::Recall(key)]);
+}
+
+#[test]
+fn an_instance_that_stops_hands_everything_over() {
+    let mut world = world();
+    world.relay.set_peers(vec![Arc::from("other")]);
+    world.relay.stop_batching();
+    world.arrive(asking("1", 1));
+    assert_eq!(handed(&mut world).len(), 1);
+    world.relay.set_peers(Vec::new());
+    world.arrive(asking("2", 1));
+    assert_eq!(world.orders()[0].names(), ["2/0/0"], "with nobody left it makes them itself");
+}
+
+fn piece(number: u16) -> Piece {
+    let mut world = with_owner();
+    world.arrive(asking("theirs", number + 1));
+    handed(&mut world).remove(0).1.remove(usize::from(number))
+}
+
+#[test]
+fn a_peers_pieces_are_returned_together() {
+    let mut world = world();
+    world.relay.take_over(world.now, 9, vec![piece(0), piece(1)]);
+    world.collect();
+    let order = world.orders().remove(0);
+    assert_eq!(order.pieces.len(), 2);
+    world.make(&order);
+    assert_eq!(returned(&mut world), [(9, 2)]);
+}
+
+#[test]
+fn a_peers_late_pieces_are_returned_at_once() {
+    let mut world = world();
+    let late = Piece { due: world.now, ..piece(0) };
+    world.relay.take_over(world.now, 9, vec![late]);
+    world.collect();
+    assert_eq!(returned(&mut world), [(9, 1)]);
+    assert!(world.orders().is_empty());
+}
+
+#[test]
+fn what_a_peer_recalls_is_not_made_and_not_kept() {
+    let mut world = world();
+    world.relay.take_over(world.now, 1, vec![piece(0)]);
+    world.collect();
+    let running = world.orders().remove(0);
+    world.relay.take_over(world.now, 2, vec![piece(0)]);
+    world.relay.recalled(1);
+    world.relay.recalled(2);
+    world.make(&running);
+    assert!(world.orders().is_empty());
+    assert_eq!(world.freed().len(), 1);
+    assert_eq!(world.relay.open_tickets(), 0);
+}
+
+#[test]
+fn a_peers_piece_that_fails_is_tried_again_and_then_returned() {
+    let mut world = world();
+    world.relay.take_over(world.now, 3, vec![piece(0)]);
+    world.collect();
+    for _ in 0..3 {
+        let order = world.orders().remove(0);
+        world.made(order.call, order.all(PieceFailure::Failed));
+    }
+    assert_eq!(returned(&mut world), [(3, 1)]);
+}
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/stages.rs
@@ -0,0 +1,271 @@
+//! Stages: what is made when, from what, and given up when.
+
+use std::sync::Arc;
+
+use peatdeck_core::relay::{
+    config::{Kind, Route},
+    directory::Entry,
+    model::{Action, Arrival, Failure, Piece, PieceFailure},
+};
+
+use super::fixture::{
+    ConfigBuilder, Order, World, arrival, entry, head, ms, prompt, route, stage, unrun,
+};
+
+const LARGE: u64 = 1_500_000;
+const SMALL: u64 = 8_000;
+
+fn staged(stages: Vec<peatdeck_core::relay::config::Stage>) -> World {
+    let config = ConfigBuilder::new(1)
+        .service("engine")
+        .maker("ledger", 18_000_000)
+        .maker("mart", 2_800_000)
+        .route(Route { stages, ..route("r", Kind::Resumable, "engine") });
+    let mut world = World::new(config.build());
+    for name in ["e1", "e2"] {
+        world.put(entry(name, "engine"));
+    }
+    world.put(entry("l1", "ledger"));
+    world.put(entry("m1", "mart"));
+    world
+}
+
+fn asking(id: &str, pieces: &[u16]) -> Arrival {
+    Arrival { pieces: pieces.to_vec(), prompt: Some(prompt(1, 2)), ..arrival(id, "r") }
+}
+
+fn near(name: &str, service: &str, place: &str) -> Entry {
+    Entry { data_centre: Arc::from(place), ..entry(name, service) }
+}
+
+#[test]
+fn the_call_takes_in_what_the_last_stages_made() {
+    let mut world = staged(vec![stage("ledger", &[], SMALL), stage("mart", &[0], SMALL)]);
+    world.arrive(asking("1", &[1, 2]));
+    let orders = world.orders();
+    assert_eq!(orders[0].names(), ["1/0/0"]);
+    assert_eq!(orders[0].pieces[0].key.as_deref(), Some("key"));
+    world.make(&orders[0]);
+
+    let orders = world.orders();
+    assert_eq!(orders[0].names(), ["1/1/0", "1/1/1"]);
+    let inputs: Vec<_> = orders[0].pieces.iter().map(|piece| piece.inputs.join(" ")).collect();
+    assert_eq!(inputs, ["l1:80/1-0-0", "l1:80/1-0-0"]);
+    assert_eq!(orders[0].pieces[0].key, None);
+    world.make(&orders[0]);
+
+    assert_eq!(world.call().inputs.join(" "), "m1:80/1-1-0 m1:80/1-1-1");
+}
+
+#[test]
+fn results_are_given_up_as_soon_as_nothing_needs_them() {
+    let mut world = staged(vec![stage("ledger", &[], SMALL), stage("mart", &[0], SMALL)]);
+    world.arrive(asking("1", &[1, 1]));
+    let first = world.orders().remove(0);
+    world.make(&first);
+    assert!(world.freed().is_empty());
+    let second = world.orders().remove(0);
+    world.make(&second);
+    assert_eq!(world.freed(), [Arc::from("l1:80/1-0-0")]);
+    let call = world.call();
+    world.relay.opened(world.now, call.key, &head(200));
+    assert!(world.freed().is_empty());
+    world.event(call.key, 1);
+    assert_eq!(world.freed(), [Arc::from("m1:80/1-1-0")]);
+}
+
+#[test]
+fn a_stage_without_pieces_is_left_out() {
+    let mut world = staged(vec![stage("ledger", &[], LARGE), stage("mart", &[], SMALL)]);
+    world.arrive(asking("1", &[0, 1]));
+    let orders = world.orders();
+    assert_eq!(orders.len(), 1);
+    world.make(&orders[0]);
+    assert_eq!(world.call().inputs.join(" "), "m1:80/1-1-0");
+}
+
+#[test]
+fn large_results_are_made_late() {
+    let stages = vec![
+        stage("ledger", &[], LARGE),
+        stage("ledger", &[], SMALL),
+        stage("mart", &[1], SMALL),
+        stage("mart", &[2], SMALL),
+    ];
+    let mut world = staged(stages);
+    world.arrive(asking("1", &[2, 1, 1, 1]));
+    let first = world.orders().remove(0);
+    assert_eq!(first.names(), ["1/1/0"], "the large ones wait for the chain");
+    world.make(&first);
+    let mut names: Vec<_> = world.orders().iter().flat_map(Order::names).collect();
+    names.sort();
+    assert_eq!(names, ["1/0/0", "1/0/1", "1/2/0"]);
+}
+
+#[test]
+fn a_stage_is_done_where_its_inputs_lie() {
+    let stages = vec![stage("ledger", &[], 60_000), stage("mart", &[0], SMALL)];
+    let config = ConfigBuilder::new(1)
+        .service("engine")
+        .maker("ledger", 18_000_000)
+        .maker("mart", 2_800_000)
+        .route(Route { stages, ..route("r", Kind::Resumable, "engine") });
+    let mut world = World::new(config.build());
+    world.put(near("e1", "engine", "east"));
+    world.put(near("l1", "ledger", "west"));
+    world.put(near("m1", "mart", "east"));
+    world.put(near("m2", "mart", "west"));
+    let patient = Arrival { deadline: Some(ms(8000)), ..asking("1", &[2, 4]) };
+    world.arrive(patient);
+    let first = world.orders().remove(0);
+    world.make(&first);
+    assert_eq!(&*world.orders()[0].endpoint, "m2");
+}
+
+#[test]
+fn results_that_are_gone_are_made_again() {
+    let mut world = staged(vec![stage("ledger", &[], SMALL)]);
+    world.arrive(asking("1", &[1]));
+    let first = world.orders().remove(0);
+    world.make(&first);
+    let call = world.call();
+    world.replied(call.key, &unrun(409));
+    let again = world.orders().remove(0);
+    assert_eq!(again.names(), ["1/0/0"]);
+    assert!(again.pieces[0].is_repeat);
+    world.make(&again);
+    assert_eq!(world.call().attempt, 1);
+}
+
+#[test]
+fn a_piece_that_failed_is_made_elsewhere() {
+    let mut world = staged(vec![stage("ledger", &[], SMALL)]);
+    world.put(entry("l2", "ledger"));
+    world.arrive(asking("1", &[1]));
+    let first = world.orders().remove(0);
+    let failure = Failure::Cut;
+    world.relay.make_failed(world.now, first.call, failure, false);
+    world.collect();
+    let second = world.orders().remove(0);
+    assert_ne!(first.endpoint, second.endpoint);
+    assert!(second.pieces[0].is_repeat);
+}
+
+#[test]
+fn a_piece_without_room_waits_and_does_not_fail() {
+    let mut world = staged(vec![stage("ledger", &[], LARGE)]);
+    world.arrive(Arrival { deadline: Some(ms(8000)), ..asking("1", &[1]) });
+    for _ in 0..5 {
+        let order = world.orders().remove(0);
+        world.made(order.call, order.all(PieceFailure::NoRoom));
+        assert!(world.orders().is_empty(), "the endpoint has no room for it now");
+        world.advance(ms(200));
+        world.advance(ms(200));
+    }
+    assert!(world.refusals().is_empty());
+    assert!(!world.orders()[0].pieces[0].is_repeat);
+}
+
+#[test]
+fn pieces_that_cannot_be_made_in_time_are_not_sent() {
+    let mut world = staged(vec![stage("ledger", &[], SMALL)]);
+    world.arrive(asking("busy", &[4]));
+    world.orders();
+    let hurried = Arrival { deadline: Some(ms(300)), ..asking("1", &[1]) };
+    world.arrive(hurried);
+    world.advance(ms(100));
+    assert!(world.orders().is_empty());
+    assert_eq!(world.refusals().len(), 1);
+}
+
+#[test]
+fn a_caller_that_leaves_gives_up_results_and_pieces() {
+    let mut world = staged(vec![stage("ledger", &[], SMALL), stage("mart", &[0], SMALL)]);
+    let exchange = world.arrive(asking("1", &[1, 1]));
+    let first = world.orders().remove(0);
+    world.make(&first);
+    let second = world.orders().remove(0);
+    world.leave(exchange);
+    assert_eq!(world.freed(), [Arc::from("l1:80/1-0-0")]);
+    world.make(&second);
+    assert_eq!(world.freed(), [Arc::from("m1:80/1-1-0")], "what comes late is given up too");
+}
+
+#[test]
+fn nothing_of_a_request_whose_pieces_were_made_is_called_not_run() {
+    let mut world = staged(vec![stage("ledger", &[], SMALL), stage("mart", &[0], SMALL)]);
+    world.arrive(asking("1", &[1, 1]));
+    let first = world.orders().remove(0);
+    world.make(&first);
+    world.orders();
+    world.advance(ms(2000));
+    assert_eq!(world.refusals(), ["504 timed_out never"]);
+}
+
+#[test]
+fn prompts_that_share_a_part_go_to_one_engine() {
+    let mut world = staged(Vec::new());
+    for idx in 3..9 {
+        world.put(entry(&format!("e{idx}"), "engine"));
+    }
+    let mut engines = Vec::new();
+    for id in 0..6_u64 {
+        let mut asking = asking(&id.to_string(), &[]);
+        asking.prompt = Some(prompt(77, 1000 + id));
+        world.arrive(asking);
+        let call = world.call();
+        engines.push(call.endpoint.clone());
+        world.relay.opened(world.now, call.key, &head(200));
+        world.event(call.key, 1);
+        world.relay.ended(world.now, call.key);
+        world.collect();
+    }
+    engines.dedup();
+    assert_eq!(engines.len(), 1);
+}
+
+#[test]
+fn an_engine_that_is_crowded_is_passed_over() {
+    let mut world = staged(Vec::new());
+    let mut engines = std::collections::BTreeSet::new();
+    for id in 0..40_u64 {
+        let mut asking = asking(&id.to_string(), &[]);
+        asking.prompt = Some(prompt(77, 1000 + id));
+        world.arrive(asking);
+        engines.insert(world.call().endpoint);
+    }
+    assert_eq!(engines.len(), 2);
+}
+
+#[test]
+fn every_piece_and_result_is_accounted_for() {
+    let mut world = staged(vec![stage("ledger", &[], SMALL), stage("mart", &[0], SMALL)]);
+    for id in 0..10 {
+        world.arrive(asking(&id.to_string(), &[2, 3]));
+    }
+    let (mut made, mut freed) = (Vec::new(), Vec::new());
+    for _ in 0..200 {
+        for order in world.orders() {
+            let name = |piece: &Piece| {
+                format!("{}/{}-{}-{}", order.addr, piece.request, piece.stage, piece.number)
+            };
+            made.extend(order.pieces.iter().map(name));
+            world.make(&order);
+        }
+        for call in world.calls() {
+            world.relay.opened(world.now, call.key, &head(200));
+            world.event(call.key, 1);
+            world.relay.ended(world.now, call.key);
+            world.collect();
+        }
+        freed.extend(world.freed());
+        world.advance(ms(50));
+    }
+    made.sort();
+    freed.sort();
+    let freed: Vec<_> = freed.iter().map(ToString::to_string).collect();
+    assert_eq!(made.len(), 50);
+    assert_eq!(freed, made);
+    let finished = |action: &&Action| matches!(action, Action::Finish(_));
+    assert_eq!(world.actions.iter().filter(finished).count(), 10);
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`calls`]: calls to endpoints, and what came of them.
 //! - [`pool`]: connections to endpoints and the platform.
 //! - [`dialect`]: names of the headers that endpoints and callers speak.
+//! - [`native`]: the product's own dialect.
 //! - [`surroundings`]: the platform, as functions.
 //! - [`follow`]: keeps the copies of the platform's tables up to date.
 //! - [`peers`]: the other instances, over Cap'n Proto.
@@ -27,6 +28,7 @@
 pub mod driver;
 pub mod follow;
 pub mod front;
+pub mod native;
 pub mod peers;
 pub mod pool;
 pub mod server;
--- /dev/null
+++ b/crates/relay/src/native.rs
@@ -0,0 +1,127 @@
+//! The product's own dialect: names of headers, and bodies of piece calls.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::HeaderName;
+use peatdeck_core::relay::model::{Handle, Piece, PieceFailure, PieceResult};
+use peatdeck_macros::message;
+
+use crate::dialect::{Dialect, Names, Order};
+
+/// A call for pieces.
+#[message]
+pub struct MakeBody {
+    /// The pieces.
+    pub pieces: Vec<PieceBody>,
+}
+
+/// One piece of a call.
+#[message]
+pub struct PieceBody {
+    /// The caller's id of the request.
+    pub request: Arc<str>,
+    /// The stage's position in its route.
+    pub stage: u16,
+    /// The piece's number within the stage.
+    pub number: u16,
+    /// Time until the caller gives up.
+    pub remaining_ms: u64,
+    /// What it is made from, where the stage follows no other.
+    pub key: Option<Arc<str>>,
+    /// The results that it is made from, where the stage follows others.
+    pub inputs: Vec<Handle>,
+}
+
+/// The answer to a call for pieces, in their order.
+#[message]
+pub struct MadeBody {
+    /// The results.
+    pub results: Vec<ResultBody>,
+}
+
+/// What became of one piece.
+#[message]
+#[serde(rename_all = "snake_case")]
+pub enum ResultBody {
+    /// It was made; the result has this handle, `ip:port/name`.
+    Made(Handle),
+    /// Its time was over.
+    Late,
+    /// A result that it is made from is gone.
+    InputGone,
+    /// There was no room for its result.
+    NoRoom,
+    /// It failed.
+    Failed,
+}
+
+/// Results that are given up.
+#[message]
+pub struct FreeBody {
+    /// Their handles.
+    pub handles: Vec<Handle>,
+}
+
+/// How callers and endpoints that speak the product's own format are spoken
+/// to.
+pub fn dialect() -> Dialect {
+    let name = HeaderName::from_static;
+    Dialect {
+        names: Names {
+            request: name("peatdeck-request"),
+            deadline: name("peatdeck-deadline-ms"),
+            key: name("peatdeck-key"),
+            team: name("peatdeck-team"),
+            endpoint: name("peatdeck-endpoint"),
+            resume: name("last-event-id"),
+            unrun: name("peatdeck-not-run"),
+            load: name("peatdeck-load"),
+            seal: name("peatdeck-seal"),
+            rank: name("peatdeck-rank"),
+            tokens: name("peatdeck-tokens"),
+            parts: name("peatdeck-parts"),
+            pieces: name("peatdeck-pieces"),
+            piece_key: name("peatdeck-piece-key"),
+            inputs: name("peatdeck-inputs"),
+        },
+        make,
+        read_made,
+        free,
+    }
+}
+
+fn make(pieces: &[Piece], now: Duration) -> Order {
+    let pieces = pieces.iter().map(|piece| PieceBody {
+        request: piece.request.clone(),
+        stage: piece.stage,
+        number: piece.number,
+        remaining_ms: piece.due.saturating_sub(now).as_millis() as u64,
+        key: piece.key.clone(),
+        inputs: piece.inputs.clone(),
+    });
+    Order { path: "/v1/pieces", body: json(&MakeBody { pieces: pieces.collect() }) }
+}
+
+fn read_made(body: &[u8]) -> Option<Vec<PieceResult>> {
+    let made: MadeBody = serde_json::from_slice(body).ok()?;
+    Some(made.results.into_iter().map(result).collect())
+}
+
+fn free(handles: &[Handle]) -> Order {
+    Order { path: "/v1/pieces/free", body: json(&FreeBody { handles: handles.to_vec() }) }
+}
+
+fn result(body: ResultBody) -> PieceResult {
+    match body {
+        ResultBody::Made(handle) => Ok(handle),
+        ResultBody::Late => Err(PieceFailure::Late),
+        ResultBody::InputGone => Err(PieceFailure::InputGone),
+        ResultBody::NoRoom => Err(PieceFailure::NoRoom),
+        ResultBody::Failed => Err(PieceFailure::Failed),
+    }
+}
+
+fn json<T: serde::Serialize>(body: &T) -> Bytes {
+    Bytes::from(serde_json::to_vec(body).expect("the body has string keys only"))
+}
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -71,15 +71,45 @@
     shared: Arc<Shared>,
 }
 
-/// What a signal says.
+/// What an instance is told while it runs.
 #[derive(Debug, Clone, Copy)]
-enum Told {
+pub enum Told {
+    /// Finish what is held, then end.
     Stop,
+    /// The settings file has changed.
     Reload,
 }
 
-/// Runs a relay instance until it was told to stop and has finished what it
-/// held. `surroundings` is called on the event loop's thread.
+/// The sockets that an instance listens on.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers.
+    pub front: TcpListener,
+    /// For the balancer's question whether it takes requests.
+    pub ready: TcpListener,
+    /// For its metrics.
+    pub metrics: TcpListener,
+    /// For its peers.
+    pub peers: TcpListener,
+}
+
+impl Listeners {
+    /// Listens on the addresses of the settings.
+    ///
+    /// # Errors
+    /// The address that cannot be had.
+    pub fn bind(settings: &Settings) -> miette::Result<Listeners> {
+        Ok(Listeners {
+            front: bind("callers", settings.front)?,
+            ready: bind("readiness", settings.ready)?,
+            metrics: bind("metrics", settings.metrics)?,
+            peers: bind("peers", settings.peers)?,
+        })
+    }
+}
+
+/// Runs a relay instance until a signal told it to stop and it has finished
+/// what it held. `surroundings` is called on the event loop's thread.
 ///
 /// # Errors
 /// If an address cannot be bound or a signal cannot be taken.
@@ -87,16 +117,26 @@
     settings: Settings,
     surroundings: impl FnOnce(Rc<Pool>) -> Surroundings + Send + 'static,
 ) -> miette::Result<()> {
-    let front = bind("callers", settings.front)?;
-    let ready = bind("readiness", settings.ready)?;
-    let metrics_listener = bind("metrics", settings.metrics)?;
-    let peers = bind("peers", settings.peers)?;
+    let listeners = Listeners::bind(&settings)?;
     let (told, signals) = mpsc::unbounded();
     watch(SignalKind::terminate(), Told::Stop, &told)?;
     watch(SignalKind::interrupt(), Told::Stop, &told)?;
     watch(SignalKind::hangup(), Told::Reload, &told)?;
     log_start(&settings);
+    run_on(listeners, settings, signals, surroundings).await
+}
 
+/// The same on sockets that listen already, told by a channel.
+///
+/// # Errors
+/// If the server cannot be started.
+pub async fn run_on(
+    listeners: Listeners,
+    settings: Settings,
+    signals: mpsc::UnboundedReceiver<Told>,
+    surroundings: impl FnOnce(Rc<Pool>) -> Surroundings + Send + 'static,
+) -> miette::Result<()> {
+    let Listeners { front, ready, metrics: metrics_listener, peers } = listeners;
     let (exited, on_exit) = oneshot::channel();
     let metrics = Registry::new();
     let shared = Arc::new(Shared::default());
--- /dev/null
+++ b/crates/relay/tests/relay/main.rs
@@ -0,0 +1,12 @@
+//! A relay instance over real sockets, with stand-ins around it.
+
+#![allow(clippy::unwrap_used)]
+
+mod bodies;
+mod headers;
+mod peers;
+mod replies;
+mod standins;
+mod stop;
+mod store;
+mod streams;
