--- a/crates/relay/tests/relay/replies.rs
+++ b/crates/relay/tests/relay/replies.rs
@@ -23,7 +23,7 @@
     let desk = Desk::start(|_, conn| {
         while let Some(request) = conn.read_request() {
             let id = request.id();
-            conn.write(&(whole(&id, 200, "first") + &whole(&id, 200, "second")));
+            conn.write(&[whole(&id, 200, "first"), whole(&id, 200, "second")].concat());
         }
     });
     let site = Site::start(&[desk]);
--- a/crates/relay/tests/relay/streams.rs
+++ b/crates/relay/tests/relay/streams.rs
@@ -21,7 +21,7 @@
     let rx = std::sync::Mutex::new(rx);
     let site = Site::start(&[Desk::start(move |_, conn| {
         let request = conn.read_request().unwrap();
-        conn.write(&(stream_head(&request.id()) + &chunk(1)));
+        conn.write(&[stream_head(&request.id()), chunk(1)].concat());
         rx.lock().unwrap().recv().unwrap();
         conn.write(&(chunk(2) + END));
     })]);
@@ -38,7 +38,7 @@
 fn a_cut_stream_has_no_end_and_no_other_bytes() {
     let site = Site::start(&[Desk::start(|_, conn| {
         let request = conn.read_request().unwrap();
-        conn.write(&(stream_head(&request.id()) + &events(2)));
+        conn.write(&[stream_head(&request.id()), events(2)].concat());
         conn.close();
     })]);
     let mut conn = Conn::open(site.relay.front);
@@ -53,7 +53,8 @@
 fn half_an_event_is_never_passed_on() {
     let site = Site::start(&[Desk::start(|_, conn| {
         let request = conn.read_request().unwrap();
-        conn.write(&(stream_head(&request.id()) + &events(1) + "8\r\nid: 2\nda\r\n"));
+        let half = "8\r\nid: 2\nda\r\n".to_owned();
+        conn.write(&[stream_head(&request.id()), events(1), half].concat());
         conn.close();
     })]);
     let mut conn = Conn::open(site.relay.front);
@@ -92,7 +93,7 @@
     let (tx, rx) = mpsc::channel();
     let site = Site::start(&[Desk::start(move |_, conn| {
         let request = conn.read_request().unwrap();
-        conn.write(&(stream_head(&request.id()) + &chunk(1)));
+        conn.write(&[stream_head(&request.id()), chunk(1)].concat());
         conn.read_to_end();
         tx.send(()).unwrap();
     })]);
