Turn pieces away that cannot be made in time

Change: the batcher estimates the wait behind more urgent pieces; a request whose first pieces cannot be made before they are due is told 503 at once, with when to come back. Nothing of it has run then, so this is true; once any piece may have been made it is told 502 or 504.

--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -143,6 +143,11 @@
 }
 
 impl Batches {
+    /// A piece that is not taken in, since it cannot be made in time.
+    pub fn turn_away(piece: Piece, origin: Origin) -> Finished {
+        Finished { origin, piece, result: Err(PieceFailure::Late), endpoint: None }
+    }
+
     /// Takes in a piece.
     pub fn add(&mut self, piece: Piece, origin: Origin) {
         let service = piece.service.clone();
@@ -192,8 +197,27 @@
         shape.call_time + shape.piece_time * u32::try_from(pieces).unwrap_or(u32::MAX)
     }
 
-    /// Takes out waiting pieces that cannot be made before their caller gives
-    /// up.
+    /// Whether a piece that comes now can be made before it is due, behind
+    /// those that are more urgent.
+    pub fn is_feasible(
+        &self,
+        now: Duration,
+        piece: &Piece,
+        shape: &Pieces,
+        directory: &Directory,
+    ) -> bool {
+        let waiting = self.waiting.get(&piece.service).map_or(&[][..], Vec::as_slice);
+        let is_ahead = |key: &&PieceKey| self.pieces[**key].piece.aim <= piece.aim;
+        let ahead = waiting.iter().filter(is_ahead).count();
+        let endpoints = directory.usable(now, &piece.service).len().max(1);
+        let batch = shape.batch as usize;
+        let calls = ahead as f64 / (endpoints * batch) as f64;
+        let wait = Batches::call_time(shape, batch).mul_f64(calls);
+        now + wait + Batches::call_time(shape, 1) <= piece.due
+    }
+
+    /// Takes out waiting pieces that cannot be made any more before they are
+    /// due.
     pub fn take_late(&mut self, now: Duration, service: &str, shape: &Pieces) -> Vec<Finished> {
         let Some(waiting) = self.waiting.get_mut(service) else { return Vec::new() };
         let earliest = now + Batches::call_time(shape, 1);
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -18,7 +18,7 @@
         allowance::{Allowance, Bound},
         batch::{Batches, Finished, Origin},
         choice,
-        config::{Config, Route},
+        config::{Config, Pieces, Route},
         directory::{Change, Directory},
         exchange::{CallState, Exchange, ExchangeOf},
         graph::{Graph, Made},
@@ -40,6 +40,11 @@
 const SHORTEST_AWAY: Duration = Duration::from_millis(50);
 /// Time until an endpoint that failed is usable again, as callers are told.
 const USUAL_AWAY: Duration = Duration::from_millis(400);
+/// Time until a queue that is too long has got shorter, as callers are told:
+/// about half of a burst.
+const LONG_AWAY: Duration = Duration::from_secs(3);
+/// Share of the usual time behind a stage that is needed at the least.
+const LEAST_SHARE: f64 = 0.5;
 /// Nothing is sent to an endpoint with less time than this.
 const SHORTEST_CALL: Duration = Duration::from_millis(5);
 /// Time that a generation needs behind its stages until its first token, on
@@ -95,6 +100,13 @@
     actions: Vec<Action>,
 }
 
+/// Time that is needed behind a stage until the first byte of an answer.
+#[derive(Debug, Clone, Copy)]
+struct Rest {
+    usual: Duration,
+    least: Duration,
+}
+
 /// A peer's pieces that are being made here.
 #[derive(Debug)]
 struct Ticket {
@@ -370,10 +382,12 @@
     /// A peer hands over pieces. Their results are returned under `ticket`.
     pub fn take_over(&mut self, now: Duration, ticket: u64, pieces: Vec<Piece>) {
         self.tickets.insert(ticket, Ticket { results: vec![None; pieces.len()] });
-        for (index, piece) in pieces.into_iter().enumerate() {
-            self.earn(now, &piece.service.clone(), 1);
-            self.batches.add(piece, Origin::Peer { ticket, index });
+        for piece in &pieces {
+            self.earn(now, &piece.service, 1);
         }
+        let origin = |index| Origin::Peer { ticket, index };
+        let pieces = pieces.into_iter().enumerate();
+        self.admit(now, pieces.map(|(index, piece)| (piece, origin(index))).collect());
         self.make_all(now);
     }
 
@@ -408,6 +422,8 @@
             }
             None => {
                 for (exchange, piece) in pieces {
+                    // The peer may have had some of them made.
+                    self.note_run(exchange);
                     self.batches.add(piece, Origin::Own(exchange));
                 }
             }
@@ -440,14 +456,24 @@
 
     fn time_out(&mut self, now: Duration, key: ExchangeKey) {
         let Some(exchange) = self.exchanges.get(key) else { return };
-        let (has_run, call) = (exchange.has_run || exchange.was_called, exchange.call);
+        let is_making = !exchange.graph.is_complete();
+        let (has_run, call) =
+            (is_making || exchange.has_run || exchange.was_called, exchange.call);
         if let Some(call) = call {
             self.cancel(now, call);
         }
-        let refusal = if has_run || call.is_some() { Refusal::TimedOut } else { Refusal::Infeasible };
+        let refusal =
+            if has_run || call.is_some() { Refusal::TimedOut } else { Refusal::Infeasible };
         self.give_up(now, key, refusal);
     }
 
+    /// Some of an exchange's work may have been done.
+    fn note_run(&mut self, key: ExchangeKey) {
+        if let Some(exchange) = self.exchanges.get_mut(key) {
+            exchange.has_run = true;
+        }
+    }
+
     /// Goes on with an exchange: its next stages, or its call.
     fn advance(&mut self, now: Duration, key: ExchangeKey) {
         let exchange = &mut self.exchanges[key];
@@ -460,8 +486,8 @@
 
     fn start_stages(&mut self, now: Duration, key: ExchangeKey) {
         self.find_home(now, key);
-        loop {
-            let exchange = &mut self.exchanges[key];
+        // Starting a stage may end the exchange: there may be no time for it.
+        while let Some(exchange) = self.exchanges.get_mut(key) {
             let route = exchange.route.clone();
             let ready = exchange.graph.start_ready(&route, LARGE_RESULT);
             if ready.is_empty() {
@@ -478,17 +504,18 @@
     }
 
     fn start_stage(&mut self, now: Duration, key: ExchangeKey, stage: usize) {
-        let exchange = &self.exchanges[key];
-        let route = exchange.route.clone();
-        let pieces = exchange.new_pieces(stage, self.rest_after(exchange, stage));
-        let service = route.stages[stage].service.clone();
-        self.exchanges[key].has_run = true;
+        let Some(exchange) = self.exchanges.get(key) else { return };
+        let service = exchange.route.stages[stage].service.clone();
+        let rest = Rest {
+            usual: self.rest_after(exchange, stage, &|time| time),
+            least: self.rest_after(exchange, stage, &|time| time.mul_f64(LEAST_SHARE)),
+        };
+        let pieces = exchange.new_pieces(stage, rest);
         match self.owner(&service) {
             None => {
                 self.earn(now, &service, pieces.len() as u32);
-                for piece in pieces {
-                    self.batches.add(piece, Origin::Own(key));
-                }
+                let pieces = pieces.into_iter().map(|piece| (piece, Origin::Own(key)));
+                self.admit(now, pieces.collect());
             }
             Some(peer) => self.hand_over(key, peer, pieces),
         }
@@ -511,22 +538,48 @@
         (weight(best) > own || !self.is_batching).then(|| best.clone())
     }
 
+    /// Takes in pieces, but those that cannot be made in time: their callers
+    /// hear it at once, while they can still come back.
+    fn admit(&mut self, now: Duration, pieces: Vec<(Piece, Origin)>) {
+        let mut late = Vec::new();
+        for (piece, origin) in pieces {
+            let is_feasible = self.shape(&piece.service).is_none_or(|shape| {
+                self.batches.is_feasible(now, &piece, &shape, &self.directory)
+            });
+            match is_feasible {
+                true => self.batches.add(piece, origin),
+                false => late.push(Batches::turn_away(piece, origin)),
+            }
+        }
+        self.take_finished(now, late);
+    }
+
+    fn shape(&self, service: &str) -> Option<Pieces> {
+        self.config.as_ref()?.services.get(service)?.pieces
+    }
+
     /// Time that is needed behind a stage until the first byte of an answer.
-    fn rest_after(&self, exchange: &Exchange, stage: usize) -> Duration {
+    /// `adapt` turns a stage's usual time into the one that counts.
+    fn rest_after(
+        &self,
+        exchange: &Exchange,
+        stage: usize,
+        adapt: &dyn Fn(Duration) -> Duration,
+    ) -> Duration {
         let route = &exchange.route;
         let followers = (0..route.stages.len()).filter(|next| {
             route.stages[*next].after.contains(&stage) && exchange.graph.pieces(*next) > 0
         });
         let longest = followers.map(|next| {
-            self.stage_time(&route.stages[next].service) + self.rest_after(exchange, next)
+            let time = adapt(self.stage_time(&route.stages[next].service));
+            time + self.rest_after(exchange, next, adapt)
         });
-        longest.max().unwrap_or_else(|| generation_time(exchange))
+        longest.max().unwrap_or_else(|| adapt(generation_time(exchange)))
     }
 
     /// The usual time of a stage: half a call's wait and a half full call.
     fn stage_time(&self, service: &str) -> Duration {
-        let service = self.config.as_ref().and_then(|config| config.services.get(service));
-        let Some(shape) = service.and_then(|service| service.pieces) else { return Duration::ZERO };
+        let Some(shape) = self.shape(service) else { return Duration::ZERO };
         Batches::call_time(&shape, shape.batch as usize / 2) + shape.call_time / 2
     }
 
@@ -539,10 +592,7 @@
 
     /// Sends what waits for a service to its idle endpoints.
     fn make(&mut self, now: Duration, service: &str) {
-        let Some(config) = &self.config else { return };
-        let Some(shape) = config.services.get(service).and_then(|service| service.pieces) else {
-            return;
-        };
+        let Some(shape) = self.shape(service) else { return };
         let late = self.batches.take_late(now, service, &shape);
         self.take_finished(now, late);
         for order in self.batches.plan(now, service, &shape, &self.directory) {
@@ -609,6 +659,7 @@
             self.free_stray(one);
             return;
         };
+        exchange.has_run |= one.result != Err(PieceFailure::Late);
         match one.result {
             Ok(handle) => {
                 let place = self.directory.place_of(&handle, one.endpoint);
@@ -850,14 +901,15 @@
             self.close(key);
             return;
         }
-        let has_run = exchange.has_run || exchange.was_called;
+        let has_run = exchange.has_run || exchange.was_called || refusal == Refusal::TimedOut;
         let refusal = match refusal {
             Refusal::Infeasible | Refusal::Unserved if has_run => Refusal::Failed,
             other => other,
         };
+        let usual = if refusal == Refusal::Infeasible { LONG_AWAY } else { USUAL_AWAY };
         let may_come_back = !has_run || exchange.route.kind.may_repeat();
         let remaining = exchange.due.saturating_sub(now);
-        let away = USUAL_AWAY.min(remaining.mul_f64(AWAY_SHARE));
+        let away = usual.min(remaining.mul_f64(AWAY_SHARE));
         let retry_after = (may_come_back && away >= SHORTEST_AWAY).then_some(away);
         self.actions.push(Action::Refuse { exchange: key, refusal, retry_after });
         self.close(key);
@@ -995,7 +1047,7 @@
 
 impl Exchange {
     /// The pieces of a stage. `rest` is the time that is needed behind it.
-    fn new_pieces(&self, stage: usize, rest: Duration) -> Vec<Piece> {
+    fn new_pieces(&self, stage: usize, rest: Rest) -> Vec<Piece> {
         let Route { stages, .. } = &*self.route;
         let inputs = self.graph.inputs(&self.route, stage);
         let key = if inputs.is_empty() { self.arrival.piece_key.clone() } else { None };
@@ -1008,8 +1060,8 @@
             key: key.clone(),
             inputs: inputs.clone(),
             bytes: stages[stage].bytes,
-            due: self.due,
-            aim: self.aim.saturating_sub(rest),
+            due: self.due.saturating_sub(rest.least),
+            aim: self.aim.saturating_sub(rest.usual),
             priority: self.priority,
             home: home.clone(),
             tries: 0,
