Peers find removals that they missed; callers of an instance that ends are told

Changes: a copy knows from where on it knows every change; whoever asks from before that gets all records and finds missing keys itself. At the end of the grace, callers that hold no part of an answer get 502 or 503. The test for the first fails without the change (a_removal_is_found_in_what_a_new_copy_tells).

--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -245,6 +245,21 @@
         Ok(key)
     }
 
+    /// Ends all exchanges: the instance is about to end. Callers that hold no
+    /// part of an answer are told, instead of being cut off.
+    pub fn end_all(&mut self, now: Duration) {
+        for key in self.exchanges.keys().collect::<Vec<_>>() {
+            if let Some(call) = self.exchanges[key].call {
+                self.cancel(now, call);
+                self.note_run(key);
+            }
+            if !self.exchanges[key].graph.is_complete() {
+                self.note_run(key);
+            }
+            self.give_up(now, key, Refusal::Unserved);
+        }
+    }
+
     /// A caller has gone before its answer was whole.
     pub fn leave(&mut self, now: Duration, key: ExchangeKey) {
         if let Some(call) = self.exchanges.get(key).and_then(|exchange| exchange.call) {
--- a/crates/core/src/relay/table.rs
+++ b/crates/core/src/relay/table.rs
@@ -21,10 +21,27 @@
     pub value: Option<Bytes>,
 }
 
+/// What one copy of a table tells another.
+#[data]
+pub struct Delta {
+    /// The end of the asker's copy.
+    pub from: u64,
+    /// The end of the copy that tells; 0 if it has nothing to tell.
+    pub end: u64,
+    /// Whether these are the newest records of all keys, not only those behind
+    /// `from`.
+    pub is_whole: bool,
+    /// The records.
+    pub records: Vec<Record>,
+}
+
 /// A copy of a table.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
     records: HashMap<Arc<str>, Record>,
+    /// From here on the copy knows every change; of what was removed before,
+    /// it knows nothing.
+    base: u64,
     end: u64,
     is_known: bool,
 }
@@ -55,26 +72,43 @@
         let missing = self.missing(&records, end);
         let mut changed = self.follow(records, end);
         changed.extend(missing.into_iter().filter(|record| self.put(record)));
+        if !self.is_known {
+            self.base = end;
+        }
         self.is_known = true;
         changed
     }
 
-    /// The records behind `offset`, for a peer that has the table up to there.
-    pub fn since(&self, offset: u64) -> Vec<Record> {
-        let newer = self.records.values().filter(|record| record.offset >= offset);
-        let mut newer: Vec<_> = newer.cloned().collect();
-        newer.sort_unstable_by_key(|record| record.offset);
-        newer
+    /// What a copy lacks that ends at `from`. A copy that ends before this
+    /// one's base gets all records: of those that were removed in between this
+    /// one knows nothing, so the other has to find them missing.
+    pub fn delta(&self, from: u64) -> Delta {
+        if !self.is_known || self.end <= from {
+            return Delta { from, end: 0, is_whole: false, records: Vec::new() };
+        }
+        let is_whole = from < self.base;
+        let is_told = |record: &&Record| match is_whole {
+            true => record.value.is_some(),
+            false => record.offset >= from,
+        };
+        let mut records: Vec<_> = self.records.values().filter(is_told).cloned().collect();
+        records.sort_unstable_by_key(|record| record.offset);
+        Delta { from, end: self.end, is_whole, records }
     }
 
-    /// Takes in what a peer told that knew the table up to `end`, asked for
-    /// what is behind `from`. Nothing is taken in if that leaves a gap.
-    pub fn merge(&mut self, from: u64, records: Vec<Record>, end: u64) -> Vec<Record> {
-        if from > self.end || end <= self.end {
+    /// Takes in what another copy told. Nothing is taken in that is older than
+    /// this copy, or that leaves a gap. Returns what changed.
+    pub fn merge(&mut self, delta: Delta) -> Vec<Record> {
+        if delta.end <= self.end {
             return Vec::new();
         }
-        self.is_known = true;
-        self.follow(records, end)
+        if delta.is_whole {
+            return self.replace(delta.records, delta.end);
+        }
+        if !self.is_known || delta.from > self.end {
+            return Vec::new();
+        }
+        self.follow(delta.records, delta.end)
     }
 
     fn missing(&self, records: &[Record], end: u64) -> Vec<Record> {
--- a/crates/core/tests/testsuite/relay/calls.rs
+++ b/crates/core/tests/testsuite/relay/calls.rs
@@ -216,3 +216,15 @@
     world.advance(ms(0));
     assert_eq!(world.relay.open_exchanges(), 0);
 }
+
+#[test]
+fn callers_of_an_instance_that_ends_are_told() {
+    let mut world = World::plain(Kind::Once);
+    world.arrive(arrival("1", "r"));
+    let call = world.call();
+    world.relay.end_all(world.now);
+    world.collect();
+    assert_eq!(world.refusals(), ["502 failed never"]);
+    assert_eq!(world.actions, [Action::Cancel(call.key)]);
+    assert_eq!(world.relay.open_exchanges(), 0);
+}
--- a/crates/core/tests/testsuite/relay/table.rs
+++ b/crates/core/tests/testsuite/relay/table.rs
@@ -51,22 +51,42 @@
 
 #[test]
 fn a_peer_fills_a_table_that_was_never_read() {
-    let told = known().since(0);
     let mut table = Table::default();
-    assert_eq!(keys(&table.merge(0, told, 4)), ["a=1", "b=3"]);
+    assert_eq!(keys(&table.merge(known().delta(0))), ["a=1", "b=3"]);
     assert!(table.is_known());
+    assert_eq!(table.end(), 4);
 }
 
 #[test]
 fn what_leaves_a_gap_is_not_taken_in() {
+    let mut other = known();
+    other.follow(vec![record("c", 7, Some("7"))], 8);
     let mut table = known();
-    assert!(table.merge(6, vec![record("c", 7, Some("7"))], 8).is_empty());
+    assert!(table.merge(other.delta(6)).is_empty());
     assert_eq!(table.end(), 4);
+    assert_eq!(keys(&table.merge(other.delta(4))), ["c=7"]);
 }
 
 #[test]
 fn removals_reach_peers() {
+    let mut other = known();
+    other.follow(vec![record("a", 5, None)], 6);
+    assert_eq!(keys(&known().merge(other.delta(4))), ["a gone"]);
+}
+
+/// An instance that starts after a key was removed, and after the log that
+/// said so was dropped, has never seen that key.
+#[test]
+fn a_removal_is_found_in_what_a_new_copy_tells() {
     let mut table = known();
-    table.follow(vec![record("a", 5, None)], 6);
-    assert_eq!(keys(&table.since(4)), ["a gone"]);
+    let mut new = Table::default();
+    new.replace(vec![record("b", 3, Some("3"))], 5);
+    assert_eq!(keys(&table.merge(new.delta(4))), ["a gone"]);
+}
+
+#[test]
+fn a_removal_that_was_found_missing_reaches_peers() {
+    let mut other = known();
+    other.replace(vec![record("b", 3, Some("3"))], 5);
+    assert_eq!(keys(&known().merge(other.delta(4))), ["a gone"]);
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -14,9 +14,8 @@
 
 use peatdeck_core::relay::{
     readers,
-    table::{Record, Table},
+    table::{Delta, Record, Table},
 };
-use peatdeck_wire::relay::Delta;
 use rand::Rng;
 
 use crate::{
@@ -75,17 +74,10 @@
     /// What a peer lacks that has the tables up to `ends`.
     pub fn since(&self, ends: &[u64]) -> Vec<Delta> {
         let pairs = self.copies.iter().zip(ends);
-        pairs.map(|(copy, from)| delta(&copy.borrow(), *from)).collect()
+        pairs.map(|(copy, from)| copy.borrow().delta(*from)).collect()
     }
 }
 
-fn delta(table: &Table, from: u64) -> Delta {
-    if !table.is_known() || table.end() <= from {
-        return Delta { from, end: 0, records: Vec::new() };
-    }
-    Delta { from, end: table.end(), records: table.since(from) }
-}
-
 /// Follows a table for as long as the process runs.
 pub async fn run(driver: Rc<Driver>, name: TableName) {
     let mut failures = 0_u32;
@@ -197,7 +189,7 @@
             driver.peers.tables.compare(name, at);
         }
         let copy = driver.peers.tables.copy(name);
-        let changed = copy.borrow_mut().merge(delta.from, delta.records, delta.end);
+        let changed = copy.borrow_mut().merge(delta);
         apply(driver, name, peer, changed);
     }
 }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -255,6 +255,8 @@
     tracing::info!(event = "stopping", open);
     driver.stop();
     finish(&driver).await;
+    driver.feed(Relay::end_all);
+    tokio::time::sleep(FLUSH).await;
     // The receiver waits for as long as the process runs.
     exited.send(()).ok();
 }
@@ -272,7 +274,6 @@
         }
         tokio::time::sleep(FINISH_PAUSE).await;
     }
-    tokio::time::sleep(FLUSH).await;
 }
 
 async fn prune(driver: Rc<Driver>) {
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -27,6 +27,8 @@
   # The end that the asker told; nothing between it and the records is missing.
   end @1 :UInt64;
   records @2 :List(Record);
+  isWhole @3 :Bool;
+  # Whether these are the newest records of all keys.
 }
 
 struct Record {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -8,26 +8,16 @@
 use bytes::Bytes;
 use peatdeck_core::relay::{
     model::{Handle, Piece, PieceFailure, PieceResult},
-    table::Record,
+    table::{Delta, Record},
 };
 
 use crate::{peer::Error, relay_capnp};
 
-/// What a peer told of one table.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Delta {
-    /// The end that was asked from.
-    pub from: u64,
-    /// The end of the peer's copy.
-    pub end: u64,
-    /// The records between.
-    pub records: Vec<Record>,
-}
-
 /// Writes what a peer lacks of a table.
 pub fn write_delta(delta: &Delta, mut to: relay_capnp::table::Builder<'_>) {
     to.set_from(delta.from);
     to.set_end(delta.end);
+    to.set_is_whole(delta.is_whole);
     let mut list = to.init_records(len(&delta.records));
     for (idx, record) in (0..).zip(&delta.records) {
         let mut to = list.reborrow().get(idx);
@@ -44,7 +34,8 @@
 /// Any [`Error`]: nothing of a damaged message is used.
 pub fn read_delta(from: relay_capnp::table::Reader<'_>) -> Result<Delta, Error> {
     let records = from.get_records()?.iter().map(read_record).collect::<Result<_, _>>()?;
-    Ok(Delta { from: from.get_from(), end: from.get_end(), records })
+    let (start, end, is_whole) = (from.get_from(), from.get_end(), from.get_is_whole());
+    Ok(Delta { from: start, end, is_whole, records })
 }
 
 /// Writes pieces.
--- a/crates/wire/src/relay_capnp.rs
+++ b/crates/wire/src/relay_capnp.rs
@@ -1864,11 +1864,15 @@
         pub fn has_records(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_is_whole(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1950,6 +1954,14 @@
         pub fn has_records(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_is_whole(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_is_whole(&mut self, value: bool)  {
+            self.builder.set_bool_field(128, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1961,45 +1973,52 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 66] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(98, 125, 2, 103, 167, 20, 69, 196),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 84, 97, 98, 108),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2028,12 +2047,21 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 87, 104, 111, 108, 101, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::struct_list::Owned<crate::relay_capnp::record::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2047,9 +2075,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,3,2];
         pub(crate) const TYPE_ID: u64 = 0xc445_14a7_6702_7d62;
     }
 }
