Explain a request from the logs of all instances; bounded logs

Each decision line now carries what decided it (version, age, load and its age, tokens); arrivals, hand-overs and changes of the peers have lines too. A second takes 1,500 lines at the most, the rest is counted. `peatdeck explain ID` follows a request through calls, hand-overs and tickets.

--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -3,7 +3,7 @@
 use bpaf::{OptionParser, Parser, construct};
 
 use crate::{
-    commands::{burn, check, drain, publish, replay, restore, show, status},
+    commands::{burn, check, drain, explain, publish, replay, restore, show, status},
     error::Error,
     shell::{Output, Shell},
 };
@@ -27,6 +27,8 @@
     Burn(burn::Args),
     /// `replay`.
     Replay(replay::Args),
+    /// `explain`.
+    Explain(explain::Args),
 }
 
 /// The command line.
@@ -39,7 +41,8 @@
     let status = status::cli().command("status").map(Command::Status);
     let burn = burn::cli().command("burn").map(Command::Burn);
     let replay = replay::cli().command("replay").map(Command::Replay);
-    construct!([check, publish, restore, show, drain, status, burn, replay])
+    let explain = explain::cli().command("explain").map(Command::Explain);
+    construct!([check, publish, restore, show, drain, status, burn, replay, explain])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operate peatdeck: publish configurations, drain endpoints, see what happens.")
@@ -72,5 +75,6 @@
         Command::Status(args) => status::exec(shell, args).await,
         Command::Burn(args) => burn::exec(shell, args).await,
         Command::Replay(args) => replay::exec(shell, args).await,
+        Command::Explain(args) => explain::exec(shell, args).await,
     }
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -40,6 +40,13 @@
         /// What is wrong with it.
         cause: trace::Error,
     },
+    /// No log line tells of a request.
+    #[error("no line of these files tells of the request {id}")]
+    #[diagnostic(help("give the log files of all instances, from before the request came"))]
+    NoTrace {
+        /// The request's id.
+        id: String,
+    },
     /// The document is not valid.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -87,7 +94,7 @@
             Error::File { .. } | Error::Write { .. } | Error::Unreachable { .. } => {
                 exit::Code::Failed
             }
-            Error::Trace { .. } => exit::Code::Failed,
+            Error::Trace { .. } | Error::NoTrace { .. } => exit::Code::Failed,
             Error::Source(_) => exit::Code::Invalid,
             Error::NoAnswer { in_doubt: true, .. } => exit::Code::Unknown,
             Error::NoAnswer { .. } | Error::Unreadable { .. } => exit::Code::Failed,
--- a/crates/cli/src/ops.rs
+++ b/crates/cli/src/ops.rs
@@ -6,4 +6,5 @@
 
 pub mod burn;
 pub mod client;
+pub mod explain;
 pub mod source;
--- /dev/null
+++ b/crates/cli/src/ops/explain.rs
@@ -0,0 +1,104 @@
+//! One request's story out of log files.
+//!
+//! A line tells of a request if it names its id, or if it tells of a call or a
+//! hand-over that an earlier line of the same instance connected with it.
+//! Those are followed too, so the pieces that another instance had made are
+//! part of the story.
+
+use std::{collections::HashSet, fs, path::Path};
+
+use peatdeck_macros::message;
+use serde_json::{Map, Value};
+
+use crate::error::Error;
+
+/// Fields that name something which later lines tell more about.
+const LINKS: [&str; 3] = ["call", "handover", "ticket"];
+/// Fields that may hold the request's id.
+const NAMES: [&str; 2] = ["id", "pieces"];
+
+/// One line of the story.
+#[message]
+pub struct Line {
+    /// When it was logged, by that instance's clock.
+    pub time: String,
+    /// The instance, as the file or the line's prefix names it.
+    pub instance: String,
+    /// What happened.
+    pub event: String,
+    /// All other fields.
+    pub fields: Map<String, Value>,
+}
+
+/// The lines of all files that tell of a request, by time.
+///
+/// # Errors
+/// [`Error::File`] if a file cannot be read.
+pub fn story(id: &str, files: &[String]) -> Result<Vec<Line>, Error> {
+    let mut lines = Vec::new();
+    for path in files {
+        let text =
+            fs::read_to_string(path).map_err(|cause| Error::File { path: path.clone(), cause })?;
+        let name = Path::new(path).file_stem().unwrap_or_default().to_string_lossy();
+        lines.extend(text.lines().filter_map(|line| parse(&name, line)));
+    }
+    let mut known = HashSet::new();
+    let mut told: Vec<_> = lines.into_iter().filter(|line| tells(line, id, &mut known)).collect();
+    told.sort_by(|a, b| a.time.cmp(&b.time));
+    Ok(told)
+}
+
+/// The story as text.
+pub fn render(lines: &[Line]) -> String {
+    let width = lines.iter().map(|line| line.instance.len()).max().unwrap_or(0);
+    let mut text = String::new();
+    for line in lines {
+        let Line { time, instance, event, .. } = line;
+        let clock = time.split_once('T').map_or(&**time, |(_, clock)| clock);
+        text += &format!("{clock}  {instance:width$}  {event:14}{}\n", show(&line.fields));
+    }
+    text
+}
+
+fn show(fields: &Map<String, Value>) -> String {
+    let shown = fields.iter().filter(|(_, value)| !value.is_null());
+    let field = |(name, value): (&String, &Value)| match value {
+        Value::String(text) => format!(" {name}={text}"),
+        other => format!(" {name}={other}"),
+    };
+    shown.map(field).collect()
+}
+
+/// Reads a line. A collector may have put a time and the instance's name in
+/// front of the JSON.
+fn parse(file: &str, line: &str) -> Option<Line> {
+    let (prefix, json) = line.split_at(line.find('{')?);
+    let mut fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+    let take = |fields: &mut Map<String, Value>, name: &str| {
+        fields.remove(name).and_then(|value| value.as_str().map(str::to_owned))
+    };
+    let time = take(&mut fields, "timestamp")?;
+    let event = take(&mut fields, "event")?;
+    let instance = prefix.split_whitespace().last().unwrap_or(file).to_owned();
+    Some(Line { time, instance, event, fields })
+}
+
+fn tells(line: &Line, id: &str, known: &mut HashSet<(String, String)>) -> bool {
+    let field = |name: &str| line.fields.get(name);
+    let text = |name: &str| field(name).map(|value| value.to_string());
+    let link = |name: &str| {
+        text(name).map(|value| (line.instance.clone(), format!("{name} {value}")))
+    };
+    let names_it = NAMES.iter().filter_map(|name| field(name)?.as_str());
+    let is_named = names_it.flat_map(str::split_whitespace).any(|name| is_of(name, id));
+    let is_linked = LINKS.iter().filter_map(|name| link(name)).any(|link| known.contains(&link));
+    if is_named {
+        known.extend(LINKS.iter().filter_map(|name| link(name)));
+    }
+    is_named || is_linked
+}
+
+/// Whether a name is the request's id, or that of one of its pieces.
+fn is_of(name: &str, id: &str) -> bool {
+    name.strip_prefix(id).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
--- /dev/null
+++ b/crates/cli/tests/testsuite/explain.rs
@@ -0,0 +1,56 @@
+//! `peatdeck explain`: one request's story across instances.
+
+use expect_test::expect;
+
+use crate::support::{self, Bench};
+
+const ASKED: &str = r#"
+{"timestamp":"2026-05-01T04:00:01.000000Z","level":"INFO","event":"arrive","id":"r1","route":"draft","version":7,"age_ms":120}
+{"timestamp":"2026-05-01T04:00:01.001000Z","level":"INFO","event":"hand_over","id":"r1","handover":"HandoverKey(3v1)","peer":"edge-2","stage":0,"count":2}
+{"timestamp":"2026-05-01T04:00:01.002000Z","level":"INFO","event":"arrive","id":"r11","route":"draft","version":7,"age_ms":121}
+{"timestamp":"2026-05-01T04:00:01.500000Z","level":"WARN","event":"handover_failed","handover":"HandoverKey(3v1)","peer":"edge-2","error":"the peer did not answer in time"}
+{"timestamp":"2026-05-01T04:00:01.900000Z","level":"WARN","event":"refuse","id":"r1","reason":"failed","status":502,"retry_ms":null}
+this line is no JSON
+"#;
+
+/// As a collector writes it: a time and the instance before each line.
+const MADE: &str = r#"
+ 1.0011 edge-2 {"timestamp":"2026-05-01T04:00:01.001500Z","level":"INFO","event":"take_over","id":"r1","ticket":9,"stage":0,"count":2}
+ 1.0012 edge-2 {"timestamp":"2026-05-01T04:00:01.001600Z","level":"INFO","event":"make","call":"CallKey(1v1)","endpoint":"l1","pieces":"r0/0/0 r1/0/0 r1/0/1"}
+ 1.0013 edge-2 {"timestamp":"2026-05-01T04:00:01.001700Z","level":"INFO","event":"make","call":"CallKey(2v1)","endpoint":"l2","pieces":"r11/0/0"}
+ 1.4000 edge-2 {"timestamp":"2026-05-01T04:00:01.400000Z","level":"INFO","event":"made","call":"CallKey(1v1)","endpoint":"l1","took_ms":398}
+ 1.4100 edge-2 {"timestamp":"2026-05-01T04:00:01.410000Z","level":"INFO","event":"made","call":"CallKey(2v1)","endpoint":"l2","took_ms":408}
+ 1.4200 edge-2 {"timestamp":"2026-05-01T04:00:01.420000Z","level":"INFO","event":"return","ticket":9,"count":2}
+"#;
+
+#[ntex::test]
+async fn a_story_is_told_in_order_across_instances() {
+    let bench = Bench::start("explain-story").await;
+    let (asked, made) = (bench.file("edge-1.log", ASKED), bench.file("all.log", MADE));
+    let shown = support::run(None, &["explain", "r1", &asked, &made]).await;
+    expect![[r#"
+        exit 0
+        04:00:01.000000Z  edge-1  arrive         age_ms=120 id=r1 level=INFO route=draft version=7
+        04:00:01.001000Z  edge-1  hand_over      count=2 handover=HandoverKey(3v1) id=r1 level=INFO peer=edge-2 stage=0
+        04:00:01.001500Z  edge-2  take_over      count=2 id=r1 level=INFO stage=0 ticket=9
+        04:00:01.001600Z  edge-2  make           call=CallKey(1v1) endpoint=l1 level=INFO pieces=r0/0/0 r1/0/0 r1/0/1
+        04:00:01.400000Z  edge-2  made           call=CallKey(1v1) endpoint=l1 level=INFO took_ms=398
+        04:00:01.420000Z  edge-2  return         count=2 level=INFO ticket=9
+        04:00:01.500000Z  edge-1  handover_failed error=the peer did not answer in time handover=HandoverKey(3v1) level=WARN peer=edge-2
+        04:00:01.900000Z  edge-1  refuse         id=r1 level=WARN reason=failed status=502
+    "#]]
+    .assert_eq(&shown);
+}
+
+#[ntex::test]
+async fn a_request_that_nobody_saw_is_told_so() {
+    let bench = Bench::start("explain-none").await;
+    let asked = bench.file("edge-1.log", ASKED);
+    let shown = support::run(None, &["explain", "r2", &asked]).await;
+    expect![[r#"
+        exit 1
+          x no line of these files tells of the request r2
+          help: give the log files of all instances, from before the request came
+    "#]]
+    .assert_eq(&shown);
+}
--- a/crates/cli/tests/testsuite/main.rs
+++ b/crates/cli/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod burn;
 mod check;
 mod drain;
+mod explain;
 mod publish;
 mod replay;
 mod restore;
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -45,4 +45,4 @@
 mod exchange;
 mod machine;
 
-pub use machine::{Relay, Settings};
+pub use machine::{Relay, Settings, Taken};
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -130,8 +130,7 @@
     let untried = usable.filter(|key| !wanted.tried.contains(key));
     let known = untried.filter_map(|key| Some((key, directory.get(key)?)));
     let free = known.filter(|(_, endpoint)| endpoint.in_flight < wanted.limit);
-    let (paused, sound): (Vec<_>, Vec<_>) =
-        free.partition(|(_, endpoint)| endpoint.is_paused(now));
+    let (paused, sound): (Vec<_>, Vec<_>) = free.partition(|(_, endpoint)| endpoint.is_paused(now));
     if sound.is_empty() { paused } else { sound }
 }
 
@@ -158,9 +157,8 @@
 
 /// The engine that all instances agree on for a part.
 fn owner(candidates: &[(EndpointKey, &Endpoint)], part: &Part) -> Option<EndpointKey> {
-    let weight = |endpoint: &Endpoint| {
-        xxh3::xxh3_64_with_seed(endpoint.entry.name.as_bytes(), part.id)
-    };
+    let weight =
+        |endpoint: &Endpoint| xxh3::xxh3_64_with_seed(endpoint.entry.name.as_bytes(), part.id);
     let first = candidates.iter().max_by_key(|(_, endpoint)| weight(endpoint));
     first.map(|(key, _)| *key)
 }
--- a/crates/core/src/relay/config.rs
+++ b/crates/core/src/relay/config.rs
@@ -4,10 +4,7 @@
 
 use peatdeck_macros::{data, id};
 
-use crate::{
-    model::TeamName,
-    relay::model::ServiceName,
-};
+use crate::{model::TeamName, relay::model::ServiceName};
 
 /// One version of the configuration.
 #[data]
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -124,6 +124,11 @@
         self.in_flight.max(load.running + load.queued + self.sent_since)
     }
 
+    /// How old the newest report of its load is.
+    pub fn load_age(&self, now: Duration) -> Option<Duration> {
+        self.load.map(|(at, _)| now.saturating_sub(at))
+    }
+
     /// How full it is: calls for each place.
     pub fn fullness(&self, now: Duration) -> f64 {
         f64::from(self.calls(now)) / f64::from(self.entry.slots.max(1))
--- a/crates/core/src/relay/graph.rs
+++ b/crates/core/src/relay/graph.rs
@@ -2,10 +2,7 @@
 
 use crate::{
     model::DataCentre,
-    relay::{
-        config::Route,
-        model::Handle,
-    },
+    relay::{config::Route, model::Handle},
 };
 
 /// A result and where it lies.
@@ -88,9 +85,8 @@
 
     /// Whether all stages that others follow have been started, but for one.
     fn has_started_chain(&self, route: &Route, but: usize) -> bool {
-        let inner = (0..self.stages.len()).filter(|idx| {
-            *idx != but && self.followers(route, *idx).next().is_some()
-        });
+        let inner = (0..self.stages.len())
+            .filter(|idx| *idx != but && self.followers(route, *idx).next().is_some());
         inner.into_iter().all(|idx| self.stages[idx].is_started)
     }
 
@@ -124,11 +120,7 @@
         places.into_iter().map(|(place, bytes)| (place, bytes * pieces)).collect()
     }
 
-    fn places(
-        &self,
-        route: &Route,
-        stages: impl Iterator<Item = usize>,
-    ) -> Vec<(DataCentre, u64)> {
+    fn places(&self, route: &Route, stages: impl Iterator<Item = usize>) -> Vec<(DataCentre, u64)> {
         let mut places: Vec<(DataCentre, u64)> = Vec::new();
         for idx in stages {
             for place in self.stages[idx].results.iter().flatten().filter_map(|r| r.place.as_ref())
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3;
 
 use crate::{
-    model::{DataCentre, InstanceName, Load},
+    model::{DataCentre, InstanceName, Load, TeamName},
     relay::{
         allowance::{Allowance, Bound},
         batch::{Batches, Finished, Origin},
@@ -23,8 +23,8 @@
         exchange::{CallState, Exchange, ExchangeOf},
         graph::{Graph, Made},
         model::{
-            Action, Arrival, Call, CallKey, EndpointKey, ExchangeKey, Failure, Handle, HandoverKey,
-            Piece, PieceFailure, PieceResult, Refusal, ReplyHead, ServiceName,
+            Action, Arrival, Basis, Call, CallKey, EndpointKey, ExchangeKey, Failure, Handle,
+            HandoverKey, Piece, PieceFailure, PieceResult, Refusal, ReplyHead, ServiceName,
         },
     },
 };
@@ -100,6 +100,21 @@
     actions: Vec<Action>,
 }
 
+/// What an arrival was taken in as.
+#[data]
+pub struct Taken {
+    /// The route.
+    pub route: Arc<str>,
+    /// The service that is to answer.
+    pub service: ServiceName,
+    /// The team.
+    pub team: Option<TeamName>,
+    /// How long it is kept waiting at the most.
+    pub wait: Duration,
+    /// Pieces of each stage.
+    pub pieces: Vec<u16>,
+}
+
 /// Time that is needed behind a stage until the first byte of an answer.
 #[derive(Debug, Clone, Copy)]
 struct Rest {
@@ -154,6 +169,19 @@
         &self.directory
     }
 
+    /// What became of an arrival, for a log line: its route, service, team and
+    /// whether it was taken in at all.
+    pub fn describe(&self, key: ExchangeKey) -> Option<Taken> {
+        let exchange = self.exchanges.get(key)?;
+        Some(Taken {
+            route: exchange.route.name.clone(),
+            service: exchange.service.clone(),
+            team: exchange.team.clone(),
+            wait: exchange.due.saturating_sub(exchange.started),
+            pieces: exchange.arrival.pieces.clone(),
+        })
+    }
+
     /// Exchanges that have not ended.
     pub fn open_exchanges(&self) -> usize {
         self.exchanges.len()
@@ -415,12 +443,7 @@
     }
 
     /// A peer returned the results of pieces; `None` if it cannot be reached.
-    pub fn returned(
-        &mut self,
-        now: Duration,
-        key: HandoverKey,
-        results: Option<Vec<PieceResult>>,
-    ) {
+    pub fn returned(&mut self, now: Duration, key: HandoverKey, results: Option<Vec<PieceResult>>) {
         let Some(pieces) = self.handovers.remove(key) else { return };
         let Some((exchange, _)) = pieces.first() else { return };
         if let Some(exchange) = self.exchanges.get_mut(*exchange) {
@@ -428,10 +451,11 @@
         }
         match results {
             Some(results) => {
-                let finished = pieces.into_iter().zip(results).map(|((exchange, piece), result)| {
-                    let origin = Origin::Own(exchange);
-                    Finished { origin, piece, result, endpoint: None }
-                });
+                let finished =
+                    pieces.into_iter().zip(results).map(|((exchange, piece), result)| {
+                        let origin = Origin::Own(exchange);
+                        Finished { origin, piece, result, endpoint: None }
+                    });
                 let finished = finished.collect();
                 self.take_finished(now, finished);
             }
@@ -472,8 +496,7 @@
     fn time_out(&mut self, now: Duration, key: ExchangeKey) {
         let Some(exchange) = self.exchanges.get(key) else { return };
         let is_making = !exchange.graph.is_complete();
-        let (has_run, call) =
-            (is_making || exchange.has_run || exchange.was_called, exchange.call);
+        let (has_run, call) = (is_making || exchange.has_run || exchange.was_called, exchange.call);
         if let Some(call) = call {
             self.cancel(now, call);
         }
@@ -558,9 +581,9 @@
     fn admit(&mut self, now: Duration, pieces: Vec<(Piece, Origin)>) {
         let mut late = Vec::new();
         for (piece, origin) in pieces {
-            let is_feasible = self.shape(&piece.service).is_none_or(|shape| {
-                self.batches.is_feasible(now, &piece, &shape, &self.directory)
-            });
+            let is_feasible = self
+                .shape(&piece.service)
+                .is_none_or(|shape| self.batches.is_feasible(now, &piece, &shape, &self.directory));
             match is_feasible {
                 true => self.batches.add(piece, origin),
                 false => late.push(Batches::turn_away(piece, origin)),
@@ -764,8 +787,7 @@
             None => {
                 let rng = &mut self.rng;
                 let jitter = || rng.random();
-                let chosen =
-                    choice::plain(&self.directory, now, &exchange.service, wanted, jitter);
+                let chosen = choice::plain(&self.directory, now, &exchange.service, wanted, jitter);
                 chosen.map(|endpoint| (endpoint, 0))
             }
         }
@@ -796,6 +818,7 @@
             return;
         };
         self.searching.remove(&key);
+        let basis = self.basis(now, key, endpoint, tokens);
         let call = self.calls.insert(CallState {
             exchange: ExchangeOf::Exchange(key),
             endpoint,
@@ -824,10 +847,22 @@
             resume: exchange.last_event,
             rank: exchange.arrival.prompt.as_ref().map(|_| exchange.priority.min(9)),
             attempt: exchange.attempts,
+            basis,
         };
         self.actions.push(Action::Send(call));
     }
 
+    fn basis(&self, now: Duration, key: ExchangeKey, endpoint: EndpointKey, tokens: u64) -> Basis {
+        let known = self.directory.get(endpoint);
+        Basis {
+            version: self.config.as_ref().map_or(0, |config| config.version),
+            calls: known.map_or(0, |known| known.calls(now)),
+            load_age: known.and_then(|known| known.load_age(now)),
+            tokens,
+            usable: self.directory.usable(now, &self.exchanges[key].service).len(),
+        }
+    }
+
     fn wait_for_endpoint(&mut self, now: Duration, key: ExchangeKey) {
         let exchange = &mut self.exchanges[key];
         let patience = exchange.route.objective.mul_f64(PATIENCE_SHARE);
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -117,6 +117,24 @@
     pub rank: Option<u8>,
     /// Which attempt this is, from 1.
     pub attempt: u32,
+    /// What the choice of the endpoint went by.
+    pub basis: Basis,
+}
+
+/// What the choice of an endpoint went by.
+#[data]
+#[derive(Copy, Default)]
+pub struct Basis {
+    /// The configuration's version.
+    pub version: u64,
+    /// Calls that the endpoint was taken to have.
+    pub calls: u32,
+    /// How old its newest report of load was; `None` if there was none.
+    pub load_age: Option<Duration>,
+    /// Prompt tokens that an engine was taken to have to read.
+    pub tokens: u64,
+    /// Endpoints of the service that took new work.
+    pub usable: usize,
 }
 
 /// One piece of a stage's work, as it is sent to an endpoint.
--- a/crates/core/tests/testsuite/relay/allowance.rs
+++ b/crates/core/tests/testsuite/relay/allowance.rs
@@ -4,8 +4,7 @@
 
 use super::fixture::ms;
 
-const BOUND: Bound =
-    Bound { ratio: 0.2, slack: 40.0, window: std::time::Duration::from_secs(10) };
+const BOUND: Bound = Bound { ratio: 0.2, slack: 40.0, window: std::time::Duration::from_secs(10) };
 
 fn spend_all(allowance: &mut Allowance, at: u64, instances: usize) -> u32 {
     (0..1000).take_while(|_| allowance.spend(ms(at), 1, instances)).count() as u32
@@ -47,7 +46,8 @@
         }
     }
     for from in (0..50_000_u64).step_by(100) {
-        let within = |list: &[u64]| list.iter().filter(|at| (from..from + 10_000).contains(at)).count();
+        let within =
+            |list: &[u64]| list.iter().filter(|at| (from..from + 10_000).contains(at)).count();
         let before = |list: &[u64]| {
             let start = from.saturating_sub(5_000);
             list.iter().filter(|at| (start..start + 10_000).contains(at)).count()
--- a/crates/core/tests/testsuite/relay/calls.rs
+++ b/crates/core/tests/testsuite/relay/calls.rs
@@ -120,8 +120,7 @@
 
 #[test]
 fn repetition_keeps_its_bound() {
-    let config =
-        ConfigBuilder::new(1).service("desk").route(route("r", Kind::Idempotent, "desk"));
+    let config = ConfigBuilder::new(1).service("desk").route(route("r", Kind::Idempotent, "desk"));
     let bound = Bound { ratio: 0.0, slack: 2.5, window: ms(10_000) };
     let mut world = World::with_bound(config.build(), bound);
     world.put(entry("a", "desk"));
--- a/crates/core/tests/testsuite/relay/events.rs
+++ b/crates/core/tests/testsuite/relay/events.rs
@@ -19,10 +19,7 @@
     let (events, rest) = split(&["id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n"]);
     assert_eq!(
         events,
-        [
-            (Some(1), "id: 1\ndata: a\n\n".to_owned()),
-            (Some(2), "id: 2\ndata: b\n\n".to_owned())
-        ]
+        [(Some(1), "id: 1\ndata: a\n\n".to_owned()), (Some(2), "id: 2\ndata: b\n\n".to_owned())]
     );
     assert_eq!(rest, "id: 3\n");
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -36,17 +36,18 @@
     /// # Errors
     /// Any [`Error`]; the message may have reached the peer.
     pub async fn gossip(&self, addr: &Arc<str>, message: &Gossip) -> Result<Option<Gossip>, Error> {
-        self.links.exchange(addr, EXCHANGE_TIMEOUT, async |client| {
-            let mut request = client.gossip_request();
-            wire::write_gossip(message, request.get().init_message())?;
-            let response = request.send().promise.await?;
-            let reply = response.get()?.get_reply()?;
-            if !reply.has_from() {
-                return Ok(None);
-            }
-            Ok(Some(wire::read_gossip(reply)?))
-        })
-        .await
+        self.links
+            .exchange(addr, EXCHANGE_TIMEOUT, async |client| {
+                let mut request = client.gossip_request();
+                wire::write_gossip(message, request.get().init_message())?;
+                let response = request.send().promise.await?;
+                let reply = response.get()?.get_reply()?;
+                if !reply.has_from() {
+                    return Ok(None);
+                }
+                Ok(Some(wire::read_gossip(reply)?))
+            })
+            .await
     }
 
     /// Asks what became of a request.
@@ -54,15 +55,16 @@
     /// # Errors
     /// Any [`Error`]; a question has no effect.
     pub async fn outcome(&self, addr: &Arc<str>, key: &RequestId) -> Result<PeerOutcome, Error> {
-        self.links.exchange(addr, EXCHANGE_TIMEOUT, async |client| {
-            let mut request = client.outcome_request();
-            request.get().set_team(&*key.team);
-            request.get().set_id(&*key.id);
-            let response = request.send().promise.await?;
-            let answer = response.get()?.get_answer()?;
-            Ok(serde_json::from_slice(answer).map_err(wire::Error::Json)?)
-        })
-        .await
+        self.links
+            .exchange(addr, EXCHANGE_TIMEOUT, async |client| {
+                let mut request = client.outcome_request();
+                request.get().set_team(&*key.team);
+                request.get().set_id(&*key.id);
+                let response = request.send().promise.await?;
+                let answer = response.get()?.get_answer()?;
+                Ok(serde_json::from_slice(answer).map_err(wire::Error::Json)?)
+            })
+            .await
     }
 
     /// How many connections are open.
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -1,20 +1,50 @@
 //! One log line for each decision that touches a request or changes what this
 //! instance believes.
 
-use peatdeck_core::relay::model::{Action, Call, Failure, Refusal, ReplyHead};
+use std::time::Duration;
+
+use peatdeck_core::relay::{
+    Taken,
+    model::{Action, Call, Failure, Refusal, ReplyHead},
+};
+
+/// What an instance believed when it decided.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Belief {
+    /// The configuration's version; 0 if none is known.
+    pub version: u64,
+    /// How long ago configuration and directory were compared with the
+    /// platform's store; `None` if never.
+    pub age: Option<Duration>,
+}
+
+/// Logs that a request was taken in.
+pub fn log_taken(id: &str, taken: &Taken, belief: Belief) {
+    tracing::info!(
+        event = "arrive",
+        id,
+        route = &*taken.route,
+        service = &*taken.service,
+        team = taken.team.as_deref(),
+        wait_ms = millis(taken.wait),
+        pieces = ?taken.pieces,
+        version = belief.version,
+        age_ms = belief.age.map(millis),
+    );
+}
 
 /// Logs an action of the machine. `id` gives the caller's id of an exchange.
-pub fn log_action(action: &Action, id: &str) {
+pub fn log_action(action: &Action, id: &str, belief: Belief) {
     match action {
         Action::Send(call) => log_send(call, id),
-        Action::Cancel(call) => tracing::info!(event = "cancel", id, call = ?call),
+        Action::Cancel(call) => tracing::info!(event = "cancel", call = ?call),
         Action::Answer { .. } => tracing::info!(event = "answer", id),
         Action::Begin { .. } => tracing::info!(event = "begin", id),
         Action::Finish(_) => tracing::info!(event = "finish", id),
         Action::Break(_) => tracing::warn!(event = "break", id),
         Action::Refuse { refusal, retry_after, .. } => {
             let retry_ms = retry_after.map(|after| after.as_millis() as u64);
-            log_refusal(id, *refusal, retry_ms);
+            log_refusal(id, *refusal, retry_ms, belief);
         }
         Action::Make { call, endpoint, pieces, .. } => {
             let requests: Vec<_> = pieces
@@ -30,8 +60,9 @@
         }
         Action::Recall(key) => tracing::info!(event = "recall", handover = ?key),
         Action::Return { ticket, results } => {
-            let failed = results.iter().filter(|result| result.is_err()).count();
-            tracing::debug!(event = "return", ticket, pieces = results.len(), failed);
+            let failures: Vec<_> = results.iter().filter_map(|it| it.as_ref().err()).collect();
+            let count = results.len();
+            tracing::info!(event = "return", ticket, count, failures = ?failures);
         }
         Action::FreeThrough { peer, handles } => {
             tracing::debug!(event = "free_through", peer = &**peer, count = handles.len());
@@ -43,9 +74,10 @@
 }
 
 /// Logs a refusal.
-pub fn log_refusal(id: &str, refusal: Refusal, retry_ms: Option<u64>) {
+pub fn log_refusal(id: &str, refusal: Refusal, retry_ms: Option<u64>, belief: Belief) {
     let (reason, status) = (refusal.name(), refusal.status());
-    tracing::warn!(event = "refuse", id, reason, status, retry_ms);
+    let (version, age_ms) = (belief.version, belief.age.map(millis));
+    tracing::warn!(event = "refuse", id, reason, status, retry_ms, version, age_ms);
 }
 
 /// Logs an endpoint's reply.
@@ -75,8 +107,17 @@
         call = ?call.key,
         endpoint = &*call.endpoint,
         attempt = call.attempt,
-        left_ms = call.remaining.as_millis() as u64,
+        left_ms = millis(call.remaining),
         inputs = call.inputs.len(),
         resume = call.resume,
+        version = call.basis.version,
+        calls = call.basis.calls,
+        load_age_ms = call.basis.load_age.map(millis),
+        tokens = call.basis.tokens,
+        usable = call.basis.usable,
     );
 }
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -212,7 +212,10 @@
         let arrived = machine.arrive(now, arrival);
         let actions = machine.take_actions();
         drop(machine);
-        let key = arrived.inspect_err(|refusal| self.note_refusal(&id, *refusal, None))?;
+        let key = arrived.inspect_err(|refusal| self.note_refusal(&id, *refusal))?;
+        if let Some(taken) = self.look(|machine| machine.describe(key)) {
+            decisions::log_taken(&id, &taken, self.belief());
+        }
         let caller = Caller { request, parts: tx, arrived: now };
         self.callers.borrow_mut().insert(key, caller);
         for action in actions {
@@ -244,9 +247,8 @@
 
     /// Works out whether the instance takes requests.
     pub fn update_ready(&self) {
-        let knows_enough = self.look(|machine| {
-            machine.config().is_some() && machine.directory().ready_count() > 0
-        });
+        let knows_enough = self
+            .look(|machine| machine.config().is_some() && machine.directory().ready_count() > 0);
         let is_ready = knows_enough && !self.is_stopping();
         let was_ready = self.shared.is_ready.swap(is_ready, Ordering::Relaxed);
         if was_ready != is_ready {
@@ -382,12 +384,19 @@
             Action::HandOver { pieces, .. } => pieces.first().map(|piece| piece.request.clone()),
             _ => request.map(|request| request.id.clone()),
         };
-        decisions::log_action(action, id.as_deref().unwrap_or_default());
+        decisions::log_action(action, id.as_deref().unwrap_or_default(), self.belief());
     }
 
-    fn note_refusal(&self, id: &str, refusal: Refusal, retry_ms: Option<u64>) {
+    fn note_refusal(&self, id: &str, refusal: Refusal) {
         self.count_refusal(refusal);
-        decisions::log_refusal(id, refusal, retry_ms);
+        decisions::log_refusal(id, refusal, None, self.belief());
+    }
+
+    fn belief(&self) -> decisions::Belief {
+        decisions::Belief {
+            version: self.look(|machine| machine.config().map_or(0, |config| config.version)),
+            age: self.peers.tables.age(self.now()),
+        }
     }
 
     fn count_refusal(&self, refusal: Refusal) {
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -155,13 +155,7 @@
     response.body(ntex::util::Bytes::copy_from_slice(&reply.body))
 }
 
-fn stream(
-    driver: &Driver,
-    head: Reply,
-    waiter: Waiter,
-    io: Option<IoRef>,
-    held: Held,
-) -> Response {
+fn stream(driver: &Driver, head: Reply, waiter: Waiter, io: Option<IoRef>, held: Held) -> Response {
     begin(driver, &head).streaming(Box::pin(events(waiter, io, held)))
 }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -77,6 +77,7 @@
     handovers: RefCell<SecondaryMap<HandoverKey, AbortHandle>>,
     tickets: RefCell<HashMap<u64, oneshot::Sender<Vec<PieceResult>>>>,
     next_ticket: Cell<u64>,
+    usable: Cell<usize>,
 }
 
 impl Peers {
@@ -100,6 +101,7 @@
             handovers: RefCell::default(),
             tickets: RefCell::default(),
             next_ticket: Cell::new(0),
+            usable: Cell::new(0),
         }
     }
 
@@ -361,6 +363,10 @@
     let peers: Vec<_> = peers.map(|peer| peer.name).collect();
     drop(members);
     driver.metrics.gauge("relay.peers", peers.len() as u64);
+    if driver.peers.usable.replace(peers.len()) != peers.len() {
+        let names: Vec<_> = peers.iter().map(|name| &**name).collect();
+        tracing::info!(event = "peers", count = peers.len(), names = names.join(" "));
+    }
     driver.feed(|machine, _| machine.set_peers(peers));
 }
 
@@ -461,6 +467,10 @@
         let (tx, rx) = oneshot::channel();
         driver.peers.tickets.borrow_mut().insert(ticket, tx);
         let guard = Ticket { driver: driver.clone(), ticket };
+        if let Some(first) = pieces.first() {
+            let (id, stage, count) = (&*first.request, first.stage, pieces.len());
+            tracing::info!(event = "take_over", id, ticket, stage, count);
+        }
         driver.feed(|machine, now| machine.take_over(now, ticket, pieces));
         let made = rx.await.map_err(failed)?;
         drop(guard);
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -283,14 +283,11 @@
         let counts = driver.pool.counts();
         driver.metrics.gauge("relay.connections_opened", counts.opened);
         driver.metrics.gauge("relay.connections_reused", counts.reused);
+        driver.metrics.gauge("relay.log_lines_dropped", (driver.surroundings.lines_dropped)());
     }
 }
 
-fn watch(
-    kind: SignalKind,
-    told: Told,
-    to: &mpsc::UnboundedSender<Told>,
-) -> miette::Result<()> {
+fn watch(kind: SignalKind, told: Told, to: &mpsc::UnboundedSender<Told>) -> miette::Result<()> {
     let signals = signal(kind).into_diagnostic().wrap_err("signals cannot be taken")?;
     ntex::rt::spawn(forward(signals, told, to.clone()));
     Ok(())
--- a/crates/relay/src/surroundings.rs
+++ b/crates/relay/src/surroundings.rs
@@ -27,8 +27,7 @@
 }
 
 /// All tables, in the order in which instances tell each other of them.
-pub const TABLES: [TableName; 3] =
-    [TableName::Config, TableName::Endpoints, TableName::Instances];
+pub const TABLES: [TableName; 3] = [TableName::Config, TableName::Endpoints, TableName::Instances];
 
 impl TableName {
     /// A word for logs and counters.
@@ -108,4 +107,6 @@
     pub read_config: fn(&Record) -> Result<Option<Config>, String>,
     /// Reads a record of the directory.
     pub read_endpoint: fn(&Record) -> Result<Change, String>,
+    /// How many log lines were dropped since the start.
+    pub lines_dropped: Rc<dyn Fn() -> u64>,
 }
--- a/crates/relay/tests/relay/headers.rs
+++ b/crates/relay/tests/relay/headers.rs
@@ -12,7 +12,8 @@
     });
     let site = Site::start(&[desk]);
     let mut conn = Conn::open(site.relay.front);
-    let head = request("/once/a%20b?x=%2F&y", "connection: close\r\ntransfer-encoding: chunked\r\n");
+    let head =
+        request("/once/a%20b?x=%2F&y", "connection: close\r\ntransfer-encoding: chunked\r\n");
     conn.write(&head.replace("GET", "PUT"));
     conn.write("3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     let reply = read_reply(&mut conn);
@@ -24,7 +25,8 @@
 fn an_endpoint_sees_the_team_and_not_the_key() {
     let desk = Desk::answering("x");
     let site = Site::start(std::slice::from_ref(&desk));
-    let forged = "peatdeck-team: forged\r\npeatdeck-endpoint: forged\r\npeatdeck-inputs: forged\r\n";
+    let forged =
+        "peatdeck-team: forged\r\npeatdeck-endpoint: forged\r\npeatdeck-inputs: forged\r\n";
     assert_eq!(ask(site.relay.front, "/once/x", forged).status, 200);
     let head = desk.seen().pop().unwrap();
     assert!(head.contains("peatdeck-team: markets\r\n"), "{head}");
--- a/crates/relay/tests/relay/peers.rs
+++ b/crates/relay/tests/relay/peers.rs
@@ -92,8 +92,7 @@
 fn most_instances_leave_the_store_alone() {
     let (desk, maker) = (Desk::answering("x"), maker());
     let shared = store(&desk, &maker);
-    let relays: Vec<_> =
-        (0..6).map(|idx| Relay::start(&format!("r{idx}"), &shared, &[])).collect();
+    let relays: Vec<_> = (0..6).map(|idx| Relay::start(&format!("r{idx}"), &shared, &[])).collect();
     for relay in &relays {
         wait_for("it knows its peers", || relay.counter("peatdeck.relay.peers") == 5);
     }
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -63,7 +63,6 @@
         self.inner.lock().unwrap().is_dark = is_dark;
     }
 
-
     fn newest(&self, table: TableName) -> Result<Page, StoreError> {
         let inner = self.inner.lock().unwrap();
         if inner.is_dark {
@@ -239,11 +238,10 @@
                 store: store.client(),
                 read_config,
                 read_endpoint,
+                lines_dropped: Rc::new(|| 0),
             };
             let system = ntex::rt::System::new("relay", ntex::rt::DefaultRuntime);
-            system
-                .block_on(server::run_on(listeners, settings, signals, surroundings))
-                .unwrap();
+            system.block_on(server::run_on(listeners, settings, signals, surroundings)).unwrap();
         });
         Relay { front, ready, metrics, peers, told, thread: Some(thread) }
     }
--- a/crates/util/src/logging.rs
+++ b/crates/util/src/logging.rs
@@ -5,12 +5,21 @@
 //! on standard output. No line holds a caller's content.
 
 use std::{
-    io::{self, IsTerminal},
+    io::{self, IsTerminal, Write},
     str::FromStr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Instant,
 };
 
-use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
-use tracing_subscriber::{EnvFilter, fmt};
+use tracing::Metadata;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::{
+    EnvFilter,
+    fmt::{self, MakeWriter},
+};
 
 /// Log filter where none is set. The HTTP library logs each of its steps as
 /// info; they are not changes of state of the process.
@@ -48,7 +57,7 @@
 /// `peatdeck_entry=debug,warn`; one that cannot be read counts as `info`.
 pub fn start(format: Format, filter: &str) {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let builder = fmt().with_env_filter(filter).with_writer(io::stderr);
+    let builder = fmt::fmt().with_env_filter(filter).with_writer(io::stderr);
     let builder = builder.with_ansi(io::stderr().is_terminal());
     match format {
         Format::Text => builder.init(),
@@ -58,29 +67,101 @@
 
 /// Lines that may wait to be written. At 400 bytes a line this is 1.6 MB.
 const WAITING_LINES: usize = 4096;
+/// Lines of one second at the most. The size to design for needs about 10 a
+/// request, at 62 requests a second; twice that is left for trouble.
+const LINES_A_SECOND: u64 = 1500;
 
 /// Logs that are written by a thread of their own. Dropping it writes what
 /// still waits.
 pub struct Bounded {
-    dropped: ErrorCounter,
+    dropped: Dropped,
     _guard: WorkerGuard,
 }
 
+/// How many lines were dropped.
+#[derive(Clone)]
+pub struct Dropped {
+    unwritten: ErrorCounter,
+    budget: Arc<LineBudget>,
+}
+
+impl Dropped {
+    /// Lines that were dropped since the start, because too many waited or too
+    /// many came within a second.
+    pub fn count(&self) -> u64 {
+        self.unwritten.dropped_lines() as u64 + self.budget.dropped.load(Ordering::Relaxed)
+    }
+}
+
 impl Bounded {
-    /// Lines that were dropped because too many waited.
-    pub fn dropped(&self) -> u64 {
-        self.dropped.dropped_lines() as u64
+    /// How many lines were dropped.
+    pub fn dropped(&self) -> Dropped {
+        self.dropped.clone()
+    }
+}
+
+/// Counts the lines of the current second.
+#[derive(Debug)]
+pub struct LineBudget {
+    start: Instant,
+    limit: u64,
+    second: AtomicU64,
+    lines: AtomicU64,
+    dropped: AtomicU64,
+}
+
+impl LineBudget {
+    /// A budget of so many lines a second.
+    pub fn new(limit: u64) -> LineBudget {
+        let (second, lines, dropped) = (AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0));
+        LineBudget { start: Instant::now(), limit, second, lines, dropped }
+    }
+
+    /// Whether one more line may be written, `second` seconds after the start.
+    pub fn take(&self, second: u64) -> bool {
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.lines.store(0, Ordering::Relaxed);
+        }
+        let may_write = self.lines.fetch_add(1, Ordering::Relaxed) < self.limit;
+        if !may_write {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        may_write
+    }
+}
+
+/// Writes lines while the budget allows it.
+struct Limited {
+    writer: NonBlocking,
+    budget: Arc<LineBudget>,
+}
+
+impl<'a> MakeWriter<'a> for Limited {
+    type Writer = Box<dyn Write + 'a>;
+
+    fn make_writer(&'a self) -> Self::Writer {
+        let second = self.budget.start.elapsed().as_secs();
+        match self.budget.take(second) {
+            true => Box::new(self.writer.clone()),
+            false => Box::new(io::sink()),
+        }
+    }
+
+    fn make_writer_for(&'a self, _: &Metadata<'_>) -> Self::Writer {
+        self.make_writer()
     }
 }
 
 /// Starts logging for the process as JSON on standard output. Whoever logs
-/// never waits: a line that finds the buffer full is dropped and counted.
+/// never waits: a line that finds the buffer full, or that is one too many in
+/// its second, is dropped and counted.
 pub fn start_bounded(filter: &str) -> Bounded {
     let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(WAITING_LINES);
     let (writer, guard) = builder.finish(io::stdout());
-    let dropped = writer.error_counter();
+    let budget = Arc::new(LineBudget::new(LINES_A_SECOND));
+    let dropped = Dropped { unwritten: writer.error_counter(), budget: budget.clone() };
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let fields = fmt().with_env_filter(filter).with_writer(writer).json();
+    let fields = fmt::fmt().with_env_filter(filter).with_writer(Limited { writer, budget }).json();
     fields.flatten_event(true).with_target(false).init();
     Bounded { dropped, _guard: guard }
 }
--- a/crates/util/src/metrics.rs
+++ b/crates/util/src/metrics.rs
@@ -11,9 +11,7 @@
     time::Duration,
 };
 
-use cadence::{
-    Counted, Gauged, MetricSink, NopMetricSink, StatsdClient, Timed, UdpMetricSink,
-};
+use cadence::{Counted, Gauged, MetricSink, NopMetricSink, StatsdClient, Timed, UdpMetricSink};
 use hdrhistogram::Histogram;
 
 /// Prefix of every metric's name.
