--- a/crates/cli/src/ops/explain.rs
+++ b/crates/cli/src/ops/explain.rs
@@ -86,9 +86,8 @@
 fn tells(line: &Line, id: &str, known: &mut HashSet<(String, String)>) -> bool {
     let field = |name: &str| line.fields.get(name);
     let text = |name: &str| field(name).map(|value| value.to_string());
-    let link = |name: &str| {
-        text(name).map(|value| (line.instance.clone(), format!("{name} {value}")))
-    };
+    let link =
+        |name: &str| text(name).map(|value| (line.instance.clone(), format!("{name} {value}")));
     let names_it = NAMES.iter().filter_map(|name| field(name)?.as_str());
     let is_named = names_it.flat_map(str::split_whitespace).any(|name| is_of(name, id));
     let is_linked = LINKS.iter().filter_map(|name| link(name)).any(|link| known.contains(&link));
