Pieces whose inputs are gone are made again once

Change: a piece carries its round, and what an old round failed to make is passed over. The test failed first. `explain` no longer mixes up the calls of two lives of an instance.

--- a/crates/cli/src/ops/explain.rs
+++ b/crates/cli/src/ops/explain.rs
@@ -42,10 +42,10 @@
         let name = Path::new(path).file_stem().unwrap_or_default().to_string_lossy();
         lines.extend(text.lines().filter_map(|line| parse(&name, line)));
     }
+    lines.sort_by(|a: &Line, b| a.time.cmp(&b.time));
     let mut known = HashSet::new();
-    let mut told: Vec<_> = lines.into_iter().filter(|line| tells(line, id, &mut known)).collect();
-    told.sort_by(|a, b| a.time.cmp(&b.time));
-    Ok(told)
+    lines.retain(|line| tells(line, id, &mut known));
+    Ok(lines)
 }
 
 /// The story as text.
@@ -84,6 +84,11 @@
 }
 
 fn tells(line: &Line, id: &str, known: &mut HashSet<(String, String)>) -> bool {
+    if line.event == "start" {
+        // A new life of an instance numbers its calls anew.
+        known.retain(|(instance, _)| *instance != line.instance);
+        return false;
+    }
     let field = |name: &str| line.fields.get(name);
     let text = |name: &str| field(name).map(|value| value.to_string());
     let link =
--- a/crates/cli/tests/testsuite/explain.rs
+++ b/crates/cli/tests/testsuite/explain.rs
@@ -21,6 +21,8 @@
  1.4000 edge-2 {"timestamp":"2026-05-01T04:00:01.400000Z","level":"INFO","event":"made","call":"CallKey(1v1)","endpoint":"l1","took_ms":398}
  1.4100 edge-2 {"timestamp":"2026-05-01T04:00:01.410000Z","level":"INFO","event":"made","call":"CallKey(2v1)","endpoint":"l2","took_ms":408}
  1.4200 edge-2 {"timestamp":"2026-05-01T04:00:01.420000Z","level":"INFO","event":"return","ticket":9,"count":2}
+ 9.0000 edge-2 {"timestamp":"2026-05-01T04:00:09.000000Z","level":"INFO","event":"start","name":"edge-2"}
+ 9.1000 edge-2 {"timestamp":"2026-05-01T04:00:09.100000Z","level":"INFO","event":"made","call":"CallKey(1v1)","endpoint":"l1","took_ms":1}
 "#;
 
 #[ntex::test]
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -42,7 +42,7 @@
     /// Whether the caller holds the head of an answer.
     pub(crate) has_begun: bool,
     /// Rounds of making its pieces.
-    pub(crate) rounds: u32,
+    pub(crate) rounds: u8,
     /// Until when it waits for an endpoint to become usable.
     pub(crate) patience: Option<Duration>,
 }
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -53,7 +53,7 @@
 /// Prompt tokens that an engine reads in a millisecond while it serves others.
 const READ_TOKENS_PER_MS: u32 = 20;
 /// How often an exchange's pieces are made at the most.
-const MAX_ROUNDS: u32 = 2;
+const MAX_ROUNDS: u8 = 2;
 /// How often a piece is sent at the most.
 const MAX_TRIES: u8 = 3;
 /// A result of at least this size is made where it will be used.
@@ -698,7 +698,10 @@
             return;
         };
         exchange.has_run |= one.result != Err(PieceFailure::Late);
+        let is_old = one.piece.round != exchange.rounds;
         match one.result {
+            // Its round has been given up already.
+            Err(_) if is_old => {}
             Ok(handle) => {
                 let place = self.directory.place_of(&handle, one.endpoint);
                 let made = Made { handle, place };
@@ -1114,6 +1117,7 @@
             aim: self.aim.saturating_sub(rest.usual),
             priority: self.priority,
             home: home.clone(),
+            round: self.rounds,
             tries: 0,
             is_repeat: self.rounds > 0,
         };
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -162,6 +162,8 @@
     pub priority: u8,
     /// Where its result will be used, if that is known and matters.
     pub home: Option<DataCentre>,
+    /// How often its request's pieces were made before, from the start.
+    pub round: u8,
     /// How often it was sent without coming back whole.
     pub tries: u8,
     /// Whether it was made or may have been made before.
--- a/crates/core/tests/testsuite/relay/stages.rs
+++ b/crates/core/tests/testsuite/relay/stages.rs
@@ -137,6 +137,20 @@
     assert_eq!(world.call().attempt, 1);
 }
 
+#[test]
+fn inputs_that_are_gone_for_several_pieces_are_made_again_once() {
+    let mut world = staged(vec![stage("ledger", &[], SMALL), stage("mart", &[0], SMALL)]);
+    world.arrive(asking("1", &[1, 3]));
+    let first = world.orders().remove(0);
+    world.make(&first);
+    let second = world.orders().remove(0);
+    world.made(second.call, second.all(PieceFailure::InputGone));
+    assert!(world.refusals().is_empty());
+    let again = world.orders();
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].names(), ["1/0/0"]);
+}
+
 #[test]
 fn a_piece_that_failed_is_made_elsewhere() {
     let mut world = staged(vec![stage("ledger", &[], SMALL)]);
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -55,6 +55,7 @@
   # Empty where the place of the result does not matter.
   isRepeat @11 :Bool;
   tries @12 :UInt8;
+  round @13 :UInt8;
 }
 
 struct Result {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -58,6 +58,7 @@
         to.set_home(piece.home.as_deref().unwrap_or_default());
         to.set_is_repeat(piece.is_repeat);
         to.set_tries(piece.tries);
+        to.set_round(piece.round);
         let mut inputs = to.init_inputs(len(&piece.inputs));
         for (idx, input) in (0..).zip(&piece.inputs) {
             inputs.set(idx, &**input);
@@ -131,6 +132,7 @@
         aim: now + Duration::from_micros(from.get_aim_micros()),
         priority: from.get_priority(),
         home: optional(from.get_home()?)?,
+        round: from.get_round(),
         tries: from.get_tries(),
         is_repeat: from.get_is_repeat(),
     })
--- a/crates/wire/src/relay_capnp.rs
+++ b/crates/wire/src/relay_capnp.rs
@@ -2519,6 +2519,10 @@
         pub fn get_tries(self) -> u8 {
             self.reader.get_data_field::<u8>(6)
         }
+        #[inline]
+        pub fn get_round(self) -> u8 {
+            self.reader.get_data_field::<u8>(7)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -2717,6 +2721,14 @@
         pub fn set_tries(&mut self, value: u8)  {
             self.builder.set_data_field::<u8>(6, value);
         }
+        #[inline]
+        pub fn get_round(self) -> u8 {
+            self.builder.get_data_field::<u8>(7)
+        }
+        #[inline]
+        pub fn set_round(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(7, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2728,7 +2740,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 220] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 235] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(51, 234, 131, 33, 118, 208, 65, 242),
             ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
@@ -2738,105 +2750,112 @@
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 105, 101, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 40, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2949,6 +2968,14 @@
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 117, 110, 100, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2965,6 +2992,7 @@
                 10 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 12 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                13 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2978,9 +3006,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,6,7,10,5,11,4,3,9,1,0,2,12];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,6,7,10,5,11,4,3,9,1,13,0,2,12];
         pub(crate) const TYPE_ID: u64 = 0xf241_d076_2183_ea33;
     }
 }
