--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -231,8 +231,8 @@
     /// Takes all calls out of the actions.
     pub fn calls(&mut self) -> Vec<Call> {
         self.take(|action| match action {
-            Action::Send(call) => Ok(call),
-            other => Err(other),
+            Action::Send(call) => Some(call.clone()),
+            _ => None,
         })
     }
 
@@ -240,17 +240,18 @@
     pub fn orders(&mut self) -> Vec<Order> {
         self.take(|action| match action {
             Action::Make { call, endpoint, addr, pieces } => {
-                Ok(Order { call, endpoint, addr, pieces })
+                let (endpoint, addr, pieces) = (endpoint.clone(), addr.clone(), pieces.clone());
+                Some(Order { call: *call, endpoint, addr, pieces })
             }
-            other => Err(other),
+            _ => None,
         })
     }
 
     /// Takes the results that were given up out of the actions.
     pub fn freed(&mut self) -> Vec<Handle> {
         let freed = self.take(|action| match action {
-            Action::Free { handles, .. } => Ok(handles),
-            other => Err(other),
+            Action::Free { handles, .. } => Some(handles.clone()),
+            _ => None,
         });
         let mut freed: Vec<_> = freed.into_iter().flatten().collect();
         freed.sort_unstable();
@@ -262,21 +263,22 @@
         self.take(|action| match action {
             Action::Refuse { refusal, retry_after, .. } => {
                 let after = retry_after.map_or("never".to_owned(), |after| format!("{after:?}"));
-                Ok(format!("{} {} {after}", refusal.status(), refusal.name()))
+                Some(format!("{} {} {after}", refusal.status(), refusal.name()))
             }
-            other => Err(other),
+            _ => None,
         })
     }
 
-    pub fn take<T>(&mut self, pick: impl Fn(Action) -> Result<T, Action>) -> Vec<T> {
-        let (mut taken, mut left) = (Vec::new(), Vec::new());
-        for action in self.actions.drain(..) {
-            match pick(action) {
-                Ok(item) => taken.push(item),
-                Err(other) => left.push(other),
+    /// Takes those actions out of which `pick` makes something.
+    pub fn take<T>(&mut self, pick: impl Fn(&Action) -> Option<T>) -> Vec<T> {
+        let mut taken = Vec::new();
+        self.actions.retain(|action| match pick(action) {
+            Some(item) => {
+                taken.push(item);
+                false
             }
-        }
-        self.actions = left;
+            None => true,
+        });
         taken
     }
 }
--- a/crates/core/tests/testsuite/relay/peers.rs
+++ b/crates/core/tests/testsuite/relay/peers.rs
@@ -44,15 +44,15 @@
 
 fn handed(world: &mut World) -> Vec<(HandoverKey, Vec<Piece>)> {
     world.take(|action| match action {
-        Action::HandOver { key, pieces, .. } => Ok((key, pieces)),
-        other => Err(other),
+        Action::HandOver { key, pieces, .. } => Some((*key, pieces.clone())),
+        _ => None,
     })
 }
 
 fn returned(world: &mut World) -> Vec<(u64, usize)> {
     world.take(|action| match action {
-        Action::Return { ticket, results } => Ok((ticket, results.len())),
-        other => Err(other),
+        Action::Return { ticket, results } => Some((*ticket, results.len())),
+        _ => None,
     })
 }
 
--- a/crates/relay/src/surroundings.rs
+++ b/crates/relay/src/surroundings.rs
@@ -85,15 +85,23 @@
 /// A store call under way.
 pub type StoreCall<T> = LocalBoxFuture<'static, Result<T, StoreError>>;
 
+/// Reads the newest records of a table behind a key.
+pub type ReadNewest = Rc<dyn Fn(TableName, Option<Arc<str>>) -> StoreCall<Page>>;
+/// Reads records of a table from an offset on; waits for so long if there are
+/// none.
+pub type ReadFrom = Rc<dyn Fn(TableName, u64, Duration) -> StoreCall<Read>>;
+/// Writes this instance's record.
+pub type Announce = Rc<dyn Fn(Arc<str>, Bytes) -> StoreCall<()>>;
+
 /// The platform's store.
 #[derive(Clone)]
 pub struct Store {
     /// Reads the newest records behind a key.
-    pub newest: Rc<dyn Fn(TableName, Option<Arc<str>>) -> StoreCall<Page>>,
+    pub newest: ReadNewest,
     /// Reads records from an offset on; waits for so long if there are none.
-    pub read: Rc<dyn Fn(TableName, u64, Duration) -> StoreCall<Read>>,
+    pub read: ReadFrom,
     /// Writes this instance's record.
-    pub announce: Rc<dyn Fn(Arc<str>, Bytes) -> StoreCall<()>>,
+    pub announce: Announce,
 }
 
 /// The platform that a relay runs on.
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -4,6 +4,7 @@
 
 mod bodies;
 mod headers;
+mod pages;
 mod peers;
 mod replies;
 mod standins;
--- /dev/null
+++ b/crates/relay/tests/relay/pages.rs
@@ -0,0 +1,21 @@
+//! The reference page names every metric.
+
+use std::{fs, path::Path};
+
+#[test]
+fn every_metric_stands_on_its_page() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let page = fs::read_to_string(root.join("../../docs/reference/metrics.md")).unwrap();
+    let mut missing = Vec::new();
+    for entry in fs::read_dir(root.join("src")).unwrap() {
+        let text = fs::read_to_string(entry.unwrap().path()).unwrap();
+        let names = text.split("\"relay.").skip(1).filter_map(|rest| rest.split('"').next());
+        for name in names {
+            let name = name.split(".{").next().unwrap();
+            if !page.contains(&format!("`relay.{name}")) && !name.starts_with("refused") {
+                missing.push(name.to_owned());
+            }
+        }
+    }
+    assert_eq!(missing, Vec::<String>::new());
+}
