Make the pieces of stragglers elsewhere too

Change: a call that takes twice as long as it should, and 100 ms, has its pieces made elsewhere, within the bound on repetition; whoever has a piece first counts, the rest is given up. Not measured yet.

--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -37,6 +37,12 @@
 /// here. They are reckoned with for so long.
 const UNKNOWN_HELD: Duration = Duration::from_millis(400);
 
+/// A call that takes so much longer than it should is a straggler: its pieces
+/// are made elsewhere too. Endpoints differ by less than that in speed.
+const STRAGGLER_FACTOR: f64 = 2.0;
+/// The same, as time on top: connections and a loaded instance.
+const STRAGGLER_SLACK: Duration = Duration::from_millis(100);
+
 slotmap::new_key_type! {
     struct PieceKey;
 }
@@ -92,6 +98,8 @@
     started: Duration,
     expected: Duration,
     lease: Duration,
+    /// When it counts as a straggler; `None` once it was taken for one.
+    late_at: Option<Duration>,
 }
 
 /// A result that takes up room.
@@ -181,15 +189,17 @@
         self.waiting.get(service).map_or(0, Vec::len)
     }
 
-    /// When a blocked endpoint is free again, if pieces wait.
+    /// When a call becomes a straggler, or a blocked endpoint is free again
+    /// while pieces wait.
     pub fn next_wake(&self, now: Duration) -> Option<Duration> {
+        let late = self.running.values().filter_map(|running| running.late_at).min();
         if self.waiting.values().all(Vec::is_empty) {
-            return None;
+            return late;
         }
         let blocked = self.workers.values().map(|worker| worker.blocked_until);
         let bound = self.workers.values().filter_map(|worker| worker.bound);
         let all = blocked.chain(bound.map(|(_, until)| until));
-        all.filter(|until| *until > now).min()
+        all.filter(|until| *until > now).chain(late).min()
     }
 
     /// The time that a call of so many pieces takes.
@@ -266,18 +276,58 @@
         worker.calls += 1;
         worker.promised += order.pieces.iter().map(|piece| piece.bytes).sum::<u64>();
         let expected = Batches::call_time(shape, order.pieces.len());
+        let usual = expected.mul_f64(self.slowness(now, &order.endpoint).max(1.0));
+        let late_at = Some(now + usual.mul_f64(STRAGGLER_FACTOR) + STRAGGLER_SLACK);
         let (endpoint, keys, lease) = (order.endpoint, order.keys.clone(), shape.lease);
-        self.running.insert(call, Running { endpoint, keys, started: now, expected, lease });
+        let running = Running { endpoint, keys, started: now, expected, lease, late_at };
+        self.running.insert(call, running);
+    }
+
+    /// Takes out the calls that have become stragglers, with how many pieces
+    /// each still owes.
+    pub fn take_stragglers(&mut self, now: Duration) -> Vec<(CallKey, ServiceName, u32)> {
+        let pieces = &self.pieces;
+        let late = self
+            .running
+            .iter_mut()
+            .filter(|(_, running)| running.late_at.is_some_and(|at| at <= now));
+        let owed = late.filter_map(|(call, running)| {
+            running.late_at = None;
+            let owed = running.keys.iter().filter_map(|key| pieces.get(*key));
+            let mut owed = owed.peekable();
+            let service = owed.peek()?.piece.service.clone();
+            Some((*call, service, owed.count() as u32))
+        });
+        owed.collect()
     }
 
-    /// A call brought results, in the order of its pieces.
+    /// The pieces of a straggler wait again, to be made elsewhere too. Whoever
+    /// has a piece first counts.
+    pub fn make_again(&mut self, call: CallKey) {
+        let Some(running) = self.running.get(&call) else { return };
+        for key in running.keys.clone() {
+            let Some(entry) = self.pieces.get_mut(key) else { continue };
+            entry.call = None;
+            entry.piece.is_repeat = true;
+            let service = entry.piece.service.clone();
+            self.waiting.entry(service).or_default().push(key);
+        }
+    }
+
+    /// A call brought results, in the order of its pieces. Results that nobody
+    /// waits for any more come back apart.
     pub fn made(
         &mut self,
         now: Duration,
         call: CallKey,
         results: Vec<PieceResult>,
-    ) -> Vec<Finished> {
-        let Some(running) = self.running.remove(&call) else { return Vec::new() };
+    ) -> (Vec<Finished>, Vec<Handle>) {
+        let Some(running) = self.running.remove(&call) else { return Default::default() };
+        let is_gone = |key: &PieceKey| !self.pieces.contains_key(*key);
+        let pairs = running.keys.iter().zip(&results);
+        let strays =
+            pairs.filter(|(key, _)| is_gone(key)).filter_map(|(_, made)| made.clone().ok());
+        let strays = strays.collect();
         self.release(&running);
         let worker = self.workers.entry(running.endpoint).or_default();
         let took = now.saturating_sub(running.started).as_secs_f64();
@@ -299,7 +349,7 @@
                 Err(_) => {}
             }
         }
-        self.finish(running, results)
+        (self.finish(running, results), strays)
     }
 
     /// Results at an endpoint have been given up.
@@ -320,6 +370,10 @@
             let worker = self.workers.entry(running.endpoint).or_default();
             worker.blocked_until = now + BUSY_PAUSE;
         }
+        // Pieces that wait again already, or are made elsewhere, stay there.
+        let keys = running.keys.iter().copied();
+        let keys = keys.filter(|key| self.pieces.get(*key).is_some_and(|it| it.call == Some(call)));
+        let running = Running { keys: keys.collect(), ..running };
         let results = running.keys.iter().map(|_| Err(PieceFailure::Failed)).collect();
         self.finish(running, results)
     }
@@ -338,6 +392,9 @@
     }
 
     fn finish(&mut self, running: Running, results: Vec<PieceResult>) -> Vec<Finished> {
+        for waiting in self.waiting.values_mut() {
+            waiting.retain(|key| !running.keys.contains(key));
+        }
         let entries = running.keys.into_iter().zip(results);
         let entries = entries.filter_map(|(key, result)| Some((self.pieces.remove(key)?, result)));
         let endpoint = Some(running.endpoint);
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -398,12 +398,32 @@
         load: Option<Load>,
     ) {
         self.note_answer(now, call, load);
+        let service = self.service_of(call);
         self.end_call(call);
-        let finished = self.batches.made(now, call, results);
+        let (finished, strays) = self.batches.made(now, call, results);
+        if let (Some(service), false) = (service, strays.is_empty()) {
+            self.free_at(&service, strays);
+        }
         self.take_finished(now, finished);
         self.make_all(now);
     }
 
+    /// The service of the endpoint that a call went to.
+    fn service_of(&self, call: CallKey) -> Option<ServiceName> {
+        let endpoint = self.directory.get(self.calls.get(call)?.endpoint)?;
+        Some(endpoint.entry.service.clone())
+    }
+
+    /// Has the pieces of stragglers made elsewhere too, as far as the bound on
+    /// repetition allows.
+    fn make_stragglers_again(&mut self, now: Duration) {
+        for (call, service, count) in self.batches.take_stragglers(now) {
+            if self.spend(now, &service, count) {
+                self.batches.make_again(call);
+            }
+        }
+    }
+
     /// A call for pieces failed; `is_unrun` if the endpoint said that it did
     /// not run.
     pub fn make_failed(&mut self, now: Duration, call: CallKey, failure: Failure, is_unrun: bool) {
@@ -476,6 +496,7 @@
         if now >= self.next_search && !self.searching.is_empty() {
             self.search(now);
         }
+        self.make_stragglers_again(now);
         self.make_all(now);
         if now >= self.next_clean {
             self.next_clean = now + CLEAN_UP;
--- a/crates/core/tests/testsuite/relay/batch.rs
+++ b/crates/core/tests/testsuite/relay/batch.rs
@@ -126,6 +126,55 @@
     assert_ne!(orders[0].endpoint, orders[1].endpoint);
 }
 
+#[test]
+fn pieces_of_a_straggler_are_made_elsewhere_too() {
+    let mut world = world(1 << 30, 1, &["l1", "l2"]);
+    world.arrive(asking("1", "r", 2));
+    let hung = world.orders().remove(0);
+    world.advance(ms(400));
+    assert!(world.orders().is_empty());
+    world.advance(ms(200));
+    let second = world.orders().remove(0);
+    assert_eq!(second.names(), hung.names());
+    assert_ne!(second.endpoint, hung.endpoint);
+    assert!(second.pieces[0].is_repeat);
+    world.make(&second);
+    let call = world.call_for_desk();
+    world.replied(call, &super::fixture::head(200));
+    assert_eq!(world.freed().len(), 2);
+    world.make(&hung);
+    assert_eq!(world.freed().len(), 2, "what nobody waits for is given up");
+}
+
+#[test]
+fn a_straggler_that_comes_first_counts() {
+    let mut world = world(1 << 30, 1, &["l1"]);
+    world.arrive(asking("1", "r", 2));
+    let hung = world.orders().remove(0);
+    world.advance(ms(600));
+    assert!(world.orders().is_empty(), "there is no other endpoint");
+    world.make(&hung);
+    assert!(world.orders().is_empty());
+    let call = world.call_for_desk();
+    world.replied(call, &super::fixture::head(200));
+    assert_eq!(world.relay.open_exchanges(), 0);
+}
+
+#[test]
+fn a_straggler_that_fails_in_the_end_takes_nothing_back() {
+    let mut world = world(1 << 30, 1, &["l1", "l2"]);
+    world.arrive(asking("1", "r", 1));
+    let hung = world.orders().remove(0);
+    world.advance(ms(600));
+    let second = world.orders().remove(0);
+    let failure = peatdeck_core::relay::model::Failure::Cut;
+    world.relay.make_failed(world.now, hung.call, failure, false);
+    world.collect();
+    assert!(world.orders().is_empty());
+    world.make(&second);
+    world.call_for_desk();
+}
+
 #[test]
 fn a_slow_endpoint_is_left_to_the_others_while_they_keep_up() {
     let mut world = world(1 << 30, 1, &["l1", "l2"]);
