Split the relay's machine by the parts of an exchange's life; rename the client crate

crates/platform, the clients of the product's own log, list and endpoints, is crates/client now; platform/ is the users' platform.

--- a/crates/admin/src/context.rs
+++ b/crates/admin/src/context.rs
@@ -3,9 +3,9 @@
 use std::{rc::Rc, time::Duration};
 
 use ntex::client;
+use peatdeck_client::{http, list, log};
 use peatdeck_core::check;
 use peatdeck_macros::data;
-use peatdeck_platform::{http, list, log};
 use peatdeck_util::{
     clock::{Clock, SystemClock},
     metrics::Metrics,
--- a/crates/admin/src/ops/settle.rs
+++ b/crates/admin/src/ops/settle.rs
@@ -7,8 +7,8 @@
 
 use std::time::Duration;
 
+use peatdeck_client::{http, log};
 use peatdeck_core::record::{ConfigRecord, Stream};
-use peatdeck_platform::{http, log};
 
 use crate::{context::Context, reader::State};
 
--- a/crates/admin/src/ops/status.rs
+++ b/crates/admin/src/ops/status.rs
@@ -6,12 +6,12 @@
 use std::{collections::BTreeMap, pin::pin, sync::Arc, time::Duration};
 
 use futures::{Stream, StreamExt, stream};
+use peatdeck_client::entry;
 use peatdeck_core::{
     model::{InstanceEntry, InstanceName, Presence},
     record::Version,
 };
 use peatdeck_macros::id;
-use peatdeck_platform::entry;
 use peatdeck_wire::admin::{EntryStatus, Missing, OutcomeCount, OutcomesReply, StatusReply};
 
 use crate::{context::Context, error::Error};
--- a/crates/admin/src/reader.rs
+++ b/crates/admin/src/reader.rs
@@ -6,11 +6,11 @@
 
 use std::{cell::RefCell, time::Duration};
 
+use peatdeck_client::log;
 use peatdeck_core::{
     config_log::Fold,
     record::{ConfigRecord, Snapshot, Stream},
 };
-use peatdeck_platform::log;
 use peatdeck_util::clock::Clock;
 
 use crate::history::History;
--- a/crates/cli/src/ops/client.rs
+++ b/crates/cli/src/ops/client.rs
@@ -7,8 +7,8 @@
     client::{ClientRequest, ClientResponse},
     http::{Method, StatusCode},
 };
+use peatdeck_client::http;
 use peatdeck_core::record::Offset;
-use peatdeck_platform::http;
 use peatdeck_wire::admin::{
     ApiError, ConfigReply, DrainBody, DrainReply, HistoryReply, OutcomesReply, PublishBody,
     PublishReply, RestoreBody, StatusReply, VerdictReply,
--- a/crates/platform/tests/platform/endpoint.rs
+++ b/crates/client/tests/client/endpoint.rs
@@ -5,11 +5,11 @@
 use expect_test::{Expect, expect};
 use futures::future;
 use ntex::time;
+use peatdeck_client::endpoint::Client;
 use peatdeck_core::{
     instance::{action::Call, input::CallEvent},
     model::{CallId, Echo, RequestId},
 };
-use peatdeck_platform::endpoint::Client;
 use tokio::task;
 
 use crate::support::{self, Server};
--- a/crates/platform/tests/platform/lines.rs
+++ b/crates/client/tests/client/lines.rs
@@ -1,7 +1,7 @@
 #![allow(clippy::unwrap_used)]
 
 use expect_test::{Expect, expect};
-use peatdeck_platform::lines::Lines;
+use peatdeck_client::lines::Lines;
 
 fn check(chunks: &[&str], expected: Expect) {
     let mut lines = Lines::new(8);
--- a/crates/platform/tests/platform/log.rs
+++ b/crates/client/tests/client/log.rs
@@ -3,11 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use expect_test::{Expect, expect};
-use peatdeck_core::record::{Offset, Stream};
-use peatdeck_platform::{
+use peatdeck_client::{
     http,
     log::{Client, Error, Range},
 };
+use peatdeck_core::record::{Offset, Stream};
 
 use crate::support::{self, Server};
 
--- a/crates/platform/tests/platform/support.rs
+++ b/crates/client/tests/client/support.rs
@@ -11,7 +11,7 @@
 
 use futures::channel::oneshot;
 use ntex::client::Client;
-use peatdeck_platform::http;
+use peatdeck_client::http;
 
 /// A server for one connection. Each reply answers one request; behind the
 /// last one the connection is closed.
--- /dev/null
+++ b/crates/core/src/relay/machine/calls.rs
@@ -0,0 +1,328 @@
+//! Calls to endpoints: where they go, what came of them, what is repeated.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::{
+    model::{DataCentre, Load},
+    relay::{
+        choice,
+        exchange::{CallState, ExchangeOf},
+        machine::Relay,
+        model::{
+            Action, Basis, Call, CallKey, EndpointKey, ExchangeKey, Failure, Refusal, ReplyHead,
+        },
+    },
+};
+
+/// Pause before an exchange looks again for a usable endpoint.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
+/// Share of its objective that an exchange waits for a usable endpoint. The
+/// users take a refusal within a quarter for an early one.
+const PATIENCE_SHARE: f64 = 0.2;
+/// Nothing is sent to an endpoint with less time than this.
+const SHORTEST_CALL: Duration = Duration::from_millis(5);
+
+impl Relay {
+    /// The head of a reply came. True if its body is a stream whose events are
+    /// to be asked about one by one with [`Relay::pass_event`]; false if the
+    /// body is to be read whole first.
+    pub fn opened(&mut self, now: Duration, call: CallKey, head: &ReplyHead) -> bool {
+        let Some(exchange) = self.exchange_of(call) else { return false };
+        let is_stream = self.exchanges[exchange].route.kind.is_stream();
+        let is_success = (200..300).contains(&head.status);
+        if is_stream && is_success {
+            self.exchanges[exchange].was_called = true;
+            self.note_answer(now, call, head.load);
+        }
+        is_stream && is_success
+    }
+
+    /// Whether a stream's event goes to the caller.
+    pub fn pass_event(&mut self, now: Duration, call: CallKey, id: Option<u64>) -> bool {
+        let Some(key) = self.exchange_of(call) else { return false };
+        self.note_read(call);
+        let exchange = &mut self.exchanges[key];
+        if let (Some(id), Some(last)) = (id, exchange.last_event)
+            && id <= last
+        {
+            return false;
+        }
+        exchange.last_event = id.or(exchange.last_event);
+        let is_first = !std::mem::replace(&mut exchange.has_begun, true);
+        if is_first {
+            self.actions.push(Action::Begin { exchange: key, call });
+            self.free_results(key);
+        }
+        self.tick_quietly(now);
+        true
+    }
+
+    /// A stream ended whole.
+    pub fn ended(&mut self, _now: Duration, call: CallKey) {
+        let Some(key) = self.exchange_of(call) else { return };
+        self.end_call(call);
+        if !self.exchanges[key].has_begun {
+            self.actions.push(Action::Begin { exchange: key, call });
+        }
+        self.actions.push(Action::Finish(key));
+        self.close(key);
+    }
+
+    /// A reply came whole.
+    pub fn replied(&mut self, now: Duration, call: CallKey, head: &ReplyHead) {
+        let Some(key) = self.exchange_of(call) else { return };
+        self.note_answer(now, call, head.load);
+        let endpoint = self.calls[call].endpoint;
+        self.end_call(call);
+        if head.status == 421 {
+            self.directory.leaves(now, endpoint);
+        }
+        let is_success = (200..300).contains(&head.status);
+        let is_failure = head.status >= 500 || head.is_unrun;
+        if !is_failure && (!is_success || head.is_sealed) {
+            self.actions.push(Action::Answer { exchange: key, call });
+            self.close(key);
+            return;
+        }
+        let has_inputs = !self.exchanges[key].route.stages.is_empty();
+        let inputs_gone = head.is_unrun && head.status == 409 && has_inputs;
+        if inputs_gone {
+            self.exchanges[key].attempts -= 1;
+            self.restart_stages(now, key);
+            return;
+        }
+        let exchange = &mut self.exchanges[key];
+        if head.is_unrun && head.status == 421 {
+            exchange.attempts -= 1;
+        }
+        exchange.was_called |= !head.is_unrun;
+        let own_answer = (!head.is_unrun && head.is_sealed).then_some(call);
+        self.repeat(now, key, own_answer);
+    }
+
+    /// A call failed without a whole reply.
+    pub fn failed(&mut self, now: Duration, call: CallKey, failure: Failure) {
+        let Some(key) = self.exchange_of(call) else { return };
+        let endpoint = self.calls[call].endpoint;
+        self.end_call(call);
+        if let Some(endpoint) = self.directory.get_mut(endpoint) {
+            endpoint.failed(now, failure);
+        }
+        let exchange = &mut self.exchanges[key];
+        match failure {
+            Failure::Unsent => exchange.attempts -= 1,
+            Failure::Cut | Failure::Foreign => exchange.was_called = true,
+        }
+        self.repeat(now, key, None);
+    }
+
+    pub(super) fn choose(
+        &mut self,
+        now: Duration,
+        key: ExchangeKey,
+        inputs: &[(DataCentre, u64)],
+    ) -> Option<(EndpointKey, u64)> {
+        let exchange = &self.exchanges[key];
+        let wanted = choice::Wanted {
+            home: &self.settings.data_centre,
+            tried: &exchange.tried,
+            inputs,
+            limit: self.connection_limit(&exchange.service),
+        };
+        match &exchange.arrival.prompt {
+            Some(prompt) => choice::engine(
+                &self.directory,
+                &self.memory,
+                now,
+                &exchange.service,
+                prompt,
+                wanted,
+            ),
+            None => {
+                let rng = &mut self.rng;
+                let jitter = || rng.random();
+                let chosen = choice::plain(&self.directory, now, &exchange.service, wanted, jitter);
+                chosen.map(|endpoint| (endpoint, 0))
+            }
+        }
+    }
+
+    /// This instance's share of the connections that an endpoint accepts.
+    pub(super) fn connection_limit(&self, service: &str) -> u32 {
+        let service = self.config.as_ref().and_then(|config| config.services.get(service));
+        let all = service.map_or(u32::MAX, |service| service.connections);
+        (all / self.instances() as u32).max(1)
+    }
+
+    /// Calls an endpoint with an exchange whose stages are complete.
+    pub(super) fn call(&mut self, now: Duration, key: ExchangeKey) {
+        let exchange = &self.exchanges[key];
+        if exchange.due < now + SHORTEST_CALL {
+            self.time_out(now, key);
+            return;
+        }
+        let places = exchange.graph.output_places(&exchange.route);
+        let Some((endpoint, tokens)) = self.choose(now, key, &places) else {
+            self.wait_for_endpoint(now, key);
+            return;
+        };
+        self.searching.remove(&key);
+        let basis = self.basis(now, key, endpoint, tokens);
+        let call = self.calls.insert(CallState {
+            exchange: ExchangeOf::Exchange(key),
+            endpoint,
+            started: now,
+            tokens,
+            is_answered: false,
+        });
+        let exchange = &mut self.exchanges[key];
+        exchange.call = Some(call);
+        exchange.attempts += 1;
+        exchange.tried.push(endpoint);
+        exchange.patience = None;
+        if let Some(prompt) = &exchange.arrival.prompt {
+            self.memory.sent(now, endpoint, prompt);
+        }
+        let target = self.directory.get_mut(endpoint).expect("a chosen endpoint is known");
+        target.sent(tokens);
+        let call = Call {
+            key: call,
+            exchange: key,
+            endpoint: target.entry.name.clone(),
+            addr: target.entry.addr.clone(),
+            remaining: exchange.due - now,
+            team: exchange.team.clone(),
+            inputs: exchange.graph.outputs(&exchange.route),
+            resume: exchange.last_event,
+            rank: exchange.arrival.prompt.as_ref().map(|_| exchange.priority.min(9)),
+            attempt: exchange.attempts,
+            basis,
+        };
+        self.actions.push(Action::Send(call));
+    }
+
+    pub(super) fn basis(
+        &self,
+        now: Duration,
+        key: ExchangeKey,
+        endpoint: EndpointKey,
+        tokens: u64,
+    ) -> Basis {
+        let known = self.directory.get(endpoint);
+        Basis {
+            version: self.config.as_ref().map_or(0, |config| config.version),
+            calls: known.map_or(0, |known| known.calls(now)),
+            load_age: known.and_then(|known| known.load_age(now)),
+            tokens,
+            usable: self.directory.usable(now, &self.exchanges[key].service).len(),
+        }
+    }
+
+    pub(super) fn wait_for_endpoint(&mut self, now: Duration, key: ExchangeKey) {
+        let exchange = &mut self.exchanges[key];
+        let patience = exchange.route.objective.mul_f64(PATIENCE_SHARE);
+        let until = *exchange.patience.get_or_insert(now + patience);
+        if now >= until {
+            self.searching.remove(&key);
+            let has_run = exchange.has_run || exchange.was_called;
+            let refusal = if has_run { Refusal::Failed } else { Refusal::Unserved };
+            self.give_up(now, key, refusal);
+            return;
+        }
+        if self.searching.is_empty() {
+            self.next_search = now + LOOK_AGAIN;
+        }
+        self.searching.insert(key);
+    }
+
+    /// Tries again for the exchanges that found no endpoint.
+    pub(super) fn search(&mut self, now: Duration) {
+        self.next_search = now + LOOK_AGAIN;
+        for key in std::mem::take(&mut self.searching) {
+            if self.exchanges.contains_key(key) {
+                self.call(now, key);
+            }
+        }
+    }
+
+    /// Sends an exchange to another endpoint, or ends it. `answer` is the
+    /// endpoint's own failure, which is passed on if it stays at that.
+    pub(super) fn repeat(&mut self, now: Duration, key: ExchangeKey, answer: Option<CallKey>) {
+        let exchange = &self.exchanges[key];
+        let kind = exchange.route.kind;
+        let may_run = kind.may_repeat() || !exchange.was_called;
+        let can_go_on = !exchange.has_begun || kind.may_repeat();
+        let has_attempts = exchange.attempts < exchange.route.max_attempts;
+        let has_time = exchange.due > now + SHORTEST_CALL;
+        let is_first = exchange.attempts == 0;
+        let service = exchange.service.clone();
+        let may_try = may_run && can_go_on && has_attempts && has_time;
+        if may_try && (is_first || self.spend(now, &service, 1)) {
+            if self.exchanges[key].has_begun {
+                self.restart_stages(now, key);
+            }
+            if self.exchanges.get(key).is_some_and(|exchange| exchange.call.is_none()) {
+                self.advance(now, key);
+            }
+            return;
+        }
+        let exchange = &self.exchanges[key];
+        match answer {
+            Some(call) if !exchange.has_begun => {
+                self.actions.push(Action::Answer { exchange: key, call });
+                self.close(key);
+            }
+            _ => {
+                let has_run = exchange.has_run || exchange.was_called;
+                let refusal = if has_run { Refusal::Failed } else { Refusal::Unserved };
+                self.give_up(now, key, refusal);
+            }
+        }
+    }
+
+    pub(super) fn exchange_of(&self, call: CallKey) -> Option<ExchangeKey> {
+        match self.calls.get(call)?.exchange {
+            ExchangeOf::Exchange(key) if self.exchanges.contains_key(key) => Some(key),
+            _ => None,
+        }
+    }
+
+    pub(super) fn note_answer(&mut self, now: Duration, call: CallKey, load: Option<Load>) {
+        let Some(state) = self.calls.get_mut(call) else { return };
+        if std::mem::replace(&mut state.is_answered, true) {
+            return;
+        }
+        let took = now.saturating_sub(state.started);
+        if let Some(endpoint) = self.directory.get_mut(state.endpoint) {
+            endpoint.answered(now, took, load);
+        }
+    }
+
+    pub(super) fn note_read(&mut self, call: CallKey) {
+        let Some(state) = self.calls.get_mut(call) else { return };
+        let tokens = std::mem::take(&mut state.tokens);
+        if let Some(endpoint) = self.directory.get_mut(state.endpoint) {
+            endpoint.read(tokens);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, _now: Duration, call: CallKey) {
+        self.actions.push(Action::Cancel(call));
+        self.end_call(call);
+    }
+
+    pub(super) fn end_call(&mut self, call: CallKey) {
+        self.note_read(call);
+        let Some(state) = self.calls.remove(call) else { return };
+        if let Some(endpoint) = self.directory.get_mut(state.endpoint) {
+            endpoint.ended();
+        }
+        if let ExchangeOf::Exchange(key) = state.exchange
+            && let Some(exchange) = self.exchanges.get_mut(key)
+        {
+            exchange.call = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/machine/stages.rs
@@ -0,0 +1,462 @@
+//! Stages: pieces are started, batched or handed over, and taken in.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3;
+
+use crate::{
+    model::{DataCentre, InstanceName, Load},
+    relay::{
+        batch::{Batches, Finished, Origin},
+        config::{Pieces, Route},
+        exchange::{CallState, Exchange, ExchangeOf},
+        graph::{Graph, Made},
+        machine::{Relay, Ticket},
+        model::{
+            Action, CallKey, ExchangeKey, Failure, HandoverKey, Piece, PieceFailure, PieceResult,
+            Refusal, ServiceName,
+        },
+    },
+};
+
+/// Share of the usual time behind a stage that is needed at the least.
+const LEAST_SHARE: f64 = 0.5;
+/// Time that a generation needs behind its stages until its first token, on
+/// top of reading its prompt. From the sheets: 64 ms, and a step or two.
+const FIRST_TOKEN: Duration = Duration::from_millis(120);
+/// Prompt tokens that an engine reads in a millisecond while it serves others.
+const READ_TOKENS_PER_MS: u32 = 20;
+/// How often an exchange's pieces are made at the most.
+const MAX_ROUNDS: u8 = 2;
+/// How often a piece is sent at the most.
+const MAX_TRIES: u8 = 3;
+/// A result of at least this size is made where it will be used.
+const LARGE_RESULT: u64 = 200_000;
+
+impl Relay {
+    /// A call for pieces brought results.
+    pub fn made(
+        &mut self,
+        now: Duration,
+        call: CallKey,
+        results: Vec<PieceResult>,
+        load: Option<Load>,
+    ) {
+        self.note_answer(now, call, load);
+        let service = self.service_of(call);
+        self.end_call(call);
+        let (finished, strays) = self.batches.made(now, call, results);
+        if let (Some(service), false) = (service, strays.is_empty()) {
+            self.free_at(&service, strays);
+        }
+        self.take_finished(now, finished);
+        self.make_all(now);
+    }
+
+    /// The service of the endpoint that a call went to.
+    pub(super) fn service_of(&self, call: CallKey) -> Option<ServiceName> {
+        let endpoint = self.directory.get(self.calls.get(call)?.endpoint)?;
+        Some(endpoint.entry.service.clone())
+    }
+
+    /// Has the pieces of stragglers made elsewhere too, as far as the bound on
+    /// repetition allows.
+    pub(super) fn make_stragglers_again(&mut self, now: Duration) {
+        for (call, service, count) in self.batches.take_stragglers(now) {
+            if self.spend(now, &service, count) {
+                self.batches.make_again(call);
+            }
+        }
+    }
+
+    /// A call for pieces failed; `is_unrun` if the endpoint said that it did
+    /// not run.
+    pub fn make_failed(&mut self, now: Duration, call: CallKey, failure: Failure, is_unrun: bool) {
+        let endpoint = self.calls.get(call).map(|state| state.endpoint);
+        self.end_call(call);
+        let endpoint = endpoint.and_then(|key| self.directory.get_mut(key));
+        if let (Some(endpoint), false) = (endpoint, is_unrun) {
+            endpoint.failed(now, failure);
+        }
+        let mut finished = self.batches.failed(now, call, is_unrun);
+        let is_safe = is_unrun || failure == Failure::Unsent;
+        for one in &mut finished {
+            one.piece.is_repeat |= !is_safe;
+        }
+        self.requeue(now, finished, is_safe);
+        self.make_all(now);
+    }
+
+    /// A peer hands over pieces. Their results are returned under `ticket`.
+    pub fn take_over(&mut self, now: Duration, ticket: u64, pieces: Vec<Piece>) {
+        self.tickets.insert(ticket, Ticket { results: vec![None; pieces.len()] });
+        for piece in &pieces {
+            self.earn(now, &piece.service, 1);
+        }
+        let origin = |index| Origin::Peer { ticket, index };
+        let pieces = pieces.into_iter().enumerate();
+        self.admit(now, pieces.map(|(index, piece)| (piece, origin(index))).collect());
+        self.make_all(now);
+    }
+
+    /// A peer does not want its pieces any more.
+    pub fn recalled(&mut self, ticket: u64) {
+        self.tickets.remove(&ticket);
+        let is_gone =
+            |origin: &Origin| matches!(origin, Origin::Peer { ticket: t, .. } if *t == ticket);
+        self.batches.drop_waiting(is_gone);
+    }
+
+    /// A peer returned the results of pieces; `None` if it cannot be reached.
+    pub fn returned(&mut self, now: Duration, key: HandoverKey, results: Option<Vec<PieceResult>>) {
+        let Some(pieces) = self.handovers.remove(key) else { return };
+        let Some((exchange, _)) = pieces.first() else { return };
+        if let Some(exchange) = self.exchanges.get_mut(*exchange) {
+            exchange.handovers.retain(|other| *other != key);
+        }
+        match results {
+            Some(results) => {
+                let finished =
+                    pieces.into_iter().zip(results).map(|((exchange, piece), result)| {
+                        let origin = Origin::Own(exchange);
+                        Finished { origin, piece, result, endpoint: None }
+                    });
+                let finished = finished.collect();
+                self.take_finished(now, finished);
+            }
+            None => {
+                for (exchange, piece) in pieces {
+                    // The peer may have had some of them made.
+                    self.note_run(exchange);
+                    self.batches.add(piece, Origin::Own(exchange));
+                }
+            }
+        }
+        self.make_all(now);
+    }
+
+    pub(super) fn start_stages(&mut self, now: Duration, key: ExchangeKey) {
+        self.find_home(now, key);
+        // Starting a stage may end the exchange: there may be no time for it.
+        while let Some(exchange) = self.exchanges.get_mut(key) {
+            let route = exchange.route.clone();
+            let ready = exchange.graph.start_ready(&route, LARGE_RESULT);
+            if ready.is_empty() {
+                break;
+            }
+            for stage in ready {
+                self.start_stage(now, key, stage);
+            }
+        }
+        let services = self.batches.services();
+        for service in services {
+            self.make(now, &service);
+        }
+    }
+
+    pub(super) fn start_stage(&mut self, now: Duration, key: ExchangeKey, stage: usize) {
+        let Some(exchange) = self.exchanges.get(key) else { return };
+        let service = exchange.route.stages[stage].service.clone();
+        let rest = Rest {
+            usual: self.rest_after(exchange, stage, &|time| time),
+            least: self.rest_after(exchange, stage, &|time| time.mul_f64(LEAST_SHARE)),
+        };
+        let pieces = exchange.new_pieces(stage, rest);
+        match self.owner(&service) {
+            None => {
+                self.earn(now, &service, pieces.len() as u32);
+                let pieces = pieces.into_iter().map(|piece| (piece, Origin::Own(key)));
+                self.admit(now, pieces.collect());
+            }
+            Some(peer) => self.hand_over(key, peer, pieces),
+        }
+    }
+
+    pub(super) fn hand_over(&mut self, key: ExchangeKey, peer: InstanceName, pieces: Vec<Piece>) {
+        let held = pieces.iter().map(|piece| (key, piece.clone())).collect();
+        let handover = self.handovers.insert(held);
+        self.exchanges[key].handovers.push(handover);
+        self.actions.push(Action::HandOver { key: handover, peer, pieces });
+    }
+
+    /// The peer that batches a service's pieces; `None` if this instance does.
+    pub(super) fn owner(&self, service: &str) -> Option<InstanceName> {
+        let weight = |name: &str| {
+            xxh3::xxh3_64_with_seed(name.as_bytes(), xxh3::xxh3_64(service.as_bytes()))
+        };
+        let own = weight(&self.settings.name);
+        let best = self.peers.iter().max_by_key(|name| weight(name))?;
+        (weight(best) > own || !self.is_batching).then(|| best.clone())
+    }
+
+    /// Takes in pieces, but those that cannot be made in time: their callers
+    /// hear it at once, while they can still come back.
+    pub(super) fn admit(&mut self, now: Duration, pieces: Vec<(Piece, Origin)>) {
+        let mut late = Vec::new();
+        for (piece, origin) in pieces {
+            let is_feasible = self
+                .shape(&piece.service)
+                .is_none_or(|shape| self.batches.is_feasible(now, &piece, &shape, &self.directory));
+            match is_feasible {
+                true => self.batches.add(piece, origin),
+                false => late.push(Batches::turn_away(piece, origin)),
+            }
+        }
+        self.take_finished(now, late);
+    }
+
+    pub(super) fn shape(&self, service: &str) -> Option<Pieces> {
+        self.config.as_ref()?.services.get(service)?.pieces
+    }
+
+    /// Time that is needed behind a stage until the first byte of an answer.
+    /// `adapt` turns a stage's usual time into the one that counts.
+    pub(super) fn rest_after(
+        &self,
+        exchange: &Exchange,
+        stage: usize,
+        adapt: &dyn Fn(Duration) -> Duration,
+    ) -> Duration {
+        let route = &exchange.route;
+        let followers = (0..route.stages.len()).filter(|next| {
+            route.stages[*next].after.contains(&stage) && exchange.graph.pieces(*next) > 0
+        });
+        let longest = followers.map(|next| {
+            let time = adapt(self.stage_time(&route.stages[next].service));
+            time + self.rest_after(exchange, next, adapt)
+        });
+        longest.max().unwrap_or_else(|| adapt(generation_time(exchange)))
+    }
+
+    /// The usual time of a stage: half a call's wait and a half full call.
+    pub(super) fn stage_time(&self, service: &str) -> Duration {
+        let Some(shape) = self.shape(service) else { return Duration::ZERO };
+        Batches::call_time(&shape, shape.batch as usize / 2) + shape.call_time / 2
+    }
+
+    pub(super) fn make_all(&mut self, now: Duration) {
+        self.has_room = false;
+        for service in self.batches.services() {
+            self.make(now, &service);
+        }
+    }
+
+    /// Sends what waits for a service to its idle endpoints.
+    pub(super) fn make(&mut self, now: Duration, service: &str) {
+        let Some(shape) = self.shape(service) else { return };
+        let late = self.batches.take_late(now, service, &shape);
+        self.take_finished(now, late);
+        for order in self.batches.plan(now, service, &shape, &self.directory) {
+            let endpoint = order.endpoint;
+            let call = self.calls.insert(CallState {
+                exchange: ExchangeOf::Pieces,
+                endpoint,
+                started: now,
+                tokens: 0,
+                is_answered: false,
+            });
+            self.batches.started(now, call, &order, &shape);
+            let target = self.directory.get_mut(endpoint).expect("a planned endpoint is known");
+            target.sent(0);
+            let (endpoint, addr) = (target.entry.name.clone(), target.entry.addr.clone());
+            self.actions.push(Action::Make { call, endpoint, addr, pieces: order.pieces });
+        }
+    }
+
+    pub(super) fn take_finished(&mut self, now: Duration, finished: Vec<Finished>) {
+        let mut touched = Vec::new();
+        for one in finished {
+            match one.origin {
+                Origin::Peer { ticket, index } => self.return_one(now, ticket, index, one),
+                Origin::Own(key) => {
+                    self.take_own(now, key, one);
+                    if !touched.contains(&key) {
+                        touched.push(key);
+                    }
+                }
+            }
+        }
+        for key in touched {
+            self.after_pieces(now, key);
+        }
+    }
+
+    pub(super) fn return_one(&mut self, now: Duration, ticket: u64, index: usize, one: Finished) {
+        let Some(open) = self.tickets.get_mut(&ticket) else {
+            self.free_stray(one);
+            return;
+        };
+        if let Some(piece) = another_try(&one) {
+            if self.may_send_again(now, &piece) {
+                self.batches.add(piece, Origin::Peer { ticket, index });
+                return;
+            }
+            if let Some(open) = self.tickets.get_mut(&ticket) {
+                open.results[index] = Some(one.result);
+            }
+        } else {
+            open.results[index] = Some(one.result);
+        }
+        let open = &self.tickets[&ticket];
+        if open.results.iter().all(Option::is_some) {
+            let open = self.tickets.remove(&ticket).expect("it was just seen");
+            let results = open.results.into_iter().flatten().collect();
+            self.actions.push(Action::Return { ticket, results });
+        }
+    }
+
+    pub(super) fn take_own(&mut self, now: Duration, key: ExchangeKey, one: Finished) {
+        let Some(exchange) = self.exchanges.get_mut(key) else {
+            self.free_stray(one);
+            return;
+        };
+        exchange.has_run |= one.result != Err(PieceFailure::Late);
+        let is_old = one.piece.round != exchange.rounds;
+        match one.result {
+            // Its round has been given up already.
+            Err(_) if is_old => {}
+            Ok(handle) => {
+                let place = self.directory.place_of(&handle, one.endpoint);
+                let made = Made { handle, place };
+                let (stage, number) = (usize::from(one.piece.stage), usize::from(one.piece.number));
+                exchange.graph.made(stage, number, made);
+            }
+            Err(PieceFailure::Late) => self.give_up(now, key, Refusal::Infeasible),
+            Err(PieceFailure::InputGone) => self.restart_stages(now, key),
+            Err(_) => {
+                let piece = another_try(&one);
+                let piece = piece.filter(|piece| self.may_send_again(now, piece));
+                match piece {
+                    Some(piece) => self.batches.add(piece, Origin::Own(key)),
+                    None => self.give_up(now, key, Refusal::Failed),
+                }
+            }
+        }
+    }
+
+    /// Pieces of a failed call wait again. `is_safe` if they certainly did not
+    /// arrive anywhere as work.
+    pub(super) fn requeue(&mut self, now: Duration, finished: Vec<Finished>, is_safe: bool) {
+        let mut lost = Vec::new();
+        for one in finished {
+            let is_wanted = match one.origin {
+                Origin::Own(key) => self.exchanges.contains_key(key),
+                Origin::Peer { ticket, .. } => self.tickets.contains_key(&ticket),
+            };
+            if !is_wanted {
+                continue;
+            }
+            if is_safe || self.spend(now, &one.piece.service.clone(), 1) {
+                self.batches.add(one.piece, one.origin);
+            } else {
+                lost.push(one);
+            }
+        }
+        self.take_finished(now, lost);
+    }
+
+    pub(super) fn after_pieces(&mut self, now: Duration, key: ExchangeKey) {
+        let Some(exchange) = self.exchanges.get_mut(key) else { return };
+        let route = exchange.route.clone();
+        let used = exchange.graph.take_used(&route);
+        self.free(&route, used);
+        let is_calling = self.exchanges[key].call.is_some();
+        if !is_calling {
+            self.advance(now, key);
+        }
+    }
+
+    /// Where the call will probably go, if large results should lie near it.
+    pub(super) fn find_home(&mut self, now: Duration, key: ExchangeKey) {
+        let exchange = &self.exchanges[key];
+        let has_large = exchange.route.stages.iter().any(|stage| stage.bytes >= LARGE_RESULT);
+        if exchange.home.is_some() || !has_large {
+            return;
+        }
+        let Some((endpoint, _)) = self.choose(now, key, &[]) else { return };
+        let home = self.directory.get(endpoint).map(|known| known.entry.data_centre.clone());
+        self.exchanges[key].home = home;
+    }
+
+    /// The results of an exchange's stages are gone: they are made again.
+    pub(super) fn restart_stages(&mut self, now: Duration, key: ExchangeKey) {
+        let exchange = &mut self.exchanges[key];
+        if exchange.route.stages.is_empty() {
+            return;
+        }
+        exchange.rounds += 1;
+        if exchange.rounds >= MAX_ROUNDS {
+            self.give_up(now, key, Refusal::Failed);
+            return;
+        }
+        let used = exchange.graph.take_all();
+        let (route, pieces) = (exchange.route.clone(), exchange.arrival.pieces.clone());
+        exchange.graph = Graph::new(&route, &pieces);
+        self.free(&route, used);
+        self.advance(now, key);
+    }
+
+    /// Pays for sending a piece again that was or may have been made.
+    pub(super) fn may_send_again(&mut self, now: Duration, piece: &Piece) -> bool {
+        !piece.is_repeat || self.spend(now, &piece.service.clone(), 1)
+    }
+}
+
+/// Time that is needed behind a stage until the first byte of an answer.
+#[derive(Debug, Clone, Copy)]
+struct Rest {
+    usual: Duration,
+    least: Duration,
+}
+
+impl Exchange {
+    /// The pieces of a stage. `rest` is the time that is needed behind it.
+    fn new_pieces(&self, stage: usize, rest: Rest) -> Vec<Piece> {
+        let Route { stages, .. } = &*self.route;
+        let inputs = self.graph.inputs(&self.route, stage);
+        let key = if inputs.is_empty() { self.arrival.piece_key.clone() } else { None };
+        let home = self.home_of(stage);
+        let piece = |number| Piece {
+            service: stages[stage].service.clone(),
+            request: self.arrival.id.clone(),
+            stage: stage as u16,
+            number,
+            key: key.clone(),
+            inputs: inputs.clone(),
+            bytes: stages[stage].bytes,
+            due: self.due.saturating_sub(rest.least),
+            aim: self.aim.saturating_sub(rest.usual),
+            priority: self.priority,
+            home: home.clone(),
+            round: self.rounds,
+            tries: 0,
+            is_repeat: self.rounds > 0,
+        };
+        (0..self.graph.pieces(stage) as u16).map(piece).collect()
+    }
+
+    /// Where a stage should be done: where most of what it takes in lies, or
+    /// where its results will be taken in, if either is large.
+    fn home_of(&self, stage: usize) -> Option<DataCentre> {
+        let inputs = self.graph.input_places(&self.route, stage);
+        let most = inputs.into_iter().max_by_key(|(_, bytes)| *bytes);
+        let near_inputs = most.filter(|(_, bytes)| *bytes >= LARGE_RESULT).map(|(place, _)| place);
+        let has_large = self.route.stages[stage].bytes >= LARGE_RESULT;
+        near_inputs.or_else(|| self.home.clone().filter(|_| has_large))
+    }
+}
+
+/// The piece, if another call may do better.
+fn another_try(one: &Finished) -> Option<Piece> {
+    let may_do_better = matches!(one.result, Err(PieceFailure::NoRoom | PieceFailure::Failed));
+    let piece = &one.piece;
+    let is_repeat = one.result != Err(PieceFailure::NoRoom);
+    let tries = piece.tries + u8::from(is_repeat);
+    (may_do_better && tries < MAX_TRIES).then(|| Piece { tries, is_repeat, ..piece.clone() })
+}
+
+/// Time from the last stage to the first token.
+fn generation_time(exchange: &Exchange) -> Duration {
+    let Some(prompt) = &exchange.arrival.prompt else { return Duration::ZERO };
+    FIRST_TOKEN + Duration::from_millis(u64::from(prompt.input / READ_TOKENS_PER_MS))
+}
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -16,6 +16,7 @@
     channel::{mpsc, oneshot},
     future::{AbortHandle, Abortable},
 };
+use peatdeck_client::{endpoint, list, log};
 use peatdeck_core::{
     instance::{
         Instance,
@@ -27,7 +28,6 @@
     model::{AppendId, CallId, CallerId, InstanceName, Outcome, Request, RequestId},
     record::{Offset, Stream},
 };
-use peatdeck_platform::{endpoint, list, log};
 use peatdeck_util::clock::Clock;
 use slotmap::{Key, KeyData, SlotMap};
 use tokio::sync::Notify;
--- a/crates/entry/src/platform_tasks.rs
+++ b/crates/entry/src/platform_tasks.rs
@@ -7,12 +7,12 @@
 
 use std::{rc::Rc, time::Duration};
 
+use peatdeck_client::log;
 use peatdeck_core::{
     instance::input::Input,
     model::AppendId,
     record::{Batch, Stream},
 };
-use peatdeck_platform::log;
 use rand::Rng;
 use serde::{Serialize, de::DeserializeOwned};
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -23,11 +23,11 @@
     time::Seconds,
     web::{self, App},
 };
+use peatdeck_client::{endpoint, http, list, log};
 use peatdeck_core::{
     instance::{Instance, input::Input},
     trace::{Header, VERSION},
 };
-use peatdeck_platform::{endpoint, http, list, log};
 use peatdeck_util::{clock::SystemClock, metrics::Metrics};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -11,12 +11,12 @@
     client::{Client, ClientResponse},
     web::{self, App, test::TestServer},
 };
+use peatdeck_client::{http, log};
 use peatdeck_core::{
     document::{Document, Pipeline},
     model::{EndpointEntry, Incarnation, InstanceEntry, Listing, Presence, RequestId},
     record::{ConfigRecord, Publish, Stream},
 };
-use peatdeck_platform::{http, log};
 use peatdeck_standin::{answer, calls::CallsBody, cli, cli::Role, endpoint, engine, list, service};
 use peatdeck_wire::admin::EntryStatus;
 use serde::de::DeserializeOwned;
--- a/crates/xtask/src/soak.rs
+++ b/crates/xtask/src/soak.rs
@@ -48,7 +48,7 @@
             other => return Err(Error::Flag(other.join(" "))),
         }
     }
-    let packages = ["-p", "peatdeck-soak", "-p", "peatdeck-platform-adapter"];
+    let packages = ["-p", "peatdeck-soak", "-p", "peatdeck-platform"];
     let build = call(Command::new("cargo").current_dir(root).arg("build").args(packages))?;
     if !build.success() {
         return Err(Error::Build);
