Share the bound on repetition over all instances that announced themselves

Cause, read in the code: an instance that lost sight of its peers shared the slack over eight, however many there are; on the grown deployments that is seven to nine times its share. The test fails without the change.

--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -68,6 +68,7 @@
     tickets: HashMap<u64, Ticket>,
     allowances: HashMap<ServiceName, Allowance>,
     peers: Vec<InstanceName>,
+    announced: usize,
     is_batching: bool,
     /// Room has become free that waiting pieces may need.
     has_room: bool,
@@ -115,6 +116,7 @@
             tickets: HashMap::new(),
             allowances: HashMap::new(),
             peers: Vec::new(),
+            announced: 0,
             is_batching: true,
             has_room: false,
             due: BTreeSet::new(),
@@ -199,9 +201,11 @@
         self.is_batching = false;
     }
 
-    /// Takes in which peers are taken for alive.
-    pub fn set_peers(&mut self, peers: Vec<InstanceName>) {
+    /// Takes in which peers are taken for alive, and how many instances there
+    /// are at the most: those that ever announced themselves.
+    pub fn set_peers(&mut self, peers: Vec<InstanceName>, announced: usize) {
         self.peers = peers;
+        self.announced = announced;
     }
 
     /// A caller's request has been read whole.
@@ -269,9 +273,10 @@
         self.call(now, key);
     }
 
-    /// Instances that may be alive.
+    /// Instances that may be alive. Those that are only out of sight count: they
+    /// repeat out of the same bound.
     fn instances(&self) -> usize {
-        (self.peers.len() + 1).max(self.settings.instances)
+        (self.peers.len() + 1).max(self.announced).max(self.settings.instances)
     }
 
     fn earn(&mut self, now: Duration, service: &ServiceName, count: u32) {
--- a/crates/core/tests/testsuite/relay/calls.rs
+++ b/crates/core/tests/testsuite/relay/calls.rs
@@ -135,6 +135,24 @@
     assert_eq!(repeated, 2);
 }
 
+#[test]
+fn instances_that_are_out_of_sight_keep_their_share_of_the_bound() {
+    let config = ConfigBuilder::new(1).service("desk").route(route("r", Kind::Idempotent, "desk"));
+    let bound = Bound { ratio: 0.0, slack: 100.0, window: ms(10_000) };
+    let mut world = World::with_bound(config.build(), bound);
+    world.put(entry("a", "desk"));
+    world.put(entry("b", "desk"));
+    world.relay.set_peers(Vec::new(), 40);
+    let mut repeated = 0;
+    for id in 0..10 {
+        world.arrive(arrival(&id.to_string(), "r"));
+        let call = world.call();
+        world.replied(call.key, &head(500));
+        repeated += world.calls().len();
+    }
+    assert_eq!(repeated, 2);
+}
+
 #[test]
 fn another_endpoint_at_the_address_means_that_this_one_is_gone() {
     let mut world = World::plain(Kind::Once);
--- a/crates/core/tests/testsuite/relay/peers.rs
+++ b/crates/core/tests/testsuite/relay/peers.rs
@@ -25,7 +25,7 @@
 fn with_owner() -> World {
     let mut world = world();
     for idx in 0..50 {
-        world.relay.set_peers(vec![Arc::from(format!("peer-{idx}"))]);
+        world.relay.set_peers(vec![Arc::from(format!("peer-{idx}"))], 2);
         let exchange = world.arrive(asking("probe", 1));
         let is_handed = !handed(&mut world).is_empty();
         world.leave(exchange);
@@ -91,11 +91,11 @@
 #[test]
 fn an_instance_that_stops_hands_everything_over() {
     let mut world = world();
-    world.relay.set_peers(vec![Arc::from("other")]);
+    world.relay.set_peers(vec![Arc::from("other")], 2);
     world.relay.stop_batching();
     world.arrive(asking("1", 1));
     assert_eq!(handed(&mut world).len(), 1);
-    world.relay.set_peers(Vec::new());
+    world.relay.set_peers(Vec::new(), 2);
     world.arrive(asking("2", 1));
     assert_eq!(world.orders()[0].names(), ["2/0/0"], "with nobody left it makes them itself");
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -367,7 +367,8 @@
         let names: Vec<_> = peers.iter().map(|name| &**name).collect();
         tracing::info!(event = "peers", count = peers.len(), names = names.join(" "));
     }
-    driver.feed(|machine, _| machine.set_peers(peers));
+    let announced = driver.peers.listed.borrow().len();
+    driver.feed(|machine, _| machine.set_peers(peers, announced));
 }
 
 /// Has a peer make pieces, and watches that it still works.
