--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -38,8 +38,9 @@
 const UNKNOWN_HELD: Duration = Duration::from_millis(400);
 
 /// A call that takes so much longer than it should is a straggler: its pieces
-/// are made elsewhere too. Endpoints differ by less than that in speed.
-const STRAGGLER_FACTOR: f64 = 2.0;
+/// are made elsewhere too. A slow endpoint is waited for all the same: in a
+/// burst, work done twice costs more than it saves.
+const STRAGGLER_FACTOR: f64 = 4.0;
 /// The same, as time on top: connections and a loaded instance.
 const STRAGGLER_SLACK: Duration = Duration::from_millis(100);
 
