--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -367,14 +367,9 @@
     pub fn failed(&mut self, now: Duration, call: CallKey, is_unrun: bool) -> Vec<Finished> {
         let Some(running) = self.running.remove(&call) else { return Vec::new() };
         self.release(&running);
-        let took = now.saturating_sub(running.started).as_secs_f64();
-        let factor = took / running.expected.as_secs_f64();
-        let worker = self.workers.entry(running.endpoint).or_default();
         if is_unrun {
+            let worker = self.workers.entry(running.endpoint).or_default();
             worker.blocked_until = now + BUSY_PAUSE;
-        } else if factor > worker.slowness(now) {
-            worker.slowness = factor;
-            worker.slowed_at = now;
         }
         // Pieces that wait again already, or are made elsewhere, stay there.
         let keys = running.keys.iter().copied();
