--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -12,9 +12,12 @@
 
 use xxhash_rust::xxh3;
 
-use crate::relay::{
-    directory::{Directory, Endpoint},
-    model::{EndpointKey, Part, Prompt},
+use crate::{
+    model::DataCentre,
+    relay::{
+        directory::{Directory, Endpoint},
+        model::{EndpointKey, Part, Prompt},
+    },
 };
 
 /// Prompt tokens that an engine reads in a millisecond. From the sheets of
@@ -45,7 +48,7 @@
     /// Endpoints that were tried before.
     pub tried: &'a [EndpointKey],
     /// Bytes of inputs by data centre.
-    pub inputs: &'a [(crate::model::DataCentre, u64)],
+    pub inputs: &'a [(DataCentre, u64)],
     /// Own calls that an endpoint may have at the most.
     pub limit: u32,
 }
@@ -163,7 +166,7 @@
     first.map(|(key, _)| *key)
 }
 
-fn far_megabytes(inputs: &[(crate::model::DataCentre, u64)], data_centre: &str) -> f64 {
+fn far_megabytes(inputs: &[(DataCentre, u64)], data_centre: &str) -> f64 {
     let far = inputs.iter().filter(|(place, _)| **place != *data_centre);
     far.map(|(_, bytes)| *bytes as f64 / 1e6).sum()
 }
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -23,7 +23,10 @@
 use http::{HeaderMap, Method, StatusCode};
 use peatdeck_core::relay::{
     Relay,
-    model::{Action, Arrival, CallKey, ExchangeKey, Failure, HandoverKey, Refusal, ReplyHead},
+    model::{
+        Action, Arrival, CallKey, ExchangeKey, Failure, HandoverKey, PieceResult, Refusal,
+        ReplyHead,
+    },
 };
 use peatdeck_util::{clock::Clock, metrics::Metrics};
 use slotmap::SecondaryMap;
@@ -411,11 +414,7 @@
     }
 
     /// A peer returned pieces, or cannot be reached.
-    pub fn handed_back(
-        self: &Rc<Self>,
-        key: HandoverKey,
-        results: Option<Vec<peatdeck_core::relay::model::PieceResult>>,
-    ) {
+    pub fn handed_back(self: &Rc<Self>, key: HandoverKey, results: Option<Vec<PieceResult>>) {
         self.feed(|machine, now| machine.returned(now, key, results));
     }
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     driver::Driver,
-    surroundings::{Page, Read, StoreError, TABLES, TableName},
+    surroundings::{Page, Read, StoreCall, StoreError, TABLES, TableName},
 };
 
 /// Time limit of a call beyond its wait.
@@ -171,10 +171,7 @@
     Ok(())
 }
 
-async fn limited<T>(
-    wait: Duration,
-    call: crate::surroundings::StoreCall<T>,
-) -> Result<T, StoreError> {
+async fn limited<T>(wait: Duration, call: StoreCall<T>) -> Result<T, StoreError> {
     match tokio::time::timeout(wait + CALL_TIMEOUT, call).await {
         Ok(result) => result,
         Err(_) => Err(StoreError::TimedOut),
