--- /dev/null
+++ b/crates/core/examples/batch_cost.rs
@@ -0,0 +1,123 @@
+//! Processor time of the instance that batches a service's pieces, by how many
+//! wait.
+//!
+//! A peer hands over the two pieces of one request and takes them back, while
+//! others wait: for endpoints that are all busy, or for room at endpoints that
+//! are idle. Sockets and logs are not part of it.
+//!
+//! `cargo run --release -p peatdeck-core --example batch_cost`
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use peatdeck_core::relay::{
+    Relay, Settings,
+    allowance::Bound,
+    config::{Config, Limits, Pieces, Service},
+    directory::{Change, Entry},
+    model::Piece,
+};
+use peatdeck_util::cost::{self, Effort};
+
+/// How each figure is measured.
+const EFFORT: Effort = Effort { spend: Duration::from_millis(500), rounds: 200 };
+/// Endpoints of the service, as on the grown deployments.
+const ENDPOINTS: usize = 18;
+/// Data centres of these.
+const PLACES: usize = 4;
+/// Requests that wait while the figure is taken.
+const WAITING: [u64; 4] = [0, 100, 500, 2000];
+/// The service.
+const SERVICE: &str = "ledger";
+
+fn main() {
+    for (label, room) in [("busy", 1 << 40), ("no room", 3_000_000)] {
+        for waiting in WAITING {
+            let micros = hand_over(room, waiting);
+            println!("{label:8} {waiting:5} requests wait: {micros:7.1} us a hand-over");
+        }
+    }
+}
+
+/// Microseconds of one hand-over of two pieces that is recalled again.
+fn hand_over(room: u64, waiting: u64) -> f64 {
+    let mut relay = relay(room);
+    // Every endpoint gets a call, or all the results that it has room for.
+    for ticket in 0..ENDPOINTS as u64 {
+        relay.take_over(Duration::ZERO, ticket, pieces(ticket, 1_000_000));
+    }
+    relay.take_actions();
+    for ticket in 1000..1000 + waiting {
+        relay.take_over(Duration::ZERO, ticket, pieces(ticket, 1_500_000));
+    }
+    relay.take_actions();
+    let mut ticket = 1_000_000;
+    cost::of(EFFORT, || {
+        ticket += 1;
+        relay.take_over(Duration::ZERO, ticket, pieces(ticket, 1_500_000));
+        relay.recalled(ticket);
+        relay.take_actions()
+    })
+}
+
+fn relay(room: u64) -> Relay {
+    let bound = Bound { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) };
+    let settings = Settings {
+        name: Arc::from("own"),
+        data_centre: Arc::from("dc-0"),
+        bound,
+        instances: 74,
+        strength: 120,
+    };
+    let mut relay = Relay::new(settings, 1);
+    let slots = if room < 1 << 40 { 2 } else { 1 };
+    let pieces = Pieces {
+        slots,
+        queue: 2,
+        batch: 10,
+        call_time: Duration::from_millis(200),
+        piece_time: Duration::from_millis(17),
+        room,
+        lease: Duration::from_secs(4),
+    };
+    let service = Service { connections: 640, engine: None, pieces: Some(pieces) };
+    relay.configure(Arc::new(Config {
+        version: 1,
+        routes: Vec::new(),
+        services: HashMap::from([(Arc::from(SERVICE), service)]),
+        keys: None,
+        limits: Limits { body: 1 << 20, idle: Duration::from_secs(15) },
+    }));
+    for idx in 0..ENDPOINTS {
+        let entry = Entry {
+            name: Arc::from(format!("endpoint-{idx}")),
+            service: Arc::from(SERVICE),
+            addr: Arc::from(format!("10.0.0.{idx}:80")),
+            data_centre: Arc::from(format!("dc-{}", idx % PLACES)),
+            slots: 1,
+            is_leaving: false,
+        };
+        relay.change(Duration::ZERO, Change::Put(entry));
+    }
+    relay
+}
+
+/// The two pieces of one request.
+fn pieces(request: u64, bytes: u64) -> Vec<Piece> {
+    let piece = |number| Piece {
+        service: Arc::from(SERVICE),
+        request: Arc::from(format!("{request:016x}")),
+        stage: 0,
+        number,
+        key: Some(Arc::from("key")),
+        inputs: Vec::new(),
+        bytes,
+        due: Duration::from_secs(600),
+        aim: Duration::from_secs(300) + Duration::from_millis(request % 1000),
+        priority: 0,
+        home: Some(Arc::from(format!("dc-{}", request % PLACES as u64))),
+        round: 0,
+        tries: 0,
+        is_repeat: false,
+    };
+    vec![piece(0), piece(1)]
+}
--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -7,11 +7,19 @@
 //! their callers to be served in good time; pieces that cannot be in good time
 //! any more come behind all that still can.
 
+pub mod queue;
+mod worker;
+
 use std::{collections::HashMap, time::Duration};
 
+use peatdeck_macros::id;
 use slotmap::SlotMap;
 
 use crate::relay::{
+    batch::{
+        queue::{Group, Queue, Space},
+        worker::Worker,
+    },
     config::Pieces,
     directory::Directory,
     model::{
@@ -19,24 +27,12 @@
     },
 };
 
-/// An endpoint that refused a call is left alone for so long: it is busy with
-/// somebody else's.
-const BUSY_PAUSE: Duration = Duration::from_millis(60);
-/// Weight of a new measurement of an endpoint's slowness.
-const NEWEST_SHARE: f64 = 0.5;
 /// An endpoint that is so much slower than it should be only gets pieces that
 /// the others have no time for.
 const SLOW_FACTOR: f64 = 2.0;
-/// Time after which half of an endpoint's slowness is forgotten, so that it
-/// is tried again.
-const SLOW_HALF_LIFE: Duration = Duration::from_secs(3);
 /// A piece whose result belongs in another data centre waits for an endpoint
 /// there while it has this much time to spare: about a full call.
 const HOME_PATIENCE: Duration = Duration::from_millis(200);
-/// An endpoint that had no room for a result holds some that are not known
-/// here. They are reckoned with for so long.
-const UNKNOWN_HELD: Duration = Duration::from_millis(400);
-
 /// A call that takes so much longer than it should is a straggler: its pieces
 /// are made elsewhere too. A slow endpoint is waited for all the same: in a
 /// burst, work done twice costs more than it saves.
@@ -45,7 +41,8 @@
 const STRAGGLER_SLACK: Duration = Duration::from_millis(100);
 
 slotmap::new_key_type! {
-    struct PieceKey;
+    /// A piece that waits or is being made here.
+    pub struct PieceKey;
 }
 
 /// Whom a piece's result is for.
@@ -62,6 +59,25 @@
     },
 }
 
+/// Who holds pieces: all of them go when it does.
+#[id]
+#[derive(Copy)]
+pub enum Holder {
+    /// An exchange of this instance.
+    Own(ExchangeKey),
+    /// A peer's hand-over, by the event loop's number.
+    Ticket(u64),
+}
+
+impl Origin {
+    fn holder(self) -> Holder {
+        match self {
+            Origin::Own(key) => Holder::Own(key),
+            Origin::Peer { ticket, .. } => Holder::Ticket(ticket),
+        }
+    }
+}
+
 /// A call that is to be made.
 #[derive(Debug)]
 pub struct Order {
@@ -103,50 +119,12 @@
     late_at: Option<Duration>,
 }
 
-/// A result that takes up room.
-#[derive(Debug, Clone, Copy)]
-struct Held {
-    bytes: u64,
-    until: Duration,
-}
-
-#[derive(Debug, Clone, Default)]
-struct Worker {
-    calls: usize,
-    blocked_until: Duration,
-    slowness: f64,
-    slowed_at: Duration,
-    held: HashMap<Handle, Held>,
-    /// Bytes of results that are being made.
-    promised: u64,
-    /// Room that it has at the most, as a refusal showed, and until when.
-    bound: Option<(u64, Duration)>,
-}
-
-impl Worker {
-    /// Room for further results.
-    fn room(&mut self, now: Duration, shape: &Pieces) -> u64 {
-        self.held.retain(|_, held| now < held.until);
-        let held: u64 = self.held.values().map(|held| held.bytes).sum();
-        let room = shape.room.saturating_sub(held + self.promised);
-        match self.bound {
-            Some((bound, until)) if now < until => room.min(bound),
-            _ => room,
-        }
-    }
-
-    fn slowness(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.slowed_at).as_secs_f64();
-        let kept = 0.5_f64.powf(age / SLOW_HALF_LIFE.as_secs_f64());
-        1.0 + (self.slowness - 1.0).max(0.0) * kept
-    }
-}
-
 /// Pieces that wait or are being made.
 #[derive(Debug, Default)]
 pub struct Batches {
     pieces: SlotMap<PieceKey, Entry>,
-    waiting: HashMap<ServiceName, Vec<PieceKey>>,
+    waiting: HashMap<ServiceName, Queue>,
+    held_by: HashMap<Holder, Vec<PieceKey>>,
     running: HashMap<CallKey, Running>,
     workers: HashMap<EndpointKey, Worker>,
 }
@@ -161,21 +139,18 @@
     pub fn add(&mut self, piece: Piece, origin: Origin) {
         let service = piece.service.clone();
         let key = self.pieces.insert(Entry { piece, origin, call: None });
-        self.waiting.entry(service).or_default().push(key);
+        self.held_by.entry(origin.holder()).or_default().push(key);
+        self.waiting.entry(service).or_default().push(key, &self.pieces[key].piece);
     }
 
-    /// Drops the waiting pieces that `is_gone` says nobody needs any more.
+    /// Drops the waiting pieces of a holder that does not need them any more.
     /// Those that are being made cannot be taken back.
-    pub fn drop_waiting(&mut self, is_gone: impl Fn(&Origin) -> bool) {
-        let pieces = &mut self.pieces;
-        for waiting in self.waiting.values_mut() {
-            waiting.retain(|key| {
-                let is_dropped = is_gone(&pieces[*key].origin);
-                if is_dropped {
-                    pieces.remove(*key);
-                }
-                !is_dropped
-            });
+    pub fn drop_waiting(&mut self, holder: Holder) {
+        let Some(keys) = self.held_by.get(&holder).cloned() else { return };
+        for key in keys {
+            if self.stop_waiting(key) {
+                self.take_out(key);
+            }
         }
     }
 
@@ -187,14 +162,14 @@
 
     /// How many pieces of a service wait.
     pub fn waiting(&self, service: &str) -> usize {
-        self.waiting.get(service).map_or(0, Vec::len)
+        self.waiting.get(service).map_or(0, Queue::len)
     }
 
     /// When a call becomes a straggler, or a blocked endpoint is free again
     /// while pieces wait.
     pub fn next_wake(&self, now: Duration) -> Option<Duration> {
         let late = self.running.values().filter_map(|running| running.late_at).min();
-        if self.waiting.values().all(Vec::is_empty) {
+        if self.waiting.values().all(Queue::is_empty) {
             return late;
         }
         let blocked = self.workers.values().map(|worker| worker.blocked_until);
@@ -217,9 +192,7 @@
         shape: &Pieces,
         directory: &Directory,
     ) -> bool {
-        let waiting = self.waiting.get(&piece.service).map_or(&[][..], Vec::as_slice);
-        let is_ahead = |key: &&PieceKey| self.pieces[**key].piece.aim <= piece.aim;
-        let ahead = waiting.iter().filter(is_ahead).count();
+        let ahead = self.waiting.get(&piece.service).map_or(0, |queue| queue.ahead_of(piece.aim));
         let endpoints = directory.usable(now, &piece.service).len().max(1);
         let batch = shape.batch as usize;
         let calls = ahead as f64 / (endpoints * batch) as f64;
@@ -230,13 +203,12 @@
     /// Takes out waiting pieces that cannot be made any more before they are
     /// due.
     pub fn take_late(&mut self, now: Duration, service: &str, shape: &Pieces) -> Vec<Finished> {
-        let Some(waiting) = self.waiting.get_mut(service) else { return Vec::new() };
-        let earliest = now + Batches::call_time(shape, 1);
-        let pieces = &mut self.pieces;
-        let is_late = |key: &PieceKey| pieces[*key].piece.due < earliest;
-        let (late, kept): (Vec<_>, Vec<_>) = waiting.iter().partition(|key| is_late(key));
-        *waiting = kept;
-        let entries = late.into_iter().filter_map(|key| pieces.remove(key));
+        let Some(queue) = self.waiting.get(service) else { return Vec::new() };
+        let late = queue.due_before(now + Batches::call_time(shape, 1));
+        let entries = late.into_iter().filter_map(|key| {
+            self.stop_waiting(key);
+            self.take_out(key)
+        });
         entries.map(|entry| entry.finished(Err(PieceFailure::Late), None)).collect()
     }
 
@@ -249,17 +221,26 @@
         shape: &Pieces,
         directory: &Directory,
     ) -> Vec<Order> {
-        let idle = self.idle_workers(now, service, shape, directory);
+        let usable = directory.usable(now, service);
+        let idle = self.idle_workers(now, &usable, shape, directory);
+        if idle.is_empty() {
+            return Vec::new();
+        }
+        let done = now + Batches::call_time(shape, shape.batch as usize);
+        if let Some(queue) = self.waiting.get_mut(service) {
+            queue.demote(done);
+        }
+        let places = Places::new(done, &usable, directory);
         let mut orders = Vec::new();
         for (position, endpoint) in idle.iter().enumerate() {
             if self.waiting(service) == 0 {
                 break;
             }
-            if self.is_too_slow(now, *endpoint, service, shape, directory) {
+            if self.is_too_slow(now, *endpoint, service, shape, &usable) {
                 continue;
             }
             let others = idle.len() - position;
-            let keys = self.take_for(now, *endpoint, service, shape, directory, others);
+            let keys = self.take_for(now, *endpoint, service, shape, &places, others);
             if !keys.is_empty() {
                 let pieces = keys.iter().map(|key| self.pieces[*key].piece.clone()).collect();
                 orders.push(Order { endpoint: *endpoint, pieces, keys });
@@ -311,7 +292,7 @@
             entry.call = None;
             entry.piece.is_repeat = true;
             let service = entry.piece.service.clone();
-            self.waiting.entry(service).or_default().push(key);
+            self.waiting.entry(service).or_default().push(key, &entry.piece);
         }
     }
 
@@ -331,22 +312,12 @@
         let strays = strays.collect();
         self.release(&running);
         let worker = self.workers.entry(running.endpoint).or_default();
-        let took = now.saturating_sub(running.started).as_secs_f64();
-        let factor = took / running.expected.as_secs_f64();
-        let known = worker.slowness(now);
-        worker.slowness = known * (1.0 - NEWEST_SHARE) + factor * NEWEST_SHARE;
-        worker.slowed_at = now;
+        worker.took(now, now.saturating_sub(running.started), running.expected);
         for (key, result) in running.keys.iter().zip(&results) {
             let bytes = self.pieces.get(*key).map_or(0, |entry| entry.piece.bytes);
             match result {
-                Ok(handle) => {
-                    let held = Held { bytes, until: now + running.lease };
-                    worker.held.insert(handle.clone(), held);
-                }
-                Err(PieceFailure::NoRoom) => {
-                    let bound = bytes.saturating_sub(1);
-                    worker.bound = Some((bound, now + UNKNOWN_HELD));
-                }
+                Ok(handle) => worker.hold(handle.clone(), bytes, now + running.lease),
+                Err(PieceFailure::NoRoom) => worker.had_no_room(now, bytes),
                 Err(_) => {}
             }
         }
@@ -356,9 +327,7 @@
     /// Results at an endpoint have been given up.
     pub fn freed(&mut self, handles: &[Handle]) {
         for worker in self.workers.values_mut() {
-            for handle in handles {
-                worker.held.remove(handle);
-            }
+            worker.give_up(handles);
         }
     }
 
@@ -368,8 +337,7 @@
         let Some(running) = self.running.remove(&call) else { return Vec::new() };
         self.release(&running);
         if is_unrun {
-            let worker = self.workers.entry(running.endpoint).or_default();
-            worker.blocked_until = now + BUSY_PAUSE;
+            self.workers.entry(running.endpoint).or_default().refused(now);
         }
         // Pieces that wait again already, or are made elsewhere, stay there.
         let keys = running.keys.iter().copied();
@@ -393,33 +361,54 @@
     }
 
     fn finish(&mut self, running: Running, results: Vec<PieceResult>) -> Vec<Finished> {
-        for waiting in self.waiting.values_mut() {
-            waiting.retain(|key| !running.keys.contains(key));
-        }
-        let entries = running.keys.into_iter().zip(results);
-        let entries = entries.filter_map(|(key, result)| Some((self.pieces.remove(key)?, result)));
         let endpoint = Some(running.endpoint);
+        let entries = running.keys.into_iter().zip(results);
+        let entries = entries.filter_map(|(key, result)| {
+            // A straggler's pieces may wait again.
+            self.stop_waiting(key);
+            Some((self.take_out(key)?, result))
+        });
         entries.map(|(entry, result)| entry.finished(result, endpoint)).collect()
     }
 
+    /// Takes a piece out of its queue; false if it does not wait.
+    fn stop_waiting(&mut self, key: PieceKey) -> bool {
+        let Some(entry) = self.pieces.get(key) else { return false };
+        let queue = self.waiting.get_mut(&entry.piece.service);
+        queue.is_some_and(|queue| queue.remove(key, &entry.piece))
+    }
+
+    /// Forgets a piece that does not wait.
+    fn take_out(&mut self, key: PieceKey) -> Option<Entry> {
+        let entry = self.pieces.remove(key)?;
+        let holder = entry.origin.holder();
+        if let Some(keys) = self.held_by.get_mut(&holder) {
+            keys.retain(|other| *other != key);
+            if keys.is_empty() {
+                self.held_by.remove(&holder);
+            }
+        }
+        Some(entry)
+    }
+
     /// Endpoints that can take a call, the fastest first.
     fn idle_workers(
         &self,
         now: Duration,
-        service: &str,
+        usable: &[EndpointKey],
         shape: &Pieces,
         directory: &Directory,
     ) -> Vec<EndpointKey> {
-        let mut keys = directory.usable(now, service);
-        keys.retain(|key| {
-            let is_paused = directory.get(*key).is_some_and(|endpoint| endpoint.is_paused(now));
+        let is_idle = |key: &&EndpointKey| {
+            let is_paused = directory.get(**key).is_some_and(|endpoint| endpoint.is_paused(now));
             let is_busy = self.workers.get(key).is_some_and(|worker| {
                 worker.calls >= shape.slots as usize || now < worker.blocked_until
             });
             !is_busy && !is_paused
-        });
-        keys.sort_by(|a, b| self.slowness(now, a).total_cmp(&self.slowness(now, b)));
-        keys
+        };
+        let mut idle: Vec<_> = usable.iter().filter(is_idle).copied().collect();
+        idle.sort_by(|a, b| self.slowness(now, a).total_cmp(&self.slowness(now, b)));
+        idle
     }
 
     fn slowness(&self, now: Duration, endpoint: &EndpointKey) -> f64 {
@@ -433,13 +422,12 @@
         endpoint: EndpointKey,
         service: &str,
         shape: &Pieces,
-        directory: &Directory,
+        usable: &[EndpointKey],
     ) -> bool {
         let own = self.slowness(now, &endpoint);
         if own < SLOW_FACTOR {
             return false;
         }
-        let usable = directory.usable(now, service);
         let sound = usable.iter().filter(|key| self.slowness(now, key) < SLOW_FACTOR).count();
         let rounds = self.waiting(service) as f64 / (sound as f64 * f64::from(shape.batch));
         sound > 0 && rounds + 1.0 < own
@@ -454,65 +442,47 @@
         endpoint: EndpointKey,
         service: &str,
         shape: &Pieces,
-        directory: &Directory,
+        places: &Places<'_>,
         idle: usize,
     ) -> Vec<PieceKey> {
-        let horizon = now + Batches::call_time(shape, shape.batch as usize);
-        let mut keys = std::mem::take(self.waiting.get_mut(service).expect("pieces wait"));
-        keys.sort_by_cached_key(|key| {
-            let piece = &self.pieces[*key].piece;
-            (self.urgency(horizon, *key), piece.request.clone(), piece.stage)
-        });
         let batch = shape.batch as usize;
-        let size = keys.len().div_ceil(idle).max(batch / 2).min(batch);
-        let mut room = self.workers.entry(endpoint).or_default().room(now, shape);
-        let (mut taken, mut left): (Vec<PieceKey>, Vec<PieceKey>) = (Vec::new(), Vec::new());
-        for group in keys.chunk_by(|a, b| self.is_same_stage(*a, *b)) {
-            let part = &group[..group.len().min(batch)];
-            let bytes: u64 = part.iter().map(|key| self.pieces[*key].piece.bytes).sum();
-            let has_place = taken.len() < size && taken.len() + part.len() <= batch;
-            if has_place && bytes <= room && self.belongs(horizon, part[0], endpoint, directory) {
-                room -= bytes;
-                taken.extend(part);
-                left.extend(&group[part.len()..]);
-            } else {
-                left.extend(group);
-            }
+        let room = self.workers.entry(endpoint).or_default().room(now, shape);
+        let Some(queue) = self.waiting.get_mut(service) else { return Vec::new() };
+        let size = queue.len().div_ceil(idle).max(batch / 2).min(batch);
+        let belongs = |group: &Group| places.may_be_made_at(group, endpoint);
+        let keys = queue.choose(&Space { size, batch, room, belongs: &belongs });
+        for key in &keys {
+            queue.remove(*key, &self.pieces[*key].piece);
         }
-        self.waiting.insert(ServiceName::from(service), left);
-        taken
+        keys
     }
+}
 
-    /// Whether two pieces belong to one stage of one request. Such pieces are
-    /// made together: results that wait for the others only take up room.
-    fn is_same_stage(&self, a: PieceKey, b: PieceKey) -> bool {
-        let (a, b) = (&self.pieces[a].piece, &self.pieces[b].piece);
-        a.stage == b.stage && a.request == b.request
-    }
+/// Where a service's endpoints are, for the calls that are planned together.
+struct Places<'a> {
+    directory: &'a Directory,
+    /// The data centres with an endpoint that takes new work.
+    usable: Vec<&'a str>,
+    /// A group without so much time does not wait for the right place.
+    urgent_before: Duration,
+}
 
-    /// Whether a piece may be made at an endpoint: its result is needed there,
-    /// or it has no time to wait for one that is nearer.
-    fn belongs(
-        &self,
-        done: Duration,
-        key: PieceKey,
-        endpoint: EndpointKey,
-        directory: &Directory,
-    ) -> bool {
-        let piece = &self.pieces[key].piece;
-        let Some(home) = &piece.home else { return true };
-        let place = |key: &EndpointKey| directory.get(*key).map(|known| &known.entry.data_centre);
-        let is_urgent = piece.aim < done + HOME_PATIENCE;
-        let mut usable = directory.usable(done, &piece.service).into_iter();
-        let has_home = usable.any(|key| place(&key) == Some(home));
-        place(&endpoint) == Some(home) || is_urgent || !has_home
+impl<'a> Places<'a> {
+    fn new(done: Duration, usable: &[EndpointKey], directory: &'a Directory) -> Places<'a> {
+        let places = usable.iter().filter_map(|key| directory.get(*key));
+        let mut places: Vec<_> = places.map(|endpoint| &*endpoint.entry.data_centre).collect();
+        places.sort_unstable();
+        places.dedup();
+        Places { directory, usable: places, urgent_before: done + HOME_PATIENCE }
     }
 
-    /// Pieces that can be in good time come first, the most urgent in front.
-    fn urgency(&self, done: Duration, key: PieceKey) -> (bool, u8, Duration) {
-        let piece = &self.pieces[key].piece;
-        let is_late = piece.aim < done;
-        (is_late, if is_late { piece.priority } else { 0 }, piece.aim)
+    /// Whether a group may be made at an endpoint: its results are needed
+    /// there, or it has no time to wait for one that is nearer.
+    fn may_be_made_at(&self, group: &Group, endpoint: EndpointKey) -> bool {
+        let Some(home) = &group.home else { return true };
+        let place = self.directory.get(endpoint).map(|known| &*known.entry.data_centre);
+        let has_home = self.usable.contains(&&**home);
+        place == Some(home) || group.aim < self.urgent_before || !has_home
     }
 }
 
--- /dev/null
+++ b/crates/core/src/relay/batch/queue.rs
@@ -0,0 +1,193 @@
+//! The pieces of one service that wait, in the order in which they are made.
+//!
+//! Pieces of one stage of one request are a *group*: they are made together,
+//! since results that wait for the others only take up room. Groups that can
+//! still be done in good time come first, the most urgent in front; late ones
+//! follow by the priority of their requests.
+//!
+//! The instance that batches a service looks at its queue with every event, so
+//! nothing here goes through the whole queue. Groups with large and with small
+//! results stand in lanes of their own: where large results have no room, the
+//! small ones behind them are found at once.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, btree_map::Entry},
+    sync::Arc,
+    time::Duration,
+};
+
+use peatdeck_macros::{data, id};
+use slotmap::SecondaryMap;
+
+use crate::{
+    model::DataCentre,
+    relay::{batch::PieceKey, model::Piece},
+};
+
+/// Results of at least this size are large: their room is what is scarce.
+pub const LARGE_RESULT: u64 = 200_000;
+/// Groups that do not fit a call before the rest of their lane is taken not to
+/// fit either. With four data centres one group in four belongs to an endpoint,
+/// so that a few of them are still looked at.
+const MISFITS: usize = 32;
+const LANES: usize = 2;
+
+/// The place of a group in the queue. Late groups rank behind all others.
+#[id]
+pub struct Rank {
+    is_late: bool,
+    /// Priority of the request if it is late, else 0.
+    priority: u8,
+    aim: Duration,
+    request: Arc<str>,
+    stage: u16,
+}
+
+/// Pieces of one stage of one request.
+#[data]
+pub struct Group {
+    /// The pieces.
+    pub keys: Vec<PieceKey>,
+    /// Size of one result, in bytes.
+    pub bytes: u64,
+    /// Where the results will be used, if that matters.
+    pub home: Option<DataCentre>,
+    /// By when they should be done.
+    pub aim: Duration,
+    priority: u8,
+}
+
+/// What a call can take.
+pub struct Space<'a> {
+    /// Pieces that it should take at the most.
+    pub size: usize,
+    /// Pieces that the endpoint accepts.
+    pub batch: usize,
+    /// Bytes of results that the endpoint has room for.
+    pub room: u64,
+    /// Whether a group may be made at the endpoint.
+    pub belongs: &'a dyn Fn(&Group) -> bool,
+}
+
+/// The pieces of one service that wait.
+#[derive(Debug, Default)]
+pub struct Queue {
+    lanes: [BTreeMap<Rank, Group>; LANES],
+    by_due: BTreeSet<(Duration, PieceKey)>,
+    ranks: SecondaryMap<PieceKey, (usize, Rank)>,
+}
+
+impl Queue {
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.ranks.is_empty()
+    }
+
+    /// How many pieces wait.
+    pub fn len(&self) -> usize {
+        self.ranks.len()
+    }
+
+    /// Whether that piece waits here.
+    pub fn contains(&self, key: PieceKey) -> bool {
+        self.ranks.contains_key(key)
+    }
+
+    /// Takes in a piece.
+    pub fn push(&mut self, key: PieceKey, piece: &Piece) {
+        let rank = Rank {
+            is_late: false,
+            priority: 0,
+            aim: piece.aim,
+            request: piece.request.clone(),
+            stage: piece.stage,
+        };
+        let lane = usize::from(piece.bytes >= LARGE_RESULT);
+        let group = self.lanes[lane].entry(rank.clone()).or_insert_with(|| Group {
+            keys: Vec::new(),
+            bytes: piece.bytes,
+            home: piece.home.clone(),
+            aim: piece.aim,
+            priority: piece.priority,
+        });
+        group.keys.push(key);
+        self.by_due.insert((piece.due, key));
+        self.ranks.insert(key, (lane, rank));
+    }
+
+    /// Takes out one piece; false if it does not wait here.
+    pub fn remove(&mut self, key: PieceKey, piece: &Piece) -> bool {
+        let Some((lane, rank)) = self.ranks.remove(key) else { return false };
+        self.by_due.remove(&(piece.due, key));
+        if let Entry::Occupied(mut group) = self.lanes[lane].entry(rank) {
+            group.get_mut().keys.retain(|other| *other != key);
+            if group.get().keys.is_empty() {
+                group.remove();
+            }
+        }
+        true
+    }
+
+    /// Pieces that should be done by `aim` or before.
+    pub fn ahead_of(&self, aim: Duration) -> usize {
+        let groups = self.lanes.iter().flat_map(BTreeMap::values);
+        groups.filter(|group| group.aim <= aim).map(|group| group.keys.len()).sum()
+    }
+
+    /// The pieces that are due before a time.
+    pub fn due_before(&self, time: Duration) -> Vec<PieceKey> {
+        let due = self.by_due.iter().take_while(|(due, _)| *due < time);
+        due.map(|(_, key)| *key).collect()
+    }
+
+    /// Puts the groups behind the others that cannot be done in good time any
+    /// more: a call that begins now ends at `done`.
+    pub fn demote(&mut self, done: Duration) {
+        for (lane, groups) in self.lanes.iter_mut().enumerate() {
+            while let Some(first) = groups.first_entry()
+                && !first.key().is_late
+                && first.key().aim < done
+            {
+                let (rank, group) = first.remove_entry();
+                let late = Rank { is_late: true, priority: group.priority, ..rank };
+                for key in &group.keys {
+                    self.ranks.insert(*key, (lane, late.clone()));
+                }
+                merge(groups, late, group);
+            }
+        }
+    }
+
+    /// The pieces of a call: the first groups that fit it. Of a group that is
+    /// larger than any call, as many as a call takes.
+    pub fn choose(&self, space: &Space<'_>) -> Vec<PieceKey> {
+        let mut lanes = self.lanes.each_ref().map(|groups| groups.iter().peekable());
+        let mut misfits = [0; LANES];
+        let (mut taken, mut room) = (Vec::new(), space.room);
+        while taken.len() < space.size {
+            let open = (0..LANES).filter(|lane| misfits[*lane] < MISFITS);
+            let first = open.filter_map(|lane| Some((lanes[lane].peek()?.0, lane))).min();
+            let Some((_, lane)) = first else { break };
+            let Some((_, group)) = lanes[lane].next() else { break };
+            let part = &group.keys[..group.keys.len().min(space.batch)];
+            let bytes = group.bytes * part.len() as u64;
+            let has_place = taken.len() + part.len() <= space.batch;
+            if has_place && bytes <= room && (space.belongs)(group) {
+                room -= bytes;
+                taken.extend(part);
+            } else {
+                misfits[lane] += 1;
+            }
+        }
+        taken
+    }
+}
+
+fn merge(groups: &mut BTreeMap<Rank, Group>, rank: Rank, group: Group) {
+    match groups.entry(rank) {
+        Entry::Vacant(place) => {
+            place.insert(group);
+        }
+        Entry::Occupied(mut held) => held.get_mut().keys.extend(group.keys),
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/batch/worker.rs
@@ -0,0 +1,97 @@
+//! One endpoint that makes pieces, as the instance that batches them sees it.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::relay::{config::Pieces, model::Handle};
+
+/// An endpoint that refused a call is left alone for so long: it is busy with
+/// somebody else's.
+const BUSY_PAUSE: Duration = Duration::from_millis(60);
+/// The longest such pause, after refusals in a row: a full call's time. Whoever
+/// else sends it calls keeps it busy for longer than one.
+const LONGEST_BUSY_PAUSE: Duration = Duration::from_millis(400);
+/// Weight of a new measurement of an endpoint's slowness.
+const NEWEST_SHARE: f64 = 0.5;
+/// Time after which half of an endpoint's slowness is forgotten, so that it
+/// is tried again.
+const SLOW_HALF_LIFE: Duration = Duration::from_secs(3);
+/// An endpoint that had no room for a result holds some that are not known
+/// here. They are reckoned with for so long.
+const UNKNOWN_HELD: Duration = Duration::from_millis(400);
+
+/// A result that takes up room.
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    bytes: u64,
+    until: Duration,
+}
+
+/// One endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct Worker {
+    /// Own calls that it works on.
+    pub calls: usize,
+    /// Until when it is taken to be busy with somebody else's call.
+    pub blocked_until: Duration,
+    /// Bytes of results that are being made.
+    pub promised: u64,
+    refusals: u32,
+    slowness: f64,
+    slowed_at: Duration,
+    held: HashMap<Handle, Held>,
+    /// Room that it has at the most, as a refusal showed, and until when.
+    pub bound: Option<(u64, Duration)>,
+}
+
+impl Worker {
+    /// Room for further results, in bytes.
+    pub fn room(&mut self, now: Duration, shape: &Pieces) -> u64 {
+        self.held.retain(|_, held| now < held.until);
+        let held: u64 = self.held.values().map(|held| held.bytes).sum();
+        let room = shape.room.saturating_sub(held + self.promised);
+        match self.bound {
+            Some((bound, until)) if now < until => room.min(bound),
+            _ => room,
+        }
+    }
+
+    /// It holds a result until it is given up, or until then.
+    pub fn hold(&mut self, handle: Handle, bytes: u64, until: Duration) {
+        self.held.insert(handle, Held { bytes, until });
+    }
+
+    /// Results have been given up; those of others are passed over.
+    pub fn give_up(&mut self, handles: &[Handle]) {
+        for handle in handles {
+            self.held.remove(handle);
+        }
+    }
+
+    /// It had no room for a result of that size.
+    pub fn had_no_room(&mut self, now: Duration, bytes: u64) {
+        self.bound = Some((bytes.saturating_sub(1), now + UNKNOWN_HELD));
+    }
+
+    /// It refused a call.
+    pub fn refused(&mut self, now: Duration) {
+        let pause = BUSY_PAUSE * 2_u32.saturating_pow(self.refusals.min(8));
+        self.refusals += 1;
+        self.blocked_until = now + pause.min(LONGEST_BUSY_PAUSE);
+    }
+
+    /// A call took so long where so much was expected.
+    pub fn took(&mut self, now: Duration, took: Duration, expected: Duration) {
+        self.refusals = 0;
+        let factor = took.as_secs_f64() / expected.as_secs_f64();
+        let known = self.slowness(now);
+        self.slowness = known * (1.0 - NEWEST_SHARE) + factor * NEWEST_SHARE;
+        self.slowed_at = now;
+    }
+
+    /// How many times longer than expected its calls take.
+    pub fn slowness(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.slowed_at).as_secs_f64();
+        let kept = 0.5_f64.powf(age / SLOW_HALF_LIFE.as_secs_f64());
+        1.0 + (self.slowness - 1.0).max(0.0) * kept
+    }
+}
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -30,7 +30,7 @@
         exchange::{CallState, Exchange},
         graph::Graph,
         model::{
-            Action, Arrival, CallKey, ExchangeKey, HandoverKey, Piece, PieceResult, Refusal,
+            Action, Arrival, CallKey, ExchangeKey, HandoverKey, Peer, Piece, PieceResult, Refusal,
             ServiceName,
         },
     },
@@ -52,6 +52,8 @@
     pub bound: Bound,
     /// Instances that share the bound while no more are known.
     pub instances: usize,
+    /// Its processor's share, in thousandths of a core.
+    pub strength: u32,
 }
 
 /// The relay.
@@ -63,11 +65,13 @@
     memory: choice::Memory,
     exchanges: SlotMap<ExchangeKey, Exchange>,
     calls: SlotMap<CallKey, CallState>,
-    handovers: SlotMap<HandoverKey, Vec<(ExchangeKey, Piece)>>,
+    handovers: SlotMap<HandoverKey, Handover>,
     batches: Batches,
     tickets: HashMap<u64, Ticket>,
     allowances: HashMap<ServiceName, Allowance>,
-    peers: Vec<InstanceName>,
+    peers: Vec<Peer>,
+    /// Peers that did not answer a hand-over, and until when they get none.
+    avoided: HashMap<InstanceName, Duration>,
     announced: usize,
     is_batching: bool,
     /// Room has become free that waiting pieces may need.
@@ -94,6 +98,14 @@
     pub pieces: Vec<u16>,
 }
 
+/// Pieces of an exchange that a peer has made.
+#[derive(Debug)]
+struct Handover {
+    exchange: ExchangeKey,
+    peer: InstanceName,
+    pieces: Vec<Piece>,
+}
+
 /// A peer's pieces that are being made here.
 #[derive(Debug)]
 struct Ticket {
@@ -116,6 +128,7 @@
             tickets: HashMap::new(),
             allowances: HashMap::new(),
             peers: Vec::new(),
+            avoided: HashMap::new(),
             announced: 0,
             is_batching: true,
             has_room: false,
@@ -203,7 +216,8 @@
 
     /// Takes in which peers are taken for alive, and how many instances there
     /// are at the most: those that ever announced themselves.
-    pub fn set_peers(&mut self, peers: Vec<InstanceName>, announced: usize) {
+    pub fn set_peers(&mut self, now: Duration, peers: Vec<Peer>, announced: usize) {
+        self.avoided.retain(|_, until| now < *until);
         self.peers = peers;
         self.announced = announced;
     }
--- a/crates/core/src/relay/machine/ending.rs
+++ b/crates/core/src/relay/machine/ending.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::relay::{
-    batch::Origin,
+    batch::Holder,
     machine::Relay,
     model::{Action, ExchangeKey, Refusal},
 };
@@ -97,7 +97,7 @@
         let Some(mut exchange) = self.exchanges.remove(key) else { return };
         self.due.remove(&(exchange.due, key));
         self.searching.remove(&key);
-        self.batches.drop_waiting(|origin| *origin == Origin::Own(key));
+        self.batches.drop_waiting(Holder::Own(key));
         for handover in exchange.handovers.drain(..) {
             self.handovers.remove(handover);
             self.actions.push(Action::Recall(handover));
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -7,11 +7,11 @@
 use crate::{
     model::{DataCentre, InstanceName, Load},
     relay::{
-        batch::{Batches, Finished, Origin},
+        batch::{Batches, Finished, Holder, Origin, queue::LARGE_RESULT},
         config::{Pieces, Route},
         exchange::{CallState, Exchange, ExchangeOf},
         graph::{Graph, Made},
-        machine::{Relay, Ticket},
+        machine::{Handover, Relay, Ticket},
         model::{
             Action, CallKey, ExchangeKey, Failure, HandoverKey, Piece, PieceFailure, PieceResult,
             Refusal, ServiceName,
@@ -28,10 +28,11 @@
 const READ_TOKENS_PER_MS: u32 = 20;
 /// How often an exchange's pieces are made at the most.
 const MAX_ROUNDS: u8 = 2;
+/// A peer that did not answer a hand-over gets none for so long. Until then its
+/// liveness counter shows whether it is there.
+const AVOID_TIME: Duration = Duration::from_secs(2);
 /// How often a piece is sent at the most.
 const MAX_TRIES: u8 = 3;
-/// A result of at least this size is made where it will be used.
-const LARGE_RESULT: u64 = 200_000;
 
 impl Relay {
     /// A call for pieces brought results.
@@ -102,37 +103,49 @@
     /// A peer does not want its pieces any more.
     pub fn recalled(&mut self, ticket: u64) {
         self.tickets.remove(&ticket);
-        let is_gone =
-            |origin: &Origin| matches!(origin, Origin::Peer { ticket: t, .. } if *t == ticket);
-        self.batches.drop_waiting(is_gone);
+        self.batches.drop_waiting(Holder::Ticket(ticket));
     }
 
     /// A peer returned the results of pieces; `None` if it cannot be reached.
     pub fn returned(&mut self, now: Duration, key: HandoverKey, results: Option<Vec<PieceResult>>) {
-        let Some(pieces) = self.handovers.remove(key) else { return };
-        let Some((exchange, _)) = pieces.first() else { return };
-        if let Some(exchange) = self.exchanges.get_mut(*exchange) {
-            exchange.handovers.retain(|other| *other != key);
-        }
+        let Some(Handover { exchange, peer, pieces }) = self.handovers.remove(key) else { return };
+        let Some(state) = self.exchanges.get_mut(exchange) else { return };
+        state.handovers.retain(|other| *other != key);
         match results {
             Some(results) => {
-                let finished =
-                    pieces.into_iter().zip(results).map(|((exchange, piece), result)| {
-                        let origin = Origin::Own(exchange);
-                        Finished { origin, piece, result, endpoint: None }
-                    });
+                let origin = Origin::Own(exchange);
+                let finished = pieces.into_iter().zip(results).map(|(piece, result)| Finished {
+                    origin,
+                    piece,
+                    result,
+                    endpoint: None,
+                });
                 let finished = finished.collect();
                 self.take_finished(now, finished);
             }
             None => {
-                for (exchange, piece) in pieces {
-                    // The peer may have had some of them made.
-                    self.note_run(exchange);
+                // The peer may have had some of them made.
+                self.note_run(exchange);
+                self.avoided.insert(peer, now + AVOID_TIME);
+                self.hand_on(exchange, pieces);
+            }
+        }
+        self.make_all(now);
+    }
+
+    /// Hands pieces that came back unmade to the peer that ranks next. Whoever
+    /// handed pieces to the peer that failed does the same, so that they meet
+    /// at one instance again.
+    fn hand_on(&mut self, exchange: ExchangeKey, pieces: Vec<Piece>) {
+        let Some(first) = pieces.first() else { return };
+        match self.owner(&first.service) {
+            Some(peer) => self.hand_over(exchange, peer, pieces),
+            None => {
+                for piece in pieces {
                     self.batches.add(piece, Origin::Own(exchange));
                 }
             }
         }
-        self.make_all(now);
     }
 
     pub(super) fn start_stages(&mut self, now: Duration, key: ExchangeKey) {
@@ -173,30 +186,39 @@
     }
 
     pub(super) fn hand_over(&mut self, key: ExchangeKey, peer: InstanceName, pieces: Vec<Piece>) {
-        let held = pieces.iter().map(|piece| (key, piece.clone())).collect();
+        let held = Handover { exchange: key, peer: peer.clone(), pieces: pieces.clone() };
         let handover = self.handovers.insert(held);
         self.exchanges[key].handovers.push(handover);
         self.actions.push(Action::HandOver { key: handover, peer, pieces });
     }
 
     /// The peer that batches a service's pieces; `None` if this instance does.
+    /// The strongest instances come first: a service's pieces all go through
+    /// one processor.
     pub(super) fn owner(&self, service: &str) -> Option<InstanceName> {
-        let weight = |name: &str| {
-            xxh3::xxh3_64_with_seed(name.as_bytes(), xxh3::xxh3_64(service.as_bytes()))
-        };
-        let own = weight(&self.settings.name);
-        let best = self.peers.iter().max_by_key(|name| weight(name))?;
-        (weight(best) > own || !self.is_batching).then(|| best.clone())
+        let seed = xxh3::xxh3_64(service.as_bytes());
+        let rank =
+            |name: &str, strength: u32| (strength, xxh3::xxh3_64_with_seed(name.as_bytes(), seed));
+        let own = rank(&self.settings.name, self.settings.strength);
+        let peers = self.peers.iter().filter(|peer| !self.avoided.contains_key(&peer.name));
+        let ranked = peers.map(|peer| (rank(&peer.name, peer.strength), &peer.name));
+        let (best, name) = ranked.max()?;
+        (best > own || !self.is_batching).then(|| name.clone())
     }
 
     /// Takes in pieces, but those that cannot be made in time: their callers
     /// hear it at once, while they can still come back.
     pub(super) fn admit(&mut self, now: Duration, pieces: Vec<(Piece, Origin)>) {
         let mut late = Vec::new();
+        let mut judged: Option<(Duration, Duration, bool)> = None;
         for (piece, origin) in pieces {
-            let is_feasible = self
-                .shape(&piece.service)
-                .is_none_or(|shape| self.batches.is_feasible(now, &piece, &shape, &self.directory));
+            // The pieces of a stage are judged together.
+            let known = judged.filter(|(aim, due, _)| (*aim, *due) == (piece.aim, piece.due));
+            let is_feasible = match known {
+                Some((_, _, is_feasible)) => is_feasible,
+                None => self.is_feasible(now, &piece),
+            };
+            judged = Some((piece.aim, piece.due, is_feasible));
             match is_feasible {
                 true => self.batches.add(piece, origin),
                 false => late.push(Batches::turn_away(piece, origin)),
@@ -205,6 +227,11 @@
         self.take_finished(now, late);
     }
 
+    fn is_feasible(&self, now: Duration, piece: &Piece) -> bool {
+        let shape = self.shape(&piece.service);
+        shape.is_none_or(|shape| self.batches.is_feasible(now, piece, &shape, &self.directory))
+    }
+
     pub(super) fn shape(&self, service: &str) -> Option<Pieces> {
         self.config.as_ref()?.services.get(service)?.pieces
     }
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -170,6 +170,15 @@
     pub is_repeat: bool,
 }
 
+/// Another instance that may batch pieces.
+#[data]
+pub struct Peer {
+    /// Its name.
+    pub name: InstanceName,
+    /// Its processor's share, in thousandths of a core; 0 if it did not tell.
+    pub strength: u32,
+}
+
 /// Why a piece has no result.
 #[id]
 #[derive(Copy)]
--- a/crates/core/src/relay/readers.rs
+++ b/crates/core/src/relay/readers.rs
@@ -5,11 +5,11 @@
 //! from the peers that they take for alive, so they agree without a message,
 //! and where they do not for a moment, there is a reader more or less.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use xxhash_rust::xxh3;
 
-use crate::model::InstanceName;
+use crate::{model::InstanceName, relay::model::Peer};
 
 /// Readers at the least: one of them may be cut off from the store.
 const FEWEST: usize = 2;
@@ -27,11 +27,11 @@
 /// Pause between two looks at the table of instances, which is not urgent.
 pub const SLOW_PACE: Duration = Duration::from_secs(2);
 
-/// The instances that read the store, of those given.
-pub fn readers(instances: &[InstanceName]) -> Vec<InstanceName> {
+/// The instances that read the store, of those given; strong ones first.
+pub fn readers(instances: &[Peer]) -> Vec<InstanceName> {
     let count = FEWEST.max(instances.len().div_ceil(ANSWERED));
-    let mut ranked = instances.to_vec();
-    ranked.sort_by_key(|name| xxh3::xxh3_64(name.as_bytes()));
-    ranked.truncate(count);
-    ranked
+    let mut ranked: Vec<_> = instances.iter().collect();
+    let rank = |peer: &Peer| (Reverse(peer.strength), xxh3::xxh3_64(peer.name.as_bytes()));
+    ranked.sort_by_key(|peer| rank(peer));
+    ranked.into_iter().take(count).map(|peer| peer.name.clone()).collect()
 }
--- a/crates/core/tests/testsuite/relay/batch.rs
+++ b/crates/core/tests/testsuite/relay/batch.rs
@@ -116,6 +116,44 @@
     assert_eq!(names(&world.orders()), [["2/0/0", "2/0/1"]]);
 }
 
+#[test]
+fn small_results_are_found_behind_large_ones_that_have_no_room() {
+    let large = Route {
+        stages: vec![stage("ledger", &[], 1_000_000)],
+        ..route("large", Kind::Idempotent, "desk")
+    };
+    let small = Route {
+        stages: vec![stage("ledger", &[], 1000)],
+        objective: ms(5000),
+        ..route("small", Kind::Idempotent, "desk")
+    };
+    let config = ConfigBuilder::new(1).service("desk").maker("ledger", 2_500_000);
+    let mut world = World::new(config.route(large).route(small).build());
+    world.put(entry("l1", "ledger"));
+    world.arrive(asking("1", "large", 2));
+    let first = world.orders().remove(0);
+    for idx in 0..40 {
+        world.arrive(asking(&format!("large-{idx}"), "large", 1));
+    }
+    world.arrive(asking("small", "small", 1));
+    world.make(&first);
+    assert_eq!(names(&world.orders()), [["small/0/0"]]);
+}
+
+#[test]
+fn an_endpoint_that_refuses_again_is_left_alone_for_longer() {
+    let mut world = world(1 << 30, 1, &["l1"]);
+    world.arrive(asking("1", "r", 1));
+    for pause in [60, 120, 240, 400, 400] {
+        let order = world.orders().remove(0);
+        let failure = peatdeck_core::relay::model::Failure::Cut;
+        world.relay.make_failed(world.now, order.call, failure, true);
+        world.advance(ms(pause - 1));
+        assert!(world.orders().is_empty());
+        world.advance(ms(1));
+    }
+}
+
 #[test]
 fn idle_endpoints_share_a_long_queue() {
     let mut world = world(1 << 30, 1, &["l1", "l2"]);
--- a/crates/core/tests/testsuite/relay/calls.rs
+++ b/crates/core/tests/testsuite/relay/calls.rs
@@ -142,7 +142,7 @@
     let mut world = World::with_bound(config.build(), bound);
     world.put(entry("a", "desk"));
     world.put(entry("b", "desk"));
-    world.relay.set_peers(Vec::new(), 40);
+    world.relay.set_peers(world.now, Vec::new(), 40);
     let mut repeated = 0;
     for id in 0..10 {
         world.arrive(arrival(&id.to_string(), "r"));
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -147,6 +147,7 @@
             data_centre: Arc::from("east"),
             bound,
             instances: 1,
+            strength: 250,
         };
         let mut relay = Relay::new(settings, 7);
         relay.configure(config);
--- a/crates/core/tests/testsuite/relay/peers.rs
+++ b/crates/core/tests/testsuite/relay/peers.rs
@@ -4,10 +4,10 @@
 
 use peatdeck_core::relay::{
     config::{Kind, Route},
-    model::{Action, Arrival, HandoverKey, Piece, PieceFailure},
+    model::{Action, Arrival, HandoverKey, Peer, Piece, PieceFailure},
 };
 
-use super::fixture::{ConfigBuilder, World, arrival, entry, route, stage};
+use super::fixture::{ConfigBuilder, World, arrival, entry, ms, route, stage};
 
 fn world() -> World {
     let stages = vec![stage("ledger", &[], 10)];
@@ -25,7 +25,8 @@
 fn with_owner() -> World {
     let mut world = world();
     for idx in 0..50 {
-        world.relay.set_peers(vec![Arc::from(format!("peer-{idx}"))], 2);
+        let peers = vec![peer(&format!("peer-{idx}"), 250)];
+        world.relay.set_peers(world.now, peers, 2);
         let exchange = world.arrive(asking("probe", 1));
         let is_handed = !handed(&mut world).is_empty();
         world.leave(exchange);
@@ -38,6 +39,18 @@
     panic!("of 50 names none ranks before this instance's own");
 }
 
+fn peer(name: &str, strength: u32) -> Peer {
+    Peer { name: Arc::from(name), strength }
+}
+
+/// The peers that hand-overs go to.
+fn receivers(world: &mut World) -> Vec<Arc<str>> {
+    world.take(|action| match action {
+        Action::HandOver { peer, .. } => Some(peer.clone()),
+        _ => None,
+    })
+}
+
 fn asking(id: &str, pieces: u16) -> Arrival {
     Arrival { pieces: vec![pieces], ..arrival(id, "r") }
 }
@@ -79,6 +92,42 @@
     assert_eq!(world.orders()[0].names(), ["1/0/0", "1/0/1"]);
 }
 
+#[test]
+fn pieces_go_to_the_strongest_peer() {
+    for idx in 0..20 {
+        let mut world = world();
+        let weak = (0..20).map(|other| peer(&format!("weak-{other}"), 120));
+        let strong = format!("strong-{idx}");
+        let peers = weak.chain([peer(&strong, 500)]).collect();
+        world.relay.set_peers(world.now, peers, 22);
+        world.arrive(asking("1", 1));
+        assert_eq!(receivers(&mut world), [Arc::from(strong)]);
+    }
+}
+
+#[test]
+fn pieces_of_a_peer_that_fails_go_to_the_next_one() {
+    let mut world = world();
+    let peers = vec![peer("first", 500), peer("second", 400)];
+    world.relay.set_peers(world.now, peers.clone(), 3);
+    world.arrive(asking("1", 2));
+    let (key, pieces) = handed(&mut world).remove(0);
+    world.relay.returned(world.now, key, None);
+    world.collect();
+    let next = world.take(|action| match action {
+        Action::HandOver { peer, pieces, .. } => Some((peer.clone(), pieces.clone())),
+        _ => None,
+    });
+    assert_eq!(next, [(Arc::from("second"), pieces)]);
+    assert!(world.orders().is_empty(), "nothing is made here");
+    world.arrive(asking("2", 1));
+    assert_eq!(receivers(&mut world), [Arc::from("second")]);
+    world.now += ms(2100);
+    world.relay.set_peers(world.now, peers, 3);
+    world.arrive(asking("3", 1));
+    assert_eq!(receivers(&mut world), [Arc::from("first")], "it is asked again later");
+}
+
 #[test]
 fn a_caller_that_leaves_takes_its_pieces_back() {
     let mut world = with_owner();
@@ -91,11 +140,11 @@
 #[test]
 fn an_instance_that_stops_hands_everything_over() {
     let mut world = world();
-    world.relay.set_peers(vec![Arc::from("other")], 2);
+    world.relay.set_peers(world.now, vec![peer("other", 250)], 2);
     world.relay.stop_batching();
     world.arrive(asking("1", 1));
     assert_eq!(handed(&mut world).len(), 1);
-    world.relay.set_peers(Vec::new(), 2);
+    world.relay.set_peers(world.now, Vec::new(), 2);
     world.arrive(asking("2", 1));
     assert_eq!(world.orders()[0].names(), ["2/0/0"], "with nobody left it makes them itself");
 }
--- a/crates/core/tests/testsuite/relay/readers.rs
+++ b/crates/core/tests/testsuite/relay/readers.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
-use peatdeck_core::relay::readers::readers;
+use peatdeck_core::relay::{model::Peer, readers::readers};
 
-fn names(count: usize) -> Vec<Arc<str>> {
-    (0..count).map(|idx| Arc::from(format!("edge-{idx}"))).collect()
+fn names(count: usize) -> Vec<Peer> {
+    let name = |idx| Arc::from(format!("edge-{idx}"));
+    (0..count).map(|idx| Peer { name: name(idx), strength: 120 }).collect()
 }
 
 #[test]
@@ -15,6 +16,15 @@
     assert_eq!(readers(&names(74)).len(), 5);
 }
 
+#[test]
+fn the_strongest_read() {
+    let mut peers = names(74);
+    peers[40].strength = 500;
+    peers[50].strength = 500;
+    let readers = readers(&peers);
+    assert!(readers.contains(&peers[40].name) && readers.contains(&peers[50].name));
+}
+
 #[test]
 fn all_agree_whatever_the_order() {
     let mut reversed = names(30);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -24,7 +24,7 @@
     membership::{self, ConfigMark, Envelope, Gossip, Local, Members},
     model::{InstanceEntry, InstanceName, Presence},
     relay::{
-        model::{Handle, HandoverKey, Piece, PieceResult},
+        model::{Handle, HandoverKey, Peer, Piece, PieceResult},
         readers,
         table::Record,
     },
@@ -65,6 +65,15 @@
     pub peers: Arc<str>,
     /// Its data centre.
     pub place: Arc<str>,
+    /// Its processor's share, in thousandths of a core.
+    #[serde(default)]
+    pub strength: u32,
+}
+
+/// An instance that announced itself.
+struct Listed {
+    entry: InstanceEntry,
+    strength: u32,
 }
 
 /// What is known of the other instances, and what is under way with them.
@@ -72,7 +81,7 @@
     /// The copies of the platform's tables.
     pub tables: Tables,
     members: RefCell<Members>,
-    listed: RefCell<HashMap<InstanceName, InstanceEntry>>,
+    listed: RefCell<HashMap<InstanceName, Listed>>,
     links: Links<relay::Client>,
     handovers: RefCell<SecondaryMap<HandoverKey, AbortHandle>>,
     tickets: RefCell<HashMap<u64, oneshot::Sender<Vec<PieceResult>>>>,
@@ -123,10 +132,11 @@
                     data_centre: announced.place,
                     presence: Presence::Live,
                 };
-                listed.insert(record.key.clone(), entry);
+                let strength = announced.strength;
+                listed.insert(record.key.clone(), Listed { entry, strength });
             }
         }
-        let entries: Vec<_> = listed.values().cloned().collect();
+        let entries: Vec<_> = listed.values().map(|listed| listed.entry.clone()).collect();
         self.members.borrow_mut().listed(now, &entries);
     }
 
@@ -147,12 +157,19 @@
     /// The readers among the instances that are taken for alive.
     fn readers(&self, now: Duration) -> Vec<InstanceName> {
         let members = self.members.borrow();
-        let mut instances = members.alive(now);
-        instances.retain(|name| members.addr(name).is_some());
-        instances.push(members.identity().name.clone());
+        let alive = members.alive(now).into_iter();
+        let reachable = alive.filter(|name| members.addr(name).is_some());
+        let mut instances: Vec<_> = reachable.map(|name| self.peer(name)).collect();
+        instances.push(self.peer(members.identity().name.clone()));
         readers::readers(&instances)
     }
 
+    /// An instance with what it announced of itself.
+    fn peer(&self, name: InstanceName) -> Peer {
+        let strength = self.listed.borrow().get(&name).map_or(0, |listed| listed.strength);
+        Peer { name, strength }
+    }
+
     /// Hands pieces to a peer.
     pub fn hand_over(
         &self,
@@ -215,6 +232,7 @@
     let announcement = Announcement {
         peers: Arc::from(settings.peers.to_string()),
         place: settings.data_centre.clone(),
+        strength: settings.strength,
     };
     let value = serde_json::to_vec(&announcement).expect("two names are JSON");
     loop {
@@ -360,15 +378,15 @@
     let versions = members.peer_versions(now);
     let usable = versions.into_iter().filter(|peer| peer.alive && peer.ready);
     let peers = usable.filter(|peer| members.addr(&peer.name).is_some());
-    let peers: Vec<_> = peers.map(|peer| peer.name).collect();
+    let peers: Vec<_> = peers.map(|peer| driver.peers.peer(peer.name)).collect();
     drop(members);
     driver.metrics.gauge("relay.peers", peers.len() as u64);
     if driver.peers.usable.replace(peers.len()) != peers.len() {
-        let names: Vec<_> = peers.iter().map(|name| &**name).collect();
+        let names: Vec<_> = peers.iter().map(|peer| &*peer.name).collect();
         tracing::info!(event = "peers", count = peers.len(), names = names.join(" "));
     }
     let announced = driver.peers.listed.borrow().len();
-    driver.feed(|machine, _| machine.set_peers(peers, announced));
+    driver.feed(|machine, now| machine.set_peers(now, peers, announced));
 }
 
 /// Has a peer make pieces, and watches that it still works.
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -213,6 +213,7 @@
             data_centre: settings.data_centre.clone(),
             bound: settings.bound,
             instances: settings.instances,
+            strength: settings.strength,
         },
         rand::random(),
     );
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -32,6 +32,8 @@
     pub grace: Duration,
     /// Bytes that callers' bodies may take up together.
     pub body_memory: usize,
+    /// Its processor's share, in thousandths of a core.
+    pub strength: u32,
     /// Connections of callers at the most.
     pub connections: usize,
 }
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -222,6 +222,7 @@
             instances: 1,
             grace: Duration::from_secs(60),
             body_memory: 1 << 24,
+            strength: 250,
             connections: 200,
         };
         let listeners = Listeners::bind(&settings).unwrap();
