Count on unheard peers at the start; bound connections to peers

Change: an instance that has run for less than 2.5 s hands work to listed peers that it has not heard of; the machine is told of peers as soon as the table of instances is read; a connection to a peer is given up after 1.2 s; the log line on peers names who came and who left instead of everybody.

--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -27,6 +27,10 @@
 /// A counter reaches everybody in time while this many messages hold them all.
 const SPREAD_MESSAGES: usize = 2;
 
+/// Time until gossip has told an instance that has just started of all peers
+/// that live: six rounds of 400 ms.
+const SETTLE_TIME: Duration = Duration::from_millis(2500);
+
 slotmap::new_key_type! {
     struct PeerKey;
 }
@@ -68,10 +72,23 @@
     pub ready: bool,
     /// Whether it is taken for alive.
     pub alive: bool,
+    /// Whether nothing was heard of it yet, and nothing speaks against it.
+    pub unknown: bool,
     /// Whether the newest list names it.
     pub listed: bool,
 }
 
+impl PeerVersion {
+    /// Whether work may be handed to it by an instance that has run for so
+    /// long. One that has just started counts on peers which it has not heard
+    /// of yet: a peer that is dead is found out by the first hand-over, but if
+    /// each did the work itself meanwhile, they would be in each other's way.
+    pub fn is_usable(&self, run_time: Duration) -> bool {
+        let is_sound = self.alive && self.ready;
+        is_sound || (run_time < SETTLE_TIME && (self.alive || self.unknown))
+    }
+}
+
 /// The peers of one instance.
 pub struct Members {
     identity: Identity,
@@ -216,6 +233,7 @@
                 version: peer.version(),
                 ready: peer.state.ready,
                 alive: peer.is_alive(time, dead_after),
+                unknown: peer.is_unknown(),
                 listed: peer.presence.is_some(),
             })
             .collect();
--- a/crates/core/tests/testsuite/membership.rs
+++ b/crates/core/tests/testsuite/membership.rs
@@ -116,3 +116,24 @@
     let sizes = (message.members.len(), message.leaving.len(), message.endpoints.len());
     assert_eq!(sizes, (64, 32, 32));
 }
+
+/// Whether `a` hands work to its only peer after having run for so long.
+fn is_usable(a: &Members, run_time: Duration) -> bool {
+    a.peer_versions(run_time)[0].is_usable(run_time)
+}
+
+#[test]
+fn an_instance_that_has_just_started_counts_on_peers_it_has_not_heard_of() {
+    let (mut a, mut b) = (member("a", &["a", "b"]), member("b", &["a", "b"]));
+    assert!(is_usable(&a, secs(1)));
+    assert!(!is_usable(&a, secs(3)), "by then it would have heard of it");
+    a.heard(secs(3), &message(&mut b, secs(3), 0).message, &local(&[], &[]));
+    assert!(is_usable(&a, secs(3)));
+}
+
+#[test]
+fn a_peer_to_which_a_message_failed_is_not_counted_on() {
+    let mut a = member("a", &["a", "b"]);
+    a.failed(secs(1), &Arc::from("b"));
+    assert!(!is_usable(&a, secs(1)));
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     driver::Driver,
+    peers,
     surroundings::{Page, Read, StoreCall, StoreError, TABLES, TableName},
 };
 
@@ -193,6 +194,7 @@
 
 /// Tells the machine what changed in a table.
 fn apply(driver: &Rc<Driver>, name: TableName, source: &str, changed: Vec<Record>) {
+    let is_told = !changed.is_empty();
     for record in changed {
         match name {
             TableName::Config => apply_config(driver, source, &record),
@@ -200,6 +202,9 @@
             TableName::Instances => driver.peers.apply(driver.now(), &record),
         }
     }
+    if is_told && name == TableName::Instances {
+        peers::update(driver);
+    }
     driver.update_ready();
 }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -86,7 +86,8 @@
     handovers: RefCell<SecondaryMap<HandoverKey, AbortHandle>>,
     tickets: RefCell<HashMap<u64, oneshot::Sender<Vec<PieceResult>>>>,
     next_ticket: Cell<u64>,
-    usable: Cell<usize>,
+    /// Names of the peers that may batch pieces, sorted.
+    usable: RefCell<Vec<InstanceName>>,
 }
 
 impl Peers {
@@ -110,7 +111,7 @@
             handovers: RefCell::default(),
             tickets: RefCell::default(),
             next_ticket: Cell::new(0),
-            usable: Cell::new(0),
+            usable: RefCell::default(),
         }
     }
 
@@ -170,6 +171,19 @@
         Peer { name, strength }
     }
 
+    /// Logs which peers may batch pieces since now, or not any more.
+    fn log_changes(&self, peers: &[Peer]) {
+        let mut names: Vec<_> = peers.iter().map(|peer| peer.name.clone()).collect();
+        names.sort_unstable();
+        let before = self.usable.replace(names);
+        let now = self.usable.borrow();
+        let joined = missing_in(&now, &before);
+        let left = missing_in(&before, &now);
+        if !(joined.is_empty() && left.is_empty()) {
+            tracing::info!(event = "peers", count = now.len(), joined, left);
+        }
+    }
+
     /// Hands pieces to a peer.
     pub fn hand_over(
         &self,
@@ -372,19 +386,16 @@
 }
 
 /// Tells the machine which peers may batch pieces.
-fn update(driver: &Rc<Driver>) {
+pub fn update(driver: &Rc<Driver>) {
     let now = driver.now();
     let members = driver.peers.members.borrow();
     let versions = members.peer_versions(now);
-    let usable = versions.into_iter().filter(|peer| peer.alive && peer.ready);
+    let usable = versions.into_iter().filter(|peer| peer.is_usable(now));
     let peers = usable.filter(|peer| members.addr(&peer.name).is_some());
     let peers: Vec<_> = peers.map(|peer| driver.peers.peer(peer.name)).collect();
     drop(members);
     driver.metrics.gauge("relay.peers", peers.len() as u64);
-    if driver.peers.usable.replace(peers.len()) != peers.len() {
-        let names: Vec<_> = peers.iter().map(|peer| &*peer.name).collect();
-        tracing::info!(event = "peers", count = peers.len(), names = names.join(" "));
-    }
+    driver.peers.log_changes(&peers);
     let announced = driver.peers.listed.borrow().len();
     driver.feed(|machine, now| machine.set_peers(now, peers, announced));
 }
@@ -437,6 +448,12 @@
     }
 }
 
+/// The names that the other sorted list does not have, for a log line.
+fn missing_in(names: &[InstanceName], other: &[InstanceName]) -> String {
+    let missing = names.iter().filter(|name| other.binary_search(name).is_err());
+    missing.map(|name| &**name).collect::<Vec<_>>().join(" ")
+}
+
 fn write_marks(ends: &[u64], mut list: capnp::primitive_list::Builder<'_, u64>) {
     for (idx, end) in (0..).zip(ends) {
         list.set(idx, *end);
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -25,6 +25,10 @@
 /// A connection that was not used for longer is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time to make a connection. An opening packet that is lost is sent again
+/// after a second; whoever does not answer that one is not there.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1200);
+
 /// What went wrong with a peer.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -138,7 +142,8 @@
 }
 
 async fn connect<C: FromClientHook + Clone>(addr: &str) -> Result<Link<C>, Error> {
-    let stream = TcpStream::connect(addr).await?;
+    let opening = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+    let stream = opening.await.map_err(|_| Error::TimedOut)??;
     let mut rpc = RpcSystem::new(network(stream, Side::Client)?, None);
     let client = rpc.bootstrap(Side::Server);
     let (abort, registration) = AbortHandle::new_pair();
