Survive an endpoint's senseless idle time

Cause: `Keep-Alive: timeout=` was read as a number and turned into a duration that panics on -1, nan, inf and 1e300, and 1e19 overflowed the clock. A panic ends the process, so one spoiled header of one endpoint ended an instance.

Change: what is no time counts as not stated, and a stated time is cut at ten minutes.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -35,6 +35,8 @@
 /// An idle connection is used again within this time where the peer does not
 /// say for how long it keeps it.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// An idle connection is not used again after this time, whatever the peer says.
+const LONGEST_IDLE: Duration = Duration::from_secs(600);
 /// A connection is not used any more so long before the peer closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Idle connections to one address at the most.
@@ -249,8 +251,8 @@
     let keep_alive = value(&http::HeaderName::from_static("keep-alive")).unwrap_or_default();
     let timeout = keep_alive.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
     let timeout = timeout.and_then(|seconds| seconds.trim().parse().ok());
-    let stated = timeout.map(Duration::from_secs_f64);
-    stated.map_or(DEFAULT_IDLE, |stated| stated.saturating_sub(IDLE_MARGIN))
+    let stated = timeout.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    stated.map_or(DEFAULT_IDLE, |stated| stated.saturating_sub(IDLE_MARGIN).min(LONGEST_IDLE))
 }
 
 fn unsent(addr: &Arc<str>, cause: impl ToString) -> Error {
--- a/crates/relay/tests/relay/replies.rs
+++ b/crates/relay/tests/relay/replies.rs
@@ -158,3 +158,17 @@
     drop(conn);
     assert_eq!(rx.recv_timeout(crate::standins::PATIENCE).unwrap(), "closed");
 }
+
+#[test]
+fn a_senseless_idle_time_is_passed_over() {
+    let site = Site::start(&[Desk::start(|_, conn| {
+        while let Some(request) = conn.read_request() {
+            let path = request.head.split(' ').nth(1).unwrap();
+            let idle = format!("\r\nkeep-alive: timeout={}\r\n\r\n", &path["/once/".len()..]);
+            conn.write(&whole(&request.id(), 200, "answer").replacen("\r\n\r\n", &idle, 1));
+        }
+    })]);
+    for idle in ["-1", "nan", "inf", "1e300", "1e19", "x", "5"] {
+        assert_eq!(site.ask(&format!("/once/{idle}")).body, "answer", "{idle}");
+    }
+}
