Operators' policies decide for the relay too

Cause: on the platform the built-in rules alone decided what is admitted, ordered, routed and refused; policies were read by peatdeck-entry only.

--- a/crates/core/src/instance/stages.rs
+++ b/crates/core/src/instance/stages.rs
@@ -13,6 +13,7 @@
         timers::Timer,
     },
     model::{DoubtKind, Echo, EndpointName, Outcome, PoolName, Refusal, RefusalKind},
+    policy::Function,
     queue, routing, timing,
 };
 
@@ -143,7 +144,9 @@
         let demand = routing::Demand { pool: &stage.pool, prefix, exclude, peers: &peers };
         let chosen = if !decisions.load_aware {
             routing::choose_scored(&self.table, self.now, &demand, &mut rng, &|_| Some(0.0))
-        } else if let Some(program) = self.program(key).filter(|program| program.has_route()) {
+        } else if let Some(program) =
+            self.program(key).filter(|program| program.defines(Function::Route))
+        {
             let facts = self.stage_facts(key);
             let score =
                 |endpoint: &Endpoint| program.route(&facts, &self.endpoint_facts(endpoint)).given();
--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -23,6 +23,7 @@
     time::Duration,
 };
 
+use peatdeck_macros::id;
 use rhai::{AST, Dynamic, Engine, Scope};
 
 pub use self::facts::{EndpointFacts, Facts};
@@ -85,6 +86,31 @@
     failures: AtomicU64,
 }
 
+/// A function that a policy may define.
+#[id]
+#[derive(Copy)]
+pub enum Function {
+    /// Whether to take a request in.
+    Admit,
+    /// A call's priority.
+    Order,
+    /// How good an endpoint is for a call.
+    Route,
+    /// When a refused caller should come back.
+    Refuse,
+}
+
+impl Function {
+    fn name(self) -> &'static str {
+        match self {
+            Function::Admit => ADMIT,
+            Function::Order => ORDER,
+            Function::Route => ROUTE,
+            Function::Refuse => REFUSE,
+        }
+    }
+}
+
 /// The functions that a policy may define.
 const FUNCTIONS: [&str; 4] = [ADMIT, ORDER, ROUTE, REFUSE];
 const ADMIT: &str = "admit";
@@ -132,9 +158,14 @@
         })
     }
 
-    /// Whether it defines a `route` function.
-    pub fn has_route(&self) -> bool {
-        self.inner.defined.contains(&ROUTE)
+    /// Whether it defines a function.
+    pub fn defines(&self, function: Function) -> bool {
+        self.inner.defined.contains(&function.name())
+    }
+
+    /// The names of the functions that it defines.
+    pub fn functions(&self) -> &[&'static str] {
+        &self.inner.defined
     }
 
     /// Calls of its functions that failed.
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -10,6 +10,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use peatdeck_macros::data;
 use xxhash_rust::xxh3;
 
 use crate::{
@@ -75,29 +76,41 @@
     }
 }
 
-/// Chooses an endpoint of a plain service. `jitter` gives numbers from 0 to 1
-/// that keep instances from all choosing the same one.
+/// An endpoint that may take a call.
+#[data]
+#[derive(Copy)]
+pub struct Candidate {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Prompt tokens that it will probably have to read; 0 for plain services.
+    pub tokens: u64,
+    /// What the call costs there; the lowest is the best.
+    pub cost: f64,
+}
+
+/// The endpoints of a plain service that may take a call. `jitter` gives
+/// numbers from 0 to 1 that keep instances from all choosing the same one.
 pub fn plain(
     directory: &Directory,
     now: Duration,
     service: &str,
     wanted: Wanted<'_>,
     mut jitter: impl FnMut() -> f64,
-) -> Option<EndpointKey> {
-    let candidates = candidates(directory, now, service, wanted);
+) -> Vec<Candidate> {
     let time = |endpoint: &Endpoint| {
         let time = endpoint.response_time.unwrap_or(UNKNOWN_TIME).as_secs_f64();
         let distance = if *endpoint.entry.data_centre == *wanted.home { 1.0 } else { DISTANCE };
         time * distance * (1.0 + endpoint.fullness(now) + f64::from(endpoint.in_flight) * 0.1)
     };
-    lowest(candidates.into_iter().map(|(key, endpoint)| {
+    let candidates = candidates(directory, now, service, wanted).into_iter();
+    let costs = candidates.map(|(key, endpoint)| {
         let spread = 1.0 + 0.1 * jitter();
-        (key, time(endpoint) * spread)
-    }))
+        Candidate { endpoint: key, tokens: 0, cost: time(endpoint) * spread }
+    });
+    costs.collect()
 }
 
-/// Chooses an engine for a prompt. Returns it with the tokens that it will
-/// probably have to read.
+/// The engines that may take a prompt.
 pub fn engine(
     directory: &Directory,
     memory: &Memory,
@@ -105,7 +118,7 @@
     service: &str,
     prompt: &Prompt,
     wanted: Wanted<'_>,
-) -> Option<(EndpointKey, u64)> {
+) -> Vec<Candidate> {
     let candidates = candidates(directory, now, service, wanted);
     let usual = usual_time(&candidates);
     let shared = prompt.parts.len().saturating_sub(1);
@@ -115,10 +128,23 @@
         let reading = (tokens + endpoint.backlog) as f64 / TOKENS_PER_MS;
         let running = f64::from(endpoint.calls(now)) * RUNNING_MS;
         let far = far_megabytes(wanted.inputs, &endpoint.entry.data_centre) * INPUT_MS_PER_MB;
-        let slowness = slowness(endpoint, usual);
-        ((key, tokens), (reading + running) * slowness + far)
+        let cost = (reading + running) * slowness(endpoint, usual) + far;
+        Candidate { endpoint: key, tokens, cost }
     });
-    lowest(costs)
+    costs.collect()
+}
+
+/// The candidate with the lowest cost.
+pub fn cheapest(candidates: &[Candidate]) -> Option<Candidate> {
+    candidates.iter().min_by(|a, b| a.cost.total_cmp(&b.cost)).copied()
+}
+
+/// The candidates with the lowest costs, at most so many.
+pub fn cheapest_few(candidates: &[Candidate], most: usize) -> Vec<Candidate> {
+    let mut sorted = candidates.to_vec();
+    sorted.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+    sorted.truncate(most);
+    sorted
 }
 
 /// Candidates that may take a call now: those that are not paused, or else
@@ -184,7 +210,3 @@
     let factor = time.as_secs_f64() / usual.as_secs_f64().max(1e-3);
     if factor > SLOW_FACTOR { factor } else { 1.0 }
 }
-
-fn lowest<T>(costs: impl Iterator<Item = (T, f64)>) -> Option<T> {
-    costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(item, _)| item)
-}
--- a/crates/core/src/relay/graph.rs
+++ b/crates/core/src/relay/graph.rs
@@ -90,6 +90,17 @@
         inner.into_iter().all(|idx| self.stages[idx].is_started)
     }
 
+    /// The first stage that has not been made yet.
+    pub fn next_stage(&self) -> Option<usize> {
+        self.stages.iter().position(|stage| !stage.is_complete())
+    }
+
+    /// Pieces that have been made, and pieces in all.
+    pub fn progress(&self) -> (usize, usize) {
+        let made = self.stages.iter().flat_map(|stage| &stage.results).flatten().count();
+        (made, self.stages.iter().map(|stage| stage.results.len()).sum())
+    }
+
     /// How many pieces a stage has.
     pub fn pieces(&self, stage: usize) -> usize {
         self.stages[stage].results.len()
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -2,10 +2,12 @@
 //! be done comes out as actions.
 //!
 //! This module holds the state and what every part needs; `calls`, `stages`,
-//! `results` and `ending` are the parts of an exchange's life.
+//! `results` and `ending` are the parts of an exchange's life, `policies` is
+//! where operators' programs decide.
 
 mod calls;
 mod ending;
+mod policies;
 mod results;
 mod stages;
 
@@ -21,6 +23,7 @@
 
 use crate::{
     model::{DataCentre, InstanceName, TeamName},
+    policy::Program,
     relay::{
         allowance::{Allowance, Bound},
         batch::Batches,
@@ -74,6 +77,7 @@
     avoided: HashMap<InstanceName, Duration>,
     announced: usize,
     is_batching: bool,
+    policy: Option<Program>,
     /// Room has become free that waiting pieces may need.
     has_room: bool,
     due: BTreeSet<(Duration, ExchangeKey)>,
@@ -131,6 +135,7 @@
             avoided: HashMap::new(),
             announced: 0,
             is_batching: true,
+            policy: None,
             has_room: false,
             due: BTreeSet::new(),
             searching: BTreeSet::new(),
@@ -258,7 +263,12 @@
         let due = exchange.due;
         let key = self.exchanges.insert(exchange);
         self.due.insert((due, key));
-        self.advance(now, key);
+        if self.policy_admits(now, key) {
+            self.exchanges[key].priority = self.policy_priority(now, key);
+            self.advance(now, key);
+        } else {
+            self.give_up(now, key, Refusal::Policy);
+        }
         Ok(key)
     }
 
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -123,7 +123,7 @@
         now: Duration,
         key: ExchangeKey,
         inputs: &[(DataCentre, u64)],
-    ) -> Option<(EndpointKey, u64)> {
+    ) -> Option<choice::Candidate> {
         let exchange = &self.exchanges[key];
         let wanted = choice::Wanted {
             home: &self.settings.data_centre,
@@ -131,22 +131,18 @@
             inputs,
             limit: self.connection_limit(&exchange.service),
         };
-        match &exchange.arrival.prompt {
-            Some(prompt) => choice::engine(
-                &self.directory,
-                &self.memory,
-                now,
-                &exchange.service,
-                prompt,
-                wanted,
-            ),
+        let service = &exchange.service;
+        let candidates = match &exchange.arrival.prompt {
+            Some(prompt) => {
+                choice::engine(&self.directory, &self.memory, now, service, prompt, wanted)
+            }
             None => {
                 let rng = &mut self.rng;
-                let jitter = || rng.random();
-                let chosen = choice::plain(&self.directory, now, &exchange.service, wanted, jitter);
-                chosen.map(|endpoint| (endpoint, 0))
+                choice::plain(&self.directory, now, service, wanted, || rng.random())
             }
-        }
+        };
+        let chosen = self.policy_choice(now, key, &candidates);
+        chosen.or_else(|| choice::cheapest(&candidates))
     }
 
     /// This instance's share of the connections that an endpoint accepts.
@@ -164,10 +160,11 @@
             return;
         }
         let places = exchange.graph.output_places(&exchange.route);
-        let Some((endpoint, tokens)) = self.choose(now, key, &places) else {
+        let Some(chosen) = self.choose(now, key, &places) else {
             self.wait_for_endpoint(now, key);
             return;
         };
+        let choice::Candidate { endpoint, tokens, .. } = chosen;
         self.searching.remove(&key);
         let basis = self.basis(now, key, endpoint, tokens);
         let call = self.calls.insert(CallState {
--- a/crates/core/src/relay/machine/ending.rs
+++ b/crates/core/src/relay/machine/ending.rs
@@ -80,13 +80,13 @@
         }
         let has_run = exchange.has_run || exchange.was_called || refusal == Refusal::TimedOut;
         let refusal = match refusal {
-            Refusal::Infeasible | Refusal::Unserved if has_run => Refusal::Failed,
+            Refusal::Infeasible | Refusal::Unserved | Refusal::Policy if has_run => Refusal::Failed,
             other => other,
         };
         let usual = if refusal == Refusal::Infeasible { LONG_AWAY } else { USUAL_AWAY };
         let may_come_back = !has_run || exchange.route.kind.may_repeat();
         let remaining = exchange.due.saturating_sub(now);
-        let away = usual.min(remaining.mul_f64(AWAY_SHARE));
+        let away = self.policy_away(now, key, usual).min(remaining.mul_f64(AWAY_SHARE));
         let retry_after = (may_come_back && away >= SHORTEST_AWAY).then_some(away);
         self.actions.push(Action::Refuse { exchange: key, refusal, retry_after });
         self.close(key);
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -400,8 +400,8 @@
         if exchange.home.is_some() || !has_large {
             return;
         }
-        let Some((endpoint, _)) = self.choose(now, key, &[]) else { return };
-        let home = self.directory.get(endpoint).map(|known| known.entry.data_centre.clone());
+        let Some(chosen) = self.choose(now, key, &[]) else { return };
+        let home = self.directory.get(chosen.endpoint).map(|known| known.entry.data_centre.clone());
         self.exchanges[key].home = home;
     }
 
@@ -483,7 +483,7 @@
 }
 
 /// Time from the last stage to the first token.
-fn generation_time(exchange: &Exchange) -> Duration {
+pub(super) fn generation_time(exchange: &Exchange) -> Duration {
     let Some(prompt) = &exchange.arrival.prompt else { return Duration::ZERO };
     FIRST_TOKEN + Duration::from_millis(u64::from(prompt.input / READ_TOKENS_PER_MS))
 }
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -212,6 +212,8 @@
     Unserved,
     /// Nothing ran and nothing will: it cannot be done in time.
     Infeasible,
+    /// Nothing ran and nothing will: the operators' policy says so.
+    Policy,
     /// The time is over; something may have run.
     TimedOut,
     /// An endpoint failed; something may have run.
@@ -222,7 +224,7 @@
     /// The HTTP status that says so.
     pub fn status(self) -> u16 {
         match self {
-            Refusal::NotReady | Refusal::Unserved | Refusal::Infeasible => 503,
+            Refusal::NotReady | Refusal::Unserved | Refusal::Infeasible | Refusal::Policy => 503,
             Refusal::NoRoute => 404,
             Refusal::UnknownKey => 401,
             Refusal::Malformed => 400,
@@ -240,6 +242,7 @@
             Refusal::Malformed => "malformed",
             Refusal::Unserved => "unserved",
             Refusal::Infeasible => "infeasible",
+            Refusal::Policy => "policy",
             Refusal::TimedOut => "timed_out",
             Refusal::Failed => "failed",
         }
--- a/crates/core/tests/testsuite/policy.rs
+++ b/crates/core/tests/testsuite/policy.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use expect_test::{Expect, expect};
-use peatdeck_core::policy::{self, Decision, EndpointFacts, Facts, Program};
+use peatdeck_core::policy::{self, Decision, EndpointFacts, Facts, Function, Program};
 
 const REFERENCE: &str = include_str!("../../../../docs/reference/policies.md");
 
@@ -46,7 +46,7 @@
     );
     assert_eq!(program.order(&facts()), Decision::BuiltIn);
     assert_eq!(program.refuse(&facts()), Decision::BuiltIn);
-    assert!(!program.has_route());
+    assert!(!program.defines(Function::Route));
     assert!(program.admit(&facts()).or(true));
 }
 
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -11,6 +11,7 @@
 mod fixture;
 mod fuzz;
 mod peers;
+mod policies;
 mod readers;
 mod stages;
 mod streams;
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/policies.rs
@@ -0,0 +1,96 @@
+//! Where an operators' program decides for the relay.
+
+use peatdeck_core::{
+    policy,
+    relay::{
+        config::{Kind, Route},
+        model::{Arrival, Failure, Refusal},
+    },
+};
+
+use super::fixture::{ConfigBuilder, World, arrival, entry, ms, prompt, route, stage};
+
+/// A world with one plain route and two endpoints, under a policy.
+fn under(script: &str) -> World {
+    let mut world = World::plain(Kind::Idempotent);
+    world.relay.set_policy(policy::compile(script).unwrap());
+    world
+}
+
+#[test]
+fn a_request_that_the_policy_does_not_admit_has_not_run_and_hears_when_to_come_back() {
+    let mut world = under("fn admit(ctx) { ctx.pipeline != \"r\" } fn refuse(ctx) { 250 }");
+    world.arrive(arrival("1", "r"));
+    assert_eq!(world.refusals(), ["503 policy 250ms"]);
+    assert!(world.calls().is_empty());
+    assert_eq!(world.relay.open_exchanges(), 0);
+}
+
+#[test]
+fn a_policy_gives_at_most_a_third_of_the_time_that_is_left() {
+    let mut world = under("fn admit(ctx) { false } fn refuse(ctx) { 60000 }");
+    world.arrive(Arrival { deadline: Some(ms(1000)), ..arrival("1", "r") });
+    assert_eq!(world.refusals(), ["503 policy 300ms"]);
+}
+
+#[test]
+fn a_policy_cannot_say_that_what_has_run_did_not() {
+    let mut world = under("fn refuse(ctx) { 250 }");
+    world.arrive(arrival("1", "r"));
+    for _ in 0..2 {
+        let call = world.call().key;
+        world.failed(call, Failure::Cut);
+    }
+    assert_eq!(world.refusals(), ["502 failed 250ms"]);
+}
+
+#[test]
+fn the_endpoint_that_the_policy_likes_best_gets_the_call() {
+    for name in ["a", "b"] {
+        let script =
+            format!("fn route(ctx) {{ if ctx.endpoint.name == \"{name}\" {{ 1 }} else {{ 0 }} }}");
+        let mut world = under(&script);
+        for id in ["1", "2", "3"] {
+            world.arrive(arrival(id, "r"));
+            assert_eq!(&*world.call().endpoint, name);
+        }
+    }
+}
+
+#[test]
+fn the_policys_order_is_the_rank_at_an_engine() {
+    for (order, rank) in [("9", 0), ("2", 7), ("-5", 9), ("100", 0), ("()", 1)] {
+        let mut world = under(&format!("fn order(ctx) {{ {order} }}"));
+        world.arrive(Arrival { prompt: Some(prompt(1, 2)), ..arrival("1", "r") });
+        assert_eq!(world.call().rank, Some(rank), "{order}");
+    }
+}
+
+#[test]
+fn a_policy_that_fails_is_counted_and_passed_over() {
+    // It fails on these facts only, not on the samples.
+    let script = "fn admit(ctx) { if ctx.pipeline == \"r\" { ctx.unknown.field } else { true } }";
+    let mut world = under(script);
+    world.arrive(arrival("1", "r"));
+    assert_eq!(world.calls().len(), 1);
+    assert_eq!(world.relay.policy_failures(), 1);
+}
+
+#[test]
+fn a_policy_sees_what_waits() {
+    let stages = vec![stage("ledger", &[], 10)];
+    let config = ConfigBuilder::new(1).service("desk").maker("ledger", 1 << 30);
+    let config = config.route(Route { stages, ..route("r", Kind::Idempotent, "desk") });
+    let mut world = World::new(config.build());
+    world.put(entry("l1", "ledger"));
+    let script = "fn admit(ctx) { ctx.stage != \"ledger\" || ctx.waiting < 3 }";
+    world.relay.set_policy(policy::compile(script).unwrap());
+    let asking = |id: &str| Arrival { pieces: vec![2], ..arrival(id, "r") };
+    for id in ["1", "2", "3"] {
+        world.arrive(asking(id));
+    }
+    assert!(world.refusals().is_empty());
+    world.arrive(asking("4"));
+    assert_eq!(world.refusals(), ["503 policy 400ms"]);
+    assert_eq!(Refusal::Policy.status(), 503);
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`surroundings`]: the platform, as functions.
 //! - [`follow`]: keeps the copies of the platform's tables up to date.
 //! - [`peers`]: the other instances, over Cap'n Proto.
+//! - [`policy`]: the operators' policy, read from a file.
 //! - [`decisions`]: one log line a decision.
 
 pub mod calls;
@@ -30,6 +31,7 @@
 pub mod front;
 pub mod native;
 pub mod peers;
+pub mod policy;
 pub mod pool;
 pub mod server;
 pub mod settings;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -28,7 +28,7 @@
     driver::{Driver, Parts, Shared},
     follow,
     front::{self, BodyMemory},
-    peers,
+    peers, policy,
     pool::Pool,
     settings::Settings,
     surroundings::{Surroundings, TABLES},
@@ -117,6 +117,10 @@
     settings: Settings,
     surroundings: impl FnOnce(Rc<Pool>) -> Surroundings + Send + 'static,
 ) -> miette::Result<()> {
+    if let Some(path) = &settings.policy {
+        // A policy that is wrong should be heard of before anything starts.
+        policy::load(path)?;
+    }
     let listeners = Listeners::bind(&settings)?;
     let (told, signals) = mpsc::unbounded();
     watch(SignalKind::terminate(), Told::Stop, &told)?;
@@ -226,6 +230,7 @@
         metrics: Metrics::into_registry(&metrics),
         shared,
     });
+    take_policy(&driver);
     for table in TABLES {
         ntex::rt::spawn(follow::run(driver.clone(), table));
     }
@@ -247,7 +252,8 @@
     while let Some(told) = signals.next().await {
         match told {
             Told::Reload => {
-                tracing::info!(event = "reload", changed = false);
+                tracing::info!(event = "reload");
+                take_policy(&driver);
             }
             Told::Stop => break,
         }
@@ -262,6 +268,23 @@
     exited.send(()).ok();
 }
 
+/// Reads the operators' policy. One that cannot be used leaves the one before
+/// in force.
+fn take_policy(driver: &Rc<Driver>) {
+    let Some(path) = &driver.settings.policy else { return };
+    match policy::load(path) {
+        Ok(program) => {
+            let functions = program.functions().join(" ");
+            tracing::info!(event = "policy", path = &**path, functions);
+            driver.feed(|machine, _| machine.set_policy(program));
+        }
+        Err(error) => {
+            driver.metrics.count("relay.policy_unusable", 1);
+            tracing::error!(event = "policy_unusable", path = &**path, error = %error);
+        }
+    }
+}
+
 /// Waits until nothing is held any more, or until the grace is nearly over.
 async fn finish(driver: &Driver) {
     let started = driver.now();
@@ -284,6 +307,7 @@
         let counts = driver.pool.counts();
         driver.metrics.gauge("relay.connections_opened", counts.opened);
         driver.metrics.gauge("relay.connections_reused", counts.reused);
+        driver.metrics.gauge("relay.policy_errors", driver.look(Relay::policy_failures));
         driver.metrics.gauge("relay.log_lines_dropped", (driver.surroundings.lines_dropped)());
     }
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -34,6 +34,8 @@
     pub body_memory: usize,
     /// Its processor's share, in thousandths of a core.
     pub strength: u32,
+    /// File of the operators' policy; without one the built-in rules decide.
+    pub policy: Option<Arc<str>>,
     /// Connections of callers at the most.
     pub connections: usize,
 }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod headers;
 mod pages;
 mod peers;
+mod policy;
 mod replies;
 mod standins;
 mod stop;
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -208,6 +208,16 @@
 
 impl Relay {
     pub fn start(name: &str, store: &MemoryStore, seeds: &[SocketAddr]) -> Relay {
+        Relay::start_with(name, store, seeds, None)
+    }
+
+    /// The same under the policy of a file.
+    pub fn start_with(
+        name: &str,
+        store: &MemoryStore,
+        seeds: &[SocketAddr],
+        policy: Option<Arc<str>>,
+    ) -> Relay {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut settings = Settings {
             name: Arc::from(name),
@@ -223,6 +233,7 @@
             grace: Duration::from_secs(60),
             body_memory: 1 << 24,
             strength: 250,
+            policy,
             connections: 200,
         };
         let listeners = Listeners::bind(&settings).unwrap();
