--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -33,6 +33,9 @@
 /// A piece whose result belongs in another data centre waits for an endpoint
 /// there while it has this much time to spare: about a full call.
 const HOME_PATIENCE: Duration = Duration::from_millis(200);
+/// Pause between two looks for late pieces that others leave no place for.
+const REVIEW_PAUSE: Duration = Duration::from_millis(50);
+
 /// A call that takes so much longer than it should is a straggler: its pieces
 /// are made elsewhere too. A slow endpoint is waited for all the same: in a
 /// burst, work done twice costs more than it saves.
@@ -106,6 +109,8 @@
     piece: Piece,
     origin: Origin,
     call: Option<CallKey>,
+    /// Whether a call that takes too long may still bring it.
+    is_straggler: bool,
 }
 
 #[derive(Debug)]
@@ -138,7 +143,7 @@
     /// Takes in a piece.
     pub fn add(&mut self, piece: Piece, origin: Origin) {
         let service = piece.service.clone();
-        let key = self.pieces.insert(Entry { piece, origin, call: None });
+        let key = self.pieces.insert(Entry { piece, origin, call: None, is_straggler: false });
         self.held_by.entry(origin.holder()).or_default().push(key);
         self.waiting.entry(service).or_default().push(key, &self.pieces[key].piece);
     }
@@ -201,10 +206,24 @@
     }
 
     /// Takes out waiting pieces that cannot be made any more before they are
-    /// due.
-    pub fn take_late(&mut self, now: Duration, service: &str, shape: &Pieces) -> Vec<Finished> {
-        let Some(queue) = self.waiting.get(service) else { return Vec::new() };
-        let late = queue.due_before(now + Batches::call_time(shape, 1));
+    /// due, and late ones that others leave no place for.
+    pub fn take_late(
+        &mut self,
+        now: Duration,
+        service: &str,
+        shape: &Pieces,
+        directory: &Directory,
+    ) -> Vec<Finished> {
+        let Some(queue) = self.waiting.get_mut(service) else { return Vec::new() };
+        let mut late = queue.due_before(now + Batches::call_time(shape, 1));
+        let batch = shape.batch as usize;
+        if queue.len() > batch && now >= queue.next_review {
+            queue.next_review = now + REVIEW_PAUSE;
+            queue.demote(now + Batches::call_time(shape, batch));
+            let next_calls = directory.usable(now, service).len() * batch;
+            let crowded_out = queue.crowded_out(now, next_calls).into_iter();
+            late.extend(crowded_out.filter(|key| !self.pieces[*key].is_straggler));
+        }
         let entries = late.into_iter().filter_map(|key| {
             self.stop_waiting(key);
             self.take_out(key)
@@ -290,6 +309,7 @@
         for key in running.keys.clone() {
             let Some(entry) = self.pieces.get_mut(key) else { continue };
             entry.call = None;
+            entry.is_straggler = true;
             entry.piece.is_repeat = true;
             let service = entry.piece.service.clone();
             self.waiting.entry(service).or_default().push(key, &entry.piece);
--- a/crates/core/src/relay/batch/queue.rs
+++ b/crates/core/src/relay/batch/queue.rs
@@ -54,6 +54,7 @@
     pub home: Option<DataCentre>,
     /// By when they should be done.
     pub aim: Duration,
+    patience: Duration,
     priority: u8,
 }
 
@@ -74,6 +75,8 @@
 pub struct Queue {
     lanes: [BTreeMap<Rank, Group>; LANES],
     by_due: BTreeSet<(Duration, PieceKey)>,
+    /// When late pieces are looked through next.
+    pub next_review: Duration,
     ranks: SecondaryMap<PieceKey, (usize, Rank)>,
 }
 
@@ -108,6 +111,7 @@
             bytes: piece.bytes,
             home: piece.home.clone(),
             aim: piece.aim,
+            patience: piece.patience,
             priority: piece.priority,
         });
         group.keys.push(key);
@@ -140,6 +144,27 @@
         due.map(|(_, key)| *key).collect()
     }
 
+    /// Late pieces whose patience is over and that do not get into the next
+    /// calls, which take so many: those that can be in good time go before them,
+    /// and while there are too many of these, late ones only wait for nothing.
+    pub fn crowded_out(&self, now: Duration, next_calls: usize) -> Vec<PieceKey> {
+        let is_late = |rank: &Rank| rank.is_late;
+        let groups = || self.lanes.iter().flatten();
+        let ahead = groups().filter(|(rank, _)| !is_late(rank));
+        let mut ahead: usize = ahead.map(|(_, group)| group.keys.len()).sum();
+        let mut late: Vec<_> = groups().filter(|(rank, _)| is_late(rank)).collect();
+        late.sort_unstable_by_key(|(rank, _)| *rank);
+        let mut out = Vec::new();
+        for (_, group) in late {
+            if ahead >= next_calls && group.patience < now {
+                out.extend(&group.keys);
+            } else {
+                ahead += group.keys.len();
+            }
+        }
+        out
+    }
+
     /// Puts the groups behind the others that cannot be done in good time any
     /// more: a call that begins now ends at `done`.
     pub fn demote(&mut self, done: Duration) {
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -158,6 +158,8 @@
     pub due: Duration,
     /// When it should be done for the caller to be served in good time.
     pub aim: Duration,
+    /// Until when it waits once it is late and others wait too.
+    pub patience: Duration,
     /// Urgency of its request, 0 first.
     pub priority: u8,
     /// Where its result will be used, if that is known and matters.
--- a/crates/core/tests/testsuite/relay/batch.rs
+++ b/crates/core/tests/testsuite/relay/batch.rs
@@ -101,6 +101,42 @@
     assert_eq!(world.orders()[0].names()[0], "good/0/0");
 }
 
+#[test]
+fn a_late_request_behind_others_is_given_up_before_half_of_its_time_is_over() {
+    let mut world = world(1 << 30, 1, &["l1"]);
+    world.put(entry("d1", "desk"));
+    world.arrive(asking("first", "r", 4));
+    let mut running = world.orders().remove(0);
+    world.arrive(asking("late", "quick", 4));
+    // Requests that can be in good time fill every call.
+    for round in 0..12 {
+        assert!(world.refusals().is_empty(), "given up after {round} rounds");
+        world.arrive(asking(&format!("good-{round}"), "r", 4));
+        world.arrive(asking(&format!("next-{round}"), "r", 4));
+        world.advance(ms(280));
+        world.make(&running);
+        running = world.orders().remove(0);
+        assert!(!running.names()[0].starts_with("late"));
+    }
+    world.advance(ms(300));
+    assert_eq!(world.refusals(), ["503 infeasible 1.302s"]);
+}
+
+#[test]
+fn a_late_request_that_gets_into_the_next_call_waits_for_it() {
+    let mut world = world(1 << 30, 1, &["l1"]);
+    world.put(entry("d1", "desk"));
+    world.arrive(asking("first", "r", 4));
+    let running = world.orders().remove(0);
+    for id in ["late-1", "late-2"] {
+        world.arrive(asking(id, "quick", 4));
+    }
+    world.advance(ms(5000));
+    assert_eq!(world.refusals().len(), 1, "only one of them gets into it");
+    world.make(&running);
+    assert_eq!(world.orders().len(), 1);
+}
+
 #[test]
 fn results_never_need_more_room_than_there_is() {
     let mut world = world(10, 4, &["l1"]);
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -56,6 +56,7 @@
   isRepeat @11 :Bool;
   tries @12 :UInt8;
   round @13 :UInt8;
+  patienceMicros @14 :UInt64;
 }
 
 struct Result {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -54,6 +54,7 @@
         to.set_bytes(piece.bytes);
         to.set_due_micros(left(now, piece.due));
         to.set_aim_micros(left(now, piece.aim));
+        to.set_patience_micros(left(now, piece.patience));
         to.set_priority(piece.priority);
         to.set_home(piece.home.as_deref().unwrap_or_default());
         to.set_is_repeat(piece.is_repeat);
@@ -130,6 +131,7 @@
         bytes: from.get_bytes(),
         due: now + Duration::from_micros(from.get_due_micros()),
         aim: now + Duration::from_micros(from.get_aim_micros()),
+        patience: now + Duration::from_micros(from.get_patience_micros()),
         priority: from.get_priority(),
         home: optional(from.get_home()?)?,
         round: from.get_round(),
