--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -7,6 +7,7 @@
 //! their callers to be served in good time; pieces that cannot be in good time
 //! any more come behind all that still can.
 
+mod places;
 pub mod queue;
 mod worker;
 
@@ -17,6 +18,7 @@
 
 use crate::relay::{
     batch::{
+        places::Places,
         queue::{Group, Queue, Space},
         worker::Worker,
     },
@@ -30,9 +32,6 @@
 /// An endpoint that is so much slower than it should be only gets pieces that
 /// the others have no time for.
 const SLOW_FACTOR: f64 = 2.0;
-/// A piece whose result belongs in another data centre waits for an endpoint
-/// there while it has this much time to spare: about a full call.
-const HOME_PATIENCE: Duration = Duration::from_millis(200);
 /// Pause between two looks for late pieces that others leave no place for.
 const REVIEW_PAUSE: Duration = Duration::from_millis(50);
 
@@ -478,34 +477,6 @@
     }
 }
 
-/// Where a service's endpoints are, for the calls that are planned together.
-struct Places<'a> {
-    directory: &'a Directory,
-    /// The data centres with an endpoint that takes new work.
-    usable: Vec<&'a str>,
-    /// A group without so much time does not wait for the right place.
-    urgent_before: Duration,
-}
-
-impl<'a> Places<'a> {
-    fn new(done: Duration, usable: &[EndpointKey], directory: &'a Directory) -> Places<'a> {
-        let places = usable.iter().filter_map(|key| directory.get(*key));
-        let mut places: Vec<_> = places.map(|endpoint| &*endpoint.entry.data_centre).collect();
-        places.sort_unstable();
-        places.dedup();
-        Places { directory, usable: places, urgent_before: done + HOME_PATIENCE }
-    }
-
-    /// Whether a group may be made at an endpoint: its results are needed
-    /// there, or it has no time to wait for one that is nearer.
-    fn may_be_made_at(&self, group: &Group, endpoint: EndpointKey) -> bool {
-        let Some(home) = &group.home else { return true };
-        let place = self.directory.get(endpoint).map(|known| &*known.entry.data_centre);
-        let has_home = self.usable.contains(&&**home);
-        place == Some(home) || group.aim < self.urgent_before || !has_home
-    }
-}
-
 impl Entry {
     fn finished(self, result: PieceResult, endpoint: Option<EndpointKey>) -> Finished {
         Finished { origin: self.origin, piece: self.piece, result, endpoint }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -5,7 +5,11 @@
 //! records that the asker lacks. So an instance that the platform's store
 //! turns away still learns what is in force. Pieces are handed to the peer
 //! that batches their service; a peer that stops answering gets them taken
-//! back.
+//! back. [`service`] is the other side: what peers ask of this instance.
+
+mod service;
+
+pub use service::serve;
 
 use std::{
     cell::{Cell, RefCell},
@@ -31,13 +35,12 @@
 };
 use peatdeck_macros::message;
 use peatdeck_wire::{
-    link::{self, Error, Links},
+    link::{Error, Links},
     peer as peer_wire, relay as wire,
     relay_capnp::relay,
 };
 use rand::{Rng, seq::IndexedRandom};
 use slotmap::SecondaryMap;
-use tokio::net::TcpListener;
 
 use crate::{driver::Driver, follow, follow::Tables, settings::Settings};
 
@@ -55,8 +58,6 @@
 const DEAD_AFTER: Duration = Duration::from_millis(2400);
 /// Pause before this instance's record is written again after a failure.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(600);
-/// Pause after a failed accept, as when no file descriptor is left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// An instance's own record in the platform's table of instances.
 #[message]
@@ -302,22 +303,6 @@
     }
 }
 
-/// Serves peers for as long as the process runs.
-pub async fn serve(driver: Rc<Driver>, listener: TcpListener) {
-    let service: relay::Client = capnp_rpc::new_client(Service { driver });
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                ntex::rt::spawn(link::serve(service.clone(), stream));
-            }
-            Err(error) => {
-                tracing::warn!(event = "peer_not_accepted", error = %error);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 /// An instance that knows no peer asks one that it was told of at its start.
 fn ask_a_seed(driver: &Rc<Driver>) {
     let own = driver.settings.peers.to_string();
@@ -459,96 +444,3 @@
         list.set(idx, *end);
     }
 }
-
-/// What peers can call.
-struct Service {
-    driver: Rc<Driver>,
-}
-
-impl relay::Server for Service {
-    async fn gossip(
-        self: Rc<Self>,
-        params: relay::GossipParams,
-        mut results: relay::GossipResults,
-    ) -> Result<(), capnp::Error> {
-        let driver = &self.driver;
-        let params = params.get()?;
-        let message = peer_wire::read_gossip(params.get_message()?).map_err(failed)?;
-        let asked: Vec<u64> = params.get_marks()?.iter().collect();
-        let local = local(driver);
-        let reply = driver.peers.members.borrow_mut().heard(driver.now(), &message, &local);
-        if let Some(reply) = reply {
-            peer_wire::write_gossip(&reply.message, results.get().init_reply()).map_err(failed)?;
-        }
-        let age = driver.peers.tables.age(driver.now()).unwrap_or(Duration::MAX);
-        results.get().set_age_ms(u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
-        let deltas = driver.peers.tables.since(&asked);
-        let mut list = results.get().init_tables(deltas.len() as u32);
-        for (idx, delta) in (0..).zip(&deltas) {
-            wire::write_delta(delta, list.reborrow().get(idx));
-        }
-        Ok(())
-    }
-
-    async fn make(
-        self: Rc<Self>,
-        params: relay::MakeParams,
-        mut results: relay::MakeResults,
-    ) -> Result<(), capnp::Error> {
-        let driver = &self.driver;
-        let pieces =
-            wire::read_pieces(driver.now(), params.get()?.get_pieces()?).map_err(failed)?;
-        let ticket = driver.peers.next_ticket.get();
-        driver.peers.next_ticket.set(ticket + 1);
-        let (tx, rx) = oneshot::channel();
-        driver.peers.tickets.borrow_mut().insert(ticket, tx);
-        let guard = Ticket { driver: driver.clone(), ticket };
-        if let Some(first) = pieces.first() {
-            let (id, stage, count) = (&*first.request, first.stage, pieces.len());
-            tracing::info!(event = "take_over", id, ticket, stage, count);
-        }
-        driver.feed(|machine, now| machine.take_over(now, ticket, pieces));
-        let made = rx.await.map_err(failed)?;
-        drop(guard);
-        wire::write_results(&made, results.get().init_results(made.len() as u32));
-        Ok(())
-    }
-
-    async fn free(
-        self: Rc<Self>,
-        params: relay::FreeParams,
-        _results: relay::FreeResults,
-    ) -> Result<(), capnp::Error> {
-        let handles = wire::read_handles(params.get()?.get_handles()?).map_err(failed)?;
-        self.driver.feed(|machine, _| machine.free_here(handles));
-        Ok(())
-    }
-
-    async fn ping(
-        self: Rc<Self>,
-        _params: relay::PingParams,
-        _results: relay::PingResults,
-    ) -> Result<(), capnp::Error> {
-        Ok(())
-    }
-}
-
-/// A peer's pieces that are being made here. Dropped when the peer does not
-/// want them any more.
-struct Ticket {
-    driver: Rc<Driver>,
-    ticket: u64,
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        let was_waiting = self.driver.peers.tickets.borrow_mut().remove(&self.ticket).is_some();
-        if was_waiting {
-            self.driver.feed(|machine, _| machine.recalled(self.ticket));
-        }
-    }
-}
-
-fn failed(error: impl ToString) -> capnp::Error {
-    capnp::Error::failed(error.to_string())
-}
--- /dev/null
+++ b/crates/relay/src/peers/service.rs
@@ -0,0 +1,121 @@
+//! What peers can call at this instance.
+
+use std::{rc::Rc, time::Duration};
+
+use futures::channel::oneshot;
+use peatdeck_wire::{link, peer as peer_wire, relay as wire, relay_capnp::relay};
+use tokio::net::TcpListener;
+
+use crate::{driver::Driver, peers};
+
+/// Pause after a failed accept, as when no file descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Serves peers for as long as the process runs.
+pub async fn serve(driver: Rc<Driver>, listener: TcpListener) {
+    let service: relay::Client = capnp_rpc::new_client(Service { driver });
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                ntex::rt::spawn(link::serve(service.clone(), stream));
+            }
+            Err(error) => {
+                tracing::warn!(event = "peer_not_accepted", error = %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// What peers can call.
+struct Service {
+    driver: Rc<Driver>,
+}
+
+impl relay::Server for Service {
+    async fn gossip(
+        self: Rc<Self>,
+        params: relay::GossipParams,
+        mut results: relay::GossipResults,
+    ) -> Result<(), capnp::Error> {
+        let driver = &self.driver;
+        let params = params.get()?;
+        let message = peer_wire::read_gossip(params.get_message()?).map_err(failed)?;
+        let asked: Vec<u64> = params.get_marks()?.iter().collect();
+        let local = peers::local(driver);
+        let reply = driver.peers.members.borrow_mut().heard(driver.now(), &message, &local);
+        if let Some(reply) = reply {
+            peer_wire::write_gossip(&reply.message, results.get().init_reply()).map_err(failed)?;
+        }
+        let age = driver.peers.tables.age(driver.now()).unwrap_or(Duration::MAX);
+        results.get().set_age_ms(u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+        let deltas = driver.peers.tables.since(&asked);
+        let mut list = results.get().init_tables(deltas.len() as u32);
+        for (idx, delta) in (0..).zip(&deltas) {
+            wire::write_delta(delta, list.reborrow().get(idx));
+        }
+        Ok(())
+    }
+
+    async fn make(
+        self: Rc<Self>,
+        params: relay::MakeParams,
+        mut results: relay::MakeResults,
+    ) -> Result<(), capnp::Error> {
+        let driver = &self.driver;
+        let pieces =
+            wire::read_pieces(driver.now(), params.get()?.get_pieces()?).map_err(failed)?;
+        let ticket = driver.peers.next_ticket.get();
+        driver.peers.next_ticket.set(ticket + 1);
+        let (tx, rx) = oneshot::channel();
+        driver.peers.tickets.borrow_mut().insert(ticket, tx);
+        let guard = Ticket { driver: driver.clone(), ticket };
+        if let Some(first) = pieces.first() {
+            let (id, stage, count) = (&*first.request, first.stage, pieces.len());
+            tracing::info!(event = "take_over", id, ticket, stage, count);
+        }
+        driver.feed(|machine, now| machine.take_over(now, ticket, pieces));
+        let made = rx.await.map_err(failed)?;
+        drop(guard);
+        wire::write_results(&made, results.get().init_results(made.len() as u32));
+        Ok(())
+    }
+
+    async fn free(
+        self: Rc<Self>,
+        params: relay::FreeParams,
+        _results: relay::FreeResults,
+    ) -> Result<(), capnp::Error> {
+        let handles = wire::read_handles(params.get()?.get_handles()?).map_err(failed)?;
+        self.driver.feed(|machine, _| machine.free_here(handles));
+        Ok(())
+    }
+
+    async fn ping(
+        self: Rc<Self>,
+        _params: relay::PingParams,
+        _results: relay::PingResults,
+    ) -> Result<(), capnp::Error> {
+        Ok(())
+    }
+}
+
+/// A peer's pieces that are being made here. Dropped when the peer does not
+/// want them any more.
+struct Ticket {
+    driver: Rc<Driver>,
+    ticket: u64,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let was_waiting = self.driver.peers.tickets.borrow_mut().remove(&self.ticket).is_some();
+        if was_waiting {
+            self.driver.feed(|machine, _| machine.recalled(self.ticket));
+        }
+    }
+}
+
+fn failed(error: impl ToString) -> capnp::Error {
+    capnp::Error::failed(error.to_string())
+}
