--- a/crates/relay/tests/relay/pages.rs
+++ b/crates/relay/tests/relay/pages.rs
@@ -1,14 +1,23 @@
 //! The reference page names every metric.
 
-use std::{fs, path::Path};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+/// The files below a directory.
+fn files(dir: &Path) -> Vec<PathBuf> {
+    let paths = fs::read_dir(dir).unwrap().map(|entry| entry.unwrap().path());
+    paths.flat_map(|path| if path.is_dir() { files(&path) } else { vec![path] }).collect()
+}
 
 #[test]
 fn every_metric_stands_on_its_page() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let page = fs::read_to_string(root.join("../../docs/reference/metrics.md")).unwrap();
     let mut missing = Vec::new();
-    for entry in fs::read_dir(root.join("src")).unwrap() {
-        let text = fs::read_to_string(entry.unwrap().path()).unwrap();
+    for path in files(&root.join("src")) {
+        let text = fs::read_to_string(path).unwrap();
         let names = text.split("\"relay.").skip(1).filter_map(|rest| rest.split('"').next());
         for name in names {
             let name = name.split(".{").next().unwrap();
