Never call a late request not run whose pieces may have been made

Change: lateness says "unmade" only for a piece that was never sent without an answer; a batcher tells its peer that such a piece failed.

Tests: relay::stages::a_request_whose_pieces_may_have_been_made_is_not_called_ not_run_once_it_is_late and a_peer_hears_that_its_late_pieces_may_have_been_ made, both failed first (503 for 502, Late for Failed).

--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -313,24 +313,31 @@
     }
 
     pub(super) fn return_one(&mut self, now: Duration, ticket: u64, index: usize, one: Finished) {
-        let Some(open) = self.tickets.get_mut(&ticket) else {
+        if !self.tickets.contains_key(&ticket) {
             self.free_stray(one);
             return;
-        };
-        if let Some(piece) = another_try(&one) {
-            if self.may_send_again(now, &piece) {
-                self.batches.add(piece, Origin::Peer { ticket, index });
-                return;
-            }
-            if let Some(open) = self.tickets.get_mut(&ticket) {
-                open.results[index] = Some(one.result);
+        }
+        let again = another_try(&one).filter(|piece| self.may_send_again(now, piece));
+        let is_late = one.result == Err(PieceFailure::Late);
+        match again {
+            Some(piece) => self.batches.add(piece, Origin::Peer { ticket, index }),
+            // The peer must not take it for unmade.
+            None if is_late && !is_unmade(&one) => {
+                self.settle(ticket, index, Err(PieceFailure::Failed));
             }
-        } else {
-            open.results[index] = Some(one.result);
+            None => self.settle(ticket, index, one.result),
         }
-        let open = &self.tickets[&ticket];
-        if open.results.iter().all(Option::is_some) {
-            let open = self.tickets.remove(&ticket).expect("it was just seen");
+    }
+
+    /// Notes the result of a peer's piece, and returns all of them once they
+    /// are there.
+    fn settle(&mut self, ticket: u64, index: usize, result: PieceResult) {
+        let Some(open) = self.tickets.get_mut(&ticket) else { return };
+        open.results[index] = Some(result);
+        if open.results.iter().any(Option::is_none) {
+            return;
+        }
+        if let Some(open) = self.tickets.remove(&ticket) {
             let results = open.results.into_iter().flatten().collect();
             self.actions.push(Action::Return { ticket, results });
         }
@@ -341,7 +348,7 @@
             self.free_stray(one);
             return;
         };
-        exchange.has_run |= one.result != Err(PieceFailure::Late);
+        exchange.has_run |= !is_unmade(&one);
         let is_old = one.piece.round != exchange.rounds;
         match one.result {
             // Its round has been given up already.
@@ -479,6 +486,12 @@
     }
 }
 
+/// Whether nothing was made of a piece that is late. One whose call brought no
+/// answer may have been made all the same.
+fn is_unmade(one: &Finished) -> bool {
+    one.result == Err(PieceFailure::Late) && !one.piece.is_repeat
+}
+
 /// The piece, if another call may do better.
 fn another_try(one: &Finished) -> Option<Piece> {
     let may_do_better = matches!(one.result, Err(PieceFailure::NoRoom | PieceFailure::Failed));
--- a/crates/core/tests/testsuite/relay/stages.rs
+++ b/crates/core/tests/testsuite/relay/stages.rs
@@ -283,3 +283,43 @@
     let finished = |action: &&Action| matches!(action, Action::Finish(_));
     assert_eq!(world.actions.iter().filter(finished).count(), 10);
 }
+
+#[test]
+fn a_request_whose_pieces_may_have_been_made_is_not_called_not_run_once_it_is_late() {
+    let mut world = world_of_one_maker();
+    world.arrive(Arrival { pieces: vec![1], deadline: Some(ms(2000)), ..arrival("1", "r") });
+    let order = world.orders().remove(0);
+    world.relay.make_failed(world.now, order.call, Failure::Cut, false);
+    world.collect();
+    world.advance(ms(1900));
+    let refusals = world.refusals();
+    assert!(refusals[0].starts_with("502 failed"), "{refusals:?}");
+}
+
+#[test]
+fn a_peer_hears_that_its_late_pieces_may_have_been_made() {
+    let mut world = world_of_one_maker();
+    world.arrive(Arrival { pieces: vec![1], deadline: Some(ms(2000)), ..arrival("theirs", "r") });
+    let theirs = world.orders().remove(0).pieces.remove(0);
+    let mut world = world_of_one_maker();
+    world.relay.take_over(world.now, 9, vec![theirs]);
+    world.collect();
+    let order = world.orders().remove(0);
+    world.relay.make_failed(world.now, order.call, Failure::Cut, false);
+    world.collect();
+    world.advance(ms(1900));
+    let returned = world.take(|action| match action {
+        Action::Return { results, .. } => Some(results.clone()),
+        _ => None,
+    });
+    assert_eq!(returned, [vec![Err(PieceFailure::Failed)]]);
+}
+
+fn world_of_one_maker() -> World {
+    let stages = vec![stage("ledger", &[], 10)];
+    let config = ConfigBuilder::new(1).service("desk").maker("ledger", 1 << 30);
+    let config = config.route(Route { stages, ..route("r", Kind::Idempotent, "desk") });
+    let mut world = World::new(config.build());
+    world.put(entry("l1", "ledger"));
+    world
+}
