--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -102,7 +102,7 @@
     pub pieces: Vec<u16>,
 }
 
-/// Pieces of an exchange that a peer has made.
+/// Pieces of an exchange that were handed to a peer, until it returns them.
 #[derive(Debug)]
 struct Handover {
     exchange: ExchangeKey,
