Drop from callers' headers what is not a caller's to set

Change: each header that a dialect names has a row that says who may set it and whether callers see it in replies; a name without a row does not compile. Calls and replies are put together from the rows. The load of an endpoint no longer goes to callers.

--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, header};
+use http::{Request, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use peatdeck_core::{
@@ -16,7 +16,7 @@
 
 use crate::{
     decisions,
-    dialect::{self, Order},
+    dialect::Order,
     driver::{self, Driver, Reply},
     pool::{self, Lease},
 };
@@ -60,8 +60,8 @@
     if !head.is_ours {
         return Err((Failure::Foreign, "the reply is to another request".to_owned()));
     }
-    let mut reply =
-        Reply { status: parts.status, headers: passed_on(parts.headers), body: Bytes::new() };
+    let headers = dialect.told_headers(parts.headers);
+    let mut reply = Reply { status: parts.status, headers, body: Bytes::new() };
     if driver.feed(|machine, now| machine.opened(now, call.key, &head)) {
         driver.hold_head(call.key, reply);
         return pump(driver, call, body, lease).await;
@@ -205,12 +205,6 @@
     outgoing
 }
 
-/// The headers of a reply that go to the caller.
-fn passed_on(mut headers: HeaderMap) -> HeaderMap {
-    dialect::strip_hop_headers(&mut headers);
-    headers
-}
-
 async fn read_whole(body: Incoming, limit: usize) -> Result<Bytes, String> {
     let whole = Limited::new(body, limit).collect().await;
     whole.map(|whole| whole.to_bytes()).map_err(|error| error.to_string())
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -4,6 +4,8 @@
 //! differ between platforms, so a [`Dialect`] is a table of names and two
 //! functions for the bodies of piece calls.
 
+mod names;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -13,6 +15,8 @@
     relay::model::{Arrival, Call, Handle, Part, Piece, PieceResult, Prompt, ReplyHead},
 };
 
+pub use crate::dialect::names::{Names, Row, Setter};
+
 /// Headers that concern one connection only and are never passed on.
 const HOP_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
@@ -27,41 +31,6 @@
 /// The same, of those that have no constant.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
-/// Names of the headers.
-#[derive(Debug, Clone)]
-pub struct Names {
-    /// The caller's id of the request; endpoints echo it.
-    pub request: HeaderName,
-    /// How long the caller still waits, in milliseconds.
-    pub deadline: HeaderName,
-    /// The caller's key. Endpoints never see it.
-    pub key: HeaderName,
-    /// The team, for endpoints.
-    pub team: HeaderName,
-    /// The endpoint that a call is meant for.
-    pub endpoint: HeaderName,
-    /// The last event of a stream that the caller holds.
-    pub resume: HeaderName,
-    /// States that an endpoint did not run the request.
-    pub unrun: HeaderName,
-    /// An endpoint's load: running, waiting, places.
-    pub load: HeaderName,
-    /// Marks an endpoint's own whole answer.
-    pub seal: HeaderName,
-    /// Urgency at an engine.
-    pub rank: HeaderName,
-    /// Tokens of the prompt and at most of the answer.
-    pub tokens: HeaderName,
-    /// Parts of the prompt, `id:tokens`, in order.
-    pub parts: HeaderName,
-    /// Pieces of each stage.
-    pub pieces: HeaderName,
-    /// What pieces without inputs are made from.
-    pub piece_key: HeaderName,
-    /// Results that a call takes in.
-    pub inputs: HeaderName,
-}
-
 /// A call's path and body.
 #[derive(Debug, Clone)]
 pub struct Order {
@@ -130,9 +99,7 @@
         let names = &self.names;
         let mut headers = caller.clone();
         strip_hop_headers(&mut headers);
-        for name in [&names.key, &names.team, &names.endpoint, &names.inputs, &names.rank] {
-            headers.remove(name);
-        }
+        names.keep_callers(&mut headers);
         let millis = call.remaining.as_millis().max(1);
         set(&mut headers, &names.deadline, &millis.to_string());
         set(&mut headers, &names.endpoint, &call.endpoint);
@@ -145,13 +112,19 @@
         if let Some(rank) = call.rank {
             set(&mut headers, &names.rank, &rank.to_string());
         }
-        match call.resume {
-            Some(event) => set(&mut headers, &names.resume, &event.to_string()),
-            None => drop(headers.remove(&names.resume)),
+        if let Some(event) = call.resume {
+            set(&mut headers, &names.resume, &event.to_string());
         }
         headers
     }
 
+    /// The headers of an endpoint's reply that go to the caller.
+    pub fn told_headers(&self, mut reply: HeaderMap) -> HeaderMap {
+        strip_hop_headers(&mut reply);
+        self.names.keep_told(&mut reply);
+        reply
+    }
+
     /// What decisions need of a reply to the request with that id.
     pub fn reply_head(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> ReplyHead {
         let names = &self.names;
@@ -180,7 +153,7 @@
 }
 
 /// Removes what concerns one connection only.
-pub fn strip_hop_headers(headers: &mut HeaderMap) {
+fn strip_hop_headers(headers: &mut HeaderMap) {
     let named = text(headers, &header::CONNECTION).unwrap_or_default();
     let named: Vec<_> =
         named.split(',').filter_map(|name| HeaderName::try_from(name.trim()).ok()).collect();
--- a/crates/relay/tests/relay/headers.rs
+++ b/crates/relay/tests/relay/headers.rs
@@ -36,6 +36,17 @@
     assert!(!head.contains("connection: close"), "{head}");
 }
 
+#[test]
+fn a_caller_does_not_steer_an_endpoint() {
+    let desk = Desk::answering("x");
+    let site = Site::start(std::slice::from_ref(&desk));
+    let forged = "peatdeck-hold: forged\r\npeatdeck-from: 10.0.0.1:80/forged\r\n\
+                  peatdeck-rank: forged\r\npeatdeck-seal: forged\r\n";
+    assert_eq!(ask(site.relay.front, "/once/x", forged).status, 200);
+    let head = desk.seen().pop().unwrap();
+    assert!(!head.contains("forged"), "{head}");
+}
+
 #[test]
 fn an_endpoint_gets_no_more_time_than_the_caller_has() {
     let desk = Desk::answering("x");
