Engines fetch from each other what they lack of a prompt

Only a source that this instance has sent the parts to itself is reckoned with in the choice, so that a first request still goes to the owner of its last shared part; otherwise it is named and costs nothing if it lacks the part.

--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -4,20 +4,22 @@
 //! and the distance taken into account. Engines: the lowest cost, made of the
 //! tokens that the engine would have to read because it does not hold them,
 //! those it still has to read for others, and the requests that share its
-//! steps. Which engine holds a shared part nobody tells in time; all instances
-//! therefore agree, by rendezvous hash, on the engine where a part should be,
-//! and each remembers what it sent itself.
+//! steps. What an engine lacks and another one holds is fetched where engines
+//! can do that ([`prompts`]).
 
-use std::{collections::HashMap, time::Duration};
+pub mod prompts;
+
+use std::time::Duration;
 
 use peatdeck_macros::data;
-use xxhash_rust::xxh3;
 
 use crate::{
     model::DataCentre,
     relay::{
+        choice::prompts::{Holdings, Memory, Reading},
+        config::Transfer,
         directory::{Directory, Endpoint},
-        model::{EndpointKey, Part, Prompt},
+        model::{EndpointKey, Prompt},
     },
 };
 
@@ -34,12 +36,8 @@
 const DISTANCE: f64 = 1.25;
 /// Expected time of an endpoint that has not answered yet.
 const UNKNOWN_TIME: Duration = Duration::from_millis(20);
-/// A part is taken for held by an engine for so long after it was sent there.
-const HELD_FOR: Duration = Duration::from_secs(30);
 /// An engine that is so much slower than the usual one is passed over.
 const SLOW_FACTOR: f64 = 2.5;
-/// Parts that are remembered for all engines together.
-const MAX_REMEMBERED: usize = 20_000;
 
 /// What a call asks of an endpoint's choice.
 #[derive(Debug, Clone, Copy)]
@@ -52,28 +50,8 @@
     pub inputs: &'a [(DataCentre, u64)],
     /// Own calls that an endpoint may have at the most.
     pub limit: u32,
-}
-
-/// Remembers which engine was sent which parts.
-#[derive(Debug, Clone, Default)]
-pub struct Memory {
-    held: HashMap<(EndpointKey, u64), Duration>,
-}
-
-impl Memory {
-    /// An engine is sent a prompt.
-    pub fn sent(&mut self, now: Duration, endpoint: EndpointKey, prompt: &Prompt) {
-        if self.held.len() > MAX_REMEMBERED {
-            self.held.retain(|_, at| now < *at + HELD_FOR);
-        }
-        for part in &prompt.parts {
-            self.held.insert((endpoint, part.id), now);
-        }
-    }
-
-    fn holds(&self, now: Duration, endpoint: EndpointKey, part: u64) -> bool {
-        self.held.get(&(endpoint, part)).is_some_and(|at| now < *at + HELD_FOR)
-    }
+    /// How engines fetch from each other, if they can.
+    pub transfer: Option<Transfer>,
 }
 
 /// An endpoint that may take a call.
@@ -84,6 +62,8 @@
     pub endpoint: EndpointKey,
     /// Prompt tokens that it will probably have to read; 0 for plain services.
     pub tokens: u64,
+    /// The engine that it should fetch from first.
+    pub source: Option<EndpointKey>,
     /// What the call costs there; the lowest is the best.
     pub cost: f64,
 }
@@ -105,7 +85,7 @@
     let candidates = candidates(directory, now, service, wanted).into_iter();
     let costs = candidates.map(|(key, endpoint)| {
         let spread = 1.0 + 0.1 * jitter();
-        Candidate { endpoint: key, tokens: 0, cost: time(endpoint) * spread }
+        Candidate { endpoint: key, tokens: 0, source: None, cost: time(endpoint) * spread }
     });
     costs.collect()
 }
@@ -121,15 +101,16 @@
 ) -> Vec<Candidate> {
     let candidates = candidates(directory, now, service, wanted);
     let usual = usual_time(&candidates);
-    let shared = prompt.parts.len().saturating_sub(1);
-    let owner = prompt.parts[..shared].last().and_then(|part| owner(&candidates, part));
+    let sources = prompts::sources(directory, now, service);
+    let holdings = Holdings::new(memory, now, prompt, &candidates, &sources);
     let costs = candidates.into_iter().map(|(key, endpoint)| {
-        let tokens = unread(memory, now, key, prompt, owner == Some(key));
+        let Reading { tokens, fetched, source } = holdings.reading(key, wanted.transfer);
         let reading = (tokens + endpoint.backlog) as f64 / TOKENS_PER_MS;
+        let fetching = wanted.transfer.map_or(0.0, |transfer| transfer.millis(fetched));
         let running = f64::from(endpoint.calls(now)) * RUNNING_MS;
         let far = far_megabytes(wanted.inputs, &endpoint.entry.data_centre) * INPUT_MS_PER_MB;
-        let cost = (reading + running) * slowness(endpoint, usual) + far;
-        Candidate { endpoint: key, tokens, cost }
+        let cost = (reading + fetching + running) * slowness(endpoint, usual) + far;
+        Candidate { endpoint: key, tokens, source, cost }
     });
     costs.collect()
 }
@@ -163,35 +144,6 @@
     if sound.is_empty() { paused } else { sound }
 }
 
-/// Tokens that the engine has to read: all from the first part on that it
-/// does not hold.
-fn unread(
-    memory: &Memory,
-    now: Duration,
-    engine: EndpointKey,
-    prompt: &Prompt,
-    is_owner: bool,
-) -> u64 {
-    let shared = prompt.parts.len().saturating_sub(1);
-    let mut total = u64::from(prompt.input);
-    for (idx, part) in prompt.parts.iter().enumerate() {
-        let is_held = memory.holds(now, engine, part.id) || (is_owner && idx < shared);
-        if !is_held {
-            break;
-        }
-        total = total.saturating_sub(u64::from(part.tokens));
-    }
-    total
-}
-
-/// The engine that all instances agree on for a part.
-fn owner(candidates: &[(EndpointKey, &Endpoint)], part: &Part) -> Option<EndpointKey> {
-    let weight =
-        |endpoint: &Endpoint| xxh3::xxh3_64_with_seed(endpoint.entry.name.as_bytes(), part.id);
-    let first = candidates.iter().max_by_key(|(_, endpoint)| weight(endpoint));
-    first.map(|(key, _)| *key)
-}
-
 fn far_megabytes(inputs: &[(DataCentre, u64)], data_centre: &str) -> f64 {
     let far = inputs.iter().filter(|(place, _)| **place != *data_centre);
     far.map(|(_, bytes)| *bytes as f64 / 1e6).sum()
--- a/crates/core/src/relay/config.rs
+++ b/crates/core/src/relay/config.rs
@@ -132,6 +132,25 @@
     pub slots: u32,
     /// Memory, in tokens.
     pub memory: u64,
+    /// How one fetches what another one has read; `None` if they cannot.
+    pub transfer: Option<Transfer>,
+}
+
+/// How engines fetch from each other what they have read.
+#[data]
+#[derive(Copy)]
+pub struct Transfer {
+    /// Bytes of one token.
+    pub token_bytes: f64,
+    /// Bytes that go from one engine to another in a millisecond.
+    pub rate: f64,
+}
+
+impl Transfer {
+    /// Milliseconds that so many tokens take.
+    pub fn millis(&self, tokens: u64) -> f64 {
+        tokens as f64 * self.token_bytes / self.rate
+    }
 }
 
 /// How an endpoint makes pieces.
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -8,6 +8,7 @@
     model::{DataCentre, Load},
     relay::{
         choice,
+        config::Transfer,
         exchange::{CallState, ExchangeOf},
         machine::Relay,
         model::{
@@ -130,6 +131,7 @@
             tried: &exchange.tried,
             inputs,
             limit: self.connection_limit(&exchange.service),
+            transfer: self.transfer(&exchange.service),
         };
         let service = &exchange.service;
         let candidates = match &exchange.arrival.prompt {
@@ -152,6 +154,10 @@
         (all / self.instances() as u32).max(1)
     }
 
+    fn transfer(&self, service: &str) -> Option<Transfer> {
+        self.config.as_ref()?.services.get(service)?.engine?.transfer
+    }
+
     /// Calls an endpoint with an exchange whose stages are complete.
     pub(super) fn call(&mut self, now: Duration, key: ExchangeKey) {
         let exchange = &self.exchanges[key];
@@ -164,7 +170,9 @@
             self.wait_for_endpoint(now, key);
             return;
         };
-        let choice::Candidate { endpoint, tokens, .. } = chosen;
+        let choice::Candidate { endpoint, tokens, source, .. } = chosen;
+        let source = source.and_then(|key| self.directory.get(key));
+        let source = source.map(|engine| engine.entry.addr.clone());
         self.searching.remove(&key);
         let basis = self.basis(now, key, endpoint, tokens);
         let call = self.calls.insert(CallState {
@@ -192,6 +200,7 @@
             remaining: exchange.due - now,
             team: exchange.team.clone(),
             inputs: exchange.graph.outputs(&exchange.route),
+            source,
             resume: exchange.last_event,
             rank: exchange.arrival.prompt.as_ref().map(|_| exchange.priority.min(9)),
             attempt: exchange.attempts,
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -111,6 +111,9 @@
     pub team: Option<TeamName>,
     /// Results of the stages that the call takes in.
     pub inputs: Vec<Handle>,
+    /// Address of the engine that this one should fetch from what it lacks of
+    /// the prompt.
+    pub source: Option<Arc<str>>,
     /// The last event that the caller holds; the stream goes on behind it.
     pub resume: Option<u64>,
     /// Urgency at an engine, 0 first; `None` for the engine's default.
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -12,6 +12,7 @@
 mod fuzz;
 mod peers;
 mod policies;
+mod prompts;
 mod readers;
 mod stages;
 mod streams;
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -5,7 +5,7 @@
 use peatdeck_core::relay::{
     Relay, Settings,
     allowance::Bound,
-    config::{Config, Kind, Limits, Pieces, Route, Service, Stage, Target, Team},
+    config::{Config, Engine, Kind, Limits, Pieces, Route, Service, Stage, Target, Team},
     directory::{Change, Entry},
     model::{
         Action, Arrival, Call, CallKey, ExchangeKey, Failure, Handle, Part, Piece, PieceFailure,
@@ -57,6 +57,12 @@
         self
     }
 
+    pub fn engines(mut self, name: &str, engine: Engine) -> ConfigBuilder {
+        let service = Service { connections: 800, engine: Some(engine), pieces: None };
+        self.config.services.insert(Arc::from(name), service);
+        self
+    }
+
     pub fn route(mut self, route: Route) -> ConfigBuilder {
         self.config.routes.push(Arc::new(route));
         self
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/prompts.rs
@@ -0,0 +1,79 @@
+//! Which engine reads a prompt, and from where it fetches what it lacks.
+
+use std::collections::HashSet;
+
+use peatdeck_core::relay::{
+    config::{Engine, Kind, Transfer},
+    model::{Arrival, Call},
+};
+
+use crate::relay::fixture::{ConfigBuilder, World, arrival, entry, ms, prompt, route};
+
+/// Seven thousand tokens take 33 ms to fetch, and about 200 ms to read.
+const TRANSFER: Transfer = Transfer { token_bytes: 160_000.0, rate: 32e6 };
+
+fn world(transfer: Option<Transfer>) -> World {
+    let engine = Engine { slots: 64, memory: 300_000, transfer };
+    let config = ConfigBuilder::new(1).engines("llm", engine);
+    let mut world = World::new(config.route(route("r", Kind::Resumable, "llm")).build());
+    for name in ["a", "b", "c"] {
+        world.put(entry(name, "llm"));
+    }
+    world
+}
+
+fn ask(id: &str, shared: u64, own: u64) -> Arrival {
+    Arrival { prompt: Some(prompt(shared, own)), ..arrival(id, "r") }
+}
+
+fn send(world: &mut World, id: &str, shared: u64, own: u64) -> Call {
+    world.arrive(ask(id, shared, own));
+    world.call()
+}
+
+#[test]
+fn a_part_is_read_by_one_engine_and_fetched_by_the_others() {
+    let mut world = world(Some(TRANSFER));
+    let calls: Vec<_> =
+        (0..60).map(|own| send(&mut world, &format!("{own}"), 1, 100 + own)).collect();
+    // Each reads its own part only.
+    assert!(calls.iter().all(|call| call.basis.tokens == 1000));
+    let mut holders = HashSet::from([calls[0].addr.clone()]);
+    for call in &calls[1..] {
+        if holders.insert(call.addr.clone()) {
+            let source = call.source.clone().expect("it lacks the shared part");
+            assert!(source != call.addr && holders.contains(&source));
+        }
+    }
+    assert_eq!(holders.len(), 3);
+}
+
+#[test]
+fn without_transfers_the_load_stays_where_the_part_is_for_longer() {
+    let spread = |transfer| {
+        let mut world = world(transfer);
+        let first = send(&mut world, "first", 1, 1).endpoint;
+        let calls = (0..60).map(|own| send(&mut world, &format!("{own}"), 1, 100 + own));
+        calls.filter(|call| call.endpoint != first).count()
+    };
+    assert!(spread(Some(TRANSFER)) > spread(None));
+}
+
+#[test]
+fn an_engine_that_cannot_fetch_is_given_no_source() {
+    let mut world = world(None);
+    for own in 0..60 {
+        assert_eq!(send(&mut world, &format!("{own}"), 1, 100 + own).source, None);
+    }
+}
+
+#[test]
+fn an_engine_that_failed_is_no_source() {
+    let mut world = world(Some(TRANSFER));
+    let first = send(&mut world, "first", 1, 1);
+    world.failed(first.key, peatdeck_core::relay::model::Failure::Cut);
+    world.advance(ms(10));
+    let second = send(&mut world, "second", 1, 2);
+    assert_ne!(second.endpoint, first.endpoint);
+    assert_ne!(second.source.as_deref(), Some(&*first.addr));
+}
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -114,6 +114,7 @@
         calls = call.basis.calls,
         load_age_ms = call.basis.load_age.map(millis),
         tokens = call.basis.tokens,
+        source = call.source.as_deref(),
         usable = call.basis.usable,
     );
 }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -109,6 +109,9 @@
         if !call.inputs.is_empty() {
             set(&mut headers, &names.inputs, &call.inputs.join(","));
         }
+        if let Some(source) = &call.source {
+            set(&mut headers, &names.source, source);
+        }
         if let Some(rank) = call.rank {
             set(&mut headers, &names.rank, &rank.to_string());
         }
--- a/crates/relay/src/dialect/names.rs
+++ b/crates/relay/src/dialect/names.rs
@@ -64,6 +64,8 @@
     pub piece_key: HeaderName,
     /// Results that a call takes in.
     pub inputs: HeaderName,
+    /// The engine to fetch from what is lacking of a prompt, `ip:port`.
+    pub source: HeaderName,
     /// Further headers that callers may set for endpoints.
     pub free: Vec<HeaderName>,
     /// Further headers that endpoints act on and that are nobody's to set.
@@ -90,6 +92,7 @@
             pieces,
             piece_key,
             inputs,
+            source,
             free,
             reserved,
         } = self;
@@ -111,6 +114,7 @@
             row(pieces, Setter::Caller, false),
             row(piece_key, Setter::Caller, false),
             row(inputs, Setter::Relay, false),
+            row(source, Setter::Relay, false),
         ];
         let free = free.iter().map(move |name| row(name, Setter::Caller, true));
         let reserved = reserved.iter().map(move |name| row(name, Setter::Nobody, false));
--- a/crates/relay/src/native.rs
+++ b/crates/relay/src/native.rs
@@ -84,8 +84,9 @@
             pieces: name("peatdeck-pieces"),
             piece_key: name("peatdeck-piece-key"),
             inputs: name("peatdeck-inputs"),
+            source: name("peatdeck-source"),
             free: Vec::new(),
-            // How an engine keeps what it has read, and whose it goes on from.
+            // What an engine keeps free, and whose memory it goes on from.
             reserved: vec![name("peatdeck-hold"), name("peatdeck-from")],
         },
         make,
