Give late pieces up by how long the backlog has lasted

Cause: a late request was given up at 45 hundredths of its time, a figure that fitted how lateness used to be priced, whether or not its work had been begun: receipts that two stages had been done for were told 502 with 3 s left.

Change: how fast a queue moves is observed (core::relay::batch::drain). A late request that nothing has been made for is given up once the backlog, taken to last as long again as it has lasted, leaves it no turn before it is due; it is refused at once on arrival by the same rule. One that was begun keeps waiting and goes before late ones that were not.

--- a/crates/core/examples/batch_cost.rs
+++ b/crates/core/examples/batch_cost.rs
@@ -113,12 +113,12 @@
         bytes,
         due: Duration::from_secs(600),
         aim: Duration::from_secs(300) + Duration::from_millis(request % 1000),
-        patience: Duration::from_secs(600),
         priority: 0,
         home: Some(Arc::from(format!("dc-{}", request % PLACES as u64))),
         round: 0,
         tries: 0,
         is_repeat: false,
+        is_begun: false,
     };
     vec![piece(0), piece(1)]
 }
--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -7,6 +7,7 @@
 //! their callers to be served in good time; pieces that cannot be in good time
 //! any more come behind all that still can.
 
+pub mod drain;
 mod places;
 pub mod queue;
 mod worker;
@@ -18,8 +19,9 @@
 
 use crate::relay::{
     batch::{
+        drain::Drain,
         places::Places,
-        queue::{Group, Queue, Space},
+        queue::{Group, LANES, Lane, Queue, Space},
         worker::Worker,
     },
     config::Pieces,
@@ -32,7 +34,7 @@
 /// An endpoint that is so much slower than it should be only gets pieces that
 /// the others have no time for.
 const SLOW_FACTOR: f64 = 2.0;
-/// Pause between two looks for late pieces that others leave no place for.
+/// Pause between two looks for late pieces that others leave no turn for.
 const REVIEW_PAUSE: Duration = Duration::from_millis(50);
 
 /// A call that takes so much longer than it should is a straggler: its pieces
@@ -128,6 +130,7 @@
 pub struct Batches {
     pieces: SlotMap<PieceKey, Entry>,
     waiting: HashMap<ServiceName, Queue>,
+    drains: HashMap<ServiceName, Drain>,
     held_by: HashMap<Holder, Vec<PieceKey>>,
     running: HashMap<CallKey, Running>,
     workers: HashMap<EndpointKey, Worker>,
@@ -187,8 +190,10 @@
         shape.call_time + shape.piece_time * u32::try_from(pieces).unwrap_or(u32::MAX)
     }
 
-    /// Whether a piece that comes now can be made before it is due, behind
-    /// those that are more urgent.
+    /// Whether a piece that comes now will be made before it is due: behind
+    /// those that are more urgent if it can be in good time, else behind all
+    /// that wait, as fast as those that come meanwhile leave turns. One whose
+    /// request has been begun only has to have the time itself.
     pub fn is_feasible(
         &self,
         now: Duration,
@@ -196,16 +201,27 @@
         shape: &Pieces,
         directory: &Directory,
     ) -> bool {
-        let ahead = self.waiting.get(&piece.service).map_or(0, |queue| queue.ahead_of(piece.aim));
-        let endpoints = directory.usable(now, &piece.service).len().max(1);
-        let batch = shape.batch as usize;
-        let calls = ahead as f64 / (endpoints * batch) as f64;
-        let wait = Batches::call_time(shape, batch).mul_f64(calls);
-        now + wait + Batches::call_time(shape, 1) <= piece.due
+        let done = now + Batches::call_time(shape, 1);
+        let service = &piece.service;
+        let (Some(queue), Some(drain)) = (self.waiting.get(service), self.drains.get(service))
+        else {
+            return done <= piece.due;
+        };
+        let lane = Lane::of(piece.bytes);
+        let expected = expected_rate(now, service, shape, directory);
+        let wait = drain.wait(now, lane, queue.ahead_of(lane, piece.aim), expected);
+        if done + wait <= piece.aim {
+            return true;
+        }
+        if piece.is_begun {
+            return done <= piece.due;
+        }
+        let wait = drain.late_wait(now, lane, queue.len_of(lane), expected);
+        done + wait <= piece.due
     }
 
     /// Takes out waiting pieces that cannot be made any more before they are
-    /// due, and late ones that others leave no place for.
+    /// due, and late ones that others leave no turn for.
     pub fn take_late(
         &mut self,
         now: Duration,
@@ -219,9 +235,12 @@
         if queue.len() > batch && now >= queue.next_review {
             queue.next_review = now + REVIEW_PAUSE;
             queue.demote(now + Batches::call_time(shape, batch));
-            let next_calls = directory.usable(now, service).len() * batch;
-            let crowded_out = queue.crowded_out(now, next_calls).into_iter();
-            late.extend(crowded_out.filter(|key| !self.pieces[*key].is_straggler));
+            let expected = expected_rate(now, service, shape, directory);
+            let drain = self.drains.entry(service.into()).or_default();
+            let own = Batches::call_time(shape, 1);
+            let wait = |lane, ahead| drain.late_wait(now, lane, ahead, expected) + own;
+            let hopeless = queue.hopeless(now, wait).into_iter();
+            late.extend(hopeless.filter(|key| !self.pieces[*key].is_straggler));
         }
         let entries = late.into_iter().filter_map(|key| {
             self.stop_waiting(key);
@@ -239,6 +258,7 @@
         shape: &Pieces,
         directory: &Directory,
     ) -> Vec<Order> {
+        self.note_waiting(now, service);
         let usable = directory.usable(now, service);
         let idle = self.idle_workers(now, &usable, shape, directory);
         if idle.is_empty() {
@@ -330,6 +350,7 @@
             pairs.filter(|(key, _)| is_gone(key)).filter_map(|(_, made)| made.clone().ok());
         let strays = strays.collect();
         self.release(&running);
+        self.note_made(now, &running, &results);
         let worker = self.workers.entry(running.endpoint).or_default();
         worker.took(now, now.saturating_sub(running.started), running.expected);
         for (key, result) in running.keys.iter().zip(&results) {
@@ -371,6 +392,22 @@
         self.workers.retain(|key, _| directory.get(*key).is_some());
     }
 
+    fn note_waiting(&mut self, now: Duration, service: &str) {
+        let Some(queue) = self.waiting.get(service) else { return };
+        let Some(drain) = self.drains.get_mut(service) else { return };
+        for lane in LANES {
+            drain.waits(now, lane, queue.len_of(lane) > 0);
+        }
+    }
+
+    fn note_made(&mut self, now: Duration, running: &Running, results: &[PieceResult]) {
+        let made = running.keys.iter().zip(results).filter(|(_, result)| result.is_ok());
+        for piece in made.filter_map(|(key, _)| Some(&self.pieces.get(*key)?.piece)) {
+            let drain = self.drains.entry(piece.service.clone()).or_default();
+            drain.made(now, Lane::of(piece.bytes), 1);
+        }
+    }
+
     fn release(&mut self, running: &Running) {
         let bytes = running.keys.iter().filter_map(|key| self.pieces.get(*key));
         let bytes: u64 = bytes.map(|entry| entry.piece.bytes).sum();
@@ -477,6 +514,14 @@
     }
 }
 
+/// Pieces a second that a service's endpoints make in full calls, as far as the
+/// configuration says.
+fn expected_rate(now: Duration, service: &str, shape: &Pieces, directory: &Directory) -> f64 {
+    let endpoints = directory.usable(now, service).len().max(1);
+    let batch = shape.batch as usize;
+    (endpoints * batch) as f64 / Batches::call_time(shape, batch).as_secs_f64()
+}
+
 impl Entry {
     fn finished(self, result: PieceResult, endpoint: Option<EndpointKey>) -> Finished {
         Finished { origin: self.origin, piece: self.piece, result, endpoint }
--- a/crates/core/src/relay/batch/queue.rs
+++ b/crates/core/src/relay/batch/queue.rs
@@ -30,12 +30,33 @@
 /// fit either. With four data centres one group in four belongs to an endpoint,
 /// so that a few of them are still looked at.
 const MISFITS: usize = 32;
-const LANES: usize = 2;
+/// All lanes, in their order.
+pub const LANES: [Lane; 2] = [Lane::Small, Lane::Large];
+
+/// Pieces by the size of their results.
+#[id]
+#[derive(Copy)]
+pub enum Lane {
+    /// Room for the result is no matter.
+    Small,
+    /// Room for the result is what is scarce.
+    Large,
+}
+
+impl Lane {
+    /// The lane of a result of so many bytes.
+    pub fn of(bytes: u64) -> Lane {
+        if bytes >= LARGE_RESULT { Lane::Large } else { Lane::Small }
+    }
+}
 
 /// The place of a group in the queue. Late groups rank behind all others.
 #[id]
 pub struct Rank {
     is_late: bool,
+    /// Whether it is late and no work of its request has been done. What was
+    /// done for others would be lost with them.
+    is_unbegun: bool,
     /// Priority of the request if it is late, else 0.
     priority: u8,
     aim: Duration,
@@ -54,7 +75,8 @@
     pub home: Option<DataCentre>,
     /// By when they should be done.
     pub aim: Duration,
-    patience: Duration,
+    due: Duration,
+    is_begun: bool,
     priority: u8,
 }
 
@@ -73,11 +95,12 @@
 /// The pieces of one service that wait.
 #[derive(Debug, Default)]
 pub struct Queue {
-    lanes: [BTreeMap<Rank, Group>; LANES],
+    lanes: [BTreeMap<Rank, Group>; LANES.len()],
     by_due: BTreeSet<(Duration, PieceKey)>,
     /// When late pieces are looked through next.
     pub next_review: Duration,
     ranks: SecondaryMap<PieceKey, (usize, Rank)>,
+    sizes: [usize; LANES.len()],
 }
 
 impl Queue {
@@ -100,28 +123,32 @@
     pub fn push(&mut self, key: PieceKey, piece: &Piece) {
         let rank = Rank {
             is_late: false,
+            is_unbegun: false,
             priority: 0,
             aim: piece.aim,
             request: piece.request.clone(),
             stage: piece.stage,
         };
-        let lane = usize::from(piece.bytes >= LARGE_RESULT);
+        let lane = Lane::of(piece.bytes) as usize;
         let group = self.lanes[lane].entry(rank.clone()).or_insert_with(|| Group {
             keys: Vec::new(),
             bytes: piece.bytes,
             home: piece.home.clone(),
             aim: piece.aim,
-            patience: piece.patience,
+            due: piece.due,
+            is_begun: piece.is_begun,
             priority: piece.priority,
         });
         group.keys.push(key);
         self.by_due.insert((piece.due, key));
-        self.ranks.insert(key, (lane, rank));
+        let is_new = self.ranks.insert(key, (lane, rank)).is_none();
+        self.sizes[lane] += usize::from(is_new);
     }
 
     /// Takes out one piece; false if it does not wait here.
     pub fn remove(&mut self, key: PieceKey, piece: &Piece) -> bool {
         let Some((lane, rank)) = self.ranks.remove(key) else { return false };
+        self.sizes[lane] -= 1;
         self.by_due.remove(&(piece.due, key));
         if let Entry::Occupied(mut group) = self.lanes[lane].entry(rank) {
             group.get_mut().keys.retain(|other| *other != key);
@@ -132,10 +159,17 @@
         true
     }
 
-    /// Pieces that should be done by `aim` or before.
-    pub fn ahead_of(&self, aim: Duration) -> usize {
-        let groups = self.lanes.iter().flat_map(BTreeMap::values);
-        groups.filter(|group| group.aim <= aim).map(|group| group.keys.len()).sum()
+    /// Pieces of a lane that can be in good time and should be done by `aim` or
+    /// before.
+    pub fn ahead_of(&self, lane: Lane, aim: Duration) -> usize {
+        let groups = self.lanes[lane as usize].iter();
+        let ahead = groups.take_while(|(rank, group)| !rank.is_late && group.aim <= aim);
+        ahead.map(|(_, group)| group.keys.len()).sum()
+    }
+
+    /// Pieces of a lane.
+    pub fn len_of(&self, lane: Lane) -> usize {
+        self.sizes[lane as usize]
     }
 
     /// The pieces that are due before a time.
@@ -144,22 +178,20 @@
         due.map(|(_, key)| *key).collect()
     }
 
-    /// Late pieces whose patience is over and that do not get into the next
-    /// calls, which take so many: those that can be in good time go before them,
-    /// and while there are too many of these, late ones only wait for nothing.
-    pub fn crowded_out(&self, now: Duration, next_calls: usize) -> Vec<PieceKey> {
-        let is_late = |rank: &Rank| rank.is_late;
-        let groups = || self.lanes.iter().flatten();
-        let ahead = groups().filter(|(rank, _)| !is_late(rank));
-        let mut ahead: usize = ahead.map(|(_, group)| group.keys.len()).sum();
-        let mut late: Vec<_> = groups().filter(|(rank, _)| is_late(rank)).collect();
-        late.sort_unstable_by_key(|(rank, _)| *rank);
+    /// Late pieces that will not be reached before they are due, as far as
+    /// `wait` tells how long so many pieces that go before them take. Requests
+    /// that have been begun keep waiting: work was done for them.
+    pub fn hopeless(&self, now: Duration, wait: impl Fn(Lane, usize) -> Duration) -> Vec<PieceKey> {
         let mut out = Vec::new();
-        for (_, group) in late {
-            if ahead >= next_calls && group.patience < now {
-                out.extend(&group.keys);
-            } else {
-                ahead += group.keys.len();
+        for (lane, groups) in LANES.into_iter().zip(&self.lanes) {
+            let mut ahead = 0;
+            for (rank, group) in groups {
+                let is_doubtful = rank.is_late && !group.is_begun;
+                if is_doubtful && now + wait(lane, ahead) > group.due {
+                    out.extend(&group.keys);
+                } else {
+                    ahead += group.keys.len();
+                }
             }
         }
         out
@@ -174,7 +206,8 @@
                 && first.key().aim < done
             {
                 let (rank, group) = first.remove_entry();
-                let late = Rank { is_late: true, priority: group.priority, ..rank };
+                let (is_unbegun, priority) = (!group.is_begun, group.priority);
+                let late = Rank { is_late: true, is_unbegun, priority, ..rank };
                 for key in &group.keys {
                     self.ranks.insert(*key, (lane, late.clone()));
                 }
@@ -187,10 +220,10 @@
     /// larger than any call, as many as a call takes.
     pub fn choose(&self, space: &Space<'_>) -> Vec<PieceKey> {
         let mut lanes = self.lanes.each_ref().map(|groups| groups.iter().peekable());
-        let mut misfits = [0; LANES];
+        let mut misfits = [0; LANES.len()];
         let (mut taken, mut room) = (Vec::new(), space.room);
         while taken.len() < space.size {
-            let open = (0..LANES).filter(|lane| misfits[*lane] < MISFITS);
+            let open = (0..LANES.len()).filter(|lane| misfits[*lane] < MISFITS);
             let first = open.filter_map(|lane| Some((lanes[lane].peek()?.0, lane))).min();
             let Some((_, lane)) = first else { break };
             let Some((_, group)) = lanes[lane].next() else { break };
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -26,10 +26,6 @@
 const FIRST_TOKEN: Duration = Duration::from_millis(120);
 /// Prompt tokens that an engine reads in a millisecond while it serves others.
 const READ_TOKENS_PER_MS: u32 = 20;
-/// Share of its time after which a request that is late is given up if its
-/// pieces still wait behind those of others. The users take a request that was
-/// held for half of its time and not served for lost.
-const LATE_SHARE: f64 = 0.45;
 /// How often an exchange's pieces are made at the most.
 const MAX_ROUNDS: u8 = 2;
 /// A peer that did not answer a hand-over gets none for so long. Until then its
@@ -454,7 +450,7 @@
         let inputs = self.graph.inputs(&self.route, stage);
         let key = if inputs.is_empty() { self.arrival.piece_key.clone() } else { None };
         let home = self.home_of(stage);
-        let patience = self.started + (self.due - self.started).mul_f64(LATE_SHARE);
+        let is_begun = self.has_run || self.graph.progress().0 > 0;
         let piece = |number| Piece {
             service: stages[stage].service.clone(),
             request: self.arrival.id.clone(),
@@ -465,12 +461,12 @@
             bytes: stages[stage].bytes,
             due: self.due.saturating_sub(rest.least),
             aim: self.aim.saturating_sub(rest.usual),
-            patience,
             priority: self.priority,
             home: home.clone(),
             round: self.rounds,
             tries: 0,
             is_repeat: self.rounds > 0,
+            is_begun,
         };
         (0..self.graph.pieces(stage) as u16).map(piece).collect()
     }
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -161,8 +161,6 @@
     pub due: Duration,
     /// When it should be done for the caller to be served in good time.
     pub aim: Duration,
-    /// Until when it waits once it is late and others wait too.
-    pub patience: Duration,
     /// Urgency of its request, 0 first.
     pub priority: u8,
     /// Where its result will be used, if that is known and matters.
@@ -173,6 +171,8 @@
     pub tries: u8,
     /// Whether it was made or may have been made before.
     pub is_repeat: bool,
+    /// Whether any other work of its request has been done.
+    pub is_begun: bool,
 }
 
 /// Another instance that may batch pieces.
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -56,7 +56,9 @@
   isRepeat @11 :Bool;
   tries @12 :UInt8;
   round @13 :UInt8;
-  patienceMicros @14 :UInt64;
+  unused14 @14 :UInt64;
+  isBegun @15 :Bool;
+  # Whether any other work of its request has been done.
 }
 
 struct Result {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -54,10 +54,10 @@
         to.set_bytes(piece.bytes);
         to.set_due_micros(left(now, piece.due));
         to.set_aim_micros(left(now, piece.aim));
-        to.set_patience_micros(left(now, piece.patience));
         to.set_priority(piece.priority);
         to.set_home(piece.home.as_deref().unwrap_or_default());
         to.set_is_repeat(piece.is_repeat);
+        to.set_is_begun(piece.is_begun);
         to.set_tries(piece.tries);
         to.set_round(piece.round);
         let mut inputs = to.init_inputs(len(&piece.inputs));
@@ -131,12 +131,12 @@
         bytes: from.get_bytes(),
         due: now + Duration::from_micros(from.get_due_micros()),
         aim: now + Duration::from_micros(from.get_aim_micros()),
-        patience: now + Duration::from_micros(from.get_patience_micros()),
         priority: from.get_priority(),
         home: optional(from.get_home()?)?,
         round: from.get_round(),
         tries: from.get_tries(),
         is_repeat: from.get_is_repeat(),
+        is_begun: from.get_is_begun(),
     })
 }
 
--- a/crates/wire/src/relay_capnp.rs
+++ b/crates/wire/src/relay_capnp.rs
@@ -2524,9 +2524,13 @@
             self.reader.get_data_field::<u8>(7)
         }
         #[inline]
-        pub fn get_patience_micros(self) -> u64 {
+        pub fn get_unused14(self) -> u64 {
             self.reader.get_data_field::<u64>(4)
         }
+        #[inline]
+        pub fn get_is_begun(self) -> bool {
+            self.reader.get_bool_field(41)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -2734,13 +2738,21 @@
             self.builder.set_data_field::<u8>(7, value);
         }
         #[inline]
-        pub fn get_patience_micros(self) -> u64 {
+        pub fn get_unused14(self) -> u64 {
             self.builder.get_data_field::<u64>(4)
         }
         #[inline]
-        pub fn set_patience_micros(&mut self, value: u64)  {
+        pub fn set_unused14(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(4, value);
         }
+        #[inline]
+        pub fn get_is_begun(self) -> bool {
+            self.builder.get_bool_field(41)
+        }
+        #[inline]
+        pub fn set_is_begun(&mut self, value: bool)  {
+            self.builder.set_bool_field(41, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2752,7 +2764,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 251] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 266] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(51, 234, 131, 33, 118, 208, 65, 242),
             ::capnp::word(12, 0, 0, 0, 1, 0, 5, 0),
@@ -2762,119 +2774,126 @@
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 105, 101, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 40, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 41, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2995,8 +3014,8 @@
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 97, 116, 105, 101, 110, 99, 101),
-            ::capnp::word(77, 105, 99, 114, 111, 115, 0, 0),
+            ::capnp::word(117, 110, 117, 115, 101, 100, 49, 52),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3004,6 +3023,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 66, 101, 103, 117, 110, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3022,6 +3049,7 @@
                 12 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 13 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3035,9 +3063,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,6,7,10,5,11,4,3,14,9,1,13,0,2,12];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,6,7,10,5,15,11,4,3,9,1,13,0,2,12,14];
         pub(crate) const TYPE_ID: u64 = 0xf241_d076_2183_ea33;
     }
 }
