--- a/crates/core/tests/testsuite/relay/stages.rs
+++ b/crates/core/tests/testsuite/relay/stages.rs
@@ -127,6 +127,7 @@
     world.advance(ms(0));
     assert_eq!(world.freed().len(), 1);
     world.replied(call, &unrun(409));
+    world.freed();
     let order = world.orders().remove(0);
     world.make(&order);
     world.call();
