--- a/crates/core/src/relay/choice/prompts.rs
+++ b/crates/core/src/relay/choice/prompts.rs
@@ -126,17 +126,17 @@
     fn held(&self, engine: EndpointKey) -> u64 {
         let shared = self.prompt.parts.len().saturating_sub(1);
         let expected = if self.owner == Some(engine) { shared } else { 0 };
-        self.from_start(|idx, part| idx < expected || self.memory.holds(self.now, engine, part))
+        self.prefix(|idx, part| idx < expected || self.memory.holds(self.now, engine, part))
     }
 
     /// Tokens from the start of the prompt that this instance has sent there.
     fn known(&self, engine: EndpointKey) -> u64 {
-        self.from_start(|_, part| self.memory.holds(self.now, engine, part))
+        self.prefix(|_, part| self.memory.holds(self.now, engine, part))
     }
 
     /// Tokens of the first parts that are there: a part counts only if all
     /// parts before it are there too.
-    fn from_start(&self, is_there: impl Fn(usize, u64) -> bool) -> u64 {
+    fn prefix(&self, is_there: impl Fn(usize, u64) -> bool) -> u64 {
         let parts = self.prompt.parts.iter().enumerate();
         let there = parts.take_while(|(idx, part)| is_there(*idx, part.id));
         there.map(|(_, part)| u64::from(part.tokens)).sum()
