--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use peatdeck_macros::data;
+use xxhash_rust::xxh3;
 
 use crate::{
     model::DataCentre,
@@ -32,6 +33,9 @@
 const RUNNING_MS: f64 = 4.0;
 /// Milliseconds that a megabyte of inputs from another data centre weighs.
 const INPUT_MS_PER_MB: f64 = 25.0;
+/// Milliseconds that an engine of another placer weighs: about what the prompts
+/// take to read that the other one may have just given it.
+const FOREIGN_MS: f64 = 60.0;
 /// Factor on the expected time of an endpoint in another data centre.
 const DISTANCE: f64 = 1.25;
 /// Expected time of an endpoint that has not answered yet.
@@ -52,8 +56,35 @@
     pub limit: u32,
     /// How engines fetch from each other, if they can.
     pub transfer: Option<Transfer>,
-    /// Whether the other instances choose for the same engines by themselves.
-    pub is_alone: bool,
+    /// How the choice of engines is shared out.
+    pub chooser: Chooser,
+}
+
+/// Who else chooses for the same engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Chooser {
+    /// Every instance, each for itself.
+    Alone,
+    /// One placer for each share of the prompts; this is the choice of one of
+    /// them.
+    Placer {
+        /// Its share.
+        share: u64,
+        /// How many there are.
+        shares: u64,
+    },
+}
+
+impl Chooser {
+    /// What an engine costs in addition, since others may have given it work
+    /// that is not known here. Each engine belongs to one placer.
+    fn foreign_cost(self, endpoint: &Endpoint) -> f64 {
+        let Chooser::Placer { share, shares } = self else { return 0.0 };
+        let name = endpoint.entry.name.as_bytes();
+        let weight = |share: &u64| xxh3::xxh3_64_with_seed(name, *share);
+        let owner = (0..shares).max_by_key(weight);
+        if owner == Some(share) { 0.0 } else { FOREIGN_MS }
+    }
 }
 
 /// An endpoint that may take a call.
@@ -103,7 +134,8 @@
 ) -> Vec<Candidate> {
     let candidates = candidates(directory, now, service, wanted);
     let usual = usual_time(&candidates);
-    let owners = if wanted.is_alone { &candidates[..] } else { &[] };
+    let is_alone = wanted.chooser == Chooser::Alone;
+    let owners = if is_alone { &candidates[..] } else { &[] };
     let sources = prompts::sources(directory, now, service);
     let holdings = Holdings::new(memory, prompt, owners, &sources);
     let costs = candidates.iter().map(|&(key, endpoint)| {
@@ -114,6 +146,7 @@
         let running = f64::from(endpoint.calls(now)) * RUNNING_MS;
         let far = far_megabytes(wanted.inputs, &endpoint.entry.data_centre) * INPUT_MS_PER_MB;
         let cost = (reading + fetching + running) * slowness(endpoint, usual) + far;
+        let cost = cost + wanted.chooser.foreign_cost(endpoint);
         Candidate { endpoint: key, tokens, source, cost }
     });
     costs.collect()
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -20,7 +20,7 @@
 use crate::{
     model::{DataCentre, InstanceName},
     relay::{
-        choice::{self, Candidate, prompts},
+        choice::{self, Candidate, Chooser, prompts},
         config::Transfer,
         exchange::Exchange,
         machine::Relay,
@@ -111,7 +111,7 @@
             inputs: &question.inputs,
             limit: u32::MAX,
             transfer: self.transfer(&question.service),
-            is_alone: false,
+            chooser: self.as_placer(&question.prompt),
         };
         let (service, prompt) = (&question.service, &question.prompt);
         let (directory, memory) = (&self.directory, &self.memory);
@@ -142,11 +142,24 @@
 
     /// The peer that places a prompt; `None` if this instance does.
     fn placer(&self, service: &str, prompt: &Prompt) -> Option<InstanceName> {
+        let share = self.share_of(prompt);
+        self.first_ranked(xxh3::xxh3_64_with_seed(service.as_bytes(), share + 1))
+    }
+
+    fn as_placer(&self, prompt: &Prompt) -> Chooser {
+        Chooser::Placer { share: self.share_of(prompt), shares: self.shares() }
+    }
+
+    /// The share of the prompts that one belongs to, by its last shared part.
+    fn share_of(&self, prompt: &Prompt) -> u64 {
         let shared = prompt.parts.len().saturating_sub(1);
         let part = prompt.parts[..shared].last().map_or(0, |part| part.id);
-        let placers = (self.peers.len() + 1).div_ceil(SHARED_BY) as u64;
-        let shard = xxh3::xxh3_64(&part.to_le_bytes()) % placers;
-        self.first_ranked(xxh3::xxh3_64_with_seed(service.as_bytes(), shard + 1))
+        xxh3::xxh3_64(&part.to_le_bytes()) % self.shares()
+    }
+
+    /// How many placers there are.
+    fn shares(&self) -> u64 {
+        (self.peers.len() + 1).div_ceil(SHARED_BY) as u64
     }
 
     /// Engines that this exchange does not go to: tried ones, and those that
@@ -200,7 +213,10 @@
             inputs,
             limit: self.connection_limit(&service),
             transfer: self.transfer(&service),
-            is_alone: !is_placer,
+            chooser: match &prompt {
+                Some(prompt) if is_placer => self.as_placer(prompt),
+                _ => Chooser::Alone,
+            },
         };
         let (directory, memory) = (&self.directory, &self.memory);
         let candidates = match &prompt {
