The administration suites share one ntex system; connections to peers that go silent end

Cause of the heap fault of the administration suite (SIGABRT in tcache_thread_shutdown as a test's thread ends, or a hang): each of 45 tests began and ended a system, and two to four servers with one each, in one process.

Change: tests of admin and cli run on one system that lives as long as the process, and their servers on it; an attribute in the place of ntex's says so. No test is changed otherwise.

Connections between instances had no bound on silence of their own: now the kernel ends one whose bytes stay unacknowledged for 1.2 s, as on those to endpoints (one function for both). A slow answer of a placer no longer closes the connection that hand-overs run on.

--- a/crates/admin/tests/testsuite/drain.rs
+++ b/crates/admin/tests/testsuite/drain.rs
@@ -10,7 +10,7 @@
 
 const PATH: &str = "/v1/endpoints/engine-1/drain";
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_drain_holds_for_the_listed_incarnation() {
     let bench = Bench::start().await;
     bench.platform.list_endpoint("engine-1", 3);
@@ -23,7 +23,7 @@
     assert!(config.contains("\"endpoint\":\"engine-1\""), "{config}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_drain_sent_again_is_not_appended_again() {
     let bench = Bench::start().await;
     bench.platform.list_endpoint("engine-1", 3);
@@ -35,7 +35,7 @@
     assert_eq!(bench.platform.state().records.len(), 1);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_endpoint_that_is_not_listed_is_refused() {
     let bench = Bench::start().await;
     expect![[r#"
@@ -45,7 +45,7 @@
     .assert_eq(&bench.post(PATH, json!({"author": "mair"})).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_incarnation_that_is_over_is_refused() {
     let bench = Bench::start().await;
     bench.platform.list_endpoint("engine-1", 3);
@@ -57,7 +57,7 @@
     .assert_eq(&bench.post(PATH, body).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_log_that_does_not_say_leaves_the_drain_unknown() {
     let bench = Bench::start().await;
     bench.platform.list_endpoint("engine-1", 3);
--- a/crates/admin/tests/testsuite/publish.rs
+++ b/crates/admin/tests/testsuite/publish.rs
@@ -17,10 +17,10 @@
 const TEAM: &str = "[[team]]\nname = \"bala\"\n";
 const OTHER: &str = "[[team]]\nname = \"other\"\n";
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_accepted_publish_says_where_it_is_in_force() {
     let bench = Bench::start().await;
-    let _one = bench.platform.add_instance("entry-1").await;
+    let _one = bench.platform.add_instance("entry-1");
     bench.platform.list_instance("entry-2", "127.0.0.1:1");
     expect![[r#"
         200
@@ -28,10 +28,10 @@
     "#]].assert_eq(&bench.publish("p-1", 0, TEAM).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_leaving_instance_is_not_missing() {
     let bench = Bench::start().await;
-    let _one = bench.platform.add_instance("entry-1").await;
+    let _one = bench.platform.add_instance("entry-1");
     bench.platform.list_instance("entry-2", "127.0.0.1:1");
     bench.platform.state().listing.instances[1].presence = Presence::Leaving;
     expect![[r#"
@@ -41,7 +41,7 @@
     .assert_eq(&bench.publish("p-1", 0, TEAM).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_conflict_names_the_version_and_its_author() {
     let bench = Bench::start().await;
     bench.publish("p-1", 0, TEAM).await;
@@ -52,7 +52,7 @@
     assert_eq!(bench.platform.state().records.len(), 1);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn racing_publishes_have_one_winner() {
     let bench = Bench::start().await;
     let another = bench.another().await;
@@ -64,7 +64,7 @@
     assert_eq!((accepted, conflicts), (1, 1), "{one}{two}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_conflict_seen_only_in_the_log_is_told() {
     let bench = Bench::start().await;
     bench.platform.overtake(&ConfigRecord::Publish(Publish {
@@ -81,7 +81,7 @@
     assert!(history.contains("\"verdict\":\"conflict\""), "{history}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_lost_answer_is_settled_by_reading() {
     let bench = Bench::start().await;
     bench.platform.state().append_faults.push_back(AppendFault::LoseAnswer);
@@ -90,7 +90,7 @@
     assert_eq!(bench.platform.state().records.len(), 1);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_append_without_effect_or_answer_is_sent_again() {
     let bench = Bench::start().await;
     bench.platform.state().append_faults.push_back(AppendFault::Swallow);
@@ -99,7 +99,7 @@
     assert_eq!(bench.platform.state().records.len(), 1);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_publish_sent_twice_counts_once() {
     let bench = Bench::start().await;
     let first = bench.publish("p-1", 0, TEAM).await;
@@ -113,7 +113,7 @@
     .assert_eq(&bench.publish("p-1", 1, OTHER).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_record_that_stands_twice_counts_once() {
     let bench = Bench::start().await;
     bench.publish("p-1", 0, TEAM).await;
@@ -131,7 +131,7 @@
     .assert_eq(&verdict);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_log_over_its_rate_means_nothing_was_published() {
     let bench = Bench::start().await;
     bench.platform.state().append_faults.push_back(AppendFault::OverRate);
@@ -142,7 +142,7 @@
     assert!(bench.platform.state().records.is_empty());
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_log_that_does_not_say_leaves_the_publish_unknown() {
     let bench = Bench::start().await;
     bench.platform.state().append_faults.extend([AppendFault::Swallow; 100]);
@@ -157,7 +157,7 @@
     "#]].assert_eq(&bench.get("/v1/config/verdict/p-1").await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_log_that_cannot_be_read_is_not_written() {
     let bench = Bench::start().await;
     bench.platform.state().reads_out = true;
@@ -166,7 +166,7 @@
     assert!(bench.platform.state().records.is_empty());
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_invalid_document_is_not_published() {
     let bench = Bench::start().await;
     let source = "[[team]]\nname = \"\"\nweight = 0\n";
@@ -178,7 +178,7 @@
     assert!(bench.platform.state().records.is_empty());
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_policy_that_does_not_compile_is_not_published() {
     let bench = Bench::start().await;
     let source = "[[policy]]\nname = \"gate\"\nscript = \"fn admit(\"\n";
@@ -187,7 +187,7 @@
     assert!(answer.contains("the policy doesn't compile"), "{answer}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_body_that_is_not_readable_is_refused() {
     let bench = Bench::start().await;
     expect![[r#"
@@ -207,7 +207,7 @@
     .assert_eq(&bench.post("/v1/config/publish", nameless).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_body_that_is_too_large_is_refused() {
     let bench = Bench::start().await;
     let large = json!({"document": "x".repeat(1024 * 1024)});
@@ -218,7 +218,7 @@
     .assert_eq(&bench.post("/v1/config/check", large).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_dry_run_publishes_nothing() {
     let bench = Bench::start().await;
     let body = json!({"document": {"team": [{"name": "bala", "weight": 0}]}});
--- a/crates/admin/tests/testsuite/restore.rs
+++ b/crates/admin/tests/testsuite/restore.rs
@@ -31,7 +31,7 @@
     bench.post("/v1/config/restore", body).await
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn publishing_is_impossible_before_and_possible_after() {
     let bench = lost().await;
     let before = bench.publish("p-3", 2, TEAM).await;
@@ -55,7 +55,7 @@
     "#]].assert_eq(&bench.get("/v1/config/history").await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_restore_is_refused_while_the_log_tells_what_is_in_force() {
     let bench = Bench::start().await;
     let empty = restore(&bench, "r-1", 0).await;
@@ -68,10 +68,10 @@
     assert_eq!(bench.platform.state().records.len(), 1);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_restore_is_refused_while_an_instance_has_a_version() {
     let bench = lost().await;
-    let _one = bench.platform.add_instance("entry-1").await;
+    let _one = bench.platform.add_instance("entry-1");
     expect![[r#"
         409
         {"code":"still_held","message":"instance `entry-1` still has version 2 in force, so it is not lost; nothing was appended","remedy":"wait for its snapshot, or stop it if its version is not the one to go on from; then send it again"}
@@ -82,7 +82,7 @@
     assert_eq!(bench.platform.state().records.len(), 2);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_restore_sent_twice_or_without_an_answer_counts_once() {
     let bench = lost().await;
     bench.platform.state().append_faults.push_back(AppendFault::LoseAnswer);
@@ -95,7 +95,7 @@
     assert!(second.contains("\"code\":\"not_lost\""), "{second}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn of_two_restores_at_once_the_first_record_counts() {
     let bench = lost().await;
     bench.platform.overtake(&ConfigRecord::Snapshot(Snapshot {
@@ -114,7 +114,7 @@
     assert!(config.contains("\"version\":8"), "{config}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_restore_does_not_go_back_behind_a_version_that_was_read() {
     let bench = Bench::start().await;
     bench.publish("p-1", 0, TEAM).await;
@@ -130,7 +130,7 @@
     assert!(answer.starts_with("200") && answer.contains("\"version\":4"), "{answer}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn what_is_restored_is_checked_as_a_publish_is() {
     let bench = lost().await;
     let body = json!({"id": "r-1", "version": 2, "author": "ann",
--- a/crates/admin/tests/testsuite/show.rs
+++ b/crates/admin/tests/testsuite/show.rs
@@ -12,7 +12,7 @@
 
 const TEAM: &str = "[[team]]\nname = \"bala\"\n";
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn the_empty_document_is_version_0() {
     let bench = Bench::start().await;
     expect![[r#"
@@ -22,7 +22,7 @@
     .assert_eq(&bench.get("/v1/config").await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_outage_of_the_log_is_said_and_hides_nothing() {
     let bench = Bench::start().await;
     bench.publish("p-1", 0, TEAM).await;
@@ -34,7 +34,7 @@
     assert!(fresh.contains("\"code\":\"log_out\""), "{fresh}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn expired_records_without_a_snapshot_are_not_taken_for_a_state() {
     let bench = Bench::start().await;
     bench.publish("p-1", 0, TEAM).await;
@@ -50,7 +50,7 @@
     assert!(answer.contains("\"code\":\"no_state\""), "{answer}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn records_of_others_are_read_over_to_the_end() {
     let bench = Bench::start().await;
     bench.platform.state().records = vec!["of others".into(); 200];
@@ -59,7 +59,7 @@
     assert!(config.contains("\"version\":1"), "{config}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_api_that_missed_records_waits_for_a_snapshot() {
     let bench = Bench::start().await;
     let another = bench.another().await;
@@ -85,7 +85,7 @@
     assert!(config.contains("\"version\":4"), "{config}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn the_history_comes_in_pages() {
     let bench = Bench::start().await;
     bench.platform.list_endpoint("engine-1", 3);
@@ -106,10 +106,10 @@
     assert!(wrong.starts_with("400"), "{wrong}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn the_status_names_those_that_did_not_answer() {
     let bench = Bench::start().await;
-    let _one = bench.platform.add_instance("entry-1").await;
+    let _one = bench.platform.add_instance("entry-1");
     bench.platform.list_instance("entry-2", "127.0.0.1:1");
     expect![[r#"
         200
@@ -120,7 +120,7 @@
     assert!(answer.contains("\"code\":\"list_out\""), "{answer}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn outcomes_are_added_up_over_the_instances() {
     let bench = Bench::start().await;
     let row = |slot, count| OutcomeCount {
@@ -132,8 +132,8 @@
         count,
     };
     bench.platform.state().outcomes = vec![row(60, 5), row(120, 7)];
-    let _one = bench.platform.add_instance("entry-1").await;
-    let _two = bench.platform.add_instance("entry-2").await;
+    let _one = bench.platform.add_instance("entry-1");
+    let _two = bench.platform.add_instance("entry-2");
     bench.platform.list_instance("entry-3", "127.0.0.1:1");
     expect![[r#"
         200
--- a/crates/admin/tests/testsuite/support.rs
+++ b/crates/admin/tests/testsuite/support.rs
@@ -7,7 +7,6 @@
 use ntex::{
     client::{Client, ClientRequest},
     http::Method,
-    web::test::TestServer,
 };
 use peatdeck_admin::{
     context::Bounds,
@@ -23,7 +22,6 @@
 /// A running API and the platform under it.
 pub struct Bench {
     pub platform: Platform,
-    _server: TestServer,
     url: String,
     client: Client,
 }
@@ -32,17 +30,17 @@
     /// An API on an empty platform.
     pub async fn start() -> Bench {
         let platform = Platform::default();
-        let served = platform.serve().await;
+        let served = platform.serve();
         let url = admin(settings(&served.addr().to_string()));
-        Bench { platform, _server: served, url, client: Client::new().await }
+        Bench { platform, url, client: Client::new().await }
     }
 
     /// Another API on the same platform.
     pub async fn another(&self) -> Bench {
-        let served = self.platform.serve().await;
+        let served = self.platform.serve();
         let url = admin(settings(&served.addr().to_string()));
         let platform = self.platform.clone();
-        Bench { platform, _server: served, url, client: Client::new().await }
+        Bench { platform, url, client: Client::new().await }
     }
 
     pub async fn get(&self, path: &str) -> String {
--- a/crates/admin/tests/testsuite/token.rs
+++ b/crates/admin/tests/testsuite/token.rs
@@ -18,7 +18,7 @@
     (Method::POST, "/v1/endpoints/e/drain"),
 ];
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_wrong_token_is_refused() {
     let bench = Bench::start().await;
     let request = bench.bare(Method::GET, "/v1/config").bearer_auth("a token of another's own");
@@ -29,7 +29,7 @@
     .assert_eq(&support::answer(request, None).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn every_operation_needs_the_token() {
     let bench = Bench::start().await;
     for (method, path) in PATHS {
@@ -42,7 +42,7 @@
     assert!(bench.platform.state().records.is_empty());
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn liveness_and_readiness_need_no_token() {
     let bench = Bench::start().await;
     let live = support::answer(bench.bare(Method::GET, "/livez"), None).await;
@@ -55,7 +55,7 @@
     assert_eq!(ready, "200\nready\n");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_unknown_path_is_told_so() {
     let bench = Bench::start().await;
     expect![[r#"
--- a/crates/cli/tests/testsuite/burn.rs
+++ b/crates/cli/tests/testsuite/burn.rs
@@ -265,14 +265,14 @@
     assert!(!svg.contains("NaN") && !svg.contains("inf"), "{svg}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn the_command_gathers_from_all_instances() {
     let bench = Bench::start("burn").await;
     let file = bench.file("fleet.toml", FLEET);
     bench.run(&["publish", "--author", "mair", &file]).await;
     bench.platform.state().outcomes = rows(&MORNING);
-    let _one = bench.platform.add_instance("entry-1").await;
-    let _two = bench.platform.add_instance("entry-2").await;
+    let _one = bench.platform.add_instance("entry-1");
+    let _two = bench.platform.add_instance("entry-2");
     bench.platform.list_instance("entry-3", "127.0.0.1:1");
     let path = bench.file("burn.html", "");
     expect![[r#"
@@ -304,7 +304,7 @@
     assert!(json.contains("\"answered\": 1160"), "{json}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_page_that_cannot_be_written_is_told() {
     let bench = Bench::start("burn-write").await;
     let answer = bench.run(&["burn", "--html", "/nowhere/burn.html"]).await;
--- a/crates/cli/tests/testsuite/check.rs
+++ b/crates/cli/tests/testsuite/check.rs
@@ -12,7 +12,7 @@
     expected.assert_eq(&bench.run(&["check", &file]).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_valid_file_is_summed_up() {
     let text = "[[team]]\nname = \"bala\"\n";
     check(
@@ -26,7 +26,7 @@
     .await;
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn what_is_not_toml_is_pointed_at() {
     check(
         "check-syntax",
@@ -46,7 +46,7 @@
     .await;
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_unknown_field_is_pointed_at() {
     let text = "[[team]]\nname = \"bala\"\nwieght = 2\n";
     check(
@@ -67,7 +67,7 @@
     .await;
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_missing_field_is_pointed_at() {
     check(
         "check-missing",
@@ -87,7 +87,7 @@
     .await;
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn every_problem_is_pointed_at() {
     let text = r#"
 [[pool]]
@@ -143,7 +143,7 @@
     "#]]).await;
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_file_that_is_not_there_is_told() {
     let bench = Bench::start("check-absent").await;
     expect![[r#"
@@ -154,7 +154,7 @@
     .assert_eq(&bench.run(&["check", "/nowhere/fleet.toml"]).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn the_examples_are_valid() {
     let bench = Bench::start("check-examples").await;
     let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
--- a/crates/cli/tests/testsuite/drain.rs
+++ b/crates/cli/tests/testsuite/drain.rs
@@ -6,7 +6,7 @@
 
 use crate::support::Bench;
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_drain_says_which_incarnation_it_holds_for() {
     let bench = Bench::start("drain").await;
     bench.platform.list_endpoint("engine 1/a", 3);
@@ -18,7 +18,7 @@
     .assert_eq(&answer);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_endpoint_that_is_not_listed_is_told() {
     let bench = Bench::start("drain-unknown").await;
     let answer = bench.run(&["drain", "engine-9", "--author", "mair"]).await;
--- a/crates/cli/tests/testsuite/explain.rs
+++ b/crates/cli/tests/testsuite/explain.rs
@@ -25,7 +25,7 @@
  9.1000 edge-2 {"timestamp":"2026-05-01T04:00:09.100000Z","level":"INFO","event":"made","call":"CallKey(1v1)","endpoint":"l1","took_ms":1}
 "#;
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_story_is_told_in_order_across_instances() {
     let bench = Bench::start("explain-story").await;
     let (asked, made) = (bench.file("edge-1.log", ASKED), bench.file("all.log", MADE));
@@ -44,7 +44,7 @@
     .assert_eq(&shown);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_request_that_nobody_saw_is_told_so() {
     let bench = Bench::start("explain-none").await;
     let asked = bench.file("edge-1.log", ASKED);
--- a/crates/cli/tests/testsuite/publish.rs
+++ b/crates/cli/tests/testsuite/publish.rs
@@ -15,10 +15,10 @@
 const TEAM: &str = "[[team]]\nname = \"bala\"\n";
 const PUBLISH: [&str; 5] = ["publish", "--author", "mair", "--id", "p-1"];
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn without_a_base_the_version_in_force_is_taken_and_said() {
     let bench = Bench::start("publish-base").await;
-    let _one = bench.platform.add_instance("entry-1").await;
+    let _one = bench.platform.add_instance("entry-1");
     let file = bench.file("fleet.toml", TEAM);
     let args = [&PUBLISH[..], &[&file]].concat();
     expect![[r#"
@@ -30,7 +30,7 @@
     .assert_eq(&bench.run(&args).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_instance_that_lags_is_said() {
     let bench = Bench::start("publish-missing").await;
     bench.platform.list_instance("entry-2", "127.0.0.1:1");
@@ -44,7 +44,7 @@
     "#]].assert_eq(&bench.run(&args).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_conflict_has_its_own_exit_code() {
     let bench = Bench::start("publish-conflict").await;
     let file = bench.file("fleet.toml", TEAM);
@@ -58,7 +58,7 @@
     "#]].assert_eq(&bench.run(&args).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn what_is_unknown_is_not_called_a_failure() {
     let bench = Bench::start("publish-unknown").await;
     bench.platform.state().append_faults.extend([AppendFault::Swallow; 100]);
@@ -72,7 +72,7 @@
     "#]].assert_eq(&bench.run(&args).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_invalid_file_is_not_sent() {
     let bench = Bench::start("publish-invalid").await;
     let file = bench.file("fleet.toml", "[[team]]\nname = \"\"\n");
@@ -81,7 +81,7 @@
     assert!(bench.platform.state().records.is_empty());
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_missing_or_wrong_token_is_told() {
     let mut bench = Bench::start("publish-token").await;
     let file = bench.file("fleet.toml", TEAM);
@@ -102,7 +102,7 @@
     .assert_eq(&bench.run(&args).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_api_that_is_not_there_is_told() {
     let bench = Bench::start("publish-unreachable").await;
     let file = bench.file("fleet.toml", TEAM);
@@ -153,26 +153,26 @@
 const LOG_OUT: &str = "HTTP/1.1 503 Out\r\nContent-Length: 43\r\nConnection: close\r\n\r\n\
                        {\"code\":\"log_out\",\"message\":\"\",\"remedy\":\"\"}";
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_api_that_breaks_off_leaves_it_unknown() {
     let answer = publish_to("publish-cut", [CUT, CUT, CUT]).await;
     assert!(answer.starts_with("exit 5\n"), "{answer}");
     assert!(answer.contains("--id p-1 --base 0"), "{answer}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_answer_of_something_else_leaves_it_unknown() {
     let answer = publish_to("publish-gateway", [GATEWAY, GATEWAY, GATEWAY]).await;
     assert!(answer.starts_with("exit 5\n"), "{answer}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_later_refusal_does_not_hide_an_earlier_doubt() {
     let answer = publish_to("publish-doubt", [CUT, LOG_OUT, LOG_OUT]).await;
     assert!(answer.starts_with("exit 5\n"), "{answer}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_wrong_command_line_is_told() {
     let bench = Bench::start("publish-usage").await;
     let answer = bench.run(&["publish", "--author", "mair", "--base", "one", "f"]).await;
@@ -187,7 +187,7 @@
         number and a port, such as 10.0.0.5:8080"#]].assert_eq(&answer);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn the_scheme_of_the_api_may_be_left_out() {
     let bench = Bench::start("publish-scheme").await;
     let bare = bench.url.trim_start_matches("http://").to_owned();
--- a/crates/cli/tests/testsuite/replay.rs
+++ b/crates/cli/tests/testsuite/replay.rs
@@ -13,7 +13,7 @@
     expected.assert_eq(&shown.replace(&file, "entry-1.trace"));
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_trace_that_replays_is_shown_as_a_table() {
     check(
         "replay-same",
@@ -30,7 +30,7 @@
     .await;
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_difference_is_told_and_has_its_exit_code() {
     let altered = TRACE.replace("claimed_elsewhere", "timed_out");
     check("replay-differs", &altered, expect![[r#"
@@ -44,7 +44,7 @@
     "#]]).await;
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn what_is_no_trace_is_told() {
     check(
         "replay-none",
--- a/crates/cli/tests/testsuite/restore.rs
+++ b/crates/cli/tests/testsuite/restore.rs
@@ -8,7 +8,7 @@
 
 const TEAM: &str = "[[team]]\nname = \"bala\"\n";
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn a_lost_configuration_is_restored_and_published_on() {
     let bench = Bench::start("restore").await;
     let file = bench.file("fleet.toml", TEAM);
--- a/crates/cli/tests/testsuite/show.rs
+++ b/crates/cli/tests/testsuite/show.rs
@@ -23,7 +23,7 @@
 repeatable = false
 "#;
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn the_document_can_be_edited_and_published_again() {
     let bench = Bench::start("show").await;
     bench.platform.list_endpoint("engine-1", 3);
@@ -60,7 +60,7 @@
     assert!(answer.starts_with("exit 0\naccepted: version 2 "), "{answer}");
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn the_history_is_a_table_with_a_way_on() {
     let bench = Bench::start("show-history").await;
     bench.platform.list_endpoint("engine-1", 3);
@@ -84,7 +84,7 @@
     .assert_eq(&bench.run(&["show", "--history", "--from", "2"]).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn the_verdict_of_a_publish_can_be_asked_for() {
     let bench = Bench::start("show-verdict").await;
     let file = bench.file("fleet.toml", FLEET);
@@ -101,7 +101,7 @@
     "#]].assert_eq(&bench.run(&["show", "--verdict", "p-2"]).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn json_is_what_the_api_gives() {
     let bench = Bench::start("show-json").await;
     expect![[r#"
@@ -123,7 +123,7 @@
     .assert_eq(&bench.run(&["show", "--format", "json"]).await);
 }
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn an_outage_is_said_in_the_file_and_by_the_exit_code() {
     let bench = Bench::start("show-outage").await;
     bench.run(&["show"]).await;
--- a/crates/cli/tests/testsuite/status.rs
+++ b/crates/cli/tests/testsuite/status.rs
@@ -6,10 +6,10 @@
 
 use crate::support::Bench;
 
-#[ntex::test]
+#[peatdeck_macros::on_system]
 async fn every_instance_has_a_line() {
     let bench = Bench::start("status").await;
-    let _one = bench.platform.add_instance("entry-1").await;
+    let _one = bench.platform.add_instance("entry-1");
     bench.platform.list_instance("entry-2", "127.0.0.1:1");
     expect![[r#"
         exit 6
--- a/crates/cli/tests/testsuite/support.rs
+++ b/crates/cli/tests/testsuite/support.rs
@@ -9,7 +9,6 @@
 };
 
 use miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme};
-use ntex::web::test::TestServer;
 use peatdeck::{app, shell::Shell};
 use peatdeck_admin::{context::Bounds, server, settings};
 use peatdeck_test_support::platform::Platform;
@@ -24,7 +23,6 @@
     pub platform: Platform,
     pub url: String,
     pub token: Option<String>,
-    _server: TestServer,
     files: PathBuf,
 }
 
@@ -32,11 +30,11 @@
     /// An API on an empty platform. `name` keeps the files of tests apart.
     pub async fn start(name: &str) -> Bench {
         let platform = Platform::default();
-        let served = platform.serve().await;
+        let served = platform.serve();
         let files = std::env::temp_dir().join(format!("peatdeck-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&files).expect("a directory for the test's files");
         let url = admin(&served.addr().to_string());
-        Bench { platform, url, token: Some(TOKEN.to_owned()), _server: served, files }
+        Bench { platform, url, token: Some(TOKEN.to_owned()), files }
     }
 
     /// Writes a file and gives its path.
--- a/crates/macros/src/lib.rs
+++ b/crates/macros/src/lib.rs
@@ -1,7 +1,7 @@
 //! Attribute macros for the common sets of derives, so that a type states its
 //! kind (`data`, `id`, `message`) instead of repeating a list of traits.
 
-use proc_macro::TokenStream;
+use proc_macro::{Delimiter, Group, TokenStream, TokenTree};
 
 /// A plain value: `Debug`, `Clone`, `PartialEq`.
 #[proc_macro_attribute]
@@ -23,6 +23,32 @@
     derive("#[derive(Debug, Clone, PartialEq, ::serde::Serialize, ::serde::Deserialize)]", item)
 }
 
+/// An asynchronous test on the system that all tests of a process share.
+///
+/// The crate that uses it needs `peatdeck-test-support`.
+///
+/// # Panics
+/// If the item is not a function with a name and a body.
+#[proc_macro_attribute]
+pub fn on_system(_args: TokenStream, item: TokenStream) -> TokenStream {
+    let tokens: Vec<TokenTree> = item.into_iter().collect();
+    let keyword = tokens.iter().position(|token| token.to_string() == "fn");
+    let name = keyword.and_then(|idx| tokens.get(idx + 1)).expect("a function has a name");
+    let body = tokens.last().expect("a function has a body").clone();
+    let mut test: TokenStream = "|| async move".parse().expect("it is a constant");
+    test.extend([body]);
+    let mut call: TokenStream =
+        "::peatdeck_test_support::system::run".parse().expect("it is a constant");
+    call.extend([TokenTree::from(Group::new(Delimiter::Parenthesis, test))]);
+    let mut out: TokenStream = "#[test] fn".parse().expect("it is a constant");
+    out.extend([
+        name.clone(),
+        Group::new(Delimiter::Parenthesis, TokenStream::new()).into(),
+        Group::new(Delimiter::Brace, call).into(),
+    ]);
+    out
+}
+
 fn derive(attribute: &str, item: TokenStream) -> TokenStream {
     let mut out: TokenStream = attribute.parse().expect("the attribute is a constant");
     out.extend(item);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -478,7 +478,10 @@
         let response = request.send().promise.await?;
         Ok(wire::read_placement(response.get()?.get_placement()?)?)
     };
-    driver.peers.links.exchange(&addr, PLACE_TIMEOUT, exchange).await
+    // A slow answer is no reason to close the connection: pieces that were
+    // handed over on it are still being made.
+    let asked = driver.peers.links.exchange(&addr, GOSSIP_TIMEOUT, exchange);
+    tokio::time::timeout(PLACE_TIMEOUT, asked).await.unwrap_or(Err(Error::TimedOut))
 }
 
 async fn ping(client: &relay::Client) -> Result<(), Error> {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -20,18 +20,13 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
+use peatdeck_wire::socket;
 use tokio::net::TcpStream;
 
 /// Time to make a connection. Data centres are a few milliseconds apart; an
 /// opening packet that is lost is sent again after a second, and another
 /// endpoint is the better choice by then.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Silence after which bytes that were not acknowledged mean a dead peer.
-const DEAD_AFTER: Duration = Duration::from_millis(1200);
-/// Pause before and between probes of a silent connection; the kernel counts
-/// in seconds.
-const PROBE_PAUSE: Duration = Duration::from_secs(1);
 /// An idle connection is used again within this time where the peer does not
 /// say for how long it keeps it.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
@@ -219,7 +214,7 @@
         Ok(Err(error)) => return Err(unsent(addr, error)),
         Err(_) => return Err(unsent(addr, "timed out")),
     };
-    watch_for_death(&stream).map_err(|error| unsent(addr, error))?;
+    socket::watch_for_death(&stream).map_err(|error| unsent(addr, error))?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| unsent(addr, error))?;
     let (task, registration) = AbortHandle::new_pair();
@@ -234,14 +229,6 @@
     Ok(Lease { addr: addr.clone(), connection, keep: Duration::ZERO })
 }
 
-fn watch_for_death(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(DEAD_AFTER))?;
-    let probes = TcpKeepalive::new().with_time(PROBE_PAUSE).with_interval(PROBE_PAUSE);
-    socket.set_tcp_keepalive(&probes)
-}
-
 /// How long a connection may be idle, as its peer says.
 fn keep_time(headers: &HeaderMap) -> Duration {
     let value = |name: &http::HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -5,6 +5,7 @@
 //!   and breaks; with [`process`], one of them, and [`http`], calls to them.
 //! - [`callers`]: callers that check what they were told.
 //! - [`fixture`]: documents and requests.
+//! - [`system`]: one system for all asynchronous tests of a process.
 //! - [`wait`]: bounded waits for an event.
 
 pub mod callers;
@@ -14,4 +15,5 @@
 pub mod platform;
 pub mod process;
 pub mod processes;
+pub mod system;
 pub mod wait;
--- a/crates/test-support/src/platform.rs
+++ b/crates/test-support/src/platform.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use ntex::web::{self, App, HttpResponse, test::TestServer, types};
+use ntex::web::{self, App, HttpResponse, types};
 use peatdeck_core::{
     config_log::Fold,
     model::{EndpointEntry, Incarnation, InstanceEntry, Listing, Presence},
@@ -21,6 +21,8 @@
 };
 use serde::Deserialize;
 
+use crate::system::Served;
+
 /// Pause between two looks of a long poll.
 const LOOK_PAUSE: Duration = Duration::from_millis(5);
 
@@ -67,29 +69,33 @@
     }
 
     /// Serves the log and the list.
-    pub async fn serve(&self) -> TestServer {
+    pub fn serve(&self) -> Served {
         let platform = self.clone();
-        web::test::server(async move || {
+        let app = async move || {
             App::new().state(platform.clone()).service((
                 web::resource("/v1/streams/{stream}/records")
                     .route(web::post().to(append))
                     .route(web::get().to(read)),
                 web::resource("/v1/list").route(web::get().to(list)),
             ))
+        };
+        Served::start(|listener| {
+            Ok(web::server(app).workers(1).disable_signals().listen(listener)?.run())
         })
-        .await
     }
 
     /// Adds an instance that has in force what the log says.
-    pub async fn add_instance(&self, name: &str) -> TestServer {
+    pub fn add_instance(&self, name: &str) -> Served {
         let (platform, instance) = (self.clone(), Arc::<str>::from(name));
-        let server = web::test::server(async move || {
+        let app = async move || {
             let state = (platform.clone(), Arc::clone(&instance));
             App::new()
                 .state(state)
                 .service(web::resource("/v1/status").route(web::get().to(status)))
-        })
-        .await;
+        };
+        let server = Served::start(|listener| {
+            Ok(web::server(app).workers(1).disable_signals().listen(listener)?.run())
+        });
         self.list_instance(name, &server.addr().to_string());
         server
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`platform`]: the log service and the list, JSON over HTTP.
 //! - [`admin`]: the administration API and an entry's status, JSON over HTTP.
 //! - [`link`]: connections between instances.
+//! - [`socket`]: when a connection counts as dead.
 //! - [`peer`]: gossip between instances, Cap'n Proto.
 //! - [`relay`]: shared tables and pieces between instances, Cap'n Proto.
 //!
@@ -24,3 +25,4 @@
 #[allow(missing_docs, unsafe_code, clippy::all, clippy::unimplemented, clippy::unwrap_used)]
 #[rustfmt::skip]
 pub mod relay_capnp;
+pub mod socket;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio_util::compat::{Compat, TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
-use crate::peer;
+use crate::{peer, socket};
 
 /// A connection that was not used for longer is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -152,7 +152,7 @@
 }
 
 fn network(stream: TcpStream, side: Side) -> std::io::Result<Box<Network>> {
-    stream.set_nodelay(true)?;
+    socket::watch_for_death(&stream)?;
     let (read, write) = stream.into_split();
     Ok(Box::new(twoparty::VatNetwork::new(
         BufReader::new(read.compat()),
