Learn how fast engines read and how long a first token takes

Cause: reading speed (32.4 and 20 tokens a ms), and 120 ms until a first token, were figures of two deployments. On another one stages were planned as if 580 ms of a dossier's 1,100 had to be left for its engine, which needs 145 in the median and 380 in nine of ten: in bursts requests counted as late that were not.

Change: core::relay::reading learns both from the calls of each service (existing estimators, half-life a minute). A plan leaves what nine of ten calls need, half of the objective at the most.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -40,6 +40,7 @@
 pub mod graph;
 pub mod model;
 pub mod readers;
+pub mod reading;
 pub mod table;
 
 mod exchange;
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -24,9 +24,6 @@
     },
 };
 
-/// Prompt tokens that an engine reads in a millisecond. From the sheets of
-/// both users' engines.
-const TOKENS_PER_MS: f64 = 32.4;
 /// Milliseconds that each request which runs on an engine costs a new one:
 /// longer steps until its first token. Chosen so that ten requests weigh as
 /// much as reading 1,300 tokens.
@@ -56,6 +53,8 @@
     pub limit: u32,
     /// How engines fetch from each other, if they can.
     pub transfer: Option<Transfer>,
+    /// Milliseconds that an engine takes to read a token.
+    pub token_millis: f64,
     /// How the choice of engines is shared out.
     pub chooser: Chooser,
 }
@@ -148,8 +147,9 @@
     let holdings = Holdings::new(memory, prompt, owners, &sources);
     let costs = candidates.iter().map(|&(key, endpoint)| {
         let Reading { tokens, fetched, source } = holdings.reading(key, wanted.transfer);
-        let backlog = (endpoint.backlog as f64 / TOKENS_PER_MS).max(endpoint.reading_left(now));
-        let reading = tokens as f64 / TOKENS_PER_MS + backlog;
+        let backlog =
+            (endpoint.backlog as f64 * wanted.token_millis).max(endpoint.reading_left(now));
+        let reading = tokens as f64 * wanted.token_millis + backlog;
         let fetching = wanted.transfer.map_or(0.0, |transfer| transfer.millis(fetched));
         let running = f64::from(endpoint.calls(now)) * RUNNING_MS;
         let far = far_megabytes(wanted.inputs, &endpoint.entry.data_centre) * INPUT_MS_PER_MB;
@@ -161,11 +161,6 @@
     costs.collect()
 }
 
-/// The time that an engine takes to read so many tokens.
-pub fn reading_time(tokens: u64) -> Duration {
-    Duration::from_secs_f64(tokens as f64 / TOKENS_PER_MS / 1000.0)
-}
-
 /// The candidate with the lowest cost.
 pub fn cheapest(candidates: &[Candidate]) -> Option<Candidate> {
     candidates.iter().min_by(|a, b| a.cost.total_cmp(&b.cost)).copied()
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -37,6 +37,7 @@
             Action, Arrival, CallKey, EndpointKey, ExchangeKey, HandoverKey, Peer, Piece,
             PieceResult, Refusal, ServiceName,
         },
+        reading::Speed,
     },
 };
 
@@ -73,6 +74,8 @@
     batches: Batches,
     tickets: HashMap<u64, Ticket>,
     allowances: HashMap<ServiceName, Allowance>,
+    /// How fast engines read.
+    speeds: HashMap<ServiceName, Speed>,
     peers: Vec<Peer>,
     /// Peers that did not answer a hand-over, and until when they get none.
     avoided: HashMap<InstanceName, Duration>,
@@ -142,6 +145,7 @@
             batches: Batches::default(),
             tickets: HashMap::new(),
             allowances: HashMap::new(),
+            speeds: HashMap::new(),
             peers: Vec::new(),
             avoided: HashMap::new(),
             announced: 0,
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -214,7 +214,7 @@
         let Exchange { service, arrival, .. } = &self.exchanges[key];
         let Some(prompt) = arrival.prompt.clone() else { return };
         if self.is_placer(service, &prompt) {
-            self.note_placed(now, chosen, &prompt);
+            self.note_placed(now, &service.clone(), chosen, &prompt);
         } else {
             self.memory.sent(now, chosen.endpoint, &prompt);
         }
@@ -312,6 +312,13 @@
             return;
         }
         let took = now.saturating_sub(state.started);
+        let (tokens, exchange) = (state.tokens, state.exchange);
+        if let ExchangeOf::Exchange(key) = exchange
+            && let Some(Exchange { service, arrival, .. }) = self.exchanges.get(key)
+            && arrival.prompt.is_some()
+        {
+            self.speeds.entry(service.clone()).or_default().note(now, tokens, took);
+        }
         if let Some(endpoint) = self.directory.get_mut(state.endpoint) {
             endpoint.answered(now, took, load);
         }
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -25,6 +25,7 @@
         exchange::Exchange,
         machine::Relay,
         model::{Action, EndpointKey, ExchangeKey, Placement, Prompt, Question},
+        reading::Speed,
     },
 };
 
@@ -111,13 +112,14 @@
             inputs: &question.inputs,
             limit: u32::MAX,
             transfer: self.transfer(&question.service),
+            token_millis: self.token_millis(&question.service),
             chooser: self.as_placer(&question.prompt),
         };
         let (service, prompt) = (&question.service, &question.prompt);
         let (directory, memory) = (&self.directory, &self.memory);
         let candidates = choice::engine(directory, memory, now, service, prompt, wanted);
         let chosen = choice::cheapest(&candidates)?;
-        self.note_placed(now, &chosen, prompt);
+        self.note_placed(now, service, &chosen, prompt);
         let source = self.addr_of(chosen.source);
         let engine = self.directory.get(chosen.endpoint)?;
         let Candidate { tokens, wait, .. } = chosen;
@@ -125,13 +127,26 @@
     }
 
     /// This instance placed a prompt.
-    pub(super) fn note_placed(&mut self, now: Duration, chosen: &Candidate, prompt: &Prompt) {
+    pub(super) fn note_placed(
+        &mut self,
+        now: Duration,
+        service: &str,
+        chosen: &Candidate,
+        prompt: &Prompt,
+    ) {
         self.memory.sent(now, chosen.endpoint, prompt);
+        let millis = chosen.tokens as f64 * self.token_millis(service);
         if let Some(engine) = self.directory.get_mut(chosen.endpoint) {
-            engine.placed(now, choice::reading_time(chosen.tokens));
+            engine.placed(now, Duration::from_secs_f64(millis / 1000.0));
         }
     }
 
+    /// Milliseconds that the engines of a service take to read a token.
+    fn token_millis(&self, service: &str) -> f64 {
+        let speed = self.speeds.get(service);
+        speed.map_or_else(|| Speed::default().token_millis(), Speed::token_millis)
+    }
+
     pub(super) fn transfer(&self, service: &str) -> Option<Transfer> {
         self.config.as_ref()?.services.get(service)?.engine?.transfer
     }
@@ -215,6 +230,7 @@
             inputs,
             limit: self.connection_limit(&service),
             transfer: self.transfer(&service),
+            token_millis: self.token_millis(&service),
             chooser: match &prompt {
                 Some(prompt) if is_placer => self.as_placer(prompt),
                 _ => Chooser::Alone,
--- a/crates/core/src/relay/machine/policies.rs
+++ b/crates/core/src/relay/machine/policies.rs
@@ -15,7 +15,7 @@
         choice::{self, Candidate},
         directory::Endpoint,
         exchange::Exchange,
-        machine::{Relay, stages},
+        machine::Relay,
         model::ExchangeKey,
     },
 };
@@ -149,7 +149,7 @@
 
     /// The usual time until the first byte of an answer.
     fn expected_work(&self, exchange: &Exchange, next: Option<usize>) -> Duration {
-        let Some(stage) = next else { return stages::generation_time(exchange) };
+        let Some(stage) = next else { return self.generation_time(exchange) };
         let service = &exchange.route.stages[stage].service;
         self.stage_time(service) + self.rest_after(exchange, stage, &|time| time)
     }
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -16,16 +16,16 @@
             Action, CallKey, ExchangeKey, Failure, HandoverKey, Piece, PieceFailure, PieceResult,
             Refusal, ServiceName,
         },
+        reading::Speed,
     },
 };
 
 /// Share of the usual time behind a stage that is needed at the least.
 const LEAST_SHARE: f64 = 0.5;
-/// Time that a generation needs behind its stages until its first token, on
-/// top of reading its prompt. From the sheets: 64 ms, and a step or two.
-const FIRST_TOKEN: Duration = Duration::from_millis(120);
-/// Prompt tokens that an engine reads in a millisecond while it serves others.
-const READ_TOKENS_PER_MS: u32 = 20;
+/// Share of the objective that a plan leaves for the generation at the most.
+/// Where engines need longer, all would be late from the start, and the order
+/// of the stages would go by nothing any more.
+const GENERATION_SHARE: f64 = 0.5;
 /// How often an exchange's pieces are made at the most.
 const MAX_ROUNDS: u8 = 2;
 /// A peer that did not answer a hand-over gets none for so long. Until then its
@@ -256,7 +256,18 @@
             let time = adapt(self.stage_time(&route.stages[next].service));
             time + self.rest_after(exchange, next, adapt)
         });
-        longest.max().unwrap_or_else(|| adapt(generation_time(exchange)))
+        longest.max().unwrap_or_else(|| adapt(self.generation_time(exchange)))
+    }
+
+    /// The usual time from the last stage to the first token. Shared parts are
+    /// taken for read already.
+    pub(super) fn generation_time(&self, exchange: &Exchange) -> Duration {
+        let Some(prompt) = &exchange.arrival.prompt else { return Duration::ZERO };
+        let own = prompt.own_tokens();
+        let speed = self.speeds.get(&exchange.service);
+        let first_token = |speed: &Speed| speed.first_token(own);
+        let usual = speed.map_or_else(|| first_token(&Speed::default()), first_token);
+        usual.min(exchange.route.objective.mul_f64(GENERATION_SHARE))
     }
 
     /// The usual time of a stage: half a call's wait and a half full call.
@@ -504,9 +515,3 @@
     let tries = piece.tries + u8::from(is_repeat);
     (may_do_better && tries < MAX_TRIES).then(|| Piece { tries, is_repeat, ..piece.clone() })
 }
-
-/// Time from the last stage to the first token.
-pub(super) fn generation_time(exchange: &Exchange) -> Duration {
-    let Some(prompt) = &exchange.arrival.prompt else { return Duration::ZERO };
-    FIRST_TOKEN + Duration::from_millis(u64::from(prompt.input / READ_TOKENS_PER_MS))
-}
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -43,6 +43,15 @@
     pub output: u32,
 }
 
+impl Prompt {
+    /// Tokens of the part that belongs to this request or session alone.
+    pub fn own_tokens(&self) -> u64 {
+        let shared = self.parts.len().saturating_sub(1);
+        let shared: u64 = self.parts[..shared].iter().map(|part| u64::from(part.tokens)).sum();
+        u64::from(self.input).saturating_sub(shared)
+    }
+}
+
 /// A caller's request, as far as decisions need it.
 #[data]
 pub struct Arrival {
