Refuse part of the chains that would be late as they come

Cause: under an overload that lasts requests with several stages were begun, got through the first one and were given up in the last: each queue sees its own backlog only.

Change: core::relay::machine::intake. Each instance watches how long stages take for its own requests; where the sum is over the objective, a share of those that come is refused before anything runs, the less urgent the more.

--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -43,6 +43,8 @@
     pub(crate) last_event: Option<u64>,
     /// Whether the caller holds the head of an answer.
     pub(crate) has_begun: bool,
+    /// When its stages were started that have not been made yet.
+    pub(crate) stage_starts: Vec<(usize, Duration)>,
     /// Whether its results may have been given up although it has not begun.
     pub(crate) is_spare: bool,
     /// Rounds of making its pieces.
--- a/crates/core/src/relay/graph.rs
+++ b/crates/core/src/relay/graph.rs
@@ -90,6 +90,11 @@
         inner.into_iter().all(|idx| self.stages[idx].is_started)
     }
 
+    /// Whether a stage is made from what another one makes.
+    pub fn has_chain(&self, route: &Route) -> bool {
+        (0..self.stages.len()).any(|idx| self.followers(route, idx).next().is_some())
+    }
+
     /// The first stage that has not been made yet.
     pub fn next_stage(&self) -> Option<usize> {
         self.stages.iter().position(|stage| !stage.is_complete())
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -7,6 +7,7 @@
 
 mod calls;
 mod ending;
+mod intake;
 mod placing;
 mod policies;
 mod results;
@@ -76,6 +77,7 @@
     allowances: HashMap<ServiceName, Allowance>,
     /// How fast engines read.
     speeds: HashMap<ServiceName, Speed>,
+    stage_times: intake::StageTimes,
     peers: Vec<Peer>,
     /// Peers that did not answer a hand-over, and until when they get none.
     avoided: HashMap<InstanceName, Duration>,
@@ -146,6 +148,7 @@
             tickets: HashMap::new(),
             allowances: HashMap::new(),
             speeds: HashMap::new(),
+            stage_times: intake::StageTimes::default(),
             peers: Vec::new(),
             avoided: HashMap::new(),
             announced: 0,
@@ -277,6 +280,7 @@
             was_called: false,
             last_event: arrival.resume,
             has_begun: false,
+            stage_starts: Vec::new(),
             is_spare: false,
             rounds: 0,
             patience: None,
@@ -286,7 +290,9 @@
         let due = exchange.due;
         let key = self.exchanges.insert(exchange);
         self.due.insert((due, key));
-        if self.policy_admits(now, key) {
+        if !self.takes_in(now, key) {
+            self.give_up(now, key, Refusal::Infeasible);
+        } else if self.policy_admits(now, key) {
             self.exchanges[key].priority = self.policy_priority(now, key);
             self.advance(now, key);
         } else {
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -175,6 +175,7 @@
             least: self.rest_after(exchange, stage, &|time| time.mul_f64(LEAST_SHARE)),
         };
         let pieces = exchange.new_pieces(stage, rest);
+        self.exchanges[key].stage_starts.push((stage, now));
         match self.owner(&service) {
             None => {
                 self.earn(now, &service, pieces.len() as u32);
@@ -247,14 +248,25 @@
         exchange: &Exchange,
         stage: usize,
         adapt: &dyn Fn(Duration) -> Duration,
+    ) -> Duration {
+        self.rest_after_with(exchange, stage, adapt, &|service| self.stage_time(service))
+    }
+
+    /// The same, where stages take what `stage_time` says for their services.
+    pub(super) fn rest_after_with(
+        &self,
+        exchange: &Exchange,
+        stage: usize,
+        adapt: &dyn Fn(Duration) -> Duration,
+        stage_time: &dyn Fn(&str) -> Duration,
     ) -> Duration {
         let route = &exchange.route;
         let followers = (0..route.stages.len()).filter(|next| {
             route.stages[*next].after.contains(&stage) && exchange.graph.pieces(*next) > 0
         });
         let longest = followers.map(|next| {
-            let time = adapt(self.stage_time(&route.stages[next].service));
-            time + self.rest_after(exchange, next, adapt)
+            let time = adapt(stage_time(&route.stages[next].service));
+            time + self.rest_after_with(exchange, next, adapt, stage_time)
         });
         longest.max().unwrap_or_else(|| adapt(self.generation_time(exchange)))
     }
@@ -365,6 +377,8 @@
         };
         exchange.has_run |= !is_unmade(&one);
         let is_old = one.piece.round != exchange.rounds;
+        self.note_stage_time(now, key, &one);
+        let exchange = &mut self.exchanges[key];
         match one.result {
             // Its round has been given up already.
             Err(_) if is_old => {}
@@ -387,6 +401,15 @@
         }
     }
 
+    /// Watches how long a stage took whose piece has come back.
+    fn note_stage_time(&mut self, now: Duration, key: ExchangeKey, one: &Finished) {
+        let starts = &mut self.exchanges[key].stage_starts;
+        let stage = usize::from(one.piece.stage);
+        let Some(idx) = starts.iter().position(|(known, _)| *known == stage) else { return };
+        let (_, started) = starts.swap_remove(idx);
+        self.stage_times.note(now, &one.piece.service, now.saturating_sub(started));
+    }
+
     /// Pieces of a failed call wait again. `is_safe` if they certainly did not
     /// arrive anywhere as work.
     pub(super) fn requeue(&mut self, now: Duration, finished: Vec<Finished>, is_safe: bool) {
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -10,6 +10,7 @@
 mod events;
 mod fixture;
 mod fuzz;
+mod intake;
 mod load;
 mod peers;
 mod placing;
