--- a/crates/core/src/relay/batch/queue.rs
+++ b/crates/core/src/relay/batch/queue.rs
@@ -54,9 +54,6 @@
 #[id]
 pub struct Rank {
     is_late: bool,
-    /// Whether it is late and no work of its request has been done. What was
-    /// done for others would be lost with them.
-    is_unbegun: bool,
     /// Priority of the request if it is late, else 0.
     priority: u8,
     aim: Duration,
@@ -123,7 +120,6 @@
     pub fn push(&mut self, key: PieceKey, piece: &Piece) {
         let rank = Rank {
             is_late: false,
-            is_unbegun: false,
             priority: 0,
             aim: piece.aim,
             request: piece.request.clone(),
@@ -206,8 +202,7 @@
                 && first.key().aim < done
             {
                 let (rank, group) = first.remove_entry();
-                let (is_unbegun, priority) = (!group.is_begun, group.priority);
-                let late = Rank { is_late: true, is_unbegun, priority, ..rank };
+                let late = Rank { is_late: true, priority: group.priority, ..rank };
                 for key in &group.keys {
                     self.ranks.insert(*key, (lane, late.clone()));
                 }
