--- a/crates/core/src/relay/choice/prompts.rs
+++ b/crates/core/src/relay/choice/prompts.rs
@@ -92,9 +92,7 @@
         owners: &[(EndpointKey, &Endpoint)],
         engines: &[EndpointKey],
     ) -> Holdings<'a> {
-        let shared = prompt.parts.len().saturating_sub(1);
-        let last = prompt.parts[..shared].last();
-        let owner = last.and_then(|part| owner(owners, part));
+        let owner = prompt.shared().last().and_then(|part| owner(owners, part));
         let mut holdings = Holdings { memory, prompt, owner, best: Vec::new() };
         let mut known: Vec<_> = engines.iter().map(|key| (*key, holdings.known(*key))).collect();
         known.sort_by_key(|(_, tokens)| Reverse(*tokens));
@@ -115,7 +113,8 @@
         let best = best.filter(|(_, tokens)| *tokens >= known + SMALLEST_FETCH);
         let Some((source, most)) = best.filter(|_| transfer.is_some()) else {
             let owner = self.owner.filter(|owner| *owner != engine && transfer.is_some());
-            let source = owner.filter(|_| self.shared() >= known + SMALLEST_FETCH);
+            let shared = self.prompt.shared_tokens();
+            let source = owner.filter(|_| shared >= known + SMALLEST_FETCH);
             return Reading { tokens: self.all().saturating_sub(held), fetched: 0, source };
         };
         let fetched = most.saturating_sub(held);
@@ -128,15 +127,9 @@
         u64::from(self.prompt.input)
     }
 
-    /// Tokens of the shared parts.
-    fn shared(&self) -> u64 {
-        let shared = self.prompt.parts.len().saturating_sub(1);
-        self.prompt.parts[..shared].iter().map(|part| u64::from(part.tokens)).sum()
-    }
-
     /// Tokens from the start of the prompt that an engine holds or should hold.
     fn held(&self, engine: EndpointKey) -> u64 {
-        let shared = self.prompt.parts.len().saturating_sub(1);
+        let shared = self.prompt.shared().len();
         let expected = if self.owner == Some(engine) { shared } else { 0 };
         self.prefix(|idx, part| idx < expected || self.memory.holds(engine, part))
     }
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -168,8 +168,7 @@
 
     /// The share of the prompts that one belongs to, by its last shared part.
     fn share_of(&self, prompt: &Prompt) -> u64 {
-        let shared = prompt.parts.len().saturating_sub(1);
-        let part = prompt.parts[..shared].last().map_or(0, |part| part.id);
+        let part = prompt.shared().last().map_or(0, |part| part.id);
         xxh3::xxh3_64(&part.to_le_bytes()) % self.shares()
     }
 
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -44,11 +44,19 @@
 }
 
 impl Prompt {
+    /// The parts that other requests may have too: all but the last one.
+    pub fn shared(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Tokens of the shared parts.
+    pub fn shared_tokens(&self) -> u64 {
+        self.shared().iter().map(|part| u64::from(part.tokens)).sum()
+    }
+
     /// Tokens of the part that belongs to this request or session alone.
     pub fn own_tokens(&self) -> u64 {
-        let shared = self.parts.len().saturating_sub(1);
-        let shared: u64 = self.parts[..shared].iter().map(|part| u64::from(part.tokens)).sum();
-        u64::from(self.input).saturating_sub(shared)
+        u64::from(self.input).saturating_sub(self.shared_tokens())
     }
 }
 
