--- a/crates/core/src/relay/machine/intake.rs
+++ b/crates/core/src/relay/machine/intake.rs
@@ -25,8 +25,9 @@
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(2);
 /// How steeply the share that is taken in falls, once for each rank of urgency
 /// and once more: with three times the load for 24 s, half of the callers coming
-/// back at once, 2 was better than 1 for what callers got of all kinds of
-/// request, and neither changed anything on days with short bursts.
+/// back at once, 2 gave callers more in all than 1 (the most urgent kind 506 and
+/// 453 answers in good time instead of 470 and 426, the second 333 and 303 instead
+/// of 350 and 318), and nothing that shows on days with short bursts.
 const STEEPNESS: i32 = 2;
 
 /// How long the stages that a service makes took lately, from their start until
--- a/crates/core/src/relay/reading.rs
+++ b/crates/core/src/relay/reading.rs
@@ -21,8 +21,9 @@
 /// speed: most calls also wait for others.
 const SPEED_QUANTILE: f64 = 0.1;
 /// The quantile of what comes on top that a plan reckons with. A stage planned
-/// by the median is too late for every second request. Of six days with bursts
-/// and faults 0.9 was better than 0.75 and than a fixed 120 ms.
+/// by the median is too late for every second request. On six days with bursts
+/// and faults 0.9 was better than a fixed 120 ms; from 0.75 it did not differ by
+/// more than the error.
 const REST_QUANTILE: f64 = 0.9;
 
 /// How fast the engines of a service read prompts.
