Log and count what tables weigh on their way between instances

The record of the incident shows instances that stay on an old configuration while their inbound link is full (1.1 to 1.2 MB/s of 1.25) and each exchange fails after 1.5 s. Whether they drown in copies of the configuration, or take in none of those that come, no line or counter could tell: sizes, who was asked for what, how long it took and how many exchanges were open at once were not written anywhere, and a failed exchange was logged on debug only.

Added: tables_heard, tables_told, store_read for 64 KiB and more, gossip_failed and store_failed with what was asked from, time and open exchanges; counters of bytes told, heard and read; a gauge of open exchanges. No logic is changed.

Ruled out by the record already: the store turning instances away (it answered each call it saw) and the processor (0 to 2 % there).

--- a/crates/core/src/relay/table.rs
+++ b/crates/core/src/relay/table.rs
@@ -21,6 +21,13 @@
     pub value: Option<Bytes>,
 }
 
+impl Record {
+    /// How many bytes its key and value have.
+    pub fn bytes(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, Bytes::len)
+    }
+}
+
 /// What one copy of a table tells another.
 #[data]
 pub struct Delta {
@@ -35,6 +42,13 @@
     pub records: Vec<Record>,
 }
 
+impl Delta {
+    /// How many bytes its keys and values have.
+    pub fn bytes(&self) -> usize {
+        self.records.iter().map(Record::bytes).sum()
+    }
+}
+
 /// A copy of a table.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -88,6 +88,7 @@
             tokio::time::sleep(LOOK_PAUSE).await;
             continue;
         }
+        let asked = driver.now();
         match step(&driver, name).await {
             Ok(()) => {
                 if failures > 0 {
@@ -100,8 +101,13 @@
             }
             Err(error) => {
                 driver.metrics.count("relay.store_failed", 1);
-                if failures == 0 {
-                    tracing::warn!(event = "store_lost", table = name.name(), error = %error);
+                let took_ms = driver.now().saturating_sub(asked).as_millis() as u64;
+                let table = name.name();
+                match failures {
+                    0 => tracing::warn!(event = "store_lost", table, took_ms, error = %error),
+                    _ => {
+                        tracing::info!(event = "store_failed", table, failures, took_ms, error = %error)
+                    }
                 }
                 failures += 1;
                 let pause = FIRST_PAUSE * 2_u32.saturating_pow(failures.min(8) - 1);
@@ -139,6 +145,7 @@
     let read = (driver.surroundings.store.read)(name, end, wait);
     match limited(wait, read).await? {
         Read::Records { records, end } => {
+            note_read(driver, name, &records, asked);
             let copy = driver.peers.tables.copy(name);
             let changed = copy.borrow_mut().follow(records, end);
             driver.peers.tables.compare(name, asked);
@@ -165,6 +172,7 @@
             break;
         }
     }
+    note_read(driver, name, &records, asked);
     let copy = driver.peers.tables.copy(name);
     let changed = copy.borrow_mut().replace(records, end.unwrap_or_default());
     driver.peers.tables.compare(name, asked);
@@ -172,6 +180,16 @@
     Ok(())
 }
 
+/// Counts what the store sent, and logs it if that was much.
+fn note_read(driver: &Driver, name: TableName, records: &[Record], asked: Duration) {
+    let bytes = records.iter().map(Record::bytes).sum::<usize>() as u64;
+    driver.metrics.count("relay.store_bytes", bytes);
+    if bytes >= peers::NOTABLE {
+        let took_ms = driver.now().saturating_sub(asked).as_millis() as u64;
+        tracing::info!(event = "store_read", table = name.name(), bytes, took_ms);
+    }
+}
+
 async fn limited<T>(wait: Duration, call: StoreCall<T>) -> Result<T, StoreError> {
     match tokio::time::timeout(wait + CALL_TIMEOUT, call).await {
         Ok(result) => result,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -30,7 +30,7 @@
     relay::{
         model::{ExchangeKey, Handle, HandoverKey, Peer, Piece, PieceResult, Placement, Question},
         readers,
-        table::Record,
+        table::{Delta, Record},
     },
 };
 use peatdeck_macros::message;
@@ -59,6 +59,9 @@
 const TICK: Duration = Duration::from_millis(400);
 /// A peer whose counter has not risen for this long is taken for dead.
 const DEAD_AFTER: Duration = Duration::from_millis(2400);
+/// Bytes of tables in one message that are worth a log line: the directory's
+/// changes of a few seconds are less, a large configuration is more.
+pub const NOTABLE: u64 = 64 << 10;
 /// Pause before this instance's record is written again after a failure.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(600);
 
@@ -92,6 +95,8 @@
     next_ticket: Cell<u64>,
     /// Names of the peers that may batch pieces, sorted.
     usable: RefCell<Vec<InstanceName>>,
+    /// Exchanges of gossip that have no answer yet.
+    open: Cell<u64>,
 }
 
 impl Peers {
@@ -116,6 +121,7 @@
             tickets: RefCell::default(),
             next_ticket: Cell::new(0),
             usable: RefCell::default(),
+            open: Cell::new(0),
         }
     }
 
@@ -377,8 +383,20 @@
         Ok((reply, deltas.collect::<Result<Vec<_>, _>>()?, age))
     };
     driver.metrics.count("relay.gossip", 1);
-    match driver.peers.links.exchange(&addr, GOSSIP_TIMEOUT, exchange).await {
+    let open = &driver.peers.open;
+    open.set(open.get() + 1);
+    driver.metrics.gauge("relay.exchanges_open", open.get());
+    let result = driver.peers.links.exchange(&addr, GOSSIP_TIMEOUT, exchange).await;
+    open.set(open.get() - 1);
+    let took_ms = driver.now().saturating_sub(asked_at).as_millis() as u64;
+    match result {
         Ok((reply, deltas, age)) => {
+            let bytes = deltas.iter().map(Delta::bytes).sum::<usize>() as u64;
+            driver.metrics.count("relay.heard_bytes", bytes);
+            if bytes >= NOTABLE {
+                let (peer, open) = (&*to, open.get());
+                tracing::info!(event = "tables_heard", peer, asked = ?asked, bytes, took_ms, open);
+            }
             follow::merge(&driver, &to, deltas, asked_at.checked_sub(age));
             if let Some(reply) = reply {
                 let local = local(&driver);
@@ -387,7 +405,8 @@
         }
         Err(error) => {
             driver.metrics.count("relay.gossip_failed", 1);
-            tracing::debug!(event = "gossip_failed", peer = &*to, error = %error);
+            let (peer, open) = (&*to, open.get());
+            tracing::info!(event = "gossip_failed", peer, asked = ?asked, took_ms, open, error = %error);
             driver.peers.members.borrow_mut().failed(driver.now(), &to);
         }
     }
--- a/crates/relay/src/peers/service.rs
+++ b/crates/relay/src/peers/service.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use futures::channel::oneshot;
+use peatdeck_core::relay::table::Delta;
 use peatdeck_wire::{link, peer as peer_wire, relay as wire, relay_capnp::relay};
 use tokio::net::TcpListener;
 
@@ -50,6 +51,11 @@
         let age = driver.peers.tables.age(driver.now()).unwrap_or(Duration::MAX);
         results.get().set_age_ms(u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
         let deltas = driver.peers.tables.since(&asked);
+        let bytes = deltas.iter().map(Delta::bytes).sum::<usize>() as u64;
+        driver.metrics.count("relay.told_bytes", bytes);
+        if bytes >= peers::NOTABLE {
+            tracing::info!(event = "tables_told", peer = &*message.from, asked = ?asked, bytes);
+        }
         let mut list = results.get().init_tables(deltas.len() as u32);
         for (idx, delta) in (0..).zip(&deltas) {
             wire::write_delta(delta, list.reborrow().get(idx));
