Tests that fail: a large configuration behind a narrow link, a slow answer of the store

The incident's fault without its platform: five instances behind one link that needs 1.2 s for the configuration; the store turns three of them away. The second test is the same cause at the store: a call is cut 1.5 s after its wait, whole or not, and asked again.

The stand-ins gain a builder for instances, a narrow link and a store whose answers take their time.

--- /dev/null
+++ b/crates/relay/tests/relay/link.rs
@@ -0,0 +1,85 @@
+//! A narrow network link in front of instances.
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Bytes that go through at once. Connections take turns with them.
+const PACKET: usize = 4 << 10;
+
+/// A link that carries so many bytes a second, all connections together, from
+/// those who listen to those who opened the connections; the other way it does
+/// not limit. Clones share it.
+#[derive(Clone)]
+pub struct SlowLink {
+    rate: f64,
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    free_at: Instant,
+    carried: usize,
+}
+
+impl SlowLink {
+    /// A link that carries so many bytes a second.
+    pub fn new(rate: u32) -> SlowLink {
+        let state = State { free_at: Instant::now(), carried: 0 };
+        SlowLink { rate: f64::from(rate), state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// An address that leads to `target` over the link.
+    pub fn to(&self, target: SocketAddr) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let link = self.clone();
+        thread::spawn(move || {
+            for near in listener.incoming() {
+                let (near, far) = (near.unwrap(), TcpStream::connect(target));
+                // A target that has ended is seen as a closed connection.
+                let Ok(far) = far else { continue };
+                let (to, from) = (far.try_clone().unwrap(), near.try_clone().unwrap());
+                thread::spawn(move || copy(from, to, |_| {}));
+                let link = link.clone();
+                thread::spawn(move || copy(far, near, |len| link.carry(len)));
+            }
+        });
+        addr
+    }
+
+    /// The bytes that it has carried.
+    pub fn carried(&self) -> usize {
+        self.state.lock().unwrap().carried
+    }
+
+    /// Waits until so many bytes have gone through.
+    fn carry(&self, len: usize) {
+        let mut state = self.state.lock().unwrap();
+        let now = Instant::now();
+        state.carried += len;
+        state.free_at = state.free_at.max(now) + Duration::from_secs_f64(len as f64 / self.rate);
+        let pause = state.free_at - now;
+        drop(state);
+        thread::sleep(pause);
+    }
+}
+
+fn copy(mut from: TcpStream, mut to: TcpStream, carry: impl Fn(usize)) {
+    let mut packet = [0; PACKET];
+    while let Ok(len) = from.read(&mut packet) {
+        if len == 0 {
+            break;
+        }
+        carry(len);
+        if to.write_all(&packet[..len]).is_err() {
+            break;
+        }
+    }
+    // Whoever still waits on either side learns that it is over.
+    from.shutdown(Shutdown::Both).ok();
+    to.shutdown(Shutdown::Both).ok();
+}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -3,7 +3,9 @@
 #![allow(clippy::unwrap_used)]
 
 mod bodies;
+mod catch_up;
 mod headers;
+mod link;
 mod pages;
 mod peers;
 mod policy;
--- a/crates/relay/tests/relay/policy.rs
+++ b/crates/relay/tests/relay/policy.rs
@@ -53,7 +53,7 @@
     store.put(TableName::Config, "config", b"1".to_vec());
     store.enlist("desk", "desk", desk.addr);
     let file = File::new("reload", "fn admit(ctx) { true }");
-    let relay = Relay::start_with("own", &store, &[], Some(file.path.clone()));
+    let relay = Relay::with("own", &store).policy(file.path.clone()).start();
     relay.wait_ready();
     assert_eq!(ask(relay.front, "/once/x", "").status, 200);
 
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -28,6 +28,8 @@
     surroundings::{self, Page, Store, StoreError, Surroundings, TableName},
 };
 
+use crate::link::SlowLink;
+
 /// Whatever a test waits for comes within this time, or never.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -42,6 +44,7 @@
     tables: HashMap<TableName, Vec<Record>>,
     expired: HashMap<TableName, u64>,
     is_dark: bool,
+    delay: Duration,
 }
 
 impl MemoryStore {
@@ -63,6 +66,15 @@
         self.inner.lock().unwrap().is_dark = is_dark;
     }
 
+    /// How long each of its answers is on the way.
+    pub fn set_delay(&self, delay: Duration) {
+        self.inner.lock().unwrap().delay = delay;
+    }
+
+    fn delay(&self) -> Duration {
+        self.inner.lock().unwrap().delay
+    }
+
     fn newest(&self, table: TableName) -> Result<Page, StoreError> {
         let inner = self.inner.lock().unwrap();
         if inner.is_dark {
@@ -95,8 +107,11 @@
         let (newest, read, announce) = (self.clone(), self.clone(), self.clone());
         Store {
             newest: Rc::new(move |table, _| {
-                let page = newest.newest(table);
-                Box::pin(async move { page })
+                let (page, delay) = (newest.newest(table), newest.delay());
+                Box::pin(async move {
+                    tokio::time::sleep(delay).await;
+                    page
+                })
             }),
             read: Rc::new(move |table, from, wait| {
                 let store = read.clone();
@@ -107,7 +122,9 @@
                     {
                         tokio::time::sleep(wait).await;
                     }
-                    store.read(table, from)
+                    let read = store.read(table, from);
+                    tokio::time::sleep(store.delay()).await;
+                    read
                 })
             }),
             announce: Rc::new(move |key, value| {
@@ -124,11 +141,12 @@
     }
 }
 
-/// A configuration, as the store holds it: a version and the routes' timeout.
+/// A configuration, as the store holds it: a version, and blanks before it
+/// that make it large.
 fn read_config(record: &Record) -> Result<Option<Config>, String> {
     let Some(value) = &record.value else { return Ok(None) };
     let text = std::str::from_utf8(value).map_err(|error| error.to_string())?;
-    let version = text.parse().map_err(|_| format!("`{text}` is no version"))?;
+    let version = text.trim_start().parse().map_err(|_| format!("`{text}` is no version"))?;
     Ok(Some(config(version)))
 }
 
@@ -206,34 +224,54 @@
     thread: Option<thread::JoinHandle<()>>,
 }
 
-impl Relay {
-    pub fn start(name: &str, store: &MemoryStore, seeds: &[SocketAddr]) -> Relay {
-        Relay::start_with(name, store, seeds, None)
+/// How a relay instance is started.
+pub struct Starter {
+    name: Arc<str>,
+    store: MemoryStore,
+    seeds: Vec<SocketAddr>,
+    policy: Option<Arc<str>>,
+    strength: u32,
+    link: Option<SlowLink>,
+}
+
+impl Starter {
+    /// The addresses of peers that it is told of at its start.
+    pub fn seeds(self, seeds: &[SocketAddr]) -> Starter {
+        Starter { seeds: seeds.to_vec(), ..self }
+    }
+
+    /// The file of its policy.
+    pub fn policy(self, policy: Arc<str>) -> Starter {
+        Starter { policy: Some(policy), ..self }
+    }
+
+    /// Its processor's share, in thousandths of a core.
+    pub fn strength(self, strength: u32) -> Starter {
+        Starter { strength, ..self }
     }
 
-    /// The same under the policy of a file.
-    pub fn start_with(
-        name: &str,
-        store: &MemoryStore,
-        seeds: &[SocketAddr],
-        policy: Option<Arc<str>>,
-    ) -> Relay {
+    /// Has its peers reach it over a link.
+    pub fn behind(self, link: &SlowLink) -> Starter {
+        Starter { link: Some(link.clone()), ..self }
+    }
+
+    pub fn start(self) -> Relay {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut settings = Settings {
-            name: Arc::from(name),
+            name: self.name,
             incarnation: Incarnation(1),
             data_centre: Arc::from("east"),
             front: any,
             ready: any,
             metrics: any,
             peers: any,
-            seeds: seeds.iter().map(|seed| Arc::from(seed.to_string())).collect(),
+            seeds: self.seeds.iter().map(|seed| Arc::from(seed.to_string())).collect(),
             bound: Bound { ratio: 0.2, slack: 1000.0, window: Duration::from_secs(10) },
             instances: 1,
             grace: Duration::from_secs(60),
             body_memory: 1 << 24,
-            strength: 250,
-            policy,
+            strength: self.strength,
+            policy: self.policy,
             connections: 200,
         };
         let listeners = Listeners::bind(&settings).unwrap();
@@ -241,9 +279,12 @@
         settings.ready = listeners.ready.local_addr().unwrap();
         settings.metrics = listeners.metrics.local_addr().unwrap();
         settings.peers = listeners.peers.local_addr().unwrap();
+        if let Some(link) = &self.link {
+            settings.peers = link.to(settings.peers);
+        }
         let Settings { front, ready, metrics, peers, .. } = settings.clone();
         let (told, signals) = unbounded();
-        let store = store.clone();
+        let store = self.store;
         let thread = thread::spawn(move || {
             let surroundings = move |_pool| Surroundings {
                 dialect: native::dialect(),
@@ -257,6 +298,24 @@
         });
         Relay { front, ready, metrics, peers, told, thread: Some(thread) }
     }
+}
+
+impl Relay {
+    pub fn start(name: &str, store: &MemoryStore, seeds: &[SocketAddr]) -> Relay {
+        Relay::with(name, store).seeds(seeds).start()
+    }
+
+    /// One that is started once all is said of it.
+    pub fn with(name: &str, store: &MemoryStore) -> Starter {
+        Starter {
+            name: Arc::from(name),
+            store: store.clone(),
+            seeds: Vec::new(),
+            policy: None,
+            strength: 250,
+            link: None,
+        }
+    }
 
     pub fn tell(&self, told: Told) {
         self.told.unbounded_send(told).unwrap();
--- a/crates/relay/tests/relay/store.rs
+++ b/crates/relay/tests/relay/store.rs
@@ -1,5 +1,7 @@
 //! A store that is dark, forgets, or is scarce.
 
+use std::time::Duration;
+
 use peatdeck_relay::surroundings::TableName;
 
 use crate::standins::{Desk, MemoryStore, Relay, Site, ask, wait_for};
@@ -46,3 +48,14 @@
     wait_for("it was noticed", || unreadable() == 1);
     assert_eq!(site.ask("/since-1/x").status, 200);
 }
+
+/// A large answer takes its time on a narrow link. Whether it still comes is
+/// seen by whoever reads it, so no limit on the whole call cuts it off: it
+/// would only be asked for again.
+#[test]
+fn an_answer_of_the_store_that_takes_long_is_waited_for() {
+    let site = Site::start(&[Desk::answering("x")]);
+    site.store.set_delay(Duration::from_millis(2500));
+    site.store.put(TableName::Config, "config", b"2".to_vec());
+    wait_for("version 2 is in force", || site.ask("/since-2/x").status == 200);
+}
