--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -26,13 +26,15 @@
 //! - Timers of an instance that was paused all fire at once, late.
 //!
 //! Map: [`model`] and [`config`] are the data; [`table`] the copy of what the
-//! platform keeps, [`readers`] who reads it; [`directory`] the endpoints; [`allowance`] the budget for
-//! repetition; [`graph`] one exchange's stages; [`batch`] pieces of all
+//! platform keeps, [`catch_up`] how it learns from other instances' copies,
+//! [`readers`] who reads it at the platform; [`directory`] the endpoints;
+//! [`allowance`] the budget for repetition; [`graph`] one exchange's stages; [`batch`] pieces of all
 //! exchanges; [`choice`] where a call goes; [`events`] server-sent events cut
 //! into whole ones; `machine` puts it together, `exchange` is its state.
 
 pub mod allowance;
 pub mod batch;
+pub mod catch_up;
 pub mod choice;
 pub mod config;
 pub mod directory;
--- /dev/null
+++ b/crates/core/src/relay/catch_up.rs
@@ -0,0 +1,137 @@
+//! How a copy of a table learns from other copies what it lacks.
+//!
+//! The asker asks for one bounded portion at a time, from one copy after the
+//! other, and loses nothing that has come: records are taken in as they come,
+//! and what has come of a large record is kept, whoever sent it, since a record
+//! never changes. So a copy of any size gets through a link of any width, and
+//! an instance never has more on the way to it than one portion. Answers that
+//! hold everything at once, each under a time limit of its own, would compete
+//! for a narrow link until none of them is whole in time.
+
+use std::{collections::HashMap, sync::Arc};
+
+use bytes::BytesMut;
+
+use crate::relay::table::{Ask, Begun, Portion, Record, Slice, Table};
+
+/// What a copy has learned but cannot use yet.
+#[derive(Debug, Default)]
+pub struct CatchUp {
+    listing: Option<Listing>,
+    growing: Option<Growing>,
+}
+
+/// The newest records of all keys, as far as they have come.
+#[derive(Debug)]
+struct Listing {
+    /// The base of the copies that tell it. Copies with the same base agree on
+    /// what was removed before, so one can go on where another one ended.
+    base: u64,
+    next: u64,
+    records: HashMap<Arc<str>, Record>,
+}
+
+/// A record of which a part has come.
+#[derive(Debug)]
+struct Growing {
+    key: Arc<str>,
+    offset: u64,
+    value: BytesMut,
+}
+
+/// What a portion brought.
+#[derive(Debug, Default)]
+pub struct Learned {
+    /// The records that changed something.
+    pub changed: Vec<Record>,
+    /// Whether there is more to ask for at once.
+    pub has_more: bool,
+    /// Whether the copy has now all that the teller has.
+    pub is_level: bool,
+}
+
+/// What became of a large record.
+enum Grown {
+    Whole(Record),
+    Part,
+    /// It begins elsewhere than where the part before it ended.
+    Astray,
+}
+
+impl CatchUp {
+    /// What to ask for next.
+    pub fn ask(&self, table: &Table) -> Ask {
+        let listing = self.listing.as_ref();
+        let from = listing.map_or(table.end(), |listing| listing.next);
+        let growing = self.growing.as_ref().filter(|growing| growing.offset >= from);
+        let begun = growing.map(Growing::begun);
+        Ask { from, listing: listing.map(|listing| listing.base), begun }
+    }
+
+    /// Takes in what another copy told. Nothing is taken in that leaves a gap.
+    pub fn take(&mut self, table: &mut Table, mut portion: Portion) -> Learned {
+        match portion.slice.take().map(|slice| self.grow(slice)) {
+            Some(Grown::Astray) => return Learned { has_more: true, ..Learned::default() },
+            Some(Grown::Whole(record)) => portion.records.push(record),
+            Some(Grown::Part) | None => {}
+        }
+        if portion.is_listing { self.list(table, portion) } else { self.follow(table, portion) }
+    }
+
+    fn grow(&mut self, slice: Slice) -> Grown {
+        let is_same = |growing: &Growing| growing.offset == slice.offset;
+        let mut growing = match self.growing.take().filter(is_same) {
+            Some(growing) => growing,
+            None => Growing { key: slice.key, offset: slice.offset, value: BytesMut::new() },
+        };
+        if slice.at != growing.value.len() as u64 {
+            return Grown::Astray;
+        }
+        growing.value.extend_from_slice(&slice.bytes);
+        if (growing.value.len() as u64) < slice.size {
+            self.growing = Some(growing);
+            return Grown::Part;
+        }
+        let Growing { key, offset, value } = growing;
+        Grown::Whole(Record { key, offset, value: Some(value.freeze()) })
+    }
+
+    fn follow(&mut self, table: &mut Table, portion: Portion) -> Learned {
+        self.listing = None;
+        if !table.is_known() || portion.from > table.end() {
+            return Learned::default();
+        }
+        let changed = table.follow(portion.records, portion.end);
+        Learned { changed, has_more: portion.has_more, is_level: !portion.has_more }
+    }
+
+    fn list(&mut self, table: &mut Table, portion: Portion) -> Learned {
+        let Portion { base, from, end, has_more, records, .. } = portion;
+        let goes_on = |listing: &Listing| listing.base == base && listing.next == from;
+        let mut listing = match self.listing.take().filter(goes_on) {
+            Some(listing) => listing,
+            None if from == 0 => Listing { base, next: 0, records: HashMap::new() },
+            // What came before it is not here any more: the listing begins anew.
+            None => return Learned { has_more: true, ..Learned::default() },
+        };
+        listing.records.extend(records.into_iter().map(|record| (record.key.clone(), record)));
+        listing.next = end;
+        if has_more {
+            self.listing = Some(listing);
+            return Learned { has_more, ..Learned::default() };
+        }
+        if table.is_known() && end <= table.end() {
+            // Overtaken: keys may be in it whose removal the copy has never
+            // seen, since it was read whole after that.
+            return Learned::default();
+        }
+        let changed = table.replace(listing.records.into_values().collect(), end);
+        Learned { changed, has_more, is_level: true }
+    }
+}
+
+impl Growing {
+    fn begun(&self) -> Begun {
+        Begun { offset: self.offset, len: self.value.len() as u64 }
+    }
+}
--- a/crates/core/src/relay/table.rs
+++ b/crates/core/src/relay/table.rs
@@ -3,13 +3,24 @@
 //! The newest record of a key counts. Records come from the platform or from
 //! a peer that read them there; either way they carry the offset that the
 //! platform gave them, so an older one never replaces a newer one, and what
-//! arrives twice changes nothing.
+//! arrives twice changes nothing. What one copy tells another is bounded: the
+//! other asks for one [`Portion`] after the other ([`super::catch_up`]).
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+};
 
 use bytes::Bytes;
 use peatdeck_macros::data;
 
+/// A record of so many bytes may need several portions, so it is kept for a
+/// while after it was replaced.
+const LARGE: usize = 16 << 10;
+/// Large records that are kept after they were replaced: as many changes may
+/// come while one of them is told. At a megabyte each they need little memory.
+const KEPT: usize = 4;
+
 /// One record of a table.
 #[data]
 pub struct Record {
@@ -28,24 +39,68 @@
     }
 }
 
-/// What one copy of a table tells another.
+/// What a copy asks of another one.
+#[data]
+pub struct Ask {
+    /// The end of the asker's copy; within a listing, how far that has got.
+    pub from: u64,
+    /// The base of the listing that goes on; `None` outside of one.
+    pub listing: Option<u64>,
+    /// The record of which a part has come already.
+    pub begun: Option<Begun>,
+}
+
+/// How much of a record has come.
+#[data]
+#[derive(Copy)]
+pub struct Begun {
+    /// The record's place in the log.
+    pub offset: u64,
+    /// Bytes of its value that have come.
+    pub len: u64,
+}
+
+/// What one copy tells another at once.
 #[data]
-pub struct Delta {
-    /// The end of the asker's copy.
+#[derive(Default)]
+pub struct Portion {
+    /// From this offset on the teller knows every change.
+    pub base: u64,
+    /// The offset from which it tells.
     pub from: u64,
-    /// The end of the copy that tells; 0 if it has nothing to tell.
+    /// Nothing that lies before this offset is missing then.
     pub end: u64,
-    /// Whether these are the newest records of all keys, not only those behind
-    /// `from`.
-    pub is_whole: bool,
-    /// The records.
+    /// Whether it goes through the newest records of all keys, because of what
+    /// was removed before its base it knows nothing.
+    pub is_listing: bool,
+    /// Whether there is more to ask for.
+    pub has_more: bool,
+    /// Whole records.
     pub records: Vec<Record>,
+    /// A slice of the record behind them.
+    pub slice: Option<Slice>,
 }
 
-impl Delta {
+/// A slice of a record that is too large for one portion.
+#[data]
+pub struct Slice {
+    /// The record's key.
+    pub key: Arc<str>,
+    /// Its place in the log.
+    pub offset: u64,
+    /// Bytes of its value before this slice.
+    pub at: u64,
+    /// Bytes of its whole value.
+    pub size: u64,
+    /// The bytes.
+    pub bytes: Bytes,
+}
+
+impl Portion {
     /// How many bytes its keys and values have.
     pub fn bytes(&self) -> usize {
-        self.records.iter().map(Record::bytes).sum()
+        let slice = self.slice.as_ref().map_or(0, |slice| slice.bytes.len());
+        slice + self.records.iter().map(Record::bytes).sum::<usize>()
     }
 }
 
@@ -58,6 +113,8 @@
     base: u64,
     end: u64,
     is_known: bool,
+    /// Large records that were replaced lately, oldest first.
+    replaced: VecDeque<Record>,
 }
 
 impl Table {
@@ -86,43 +143,85 @@
         let missing = self.missing(&records, end);
         let mut changed = self.follow(records, end);
         changed.extend(missing.into_iter().filter(|record| self.put(record)));
-        if !self.is_known {
-            self.base = end;
+        // Before this end it may have missed removals, or found them without
+        // their place in the log; so may what it learned up to its base.
+        if self.base > end {
+            self.end = end;
         }
+        self.base = end;
         self.is_known = true;
         changed
     }
 
-    /// What a copy lacks that ends at `from`. A copy that ends before this
-    /// one's base gets all records: of those that were removed in between this
-    /// one knows nothing, so the other has to find them missing.
-    pub fn delta(&self, from: u64) -> Delta {
-        if !self.is_known || self.end <= from {
-            return Delta { from, end: 0, is_whole: false, records: Vec::new() };
+    /// What another copy lacks, at most about `limit` bytes of it.
+    ///
+    /// A copy that ends before this one's base gets a listing: of what was
+    /// removed in between this one knows nothing, so the other has to find it
+    /// missing. A record of which a part was told is told to its end, also if
+    /// it was replaced meanwhile: were each change of it to begin it anew, an
+    /// asker behind a narrow link would never have a whole one.
+    pub fn tell(&self, ask: &Ask, limit: usize) -> Portion {
+        if !self.is_known {
+            return Portion::default();
+        }
+        let goes_on = ask.listing == Some(self.base);
+        let is_listing = goes_on || ask.from == 0 || ask.from < self.base;
+        let from = if is_listing && !goes_on { 0 } else { ask.from };
+        let portion = Portion { base: self.base, from, is_listing, ..Portion::default() };
+        let is_lacking = |record: &&Record| record.offset >= from && self.is_told(record);
+        let mut lacking: Vec<_> = self.records.values().filter(is_lacking).collect();
+        lacking.sort_unstable_by_key(|record| record.offset);
+        let next = lacking.first().map_or(u64::MAX, |record| record.offset);
+        let begun = ask.begun.filter(|begun| (from..=next).contains(&begun.offset));
+        match begun.and_then(|begun| self.begun(begun)) {
+            Some((record, at)) => self.tell_slice(portion, record, at, limit),
+            None => self.tell_records(portion, &lacking, limit),
         }
-        let is_whole = from < self.base;
-        let is_told = |record: &&Record| match is_whole {
-            true => record.value.is_some(),
-            false => record.offset >= from,
+    }
+
+    /// Removals before the base are not told: a listing lacks their keys.
+    fn is_told(&self, record: &Record) -> bool {
+        record.value.is_some() || record.offset >= self.base
+    }
+
+    /// The record of which another copy has a part, and where to go on. One
+    /// that was replaced will do if what replaced it is told as well.
+    fn begun(&self, begun: Begun) -> Option<(&Record, usize)> {
+        let at = usize::try_from(begun.len).ok()?;
+        let len = |record: &Record| record.value.as_ref().map_or(0, Bytes::len);
+        let mut held = self.records.values().chain(&self.replaced);
+        let record = held.find(|record| record.offset == begun.offset && at < len(record))?;
+        let newest = self.records.get(&record.key)?;
+        self.is_told(newest).then_some((record, at))
+    }
+
+    fn tell_slice(&self, portion: Portion, record: &Record, at: usize, limit: usize) -> Portion {
+        let value = record.value.clone().unwrap_or_default();
+        let until = value.len().min(at + limit);
+        let is_whole = until == value.len();
+        let end = if is_whole { record.offset + 1 } else { record.offset };
+        let slice = Slice {
+            key: record.key.clone(),
+            offset: record.offset,
+            at: at as u64,
+            size: value.len() as u64,
+            bytes: value.slice(at..until),
         };
-        let mut records: Vec<_> = self.records.values().filter(is_told).cloned().collect();
-        records.sort_unstable_by_key(|record| record.offset);
-        Delta { from, end: self.end, is_whole, records }
+        Portion { end, has_more: !is_whole || end < self.end, slice: Some(slice), ..portion }
     }
 
-    /// Takes in what another copy told. Nothing is taken in that is older than
-    /// this copy, or that leaves a gap. Returns what changed.
-    pub fn merge(&mut self, delta: Delta) -> Vec<Record> {
-        if delta.end <= self.end {
-            return Vec::new();
+    fn tell_records(&self, portion: Portion, lacking: &[&Record], limit: usize) -> Portion {
+        let mut bytes = 0;
+        let fitting = lacking.iter().take_while(|record| {
+            bytes += record.bytes();
+            bytes <= limit
+        });
+        let records: Vec<Record> = fitting.map(|record| (*record).clone()).collect();
+        match lacking.get(records.len()) {
+            None => Portion { end: self.end.max(portion.from), records, ..portion },
+            Some(next) if records.is_empty() => self.tell_slice(portion, next, 0, limit),
+            Some(next) => Portion { end: next.offset, has_more: true, records, ..portion },
         }
-        if delta.is_whole {
-            return self.replace(delta.records, delta.end);
-        }
-        if !self.is_known || delta.from > self.end {
-            return Vec::new();
-        }
-        self.follow(delta.records, delta.end)
     }
 
     fn missing(&self, records: &[Record], end: u64) -> Vec<Record> {
@@ -136,7 +235,12 @@
         if self.records.get(&record.key).is_some_and(|held| held.offset >= record.offset) {
             return false;
         }
-        self.records.insert(record.key.clone(), record.clone());
+        let before = self.records.insert(record.key.clone(), record.clone());
+        let is_large = |record: &Record| record.bytes() >= LARGE;
+        self.replaced.extend(before.filter(is_large));
+        if self.replaced.len() > KEPT {
+            self.replaced.pop_front();
+        }
         true
     }
 }
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -5,6 +5,7 @@
 mod allowance;
 mod batch;
 mod calls;
+mod catch_up;
 mod config;
 mod directory;
 mod events;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,7 +18,8 @@
 //! - [`dialect`]: names of the headers that endpoints and callers speak.
 //! - [`native`]: the product's own dialect.
 //! - [`surroundings`]: the platform, as functions.
-//! - [`follow`]: keeps the copies of the platform's tables up to date.
+//! - [`tables`]: the copies of the platform's tables.
+//! - [`follow`]: keeps them up to date from the platform's store.
 //! - [`peers`]: the other instances, over Cap'n Proto.
 //! - [`policy`]: the operators' policy, read from a file.
 //! - [`decisions`]: one log line a decision.
@@ -36,3 +37,4 @@
 pub mod server;
 pub mod settings;
 pub mod surroundings;
+pub mod tables;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,12 +1,14 @@
 //! The other instances, over Cap'n Proto.
 //!
-//! With every round an instance sends some peers its liveness counters and the
-//! ends of its copies of the platform's tables; each answers in kind, with the
-//! records that the asker lacks. So an instance that the platform's store
-//! turns away still learns what is in force. Pieces are handed to the peer
-//! that batches their service; a peer that stops answering gets them taken
-//! back. [`service`] is the other side: what peers ask of this instance.
-
+//! With every round an instance sends some peers its liveness counters; each
+//! answers in kind, and says how far its copies of the platform's tables are.
+//! What they hold is asked for apart from that ([`learn`]), so an instance that
+//! the platform's store turns away still learns what is in force. Pieces are
+//! handed to the peer that batches their service; a peer that stops answering
+//! gets them taken back. [`service`] is the other side: what peers ask of this
+//! instance.
+
+pub mod learn;
 mod service;
 
 pub use service::serve;
@@ -30,7 +32,7 @@
     relay::{
         model::{ExchangeKey, Handle, HandoverKey, Peer, Piece, PieceResult, Placement, Question},
         readers,
-        table::{Delta, Record},
+        table::Record,
     },
 };
 use peatdeck_macros::message;
@@ -39,10 +41,10 @@
     peer as peer_wire, relay as wire,
     relay_capnp::relay,
 };
-use rand::{Rng, seq::IndexedRandom};
+use rand::seq::IndexedRandom;
 use slotmap::SecondaryMap;
 
-use crate::{driver::Driver, follow, follow::Tables, settings::Settings};
+use crate::{driver::Driver, settings::Settings, tables::Tables};
 
 /// Time for one exchange of gossip, making the connection included.
 const GOSSIP_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -59,9 +61,6 @@
 const TICK: Duration = Duration::from_millis(400);
 /// A peer whose counter has not risen for this long is taken for dead.
 const DEAD_AFTER: Duration = Duration::from_millis(2400);
-/// Bytes of tables in one message that are worth a log line: the directory's
-/// changes of a few seconds are less, a large configuration is more.
-pub const NOTABLE: u64 = 64 << 10;
 /// Pause before this instance's record is written again after a failure.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(600);
 
@@ -87,6 +86,8 @@
 pub struct Peers {
     /// The copies of the platform's tables.
     pub tables: Tables,
+    /// How far learning them from peers is.
+    learning: learn::Learning,
     members: RefCell<Members>,
     listed: RefCell<HashMap<InstanceName, Listed>>,
     links: Links<relay::Client>,
@@ -114,6 +115,7 @@
         };
         Peers {
             tables: Tables::default(),
+            learning: learn::Learning::default(),
             members: RefCell::new(Members::new(identity, gossip, rand::random())),
             listed: RefCell::default(),
             links: Links::default(),
@@ -162,7 +164,8 @@
     }
 
     fn is_stale(&self, now: Duration) -> bool {
-        self.tables.age(now).is_none_or(|age| age > readers::STALE)
+        let is_old = self.tables.age(now).is_none_or(|age| age > readers::STALE);
+        is_old && !self.learning.is_underway(now)
     }
 
     /// The readers among the instances that are taken for alive.
@@ -325,39 +328,20 @@
     }
 }
 
-/// Asks readers for what is new, for as long as the process runs.
-pub async fn ask_readers(driver: Rc<Driver>) {
-    loop {
-        let pace = readers::PACE.mul_f64(rand::rng().random_range(0.9..1.1));
-        tokio::time::sleep(pace).await;
-        let now = driver.now();
-        let own = driver.settings.name.clone();
-        let readers = driver.peers.readers(now);
-        if readers.contains(&own) && !driver.peers.is_stale(now) {
-            continue;
-        }
-        let others: Vec<_> = readers.into_iter().filter(|name| *name != own).collect();
-        let Some(reader) = others.choose(&mut rand::rng()).cloned() else { continue };
-        let Some(addr) = driver.peers.members.borrow().addr(&reader) else { continue };
-        let message = greeting(&driver, false);
-        send(driver.clone(), Envelope { to: reader, addr, message }).await;
-    }
-}
-
 /// An instance that knows no peer asks one that it was told of at its start.
 fn ask_a_seed(driver: &Rc<Driver>) {
     let own = driver.settings.peers.to_string();
     let others: Vec<_> = driver.settings.seeds.iter().filter(|seed| ***seed != *own).collect();
     let Some(addr) = others.choose(&mut rand::rng()).map(|addr| Arc::clone(addr)) else { return };
-    let envelope = Envelope { to: Arc::from(""), addr, message: greeting(driver, true) };
+    let envelope = Envelope { to: Arc::from(""), addr, message: greeting(driver) };
     ntex::rt::spawn(send(driver.clone(), envelope));
 }
 
 /// A message that tells nothing but who asks.
-fn greeting(driver: &Driver, wants_reply: bool) -> Gossip {
+fn greeting(driver: &Driver) -> Gossip {
     Gossip {
         from: driver.settings.name.clone(),
-        wants_reply,
+        wants_reply: true,
         mark: local(driver).mark,
         snapshot: None,
         members: Vec::new(),
@@ -368,19 +352,17 @@
 
 async fn send(driver: Rc<Driver>, envelope: Envelope) {
     let Envelope { to, addr, message } = envelope;
-    let asked = driver.peers.tables.ends();
     let asked_at = driver.now();
     let exchange = async |client: relay::Client| {
         let mut request = client.gossip_request();
         peer_wire::write_gossip(&message, request.get().init_message())?;
-        write_marks(&asked, request.get().init_marks(asked.len() as u32));
         let response = request.send().promise.await?;
         let response = response.get()?;
         let reply = response.get_reply()?;
         let reply = if reply.has_from() { Some(peer_wire::read_gossip(reply)?) } else { None };
-        let deltas = response.get_tables()?.iter().map(wire::read_delta);
+        let ends: Vec<u64> = response.get_ends()?.iter().collect();
         let age = Duration::from_millis(u64::from(response.get_age_ms()));
-        Ok((reply, deltas.collect::<Result<Vec<_>, _>>()?, age))
+        Ok((reply, ends, age))
     };
     driver.metrics.count("relay.gossip", 1);
     let open = &driver.peers.open;
@@ -388,16 +370,9 @@
     driver.metrics.gauge("relay.exchanges_open", open.get());
     let result = driver.peers.links.exchange(&addr, GOSSIP_TIMEOUT, exchange).await;
     open.set(open.get() - 1);
-    let took_ms = driver.now().saturating_sub(asked_at).as_millis() as u64;
     match result {
-        Ok((reply, deltas, age)) => {
-            let bytes = deltas.iter().map(Delta::bytes).sum::<usize>() as u64;
-            driver.metrics.count("relay.heard_bytes", bytes);
-            if bytes >= NOTABLE {
-                let (peer, open) = (&*to, open.get());
-                tracing::info!(event = "tables_heard", peer, asked = ?asked, bytes, took_ms, open);
-            }
-            follow::merge(&driver, &to, deltas, asked_at.checked_sub(age));
+        Ok((reply, ends, age)) => {
+            learn::compare(&driver, &addr, &ends, asked_at.checked_sub(age));
             if let Some(reply) = reply {
                 let local = local(&driver);
                 driver.peers.members.borrow_mut().heard(driver.now(), &reply, &local);
@@ -405,8 +380,9 @@
         }
         Err(error) => {
             driver.metrics.count("relay.gossip_failed", 1);
+            let took_ms = driver.now().saturating_sub(asked_at).as_millis() as u64;
             let (peer, open) = (&*to, open.get());
-            tracing::info!(event = "gossip_failed", peer, asked = ?asked, took_ms, open, error = %error);
+            tracing::info!(event = "gossip_failed", peer, took_ms, open, error = %error);
             driver.peers.members.borrow_mut().failed(driver.now(), &to);
         }
     }
@@ -516,9 +492,3 @@
     let missing = names.iter().filter(|name| other.binary_search(name).is_err());
     missing.map(|name| &**name).collect::<Vec<_>>().join(" ")
 }
-
-fn write_marks(ends: &[u64], mut list: capnp::primitive_list::Builder<'_, u64>) {
-    for (idx, end) in (0..).zip(ends) {
-        list.set(idx, *end);
-    }
-}
--- /dev/null
+++ b/crates/relay/src/peers/learn.rs
@@ -0,0 +1,200 @@
+//! Learns from peers what the platform's tables hold.
+//!
+//! One question is open at a time, to one peer, and each answer is bounded
+//! ([`catch_up`](peatdeck_core::relay::catch_up)): whatever is lacking, no more
+//! than one answer is on its way to an instance. Were each exchange with any
+//! peer to bring all that is lacking, copies of one large configuration would
+//! fill a narrow link, none whole before its time limit, for ever.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use futures::future;
+use peatdeck_core::{
+    model::InstanceName,
+    relay::{readers, table::Portion},
+};
+use peatdeck_wire::{link::Error, relay as wire, relay_capnp::relay};
+use rand::{Rng, seq::IndexedRandom};
+use tokio::sync::Notify;
+
+use crate::{
+    driver::Driver,
+    surroundings::{TABLES, TableName},
+    tables::{self, NOTABLE},
+};
+
+/// Time for one portion of each table: on the narrowest link that is planned
+/// for it needs a tenth of that, whatever the tables hold.
+const LEARN_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// How far learning from peers is.
+#[derive(Debug, Default)]
+pub struct Learning {
+    /// A peer that said it is ahead.
+    ahead: RefCell<Option<Ahead>>,
+    wake: Notify,
+    /// When something came that is not yet all, from a peer that is up to date.
+    progressed: Cell<Option<Duration>>,
+}
+
+#[derive(Debug)]
+struct Ahead {
+    addr: Arc<str>,
+    ends: Vec<u64>,
+}
+
+/// Whom to ask.
+struct Teller {
+    /// Its name, if it is known.
+    name: Option<InstanceName>,
+    addr: Arc<str>,
+}
+
+impl Learning {
+    /// Whether a peer that is up to date is just telling what this instance
+    /// lacks. It need not ask the store for the same then.
+    pub fn is_underway(&self, now: Duration) -> bool {
+        self.progressed.get().is_some_and(|at| now.saturating_sub(at) <= readers::STALE)
+    }
+}
+
+/// Learns for as long as the process runs.
+pub async fn run(driver: Rc<Driver>) {
+    loop {
+        let pace = readers::PACE.mul_f64(rand::rng().random_range(0.9..1.1));
+        let woken = Box::pin(driver.peers.learning.wake.notified());
+        future::select(Box::pin(tokio::time::sleep(pace)), woken).await;
+        if let Some(reader) = reader(&driver) {
+            learn_from(&driver, &reader).await;
+        }
+        if let Some(ahead) = ahead(&driver) {
+            learn_from(&driver, &ahead).await;
+        }
+    }
+}
+
+/// Takes in how far a peer is, whose copies were compared with the store at
+/// that time.
+pub fn compare(driver: &Driver, addr: &Arc<str>, ends: &[u64], compared: Option<Duration>) {
+    let (tables, learning) = (&driver.peers.tables, &driver.peers.learning);
+    for (name, end) in TABLES.into_iter().zip(ends) {
+        let is_level = tables.state(name).1 >= *end;
+        if let Some(at) = compared.filter(|_| is_level) {
+            tables.compare(name, at);
+        }
+    }
+    if lacks_urgently(driver, ends) {
+        *learning.ahead.borrow_mut() = Some(Ahead { addr: addr.clone(), ends: ends.to_vec() });
+        learning.wake.notify_one();
+    }
+}
+
+/// Whether a peer whose copies have these ends should be asked at once. The
+/// directory changes all the time, so each peer is a little ahead or behind;
+/// readers are asked often enough for that.
+fn lacks_urgently(driver: &Driver, ends: &[u64]) -> bool {
+    let is_stale = driver.peers.is_stale(driver.now());
+    let mut pairs = TABLES.into_iter().zip(ends);
+    pairs.any(|(name, end)| {
+        let is_behind = driver.peers.tables.state(name).1 < *end;
+        is_behind && (is_stale || name == TableName::Config)
+    })
+}
+
+/// A reader to ask, unless this instance is one and reads the store.
+fn reader(driver: &Driver) -> Option<Teller> {
+    let now = driver.now();
+    let own = &driver.settings.name;
+    let readers = driver.peers.readers(now);
+    if readers.contains(own) && !driver.peers.is_stale(now) {
+        return None;
+    }
+    let others: Vec<_> = readers.into_iter().filter(|name| name != own).collect();
+    let name = others.choose(&mut rand::rng())?.clone();
+    let addr = driver.peers.members.borrow().addr(&name)?;
+    Some(Teller { name: Some(name), addr })
+}
+
+/// The peer that said it is ahead, if it still is.
+fn ahead(driver: &Driver) -> Option<Teller> {
+    let ahead = driver.peers.learning.ahead.borrow_mut().take()?;
+    lacks_urgently(driver, &ahead.ends).then_some(Teller { name: None, addr: ahead.addr })
+}
+
+/// Asks a peer until it has told all that it has.
+async fn learn_from(driver: &Rc<Driver>, teller: &Teller) {
+    let begun = driver.now();
+    let source = teller.name.as_deref().unwrap_or(&teller.addr);
+    let mut bytes = 0;
+    let result = loop {
+        match step(driver, teller, source).await {
+            Ok(Step { bytes: came, has_more }) => {
+                bytes += came;
+                if !has_more || came == 0 {
+                    break Ok(());
+                }
+            }
+            Err(error) => break Err(error),
+        }
+    };
+    let took_ms = driver.now().saturating_sub(begun).as_millis() as u64;
+    if bytes >= NOTABLE {
+        tracing::info!(event = "tables_heard", peer = source, bytes, took_ms);
+    }
+    if let Err(error) = result {
+        driver.metrics.count("relay.learn_failed", 1);
+        tracing::info!(event = "learn_failed", peer = source, bytes, took_ms, error = %error);
+        if let Some(name) = &teller.name {
+            driver.peers.members.borrow_mut().failed(driver.now(), name);
+        }
+    }
+}
+
+/// What one answer brought.
+struct Step {
+    bytes: u64,
+    has_more: bool,
+}
+
+async fn step(driver: &Rc<Driver>, teller: &Teller, source: &str) -> Result<Step, Error> {
+    let asked_at = driver.now();
+    let (portions, age) = ask(driver, &teller.addr).await?;
+    let bytes = portions.iter().map(Portion::bytes).sum::<usize>() as u64;
+    driver.metrics.count("relay.heard_bytes", bytes);
+    let (tables, mut has_more) = (&driver.peers.tables, false);
+    for (name, portion) in TABLES.into_iter().zip(portions) {
+        let learned = tables.learn(name, portion);
+        if let Some(at) = asked_at.checked_sub(age).filter(|_| learned.is_level) {
+            tables.compare(name, at);
+        }
+        has_more |= learned.has_more;
+        tables::apply(driver, name, source, learned.changed);
+    }
+    if has_more && age <= readers::STALE {
+        driver.peers.learning.progressed.set(Some(driver.now()));
+    }
+    Ok(Step { bytes, has_more })
+}
+
+/// One question, and its answer with the age of what is told.
+async fn ask(driver: &Driver, addr: &Arc<str>) -> Result<(Vec<Portion>, Duration), Error> {
+    let asks = driver.peers.tables.asks();
+    let exchange = async |client: relay::Client| {
+        let mut request = client.learn_request();
+        let mut list = request.get().init_asks(asks.len() as u32);
+        for (idx, ask) in (0..).zip(&asks) {
+            wire::write_ask(ask, list.reborrow().get(idx));
+        }
+        let response = request.send().promise.await?;
+        let response = response.get()?;
+        let portions = response.get_portions()?.iter().map(wire::read_portion);
+        let age = Duration::from_millis(u64::from(response.get_age_ms()));
+        Ok((portions.collect::<Result<_, _>>()?, age))
+    };
+    driver.peers.links.exchange(addr, LEARN_TIMEOUT, exchange).await
+}
--- a/crates/relay/src/peers/service.rs
+++ b/crates/relay/src/peers/service.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use futures::channel::oneshot;
-use peatdeck_core::relay::table::Delta;
+use peatdeck_core::relay::table::Portion;
 use peatdeck_wire::{link, peer as peer_wire, relay as wire, relay_capnp::relay};
 use tokio::net::TcpListener;
 
@@ -40,25 +40,35 @@
         mut results: relay::GossipResults,
     ) -> Result<(), capnp::Error> {
         let driver = &self.driver;
-        let params = params.get()?;
-        let message = peer_wire::read_gossip(params.get_message()?).map_err(failed)?;
-        let asked: Vec<u64> = params.get_marks()?.iter().collect();
+        let message = peer_wire::read_gossip(params.get()?.get_message()?).map_err(failed)?;
         let local = peers::local(driver);
         let reply = driver.peers.members.borrow_mut().heard(driver.now(), &message, &local);
         if let Some(reply) = reply {
             peer_wire::write_gossip(&reply.message, results.get().init_reply()).map_err(failed)?;
         }
-        let age = driver.peers.tables.age(driver.now()).unwrap_or(Duration::MAX);
-        results.get().set_age_ms(u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
-        let deltas = driver.peers.tables.since(&asked);
-        let bytes = deltas.iter().map(Delta::bytes).sum::<usize>() as u64;
-        driver.metrics.count("relay.told_bytes", bytes);
-        if bytes >= peers::NOTABLE {
-            tracing::info!(event = "tables_told", peer = &*message.from, asked = ?asked, bytes);
+        results.get().set_age_ms(age_ms(driver));
+        let ends = driver.peers.tables.ends();
+        let mut list = results.get().init_ends(ends.len() as u32);
+        for (idx, end) in (0..).zip(&ends) {
+            list.set(idx, *end);
         }
-        let mut list = results.get().init_tables(deltas.len() as u32);
-        for (idx, delta) in (0..).zip(&deltas) {
-            wire::write_delta(delta, list.reborrow().get(idx));
+        Ok(())
+    }
+
+    async fn learn(
+        self: Rc<Self>,
+        params: relay::LearnParams,
+        mut results: relay::LearnResults,
+    ) -> Result<(), capnp::Error> {
+        let driver = &self.driver;
+        let asks: Vec<_> = params.get()?.get_asks()?.iter().map(wire::read_ask).collect();
+        let portions = driver.peers.tables.tell(&asks);
+        let bytes = portions.iter().map(Portion::bytes).sum::<usize>() as u64;
+        driver.metrics.count("relay.told_bytes", bytes);
+        results.get().set_age_ms(age_ms(driver));
+        let mut list = results.get().init_portions(portions.len() as u32);
+        for (idx, portion) in (0..).zip(&portions) {
+            wire::write_portion(portion, list.reborrow().get(idx));
         }
         Ok(())
     }
@@ -140,6 +150,12 @@
     }
 }
 
+/// How long ago the tables were compared with the store.
+fn age_ms(driver: &Driver) -> u32 {
+    let age = driver.peers.tables.age(driver.now()).unwrap_or(Duration::MAX);
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn failed(error: impl ToString) -> capnp::Error {
     capnp::Error::failed(error.to_string())
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -14,10 +14,10 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::future::{AbortHandle, Abortable};
 use http::{HeaderMap, Request, Response, header};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use peatdeck_wire::socket;
@@ -34,6 +34,9 @@
 const LONGEST_IDLE: Duration = Duration::from_secs(600);
 /// A connection is not used any more so long before the peer closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// A store that lives and can be reached answers, or sends on, within this
+/// time: its answers take milliseconds, and fifty times as long when it is slow.
+const SILENCE: Duration = Duration::from_millis(1500);
 /// Idle connections to one address at the most.
 const MAX_IDLE: usize = 64;
 
@@ -48,6 +51,12 @@
         /// What the system said.
         cause: String,
     },
+    /// Nothing came for too long.
+    #[error("nothing came from {addr} for too long; check that it runs and can be reached")]
+    Silent {
+        /// The address.
+        addr: Arc<str>,
+    },
     /// The connection ended after bytes were sent.
     #[error("the connection to {addr} ended without a reply: {cause}; the request may have run")]
     Cut {
@@ -124,6 +133,32 @@
         *self.counts.borrow()
     }
 
+    /// Sends a request that may be waited for, and reads the whole reply.
+    ///
+    /// There is no limit on the whole: a large reply takes long on a narrow
+    /// link, and one that is cut off there is asked for again, beside whatever
+    /// is still on the way.
+    ///
+    /// # Errors
+    /// Any [`Error`]; [`Error::Silent`] if nothing comes any more.
+    pub async fn fetch(
+        &self,
+        addr: &Arc<str>,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        let sent = unless_silent(addr, wait + SILENCE, self.send(addr, request)).await?;
+        let (response, lease) = sent?;
+        let (parts, mut body) = response.into_parts();
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = unless_silent(addr, SILENCE, body.frame()).await? {
+            let frame = frame.map_err(|error| cut(addr, error))?;
+            bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
+        }
+        self.keep(lease);
+        Ok(Response::from_parts(parts, bytes.freeze()))
+    }
+
     /// Sends a request and waits for the head of its reply.
     ///
     /// # Errors
@@ -153,8 +188,7 @@
                 }
                 Err(mut error) => {
                     let Some(unused) = error.take_message() else {
-                        let cause = error.into_error().to_string();
-                        return Err(Error::Cut { addr: addr.clone(), cause });
+                        return Err(cut(addr, error.into_error()));
                     };
                     if is_fresh {
                         return Err(unsent(addr, error.into_error()));
@@ -242,6 +276,18 @@
     stated.map_or(DEFAULT_IDLE, |stated| stated.saturating_sub(IDLE_MARGIN).min(LONGEST_IDLE))
 }
 
+async fn unless_silent<T>(
+    addr: &Arc<str>,
+    limit: Duration,
+    next: impl Future<Output = T>,
+) -> Result<T, Error> {
+    tokio::time::timeout(limit, next).await.map_err(|_| Error::Silent { addr: addr.clone() })
+}
+
+fn cut(addr: &Arc<str>, cause: impl ToString) -> Error {
+    Error::Cut { addr: addr.clone(), cause: cause.to_string() }
+}
+
 fn unsent(addr: &Arc<str>, cause: impl ToString) -> Error {
     Error::Unsent { addr: addr.clone(), cause: cause.to_string() }
 }
--- a/crates/relay/src/surroundings.rs
+++ b/crates/relay/src/surroundings.rs
@@ -60,6 +60,8 @@
         records: Vec<Record>,
         /// The offset behind the last of them.
         end: u64,
+        /// Whether the log goes on behind it.
+        has_more: bool,
     },
     /// The asked offset is not kept any more.
     Expired,
@@ -82,7 +84,8 @@
     Malformed(String),
 }
 
-/// A store call under way.
+/// A store call under way. It ends by itself, with an error, when the store
+/// says nothing any more.
 pub type StoreCall<T> = LocalBoxFuture<'static, Result<T, StoreError>>;
 
 /// Reads the newest records of a table behind a key.
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -100,7 +100,7 @@
         let all = inner.tables.get(&table).cloned().unwrap_or_default();
         let end = all.len() as u64;
         let records = all.into_iter().filter(|record| record.offset >= from).collect();
-        Ok(surroundings::Read::Records { records, end })
+        Ok(surroundings::Read::Records { records, end, has_more: false })
     }
 
     fn client(&self) -> Store {
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -4,12 +4,12 @@
 using Peer = import "peer.capnp";
 
 interface Relay {
-  gossip @0 (message :Peer.Gossip, marks :List(UInt64))
-      -> (reply :Peer.Gossip, tables :List(Table), ageMs :UInt32);
-  # Exchanges what both sides know. `marks` are the ends of the asker's copies
-  # of the shared tables; the reply holds what it lacks of each. `ageMs` says
-  # how long ago the receiver's copies were compared with the platform's store,
-  # by itself or by whom it has them from.
+  gossip @0 (message :Peer.Gossip, unused1 :List(UInt64))
+      -> (reply :Peer.Gossip, unused1 :AnyPointer, ageMs :UInt32, ends :List(UInt64));
+  # Exchanges what both sides know of all instances. `ends` are the ends of the
+  # receiver's copies of the shared tables; `learn` asks for what they hold.
+  # `ageMs` says how long ago the receiver's copies were compared with the
+  # platform's store, by itself or by whom it has them from.
 
   make @1 (pieces :List(Piece)) -> (results :List(Result));
   # Has pieces made by the receiver's calls. Dropping the call takes back the
@@ -24,6 +24,10 @@
 
   place @4 (question :Question) -> (placement :Placement);
   # Asks which engine should read a prompt.
+
+  learn @5 (asks :List(Ask)) -> (portions :List(Portion), ageMs :UInt32);
+  # Asks for what the asker lacks of each shared table. An answer is bounded;
+  # for the rest the asker asks again. `ageMs` as in `gossip`.
 }
 
 struct Question {
@@ -58,13 +62,40 @@
   # How long it reads what it was given before.
 }
 
-struct Table {
+struct Ask {
   from @0 :UInt64;
-  # The end that the asker told; nothing between it and the records is missing.
-  end @1 :UInt64;
-  records @2 :List(Record);
-  isWhole @3 :Bool;
-  # Whether these are the newest records of all keys.
+  # The end of the asker's copy; within a listing, how far that has got.
+  isListing @1 :Bool;
+  # Whether a listing goes on.
+  base @2 :UInt64;
+  # The base of the listing that goes on.
+  isBegun @3 :Bool;
+  # Whether part of a record has come already.
+  begunOffset @4 :UInt64;
+  begunLen @5 :UInt64;
+}
+
+struct Portion {
+  base @0 :UInt64;
+  # From here on the teller knows every change.
+  from @1 :UInt64;
+  end @2 :UInt64;
+  # Nothing between these two is missing.
+  isListing @3 :Bool;
+  # Whether it goes through the newest records of all keys.
+  hasMore @4 :Bool;
+  records @5 :List(Record);
+  slice @6 :Slice;
+  # Of the record behind them; none where its size is 0.
+}
+
+struct Slice {
+  key @0 :Text;
+  offset @1 :UInt64;
+  at @2 :UInt64;
+  size @3 :UInt64;
+  # Bytes of the record's value before this slice, and of all of it.
+  bytes @4 :Data;
 }
 
 struct Record {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -8,18 +8,45 @@
 use bytes::Bytes;
 use peatdeck_core::relay::{
     model::{Handle, Part, Piece, PieceFailure, PieceResult, Placement, Prompt, Question},
-    table::{Delta, Record},
+    table::{Ask, Begun, Portion, Record, Slice},
 };
 
 use crate::{peer::Error, relay_capnp};
 
-/// Writes what a peer lacks of a table.
-pub fn write_delta(delta: &Delta, mut to: relay_capnp::table::Builder<'_>) {
-    to.set_from(delta.from);
-    to.set_end(delta.end);
-    to.set_is_whole(delta.is_whole);
-    let mut list = to.init_records(len(&delta.records));
-    for (idx, record) in (0..).zip(&delta.records) {
+/// Writes what is asked of a peer for a table.
+pub fn write_ask(ask: &Ask, mut to: relay_capnp::ask::Builder<'_>) {
+    to.set_from(ask.from);
+    to.set_is_listing(ask.listing.is_some());
+    to.set_base(ask.listing.unwrap_or_default());
+    if let Some(begun) = ask.begun {
+        to.set_is_begun(true);
+        to.set_begun_offset(begun.offset);
+        to.set_begun_len(begun.len);
+    }
+}
+
+/// Reads what a peer asks for.
+pub fn read_ask(from: relay_capnp::ask::Reader<'_>) -> Ask {
+    let begun = Begun { offset: from.get_begun_offset(), len: from.get_begun_len() };
+    Ask {
+        from: from.get_from(),
+        listing: from.get_is_listing().then_some(from.get_base()),
+        begun: from.get_is_begun().then_some(begun),
+    }
+}
+
+/// Writes what a peer is told of a table.
+pub fn write_portion(portion: &Portion, mut to: relay_capnp::portion::Builder<'_>) {
+    to.set_base(portion.base);
+    to.set_from(portion.from);
+    to.set_end(portion.end);
+    to.set_is_listing(portion.is_listing);
+    to.set_has_more(portion.has_more);
+    if let Some(slice) = &portion.slice {
+        write_slice(slice, to.reborrow().init_slice());
+    }
+    let mut list = to.init_records(len(&portion.records));
+    for (idx, record) in (0..).zip(&portion.records) {
         let mut to = list.reborrow().get(idx);
         to.set_key(&*record.key);
         to.set_offset(record.offset);
@@ -32,10 +59,17 @@
 ///
 /// # Errors
 /// Any [`Error`]: nothing of a damaged message is used.
-pub fn read_delta(from: relay_capnp::table::Reader<'_>) -> Result<Delta, Error> {
+pub fn read_portion(from: relay_capnp::portion::Reader<'_>) -> Result<Portion, Error> {
     let records = from.get_records()?.iter().map(read_record).collect::<Result<_, _>>()?;
-    let (start, end, is_whole) = (from.get_from(), from.get_end(), from.get_is_whole());
-    Ok(Delta { from: start, end, is_whole, records })
+    Ok(Portion {
+        base: from.get_base(),
+        from: from.get_from(),
+        end: from.get_end(),
+        is_listing: from.get_is_listing(),
+        has_more: from.get_has_more(),
+        records,
+        slice: read_slice(from.get_slice()?)?,
+    })
 }
 
 /// Writes pieces.
@@ -185,6 +219,25 @@
     })
 }
 
+fn write_slice(slice: &Slice, mut to: relay_capnp::slice::Builder<'_>) {
+    to.set_key(&*slice.key);
+    to.set_offset(slice.offset);
+    to.set_at(slice.at);
+    to.set_size(slice.size);
+    to.set_bytes(&slice.bytes);
+}
+
+fn read_slice(from: relay_capnp::slice::Reader<'_>) -> Result<Option<Slice>, Error> {
+    let slice = Slice {
+        key: text(from.get_key()?)?,
+        offset: from.get_offset(),
+        at: from.get_at(),
+        size: from.get_size(),
+        bytes: Bytes::copy_from_slice(from.get_bytes()?),
+    };
+    Ok((slice.size > 0).then_some(slice))
+}
+
 fn read_piece(now: Duration, from: relay_capnp::piece::Reader<'_>) -> Result<Piece, Error> {
     let inputs = from.get_inputs()?.iter().map(|input| text(input?));
     Ok(Piece {
--- a/crates/wire/src/relay_capnp.rs
+++ b/crates/wire/src/relay_capnp.rs
@@ -18,6 +18,8 @@
     pub type FreeResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::free_results::Owned>;
     pub type PlaceParams<> = ::capnp::capability::Params<crate::relay_capnp::relay::place_params::Owned>;
     pub type PlaceResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::place_results::Owned>;
+    pub type LearnParams<> = ::capnp::capability::Params<crate::relay_capnp::relay::learn_params::Owned>;
+    pub type LearnResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::learn_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -82,6 +84,9 @@
         pub fn place_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay::place_params::Owned,crate::relay_capnp::relay::place_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn learn_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay::learn_params::Owned,crate::relay_capnp::relay::learn_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn gossip(self: ::capnp::capability::Rc<Self>, _: GossipParams<>, _: GossipResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::gossip not implemented".to_string()))) }
@@ -89,6 +94,7 @@
         fn ping(self: ::capnp::capability::Rc<Self>, _: PingParams<>, _: PingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::ping not implemented".to_string()))) }
         fn free(self: ::capnp::capability::Rc<Self>, _: FreeParams<>, _: FreeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::free not implemented".to_string()))) }
         fn place(self: ::capnp::capability::Rc<Self>, _: PlaceParams<>, _: PlaceResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::place not implemented".to_string()))) }
+        fn learn(self: ::capnp::capability::Rc<Self>, _: LearnParams<>, _: LearnResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::learn not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -123,6 +129,7 @@
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::ping(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::free(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::place(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::learn(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -201,11 +208,11 @@
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_marks(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            pub fn get_unused1(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_marks(&self) -> bool {
+            pub fn has_unused1(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
         }
@@ -279,19 +286,19 @@
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_marks(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            pub fn get_unused1(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_marks(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            pub fn set_unused1(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
             }
             #[inline]
-            pub fn init_marks(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            pub fn init_unused1(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
             }
             #[inline]
-            pub fn has_marks(&self) -> bool {
+            pub fn has_unused1(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
         }
@@ -336,7 +343,7 @@
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
@@ -348,7 +355,7 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 97, 114, 107, 115, 0, 0, 0),
+                ::capnp::word(117, 110, 117, 115, 101, 100, 49, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -380,7 +387,7 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xf409_4410_ba1a_cdd5;
         }
     }
@@ -455,22 +462,30 @@
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_tables(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::table::Owned>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            pub fn get_unused1(self) -> ::capnp::any_pointer::Reader<'a> {
+                ::capnp::any_pointer::Reader::new(self.reader.get_pointer_field(1))
             }
             #[inline]
-            pub fn has_tables(&self) -> bool {
+            pub fn has_unused1(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
             #[inline]
             pub fn get_age_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(0)
             }
+            #[inline]
+            pub fn get_ends(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_ends(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -537,19 +552,17 @@
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_tables(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::table::Owned>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_tables(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::table::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            pub fn get_unused1(self) -> ::capnp::any_pointer::Builder<'a> {
+                ::capnp::any_pointer::Builder::new(self.builder.get_pointer_field(1))
             }
             #[inline]
-            pub fn init_tables(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::table::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            pub fn init_unused1(self, ) -> ::capnp::any_pointer::Builder<'a> {
+                let mut result = ::capnp::any_pointer::Builder::new(self.builder.get_pointer_field(1));
+                result.clear();
+                result
             }
             #[inline]
-            pub fn has_tables(&self) -> bool {
+            pub fn has_unused1(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
             #[inline]
@@ -560,6 +573,22 @@
             pub fn set_age_ms(&mut self, value: u32)  {
                 self.builder.set_data_field::<u32>(0, value);
             }
+            #[inline]
+            pub fn get_ends(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_ends(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            }
+            #[inline]
+            pub fn init_ends(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            }
+            #[inline]
+            pub fn has_ends(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -572,19 +601,22 @@
             pub fn get_reply(&self) -> crate::peer_capnp::gossip::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
+            pub fn get_unused1(&self) -> ::capnp::any_pointer::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 82] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(162, 103, 141, 96, 228, 174, 196, 165),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -592,28 +624,35 @@
                 ::capnp::word(121, 46, 103, 111, 115, 115, 105, 112),
                 ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(93, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(171, 26, 36, 128, 42, 156, 41, 169),
@@ -622,16 +661,12 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(116, 97, 98, 108, 101, 115, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 110, 117, 115, 101, 100, 49, 0),
+                ::capnp::word(18, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(98, 125, 2, 103, 167, 20, 69, 196),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(18, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
@@ -642,12 +677,25 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 110, 100, 115, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::gossip::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::struct_list::Owned<crate::relay_capnp::table::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::any_pointer::Owned as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -661,9 +709,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1];
             pub(crate) const TYPE_ID: u64 = 0xa5c4_aee4_608d_67a2;
         }
     }
@@ -2242,242 +2290,1227 @@
             pub(crate) const TYPE_ID: u64 = 0xbc5b_1dc1_b57b_ecde;
         }
     }
-}
-
-pub mod question {
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
 
-    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-    impl <> ::core::marker::Copy for Reader<'_,>  {}
-    impl <> ::core::clone::Clone for Reader<'_,>  {
-        fn clone(&self) -> Self { *self }
-    }
+    pub mod learn_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
 
-    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader,  }
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
         }
-    }
 
-    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-        fn from(reader: Reader<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
         }
-    }
-
-    impl <> ::core::fmt::Debug for Reader<'_,>  {
-        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
         }
-    }
 
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
         }
-    }
 
-    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-            self.reader
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
         }
-    }
 
-    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
         }
-    }
 
-    impl <'a,> Reader<'a,>  {
-        pub fn reborrow(&self) -> Reader<'_,> {
-            Self { .. *self }
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
         }
 
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.reader.total_size()
-        }
-        #[inline]
-        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_service(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
-        }
-        #[inline]
-        pub fn get_parts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::part::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_parts(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_input(self) -> u32 {
-            self.reader.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn get_output(self) -> u32 {
-            self.reader.get_data_field::<u32>(1)
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
         }
-        #[inline]
-        pub fn get_inputs(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::input::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_asks(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::ask::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_asks(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
-        #[inline]
-        pub fn has_inputs(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
-        #[inline]
-        pub fn get_avoided(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        #[inline]
-        pub fn has_avoided(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
         }
-    }
 
-    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
-    }
-    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-            Self { builder,  }
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
         }
-    }
 
-    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-        fn from(builder: Builder<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
         }
-    }
 
-    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
         }
-    }
 
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-        }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
         }
-    }
-
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-    }
 
-    impl <'a,> Builder<'a,>  {
-        pub fn into_reader(self) -> Reader<'a,> {
-            self.builder.into_reader().into()
-        }
-        pub fn reborrow(&mut self) -> Builder<'_,> {
-            Builder { builder: self.builder.reborrow() }
-        }
-        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-            self.builder.as_reader().into()
-        }
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
 
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.builder.as_reader().total_size()
-        }
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_asks(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::ask::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_asks(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::ask::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_asks(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::ask::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_asks(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(166, 138, 163, 101, 196, 140, 78, 215),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 108, 101, 97, 114, 110, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 115, 107, 115, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 36, 254, 198, 19, 252, 0, 136),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::relay_capnp::ask::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xd74e_8cc4_65a3_8aa6;
+        }
+    }
+
+    pub mod learn_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_portions(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::portion::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_portions(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_age_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_portions(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::portion::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_portions(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::portion::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_portions(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::portion::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_portions(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_age_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_age_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(54, 11, 126, 239, 49, 77, 9, 142),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 108, 101, 97, 114, 110, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(65, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(60, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 111, 114, 116, 105, 111, 110, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 90, 38, 202, 226, 8, 78, 191),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::relay_capnp::portion::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0x8e09_4d31_ef7e_0b36;
+        }
+    }
+}
+
+pub mod question {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::part::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_input(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_output(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_inputs(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::input::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_inputs(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_avoided(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_avoided(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::part::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_parts(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::part::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_parts(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::part::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_input(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_input(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_output(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_output(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_inputs(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::input::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_inputs(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::input::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_inputs(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::input::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_inputs(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_avoided(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_avoided(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_avoided(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_avoided(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 119] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(44, 104, 237, 85, 160, 159, 67, 132),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 81, 117, 101, 115),
+            ::capnp::word(116, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(74, 168, 89, 87, 51, 95, 185, 254),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 112, 117, 116, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 117, 116, 112, 117, 116, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 112, 117, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(190, 159, 27, 60, 157, 137, 23, 150),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 118, 111, 105, 100, 101, 100, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::relay_capnp::part::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::relay_capnp::input::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,4,3,1,0];
+        pub(crate) const TYPE_ID: u64 = 0x8443_9fa0_55ed_682c;
+    }
+}
+
+pub mod part {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
         #[inline]
-        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        pub fn get_tokens(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn get_id(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn set_id(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn has_service(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn get_tokens(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
         }
         #[inline]
-        pub fn get_parts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::part::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        pub fn set_tokens(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(74, 168, 89, 87, 51, 95, 185, 254),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 80, 97, 114, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xfeb9_5f33_5759_a84a;
+    }
+}
+
+pub mod input {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
         }
         #[inline]
-        pub fn set_parts(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::part::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        pub fn get_place(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn init_parts(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::part::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        pub fn has_place(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn has_parts(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn get_bytes(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
         }
-        #[inline]
-        pub fn get_input(self) -> u32 {
-            self.builder.get_data_field::<u32>(0)
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
         }
-        #[inline]
-        pub fn set_input(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(0, value);
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
         }
-        #[inline]
-        pub fn get_output(self) -> u32 {
-            self.builder.get_data_field::<u32>(1)
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
         }
-        #[inline]
-        pub fn set_output(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(1, value);
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
         }
-        #[inline]
-        pub fn get_inputs(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::input::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
         }
-        #[inline]
-        pub fn set_inputs(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::input::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn init_inputs(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::input::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        pub fn get_place(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_inputs(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+        pub fn set_place(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn get_avoided(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        pub fn init_place(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn set_avoided(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        pub fn has_place(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn init_avoided(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        pub fn get_bytes(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_avoided(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
+        pub fn set_bytes(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
     }
 
@@ -2490,67 +3523,39 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 119] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(44, 104, 237, 85, 160, 159, 67, 132),
+            ::capnp::word(190, 159, 27, 60, 157, 137, 23, 150),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 81, 117, 101, 115),
-            ::capnp::word(116, 105, 111, 110, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 73, 110, 112, 117),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 108, 97, 99, 101, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2558,67 +3563,19 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(74, 168, 89, 87, 51, 95, 185, 254),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 112, 117, 116, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(111, 117, 116, 112, 117, 116, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 112, 117, 116, 115, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(190, 159, 27, 60, 157, 137, 23, 150),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 118, 111, 105, 100, 101, 100, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 121, 116, 101, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::struct_list::Owned<crate::relay_capnp::part::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::struct_list::Owned<crate::relay_capnp::input::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2632,14 +3589,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,4,3,1,0];
-        pub(crate) const TYPE_ID: u64 = 0x8443_9fa0_55ed_682c;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0x9617_899d_3c1b_9fbe;
     }
 }
 
-pub mod part {
+pub mod placement {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2692,7 +3649,7 @@
         }
     }
 
-    impl <> Reader<'_,>  {
+    impl <'a,> Reader<'a,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -2701,18 +3658,34 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_id(self) -> u64 {
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_source(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_source(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_tokens(self) -> u32 {
-            self.reader.get_data_field::<u32>(2)
+        pub fn get_wait_micros(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2763,20 +3736,52 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_id(self) -> u64 {
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_source(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_source(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_source(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_source(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_id(&mut self, value: u64)  {
+        pub fn set_tokens(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_tokens(self) -> u32 {
-            self.builder.get_data_field::<u32>(2)
+        pub fn get_wait_micros(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_tokens(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(2, value);
+        pub fn set_wait_micros(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
         }
     }
 
@@ -2789,39 +3794,70 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(74, 168, 89, 87, 51, 95, 185, 254),
+            ::capnp::word(66, 192, 210, 49, 91, 251, 131, 221),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 80, 97, 114, 116),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 80, 108, 97, 99),
+            ::capnp::word(101, 109, 101, 110, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 111, 117, 114, 99, 101, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2829,19 +3865,22 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 77, 105, 99, 114),
+            ::capnp::word(111, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2855,14 +3894,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-        pub(crate) const TYPE_ID: u64 = 0xfeb9_5f33_5759_a84a;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2,3];
+        pub(crate) const TYPE_ID: u64 = 0xdd83_fb5b_31d2_c042;
     }
 }
 
-pub mod input {
+pub mod ask {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2915,7 +3954,7 @@
         }
     }
 
-    impl <'a,> Reader<'a,>  {
+    impl <> Reader<'_,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -2924,22 +3963,34 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_place(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        pub fn get_from(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_place(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_is_listing(self) -> bool {
+            self.reader.get_bool_field(64)
         }
         #[inline]
-        pub fn get_bytes(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_base(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_is_begun(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
+        #[inline]
+        pub fn get_begun_offset(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_begun_len(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2990,28 +4041,52 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_place(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        pub fn get_from(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_place(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn set_from(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn init_place(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn get_is_listing(self) -> bool {
+            self.builder.get_bool_field(64)
         }
         #[inline]
-        pub fn has_place(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_is_listing(&mut self, value: bool)  {
+            self.builder.set_bool_field(64, value);
         }
         #[inline]
-        pub fn get_bytes(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_base(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_bytes(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_base(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_is_begun(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_is_begun(&mut self, value: bool)  {
+            self.builder.set_bool_field(65, value);
+        }
+        #[inline]
+        pub fn get_begun_offset(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_begun_offset(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_begun_len(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_begun_len(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
         }
     }
 
@@ -3024,47 +4099,109 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(190, 159, 27, 60, 157, 137, 23, 150),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(77, 36, 254, 198, 19, 252, 0, 136),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 73, 110, 112, 117),
-            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 65, 115, 107, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(112, 108, 97, 99, 101, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 76, 105, 115, 116, 105, 110),
+            ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 66, 101, 103, 117, 110, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 101, 103, 117, 110, 79, 102, 102),
+            ::capnp::word(115, 101, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 101, 103, 117, 110, 76, 101, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 121, 116, 101, 115, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3075,8 +4212,12 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3090,14 +4231,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-        pub(crate) const TYPE_ID: u64 = 0x9617_899d_3c1b_9fbe;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,5,4,0,3,1];
+        pub(crate) const TYPE_ID: u64 = 0x8800_fc13_c6fe_244d;
     }
 }
 
-pub mod placement {
+pub mod portion {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3159,34 +4300,46 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        pub fn get_base(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_endpoint(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_from(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_source(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_end(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn has_source(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_is_listing(self) -> bool {
+            self.reader.get_bool_field(192)
+        }
+        #[inline]
+        pub fn get_has_more(self) -> bool {
+            self.reader.get_bool_field(193)
+        }
+        #[inline]
+        pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::record::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_records(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_tokens(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_slice(self) -> ::capnp::Result<crate::relay_capnp::slice::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_wait_micros(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
+        pub fn has_slice(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3237,52 +4390,76 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        pub fn get_base(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn set_base(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn get_from(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn has_endpoint(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_from(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_source(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_end(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_source(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        pub fn set_end(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn init_source(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
+        pub fn get_is_listing(self) -> bool {
+            self.builder.get_bool_field(192)
         }
         #[inline]
-        pub fn has_source(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn set_is_listing(&mut self, value: bool)  {
+            self.builder.set_bool_field(192, value);
         }
         #[inline]
-        pub fn get_tokens(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_has_more(self) -> bool {
+            self.builder.get_bool_field(193)
         }
         #[inline]
-        pub fn set_tokens(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_has_more(&mut self, value: bool)  {
+            self.builder.set_bool_field(193, value);
         }
         #[inline]
-        pub fn get_wait_micros(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
+        pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::record::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_wait_micros(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
+        pub fn set_records(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::record::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_records(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::record::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_records(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_slice(self) -> ::capnp::Result<crate::relay_capnp::slice::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_slice(&mut self, value: crate::relay_capnp::slice::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_slice(self, ) -> crate::relay_capnp::slice::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        }
+        #[inline]
+        pub fn has_slice(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
         }
     }
 
@@ -3293,72 +4470,87 @@
         }
     }
     impl Pipeline  {
+        pub fn get_slice(&self) -> crate::relay_capnp::slice::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 127] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(66, 192, 210, 49, 91, 251, 131, 221),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(14, 90, 38, 202, 226, 8, 78, 191),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 80, 108, 97, 99),
-            ::capnp::word(101, 109, 101, 110, 116, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 80, 111, 114, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 193, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 111, 117, 114, 99, 101, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3366,8 +4558,7 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 97, 105, 116, 77, 105, 99, 114),
-            ::capnp::word(111, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3375,13 +4566,53 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 76, 105, 115, 116, 105, 110),
+            ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 77, 111, 114, 101, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 99, 111, 114, 100, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(195, 196, 12, 254, 202, 207, 100, 185),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 108, 105, 99, 101, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(179, 194, 237, 166, 128, 120, 96, 229),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::relay_capnp::record::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::relay_capnp::slice::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3395,14 +4626,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2,3];
-        pub(crate) const TYPE_ID: u64 = 0xdd83_fb5b_31d2_c042;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,4,3,5,6];
+        pub(crate) const TYPE_ID: u64 = 0xbf4e_08e2_ca26_5a0e;
     }
 }
 
-pub mod table {
+pub mod slice {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3464,30 +4695,38 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_from(self) -> u64 {
+        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_key(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_offset(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_end(self) -> u64 {
+        pub fn get_at(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::record::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        pub fn get_size(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn has_records(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_is_whole(self) -> bool {
-            self.reader.get_bool_field(128)
+        pub fn has_bytes(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
