Send a configuration document to peers that ask for it, one asked at a time

The cause of the incident sought elsewhere: the gossip of the product's own interface pushed the whole document to each peer whose last message showed an older version, in every message and reply until a newer one was heard from it. No failure of it was observed: documents there are small so far, and instances read the log besides.

Change: a message may ask for the document; a reply holds it only then. An instance asks one peer that is ahead and no other one until it has answered, failed, or three seconds are over, which is the time limit of an exchange. Not changed: an exchange there still has that limit, so a document that takes longer comes from the log only.

--- a/crates/core/examples/instance_cost.rs
+++ b/crates/core/examples/instance_cost.rs
@@ -350,6 +350,7 @@
         wants_reply: true,
         mark: ConfigMark { version: 1, offset: Some(0) },
         snapshot: None,
+        wants_snapshot: false,
         members: (0..peers.min(64)).map(member).collect(),
         leaving: Vec::new(),
         endpoints: (0..endpoints.min(32)).map(endpoint).collect(),
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -6,7 +6,9 @@
 //! while is taken for dead until it rises again.
 //!
 //! With every tick an instance sends a few random peers what may be news to
-//! them, and they answer in kind. A message is bounded: news that was sent
+//! them, and they answer in kind. An instance whose configuration is behind
+//! asks one peer at a time for the newer one: it may be large, and copies from
+//! several peers would keep each other from arriving. All else in a message is bounded: news that was sent
 //! often enough to have reached everybody is left out, and what does not fit
 //! waits for the next one.
 //!
@@ -41,8 +43,12 @@
     pub wants_reply: bool,
     /// The newest configuration that the sender has in force.
     pub mark: ConfigMark,
-    /// That configuration, where the receiver is known to be behind.
+    /// That configuration, where the receiver has asked for it.
     pub snapshot: Option<Arc<Snapshot>>,
+    /// Whether the reply should hold the replier's configuration if that is
+    /// newer than the sender's.
+    #[serde(default)]
+    pub wants_snapshot: bool,
     /// Liveness counters that the receiver may not know.
     pub members: Vec<MemberState>,
     /// Endpoints known to be leaving.
--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -35,6 +35,26 @@
     struct PeerKey;
 }
 
+/// A peer that was asked for its configuration.
+struct Asked {
+    peer: PeerKey,
+    until: Duration,
+}
+
+/// What a message is for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Purpose {
+    /// A round of gossip.
+    Round,
+    /// A round of gossip; the peer is asked for its configuration besides.
+    Ask,
+    /// A reply.
+    Reply,
+    /// A reply to a peer that lacks this instance's configuration and asks for
+    /// it.
+    Give,
+}
+
 /// What the instance itself has to tell.
 pub struct Local<'a> {
     /// How far its configuration is.
@@ -102,6 +122,7 @@
     next_tick: Duration,
     last_now: Duration,
     last_heard: Option<Duration>,
+    asked: Option<Asked>,
 }
 
 impl Members {
@@ -119,6 +140,7 @@
             next_tick: Duration::ZERO,
             last_now: Duration::ZERO,
             last_heard: None,
+            asked: None,
         }
     }
 
@@ -151,8 +173,11 @@
         self.next_tick = now + self.jittered_tick();
         self.heartbeat += 1;
         self.forget(now);
-        let targets = self.targets(now, local.mark);
-        let envelopes = targets.into_iter().map(|key| self.envelope(now, key, true, local));
+        let ahead = self.one_ahead(now, local.mark);
+        let targets = self.targets(now, ahead);
+        let asked = ahead.filter(|key| self.ask(now, *key));
+        let purpose = |key| if asked == Some(key) { Purpose::Ask } else { Purpose::Round };
+        let envelopes = targets.into_iter().map(|key| self.envelope(now, key, purpose(key), local));
         envelopes.collect()
     }
 
@@ -172,6 +197,9 @@
             self.heard_of(now, state);
         }
         let key = self.known_key(now, &message.from)?;
+        if message.snapshot.is_some() {
+            self.is_answered(key);
+        }
         let peer = &mut self.peers[key];
         peer.mark = Some(message.mark);
         peer.seen_at = now;
@@ -179,7 +207,9 @@
         if let Some(sent) = sent {
             peer.tell_counts(now, sent, &message.endpoints);
         }
-        message.wants_reply.then(|| self.envelope(now, key, false, local))
+        let is_given = message.wants_snapshot && peer.is_behind(local.mark);
+        let purpose = if is_given { Purpose::Give } else { Purpose::Reply };
+        message.wants_reply.then(|| self.envelope(now, key, purpose, local))
     }
 
     /// A message to a peer failed.
@@ -187,6 +217,7 @@
         self.observe(now);
         if let Some(&key) = self.by_name.get(peer) {
             self.peers[key].failed();
+            self.is_answered(key);
         }
     }
 
@@ -329,29 +360,55 @@
         });
     }
 
-    /// Whom to send to: some peers that may live, one that has a newer
-    /// configuration if there is one, and now and then one that seems dead.
-    fn targets(&mut self, now: Duration, mark: ConfigMark) -> Vec<PeerKey> {
+    /// The peers that can be reached: those that may live, and the others.
+    fn reachable(&self, now: Duration) -> (Vec<PeerKey>, Vec<PeerKey>) {
         let dead_after = self.dead_after();
-        let may_live = |peer: &Peer| peer.is_unknown() || peer.is_alive(now, dead_after);
+        let may_live = |key: &PeerKey| {
+            self.peers[*key].is_unknown() || self.peers[*key].is_alive(now, dead_after)
+        };
         let reachable = self.peers.iter().filter(|(_, peer)| peer.addr.is_some());
-        let (live, dead): (Vec<_>, Vec<_>) = reachable.partition(|(_, peer)| may_live(peer));
-        let ahead = live.iter().filter(|(_, peer)| peer.version() > mark.version);
-        let ahead = ahead.map(|&(key, _)| key).choose(&mut self.rng);
-        let live = live.iter().map(|&(key, _)| key);
-        let mut targets = live.choose_multiple(&mut self.rng, self.settings.fanout);
+        reachable.map(|(key, _)| key).partition(may_live)
+    }
+
+    /// A peer that has a newer configuration, if there is one.
+    fn one_ahead(&mut self, now: Duration, mark: ConfigMark) -> Option<PeerKey> {
+        let (live, _) = self.reachable(now);
+        let ahead = live.into_iter().filter(|key| self.peers[*key].is_ahead(mark));
+        ahead.choose(&mut self.rng)
+    }
+
+    /// Whom to send to: some peers that may live, the one that has a newer
+    /// configuration, and now and then one that seems dead.
+    fn targets(&mut self, now: Duration, ahead: Option<PeerKey>) -> Vec<PeerKey> {
+        let (live, dead) = self.reachable(now);
+        let mut targets = live.into_iter().choose_multiple(&mut self.rng, self.settings.fanout);
         targets.extend(ahead.filter(|key| !targets.contains(key)));
         if self.heartbeat.is_multiple_of(PROBE_ROUNDS) || targets.is_empty() {
-            targets.extend(dead.iter().map(|&(key, _)| key).choose(&mut self.rng));
+            targets.extend(dead.into_iter().choose(&mut self.rng));
         }
         targets
     }
 
+    /// Whether that peer is to be asked for its configuration, which it is if
+    /// no other one is sending its own.
+    fn ask(&mut self, now: Duration, peer: PeerKey) -> bool {
+        if self.asked.as_ref().is_some_and(|asked| now < asked.until) {
+            return false;
+        }
+        self.asked = Some(Asked { peer, until: now + self.settings.ask_time });
+        true
+    }
+
+    /// A peer has sent its configuration, or cannot.
+    fn is_answered(&mut self, peer: PeerKey) {
+        self.asked.take_if(|asked| asked.peer == peer);
+    }
+
     fn envelope(
         &mut self,
         now: Duration,
         to: PeerKey,
-        wants_reply: bool,
+        purpose: Purpose,
         local: &Local<'_>,
     ) -> Envelope {
         let limit = spread::send_limit(self.peers.len());
@@ -359,20 +416,17 @@
         let members = self.pick_members(now, to, limit, max_members, local);
         let leaving = self.leaving.pick(&mut self.rng, local.leaving, limit, max_leaving);
         let endpoints = self.endpoints.pick(local.endpoints, limit, max_endpoints);
-        let peer = &mut self.peers[to];
-        let snapshot = local.snapshot.clone().filter(|_| peer.is_behind(local.mark));
-        if snapshot.is_some() {
-            peer.mark = Some(local.mark);
-        }
         let message = Gossip {
             from: self.identity.name.clone(),
-            wants_reply,
+            wants_reply: matches!(purpose, Purpose::Round | Purpose::Ask),
             mark: local.mark,
-            snapshot,
+            snapshot: local.snapshot.clone().filter(|_| purpose == Purpose::Give),
+            wants_snapshot: purpose == Purpose::Ask,
             members,
             leaving,
             endpoints,
         };
+        let peer = &self.peers[to];
         let addr = peer.addr.clone().unwrap_or_else(|| Arc::from(""));
         Envelope { to: peer.name.clone(), addr, message }
     }
--- a/crates/core/src/membership/peer.rs
+++ b/crates/core/src/membership/peer.rs
@@ -135,6 +135,12 @@
         mark.version < local.version || lacks_start
     }
 
+    /// Whether it has a configuration that this instance lacks.
+    pub fn is_ahead(&self, local: ConfigMark) -> bool {
+        let has_start = self.mark.is_some_and(|mark| mark.offset.is_some());
+        self.version() > local.version || (local.offset.is_none() && has_start)
+    }
+
     /// The version that it has in force, as far as is known.
     pub fn version(&self) -> Version {
         let told = self.mark.map_or(0, |mark| mark.version);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -344,6 +344,7 @@
         wants_reply: true,
         mark: local(driver).mark,
         snapshot: None,
+        wants_snapshot: false,
         members: Vec::new(),
         leaving: Vec::new(),
         endpoints: Vec::new(),
--- a/crates/wire/examples/gossip_cost.rs
+++ b/crates/wire/examples/gossip_cost.rs
@@ -46,6 +46,7 @@
         wants_reply: true,
         mark: ConfigMark { version: 100, offset: Some(1000) },
         snapshot: None,
+        wants_snapshot: false,
         members: (0..members).map(member).collect(),
         leaving: (0..leaving).map(mark).collect(),
         endpoints: (0..endpoints).map(endpoint).collect(),
--- a/crates/wire/examples/peer_cost/heartbeats.rs
+++ b/crates/wire/examples/peer_cost/heartbeats.rs
@@ -207,6 +207,7 @@
         wants_reply: false,
         mark: ConfigMark { version: 3, offset: Some(9) },
         snapshot: None,
+        wants_snapshot: false,
         members: vec![state],
         leaving: Vec::new(),
         endpoints: Vec::new(),
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -16,10 +16,12 @@
   wantsReply @1 :Bool;
   mark @2 :ConfigMark;
   snapshot @3 :Data;
-  # JSON of `Snapshot`; empty where the receiver is not behind.
+  # JSON of `Snapshot`; empty where the receiver has not asked for it.
   members @4 :List(MemberState);
   leaving @5 :List(LeavingMark);
   endpoints @6 :List(EndpointState);
+  wantsSnapshot @7 :Bool;
+  # Whether the reply should hold the snapshot if it is newer.
 }
 
 struct ConfigMark {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -38,6 +38,7 @@
 pub fn write_gossip(gossip: &Gossip, mut to: peer_capnp::gossip::Builder<'_>) -> Result<(), Error> {
     to.set_from(&*gossip.from);
     to.set_wants_reply(gossip.wants_reply);
+    to.set_wants_snapshot(gossip.wants_snapshot);
     let mut mark = to.reborrow().init_mark();
     mark.set_version(gossip.mark.version);
     mark.set_offset(gossip.mark.offset.map_or(0, |offset| offset + 1));
@@ -65,6 +66,7 @@
         wants_reply: from.get_wants_reply(),
         mark: ConfigMark { version: mark.get_version(), offset: mark.get_offset().checked_sub(1) },
         snapshot,
+        wants_snapshot: from.get_wants_snapshot(),
         members: from.get_members()?.iter().map(read_member).collect::<Result<_, _>>()?,
         leaving: from.get_leaving()?.iter().map(read_leaving).collect::<Result<_, _>>()?,
         endpoints: from.get_endpoints()?.iter().map(read_endpoint).collect::<Result<_, _>>()?,
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -1098,6 +1098,10 @@
         pub fn has_endpoints(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
+        #[inline]
+        pub fn get_wants_snapshot(self) -> bool {
+            self.reader.get_bool_field(1)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -1256,6 +1260,14 @@
         pub fn has_endpoints(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
+        #[inline]
+        pub fn get_wants_snapshot(self) -> bool {
+            self.builder.get_bool_field(1)
+        }
+        #[inline]
+        pub fn set_wants_snapshot(&mut self, value: bool)  {
+            self.builder.set_bool_field(1, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1270,7 +1282,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 137] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 153] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(171, 26, 36, 128, 42, 156, 41, 169),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
@@ -1280,63 +1292,70 @@
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 71, 111, 115, 115, 105),
             ::capnp::word(112, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(41, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1408,6 +1427,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 115, 83, 110, 97),
+            ::capnp::word(112, 115, 104, 111, 116, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1418,6 +1446,7 @@
                 4 => <::capnp::struct_list::Owned<crate::peer_capnp::member_state::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::leaving_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::peer_capnp::endpoint_state::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1431,9 +1460,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,0,5,2,4,3,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,0,5,2,4,3,1,7];
         pub(crate) const TYPE_ID: u64 = 0xa929_9c2a_8024_1aab;
     }
 }
