--- /dev/null
+++ b/crates/relay/src/peers/gossip.rs
@@ -0,0 +1,106 @@
+//! Rounds of gossip: who lives, and how far each instance's tables are.
+
+use std::{
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use peatdeck_core::membership::{ConfigMark, Envelope, Gossip, Local};
+use peatdeck_wire::{peer as peer_wire, relay_capnp::relay};
+use rand::seq::IndexedRandom;
+
+use crate::{
+    driver::Driver,
+    peers::{self, EXCHANGE_TIMEOUT, TICK, learn},
+};
+
+/// Sends gossip for as long as the process runs.
+pub async fn run(driver: Rc<Driver>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = driver.now();
+        let local = local(&driver);
+        let envelopes = driver.peers.members.borrow_mut().tick(now, &local);
+        if envelopes.is_empty() {
+            ask_a_seed(&driver);
+        }
+        for envelope in envelopes {
+            ntex::rt::spawn(send(driver.clone(), envelope));
+        }
+        peers::update(&driver);
+    }
+}
+
+/// An instance that knows no peer asks one that it was told of at its start.
+fn ask_a_seed(driver: &Rc<Driver>) {
+    let own = driver.settings.peers.to_string();
+    let others: Vec<_> = driver.settings.seeds.iter().filter(|seed| ***seed != *own).collect();
+    let Some(addr) = others.choose(&mut rand::rng()).map(|addr| Arc::clone(addr)) else { return };
+    let envelope = Envelope { to: Arc::from(""), addr, message: greeting(driver) };
+    ntex::rt::spawn(send(driver.clone(), envelope));
+}
+
+/// A message that tells nothing but who asks.
+fn greeting(driver: &Driver) -> Gossip {
+    Gossip {
+        from: driver.settings.name.clone(),
+        wants_reply: true,
+        mark: local(driver).mark,
+        snapshot: None,
+        wants_snapshot: false,
+        members: Vec::new(),
+        leaving: Vec::new(),
+        endpoints: Vec::new(),
+    }
+}
+
+async fn send(driver: Rc<Driver>, envelope: Envelope) {
+    let Envelope { to, addr, message } = envelope;
+    let asked_at = driver.now();
+    let exchange = async |client: relay::Client| {
+        let mut request = client.gossip_request();
+        peer_wire::write_gossip(&message, request.get().init_message())?;
+        let response = request.send().promise.await?;
+        let response = response.get()?;
+        let reply = response.get_reply()?;
+        let reply = if reply.has_from() { Some(peer_wire::read_gossip(reply)?) } else { None };
+        let ends: Vec<u64> = response.get_ends()?.iter().collect();
+        let age = Duration::from_millis(u64::from(response.get_age_ms()));
+        Ok((reply, ends, age))
+    };
+    driver.metrics.count("relay.gossip", 1);
+    let open = &driver.peers.open;
+    open.set(open.get() + 1);
+    driver.metrics.gauge("relay.exchanges_open", open.get());
+    let result = driver.peers.links.exchange(&addr, EXCHANGE_TIMEOUT, exchange).await;
+    open.set(open.get() - 1);
+    match result {
+        Ok((reply, ends, age)) => {
+            learn::compare(&driver, &addr, &ends, asked_at.checked_sub(age));
+            if let Some(reply) = reply {
+                let local = local(&driver);
+                driver.peers.members.borrow_mut().heard(driver.now(), &reply, &local);
+            }
+        }
+        Err(error) => {
+            driver.metrics.count("relay.gossip_failed", 1);
+            let took_ms = driver.now().saturating_sub(asked_at).as_millis() as u64;
+            let (peer, open) = (&*to, open.get());
+            tracing::info!(event = "gossip_failed", peer, took_ms, open, error = %error);
+            driver.peers.members.borrow_mut().failed(driver.now(), &to);
+        }
+    }
+}
+
+/// What this instance tells of itself.
+pub fn local(driver: &Driver) -> Local<'static> {
+    let version = driver.look(|machine| machine.config().map_or(0, |config| config.version));
+    Local {
+        mark: ConfigMark { version, offset: None },
+        snapshot: None,
+        ready: driver.shared.is_ready.load(Ordering::Relaxed),
+        leaving: &[],
+        endpoints: &[],
+    }
+}
--- a/crates/relay/src/peers/learn.rs
+++ b/crates/relay/src/peers/learn.rs
@@ -24,14 +24,11 @@
 
 use crate::{
     driver::Driver,
+    peers::EXCHANGE_TIMEOUT,
     surroundings::{TABLES, TableName},
     tables::{self, NOTABLE},
 };
 
-/// Time for one portion of each table: on the narrowest link that is planned
-/// for it needs a tenth of that, whatever the tables hold.
-const LEARN_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// How far learning from peers is.
 #[derive(Debug, Default)]
 pub struct Learning {
@@ -196,5 +193,5 @@
         let age = Duration::from_millis(u64::from(response.get_age_ms()));
         Ok((portions.collect::<Result<_, _>>()?, age))
     };
-    driver.peers.links.exchange(addr, LEARN_TIMEOUT, exchange).await
+    driver.peers.links.exchange(addr, EXCHANGE_TIMEOUT, exchange).await
 }
--- a/crates/relay/src/peers/service.rs
+++ b/crates/relay/src/peers/service.rs
@@ -7,7 +7,7 @@
 use peatdeck_wire::{link, peer as peer_wire, relay as wire, relay_capnp::relay};
 use tokio::net::TcpListener;
 
-use crate::{driver::Driver, peers};
+use crate::{driver::Driver, peers::gossip};
 
 /// Pause after a failed accept, as when no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
@@ -41,7 +41,7 @@
     ) -> Result<(), capnp::Error> {
         let driver = &self.driver;
         let message = peer_wire::read_gossip(params.get()?.get_message()?).map_err(failed)?;
-        let local = peers::local(driver);
+        let local = gossip::local(driver);
         let reply = driver.peers.members.borrow_mut().heard(driver.now(), &message, &local);
         if let Some(reply) = reply {
             peer_wire::write_gossip(&reply.message, results.get().init_reply()).map_err(failed)?;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -236,7 +236,7 @@
     }
     ntex::rt::spawn(driver.clone().run_timer());
     ntex::rt::spawn(peers::announce(driver.clone()));
-    ntex::rt::spawn(peers::run(driver.clone()));
+    ntex::rt::spawn(peers::gossip::run(driver.clone()));
     ntex::rt::spawn(peers::learn::run(driver.clone()));
     ntex::rt::spawn(peers::serve(driver.clone(), into_tokio(peers)));
     ntex::rt::spawn(prune(driver.clone()));
