--- a/crates/core/src/relay/table.rs
+++ b/crates/core/src/relay/table.rs
@@ -7,7 +7,7 @@
 //! other asks for one [`Portion`] after the other ([`super::catch_up`]).
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     sync::Arc,
 };
 
@@ -70,8 +70,8 @@
     pub from: u64,
     /// Nothing that lies before this offset is missing then.
     pub end: u64,
-    /// Whether it goes through the newest records of all keys, because of what
-    /// was removed before its base it knows nothing.
+    /// Whether it goes through the newest records of all keys: of what was
+    /// removed before its base the teller knows nothing.
     pub is_listing: bool,
     /// Whether there is more to ask for.
     pub has_more: bool,
@@ -153,7 +153,7 @@
         changed
     }
 
-    /// What another copy lacks, at most about `limit` bytes of it.
+    /// What another copy lacks, at most `limit` bytes of keys and values.
     ///
     /// A copy that ends before this one's base gets a listing: of what was
     /// removed in between this one knows nothing, so the other has to find it
@@ -226,8 +226,8 @@
 
     fn missing(&self, records: &[Record], end: u64) -> Vec<Record> {
         let held = self.records.values().filter(|held| held.value.is_some() && held.offset < end);
-        let is_told = |key: &Arc<str>| records.iter().any(|record| record.key == *key);
-        let missing = held.filter(|held| !is_told(&held.key));
+        let told: HashSet<_> = records.iter().map(|record| &record.key).collect();
+        let missing = held.filter(|held| !told.contains(&held.key));
         missing.map(|held| Record { key: held.key.clone(), offset: end - 1, value: None }).collect()
     }
 
