--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -175,7 +175,7 @@
         self.forget(now);
         let ahead = self.one_ahead(now, local.mark);
         let targets = self.targets(now, ahead);
-        let asked = ahead.filter(|key| self.ask(now, *key));
+        let asked = ahead.filter(|key| self.begin_ask(now, *key));
         let purpose = |key| if asked == Some(key) { Purpose::Ask } else { Purpose::Round };
         let envelopes = targets.into_iter().map(|key| self.envelope(now, key, purpose(key), local));
         envelopes.collect()
@@ -198,7 +198,7 @@
         }
         let key = self.known_key(now, &message.from)?;
         if message.snapshot.is_some() {
-            self.is_answered(key);
+            self.end_ask(key);
         }
         let peer = &mut self.peers[key];
         peer.mark = Some(message.mark);
@@ -217,7 +217,7 @@
         self.observe(now);
         if let Some(&key) = self.by_name.get(peer) {
             self.peers[key].failed();
-            self.is_answered(key);
+            self.end_ask(key);
         }
     }
 
@@ -389,9 +389,10 @@
         targets
     }
 
-    /// Whether that peer is to be asked for its configuration, which it is if
-    /// no other one is sending its own.
-    fn ask(&mut self, now: Duration, peer: PeerKey) -> bool {
+    /// Notes that a peer is asked for its configuration. False if another one
+    /// may still be sending its own: copies under way together would keep each
+    /// other from arriving in time.
+    fn begin_ask(&mut self, now: Duration, peer: PeerKey) -> bool {
         if self.asked.as_ref().is_some_and(|asked| now < asked.until) {
             return false;
         }
@@ -400,7 +401,7 @@
     }
 
     /// A peer has sent its configuration, or cannot.
-    fn is_answered(&mut self, peer: PeerKey) {
+    fn end_ask(&mut self, peer: PeerKey) {
         self.asked.take_if(|asked| asked.peer == peer);
     }
 
