Wait for a read of the log as long as it keeps coming

An instance that is far behind, or behind a narrow link, would have been cut off each time and begun the same read anew. Found by reading; not seen to happen. The limit holds for the first byte and for each pause now. Only one read is open at a time there, so no copies compete. log::a_read_that_keeps_coming_is_waited_for was seen to fail (TimedOut after 3 s).

--- a/crates/client/src/http.rs
+++ b/crates/client/src/http.rs
@@ -167,28 +167,66 @@
     let mut body = Vec::new();
     while let Some(chunk) = response.next().await {
         let chunk = chunk.map_err(|cause| Error::cut(addr, cause))?;
-        if body.len() + chunk.len() > limit {
-            return Err(Error::malformed(addr, format!("a body over {limit} bytes")));
-        }
-        body.extend_from_slice(&chunk);
+        append(addr, &mut body, &chunk, limit)?;
     }
     Ok(body)
 }
 
+/// The same for a large body: it may take as long as it keeps coming, with no
+/// pause over `silence`. A limit on the whole would cut it off behind a narrow
+/// link, to be asked for again from its beginning.
+async fn large_body(
+    addr: &str,
+    response: &mut ClientResponse,
+    limit: usize,
+    silence: Duration,
+) -> Result<Vec<u8>, Error> {
+    let mut body = Vec::new();
+    while let Some(chunk) = within(addr, silence, async { Ok(response.next().await) }).await? {
+        let chunk = chunk.map_err(|cause| Error::cut(addr, cause))?;
+        append(addr, &mut body, &chunk, limit)?;
+    }
+    Ok(body)
+}
+
+fn append(addr: &str, body: &mut Vec<u8>, chunk: &[u8], limit: usize) -> Result<(), Error> {
+    if body.len() + chunk.len() > limit {
+        return Err(Error::malformed(addr, format!("a body over {limit} bytes")));
+    }
+    body.extend_from_slice(chunk);
+    Ok(())
+}
+
 /// Reads a 200's JSON body; any other status is [`Error::Refused`].
 pub(crate) async fn json<T: DeserializeOwned>(
     addr: &str,
     mut response: ClientResponse,
     limit: usize,
 ) -> Result<T, Error> {
-    let status = response.status();
-    if status != StatusCode::OK {
-        return Err(Error::Refused { addr: addr.to_owned(), status: status.as_u16() });
-    }
+    check_ok(addr, &response)?;
     let body = body(addr, &mut response, limit).await?;
     serde_json::from_slice(&body).map_err(|cause| Error::malformed(addr, cause))
 }
 
+/// The same for a [`large_body`].
+pub(crate) async fn large_json<T: DeserializeOwned>(
+    addr: &str,
+    mut response: ClientResponse,
+    limit: usize,
+    silence: Duration,
+) -> Result<T, Error> {
+    check_ok(addr, &response)?;
+    let body = large_body(addr, &mut response, limit, silence).await?;
+    serde_json::from_slice(&body).map_err(|cause| Error::malformed(addr, cause))
+}
+
+fn check_ok(addr: &str, response: &ClientResponse) -> Result<(), Error> {
+    match response.status() {
+        StatusCode::OK => Ok(()),
+        status => Err(Error::Refused { addr: addr.to_owned(), status: status.as_u16() }),
+    }
+}
+
 /// Runs an exchange for at most `limit`.
 pub(crate) async fn within<T>(
     addr: &str,
--- a/crates/client/src/log.rs
+++ b/crates/client/src/log.rs
@@ -16,8 +16,9 @@
 const MAX_READ: usize = 64 << 20;
 /// The longest reply to an append, in bytes.
 const MAX_APPEND_REPLY: usize = 4 << 10;
-/// Time that a read may take beyond its long poll.
-const READ_MARGIN: Duration = Duration::from_secs(3);
+/// Time until the first byte of a read beyond its long poll, and longest pause
+/// in what follows.
+const READ_SILENCE: Duration = Duration::from_secs(3);
 
 /// What went wrong with the log.
 #[derive(Debug, thiserror::Error)]
@@ -109,11 +110,10 @@
             range.max,
             range.wait.as_millis()
         );
-        let reply: ReadReply = http::within(&self.addr, range.wait + READ_MARGIN, async {
-            let response = http::get(&self.http, &self.addr, &path).await?;
-            http::json(&self.addr, response, MAX_READ).await
-        })
-        .await?;
+        let asked = http::get(&self.http, &self.addr, &path);
+        let response = http::within(&self.addr, range.wait + READ_SILENCE, asked).await?;
+        let reply: ReadReply =
+            http::large_json(&self.addr, response, MAX_READ, READ_SILENCE).await?;
         parse(stream, range.from, reply)
     }
 }
--- a/crates/client/tests/client/log.rs
+++ b/crates/client/tests/client/log.rs
@@ -104,3 +104,16 @@
         ],
     );
 }
+
+/// An instance that is far behind is sent megabytes. Cut off by a limit on the
+/// whole, the same read would begin anew, as often as it is tried.
+#[ntex::test]
+async fn a_read_that_keeps_coming_is_waited_for() {
+    let pieces =
+        [r#"{"earliest":"#, "0", r#","next":"#, "5", r#","now_ms":"#, "9", r#","records":[]}"#];
+    let reply = support::chunked(&pieces);
+    let server = Server::trickling(vec![reply], Duration::from_millis(500));
+    let client = Client::new(support::client().await, Arc::from(&*server.addr));
+    let range = Range { from: 0, max: 10, wait: Duration::ZERO };
+    assert_eq!(client.read::<u32>(Stream::Config, range).await.unwrap().next, 5);
+}
