--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -1,12 +1,14 @@
 //! Stand-ins: a store in memory, endpoints that follow a script, callers that
 //! write and read raw bytes.
 
+mod endpoint;
+mod store;
+
 use std::{
     collections::HashMap,
-    io::{ErrorKind, Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::SocketAddr,
     rc::Rc,
-    sync::{Arc, Mutex, mpsc},
+    sync::{Arc, mpsc},
     thread,
     time::Duration,
 };
@@ -25,122 +27,17 @@
     native,
     server::{self, Listeners, Told},
     settings::Settings,
-    surroundings::{self, Page, Store, StoreError, Surroundings, TableName},
+    surroundings::{Surroundings, TableName},
 };
 
 use crate::link::SlowLink;
 
+pub use endpoint::{Conn, Desk, Reply, ask, chunk, read_reply, request, stream_head, whole};
+pub use store::MemoryStore;
+
 /// Whatever a test waits for comes within this time, or never.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-/// A platform's store in memory. Clones share it.
-#[derive(Clone, Default)]
-pub struct MemoryStore {
-    inner: Arc<Mutex<Inner>>,
-}
-
-#[derive(Default)]
-struct Inner {
-    tables: HashMap<TableName, Vec<Record>>,
-    expired: HashMap<TableName, u64>,
-    is_dark: bool,
-    delay: Duration,
-}
-
-impl MemoryStore {
-    pub fn put(&self, table: TableName, key: &str, value: Vec<u8>) {
-        let mut inner = self.inner.lock().unwrap();
-        let records = inner.tables.entry(table).or_default();
-        let offset = records.len() as u64;
-        records.push(Record { key: Arc::from(key), offset, value: Some(value.into()) });
-    }
-
-    /// Forgets the log of a table; the newest record of each key stays.
-    pub fn compact(&self, table: TableName) {
-        let mut inner = self.inner.lock().unwrap();
-        let end = inner.tables.get(&table).map_or(0, |records| records.len() as u64);
-        inner.expired.insert(table, end);
-    }
-
-    pub fn set_dark(&self, is_dark: bool) {
-        self.inner.lock().unwrap().is_dark = is_dark;
-    }
-
-    /// How long each of its answers is on the way.
-    pub fn set_delay(&self, delay: Duration) {
-        self.inner.lock().unwrap().delay = delay;
-    }
-
-    fn delay(&self) -> Duration {
-        self.inner.lock().unwrap().delay
-    }
-
-    fn newest(&self, table: TableName) -> Result<Page, StoreError> {
-        let inner = self.inner.lock().unwrap();
-        if inner.is_dark {
-            return Err(StoreError::Refused(503));
-        }
-        let all = inner.tables.get(&table).cloned().unwrap_or_default();
-        let end = all.len() as u64;
-        let mut newest = HashMap::new();
-        for record in all {
-            newest.insert(record.key.clone(), record);
-        }
-        Ok(Page { records: newest.into_values().collect(), more: None, end })
-    }
-
-    fn read(&self, table: TableName, from: u64) -> Result<surroundings::Read, StoreError> {
-        let inner = self.inner.lock().unwrap();
-        if inner.is_dark {
-            return Err(StoreError::Refused(503));
-        }
-        if inner.expired.get(&table).is_some_and(|kept| from < *kept) {
-            return Ok(surroundings::Read::Expired);
-        }
-        let all = inner.tables.get(&table).cloned().unwrap_or_default();
-        let end = all.len() as u64;
-        let records = all.into_iter().filter(|record| record.offset >= from).collect();
-        Ok(surroundings::Read::Records { records, end, has_more: false })
-    }
-
-    fn client(&self) -> Store {
-        let (newest, read, announce) = (self.clone(), self.clone(), self.clone());
-        Store {
-            newest: Rc::new(move |table, _| {
-                let (page, delay) = (newest.newest(table), newest.delay());
-                Box::pin(async move {
-                    tokio::time::sleep(delay).await;
-                    page
-                })
-            }),
-            read: Rc::new(move |table, from, wait| {
-                let store = read.clone();
-                Box::pin(async move {
-                    // Looks again at the end of the wait, which is close enough.
-                    if let Ok(surroundings::Read::Records { records, .. }) = store.read(table, from)
-                        && records.is_empty()
-                    {
-                        tokio::time::sleep(wait).await;
-                    }
-                    let read = store.read(table, from);
-                    tokio::time::sleep(store.delay()).await;
-                    read
-                })
-            }),
-            announce: Rc::new(move |key, value| {
-                let store = announce.clone();
-                Box::pin(async move {
-                    if store.inner.lock().unwrap().is_dark {
-                        return Err(StoreError::Refused(503));
-                    }
-                    store.put(TableName::Instances, &key, value.to_vec());
-                    Ok(())
-                })
-            }),
-        }
-    }
-}
-
 /// A configuration, as the store holds it: a version, and blanks before it
 /// that make it large.
 fn read_config(record: &Record) -> Result<Option<Config>, String> {
@@ -326,12 +223,12 @@
     }
 
     pub fn ready_status(&self) -> u16 {
-        get(self.ready, "/ready").status
+        endpoint::get(self.ready, "/ready").status
     }
 
     /// A counter of the instance; 0 if it never counted.
     pub fn counter(&self, name: &str) -> u64 {
-        let text = get(self.metrics, "/metrics").body;
+        let text = endpoint::get(self.metrics, "/metrics").body;
         let line = text.lines().find_map(|line| line.strip_prefix(&format!("{name} ")));
         line.map_or(0, |value| value.parse().unwrap())
     }
@@ -365,223 +262,6 @@
     }
 }
 
-impl MemoryStore {
-    pub fn enlist(&self, name: &str, service: &str, addr: SocketAddr) {
-        self.put(TableName::Endpoints, name, format!("{service} {addr}").into_bytes());
-    }
-}
-
-/// An endpoint that hands each connection to a script.
-pub struct Desk {
-    pub addr: SocketAddr,
-    seen: Arc<Mutex<Vec<String>>>,
-}
-
-impl Desk {
-    /// `script` gets each connection with its number, from 0.
-    pub fn start(script: impl Fn(usize, &mut Conn) + Send + Sync + 'static) -> Desk {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
-        let seen = Arc::new(Mutex::new(Vec::new()));
-        let (script, heads) = (Arc::new(script), seen.clone());
-        thread::spawn(move || {
-            for (number, stream) in listener.incoming().enumerate() {
-                let (script, heads) = (script.clone(), heads.clone());
-                thread::spawn(move || {
-                    let mut conn = Conn { stream: stream.unwrap(), buffer: Vec::new(), heads };
-                    script(number, &mut conn);
-                });
-            }
-        });
-        Desk { addr, seen }
-    }
-
-    /// Answers every request with 200 and that body.
-    pub fn answering(body: &'static str) -> Desk {
-        Desk::start(move |_, conn| {
-            while let Some(request) = conn.read_request() {
-                conn.write(&whole(&request.id(), 200, body));
-            }
-        })
-    }
-
-    /// The heads of all requests that it got.
-    pub fn seen(&self) -> Vec<String> {
-        self.seen.lock().unwrap().clone()
-    }
-}
-
-/// A whole answer to the request with that id.
-pub fn whole(id: &str, status: u16, body: &str) -> String {
-    let len = body.len();
-    format!(
-        "HTTP/1.1 {status} X\r\npeatdeck-request: {id}\r\npeatdeck-seal: s\r\ncontent-length: {len}\r\n\r\n{body}"
-    )
-}
-
-/// The head of a stream for the request with that id.
-pub fn stream_head(id: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\npeatdeck-request: {id}\r\npeatdeck-seal: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-    )
-}
-
-/// An event as a chunk of a body.
-pub fn chunk(id: u64) -> String {
-    let event = format!("id: {id}\ndata: token-{id}\n\n");
-    format!("{:x}\r\n{event}\r\n", event.len())
-}
-
-/// A request as an endpoint sees it.
-pub struct Seen {
-    pub head: String,
-    pub body: String,
-}
-
-impl Seen {
-    pub fn id(&self) -> String {
-        self.header("peatdeck-request").unwrap_or_default()
-    }
-
-    pub fn header(&self, name: &str) -> Option<String> {
-        header(&self.head, name)
-    }
-}
-
-fn header(head: &str, name: &str) -> Option<String> {
-    let lines = head.lines().filter_map(|line| line.split_once(':'));
-    let mut values = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
-    values.next().map(|(_, value)| value.trim().to_owned())
-}
-
-/// A connection that speaks raw bytes.
-pub struct Conn {
-    stream: TcpStream,
-    buffer: Vec<u8>,
-    heads: Arc<Mutex<Vec<String>>>,
-}
-
-impl Conn {
-    pub fn open(addr: SocketAddr) -> Conn {
-        let stream = TcpStream::connect(addr).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Conn { stream, buffer: Vec::new(), heads: Arc::default() }
-    }
-
-    pub fn write(&mut self, text: &str) {
-        // A peer that has gone is seen by the next read.
-        self.stream.write_all(text.as_bytes()).ok();
-    }
-
-    pub fn close(&mut self) {
-        self.stream.shutdown(Shutdown::Both).ok();
-    }
-
-    /// Reads the head of a request or reply without what follows it.
-    pub fn read_head(&mut self) -> Option<String> {
-        loop {
-            if let Some(end) = find(&self.buffer, b"\r\n\r\n") {
-                let rest = self.buffer.split_off(end + 4);
-                let head = std::mem::replace(&mut self.buffer, rest);
-                let head = String::from_utf8(head).unwrap();
-                self.heads.lock().unwrap().push(head.clone());
-                return Some(head);
-            }
-            if !self.fill() {
-                return None;
-            }
-        }
-    }
-
-    pub fn read_request(&mut self) -> Option<Seen> {
-        let head = self.read_head()?;
-        let len = header(&head, "content-length").map_or(0, |len| len.parse().unwrap());
-        while self.buffer.len() < len {
-            if !self.fill() {
-                return None;
-            }
-        }
-        let rest = self.buffer.split_off(len);
-        let body = std::mem::replace(&mut self.buffer, rest);
-        Some(Seen { head, body: String::from_utf8(body).unwrap() })
-    }
-
-    /// Reads until that text has come; false if the connection ended before.
-    pub fn read_until(&mut self, text: &str) -> bool {
-        while find(&self.buffer, text.as_bytes()).is_none() {
-            if !self.fill() {
-                return false;
-            }
-        }
-        true
-    }
-
-    /// Everything that comes until the connection ends.
-    pub fn read_to_end(&mut self) -> String {
-        while self.fill() {}
-        String::from_utf8(std::mem::take(&mut self.buffer)).unwrap()
-    }
-
-    fn fill(&mut self) -> bool {
-        let mut chunk = [0; 4096];
-        match self.stream.read(&mut chunk) {
-            Ok(0) => false,
-            Ok(len) => {
-                self.buffer.extend_from_slice(&chunk[..len]);
-                true
-            }
-            Err(error) if error.kind() == ErrorKind::ConnectionReset => false,
-            Err(error) => panic!("nothing came within the test's patience: {error}"),
-        }
-    }
-}
-
-fn find(bytes: &[u8], text: &[u8]) -> Option<usize> {
-    bytes.windows(text.len()).position(|window| window == text)
-}
-
-/// A reply as a caller sees it.
-#[derive(Debug)]
-pub struct Reply {
-    pub status: u16,
-    pub head: String,
-    pub body: String,
-}
-
-impl Reply {
-    pub fn header(&self, name: &str) -> Option<String> {
-        header(&self.head, name)
-    }
-}
-
-/// The head of a request with a new id.
-pub fn request(path: &str, more: &str) -> String {
-    static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
-    let id = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-    format!(
-        "GET {path} HTTP/1.1\r\nhost: fleet.example\r\npeatdeck-request: r{id}\r\npeatdeck-key: key-1\r\npeatdeck-deadline-ms: 20000\r\n{more}\r\n"
-    )
-}
-
-/// Sends a request on a connection of its own and reads the reply to the end.
-pub fn ask(front: SocketAddr, path: &str, more: &str) -> Reply {
-    let mut conn = Conn::open(front);
-    conn.write(&request(path, &format!("connection: close\r\n{more}")));
-    read_reply(&mut conn)
-}
-
-pub fn read_reply(conn: &mut Conn) -> Reply {
-    let head = conn.read_head().expect("the connection ended without a reply");
-    let status = head.split(' ').nth(1).unwrap().parse().unwrap();
-    Reply { status, head, body: conn.read_to_end() }
-}
-
-fn get(addr: SocketAddr, path: &str) -> Reply {
-    let mut conn = Conn::open(addr);
-    conn.write(&format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"));
-    read_reply(&mut conn)
-}
-
 /// Waits until something holds.
 pub fn wait_for(what: &str, holds: impl Fn() -> bool) {
     let (tx, rx) = mpsc::channel::<()>();
--- /dev/null
+++ b/crates/relay/tests/relay/standins/endpoint.rs
@@ -0,0 +1,221 @@
+//! Endpoints that follow a script, and connections that speak raw bytes.
+
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+};
+
+use crate::standins::PATIENCE;
+
+/// An endpoint that hands each connection to a script.
+pub struct Desk {
+    pub addr: SocketAddr,
+    seen: Arc<Mutex<Vec<String>>>,
+}
+
+impl Desk {
+    /// `script` gets each connection with its number, from 0.
+    pub fn start(script: impl Fn(usize, &mut Conn) + Send + Sync + 'static) -> Desk {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let (script, heads) = (Arc::new(script), seen.clone());
+        thread::spawn(move || {
+            for (number, stream) in listener.incoming().enumerate() {
+                let (script, heads) = (script.clone(), heads.clone());
+                thread::spawn(move || {
+                    let mut conn = Conn { stream: stream.unwrap(), buffer: Vec::new(), heads };
+                    script(number, &mut conn);
+                });
+            }
+        });
+        Desk { addr, seen }
+    }
+
+    /// Answers every request with 200 and that body.
+    pub fn answering(body: &'static str) -> Desk {
+        Desk::start(move |_, conn| {
+            while let Some(request) = conn.read_request() {
+                conn.write(&whole(&request.id(), 200, body));
+            }
+        })
+    }
+
+    /// The heads of all requests that it got.
+    pub fn seen(&self) -> Vec<String> {
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+/// A whole answer to the request with that id.
+pub fn whole(id: &str, status: u16, body: &str) -> String {
+    let len = body.len();
+    format!(
+        "HTTP/1.1 {status} X\r\npeatdeck-request: {id}\r\npeatdeck-seal: s\r\ncontent-length: {len}\r\n\r\n{body}"
+    )
+}
+
+/// The head of a stream for the request with that id.
+pub fn stream_head(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\npeatdeck-request: {id}\r\npeatdeck-seal: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+}
+
+/// An event as a chunk of a body.
+pub fn chunk(id: u64) -> String {
+    let event = format!("id: {id}\ndata: token-{id}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
+/// A request as an endpoint sees it.
+pub struct Seen {
+    pub head: String,
+    pub body: String,
+}
+
+impl Seen {
+    pub fn id(&self) -> String {
+        self.header("peatdeck-request").unwrap_or_default()
+    }
+
+    pub fn header(&self, name: &str) -> Option<String> {
+        header(&self.head, name)
+    }
+}
+
+fn header(head: &str, name: &str) -> Option<String> {
+    let lines = head.lines().filter_map(|line| line.split_once(':'));
+    let mut values = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+    values.next().map(|(_, value)| value.trim().to_owned())
+}
+
+/// A connection that speaks raw bytes.
+pub struct Conn {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    heads: Arc<Mutex<Vec<String>>>,
+}
+
+impl Conn {
+    pub fn open(addr: SocketAddr) -> Conn {
+        let stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Conn { stream, buffer: Vec::new(), heads: Arc::default() }
+    }
+
+    pub fn write(&mut self, text: &str) {
+        // A peer that has gone is seen by the next read.
+        self.stream.write_all(text.as_bytes()).ok();
+    }
+
+    pub fn close(&mut self) {
+        self.stream.shutdown(Shutdown::Both).ok();
+    }
+
+    /// Reads the head of a request or reply without what follows it.
+    pub fn read_head(&mut self) -> Option<String> {
+        loop {
+            if let Some(end) = find(&self.buffer, b"\r\n\r\n") {
+                let rest = self.buffer.split_off(end + 4);
+                let head = std::mem::replace(&mut self.buffer, rest);
+                let head = String::from_utf8(head).unwrap();
+                self.heads.lock().unwrap().push(head.clone());
+                return Some(head);
+            }
+            if !self.fill() {
+                return None;
+            }
+        }
+    }
+
+    pub fn read_request(&mut self) -> Option<Seen> {
+        let head = self.read_head()?;
+        let len = header(&head, "content-length").map_or(0, |len| len.parse().unwrap());
+        while self.buffer.len() < len {
+            if !self.fill() {
+                return None;
+            }
+        }
+        let rest = self.buffer.split_off(len);
+        let body = std::mem::replace(&mut self.buffer, rest);
+        Some(Seen { head, body: String::from_utf8(body).unwrap() })
+    }
+
+    /// Reads until that text has come; false if the connection ended before.
+    pub fn read_until(&mut self, text: &str) -> bool {
+        while find(&self.buffer, text.as_bytes()).is_none() {
+            if !self.fill() {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Everything that comes until the connection ends.
+    pub fn read_to_end(&mut self) -> String {
+        while self.fill() {}
+        String::from_utf8(std::mem::take(&mut self.buffer)).unwrap()
+    }
+
+    fn fill(&mut self) -> bool {
+        let mut chunk = [0; 4096];
+        match self.stream.read(&mut chunk) {
+            Ok(0) => false,
+            Ok(len) => {
+                self.buffer.extend_from_slice(&chunk[..len]);
+                true
+            }
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => false,
+            Err(error) => panic!("nothing came within the test's patience: {error}"),
+        }
+    }
+}
+
+fn find(bytes: &[u8], text: &[u8]) -> Option<usize> {
+    bytes.windows(text.len()).position(|window| window == text)
+}
+
+/// A reply as a caller sees it.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Reply {
+    pub fn header(&self, name: &str) -> Option<String> {
+        header(&self.head, name)
+    }
+}
+
+/// The head of a request with a new id.
+pub fn request(path: &str, more: &str) -> String {
+    static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
+    let id = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: fleet.example\r\npeatdeck-request: r{id}\r\npeatdeck-key: key-1\r\npeatdeck-deadline-ms: 20000\r\n{more}\r\n"
+    )
+}
+
+/// Sends a request on a connection of its own and reads the reply to the end.
+pub fn ask(front: SocketAddr, path: &str, more: &str) -> Reply {
+    let mut conn = Conn::open(front);
+    conn.write(&request(path, &format!("connection: close\r\n{more}")));
+    read_reply(&mut conn)
+}
+
+pub fn read_reply(conn: &mut Conn) -> Reply {
+    let head = conn.read_head().expect("the connection ended without a reply");
+    let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+    Reply { status, head, body: conn.read_to_end() }
+}
+
+pub fn get(addr: SocketAddr, path: &str) -> Reply {
+    let mut conn = Conn::open(addr);
+    conn.write(&format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"));
+    read_reply(&mut conn)
+}
--- /dev/null
+++ b/crates/relay/tests/relay/standins/store.rs
@@ -0,0 +1,125 @@
+//! A platform's store in memory.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use peatdeck_core::relay::table::Record;
+use peatdeck_relay::surroundings::{self, Page, Store, StoreError, TableName};
+
+/// A platform's store in memory. Clones share it.
+#[derive(Clone, Default)]
+pub struct MemoryStore {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Default)]
+struct Inner {
+    tables: HashMap<TableName, Vec<Record>>,
+    expired: HashMap<TableName, u64>,
+    is_dark: bool,
+    delay: Duration,
+}
+
+impl MemoryStore {
+    pub fn put(&self, table: TableName, key: &str, value: Vec<u8>) {
+        let mut inner = self.inner.lock().unwrap();
+        let records = inner.tables.entry(table).or_default();
+        let offset = records.len() as u64;
+        records.push(Record { key: Arc::from(key), offset, value: Some(value.into()) });
+    }
+
+    /// Names an endpoint in the directory.
+    pub fn enlist(&self, name: &str, service: &str, addr: SocketAddr) {
+        self.put(TableName::Endpoints, name, format!("{service} {addr}").into_bytes());
+    }
+
+    /// Forgets the log of a table; the newest record of each key stays.
+    pub fn compact(&self, table: TableName) {
+        let mut inner = self.inner.lock().unwrap();
+        let end = inner.tables.get(&table).map_or(0, |records| records.len() as u64);
+        inner.expired.insert(table, end);
+    }
+
+    pub fn set_dark(&self, is_dark: bool) {
+        self.inner.lock().unwrap().is_dark = is_dark;
+    }
+
+    /// How long each of its answers is on the way.
+    pub fn set_delay(&self, delay: Duration) {
+        self.inner.lock().unwrap().delay = delay;
+    }
+
+    fn delay(&self) -> Duration {
+        self.inner.lock().unwrap().delay
+    }
+
+    fn newest(&self, table: TableName) -> Result<Page, StoreError> {
+        let inner = self.inner.lock().unwrap();
+        if inner.is_dark {
+            return Err(StoreError::Refused(503));
+        }
+        let all = inner.tables.get(&table).cloned().unwrap_or_default();
+        let end = all.len() as u64;
+        let mut newest = HashMap::new();
+        for record in all {
+            newest.insert(record.key.clone(), record);
+        }
+        Ok(Page { records: newest.into_values().collect(), more: None, end })
+    }
+
+    fn read(&self, table: TableName, from: u64) -> Result<surroundings::Read, StoreError> {
+        let inner = self.inner.lock().unwrap();
+        if inner.is_dark {
+            return Err(StoreError::Refused(503));
+        }
+        if inner.expired.get(&table).is_some_and(|kept| from < *kept) {
+            return Ok(surroundings::Read::Expired);
+        }
+        let all = inner.tables.get(&table).cloned().unwrap_or_default();
+        let end = all.len() as u64;
+        let records = all.into_iter().filter(|record| record.offset >= from).collect();
+        Ok(surroundings::Read::Records { records, end, has_more: false })
+    }
+
+    pub fn client(&self) -> Store {
+        let (newest, read, announce) = (self.clone(), self.clone(), self.clone());
+        Store {
+            newest: Rc::new(move |table, _| {
+                let (page, delay) = (newest.newest(table), newest.delay());
+                Box::pin(async move {
+                    tokio::time::sleep(delay).await;
+                    page
+                })
+            }),
+            read: Rc::new(move |table, from, wait| {
+                let store = read.clone();
+                Box::pin(async move {
+                    // Looks again at the end of the wait, which is close enough.
+                    if let Ok(surroundings::Read::Records { records, .. }) = store.read(table, from)
+                        && records.is_empty()
+                    {
+                        tokio::time::sleep(wait).await;
+                    }
+                    let read = store.read(table, from);
+                    tokio::time::sleep(store.delay()).await;
+                    read
+                })
+            }),
+            announce: Rc::new(move |key, value| {
+                let store = announce.clone();
+                Box::pin(async move {
+                    if store.inner.lock().unwrap().is_dark {
+                        return Err(StoreError::Refused(503));
+                    }
+                    store.put(TableName::Instances, &key, value.to_vec());
+                    Ok(())
+                })
+            }),
+        }
+    }
+}
