Learn the directory from peers that are ahead too, not from readers only

Since gossip carries no records any more, an instance had the directory's news from a reader every 450 ms only; before, each exchange with any peer had brought some.

Change: a peer whose reply says that any of its copies is ahead is asked for what is new, one question open at a time as before; a reader at its pace as before, and first of all where the configuration is newer.

--- a/crates/relay/src/peers/learn.rs
+++ b/crates/relay/src/peers/learn.rs
@@ -60,17 +60,25 @@
     }
 }
 
-/// Learns for as long as the process runs.
+/// Learns for as long as the process runs: from a reader at its pace, and
+/// meanwhile from peers that say they are ahead.
 pub async fn run(driver: Rc<Driver>) {
+    let mut due = driver.now();
     loop {
-        let pace = readers::PACE.mul_f64(rand::rng().random_range(0.9..1.1));
+        let pause = tokio::time::sleep(due.saturating_sub(driver.now()));
         let woken = Box::pin(driver.peers.learning.wake.notified());
-        future::select(Box::pin(tokio::time::sleep(pace)), woken).await;
-        if let Some(reader) = reader(&driver) {
+        future::select(Box::pin(pause), woken).await;
+        let ahead = driver.peers.learning.ahead.borrow_mut().take();
+        let is_due = driver.now() >= due;
+        if is_due {
+            due = driver.now() + readers::PACE.mul_f64(rand::rng().random_range(0.9..1.1));
+        }
+        let lacks_config = ahead.as_ref().is_some_and(|ahead| lacks_config(&driver, &ahead.ends));
+        if let Some(reader) = reader(&driver).filter(|_| is_due || lacks_config) {
             learn_from(&driver, &reader).await;
         }
-        if let Some(ahead) = ahead(&driver) {
-            learn_from(&driver, &ahead).await;
+        if let Some(ahead) = ahead.filter(|ahead| lacks(&driver, &ahead.ends)) {
+            learn_from(&driver, &Teller { name: None, addr: ahead.addr }).await;
         }
     }
 }
@@ -85,22 +93,23 @@
             tables.compare(name, at);
         }
     }
-    if lacks_urgently(driver, ends) {
+    if lacks(driver, ends) {
         *learning.ahead.borrow_mut() = Some(Ahead { addr: addr.clone(), ends: ends.to_vec() });
         learning.wake.notify_one();
     }
 }
 
-/// Whether a peer whose copies have these ends should be asked at once. The
-/// directory changes all the time, so each peer is a little ahead or behind;
-/// readers are asked often enough for that.
-fn lacks_urgently(driver: &Driver, ends: &[u64]) -> bool {
-    let is_stale = driver.peers.is_stale(driver.now());
-    let mut pairs = TABLES.into_iter().zip(ends);
-    pairs.any(|(name, end)| {
-        let is_behind = driver.peers.tables.state(name).1 < *end;
-        is_behind && (is_stale || name == TableName::Config)
-    })
+/// Whether a peer whose copies have these ends has anything that this instance
+/// lacks.
+fn lacks(driver: &Driver, ends: &[u64]) -> bool {
+    driver.peers.tables.ends().iter().zip(ends).any(|(own, end)| own < end)
+}
+
+/// Whether it has a newer configuration. That may be large, so readers, which
+/// are the strongest instances, are asked for it first.
+fn lacks_config(driver: &Driver, ends: &[u64]) -> bool {
+    let own = driver.peers.tables.state(TableName::Config).1;
+    ends.get(TableName::Config as usize).is_some_and(|end| own < *end)
 }
 
 /// A reader to ask, unless this instance is one and reads the store.
@@ -117,12 +126,6 @@
     Some(Teller { name: Some(name), addr })
 }
 
-/// The peer that said it is ahead, if it still is.
-fn ahead(driver: &Driver) -> Option<Teller> {
-    let ahead = driver.peers.learning.ahead.borrow_mut().take()?;
-    lacks_urgently(driver, &ahead.ends).then_some(Teller { name: None, addr: ahead.addr })
-}
-
 /// Asks a peer until it has told all that it has.
 async fn learn_from(driver: &Rc<Driver>, teller: &Teller) {
     let begun = driver.now();
