Move calls whose first token is overdue, and let placers know of failures

A placer that was slow for one instance kept that one from asking any other placer for two seconds.

Change: a call whose first token takes three times as long as nine of ten, and 0.3 s, is given up and made elsewhere, where it may run twice, nothing of it was passed on, another engine is sound and the bound on repetition allows it. What instances tell placers of a call says whether and how it failed; a placer pauses an engine for all. Placers are avoided one by one.

--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -21,7 +21,7 @@
     model::{DataCentre, EndpointName, Incarnation, Load},
     relay::{
         engine::Engine,
-        model::{EndpointKey, Failure, Life, ServiceName},
+        model::{EndpointKey, Failure, Life, ServiceName, Step},
     },
 };
 
@@ -144,7 +144,8 @@
     /// Whether it is passed over because its last calls failed. Afterwards
     /// one call at a time finds out whether it serves again.
     pub fn is_paused(&self, now: Duration) -> bool {
-        now < self.paused_until || (self.failures > 0 && self.in_flight > 0)
+        let is_probed = || self.in_flight > 0 || self.engine.is_probed(now, self.paused_until);
+        now < self.paused_until || (self.failures > 0 && is_probed())
     }
 
     /// Calls that it works on or keeps waiting, as far as is known.
@@ -197,6 +198,15 @@
         });
     }
 
+    /// A call has got so far, so long after it was sent.
+    pub fn note(&mut self, now: Duration, took: Duration, step: Step) {
+        match step {
+            Step::Answered(load) => self.answered(now, took, load),
+            Step::Ended => {}
+            Step::Failed(failure) => drop(self.failed(now, failure)),
+        }
+    }
+
     /// A call has ended, however.
     pub fn ended(&mut self) {
         self.in_flight = self.in_flight.saturating_sub(1);
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -103,11 +103,12 @@
         self.copying_until
     }
 
-    /// The first token of a call came.
-    pub fn begun(&mut self, number: RunNumber) {
-        let Some(run) = self.runs.get_mut(&number) else { return };
+    /// The first token of a call came. Returns how long after it was placed.
+    pub fn begun(&mut self, now: Duration, number: RunNumber) -> Option<Duration> {
+        let run = self.runs.get_mut(&number)?;
         run.has_begun = true;
         self.newest_begun = self.newest_begun.max(run.placed);
+        Some(now.saturating_sub(run.placed))
     }
 
     /// A call has ended, however. Returns how long it was there.
@@ -135,6 +136,13 @@
         }
     }
 
+    /// Whether a call that was placed since then still waits for its first token.
+    pub fn is_probed(&self, now: Duration, since: Duration) -> bool {
+        let is_telling = |run: &Run| now < run.placed + LONGEST_LAG;
+        let mut waiting = self.runs.values().filter(|run| !run.has_begun && is_telling(run));
+        waiting.any(|run| run.placed >= since)
+    }
+
     /// Whether a call is there.
     pub fn has(&self, number: RunNumber) -> bool {
         self.runs.contains_key(&number)
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -66,6 +66,8 @@
     /// The peer that placed it, and its number there.
     pub(crate) placer: Option<(InstanceName, RunNumber)>,
     pub(crate) is_answered: bool,
+    /// When it is given up if no answer has begun.
+    pub(crate) overdue: Option<Duration>,
 }
 
 /// What a call is for.
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -86,8 +86,8 @@
     announced: usize,
     /// Until when requests that peers may have a part in wait for word of them.
     peers_by: Duration,
-    /// Until when no placer is asked: one did not answer.
-    placers_avoided: Duration,
+    /// Placers that did not answer, and until when they are not asked.
+    mute_placers: HashMap<InstanceName, Duration>,
     /// Engines that were asked what they hold, and when this instance last
     /// placed a prompt.
     listed: HashSet<EndpointKey>,
@@ -105,6 +105,8 @@
     /// Room has become free that waiting pieces may need.
     has_room: bool,
     due: BTreeSet<(Duration, ExchangeKey)>,
+    /// When first tokens of engines are overdue.
+    overdue: BTreeSet<(Duration, CallKey)>,
     /// When the engines that are called with results have probably read them.
     spare_at: BTreeSet<(Duration, ExchangeKey)>,
     /// How long after its call an engine has probably read them.
@@ -167,7 +169,7 @@
             avoided: HashMap::new(),
             announced: 0,
             peers_by: Duration::ZERO,
-            placers_avoided: Duration::ZERO,
+            mute_placers: HashMap::new(),
             listed: HashSet::new(),
             placed_at: Duration::ZERO,
             runs: HashMap::new(),
@@ -179,6 +181,7 @@
             policy: None,
             has_room: false,
             due: BTreeSet::new(),
+            overdue: BTreeSet::new(),
             spare_at: BTreeSet::new(),
             read_time: results::FIRST_READ_TIME,
             searching: BTreeSet::new(),
@@ -235,8 +238,13 @@
         let search = (!self.searching.is_empty()).then_some(self.next_search);
         let spare = self.spare_at.first().map(|(at, _)| *at);
         let batch = self.batches.next_wake(now);
+        let overdue = self.overdue.first().map(|(at, _)| *at);
         let report = self.next_report();
-        [due, search, spare, batch, report].into_iter().flatten().min().unwrap_or(self.next_clean)
+        [due, overdue, search, spare, batch, report]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(self.next_clean)
     }
 
     /// Takes in a configuration. An older one is passed over; false then.
@@ -271,6 +279,7 @@
     /// are at the most: those that ever announced themselves.
     pub fn set_peers(&mut self, now: Duration, peers: Vec<Peer>, announced: usize) {
         self.avoided.retain(|_, until| now < *until);
+        self.mute_placers.retain(|_, until| now < *until);
         self.peers = peers;
         self.announced = announced;
     }
@@ -347,6 +356,7 @@
         if now >= self.next_search && !self.searching.is_empty() {
             self.search(now);
         }
+        self.move_overdue(now);
         self.send_reports(now);
         self.spare_results(now);
         self.make_stragglers_again(now);
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -7,13 +7,10 @@
     relay::{
         choice,
         exchange::{CallState, Exchange, ExchangeOf},
-        machine::{
-            Relay,
-            placing::{Placed, Reached},
-        },
+        machine::{Relay, placing::Placed},
         model::{
-            Action, Basis, Call, CallKey, EndpointKey, ExchangeKey, Failure, Refusal, ReplyHead,
-            RunNumber,
+            Action, Basis, Call, CallKey, EndpointKey, ExchangeKey, Failure, Progress, Refusal,
+            ReplyHead, RunNumber, Step,
         },
     },
 };
@@ -24,6 +21,12 @@
 /// restarts or whose connection broke is often back by then, and a caller that
 /// is refused then still has most of its time.
 const PATIENCE_SHARE: f64 = 0.2;
+/// An engine's first token is overdue after so many times the time that nine of
+/// ten take. A slow engine is waited for: in a burst, reading a prompt twice costs
+/// more than it saves.
+const OVERDUE_FACTOR: f64 = 3.0;
+/// The same, as time on top: connections and a loaded instance.
+const OVERDUE_SLACK: Duration = Duration::from_millis(300);
 /// Nothing is sent to an endpoint with less time than this.
 const SHORTEST_CALL: Duration = Duration::from_millis(5);
 
@@ -64,7 +67,7 @@
     /// A stream ended whole.
     pub fn ended(&mut self, now: Duration, call: CallKey) {
         let Some(key) = self.exchange_of(call) else { return };
-        self.end_call(now, call);
+        self.end_call(now, call, Step::Ended);
         if !self.exchanges[key].has_begun {
             self.actions.push(Action::Begin { exchange: key, call });
         }
@@ -77,7 +80,7 @@
         let Some(key) = self.exchange_of(call) else { return };
         self.note_answer(now, call, head.load);
         let endpoint = self.calls[call].endpoint;
-        self.end_call(now, call);
+        self.end_call(now, call, Step::Ended);
         if head.status == 421 {
             self.directory.leaves(now, endpoint);
         }
@@ -106,11 +109,7 @@
     /// A call failed without a whole reply.
     pub fn failed(&mut self, now: Duration, call: CallKey, failure: Failure) {
         let Some(key) = self.exchange_of(call) else { return };
-        let endpoint = self.calls[call].endpoint;
-        self.end_call(now, call);
-        if let Some(endpoint) = self.directory.get_mut(endpoint) {
-            endpoint.failed(now, failure);
-        }
+        self.end_call(now, call, Step::Failed(failure));
         let exchange = &mut self.exchanges[key];
         match failure {
             Failure::Unsent => exchange.attempts -= 1,
@@ -201,7 +200,11 @@
             run,
             placer,
             is_answered: false,
+            overdue: None,
         });
+        if run.is_some() {
+            self.watch(now, call, &chosen);
+        }
         let exchange = &mut self.exchanges[key];
         exchange.call = Some(call);
         exchange.attempts += 1;
@@ -227,6 +230,49 @@
         self.actions.push(Action::Send(call));
     }
 
+    /// Remembers when an engine's first token is overdue.
+    fn watch(&mut self, now: Duration, call: CallKey, chosen: &choice::Candidate) {
+        let service = &self.directory.get(chosen.endpoint).expect("it is called").entry.service;
+        let speed = self.speeds.get(service).cloned().unwrap_or_default();
+        let usual = chosen.wait + chosen.copying + speed.first_token(chosen.tokens);
+        let at = now + usual.mul_f64(OVERDUE_FACTOR) + OVERDUE_SLACK;
+        self.calls[call].overdue = Some(at);
+        self.overdue.insert((at, call));
+    }
+
+    /// Has calls whose first tokens are overdue made elsewhere, where that does no
+    /// harm, is in time and within the bound on repetition: their engines hang, or
+    /// have more to do than was reckoned with.
+    pub(super) fn move_overdue(&mut self, now: Duration) {
+        while let Some(&(at, call)) = self.overdue.first()
+            && at <= now
+        {
+            self.overdue.remove(&(at, call));
+            let Some(key) = self.exchange_of(call) else { continue };
+            if self.calls[call].is_answered || !self.may_move(now, key) {
+                continue;
+            }
+            let service = self.exchanges[key].service.clone();
+            if self.spend(now, &service, 1) {
+                self.actions.push(Action::Cancel(call));
+                self.end_call(now, call, Step::Failed(Failure::Cut));
+                self.exchanges[key].was_called = true;
+                self.advance(now, key);
+            }
+        }
+    }
+
+    /// Whether a call of an exchange may be made again elsewhere.
+    fn may_move(&self, now: Duration, key: ExchangeKey) -> bool {
+        let Exchange { route, attempts, due, has_begun, service, tried, .. } = &self.exchanges[key];
+        let may_repeat = route.kind.may_repeat() && !has_begun && *attempts < route.max_attempts;
+        let is_sound =
+            |key: &EndpointKey| self.directory.get(*key).is_some_and(|it| !it.is_paused(now));
+        let others = self.directory.usable(now, service).into_iter();
+        let has_other = others.filter(|key| !tried.contains(key)).any(|key| is_sound(&key));
+        may_repeat && has_other && *due > now + OVERDUE_SLACK
+    }
+
     /// Remembers what an engine is sent.
     fn note_sent(
         &mut self,
@@ -343,20 +389,38 @@
         {
             self.speeds.entry(service.clone()).or_default().note(now, tokens, took);
         }
-        if let Some(endpoint) = self.directory.get_mut(state.endpoint) {
-            endpoint.answered(now, took, load);
+        self.note_step(now, call, Step::Answered(load));
+    }
+
+    /// A call has got so far: what is known of its endpoint changes, and a peer
+    /// that placed it is told.
+    fn note_step(&mut self, now: Duration, call: CallKey, step: Step) {
+        let Some(CallState { endpoint, started, run, placer, .. }) = self.calls.get(call) else {
+            return;
+        };
+        let (endpoint, took) = (*endpoint, now.saturating_sub(*started));
+        let (run, placer) = (*run, placer.clone());
+        match (run, self.directory.get_mut(endpoint)) {
+            (Some(number), _) => self.progressed(now, Progress { number, step }),
+            (None, Some(endpoint)) => endpoint.note(now, took, step),
+            (None, None) => {}
+        }
+        if let Some((peer, number)) = placer {
+            self.report(now, peer, Progress { number, step });
         }
-        self.note_progress(now, call, Reached::FirstToken(load));
     }
 
     pub(super) fn cancel(&mut self, now: Duration, call: CallKey) {
         self.actions.push(Action::Cancel(call));
-        self.end_call(now, call);
+        self.end_call(now, call, Step::Ended);
     }
 
-    pub(super) fn end_call(&mut self, now: Duration, call: CallKey) {
-        self.note_progress(now, call, Reached::End);
+    pub(super) fn end_call(&mut self, now: Duration, call: CallKey, step: Step) {
+        self.note_step(now, call, step);
         let Some(state) = self.calls.remove(call) else { return };
+        if let Some(at) = state.overdue {
+            self.overdue.remove(&(at, call));
+        }
         if let Some(endpoint) = self.directory.get_mut(state.endpoint) {
             endpoint.ended();
         }
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -25,7 +25,7 @@
 use xxhash_rust::xxh3;
 
 use crate::{
-    model::{DataCentre, InstanceName, Load},
+    model::{DataCentre, InstanceName},
     relay::{
         choice::{self, Candidate, Chooser, prompts},
         config::{self, Transfer},
@@ -33,8 +33,8 @@
         exchange::Exchange,
         machine::Relay,
         model::{
-            Action, CallKey, EndpointKey, ExchangeKey, Life, Listed, Placement, Progress, Prompt,
-            Question, RunNumber,
+            Action, EndpointKey, ExchangeKey, Life, Listed, Placement, Progress, Prompt, Question,
+            RunNumber, Step,
         },
         reading::Speed,
     },
@@ -63,24 +63,19 @@
     pub(super) placer: Option<(InstanceName, RunNumber)>,
 }
 
-/// How far a call has got.
-#[derive(Debug, Clone, Copy)]
-pub(super) enum Reached {
-    /// Its first token came, with the engine's load.
-    FirstToken(Option<Load>),
-    End,
-}
-
 impl Relay {
     /// Asks the placer where an exchange's call should go. False if this
     /// instance chooses itself.
     pub(super) fn ask_placer(&mut self, now: Duration, key: ExchangeKey) -> bool {
         let exchange = &self.exchanges[key];
         let Some(prompt) = &exchange.arrival.prompt else { return false };
-        if now < self.placers_avoided || self.has_route_policy() {
+        if self.has_route_policy() {
             return false;
         }
         let Some(peer) = self.placer(&exchange.service, prompt) else { return false };
+        if self.mute_placers.get(&peer).is_some_and(|until| now < *until) {
+            return false;
+        }
         let question = Question {
             service: exchange.service.clone(),
             prompt: prompt.clone(),
@@ -93,8 +88,8 @@
     }
 
     /// A placer did not answer.
-    pub fn placer_failed(&mut self, now: Duration) {
-        self.placers_avoided = now + AVOID_TIME;
+    pub fn placer_failed(&mut self, now: Duration, peer: &InstanceName) {
+        self.mute_placers.insert(peer.clone(), now + AVOID_TIME);
     }
 
     /// A placer answered, or did not: `None` then, or if it found no engine.
@@ -112,7 +107,7 @@
         let chosen = chosen.and_then(|placement| self.candidate(now, key, peer, placement));
         if let (None, Some(number)) = (&chosen, number) {
             // The placer reckons with a call that is not made.
-            self.report(now, peer.clone(), Progress { number, is_ended: true, load: None });
+            self.report(now, peer.clone(), Progress { number, step: Step::Ended });
         }
         match chosen {
             Some(placed) => self.call_at(now, key, placed),
@@ -197,43 +192,26 @@
         number
     }
 
-    /// A call reached its first token or its end: notes it, and tells the peer
-    /// that placed it.
-    pub(super) fn note_progress(&mut self, now: Duration, call: CallKey, reached: Reached) {
-        let Some(state) = self.calls.get(call) else { return };
-        let (run, placer) = (state.run, state.placer.clone());
-        let (is_ended, load) = match reached {
-            Reached::FirstToken(load) => (false, load),
-            Reached::End => (true, None),
-        };
-        if let Some(number) = run {
-            self.progressed(now, Progress { number, is_ended, load });
-        }
-        if let Some((peer, number)) = placer {
-            self.report(now, peer, Progress { number, is_ended, load });
-        }
-    }
-
     /// Takes in how a call goes on that this instance placed.
     pub fn progressed(&mut self, now: Duration, progress: Progress) {
-        let Progress { number, is_ended, load } = progress;
+        let Progress { number, step } = progress;
         let Some(&key) = self.runs.get(&number) else { return };
-        if is_ended {
-            self.runs.remove(&number);
-        }
         let Some(endpoint) = self.directory.get_mut(key) else { return };
-        if let Some(load) = load {
-            endpoint.reported(now, load);
+        if let Step::Answered(_) = step {
+            let took = endpoint.engine.begun(now, number).unwrap_or_default();
+            endpoint.note(now, took, step);
+            return;
         }
-        if !is_ended {
-            endpoint.engine.begun(number);
-        } else if let Some(time) = endpoint.engine.ended(now, number) {
+        self.runs.remove(&number);
+        let took = endpoint.engine.ended(now, number).unwrap_or_default();
+        endpoint.note(now, took, step);
+        if let Step::Ended = step {
             let kept = self.run_time.mul_f64(1.0 - NEWEST_SHARE);
-            self.run_time = kept + time.mul_f64(NEWEST_SHARE);
+            self.run_time = kept + took.mul_f64(NEWEST_SHARE);
         }
     }
 
-    fn report(&mut self, now: Duration, peer: InstanceName, progress: Progress) {
+    pub(super) fn report(&mut self, now: Duration, peer: InstanceName, progress: Progress) {
         if self.reports.is_empty() {
             self.report_at = now + REPORT_PAUSE;
         }
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -14,7 +14,7 @@
         machine::{Handover, Relay, Ticket},
         model::{
             Action, CallKey, ExchangeKey, Failure, HandoverKey, Piece, PieceFailure, PieceResult,
-            Refusal, ServiceName,
+            Refusal, ServiceName, Step,
         },
     },
 };
@@ -38,7 +38,7 @@
     ) {
         self.note_answer(now, call, load);
         let service = self.service_of(call);
-        self.end_call(now, call);
+        self.end_call(now, call, Step::Ended);
         let (finished, strays) = self.batches.made(now, call, results);
         if let (Some(service), false) = (service, strays.is_empty()) {
             self.free_at(&service, strays);
@@ -66,12 +66,8 @@
     /// A call for pieces failed; `is_unrun` if the endpoint said that it did
     /// not run.
     pub fn make_failed(&mut self, now: Duration, call: CallKey, failure: Failure, is_unrun: bool) {
-        let endpoint = self.calls.get(call).map(|state| state.endpoint);
-        self.end_call(now, call);
-        let endpoint = endpoint.and_then(|key| self.directory.get_mut(key));
-        if let (Some(endpoint), false) = (endpoint, is_unrun) {
-            endpoint.failed(now, failure);
-        }
+        let step = if is_unrun { Step::Ended } else { Step::Failed(failure) };
+        self.end_call(now, call, step);
         let mut finished = self.batches.failed(now, call, is_unrun);
         let is_safe = is_unrun || failure == Failure::Unsent;
         for one in &mut finished {
@@ -256,6 +252,7 @@
                 run: None,
                 placer: None,
                 is_answered: false,
+                overdue: None,
             });
             self.batches.started(now, call, &order, &shape);
             let target = self.directory.get_mut(endpoint).expect("a planned endpoint is known");
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -237,10 +237,20 @@
 pub struct Progress {
     /// The placer's number of the call.
     pub number: RunNumber,
-    /// Whether it has ended, however; else its first token came.
-    pub is_ended: bool,
-    /// The engine's load, as its reply says.
-    pub load: Option<Load>,
+    /// How far it has got.
+    pub step: Step,
+}
+
+/// How far a call has got.
+#[data]
+#[derive(Copy)]
+pub enum Step {
+    /// Its reply began, with the endpoint's load if that tells it.
+    Answered(Option<Load>),
+    /// It has ended.
+    Ended,
+    /// It has failed.
+    Failed(Failure),
 }
 
 /// Which parts of prompts an engine says that it holds.
--- a/crates/core/tests/testsuite/relay/calls.rs
+++ b/crates/core/tests/testsuite/relay/calls.rs
@@ -5,13 +5,13 @@
     model::Incarnation,
     relay::{
         allowance::Bound,
-        config::{Kind, Route},
+        config::{Engine, Kind, Route},
         directory::Entry,
-        model::{Action, Failure},
+        model::{Action, Arrival, Failure},
     },
 };
 
-use super::fixture::{ConfigBuilder, World, arrival, entry, head, ms, route, unrun};
+use super::fixture::{ConfigBuilder, World, arrival, entry, head, ms, prompt, route, unrun};
 
 #[test]
 fn an_answer_is_passed_on() {
@@ -279,3 +279,85 @@
     assert!(world.calls().is_empty());
     assert_eq!(world.refusals(), ["502 failed never"]);
 }
+
+/// A world whose engines have shown that first tokens take 100 ms.
+fn engines() -> World {
+    let engine = Engine { slots: 64, memory: 300_000, transfer: None };
+    let config = ConfigBuilder::new(1).engines("llm", engine);
+    let config = config.route(route("resumable", Kind::Resumable, "llm")).route(route(
+        "stream",
+        Kind::Stream,
+        "llm",
+    ));
+    let mut world = World::new(config.build());
+    for name in ["a", "b", "c"] {
+        world.put(entry(name, "llm"));
+    }
+    for idx in 0..30 {
+        world.arrive(asking_engine(&format!("before-{idx}"), "resumable"));
+        let call = world.call();
+        world.advance(ms(100));
+        world.relay.opened(world.now, call.key, &head(200));
+        world.relay.ended(world.now, call.key);
+        world.collect();
+    }
+    world.actions.clear();
+    world
+}
+
+fn asking_engine(id: &str, route: &str) -> Arrival {
+    let prompt = Some(prompt(1, xxhash_rust::xxh3::xxh3_64(id.as_bytes())));
+    Arrival { prompt, deadline: Some(ms(8000)), ..arrival(id, route) }
+}
+
+/// An engine that hangs, or that drowns for a reason that nobody sees.
+#[test]
+fn a_call_whose_first_token_is_overdue_moves_to_another_engine() {
+    let mut world = engines();
+    world.arrive(asking_engine("1", "resumable"));
+    let call = world.call();
+    world.advance(ms(500));
+    assert!(world.calls().is_empty(), "a slow engine is waited for");
+    world.advance(ms(500));
+    let moved = world.call();
+    assert_ne!(moved.endpoint, call.endpoint);
+    let cancelled = world.take(|action| match action {
+        Action::Cancel(call) => Some(*call),
+        _ => None,
+    });
+    assert_eq!(cancelled, [call.key]);
+    world.arrive(asking_engine("2", "resumable"));
+    assert_ne!(world.call().endpoint, call.endpoint, "nothing new goes where it hung");
+}
+
+#[test]
+fn a_stream_that_may_run_once_stays_where_it_is() {
+    let mut world = engines();
+    world.arrive(asking_engine("1", "stream"));
+    world.call();
+    world.advance(ms(3000));
+    assert!(world.calls().is_empty());
+}
+
+#[test]
+fn a_call_whose_first_token_came_stays_where_it_is() {
+    let mut world = engines();
+    world.arrive(asking_engine("1", "resumable"));
+    let call = world.call();
+    assert!(world.relay.opened(world.now, call.key, &head(200)));
+    world.advance(ms(3000));
+    assert!(world.calls().is_empty());
+}
+
+#[test]
+fn overdue_calls_move_within_the_bound_on_repetition() {
+    let mut world = engines();
+    for idx in 0..200 {
+        world.arrive(asking_engine(&format!("{idx}"), "resumable"));
+    }
+    assert_eq!(world.calls().len(), 200);
+    world.advance(ms(3000));
+    let moved = world.calls().len();
+    // Of 40 repeats on top and a fifth of 230 requests four fifths are used.
+    assert!((1..=72).contains(&moved), "{moved}");
+}
--- a/crates/core/tests/testsuite/relay/engine.rs
+++ b/crates/core/tests/testsuite/relay/engine.rs
@@ -30,7 +30,7 @@
     place(&mut engine, 0, 1, reading(100));
     assert_eq!(engine.wait(ms(400)), ms(0), "the news may be on their way");
     assert_eq!(engine.wait(ms(1000)), ms(600));
-    engine.begun(1);
+    engine.begun(ms(1000), 1);
     assert_eq!(engine.wait(ms(1000)), ms(0));
 }
 
@@ -39,7 +39,7 @@
     let mut engine = Engine::default();
     place(&mut engine, 0, 1, reading(100));
     place(&mut engine, 10, 2, reading(10));
-    engine.begun(2);
+    engine.begun(ms(100), 2);
     assert_eq!(engine.wait(ms(2000)), ms(0));
 }
 
--- a/crates/core/tests/testsuite/relay/load/fleet.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet.rs
@@ -218,7 +218,7 @@
             Event::Ask { to, from, key, question } => self.ask(to, from, key, &question),
             Event::Placed { to, by, key, placement, is_answer } => self.tell(to, |relay| {
                 if !is_answer {
-                    relay.placer_failed(now);
+                    relay.placer_failed(now, &name(by));
                 }
                 relay.placed(now, key, &name(by), placement);
             }),
--- a/crates/core/tests/testsuite/relay/placing.rs
+++ b/crates/core/tests/testsuite/relay/placing.rs
@@ -78,7 +78,7 @@
     let mut world = beside_a_placer();
     world.arrive(asking("1"));
     let (key, _) = questions(&mut world).remove(0);
-    world.relay.placer_failed(world.now);
+    world.relay.placer_failed(world.now, &"peer".into());
     world.relay.placed(world.now, key, &"peer".into(), None);
     world.collect();
     assert_eq!(world.calls().len(), 1);
--- a/crates/relay/src/peers/service.rs
+++ b/crates/relay/src/peers/service.rs
@@ -131,7 +131,7 @@
         _results: relay::ReportResults,
     ) -> Result<(), capnp::Error> {
         let progress = params.get()?.get_progress()?.iter().map(wire::read_progress);
-        let progress: Vec<_> = progress.collect();
+        let progress = progress.collect::<Result<Vec<_>, _>>().map_err(failed)?;
         self.driver.feed(|machine, now| {
             for one in progress {
                 machine.progressed(now, one);
--- a/crates/relay/src/peers/work.rs
+++ b/crates/relay/src/peers/work.rs
@@ -73,7 +73,7 @@
                 Err(error) => {
                     driver.metrics.count("relay.placements_failed", 1);
                     tracing::warn!(event = "place_failed", peer = &*peer, error = %error);
-                    driver.feed(|machine, now| machine.placer_failed(now));
+                    driver.feed(|machine, now| machine.placer_failed(now, &peer));
                     None
                 }
             };
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -36,14 +36,24 @@
 struct Progress {
   number @0 :UInt64;
   # The placer's number of the call.
-  isEnded @1 :Bool;
-  # It has ended, however; else its first token came.
+  step @1 :Step;
   hasLoad @2 :Bool;
   running @3 :UInt32;
   waiting @4 :UInt32;
   # The engine's load, as its reply says.
 }
 
+enum Step {
+  firstToken @0;
+  ended @1;
+  unsent @2;
+  # Nothing was sent: there was no connection.
+  cut @3;
+  # The connection ended or went silent, or the call was given up as overdue.
+  foreign @4;
+  # What came back was no answer to it.
+}
+
 struct Question {
   service @0 :Text;
   parts @1 :List(Part);
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -10,8 +10,8 @@
     model::{Incarnation, Load},
     relay::{
         model::{
-            Handle, Life, Part, Piece, PieceFailure, PieceResult, Placement, Progress, Prompt,
-            Question,
+            Failure, Handle, Life, Part, Piece, PieceFailure, PieceResult, Placement, Progress,
+            Prompt, Question, Step,
         },
         table::{Ask, Begun, Portion, Record, Slice},
     },
@@ -233,8 +233,8 @@
     for (idx, progress) in (0..).zip(progress) {
         let mut to = list.reborrow().get(idx);
         to.set_number(progress.number);
-        to.set_is_ended(progress.is_ended);
-        if let Some(load) = progress.load {
+        to.set_step(write_step(progress.step));
+        if let Step::Answered(Some(load)) = progress.step {
             to.set_has_load(true);
             to.set_running(load.running);
             to.set_waiting(load.queued);
@@ -243,13 +243,29 @@
 }
 
 /// Reads how a call goes on.
-pub fn read_progress(from: relay_capnp::progress::Reader<'_>) -> Progress {
+///
+/// # Errors
+/// Any [`Error`].
+pub fn read_progress(from: relay_capnp::progress::Reader<'_>) -> Result<Progress, Error> {
     let (running, queued) = (from.get_running(), from.get_waiting());
     let load = Load { running, queued, places: 0, age_ms: 0 };
-    Progress {
-        number: from.get_number(),
-        is_ended: from.get_is_ended(),
-        load: from.get_has_load().then_some(load),
+    let step = match from.get_step().map_err(capnp::Error::from)? {
+        relay_capnp::Step::FirstToken => Step::Answered(from.get_has_load().then_some(load)),
+        relay_capnp::Step::Ended => Step::Ended,
+        relay_capnp::Step::Unsent => Step::Failed(Failure::Unsent),
+        relay_capnp::Step::Cut => Step::Failed(Failure::Cut),
+        relay_capnp::Step::Foreign => Step::Failed(Failure::Foreign),
+    };
+    Ok(Progress { number: from.get_number(), step })
+}
+
+fn write_step(step: Step) -> relay_capnp::Step {
+    match step {
+        Step::Answered(_) => relay_capnp::Step::FirstToken,
+        Step::Ended => relay_capnp::Step::Ended,
+        Step::Failed(Failure::Unsent) => relay_capnp::Step::Unsent,
+        Step::Failed(Failure::Cut) => relay_capnp::Step::Cut,
+        Step::Failed(Failure::Foreign) => relay_capnp::Step::Foreign,
     }
 }
 
--- a/crates/wire/src/relay_capnp.rs
+++ b/crates/wire/src/relay_capnp.rs
@@ -3193,12 +3193,12 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_is_ended(self) -> bool {
-            self.reader.get_bool_field(64)
+        pub fn get_step(self) -> ::core::result::Result<crate::relay_capnp::Step,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(4))
         }
         #[inline]
         pub fn get_has_load(self) -> bool {
-            self.reader.get_bool_field(65)
+            self.reader.get_bool_field(80)
         }
         #[inline]
         pub fn get_running(self) -> u32 {
@@ -3271,20 +3271,20 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_is_ended(self) -> bool {
-            self.builder.get_bool_field(64)
+        pub fn get_step(self) -> ::core::result::Result<crate::relay_capnp::Step,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(4))
         }
         #[inline]
-        pub fn set_is_ended(&mut self, value: bool)  {
-            self.builder.set_bool_field(64, value);
+        pub fn set_step(&mut self, value: crate::relay_capnp::Step)  {
+            self.builder.set_data_field::<u16>(4, value as u16);
         }
         #[inline]
         pub fn get_has_load(self) -> bool {
-            self.builder.get_bool_field(65)
+            self.builder.get_bool_field(80)
         }
         #[inline]
         pub fn set_has_load(&mut self, value: bool)  {
-            self.builder.set_bool_field(65, value);
+            self.builder.set_bool_field(80, value);
         }
         #[inline]
         pub fn get_running(self) -> u32 {
@@ -3338,14 +3338,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(2, 0, 0, 0, 80, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
@@ -3374,12 +3374,12 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 115, 69, 110, 100, 101, 100, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 101, 112, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(202, 140, 84, 52, 59, 33, 169, 242),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(104, 97, 115, 76, 111, 97, 100, 0),
@@ -3410,7 +3410,7 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::relay_capnp::Step as ::capnp::introspect::Introspect>::introspect(),
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
@@ -3429,11 +3429,94 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1,4];
         pub(crate) const TYPE_ID: u64 = 0xb2e1_b134_11b1_93d8;
     }
 }
 
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    FirstToken = 0,
+    Ended = 1,
+    Unsent = 2,
+    Cut = 3,
+    Foreign = 4,
+}
+
+impl ::capnp::introspect::Introspect for Step {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&step::ARENA, step::get_annotation_types)).into() }
+}
+impl ::core::convert::From<Step> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Step) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&step::ARENA, step::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for Step {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <Step as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::FirstToken),
+            1 => ::core::result::Result::Ok(Self::Ended),
+            2 => ::core::result::Result::Ok(Self::Unsent),
+            3 => ::core::result::Result::Ok(Self::Cut),
+            4 => ::core::result::Result::Ok(Self::Foreign),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Step> for u16 {
+    #[inline]
+    fn from(x: Step) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for Step {
+    const TYPE_ID: u64 = 0xf2a9_213b_3454_8ccau64;
+}
+mod step {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(202, 140, 84, 52, 59, 33, 169, 242),
+    ::capnp::word(12, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 127, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+    ::capnp::word(112, 110, 112, 58, 83, 116, 101, 112),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(53, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(49, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 34, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(102, 105, 114, 115, 116, 84, 111, 107),
+    ::capnp::word(101, 110, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(101, 110, 100, 101, 100, 0, 0, 0),
+    ::capnp::word(117, 110, 115, 101, 110, 116, 0, 0),
+    ::capnp::word(99, 117, 116, 0, 0, 0, 0, 0),
+    ::capnp::word(102, 111, 114, 101, 105, 103, 110, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
 pub mod question {
     #[derive(Copy, Clone)]
     pub struct Owned(());
