--- a/crates/relay/tests/relay/peers.rs
+++ b/crates/relay/tests/relay/peers.rs
@@ -120,3 +120,25 @@
     drop(conn);
     assert_eq!(ask(relay.front, "/once/x", "").status, 200);
 }
+
+/// Whoever else writes to the directory or to the table of instances: what
+/// cannot be read names nobody, and the others hold.
+#[test]
+fn records_of_another_writer_name_nobody_and_leave_the_others() {
+    let (desk, maker) = (Desk::answering("x"), maker());
+    let shared = store(&desk, &maker);
+    let relays = ["a", "b"].map(|name| Relay::start(name, &shared, &[]));
+    for relay in &relays {
+        relay.wait_ready();
+        wait_for("it knows its peer", || relay.counter("peatdeck.relay.peers") == 1);
+    }
+    shared.put(TableName::Endpoints, "stranger", b"\xff\xfe".to_vec());
+    shared.put(TableName::Instances, "stranger", b"[]".to_vec());
+    shared.put(TableName::Instances, "b", b"{\"peers\": 7}".to_vec());
+    let unreadable = || relays[0].counter("peatdeck.relay.endpoints_unreadable");
+    wait_for("the foreign entry was seen", || unreadable() == 1);
+    // The peer itself lives and says so.
+    assert_eq!(relays[0].counter("peatdeck.relay.peers"), 1);
+    assert_eq!(ask(relays[0].front, "/once/x", "").status, 200);
+    make_three(relays[0].front);
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,9 +2,9 @@
 
 use std::{env, fmt::Display, path::Path, process::ExitCode};
 
-use xtask::{ablate, capacity, demo, soak, up, walk};
+use xtask::{ablate, capacity, demo, regress, soak, up, walk};
 
-const USAGE: &str = "usage:\n  cargo xtask demo\n  cargo xtask up\n  cargo xtask walk\n  cargo xtask capacity [--check]\n  cargo xtask ablate [NAME COPY]\n  cargo xtask soak [--seed N] [--minutes M]";
+const USAGE: &str = "usage:\n  cargo xtask demo\n  cargo xtask up\n  cargo xtask walk\n  cargo xtask capacity [--check]\n  cargo xtask ablate [NAME COPY]\n  cargo xtask soak [--seed N] [--minutes M]\n  cargo xtask regress PROGRAM FOLDER... [--base CHECKOUT]";
 
 fn main() -> ExitCode {
     let args: Vec<String> = env::args().skip(1).collect();
@@ -17,6 +17,7 @@
         ["capacity", "--check"] => exit_code(capacity::run(root(), true)),
         ["ablate"] => exit_code(ablate::print()),
         ["ablate", name, copy] => exit_code(ablate::run(root(), name, Path::new(copy))),
+        ["regress", ..] => exit_code(regress::run(root(), &args[1..])),
         ["soak", ..] => exit_code(soak::run(root(), &args[1..])),
         _ => {
             eprintln!("{USAGE}");
