--- a/crates/core/tests/testsuite/relay/load.rs
+++ b/crates/core/tests/testsuite/relay/load.rs
@@ -101,3 +101,18 @@
     assert!(result.in_time() > 0.99, "{result:?}");
     assert!(result.busiest < 3.2 && result.read_again < 30, "{result:?}");
 }
+
+/// Three hundred instances that all start at once. While each began stages before
+/// it knew its peers, twelve of them batched for themselves, and 2 of the 12
+/// requests were answered in good time.
+#[test]
+fn instances_that_start_together_batch_at_one_of_them() {
+    let mut fleet = Fleet::restarted(300, 160);
+    for (at, idx) in evenly(ms(20), 12, 80) {
+        fleet.come(at, Request { id: idx, pieces: 2, shared: idx });
+    }
+    let result = fleet.play();
+    assert_eq!((result.unanswered, result.failed), (0, 0));
+    assert_eq!(result.batchers.len(), 1, "{result:?}");
+    assert!(result.in_time() > 0.9, "{result:?}");
+}
--- a/crates/core/tests/testsuite/relay/load/fleet.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet.rs
@@ -74,6 +74,8 @@
     pub held_in_vain: Duration,
     /// Shared parts that an engine read although another one held them.
     pub read_again: usize,
+    /// Instances that had pieces made.
+    pub batchers: HashSet<usize>,
     /// Calls at the busiest engine, for each at the mean one.
     pub busiest: f64,
 }
@@ -88,6 +90,7 @@
 enum Event {
     Arrive(usize, Request),
     Tick(usize),
+    Introduce(usize),
     TakeOver { to: usize, from: usize, key: HandoverKey, pieces: Vec<Piece> },
     Returned { to: usize, key: HandoverKey, results: Vec<PieceResult> },
     Ask { to: usize, from: usize, key: ExchangeKey, question: Question },
@@ -135,6 +138,25 @@
 impl Fleet {
     /// So many instances before so many engines.
     pub fn new(instances: usize, engines: usize) -> Fleet {
+        let mut fleet = Fleet::starting(instances, engines);
+        for idx in 0..instances {
+            fleet.introduce(idx);
+        }
+        fleet
+    }
+
+    /// The same, all of which have just started: each hears of its peers some
+    /// tenths of a second later.
+    pub fn restarted(instances: usize, engines: usize) -> Fleet {
+        let mut fleet = Fleet::starting(instances, engines);
+        for idx in 0..instances {
+            fleet.relays[idx].await_peers(ms(1500));
+            fleet.schedule(ms(200 + idx as u64 * 7 % 200), Event::Introduce(idx));
+        }
+        fleet
+    }
+
+    fn starting(instances: usize, engines: usize) -> Fleet {
         let mut fleet = Fleet {
             now: Duration::ZERO,
             relays: (0..instances).map(relay).collect(),
@@ -150,17 +172,25 @@
             outcome: Outcome::default(),
             in_vain: Vec::new(),
         };
-        let peer = |idx: usize| Peer { name: name(idx), strength: 250 };
-        for idx in 0..instances {
-            let peers = (0..instances).filter(|other| *other != idx).map(peer);
-            fleet.relays[idx].set_peers(Duration::ZERO, peers.collect(), instances);
+        for relay in &mut fleet.relays {
             for entry in endpoints(engines) {
-                fleet.relays[idx].change(Duration::ZERO, Change::Put(entry));
+                relay.change(Duration::ZERO, Change::Put(entry));
             }
         }
         fleet
     }
 
+    /// An instance hears of its peers.
+    fn introduce(&mut self, idx: usize) {
+        let (now, count) = (self.now, self.relays.len());
+        let peers = (0..count).filter(|other| *other != idx);
+        let peers = peers.map(|idx| Peer { name: name(idx), strength: 250 }).collect();
+        self.tell(idx, |relay| {
+            relay.set_peers(now, peers, count);
+            relay.know_peers(now);
+        });
+    }
+
     /// A request comes at an instance.
     pub fn come(&mut self, at: Duration, request: Request) {
         let idx = (request.id * 5 % self.relays.len() as u64) as usize;
@@ -207,6 +237,7 @@
                 self.tell(idx, |relay| relay.tick(now));
             }
             Event::Ended { to, call } => self.tell(to, |relay| relay.ended(now, call)),
+            Event::Introduce(idx) => self.introduce(idx),
             Event::TakeOver { to, from, key, pieces } => {
                 let ticket = self.count;
                 self.tickets.insert(ticket, (from, key));
@@ -293,6 +324,7 @@
     fn perform(&mut self, idx: usize, action: Action) {
         match action {
             Action::Make { call, addr, pieces, .. } => {
+                self.outcome.batchers.insert(idx);
                 self.after_hop(Event::Make { from: idx, call, addr, pieces });
             }
             Action::HandOver { key, peer, pieces } => {
