Reckon with the streams that a prompt would halt at an engine

Cause: an engine steps some twenty times slower while it reads, so what it has to read longer than a pause may last makes each stream there late.

Change: the configuration says the longest pause that is in good time for all routes of a service; what an engine would have to read beyond that costs as often as it has streams.

Test: core placing (with streams and backlog, with and without the bound).

--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -166,8 +166,9 @@
         let ready = millis(wait).max(copy_wait + copying) + reading;
         let running = f64::from(endpoint.calls(now)) * RUNNING_MS;
         let crowding = crowding(endpoint, prompt, wanted) * millis(wanted.run_time);
+        let halting = halting(endpoint, millis(wait) + reading, wanted);
         let far = far_megabytes(wanted.inputs, &endpoint.entry.data_centre) * INPUT_MS_PER_MB;
-        let cost = (ready + running + crowding) * slowness(endpoint, usual) + far;
+        let cost = (ready + running + crowding + halting) * slowness(endpoint, usual) + far;
         let cost = cost + wanted.chooser.foreign_cost(endpoint);
         let copying = Duration::from_secs_f64(copying / 1000.0);
         Candidate { endpoint: key, tokens, source, wait, copying, cost }
@@ -175,6 +176,15 @@
     costs.collect()
 }
 
+/// What a prompt does to the streams that run at an engine: while it reads, their
+/// tokens come some twenty times slower, and what it has to read longer than a
+/// pause may last makes each of them late by that.
+fn halting(endpoint: &Endpoint, reading: f64, wanted: Wanted<'_>) -> f64 {
+    let pause = wanted.shape.and_then(|shape| shape.pause);
+    let beyond = pause.map_or(0.0, |pause| (reading - millis(pause)).max(0.0));
+    f64::from(endpoint.engine.streams()) * beyond
+}
+
 /// The share of its calls that an engine has to end before it has memory and a
 /// place for one more.
 fn crowding(endpoint: &Endpoint, prompt: &Prompt, wanted: Wanted<'_>) -> f64 {
--- a/crates/core/src/relay/config.rs
+++ b/crates/core/src/relay/config.rs
@@ -132,6 +132,8 @@
     pub slots: u32,
     /// Memory, in tokens.
     pub memory: u64,
+    /// The longest pause within a stream that is in good time for all routes.
+    pub pause: Option<Duration>,
     /// How one fetches what another one has read; `None` if they cannot.
     pub transfer: Option<Transfer>,
 }
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -153,6 +153,12 @@
         u32::try_from(self.runs.len()).unwrap_or(u32::MAX)
     }
 
+    /// How many calls there stream.
+    pub fn streams(&self) -> u32 {
+        let streams = self.runs.values().filter(|run| run.has_begun).count();
+        u32::try_from(streams).unwrap_or(u32::MAX)
+    }
+
     /// Tokens that the calls there keep in memory.
     pub fn memory(&self) -> u64 {
         self.memory
--- a/crates/core/tests/testsuite/relay/calls.rs
+++ b/crates/core/tests/testsuite/relay/calls.rs
@@ -282,7 +282,7 @@
 
 /// A world whose engines have shown that first tokens take 100 ms.
 fn engines() -> World {
-    let engine = Engine { slots: 64, memory: 300_000, transfer: None };
+    let engine = Engine { slots: 64, memory: 300_000, pause: None, transfer: None };
     let config = ConfigBuilder::new(1).engines("llm", engine);
     let config = config.route(route("resumable", Kind::Resumable, "llm")).route(route(
         "stream",
--- a/crates/core/tests/testsuite/relay/load/fleet.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet.rs
@@ -473,7 +473,8 @@
         room: ROOM as u64 * RESULT,
         lease: ms(4000),
     };
-    let engine = Engine { slots: 48, memory: engine::MEMORY, transfer: Some(TRANSFER) };
+    let engine =
+        Engine { slots: 48, memory: engine::MEMORY, pause: None, transfer: Some(TRANSFER) };
     let route = Route {
         stages: vec![stage("maker", &[], RESULT)],
         objective: OBJECTIVE,
--- a/crates/core/tests/testsuite/relay/placing.rs
+++ b/crates/core/tests/testsuite/relay/placing.rs
@@ -1,11 +1,15 @@
 //! One instance chooses engines for all.
 
+use std::{sync::Arc, time::Duration};
+
 use peatdeck_core::{
     model::Incarnation,
     relay::{
         config::{Engine, Kind, Transfer},
         directory::{Change, Entry},
-        model::{Action, Arrival, ExchangeKey, Life, Listed, Peer, Placement, Question},
+        model::{
+            Action, Arrival, ExchangeKey, Life, Listed, Peer, Placement, Progress, Question, Step,
+        },
     },
 };
 
@@ -14,7 +18,7 @@
 /// An instance whose only peer is stronger, so that the peer is the placer.
 fn beside_a_placer() -> World {
     let transfer = Some(Transfer { token_bytes: 160_000.0, rate: 32e6 });
-    let engine = Engine { slots: 64, memory: 300_000, transfer };
+    let engine = Engine { slots: 64, memory: 300_000, pause: None, transfer };
     let config = ConfigBuilder::new(1).engines("llm", engine);
     let mut world = World::new(config.route(route("r", Kind::Resumable, "llm")).build());
     for name in ["a", "b"] {
@@ -177,3 +181,39 @@
     };
     assert_eq!((tokens(2), tokens(1)), (7000, 1000));
 }
+
+/// A placer of two engines, of which `a` streams to ten callers and has so much
+/// to read besides, and where the next prompt goes that `a` has read before.
+fn placed_beside_streams(backlog: u64, pause: Option<Duration>) -> Arc<str> {
+    let engine = Engine { slots: 64, memory: 900_000, pause, transfer: None };
+    let config = ConfigBuilder::new(1).engines("llm", engine);
+    let mut world = World::new(config.route(route("r", Kind::Resumable, "llm")).build());
+    for name in ["a", "b"] {
+        world.put(entry(name, "llm"));
+    }
+    let question = |own: u64, avoided: &str| Question {
+        service: "llm".into(),
+        prompt: prompt(1, own),
+        inputs: Vec::new(),
+        avoided: vec![life(avoided, 1)],
+    };
+    for own in 0..10 {
+        let placement = world.relay.place(world.now, &question(100 + own, "b")).unwrap();
+        let step = Step::Answered(None);
+        world.relay.progressed(world.now, Progress { number: placement.number, step });
+    }
+    world.advance(ms(2000));
+    for own in 0..backlog {
+        world.relay.place(world.now, &question(200 + own, "b")).unwrap();
+    }
+    let next = Question { avoided: Vec::new(), ..question(300, "b") };
+    world.relay.place(world.now, &next).unwrap().engine.name
+}
+
+/// Each prompt takes 30 ms to read at `a`, and 210 ms at `b`.
+#[test]
+fn a_prompt_does_not_halt_the_streams_that_run_where_its_parts_are() {
+    assert_eq!(&*placed_beside_streams(2, Some(ms(100))), "a");
+    assert_eq!(&*placed_beside_streams(4, Some(ms(100))), "b");
+    assert_eq!(&*placed_beside_streams(4, None), "a");
+}
