Deal engines to placers in equal runs

Cause: by rendezvous a placer of four had 40 engines give or take six, and its prompts had to go to foreign ones or crowd.

Change: engines are sorted by a hash of their names and cut into equal runs. One engine more or less moves at most one at each border; one placer more moves half of them, which happens when engines grow by forty.

--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -10,7 +10,7 @@
 
 pub mod prompts;
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use peatdeck_macros::data;
 use xxhash_rust::xxh3;
@@ -80,14 +80,22 @@
 }
 
 impl Chooser {
-    /// What an engine costs in addition, since others may have given it work
-    /// that is not known here. Each engine belongs to one placer.
-    fn foreign_cost(self, endpoint: &Endpoint) -> f64 {
-        let Chooser::Placer { share, shares } = self else { return 0.0 };
-        let name = endpoint.entry.name.as_bytes();
-        let weight = |share: &u64| xxh3::xxh3_64_with_seed(name, *share);
-        let owner = (0..shares).max_by_key(weight);
-        if owner == Some(share) { 0.0 } else { FOREIGN_MS }
+    /// The engines that belong to another placer, which may just have given them
+    /// work that is not known here. All placers have as many engines but for one:
+    /// these are sorted by a hash of their names and cut into equal runs.
+    fn foreign(self, directory: &Directory, engines: &[EndpointKey]) -> HashSet<EndpointKey> {
+        let Chooser::Placer { share, shares } = self else { return HashSet::new() };
+        if shares == 1 {
+            return HashSet::new();
+        }
+        let hash = |key: &EndpointKey| {
+            directory.get(*key).map(|engine| xxh3::xxh3_64(engine.entry.name.as_bytes()))
+        };
+        let mut sorted = engines.to_vec();
+        sorted.sort_by_cached_key(hash);
+        let count = sorted.len() as u64;
+        let owned = sorted.into_iter().zip(0_u64..);
+        owned.filter(|(_, idx)| idx * shares / count != share).map(|(key, _)| key).collect()
     }
 }
 
@@ -151,7 +159,9 @@
     let usual = usual_time(&candidates);
     let is_alone = wanted.chooser == Chooser::Alone;
     let owners = if is_alone { &candidates[..] } else { &[] };
-    let holders = prompts::holders(directory, now, service);
+    let engines = directory.usable(now, service);
+    let foreign = wanted.chooser.foreign(directory, &engines);
+    let holders = prompts::holders(directory, now, &engines);
     let rate = Rate { transfer: wanted.transfer, token_millis: wanted.token_millis };
     let holdings = Holdings::new(memory, prompt, owners, &holders, rate);
     let costs = candidates.iter().map(|&(key, endpoint)| {
@@ -169,7 +179,7 @@
         let halting = halting(endpoint, millis(wait) + reading, wanted);
         let far = far_megabytes(wanted.inputs, &endpoint.entry.data_centre) * INPUT_MS_PER_MB;
         let cost = (ready + running + crowding + halting) * slowness(endpoint, usual) + far;
-        let cost = cost + wanted.chooser.foreign_cost(endpoint);
+        let cost = if foreign.contains(&key) { cost + FOREIGN_MS } else { cost };
         let copying = Duration::from_secs_f64(copying / 1000.0);
         Candidate { endpoint: key, tokens, source, wait, copying, cost }
     });
--- a/crates/core/src/relay/choice/prompts.rs
+++ b/crates/core/src/relay/choice/prompts.rs
@@ -192,13 +192,13 @@
     }
 }
 
-/// Engines that another one can fetch from now.
-pub fn holders(directory: &Directory, now: Duration, service: &str) -> Vec<Holder> {
-    let holder = |key: EndpointKey| {
-        let endpoint = directory.get(key).filter(|endpoint| !endpoint.is_paused(now))?;
-        Some(Holder { key, wait: endpoint.engine.copy_wait(now) })
+/// Those of the engines that another one can fetch from now.
+pub fn holders(directory: &Directory, now: Duration, engines: &[EndpointKey]) -> Vec<Holder> {
+    let holder = |key: &EndpointKey| {
+        let endpoint = directory.get(*key).filter(|endpoint| !endpoint.is_paused(now))?;
+        Some(Holder { key: *key, wait: endpoint.engine.copy_wait(now) })
     };
-    directory.usable(now, service).into_iter().filter_map(holder).collect()
+    engines.iter().filter_map(holder).collect()
 }
 
 /// The engine that all instances agree on for a part.
