Let no entry move an endpoint to another service

Cause, found by reading: an entry by another writer may be whole but for a service that is not named anywhere. Under a known name it replaced the endpoint's address, and with a later incarnation it would have kept the worker's own entries out for good.

Change: a life stays in its service; an entry that moves a known endpoint to a service that the configuration does not name is nobody's. Calls that are given up and made elsewhere have a module of their own.

Tests: core directory and calls.

--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -272,6 +272,11 @@
         self.by_name.get(name).copied()
     }
 
+    /// The service of the newest life of an endpoint.
+    pub fn service_of(&self, name: &str) -> Option<&ServiceName> {
+        Some(&self.endpoints[self.by_name(name)?].entry.service)
+    }
+
     /// That life of an endpoint, if no newer one is known.
     pub fn by_life(&self, life: &Life) -> Option<EndpointKey> {
         let key = self.by_name(&life.name)?;
@@ -342,6 +347,10 @@
         };
         match entry.incarnation.cmp(&self.endpoints[key].entry.incarnation) {
             Ordering::Less => Changed::default(),
+            // A life stays in its service: somebody else wrote this.
+            Ordering::Equal if entry.service != self.endpoints[key].entry.service => {
+                self.lose(&entry.name, State::Hidden(now))
+            }
             Ordering::Equal => Changed { is_new: self.update(now, key, entry), ended: None },
             Ordering::Greater => {
                 self.leaves(now, key);
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -2,13 +2,15 @@
 //! be done comes out as actions.
 //!
 //! This module holds the state and what every part needs; `calls`, `stages`,
-//! `results` and `ending` are the parts of an exchange's life, `intake` decides
+//! `results` and `ending` are the parts of an exchange's life, `moves` gives calls
+//! up and makes them elsewhere, `intake` decides
 //! whether it begins, `plan` by when its stages have to be done, `placing` finds
 //! engines for all instances, `policies` is where operators' programs decide.
 
 mod calls;
 mod ending;
 mod intake;
+mod moves;
 mod placing;
 mod plan;
 mod policies;
@@ -258,6 +260,7 @@
 
     /// Takes in a change of the directory; false if it says nothing new.
     pub fn change(&mut self, now: Duration, change: Change) -> bool {
+        let change = self.unless_strange(change);
         let Changed { is_new, ended } = self.directory.change(now, change);
         if let Some(endpoint) = ended {
             self.end_life(now, endpoint);
@@ -269,6 +272,19 @@
         is_new
     }
 
+    /// An entry that moves a known endpoint to a service that the configuration does
+    /// not name is nobody's: anybody may write to the directory.
+    fn unless_strange(&self, change: Change) -> Change {
+        let Change::Put(entry) = &change else { return change };
+        let Some(config) = &self.config else { return change };
+        let known = self.directory.service_of(&entry.name);
+        let is_moved = known.is_some_and(|known| *known != entry.service);
+        match is_moved && !config.services.contains_key(&entry.service) {
+            true => Change::Unreadable(entry.name.clone()),
+            false => change,
+        }
+    }
+
     /// Hands no piece to itself any more where a peer can batch it: its peers
     /// do not count on this instance from now on.
     pub fn stop_batching(&mut self) {
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -341,10 +341,7 @@
         if is_placer && self.transfer(&service).is_some() {
             self.list_parts(now, &service);
         }
-        let mut rng = match prompt {
-            Some(_) => self.rng.clone(),
-            None => SmallRng::seed_from_u64(self.rng.random()),
-        };
+        let mut rng = SmallRng::seed_from_u64(self.rng.random());
         let wanted = choice::Wanted {
             tried: &self.exchanges[key].tried,
             chooser: match &prompt {
--- a/crates/core/tests/testsuite/relay/calls.rs
+++ b/crates/core/tests/testsuite/relay/calls.rs
@@ -361,3 +361,19 @@
     // Of 40 repeats on top and a fifth of 230 requests four fifths are used.
     assert!((1..=72).contains(&moved), "{moved}");
 }
+
+/// It may even claim to be of a later life.
+#[test]
+fn an_entry_of_a_service_that_is_not_configured_names_nobody() {
+    let mut world = World::plain(Kind::Idempotent);
+    for incarnation in [1, 7] {
+        let incarnation = Incarnation(incarnation);
+        let strange = Entry { incarnation, addr: "c:80".into(), ..entry("a", "unheard-of") };
+        world.put(strange);
+        world.arrive(arrival("1", "r"));
+        assert_eq!(&*world.call().addr, "b:80");
+    }
+    world.put(entry("a", "desk"));
+    let usable = world.relay.directory().usable(world.now, "desk");
+    assert_eq!(usable.len(), 2, "its own next entry holds");
+}
--- a/crates/core/tests/testsuite/relay/directory.rs
+++ b/crates/core/tests/testsuite/relay/directory.rs
@@ -164,3 +164,14 @@
     assert_eq!(usable(&directory, 500), ["a", "b", "c", "d"]);
     assert_eq!(usable(&directory, 1700), ["a"], "what is not back then is gone");
 }
+
+#[test]
+fn an_entry_that_moves_a_life_to_another_service_is_somebody_elses() {
+    let mut directory = directory(&["a", "b"]);
+    let strange = Entry { service: Arc::from("mart"), ..entry("a", "mart") };
+    directory.change(ms(100), Change::Put(strange));
+    assert_eq!(usable(&directory, 110), ["b"]);
+    assert!(directory.usable(ms(110), "mart").is_empty());
+    directory.change(ms(300), Change::Put(entry("a", "desk")));
+    assert_eq!(usable(&directory, 310), ["a", "b"]);
+}
