--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -3,9 +3,9 @@
 //!
 //! This module holds the state and what every part needs; `calls`, `stages`,
 //! `results` and `ending` are the parts of an exchange's life, `moves` gives calls
-//! up and makes them elsewhere, `intake` decides
-//! whether it begins, `plan` by when its stages have to be done, `placing` finds
-//! engines for all instances, `policies` is where operators' programs decide.
+//! up and makes them elsewhere, `intake` decides whether it begins, `plan` by when
+//! its stages have to be done, `placing` finds engines for all instances,
+//! `policies` is where operators' programs decide.
 
 mod calls;
 mod ending;
