--- a/crates/core/src/relay/machine/moves.rs
+++ b/crates/core/src/relay/machine/moves.rs
@@ -11,11 +11,12 @@
 };
 
 /// An engine's first token is overdue after so many times the time that nine of
-/// ten take. A slow engine is waited for: in a burst, reading a prompt twice costs
-/// more than it saves.
+/// ten take. A slow engine is waited for, since its prompt would be read twice.
+/// Chosen, not measured: with 99 of 100 first tokens within 0.7 s few calls get there.
 const OVERDUE_FACTOR: f64 = 3.0;
 /// The same, as time on top: connections and a loaded instance.
 const OVERDUE_SLACK: Duration = Duration::from_millis(300);
+
 impl Relay {
     /// An endpoint has started again: whatever an earlier life of it was sent
     /// comes to nothing. What it holds of connections and calls would otherwise
--- a/crates/relay/src/tables.rs
+++ b/crates/relay/src/tables.rs
@@ -161,9 +161,7 @@
 
 /// The beginning of a message that may quote what somebody else wrote.
 pub fn brief(message: &str) -> &str {
-    let ends = message.char_indices().map(|(idx, _)| idx);
-    let end = ends.take_while(|idx| *idx <= LONGEST_QUOTE).last().unwrap_or_default();
-    if message.len() <= LONGEST_QUOTE { message } else { &message[..end] }
+    &message[..message.floor_char_boundary(LONGEST_QUOTE)]
 }
 
 /// Takes in an endpoint's record. True if it is one of many endpoints that have
