Say in logs which requests are the same, and whether an endpoint that cut calls has ended

After a call was cut a new connection looks whether anything listens there (endpoint_probed); one that is made is kept for calls. Nothing is decided by either yet.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -41,6 +41,7 @@
 pub mod directory;
 pub mod engine;
 pub mod events;
+pub mod fingerprint;
 pub mod graph;
 pub mod model;
 pub mod readers;
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -6,6 +6,7 @@
     model::{DataCentre, InstanceName, TeamName},
     relay::{
         config::Route,
+        fingerprint::Fingerprint,
         graph::Graph,
         model::{Arrival, CallKey, EndpointKey, HandoverKey, RunNumber, ServiceName},
     },
@@ -18,6 +19,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
     pub(crate) team: Option<TeamName>,
+    /// What it asks for, and for whom.
+    pub(crate) content: Fingerprint,
     pub(crate) priority: u8,
     /// When it arrived.
     pub(crate) started: Duration,
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -37,6 +37,7 @@
         config::Config,
         directory::{Change, Changed, Directory},
         exchange::{CallState, Exchange},
+        fingerprint::Fingerprint,
         graph::Graph,
         model::{
             Action, Arrival, CallKey, EndpointKey, ExchangeKey, HandoverKey, Peer, Piece,
@@ -128,6 +129,8 @@
     pub service: ServiceName,
     /// The team.
     pub team: Option<TeamName>,
+    /// What it asks for, and for whom.
+    pub content: Fingerprint,
     /// How long it is kept waiting at the most.
     pub wait: Duration,
     /// Pieces of each stage.
@@ -216,6 +219,7 @@
             route: exchange.route.name.clone(),
             service: exchange.service.clone(),
             team: exchange.team.clone(),
+            content: exchange.content,
             wait: exchange.due.saturating_sub(exchange.started),
             pieces: exchange.arrival.pieces.clone(),
         })
@@ -331,6 +335,7 @@
             route: route.clone(),
             service,
             team: team.map(|team| team.name.clone()),
+            content: arrival.content.from_team(team.map(|team| &*team.name)),
             priority: team.and_then(|team| team.priority).unwrap_or(route.priority),
             started: now,
             due: now + wait,
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -4,7 +4,10 @@
 
 use peatdeck_macros::{data, id};
 
-use crate::model::{DataCentre, EndpointName, Incarnation, InstanceName, Load, TeamName};
+use crate::{
+    model::{DataCentre, EndpointName, Incarnation, InstanceName, Load, TeamName},
+    relay::fingerprint::Fingerprint,
+};
 
 /// A group of endpoints that serve the same routes or stages.
 pub type ServiceName = Arc<str>;
@@ -83,6 +86,8 @@
     pub pieces: Vec<u16>,
     /// What pieces without inputs are made from.
     pub piece_key: Option<Arc<str>>,
+    /// What it asks for, whoever sends it.
+    pub content: Fingerprint,
 }
 
 /// The first line and headers of an endpoint's reply, as far as decisions
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -9,6 +9,7 @@
         allowance::Bound,
         config::{Config, Engine, Kind, Limits, Pieces, Route, Service, Stage, Target, Team},
         directory::{Change, Entry},
+        fingerprint::Fingerprint,
         model::{
             Action, Arrival, Call, CallKey, ExchangeKey, Failure, Handle, Part, Piece,
             PieceFailure, PieceResult, Prompt, Refusal, ReplyHead,
@@ -124,6 +125,7 @@
         prompt: None,
         pieces: Vec::new(),
         piece_key: Some(Arc::from("key")),
+        content: Fingerprint::of("GET", "fleet.example", id, b""),
     }
 }
 
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -8,6 +8,8 @@
     model::{Action, Call, Failure, Refusal, ReplyHead},
 };
 
+use crate::pool::Presence;
+
 /// What an instance believed when it decided.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Belief {
@@ -26,6 +28,7 @@
         route = &*taken.route,
         service = &*taken.service,
         team = taken.team.as_deref(),
+        content = %taken.content,
         wait_ms = millis(taken.wait),
         pieces = ?taken.pieces,
         version = belief.version,
@@ -109,6 +112,11 @@
     tracing::warn!(event = "call_failed", id, endpoint, failure = ?failure, cause, took_ms);
 }
 
+/// Logs what a new connection told of an endpoint that cut calls.
+pub fn log_probe(endpoint: &str, addr: &str, presence: Presence, cuts: u32) {
+    tracing::warn!(event = "endpoint_probed", endpoint, addr, presence = ?presence, cuts);
+}
+
 fn log_send(call: &Call, id: &str) {
     tracing::info!(
         event = "send",
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -12,7 +12,10 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use peatdeck_core::{
     model::Load,
-    relay::model::{Arrival, Call, Handle, Listed, Part, Piece, PieceResult, Prompt, ReplyHead},
+    relay::{
+        fingerprint::Fingerprint,
+        model::{Arrival, Call, Handle, Listed, Part, Piece, PieceResult, Prompt, ReplyHead},
+    },
 };
 
 pub use crate::dialect::names::{Names, Row, Setter};
@@ -72,7 +75,7 @@
 }
 
 impl Dialect {
-    /// What decisions need of a caller's request.
+    /// What decisions need of a caller's request, but for its content.
     ///
     /// # Errors
     /// [`Malformed`] if something that every request needs is missing.
@@ -94,6 +97,7 @@
             prompt: self.prompt(headers),
             pieces: text(headers, &names.pieces).map(counts).unwrap_or_default(),
             piece_key: text(headers, &names.piece_key).map(Arc::from),
+            content: Fingerprint::default(),
         })
     }
 
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -23,6 +23,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use peatdeck_core::relay::{
     Relay,
+    fingerprint::Fingerprint,
     model::{
         Action, Arrival, CallKey, ExchangeKey, Failure, HandoverKey, PieceResult, Refusal,
         ReplyHead,
@@ -55,6 +56,12 @@
     pub body: Bytes,
 }
 
+impl Request {
+    fn content(&self, host: &str) -> Fingerprint {
+        Fingerprint::of(self.method.as_str(), host, &self.target, &self.body)
+    }
+}
+
 /// A part of what a caller is sent.
 #[derive(Debug)]
 pub enum Part {
@@ -108,6 +115,9 @@
     callers: RefCell<SecondaryMap<ExchangeKey, Caller>>,
     calls: RefCell<SecondaryMap<CallKey, AbortHandle>>,
     replies: RefCell<HashMap<CallKey, Reply>>,
+    /// Endpoints' addresses that are being probed, with the calls that were cut
+    /// there.
+    probes: RefCell<HashMap<Arc<str>, u32>>,
     rearm: Notify,
     stopping: Cell<Option<Duration>>,
     /// Connections to endpoints.
@@ -152,6 +162,7 @@
             callers: RefCell::default(),
             calls: RefCell::default(),
             replies: RefCell::default(),
+            probes: RefCell::default(),
             rearm: Notify::new(),
             stopping: Cell::new(None),
             pool: parts.pool,
@@ -207,6 +218,7 @@
     /// The refusal, if the machine does not take it.
     pub fn submit(self: &Rc<Self>, arrival: Arrival, request: Request) -> Result<Waiter, Refusal> {
         let id = arrival.id.clone();
+        let arrival = Arrival { content: request.content(&arrival.host), ..arrival };
         self.metrics.count("relay.requests", 1);
         let (tx, parts) = mpsc::unbounded();
         let request = Rc::new(request);
@@ -279,6 +291,20 @@
         self.feed(|machine, now| machine.failed(now, call, failure));
     }
 
+    /// A call was cut at that address. True if a probe is to find out why: none
+    /// is under way.
+    pub fn begin_probe(&self, addr: &Arc<str>) -> bool {
+        let mut probes = self.probes.borrow_mut();
+        let cuts = probes.entry(addr.clone()).or_default();
+        *cuts += 1;
+        *cuts == 1
+    }
+
+    /// A probe has its result. Returns how many calls were cut there meanwhile.
+    pub fn end_probe(&self, addr: &Arc<str>) -> u32 {
+        self.probes.borrow_mut().remove(addr).unwrap_or_default()
+    }
+
     /// A call's task has ended by itself.
     pub fn forget_call(&self, call: CallKey) {
         self.calls.borrow_mut().remove(call);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -9,6 +9,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
+    io,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -20,6 +21,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use peatdeck_macros::id;
 use peatdeck_wire::socket;
 use tokio::net::TcpStream;
 
@@ -106,6 +108,18 @@
     }
 }
 
+/// What a new connection tells of a process.
+#[id]
+#[derive(Copy)]
+pub enum Presence {
+    /// Something listens.
+    There,
+    /// The machine answers, and nothing listens: the process has ended.
+    Gone,
+    /// Nothing was heard: the machine, or the way to it, may be down.
+    Unknown,
+}
+
 /// What a pool has done.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Counts {
@@ -199,6 +213,23 @@
         }
     }
 
+    /// Whether anything listens at an address, by a new connection. One that is
+    /// made is kept, since a call will need it.
+    pub async fn probe(&self, addr: &Arc<str>) -> Presence {
+        let stream = match open(addr).await {
+            Ok(stream) => stream,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Presence::Gone;
+            }
+            Err(_) => return Presence::Unknown,
+        };
+        if let Ok(lease) = begin(addr, stream).await {
+            self.count(true);
+            self.keep(Lease { keep: DEFAULT_IDLE, ..lease });
+        }
+        Presence::There
+    }
+
     /// Gives a connection back whose reply was read whole.
     pub fn keep(&self, lease: Lease) {
         if lease.keep.is_zero() || lease.connection.sender.is_closed() {
@@ -247,12 +278,16 @@
 }
 
 async fn connect(addr: &Arc<str>) -> Result<Lease, Error> {
-    let opening = TcpStream::connect(&**addr);
-    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(unsent(addr, error)),
-        Err(_) => return Err(unsent(addr, "timed out")),
-    };
+    let stream = open(addr).await.map_err(|error| unsent(addr, error))?;
+    begin(addr, stream).await
+}
+
+async fn open(addr: &str) -> io::Result<TcpStream> {
+    let opening = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
+    opening.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+async fn begin(addr: &Arc<str>, stream: TcpStream) -> Result<Lease, Error> {
     socket::watch_for_death(&stream).map_err(|error| unsent(addr, error))?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| unsent(addr, error))?;
