--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -4,6 +4,7 @@
 
 mod bodies;
 mod catch_up;
+mod crashes;
 mod headers;
 mod link;
 mod pages;
--- a/crates/relay/tests/relay/standins/endpoint.rs
+++ b/crates/relay/tests/relay/standins/endpoint.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{ErrorKind, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
 };
 
@@ -43,6 +46,43 @@
         })
     }
 
+    /// Answers every request, until one comes whose head has that word: then it
+    /// crashes. Nothing listens there any more, and all its connections are cut.
+    pub fn crashing_at(word: &'static str) -> Desk {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let (heads, is_over) = (seen.clone(), Arc::new(AtomicBool::new(false)));
+        thread::spawn(move || {
+            let mut open = Vec::new();
+            for stream in listener.incoming() {
+                if is_over.load(Ordering::SeqCst) {
+                    break;
+                }
+                let stream = stream.unwrap();
+                open.push(stream.try_clone().unwrap());
+                let (heads, is_over) = (heads.clone(), is_over.clone());
+                thread::spawn(move || {
+                    let mut conn = Conn { stream, buffer: Vec::new(), heads };
+                    while let Some(request) = conn.read_request() {
+                        if request.head.contains(word) {
+                            is_over.store(true, Ordering::SeqCst);
+                            // Wakes the thread that listens.
+                            TcpStream::connect(addr).ok();
+                            return;
+                        }
+                        conn.write(&whole(&request.id(), 200, "alive"));
+                    }
+                });
+            }
+            drop(listener);
+            for stream in open {
+                stream.shutdown(Shutdown::Both).ok();
+            }
+        });
+        Desk { addr, seen }
+    }
+
     /// The heads of all requests that it got.
     pub fn seen(&self) -> Vec<String> {
         self.seen.lock().unwrap().clone()
