--- a/crates/core/examples/batch_cost.rs
+++ b/crates/core/examples/batch_cost.rs
@@ -16,6 +16,7 @@
         allowance::Bound,
         config::{Config, Limits, Pieces, Service},
         directory::{Change, Entry},
+        fingerprint::Fingerprint,
         model::Piece,
     },
 };
@@ -123,6 +124,8 @@
         tries: 0,
         is_repeat: false,
         is_begun: false,
+        content: Fingerprint(u128::from(request)),
+        is_apart: false,
     };
     vec![piece(0), piece(1)]
 }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -29,7 +29,8 @@
 //! platform keeps, [`catch_up`] how it learns from other instances' copies,
 //! [`readers`] who reads it at the platform; [`directory`] the endpoints,
 //! [`engine`] what those that generate are reckoned to have to do;
-//! [`allowance`] the budget for repetition; [`graph`] one exchange's stages; [`batch`] pieces of all
+//! [`allowance`] the budget for repetition; [`fingerprint`] what makes two
+//! requests the same, [`quarantine`] those that crash what runs them; [`graph`] one exchange's stages; [`batch`] pieces of all
 //! exchanges; [`choice`] where a call goes; [`events`] server-sent events cut
 //! into whole ones; `machine` puts it together, `exchange` is its state.
 
@@ -44,6 +45,7 @@
 pub mod fingerprint;
 pub mod graph;
 pub mod model;
+pub mod quarantine;
 pub mod readers;
 pub mod reading;
 pub mod table;
--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -27,6 +27,7 @@
     },
     config::Pieces,
     directory::Directory,
+    fingerprint::Fingerprint,
     model::{
         CallKey, EndpointKey, ExchangeKey, Handle, Piece, PieceFailure, PieceResult, ServiceName,
     },
@@ -159,6 +160,28 @@
         }
     }
 
+    /// The contents of the requests whose pieces a call has.
+    pub fn contents_of(&self, call: CallKey) -> Vec<Fingerprint> {
+        let keys = self.running.get(&call).map_or(&[][..], |running| &running.keys);
+        let pieces = keys.iter().filter_map(|key| self.pieces.get(*key));
+        let mut contents: Vec<_> = pieces.map(|entry| entry.piece.content).collect();
+        contents.sort_unstable();
+        contents.dedup();
+        contents
+    }
+
+    /// Takes out the pieces of a content that wait.
+    pub fn take_content(&mut self, content: Fingerprint) -> Vec<Finished> {
+        let is_of = |entry: &Entry| entry.piece.content == content && entry.call.is_none();
+        let keys = self.pieces.iter().filter(|(_, entry)| is_of(entry)).map(|(key, _)| key);
+        let keys: Vec<_> = keys.collect();
+        let entries = keys.into_iter().filter_map(|key| {
+            self.stop_waiting(key);
+            self.take_out(key)
+        });
+        entries.map(|entry| entry.finished(Err(PieceFailure::Failed), None)).collect()
+    }
+
     /// Services with waiting pieces.
     pub fn services(&self) -> Vec<ServiceName> {
         let busy = self.waiting.iter().filter(|(_, waiting)| !waiting.is_empty());
--- a/crates/core/src/relay/batch/queue.rs
+++ b/crates/core/src/relay/batch/queue.rs
@@ -74,6 +74,8 @@
     pub aim: Duration,
     due: Duration,
     is_begun: bool,
+    /// Whether it is made without other groups.
+    is_apart: bool,
     priority: u8,
 }
 
@@ -133,8 +135,10 @@
             aim: piece.aim,
             due: piece.due,
             is_begun: piece.is_begun,
+            is_apart: false,
             priority: piece.priority,
         });
+        group.is_apart |= piece.is_apart;
         group.keys.push(key);
         self.by_due.insert((piece.due, key));
         let is_new = self.ranks.insert(key, (lane, rank)).is_none();
@@ -224,10 +228,16 @@
             let Some((_, group)) = lanes[lane].next() else { break };
             let part = &group.keys[..group.keys.len().min(space.batch)];
             let bytes = group.bytes * part.len() as u64;
-            let has_place = taken.len() + part.len() <= space.batch;
+            let has_place = match group.is_apart {
+                true => taken.is_empty(),
+                false => taken.len() + part.len() <= space.batch,
+            };
             if has_place && bytes <= room && (space.belongs)(group) {
                 room -= bytes;
                 taken.extend(part);
+                if group.is_apart {
+                    break;
+                }
             } else {
                 misfits[lane] += 1;
             }
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -79,7 +79,17 @@
     /// Whether it said anything new.
     pub is_new: bool,
     /// The life that is over, since the endpoint has started again.
-    pub ended: Option<EndpointKey>,
+    pub ended: Option<Ended>,
+}
+
+/// A life of an endpoint that is over.
+#[data]
+#[derive(Copy)]
+pub struct Ended {
+    /// The life.
+    pub endpoint: EndpointKey,
+    /// Whether it had given notice, or its entry was gone before.
+    pub is_planned: bool,
 }
 
 #[data]
@@ -87,7 +97,7 @@
 enum State {
     Ready,
     Missing(Duration),
-    /// Its entry was written over by somebody else.
+    /// Its entry was written over by somebody else, or nothing listens there.
     Hidden(Duration),
     Leaving(Duration),
 }
@@ -315,6 +325,15 @@
         }
     }
 
+    /// Nothing listens at an endpoint's address any more: it gets nothing until its
+    /// entry is written anew. Its entry lapses some two seconds later only, and each
+    /// of 18 engines that ended was called two or three times more meanwhile.
+    pub fn is_gone(&mut self, now: Duration, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key).filter(|known| known.is_ready()) {
+            endpoint.state = State::Hidden(now);
+        }
+    }
+
     /// Forgets endpoints that have been gone for long.
     pub fn forget(&mut self, now: Duration) {
         for endpoint in self.endpoints.values_mut() {
@@ -353,9 +372,10 @@
             }
             Ordering::Equal => Changed { is_new: self.update(now, key, entry), ended: None },
             Ordering::Greater => {
+                let is_planned = !self.endpoints[key].is_ready();
                 self.leaves(now, key);
                 self.insert(now, entry);
-                Changed { is_new: true, ended: Some(key) }
+                Changed { is_new: true, ended: Some(Ended { endpoint: key, is_planned }) }
             }
         }
     }
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -68,7 +68,8 @@
     pub(crate) run: Option<RunNumber>,
     /// The peer that placed it, and its number there.
     pub(crate) placer: Option<(InstanceName, RunNumber)>,
-    pub(crate) is_answered: bool,
+    /// When its answer began.
+    pub(crate) answered: Option<Duration>,
     /// When it is given up if no answer has begun.
     pub(crate) overdue: Option<Duration>,
 }
--- a/crates/core/src/relay/fingerprint.rs
+++ b/crates/core/src/relay/fingerprint.rs
@@ -14,10 +14,13 @@
 /// be answered for each other's failures, so it is 128 bits of a hash that nobody
 /// can find two inputs for, and a caller cannot reach another team's requests.
 #[id]
-#[derive(Copy, Default)]
+#[derive(Copy)]
 pub struct Fingerprint(pub u128);
 
 impl Fingerprint {
+    /// Of a content that was not told.
+    pub const UNKNOWN: Fingerprint = Fingerprint(0);
+
     /// That of a request as its caller sent it.
     pub fn of(method: &str, host: &str, target: &str, body: &[u8]) -> Fingerprint {
         digest(&[method.as_bytes(), host.as_bytes(), target.as_bytes(), body])
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -5,6 +5,7 @@
 //! `results` and `ending` are the parts of an exchange's life, `moves` gives calls
 //! up and makes them elsewhere, `intake` decides whether it begins, `plan` by when
 //! its stages have to be done, `placing` finds engines for all instances,
+//! `quarantine` keeps requests from endpoints that end under them,
 //! `policies` is where operators' programs decide.
 
 mod calls;
@@ -14,6 +15,7 @@
 mod placing;
 mod plan;
 mod policies;
+mod quarantine;
 mod results;
 mod stages;
 
@@ -35,7 +37,7 @@
         batch::Batches,
         choice,
         config::Config,
-        directory::{Change, Changed, Directory},
+        directory::{Change, Changed, Directory, Ended},
         exchange::{CallState, Exchange},
         fingerprint::Fingerprint,
         graph::Graph,
@@ -43,6 +45,7 @@
             Action, Arrival, CallKey, EndpointKey, ExchangeKey, HandoverKey, Peer, Piece,
             PieceResult, Progress, Refusal, RunNumber, ServiceName,
         },
+        quarantine::Quarantine,
         reading::Speed,
     },
 };
@@ -104,6 +107,11 @@
     reports: HashMap<InstanceName, Vec<Progress>>,
     report_at: Duration,
     is_batching: bool,
+    quarantine: Quarantine,
+    /// Whether it is known what is held back. Nothing is sent before.
+    knows_quarantine: bool,
+    /// Runs that were cut lately, by the endpoint's life.
+    cuts: HashMap<EndpointKey, quarantine::Cuts>,
     policy: Option<Program>,
     /// Room has become free that waiting pieces may need.
     has_room: bool,
@@ -183,6 +191,9 @@
             reports: HashMap::new(),
             report_at: Duration::ZERO,
             is_batching: true,
+            quarantine: Quarantine::default(),
+            knows_quarantine: false,
+            cuts: HashMap::new(),
             policy: None,
             has_room: false,
             due: BTreeSet::new(),
@@ -266,8 +277,8 @@
     pub fn change(&mut self, now: Duration, change: Change) -> bool {
         let change = self.unless_strange(change);
         let Changed { is_new, ended } = self.directory.change(now, change);
-        if let Some(endpoint) = ended {
-            self.end_life(now, endpoint);
+        if let Some(Ended { endpoint, is_planned }) = ended {
+            self.end_life(now, endpoint, is_planned);
         }
         if is_new {
             self.search(now);
@@ -322,7 +333,8 @@
 
     /// A caller's request has been read whole.
     pub fn arrive(&mut self, now: Duration, arrival: Arrival) -> Result<ExchangeKey, Refusal> {
-        let config = self.config.clone().ok_or(Refusal::NotReady)?;
+        let config = self.config.clone().filter(|_| self.knows_quarantine);
+        let config = config.ok_or(Refusal::NotReady)?;
         let route = config.route(&arrival.host, &arrival.path).ok_or(Refusal::NoRoute)?;
         let team = config.team(arrival.key.as_deref());
         if config.needs_key() && !route.is_public && team.is_none() {
@@ -385,6 +397,7 @@
         if now >= self.next_clean {
             self.next_clean = now + CLEAN_UP;
             self.directory.forget(now);
+            self.release_old(now);
             self.forget_runs();
             self.batches.forget(&self.directory);
         }
@@ -392,6 +405,10 @@
 
     /// Goes on with an exchange: its next stages, or its call.
     fn advance(&mut self, now: Duration, key: ExchangeKey) {
+        if self.held_for(now, key).is_some() {
+            self.refuse_held(now, key);
+            return;
+        }
         let exchange = &self.exchanges[key];
         let is_shared = !exchange.graph.is_complete() || exchange.arrival.prompt.is_some();
         if is_shared && now < self.peers_by {
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -61,6 +61,7 @@
     /// A stream ended whole.
     pub fn ended(&mut self, now: Duration, call: CallKey) {
         let Some(key) = self.exchange_of(call) else { return };
+        self.quarantine.note_answer(now, self.exchanges[key].content);
         self.end_call(now, call, Step::Ended);
         if !self.exchanges[key].has_begun {
             self.actions.push(Action::Begin { exchange: key, call });
@@ -73,6 +74,9 @@
     pub fn replied(&mut self, now: Duration, call: CallKey, head: &ReplyHead) {
         let Some(key) = self.exchange_of(call) else { return };
         self.note_answer(now, call, head.load);
+        if !head.is_unrun {
+            self.quarantine.note_answer(now, self.exchanges[key].content);
+        }
         let endpoint = self.calls[call].endpoint;
         self.end_call(now, call, Step::Ended);
         if head.status == 421 {
@@ -103,6 +107,10 @@
     /// A call failed without a whole reply.
     pub fn failed(&mut self, now: Duration, call: CallKey, failure: Failure) {
         let Some(key) = self.exchange_of(call) else { return };
+        if failure == Failure::Cut {
+            let runs = self.runs_of(now, call);
+            self.note_cut(now, self.calls[call].endpoint, runs);
+        }
         self.end_call(now, call, Step::Failed(failure));
         let exchange = &mut self.exchanges[key];
         match failure {
@@ -176,7 +184,7 @@
             tokens,
             run,
             placer,
-            is_answered: false,
+            answered: None,
             overdue: None,
         });
         if run.is_some() {
@@ -312,7 +320,7 @@
 
     pub(super) fn note_answer(&mut self, now: Duration, call: CallKey, load: Option<Load>) {
         let Some(state) = self.calls.get_mut(call) else { return };
-        if std::mem::replace(&mut state.is_answered, true) {
+        if state.answered.replace(now).is_some() {
             return;
         }
         let took = now.saturating_sub(state.started);
--- a/crates/core/src/relay/machine/ending.rs
+++ b/crates/core/src/relay/machine/ending.rs
@@ -24,17 +24,22 @@
     /// part of an answer are told, instead of being cut off.
     pub fn end_all(&mut self, now: Duration) {
         for key in self.exchanges.keys().collect::<Vec<_>>() {
-            if let Some(call) = self.exchanges[key].call {
-                self.cancel(now, call);
-                self.note_run(key);
-            }
-            if !self.exchanges[key].graph.is_complete() {
-                self.note_run(key);
-            }
+            self.stop_work(now, key);
             self.give_up(now, key, Refusal::Unserved);
         }
     }
 
+    /// Gives up what is under way for an exchange. It may have run.
+    pub(super) fn stop_work(&mut self, now: Duration, key: ExchangeKey) {
+        if let Some(call) = self.exchanges[key].call {
+            self.cancel(now, call);
+            self.note_run(key);
+        }
+        if !self.exchanges[key].graph.is_complete() {
+            self.note_run(key);
+        }
+    }
+
     /// A caller has gone before its answer was whole.
     pub fn leave(&mut self, now: Duration, key: ExchangeKey) {
         if let Some(call) = self.exchanges.get(key).and_then(|exchange| exchange.call) {
@@ -80,19 +85,25 @@
             return;
         }
         let has_run = exchange.has_run || exchange.was_called || refusal == Refusal::TimedOut;
-        let refusal = match refusal {
-            Refusal::Infeasible | Refusal::Unserved | Refusal::Policy if has_run => Refusal::Failed,
-            other => other,
-        };
-        let usual = if refusal == Refusal::Infeasible { LONG_AWAY } else { USUAL_AWAY };
         let may_come_back = !has_run || exchange.route.kind.may_repeat();
-        let remaining = exchange.due.saturating_sub(now);
-        let away = self.policy_away(now, key, usual).min(remaining.mul_f64(AWAY_SHARE));
+        let away = self.away(now, key, refusal);
+        let refusal = refusal.after(has_run);
         let retry_after = (may_come_back && away >= SHORTEST_AWAY).then_some(away);
         self.actions.push(Action::Refuse { exchange: key, refusal, retry_after });
         self.close(key);
     }
 
+    /// How long its caller should stay away. What is held back stays so for longer
+    /// than any caller waits: a sooner time would not be true.
+    fn away(&self, now: Duration, key: ExchangeKey, refusal: Refusal) -> Duration {
+        if refusal == Refusal::Quarantined {
+            return self.held_for(now, key).unwrap_or_default();
+        }
+        let usual = if refusal == Refusal::Infeasible { LONG_AWAY } else { USUAL_AWAY };
+        let remaining = self.exchanges[key].due.saturating_sub(now);
+        self.policy_away(now, key, usual).min(remaining.mul_f64(AWAY_SHARE))
+    }
+
     /// Forgets an exchange and gives up all that it holds.
     pub(super) fn close(&mut self, key: ExchangeKey) {
         let Some(mut exchange) = self.exchanges.remove(key) else { return };
--- a/crates/core/src/relay/machine/moves.rs
+++ b/crates/core/src/relay/machine/moves.rs
@@ -21,9 +21,12 @@
     /// An endpoint has started again: whatever an earlier life of it was sent
     /// comes to nothing. What it holds of connections and calls would otherwise
     /// be waited for, where the endpoint died behind a cut and nothing says so.
-    pub(super) fn end_life(&mut self, now: Duration, endpoint: EndpointKey) {
+    pub(super) fn end_life(&mut self, now: Duration, endpoint: EndpointKey, is_planned: bool) {
         let Some(ended) = self.directory.get(endpoint) else { return };
         self.actions.push(Action::Disconnect(ended.entry.addr.clone()));
+        if !is_planned {
+            self.note_end(now, endpoint, Vec::new());
+        }
         let open = self.calls.iter().filter(|(_, state)| state.endpoint == endpoint);
         let open: Vec<_> = open.map(|(call, state)| (call, state.exchange)).collect();
         for (call, exchange) in open {
@@ -54,7 +57,7 @@
         {
             self.overdue.remove(&(at, call));
             let Some(key) = self.exchange_of(call) else { continue };
-            if self.calls[call].is_answered || !self.may_move(now, key) {
+            if self.calls[call].answered.is_some() || !self.may_move(now, key) {
                 continue;
             }
             let service = self.exchanges[key].service.clone();
--- a/crates/core/src/relay/machine/plan.rs
+++ b/crates/core/src/relay/machine/plan.rs
@@ -109,6 +109,8 @@
             tries: 0,
             is_repeat: self.rounds > 0,
             is_begun,
+            content: self.content,
+            is_apart: false,
         };
         (0..self.graph.pieces(stage) as u16).map(piece).collect()
     }
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -67,11 +67,17 @@
     /// not run.
     pub fn make_failed(&mut self, now: Duration, call: CallKey, failure: Failure, is_unrun: bool) {
         let step = if is_unrun { Step::Ended } else { Step::Failed(failure) };
+        let is_cut = !is_unrun && failure == Failure::Cut;
+        if let Some(state) = self.calls.get(call).filter(|_| is_cut) {
+            let (endpoint, runs) = (state.endpoint, self.runs_of(now, call));
+            self.note_cut(now, endpoint, runs);
+        }
         self.end_call(now, call, step);
         let mut finished = self.batches.failed(now, call, is_unrun);
         let is_safe = is_unrun || failure == Failure::Unsent;
         for one in &mut finished {
             one.piece.is_repeat |= !is_safe;
+            one.piece.is_apart |= is_cut;
         }
         self.requeue(now, finished, is_safe);
         self.make_all(now);
@@ -85,7 +91,10 @@
         }
         let origin = |index| Origin::Peer { ticket, index };
         let pieces = pieces.into_iter().enumerate();
-        self.admit(now, pieces.map(|(index, piece)| (piece, origin(index))).collect());
+        let pieces = pieces.map(|(index, piece)| (piece, origin(index)));
+        let (held, others) = pieces.partition(|(piece, _)| self.is_held(piece));
+        self.admit(now, others);
+        self.take_finished(now, held.into_iter().map(not_made).collect());
         self.make_all(now);
     }
 
@@ -251,7 +260,7 @@
                 tokens: 0,
                 run: None,
                 placer: None,
-                is_answered: false,
+                answered: None,
                 overdue: None,
             });
             self.batches.started(now, call, &order, &shape);
@@ -285,7 +294,8 @@
             self.free_stray(one);
             return;
         }
-        let again = another_try(&one).filter(|piece| self.may_send_again(now, piece));
+        let again = another_try(&one).filter(|piece| !self.is_held(piece));
+        let again = again.filter(|piece| self.may_send_again(now, piece));
         let is_late = one.result == Err(PieceFailure::Late);
         match again {
             Some(piece) => self.batches.add(piece, Origin::Peer { ticket, index }),
@@ -413,6 +423,11 @@
         self.advance(now, key);
     }
 
+    /// Whether a piece's request is held back.
+    fn is_held(&self, piece: &Piece) -> bool {
+        self.quarantine.held(piece.content).is_some()
+    }
+
     /// Pays for sending a piece again that was or may have been made.
     pub(super) fn may_send_again(&mut self, now: Duration, piece: &Piece) -> bool {
         !piece.is_repeat || self.spend(now, &piece.service.clone(), 1)
@@ -425,6 +440,11 @@
     one.result == Err(PieceFailure::Late) && !one.piece.is_repeat
 }
 
+/// A piece of a request that is held back.
+fn not_made((piece, origin): (Piece, Origin)) -> Finished {
+    Finished { origin, piece, result: Err(PieceFailure::Failed), endpoint: None }
+}
+
 /// The piece, if another call may do better.
 fn another_try(one: &Finished) -> Option<Piece> {
     let may_do_better = matches!(one.result, Err(PieceFailure::NoRoom | PieceFailure::Failed));
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     model::{DataCentre, EndpointName, Incarnation, InstanceName, Load, TeamName},
-    relay::fingerprint::Fingerprint,
+    relay::{fingerprint::Fingerprint, quarantine::Crash},
 };
 
 /// A group of endpoints that serve the same routes or stages.
@@ -197,6 +197,11 @@
     pub is_repeat: bool,
     /// Whether any other work of its request has been done.
     pub is_begun: bool,
+    /// What its request asks for.
+    pub content: Fingerprint,
+    /// Whether it is made without pieces of other requests: a call that it was part
+    /// of was cut, and which of them ended the endpoint is not known.
+    pub is_apart: bool,
 }
 
 /// One life of an endpoint, as instances name it to each other.
@@ -267,6 +272,18 @@
     pub parts: Vec<u64>,
 }
 
+/// What a new connection tells of an endpoint that cut calls.
+#[id]
+#[derive(Copy)]
+pub enum Probed {
+    /// Something listens there.
+    There,
+    /// The machine answers, and nothing listens: the process has ended.
+    Gone,
+    /// Nothing was heard: the machine, or the way to it, may be down.
+    Unknown,
+}
+
 /// Another instance that may batch pieces or place prompts.
 #[data]
 pub struct Peer {
@@ -311,6 +328,8 @@
     Infeasible,
     /// Nothing ran and nothing will: the operators' policy says so.
     Policy,
+    /// Nothing ran and nothing will: it crashes what runs it.
+    Quarantined,
     /// The time is over; something may have run.
     TimedOut,
     /// An endpoint failed; something may have run.
@@ -318,10 +337,26 @@
 }
 
 impl Refusal {
+    /// What it comes to if something may have run: not being run is not promised.
+    pub fn after(self, has_run: bool) -> Refusal {
+        match self {
+            Refusal::Infeasible | Refusal::Unserved | Refusal::Policy | Refusal::Quarantined
+                if has_run =>
+            {
+                Refusal::Failed
+            }
+            other => other,
+        }
+    }
+
     /// The HTTP status that says so.
     pub fn status(self) -> u16 {
         match self {
-            Refusal::NotReady | Refusal::Unserved | Refusal::Infeasible | Refusal::Policy => 503,
+            Refusal::NotReady
+            | Refusal::Unserved
+            | Refusal::Infeasible
+            | Refusal::Policy
+            | Refusal::Quarantined => 503,
             Refusal::NoRoute => 404,
             Refusal::UnknownKey => 401,
             Refusal::Malformed => 400,
@@ -340,6 +375,7 @@
             Refusal::Unserved => "unserved",
             Refusal::Infeasible => "infeasible",
             Refusal::Policy => "policy",
+            Refusal::Quarantined => "quarantined",
             Refusal::TimedOut => "timed_out",
             Refusal::Failed => "failed",
         }
@@ -443,6 +479,61 @@
         /// What there is to tell.
         progress: Vec<Progress>,
     },
+    /// Find out by a new connection whether an endpoint that cut calls is there.
+    Probe {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// Where it listens.
+        addr: Arc<str>,
+    },
+    /// An endpoint has ended with these runs.
+    Crashed {
+        /// Its life.
+        life: Life,
+        /// The runs.
+        crashes: Vec<Crash>,
+    },
+    /// Tell a keeper of contents of their crashes.
+    Accuse {
+        /// The peer.
+        peer: InstanceName,
+        /// The crashes.
+        crashes: Vec<Crash>,
+    },
+    /// Ask all peers whether they had a content answered since that time.
+    Consult {
+        /// The content.
+        content: Fingerprint,
+        /// The time.
+        since: Duration,
+    },
+    /// A content that crashed endpoints was answered meanwhile: it is no poison.
+    Acquitted(Fingerprint),
+    /// A content is held back here from now on.
+    HeldBack {
+        /// The content.
+        content: Fingerprint,
+        /// Endpoints that ended under it.
+        crashes: u32,
+    },
+    /// Tell all peers that a content is held back, and have the platform keep it.
+    Quarantine {
+        /// The content.
+        content: Fingerprint,
+        /// Endpoints that ended under it.
+        crashes: u32,
+    },
+    /// Write the platform's record of a content anew.
+    Record {
+        /// The content.
+        content: Fingerprint,
+        /// Endpoints that ended under it.
+        crashes: u32,
+    },
+    /// Remove the platform's record of a content.
+    Unrecord(Fingerprint),
+    /// A content is not held back any more.
+    Released(Fingerprint),
     /// Give a peer the results of its pieces.
     Return {
         /// The number that the event loop gave to the peer's pieces.
--- a/crates/core/src/relay/readers.rs
+++ b/crates/core/src/relay/readers.rs
@@ -27,6 +27,11 @@
 /// Pause between two looks at the table of instances, which is not urgent.
 pub const SLOW_PACE: Duration = Duration::from_secs(2);
 
+/// How long a question waits at the store for a table that hardly ever changes, and
+/// whose changes instances tell each other: it bounds what an instance misses that
+/// was told nothing, at some nine calls a reader in a minute and a half.
+pub const LONG_WAIT: Duration = Duration::from_secs(10);
+
 /// The instances that read the store, of those given; strong ones first.
 pub fn readers(instances: &[Peer]) -> Vec<InstanceName> {
     let count = FEWEST.max(instances.len().div_ceil(ANSWERED));
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -18,6 +18,7 @@
 mod placing;
 mod policies;
 mod prompts;
+mod quarantine;
 mod readers;
 mod stages;
 mod streams;
--- a/crates/core/tests/testsuite/relay/calls.rs
+++ b/crates/core/tests/testsuite/relay/calls.rs
@@ -261,9 +261,11 @@
     let closed = world.take(|action| match action {
         Action::Cancel(key) => Some(format!("{}", *key == call.key)),
         Action::Disconnect(addr) => Some(addr.to_string()),
+        Action::Crashed { life, crashes } => Some(format!("{} {}", life.name, crashes.len())),
         _ => None,
     });
-    assert_eq!(closed, [addr.to_string(), "true".to_owned()]);
+    let crashed = format!("{} 1", call.endpoint);
+    assert_eq!(closed, [addr.to_string(), "true".to_owned(), crashed]);
     let again = world.call();
     assert_eq!(again.attempt, 2);
     world.replied(call.key, &head(200));
--- a/crates/core/tests/testsuite/relay/directory.rs
+++ b/crates/core/tests/testsuite/relay/directory.rs
@@ -5,7 +5,7 @@
 use peatdeck_core::{
     model::{Incarnation, Load},
     relay::{
-        directory::{Change, Directory, Entry},
+        directory::{Change, Directory, Ended, Entry},
         engine::Work,
         model::Failure,
     },
@@ -107,7 +107,8 @@
     endpoint.answered(ms(0), ms(700), Some(Load { running: 3, queued: 9, places: 4, age_ms: 0 }));
     endpoint.failed(ms(0), Failure::Cut);
     let changed = directory.change(ms(10), Change::Put(life("a", 2)));
-    assert_eq!((changed.is_new, changed.ended), (true, Some(old)));
+    let ended = Ended { endpoint: old, is_planned: false };
+    assert_eq!((changed.is_new, changed.ended), (true, Some(ended)));
     let key = directory.by_name("a").unwrap();
     let endpoint = directory.get(key).unwrap();
     assert!(!endpoint.is_paused(ms(10)));
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -167,6 +167,7 @@
         };
         let mut relay = Relay::new(settings, 7);
         relay.configure(config);
+        relay.know_quarantine();
         World { relay, now: Duration::ZERO, actions: Vec::new() }
     }
 
--- a/crates/core/tests/testsuite/relay/load/fleet.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet.rs
@@ -356,6 +356,17 @@
             }
             Action::Break(exchange) => self.refused(idx, exchange, 502),
             Action::Finish(_) | Action::Answer { .. } | Action::Cancel(_) | Action::Recall(_) => {}
+            // No endpoint of this fleet ends.
+            Action::Probe { .. }
+            | Action::Crashed { .. }
+            | Action::Accuse { .. }
+            | Action::Consult { .. }
+            | Action::Acquitted(_)
+            | Action::HeldBack { .. }
+            | Action::Quarantine { .. }
+            | Action::Record { .. }
+            | Action::Unrecord(_)
+            | Action::Released(_) => unreachable!("{action:?}"),
         }
     }
 
@@ -464,6 +475,7 @@
         strength: 250,
     };
     let mut relay = Relay::new(settings, idx as u64);
+    relay.know_quarantine();
     let pieces = Pieces {
         slots: 1,
         queue: 2,
--- a/crates/core/tests/testsuite/relay/streams.rs
+++ b/crates/core/tests/testsuite/relay/streams.rs
@@ -57,7 +57,9 @@
     let (mut world, call) = begun(Kind::Stream);
     world.failed(call.key, Failure::Cut);
     assert!(world.calls().is_empty());
-    assert!(matches!(world.actions[..], [Action::Begin { .. }, Action::Break(_)]));
+    let actions = &world.actions[..];
+    let is_cut = matches!(actions, [Action::Begin { .. }, Action::Probe { .. }, Action::Break(_)]);
+    assert!(is_cut, "{actions:?}");
 }
 
 #[test]
--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -43,23 +43,14 @@
     decisions::log_failure(&request.id, &call.endpoint, failure, &cause, took);
     driver.metrics.count("relay.calls_failed", 1);
     driver.failed(call.key, failure);
-    if failure == Failure::Cut {
-        look_after(&driver, &call.endpoint, &call.addr);
-    }
 }
 
-/// Finds out whether an endpoint that cut a call has ended, or only the
-/// connection has.
-fn look_after(driver: &Rc<Driver>, endpoint: &EndpointName, addr: &Arc<str>) {
-    if !driver.begin_probe(addr) {
-        return;
-    }
-    let (driver, endpoint, addr) = (driver.clone(), endpoint.clone(), addr.clone());
-    ntex::rt::spawn(async move {
-        let presence = driver.pool.probe(&addr).await;
-        let cuts = driver.end_probe(&addr);
-        decisions::log_probe(&endpoint, &addr, presence, cuts);
-    });
+/// Finds out whether an endpoint that cut calls has ended, or only connections have.
+pub async fn probe(driver: Rc<Driver>, endpoint: EndpointKey, addr: Arc<str>) {
+    let probed = driver.pool.probe(&addr).await;
+    driver.metrics.count("relay.endpoints_probed", 1);
+    tracing::info!(event = "endpoint_probed", addr = &*addr, probed = ?probed);
+    driver.feed(|machine, now| machine.probed(now, endpoint, probed));
 }
 
 async fn exchange(
@@ -140,9 +131,6 @@
         Err((failure, cause)) => {
             tracing::warn!(event = "make_failed", call = ?call, endpoint = &*endpoint, failure = ?failure, cause, took_ms = took);
             driver.feed(|machine, now| machine.make_failed(now, call, failure, false));
-            if failure == Failure::Cut {
-                look_after(&driver, &endpoint, &addr);
-            }
         }
         Ok((head, _)) if head.is_unrun => {
             tracing::info!(event = "make_refused", call = ?call, endpoint = &*endpoint, status = head.status, took_ms = took);
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -5,10 +5,12 @@
 
 use peatdeck_core::relay::{
     Taken,
-    model::{Action, Call, Failure, Refusal, ReplyHead},
+    model::{Action, Call, Failure, Life, Refusal, ReplyHead},
+    quarantine::Crash,
 };
 
-use crate::pool::Presence;
+/// Runs that a log line names: a busy endpoint has dozens.
+const MOST_NAMED: usize = 12;
 
 /// What an instance believed when it decided.
 #[derive(Debug, Clone, Copy, Default)]
@@ -66,6 +68,22 @@
         Action::ListParts { addr, .. } => {
             tracing::debug!(event = "list_parts", addr = &**addr);
         }
+        Action::Probe { addr, .. } => tracing::debug!(event = "probe", addr = &**addr),
+        Action::Crashed { life, crashes } => log_crash(life, crashes),
+        Action::Accuse { peer, crashes } => {
+            tracing::debug!(event = "accuse", peer = &**peer, count = crashes.len());
+        }
+        Action::Consult { content, .. } => {
+            tracing::info!(event = "quarantine_considered", %content);
+        }
+        Action::Acquitted(content) => tracing::info!(event = "quarantine_dropped", %content),
+        Action::HeldBack { content, crashes } => {
+            tracing::warn!(event = "quarantined", %content, crashes);
+        }
+        Action::Quarantine { content, .. } => tracing::debug!(event = "quarantine_told", %content),
+        Action::Record { content, .. } => tracing::debug!(event = "quarantine_renewed", %content),
+        Action::Unrecord(content) => tracing::info!(event = "quarantine_ends", %content),
+        Action::Released(content) => tracing::warn!(event = "quarantine_over", %content),
         Action::Report { peer, progress } => {
             tracing::debug!(event = "report", peer = &**peer, count = progress.len());
         }
@@ -112,9 +130,16 @@
     tracing::warn!(event = "call_failed", id, endpoint, failure = ?failure, cause, took_ms);
 }
 
-/// Logs what a new connection told of an endpoint that cut calls.
-pub fn log_probe(endpoint: &str, addr: &str, presence: Presence, cuts: u32) {
-    tracing::warn!(event = "endpoint_probed", endpoint, addr, presence = ?presence, cuts);
+/// Logs that an endpoint ended, and what it ran; of many runs only the first.
+fn log_crash(life: &Life, crashes: &[Crash]) {
+    let run = |crash: &Crash| match crash.is_late {
+        true => format!("{} (late)", crash.content),
+        false => crash.content.to_string(),
+    };
+    let named: Vec<_> = crashes.iter().take(MOST_NAMED).map(run).collect();
+    let (endpoint, incarnation) = (&*life.name, life.incarnation.0);
+    let (count, runs) = (crashes.len(), named.join(" "));
+    tracing::warn!(event = "endpoint_crashed", endpoint, incarnation, count, runs);
 }
 
 fn log_send(call: &Call, id: &str) {
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -97,7 +97,7 @@
             prompt: self.prompt(headers),
             pieces: text(headers, &names.pieces).map(counts).unwrap_or_default(),
             piece_key: text(headers, &names.piece_key).map(Arc::from),
-            content: Fingerprint::default(),
+            content: Fingerprint::UNKNOWN,
         })
     }
 
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -12,7 +12,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 
 use bytes::Bytes;
@@ -34,7 +34,12 @@
 use tokio::sync::Notify;
 
 use crate::{
-    calls, decisions, peers::Peers, pool::Pool, settings::Settings, surroundings::Surroundings,
+    calls, decisions,
+    peers::Peers,
+    pool::Pool,
+    records,
+    settings::Settings,
+    surroundings::{Surroundings, TableName},
 };
 
 /// After being told to stop, an instance takes requests for so long. The
@@ -115,9 +120,6 @@
     callers: RefCell<SecondaryMap<ExchangeKey, Caller>>,
     calls: RefCell<SecondaryMap<CallKey, AbortHandle>>,
     replies: RefCell<HashMap<CallKey, Reply>>,
-    /// Endpoints' addresses that are being probed, with the calls that were cut
-    /// there.
-    probes: RefCell<HashMap<Arc<str>, u32>>,
     rearm: Notify,
     stopping: Cell<Option<Duration>>,
     /// Connections to endpoints.
@@ -162,7 +164,6 @@
             callers: RefCell::default(),
             calls: RefCell::default(),
             replies: RefCell::default(),
-            probes: RefCell::default(),
             rearm: Notify::new(),
             stopping: Cell::new(None),
             pool: parts.pool,
@@ -179,6 +180,11 @@
         self.clock.now()
     }
 
+    /// The time of day. Only for records that people read.
+    pub fn wall(&self) -> SystemTime {
+        self.clock.wall()
+    }
+
     /// Tells the machine something and carries out what it wants done.
     pub fn feed<T>(self: &Rc<Self>, tell: impl FnOnce(&mut Relay, Duration) -> T) -> T {
         let now = self.now();
@@ -262,8 +268,10 @@
 
     /// Works out whether the instance takes requests.
     pub fn update_ready(&self) {
-        let knows_enough = self
+        let (knows_quarantine, _) = self.peers.tables.state(TableName::Quarantine);
+        let knows_others = self
             .look(|machine| machine.config().is_some() && machine.directory().ready_count() > 0);
+        let knows_enough = knows_quarantine && knows_others;
         let is_ready = knows_enough && !self.is_stopping();
         let was_ready = self.shared.is_ready.swap(is_ready, Ordering::Relaxed);
         if was_ready != is_ready {
@@ -291,20 +299,6 @@
         self.feed(|machine, now| machine.failed(now, call, failure));
     }
 
-    /// A call was cut at that address. True if a probe is to find out why: none
-    /// is under way.
-    pub fn begin_probe(&self, addr: &Arc<str>) -> bool {
-        let mut probes = self.probes.borrow_mut();
-        let cuts = probes.entry(addr.clone()).or_default();
-        *cuts += 1;
-        *cuts == 1
-    }
-
-    /// A probe has its result. Returns how many calls were cut there meanwhile.
-    pub fn end_probe(&self, addr: &Arc<str>) -> u32 {
-        self.probes.borrow_mut().remove(addr).unwrap_or_default()
-    }
-
     /// A call's task has ended by itself.
     pub fn forget_call(&self, call: CallKey) {
         self.calls.borrow_mut().remove(call);
@@ -396,6 +390,30 @@
                 self.peers.ask_place(self, exchange, peer, question);
             }
             Action::Report { peer, progress } => self.peers.report(self, peer, progress),
+            Action::Probe { endpoint, addr } => {
+                ntex::rt::spawn(calls::probe(self.clone(), endpoint, addr));
+            }
+            Action::Crashed { crashes, .. } => {
+                self.metrics.count("relay.crashed_runs", crashes.len() as u64);
+            }
+            Action::Accuse { peer, crashes } => self.peers.accuse(self, peer, crashes),
+            Action::Consult { content, since } => self.peers.consult(self, content, since),
+            Action::Quarantine { content, crashes } => {
+                self.metrics.count("relay.quarantines_raised", 1);
+                self.peers.quarantine(self, content, crashes);
+                ntex::rt::spawn(records::write(self.clone(), content, Some(crashes)));
+            }
+            Action::Record { content, crashes } => {
+                ntex::rt::spawn(records::write(self.clone(), content, Some(crashes)));
+            }
+            Action::Unrecord(content) => {
+                ntex::rt::spawn(records::write(self.clone(), content, None));
+            }
+            Action::HeldBack { .. } | Action::Released(_) => {
+                let held = self.look(|machine| machine.held_back().count());
+                self.metrics.gauge("relay.quarantined", held as u64);
+            }
+            Action::Acquitted(_) => self.metrics.count("relay.quarantines_dropped", 1),
             Action::Recall(key) => self.peers.recall(key),
             Action::Return { ticket, results } => self.peers.give_back(ticket, results),
         }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -69,13 +69,25 @@
     }
 }
 
-/// The configuration is waited for at the store; the other tables change all
-/// the time, so each answer would come at once.
+/// The configuration and what is held back are waited for at the store; the other
+/// tables change all the time, so each answer would come at once.
 fn pause_after(name: TableName) -> Option<Duration> {
     match name {
         TableName::Config => None,
         TableName::Endpoints => Some(readers::PACE),
         TableName::Instances => Some(readers::SLOW_PACE),
+        TableName::Quarantine => None,
+    }
+}
+
+/// Takes in at once what was just written to a table.
+///
+/// # Errors
+/// If the store does not answer.
+pub async fn read_back(driver: &Rc<Driver>, name: TableName) -> Result<(), StoreError> {
+    match driver.peers.tables.state(name) {
+        (true, end) => read_on(driver, name, end, Duration::ZERO).await,
+        (false, _) => read_whole(driver, name).await,
     }
 }
 
@@ -88,8 +100,20 @@
     }
     let wait = match name {
         TableName::Config => readers::PACE,
+        TableName::Quarantine => readers::LONG_WAIT,
         TableName::Endpoints | TableName::Instances => Duration::ZERO,
     };
+    read_on(driver, name, end, wait).await
+}
+
+/// Reads what a table's log has behind that end.
+async fn read_on(
+    driver: &Rc<Driver>,
+    name: TableName,
+    end: u64,
+    wait: Duration,
+) -> Result<(), StoreError> {
+    let tables = &driver.peers.tables;
     driver.metrics.count("relay.store_reads", 1);
     let asked = driver.now();
     let read = (driver.surroundings.store.read)(name, end, wait);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,7 +20,9 @@
 //! - [`surroundings`]: the platform, as functions.
 //! - [`tables`]: the copies of the platform's tables.
 //! - [`follow`]: keeps them up to date from the platform's store.
+//! - [`operators`]: what operators can ask an instance.
 //! - [`peers`]: the other instances, over Cap'n Proto.
+//! - [`records`]: what is held back, as the platform's table has it.
 //! - [`policy`]: the operators' policy, read from a file.
 //! - [`decisions`]: one log line a decision.
 
@@ -31,9 +33,11 @@
 pub mod follow;
 pub mod front;
 pub mod native;
+pub mod operators;
 pub mod peers;
 pub mod policy;
 pub mod pool;
+pub mod records;
 pub mod server;
 pub mod settings;
 pub mod surroundings;
--- /dev/null
+++ b/crates/relay/src/operators.rs
@@ -0,0 +1,110 @@
+//! What operators can ask an instance, at its metrics address.
+//!
+//! | request | answer |
+//! | --- | --- |
+//! | `GET /quarantine` | what is held back here, as JSON ([`records::Listed`]) |
+//! | `DELETE /quarantine/FINGERPRINT` | releases that content at all instances |
+//! | anything else | counters and timings, as text |
+//!
+//! The server may answer on another thread than that of the event loop, so questions
+//! go there by a channel.
+
+use std::{io, rc::Rc, sync::Arc};
+
+use futures::{
+    StreamExt,
+    channel::{mpsc, oneshot},
+};
+use ntex::http::{Method, Request, Response, StatusCode};
+use peatdeck_core::relay::fingerprint::Fingerprint;
+use peatdeck_util::metrics::Registry;
+
+use crate::{
+    driver::Driver,
+    records::{self, Listed},
+};
+
+/// The path under which what is held back is shown.
+const QUARANTINE: &str = "/quarantine";
+
+/// What an operator asks the event loop.
+#[derive(Debug)]
+pub enum Question {
+    /// What is held back?
+    Held(oneshot::Sender<Vec<Listed>>),
+    /// Release this content. The answer says whether it was held back.
+    Release(Fingerprint, oneshot::Sender<bool>),
+}
+
+/// Answers one request.
+///
+/// # Errors
+/// None; the type is what the server asks for.
+pub async fn answer(
+    metrics: Arc<Registry>,
+    asked: mpsc::UnboundedSender<Question>,
+    req: Request,
+) -> Result<Response, io::Error> {
+    let Some(rest) = req.path().strip_prefix(QUARANTINE) else {
+        return Ok(Response::Ok().body(metrics.render()));
+    };
+    let response = match (req.method(), rest.strip_prefix('/')) {
+        (&Method::GET, None) => show(&asked).await,
+        (&Method::DELETE, Some(name)) => release(&asked, name).await,
+        _ => plain(StatusCode::NOT_FOUND, "ask GET /quarantine, or DELETE /quarantine/FINGERPRINT"),
+    };
+    Ok(response)
+}
+
+async fn show(asked: &mpsc::UnboundedSender<Question>) -> Response {
+    let (tx, rx) = oneshot::channel();
+    // Without an event loop there is no answer either.
+    asked.unbounded_send(Question::Held(tx)).ok();
+    match rx.await {
+        Ok(held) => {
+            let text = serde_json::to_string(&held).expect("names and numbers are JSON");
+            Response::Ok().content_type("application/json").body(text)
+        }
+        Err(_) => stopping(),
+    }
+}
+
+async fn release(asked: &mpsc::UnboundedSender<Question>, name: &str) -> Response {
+    let Some(content) = Fingerprint::parse(name) else {
+        let help = "that is no fingerprint; take one from GET /quarantine";
+        return plain(StatusCode::BAD_REQUEST, help);
+    };
+    let (tx, rx) = oneshot::channel();
+    // Without an event loop there is no answer either.
+    asked.unbounded_send(Question::Release(content, tx)).ok();
+    match rx.await {
+        Ok(true) => plain(StatusCode::ACCEPTED, "released here; the others follow in seconds"),
+        Ok(false) => plain(StatusCode::NOT_FOUND, "it is not held back here"),
+        Err(_) => stopping(),
+    }
+}
+
+fn stopping() -> Response {
+    plain(StatusCode::SERVICE_UNAVAILABLE, "the instance is stopping; ask another one")
+}
+
+fn plain(status: StatusCode, text: &str) -> Response {
+    Response::build(status).content_type("text/plain").body(format!("{text}\n"))
+}
+
+/// Answers operators' questions for as long as the process runs.
+pub async fn serve(driver: Rc<Driver>, mut questions: mpsc::UnboundedReceiver<Question>) {
+    while let Some(question) = questions.next().await {
+        // Whoever asked may have gone.
+        match question {
+            Question::Held(answer) => {
+                answer.send(records::list(&driver)).ok();
+            }
+            Question::Release(content, answer) => {
+                let was_held = driver.feed(|machine, _| machine.lift(content));
+                tracing::warn!(event = "quarantine_lifted", %content, was_held);
+                answer.send(was_held).ok();
+            }
+        }
+    }
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -10,11 +10,13 @@
 //! - [`gossip`]: the rounds.
 //! - [`learn`]: what the tables hold.
 //! - `work`: pieces, placements and results.
+//! - `verdicts`: contents that crash what runs them.
 //! - `service`: the other side, what peers ask of this instance.
 
 pub mod gossip;
 pub mod learn;
 mod service;
+mod verdicts;
 mod work;
 
 pub use service::serve;
@@ -208,10 +210,9 @@
     };
     let value = serde_json::to_vec(&announcement).expect("two names are JSON");
     loop {
-        let call = (driver.surroundings.store.announce)(
-            settings.name.clone(),
-            bytes::Bytes::from(value.clone()),
-        );
+        let record = Some(bytes::Bytes::from(value.clone()));
+        let call =
+            (driver.surroundings.store.write)(TableName::Instances, settings.name.clone(), record);
         match tokio::time::timeout(EXCHANGE_TIMEOUT, call).await {
             Ok(Ok(())) => {
                 tracing::info!(event = "announced", peers = &*announcement.peers);
--- a/crates/relay/src/peers/service.rs
+++ b/crates/relay/src/peers/service.rs
@@ -140,6 +140,47 @@
         Ok(())
     }
 
+    async fn accuse(
+        self: Rc<Self>,
+        params: relay::AccuseParams,
+        _results: relay::AccuseResults,
+    ) -> Result<(), capnp::Error> {
+        let crashes = params.get()?.get_crashes()?.iter().map(wire::read_crash);
+        let crashes = crashes.collect::<Result<Vec<_>, _>>().map_err(failed)?;
+        self.driver.feed(|machine, now| {
+            for crash in &crashes {
+                machine.suspect(now, crash);
+            }
+        });
+        Ok(())
+    }
+
+    async fn consult(
+        self: Rc<Self>,
+        params: relay::ConsultParams,
+        mut results: relay::ConsultResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let content = wire::read_content(params.get_content()?);
+        let age = Duration::from_millis(u64::from(params.get_age_ms()));
+        let since = self.driver.now().saturating_sub(age);
+        let was_answered = self.driver.look(|machine| machine.was_answered(content, since));
+        results.get().set_was_answered(was_answered);
+        Ok(())
+    }
+
+    async fn quarantine(
+        self: Rc<Self>,
+        params: relay::QuarantineParams,
+        _results: relay::QuarantineResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let content = wire::read_content(params.get_content()?);
+        let crashes = params.get_crashes();
+        self.driver.feed(|machine, now| machine.hold_back(now, content, crashes));
+        Ok(())
+    }
+
     async fn ping(
         self: Rc<Self>,
         _params: relay::PingParams,
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -21,7 +21,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use peatdeck_macros::id;
+use peatdeck_core::relay::model::Probed;
 use peatdeck_wire::socket;
 use tokio::net::TcpStream;
 
@@ -39,6 +39,8 @@
 /// A store that lives and can be reached answers, or sends on, within this
 /// time: its answers take milliseconds, and fifty times as long when it is slow.
 const SILENCE: Duration = Duration::from_millis(1500);
+/// A process that ends closes what it has within this time.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
 /// Idle connections to one address at the most.
 const MAX_IDLE: usize = 64;
 
@@ -108,18 +110,6 @@
     }
 }
 
-/// What a new connection tells of a process.
-#[id]
-#[derive(Copy)]
-pub enum Presence {
-    /// Something listens.
-    There,
-    /// The machine answers, and nothing listens: the process has ended.
-    Gone,
-    /// Nothing was heard: the machine, or the way to it, may be down.
-    Unknown,
-}
-
 /// What a pool has done.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Counts {
@@ -214,20 +204,22 @@
     }
 
     /// Whether anything listens at an address, by a new connection. One that is
-    /// made is kept, since a call will need it.
-    pub async fn probe(&self, addr: &Arc<str>) -> Presence {
+    /// made is kept, since a call will need it. A process that is about to end may
+    /// still have taken it in: one that is closed at once is looked at again.
+    pub async fn probe(&self, addr: &Arc<str>) -> Probed {
         let stream = match open(addr).await {
             Ok(stream) => stream,
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                return Presence::Gone;
-            }
-            Err(_) => return Presence::Unknown,
+            Err(error) => return absence(&error),
         };
-        if let Ok(lease) = begin(addr, stream).await {
-            self.count(true);
-            self.keep(Lease { keep: DEFAULT_IDLE, ..lease });
+        let Ok(lease) = begin(addr, stream).await else { return Probed::Unknown };
+        tokio::time::sleep(PROBE_PAUSE).await;
+        if lease.connection.sender.is_closed() {
+            let again = open(addr).await;
+            return again.map_or_else(|error| absence(&error), |_| Probed::There);
         }
-        Presence::There
+        self.count(true);
+        self.keep(Lease { keep: DEFAULT_IDLE, ..lease });
+        Probed::There
     }
 
     /// Gives a connection back whose reply was read whole.
@@ -303,6 +295,14 @@
     Ok(Lease { addr: addr.clone(), connection, keep: Duration::ZERO })
 }
 
+/// What a connection that was not made says of a process.
+fn absence(error: &io::Error) -> Probed {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => Probed::Gone,
+        _ => Probed::Unknown,
+    }
+}
+
 /// How long a connection may be idle, as its peer says.
 fn keep_time(headers: &HeaderMap) -> Duration {
     let value = |name: &http::HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -28,6 +28,7 @@
     driver::{Driver, Parts, Shared},
     follow,
     front::{self, BodyMemory},
+    operators::{self, Question},
     peers, policy,
     pool::Pool,
     settings::Settings,
@@ -66,6 +67,7 @@
     surroundings: Box<dyn FnOnce(Rc<Pool>) -> Surroundings + Send>,
     peers: TcpListener,
     signals: mpsc::UnboundedReceiver<Told>,
+    questions: mpsc::UnboundedReceiver<Question>,
     exited: oneshot::Sender<()>,
     metrics: Arc<Registry>,
     shared: Arc<Shared>,
@@ -146,6 +148,7 @@
 ) -> miette::Result<()> {
     let Listeners { front, ready, metrics: metrics_listener, peers } = listeners;
     let (exited, on_exit) = oneshot::channel();
+    let (asked, questions) = mpsc::unbounded();
     let metrics = Registry::new();
     let shared = Arc::new(Shared::default());
     let connections = settings.connections;
@@ -154,6 +157,7 @@
         surroundings: Box::new(surroundings),
         peers,
         signals,
+        questions,
         exited,
         metrics: metrics.clone(),
         shared: shared.clone(),
@@ -181,10 +185,9 @@
         })
         .into_diagnostic()?
         .listen("metrics", metrics_listener, async move |_| {
-            let metrics = metrics.clone();
-            HttpService::h1(move |_req: Request| {
-                let text = metrics.render();
-                async move { Ok::<_, std::io::Error>(Response::Ok().body(text)) }
+            let (metrics, asked) = (metrics.clone(), asked.clone());
+            HttpService::h1(move |req: Request| {
+                operators::answer(metrics.clone(), asked.clone(), req)
             })
         })
         .into_diagnostic()?
@@ -212,7 +215,8 @@
 
 /// Starts the event loop on the current thread.
 fn start(setup: Setup) -> Rc<Driver> {
-    let Setup { settings, surroundings, peers, signals, exited, metrics, shared } = setup;
+    let Setup { settings, surroundings, peers, signals, questions, exited, metrics, shared } =
+        setup;
     let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
     let pool = Pool::new();
     let machine = Relay::new(
@@ -245,6 +249,7 @@
     ntex::rt::spawn(peers::learn::run(driver.clone()));
     ntex::rt::spawn(peers::serve(driver.clone(), into_tokio(peers)));
     ntex::rt::spawn(prune(driver.clone()));
+    ntex::rt::spawn(operators::serve(driver.clone(), questions));
     ntex::rt::spawn(take_signals(driver.clone(), signals, exited));
     driver
 }
--- a/crates/relay/src/surroundings.rs
+++ b/crates/relay/src/surroundings.rs
@@ -1,7 +1,7 @@
 //! The platform that a relay runs on, as functions.
 //!
-//! The platform keeps three tables for the relay: the operator's
-//! configuration, the directory of endpoints, and the instances themselves.
+//! The platform keeps four tables for the relay: the operator's configuration, the
+//! directory of endpoints, the instances themselves, and what is held back.
 //! Each is a log of keyed records of which the newest counts. A platform
 //! adapter fills in [`Surroundings`]; tests fill it in with stand-ins.
 
@@ -24,10 +24,13 @@
     Endpoints,
     /// The instances of the relay.
     Instances,
+    /// Contents that are held back, since they crash what runs them.
+    Quarantine,
 }
 
 /// All tables, in the order in which instances tell each other of them.
-pub const TABLES: [TableName; 3] = [TableName::Config, TableName::Endpoints, TableName::Instances];
+pub const TABLES: [TableName; 4] =
+    [TableName::Config, TableName::Endpoints, TableName::Instances, TableName::Quarantine];
 
 impl TableName {
     /// A word for logs and counters.
@@ -36,6 +39,7 @@
             TableName::Config => "config",
             TableName::Endpoints => "endpoints",
             TableName::Instances => "instances",
+            TableName::Quarantine => "quarantine",
         }
     }
 }
@@ -93,8 +97,9 @@
 /// Reads records of a table from an offset on; waits for so long if there are
 /// none.
 pub type ReadFrom = Rc<dyn Fn(TableName, u64, Duration) -> StoreCall<Read>>;
-/// Writes this instance's record.
-pub type Announce = Rc<dyn Fn(Arc<str>, Bytes) -> StoreCall<()>>;
+/// Writes a record of a table that is the relay's own; without a value the key is
+/// removed.
+pub type Write = Rc<dyn Fn(TableName, Arc<str>, Option<Bytes>) -> StoreCall<()>>;
 
 /// The platform's store.
 #[derive(Clone)]
@@ -103,8 +108,8 @@
     pub newest: ReadNewest,
     /// Reads records from an offset on; waits for so long if there are none.
     pub read: ReadFrom,
-    /// Writes this instance's record.
-    pub announce: Announce,
+    /// Writes a record of a table that is the relay's own.
+    pub write: Write,
 }
 
 /// The platform that a relay runs on.
--- a/crates/relay/src/tables.rs
+++ b/crates/relay/src/tables.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     driver::Driver,
-    peers,
+    peers, records,
     surroundings::{TABLES, TableName},
 };
 
@@ -130,8 +130,12 @@
                 joined += u64::from(apply_endpoint(driver, source, &record, is_bulk));
             }
             TableName::Instances => driver.peers.apply(driver.now(), &record),
+            TableName::Quarantine => records::apply(driver, &record),
         }
     }
+    if name == TableName::Quarantine && driver.peers.tables.state(name).0 {
+        driver.feed(|machine, _| machine.know_quarantine());
+    }
     if joined > 0 {
         tracing::info!(event = "endpoints_joined", count = joined, source);
     }
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -32,7 +32,9 @@
 
 use crate::link::SlowLink;
 
-pub use endpoint::{Conn, Desk, Reply, ask, chunk, read_reply, request, stream_head, whole};
+pub use endpoint::{
+    Conn, Desk, Reply, ask, chunk, get, read_reply, request, send, stream_head, whole,
+};
 pub use store::MemoryStore;
 
 /// Whatever a test waits for comes within this time, or never.
--- a/crates/relay/tests/relay/standins/endpoint.rs
+++ b/crates/relay/tests/relay/standins/endpoint.rs
@@ -255,7 +255,11 @@
 }
 
 pub fn get(addr: SocketAddr, path: &str) -> Reply {
+    send(addr, "GET", path)
+}
+
+pub fn send(addr: SocketAddr, method: &str, path: &str) -> Reply {
     let mut conn = Conn::open(addr);
-    conn.write(&format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"));
+    conn.write(&format!("{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"));
     read_reply(&mut conn)
 }
--- a/crates/relay/tests/relay/standins/store.rs
+++ b/crates/relay/tests/relay/standins/store.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use peatdeck_core::relay::table::Record;
 use peatdeck_relay::surroundings::{self, Page, Store, StoreError, TableName};
 
@@ -27,10 +28,15 @@
 
 impl MemoryStore {
     pub fn put(&self, table: TableName, key: &str, value: Vec<u8>) {
+        self.write(table, key, Some(value.into()));
+    }
+
+    /// Without a value the key is removed.
+    pub fn write(&self, table: TableName, key: &str, value: Option<Bytes>) {
         let mut inner = self.inner.lock().unwrap();
         let records = inner.tables.entry(table).or_default();
         let offset = records.len() as u64;
-        records.push(Record { key: Arc::from(key), offset, value: Some(value.into()) });
+        records.push(Record { key: Arc::from(key), offset, value });
     }
 
     /// Names an endpoint in the directory.
@@ -38,6 +44,11 @@
         self.put(TableName::Endpoints, name, format!("{service} {addr}").into_bytes());
     }
 
+    /// How many records were written to a table.
+    pub fn len(&self, table: TableName) -> usize {
+        self.inner.lock().unwrap().tables.get(&table).map_or(0, Vec::len)
+    }
+
     /// Forgets the log of a table; the newest record of each key stays.
     pub fn compact(&self, table: TableName) {
         let mut inner = self.inner.lock().unwrap();
@@ -87,7 +98,7 @@
     }
 
     pub fn client(&self) -> Store {
-        let (newest, read, announce) = (self.clone(), self.clone(), self.clone());
+        let (newest, read, write) = (self.clone(), self.clone(), self.clone());
         Store {
             newest: Rc::new(move |table, _| {
                 let (page, delay) = (newest.newest(table), newest.delay());
@@ -110,13 +121,13 @@
                     read
                 })
             }),
-            announce: Rc::new(move |key, value| {
-                let store = announce.clone();
+            write: Rc::new(move |table, key, value| {
+                let store = write.clone();
                 Box::pin(async move {
                     if store.inner.lock().unwrap().is_dark {
                         return Err(StoreError::Refused(503));
                     }
-                    store.put(TableName::Instances, &key, value.to_vec());
+                    store.write(table, &key, value);
                     Ok(())
                 })
             }),
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -31,6 +31,26 @@
 
   report @6 (progress :List(Progress)) -> ();
   # Tells the placer that was asked how the calls that it placed go on.
+
+  accuse @7 (crashes :List(Crash)) -> ();
+  # Tells a keeper of contents which endpoints ended under them.
+
+  consult @8 (content :Data, ageMs :UInt32) -> (wasAnswered :Bool);
+  # Asks whether the receiver had a content answered within that time.
+
+  quarantine @9 (content :Data, crashes :UInt32) -> ();
+  # Says that a content is held back: so many endpoints ended under it.
+}
+
+struct Crash {
+  content @0 :Data;
+  # 16 bytes.
+  endpoint @1 :Text;
+  incarnation @2 :UInt64;
+  # The endpoint's life that ended.
+  ageMs @3 :UInt32;
+  isLate @4 :Bool;
+  # Whether the run had gone on for a while.
 }
 
 struct Progress {
@@ -156,6 +176,10 @@
   unused14 @14 :UInt64;
   isBegun @15 :Bool;
   # Whether any other work of its request has been done.
+  content @16 :Data;
+  # What its request asks for: 16 bytes, or none from an earlier build.
+  isApart @17 :Bool;
+  # Whether it is made without pieces of other requests.
 }
 
 struct Result {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -9,10 +9,12 @@
 use peatdeck_core::{
     model::{Incarnation, Load},
     relay::{
+        fingerprint::Fingerprint,
         model::{
             Failure, Handle, Life, Part, Piece, PieceFailure, PieceResult, Placement, Progress,
             Prompt, Question, Step,
         },
+        quarantine::Crash,
         table::{Ask, Begun, Portion, Record, Slice},
     },
 };
@@ -98,6 +100,8 @@
         to.set_home(piece.home.as_deref().unwrap_or_default());
         to.set_is_repeat(piece.is_repeat);
         to.set_is_begun(piece.is_begun);
+        to.set_content(&write_content(piece.content));
+        to.set_is_apart(piece.is_apart);
         to.set_tries(piece.tries);
         to.set_round(piece.round);
         let mut inputs = to.init_inputs(len(&piece.inputs));
@@ -259,6 +263,51 @@
     Ok(Progress { number: from.get_number(), step })
 }
 
+/// Writes crashes.
+pub fn write_crashes(
+    crashes: &[Crash],
+    mut list: capnp::struct_list::Builder<'_, relay_capnp::crash::Owned>,
+) {
+    for (idx, crash) in (0..).zip(crashes) {
+        let mut to = list.reborrow().get(idx);
+        to.set_content(&write_content(crash.content));
+        to.set_endpoint(&*crash.life.name);
+        to.set_incarnation(crash.life.incarnation.0);
+        to.set_age_ms(write_age(crash.age));
+        to.set_is_late(crash.is_late);
+    }
+}
+
+/// Reads a crash.
+///
+/// # Errors
+/// Any [`Error`].
+pub fn read_crash(from: relay_capnp::crash::Reader<'_>) -> Result<Crash, Error> {
+    let name = text(from.get_endpoint()?)?;
+    Ok(Crash {
+        content: read_content(from.get_content()?),
+        life: Life { name, incarnation: Incarnation(from.get_incarnation()) },
+        age: Duration::from_millis(u64::from(from.get_age_ms())),
+        is_late: from.get_is_late(),
+    })
+}
+
+/// A content as it is written in messages.
+pub fn write_content(content: Fingerprint) -> [u8; 16] {
+    content.0.to_be_bytes()
+}
+
+/// Reads a content; an unknown one from a build that does not tell it.
+pub fn read_content(from: &[u8]) -> Fingerprint {
+    let bytes = from.try_into().map(u128::from_be_bytes);
+    bytes.map_or(Fingerprint::UNKNOWN, Fingerprint)
+}
+
+/// An age as it is written in messages, in milliseconds.
+pub fn write_age(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn write_step(step: Step) -> relay_capnp::Step {
     match step {
         Step::Answered(_) => relay_capnp::Step::FirstToken,
@@ -315,6 +364,8 @@
         tries: from.get_tries(),
         is_repeat: from.get_is_repeat(),
         is_begun: from.get_is_begun(),
+        content: read_content(from.get_content()?),
+        is_apart: from.get_is_apart(),
     })
 }
 
--- a/crates/wire/src/relay_capnp.rs
+++ b/crates/wire/src/relay_capnp.rs
@@ -22,6 +22,12 @@
     pub type LearnResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::learn_results::Owned>;
     pub type ReportParams<> = ::capnp::capability::Params<crate::relay_capnp::relay::report_params::Owned>;
     pub type ReportResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::report_results::Owned>;
+    pub type AccuseParams<> = ::capnp::capability::Params<crate::relay_capnp::relay::accuse_params::Owned>;
+    pub type AccuseResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::accuse_results::Owned>;
+    pub type ConsultParams<> = ::capnp::capability::Params<crate::relay_capnp::relay::consult_params::Owned>;
+    pub type ConsultResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::consult_results::Owned>;
+    pub type QuarantineParams<> = ::capnp::capability::Params<crate::relay_capnp::relay::quarantine_params::Owned>;
+    pub type QuarantineResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::quarantine_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -92,6 +98,15 @@
         pub fn report_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay::report_params::Owned,crate::relay_capnp::relay::report_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
         }
+        pub fn accuse_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay::accuse_params::Owned,crate::relay_capnp::relay::accuse_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
+        }
+        pub fn consult_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay::consult_params::Owned,crate::relay_capnp::relay::consult_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
+        }
+        pub fn quarantine_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay::quarantine_params::Owned,crate::relay_capnp::relay::quarantine_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 9, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn gossip(self: ::capnp::capability::Rc<Self>, _: GossipParams<>, _: GossipResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::gossip not implemented".to_string()))) }
@@ -101,6 +116,9 @@
         fn place(self: ::capnp::capability::Rc<Self>, _: PlaceParams<>, _: PlaceResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::place not implemented".to_string()))) }
         fn learn(self: ::capnp::capability::Rc<Self>, _: LearnParams<>, _: LearnResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::learn not implemented".to_string()))) }
         fn report(self: ::capnp::capability::Rc<Self>, _: ReportParams<>, _: ReportResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::report not implemented".to_string()))) }
+        fn accuse(self: ::capnp::capability::Rc<Self>, _: AccuseParams<>, _: AccuseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::accuse not implemented".to_string()))) }
+        fn consult(self: ::capnp::capability::Rc<Self>, _: ConsultParams<>, _: ConsultResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::consult not implemented".to_string()))) }
+        fn quarantine(self: ::capnp::capability::Rc<Self>, _: QuarantineParams<>, _: QuarantineResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::quarantine not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -137,6 +155,9 @@
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::place(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::learn(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::report(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::accuse(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::consult(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                9 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::quarantine(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -3031,99 +3052,1642 @@
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(187, 216, 112, 33, 105, 98, 38, 206),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 114, 101, 112, 111, 114, 116),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xce26_6269_2170_d8bb;
+        }
+    }
+
+    pub mod accuse_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::crash::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_crashes(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::crash::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::crash::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::crash::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_crashes(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(18, 187, 99, 97, 198, 4, 227, 195),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 97, 99, 99, 117, 115, 101),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 225, 190, 220, 93, 228, 139, 178),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::relay_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xc3e3_04c6_6163_bb12;
+        }
+    }
+
+    pub mod accuse_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(101, 212, 177, 102, 201, 94, 222, 226),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 97, 99, 99, 117, 115, 101),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xe2de_5ec9_66b1_d465;
+        }
+    }
+
+    pub mod consult_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_content(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_content(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_age_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_content(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_content(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_content(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_content(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_age_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_age_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(232, 179, 24, 145, 65, 154, 233, 132),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 99, 111, 110, 115, 117, 108),
+                ::capnp::word(116, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(99, 111, 110, 116, 101, 110, 116, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0x84e9_9a41_9118_b3e8;
+        }
+    }
+
+    pub mod consult_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_was_answered(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_was_answered(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_was_answered(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(179, 157, 42, 29, 252, 66, 228, 187),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 99, 111, 110, 115, 117, 108),
+                ::capnp::word(116, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(119, 97, 115, 65, 110, 115, 119, 101),
+                ::capnp::word(114, 101, 100, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xbbe4_42fc_1d2a_9db3;
+        }
+    }
+
+    pub mod quarantine_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_content(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_content(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_crashes(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_content(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_content(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_content(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_content(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_crashes(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_crashes(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(84, 199, 150, 128, 4, 222, 65, 176),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 113, 117, 97, 114, 97, 110),
+                ::capnp::word(116, 105, 110, 101, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(99, 111, 110, 116, 101, 110, 116, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xb041_de04_8096_c754;
+        }
+    }
+
+    pub mod quarantine_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(236, 81, 104, 127, 174, 132, 40, 198),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 113, 117, 97, 114, 97, 110),
+                ::capnp::word(116, 105, 110, 101, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xc628_84ae_7f68_51ec;
+        }
+    }
+}
+
+pub mod crash {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_content(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_content(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_is_late(self) -> bool {
+            self.reader.get_bool_field(96)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_content(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_content(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_content(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_content(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
-
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
         }
-
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
         }
-
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
+        #[inline]
+        pub fn get_is_late(self) -> bool {
+            self.builder.get_bool_field(96)
         }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        #[inline]
+        pub fn set_is_late(&mut self, value: bool)  {
+            self.builder.set_bool_field(96, value);
         }
+    }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
         }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(115, 225, 190, 220, 93, 228, 139, 178),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 67, 114, 97, 115),
+            ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 96, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 111, 110, 116, 101, 110, 116, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 76, 97, 116, 101, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
-        impl Pipeline  {
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(187, 216, 112, 33, 105, 98, 38, 206),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
-                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
-                ::capnp::word(121, 46, 114, 101, 112, 111, 114, 116),
-                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xce26_6269_2170_d8bb;
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
         }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,2,4];
+        pub(crate) const TYPE_ID: u64 = 0xb28b_e45d_dcbe_e173;
     }
 }
 
@@ -6289,11 +7853,23 @@
         pub fn get_is_begun(self) -> bool {
             self.reader.get_bool_field(41)
         }
+        #[inline]
+        pub fn get_content(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_content(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_is_apart(self) -> bool {
+            self.reader.get_bool_field(42)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6511,6 +8087,30 @@
         pub fn set_is_begun(&mut self, value: bool)  {
             self.builder.set_bool_field(41, value);
         }
+        #[inline]
+        pub fn get_content(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_content(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(5).set_data(value);
+        }
+        #[inline]
+        pub fn init_content(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(5).init_data(size)
+        }
+        #[inline]
+        pub fn has_content(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_is_apart(self) -> bool {
+            self.builder.get_bool_field(42)
+        }
+        #[inline]
+        pub fn set_is_apart(&mut self, value: bool)  {
+            self.builder.set_bool_field(42, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6522,136 +8122,150 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 266] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 296] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(51, 234, 131, 33, 118, 208, 65, 242),
             ::capnp::word(12, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 247, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 105, 101, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 40, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 41, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6789,6 +8403,22 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 116, 101, 110, 116, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 65, 112, 97, 114, 116, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6808,6 +8438,8 @@
                 13 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 15 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                16 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                17 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6821,9 +8453,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,6,7,10,5,15,11,4,3,9,1,13,0,2,12,14];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,6,16,7,10,5,17,15,11,4,3,9,1,13,0,2,12,14];
         pub(crate) const TYPE_ID: u64 = 0xf241_d076_2183_ea33;
     }
 }
