Count the time that a machine was suspended, and look at what is in force before anything is sent after it

Cause: the clock was the steady one, which stands still while a machine is suspended: deadlines, leases, the age of a configuration and idle times of connections were as young afterwards as before, and the pool read that clock past the interface. Ruled out: a timer of its own that looks for leaps (the first turn of the event loop sees them, before it sends anything).

After a standstill of two seconds or more, by either clock's count, idle connections are closed, the tables are looked at and requests wait for that, a second at most.

Tests, with a clock that leaps: the stale route failed before (200, not 404); deadline and idle connection could not be tested before, and pass. That the system clock counts a suspension is compared with the machine's uptime only: none was suspended.

--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -92,6 +92,8 @@
     announced: usize,
     /// Until when requests that peers may have a part in wait for word of them.
     peers_by: Duration,
+    /// Until when all requests wait for word of what is in force.
+    news_by: Duration,
     /// Placers that did not answer, and until when they are not asked.
     mute_placers: HashMap<InstanceName, Duration>,
     /// Engines that were asked what they hold, and when this instance last
@@ -182,6 +184,7 @@
             avoided: HashMap::new(),
             announced: 0,
             peers_by: Duration::ZERO,
+            news_by: Duration::ZERO,
             mute_placers: HashMap::new(),
             listed: HashSet::new(),
             placed_at: Duration::ZERO,
@@ -324,6 +327,20 @@
         self.peers_by = until;
     }
 
+    /// This instance stood still and does not know what is in force: until it does,
+    /// or until that time, all requests wait. An instance that was suspended for half
+    /// a minute sent by the routes of before until its first look at the tables.
+    pub fn await_news(&mut self, until: Duration) {
+        self.news_by = until;
+    }
+
+    /// What is in force is known again.
+    pub fn know_news(&mut self, now: Duration) {
+        if now < std::mem::take(&mut self.news_by) {
+            self.search(now);
+        }
+    }
+
     /// The peers are known now.
     pub fn know_peers(&mut self, now: Duration) {
         if now < std::mem::take(&mut self.peers_by) {
@@ -411,7 +428,7 @@
         }
         let exchange = &self.exchanges[key];
         let is_shared = !exchange.graph.is_complete() || exchange.arrival.prompt.is_some();
-        if is_shared && now < self.peers_by {
+        if now < self.news_by || (is_shared && now < self.peers_by) {
             self.look_again(now, key);
             return;
         }
--- a/crates/entry/src/timer.rs
+++ b/crates/entry/src/timer.rs
@@ -10,6 +10,10 @@
 /// cannot starve the event loop.
 const MIN_GAP: Duration = Duration::from_millis(1);
 
+/// The longest sleep. The operating system's timers do not count the time that the
+/// machine was suspended, so this is how late a wake is noticed after that.
+const MAX_GAP: Duration = Duration::from_millis(250);
+
 /// Runs for as long as the process does.
 pub async fn run(driver: Rc<Driver>) {
     loop {
@@ -24,7 +28,7 @@
             continue;
         }
         tokio::select! {
-            () = tokio::time::sleep(left) => {}
+            () = tokio::time::sleep(left.min(MAX_GAP)) => {}
             () = driver.rearmed() => {}
         }
     }
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -34,7 +34,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    calls, decisions,
+    calls, decisions, follow,
     peers::Peers,
     pool::Pool,
     records,
@@ -46,6 +46,16 @@
 /// balancer needs two questions a second apart to notice, and a moment more.
 const OPEN_AFTER_STOP: Duration = Duration::from_millis(2900);
 
+/// Gossip turns the event loop every 400 ms, so one that did nothing for five times
+/// as long was stopped, or its machine was suspended.
+const STANDSTILL: Duration = Duration::from_secs(2);
+/// What is in force is known so long after that at the most, if anybody tells it:
+/// two readings of the tables.
+const NEWS_WITHIN: Duration = Duration::from_secs(1);
+/// The longest sleep until the machine's next wake. The operating system's timers do
+/// not count a suspension, so this is how late a deadline is noticed after one.
+const LONGEST_SLEEP: Duration = Duration::from_millis(250);
+
 /// A caller's request, as it is passed on.
 #[derive(Debug)]
 pub struct Request {
@@ -121,6 +131,12 @@
     calls: RefCell<SecondaryMap<CallKey, AbortHandle>>,
     replies: RefCell<HashMap<CallKey, Reply>>,
     rearm: Notify,
+    /// When the event loop last dealt with something.
+    turned: Cell<Duration>,
+    /// When it went on after it had stood still, until the tables were looked at.
+    resumed: Cell<Option<Duration>>,
+    /// Whoever waits for that.
+    news: Notify,
     stopping: Cell<Option<Duration>>,
     /// Connections to endpoints.
     pub pool: Rc<Pool>,
@@ -158,6 +174,7 @@
     /// A driver whose machine knows nothing yet.
     pub fn new(parts: Parts) -> Rc<Driver> {
         let peers = Peers::new(&parts.settings);
+        let turned = Cell::new(parts.clock.now());
         Rc::new(Driver {
             machine: RefCell::new(parts.machine),
             clock: parts.clock,
@@ -165,6 +182,9 @@
             calls: RefCell::default(),
             replies: RefCell::default(),
             rearm: Notify::new(),
+            turned,
+            resumed: Cell::new(None),
+            news: Notify::new(),
             stopping: Cell::new(None),
             pool: parts.pool,
             surroundings: parts.surroundings,
@@ -187,7 +207,7 @@
 
     /// Tells the machine something and carries out what it wants done.
     pub fn feed<T>(self: &Rc<Self>, tell: impl FnOnce(&mut Relay, Duration) -> T) -> T {
-        let now = self.now();
+        let now = self.turn();
         let mut machine = self.machine.borrow_mut();
         let told = tell(&mut machine, now);
         let actions = machine.take_actions();
@@ -199,6 +219,54 @@
         told
     }
 
+    /// The time at which the event loop deals with something. Where it stood still
+    /// for long before, nothing is sent until it has looked at what is in force:
+    /// routes may have moved, keys been revoked and endpoints gone meanwhile, and
+    /// whatever comes first may be an old request.
+    fn turn(self: &Rc<Self>) -> Duration {
+        let now = self.now();
+        let stood = now.saturating_sub(self.turned.replace(now));
+        if stood < STANDSTILL {
+            return now;
+        }
+        let stood_ms = u64::try_from(stood.as_millis()).unwrap_or(u64::MAX);
+        tracing::warn!(event = "resumed", stood_ms);
+        self.metrics.count("relay.resumed", 1);
+        self.pool.clear();
+        self.resumed.set(Some(now));
+        self.machine.borrow_mut().await_news(now + NEWS_WITHIN);
+        ntex::rt::spawn(follow::look(self.clone()));
+        now
+    }
+
+    /// Tables were read or heard of. Requests go on that wait for that since the
+    /// event loop stood still.
+    pub fn note_news(self: &Rc<Self>) {
+        let Some(resumed) = self.resumed.get() else { return };
+        let now = self.now();
+        let is_fresh = |age: Duration| age <= now.saturating_sub(resumed);
+        if self.peers.tables.age(now).is_some_and(is_fresh) {
+            self.resumed.set(None);
+            self.feed(Relay::know_news);
+            self.news.notify_waiters();
+        }
+    }
+
+    /// Waits until requests may be taken in: which route is theirs, and whether their
+    /// key is known, is decided once. Returns how long that took.
+    pub async fn settled(self: &Rc<Self>) -> Duration {
+        let asked = self.turn();
+        while let Some(resumed) = self.resumed.get() {
+            let left = (resumed + NEWS_WITHIN).saturating_sub(self.now());
+            if left.is_zero() {
+                break;
+            }
+            // Either ends the wait.
+            tokio::time::timeout(left, self.news.notified()).await.ok();
+        }
+        self.now().saturating_sub(asked)
+    }
+
     /// Looks at the machine.
     pub fn look<T>(&self, look: impl FnOnce(&Relay) -> T) -> T {
         look(&self.machine.borrow())
@@ -209,7 +277,7 @@
         loop {
             let now = self.now();
             let wake = self.look(|machine| machine.next_wake(now));
-            let pause = tokio::time::sleep(wake.saturating_sub(now));
+            let pause = tokio::time::sleep(wake.saturating_sub(now).min(LONGEST_SLEEP));
             futures::future::select(Box::pin(pause), Box::pin(self.rearm.notified())).await;
             let now = self.now();
             if self.look(|machine| machine.next_wake(now)) <= now {
@@ -228,7 +296,7 @@
         self.metrics.count("relay.requests", 1);
         let (tx, parts) = mpsc::unbounded();
         let request = Rc::new(request);
-        let now = self.now();
+        let now = self.turn();
         let mut machine = self.machine.borrow_mut();
         let arrived = machine.arrive(now, arrival);
         let actions = machine.take_actions();
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -91,6 +91,18 @@
     }
 }
 
+/// Looks at all tables that requests go by, at once: whoever follows them may be in a
+/// pause.
+pub async fn look(driver: Rc<Driver>) {
+    let urgent = [TableName::Config, TableName::Endpoints, TableName::Quarantine];
+    let reads = urgent.map(|name| read_back(&driver, name));
+    for (name, read) in urgent.into_iter().zip(futures::future::join_all(reads).await) {
+        if let Err(error) = read {
+            tracing::info!(event = "look_failed", table = name.name(), error = %error);
+        }
+    }
+}
+
 /// One call and what it brings.
 async fn step(driver: &Rc<Driver>, name: TableName) -> Result<(), StoreError> {
     let tables = &driver.peers.tables;
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -9,7 +9,7 @@
     http::{self as server, Response, ResponseBuilder},
     io::IoRef,
 };
-use peatdeck_core::relay::model::Refusal;
+use peatdeck_core::relay::model::{Arrival, Refusal};
 
 use crate::driver::{Driver, Part, Reply, Request, Waiter};
 
@@ -88,6 +88,9 @@
         tracing::info!(event = "refuse", id = &*request.id, reason = "stopping", status = 503);
         return Ok(refuse(&driver, Refusal::Unserved, Some(COME_BACK)));
     }
+    let waited = driver.settled().await;
+    let deadline = arrival.deadline.map(|deadline| deadline.saturating_sub(waited));
+    let arrival = Arrival { deadline, ..arrival };
     let mut waiter = match driver.submit(arrival, request) {
         Ok(waiter) => waiter,
         Err(refusal) => return Ok(refuse(&driver, refusal, None)),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -6,14 +6,7 @@
 //! dropped instead of given back is closed at once, which is how a call is
 //! cancelled.
 
-use std::{
-    cell::RefCell,
-    collections::HashMap,
-    io,
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{cell::RefCell, collections::HashMap, io, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures::future::{AbortHandle, Abortable};
@@ -22,6 +15,7 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use peatdeck_core::relay::model::Probed;
+use peatdeck_util::clock::Clock;
 use peatdeck_wire::socket;
 use tokio::net::TcpStream;
 
@@ -101,11 +95,11 @@
 
 struct Idle {
     connection: Connection,
-    until: Instant,
+    until: Duration,
 }
 
 impl Idle {
-    fn is_usable(&self, now: Instant) -> bool {
+    fn is_usable(&self, now: Duration) -> bool {
         now < self.until && !self.connection.sender.is_closed()
     }
 }
@@ -120,16 +114,16 @@
 }
 
 /// Idle connections by address.
-#[derive(Default)]
 pub struct Pool {
+    clock: Rc<dyn Clock>,
     idle: RefCell<HashMap<Arc<str>, Vec<Idle>>>,
     counts: RefCell<Counts>,
 }
 
 impl Pool {
     /// A pool without connections.
-    pub fn new() -> Rc<Pool> {
-        Rc::default()
+    pub fn new(clock: Rc<dyn Clock>) -> Rc<Pool> {
+        Rc::new(Pool { clock, idle: RefCell::default(), counts: RefCell::default() })
     }
 
     /// What it has done so far.
@@ -229,7 +223,7 @@
         }
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(lease.addr.clone()).or_default();
-        let now = Instant::now();
+        let now = self.clock.now();
         list.retain(|idle| idle.is_usable(now));
         if list.len() < MAX_IDLE {
             list.push(Idle { connection: lease.connection, until: now + lease.keep });
@@ -241,9 +235,14 @@
         self.idle.borrow_mut().remove(addr);
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes idle connections that will not be used again.
     pub fn prune(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         self.idle.borrow_mut().retain(|_, list| {
             list.retain(|idle| idle.is_usable(now));
             !list.is_empty()
@@ -254,7 +253,7 @@
     fn take_idle(&self, addr: &Arc<str>) -> Option<Lease> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(addr)?;
-        let now = Instant::now();
+        let now = self.clock.now();
         list.retain(|idle| idle.is_usable(now));
         let Idle { connection, .. } = list.pop()?;
         Some(Lease { addr: addr.clone(), connection, keep: Duration::ZERO })
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -65,6 +65,7 @@
 struct Setup {
     settings: Settings,
     surroundings: Box<dyn FnOnce(Rc<Pool>) -> Surroundings + Send>,
+    clock: Box<dyn FnOnce() -> Rc<dyn Clock> + Send>,
     peers: TcpListener,
     signals: mpsc::UnboundedReceiver<Told>,
     questions: mpsc::UnboundedReceiver<Question>,
@@ -133,10 +134,11 @@
     watch(SignalKind::interrupt(), Told::Stop, &told)?;
     watch(SignalKind::hangup(), Told::Reload, &told)?;
     log_start(&settings);
-    run_on(listeners, settings, signals, surroundings).await
+    run_on(listeners, settings, signals, surroundings, SystemClock::shared).await
 }
 
-/// The same on sockets that listen already, told by a channel.
+/// The same on sockets that listen already, told by a channel. `clock` is called on
+/// the event loop's thread.
 ///
 /// # Errors
 /// If the server cannot be started.
@@ -145,6 +147,7 @@
     settings: Settings,
     signals: mpsc::UnboundedReceiver<Told>,
     surroundings: impl FnOnce(Rc<Pool>) -> Surroundings + Send + 'static,
+    clock: impl FnOnce() -> Rc<dyn Clock> + Send + 'static,
 ) -> miette::Result<()> {
     let Listeners { front, ready, metrics: metrics_listener, peers } = listeners;
     let (exited, on_exit) = oneshot::channel();
@@ -155,6 +158,7 @@
     let setup = Setup {
         settings,
         surroundings: Box::new(surroundings),
+        clock: Box::new(clock),
         peers,
         signals,
         questions,
@@ -215,10 +219,10 @@
 
 /// Starts the event loop on the current thread.
 fn start(setup: Setup) -> Rc<Driver> {
-    let Setup { settings, surroundings, peers, signals, questions, exited, metrics, shared } =
+    let Setup { settings, surroundings, clock, peers, signals, questions, exited, metrics, shared } =
         setup;
-    let clock: Rc<dyn Clock> = Rc::new(SystemClock::new());
-    let pool = Pool::new();
+    let clock = clock();
+    let pool = Pool::new(clock.clone());
     let machine = Relay::new(
         relay::Settings {
             name: settings.name.clone(),
--- a/crates/relay/src/tables.rs
+++ b/crates/relay/src/tables.rs
@@ -142,6 +142,7 @@
     if is_told && name == TableName::Instances {
         peers::update(driver);
     }
+    driver.note_news();
     driver.update_ready();
 }
 
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -15,3 +15,4 @@
 mod stop;
 mod store;
 mod streams;
+mod suspension;
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -1,6 +1,7 @@
 //! Stand-ins: a store in memory, endpoints that follow a script, callers that
 //! write and read raw bytes.
 
+mod clock;
 mod endpoint;
 mod store;
 
@@ -29,9 +30,11 @@
     settings::Settings,
     surroundings::{Surroundings, TableName},
 };
+use peatdeck_util::clock::Clock;
 
 use crate::link::SlowLink;
 
+pub use clock::LeapingClock;
 pub use endpoint::{
     Conn, Desk, Reply, ask, chunk, get, read_reply, request, send, stream_head, whole,
 };
@@ -132,9 +135,15 @@
     policy: Option<Arc<str>>,
     strength: u32,
     link: Option<SlowLink>,
+    clock: LeapingClock,
 }
 
 impl Starter {
+    /// A clock that the test has leap.
+    pub fn clock(self, clock: &LeapingClock) -> Starter {
+        Starter { clock: clock.clone(), ..self }
+    }
+
     /// The addresses of peers that it is told of at its start.
     pub fn seeds(self, seeds: &[SocketAddr]) -> Starter {
         Starter { seeds: seeds.to_vec(), ..self }
@@ -184,7 +193,7 @@
         }
         let Settings { front, ready, metrics, peers, .. } = settings.clone();
         let (told, signals) = unbounded();
-        let store = self.store;
+        let (store, clock) = (self.store, self.clock);
         let thread = thread::spawn(move || {
             let surroundings = move |_pool| Surroundings {
                 dialect: native::dialect(),
@@ -194,7 +203,9 @@
                 lines_dropped: Rc::new(|| 0),
             };
             let system = ntex::rt::System::new("relay", ntex::rt::DefaultRuntime);
-            system.block_on(server::run_on(listeners, settings, signals, surroundings)).unwrap();
+            let clock = move || -> Rc<dyn Clock> { Rc::new(clock) };
+            let run = server::run_on(listeners, settings, signals, surroundings, clock);
+            system.block_on(run).unwrap();
         });
         Relay { front, ready, metrics, peers, told, thread: Some(thread) }
     }
@@ -214,6 +225,7 @@
             policy: None,
             strength: 250,
             link: None,
+            clock: LeapingClock::default(),
         }
     }
 
