--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -314,8 +314,13 @@
     pub fn set_peers(&mut self, now: Duration, peers: Vec<Peer>, announced: usize) {
         self.avoided.retain(|_, until| now < *until);
         self.mute_placers.retain(|_, until| now < *until);
+        let is_known = |peer: &Peer| self.peers.iter().any(|known| known.name == peer.name);
+        let has_joined = !peers.iter().all(is_known);
         self.peers = peers;
         self.announced = announced;
+        if has_joined {
+            self.tell_joined();
+        }
     }
 
     /// An instance that has just started does not know its peers yet: until then,
--- a/crates/core/src/relay/machine/quarantine.rs
+++ b/crates/core/src/relay/machine/quarantine.rs
@@ -136,8 +136,14 @@
         }
     }
 
-    /// Takes in a crash, seen here or by a peer.
+    /// Takes in a crash, seen here or by a peer. Where the content is held back already,
+    /// somebody has not heard of it: all are told again.
     pub fn suspect(&mut self, now: Duration, crash: &Crash) {
+        if let Some(Hold { crashes, .. }) = self.quarantine.held(crash.content) {
+            let (content, crashes) = (crash.content, *crashes);
+            self.actions.push(Action::Quarantine { content, crashes });
+            return;
+        }
         let Some(Suspicion { content, since }) = self.quarantine.crashed(now, crash) else {
             return;
         };
@@ -200,6 +206,19 @@
         });
     }
 
+    /// Peers have joined. Where the platform's table lacks what is held back, they are
+    /// told by the content's keepers.
+    pub(super) fn tell_joined(&mut self) {
+        let unrecorded = self.quarantine.all().filter(|(_, hold)| !hold.is_recorded);
+        let unrecorded: Vec<_> =
+            unrecorded.map(|(content, hold)| (content, hold.crashes)).collect();
+        for (content, crashes) in unrecorded {
+            if self.keepers(content).contains(&self.settings.name) {
+                self.actions.push(Action::Quarantine { content, crashes });
+            }
+        }
+    }
+
     /// How long an exchange's content is held back; `None` if it may be sent.
     pub(super) fn held_for(&self, now: Duration, key: ExchangeKey) -> Option<Duration> {
         let hold = self.quarantine.held(self.exchanges[key].content)?;
@@ -244,7 +263,8 @@
     fn tell_keepers(&mut self, crashes: &[Crash]) {
         let mut told: Vec<(InstanceName, Vec<Crash>)> = Vec::new();
         for crash in crashes {
-            for keeper in self.keepers(crash.content) {
+            let own = &self.settings.name;
+            for keeper in self.keepers(crash.content).into_iter().filter(|keeper| keeper != own) {
                 match told.iter_mut().find(|(known, _)| *known == keeper) {
                     Some((_, list)) => list.push(crash.clone()),
                     None => told.push((keeper, vec![crash.clone()])),
@@ -255,14 +275,14 @@
         self.actions.extend(actions);
     }
 
+    /// The instances that count the crashes of a content, this one or others.
     fn keepers(&self, content: Fingerprint) -> Vec<InstanceName> {
         let seed = content.0 as u64;
         let rank = |name: &InstanceName| Reverse(xxh3::xxh3_64_with_seed(name.as_bytes(), seed));
         let mut names: Vec<_> = self.peers.iter().map(|peer| &peer.name).collect();
         names.push(&self.settings.name);
         names.sort_by_cached_key(|name| rank(name));
-        let first = names.into_iter().take(KEEPERS);
-        first.filter(|name| **name != self.settings.name).cloned().collect()
+        names.into_iter().take(KEEPERS).cloned().collect()
     }
 }
 
--- a/crates/core/src/relay/quarantine.rs
+++ b/crates/core/src/relay/quarantine.rs
@@ -99,7 +99,7 @@
     /// When its record was last written or heard of.
     renewed: Duration,
     /// Whether the platform's table has it.
-    is_recorded: bool,
+    pub is_recorded: bool,
 }
 
 #[derive(Debug)]
