Fuzz: endpoints that crash under a few common contents

Random histories in which endpoints crash or only cut connections, peers and the table say what is held back, and half of the contents turn out to be answered. Oracle: nothing of what is held back is sent or made.

--- a/crates/core/tests/testsuite/relay/fuzz.rs
+++ b/crates/core/tests/testsuite/relay/fuzz.rs
@@ -12,7 +12,8 @@
     relay::{
         config::{Kind, Route},
         directory::Entry,
-        model::{Action, Arrival, CallKey, ExchangeKey, Failure, PieceFailure},
+        fingerprint::Fingerprint,
+        model::{Action, Arrival, CallKey, ExchangeKey, Failure, PieceFailure, Probed},
     },
 };
 use proptest::prelude::*;
@@ -33,6 +34,14 @@
     /// An endpoint starts again under its name.
     Restart(u8),
     Wait(u16),
+    /// One of a few contents is sent.
+    Send(u8, u8),
+    /// An endpoint crashes: its calls are cut, and a new connection is refused.
+    Crash(u8),
+    /// The same, but it is found there.
+    Reset(u8),
+    /// A peer or the platform's table says that a content is held back, or is not.
+    Hold(u8, bool),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -51,6 +60,22 @@
     ]
 }
 
+/// The same among requests that crash endpoints.
+fn step_with_crashes() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => step(),
+        3 => (any::<u8>(), any::<u8>()).prop_map(|(route, content)| Step::Send(route, content)),
+        3 => any::<u8>().prop_map(Step::Crash),
+        1 => any::<u8>().prop_map(Step::Reset),
+        1 => (any::<u8>(), any::<bool>()).prop_map(|(content, is_held)| Step::Hold(content, is_held)),
+    ]
+}
+
+/// One of the contents that are sent again and again.
+fn common(pick: u8) -> Fingerprint {
+    Fingerprint(u128::from(pick % 4) + 1)
+}
+
 const KINDS: [Kind; 4] = [Kind::Idempotent, Kind::Once, Kind::Stream, Kind::Resumable];
 
 #[derive(Default)]
@@ -64,13 +89,22 @@
     orders: Vec<Order>,
     leaving: HashSet<String>,
     next_event: HashMap<ExchangeKey, u64>,
+    contents: HashMap<ExchangeKey, Fingerprint>,
+    held: HashSet<Fingerprint>,
 }
 
 impl Oracle {
     fn check(&mut self, world: &mut World) {
+        let mut consults = Vec::new();
         for action in std::mem::take(&mut world.actions) {
             match action {
+                Action::HeldBack { content, .. } => drop(self.held.insert(content)),
+                Action::Released(content) => drop(self.held.remove(&content)),
+                Action::Consult { content, .. } => consults.push(content),
                 Action::Send(call) => {
+                    let content = self.contents.get(&call.exchange);
+                    let is_held = content.is_some_and(|content| self.held.contains(content));
+                    assert!(!is_held, "sent although it is held back");
                     assert!(!self.leaving.contains(&*call.endpoint), "sent to one that leaves");
                     let kind = self.open.get(&call.exchange);
                     let is_repeat = self.ran.contains(&call.exchange);
@@ -80,6 +114,8 @@
                     self.calls.push((call.key, call.exchange));
                 }
                 Action::Make { call, endpoint, addr, pieces } => {
+                    let is_held = pieces.iter().any(|piece| self.held.contains(&piece.content));
+                    assert!(!is_held, "made although it is held back");
                     assert!(!self.leaving.contains(&*endpoint), "made at one that leaves");
                     self.orders.push(Order { call, endpoint, addr, pieces });
                 }
@@ -98,6 +134,17 @@
                 _ => {}
             }
         }
+        for content in consults {
+            let was_answered = content.0 % 2 == 0;
+            world.relay.consulted(world.now, content, was_answered);
+            world.collect();
+            self.check(world);
+        }
+    }
+
+    /// The calls that are open at an endpoint.
+    fn calls_at(&self, name: &str) -> Vec<(CallKey, ExchangeKey)> {
+        self.calls.iter().filter(|(call, _)| self.called[call] == name).copied().collect()
     }
 
     /// Whatever an endpoint was sent may have run.
@@ -259,6 +306,43 @@
                 world.put(entry(&format!("new{joined}"), "desk"));
             }
             Step::Wait(millis) => world.advance(ms(millis.into())),
+            Step::Send(route, content) => {
+                let kind = usize::from(route) % KINDS.len();
+                let content = common(content);
+                let asking =
+                    Arrival { content, ..arrival(&idx.to_string(), &format!("plain{kind}")) };
+                let key = world.relay.arrive(world.now, asking).unwrap();
+                oracle.open.insert(key, KINDS[kind]);
+                oracle.contents.insert(key, content.from_team(None));
+                world.collect();
+            }
+            Step::Crash(pick) | Step::Reset(pick) => {
+                let probed = match step {
+                    Step::Crash(_) => Probed::Gone,
+                    _ => Probed::There,
+                };
+                for (call, exchange) in oracle.calls_at(&format!("d{}", pick % 3)) {
+                    oracle.ran.insert(exchange);
+                    oracle.forget(call);
+                    world.failed(call, Failure::Cut);
+                }
+                let probes = world.take(|action| match action {
+                    Action::Probe { endpoint, .. } => Some(*endpoint),
+                    _ => None,
+                });
+                for endpoint in probes {
+                    world.relay.probed(world.now, endpoint, probed);
+                    world.collect();
+                }
+            }
+            Step::Hold(content, is_held) => {
+                let content = common(content).from_team(None);
+                match is_held {
+                    true => world.relay.recorded(world.now, content, 3),
+                    false => world.relay.unrecorded(content),
+                }
+                world.collect();
+            }
         }
         oracle.check(&mut world);
     }
@@ -285,4 +369,12 @@
     fn every_exchange_ends_once_and_truthfully(steps in proptest::collection::vec(step(), 1..120)) {
         play(steps);
     }
+
+    /// Nothing that is held back gets to an endpoint, whatever was under way.
+    #[test]
+    fn what_crashes_endpoints_is_not_sent_once_it_is_held_back(
+        steps in proptest::collection::vec(step_with_crashes(), 1..160)
+    ) {
+        play(steps);
+    }
 }
