peatdeck quarantine lists what relay instances hold back and releases it; explain tells of crashes under the same content

An operator saw only counters. The command asks any instance at its metrics address; the answer's form stands in the wire crate. Expectations of the new tests were written by the test's own update and read.

--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -3,7 +3,7 @@
 use bpaf::{OptionParser, Parser, construct};
 
 use crate::{
-    commands::{burn, check, drain, explain, publish, replay, restore, show, status},
+    commands::{burn, check, drain, explain, publish, quarantine, replay, restore, show, status},
     error::Error,
     shell::{Output, Shell},
 };
@@ -29,6 +29,8 @@
     Replay(replay::Args),
     /// `explain`.
     Explain(explain::Args),
+    /// `quarantine`.
+    Quarantine(quarantine::Args),
 }
 
 /// The command line.
@@ -42,7 +44,8 @@
     let burn = burn::cli().command("burn").map(Command::Burn);
     let replay = replay::cli().command("replay").map(Command::Replay);
     let explain = explain::cli().command("explain").map(Command::Explain);
-    construct!([check, publish, restore, show, drain, status, burn, replay, explain])
+    let quarantine = quarantine::cli().command("quarantine").map(Command::Quarantine);
+    construct!([check, publish, restore, show, drain, status, burn, replay, explain, quarantine])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operate peatdeck: publish configurations, drain endpoints, see what happens.")
@@ -76,5 +79,6 @@
         Command::Burn(args) => burn::exec(shell, args).await,
         Command::Replay(args) => replay::exec(shell, args).await,
         Command::Explain(args) => explain::exec(shell, args).await,
+        Command::Quarantine(args) => quarantine::exec(shell, args).await,
     }
 }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -10,6 +10,7 @@
 pub mod drain;
 pub mod explain;
 pub mod publish;
+pub mod quarantine;
 pub mod replay;
 pub mod restore;
 pub mod show;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -47,6 +47,22 @@
         /// The request's id.
         id: String,
     },
+    /// A relay instance did not answer as it should.
+    #[error("cannot ask the instance at {instance}: {cause}")]
+    #[diagnostic(help("give the metrics address of an instance that runs, --at"))]
+    Instance {
+        /// Where it should be.
+        instance: String,
+        /// What went wrong.
+        cause: String,
+    },
+    /// A content that is to be released is not held back.
+    #[error("{content} is not held back there")]
+    #[diagnostic(help("list what is held back with `peatdeck quarantine`, at this instance"))]
+    NotHeld {
+        /// Its fingerprint.
+        content: String,
+    },
     /// The document is not valid.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -95,6 +111,7 @@
                 exit::Code::Failed
             }
             Error::Trace { .. } | Error::NoTrace { .. } => exit::Code::Failed,
+            Error::Instance { .. } | Error::NotHeld { .. } => exit::Code::Failed,
             Error::Source(_) => exit::Code::Invalid,
             Error::NoAnswer { in_doubt: true, .. } => exit::Code::Unknown,
             Error::NoAnswer { .. } | Error::Unreadable { .. } => exit::Code::Failed,
--- a/crates/cli/src/ops.rs
+++ b/crates/cli/src/ops.rs
@@ -3,8 +3,11 @@
 //! - [`burn`]: the report on service-level burn.
 //! - [`source`]: a configuration file and where in it a problem is.
 //! - [`client`]: the administration API.
+//! - [`explain`]: one request's story out of log files.
+//! - [`quarantine`]: what relay instances hold back.
 
 pub mod burn;
 pub mod client;
 pub mod explain;
+pub mod quarantine;
 pub mod source;
--- a/crates/cli/src/ops/explain.rs
+++ b/crates/cli/src/ops/explain.rs
@@ -3,7 +3,8 @@
 //! A line tells of a request if it names its id, or if it tells of a call or a
 //! hand-over that an earlier line of the same instance connected with it.
 //! Those are followed too, so the pieces that another instance had made are
-//! part of the story.
+//! part of the story. So are the lines of crashes under the same content, whoever
+//! sent it, and of its being held back.
 
 use std::{collections::HashSet, fs, path::Path};
 
@@ -44,7 +45,8 @@
     }
     lines.sort_by(|a: &Line, b| a.time.cmp(&b.time));
     let mut known = HashSet::new();
-    lines.retain(|line| tells(line, id, &mut known));
+    let content = lines.iter().find_map(|line| content_of(line, id));
+    lines.retain(|line| tells(line, id, &mut known) || tells_of(line, content.as_deref()));
     Ok(lines)
 }
 
@@ -102,6 +104,23 @@
     is_named || is_linked
 }
 
+/// What a request asks for, by the line of its arrival.
+fn content_of(line: &Line, id: &str) -> Option<String> {
+    let text = |name: &str| line.fields.get(name).and_then(Value::as_str);
+    let is_arrival = line.event == "arrive" && text("id") == Some(id);
+    is_arrival.then(|| text("content").map(str::to_owned))?
+}
+
+/// Whether a line tells of crashes under a content, or of its being held back.
+fn tells_of(line: &Line, content: Option<&str>) -> bool {
+    let text = |name: &str| line.fields.get(name).and_then(Value::as_str);
+    let Some(content) = content else { return false };
+    match line.event.as_str() {
+        "endpoint_crashed" => text("runs").is_some_and(|runs| runs.contains(content)),
+        event => event.starts_with("quarantine") && text("content") == Some(content),
+    }
+}
+
 /// Whether a name is the request's id, or that of one of its pieces.
 fn is_of(name: &str, id: &str) -> bool {
     name.strip_prefix(id).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
--- a/crates/cli/tests/testsuite/explain.rs
+++ b/crates/cli/tests/testsuite/explain.rs
@@ -56,3 +56,29 @@
     "#]]
     .assert_eq(&shown);
 }
+
+const CRASHED: &str = r#"
+{"timestamp":"2026-05-01T04:00:01.000000Z","level":"INFO","event":"arrive","id":"r1","content":"00ff","route":"draft"}
+{"timestamp":"2026-05-01T04:00:01.100000Z","level":"WARN","event":"endpoint_crashed","endpoint":"e1","count":2,"runs":"00aa 00ff"}
+{"timestamp":"2026-05-01T04:00:01.200000Z","level":"WARN","event":"endpoint_crashed","endpoint":"e2","count":1,"runs":"00aa"}
+{"timestamp":"2026-05-01T04:00:01.300000Z","level":"WARN","event":"quarantined","content":"00ff","crashes":3}
+{"timestamp":"2026-05-01T04:00:01.400000Z","level":"WARN","event":"quarantined","content":"00aa","crashes":3}
+{"timestamp":"2026-05-01T04:00:02.000000Z","level":"INFO","event":"arrive","id":"r2","content":"00ff","route":"draft"}
+{"timestamp":"2026-05-01T04:00:02.000100Z","level":"WARN","event":"refuse","id":"r2","reason":"quarantined","status":503}
+"#;
+
+/// A request that is refused for what others of the same content did.
+#[peatdeck_macros::on_system]
+async fn a_story_has_the_crashes_under_the_same_content() {
+    let bench = Bench::start("explain-crashed").await;
+    let logs = bench.file("edge-1.log", CRASHED);
+    let shown = support::run(None, &["explain", "r2", &logs]).await;
+    expect![[r#"
+        exit 0
+        04:00:01.100000Z  edge-1  endpoint_crashed count=2 endpoint=e1 level=WARN runs=00aa 00ff
+        04:00:01.300000Z  edge-1  quarantined    content=00ff crashes=3 level=WARN
+        04:00:02.000000Z  edge-1  arrive         content=00ff id=r2 level=INFO route=draft
+        04:00:02.000100Z  edge-1  refuse         id=r2 level=WARN reason=quarantined status=503
+    "#]]
+    .assert_eq(&shown);
+}
--- a/crates/cli/tests/testsuite/main.rs
+++ b/crates/cli/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod explain;
 mod publish;
+mod quarantine;
 mod replay;
 mod restore;
 mod show;
--- a/crates/relay/src/operators.rs
+++ b/crates/relay/src/operators.rs
@@ -2,7 +2,7 @@
 //!
 //! | request | answer |
 //! | --- | --- |
-//! | `GET /quarantine` | what is held back here, as JSON ([`records::Listed`]) |
+//! | `GET /quarantine` | what is held back here, as JSON ([`Held`]) |
 //! | `DELETE /quarantine/FINGERPRINT` | releases that content at all instances |
 //! | anything else | counters and timings, as text |
 //!
@@ -18,20 +18,15 @@
 use ntex::http::{Method, Request, Response, StatusCode};
 use peatdeck_core::relay::fingerprint::Fingerprint;
 use peatdeck_util::metrics::Registry;
+use peatdeck_wire::operators::{Held, QUARANTINE};
 
-use crate::{
-    driver::Driver,
-    records::{self, Listed},
-};
-
-/// The path under which what is held back is shown.
-const QUARANTINE: &str = "/quarantine";
+use crate::{driver::Driver, records};
 
 /// What an operator asks the event loop.
 #[derive(Debug)]
 pub enum Question {
     /// What is held back?
-    Held(oneshot::Sender<Vec<Listed>>),
+    Held(oneshot::Sender<Vec<Held>>),
     /// Release this content. The answer says whether it was held back.
     Release(Fingerprint, oneshot::Sender<bool>),
 }
--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use peatdeck_core::relay::{fingerprint::Fingerprint, quarantine::Hold, table::Record};
 use peatdeck_macros::message;
+use peatdeck_wire::operators::Held;
 
 use crate::{driver::Driver, follow, surroundings::TableName, tables};
 
@@ -37,26 +38,11 @@
     pub at_ms: u64,
 }
 
-/// A content that is held back, as an operator is shown it.
-#[message]
-pub struct Listed {
-    /// Its fingerprint.
-    pub content: Arc<str>,
-    /// Endpoints that ended under it.
-    pub crashes: u32,
-    /// For how long this instance has held it back, in milliseconds.
-    pub held_ms: u64,
-    /// For how much longer it does if nobody sends it any more.
-    pub left_ms: u64,
-    /// Requests that this instance refused for it.
-    pub refused: u64,
-}
-
 /// What an instance holds back, as an operator is shown it, oldest first.
-pub fn list(driver: &Driver) -> Vec<Listed> {
+pub fn list(driver: &Driver) -> Vec<Held> {
     let now = driver.now();
     let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-    let listed = |(content, hold): (Fingerprint, &Hold)| Listed {
+    let listed = |(content, hold): (Fingerprint, &Hold)| Held {
         content: Arc::from(content.to_string()),
         crashes: hold.crashes,
         held_ms: millis(now.saturating_sub(hold.since)),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`endpoint`]: calls to engines and services, JSON over HTTP.
 //! - [`platform`]: the log service and the list, JSON over HTTP.
 //! - [`admin`]: the administration API and an entry's status, JSON over HTTP.
+//! - [`operators`]: what a relay instance answers operators, JSON over HTTP.
 //! - [`link`]: connections between instances.
 //! - [`socket`]: when a connection counts as dead.
 //! - [`peer`]: gossip between instances, Cap'n Proto.
@@ -16,6 +17,7 @@
 pub mod caller;
 pub mod endpoint;
 pub mod link;
+pub mod operators;
 #[allow(missing_docs, unsafe_code, clippy::all, clippy::unimplemented, clippy::unwrap_used)]
 #[rustfmt::skip]
 pub mod peer_capnp;
--- /dev/null
+++ b/crates/wire/src/operators.rs
@@ -0,0 +1,24 @@
+//! What a relay instance answers operators at its metrics address, JSON over HTTP.
+
+use std::sync::Arc;
+
+use peatdeck_macros::message;
+
+/// The path at which it shows what is held back. Below it, a content's fingerprint
+/// names what is to be released.
+pub const QUARANTINE: &str = "/quarantine";
+
+/// A content that is held back, since endpoints crashed under it.
+#[message]
+pub struct Held {
+    /// Its fingerprint.
+    pub content: Arc<str>,
+    /// Endpoints that ended under it.
+    pub crashes: u32,
+    /// For how long this instance has held it back, in milliseconds.
+    pub held_ms: u64,
+    /// For how much longer it does if nobody sends it any more.
+    pub left_ms: u64,
+    /// Requests that this instance refused for it.
+    pub refused: u64,
+}
