--- a/crates/core/src/relay/config.rs
+++ b/crates/core/src/relay/config.rs
@@ -149,9 +149,10 @@
 }
 
 impl Transfer {
-    /// Milliseconds that so many tokens take.
+    /// Milliseconds that so many tokens take; those of a day at the most.
     pub fn millis(&self, tokens: u64) -> f64 {
-        tokens as f64 * self.token_bytes / self.rate
+        let millis = tokens as f64 * self.token_bytes / self.rate;
+        millis.min(LONGEST_TIME.as_secs_f64() * 1000.0)
     }
 }
 
@@ -175,7 +176,60 @@
     pub lease: Duration,
 }
 
+/// Why a configuration cannot be used. Everybody reads the same one: an instance that
+/// took it in would end, and again with each start.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Flaw {
+    /// A stage waits for one that there is not, or for itself.
+    #[error("stage {stage} of route {route} waits for what never comes; name earlier stages")]
+    Stage {
+        /// The route.
+        route: Arc<str>,
+        /// The stage's position.
+        stage: usize,
+    },
+    /// A time is longer than [`LONGEST_TIME`].
+    #[error("a time of {what} is longer than a day; give a shorter one")]
+    Time {
+        /// The route or service.
+        what: Arc<str>,
+    },
+    /// A size is larger than [`LARGEST_SIZE`].
+    #[error("a size of {what} is larger than a terabyte; give a smaller one")]
+    Size {
+        /// The route or service.
+        what: Arc<str>,
+    },
+    /// A call for pieces has none.
+    #[error("service {service} takes no pieces in a call; give one or more")]
+    Batch {
+        /// The service.
+        service: ServiceName,
+    },
+}
+
+/// No time of a configuration is longer: sums of a few of them stay far from what a
+/// number of nanoseconds can say.
+pub const LONGEST_TIME: Duration = Duration::from_secs(24 * 3600);
+
+/// No size of a configuration is larger, in bytes, for the same reason.
+pub const LARGEST_SIZE: u64 = 1 << 40;
+
 impl Config {
+    /// Whether it can be used.
+    ///
+    /// # Errors
+    /// The first [`Flaw`].
+    pub fn check(&self) -> Result<(), Flaw> {
+        for route in &self.routes {
+            route.check()?;
+        }
+        for (name, service) in &self.services {
+            service.check(name)?;
+        }
+        check_time(&Arc::from("the limits"), &[self.limits.idle])
+    }
+
     /// The route of a request: of the routes of its host the one with the
     /// longest prefix that begins the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
@@ -203,9 +257,9 @@
     /// of `u32`.
     pub fn target(&self, spread: u32) -> Option<&ServiceName> {
         let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
-        let mut point = (u64::from(spread) * total) >> u32::BITS;
+        let mut point = (u128::from(spread) * u128::from(total)) >> u32::BITS;
         for target in &self.targets {
-            let weight = u64::from(target.weight);
+            let weight = u128::from(target.weight);
             if point < weight {
                 return Some(&target.service);
             }
@@ -214,3 +268,53 @@
         self.targets.last().map(|target| &target.service)
     }
 }
+
+impl Route {
+    fn check(&self) -> Result<(), Flaw> {
+        // Stages that wait for nothing are done first, then those that waited for them.
+        let mut done: Vec<usize> = Vec::new();
+        loop {
+            let open = (0..self.stages.len()).filter(|stage| !done.contains(stage));
+            let is_next =
+                |stage: &usize| self.stages[*stage].after.iter().all(|it| done.contains(it));
+            let (next, stuck): (Vec<_>, Vec<_>) = open.partition(is_next);
+            match (next.is_empty(), stuck.first()) {
+                (true, Some(stage)) => {
+                    return Err(Flaw::Stage { route: self.name.clone(), stage: *stage });
+                }
+                (true, None) => break,
+                (false, _) => done.extend(next),
+            }
+        }
+        let sizes: Vec<_> = self.stages.iter().map(|stage| stage.bytes).collect();
+        check_size(&self.name, &sizes)?;
+        check_time(&self.name, &[self.timeout, self.objective])
+    }
+}
+
+impl Service {
+    fn check(&self, name: &ServiceName) -> Result<(), Flaw> {
+        let pause = self.engine.and_then(|engine| engine.pause).unwrap_or_default();
+        check_time(name, &[pause])?;
+        let Some(pieces) = &self.pieces else { return Ok(()) };
+        if pieces.batch == 0 {
+            return Err(Flaw::Batch { service: name.clone() });
+        }
+        check_size(name, &[pieces.room])?;
+        check_time(name, &[pieces.call_time, pieces.piece_time, pieces.lease])
+    }
+}
+
+fn check_size(what: &Arc<str>, sizes: &[u64]) -> Result<(), Flaw> {
+    match sizes.iter().all(|size| *size <= LARGEST_SIZE) {
+        true => Ok(()),
+        false => Err(Flaw::Size { what: what.clone() }),
+    }
+}
+
+fn check_time(what: &Arc<str>, times: &[Duration]) -> Result<(), Flaw> {
+    match times.iter().all(|time| *time <= LONGEST_TIME) {
+        true => Ok(()),
+        false => Err(Flaw::Time { what: what.clone() }),
+    }
+}
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -165,7 +165,7 @@
         if now > at + LOAD_AGE {
             return placed;
         }
-        placed.max(load.running + load.queued + self.sent_since)
+        placed.max(load.running.saturating_add(load.queued).saturating_add(self.sent_since))
     }
 
     /// How old the newest report of its load is.
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -451,6 +451,6 @@
     let may_do_better = matches!(one.result, Err(PieceFailure::NoRoom | PieceFailure::Failed));
     let piece = &one.piece;
     let is_repeat = one.result != Err(PieceFailure::NoRoom);
-    let tries = piece.tries + u8::from(is_repeat);
+    let tries = piece.tries.saturating_add(u8::from(is_repeat));
     (may_do_better && tries < MAX_TRIES).then(|| Piece { tries, is_repeat, ..piece.clone() })
 }
--- a/crates/core/tests/testsuite/relay/directory.rs
+++ b/crates/core/tests/testsuite/relay/directory.rs
@@ -176,3 +176,14 @@
     directory.change(ms(300), Change::Put(entry("a", "desk")));
     assert_eq!(usable(&directory, 310), ["a", "b"]);
 }
+
+/// An endpoint may say anything of its load.
+#[test]
+fn a_load_beyond_all_numbers_is_taken_for_full() {
+    let mut directory = directory(&["a"]);
+    let key = directory.by_name("a").unwrap();
+    let endpoint = directory.get_mut(key).unwrap();
+    let load = Load { running: u32::MAX, queued: u32::MAX, places: 4, age_ms: 0 };
+    endpoint.answered(ms(0), ms(10), Some(load));
+    assert_eq!(endpoint.calls(ms(1)), u32::MAX);
+}
--- a/crates/core/tests/testsuite/relay/peers.rs
+++ b/crates/core/tests/testsuite/relay/peers.rs
@@ -176,6 +176,18 @@
     assert!(world.orders().is_empty());
 }
 
+/// A peer may say anything.
+#[test]
+fn a_peers_piece_that_was_tried_any_number_of_times_is_returned() {
+    let mut world = world();
+    let tried = Piece { tries: u8::MAX, ..piece(0) };
+    world.relay.take_over(world.now, 9, vec![tried]);
+    world.collect();
+    let order = world.orders().remove(0);
+    world.made(order.call, order.all(PieceFailure::Failed));
+    assert_eq!(returned(&mut world), [(9, 1)]);
+}
+
 #[test]
 fn what_a_peer_recalls_is_not_made_and_not_kept() {
     let mut world = world();
--- a/crates/relay/src/tables.rs
+++ b/crates/relay/src/tables.rs
@@ -8,6 +8,7 @@
 
 use peatdeck_core::relay::{
     catch_up::{CatchUp, Learned},
+    config::Config,
     directory::Change,
     table::{Ask, Portion, Record, Table},
 };
@@ -148,7 +149,12 @@
 
 fn apply_config(driver: &Rc<Driver>, source: &str, record: &Record) {
     let offset = record.offset;
-    match (driver.surroundings.read_config)(record) {
+    let read = (driver.surroundings.read_config)(record);
+    let checked = read.and_then(|config| match config.as_ref().map(Config::check) {
+        Some(Err(flaw)) => Err(flaw.to_string()),
+        Some(Ok(())) | None => Ok(config),
+    });
+    match checked {
         Ok(Some(config)) => {
             let version = config.version;
             let routes = config.routes.len();
