An endpoint whose calls should take no time is not slow beyond measure

Cause: a configuration that gives calls for pieces no time made the factor by which an endpoint is slower infinite, and the time until its calls are late one that no Duration can hold: optimized builds ended too.

--- a/crates/core/src/relay/batch/worker.rs
+++ b/crates/core/src/relay/batch/worker.rs
@@ -4,6 +4,8 @@
 
 use crate::relay::{config::Pieces, model::Handle};
 
+/// A call that should take no time by its configuration is not slow beyond measure.
+const LEAST_EXPECTED: Duration = Duration::from_millis(1);
 /// An endpoint that refused a call is left alone for so long: it is busy with
 /// somebody else's.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
@@ -98,7 +100,7 @@
     /// A call took so long where so much was expected.
     pub fn took(&mut self, now: Duration, took: Duration, expected: Duration) {
         self.refusals = 0;
-        let factor = took.as_secs_f64() / expected.as_secs_f64();
+        let factor = took.as_secs_f64() / expected.max(LEAST_EXPECTED).as_secs_f64();
         let known = self.slowness(now);
         self.slowness = known * (1.0 - NEWEST_SHARE) + factor * NEWEST_SHARE;
         self.slowed_at = now;
