--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -24,6 +24,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// Longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1600);
+/// How often a removal is tried, some half a minute: one that was in vain is asked for
+/// again a minute later, or by an operator.
+const MOST_REMOVALS: u32 = 20;
 /// Time for one write.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -60,7 +63,8 @@
 pub async fn write(driver: Rc<Driver>, content: Fingerprint, crashes: Option<u32>) {
     let mut pause = FIRST_PAUSE;
     let is_held = || driver.look(|machine| machine.held_back().any(|(held, _)| held == content));
-    while crashes.is_none() || is_held() {
+    let mut removals = 0..MOST_REMOVALS;
+    while if crashes.is_some() { is_held() } else { removals.next().is_some() } {
         match try_write(&driver, content, crashes).await {
             Ok(()) => return,
             Err(error) => {
