--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -3,7 +3,10 @@
 use bpaf::{OptionParser, Parser, construct};
 
 use crate::{
-    commands::{burn, check, drain, explain, publish, quarantine, replay, restore, show, status},
+    commands::{
+        burn, check, drain, evacuations, explain, publish, quarantine, replay, restore, show,
+        status,
+    },
     error::Error,
     shell::{Output, Shell},
 };
@@ -29,6 +32,8 @@
     Replay(replay::Args),
     /// `explain`.
     Explain(explain::Args),
+    /// `evacuations`.
+    Evacuations(evacuations::Args),
     /// `quarantine`.
     Quarantine(quarantine::Args),
 }
@@ -44,13 +49,26 @@
     let burn = burn::cli().command("burn").map(Command::Burn);
     let replay = replay::cli().command("replay").map(Command::Replay);
     let explain = explain::cli().command("explain").map(Command::Explain);
+    let evacuations = evacuations::cli().command("evacuations").map(Command::Evacuations);
     let quarantine = quarantine::cli().command("quarantine").map(Command::Quarantine);
-    construct!([check, publish, restore, show, drain, status, burn, replay, explain, quarantine])
-        .to_options()
-        .version(env!("CARGO_PKG_VERSION"))
-        .descr("Operate peatdeck: publish configurations, drain endpoints, see what happens.")
-        .footer(
-            "The operators' token is read from PEATDECK_ADMIN_TOKEN.\n \
+    construct!([
+        check,
+        publish,
+        restore,
+        show,
+        drain,
+        status,
+        burn,
+        replay,
+        explain,
+        quarantine,
+        evacuations
+    ])
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("Operate peatdeck: publish configurations, drain endpoints, see what happens.")
+    .footer(
+        "The operators' token is read from PEATDECK_ADMIN_TOKEN.\n \
              Exit codes:\n   \
              0  done\n   \
              1  failed, nothing took effect\n   \
@@ -61,7 +79,7 @@
              6  done, but not every instance answered, or the log is out\n   \
              7  a replay differs from its trace\n \
              Examples:\n   peatdeck check fleet.toml\n   peatdeck publish fleet.toml --base 12",
-        )
+    )
 }
 
 /// Runs a command.
@@ -79,6 +97,7 @@
         Command::Burn(args) => burn::exec(shell, args).await,
         Command::Replay(args) => replay::exec(shell, args).await,
         Command::Explain(args) => explain::exec(shell, args).await,
+        Command::Evacuations(args) => evacuations::exec(shell, args).await,
         Command::Quarantine(args) => quarantine::exec(shell, args).await,
     }
 }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -8,6 +8,7 @@
 pub mod burn;
 pub mod check;
 pub mod drain;
+pub mod evacuations;
 pub mod explain;
 pub mod publish;
 pub mod quarantine;
@@ -25,6 +26,15 @@
         .fallback(Format::Table)
 }
 
+/// The relay instance that is asked.
+pub fn instance() -> impl Parser<String> {
+    long("at")
+        .env("PEATDECK_RELAY_METRICS")
+        .help("Metrics address of any relay instance, such as 10.1.64.3:9464")
+        .argument::<String>("ADDRESS")
+        .parse(|text| settings::base_url(&text))
+}
+
 /// Where peatdeck-admin is.
 pub fn admin() -> impl Parser<String> {
     let admin = long("admin")
--- /dev/null
+++ b/crates/cli/src/commands/evacuations.rs
@@ -0,0 +1,52 @@
+//! `peatdeck evacuations`: data centres whose endpoints get nothing.
+
+use bpaf::{OptionParser, Parser, construct};
+use peatdeck_wire::operators::{EVACUATIONS, Evacuated};
+
+use crate::{
+    commands,
+    error::Error,
+    ops::relay,
+    shell::{self, Format, Output, Shell},
+    table::Table,
+};
+
+/// The flags.
+#[derive(Debug, Clone)]
+pub struct Args {
+    format: Format,
+    instance: String,
+}
+
+/// The command line.
+pub fn cli() -> OptionParser<Args> {
+    let format = commands::format();
+    let instance = commands::instance();
+    construct!(Args { format, instance })
+        .to_options()
+        .descr("List the data centres that are evacuated, as one relay instance knows it.")
+        .footer("Example:\n   peatdeck evacuations --at 10.1.64.3:9464")
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// [`Error::Instance`], [`Error::Unreadable`].
+pub async fn exec(_: &Shell, args: Args) -> Result<Output, Error> {
+    let evacuated = relay::list(&args.instance, EVACUATIONS).await?;
+    Ok(Output::done(match args.format {
+        Format::Json => shell::json(&evacuated)?,
+        Format::Table => table(&evacuated),
+    }))
+}
+
+fn table(evacuated: &[Evacuated]) -> String {
+    if evacuated.is_empty() {
+        return "no data centre is evacuated\n".to_owned();
+    }
+    let mut rows = Table::new(["DATA CENTRE", "ENDPOINTS LEFT IDLE"]);
+    for one in evacuated {
+        rows.row([one.data_centre.to_string(), one.endpoints.to_string()]);
+    }
+    rows.render()
+}
--- a/crates/cli/src/commands/quarantine.rs
+++ b/crates/cli/src/commands/quarantine.rs
@@ -1,7 +1,6 @@
 //! `peatdeck quarantine`: requests that are held back, since endpoints crash under them.
 
 use bpaf::{OptionParser, Parser, construct, long};
-use peatdeck_util::settings;
 use peatdeck_wire::operators::Held;
 
 use crate::{
@@ -23,11 +22,7 @@
 /// The command line.
 pub fn cli() -> OptionParser<Args> {
     let format = commands::format();
-    let instance = long("at")
-        .env("PEATDECK_RELAY_METRICS")
-        .help("Metrics address of any relay instance, such as 10.1.64.3:9464")
-        .argument::<String>("ADDRESS")
-        .parse(|text| settings::base_url(&text));
+    let instance = commands::instance();
     let release = long("release")
         .help("Release this content at all instances; its fingerprint as it is listed")
         .argument::<String>("FINGERPRINT")
--- a/crates/cli/src/ops/explain.rs
+++ b/crates/cli/src/ops/explain.rs
@@ -4,7 +4,8 @@
 //! hand-over that an earlier line of the same instance connected with it.
 //! Those are followed too, so the pieces that another instance had made are
 //! part of the story. So are the lines of crashes under the same content, whoever
-//! sent it, and of its being held back.
+//! sent it, and of its being held back; and the operators' evacuations, where it was
+//! refused for one.
 
 use std::{collections::HashSet, fs, path::Path};
 
@@ -46,10 +47,30 @@
     lines.sort_by(|a: &Line, b| a.time.cmp(&b.time));
     let mut known = HashSet::new();
     let content = lines.iter().find_map(|line| content_of(line, id));
-    lines.retain(|line| tells(line, id, &mut known) || tells_of(line, content.as_deref()));
+    let refused_by = lines.iter().find_map(|line| evacuated_by(line, id));
+    lines.retain(|line| {
+        tells(line, id, &mut known)
+            || tells_of(line, content.as_deref())
+            || is_evacuation(line, refused_by.as_ref())
+    });
     Ok(lines)
 }
 
+/// The instance that refused a request since all that it needs is evacuated, and when.
+fn evacuated_by(line: &Line, id: &str) -> Option<(String, String)> {
+    let text = |name: &str| line.fields.get(name).and_then(Value::as_str);
+    let is_meant = line.event == "refuse" && text("id") == Some(id);
+    let is_evacuated = text("reason") == Some("evacuated");
+    (is_meant && is_evacuated).then(|| (line.instance.clone(), line.time.clone()))
+}
+
+/// Whether a line tells of an evacuation that its refuser knew of.
+fn is_evacuation(line: &Line, refused_by: Option<&(String, String)>) -> bool {
+    let Some((instance, time)) = refused_by else { return false };
+    let is_order = matches!(line.event.as_str(), "evacuated" | "restored");
+    is_order && line.instance == *instance && line.time <= *time
+}
+
 /// The story as text.
 pub fn render(lines: &[Line]) -> String {
     let width = lines.iter().map(|line| line.instance.len()).max().unwrap_or(0);
--- a/crates/cli/tests/testsuite/explain.rs
+++ b/crates/cli/tests/testsuite/explain.rs
@@ -82,3 +82,23 @@
     "#]]
     .assert_eq(&shown);
 }
+
+const EVACUATED: &str = r#"
+{"timestamp":"2026-05-01T04:00:01.000000Z","level":"WARN","event":"evacuated","data_centre":"east","offset":7}
+{"timestamp":"2026-05-01T04:00:02.000000Z","level":"WARN","event":"refuse","id":"r1","reason":"evacuated","status":503}
+{"timestamp":"2026-05-01T04:00:03.000000Z","level":"WARN","event":"restored","data_centre":"east","offset":9}
+"#;
+
+#[peatdeck_macros::on_system]
+async fn a_refusal_for_an_evacuation_shows_the_orders_that_its_instance_knew() {
+    let bench = Bench::start("explain-evacuated").await;
+    let own = bench.file("edge-1.log", EVACUATED);
+    let other = bench.file("edge-2.log", EVACUATED.lines().nth(1).unwrap());
+    let shown = support::run(None, &["explain", "r1", &own, &other]).await;
+    expect![[r#"
+        exit 0
+        04:00:01.000000Z  edge-1  evacuated      data_centre=east level=WARN offset=7
+        04:00:02.000000Z  edge-1  refuse         id=r1 level=WARN reason=evacuated status=503
+    "#]]
+    .assert_eq(&shown);
+}
--- a/crates/cli/tests/testsuite/main.rs
+++ b/crates/cli/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod burn;
 mod check;
 mod drain;
+mod evacuations;
 mod explain;
 mod publish;
 mod quarantine;
--- a/crates/cli/tests/testsuite/support.rs
+++ b/crates/cli/tests/testsuite/support.rs
@@ -4,7 +4,10 @@
 #![allow(clippy::unwrap_used)]
 
 use std::{
+    io::{Read, Write},
+    net::TcpListener,
     path::PathBuf,
+    thread,
     time::{Duration, SystemTime},
 };
 
@@ -102,3 +105,26 @@
     ntex::rt::spawn(server::start(listener, settings).expect("a server"));
     url
 }
+
+/// A relay instance's metrics address that gives these answers, one a connection, to
+/// questions under that path.
+pub fn instance(path: &'static str, answers: &[(u16, &'static str)]) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let answers = answers.to_vec();
+    thread::spawn(move || {
+        for (status, body) in answers {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut head = [0; 1024];
+            let read = stream.read(&mut head).unwrap();
+            let asked = String::from_utf8_lossy(&head[..read]).into_owned();
+            assert!(asked.contains(&format!(" {path}")), "{asked}");
+            let len = body.len();
+            let reply = format!(
+                "HTTP/1.1 {status} X\r\nconnection: close\r\ncontent-length: {len}\r\n\r\n{body}"
+            );
+            stream.write_all(reply.as_bytes()).unwrap();
+        }
+    });
+    addr
+}
--- a/crates/core/examples/batch_cost.rs
+++ b/crates/core/examples/batch_cost.rs
@@ -83,7 +83,7 @@
         room,
         lease: Duration::from_secs(4),
     };
-    let service = Service { connections: 640, engine: None, pieces: Some(pieces) };
+    let service = Service { connections: 640, engine: None, pieces: Some(pieces), cold_pace: None };
     relay.configure(Arc::new(Config {
         version: 1,
         routes: Vec::new(),
@@ -100,6 +100,7 @@
             data_centre: Arc::from(format!("dc-{}", idx % PLACES)),
             slots: 1,
             is_leaving: false,
+            cold_left: None,
         };
         relay.change(Duration::ZERO, Change::Put(entry));
     }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -25,13 +25,14 @@
 //! - Whoever holds a result at an endpoint pays room for it until it is freed.
 //! - Timers of an instance that was paused all fire at once, late.
 //!
-//! Map: [`model`] and [`config`] are the data; [`table`] the copy of what the
+//! Map: [`model`] and [`config`] are the data, [`operator`] what operators order;
+//! [`table`] the copy of what the
 //! platform keeps, [`catch_up`] how it learns from other instances' copies,
 //! [`readers`] who reads it at the platform; [`directory`] the endpoints,
 //! [`engine`] what those that generate are reckoned to have to do;
 //! [`allowance`] the budget for repetition; [`fingerprint`] what makes two
-//! requests the same, [`quarantine`] those that crash what runs them; [`graph`] one exchange's stages; [`batch`] pieces of all
-//! exchanges; [`choice`] where a call goes; [`events`] server-sent events cut
+//! requests the same, [`quarantine`] those that crash what runs them; [`graph`] one
+//! exchange's stages; [`batch`] pieces of all exchanges; [`choice`] where a call goes; [`events`] server-sent events cut
 //! into whole ones; `machine` puts it together, `exchange` is its state.
 
 pub mod allowance;
@@ -45,6 +46,7 @@
 pub mod fingerprint;
 pub mod graph;
 pub mod model;
+pub mod operator;
 pub mod quarantine;
 pub mod readers;
 pub mod reading;
--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -274,6 +274,12 @@
         self.running.insert(call, running);
     }
 
+    /// An endpoint gets no further call until then.
+    pub fn rest(&mut self, endpoint: EndpointKey, until: Duration) {
+        let worker = self.workers.entry(endpoint).or_default();
+        worker.blocked_until = worker.blocked_until.max(until);
+    }
+
     /// Takes out the calls that have become stragglers, with how many pieces
     /// each still owes.
     pub fn take_stragglers(&mut self, now: Duration) -> Vec<(CallKey, ServiceName, u32)> {
--- a/crates/core/src/relay/batch/admission.rs
+++ b/crates/core/src/relay/batch/admission.rs
@@ -5,7 +5,7 @@
 use crate::relay::{
     batch::{
         Batches, Finished, Running,
-        queue::{LANES, Lane},
+        queue::{LANES, Lane, Queue},
     },
     config::Pieces,
     directory::Directory,
@@ -75,6 +75,16 @@
         entries.map(|entry| entry.finished(Err(PieceFailure::Late), None)).collect()
     }
 
+    /// Takes out all waiting pieces of a service that nobody can make.
+    pub fn take_waiting(&mut self, service: &str) -> Vec<Finished> {
+        let keys = self.waiting.get(service).map(Queue::keys).unwrap_or_default();
+        let entries = keys.into_iter().filter_map(|key| {
+            self.stop_waiting(key);
+            self.take_out(key)
+        });
+        entries.map(|entry| entry.finished(Err(PieceFailure::Late), None)).collect()
+    }
+
     pub(super) fn note_waiting(&mut self, now: Duration, service: &str) {
         let Some(queue) = self.waiting.get(service) else { return };
         let Some(drain) = self.drains.get_mut(service) else { return };
--- a/crates/core/src/relay/batch/queue.rs
+++ b/crates/core/src/relay/batch/queue.rs
@@ -113,6 +113,11 @@
         self.ranks.len()
     }
 
+    /// All pieces that wait.
+    pub fn keys(&self) -> Vec<PieceKey> {
+        self.by_due.iter().map(|(_, key)| *key).collect()
+    }
+
     /// Whether that piece waits here.
     pub fn contains(&self, key: PieceKey) -> bool {
         self.ranks.contains_key(key)
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -48,6 +48,8 @@
     pub home: &'a str,
     /// Endpoints that were tried before.
     pub tried: &'a [EndpointKey],
+    /// Endpoints that get no call now, whatever else is left.
+    pub withheld: &'a [EndpointKey],
     /// Bytes of inputs by data centre.
     pub inputs: &'a [(DataCentre, u64)],
     /// Own calls that an endpoint may have at the most.
@@ -83,7 +85,7 @@
     /// The engines that belong to another placer, which may just have given them
     /// work that is not known here. All placers have as many engines but for one:
     /// these are sorted by a hash of their names and cut into equal runs.
-    fn foreign(self, directory: &Directory, engines: &[EndpointKey]) -> HashSet<EndpointKey> {
+    pub fn foreign(self, directory: &Directory, engines: &[EndpointKey]) -> HashSet<EndpointKey> {
         let Chooser::Placer { share, shares } = self else { return HashSet::new() };
         if shares == 1 {
             return HashSet::new();
@@ -233,7 +235,8 @@
     wanted: Wanted<'_>,
 ) -> Vec<(EndpointKey, &'a Endpoint)> {
     let usable = directory.usable(now, service).into_iter();
-    let untried = usable.filter(|key| !wanted.tried.contains(key));
+    let open = usable.filter(|key| !wanted.withheld.contains(key));
+    let untried = open.filter(|key| !wanted.tried.contains(key));
     let known = untried.filter_map(|key| Some((key, directory.get(key)?)));
     let free = known.filter(|(_, endpoint)| endpoint.in_flight < wanted.limit);
     let (paused, sound): (Vec<_>, Vec<_>) = free.partition(|(_, endpoint)| endpoint.is_paused(now));
--- a/crates/core/src/relay/config.rs
+++ b/crates/core/src/relay/config.rs
@@ -122,6 +122,9 @@
     pub engine: Option<Engine>,
     /// How its endpoints make pieces, if they do.
     pub pieces: Option<Pieces>,
+    /// Time between two calls, of all instances together, that an endpoint bears
+    /// while it is cold; `None` if it bears as many as it does when warm.
+    pub cold_pace: Option<Duration>,
 }
 
 /// What is known of a service's engines.
@@ -295,7 +298,7 @@
 impl Service {
     fn check(&self, name: &ServiceName) -> Result<(), Flaw> {
         let pause = self.engine.and_then(|engine| engine.pause).unwrap_or_default();
-        check_time(name, &[pause])?;
+        check_time(name, &[pause, self.cold_pace.unwrap_or_default()])?;
         let Some(pieces) = &self.pieces else { return Ok(()) };
         if pieces.batch == 0 {
             return Err(Flaw::Batch { service: name.clone() });
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -12,7 +12,12 @@
 //! was learned of one is taken for another: neither its load and speed nor what
 //! its memory holds.
 
-use std::{cmp::Ordering, collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    cmp::Ordering,
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use peatdeck_macros::data;
 use slotmap::SlotMap;
@@ -59,6 +64,8 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub is_leaving: bool,
+    /// How much longer it is cold; `None` if it does not say.
+    pub cold_left: Option<Duration>,
 }
 
 /// A change of the directory.
@@ -80,6 +87,8 @@
     pub is_new: bool,
     /// The life that is over, since the endpoint has started again.
     pub ended: Option<Ended>,
+    /// Whether the endpoint was not known to be cold before, and is.
+    pub has_cooled: bool,
 }
 
 /// A life of an endpoint that is over.
@@ -119,11 +128,16 @@
     sent_since: u32,
     failures: u32,
     paused_until: Duration,
+    cold_until: Duration,
+    /// Until when it gets no further call, since it is cold.
+    rests_until: Duration,
 }
 
 impl Endpoint {
-    fn new(entry: Entry) -> Endpoint {
+    fn new(now: Duration, entry: Entry) -> Endpoint {
         Endpoint {
+            cold_until: now + entry.cold_left.unwrap_or_default(),
+            rests_until: Duration::ZERO,
             entry,
             in_flight: 0,
             engine: Engine::default(),
@@ -146,6 +160,29 @@
         self.state == State::Ready
     }
 
+    /// Whether it is cold: more than a few calls a second end it.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
+    }
+
+    /// Whether it was called too lately for a further call, since it is cold.
+    pub fn is_resting(&self, now: Duration) -> bool {
+        now < self.rests_until
+    }
+
+    /// It is cold for so long from now on, as it says itself. Returns whether that
+    /// was not known.
+    pub fn cools(&mut self, now: Duration, left: Duration) -> bool {
+        let was_cold = self.is_cold(now);
+        self.cold_until = now + left;
+        !was_cold && self.is_cold(now)
+    }
+
+    /// It gets no further call until then.
+    pub fn rest(&mut self, until: Duration) {
+        self.rests_until = until;
+    }
+
     /// Whether it may be used where nothing else is left.
     pub fn is_last_resort(&self, now: Duration) -> bool {
         matches!(self.state, State::Missing(since) if now < since + MISSING_GRACE)
@@ -241,6 +278,8 @@
     endpoints: SlotMap<EndpointKey, Endpoint>,
     by_name: HashMap<EndpointName, EndpointKey>,
     by_service: HashMap<ServiceName, Vec<EndpointKey>>,
+    /// Data centres whose endpoints get nothing, by the operators' order.
+    evacuated: BTreeSet<DataCentre>,
 }
 
 impl Directory {
@@ -263,18 +302,59 @@
         self.endpoints.get_mut(key)
     }
 
+    /// The endpoints of a data centre get nothing from now on. False if that is so
+    /// already.
+    pub fn evacuate(&mut self, data_centre: DataCentre) -> bool {
+        self.evacuated.insert(data_centre)
+    }
+
+    /// The endpoints of a data centre are used again. False if they were not
+    /// evacuated.
+    pub fn restore(&mut self, data_centre: &str) -> bool {
+        self.evacuated.remove(data_centre)
+    }
+
+    /// Data centres that are evacuated.
+    pub fn evacuated(&self) -> impl Iterator<Item = &DataCentre> {
+        self.evacuated.iter()
+    }
+
+    /// How many endpoints a data centre has that take new work.
+    pub fn ready_count_in(&self, data_centre: &str) -> usize {
+        let in_it = |it: &&Endpoint| *it.entry.data_centre == *data_centre && it.is_ready();
+        self.endpoints.values().filter(in_it).count()
+    }
+
+    /// Whether a service has endpoints that would take new work, all of them in
+    /// data centres that are evacuated.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        if self.evacuated.is_empty() {
+            return false;
+        }
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let endpoints = keys.iter().map(|key| &self.endpoints[*key]);
+        let mut ready = endpoints.filter(|endpoint| endpoint.is_ready()).peekable();
+        ready.peek().is_some() && ready.all(|endpoint| self.has_left(endpoint))
+    }
+
+    /// Whether an endpoint's data centre is evacuated.
+    fn has_left(&self, endpoint: &Endpoint) -> bool {
+        self.evacuated.contains(&endpoint.entry.data_centre)
+    }
+
     /// The endpoints of a service that take new work. Where more than half of
     /// those that there were vanished together, they have only lapsed, and are
     /// meant too: the few whose entries are back first would drown in the
     /// calls of all.
     pub fn usable(&self, now: Duration, service: &str) -> Vec<EndpointKey> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let keys = keys.iter().filter(|key| !self.has_left(&self.endpoints[**key]));
         let is_ready = |key: &EndpointKey| self.endpoints[*key].is_ready();
         let has_lapsed = |key: &EndpointKey| self.endpoints[*key].is_last_resort(now);
-        let ready = keys.iter().filter(|key| is_ready(key)).count();
-        let lapsed = keys.iter().filter(|key| has_lapsed(key)).count();
+        let ready = keys.clone().filter(|key| is_ready(key)).count();
+        let lapsed = keys.clone().filter(|key| has_lapsed(key)).count();
         let is_usable = |key: &&EndpointKey| is_ready(key) || (lapsed > ready && has_lapsed(key));
-        keys.iter().filter(is_usable).copied().collect()
+        keys.filter(is_usable).copied().collect()
     }
 
     /// The newest life of the endpoint that a name belongs to.
@@ -361,8 +441,7 @@
 
     fn put(&mut self, now: Duration, entry: Entry) -> Changed {
         let Some(&key) = self.by_name.get(&entry.name) else {
-            self.insert(now, entry);
-            return Changed { is_new: true, ended: None };
+            return self.insert(now, entry);
         };
         match entry.incarnation.cmp(&self.endpoints[key].entry.incarnation) {
             Ordering::Less => Changed::default(),
@@ -370,37 +449,41 @@
             Ordering::Equal if entry.service != self.endpoints[key].entry.service => {
                 self.lose(&entry.name, State::Hidden(now))
             }
-            Ordering::Equal => Changed { is_new: self.update(now, key, entry), ended: None },
+            Ordering::Equal => self.update(now, key, entry),
             Ordering::Greater => {
                 let is_planned = !self.endpoints[key].is_ready();
                 self.leaves(now, key);
-                self.insert(now, entry);
-                Changed { is_new: true, ended: Some(Ended { endpoint: key, is_planned }) }
+                let changed = self.insert(now, entry);
+                Changed { ended: Some(Ended { endpoint: key, is_planned }), ..changed }
             }
         }
     }
 
     /// Takes in a further record of the same life.
-    fn update(&mut self, now: Duration, key: EndpointKey, entry: Entry) -> bool {
+    fn update(&mut self, now: Duration, key: EndpointKey, entry: Entry) -> Changed {
         let endpoint = &mut self.endpoints[key];
         if matches!(endpoint.state, State::Leaving(_)) {
-            return false;
+            return Changed::default();
         }
         let was_ready = endpoint.is_ready();
         endpoint.state = if entry.is_leaving { State::Leaving(now) } else { State::Ready };
+        let has_cooled = entry.cold_left.is_some_and(|left| endpoint.cools(now, left));
         endpoint.entry = entry;
-        was_ready != endpoint.is_ready()
+        let is_new = was_ready != endpoint.is_ready();
+        Changed { is_new, ended: None, has_cooled }
     }
 
-    fn insert(&mut self, now: Duration, entry: Entry) {
+    fn insert(&mut self, now: Duration, entry: Entry) -> Changed {
         let (name, service) = (entry.name.clone(), entry.service.clone());
-        let mut endpoint = Endpoint::new(entry);
+        let mut endpoint = Endpoint::new(now, entry);
         if endpoint.entry.is_leaving {
             endpoint.state = State::Leaving(now);
         }
+        let has_cooled = endpoint.is_cold(now);
         let key = self.endpoints.insert(endpoint);
         self.by_name.insert(name, key);
         self.by_service.entry(service).or_default().push(key);
+        Changed { is_new: true, ended: None, has_cooled }
     }
 
     /// An endpoint that was ready has no entry of its own any more.
@@ -411,6 +494,6 @@
         if was_ready {
             endpoint.state = state;
         }
-        Changed { is_new: was_ready, ended: None }
+        Changed { is_new: was_ready, ..Changed::default() }
     }
 }
--- a/crates/core/src/relay/graph.rs
+++ b/crates/core/src/relay/graph.rs
@@ -95,6 +95,12 @@
         (0..self.stages.len()).any(|idx| self.followers(route, idx).next().is_some())
     }
 
+    /// The stages that have not been started.
+    pub fn unstarted(&self) -> impl Iterator<Item = usize> {
+        let waiting = self.stages.iter().enumerate().filter(|(_, stage)| !stage.is_started);
+        waiting.map(|(idx, _)| idx)
+    }
+
     /// The first stage that has not been made yet.
     pub fn next_stage(&self) -> Option<usize> {
         self.stages.iter().position(|stage| !stage.is_complete())
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -5,11 +5,15 @@
 //! `results` and `ending` are the parts of an exchange's life, `moves` gives calls
 //! up and makes them elsewhere, `intake` decides whether it begins, `plan` by when
 //! its stages have to be done, `placing` finds engines for all instances,
-//! `quarantine` keeps requests from endpoints that end under them,
+//! `quarantine` keeps requests from endpoints that end under them, `evacuation` all
+//! requests from data centres that operators have emptied, `cold` most of them from
+//! endpoints that are not yet warm,
 //! `policies` is where operators' programs decide.
 
 mod calls;
+mod cold;
 mod ending;
+mod evacuation;
 mod intake;
 mod moves;
 mod placing;
@@ -276,18 +280,18 @@
         true
     }
 
-    /// Takes in a change of the directory; false if it says nothing new.
-    pub fn change(&mut self, now: Duration, change: Change) -> bool {
+    /// Takes in a change of the directory.
+    pub fn change(&mut self, now: Duration, change: Change) -> Changed {
         let change = self.unless_strange(change);
-        let Changed { is_new, ended } = self.directory.change(now, change);
-        if let Some(Ended { endpoint, is_planned }) = ended {
+        let changed = self.directory.change(now, change);
+        if let Some(Ended { endpoint, is_planned }) = changed.ended {
             self.end_life(now, endpoint, is_planned);
         }
-        if is_new {
+        if changed.is_new {
             self.search(now);
             self.make_all(now);
         }
-        is_new
+        changed
     }
 
     /// An entry that moves a known endpoint to a service that the configuration does
@@ -431,6 +435,10 @@
             self.refuse_held(now, key);
             return;
         }
+        if self.needs_evacuated(key) {
+            self.give_up(now, key, Refusal::Evacuated);
+            return;
+        }
         let exchange = &self.exchanges[key];
         let is_shared = !exchange.graph.is_complete() || exchange.arrival.prompt.is_some();
         if now < self.news_by || (is_shared && now < self.peers_by) {
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -35,6 +35,7 @@
         if is_stream && is_success {
             self.exchanges[exchange].was_called = true;
             self.note_answer(now, call, head.load);
+            self.note_cold(now, call, head.cold);
         }
         is_stream && is_success
     }
@@ -75,6 +76,7 @@
     pub fn replied(&mut self, now: Duration, call: CallKey, head: &ReplyHead) {
         let Some(key) = self.exchange_of(call) else { return };
         self.note_answer(now, call, head.load);
+        self.note_cold(now, call, head.cold);
         if !head.is_unrun {
             self.quarantine.note_answer(now, self.exchanges[key].content);
         }
@@ -194,6 +196,7 @@
         if run.is_some() {
             self.watch(now, call, &chosen);
         }
+        self.pace_cold(now, endpoint);
         let exchange = &mut self.exchanges[key];
         exchange.call = Some(call);
         exchange.attempts += 1;
--- a/crates/core/src/relay/machine/ending.rs
+++ b/crates/core/src/relay/machine/ending.rs
@@ -99,7 +99,11 @@
         if refusal == Refusal::Quarantined {
             return self.held_for(now, key).unwrap_or_default();
         }
-        let usual = if refusal == Refusal::Infeasible { LONG_AWAY } else { USUAL_AWAY };
+        let usual = match refusal {
+            // An evacuation ends when the operators say so; no sooner than this.
+            Refusal::Infeasible | Refusal::Evacuated => LONG_AWAY,
+            _ => USUAL_AWAY,
+        };
         let remaining = self.exchanges[key].due.saturating_sub(now);
         self.policy_away(now, key, usual).min(remaining.mul_f64(AWAY_SHARE))
     }
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -149,10 +149,13 @@
         }
         let avoided = question.avoided.iter().filter_map(|life| self.directory.by_life(life));
         let avoided: Vec<_> = avoided.collect();
+        let chooser = self.as_placer(&question.service, &question.prompt);
+        let withheld = self.withheld(now, &question.service, chooser);
         let wanted = choice::Wanted {
             tried: &avoided,
+            withheld: &withheld,
             limit: u32::MAX,
-            chooser: self.as_placer(&question.service, &question.prompt),
+            chooser,
             ..self.wanted(&question.service, &question.inputs)
         };
         let (service, prompt) = (&question.service, &question.prompt);
@@ -161,6 +164,7 @@
         let chosen = choice::cheapest(&candidates)?;
         let number = self.note_placed(now, service, &chosen, prompt);
         let source = self.addr_of(chosen.source);
+        self.pace_cold(now, chosen.endpoint);
         let engine = self.directory.get_mut(chosen.endpoint)?;
         engine.placed();
         let Candidate { tokens, wait, .. } = chosen;
@@ -248,6 +252,7 @@
         choice::Wanted {
             home: &self.settings.data_centre,
             tried: &[],
+            withheld: &[],
             inputs,
             limit: self.connection_limit(service),
             transfer: shape.and_then(|shape| shape.transfer),
@@ -268,6 +273,10 @@
         self.config.as_ref()?.services.get(service)?.engine
     }
 
+    pub(super) fn has_engines(&self, service: &str) -> bool {
+        self.engine(service).is_some()
+    }
+
     pub(super) fn transfer(&self, service: &str) -> Option<Transfer> {
         self.engine(service)?.transfer
     }
@@ -342,12 +351,15 @@
             self.list_parts(now, &service);
         }
         let mut rng = SmallRng::seed_from_u64(self.rng.random());
+        let chooser = match &prompt {
+            Some(prompt) if is_placer => self.as_placer(&service, prompt),
+            _ => Chooser::Alone,
+        };
+        let withheld = self.withheld(now, &service, chooser);
         let wanted = choice::Wanted {
             tried: &self.exchanges[key].tried,
-            chooser: match &prompt {
-                Some(prompt) if is_placer => self.as_placer(&service, prompt),
-                _ => Chooser::Alone,
-            },
+            withheld: &withheld,
+            chooser,
             ..self.wanted(&service, inputs)
         };
         let (directory, memory) = (&self.directory, &self.memory);
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -205,6 +205,13 @@
         (best > own || !self.is_batching).then(|| name.clone())
     }
 
+    /// How many peers rank before this instance for a task, however strong they are.
+    pub(super) fn place_of(&self, seed: u64) -> usize {
+        let rank = |name: &str| xxh3::xxh3_64_with_seed(name.as_bytes(), seed);
+        let own = rank(&self.settings.name);
+        self.peers.iter().filter(|peer| rank(&peer.name) > own).count()
+    }
+
     /// Takes in pieces, but those that cannot be made in time: their callers
     /// hear it at once, while they can still come back.
     pub(super) fn admit(&mut self, now: Duration, pieces: Vec<(Piece, Origin)>) {
@@ -249,7 +256,10 @@
         if !spares.is_empty() {
             self.free_here(spares);
         }
-        let late = self.batches.take_late(now, service, &shape, &self.directory);
+        let late = match self.directory.is_evacuated(service) {
+            true => self.batches.take_waiting(service),
+            false => self.batches.take_late(now, service, &shape, &self.directory),
+        };
         self.take_finished(now, late);
         for order in self.batches.plan(now, service, &shape, &self.directory) {
             let endpoint = order.endpoint;
@@ -264,6 +274,9 @@
                 overdue: None,
             });
             self.batches.started(now, call, &order, &shape);
+            if let Some(until) = self.pace_cold(now, endpoint) {
+                self.batches.rest(endpoint, until);
+            }
             let target = self.directory.get_mut(endpoint).expect("a planned endpoint is known");
             target.sent();
             let (endpoint, addr) = (target.entry.name.clone(), target.entry.addr.clone());
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -104,6 +104,8 @@
     pub is_sealed: bool,
     /// How busy the endpoint is.
     pub load: Option<Load>,
+    /// How much longer the endpoint is cold, if it tells.
+    pub cold: Option<Duration>,
 }
 
 /// How a call failed without a whole reply.
@@ -330,6 +332,9 @@
     Policy,
     /// Nothing ran and nothing will: it crashes what runs it.
     Quarantined,
+    /// Nothing ran and nothing will: all endpoints of a service that it needs are in
+    /// data centres that are evacuated.
+    Evacuated,
     /// The time is over; something may have run.
     TimedOut,
     /// An endpoint failed; something may have run.
@@ -340,7 +345,11 @@
     /// What it comes to if something may have run: not being run is not promised.
     pub fn after(self, has_run: bool) -> Refusal {
         match self {
-            Refusal::Infeasible | Refusal::Unserved | Refusal::Policy | Refusal::Quarantined
+            Refusal::Infeasible
+            | Refusal::Unserved
+            | Refusal::Policy
+            | Refusal::Quarantined
+            | Refusal::Evacuated
                 if has_run =>
             {
                 Refusal::Failed
@@ -356,7 +365,8 @@
             | Refusal::Unserved
             | Refusal::Infeasible
             | Refusal::Policy
-            | Refusal::Quarantined => 503,
+            | Refusal::Quarantined
+            | Refusal::Evacuated => 503,
             Refusal::NoRoute => 404,
             Refusal::UnknownKey => 401,
             Refusal::Malformed => 400,
@@ -376,6 +386,7 @@
             Refusal::Infeasible => "infeasible",
             Refusal::Policy => "policy",
             Refusal::Quarantined => "quarantined",
+            Refusal::Evacuated => "evacuated",
             Refusal::TimedOut => "timed_out",
             Refusal::Failed => "failed",
         }
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/evacuation.rs
@@ -0,0 +1,294 @@
+//! Data centres whose endpoints get nothing more.
+
+use std::sync::Arc;
+
+use peatdeck_core::{
+    model::Incarnation,
+    relay::{
+        config::{Engine, Kind, Transfer},
+        directory::{Change, Entry},
+        model::{Action, Arrival, Failure, Life, Peer, PieceFailure, Placement, Question, Refusal},
+        operator::Act,
+    },
+};
+
+use crate::relay::fixture::{
+    ConfigBuilder, World, arrival, entry, head, ms, prompt, route, stage, unrun,
+};
+
+fn entry_in(place: &str, name: &str, service: &str) -> Entry {
+    Entry { data_centre: Arc::from(place), ..entry(name, service) }
+}
+
+fn evacuate(place: &str) -> Act {
+    Act::Evacuate(Arc::from(place))
+}
+
+fn restore(place: &str) -> Act {
+    Act::Restore(Arc::from(place))
+}
+
+/// One plain route before an endpoint in the east and one in the west.
+fn two_places(kind: Kind) -> World {
+    let config = ConfigBuilder::new(1).service("desk").route(route("r", kind, "desk"));
+    let mut world = World::new(config.build());
+    world.put(entry_in("east", "a", "desk"));
+    world.put(entry_in("west", "b", "desk"));
+    world
+}
+
+/// The endpoints that so many requests are sent to, all of which are answered.
+fn called(world: &mut World, count: usize) -> Vec<String> {
+    for idx in 0..count {
+        world.arrive(arrival(&format!("{:?}-{idx}", world.now), "r"));
+    }
+    let calls = world.calls();
+    world.advance(ms(10));
+    for call in &calls {
+        world.replied(call.key, &head(200));
+    }
+    let mut called: Vec<_> = calls.iter().map(|call| call.endpoint.to_string()).collect();
+    called.sort_unstable();
+    called.dedup();
+    called
+}
+
+#[test]
+fn nothing_goes_to_a_data_centre_until_the_order_is_taken_back() {
+    let mut world = two_places(Kind::Idempotent);
+    assert_eq!(called(&mut world, 40), ["a", "b"]);
+    assert!(world.obey(evacuate("east")));
+    assert!(!world.obey(evacuate("east")), "the same order again says nothing new");
+    assert_eq!(called(&mut world, 40), ["b"]);
+    assert!(world.obey(restore("east")));
+    assert!(!world.obey(restore("east")));
+    assert_eq!(called(&mut world, 40), ["a", "b"]);
+}
+
+#[test]
+fn an_endpoint_that_joins_there_later_gets_nothing_either() {
+    let mut world = two_places(Kind::Idempotent);
+    world.obey(evacuate("east"));
+    world.put(entry_in("east", "c", "desk"));
+    world.put(Entry { incarnation: Incarnation(2), ..entry_in("east", "a", "desk") });
+    assert_eq!(called(&mut world, 40), ["b"]);
+}
+
+#[test]
+fn an_order_for_a_place_without_endpoints_holds_for_those_that_come() {
+    let mut world = two_places(Kind::Idempotent);
+    assert!(world.obey(evacuate("north")));
+    world.put(entry_in("north", "c", "desk"));
+    assert_eq!(called(&mut world, 40), ["a", "b"]);
+    world.obey(restore("north"));
+    assert_eq!(called(&mut world, 60), ["a", "b", "c"]);
+}
+
+/// Of orders that come together, as after a cut, nothing holds for a moment that a
+/// later one has taken back.
+#[test]
+fn orders_that_come_together_are_in_force_together() {
+    let mut world = two_places(Kind::Idempotent);
+    world.obey(evacuate("east"));
+    world.obey(evacuate("west"));
+    world.try_arrive(arrival("1", "r")).unwrap();
+    world.relay.obey(world.now, vec![restore("east"), restore("west"), evacuate("east")]);
+    world.collect();
+    assert_eq!(called(&mut world, 40), ["b"]);
+}
+
+#[test]
+fn what_is_repeated_goes_elsewhere() {
+    let mut world = two_places(Kind::Idempotent);
+    world.obey(evacuate("west"));
+    world.arrive(arrival("1", "r"));
+    let first = world.call();
+    world.obey(restore("west"));
+    world.obey(evacuate("east"));
+    world.replied(first.key, &unrun(503));
+    assert_eq!(&*world.call().endpoint, "b");
+}
+
+#[test]
+fn what_runs_there_ends_there() {
+    let mut world = two_places(Kind::Idempotent);
+    world.obey(evacuate("west"));
+    world.arrive(arrival("1", "r"));
+    let call = world.call();
+    world.obey(evacuate("east"));
+    assert_eq!(world.take(|action| matches!(action, Action::Cancel(_)).then_some(())).len(), 0);
+    world.replied(call.key, &head(200));
+    let answers = world.take(|action| matches!(action, Action::Answer { .. }).then_some(()));
+    assert_eq!(answers.len(), 1);
+}
+
+#[test]
+fn a_cut_stream_is_not_resumed_there() {
+    let mut world = two_places(Kind::Resumable);
+    world.obey(evacuate("west"));
+    world.arrive(arrival("1", "r"));
+    let call = world.call();
+    world.relay.opened(world.now, call.key, &head(200));
+    world.event(call.key, 1);
+    world.obey(restore("west"));
+    world.put(entry_in("east", "c", "desk"));
+    world.obey(evacuate("east"));
+    world.failed(call.key, Failure::Cut);
+    let resumed = world.call();
+    assert_eq!((&*resumed.endpoint, resumed.resume), ("b", Some(1)));
+}
+
+/// Nobody knows when operators take an order back: callers hear so at once, and to
+/// come back after a while.
+#[test]
+fn callers_hear_at_once_where_all_of_a_service_is_evacuated() {
+    let mut world = two_places(Kind::Once);
+    world.obey(evacuate("east"));
+    world.obey(evacuate("west"));
+    world.try_arrive(arrival("1", "r")).unwrap();
+    assert_eq!(world.refusals(), ["503 evacuated 600ms"]);
+    assert!(world.calls().is_empty());
+    world.obey(restore("west"));
+    assert_eq!(called(&mut world, 4), ["b"]);
+}
+
+#[test]
+fn a_service_without_endpoints_is_not_taken_for_evacuated() {
+    let config = ConfigBuilder::new(1).service("desk");
+    let mut world = World::new(config.route(route("r", Kind::Idempotent, "desk")).build());
+    world.obey(evacuate("east"));
+    world.try_arrive(arrival("1", "r")).unwrap();
+    assert!(world.refusals().is_empty(), "an endpoint may still join");
+}
+
+/// A route with one stage; a maker in the east and one in the west.
+fn staged() -> World {
+    let mut staged = route("r", Kind::Idempotent, "desk");
+    staged.stages = vec![stage("maker", &[], 1000)];
+    let config = ConfigBuilder::new(1).service("desk").maker("maker", 1 << 20).route(staged);
+    let mut world = World::new(config.build());
+    world.put(entry_in("west", "a", "desk"));
+    world.put(entry_in("east", "m1", "maker"));
+    world.put(entry_in("west", "m2", "maker"));
+    world
+}
+
+fn with_pieces(id: &str, count: u16) -> Arrival {
+    Arrival { pieces: vec![count], ..arrival(id, "r") }
+}
+
+#[test]
+fn pieces_that_wait_and_those_that_failed_are_made_elsewhere() {
+    let mut world = staged();
+    // Both makers are busy with two calls' worth each.
+    for idx in 0..4 {
+        world.arrive(with_pieces(&format!("{idx}"), 4));
+    }
+    let orders = world.orders();
+    let at = |name: &str| orders.iter().find(|order| &*order.endpoint == name).unwrap();
+    let (east, west) = (at("m1").clone(), at("m2").clone());
+    world.obey(evacuate("east"));
+    world.made(east.call, east.all(PieceFailure::Failed));
+    assert!(world.orders().is_empty(), "the maker in the east is idle");
+    world.make(&west);
+    let order = world.orders().remove(0);
+    assert_eq!(&*order.endpoint, "m2");
+    world.obey(restore("east"));
+    assert_eq!(&*world.orders().remove(0).endpoint, "m1");
+}
+
+#[test]
+fn callers_whose_pieces_nobody_can_make_hear_at_once() {
+    let mut world = staged();
+    for idx in 0..3 {
+        world.arrive(with_pieces(&format!("{idx}"), 4));
+    }
+    assert_eq!(world.orders().len(), 2);
+    world.obey(evacuate("east"));
+    world.obey(evacuate("west"));
+    // The two whose pieces are being made need the service of the call as well.
+    let refusals = world.refusals();
+    assert_eq!(refusals.len(), 3, "{refusals:?}");
+    assert!(refusals.iter().all(|refusal| refusal.starts_with("50")), "{refusals:?}");
+    world.try_arrive(with_pieces("4", 1)).unwrap();
+    assert_eq!(world.refusals(), ["503 evacuated 600ms"]);
+}
+
+/// A result that belongs in a data centre without usable endpoints is made anywhere.
+#[test]
+fn a_large_result_does_not_wait_for_a_place_that_is_evacuated() {
+    let mut staged = route("r", Kind::Idempotent, "desk");
+    staged.stages = vec![stage("maker", &[], 1_500_000)];
+    let config = ConfigBuilder::new(1).service("desk").maker("maker", 1 << 30).route(staged);
+    let mut world = World::new(config.build());
+    world.put(entry_in("east", "a", "desk"));
+    world.put(entry_in("east", "m1", "maker"));
+    world.arrive(with_pieces("1", 2));
+    let order = world.orders().remove(0);
+    world.put(entry_in("west", "m2", "maker"));
+    world.put(entry_in("west", "b", "desk"));
+    world.obey(evacuate("east"));
+    world.made(order.call, order.all(PieceFailure::Failed));
+    assert_eq!(&*world.orders().remove(0).endpoint, "m2");
+}
+
+fn engines() -> World {
+    let transfer = Some(Transfer { token_bytes: 160_000.0, rate: 32e6 });
+    let engine = Engine { slots: 64, memory: 300_000, pause: None, transfer };
+    let config = ConfigBuilder::new(1).engines("llm", engine);
+    let mut world = World::new(config.route(route("r", Kind::Resumable, "llm")).build());
+    world.put(entry_in("east", "a", "llm"));
+    world.put(entry_in("west", "b", "llm"));
+    world
+}
+
+#[test]
+fn an_engine_that_a_peer_chose_there_is_not_called() {
+    let mut world = engines();
+    let peer = Peer { name: "peer".into(), strength: 500 };
+    world.relay.set_peers(world.now, vec![peer], 2);
+    let key = world.arrive(Arrival { prompt: Some(prompt(1, 2)), ..arrival("1", "r") });
+    world.obey(evacuate("east"));
+    let engine = Life { name: "a".into(), incarnation: Incarnation(1) };
+    let placement = Placement { engine, source: None, tokens: 10, wait: ms(0), number: 7 };
+    world.relay.placed(world.now, key, &"peer".into(), Some(placement));
+    world.collect();
+    assert_eq!(&*world.call().endpoint, "b");
+}
+
+#[test]
+fn a_placer_chooses_no_engine_there_and_none_to_fetch_from() {
+    let mut world = engines();
+    let question = Question {
+        service: "llm".into(),
+        prompt: prompt(1, 2),
+        inputs: Vec::new(),
+        avoided: Vec::new(),
+    };
+    world.obey(evacuate("west"));
+    assert_eq!(&*world.relay.place(world.now, &question).unwrap().engine.name, "a");
+    world.obey(restore("west"));
+    world.obey(evacuate("east"));
+    let placement = world.relay.place(world.now, &question).unwrap();
+    assert_eq!((&*placement.engine.name, placement.source), ("b", None));
+    assert!(world.relay.take_actions().iter().all(|action| match action {
+        Action::ListParts { addr, .. } => &**addr != "a:80",
+        _ => true,
+    }));
+}
+
+#[test]
+fn an_endpoint_that_lapsed_there_is_no_last_resort() {
+    let mut world = two_places(Kind::Idempotent);
+    for name in ["a", "b"] {
+        world.relay.change(world.now, Change::Removed(name.into()));
+    }
+    world.obey(evacuate("east"));
+    assert_eq!(called(&mut world, 10), ["b"]);
+}
+
+#[test]
+fn a_refusal_says_not_run_only_where_nothing_ran() {
+    assert_eq!(Refusal::Evacuated.after(false).status(), 503);
+    assert_eq!(Refusal::Evacuated.after(true).status(), 502);
+}
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -14,6 +14,7 @@
             Action, Arrival, Call, CallKey, ExchangeKey, Failure, Handle, Part, Piece,
             PieceFailure, PieceResult, Prompt, Refusal, ReplyHead,
         },
+        operator::Act,
     },
 };
 
@@ -41,7 +42,7 @@
     }
 
     pub fn service(mut self, name: &str) -> ConfigBuilder {
-        let service = Service { connections: 800, engine: None, pieces: None };
+        let service = Service { connections: 800, engine: None, pieces: None, cold_pace: None };
         self.config.services.insert(Arc::from(name), service);
         self
     }
@@ -60,17 +61,25 @@
     }
 
     pub fn makers(mut self, name: &str, pieces: Pieces) -> ConfigBuilder {
-        let service = Service { connections: 800, engine: None, pieces: Some(pieces) };
+        let service =
+            Service { connections: 800, engine: None, pieces: Some(pieces), cold_pace: None };
         self.config.services.insert(Arc::from(name), service);
         self
     }
 
     pub fn engines(mut self, name: &str, engine: Engine) -> ConfigBuilder {
-        let service = Service { connections: 800, engine: Some(engine), pieces: None };
+        let service =
+            Service { connections: 800, engine: Some(engine), pieces: None, cold_pace: None };
         self.config.services.insert(Arc::from(name), service);
         self
     }
 
+    /// Endpoints of a service bear a call each so much time while they are cold.
+    pub fn cold_pace(mut self, name: &str, pace: Duration) -> ConfigBuilder {
+        self.config.services.get_mut(name).unwrap().cold_pace = Some(pace);
+        self
+    }
+
     pub fn route(mut self, route: Route) -> ConfigBuilder {
         self.config.routes.push(Arc::new(route));
         self
@@ -111,6 +120,7 @@
         data_centre: Arc::from("east"),
         slots: 4,
         is_leaving: false,
+        cold_left: None,
     }
 }
 
@@ -136,7 +146,7 @@
 
 /// The head of an endpoint's own whole answer.
 pub fn head(status: u16) -> ReplyHead {
-    ReplyHead { status, is_ours: true, is_unrun: false, is_sealed: true, load: None }
+    ReplyHead { status, is_ours: true, is_unrun: false, is_sealed: true, load: None, cold: None }
 }
 
 /// The head of a reply that says that nothing ran.
@@ -157,9 +167,19 @@
         World::with_bound(config, bound)
     }
 
+    /// An instance of that name.
+    pub fn named(config: Arc<Config>, name: &str) -> World {
+        let bound = Bound { ratio: 0.2, slack: 40.0, window: ms(10_000) };
+        World::with_name(config, bound, name)
+    }
+
     pub fn with_bound(config: Arc<Config>, bound: Bound) -> World {
+        World::with_name(config, bound, "own")
+    }
+
+    fn with_name(config: Arc<Config>, bound: Bound, name: &str) -> World {
         let settings = Settings {
-            name: Arc::from("own"),
+            name: Arc::from(name),
             data_centre: Arc::from("east"),
             bound,
             instances: 1,
@@ -189,6 +209,13 @@
         self.try_arrive(arrival).unwrap()
     }
 
+    /// Operators order something.
+    pub fn obey(&mut self, act: Act) -> bool {
+        let taken = self.relay.obey(self.now, vec![act]);
+        self.collect();
+        taken[0]
+    }
+
     pub fn try_arrive(&mut self, arrival: Arrival) -> Result<ExchangeKey, Refusal> {
         let arrived = self.relay.arrive(self.now, arrival);
         self.collect();
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -13,6 +13,7 @@
 use peatdeck_core::{
     model::Load,
     relay::{
+        config,
         fingerprint::Fingerprint,
         model::{Arrival, Call, Handle, Listed, Part, Piece, PieceResult, Prompt, ReplyHead},
     },
@@ -148,6 +149,7 @@
             is_sealed: headers.contains_key(&names.seal)
                 && !headers.contains_key(header::CONTENT_ENCODING),
             load: text(headers, &names.load).and_then(load),
+            cold: text(headers, &names.cold).and_then(cold),
         }
     }
 
@@ -198,6 +200,13 @@
     u64::from_str_radix(text, 16).ok()
 }
 
+/// A time in milliseconds, whole or not; `None` if it makes no sense.
+fn cold(text: &str) -> Option<Duration> {
+    let millis: f64 = text.trim().parse().ok()?;
+    let left = Duration::try_from_secs_f64(millis / 1000.0).ok()?;
+    (left <= config::LONGEST_TIME).then_some(left)
+}
+
 fn load(text: &str) -> Option<Load> {
     let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
     let mut next = || numbers.next().flatten();
--- a/crates/relay/src/dialect/names.rs
+++ b/crates/relay/src/dialect/names.rs
@@ -66,6 +66,8 @@
     pub inputs: HeaderName,
     /// The engine to fetch from what is lacking of a prompt, `ip:port`.
     pub source: HeaderName,
+    /// How much longer an endpoint is cold, in milliseconds.
+    pub cold: HeaderName,
     /// Further headers that callers may set for endpoints.
     pub free: Vec<HeaderName>,
     /// Further headers that endpoints act on and that are nobody's to set.
@@ -93,6 +95,7 @@
             piece_key,
             inputs,
             source,
+            cold,
             free,
             reserved,
         } = self;
@@ -115,6 +118,7 @@
             row(piece_key, Setter::Caller, false),
             row(inputs, Setter::Relay, false),
             row(source, Setter::Relay, false),
+            row(cold, Setter::Nobody, false),
         ];
         let free = free.iter().map(move |name| row(name, Setter::Caller, true));
         let reserved = reserved.iter().map(move |name| row(name, Setter::Nobody, false));
--- a/crates/relay/src/native.rs
+++ b/crates/relay/src/native.rs
@@ -97,6 +97,7 @@
             piece_key: name("peatdeck-piece-key"),
             inputs: name("peatdeck-inputs"),
             source: name("peatdeck-source"),
+            cold: name("peatdeck-cold-ms"),
             free: Vec::new(),
             // What an engine keeps free, and whose memory it goes on from.
             reserved: vec![name("peatdeck-hold"), name("peatdeck-from")],
--- a/crates/relay/src/operators.rs
+++ b/crates/relay/src/operators.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | `GET /quarantine` | what is held back here, as JSON ([`Held`]) |
 //! | `DELETE /quarantine/FINGERPRINT` | releases that content at all instances |
+//! | `GET /evacuations` | data centres that are evacuated, as JSON ([`Evacuated`]) |
 //! | anything else | counters and timings, as text |
 //!
 //! The server may answer on another thread than that of the event loop, so questions
@@ -18,7 +19,8 @@
 use ntex::http::{Method, Request, Response, StatusCode};
 use peatdeck_core::relay::fingerprint::Fingerprint;
 use peatdeck_util::metrics::Registry;
-use peatdeck_wire::operators::{Held, QUARANTINE};
+use peatdeck_wire::operators::{EVACUATIONS, Evacuated, Held, QUARANTINE};
+use serde::Serialize;
 
 use crate::{driver::Driver, records};
 
@@ -27,6 +29,8 @@
 pub enum Question {
     /// What is held back?
     Held(oneshot::Sender<Vec<Held>>),
+    /// Which data centres are evacuated?
+    Evacuated(oneshot::Sender<Vec<Evacuated>>),
     /// Release this content. The answer says whether it was held back.
     Release(Fingerprint, oneshot::Sender<bool>),
 }
@@ -40,24 +44,31 @@
     asked: mpsc::UnboundedSender<Question>,
     req: Request,
 ) -> Result<Response, io::Error> {
+    if req.path() == EVACUATIONS {
+        return Ok(show(&asked, Question::Evacuated).await);
+    }
     let Some(rest) = req.path().strip_prefix(QUARANTINE) else {
         return Ok(Response::Ok().body(metrics.render()));
     };
     let response = match (req.method(), rest.strip_prefix('/')) {
-        (&Method::GET, None) => show(&asked).await,
+        (&Method::GET, None) => show(&asked, Question::Held).await,
         (&Method::DELETE, Some(name)) => release(&asked, name).await,
         _ => plain(StatusCode::NOT_FOUND, "ask GET /quarantine, or DELETE /quarantine/FINGERPRINT"),
     };
     Ok(response)
 }
 
-async fn show(asked: &mpsc::UnboundedSender<Question>) -> Response {
+/// Answers with what the event loop lists.
+async fn show<T: Serialize>(
+    asked: &mpsc::UnboundedSender<Question>,
+    question: impl Fn(oneshot::Sender<Vec<T>>) -> Question,
+) -> Response {
     let (tx, rx) = oneshot::channel();
     // Without an event loop there is no answer either.
-    asked.unbounded_send(Question::Held(tx)).ok();
+    asked.unbounded_send(question(tx)).ok();
     match rx.await {
-        Ok(held) => {
-            let text = serde_json::to_string(&held).expect("names and numbers are JSON");
+        Ok(listed) => {
+            let text = serde_json::to_string(&listed).expect("names and numbers are JSON");
             Response::Ok().content_type("application/json").body(text)
         }
         Err(_) => stopping(),
@@ -95,6 +106,9 @@
             Question::Held(answer) => {
                 answer.send(records::list(&driver)).ok();
             }
+            Question::Evacuated(answer) => {
+                answer.send(evacuated(&driver)).ok();
+            }
             Question::Release(content, answer) => {
                 let was_held = driver.feed(|machine, _| machine.lift(content));
                 tracing::warn!(event = "quarantine_lifted", %content, was_held);
@@ -103,3 +117,14 @@
         }
     }
 }
+
+fn evacuated(driver: &Driver) -> Vec<Evacuated> {
+    driver.look(|machine| {
+        let directory = machine.directory();
+        let listed = directory.evacuated().map(|name| Evacuated {
+            data_centre: name.clone(),
+            endpoints: directory.ready_count_in(name),
+        });
+        listed.collect()
+    })
+}
--- a/crates/relay/src/surroundings.rs
+++ b/crates/relay/src/surroundings.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
-use peatdeck_core::relay::{config::Config, directory::Change, table::Record};
+use peatdeck_core::relay::{directory::Change, operator::Act, table::Record};
 use peatdeck_macros::{data, id};
 
 use crate::dialect::Dialect;
@@ -18,7 +18,7 @@
 #[id]
 #[derive(Copy)]
 pub enum TableName {
-    /// The operator's configuration.
+    /// The operators' orders: the configuration, and what is evacuated.
     Config,
     /// The directory of endpoints.
     Endpoints,
@@ -119,8 +119,8 @@
     pub dialect: Dialect,
     /// The store.
     pub store: Store,
-    /// Reads a record of the configuration; `Ok(None)` if it is another matter.
-    pub read_config: fn(&Record) -> Result<Option<Config>, String>,
+    /// Reads a record of the operators' table; `Ok(None)` if it is another matter.
+    pub read_act: fn(&Record) -> Result<Option<Act>, String>,
     /// Reads a record of the directory.
     pub read_endpoint: fn(&Record) -> Result<Change, String>,
     /// How many log lines were dropped since the start.
--- a/crates/relay/src/tables.rs
+++ b/crates/relay/src/tables.rs
@@ -8,8 +8,8 @@
 
 use peatdeck_core::relay::{
     catch_up::{CatchUp, Learned},
-    config::Config,
     directory::Change,
+    operator::Act,
     table::{Ask, Portion, Record, Table},
 };
 
@@ -122,24 +122,17 @@
 /// Tells the machine what changed in a table.
 pub fn apply(driver: &Rc<Driver>, name: TableName, source: &str, changed: Vec<Record>) {
     let is_told = !changed.is_empty();
-    let is_bulk = changed.len() > BULK;
-    let mut joined = 0_u64;
-    for record in changed {
-        match name {
-            TableName::Config => apply_config(driver, source, &record),
-            TableName::Endpoints => {
-                joined += u64::from(apply_endpoint(driver, source, &record, is_bulk));
-            }
-            TableName::Instances => driver.peers.apply(driver.now(), &record),
-            TableName::Quarantine => records::apply(driver, &record),
+    match name {
+        TableName::Config => apply_acts(driver, source, &changed),
+        TableName::Endpoints => apply_endpoints(driver, source, &changed),
+        TableName::Instances => {
+            changed.iter().for_each(|record| driver.peers.apply(driver.now(), record));
         }
+        TableName::Quarantine => changed.iter().for_each(|record| records::apply(driver, record)),
     }
     if name == TableName::Quarantine && driver.peers.tables.state(name).0 {
         driver.feed(|machine, _| machine.know_quarantine());
     }
-    if joined > 0 {
-        tracing::info!(event = "endpoints_joined", count = joined, source);
-    }
     if is_told && name == TableName::Instances {
         peers::update(driver);
     }
@@ -147,25 +140,59 @@
     driver.update_ready();
 }
 
-fn apply_config(driver: &Rc<Driver>, source: &str, record: &Record) {
-    let offset = record.offset;
-    let read = (driver.surroundings.read_config)(record);
-    let checked = read.and_then(|config| match config.as_ref().map(Config::check) {
-        Some(Err(flaw)) => Err(flaw.to_string()),
-        Some(Ok(())) | None => Ok(config),
-    });
-    match checked {
-        Ok(Some(config)) => {
-            let version = config.version;
-            let routes = config.routes.len();
-            let is_newer = driver.feed(|machine, _| machine.configure(config.into()));
+/// Takes in the operators' orders, all at once: one that an earlier record takes back
+/// must not hold for a moment.
+fn apply_acts(driver: &Rc<Driver>, source: &str, records: &[Record]) {
+    let mut acts = Vec::new();
+    for record in records {
+        match read_act(driver, record) {
+            Ok(Some(act)) => acts.push((record.offset, act)),
+            Ok(None) => {}
+            Err(error) => {
+                driver.metrics.count("relay.config_unreadable", 1);
+                let (key, offset, error) = (brief(&record.key), record.offset, brief(&error));
+                tracing::error!(event = "config_unreadable", key, offset, source, error);
+            }
+        }
+    }
+    if acts.is_empty() {
+        return;
+    }
+    let orders = acts.iter().map(|(_, act)| act.clone()).collect();
+    let taken = driver.feed(|machine, now| machine.obey(now, orders));
+    for ((offset, act), taken) in acts.iter().zip(taken) {
+        log_act(driver, act, *offset, source, taken);
+    }
+    let evacuated = driver.look(|machine| machine.directory().evacuated().count());
+    driver.metrics.gauge("relay.evacuated", evacuated as u64);
+}
+
+fn read_act(driver: &Driver, record: &Record) -> Result<Option<Act>, String> {
+    let act = (driver.surroundings.read_act)(record)?;
+    if let Some(Act::Configure(config)) = &act {
+        config.check().map_err(|flaw| flaw.to_string())?;
+    }
+    Ok(act)
+}
+
+fn log_act(driver: &Driver, act: &Act, offset: u64, source: &str, taken: bool) {
+    let ready =
+        |data_centre: &str| driver.look(|machine| machine.directory().ready_count_in(data_centre));
+    match act {
+        Act::Configure(config) => {
+            let (version, routes) = (config.version, config.routes.len());
             driver.metrics.gauge("relay.config_version", version);
-            tracing::info!(event = "config", version, offset, source, routes, taken = is_newer);
+            tracing::info!(event = "config", version, offset, source, routes, taken);
         }
-        Ok(None) => {}
-        Err(error) => {
-            driver.metrics.count("relay.config_unreadable", 1);
-            tracing::error!(event = "config_unreadable", offset, source, error);
+        Act::Evacuate(name) => {
+            let endpoints = ready(name);
+            let data_centre = brief(name);
+            tracing::warn!(event = "evacuated", data_centre, offset, source, endpoints, taken);
+        }
+        Act::Restore(name) => {
+            let endpoints = ready(name);
+            let data_centre = brief(name);
+            tracing::warn!(event = "restored", data_centre, offset, source, endpoints, taken);
         }
     }
 }
@@ -175,27 +202,59 @@
     &message[..message.floor_char_boundary(LONGEST_QUOTE)]
 }
 
-/// Takes in an endpoint's record. True if it is one of many endpoints that have
-/// joined, of which no line of its own is logged.
-fn apply_endpoint(driver: &Rc<Driver>, source: &str, record: &Record, is_bulk: bool) -> bool {
+/// Takes in endpoints' records.
+fn apply_endpoints(driver: &Rc<Driver>, source: &str, records: &[Record]) {
+    let is_bulk = records.len() > BULK;
+    let mut bulk = Bulk::default();
+    for record in records {
+        let counted = is_bulk.then_some(&mut bulk);
+        apply_endpoint(driver, source, record, counted);
+    }
+    let Bulk { joined, cooled } = bulk;
+    if joined > 0 {
+        tracing::info!(event = "endpoints_joined", count = joined, source);
+    }
+    if cooled > 0 {
+        tracing::info!(event = "endpoints_cold", count = cooled, source);
+    }
+}
+
+/// Endpoints of which no line of its own is logged, since many changed together.
+#[derive(Debug, Default)]
+struct Bulk {
+    joined: u64,
+    cooled: u64,
+}
+
+/// Takes in an endpoint's record.
+fn apply_endpoint(driver: &Rc<Driver>, source: &str, record: &Record, bulk: Option<&mut Bulk>) {
     let (name, offset) = (&*record.key, record.offset);
-    match (driver.surroundings.read_endpoint)(record) {
-        Ok(change) => {
-            let is_join = matches!(&change, Change::Put(entry) if !entry.is_leaving);
-            let change_text = format!("{change:?}");
-            let is_new = driver.feed(|machine, now| machine.change(now, change));
-            if is_new && !(is_bulk && is_join) {
-                tracing::info!(event = "endpoint", name, offset, source, change = change_text);
-            }
-            is_new && is_bulk && is_join
-        }
+    let change = match (driver.surroundings.read_endpoint)(record) {
+        Ok(change) => change,
         Err(error) => {
             driver.metrics.count("relay.endpoints_unreadable", 1);
             let error = brief(&error);
             tracing::warn!(event = "endpoint_unreadable", name, offset, source, error);
             let change = Change::Unreadable(record.key.clone());
             driver.feed(|machine, now| machine.change(now, change));
-            false
+            return;
+        }
+    };
+    let is_join = matches!(&change, Change::Put(entry) if !entry.is_leaving);
+    let change_text = format!("{change:?}");
+    let changed = driver.feed(|machine, now| machine.change(now, change));
+    driver.metrics.count("relay.endpoints_cooled", u64::from(changed.has_cooled));
+    match bulk {
+        Some(bulk) if is_join => {
+            bulk.joined += u64::from(changed.is_new);
+            bulk.cooled += u64::from(changed.has_cooled);
+        }
+        _ if changed.is_new => {
+            tracing::info!(event = "endpoint", name, offset, source, change = change_text);
+        }
+        _ if changed.has_cooled => {
+            tracing::info!(event = "endpoint_cold", name, offset, source, change = change_text);
         }
+        _ => {}
     }
 }
--- a/crates/relay/tests/relay/peers.rs
+++ b/crates/relay/tests/relay/peers.rs
@@ -5,7 +5,7 @@
     surroundings::TableName,
 };
 
-use crate::standins::{Conn, Desk, MemoryStore, Relay, ask, wait_for};
+use crate::standins::{Conn, Desk, MemoryStore, Relay, ask, get, wait_for};
 
 /// An endpoint that makes pieces.
 fn maker() -> Desk {
@@ -142,3 +142,37 @@
     assert_eq!(ask(relays[0].front, "/once/x", "").status, 200);
     make_three(relays[0].front);
 }
+
+/// An instance that the store turns away hears of an evacuation, and of its end, from
+/// a peer; so does one that starts meanwhile.
+#[test]
+fn an_evacuation_is_in_force_at_instances_that_the_store_turns_away() {
+    let (desk, maker) = (Desk::answering("x"), maker());
+    let shared = store(&desk, &maker);
+    let first = Relay::start("first", &shared, &[]);
+    first.wait_ready();
+    let dark = MemoryStore::default();
+    dark.set_dark(true);
+    let second = Relay::start("second", &dark, &[first.peers]);
+    second.wait_ready();
+    assert_eq!(ask(second.front, "/once/x", "").status, 200);
+    shared.put(TableName::Config, "evacuate/east", b"{}".to_vec());
+    for relay in [&first, &second] {
+        wait_for("it is in force", || relay.counter("peatdeck.relay.evacuated") == 1);
+    }
+    let listed = get(second.metrics, "/evacuations").body;
+    assert_eq!(listed, r#"[{"data_centre":"east","endpoints":2}]"#);
+    let seen = desk.seen().len();
+    let third = Relay::start("third", &dark, &[first.peers]);
+    third.wait_ready();
+    for relay in [&first, &second, &third] {
+        assert_eq!(ask(relay.front, "/once/x", "").status, 503);
+    }
+    assert_eq!(desk.seen().len(), seen, "nothing was sent");
+    // The store forgets what came before, the order being taken back included.
+    shared.write(TableName::Config, "evacuate/east", None);
+    shared.compact(TableName::Config);
+    for relay in [&first, &second, &third] {
+        wait_for("it is taken back", || ask(relay.front, "/once/x", "").status == 200);
+    }
+}
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -21,6 +21,7 @@
         allowance::Bound,
         config::{Config, Kind, Limits, Pieces, Route, Service, Stage, Target, Team},
         directory::{Change, Entry},
+        operator::Act,
         table::Record,
     },
 };
@@ -43,13 +44,18 @@
 /// Whatever a test waits for comes within this time, or never.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-/// A configuration, as the store holds it: a version, and blanks before it
-/// that make it large.
-fn read_config(record: &Record) -> Result<Option<Config>, String> {
+/// What operators ordered, as the store holds it: under `evacuate/` a data centre;
+/// else a configuration, a version with blanks before it that make it large.
+fn read_act(record: &Record) -> Result<Option<Act>, String> {
+    if let Some(name) = record.key.strip_prefix("evacuate/") {
+        let name = Arc::from(name);
+        let act = if record.value.is_some() { Act::Evacuate(name) } else { Act::Restore(name) };
+        return Ok(Some(act));
+    }
     let Some(value) = &record.value else { return Ok(None) };
     let text = std::str::from_utf8(value).map_err(|error| error.to_string())?;
     let version = text.trim_start().parse().map_err(|_| format!("`{text}` is no version"))?;
-    Ok(Some(config(version)))
+    Ok(Some(Act::Configure(config(version))))
 }
 
 fn read_endpoint(record: &Record) -> Result<Change, String> {
@@ -64,6 +70,7 @@
         data_centre: Arc::from("east"),
         slots: 4,
         is_leaving: false,
+        cold_left: None,
     }))
 }
 
@@ -78,7 +85,7 @@
     ];
     let mut routes: Vec<_> = kinds.into_iter().map(|(name, kind)| route(name, kind)).collect();
     routes.push(route(&format!("since-{version}"), Kind::Idempotent));
-    let plain = Service { connections: 800, engine: None, pieces: None };
+    let plain = Service { connections: 800, engine: None, pieces: None, cold_pace: None };
     let pieces = Pieces {
         slots: 1,
         queue: 2,
@@ -198,7 +205,7 @@
             let surroundings = move |_pool| Surroundings {
                 dialect: native::dialect(),
                 store: store.client(),
-                read_config,
+                read_act,
                 read_endpoint,
                 lines_dropped: Rc::new(|| 0),
             };
--- a/crates/wire/src/operators.rs
+++ b/crates/wire/src/operators.rs
@@ -8,6 +8,18 @@
 /// names what is to be released.
 pub const QUARANTINE: &str = "/quarantine";
 
+/// The path at which it shows which data centres are evacuated.
+pub const EVACUATIONS: &str = "/evacuations";
+
+/// A data centre whose endpoints get nothing, as an instance knows it.
+#[message]
+pub struct Evacuated {
+    /// Its name.
+    pub data_centre: Arc<str>,
+    /// Endpoints there that would take new work.
+    pub endpoints: usize,
+}
+
 /// A content that is held back, since endpoints crashed under it.
 #[message]
 pub struct Held {
