A cold endpoint that refuses rests as long; fuzz with evacuations and cold endpoints

Cause: a refused call set the pause of a busy endpoint, 60 ms, over the rest of a cold one. The two older families draw as before; endpoints of the fuzz now lie in three data centres.

--- a/crates/core/src/relay/batch/worker.rs
+++ b/crates/core/src/relay/batch/worker.rs
@@ -35,7 +35,7 @@
 pub struct Worker {
     /// Own calls that it works on.
     pub calls: usize,
-    /// Until when it is taken to be busy with somebody else's call.
+    /// Until when it is taken to be busy with somebody else's call, or rests.
     pub blocked_until: Duration,
     /// Bytes of results that are being made.
     pub promised: u64,
@@ -94,7 +94,7 @@
     pub fn refused(&mut self, now: Duration) {
         let pause = BUSY_PAUSE * 2_u32.saturating_pow(self.refusals.min(8));
         self.refusals += 1;
-        self.blocked_until = now + pause.min(LONGEST_BUSY_PAUSE);
+        self.blocked_until = self.blocked_until.max(now + pause.min(LONGEST_BUSY_PAUSE));
     }
 
     /// A call took so long where so much was expected.
--- a/crates/core/tests/testsuite/relay/cold.rs
+++ b/crates/core/tests/testsuite/relay/cold.rs
@@ -5,7 +5,7 @@
 use peatdeck_core::relay::{
     config::{Engine, Kind},
     directory::{Change, Entry},
-    model::{Arrival, Peer, Question, ReplyHead},
+    model::{Arrival, Failure, Peer, Question, ReplyHead},
 };
 
 use crate::relay::fixture::{ConfigBuilder, World, arrival, entry, head, ms, prompt, route, stage};
@@ -192,3 +192,22 @@
     assert!(started.len() >= 4, "{started:?}");
     assert!(started.windows(2).all(|pair| pair[1] - pair[0] >= ms(500)), "{started:?}");
 }
+
+/// It rests for as long after a refusal, which alone would be a shorter pause.
+#[test]
+fn a_cold_maker_that_refuses_rests_as_long() {
+    let mut staged = route("r", Kind::Idempotent, "desk");
+    staged.stages = vec![stage("maker", &[], 1000)];
+    let config = ConfigBuilder::new(1).service("desk").maker("maker", 1 << 20);
+    let mut world = World::new(config.cold_pace("maker", ms(500)).route(staged).build());
+    world.put(entry("a", "desk"));
+    world.put(cold("m", "maker", Some(5000)));
+    world.arrive(Arrival { pieces: vec![1], ..arrival("1", "r") });
+    let order = world.orders().remove(0);
+    world.relay.make_failed(world.now, order.call, Failure::Unsent, true);
+    world.collect();
+    world.advance(ms(499));
+    assert!(world.orders().is_empty());
+    world.advance(ms(1));
+    assert_eq!(world.orders().len(), 1);
+}
--- a/crates/core/tests/testsuite/relay/fuzz.rs
+++ b/crates/core/tests/testsuite/relay/fuzz.rs
@@ -5,7 +5,10 @@
 //! it may have run, "not run" is only said where nothing may have run, nothing
 //! is sent to an endpoint that leaves, and nothing stays behind.
 
-use std::collections::{HashMap, HashSet};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use peatdeck_core::{
     model::Incarnation,
@@ -14,6 +17,7 @@
         directory::Entry,
         fingerprint::Fingerprint,
         model::{Action, Arrival, CallKey, ExchangeKey, Failure, PieceFailure, Probed},
+        operator::Act,
     },
 };
 use proptest::prelude::*;
@@ -42,6 +46,10 @@
     Reset(u8),
     /// A peer or the platform's table says that a content is held back, or is not.
     Hold(u8, bool),
+    /// Operators evacuate a data centre, or take that back.
+    Evacuate(u8, bool),
+    /// An endpoint says for how long it is cold.
+    Cool(u8, u16),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -71,6 +79,27 @@
     ]
 }
 
+/// The same while data centres are evacuated and endpoints come back cold.
+fn step_with_evacuations() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => step(),
+        3 => (any::<u8>(), any::<bool>()).prop_map(|(place, is_empty)| Step::Evacuate(place, is_empty)),
+        2 => (any::<u8>(), 0_u16..3000).prop_map(|(pick, left)| Step::Cool(pick, left)),
+    ]
+}
+
+/// The data centres of all endpoints.
+const PLACES: [&str; 3] = ["east", "west", "north"];
+
+/// Where an endpoint is, by its name.
+fn place(name: &str) -> &'static str {
+    PLACES[name.bytes().last().map_or(0, usize::from) % PLACES.len()]
+}
+
+fn entry_of(name: &str, service: &str) -> Entry {
+    Entry { data_centre: place(name).into(), ..entry(name, service) }
+}
+
 /// One of the contents that are sent again and again.
 fn common(pick: u8) -> Fingerprint {
     Fingerprint(u128::from(pick % 4) + 1)
@@ -91,8 +120,14 @@
     next_event: HashMap<ExchangeKey, u64>,
     contents: HashMap<ExchangeKey, Fingerprint>,
     held: HashSet<Fingerprint>,
+    evacuated: HashSet<&'static str>,
+    /// Until when an endpoint is cold, and when it was called last since it is.
+    cold: HashMap<String, (Duration, Option<Duration>)>,
 }
 
+/// Time between two calls of a cold endpoint.
+const COLD_PACE: Duration = Duration::from_millis(150);
+
 impl Oracle {
     fn check(&mut self, world: &mut World) {
         let mut consults = Vec::new();
@@ -110,6 +145,7 @@
                     let is_repeat = self.ran.contains(&call.exchange);
                     let may_repeat = kind.is_none_or(|kind| kind.may_repeat());
                     assert!(may_repeat || !is_repeat, "{kind:?} was called again");
+                    self.check_sent(world.now, &call.endpoint);
                     self.called.insert(call.key, call.endpoint.to_string());
                     self.calls.push((call.key, call.exchange));
                 }
@@ -117,6 +153,7 @@
                     let is_held = pieces.iter().any(|piece| self.held.contains(&piece.content));
                     assert!(!is_held, "made although it is held back");
                     assert!(!self.leaving.contains(&*endpoint), "made at one that leaves");
+                    self.check_sent(world.now, &endpoint);
                     self.orders.push(Order { call, endpoint, addr, pieces });
                 }
                 Action::Cancel(call) => {
@@ -142,6 +179,19 @@
         }
     }
 
+    /// Whether an endpoint may be sent something now.
+    fn check_sent(&mut self, now: Duration, name: &str) {
+        assert!(!self.evacuated.contains(place(name)), "sent where nothing is to be sent");
+        let Some((until, last)) = self.cold.get_mut(name).filter(|(until, _)| now < *until) else {
+            return;
+        };
+        assert!(
+            last.is_none_or(|last| now >= last + COLD_PACE),
+            "too much for a cold one: {until:?}"
+        );
+        *last = Some(now);
+    }
+
     /// The calls that are open at an endpoint.
     fn calls_at(&self, name: &str) -> Vec<(CallKey, ExchangeKey)> {
         self.calls.iter().filter(|(call, _)| self.called[call] == name).copied().collect()
@@ -181,14 +231,17 @@
         ];
         config = config.route(Route { stages, ..route(&format!("staged{idx}"), kind, "desk") });
     }
+    for service in ["desk", "ledger", "mart"] {
+        config = config.cold_pace(service, COLD_PACE);
+    }
     let mut world = World::new(config.build());
     for name in ["d0", "d1", "d2"] {
-        world.put(entry(name, "desk"));
+        world.put(entry_of(name, "desk"));
     }
     for name in ["l0", "l1"] {
-        world.put(entry(name, "ledger"));
+        world.put(entry_of(name, "ledger"));
     }
-    world.put(entry("m0", "mart"));
+    world.put(entry_of("m0", "mart"));
     world
 }
 
@@ -291,7 +344,7 @@
                 let name = format!("d{}", pick % 3);
                 oracle.leaving.insert(name.clone());
                 let incarnation = Incarnation(oracle.lives.get(&name).copied().unwrap_or(1));
-                world.put(Entry { is_leaving: true, incarnation, ..entry(&name, "desk") });
+                world.put(Entry { is_leaving: true, incarnation, ..entry_of(&name, "desk") });
             }
             Step::Restart(pick) => {
                 let makers = [("l0", "ledger"), ("l1", "ledger"), ("m0", "mart")];
@@ -299,11 +352,12 @@
                 let (name, service) = [makers, desks].concat()[usize::from(pick) % 6];
                 oracle.restart(name);
                 let incarnation = Incarnation(oracle.lives[name]);
-                world.put(Entry { incarnation, ..entry(name, service) });
+                oracle.cold.remove(name);
+                world.put(Entry { incarnation, ..entry_of(name, service) });
             }
             Step::Join => {
                 joined += 1;
-                world.put(entry(&format!("new{joined}"), "desk"));
+                world.put(entry_of(&format!("new{joined}"), "desk"));
             }
             Step::Wait(millis) => world.advance(ms(millis.into())),
             Step::Send(route, content) => {
@@ -335,6 +389,29 @@
                     world.collect();
                 }
             }
+            Step::Evacuate(pick, is_empty) => {
+                let name = PLACES[usize::from(pick) % PLACES.len()];
+                let act = match is_empty {
+                    true => Act::Evacuate(name.into()),
+                    false => Act::Restore(name.into()),
+                };
+                let is_new = match is_empty {
+                    true => oracle.evacuated.insert(name),
+                    false => oracle.evacuated.remove(name),
+                };
+                assert_eq!(world.obey(act), is_new);
+            }
+            Step::Cool(pick, left) => {
+                let all = [("d0", "desk"), ("d1", "desk"), ("l0", "ledger"), ("m0", "mart")];
+                let (name, service) = all[usize::from(pick) % all.len()];
+                let incarnation = Incarnation(oracle.lives.get(name).copied().unwrap_or(1));
+                let cold_left = Some(ms(left.into()));
+                if !oracle.leaving.contains(name) {
+                    let known = oracle.cold.entry(name.to_owned()).or_default();
+                    known.0 = world.now + ms(left.into());
+                    world.put(Entry { incarnation, cold_left, ..entry_of(name, service) });
+                }
+            }
             Step::Hold(content, is_held) => {
                 let content = common(content).from_team(None);
                 match is_held {
@@ -350,6 +427,7 @@
         for order in std::mem::take(&mut oracle.orders) {
             world.make(&order);
         }
+        oracle.check(&mut world);
         world.advance(ms(250));
         oracle.check(&mut world);
     }
@@ -396,6 +474,15 @@
         play(steps);
     }
 
+    /// Nothing gets to an endpoint that is evacuated, and not too much to a cold one,
+    /// whatever was under way.
+    #[test]
+    fn what_is_evacuated_gets_nothing_and_what_is_cold_little(
+        steps in proptest::collection::vec(step_with_evacuations(), 1..160)
+    ) {
+        play(steps);
+    }
+
     /// Nothing that is held back gets to an endpoint, whatever was under way.
     #[test]
     fn what_crashes_endpoints_is_not_sent_once_it_is_held_back(
