A burst before cold engines, in virtual time: their pace is kept and used

86 instances, twelve engines of which four are lost and four come back cold, three times the prompts that the warm ones read; with and without a mute placer.

--- a/crates/core/tests/testsuite/relay/load.rs
+++ b/crates/core/tests/testsuite/relay/load.rs
@@ -7,7 +7,9 @@
 
 use std::time::Duration;
 
-use fleet::{Fleet, Outcome, Request};
+use peatdeck_core::relay::directory::{Change, Entry};
+
+use fleet::{COLD_PACE, Fleet, Outcome, Request};
 
 use crate::relay::fixture::ms;
 
@@ -116,3 +118,59 @@
     assert_eq!(result.batchers.len(), 1, "{result:?}");
     assert!(result.in_time() > 0.9, "{result:?}");
 }
+
+/// How long the cold engines of [`a_burst_before_cold_engines`] are cold, and since when.
+const COLD_SINCE: Duration = Duration::from_secs(3);
+const COLD_FOR: Duration = Duration::from_secs(5);
+
+/// 86 instances before twelve engines, four of which are lost and four come back cold
+/// while three times as many prompts come as the four warm ones read.
+fn a_burst_before_cold_engines(mute: bool) -> Outcome {
+    let mut fleet = Fleet::new(86, 12);
+    for idx in 0..12 {
+        let entry = fleet::engine_entry(idx);
+        let lost = Change::Removed(entry.name.clone());
+        let cold = Change::Put(Entry { cold_left: Some(COLD_FOR), ..entry });
+        match idx % 3 {
+            0 => fleet.change(ms(500), lost),
+            1 => fleet.change(COLD_SINCE, cold),
+            _ => {}
+        }
+    }
+    for (at, idx) in evenly(ms(2000), 1200, 150) {
+        fleet.come(at, Request { id: idx, pieces: 0, shared: idx % 40 });
+    }
+    if mute {
+        fleet.mute(3, ms(4000)..ms(6000));
+    }
+    fleet.play()
+}
+
+/// The most calls of any second, and all calls, that a cold engine gets while all know
+/// that it is cold.
+fn cold_calls(result: &Outcome, name: &str) -> (usize, usize) {
+    let all_know = COLD_SINCE + ms(450);
+    let is_cold = |at: &&Duration| (all_know..COLD_SINCE + COLD_FOR).contains(*at);
+    let called: Vec<_> = result.called[&*format!("{name}:80")].iter().filter(is_cold).collect();
+    let in_second = |from: &Duration| {
+        called.iter().filter(|at| (*from..*from + ms(1000)).contains(**at)).count()
+    };
+    (called.iter().map(|at| in_second(at)).max().unwrap_or_default(), called.len())
+}
+
+/// No cold engine gets more in a second than its pace and one more, and over nine
+/// tenths of what the pace allows is used. While an empty engine had the lowest cost
+/// and no pace, the first of them got 19 in a second where 15 are borne.
+#[test]
+fn cold_engines_are_used_as_much_as_they_bear() {
+    for mute in [false, true] {
+        let result = a_burst_before_cold_engines(mute);
+        assert_eq!(result.unanswered, 0);
+        let bearable = (COLD_FOR - ms(450)).as_secs_f64() / COLD_PACE.as_secs_f64();
+        for name in ["e1", "e4", "e7", "e10"] {
+            let (most, all) = cold_calls(&result, name);
+            assert!(most <= 7, "{name}: {most} in a second");
+            assert!(all as f64 > 0.9 * bearable, "{name}: {all} of {bearable}");
+        }
+    }
+}
--- a/crates/core/tests/testsuite/relay/load/fleet.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet.rs
@@ -39,6 +39,8 @@
 const OWN_PART: u64 = 2900;
 /// Tokens of a whole prompt.
 const PROMPT: u64 = 9200;
+/// Time between two calls that a cold engine bears.
+pub const COLD_PACE: Duration = Duration::from_millis(150);
 const OBJECTIVE: Duration = Duration::from_millis(1100);
 const DEADLINE: Duration = Duration::from_secs(6);
 
@@ -78,6 +80,8 @@
     pub batchers: HashSet<usize>,
     /// Calls at the busiest engine, for each at the mean one.
     pub busiest: f64,
+    /// When each engine was sent calls, by its address.
+    pub called: HashMap<Arc<str>, Vec<Duration>>,
 }
 
 impl Outcome {
@@ -105,6 +109,7 @@
     FirstToken { to: usize, call: CallKey },
     Ended { to: usize, call: CallKey },
     Listed { to: usize, endpoint: EndpointKey },
+    Change { to: usize, change: Change },
 }
 
 #[derive(Default)]
@@ -197,6 +202,14 @@
         self.schedule(at, Event::Arrive(idx, request));
     }
 
+    /// All instances hear of a change of the directory, some later than others.
+    pub fn change(&mut self, at: Duration, change: Change) {
+        for to in 0..self.relays.len() {
+            let later = ms(to as u64 * 13 % 400);
+            self.schedule(at + later, Event::Change { to, change: change.clone() });
+        }
+    }
+
     /// An instance answers no peer's question for a while.
     pub fn mute(&mut self, idx: usize, span: Range<Duration>) {
         self.muted = Some((idx, span));
@@ -238,6 +251,7 @@
             }
             Event::Ended { to, call } => self.tell(to, |relay| relay.ended(now, call)),
             Event::Introduce(idx) => self.introduce(idx),
+            Event::Change { to, change } => self.tell(to, |relay| drop(relay.change(now, change))),
             Event::TakeOver { to, from, key, pieces } => {
                 let ticket = self.count;
                 self.tickets.insert(ticket, (from, key));
@@ -415,6 +429,7 @@
         let known: HashSet<u64> = self.readers.values().flat_map(|it| &it.parts).copied().collect();
         let fetched = call.source.as_ref().and_then(|addr| self.readers.get(addr));
         let fetched: HashSet<u64> = fetched.map(|it| it.parts.clone()).unwrap_or_default();
+        self.outcome.called.entry(call.addr.clone()).or_default().push(self.now);
         let reader = self.readers.entry(call.addr.clone()).or_default();
         let (mut read, mut copied) = (OWN_PART, 0);
         for (part, tokens) in request.shared_parts() {
@@ -493,14 +508,22 @@
         timeout: DEADLINE,
         ..route("r", Kind::Resumable, "llm")
     };
-    let config = ConfigBuilder::new(1).engines("llm", engine).makers("maker", pieces).route(route);
+    let config = ConfigBuilder::new(1).engines("llm", engine).makers("maker", pieces);
+    let config = config.cold_pace("llm", COLD_PACE).route(route);
     relay.configure(config.build());
     relay
 }
 
 fn endpoints(engines: usize) -> Vec<Entry> {
-    let at = |entry: Entry, idx: usize| Entry { data_centre: Arc::from(PLACES[idx % 3]), ..entry };
-    let makers = (0..4).map(|idx| at(entry(&format!("m{idx}"), "maker"), idx));
-    let engines = (0..engines).map(|idx| at(entry(&format!("e{idx}"), "llm"), idx));
-    makers.chain(engines).collect()
+    let makers = (0..4).map(|idx| in_place(entry(&format!("m{idx}"), "maker"), idx));
+    makers.chain((0..engines).map(engine_entry)).collect()
+}
+
+/// The entry of an engine; each third is in the same data centre.
+pub fn engine_entry(idx: usize) -> Entry {
+    in_place(entry(&format!("e{idx}"), "llm"), idx)
+}
+
+fn in_place(entry: Entry, idx: usize) -> Entry {
+    Entry { data_centre: Arc::from(PLACES[idx % 3]), ..entry }
 }
