--- a/crates/core/tests/testsuite/relay/load/fleet.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet.rs
@@ -251,7 +251,9 @@
             }
             Event::Ended { to, call } => self.tell(to, |relay| relay.ended(now, call)),
             Event::Introduce(idx) => self.introduce(idx),
-            Event::Change { to, change } => self.tell(to, |relay| drop(relay.change(now, change))),
+            Event::Change { to, change } => self.tell(to, |relay| {
+                relay.change(now, change);
+            }),
             Event::TakeOver { to, from, key, pieces } => {
                 let ticket = self.count;
                 self.tickets.insert(ticket, (from, key));
