Results that calls for pieces have read give way where room is scarce

Cause: 108 results of mart-link have room at one endpoint and each was held for about a second, half of it by the call of the next stage that had long read it.

Change: the batcher tells, 60 ms after a call began, which inputs nothing else needs; they are spare, and given up where a full call of what waits lacks room. Doubled where a call misses them. New field isLastReader of a piece (regenerated with the schema; an older build leaves it out and nothing is spared).

--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -11,6 +11,7 @@
 pub mod drain;
 mod places;
 pub mod queue;
+mod reads;
 mod worker;
 
 use std::{collections::HashMap, time::Duration};
@@ -124,6 +125,8 @@
     lease: Duration,
     /// When it counts as a straggler; `None` once it was taken for one.
     late_at: Option<Duration>,
+    /// When it has probably read what its pieces are made from; `None` afterwards.
+    read_at: Option<Duration>,
 }
 
 /// Pieces that wait or are being made.
@@ -135,6 +138,7 @@
     held_by: HashMap<Holder, Vec<PieceKey>>,
     running: HashMap<CallKey, Running>,
     workers: HashMap<EndpointKey, Worker>,
+    reads: reads::Reads,
 }
 
 impl Batches {
@@ -202,10 +206,12 @@
         self.waiting.get(service).map_or(0, Queue::len)
     }
 
-    /// When a call becomes a straggler, or a blocked endpoint is free again
+    /// When a call becomes a straggler or has read its inputs, or a blocked endpoint is free again
     /// while pieces wait.
     pub fn next_wake(&self, now: Duration) -> Option<Duration> {
-        let late = self.running.values().filter_map(|running| running.late_at).min();
+        let late = self.running.values().filter_map(|running| running.late_at);
+        let read = self.running.values().filter_map(|running| running.read_at);
+        let late = late.chain(read).min();
         if self.waiting.values().all(Queue::is_empty) {
             return late;
         }
@@ -270,7 +276,9 @@
         let usual = expected.mul_f64(self.slowness(now, &order.endpoint).max(1.0));
         let late_at = Some(now + usual.mul_f64(STRAGGLER_FACTOR) + STRAGGLER_SLACK);
         let (endpoint, keys, lease) = (order.endpoint, order.keys.clone(), shape.lease);
-        let running = Running { endpoint, keys, started: now, expected, lease, late_at };
+        let has_inputs = order.pieces.iter().any(|piece| !piece.inputs.is_empty());
+        let read_at = has_inputs.then(|| now + self.reads.time());
+        let running = Running { endpoint, keys, started: now, expected, lease, late_at, read_at };
         self.running.insert(call, running);
     }
 
@@ -329,13 +337,14 @@
             pairs.filter(|(key, _)| is_gone(key)).filter_map(|(_, made)| made.clone().ok());
         let strays = strays.collect();
         self.release(&running);
+        self.reads.note(running.read_at.is_none(), &results);
         self.note_made(now, &running, &results);
         let worker = self.workers.entry(running.endpoint).or_default();
         worker.took(now, now.saturating_sub(running.started), running.expected);
         for (key, result) in running.keys.iter().zip(&results) {
             let bytes = self.pieces.get(*key).map_or(0, |entry| entry.piece.bytes);
             match result {
-                Ok(handle) => worker.hold(handle.clone(), bytes, now + running.lease),
+                Ok(handle) => worker.hold(now, handle.clone(), bytes, now + running.lease),
                 Err(PieceFailure::NoRoom) => worker.had_no_room(now, bytes),
                 Err(_) => {}
             }
@@ -357,19 +366,24 @@
         }
     }
 
-    /// Spare results that take up room while pieces with large results wait for
-    /// it. They are to be given up.
+    /// Spare results that take up room while pieces wait for it: those with large
+    /// results, or as many others as make a full call. They are to be given up.
     pub fn spares_in_the_way(
         &self,
         now: Duration,
         service: &str,
+        shape: &Pieces,
         directory: &Directory,
     ) -> Vec<Handle> {
-        if self.waiting.get(service).is_none_or(|queue| queue.len_of(Lane::Large) == 0) {
+        let Some(queue) = self.waiting.get(service) else { return Vec::new() };
+        let is_large = queue.len_of(Lane::Large) > 0;
+        let Some(bytes) = queue.first_bytes(Lane::Small).or(is_large.then_some(0)) else {
             return Vec::new();
-        }
+        };
+        let needed = bytes.saturating_mul(u64::from(shape.batch));
+        let lacks_room = |worker: &&Worker| is_large || worker.room(now, shape) < needed;
         let endpoints = directory.usable(now, service).into_iter();
-        let workers = endpoints.filter_map(|key| self.workers.get(&key));
+        let workers = endpoints.filter_map(|key| self.workers.get(&key)).filter(lacks_room);
         workers.flat_map(Worker::spares).cloned().collect()
     }
 
--- a/crates/core/src/relay/batch/queue.rs
+++ b/crates/core/src/relay/batch/queue.rs
@@ -172,6 +172,11 @@
         ahead.map(|(_, group)| group.keys.len()).sum()
     }
 
+    /// The size of a result of a lane's first group; `None` if none waits there.
+    pub fn first_bytes(&self, lane: Lane) -> Option<u64> {
+        Some(self.lanes[lane as usize].first_key_value()?.1.bytes)
+    }
+
     /// Pieces of a lane.
     pub fn len_of(&self, lane: Lane) -> usize {
         self.sizes[lane as usize]
--- a/crates/core/src/relay/batch/worker.rs
+++ b/crates/core/src/relay/batch/worker.rs
@@ -49,9 +49,9 @@
 
 impl Worker {
     /// Room for further results, in bytes.
-    pub fn room(&mut self, now: Duration, shape: &Pieces) -> u64 {
-        self.held.retain(|_, held| now < held.until);
-        let held: u64 = self.held.values().map(|held| held.bytes).sum();
+    pub fn room(&self, now: Duration, shape: &Pieces) -> u64 {
+        let held = self.held.values().filter(|held| now < held.until);
+        let held: u64 = held.map(|held| held.bytes).sum();
         let room = shape.room.saturating_sub(held + self.promised);
         match self.bound {
             Some((bound, until)) if now < until => room.min(bound),
@@ -60,7 +60,8 @@
     }
 
     /// It holds a result until it is given up, or until then.
-    pub fn hold(&mut self, handle: Handle, bytes: u64, until: Duration) {
+    pub fn hold(&mut self, now: Duration, handle: Handle, bytes: u64, until: Duration) {
+        self.held.retain(|_, held| now < held.until);
         self.held.insert(handle, Held { bytes, until, is_spare: false });
     }
 
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -357,6 +357,13 @@
         keys.filter(is_usable).copied().collect()
     }
 
+    /// The service of an endpoint that listens at an address.
+    pub fn service_at(&self, addr: &str) -> Option<ServiceName> {
+        let mut endpoints = self.endpoints.values();
+        let endpoint = endpoints.find(|endpoint| *endpoint.entry.addr == *addr)?;
+        Some(endpoint.entry.service.clone())
+    }
+
     /// The newest life of the endpoint that a name belongs to.
     pub fn by_name(&self, name: &str) -> Option<EndpointKey> {
         self.by_name.get(name).copied()
--- a/crates/core/src/relay/graph.rs
+++ b/crates/core/src/relay/graph.rs
@@ -123,6 +123,13 @@
         after.flat_map(|idx| self.stages[*idx].handles()).cloned().collect()
     }
 
+    /// Whether the results that a stage's pieces are made from are needed by no other
+    /// stage.
+    pub fn is_last_reader(&self, route: &Route, stage: usize) -> bool {
+        let mut after = route.stages[stage].after.iter();
+        after.all(|idx| self.followers(route, *idx).all(|follower| follower == stage))
+    }
+
     /// The results that the call takes in: those of the stages that no other
     /// stage follows.
     pub fn outputs(&self, route: &Route) -> Vec<Handle> {
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -418,6 +418,7 @@
         self.move_overdue(now);
         self.send_reports(now);
         self.spare_results(now);
+        self.spare_inputs(now);
         self.make_stragglers_again(now);
         self.make_all(now);
         if now >= self.next_clean {
--- a/crates/core/src/relay/machine/plan.rs
+++ b/crates/core/src/relay/machine/plan.rs
@@ -93,6 +93,7 @@
         let key = if inputs.is_empty() { self.arrival.piece_key.clone() } else { None };
         let home = self.home_of(stage);
         let is_begun = self.has_run || self.graph.progress().0 > 0;
+        let is_last_reader = self.graph.is_last_reader(&self.route, stage);
         let piece = |number| Piece {
             service: stages[stage].service.clone(),
             request: self.arrival.id.clone(),
@@ -111,6 +112,7 @@
             is_begun,
             content: self.content,
             is_apart: false,
+            is_last_reader,
         };
         (0..self.graph.pieces(stage) as u16).map(piece).collect()
     }
--- a/crates/core/src/relay/machine/results.rs
+++ b/crates/core/src/relay/machine/results.rs
@@ -43,17 +43,44 @@
             let results = exchange.graph.unfreed(&route, LARGE_RESULT);
             exchange.is_spare |= !results.is_empty();
             for (service, handles) in by_service(&route, results) {
-                match self.owner(&service) {
-                    Some(peer) => {
-                        let is_spare = true;
-                        self.actions.push(Action::FreeThrough { peer, handles, is_spare });
-                    }
-                    None => self.spare_here(handles),
-                }
+                self.spare_at_owner(&service, handles);
             }
         }
     }
 
+    /// Tells who batches their services of results that calls for pieces have read.
+    pub(super) fn spare_inputs(&mut self, now: Duration) {
+        let mut by_service: Vec<(ServiceName, Vec<Handle>)> = Vec::new();
+        let mut known: Option<(Arc<str>, ServiceName)> = None;
+        // They are sorted, so those of one endpoint follow each other.
+        for handle in self.batches.take_read(now) {
+            let Some(addr) = holder(&handle) else { continue };
+            if known.as_ref().is_none_or(|(last, _)| **last != *addr) {
+                let service = self.directory.service_at(addr);
+                known = service.map(|service| (Arc::from(addr), service));
+            }
+            let Some((_, service)) = &known else { continue };
+            match by_service.iter_mut().find(|(name, _)| name == service) {
+                Some((_, handles)) => handles.push(handle),
+                None => by_service.push((service.clone(), vec![handle])),
+            }
+        }
+        for (service, handles) in by_service {
+            self.spare_at_owner(&service, handles);
+        }
+    }
+
+    /// Tells who batches a service that results are spare.
+    fn spare_at_owner(&mut self, service: &str, handles: Vec<Handle>) {
+        match self.owner(service) {
+            Some(peer) => {
+                let is_spare = true;
+                self.actions.push(Action::FreeThrough { peer, handles, is_spare });
+            }
+            None => self.spare_here(handles),
+        }
+    }
+
     /// Results that this instance's calls made are spare.
     pub fn spare_here(&mut self, handles: Vec<Handle>) {
         self.batches.spared(&handles);
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -252,7 +252,7 @@
     /// Sends what waits for a service to its idle endpoints.
     pub(super) fn make(&mut self, now: Duration, service: &str) {
         let Some(shape) = self.shape(service) else { return };
-        let spares = self.batches.spares_in_the_way(now, service, &self.directory);
+        let spares = self.batches.spares_in_the_way(now, service, &shape, &self.directory);
         if !spares.is_empty() {
             self.free_here(spares);
         }
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -204,6 +204,8 @@
     /// Whether it is made without pieces of other requests: a call that it was part
     /// of was cut, and which of them ended the endpoint is not known.
     pub is_apart: bool,
+    /// Whether nothing needs its inputs once all pieces of its stage have read them.
+    pub is_last_reader: bool,
 }
 
 /// One life of an endpoint, as instances name it to each other.
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -22,6 +22,7 @@
 mod prompts;
 mod quarantine;
 mod readers;
+mod reads;
 mod stages;
 mod streams;
 mod table;
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/reads.rs
@@ -0,0 +1,136 @@
+//! Results that calls for pieces have read.
+
+use peatdeck_core::relay::{
+    config::{Kind, Pieces, Stage},
+    model::{Arrival, PieceFailure},
+};
+
+use crate::relay::fixture::{ConfigBuilder, Order, World, arrival, entry, ms, route, stage};
+
+/// Size of a result.
+const BYTES: u64 = 50_000;
+
+/// Two makers in a chain, each with one endpoint; the first has room for so many
+/// results, and takes four pieces a call.
+fn chain(stages: Vec<Stage>, room: u64, second_batch: u32) -> World {
+    let mut staged = route("r", Kind::Idempotent, "desk");
+    staged.stages = stages;
+    let second = Pieces {
+        slots: 1,
+        queue: 2,
+        batch: second_batch,
+        call_time: ms(200),
+        piece_time: ms(20),
+        room: 1 << 30,
+        lease: ms(4000),
+    };
+    let config = ConfigBuilder::new(1).service("desk").maker("first", room * BYTES);
+    let mut world = World::new(config.makers("second", second).route(staged).build());
+    world.put(entry("a", "desk"));
+    world.put(entry("m", "first"));
+    world.put(entry("n", "second"));
+    world
+}
+
+fn two_stages() -> Vec<Stage> {
+    vec![stage("first", &[], BYTES), stage("second", &[0], 1000)]
+}
+
+fn come(world: &mut World, id: &str, pieces: &[u16]) {
+    world.arrive(Arrival { pieces: pieces.to_vec(), ..arrival(id, "r") });
+}
+
+fn order_at(world: &mut World, endpoint: &str) -> Option<Order> {
+    world.orders().into_iter().find(|order| &*order.endpoint == endpoint)
+}
+
+/// Both results of a request's first stage are made and its second stage has begun, a
+/// second request waits for room.
+fn waiting_for_room() -> (World, Order) {
+    let mut world = chain(two_stages(), 4, 4);
+    come(&mut world, "1", &[4, 1]);
+    let first = order_at(&mut world, "m").unwrap();
+    world.make(&first);
+    let second = order_at(&mut world, "n").unwrap();
+    come(&mut world, "2", &[4, 1]);
+    assert!(world.orders().is_empty(), "there is no room");
+    (world, second)
+}
+
+#[test]
+fn what_the_next_stage_has_read_gives_way_where_room_is_scarce() {
+    let (mut world, _) = waiting_for_room();
+    world.advance(ms(59));
+    assert!(world.orders().is_empty());
+    world.advance(ms(1));
+    assert_eq!(world.freed().join(" "), "m:80/1-0-0 m:80/1-0-1 m:80/1-0-2 m:80/1-0-3");
+    assert_eq!(order_at(&mut world, "m").unwrap().pieces.len(), 4);
+}
+
+#[test]
+fn what_the_next_stage_has_read_stays_where_there_is_room() {
+    let mut world = chain(two_stages(), 8, 4);
+    come(&mut world, "1", &[4, 1]);
+    let first = order_at(&mut world, "m").unwrap();
+    world.make(&first);
+    come(&mut world, "2", &[4, 1]);
+    let again = order_at(&mut world, "m").unwrap();
+    world.advance(ms(100));
+    assert!(world.freed().is_empty(), "it might be needed again");
+    assert_eq!(again.pieces.len(), 4);
+}
+
+#[test]
+fn what_another_piece_has_yet_to_read_stays() {
+    let mut world = chain(two_stages(), 4, 1);
+    come(&mut world, "1", &[4, 2]);
+    let first = order_at(&mut world, "m").unwrap();
+    world.make(&first);
+    let second = order_at(&mut world, "n").unwrap();
+    assert_eq!(second.names(), ["1/1/0"]);
+    come(&mut world, "2", &[4, 1]);
+    world.advance(ms(100));
+    assert!(world.freed().is_empty(), "the other piece waits");
+    world.make(&second);
+    assert_eq!(order_at(&mut world, "n").unwrap().names(), ["1/1/1"]);
+    world.advance(ms(60));
+    assert_eq!(world.freed().len(), 4);
+}
+
+#[test]
+fn what_another_stage_needs_too_stays() {
+    let stages = vec![
+        stage("first", &[], BYTES),
+        stage("second", &[0], 1000),
+        stage("second", &[0, 1], 1000),
+    ];
+    let mut world = chain(stages, 4, 4);
+    come(&mut world, "1", &[4, 1, 1]);
+    let first = order_at(&mut world, "m").unwrap();
+    world.make(&first);
+    assert_eq!(order_at(&mut world, "n").unwrap().names(), ["1/1/0"]);
+    come(&mut world, "2", &[4, 1, 1]);
+    world.advance(ms(100));
+    assert!(world.freed().is_empty());
+}
+
+/// A call that came too late for what had been given up: its pieces are made again from
+/// the beginning, and the next calls are given longer to read.
+#[test]
+fn inputs_that_were_missed_are_held_longer_next_time() {
+    let (mut world, second) = waiting_for_room();
+    world.advance(ms(60));
+    assert_eq!(world.freed().len(), 4);
+    let first = order_at(&mut world, "m").unwrap();
+    world.made(second.call, second.all(PieceFailure::InputGone));
+    world.make(&first);
+    let second = order_at(&mut world, "n").unwrap();
+    assert_eq!(second.names(), ["2/1/0"]);
+    // What the first request needs once more waits for room; it gave the old up.
+    world.freed();
+    world.advance(ms(119));
+    assert!(world.freed().is_empty());
+    world.advance(ms(1));
+    assert_eq!(world.freed().len(), 4);
+    assert_eq!(order_at(&mut world, "m").unwrap().names().len(), 4);
+}
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -180,6 +180,8 @@
   # What its request asks for: 16 bytes, or none from an earlier build.
   isApart @17 :Bool;
   # Whether it is made without pieces of other requests.
+  isLastReader @18 :Bool;
+  # Whether nothing needs its inputs once all pieces of its stage have read them.
 }
 
 struct Result {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -102,6 +102,7 @@
         to.set_is_begun(piece.is_begun);
         to.set_content(&write_content(piece.content));
         to.set_is_apart(piece.is_apart);
+        to.set_is_last_reader(piece.is_last_reader);
         to.set_tries(piece.tries);
         to.set_round(piece.round);
         let mut inputs = to.init_inputs(len(&piece.inputs));
@@ -366,6 +367,7 @@
         is_begun: from.get_is_begun(),
         content: read_content(from.get_content()?),
         is_apart: from.get_is_apart(),
+        is_last_reader: from.get_is_last_reader(),
     })
 }
 
