Evacuating a data centre through the administration API and `peatdeck evacuate`

The relay obeyed the platform's records; peatdeck-entry had no such order.

Not drawn by the fuzz of the configuration: its recorded cases would change.

--- a/crates/admin/src/error.rs
+++ b/crates/admin/src/error.rs
@@ -12,7 +12,7 @@
 };
 use peatdeck_core::{
     check::Problem,
-    model::{EndpointName, Incarnation, InstanceName},
+    model::{DataCentre, EndpointName, Incarnation, InstanceName},
     record::Version,
 };
 use peatdeck_wire::admin::{ApiError, ErrorDetail, Winner};
@@ -108,6 +108,9 @@
     /// The drain may have been appended.
     #[error("unknown: the drain of `{0}` may have taken effect, and the log did not say in time")]
     DrainUnknown(EndpointName),
+    /// The order for a data centre may have been appended.
+    #[error("unknown: the order for `{0}` may have taken effect, and the log did not say in time")]
+    EvacuationUnknown(DataCentre),
 }
 
 impl Error {
@@ -130,7 +133,10 @@
             Error::NotLost(_) => "not_lost",
             Error::StillHeld { .. } => "still_held",
             Error::OldVersion { .. } => "old_version",
-            Error::Unknown(_) | Error::RestoreUnknown(_) | Error::DrainUnknown(_) => "unknown",
+            Error::Unknown(_)
+            | Error::RestoreUnknown(_)
+            | Error::DrainUnknown(_)
+            | Error::EvacuationUnknown(_) => "unknown",
         }
     }
 
@@ -174,6 +180,7 @@
                 "send the restore again with the same id: it counts once".into()
             }
             Error::DrainUnknown(_) => "send the drain again: it counts once".into(),
+            Error::EvacuationUnknown(_) => "send the order again: it counts once".into(),
         }
     }
 
@@ -221,7 +228,8 @@
             | Error::NoState
             | Error::Unknown(_)
             | Error::RestoreUnknown(_)
-            | Error::DrainUnknown(_) => StatusCode::SERVICE_UNAVAILABLE,
+            | Error::DrainUnknown(_)
+            | Error::EvacuationUnknown(_) => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/admin/src/history.rs
+++ b/crates/admin/src/history.rs
@@ -11,7 +11,7 @@
 
 use peatdeck_core::{
     config_log::{Fold, Verdict},
-    record::{Batch, ConfigRecord, Drain, Entry, Offset, Publish, Snapshot, Version},
+    record::{Batch, ConfigRecord, Drain, Entry, Evacuation, Offset, Publish, Snapshot, Version},
 };
 use peatdeck_wire::admin::{Act, ActKind, HistoryReply, PublishVerdict};
 use xxhash_rust::xxh3;
@@ -44,6 +44,7 @@
             match &entry.record {
                 ConfigRecord::Publish(publish) => self.publish(entry, publish),
                 ConfigRecord::Drain(drain) => self.drain(entry, drain),
+                ConfigRecord::Evacuation(order) => self.evacuation(entry, order),
                 ConfigRecord::Snapshot(snapshot) => self.restore(entry, snapshot),
             }
         }
@@ -76,7 +77,7 @@
         match &self.act(id)?.what {
             ActKind::Publish { verdict: PublishVerdict::Forgotten, .. } => None,
             ActKind::Publish { verdict, .. } => Some(verdict.clone()),
-            ActKind::Restore { .. } | ActKind::Drain { .. } => None,
+            ActKind::Restore { .. } | ActKind::Drain { .. } | ActKind::Evacuation { .. } => None,
         }
     }
 
@@ -124,6 +125,14 @@
         self.push(entry, &drain.author, what);
     }
 
+    fn evacuation(&mut self, entry: &Entry<ConfigRecord>, order: &Evacuation) {
+        let what = ActKind::Evacuation {
+            data_centre: Arc::clone(&order.data_centre),
+            is_over: order.is_over,
+        };
+        self.push(entry, &order.author, what);
+    }
+
     /// Later snapshots of the same state name the restore again.
     fn restore(&mut self, entry: &Entry<ConfigRecord>, snapshot: &Snapshot) {
         let (Some(author), Some(id)) = (&snapshot.restorer, &snapshot.publish) else { return };
--- a/crates/admin/src/ops.rs
+++ b/crates/admin/src/ops.rs
@@ -3,6 +3,7 @@
 
 pub mod check;
 pub mod drain;
+pub mod evacuate;
 pub mod publish;
 pub mod restore;
 pub mod settle;
--- a/crates/admin/src/ops/restore.rs
+++ b/crates/admin/src/ops/restore.rs
@@ -18,7 +18,7 @@
 
 use std::sync::Arc;
 
-use peatdeck_core::record::{ConfigRecord, Offset, Snapshot, Version};
+use peatdeck_core::record::{ConfigRecord, Evacuated, Offset, Snapshot, Version};
 use peatdeck_wire::admin::{PublishReply, RestoreBody};
 
 use crate::{
@@ -67,6 +67,8 @@
         publish: Some(Arc::clone(&body.id)),
         document: Arc::clone(&body.document),
         drains: Vec::new(),
+        // What is known to be evacuated stays so: to send nothing there is the safe side.
+        evacuated: ctx.reader.look(evacuated),
         restorer: Some(Arc::clone(&body.author)),
     });
     let settled = settle::settle(ctx, &record, |state| is_restored(state, &body.id));
@@ -76,6 +78,10 @@
     })
 }
 
+fn evacuated(state: &State) -> Vec<Evacuated> {
+    state.current().map(|snapshot| snapshot.evacuated.clone()).unwrap_or_default()
+}
+
 /// Readers that know a version never go back behind it.
 fn check_version(ctx: &Context, given: Version) -> Result<(), Error> {
     let known = ctx.reader.look(|state| state.current().map_or(0, |snapshot| snapshot.version));
--- a/crates/admin/src/ops/show.rs
+++ b/crates/admin/src/ops/show.rs
@@ -59,5 +59,6 @@
         confirmed,
         document: Arc::<Document>::clone(&snapshot.document),
         drains: snapshot.drains.clone(),
+        evacuated: snapshot.evacuated.clone(),
     })
 }
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -9,7 +9,7 @@
     web::{self, HttpRequest, HttpResponse, types},
 };
 use peatdeck_core::record::Offset;
-use peatdeck_wire::admin::{CheckBody, DrainBody, PublishBody, RestoreBody};
+use peatdeck_wire::admin::{CheckBody, DrainBody, EvacuationBody, PublishBody, RestoreBody};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{auth::Operator, context::Context, error::Error, ops};
@@ -34,6 +34,7 @@
         web::resource("/v1/config/history").route(web::get().to(history)),
         web::resource("/v1/config/verdict/{id}").route(web::get().to(verdict)),
         web::resource("/v1/endpoints/{name}/drain").route(web::post().to(drain)),
+        web::resource("/v1/data-centres/{name}/evacuation").route(web::post().to(evacuate)),
         web::resource("/v1/status").route(web::get().to(status)),
         web::resource("/v1/outcomes").route(web::get().to(outcomes)),
     ));
@@ -108,6 +109,15 @@
     ops::drain::drain(&operator.ctx, Arc::from(name.into_inner()), body).await.map(reply)
 }
 
+async fn evacuate(
+    operator: Operator,
+    name: types::Path<String>,
+    payload: types::Payload,
+) -> Result<HttpResponse, Error> {
+    let body: EvacuationBody = read(payload).await?;
+    ops::evacuate::evacuate(&operator.ctx, Arc::from(name.into_inner()), body).await.map(reply)
+}
+
 async fn status(operator: Operator) -> Result<HttpResponse, Error> {
     ops::status::status(&operator.ctx).await.map(reply)
 }
--- a/crates/admin/tests/testsuite/main.rs
+++ b/crates/admin/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod drain;
+mod evacuate;
 mod publish;
 mod restore;
 mod settings;
--- a/crates/admin/tests/testsuite/restore.rs
+++ b/crates/admin/tests/testsuite/restore.rs
@@ -104,6 +104,7 @@
         publish: Some("r-0".into()),
         document: Arc::default(),
         drains: Vec::new(),
+        evacuated: Vec::new(),
         restorer: Some("mair".into()),
     }));
     expect![[r#"
--- a/crates/admin/tests/testsuite/show.rs
+++ b/crates/admin/tests/testsuite/show.rs
@@ -77,6 +77,7 @@
         publish: Some("p-3".into()),
         document: Arc::default(),
         drains: Vec::new(),
+        evacuated: Vec::new(),
         restorer: None,
     }));
     another.publish("p-4", 3, TEAM).await;
--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     commands::{
-        burn, check, drain, evacuations, explain, publish, quarantine, replay, restore, show,
-        status,
+        burn, check, drain, evacuate, evacuations, explain, publish, quarantine, replay, restore,
+        show, status,
     },
     error::Error,
     shell::{Output, Shell},
@@ -32,6 +32,8 @@
     Replay(replay::Args),
     /// `explain`.
     Explain(explain::Args),
+    /// `evacuate`.
+    Evacuate(evacuate::Args),
     /// `evacuations`.
     Evacuations(evacuations::Args),
     /// `quarantine`.
@@ -49,6 +51,7 @@
     let burn = burn::cli().command("burn").map(Command::Burn);
     let replay = replay::cli().command("replay").map(Command::Replay);
     let explain = explain::cli().command("explain").map(Command::Explain);
+    let evacuate = evacuate::cli().command("evacuate").map(Command::Evacuate);
     let evacuations = evacuations::cli().command("evacuations").map(Command::Evacuations);
     let quarantine = quarantine::cli().command("quarantine").map(Command::Quarantine);
     construct!([
@@ -57,6 +60,7 @@
         restore,
         show,
         drain,
+        evacuate,
         status,
         burn,
         replay,
@@ -97,6 +101,7 @@
         Command::Burn(args) => burn::exec(shell, args).await,
         Command::Replay(args) => replay::exec(shell, args).await,
         Command::Explain(args) => explain::exec(shell, args).await,
+        Command::Evacuate(args) => evacuate::exec(shell, args).await,
         Command::Evacuations(args) => evacuations::exec(shell, args).await,
         Command::Quarantine(args) => quarantine::exec(shell, args).await,
     }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -8,6 +8,7 @@
 pub mod burn;
 pub mod check;
 pub mod drain;
+pub mod evacuate;
 pub mod evacuations;
 pub mod explain;
 pub mod publish;
--- /dev/null
+++ b/crates/cli/src/commands/evacuate.rs
@@ -0,0 +1,59 @@
+//! `peatdeck evacuate`: a data centre's endpoints get no new work until that is taken back.
+
+use bpaf::{OptionParser, Parser, construct, long, positional};
+use peatdeck_wire::admin::{EvacuationBody, EvacuationReply};
+
+use crate::{
+    commands::{self, Change},
+    error::Error,
+    shell::{self, Format, Output, Shell},
+};
+
+/// The flags.
+#[derive(Debug, Clone)]
+pub struct Args {
+    change: Change,
+    over: bool,
+    data_centre: String,
+}
+
+/// The command line.
+pub fn cli() -> OptionParser<Args> {
+    let change = commands::change();
+    let over = long("over").help("Take the order back: its endpoints are used again").switch();
+    let data_centre =
+        positional::<String>("DATA-CENTRE").help("Data centre, as the platform's list names it");
+    construct!(Args { change, over, data_centre })
+        .to_options()
+        .descr("Evacuate a data centre: its endpoints get no new work until that is taken back.")
+        .footer("Example:\n   peatdeck evacuate dc-2 --author mair\n   peatdeck evacuate dc-2 --over --author mair")
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// Any [`Error`] of the API.
+pub async fn exec(shell: &Shell, args: Args) -> Result<Output, Error> {
+    let client = commands::connect(shell, &args.change.admin).await?;
+    let body = EvacuationBody { author: args.change.author.into(), is_over: args.over };
+    let reply = client.evacuate(&args.data_centre, &body).await?;
+    Ok(Output::done(match args.change.format {
+        Format::Json => shell::json(&reply)?,
+        Format::Table => describe(&reply),
+    }))
+}
+
+fn describe(reply: &EvacuationReply) -> String {
+    let EvacuationReply { data_centre, is_evacuated, endpoints } = reply;
+    let what = match is_evacuated {
+        true => "get no new work",
+        false => "are used again",
+    };
+    match endpoints {
+        Some(0) => {
+            format!("accepted: endpoints of {data_centre} {what}; the list has none there\n")
+        }
+        Some(count) => format!("accepted: {count} endpoints of {data_centre} {what}\n"),
+        None => format!("accepted: endpoints of {data_centre} {what}; the list does not answer\n"),
+    }
+}
--- a/crates/cli/src/commands/show.rs
+++ b/crates/cli/src/commands/show.rs
@@ -119,6 +119,9 @@
             drain.endpoint, drain.author
         );
     }
+    for evacuated in &config.evacuated {
+        let _ = writeln!(text, "# evacuated: {}, by {}", evacuated.data_centre, evacuated.author);
+    }
     let document = toml::to_string_pretty(&*config.document)
         .map_err(|cause| Error::Unreadable { cause: cause.to_string() })?;
     text.push_str(&document);
@@ -150,6 +153,10 @@
         ActKind::Drain { endpoint, incarnation } => {
             (format!("drain {endpoint} (incarnation {})", incarnation.0), "in force".to_owned())
         }
+        ActKind::Evacuation { data_centre, is_over } => {
+            let order = if *is_over { "evacuation over" } else { "evacuate" };
+            (format!("{order} {data_centre}"), "in force".to_owned())
+        }
     }
 }
 
--- a/crates/cli/src/ops/client.rs
+++ b/crates/cli/src/ops/client.rs
@@ -10,8 +10,8 @@
 use peatdeck_client::http;
 use peatdeck_core::record::Offset;
 use peatdeck_wire::admin::{
-    ApiError, ConfigReply, DrainBody, DrainReply, HistoryReply, OutcomesReply, PublishBody,
-    PublishReply, RestoreBody, StatusReply, VerdictReply,
+    ApiError, ConfigReply, DrainBody, DrainReply, EvacuationBody, EvacuationReply, HistoryReply,
+    OutcomesReply, PublishBody, PublishReply, RestoreBody, StatusReply, VerdictReply,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -145,6 +145,21 @@
             .await
     }
 
+    /// Evacuates a data centre, or takes that back. Sent again where no answer comes; it
+    /// counts once.
+    ///
+    /// # Errors
+    /// Any [`Error`] of the API; [`Error::NoAnswer`] where it may have taken effect.
+    pub async fn evacuate(
+        &self,
+        data_centre: &str,
+        body: &EvacuationBody,
+    ) -> Result<EvacuationReply, Error> {
+        let path = format!("/v1/data-centres/{}/evacuation", encode(data_centre));
+        self.post_repeated(&path, body, "it may have taken effect: send it again, it counts once")
+            .await
+    }
+
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
         let request = self.request(Method::GET, path);
         match exchange(request, Vec::new()).await {
--- a/crates/cli/tests/testsuite/main.rs
+++ b/crates/cli/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod burn;
 mod check;
 mod drain;
+mod evacuate;
 mod evacuations;
 mod explain;
 mod publish;
--- a/crates/core/examples/subset_spread.rs
+++ b/crates/core/examples/subset_spread.rs
@@ -47,7 +47,8 @@
 fn subsets(size: usize, entries: &[EndpointEntry]) -> Vec<Subset> {
     let of = |idx: usize| {
         let (name, data_centre) = (format!("entry-{idx}"), centre(idx));
-        let chooser = Chooser { name: &name, data_centre: &data_centre, size };
+        let chooser =
+            Chooser { name: &name, data_centre: &data_centre, size, evacuated: &BTreeSet::new() };
         subset::choose(chooser, entries).iter().map(|entry| entry.name.to_string()).collect()
     };
     (0..INSTANCES).map(of).collect()
--- a/crates/core/src/config_log.rs
+++ b/crates/core/src/config_log.rs
@@ -41,10 +41,11 @@
 use crate::{
     document::Document,
     membership::ConfigMark,
+    model::DataCentre,
     record::{Batch, ConfigRecord, Drain, Entry, Offset, Snapshot, Version},
 };
 
-pub use chain::MAX_DRAINS;
+pub use chain::{MAX_DRAINS, MAX_EVACUATED};
 
 /// Something that changed for the instance.
 #[data]
@@ -53,6 +54,8 @@
     InForce(Arc<Document>, Version),
     /// An endpoint gets no new work in this life.
     Drained(Drain),
+    /// Just these data centres are evacuated.
+    Evacuated(Vec<DataCentre>),
 }
 
 /// What became of a publish.
@@ -286,6 +289,13 @@
         let is_new = |drain: &&Drain| !old_drains.iter().any(|old| chain::same_life(old, drain));
         let drained = state.drains.iter().filter(is_new);
         changes.extend(drained.cloned().map(Change::Drained));
+        let names = |state: &Snapshot| -> Vec<DataCentre> {
+            state.evacuated.iter().map(|evacuated| evacuated.data_centre.clone()).collect()
+        };
+        let evacuated = names(&state);
+        if old.map_or(!evacuated.is_empty(), |old| names(&old) != evacuated) {
+            changes.push(Change::Evacuated(evacuated));
+        }
         changes
     }
 
--- a/crates/core/src/config_log/chain.rs
+++ b/crates/core/src/config_log/chain.rs
@@ -5,12 +5,18 @@
 use crate::{
     config_log::Verdict,
     document::Document,
-    record::{ConfigRecord, Drain, Entry, Offset, Publish, Snapshot, Version},
+    record::{
+        ConfigRecord, Drain, Entry, Evacuated, Evacuation, Offset, Publish, Snapshot, Version,
+    },
 };
 
 /// Drains kept at the most. The oldest ones give way.
 pub const MAX_DRAINS: usize = 4096;
 
+/// Evacuated data centres kept at the most. A further one is not taken in: an order that
+/// gave way would be undone unsaid.
+pub const MAX_EVACUATED: usize = 1024;
+
 /// The state before the first record.
 pub fn empty() -> Snapshot {
     Snapshot {
@@ -19,6 +25,7 @@
         publish: None,
         document: Arc::new(Document::default()),
         drains: Vec::new(),
+        evacuated: Vec::new(),
         restorer: None,
     }
 }
@@ -63,6 +70,10 @@
             add_drain(&mut state.drains, drain);
             None
         }
+        ConfigRecord::Evacuation(evacuation) => {
+            note_evacuation(&mut state.evacuated, evacuation);
+            None
+        }
         ConfigRecord::Snapshot(_) => None,
     }
 }
@@ -78,6 +89,17 @@
     Verdict::Accepted { version: state.version }
 }
 
+/// The newest order for a data centre counts.
+fn note_evacuation(evacuated: &mut Vec<Evacuated>, order: &Evacuation) {
+    let Evacuation { data_centre, is_over, author } = order;
+    let is_meant = |known: &Evacuated| known.data_centre == *data_centre;
+    if *is_over {
+        evacuated.retain(|known| !is_meant(known));
+    } else if !evacuated.iter().any(is_meant) && evacuated.len() < MAX_EVACUATED {
+        evacuated.push(Evacuated { data_centre: data_centre.clone(), author: author.clone() });
+    }
+}
+
 /// Keeps one drain an endpoint, that of its newest life.
 fn add_drain(drains: &mut Vec<Drain>, drain: &Drain) {
     let known = drains.iter().position(|known| known.endpoint == drain.endpoint);
--- a/crates/core/src/endpoints.rs
+++ b/crates/core/src/endpoints.rs
@@ -2,13 +2,15 @@
 //!
 //! Three sources feed a [`Table`]: the platform's list, which lags and may
 //! flap; marks that an endpoint is leaving, from whoever learnt it first; and
-//! the instance's own calls. Three rules hold whatever order they come in:
+//! the instance's own calls. Four rules hold whatever order they come in:
 //!
 //! - **Leaving is sticky for one incarnation.** Once marked, an endpoint gets
 //!   no call until a larger incarnation of it is listed. A mark may come
 //!   before the endpoint is listed at all; it is kept until then.
 //! - **An incarnation never goes back.** A list that shows an older one is
 //!   behind and changes nothing.
+//! - **An evacuated data centre's endpoints get nothing**, listed before or after, until
+//!   the order is taken back.
 //! - **Absence counts only when it lasts.** An endpoint missing from the list
 //!   for a moment stays; the list must miss it over a span of time.
 //!
@@ -20,7 +22,7 @@
 pub mod marks;
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     time::Duration,
 };
 
@@ -32,7 +34,7 @@
     instance::input::RefuseReason,
     limits,
     membership::{EndpointState, LeavingMark},
-    model::{EndpointEntry, EndpointName, Incarnation, Load, PoolName, Presence},
+    model::{DataCentre, EndpointEntry, EndpointName, Incarnation, Load, PoolName, Presence},
 };
 
 slotmap::new_key_type! {
@@ -101,6 +103,8 @@
     names: HashMap<EndpointName, Key>,
     pools: HashMap<PoolName, Vec<Key>>,
     marks: Marks,
+    /// Data centres whose endpoints get no new work.
+    evacuated: BTreeSet<DataCentre>,
     /// Whether a list with an endpoint was seen.
     seen: bool,
     now: Duration,
@@ -116,6 +120,7 @@
             names: HashMap::new(),
             pools: HashMap::new(),
             marks,
+            evacuated: BTreeSet::new(),
             seen: false,
             now: Duration::ZERO,
         }
@@ -135,6 +140,7 @@
         for endpoint in self.slots.values_mut() {
             endpoint.set_listed(now, names.contains(&*endpoint.name), after);
         }
+        self.note_evacuated();
         self.forget_gone();
         self.seen |= !entries.is_empty();
     }
@@ -150,6 +156,23 @@
         is_new
     }
 
+    /// Just the endpoints of these data centres get no new work until it is said anew.
+    pub fn evacuate(&mut self, data_centres: Vec<DataCentre>) {
+        self.evacuated = data_centres.into_iter().collect();
+        self.note_evacuated();
+    }
+
+    /// The data centres whose endpoints get no new work.
+    pub fn evacuated(&self) -> &BTreeSet<DataCentre> {
+        &self.evacuated
+    }
+
+    fn note_evacuated(&mut self) {
+        for endpoint in self.slots.values_mut() {
+            endpoint.set_evacuated(self.evacuated.contains(&endpoint.data_centre));
+        }
+    }
+
     /// All marks, for peers.
     pub fn leaving_marks(&self) -> Vec<LeavingMark> {
         self.marks.all()
--- a/crates/core/src/endpoints/entry.rs
+++ b/crates/core/src/endpoints/entry.rs
@@ -24,6 +24,8 @@
     Ejected,
     /// The list has missed it for long.
     Gone,
+    /// Its data centre is evacuated.
+    Evacuated,
 }
 
 impl State {
@@ -34,6 +36,7 @@
             State::Leaving => "leaving",
             State::Ejected => "ejected",
             State::Gone => "gone",
+            State::Evacuated => "evacuated",
         }
     }
 }
@@ -56,6 +59,7 @@
     /// Calls under way that were sent to an earlier life.
     stale: u32,
     leaving: bool,
+    evacuated: bool,
     gone: bool,
     /// Since when the list has missed it.
     absent: Option<Duration>,
@@ -123,6 +127,7 @@
             in_flight: 0,
             stale: 0,
             leaving: false,
+            evacuated: false,
             gone: false,
             absent: None,
             since: now,
@@ -148,6 +153,9 @@
         if self.gone {
             return State::Gone;
         }
+        if self.evacuated {
+            return State::Evacuated;
+        }
         match self.health.phase() {
             Phase::Well => State::Usable,
             Phase::Ejected { .. } | Phase::Probing { .. } => State::Ejected,
@@ -156,7 +164,7 @@
 
     /// Whether it may get a call now, but for its limit. True for one probe of an ejected one.
     pub fn is_usable(&self, now: Duration) -> bool {
-        !self.leaving && !self.gone && self.health.is_open(now)
+        !self.leaving && !self.evacuated && !self.gone && self.health.is_open(now)
     }
 
     /// Whether its next call is the probe that may bring it back.
@@ -237,6 +245,10 @@
         self.gone = now.saturating_sub(since) >= after;
     }
 
+    pub(super) fn set_evacuated(&mut self, is_evacuated: bool) {
+        self.evacuated = is_evacuated;
+    }
+
     pub(super) fn mark_leaving(&mut self, incarnation: Incarnation) {
         self.leaving |= incarnation >= self.incarnation;
     }
--- a/crates/core/src/instance/platform.rs
+++ b/crates/core/src/instance/platform.rs
@@ -25,6 +25,7 @@
             match change {
                 Change::InForce(document, version) => self.install(document, version),
                 Change::Drained(drain) => self.mark_leaving(&drain.endpoint, drain.incarnation),
+                Change::Evacuated(places) => self.table.evacuate(places),
             }
         }
     }
@@ -85,6 +86,7 @@
             name: &self.identity.name,
             data_centre: &self.identity.data_centre,
             size: self.settings.subset,
+            evacuated: self.table.evacuated(),
         };
         let endpoints = subset::choose(chooser, &listing.endpoints);
         self.table.listed(self.now, &endpoints);
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -12,14 +12,14 @@
 
 use crate::{
     document::Document,
-    model::{EndpointName, Incarnation, InstanceName, RequestId},
+    model::{DataCentre, EndpointName, Incarnation, InstanceName, RequestId},
 };
 
 /// A stream of the log.
 #[id]
 #[derive(Copy, Serialize, Deserialize)]
 pub enum Stream {
-    /// Configuration: publishes, snapshots, drains.
+    /// Configuration: publishes, snapshots, drains, evacuations.
     Config,
     /// Claims of non-idempotent requests.
     Claims,
@@ -87,6 +87,8 @@
     Snapshot(Snapshot),
     /// An operator's order that an endpoint gets no new work.
     Drain(Drain),
+    /// An operator's order that a data centre's endpoints get none, or its end.
+    Evacuation(Evacuation),
 }
 
 /// An operator's publish.
@@ -113,6 +115,27 @@
     pub author: Arc<str>,
 }
 
+/// An operator's order that the endpoints of a data centre get no new work until it is
+/// taken back.
+#[message]
+pub struct Evacuation {
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// Whether this takes the order back.
+    pub is_over: bool,
+    /// Who ordered it.
+    pub author: Arc<str>,
+}
+
+/// A data centre that is evacuated.
+#[message]
+pub struct Evacuated {
+    /// The data centre.
+    pub data_centre: DataCentre,
+    /// Who ordered it.
+    pub author: Arc<str>,
+}
+
 /// The folded state of the configuration stream as of one offset.
 #[message]
 pub struct Snapshot {
@@ -126,6 +149,9 @@
     pub document: Arc<Document>,
     /// Drains in force.
     pub drains: Vec<Drain>,
+    /// Data centres that are evacuated.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuated: Vec<Evacuated>,
     /// Who restored this version; `None` where a publish made it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub restorer: Option<Arc<str>>,
--- a/crates/core/src/subset.rs
+++ b/crates/core/src/subset.rs
@@ -15,11 +15,14 @@
 //! chance. Routing by load evens that out, as long as an endpoint's other
 //! callers show in its reports.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use xxhash_rust::xxh3;
 
-use crate::model::{EndpointEntry, PoolName};
+use crate::model::{DataCentre, EndpointEntry, PoolName};
 
 /// Share of a subset that comes out of the instance's own data centre first.
 const LOCAL_SHARE: f64 = 0.5;
@@ -33,6 +36,8 @@
     pub data_centre: &'a str,
     /// Endpoints of a pool that it keeps to, at the most.
     pub size: usize,
+    /// Data centres whose endpoints get nothing: they come last.
+    pub evacuated: &'a BTreeSet<DataCentre>,
 }
 
 /// The endpoints that an instance keeps to, out of the whole list. A pool that
@@ -49,13 +54,17 @@
     if pool.len() <= chooser.size {
         return pool;
     }
-    pool.sort_by_key(|entry| Reverse(rank(chooser.name, &entry.name)));
-    let is_local = |entry: &&EndpointEntry| *entry.data_centre == *chooser.data_centre;
+    let is_empty = |entry: &EndpointEntry| chooser.evacuated.contains(&entry.data_centre);
+    let place =
+        |entry: &&EndpointEntry| (is_empty(entry), Reverse(rank(chooser.name, &entry.name)));
+    pool.sort_by_key(place);
+    let is_local =
+        |entry: &&EndpointEntry| *entry.data_centre == *chooser.data_centre && !is_empty(entry);
     let reserved = (chooser.size as f64 * LOCAL_SHARE) as usize;
     let (local, other): (Vec<_>, Vec<_>) = pool.into_iter().partition(is_local);
     let near = reserved.min(local.len());
     let mut rest = [&local[near..], &other].concat();
-    rest.sort_by_key(|entry| Reverse(rank(chooser.name, &entry.name)));
+    rest.sort_by_key(place);
     rest.truncate(chooser.size - near);
     [&local[..near], &rest].concat()
 }
--- a/crates/core/tests/testsuite/config_log.rs
+++ b/crates/core/tests/testsuite/config_log.rs
@@ -6,10 +6,10 @@
 
 use expect_test::expect;
 use peatdeck_core::{
-    config_log::{Change, Fold, MAX_DRAINS, Verdict},
+    config_log::{Change, Fold, MAX_DRAINS, MAX_EVACUATED, Verdict},
     document::Document,
     model::Incarnation,
-    record::{Batch, ConfigRecord, Drain, Entry, Publish, Snapshot},
+    record::{Batch, ConfigRecord, Drain, Entry, Evacuation, Publish, Snapshot},
 };
 
 const KEEP: Duration = Duration::from_secs(6_400);
@@ -35,6 +35,18 @@
 }
 
 /// A fold that has read records to the end.
+fn evacuation(data_centre: &str, is_over: bool) -> ConfigRecord {
+    ConfigRecord::Evacuation(Evacuation {
+        data_centre: Arc::from(data_centre),
+        is_over,
+        author: Arc::from("op"),
+    })
+}
+
+fn evacuated(fold: &Fold) -> Vec<&str> {
+    fold.current().unwrap().evacuated.iter().map(|known| &*known.data_centre).collect()
+}
+
 fn fold_of(records: Vec<ConfigRecord>) -> Fold {
     let mut fold = Fold::new();
     fold.read(&batch(0, 0, records));
@@ -78,6 +90,7 @@
         publish: Some(Arc::from(id)),
         document: Arc::default(),
         drains: Vec::new(),
+        evacuated: Vec::new(),
         restorer: Some(Arc::from("op")),
     })
 }
@@ -130,3 +143,43 @@
     assert_eq!([due(1_699, 1), due(1_700, 1)], [false, true]);
     assert_eq!([due(3_199, 999), due(3_200, 999)], [false, true]);
 }
+
+#[test]
+fn the_newest_order_for_a_data_centre_counts() {
+    let orders = vec![evacuation("a", false), evacuation("b", false), evacuation("a", false)];
+    assert_eq!(evacuated(&fold_of(orders.clone())), ["a", "b"]);
+    let back = [orders, vec![evacuation("a", true), evacuation("c", true)]].concat();
+    assert_eq!(evacuated(&fold_of(back.clone())), ["b"]);
+    let again = [back, vec![evacuation("a", false)]].concat();
+    assert_eq!(evacuated(&fold_of(again)), ["b", "a"]);
+}
+
+/// One too many is not taken in: an order that gave way would be undone unsaid.
+#[test]
+fn evacuations_are_bounded_and_none_gives_way() {
+    let many = (0..=MAX_EVACUATED).map(|idx| evacuation(&format!("dc-{idx}"), false));
+    let fold = fold_of(many.collect());
+    assert_eq!(evacuated(&fold).len(), MAX_EVACUATED);
+    assert_eq!(evacuated(&fold)[0], "dc-0");
+}
+
+#[test]
+fn a_snapshot_carries_evacuations_to_whoever_starts_from_it() {
+    let known = fold_of(vec![publish("p", 0), evacuation("a", false)]);
+    let mut fold = Fold::new();
+    let changes = fold.adopt(known.current().unwrap());
+    assert!(changes.contains(&Change::Evacuated(vec!["a".into()])), "{changes:?}");
+    assert_eq!(evacuated(&fold), ["a"]);
+    // A publish behind it changes nothing of that.
+    let records = vec![publish("p", 0), evacuation("a", false), publish("q", 1)];
+    assert_eq!(evacuated(&fold_of(records)), ["a"]);
+}
+
+#[test]
+fn a_record_of_a_build_before_knows_no_evacuations() {
+    let text = r#"{"as_of":null,"version":1,"publish":null,"document":{},"drains":[]}"#;
+    let snapshot: Snapshot = serde_json::from_str(text).unwrap();
+    assert!(snapshot.evacuated.is_empty());
+    let again = serde_json::to_string(&snapshot).unwrap();
+    assert!(!again.contains("evacuated"), "{again}");
+}
--- a/crates/core/tests/testsuite/endpoints.rs
+++ b/crates/core/tests/testsuite/endpoints.rs
@@ -263,3 +263,29 @@
     assert_eq!(states.len(), 1);
     assert_eq!(states[0].load, Some(load(3, 1500)));
 }
+
+fn entry_in(data_centre: &str, name: &str) -> EndpointEntry {
+    EndpointEntry { data_centre: Arc::from(data_centre), ..entry(name, 1) }
+}
+
+fn usable(table: &Table) -> Vec<&str> {
+    let usable = table.pool(POOL).filter(|endpoint| endpoint.is_usable(Duration::ZERO));
+    usable.map(|endpoint| &*endpoint.name).collect()
+}
+
+#[test]
+fn endpoints_of_an_evacuated_data_centre_get_nothing_until_it_is_over() {
+    let mut table = table(&[entry_in("north", "a"), entry_in("south", "b")]);
+    table.evacuate(vec!["north".into(), "nowhere".into()]);
+    assert_eq!(usable(&table), ["b"]);
+    assert_eq!(table.endpoint("a").unwrap().state(), State::Evacuated);
+    // One that comes meanwhile, and a new life.
+    let later = [
+        entry_in("north", "c"),
+        EndpointEntry { incarnation: Incarnation(2), ..entry_in("north", "a") },
+    ];
+    table.listed(Duration::ZERO, &[&later[..], &[entry_in("south", "b")]].concat());
+    assert_eq!(usable(&table), ["b"]);
+    table.evacuate(Vec::new());
+    assert_eq!(usable(&table).len(), 3);
+}
--- a/crates/core/tests/testsuite/fuzz/config/oracle.rs
+++ b/crates/core/tests/testsuite/fuzz/config/oracle.rs
@@ -79,7 +79,7 @@
                 let life = truth.drains.entry(drain.endpoint.to_string()).or_default();
                 *life = drain.incarnation.0.max(*life);
             }
-            ConfigRecord::Snapshot(_) => {}
+            ConfigRecord::Snapshot(_) | ConfigRecord::Evacuation(_) => {}
         }
         truth
     }
--- a/crates/core/tests/testsuite/membership.rs
+++ b/crates/core/tests/testsuite/membership.rs
@@ -39,6 +39,7 @@
         publish: None,
         document: Arc::default(),
         drains: Vec::new(),
+        evacuated: Vec::new(),
         restorer: None,
     }
 }
--- a/crates/test-support/src/processes/control.rs
+++ b/crates/test-support/src/processes/control.rs
@@ -14,7 +14,7 @@
     log::LogState,
 };
 use peatdeck_wire::{
-    admin::{DrainBody, DrainReply, PublishBody, PublishReply},
+    admin::{DrainBody, DrainReply, EvacuationBody, EvacuationReply, PublishBody, PublishReply},
     platform::{AppendBody, AppendReply},
 };
 
@@ -111,6 +111,18 @@
         self.http.post_as(TOKEN, &admin.addr, &path, &body).await
     }
 
+    /// Orders through the administration process that a data centre is evacuated, or
+    /// takes that back.
+    ///
+    /// # Errors
+    /// If there is none, or it does not accept.
+    pub async fn evacuate(&self, data_centre: &str, is_over: bool) -> Result<EvacuationReply> {
+        let admin = self.admins.get(ADMIN).ok_or(Error::NoAdmin)?;
+        let body = EvacuationBody { author: AUTHOR.into(), is_over };
+        let path = format!("/v1/data-centres/{data_centre}/evacuation");
+        self.http.post_as(TOKEN, &admin.addr, &path, &body).await
+    }
+
     /// Appends a publish to the log, without anybody's check.
     ///
     /// # Errors
--- a/crates/testsuite/tests/testsuite/drain.rs
+++ b/crates/testsuite/tests/testsuite/drain.rs
@@ -173,3 +173,33 @@
     bench.wait_leaving("encode-1", 1, Duration::ZERO).await;
     bench.finish().await;
 }
+
+/// Endpoints of the fixture stand by turns in two data centres.
+#[ntex::test]
+async fn an_evacuated_data_centre_gets_nothing_also_after_an_entrys_restart() {
+    let mut bench = Bench::start(Builder::default()).await;
+    bench.system.evacuate("dc-1", false).await.unwrap();
+    let evacuated = |status: &peatdeck_wire::admin::EntryStatus| {
+        let mut endpoints = status.endpoints.iter();
+        endpoints.any(|known| &*known.endpoint == "encode-1" && &*known.state == "evacuated")
+    };
+    for entry in ["entry-1", "entry-2"] {
+        bench.system.wait_status(entry, "it is evacuated", BOUND, evacuated).await.unwrap();
+    }
+    let (_, before) = arrivals(&bench, "encode-1").await;
+    bench.ask_many(CERTIFICATE, requests("evacuated", 20)).await;
+    bench.system.restart("entry-1").await.unwrap();
+    bench.system.wait_ready("entry-1").await.unwrap();
+    bench.system.wait_status("entry-1", "it knows", BOUND, evacuated).await.unwrap();
+    let told = bench.ask_many(CERTIFICATE, requests("restarted", 20)).await;
+    assert!(told.iter().all(|told| told.endpoint("encode") == Some("encode-2")), "{told:?}");
+    assert_eq!(arrivals(&bench, "encode-1").await.1, before);
+
+    bench.system.evacuate("dc-1", true).await.unwrap();
+    let look = async || {
+        bench.ask_many(CERTIFICATE, requests("back", 4)).await;
+        (arrivals(&bench, "encode-1").await.1 > before).then_some(())
+    };
+    peatdeck_test_support::wait::until("a call once it is over", BOUND, look).await.unwrap();
+    bench.finish().await;
+}
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -11,6 +11,7 @@
 //! - `GET /v1/config/history?from=&limit=`: [`HistoryReply`].
 //! - `GET /v1/config/verdict/{id}`: [`VerdictReply`].
 //! - `POST /v1/endpoints/{name}/drain`: [`DrainBody`] to [`DrainReply`].
+//! - `POST /v1/data-centres/{name}/evacuation`: [`EvacuationBody`] to [`EvacuationReply`].
 //! - `GET /v1/status`: [`StatusReply`].
 //! - `GET /v1/outcomes?since=`: [`OutcomesReply`].
 //!
@@ -22,7 +23,7 @@
     check::Problem,
     document::Document,
     model::Incarnation,
-    record::{Drain, Offset, Version},
+    record::{Drain, Evacuated, Offset, Version},
 };
 use peatdeck_macros::message;
 
@@ -214,6 +215,9 @@
     pub document: Arc<Document>,
     /// Drains in force.
     pub drains: Vec<Drain>,
+    /// Data centres that are evacuated.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuated: Vec<Evacuated>,
 }
 
 /// One page of what was done to the configuration, oldest first.
@@ -267,6 +271,13 @@
         /// The incarnation it holds for.
         incarnation: Incarnation,
     },
+    /// Evacuated a data centre, or took that back.
+    Evacuation {
+        /// The data centre.
+        data_centre: Arc<str>,
+        /// Whether it was taken back.
+        is_over: bool,
+    },
 }
 
 /// What became of a publish.
@@ -320,6 +331,28 @@
     pub incarnation: Incarnation,
 }
 
+/// Evacuates a data centre, or takes that back.
+#[message]
+#[serde(deny_unknown_fields)]
+pub struct EvacuationBody {
+    /// Who orders it.
+    pub author: Arc<str>,
+    /// Whether this takes the order back.
+    #[serde(default)]
+    pub is_over: bool,
+}
+
+/// What holds for a data centre now.
+#[message]
+pub struct EvacuationReply {
+    /// The data centre.
+    pub data_centre: Arc<str>,
+    /// Whether its endpoints get no new work.
+    pub is_evacuated: bool,
+    /// Endpoints there, as the platform's list has them; `None` where it is out.
+    pub endpoints: Option<usize>,
+}
+
 /// The status of all instances.
 #[message]
 pub struct StatusReply {
