--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -146,15 +146,16 @@
     }
 
     /// Whether a service has endpoints that would take new work, all of them in
-    /// data centres that are evacuated.
-    pub fn is_evacuated(&self, service: &str) -> bool {
+    /// data centres that are evacuated, and no last resort elsewhere.
+    pub fn is_evacuated(&self, now: Duration, service: &str) -> bool {
         if self.evacuated.is_empty() {
             return false;
         }
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let endpoints = keys.iter().map(|key| &self.endpoints[*key]);
         let mut ready = endpoints.filter(|endpoint| endpoint.is_ready()).peekable();
-        ready.peek().is_some() && ready.all(|endpoint| self.is_in_evacuated(endpoint))
+        let are_all = ready.peek().is_some() && ready.all(|it| self.is_in_evacuated(it));
+        are_all && self.usable(now, service).is_empty()
     }
 
     /// Whether an endpoint's data centre is evacuated.
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -445,7 +445,7 @@
             self.refuse_held(now, key);
             return;
         }
-        if self.needs_evacuated(key) {
+        if self.needs_evacuated(now, key) {
             self.give_up(now, key, Refusal::Evacuated);
             return;
         }
--- a/crates/core/src/relay/machine/evacuation.rs
+++ b/crates/core/src/relay/machine/evacuation.rs
@@ -38,14 +38,15 @@
 
     /// Whether an exchange still needs a service all of whose endpoints are
     /// evacuated. Its stages that have been started may still be made.
-    pub(super) fn needs_evacuated(&self, key: ExchangeKey) -> bool {
+    pub(super) fn needs_evacuated(&self, now: Duration, key: ExchangeKey) -> bool {
         if self.directory.evacuated().next().is_none() {
             return false;
         }
         let exchange = &self.exchanges[key];
         let stages = exchange.graph.unstarted();
         let services = stages.map(|idx| &exchange.route.stages[idx].service);
-        services.chain([&exchange.service]).any(|service| self.directory.is_evacuated(service))
+        let mut services = services.chain([&exchange.service]);
+        services.any(|service| self.directory.is_evacuated(now, service))
     }
 
     /// Ends those that nobody can serve, so that their callers hear so at once.
@@ -53,7 +54,7 @@
         let open = self.exchanges.iter().filter(|(_, exchange)| exchange.call.is_none());
         let open: Vec<_> = open.map(|(key, _)| key).collect();
         for key in open {
-            if self.needs_evacuated(key) {
+            if self.needs_evacuated(now, key) {
                 self.give_up(now, key, Refusal::Evacuated);
             }
         }
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -256,7 +256,7 @@
         if !spares.is_empty() {
             self.free_here(spares);
         }
-        let late = match self.directory.is_evacuated(service) {
+        let late = match self.directory.is_evacuated(now, service) {
             true => self.batches.take_waiting(service),
             false => self.batches.take_late(now, service, &shape, &self.directory),
         };
--- a/crates/core/tests/testsuite/relay/evacuation.rs
+++ b/crates/core/tests/testsuite/relay/evacuation.rs
@@ -287,6 +287,18 @@
     assert_eq!(called(&mut world, 10), ["b"]);
 }
 
+/// The store was away: those elsewhere have only lapsed, and are used for a moment.
+#[test]
+fn what_is_left_elsewhere_is_used_before_callers_are_refused() {
+    let mut world = two_places(Kind::Idempotent);
+    world.relay.change(world.now, Change::Removed("b".into()));
+    world.obey(evacuate("east"));
+    assert_eq!(called(&mut world, 10), ["b"]);
+    world.advance(ms(2000));
+    world.try_arrive(arrival("late", "r")).unwrap();
+    assert_eq!(world.refusals(), ["503 evacuated 600ms"]);
+}
+
 #[test]
 fn a_refusal_says_not_run_only_where_nothing_ran() {
     assert_eq!(Refusal::Evacuated.after(false).status(), 503);
