--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -208,8 +208,8 @@
         self.waiting.get(service).map_or(0, Queue::len)
     }
 
-    /// When a call becomes a straggler or has read its inputs, or a blocked endpoint is free again
-    /// while pieces wait.
+    /// When a call becomes a straggler or has read its inputs, or a blocked endpoint is
+    /// free again while pieces wait.
     pub fn next_wake(&self, now: Duration) -> Option<Duration> {
         let late = self.running.values().filter_map(|running| running.late_at);
         let read = self.running.values().filter_map(|running| running.read_at);
--- a/crates/core/src/relay/machine/evacuation.rs
+++ b/crates/core/src/relay/machine/evacuation.rs
@@ -4,8 +4,8 @@
 //! of it: calls, pieces, what is repeated, moved or resumed, and what a peer has
 //! placed there. [`Directory::usable`](crate::relay::directory::Directory::usable)
 //! leaves these endpoints out, and nothing is sent to an endpoint that it did not
-//! give just before. What runs there ends there: a stream that were moved would be
-//! read again elsewhere for nothing. Results that lie there are still read, and given
+//! give just before. What runs there ends there: a stream that is moved is read
+//! again elsewhere, for nothing. Results that lie there are still read, and given
 //! up there. Engines there are no source of copies either, since a copy is asked of
 //! them.
 
