A hedge that finds its pool full is tried again

Cause: the timer of a hedge fires once. If all slots of the pool were taken at that moment, or a call waited for one, the hedge was dropped, and a call without a reply stayed unhedged until its deadline (one 504 in replies beside a load average of 15 and more). Ruled out: the retry budget, which was not used up.

Change: the timer is set again for 20 ms later while the pool is full. The test fails without the change (no hedge in the 100 ms after 16 slots became free) and passes with it.

--- a/crates/core/src/instance/stages.rs
+++ b/crates/core/src/instance/stages.rs
@@ -25,6 +25,8 @@
 const REQUEUE_DELAY: Duration = Duration::from_millis(10);
 /// The longest such delay.
 const MAX_REQUEUE_DELAY: Duration = Duration::from_millis(500);
+/// Delay after which a hedge that found its pool full is tried again.
+const HEDGE_RECHECK_DELAY: Duration = Duration::from_millis(20);
 /// The shortest delay of a hedge.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(20);
 
@@ -299,7 +301,9 @@
         self.timers.set(self.now + after.max(MIN_HEDGE_DELAY), Timer::Hedge(call));
     }
 
-    /// Sends a hedge for a slow call, if its pool has a free slot and the retry budget allows it.
+    /// Sends a hedge for a slow call, if the retry budget allows it. If the pool has no free slot for
+    /// it, checks again after a short time, since the call may stay without a reply until its
+    /// deadline.
     pub(super) fn on_hedge_timer(&mut self, call: CallKey) {
         let Some(flight) = self.calls.get(call) else { return };
         let key = flight.request;
@@ -313,6 +317,7 @@
         let stage = &self.requests[key].pipeline.stages[progress.stage];
         let pool = stage.pool.clone();
         if self.table.pool_free_slots(self.now, &pool) == 0 || !self.queues.is_empty(&pool) {
+            self.timers.set(self.now + HEDGE_RECHECK_DELAY, Timer::Hedge(call));
             return;
         }
         if self.try_withdraw() {
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -1,6 +1,6 @@
 //! Tests of the core: a module per feature, and stateful fuzzing.
 
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, clippy::unchecked_time_subtraction)]
 
 mod admission;
 mod budget;
@@ -10,6 +10,7 @@
 mod endpoint_states;
 mod endpoints;
 mod fuzz;
+mod hedging;
 mod instances;
 mod lanes;
 mod latency;
