A placement after the deadline times the request out

Cause: the answer of a placer may be handled before the timer of a deadline that has just passed. The fuzz test advances time only together with the timers, and the soak's calls to placers are faster than a deadline, so neither met it.

Change: a placement is used only if enough time is left for a call. The new test panicked before.

--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -157,7 +157,7 @@
         if exchange.is_placement_pending {
             return;
         }
-        if exchange.deadline < now + MIN_CALL_TIME {
+        if !self.has_time_for_call(now, key) {
             self.time_out(now, key);
             return;
         }
@@ -166,6 +166,11 @@
         }
     }
 
+    /// Whether enough time is left for a call.
+    pub(super) fn has_time_for_call(&self, now: Duration, key: ExchangeKey) -> bool {
+        self.exchanges[key].deadline >= now + MIN_CALL_TIME
+    }
+
     /// Calls an endpoint that this instance chooses itself.
     pub(super) fn call_without_placer(&mut self, now: Duration, key: ExchangeKey) {
         let exchange = &self.exchanges[key];
@@ -216,7 +221,7 @@
             exchange: key,
             endpoint: target.entry.name.clone(),
             addr: target.entry.addr.clone(),
-            remaining: exchange.deadline - now,
+            remaining: exchange.deadline.saturating_sub(now),
             team: exchange.team.clone(),
             inputs: exchange.graph.outputs(&exchange.route),
             source,
--- a/crates/core/src/relay/machine/intake.rs
+++ b/crates/core/src/relay/machine/intake.rs
@@ -62,7 +62,7 @@
         if !exchange.graph.has_dependent_stages(&exchange.route) {
             return true;
         }
-        let objective = exchange.target - exchange.started_at;
+        let objective = exchange.target.saturating_sub(exchange.started_at);
         let expected = self.expected_time(now, key);
         if expected <= objective {
             return true;
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -102,6 +102,8 @@
         let is_wanted = exchange.is_some_and(|it| std::mem::take(&mut it.is_placement_pending));
         let number = placement.as_ref().map(|placement| placement.number);
         let chosen = placement.filter(|_| is_wanted);
+        // The timer of the deadline may be handled after this answer.
+        let chosen = chosen.filter(|_| self.has_time_for_call(now, key));
         let chosen = chosen.and_then(|placement| self.check_placement(now, key, peer, placement));
         if let (None, Some(number)) = (&chosen, number) {
             // The placer accounts for a call that is not made.
@@ -109,11 +111,20 @@
         }
         match chosen {
             Some(placed) => self.send_call(now, key, placed),
-            None if is_wanted => self.call_without_placer(now, key),
+            None if is_wanted => self.call_in_time(now, key),
             None => {}
         }
     }
 
+    /// Calls an endpoint without a placer, unless too little time is left.
+    fn call_in_time(&mut self, now: Duration, key: ExchangeKey) {
+        if self.has_time_for_call(now, key) {
+            self.call_without_placer(now, key);
+        } else {
+            self.time_out(now, key);
+        }
+    }
+
     /// Asks engines of a service which prompt parts they hold, if this instance has no record
     /// of that: it has placed no prompts lately, or the engines are new. Otherwise parts that
     /// were read before a placer started would be read again.
--- a/crates/core/tests/testsuite/relay/placing.rs
+++ b/crates/core/tests/testsuite/relay/placing.rs
@@ -108,6 +108,19 @@
     assert!(world.calls().is_empty());
 }
 
+/// Guards against an abort of the instance: an answer that is handled before the timer of a deadline
+/// that has just passed led to a negative remaining time.
+#[test]
+fn a_placement_that_arrives_after_the_deadline_times_the_request_out() {
+    let mut world = with_placer_peer();
+    world.submit(prompt_arrival("1"));
+    let (key, _) = placement_requests(&mut world).remove(0);
+    world.now += ms(2001);
+    deliver_placement(&mut world, key, "a");
+    assert!(world.calls().is_empty());
+    assert_eq!(world.refusals().len(), 1);
+}
+
 #[test]
 fn a_placer_does_not_choose_excluded_engines() {
     let mut world = with_placer_peer();
