--- a/crates/core/examples/pool/main.rs
+++ b/crates/core/examples/pool/main.rs
@@ -7,6 +7,8 @@
 //!
 //! `cargo run --release -p peatdeck-core --example pool [SEEDS]`
 
+#![allow(clippy::unchecked_time_subtraction)]
+
 mod model;
 mod world;
 
--- a/crates/core/src/latency.rs
+++ b/crates/core/src/latency.rs
@@ -110,7 +110,7 @@
 /// The duration that a fraction of a bucket's samples doesn't exceed, if they are spread evenly.
 fn interpolate(idx: usize, part: f64) -> Duration {
     let lower = idx.checked_sub(1).map_or(Duration::ZERO, upper_bound);
-    lower + (upper_bound(idx) - lower).mul_f64(part)
+    lower + upper_bound(idx).saturating_sub(lower).mul_f64(part)
 }
 
 fn upper_bound(idx: usize) -> Duration {
--- a/crates/core/src/timing.rs
+++ b/crates/core/src/timing.rs
@@ -64,7 +64,7 @@
     let straggler = stage.quantile(STRAGGLER_QUANTILE)?;
     let latest = time.saturating_sub(stage.quantile(AMPLE_HEDGE_QUANTILE)?);
     if latest >= straggler {
-        return Some(straggler + (latest - straggler).mul_f64(POSTPONEMENT));
+        return Some(straggler + latest.saturating_sub(straggler).mul_f64(POSTPONEMENT));
     }
     let run = stage.quantile(MIN_HEDGE_QUANTILE)?;
     let delay = straggler.min(time.checked_sub(run)?);
--- a/crates/entry/src/platform_tasks.rs
+++ b/crates/entry/src/platform_tasks.rs
@@ -100,7 +100,7 @@
                 backoff = MIN_BACKOFF;
                 let is_empty = batch.entries.is_empty();
                 driver.feed(to_input(batch));
-                if is_empty && driver.now() - start < EMPTY_READ_DELAY {
+                if is_empty && driver.now().saturating_sub(start) < EMPTY_READ_DELAY {
                     tokio::time::sleep(EMPTY_READ_DELAY).await;
                 }
             }
--- a/crates/load/examples/rest_cost.rs
+++ b/crates/load/examples/rest_cost.rs
@@ -11,6 +11,8 @@
 //!
 //! Sizes are given as arguments `ENTRIES,ENDPOINTS,TEAMS`; without any, a default set is used.
 
+#![allow(clippy::unchecked_time_subtraction)]
+
 use std::{collections::BTreeMap, env, sync::Arc, thread, time::Duration};
 
 use peatdeck_core::{
--- a/crates/load/tests/load/main.rs
+++ b/crates/load/tests/load/main.rs
@@ -1,7 +1,7 @@
 //! Tests of the load tool: its computations, formats and plans. None depends on
 //! the speed of the host.
 
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used, clippy::unchecked_time_subtraction)]
 
 mod arrivals;
 mod ceiling;
--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -39,7 +39,7 @@
     let started = driver.now();
     let outcome = call_endpoint(&driver, &call, &request).await;
     let Err((failure, cause)) = outcome else { return };
-    let took = (driver.now() - started).as_millis() as u64;
+    let took = driver.now().saturating_sub(started).as_millis() as u64;
     decisions::log_failure(&request.id, &call.endpoint, failure, &cause, took);
     driver.metrics.count("relay.calls_failed", 1);
     driver.on_call_failure(call.key, failure);
@@ -64,7 +64,7 @@
     let (parts, body) = response.into_parts();
     let dialect = &driver.platform.dialect;
     let head = dialect.reply_head(&request.id, parts.status, &parts.headers);
-    let took = driver.now() - started;
+    let took = driver.now().saturating_sub(started);
     driver.metrics.time("relay.first_byte", took);
     decisions::log_reply(&request.id, &call.endpoint, &head, took.as_millis() as u64);
     if !head.has_request_id {
@@ -125,7 +125,7 @@
         Ok(reply) => reply,
         Err(_) => Err((Failure::Cut, "no reply in time".to_owned())),
     };
-    let took = (driver.now() - started).as_millis() as u64;
+    let took = driver.now().saturating_sub(started).as_millis() as u64;
     driver.forget_call(call);
     if let Ok((head, _)) = &reply {
         driver.feed(|machine, now| machine.on_reply_terms(now, call, head));
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -308,7 +308,7 @@
     let started = driver.now();
     let limit = driver.settings.grace.saturating_sub(EXIT_MARGIN);
     loop {
-        let waited = driver.now() - started;
+        let waited = driver.now().saturating_sub(started);
         let held = driver.inspect(|machine| machine.open_exchanges() + machine.open_tickets());
         if waited >= limit || (held == 0 && waited >= MIN_DRAIN_TIME) {
             tracing::info!(event = "finished", held, waited_ms = waited.as_millis() as u64);
--- a/crates/wire/examples/peer_cost/main.rs
+++ b/crates/wire/examples/peer_cost/main.rs
@@ -10,6 +10,8 @@
 //! cargo run --release -p peatdeck-wire --example peer_cost [members ...]
 //! ```
 
+#![allow(clippy::unchecked_time_subtraction)]
+
 mod gossip;
 mod heartbeats;
 mod network;
