Interfaces of rollouts and regions

Types and empty methods that the two features are built against: the version of an endpoint's entry, the pool that a choice is made from (service, region, track), the map of regions, allowed regions of routes and teams, and the messages of a rollout. Nothing uses them yet except the list of usable endpoints, which takes a pool.

--- a/crates/core/examples/batch_cost.rs
+++ b/crates/core/examples/batch_cost.rs
@@ -69,6 +69,8 @@
         retry_budget,
         min_instances: 74,
         millicores: 120,
+        regions: Default::default(),
+        rollout: None,
     };
     let mut relay = Relay::new(settings, 1);
     let slots = if room < 1 << 40 { 2 } else { 1 };
@@ -97,6 +99,7 @@
             service: Arc::from(SERVICE),
             addr: Arc::from(format!("10.0.0.{idx}:80")),
             data_centre: Arc::from(format!("dc-{}", idx % DATA_CENTRES)),
+            version: "v1".into(),
             slots: 1,
             is_leaving: false,
             cold_left: None,
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -31,7 +31,8 @@
 //! copies, [`readers`] selects the instances that read from the platform;
 //! [`directory`] holds the endpoints, [`engine`] estimates the load of those that
 //! generate; [`allowance`] is the retry budget; [`fingerprint`] identifies equal
-//! requests, [`quarantine`] those that crash endpoints; [`terms`] are the conditions
+//! requests, [`quarantine`] those that crash endpoints; [`region`] maps data centres to regions;
+//! [`rollout`] moves a service to a new version; [`pool`] names the endpoints that work may go to; [`terms`] are the conditions
 //! that endpoints state in replies; [`graph`] holds the stages of one exchange;
 //! [`batch`] groups pieces of all exchanges into calls; [`choice`] selects an
 //! endpoint; [`events`] splits a stream into server-sent events; `machine` combines
@@ -50,10 +51,13 @@
 pub mod graph;
 pub mod model;
 pub mod operator;
+pub mod pool;
 pub mod position;
 pub mod quarantine;
 pub mod readers;
 pub mod reading;
+pub mod region;
+pub mod rollout;
 pub mod table;
 pub mod terms;
 
--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -31,6 +31,7 @@
     model::{
         CallKey, EndpointKey, ExchangeKey, Handle, Piece, PieceFailure, PieceResult, ServiceName,
     },
+    pool::Pool,
 };
 
 /// An endpoint that is slower than expected by this factor only gets pieces that the others have no
@@ -237,7 +238,7 @@
         directory: &Directory,
     ) -> Vec<PlannedCall> {
         self.record_waiting(now, service);
-        let usable = directory.usable(now, service);
+        let usable = directory.usable(now, Pool::of(service));
         let idle = self.idle_endpoints(now, &usable, config, directory);
         if idle.is_empty() {
             return Vec::new();
@@ -402,7 +403,7 @@
         };
         let needed = bytes.saturating_mul(u64::from(config.batch));
         let lacks_memory = |worker: &&Worker| is_large || worker.free_bytes(now, config) < needed;
-        let endpoints = directory.usable(now, service).into_iter();
+        let endpoints = directory.usable(now, Pool::of(service)).into_iter();
         let workers = endpoints.filter_map(|key| self.workers.get(&key)).filter(lacks_memory);
         workers.flat_map(Worker::evictable).cloned().collect()
     }
--- a/crates/core/src/relay/batch/admission.rs
+++ b/crates/core/src/relay/batch/admission.rs
@@ -10,6 +10,7 @@
     config::Pieces,
     directory::Directory,
     model::{Piece, PieceFailure, PieceResult},
+    pool::Pool,
 };
 
 /// Interval between two searches for late pieces that are starved by more urgent ones.
@@ -133,7 +134,7 @@
 /// Pieces per second that the endpoints of a service complete in full calls according to the
 /// configuration.
 fn configured_rate(now: Duration, service: &str, config: &Pieces, directory: &Directory) -> f64 {
-    let endpoints = directory.usable(now, service).len().max(1);
+    let endpoints = directory.usable(now, Pool::of(service)).len().max(1);
     let batch = config.batch as usize;
     (endpoints * batch) as f64 / Batcher::call_time(config, batch).as_secs_f64()
 }
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -21,6 +21,7 @@
         config::{Engine, Transfer},
         directory::{Directory, Endpoint},
         model::{EndpointKey, Prompt},
+        pool::Pool,
     },
 };
 
@@ -196,7 +197,7 @@
     let median = median_response_time(&candidates);
     let is_independent = criteria.chooser == Chooser::Independent;
     let owners = if is_independent { &candidates[..] } else { &[] };
-    let engines = directory.usable(now, service);
+    let engines = directory.usable(now, Pool::of(service));
     let others = criteria.chooser.owned_by_others(directory, &engines);
     let sources = prompts::fetch_sources(directory, now, &engines);
     let rates = PrefillRates { transfer: criteria.transfer, token_millis: criteria.token_millis };
@@ -270,7 +271,7 @@
     service: &str,
     criteria: Criteria<'_>,
 ) -> Vec<(EndpointKey, &'a Endpoint)> {
-    let usable = directory.usable(now, service).into_iter();
+    let usable = directory.usable(now, Pool::of(service)).into_iter();
     let open = usable.filter(|key| !criteria.withheld.contains(key));
     let untried = open.filter(|key| !criteria.tried.contains(key));
     let endpoints = untried.filter_map(|key| Some((key, directory.get(key)?)));
--- a/crates/core/src/relay/config.rs
+++ b/crates/core/src/relay/config.rs
@@ -4,7 +4,10 @@
 
 use peatdeck_macros::{data, id};
 
-use crate::{model::TeamName, relay::model::ServiceName};
+use crate::{
+    model::TeamName,
+    relay::{model::ServiceName, region::RegionName},
+};
 
 /// One version of the configuration.
 #[data]
@@ -28,6 +31,8 @@
     pub name: TeamName,
     /// Priority that overrides the route's, 0 first; `None` for the route's.
     pub priority: Option<u8>,
+    /// The only regions where its requests may be served, cached and stored; `None` for all.
+    pub allowed_regions: Option<Arc<[RegionName]>>,
 }
 
 /// Limits on callers' requests and connections.
@@ -89,6 +94,8 @@
     pub priority: u8,
     /// Whether no key is needed.
     pub is_public: bool,
+    /// The only regions where its requests may be served, cached and stored; `None` for all.
+    pub allowed_regions: Option<Arc<[RegionName]>>,
     /// Stages that run before the call.
     pub stages: Vec<Stage>,
 }
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -29,6 +29,9 @@
     relay::{
         directory::endpoint::State,
         model::{EndpointId, EndpointKey, ServiceName},
+        pool::Pool,
+        region::RegionMap,
+        rollout::Version,
     },
 };
 
@@ -51,6 +54,8 @@
     pub addr: Arc<str>,
     /// Its data centre.
     pub data_centre: DataCentre,
+    /// The version of its software.
+    pub version: Version,
     /// Calls that it runs concurrently.
     pub slots: u32,
     /// Whether it is leaving and accepts no new work.
@@ -100,9 +105,20 @@
     by_service: HashMap<ServiceName, Vec<EndpointKey>>,
     /// Data centres whose endpoints receive no calls because operators evacuated them.
     evacuated: BTreeSet<DataCentre>,
+    regions: RegionMap,
 }
 
 impl Directory {
+    /// An empty directory of a deployment with these regions.
+    pub fn new(regions: RegionMap) -> Directory {
+        Directory { regions, ..Directory::default() }
+    }
+
+    /// The regions of the deployment.
+    pub fn regions(&self) -> &RegionMap {
+        &self.regions
+    }
+
     /// Applies a change.
     pub fn apply_change(&mut self, now: Duration, change: Change) -> ChangeEffect {
         match change {
@@ -164,7 +180,7 @@
         let endpoints = keys.iter().map(|key| &self.endpoints[*key]);
         let mut ready = endpoints.filter(|endpoint| endpoint.is_ready()).peekable();
         let are_all = ready.peek().is_some() && ready.all(|it| self.is_in_evacuated(it));
-        are_all && self.usable(now, service).is_empty()
+        are_all && self.usable(now, Pool::of(service)).is_empty()
     }
 
     /// Whether an endpoint's data centre is evacuated.
@@ -172,13 +188,16 @@
         self.evacuated.contains(&endpoint.entry.data_centre)
     }
 
-    /// The endpoints of a service that accept new work, except in evacuated data centres.
+    /// The endpoints of a pool that accept new work, except in evacuated data centres.
     /// If more than half of the entries disappeared recently, they are considered expired
     /// and their endpoints are included: the few endpoints whose entries return first
     /// would be overloaded with the calls for all.
-    pub fn usable(&self, now: Duration, service: &str) -> Vec<EndpointKey> {
-        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let keys = keys.iter().filter(|key| !self.is_in_evacuated(&self.endpoints[**key]));
+    pub fn usable(&self, now: Duration, pool: Pool<'_>) -> Vec<EndpointKey> {
+        let keys = self.by_service.get(pool.service).map_or(&[][..], Vec::as_slice);
+        let keys = keys.iter().filter(|key| {
+            let endpoint = &self.endpoints[**key];
+            !self.is_in_evacuated(endpoint) && self.is_in_region(endpoint, pool.region)
+        });
         let is_ready = |key: &EndpointKey| self.endpoints[*key].is_ready();
         let has_expired = |key: &EndpointKey| self.endpoints[*key].is_last_resort(now);
         let ready = keys.clone().filter(|key| is_ready(key)).count();
@@ -187,6 +206,10 @@
         keys.filter(is_usable).copied().collect()
     }
 
+    fn is_in_region(&self, endpoint: &Endpoint, region: Option<&str>) -> bool {
+        region.is_none() || self.regions.region_of(&endpoint.entry.data_centre) == region
+    }
+
     /// The service of the endpoint that listens at an address.
     pub fn service_at(&self, addr: &str) -> Option<ServiceName> {
         let mut endpoints = self.endpoints.values();
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -8,7 +8,7 @@
 //! for all instances; `quarantine` stops requests that crash endpoints; `evacuation` keeps
 //! all requests away from evacuated data centres; `pace` limits the calls to endpoints that
 //! are cold or state a limit; `terms` processes what endpoints report of themselves;
-//! `policies` runs the operators' programs.
+//! `policies` runs the operators' programs; `rollouts` moves services to new versions.
 
 mod calls;
 mod ending;
@@ -22,6 +22,7 @@
 mod quarantine;
 mod queues;
 mod results;
+mod rollouts;
 mod stages;
 mod terms;
 
@@ -53,6 +54,8 @@
         },
         quarantine::Quarantine,
         reading::PrefillSpeed,
+        region::RegionMap,
+        rollout,
         terms::Notice,
     },
 };
@@ -75,6 +78,10 @@
     pub min_instances: usize,
     /// CPU share of this instance, in thousandths of a core.
     pub millicores: u32,
+    /// The regions of the deployment.
+    pub regions: RegionMap,
+    /// Limits of rollouts; `None` if the deployment has none, and versions are ignored.
+    pub rollout: Option<rollout::Limits>,
 }
 
 /// The relay's state machine.
@@ -183,10 +190,10 @@
         // instance.
         let next_run = u64::from(SmallRng::seed_from_u64(!seed).random::<u32>()) << 32;
         Relay {
+            directory: Directory::new(settings.regions.clone()),
             settings,
             rng: SmallRng::seed_from_u64(seed),
             config: None,
-            directory: Directory::default(),
             sent_parts: choice::prompts::SentParts::default(),
             exchanges: SlotMap::with_key(),
             calls: SlotMap::with_key(),
--- a/crates/core/src/relay/machine/evacuation.rs
+++ b/crates/core/src/relay/machine/evacuation.rs
@@ -37,6 +37,8 @@
             OperatorCommand::Configure(config) => self.configure(config.into()),
             OperatorCommand::Evacuate(data_centre) => self.directory.evacuate(data_centre),
             OperatorCommand::Restore(data_centre) => self.directory.restore(&data_centre),
+            OperatorCommand::RollOut(order) => self.apply_order(order),
+            OperatorCommand::WithdrawRollout(service) => self.withdraw_order(&service),
         }
     }
 
--- a/crates/core/src/relay/machine/moves.rs
+++ b/crates/core/src/relay/machine/moves.rs
@@ -8,6 +8,7 @@
     exchange::{CallPurpose, Exchange},
     machine::Relay,
     model::{Action, CallKey, EndpointKey, ExchangeKey, Failure, Step},
+    pool::Pool,
 };
 
 /// An engine's first token is overdue after this multiple of the time within which nine of
@@ -88,7 +89,7 @@
             route.kind.is_repeatable() && !has_sent_head && *attempts < route.max_attempts;
         let is_available =
             |key: &EndpointKey| self.directory.get(*key).is_some_and(|it| !it.is_paused(now));
-        let others = self.directory.usable(now, service).into_iter();
+        let others = self.directory.usable(now, Pool::of(service)).into_iter();
         let has_other = others.filter(|key| !tried.contains(key)).any(|key| is_available(&key));
         may_repeat && has_other && *deadline > now + OVERDUE_SLACK
     }
--- a/crates/core/src/relay/machine/pace.rs
+++ b/crates/core/src/relay/machine/pace.rs
@@ -24,6 +24,7 @@
     exchange::Exchange,
     machine::Relay,
     model::{EndpointKey, ExchangeKey, ServiceName},
+    pool::Pool,
     terms::Rate,
 };
 
@@ -79,7 +80,7 @@
         service: &ServiceName,
         chooser: Chooser,
     ) -> Vec<EndpointKey> {
-        let usable = self.directory.usable(now, service);
+        let usable = self.directory.usable(now, Pool::of(service));
         let known = usable.iter().filter_map(|key| Some((*key, self.directory.get(*key)?)));
         let limited = known.filter_map(|(key, endpoint)| {
             let pace = self.pace(now, endpoint);
@@ -107,7 +108,7 @@
     /// `None` if one of them is not, or none is left.
     pub(super) fn first_available(&self, now: Duration, key: ExchangeKey) -> Option<Duration> {
         let Exchange { service, tried, .. } = &self.exchanges[key];
-        let usable = self.directory.usable(now, service).into_iter();
+        let usable = self.directory.usable(now, Pool::of(service)).into_iter();
         let open = usable.filter(|endpoint| !tried.contains(endpoint));
         let known = open.filter_map(|endpoint| self.directory.get(endpoint));
         let first = known.map(|endpoint| endpoint.hold_until).min()?;
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -34,6 +34,7 @@
             Action, EndpointId, EndpointKey, ExchangeKey, HeldParts, Placement, PlacementRequest,
             Progress, Prompt, RunNumber, Step,
         },
+        pool::Pool,
         reading::PrefillSpeed,
     },
 };
@@ -133,7 +134,7 @@
             self.queried_engines.clear();
         }
         self.last_placement = now;
-        for endpoint in self.directory.usable(now, service) {
+        for endpoint in self.directory.usable(now, Pool::of(service)) {
             let Some(engine) = self.directory.get(endpoint) else { continue };
             // This request counts as a call too.
             let is_limited = engine.is_on_hold(now) || engine.limit().is_some();
@@ -334,7 +335,7 @@
     fn excluded_engines(&self, now: Duration, key: ExchangeKey) -> Vec<EndpointId> {
         let exchange = &self.exchanges[key];
         let limit = self.connection_limit(&exchange.service);
-        let known = self.directory.usable(now, &exchange.service).into_iter();
+        let known = self.directory.usable(now, Pool::of(&exchange.service)).into_iter();
         let excluded = known.filter_map(|key| {
             let engine = self.directory.get(key)?;
             let is_full = engine.in_flight >= limit;
@@ -356,7 +357,7 @@
     ) -> Option<Placed> {
         let endpoint = self.directory.by_id(&placement.engine)?;
         let service = &self.exchanges[key].service;
-        let is_usable = self.directory.usable(now, service).contains(&endpoint);
+        let is_usable = self.directory.usable(now, Pool::of(service)).contains(&endpoint);
         let wants_rest = self.directory.get(endpoint).is_some_and(|it| it.is_on_hold(now));
         if !is_usable || wants_rest {
             return None;
--- a/crates/core/src/relay/machine/policies.rs
+++ b/crates/core/src/relay/machine/policies.rs
@@ -17,6 +17,7 @@
         exchange::Exchange,
         machine::Relay,
         model::ExchangeKey,
+        pool::Pool,
     },
 };
 
@@ -142,7 +143,7 @@
     /// Estimated wait for the pieces that are queued here.
     fn expected_wait(&self, now: Duration, service: &str) -> Duration {
         let Some(config) = self.piece_config(service) else { return Duration::ZERO };
-        let endpoints = self.directory.usable(now, service).len().max(1);
+        let endpoints = self.directory.usable(now, Pool::of(service)).len().max(1);
         let batch = config.batch as usize;
         let calls = self.batcher.waiting_count(service) as f64 / (endpoints * batch) as f64;
         Batcher::call_time(&config, batch).mul_f64(calls)
@@ -156,7 +157,7 @@
     }
 
     fn free_slots(&self, now: Duration, service: &str) -> u32 {
-        let usable = self.directory.usable(now, service).into_iter();
+        let usable = self.directory.usable(now, Pool::of(service)).into_iter();
         let known = usable.filter_map(|key| self.directory.get(key));
         known.map(|endpoint| endpoint.entry.slots.saturating_sub(endpoint.calls(now))).sum()
     }
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -1,16 +1,15 @@
 //! Types shared by the relay's modules and its event loop.
 
+mod action;
+mod refusal;
+
 use std::{sync::Arc, time::Duration};
 
 use peatdeck_macros::{data, id};
 
 use crate::{
     model::{DataCentre, EndpointName, Incarnation, InstanceName, Load, TeamName},
-    relay::{
-        fingerprint::Fingerprint,
-        quarantine::Crash,
-        terms::{Notice, Rate, Terms},
-    },
+    relay::{fingerprint::Fingerprint, terms::Terms},
 };
 
 /// A group of endpoints that serve the same routes or stages.
@@ -20,6 +19,9 @@
 /// An endpoint's reference to a result that it stores, sent on as it is.
 pub type Handle = Arc<str>;
 
+pub use action::Action;
+pub use refusal::Refusal;
+
 slotmap::new_key_type! {
     /// One request of a caller, from its arrival to its answer.
     pub struct ExchangeKey;
@@ -311,6 +313,8 @@
     pub name: InstanceName,
     /// Its CPU share in thousandths of a core; 0 if it did not report it.
     pub millicores: u32,
+    /// Its data centre; empty if it did not report it.
+    pub data_centre: DataCentre,
 }
 
 /// Why a piece has no result.
@@ -329,275 +333,3 @@
 
 /// The handle of a piece's result, or why there is none.
 pub type PieceResult = Result<Handle, PieceFailure>;
-
-/// Why an exchange ends without an endpoint's answer.
-#[id]
-#[derive(Copy)]
-pub enum Refusal {
-    /// The instance has not read the configuration and the quarantined contents yet.
-    NotReady,
-    /// No route matches.
-    NoRoute,
-    /// The caller's key is unknown or missing.
-    UnknownKey,
-    /// The request lacks what its route needs.
-    Malformed,
-    /// Nothing ran and nothing will: no endpoint accepts the request.
-    Unserved,
-    /// Nothing ran and nothing will: it cannot be done before its deadline.
-    Infeasible,
-    /// Nothing ran and nothing will: the operators' policy rejects the request.
-    Policy,
-    /// Nothing ran and nothing will: the content is quarantined because it crashes
-    /// endpoints.
-    Quarantined,
-    /// Nothing ran and nothing will: all endpoints of a service that it needs are in
-    /// evacuated data centres.
-    Evacuated,
-    /// The deadline passed; something may have run.
-    TimedOut,
-    /// An endpoint failed; something may have run.
-    Failed,
-}
-
-impl Refusal {
-    /// The refusal to send given whether something may have run. A refusal that promises
-    /// that nothing ran becomes [`Refusal::Failed`] then.
-    pub fn after(self, has_run: bool) -> Refusal {
-        match self {
-            Refusal::Infeasible
-            | Refusal::Unserved
-            | Refusal::Policy
-            | Refusal::Quarantined
-            | Refusal::Evacuated
-                if has_run =>
-            {
-                Refusal::Failed
-            }
-            other => other,
-        }
-    }
-
-    /// The HTTP status of the answer to the caller.
-    pub fn status(self) -> u16 {
-        match self {
-            Refusal::NotReady
-            | Refusal::Unserved
-            | Refusal::Infeasible
-            | Refusal::Policy
-            | Refusal::Quarantined
-            | Refusal::Evacuated => 503,
-            Refusal::NoRoute => 404,
-            Refusal::UnknownKey => 401,
-            Refusal::Malformed => 400,
-            Refusal::TimedOut => 504,
-            Refusal::Failed => 502,
-        }
-    }
-
-    /// The name in logs and counters.
-    pub fn name(self) -> &'static str {
-        match self {
-            Refusal::NotReady => "not_ready",
-            Refusal::NoRoute => "no_route",
-            Refusal::UnknownKey => "unknown_key",
-            Refusal::Malformed => "malformed",
-            Refusal::Unserved => "unserved",
-            Refusal::Infeasible => "infeasible",
-            Refusal::Policy => "policy",
-            Refusal::Quarantined => "quarantined",
-            Refusal::Evacuated => "evacuated",
-            Refusal::TimedOut => "timed_out",
-            Refusal::Failed => "failed",
-        }
-    }
-}
-
-/// An action that the event loop is to carry out.
-#[data]
-pub enum Action {
-    /// Call an endpoint.
-    Send(Call),
-    /// Abandon a call and close its connection.
-    Cancel(CallKey),
-    /// Pass on the call's complete reply.
-    Answer {
-        /// The exchange.
-        exchange: ExchangeKey,
-        /// The call.
-        call: CallKey,
-    },
-    /// Pass on the head of the call's stream; its events follow.
-    BeginStream {
-        /// The exchange.
-        exchange: ExchangeKey,
-        /// The call.
-        call: CallKey,
-    },
-    /// End a stream that is complete.
-    FinishStream(ExchangeKey),
-    /// End a stream so that the caller detects that it is incomplete.
-    AbortStream(ExchangeKey),
-    /// Answer the caller with a refusal.
-    Refuse {
-        /// The exchange.
-        exchange: ExchangeKey,
-        /// The reason.
-        refusal: Refusal,
-        /// When to retry; `None` where a repeat is not known to be safe.
-        retry_after: Option<Duration>,
-    },
-    /// Call an endpoint to run pieces.
-    MakePieces {
-        /// The call's key.
-        call: CallKey,
-        /// The endpoint.
-        endpoint: EndpointName,
-        /// Where it listens.
-        addr: Arc<str>,
-        /// The pieces.
-        pieces: Vec<Piece>,
-    },
-    /// Free results at an endpoint.
-    FreeResults {
-        /// Where the endpoint listens.
-        addr: Arc<str>,
-        /// The results.
-        handles: Vec<Handle>,
-    },
-    /// Ask the peer that batches the service of results to free them.
-    FreeViaPeer {
-        /// The peer.
-        peer: InstanceName,
-        /// The results.
-        handles: Vec<Handle>,
-        /// Whether they are to be freed only once result memory is scarce.
-        is_evictable: bool,
-    },
-    /// Hand pieces over to the peer that batches their service.
-    HandOverPieces {
-        /// The key of the handover.
-        key: HandoverKey,
-        /// The peer.
-        peer: InstanceName,
-        /// The pieces.
-        pieces: Vec<Piece>,
-    },
-    /// Recall pieces that were handed over.
-    RecallPieces(HandoverKey),
-    /// Close connections to an address: the endpoint there has restarted.
-    Disconnect(Arc<str>),
-    /// Ask an engine which parts of prompts it holds.
-    ListParts {
-        /// The engine.
-        endpoint: EndpointKey,
-        /// Where it listens.
-        addr: Arc<str>,
-    },
-    /// Ask a placer which engine should run an exchange's call.
-    RequestPlacement {
-        /// The exchange.
-        exchange: ExchangeKey,
-        /// The peer.
-        peer: InstanceName,
-        /// The request.
-        request: PlacementRequest,
-    },
-    /// Report the progress of calls to the placer that placed them.
-    ReportProgress {
-        /// The placer.
-        peer: InstanceName,
-        /// The progress of each call.
-        progress: Vec<Progress>,
-        /// Limits that the engines of these calls stated.
-        notices: Vec<Notice>,
-    },
-    /// Open a new connection to find out whether an endpoint whose calls were interrupted
-    /// is still running.
-    Probe {
-        /// The endpoint.
-        endpoint: EndpointKey,
-        /// Where it listens.
-        addr: Arc<str>,
-    },
-    /// Log and count that an endpoint crashed during these runs.
-    EndpointCrashed {
-        /// The endpoint's incarnation.
-        endpoint: EndpointId,
-        /// The runs.
-        crashes: Vec<Crash>,
-    },
-    /// Report crashes to a collector of their contents.
-    ReportCrashes {
-        /// The peer.
-        peer: InstanceName,
-        /// The crashes.
-        crashes: Vec<Crash>,
-    },
-    /// Ask all peers whether an endpoint has answered a content since a time.
-    QueryAnswered {
-        /// The content.
-        content: Fingerprint,
-        /// The time.
-        since: Duration,
-    },
-    /// Log and count that a content is not quarantined, because an endpoint has answered it
-    /// since the first of its crashes.
-    SuspicionCleared(Fingerprint),
-    /// Log that this instance has quarantined a content, and count such contents.
-    Quarantined {
-        /// The content.
-        content: Fingerprint,
-        /// The number of endpoints that crashed while they ran it.
-        crashes: u32,
-    },
-    /// Announce to all peers that a content is quarantined, and write the platform's record
-    /// of it.
-    AnnounceQuarantine {
-        /// The content.
-        content: Fingerprint,
-        /// The number of endpoints that crashed while they ran it.
-        crashes: u32,
-    },
-    /// Renew the platform's record of a content.
-    WriteQuarantine {
-        /// The content.
-        content: Fingerprint,
-        /// The number of endpoints that crashed while they ran it.
-        crashes: u32,
-    },
-    /// Delete the platform's record of a content.
-    DeleteQuarantine(Fingerprint),
-    /// Log that a content is no longer quarantined, and count those that still are.
-    Released(Fingerprint),
-    /// Tell a peer that pieces are queued at a service.
-    AnnounceQueue {
-        /// The peer.
-        peer: InstanceName,
-        /// The service, whose pieces this instance batches.
-        service: ServiceName,
-    },
-    /// Log and count that an endpoint stated that it is leaving.
-    EndpointLeaving {
-        /// The endpoint.
-        endpoint: EndpointName,
-        /// The peer that reported it; `None` if the endpoint itself did.
-        source: Option<InstanceName>,
-    },
-    /// Log and count that the limit that an endpoint states has changed.
-    EndpointLimit {
-        /// The endpoint.
-        endpoint: EndpointName,
-        /// The limit; `None` if it states none any more.
-        limit: Option<Rate>,
-        /// The peer that reported it; `None` if the endpoint itself did.
-        source: Option<InstanceName>,
-    },
-    /// Return the results of a peer's pieces to it.
-    ReturnResults {
-        /// The number that the event loop assigned to the peer's pieces.
-        ticket: u64,
-        /// The results, in the order of the pieces.
-        results: Vec<PieceResult>,
-    },
-}
--- /dev/null
+++ b/crates/core/src/relay/model/action.rs
@@ -0,0 +1,226 @@
+//! Actions that the state machine queues for the event loop.
+
+use std::{sync::Arc, time::Duration};
+
+use peatdeck_macros::data;
+
+use crate::{
+    model::{EndpointName, InstanceName},
+    relay::{
+        fingerprint::Fingerprint,
+        model::{
+            Call, CallKey, EndpointId, EndpointKey, ExchangeKey, Handle, HandoverKey, Piece,
+            PieceResult, PlacementRequest, Progress, Refusal, ServiceName,
+        },
+        quarantine::Crash,
+        rollout::{Evidence, RolloutRecord},
+        terms::{Notice, Rate},
+    },
+};
+
+/// An action that the event loop is to carry out.
+#[data]
+pub enum Action {
+    /// Call an endpoint.
+    Send(Call),
+    /// Abandon a call and close its connection.
+    Cancel(CallKey),
+    /// Pass on the call's complete reply.
+    Answer {
+        /// The exchange.
+        exchange: ExchangeKey,
+        /// The call.
+        call: CallKey,
+    },
+    /// Pass on the head of the call's stream; its events follow.
+    BeginStream {
+        /// The exchange.
+        exchange: ExchangeKey,
+        /// The call.
+        call: CallKey,
+    },
+    /// End a stream that is complete.
+    FinishStream(ExchangeKey),
+    /// End a stream so that the caller detects that it is incomplete.
+    AbortStream(ExchangeKey),
+    /// Answer the caller with a refusal.
+    Refuse {
+        /// The exchange.
+        exchange: ExchangeKey,
+        /// The reason.
+        refusal: Refusal,
+        /// When to retry; `None` where a repeat is not known to be safe.
+        retry_after: Option<Duration>,
+    },
+    /// Call an endpoint to run pieces.
+    MakePieces {
+        /// The call's key.
+        call: CallKey,
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// Where it listens.
+        addr: Arc<str>,
+        /// The pieces.
+        pieces: Vec<Piece>,
+    },
+    /// Free results at an endpoint.
+    FreeResults {
+        /// Where the endpoint listens.
+        addr: Arc<str>,
+        /// The results.
+        handles: Vec<Handle>,
+    },
+    /// Ask the peer that batches the service of results to free them.
+    FreeViaPeer {
+        /// The peer.
+        peer: InstanceName,
+        /// The results.
+        handles: Vec<Handle>,
+        /// Whether they are to be freed only once result memory is scarce.
+        is_evictable: bool,
+    },
+    /// Hand pieces over to the peer that batches their service.
+    HandOverPieces {
+        /// The key of the handover.
+        key: HandoverKey,
+        /// The peer.
+        peer: InstanceName,
+        /// The pieces.
+        pieces: Vec<Piece>,
+    },
+    /// Recall pieces that were handed over.
+    RecallPieces(HandoverKey),
+    /// Close connections to an address: the endpoint there has restarted.
+    Disconnect(Arc<str>),
+    /// Ask an engine which parts of prompts it holds.
+    ListParts {
+        /// The engine.
+        endpoint: EndpointKey,
+        /// Where it listens.
+        addr: Arc<str>,
+    },
+    /// Ask a placer which engine should run an exchange's call.
+    RequestPlacement {
+        /// The exchange.
+        exchange: ExchangeKey,
+        /// The peer.
+        peer: InstanceName,
+        /// The request.
+        request: PlacementRequest,
+    },
+    /// Report the progress of calls to the placer that placed them.
+    ReportProgress {
+        /// The placer.
+        peer: InstanceName,
+        /// The progress of each call.
+        progress: Vec<Progress>,
+        /// Limits that the engines of these calls stated.
+        notices: Vec<Notice>,
+    },
+    /// Open a new connection to find out whether an endpoint whose calls were interrupted
+    /// is still running.
+    Probe {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// Where it listens.
+        addr: Arc<str>,
+    },
+    /// Log and count that an endpoint crashed during these runs.
+    EndpointCrashed {
+        /// The endpoint's incarnation.
+        endpoint: EndpointId,
+        /// The runs.
+        crashes: Vec<Crash>,
+    },
+    /// Report crashes to a collector of their contents.
+    ReportCrashes {
+        /// The peer.
+        peer: InstanceName,
+        /// The crashes.
+        crashes: Vec<Crash>,
+    },
+    /// Ask all peers whether an endpoint has answered a content since a time.
+    QueryAnswered {
+        /// The content.
+        content: Fingerprint,
+        /// The time.
+        since: Duration,
+    },
+    /// Log and count that a content is not quarantined, because an endpoint has answered it
+    /// since the first of its crashes.
+    SuspicionCleared(Fingerprint),
+    /// Log that this instance has quarantined a content, and count such contents.
+    Quarantined {
+        /// The content.
+        content: Fingerprint,
+        /// The number of endpoints that crashed while they ran it.
+        crashes: u32,
+    },
+    /// Announce to all peers that a content is quarantined, and write the platform's record
+    /// of it.
+    AnnounceQuarantine {
+        /// The content.
+        content: Fingerprint,
+        /// The number of endpoints that crashed while they ran it.
+        crashes: u32,
+    },
+    /// Renew the platform's record of a content.
+    WriteQuarantine {
+        /// The content.
+        content: Fingerprint,
+        /// The number of endpoints that crashed while they ran it.
+        crashes: u32,
+    },
+    /// Delete the platform's record of a content.
+    DeleteQuarantine(Fingerprint),
+    /// Log that a content is no longer quarantined, and count those that still are.
+    Released(Fingerprint),
+    /// Tell a peer that pieces are queued at a service.
+    AnnounceQueue {
+        /// The peer.
+        peer: InstanceName,
+        /// The service, whose pieces this instance batches.
+        service: ServiceName,
+    },
+    /// Log and count that an endpoint stated that it is leaving.
+    EndpointLeaving {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// The peer that reported it; `None` if the endpoint itself did.
+        source: Option<InstanceName>,
+    },
+    /// Log and count that the limit that an endpoint states has changed.
+    EndpointLimit {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// The limit; `None` if it states none any more.
+        limit: Option<Rate>,
+        /// The peer that reported it; `None` if the endpoint itself did.
+        source: Option<InstanceName>,
+    },
+    /// Return the results of a peer's pieces to it.
+    ReturnResults {
+        /// The number that the event loop assigned to the peer's pieces.
+        ticket: u64,
+        /// The results, in the order of the pieces.
+        results: Vec<PieceResult>,
+    },
+    /// Send the counts of a rollout to the instance that decides on it. Its reply is passed to
+    /// `Relay::on_verdict`.
+    ReportEvidence {
+        /// The deciding instance.
+        peer: InstanceName,
+        /// The counts.
+        evidence: Evidence,
+    },
+    /// Write the record of a rollout on the condition that the table has not changed, and read it
+    /// back. A failure is passed to `Relay::on_rollout_unwritten`.
+    WriteRollout(RolloutRecord),
+    /// Log and count that this instance sends the new version of a service nothing more.
+    RolloutHalted {
+        /// The service.
+        service: ServiceName,
+        /// Why, for people.
+        reason: Arc<str>,
+    },
+}
--- a/crates/core/src/relay/operator.rs
+++ b/crates/core/src/relay/operator.rs
@@ -2,7 +2,10 @@
 
 use peatdeck_macros::data;
 
-use crate::{model::DataCentre, relay::config::Config};
+use crate::{
+    model::DataCentre,
+    relay::{config::Config, model::ServiceName, rollout::Order},
+};
 
 /// One command, as a record of the operators' table holds it.
 #[data]
@@ -13,4 +16,8 @@
     Evacuate(DataCentre),
     /// Use the endpoints of this data centre again.
     Restore(DataCentre),
+    /// Roll out a version of a service.
+    RollOut(Order),
+    /// End the rollout of a service that was ordered.
+    WithdrawRollout(ServiceName),
 }
--- a/crates/core/tests/testsuite/relay/calls.rs
+++ b/crates/core/tests/testsuite/relay/calls.rs
@@ -8,6 +8,7 @@
         config::{Engine, RequestKind, Route},
         directory::Entry,
         model::{Action, Arrival, Failure},
+        pool::Pool,
     },
 };
 
@@ -381,6 +382,6 @@
         assert_eq!(&*world.call().addr, "b:80");
     }
     world.put(entry("a", "desk"));
-    let usable = world.relay.directory().usable(world.now, "desk");
+    let usable = world.relay.directory().usable(world.now, Pool::of("desk"));
     assert_eq!(usable.len(), 2, "the next valid entry counts");
 }
--- a/crates/core/tests/testsuite/relay/cold.rs
+++ b/crates/core/tests/testsuite/relay/cold.rs
@@ -116,7 +116,11 @@
     let placed_by = |own: &str, peer: &str| {
         let mut world = engines(&names, 5000);
         assert_eq!(own, "own");
-        world.relay.set_peers(world.now, vec![Peer { name: peer.into(), millicores: 250 }], 2);
+        world.relay.set_peers(
+            world.now,
+            vec![Peer { name: peer.into(), millicores: 250, data_centre: "east".into() }],
+            2,
+        );
         let request = |shared| PlacementRequest {
             service: "llm".into(),
             prompt: prompt(shared, 2),
@@ -138,7 +142,7 @@
     assert_eq!((placed.len(), distinct.len()), (80, 80));
 
     let mut world = engines(&["a"], 5000);
-    let peer = Peer { name: "peer".into(), millicores: 500 };
+    let peer = Peer { name: "peer".into(), millicores: 500, data_centre: "east".into() };
     world.relay.set_peers(world.now, vec![peer], 2);
     world.relay.on_placer_failure(world.now, &"peer".into());
     submit_prompt(&mut world, 1);
@@ -157,7 +161,11 @@
             let mut world = World::named(config, &format!("i{own}"));
             world.put(cold_entry("a", "desk", Some(60_000)));
             let others = (0..instances).filter(|idx| *idx != own);
-            let peers = others.map(|idx| Peer { name: format!("i{idx}").into(), millicores: 250 });
+            let peers = others.map(|idx| Peer {
+                name: format!("i{idx}").into(),
+                millicores: 250,
+                data_centre: "east".into(),
+            });
             world.relay.set_peers(world.now, peers.collect(), instances);
             for idx in 0..50 {
                 world.submit(arrival(&idx.to_string(), "r"));
--- a/crates/core/tests/testsuite/relay/config.rs
+++ b/crates/core/tests/testsuite/relay/config.rs
@@ -56,6 +56,8 @@
             },
             min_instances: 1,
             millicores: 250,
+            regions: Default::default(),
+            rollout: None,
         },
         1,
     );
--- a/crates/core/tests/testsuite/relay/directory.rs
+++ b/crates/core/tests/testsuite/relay/directory.rs
@@ -8,13 +8,14 @@
         directory::{Change, Directory, EndedEndpoint, Entry},
         engine::CallEstimate,
         model::Failure,
+        pool::Pool,
     },
 };
 
 use super::fixture::{entry, ms, prompt};
 
 fn usable(directory: &Directory, at: u64) -> Vec<String> {
-    let keys = directory.usable(ms(at), "desk");
+    let keys = directory.usable(ms(at), Pool::of("desk"));
     let name = |key| directory.get(key).unwrap().entry.name.to_string();
     keys.into_iter().map(name).collect()
 }
@@ -180,7 +181,7 @@
     let foreign = Entry { service: Arc::from("mart"), ..entry("a", "mart") };
     directory.apply_change(ms(100), Change::Put(foreign));
     assert_eq!(usable(&directory, 110), ["b"]);
-    assert!(directory.usable(ms(110), "mart").is_empty());
+    assert!(directory.usable(ms(110), Pool::of("mart")).is_empty());
     directory.apply_change(ms(300), Change::Put(entry("a", "desk")));
     assert_eq!(usable(&directory, 310), ["a", "b"]);
 }
--- a/crates/core/tests/testsuite/relay/evacuation.rs
+++ b/crates/core/tests/testsuite/relay/evacuation.rs
@@ -253,7 +253,7 @@
 #[test]
 fn an_evacuated_engine_that_a_placer_chose_is_not_called() {
     let mut world = engines();
-    let peer = Peer { name: "peer".into(), millicores: 500 };
+    let peer = Peer { name: "peer".into(), millicores: 500, data_centre: "east".into() };
     world.relay.set_peers(world.now, vec![peer], 2);
     let key = world.submit(Arrival { prompt: Some(prompt(1, 2)), ..arrival("1", "r") });
     world.apply_command(evacuate("east"));
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -39,7 +39,7 @@
     }
 
     pub fn key(mut self, key: &str, team: &str) -> ConfigBuilder {
-        let team = Team { name: Arc::from(team), priority: None };
+        let team = Team { name: Arc::from(team), priority: None, allowed_regions: None };
         self.config.keys.get_or_insert_default().insert(Arc::from(key), team);
         self
     }
@@ -106,6 +106,7 @@
         max_attempts: 2,
         priority: 1,
         is_public: false,
+        allowed_regions: None,
         stages: Vec::new(),
     }
 }
@@ -121,6 +122,7 @@
         service: Arc::from(service),
         addr: Arc::from(format!("{name}:80")),
         data_centre: Arc::from("east"),
+        version: "v1".into(),
         slots: 4,
         is_leaving: false,
         cold_left: None,
@@ -195,6 +197,8 @@
             retry_budget: budget,
             min_instances: 1,
             millicores: 250,
+            regions: Default::default(),
+            rollout: None,
         };
         let mut relay = Relay::new(settings, 7);
         relay.configure(config);
--- a/crates/core/tests/testsuite/relay/leaving.rs
+++ b/crates/core/tests/testsuite/relay/leaving.rs
@@ -185,7 +185,7 @@
     ask(&mut world, "1");
     let call = world.call();
     world.relay.on_reply_head(world.now, call.key, &leaving(head(200)));
-    let peer = Peer { name: "peer".into(), millicores: 900 };
+    let peer = Peer { name: "peer".into(), millicores: 900, data_centre: "east".into() };
     world.relay.set_peers(world.now, vec![peer], 2);
     let key = ask(&mut world, "2");
     let requested: Vec<PlacementRequest> = world.take(|action| match action {
--- a/crates/core/tests/testsuite/relay/limits.rs
+++ b/crates/core/tests/testsuite/relay/limits.rs
@@ -188,7 +188,11 @@
             world.put(entry("limited", "desk"));
             world.put(entry("free", "desk"));
             let others = (0..instances).filter(|idx| *idx != own);
-            let peers = others.map(|idx| Peer { name: format!("i{idx}").into(), millicores: 250 });
+            let peers = others.map(|idx| Peer {
+                name: format!("i{idx}").into(),
+                millicores: 250,
+                data_centre: "east".into(),
+            });
             world.relay.set_peers(world.now, peers.collect(), instances);
             world
         };
--- a/crates/core/tests/testsuite/relay/load/fleet.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet.rs
@@ -196,7 +196,9 @@
     fn set_peers(&mut self, idx: usize) {
         let (now, count) = (self.now, self.relays.len());
         let peers = (0..count).filter(|other| *other != idx);
-        let peers = peers.map(|idx| Peer { name: name(idx), millicores: 250 }).collect();
+        let peers = peers
+            .map(|idx| Peer { name: name(idx), millicores: 250, data_centre: "east".into() })
+            .collect();
         self.with_relay(idx, |relay| {
             relay.set_peers(now, peers, count);
             relay.mark_peers_known(now);
@@ -426,7 +428,7 @@
             | Action::EndpointLimit { .. }
             | Action::EndpointLeaving { .. }
             | Action::RecallPieces(_) => {}
-            // No endpoint of this fleet crashes.
+            // No endpoint of this fleet crashes, and nothing is rolled out.
             Action::Probe { .. }
             | Action::EndpointCrashed { .. }
             | Action::ReportCrashes { .. }
@@ -436,7 +438,10 @@
             | Action::AnnounceQuarantine { .. }
             | Action::WriteQuarantine { .. }
             | Action::DeleteQuarantine(_)
-            | Action::Released(_) => unreachable!("{action:?}"),
+            | Action::Released(_)
+            | Action::ReportEvidence { .. }
+            | Action::WriteRollout(_)
+            | Action::RolloutHalted { .. } => unreachable!("{action:?}"),
         }
     }
 
@@ -563,6 +568,8 @@
         retry_budget: RetryBudgetConfig { ratio: 0.2, slack: 50.0, window: ms(10_000) },
         min_instances: 1,
         millicores: 250,
+        regions: Default::default(),
+        rollout: None,
     };
     let mut relay = Relay::new(settings, idx as u64);
     relay.mark_quarantine_read();
--- a/crates/core/tests/testsuite/relay/peers.rs
+++ b/crates/core/tests/testsuite/relay/peers.rs
@@ -40,7 +40,7 @@
 }
 
 fn peer(name: &str, cpu: u32) -> Peer {
-    Peer { name: Arc::from(name), millicores: cpu }
+    Peer { name: Arc::from(name), millicores: cpu, data_centre: "east".into() }
 }
 
 /// The peers that pieces are handed over to.
--- a/crates/core/tests/testsuite/relay/placing.rs
+++ b/crates/core/tests/testsuite/relay/placing.rs
@@ -25,7 +25,7 @@
     for name in ["a", "b"] {
         world.put(entry(name, "llm"));
     }
-    let peer = Peer { name: "peer".into(), millicores: 500 };
+    let peer = Peer { name: "peer".into(), millicores: 500, data_centre: "east".into() };
     world.relay.set_peers(world.now, vec![peer], 2);
     world
 }
--- a/crates/core/tests/testsuite/relay/quarantine.rs
+++ b/crates/core/tests/testsuite/relay/quarantine.rs
@@ -365,5 +365,5 @@
 }
 
 fn peer(name: &str) -> Peer {
-    Peer { name: Arc::from(name), millicores: 250 }
+    Peer { name: Arc::from(name), millicores: 250, data_centre: "east".into() }
 }
--- a/crates/core/tests/testsuite/relay/quarantine/keeping.rs
+++ b/crates/core/tests/testsuite/relay/quarantine/keeping.rs
@@ -118,6 +118,8 @@
         },
         min_instances: 1,
         millicores: 250,
+        regions: Default::default(),
+        rollout: None,
     };
     let config = ConfigBuilder::new(1).service("desk").route(route("r", RequestKind::Once, "desk"));
     let mut world = World::new(config.build());
--- a/crates/core/tests/testsuite/relay/readers.rs
+++ b/crates/core/tests/testsuite/relay/readers.rs
@@ -6,7 +6,9 @@
 
 fn names(count: usize) -> Vec<Peer> {
     let name = |idx| Arc::from(format!("edge-{idx}"));
-    (0..count).map(|idx| Peer { name: name(idx), millicores: 120 }).collect()
+    (0..count)
+        .map(|idx| Peer { name: name(idx), millicores: 120, data_centre: "east".into() })
+        .collect()
 }
 
 #[test]
--- a/crates/core/tests/testsuite/relay/reads.rs
+++ b/crates/core/tests/testsuite/relay/reads.rs
@@ -139,7 +139,7 @@
 /// This instance runs pieces whose inputs were produced through a peer.
 fn with_batcher_peer() -> World {
     let mut world = chain(two_stages(), 4, 4);
-    let peer = Peer { name: "peer".into(), millicores: 500 };
+    let peer = Peer { name: "peer".into(), millicores: 500, data_centre: "east".into() };
     world.relay.set_peers(world.now, vec![peer], 2);
     world
 }
--- a/crates/core/tests/testsuite/relay/rests.rs
+++ b/crates/core/tests/testsuite/relay/rests.rs
@@ -237,7 +237,7 @@
     let call = world.call();
     answer(&mut world, &call, &asking_hold(3000, not_run(503)));
     world.calls();
-    let peer = Peer { name: "peer".into(), millicores: 900 };
+    let peer = Peer { name: "peer".into(), millicores: 900, data_centre: "east".into() };
     world.relay.set_peers(world.now, vec![peer], 2);
     let key = ask(&mut world, "2");
     let requested: Vec<PlacementRequest> = world.take(|action| match action {
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -7,6 +7,7 @@
     ExchangeSummary,
     model::{Action, Call, EndpointId, Failure, Refusal, ReplyHead},
     quarantine::Crash,
+    rollout::RolloutRecord,
     terms::Rate,
 };
 
@@ -116,6 +117,13 @@
             let count = handles.len();
             tracing::debug!(event = "free_through", peer = &**peer, count, is_spare = is_evictable);
         }
+        Action::ReportEvidence { peer, evidence } => {
+            tracing::debug!(event = "evidence", peer = &**peer, service = &*evidence.service);
+        }
+        Action::WriteRollout(record) => log_rollout(record),
+        Action::RolloutHalted { service, reason } => {
+            tracing::warn!(event = "rollout_halted", service = &**service, reason = &**reason);
+        }
         Action::FreeResults { addr, handles } => {
             tracing::debug!(event = "free", addr = &**addr, count = handles.len());
         }
@@ -165,6 +173,19 @@
     tracing::warn!(event = "endpoint_crashed", endpoint, incarnation, count, runs);
 }
 
+/// Logs a phase of a rollout that this instance has decided on.
+fn log_rollout(record: &RolloutRecord) {
+    tracing::warn!(
+        event = "rollout_decided",
+        service = &*record.service,
+        version = &*record.destination,
+        baseline = record.baseline.as_deref(),
+        phase = ?record.phase,
+        age_ms = millis(record.age),
+        reason = &*record.reason,
+    );
+}
+
 fn log_send(call: &Call, id: &str) {
     tracing::info!(
         event = "send",
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -504,6 +504,8 @@
                 let limited = self.inspect(Relay::limited_count);
                 self.metrics.gauge("relay.endpoints_limited", limited as u64);
             }
+            Action::ReportEvidence { .. } | Action::WriteRollout(_) => {}
+            Action::RolloutHalted { .. } => self.metrics.count("relay.rollouts_halted", 1),
             Action::RecallPieces(key) => self.peers.recall(key),
             Action::ReturnResults { ticket, results } => self.peers.return_results(ticket, results),
         }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -202,9 +202,11 @@
 
     /// An instance with its announced CPU share; 0 if it has no announcement.
     fn peer(&self, name: InstanceName) -> Peer {
-        let cpu_share =
-            self.announced.borrow().get(&name).map_or(0, |instance| instance.millicores);
-        Peer { name, millicores: cpu_share }
+        let announced = self.announced.borrow();
+        let announced = announced.get(&name);
+        let millicores = announced.map_or(0, |instance| instance.millicores);
+        let data_centre = announced.map(|instance| instance.entry.data_centre.clone());
+        Peer { name, millicores, data_centre: data_centre.unwrap_or_default() }
     }
 
     /// Logs which peers have become able to batch pieces, and which no longer are.
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -232,6 +232,8 @@
             retry_budget: settings.retry_budget,
             min_instances: settings.min_instances,
             millicores: settings.millicores,
+            regions: settings.regions.clone(),
+            rollout: settings.rollout,
         },
         rand::random(),
     );
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use peatdeck_core::{model::Incarnation, relay::allowance::RetryBudgetConfig};
+use peatdeck_core::{
+    model::Incarnation,
+    relay::{allowance::RetryBudgetConfig, region::RegionMap, rollout},
+};
 use peatdeck_macros::data;
 
 /// The settings that a relay instance reads at its start.
@@ -14,6 +17,10 @@
     pub incarnation: Incarnation,
     /// Data centre that the instance runs in.
     pub data_centre: Arc<str>,
+    /// The regions of the deployment.
+    pub regions: RegionMap,
+    /// Limits of rollouts; `None` if the deployment has none, and versions are ignored.
+    pub rollout: Option<rollout::Limits>,
     /// Address that callers connect to.
     pub front: SocketAddr,
     /// Address of the balancer's readiness checks.
--- a/crates/relay/src/tables.rs
+++ b/crates/relay/src/tables.rs
@@ -247,6 +247,24 @@
         driver.inspect(|machine| machine.directory().ready_count_in(data_centre))
     };
     match command {
+        OperatorCommand::RollOut(order) => {
+            let (service, version) = (truncate(&order.service), truncate(&order.destination));
+            let duration_ms = order.duration.as_millis() as u64;
+            tracing::warn!(
+                event = "rollout_ordered",
+                service,
+                version,
+                duration_ms,
+                offset,
+                source,
+                taken = is_accepted
+            );
+        }
+        OperatorCommand::WithdrawRollout(service) => {
+            let service = truncate(service);
+            let taken = is_accepted;
+            tracing::warn!(event = "rollout_withdrawn", service, offset, source, taken);
+        }
         OperatorCommand::Configure(config) => {
             let (version, routes) = (config.version, config.routes.len());
             driver.metrics.gauge("relay.config_version", version);
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -73,6 +73,7 @@
         service: Arc::from(service),
         addr: Arc::from(addr),
         data_centre: Arc::from("east"),
+        version: Arc::from("v1"),
         slots: 4,
         is_leaving: false,
         cold_left: None,
@@ -103,7 +104,7 @@
         lease: Duration::from_secs(60),
     };
     let piece_service = Service { pieces: Some(pieces), ..request_service.clone() };
-    let team = Team { name: Arc::from("markets"), priority: None };
+    let team = Team { name: Arc::from("markets"), priority: None, allowed_regions: None };
     Config {
         version,
         routes: routes.into_iter().map(Arc::new).collect(),
@@ -130,6 +131,7 @@
         max_attempts: 2,
         priority: 1,
         is_public: false,
+        allowed_regions: None,
         stages: if is_staged { vec![stage] } else { Vec::new() },
     }
 }
@@ -201,6 +203,8 @@
             grace: Duration::from_secs(60),
             body_memory: 1 << 24,
             millicores: self.millicores,
+            regions: Default::default(),
+            rollout: None,
             policy: self.policy,
             connections: 200,
         };
