Work of a request that may have run is stated in its refusal

Cause: a refusal with 503 states that nothing of a request ran. A request whose pieces were running here, or waited to be run again after an interrupted call, was still refused so, for example when a data centre was evacuated. The extended fuzz test of the relay found it.

Change: an interrupted call marks the requests of its pieces, and running pieces count when a request ends. Pieces handed over to a peer that has not returned them do not count yet, as before.

--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -11,6 +11,7 @@
 mod places;
 pub mod queue;
 mod reads;
+mod running;
 mod worker;
 
 use std::{collections::HashMap, time::Duration};
--- a/crates/core/src/relay/machine/ending.rs
+++ b/crates/core/src/relay/machine/ending.rs
@@ -85,7 +85,10 @@
             self.close(key);
             return;
         }
-        let has_run = exchange.has_run || exchange.was_called || refusal == Refusal::TimedOut;
+        let has_run = exchange.has_run
+            || exchange.was_called
+            || refusal == Refusal::TimedOut
+            || self.batcher.has_running(Requester::Local(key));
         let may_retry = !has_run || exchange.route.kind.is_repeatable();
         let pause = self.retry_after(now, key, refusal);
         let refusal = refusal.after(has_run);
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -84,6 +84,9 @@
         for outcome in &mut finished {
             outcome.piece.is_repeat |= !is_safe;
             outcome.piece.is_isolated |= is_cut;
+            if let (Origin::Local(key), false) = (outcome.origin, is_safe) {
+                self.mark_may_have_run(key);
+            }
         }
         self.requeue(now, finished, is_safe);
         self.dispatch_all(now);
--- a/crates/core/tests/testsuite/relay/evacuation.rs
+++ b/crates/core/tests/testsuite/relay/evacuation.rs
@@ -221,6 +221,32 @@
     assert_eq!(world.refusals(), ["503 evacuated 600ms"]);
 }
 
+/// Guards against a refusal that states that nothing ran while an endpoint runs pieces: callers
+/// then send a request again that must run once.
+#[test]
+fn a_request_whose_pieces_are_running_is_not_refused_as_not_run() {
+    let mut world = staged();
+    world.submit(with_pieces("1", 1));
+    assert_eq!(world.batches().len(), 1);
+    world.apply_command(evacuate("west"));
+    assert_eq!(world.refusals(), ["502 failed 600ms"]);
+}
+
+/// Guards against the same while the pieces of an interrupted call wait to be run again.
+#[test]
+fn a_request_whose_pieces_were_interrupted_is_not_refused_as_not_run() {
+    let mut world = staged();
+    let leaving = Entry { is_leaving: true, ..entry_in("west", "m2", "maker") };
+    world.put(leaving);
+    world.submit(with_pieces("1", 1));
+    let batch = world.batches().remove(0);
+    world.relay.on_pieces_failure(world.now, batch.call, Failure::Cut, false);
+    world.collect();
+    assert!(world.batches().is_empty(), "the endpoint is paused");
+    world.apply_command(evacuate("west"));
+    assert_eq!(world.refusals(), ["502 failed 600ms"]);
+}
+
 /// If the destination of a result has no usable endpoints, its piece runs anywhere.
 #[test]
 fn a_large_result_does_not_wait_for_an_evacuated_destination() {
