Values that peers, callers and records state no longer overflow or panic

Cause: a panic ends the process for all callers. Found by reading every conversion, index, sum and expect in the relay's core, its event loop and the platform adapter: - A request line with a full address without a path, as in http://host?x=1, has a target that begins with its query.

A target or an address that cannot be parsed is a failed call. That last change has no test: the adapter parses addresses before they are stored.

--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -92,8 +92,11 @@
         for part in prompt.shared() {
             let shared = self.shared.entry(part.id).or_default();
             shared.runs += 1;
-            shared.tokens = u64::from(part.tokens);
-            self.memory_tokens += if shared.runs == 1 { shared.tokens } else { 0 };
+            // Callers state the lengths; the first one counts until the part is removed.
+            if shared.runs == 1 {
+                shared.tokens = u64::from(part.tokens);
+                self.memory_tokens += shared.tokens;
+            }
         }
         self.runs.insert(number, run);
     }
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -356,13 +356,16 @@
         placement: Placement,
     ) -> Option<Placed> {
         let endpoint = self.directory.by_id(&placement.engine)?;
-        let service = &self.exchanges[key].service;
+        let Exchange { service, arrival, .. } = &self.exchanges[key];
         let is_usable = self.directory.usable(now, Pool::of(service)).contains(&endpoint);
         let wants_rest = self.directory.get(endpoint).is_some_and(|it| it.is_on_hold(now));
         if !is_usable || wants_rest {
             return None;
         }
         let Placement { tokens, wait, source, number, .. } = placement;
+        // Times are estimated from the tokens and added up, so a peer's number must be bounded.
+        let input = arrival.prompt.as_ref().map_or(0, |prompt| prompt.input);
+        let tokens = tokens.min(u64::from(input));
         let copy_time = Duration::ZERO;
         let chosen = Candidate { endpoint, tokens, source: None, wait, copy_time, cost: 0.0 };
         Some(Placed { chosen, source, placer: Some((peer.clone(), number)) })
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -9,7 +9,7 @@
     model::{InstanceName, Load},
     relay::{
         batch::{Batcher, FinishedPiece, Origin, Requester, queue::LARGE_RESULT_BYTES},
-        config::Pieces,
+        config::{MAX_SIZE, Pieces},
         exchange::{CallPurpose, CallState},
         graph::{LocatedResult, StageGraph},
         machine::{Handover, Relay, Ticket},
@@ -93,7 +93,11 @@
     }
 
     /// A peer hands over pieces. Their results are returned under `ticket`.
-    pub fn on_handover(&mut self, now: Duration, ticket: u64, pieces: Vec<Piece>) {
+    pub fn on_handover(&mut self, now: Duration, ticket: u64, mut pieces: Vec<Piece>) {
+        for piece in &mut pieces {
+            // Sums of sizes within the bound of a configuration do not overflow.
+            piece.bytes = piece.bytes.min(MAX_SIZE);
+        }
         self.tickets.insert(ticket, Ticket { results: vec![None; pieces.len()] });
         for piece in &pieces {
             self.deposit(now, &piece.service, 1);
--- a/crates/core/src/relay/table.rs
+++ b/crates/core/src/relay/table.rs
@@ -263,7 +263,7 @@
         let value = record.value.clone().unwrap_or_default();
         let until = value.len().min(at + limit);
         let is_whole = until == value.len();
-        let end = if is_whole { record.offset + 1 } else { record.offset };
+        let end = record.offset.saturating_add(u64::from(is_whole));
         let slice = Slice {
             key: record.key.clone(),
             offset: record.offset,
@@ -300,7 +300,7 @@
         for record in records {
             match earlier.remove(&record.key) {
                 Some(known) if known.offset == record.offset && known.value == record.value => {
-                    diverged = diverged.max(record.offset + 1);
+                    diverged = diverged.max(record.offset.saturating_add(1));
                 }
                 Some(known)
                     if known.value.is_none() && removed.get(&known.key) == Some(&record.offset) =>
--- a/crates/core/tests/testsuite/relay/engine.rs
+++ b/crates/core/tests/testsuite/relay/engine.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use peatdeck_core::relay::engine::{CallEstimate, EngineModel};
+use peatdeck_core::relay::{
+    engine::{CallEstimate, EngineModel},
+    model::{Part, Prompt},
+};
 
 use super::fixture::{ms, prompt};
 
@@ -77,3 +80,20 @@
     assert_eq!(engine.copy_wait(ms(30)), ms(70));
     assert_eq!(engine.add_copy(ms(30), Duration::ZERO), ms(30), "nothing is copied");
 }
+
+/// Callers state the length of each part. Guards against an underflow of the memory in use when two
+/// of them state different lengths of one part.
+#[test]
+fn callers_that_disagree_on_the_length_of_a_part_do_not_corrupt_the_memory_in_use() {
+    let with_part = |tokens| {
+        let parts = vec![Part { id: 1, tokens }, Part { id: 2, tokens: 10 }];
+        Prompt { parts, input: tokens + 10, output: 5 }
+    };
+    let mut engine = EngineModel::default();
+    engine.add_run(ms(0), 1, &with_part(100), prefill(10));
+    engine.add_run(ms(0), 2, &with_part(9000), prefill(10));
+    assert_eq!(engine.memory_in_use(), 130);
+    engine.remove_run(ms(1), 1);
+    engine.remove_run(ms(1), 2);
+    assert_eq!(engine.memory_in_use(), 0);
+}
--- a/crates/core/tests/testsuite/relay/peers.rs
+++ b/crates/core/tests/testsuite/relay/peers.rs
@@ -237,3 +237,18 @@
     world.advance(ms(1500));
     assert_eq!(world.batches().len(), 1);
 }
+
+/// Guards against an overflow of the sums of sizes, one of which a peer states.
+#[test]
+fn pieces_of_a_peer_that_states_too_large_sizes_do_not_end_the_instance() {
+    let mut world = with_batcher_peer();
+    world.submit(staged_arrival("1", 2));
+    let (_, mut pieces) = handovers(&mut world).remove(0);
+    for piece in &mut pieces {
+        piece.bytes = u64::MAX;
+    }
+    world.relay.on_handover(world.now, 9, pieces.clone());
+    world.relay.on_handover(world.now, 10, pieces);
+    world.advance(ms(3000));
+    assert_eq!(returned_results(&mut world), [(9, 2), (10, 2)]);
+}
--- a/crates/core/tests/testsuite/relay/placing.rs
+++ b/crates/core/tests/testsuite/relay/placing.rs
@@ -14,7 +14,7 @@
     },
 };
 
-use crate::relay::fixture::{ConfigBuilder, World, arrival, entry, ms, prompt, route};
+use crate::relay::fixture::{ConfigBuilder, World, arrival, entry, head, ms, prompt, route};
 
 /// An instance whose only peer has a larger CPU share, so that the peer is the placer.
 fn with_placer_peer() -> World {
@@ -121,6 +121,29 @@
     assert_eq!(world.refusals().len(), 1);
 }
 
+/// Guards against an overflow of the times that are estimated from the number of tokens, which a
+/// peer states. Engines that took seconds to prefill made the estimates long enough.
+#[test]
+fn a_placer_that_states_too_many_tokens_does_not_end_the_instance() {
+    let mut world = with_placer_peer();
+    for idx in 0..600 {
+        world.submit(prompt_arrival(&idx.to_string()));
+        let Some((key, _)) = placement_requests(&mut world).pop() else { panic!("no request") };
+        let tokens = if idx == 0 { 1000 } else { u64::MAX };
+        let engine = endpoint_id("a", 1);
+        let placement = Placement { engine, source: None, tokens, wait: ms(5), number: idx };
+        world.relay.on_placement(world.now, key, &"peer".into(), Some(placement));
+        world.collect();
+        let call = world.call();
+        if idx == 0 {
+            world.now += ms(1900);
+            world.relay.on_reply_head(world.now, call.key, &head(200));
+            world.relay.on_stream_end(world.now, call.key);
+        }
+    }
+    assert_eq!(world.relay.open_exchanges(), 599);
+}
+
 #[test]
 fn a_placer_does_not_choose_excluded_engines() {
     let mut world = with_placer_peer();
--- a/crates/core/tests/testsuite/relay/table.rs
+++ b/crates/core/tests/testsuite/relay/table.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use peatdeck_core::relay::{
     catch_up::CatchUp,
+    position::{Position, Timeline},
     table::{Record, Table},
 };
 
@@ -140,3 +141,18 @@
     other.replace(vec![record("b", 3, Some("3"))], 5);
     assert_eq!(describe(&sync(&mut loaded(), &other)), ["a gone"]);
 }
+
+/// Guards against an overflow of the offset after the last one that exists.
+#[test]
+fn a_record_at_the_largest_offset_is_passed_on() {
+    let mut source = Table::default();
+    source.replace(vec![record("a", u64::MAX, Some("long"))], u64::MAX);
+    let mut table = Table::default();
+    assert_eq!(describe(&sync(&mut table, &source)), ["a=long"]);
+    let mut later = Table::default();
+    later.replace(vec![record("b", u64::MAX, Some("2"))], 1);
+    let position = Position { timeline: Timeline(1), offset: 2 };
+    let listed = vec![record("b", u64::MAX, Some("2")), record("c", 1, Some("3"))];
+    later.apply_listing(listed, position);
+    assert_eq!(later.end(), 2);
+}
--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -59,7 +59,9 @@
     request: &driver::Request,
 ) -> Result<(), (Failure, String)> {
     let started = driver.now();
-    let sent = driver.pool.send(&call.addr, outgoing_request(driver, call, request)).await;
+    let outgoing = outgoing_request(driver, call, request);
+    let outgoing = outgoing.map_err(|error| (Failure::Unsent, error.to_string()))?;
+    let sent = driver.pool.send(&call.addr, outgoing).await;
     let (response, lease) = sent.map_err(|error| (failure_of(&error), error.to_string()))?;
     let (parts, body) = response.into_parts();
     let dialect = &driver.platform.dialect;
@@ -192,9 +194,11 @@
 pub async fn list_parts(driver: Rc<Driver>, endpoint: EndpointKey, addr: Arc<str>) {
     let path = driver.platform.dialect.parts_path;
     let request = Request::get(path).header(header::HOST, &*addr).body(Full::default());
-    let request = request.expect("path and address are valid");
-    let listed = tokio::time::timeout(LIST_TIMEOUT, fetch(&driver, &addr, request)).await;
-    let listed = match listed {
+    let listed = async {
+        let request = request.map_err(|error| (Failure::Unsent, error.to_string()))?;
+        fetch(&driver, &addr, request).await
+    };
+    let listed = match tokio::time::timeout(LIST_TIMEOUT, listed).await {
         Ok(Ok((head, body))) if head.status == 200 => (driver.platform.dialect.decode_parts)(&body),
         _ => None,
     };
@@ -244,12 +248,12 @@
     driver: &Driver,
     call: &Call,
     request: &driver::Request,
-) -> Request<Full<Bytes>> {
+) -> Result<Request<Full<Bytes>>, http::uri::InvalidUri> {
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
-    *outgoing.uri_mut() = request.target.parse().expect("the target comes from a parsed request");
+    *outgoing.uri_mut() = request.target.parse()?;
     *outgoing.headers_mut() = driver.platform.dialect.call_headers(call, &request.headers);
-    outgoing
+    Ok(outgoing)
 }
 
 async fn read_whole(body: Incoming, limit: usize) -> Result<Bytes, String> {
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -80,7 +80,7 @@
         Ok(body) => body,
         Err(error) => return Ok(body_error(&driver, &arrival.id, &error)),
     };
-    let target = req.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned();
+    let target = request_target(req.uri());
     let method = req.method().clone();
     let request = Request { id: arrival.id.clone(), method, target, headers, body };
     if driver.is_refusing() {
@@ -110,6 +110,13 @@
     Ok(response)
 }
 
+/// The path and query of a request. A full address may lack the path, and endpoints expect one.
+fn request_target(uri: &server::Uri) -> String {
+    let target = uri.path_and_query().map_or("/", |target| target.as_str());
+    let root = if target.starts_with('?') { "/" } else { "" };
+    format!("{root}{target}")
+}
+
 fn read_headers(req: &server::Request) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(req.headers().len());
     for (name, value) in req.headers() {
--- a/crates/relay/tests/relay/headers.rs
+++ b/crates/relay/tests/relay/headers.rs
@@ -82,3 +82,17 @@
     let smuggled = endpoint.received().iter().filter(|head| head.contains("smuggled")).count();
     assert_eq!(smuggled, 0);
 }
+
+/// Guards against an abort of the instance: the target of such a request begins with its query.
+#[test]
+fn a_full_address_without_a_path_is_forwarded_with_the_root_path() {
+    let endpoint = ScriptedEndpoint::answering("x");
+    let site = Site::start(std::slice::from_ref(&endpoint));
+    let mut conn = Conn::open(site.relay.front);
+    let head = request_head("http://all.example?x=1", "connection: close\r\n");
+    conn.write(&head.replace("fleet.example", "all.example"));
+    assert_eq!(read_reply(&mut conn).status, 200);
+    let received = endpoint.received().pop().unwrap();
+    assert!(received.starts_with("GET /?x=1 HTTP/1.1\r\n"), "{received}");
+    assert_eq!(site.exchange("/once/x").status, 200);
+}
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -92,6 +92,8 @@
     ];
     let mut routes: Vec<_> = kinds.into_iter().map(|(name, kind)| route(name, kind)).collect();
     routes.push(route(&format!("since-{version}"), RequestKind::Idempotent));
+    let (host, prefix) = (Arc::from("all.example"), Arc::from("/"));
+    routes.push(Route { host, prefix, ..route("all", RequestKind::Idempotent) });
     let request_service =
         Service { connections: 800, engine: None, pieces: None, cold_interval: None };
     let pieces = Pieces {
