Debug of settings does not print the operators' token

Cause: Debug of the settings of peatdeck-admin, and of the environment and the client of the command line, printed the token, so one log line of them would have disclosed it. peatdeck-entry has no secret in its settings.

Change: the token is a Secret, whose Debug does not print it.

--- a/crates/admin/src/context.rs
+++ b/crates/admin/src/context.rs
@@ -87,7 +87,7 @@
             None => Metrics::off(),
         };
         Ok(Context {
-            token: Token::new(&settings.token),
+            token: Token::new(settings.token.expose()),
             timeouts: settings.timeouts,
             compile: check::compile,
             clock: Rc::new(SystemClock::new()),
--- a/crates/admin/src/settings.rs
+++ b/crates/admin/src/settings.rs
@@ -10,6 +10,7 @@
 use peatdeck_macros::data;
 use peatdeck_util::{
     logging,
+    secret::Secret,
     settings::{Check, Problems, text},
 };
 
@@ -52,7 +53,7 @@
     /// Address of the platform's list, `ip:port`.
     pub list: Arc<str>,
     /// The operators' token.
-    pub token: Arc<str>,
+    pub token: Secret,
     /// Time limits of the operations.
     pub timeouts: Timeouts,
     /// Address that metrics are sent to; `None` sends none.
@@ -131,7 +132,7 @@
     check.finish(settings)
 }
 
-fn check_token(check: &mut Check, token: Option<String>) -> Arc<str> {
+fn check_token(check: &mut Check, token: Option<String>) -> Secret {
     let message = match token {
         Some(token) if token.len() >= MIN_TOKEN_BYTES => return token.into(),
         Some(_) => format!("the token has fewer than {MIN_TOKEN_BYTES} bytes"),
@@ -139,5 +140,5 @@
     };
     let remedy = "set it to a long random text, such as the output of `openssl rand -hex 32`";
     check.report(TOKEN_VARIABLE, message, remedy);
-    Arc::from("")
+    Secret::from("")
 }
--- a/crates/admin/tests/testsuite/settings.rs
+++ b/crates/admin/tests/testsuite/settings.rs
@@ -102,3 +102,13 @@
     assert_eq!(settings.listen.to_string(), "127.0.0.1:0");
     assert_eq!((&*settings.log, &*settings.list), ("10.0.0.5:7100", "10.0.0.5:7101"));
 }
+
+/// Guards against the token in a log line or an error message.
+#[test]
+fn the_token_is_not_printed() {
+    let args = ["--log=10.0.0.5:7100", "--list=10.0.0.5:7101"];
+    let flags = settings::options().run_inner(&args[..]).expect("flags that parse");
+    let settings = settings::check(&flags, Some("a token of sixteen".to_owned())).unwrap();
+    let printed = format!("{settings:?} {settings:#?}");
+    assert!(!printed.contains("sixteen"), "{printed}");
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 
 use bpaf::{Args, ParseFailure};
 use peatdeck::{app, exit, shell::Environment};
+use peatdeck_util::secret::Secret;
 
 /// Width at which help texts are wrapped, in columns.
 const HELP_WIDTH: usize = 100;
@@ -14,8 +15,8 @@
         Ok(command) => command,
         Err(failure) => return print_parse_failure(failure),
     };
-    let env =
-        Environment { token: std::env::var("PEATDECK_ADMIN_TOKEN").ok(), now: SystemTime::now() };
+    let token = std::env::var("PEATDECK_ADMIN_TOKEN").ok().map(Secret::from);
+    let env = Environment { token, now: SystemTime::now() };
     match app::exec(&env, command).await {
         Ok(output) => {
             print!("{}", output.text);
--- a/crates/cli/src/ops/client.rs
+++ b/crates/cli/src/ops/client.rs
@@ -9,6 +9,7 @@
 };
 use peatdeck_client::http;
 use peatdeck_core::record::Offset;
+use peatdeck_util::secret::Secret;
 use peatdeck_wire::admin::{
     ApiError, ConfigReply, DrainBody, DrainReply, EvacuationBody, EvacuationReply, HistoryReply,
     OutcomesReply, PublishBody, PublishReply, RestoreBody, StatusReply, VerdictReply,
@@ -33,7 +34,7 @@
     /// URL of peatdeck-admin, `http://ip:port`.
     pub admin: String,
     /// The operators' token.
-    pub token: String,
+    pub token: Secret,
 }
 
 /// A client of the API.
@@ -222,7 +223,7 @@
     fn request(&self, method: Method, path: &str) -> ClientRequest {
         self.http
             .request(method, format!("{}{path}", self.remote.admin))
-            .bearer_auth(&self.remote.token)
+            .bearer_auth(self.remote.token.expose())
             .content_type("application/json")
     }
 
--- a/crates/cli/src/shell.rs
+++ b/crates/cli/src/shell.rs
@@ -2,6 +2,7 @@
 
 use std::{str::FromStr, time::SystemTime};
 
+use peatdeck_util::secret::Secret;
 use serde::Serialize;
 
 use crate::{error::Error, exit};
@@ -10,7 +11,7 @@
 #[derive(Debug, Clone)]
 pub struct Environment {
     /// The operators' token; `None` if `PEATDECK_ADMIN_TOKEN` is not set.
-    pub token: Option<String>,
+    pub token: Option<Secret>,
     /// Wall-clock time at the start of the process.
     pub now: SystemTime,
 }
--- a/crates/cli/tests/testsuite/main.rs
+++ b/crates/cli/tests/testsuite/main.rs
@@ -16,3 +16,4 @@
 mod status;
 mod support;
 mod terms;
+mod token;
--- a/crates/cli/tests/testsuite/support.rs
+++ b/crates/cli/tests/testsuite/support.rs
@@ -15,6 +15,7 @@
 use peatdeck::{app, shell::Environment};
 use peatdeck_admin::{context::Timeouts, server, settings};
 use peatdeck_test_support::platform::Platform;
+use peatdeck_util::secret::Secret;
 
 /// Current time of the commands: 2026-03-01T06:30:00Z.
 pub const NOW: u64 = 1_772_346_600;
@@ -76,6 +77,7 @@
         Ok(command) => command,
         Err(failure) => return format!("exit 2\n{}", failure.unwrap_stderr()),
     };
+    let token = token.map(Secret::from);
     let env = Environment { token, now: SystemTime::UNIX_EPOCH + Duration::from_secs(NOW) };
     match app::exec(&env, command).await {
         Ok(output) => format!("exit {}\n{}", output.code as u8, output.text),
