Split the membership and the simulated fleet along their jobs

members.rs (474 lines) keeps the state and takes in lists, messages and time; who gets a message, what goes into it and what other modules ask are modules of their own. The fleet of the load tests (612 lines) is split into requests and results, setup, actions, and calls to placers and endpoints.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -14,12 +14,13 @@
 //! Nothing here is needed for safety. All of it may be outdated, lost or duplicated.
 //!
 //! Submodules: `members` is the state machine, `peer` one peer, `spread` selects what goes into a
-//! message, `settings` has the settings.
+//! message, `status` is what other modules get of a peer, `settings` has the settings.
 
 mod members;
 mod peer;
 mod settings;
 mod spread;
+mod status;
 
 use std::sync::Arc;
 
@@ -30,8 +31,9 @@
     record::{Offset, Snapshot, Version},
 };
 
-pub use members::{Envelope, LocalState, Members, PeerStatus};
+pub use members::{Envelope, LocalState, Members};
 pub use settings::Settings;
+pub use status::PeerStatus;
 
 /// One message between two instances. It is bounded in size and carries changes, never the whole
 /// state.
--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -1,9 +1,16 @@
 //! The state machine of membership and gossip.
+//!
+//! This module holds the state, and takes in lists, messages and time. `rounds` selects the
+//! receivers of messages, `messages` composes them, `queries` answers other modules.
+
+mod messages;
+mod queries;
+mod rounds;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use peatdeck_macros::data;
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 
 use crate::{
@@ -11,16 +18,14 @@
     membership::{
         ConfigMark, EndpointState, Gossip, LeavingMark, MemberState, Settings,
         peer::Peer,
-        spread::{self, EndpointSelector, LeavingSelector},
+        spread::{EndpointSelector, LeavingSelector},
     },
-    model::{Incarnation, InstanceEntry, InstanceName, Presence},
-    record::{Snapshot, Version},
+    model::{InstanceEntry, InstanceName},
+    record::Snapshot,
 };
 
 /// The most peers that are kept although no list has named them.
 const MAX_UNLISTED: usize = 1024;
-/// Every this many rounds, one peer that is not known to be alive gets a message.
-const PROBE_ROUNDS: u64 = 4;
 /// If the clock advances by more than this many rounds at once, this instance was paused.
 const PAUSE_ROUNDS: u32 = 4;
 
@@ -28,10 +33,6 @@
 /// the configured time.
 const FULL_MESSAGES: usize = 2;
 
-/// How long it takes until an instance that has just started has received, through gossip, the
-/// counters of all peers that are alive: six rounds of 400 ms.
-const DISCOVERY_TIME: Duration = Duration::from_millis(2500);
-
 slotmap::new_key_type! {
     struct PeerKey;
 }
@@ -81,34 +82,6 @@
     pub message: Gossip,
 }
 
-/// What is known of a peer.
-#[data]
-pub struct PeerStatus {
-    /// The peer.
-    pub name: InstanceName,
-    /// The newest version that the peer has reported as in force.
-    pub version: Version,
-    /// Whether the peer accepts requests.
-    pub is_ready: bool,
-    /// Whether the peer is considered alive.
-    pub is_alive: bool,
-    /// Whether no counter of the peer was received yet and no message to it has failed.
-    pub is_unknown: bool,
-    /// Whether the newest list names the peer.
-    pub is_listed: bool,
-}
-
-impl PeerStatus {
-    /// Whether work may be handed over to the peer by an instance that has run for `run_time`. An
-    /// instance that has just started also relies on peers of which it has received nothing yet: a
-    /// peer that is dead is detected by the first hand-over, but if each instance did the work
-    /// itself meanwhile, they would interfere with each other.
-    pub fn is_usable(&self, run_time: Duration) -> bool {
-        let is_serving = self.is_alive && self.is_ready;
-        is_serving || (run_time < DISCOVERY_TIME && (self.is_alive || self.is_unknown))
-    }
-}
-
 /// The peers of one instance.
 pub struct Members {
     identity: Identity,
@@ -222,70 +195,11 @@
         }
     }
 
-    /// The names of the peers that are considered alive.
-    pub fn alive(&self, now: Duration) -> Vec<InstanceName> {
-        self.alive_peers(now).map(|peer| peer.name.clone()).collect()
-    }
-
-    /// Whether the given incarnation of a peer is considered alive.
-    pub fn is_alive(&self, now: Duration, peer: &str, incarnation: Incarnation) -> bool {
-        let mut alive = self.alive_peers(now);
-        alive.any(|known| *known.name == *peer && known.state.incarnation == incarnation)
-    }
-
-    /// The address on which a peer listens; `None` if no list has named the peer.
-    pub fn addr(&self, peer: &str) -> Option<Arc<str>> {
-        let key = self.by_name.get(peer)?;
-        self.peers[*key].addr.clone()
-    }
-
-    /// Whether the newest list names a peer that is not leaving.
-    pub fn has_listed_peers(&self) -> bool {
-        self.peers.values().any(|peer| peer.presence == Some(Presence::Live))
-    }
-
-    /// When the last message of any peer was received.
-    pub fn last_received(&self) -> Option<Duration> {
-        self.last_received
-    }
-
     /// When [`Members::tick`] should be called next.
     pub fn next_wake(&self) -> Option<Duration> {
         Some(self.next_tick)
     }
 
-    /// What is known of each peer, ordered by name.
-    pub fn peer_statuses(&self, now: Duration) -> Vec<PeerStatus> {
-        let (time, dead_after) = (self.time_before_pause(now), self.dead_after());
-        let mut statuses: Vec<_> = self
-            .peers
-            .values()
-            .map(|peer| PeerStatus {
-                name: peer.name.clone(),
-                version: peer.version(),
-                is_ready: peer.state.ready,
-                is_alive: peer.is_alive(time, dead_after),
-                is_unknown: peer.is_unknown(),
-                is_listed: peer.presence.is_some(),
-            })
-            .collect();
-        statuses.sort_unstable_by(|a, b| a.name.cmp(&b.name));
-        statuses
-    }
-
-    /// The calls that live peers have in flight to an endpoint, by their recent messages.
-    pub fn in_flight(&self, now: Duration, endpoint: &str) -> u32 {
-        let time = self.time_before_pause(now);
-        let age = self.settings.max_count_age;
-        let counts = self.alive_peers(now).map(|peer| peer.in_flight(time, endpoint, age));
-        counts.fold(0, u32::saturating_add)
-    }
-
-    fn alive_peers(&self, now: Duration) -> impl Iterator<Item = &Peer> {
-        let (time, dead_after) = (self.time_before_pause(now), self.dead_after());
-        self.peers.values().filter(move |peer| peer.is_alive(time, dead_after))
-    }
-
     /// Records the time. A paused instance cannot receive messages, so a long step does not count
     /// against the peers.
     fn record_time(&mut self, now: Duration) {
@@ -363,112 +277,4 @@
             !is_gone
         });
     }
-
-    /// The peers with a known address: those that may be alive, and the others.
-    fn reachable(&self, now: Duration) -> (Vec<PeerKey>, Vec<PeerKey>) {
-        let dead_after = self.dead_after();
-        let may_be_alive = |key: &PeerKey| {
-            self.peers[*key].is_unknown() || self.peers[*key].is_alive(now, dead_after)
-        };
-        let reachable = self.peers.iter().filter(|(_, peer)| peer.addr.is_some());
-        reachable.map(|(key, _)| key).partition(may_be_alive)
-    }
-
-    /// A random peer that has a newer configuration, if there is one.
-    fn choose_ahead(&mut self, now: Duration, mark: ConfigMark) -> Option<PeerKey> {
-        let (live, _) = self.reachable(now);
-        let ahead = live.into_iter().filter(|key| self.peers[*key].is_ahead(mark));
-        ahead.choose(&mut self.rng)
-    }
-
-    /// The receivers of a round: some peers that may be alive, the one that has a newer
-    /// configuration, and every few rounds one that seems dead.
-    fn targets(&mut self, now: Duration, ahead: Option<PeerKey>) -> Vec<PeerKey> {
-        let (live, dead) = self.reachable(now);
-        let mut targets = live.into_iter().choose_multiple(&mut self.rng, self.settings.fanout);
-        targets.extend(ahead.filter(|key| !targets.contains(key)));
-        if self.heartbeat.is_multiple_of(PROBE_ROUNDS) || targets.is_empty() {
-            targets.extend(dead.into_iter().choose(&mut self.rng));
-        }
-        targets
-    }
-
-    /// Records that a peer is asked for its configuration. Returns `false` if another peer may
-    /// still be sending its own: copies sent at the same time would delay each other past their
-    /// timeout.
-    fn begin_request(&mut self, now: Duration, peer: PeerKey) -> bool {
-        if self.snapshot_request.as_ref().is_some_and(|request| now < request.until) {
-            return false;
-        }
-        self.snapshot_request =
-            Some(SnapshotRequest { peer, until: now + self.settings.snapshot_timeout });
-        true
-    }
-
-    /// Ends the request to a peer, which has sent its configuration or cannot be reached.
-    fn end_request(&mut self, peer: PeerKey) {
-        self.snapshot_request.take_if(|request| request.peer == peer);
-    }
-
-    fn envelope(
-        &mut self,
-        now: Duration,
-        to: PeerKey,
-        purpose: Purpose,
-        local: &LocalState<'_>,
-    ) -> Envelope {
-        let limit = spread::send_limit(self.peers.len());
-        let Settings { max_members, max_leaving, max_endpoints, .. } = self.settings;
-        let members = self.pick_members(now, to, limit, max_members, local);
-        let leaving = self.leaving.pick(&mut self.rng, local.leaving, limit, max_leaving);
-        let endpoints = self.endpoints.pick(local.endpoints, limit, max_endpoints);
-        let message = Gossip {
-            from: self.identity.name.clone(),
-            wants_reply: matches!(purpose, Purpose::Round | Purpose::RequestSnapshot),
-            mark: local.mark,
-            snapshot: local.snapshot.clone().filter(|_| purpose == Purpose::SendSnapshot),
-            wants_snapshot: purpose == Purpose::RequestSnapshot,
-            members,
-            leaving,
-            endpoints,
-        };
-        let peer = &self.peers[to];
-        let addr = peer.addr.clone().unwrap_or_else(|| Arc::from(""));
-        Envelope { to: peer.name.clone(), addr, message }
-    }
-
-    /// This instance's own counter, and those of other instances that were sent least often.
-    fn pick_members(
-        &mut self,
-        now: Duration,
-        to: PeerKey,
-        limit: u32,
-        max: usize,
-        local: &LocalState<'_>,
-    ) -> Vec<MemberState> {
-        let dead_after = self.dead_after();
-        let others = self.peers.iter().filter(|&(key, peer)| {
-            let has_state = peer.updated_at.is_some();
-            key != to && has_state && peer.is_alive(now, dead_after)
-        });
-        let news = others.map(|(key, peer)| (key, peer.sends));
-        let picked = spread::least_sent(&mut self.rng, news, limit, max.saturating_sub(1));
-        let mut states = vec![self.own_state(local)];
-        for key in picked {
-            let peer = &mut self.peers[key];
-            peer.sends += 1;
-            states.push(peer.state.clone());
-        }
-        states
-    }
-
-    fn own_state(&self, local: &LocalState<'_>) -> MemberState {
-        MemberState {
-            name: self.identity.name.clone(),
-            incarnation: self.identity.incarnation,
-            heartbeat: self.heartbeat,
-            version: local.mark.version,
-            ready: local.ready,
-        }
-    }
 }
--- a/crates/core/tests/testsuite/relay/load/fleet.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet.rs
@@ -1,7 +1,11 @@
 //! A simulation of several instances, four piece endpoints and some engines in virtual time.
 
+mod actions;
+mod calls;
 mod engine;
 mod limited;
+mod outcome;
+mod setup;
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
@@ -11,90 +15,25 @@
 };
 
 use peatdeck_core::relay::{
-    Relay, Settings,
-    allowance::RetryBudgetConfig,
-    config::{Engine, Pieces, RequestKind, Route, Transfer},
-    directory::{Change, Entry},
+    Relay,
+    directory::Change,
     model::{
-        Action, Arrival, Call, CallKey, EndpointKey, ExchangeKey, Handle, HandoverKey, HeldParts,
-        Part, Peer, Piece, PieceFailure, PieceResult, Placement, PlacementRequest, Progress,
-        Prompt, ReplyHead,
+        Arrival, Call, CallKey, EndpointKey, ExchangeKey, Handle, HandoverKey, HeldParts, Part,
+        Peer, Piece, PieceResult, Placement, PlacementRequest, Progress, Prompt, ReplyHead,
     },
     terms::{Notice, Terms},
 };
 
 use engine::SimulatedEngine;
 pub use limited::LimitedEngine;
+pub use outcome::{Outcome, Request};
+pub use setup::{COLD_INTERVAL, engine_entry};
+use setup::{DEADLINE, OBJECTIVE, OWN_TOKENS, PROMPT_TOKENS, endpoints, name, relay};
 
-use crate::relay::fixture::{ConfigBuilder, arrival, entry, head, ms, not_run, route, stage};
+use crate::relay::fixture::{arrival, head, ms, not_run};
 
 /// Network delay of a message.
 const ONE_WAY_DELAY: Duration = Duration::from_micros(1400);
-/// Time after which an unanswered request to a placer fails.
-const PLACE_TIMEOUT: Duration = Duration::from_millis(80);
-const DATA_CENTRES: [&str; 3] = ["east", "west", "north"];
-/// Size of a result, in bytes.
-const RESULT_BYTES: u64 = 1_500_000;
-/// Number of results that fit the memory of a piece endpoint.
-const MAX_RESULTS: usize = 9;
-const TRANSFER: Transfer = Transfer { token_bytes: 160_000.0, rate: 32e6 };
-/// Tokens of the part of a prompt that no other prompt shares.
-const OWN_TOKENS: u64 = 2900;
-/// Tokens of a whole prompt.
-const PROMPT_TOKENS: u64 = 9200;
-/// Least time between two calls to a cold engine.
-pub const COLD_INTERVAL: Duration = Duration::from_millis(150);
-const OBJECTIVE: Duration = Duration::from_millis(1100);
-const DEADLINE: Duration = Duration::from_secs(6);
-
-/// A simulated request.
-#[derive(Debug, Clone, Copy)]
-pub struct Request {
-    pub id: u64,
-    /// Number of pieces of its stage.
-    pub pieces: u16,
-    /// Selects the second shared part of its prompt.
-    pub shared: u64,
-}
-
-impl Request {
-    /// The prompt parts that it shares with other requests, with their numbers of tokens.
-    fn shared_parts(&self) -> [(u64, u64); 2] {
-        [(1 + self.shared % 4, 2500), (1000 + self.shared, 3800)]
-    }
-}
-
-/// Results of a simulation.
-#[derive(Debug, Default)]
-pub struct Outcome {
-    /// Requests whose answer began within the objective.
-    pub on_time: usize,
-    pub late: usize,
-    /// Requests refused before anything ran.
-    pub refused: usize,
-    /// Requests that failed after some of their work may have run.
-    pub failed: usize,
-    pub unanswered: usize,
-    /// The mean time until a request was refused or failed.
-    pub mean_refusal_time: Duration,
-    /// Shared parts that an engine prefilled although another one held them.
-    pub prefilled_again: usize,
-    /// Instances that sent calls for pieces.
-    pub batchers: HashSet<usize>,
-    /// Calls to the busiest engine, relative to the mean of all engines.
-    pub peak_load: f64,
-    /// The times at which each engine was sent calls, by its address.
-    pub calls_by_engine: HashMap<Arc<str>, Vec<Duration>>,
-    /// Engines that stated a limit.
-    pub limited: Vec<LimitedEngine>,
-}
-
-impl Outcome {
-    pub fn on_time_ratio(&self) -> f64 {
-        let all = self.on_time + self.late + self.refused + self.failed + self.unanswered;
-        self.on_time as f64 / all as f64
-    }
-}
 
 enum Event {
     Arrive(usize, Request),
@@ -380,161 +319,6 @@
         }
     }
 
-    fn perform(&mut self, idx: usize, action: Action) {
-        match action {
-            Action::MakePieces { call, addr, pieces, .. } => {
-                self.outcome.batchers.insert(idx);
-                self.after_hop(Event::RunPieces { from: idx, call, addr, pieces });
-            }
-            Action::HandOverPieces { key, peer, pieces } => {
-                self.after_hop(Event::HandOver { to: index_of(&peer), from: idx, key, pieces });
-            }
-            Action::ReturnResults { ticket, results } => {
-                let (to, key) =
-                    self.tickets.remove(&ticket).expect("the ticket belongs to a handover");
-                self.after_hop(Event::Return { to, key, results });
-            }
-            Action::FreeViaPeer { peer, handles, is_evictable } => {
-                self.after_hop(Event::FreeViaPeer {
-                    to: index_of(&peer),
-                    handles,
-                    is_deferred: is_evictable,
-                });
-            }
-            Action::FreeResults { addr, handles } => self.after_hop(Event::Free { addr, handles }),
-            Action::RequestPlacement { exchange, peer, request } => {
-                let (to, key) = (index_of(&peer), exchange);
-                self.after_hop(Event::Place { to, from: idx, key, placement_request: request });
-            }
-            Action::Disconnect(_) => {}
-            Action::ListParts { endpoint, .. } => {
-                self.after_hop(Event::PartsListed { to: idx, endpoint });
-            }
-            Action::AnnounceQueue { peer, service } => {
-                self.after_hop(Event::Backlog { to: index_of(&peer), service });
-            }
-            Action::ReportProgress { peer, progress, notices } => {
-                self.after_hop(Event::Report { to: index_of(&peer), from: idx, progress, notices });
-            }
-            Action::Send(call) => self.after_hop(Event::Send { from: idx, call }),
-            Action::BeginStream { exchange, .. } => self.record_answer(idx, exchange),
-            Action::Refuse { exchange, refusal, .. } => {
-                self.record_refusal(idx, exchange, refusal.status())
-            }
-            Action::AbortStream(exchange) => self.record_refusal(idx, exchange, 502),
-            Action::FinishStream(_)
-            | Action::Answer { .. }
-            | Action::Cancel(_)
-            | Action::EndpointLimit { .. }
-            | Action::EndpointLeaving { .. }
-            | Action::RecallPieces(_) => {}
-            // No endpoint of this fleet crashes, and nothing is rolled out.
-            Action::Probe { .. }
-            | Action::EndpointCrashed { .. }
-            | Action::ReportCrashes { .. }
-            | Action::QueryAnswered { .. }
-            | Action::SuspicionCleared(_)
-            | Action::Quarantined { .. }
-            | Action::AnnounceQuarantine { .. }
-            | Action::WriteQuarantine { .. }
-            | Action::DeleteQuarantine(_)
-            | Action::Released(_)
-            | Action::ReportEvidence { .. }
-            | Action::WriteRollout(_)
-            | Action::RolloutHalted { .. } => unreachable!("{action:?}"),
-        }
-    }
-
-    fn place(
-        &mut self,
-        to: usize,
-        from: usize,
-        key: ExchangeKey,
-        placement_request: &PlacementRequest,
-    ) {
-        let is_unresponsive = self
-            .unresponsive
-            .as_ref()
-            .is_some_and(|(idx, span)| *idx == to && span.contains(&self.now));
-        if is_unresponsive {
-            let event = Event::Placed { to: from, by: to, key, placement: None, is_answer: false };
-            self.schedule(self.now + PLACE_TIMEOUT, event);
-            return;
-        }
-        let mut placement = None;
-        let now = self.now;
-        self.with_relay(to, |relay| placement = relay.place_prompt(now, placement_request));
-        self.after_hop(Event::Placed { to: from, by: to, key, placement, is_answer: true });
-    }
-
-    fn run_pieces(&mut self, from: usize, call: CallKey, addr: &Arc<str>, pieces: &[Piece]) {
-        let endpoint = self.piece_endpoints.entry(addr.clone()).or_default();
-        let start = endpoint.free_at.max(self.now);
-        endpoint.free_at = start + ms(200) + ms(21) * pieces.len() as u32;
-        let done = endpoint.free_at;
-        let results = pieces.iter().map(|piece| {
-            if endpoint.held.len() >= MAX_RESULTS {
-                return Err(PieceFailure::NoRoom);
-            }
-            let handle: Handle = format!("{addr}/{}-{}", piece.request, piece.number).into();
-            endpoint.held.insert(handle.clone());
-            Ok(handle)
-        });
-        let results = results.collect();
-        self.schedule(done + ONE_WAY_DELAY, Event::PiecesDone { to: from, call, results });
-    }
-
-    fn send(&mut self, from: usize, call: Call) {
-        let Some(open) = self.open.get(&(from, call.exchange)) else { return };
-        let request = open.request;
-        let is_held = |handle: &Handle| {
-            let (addr, _) =
-                handle.split_once('/').expect("a handle starts with the address of its endpoint");
-            self.piece_endpoints.get(addr).is_some_and(|endpoint| endpoint.held.contains(handle))
-        };
-        if !call.inputs.iter().all(is_held) {
-            self.after_hop(Event::InputsGone { to: from, call: call.key });
-            return;
-        }
-        let held_anywhere: HashSet<u64> =
-            self.engine_states.values().flat_map(|it| &it.parts).copied().collect();
-        let source_parts = call.source.as_ref().and_then(|addr| self.engine_states.get(addr));
-        let source_parts: HashSet<u64> =
-            source_parts.map(|it| it.parts.clone()).unwrap_or_default();
-        self.outcome.calls_by_engine.entry(call.addr.clone()).or_default().push(self.now);
-        let engine = self.engine_states.entry(call.addr.clone()).or_default();
-        let (mut prefill, mut copied) = (OWN_TOKENS, 0);
-        for (part, tokens) in request.shared_parts() {
-            if !engine.parts.insert(part) {
-                continue;
-            }
-            match source_parts.contains(&part) {
-                true => copied += tokens,
-                false => prefill += tokens,
-            }
-            self.outcome.prefilled_again +=
-                usize::from(!source_parts.contains(&part) && held_anywhere.contains(&part));
-        }
-        let copy_time = Duration::from_secs_f64(TRANSFER.millis(copied) / 1000.0);
-        let mut at = self.now;
-        if let (true, Some(source)) = (copied > 0, &call.source) {
-            let source = self.engine_states.get_mut(source).expect("it holds the parts");
-            at = source.copy(at, copy_time);
-        }
-        let engine = self.engine_states.get_mut(&call.addr).expect("it was inserted above");
-        let run = engine.run(self.now, at, prefill, PROMPT_TOKENS);
-        let mut terms = Terms::default();
-        for limited in &mut self.outcome.limited {
-            limited.record_call(self.now, from, &call.addr);
-            if let Some(limit) = limited.state_limit(run.first, from, &call.addr) {
-                terms.limit = Some(limit);
-            }
-        }
-        let first = Event::FirstToken { to: from, call: call.key, terms };
-        self.schedule(run.first + ONE_WAY_DELAY, first);
-        self.schedule(run.end + ONE_WAY_DELAY, Event::Finished { to: from, call: call.key });
-    }
-
     fn record_answer(&mut self, idx: usize, key: ExchangeKey) {
         let Some(open) = self.open.remove(&(idx, key)) else { return };
         match self.now - open.since <= OBJECTIVE {
@@ -552,61 +336,3 @@
         }
     }
 }
-
-fn name(idx: usize) -> Arc<str> {
-    Arc::from(format!("relay-{idx}"))
-}
-
-fn index_of(name: &str) -> usize {
-    name.strip_prefix("relay-").and_then(|idx| idx.parse().ok()).expect("the name of an instance")
-}
-
-fn relay(idx: usize) -> Relay {
-    let settings = Settings {
-        name: name(idx),
-        data_centre: Arc::from(DATA_CENTRES[idx % 3]),
-        retry_budget: RetryBudgetConfig { ratio: 0.2, slack: 50.0, window: ms(10_000) },
-        min_instances: 1,
-        millicores: 250,
-        regions: Default::default(),
-        rollout: None,
-    };
-    let mut relay = Relay::new(settings, idx as u64);
-    relay.mark_quarantine_read();
-    let pieces = Pieces {
-        slots: 1,
-        queue: 2,
-        batch: 8,
-        call_time: ms(200),
-        piece_time: ms(21),
-        room: MAX_RESULTS as u64 * RESULT_BYTES,
-        lease: ms(4000),
-    };
-    let engine =
-        Engine { slots: 48, memory: engine::MEMORY, max_gap: None, transfer: Some(TRANSFER) };
-    let route = Route {
-        stages: vec![stage("maker", &[], RESULT_BYTES)],
-        objective: OBJECTIVE,
-        timeout: DEADLINE,
-        ..route("r", RequestKind::Resumable, "llm")
-    };
-    let config =
-        ConfigBuilder::new(1).engine_service("llm", engine).piece_service_with("maker", pieces);
-    let config = config.cold_interval("llm", COLD_INTERVAL).route(route);
-    relay.configure(config.build());
-    relay
-}
-
-fn endpoints(engines: usize) -> Vec<Entry> {
-    let piece_endpoints = (0..4).map(|idx| in_data_centre(entry(&format!("m{idx}"), "maker"), idx));
-    piece_endpoints.chain((0..engines).map(engine_entry)).collect()
-}
-
-/// The entry of an engine; every third one is in the same data centre.
-pub fn engine_entry(idx: usize) -> Entry {
-    in_data_centre(entry(&format!("e{idx}"), "llm"), idx)
-}
-
-fn in_data_centre(entry: Entry, idx: usize) -> Entry {
-    Entry { data_centre: Arc::from(DATA_CENTRES[idx % 3]), ..entry }
-}
