Weights of teams no longer overflow

Cause: an instance added the weights of the teams with running requests as 32-bit numbers. A configuration may state any weight from 1 on, and three teams with the largest one overflowed the sum.

Change: weights are added as floating-point numbers. The instance of the hedging tests is a module of its own, which the new test uses too.

Result: the new test panicked before.

--- a/crates/core/src/instance/estimates.rs
+++ b/crates/core/src/instance/estimates.rs
@@ -80,11 +80,12 @@
     fn share(&self, team: &TeamName, weight: u32) -> admission::Share {
         let active = self.teams.get(team).map_or(0, |usage| usage.active);
         let others = self.teams.iter().filter(|(name, usage)| *name != team && usage.active > 0);
-        let others: u32 = others.map(|(_, usage)| usage.weight).sum();
+        let others: f64 = others.map(|(_, usage)| f64::from(usage.weight)).sum();
+        let weight = f64::from(weight);
         admission::Share {
             active,
             total: u32::try_from(self.requests.len()).unwrap_or(u32::MAX),
-            weight: f64::from(weight) / f64::from((weight + others).max(1)),
+            weight: weight / (weight + others).max(1.0),
             ..Default::default()
         }
     }
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -21,6 +21,8 @@
 mod queue_states;
 mod relay;
 mod routing;
+mod single;
 mod subset;
+mod teams;
 mod timing;
 mod trace;
