A late piece that did not run does not hide one that may have run

Cause: pieces of one request that became late at once were handled one by one. The first one, which had not been sent, ended the request as not run; the second one, whose slow call was still under way, came too late to be counted.

Change: all outcomes are counted before the first one may end a request.

--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -303,6 +303,12 @@
 
     pub(super) fn process_finished(&mut self, now: Duration, finished: Vec<FinishedPiece>) {
         let mut affected = Vec::new();
+        // The first outcome may end an exchange, whose refusal depends on all of them.
+        for outcome in &finished {
+            if let (Origin::Local(key), false) = (outcome.origin, is_unmade(outcome)) {
+                self.mark_may_have_run(key);
+            }
+        }
         for outcome in finished {
             match outcome.origin {
                 Origin::Peer { ticket, index } => self.return_to_peer(now, ticket, index, outcome),
@@ -366,7 +372,6 @@
             self.free_unclaimed(outcome);
             return;
         };
-        exchange.has_run |= !is_unmade(&outcome);
         let is_stale = outcome.piece.round != exchange.rounds;
         self.record_stage_time(now, key, &outcome);
         let exchange = &mut self.exchanges[key];
--- a/crates/core/tests/testsuite/relay/fuzz.rs
+++ b/crates/core/tests/testsuite/relay/fuzz.rs
@@ -46,6 +46,16 @@
     run(steps);
 }
 
+/// A piece of a request may have run and another one has not; both become late at once. The request
+/// was refused as not run because of the second one. Found by a longer run (seed 77,031).
+#[test]
+fn a_late_piece_that_did_not_run_does_not_hide_one_that_may_have() {
+    use Step::{Arrive, Complete, Elapse, StartLeaving, Wait};
+    let begin = [Arrive(231), StartLeaving(49), Complete(0, 72), Arrive(202), Elapse(476)];
+    let steps = [&begin[..], &[Arrive(131), Elapse(844), Wait(461)]].concat();
+    run(steps);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 400,
