--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -9,7 +9,7 @@
     model::{InstanceName, Load},
     relay::{
         batch::{Batcher, FinishedPiece, Origin, Requester, queue::LARGE_RESULT_BYTES},
-        config::Pieces,
+        config::{MAX_SIZE, Pieces},
         exchange::{CallPurpose, CallState},
         graph::{LocatedResult, StageGraph},
         machine::{Handover, Relay, Ticket},
@@ -84,13 +84,20 @@
         for outcome in &mut finished {
             outcome.piece.is_repeat |= !is_safe;
             outcome.piece.is_isolated |= is_cut;
+            if let (Origin::Local(key), false) = (outcome.origin, is_safe) {
+                self.mark_may_have_run(key);
+            }
         }
         self.requeue(now, finished, is_safe);
         self.dispatch_all(now);
     }
 
     /// A peer hands over pieces. Their results are returned under `ticket`.
-    pub fn on_handover(&mut self, now: Duration, ticket: u64, pieces: Vec<Piece>) {
+    pub fn on_handover(&mut self, now: Duration, ticket: u64, mut pieces: Vec<Piece>) {
+        for piece in &mut pieces {
+            // Sums of sizes within the bound of a configuration do not overflow.
+            piece.bytes = piece.bytes.min(MAX_SIZE);
+        }
         self.tickets.insert(ticket, Ticket { results: vec![None; pieces.len()] });
         for piece in &pieces {
             self.deposit(now, &piece.service, 1);
@@ -296,6 +303,12 @@
 
     pub(super) fn process_finished(&mut self, now: Duration, finished: Vec<FinishedPiece>) {
         let mut affected = Vec::new();
+        // The first outcome may end an exchange, whose refusal depends on all of them.
+        for outcome in &finished {
+            if let (Origin::Local(key), false) = (outcome.origin, is_unmade(outcome)) {
+                self.mark_may_have_run(key);
+            }
+        }
         for outcome in finished {
             match outcome.origin {
                 Origin::Peer { ticket, index } => self.return_to_peer(now, ticket, index, outcome),
@@ -359,7 +372,6 @@
             self.free_unclaimed(outcome);
             return;
         };
-        exchange.has_run |= !is_unmade(&outcome);
         let is_stale = outcome.piece.round != exchange.rounds;
         self.record_stage_time(now, key, &outcome);
         let exchange = &mut self.exchanges[key];
