--- a/crates/core/src/relay/batch/admission.rs
+++ b/crates/core/src/relay/batch/admission.rs
@@ -10,7 +10,7 @@
     config::Pieces,
     directory::Directory,
     model::{Piece, PieceFailure, PieceResult},
-    pool::Pool,
+    pool::PoolKey,
 };
 
 /// Interval between two searches for late pieces that are starved by more urgent ones.
@@ -29,14 +29,13 @@
         directory: &Directory,
     ) -> bool {
         let done = now + Batcher::call_time(config, 1);
-        let service = &piece.service;
-        let (Some(queue), Some(drain_rate)) =
-            (self.queues.get(service), self.drain_rates.get(service))
+        let pool = &PoolKey::of(piece);
+        let (Some(queue), Some(drain_rate)) = (self.queues.get(pool), self.drain_rates.get(pool))
         else {
             return done <= piece.deadline;
         };
         let class = SizeClass::of(piece.bytes);
-        let configured = configured_rate(now, service, config, directory);
+        let configured = configured_rate(now, pool, config, directory);
         let wait = drain_rate.expected_wait(
             now,
             class,
@@ -53,19 +52,19 @@
         done + wait <= piece.deadline
     }
 
-    /// How long a new piece with a small result that can meet its target time would wait at a
-    /// service; `None` if no pieces are queued there.
+    /// How long a new piece with a small result that can meet its target time would wait in a
+    /// pool; `None` if no pieces are queued there.
     pub fn backlog(
         &self,
         now: Duration,
-        service: &str,
+        pool: &PoolKey,
         config: &Pieces,
         directory: &Directory,
     ) -> Option<Duration> {
-        let queue = self.queues.get(service).filter(|queue| !queue.is_empty())?;
-        let configured = configured_rate(now, service, config, directory);
+        let queue = self.queues.get(pool).filter(|queue| !queue.is_empty())?;
+        let configured = configured_rate(now, pool, config, directory);
         let ahead = queue.count_ahead(SizeClass::Small, Duration::MAX);
-        Some(self.drain_rates.get(service)?.expected_wait(now, SizeClass::Small, ahead, configured))
+        Some(self.drain_rates.get(pool)?.expected_wait(now, SizeClass::Small, ahead, configured))
     }
 
     /// Removes the queued pieces that can't finish before their deadlines, and late pieces that are
@@ -73,18 +72,18 @@
     pub fn take_late(
         &mut self,
         now: Duration,
-        service: &str,
+        pool: &PoolKey,
         config: &Pieces,
         directory: &Directory,
     ) -> Vec<FinishedPiece> {
-        let Some(queue) = self.queues.get_mut(service) else { return Vec::new() };
+        let Some(queue) = self.queues.get_mut(pool) else { return Vec::new() };
         let mut late = queue.expiring_before(now + Batcher::call_time(config, 1));
         let batch = config.batch as usize;
         if queue.len() > batch && now >= queue.next_starvation_check {
             queue.next_starvation_check = now + STARVATION_CHECK_INTERVAL;
             queue.demote_late(now + Batcher::call_time(config, batch));
-            let configured = configured_rate(now, service, config, directory);
-            let drain_rate = self.drain_rates.entry(service.into()).or_default();
+            let configured = configured_rate(now, pool, config, directory);
+            let drain_rate = self.drain_rates.entry(pool.clone()).or_default();
             let call_time = Batcher::call_time(config, 1);
             let wait = |class, ahead| {
                 drain_rate.expected_late_wait(now, class, ahead, configured) + call_time
@@ -99,9 +98,9 @@
         entries.map(|entry| entry.finished(Err(PieceFailure::Late), None)).collect()
     }
 
-    /// Removes all queued pieces of a service that no endpoint may run.
-    pub fn take_waiting(&mut self, service: &str) -> Vec<FinishedPiece> {
-        let keys = self.queues.get(service).map(Queue::keys).unwrap_or_default();
+    /// Removes all queued pieces of a pool that no endpoint may run.
+    pub fn take_waiting(&mut self, pool: &PoolKey) -> Vec<FinishedPiece> {
+        let keys = self.queues.get(pool).map(Queue::keys).unwrap_or_default();
         let entries = keys.into_iter().filter_map(|key| {
             self.dequeue(key);
             self.remove_piece(key)
@@ -109,9 +108,9 @@
         entries.map(|entry| entry.finished(Err(PieceFailure::Late), None)).collect()
     }
 
-    pub(super) fn record_waiting(&mut self, now: Duration, service: &str) {
-        let Some(queue) = self.queues.get(service) else { return };
-        let Some(drain_rate) = self.drain_rates.get_mut(service) else { return };
+    pub(super) fn record_waiting(&mut self, now: Duration, pool: &PoolKey) {
+        let Some(queue) = self.queues.get(pool) else { return };
+        let Some(drain_rate) = self.drain_rates.get_mut(pool) else { return };
         for class in SIZE_CLASSES {
             drain_rate.record_waiting(now, class, queue.len_in(class) > 0);
         }
@@ -125,16 +124,16 @@
     ) {
         let completed = running.keys.iter().zip(results).filter(|(_, result)| result.is_ok());
         for piece in completed.filter_map(|(key, _)| Some(&self.pieces.get(*key)?.piece)) {
-            let drain_rate = self.drain_rates.entry(piece.service.clone()).or_default();
+            let drain_rate = self.drain_rates.entry(PoolKey::of(piece)).or_default();
             drain_rate.record_completed(now, SizeClass::of(piece.bytes), 1);
         }
     }
 }
 
-/// Pieces per second that the endpoints of a service complete in full calls according to the
+/// Pieces per second that the endpoints of a pool complete in full calls according to the
 /// configuration.
-fn configured_rate(now: Duration, service: &str, config: &Pieces, directory: &Directory) -> f64 {
-    let endpoints = directory.usable(now, Pool::of(service)).len().max(1);
+fn configured_rate(now: Duration, pool: &PoolKey, config: &Pieces, directory: &Directory) -> f64 {
+    let endpoints = directory.usable(now, pool.pool()).len().max(1);
     let batch = config.batch as usize;
     (endpoints * batch) as f64 / Batcher::call_time(config, batch).as_secs_f64()
 }
--- a/crates/core/src/relay/batch/drain.rs
+++ b/crates/core/src/relay/batch/drain.rs
@@ -1,4 +1,4 @@
-//! Measures how fast the queue of one service drains.
+//! Measures how fast the queue of one pool drains.
 //!
 //! This matters in a burst, when pieces arrive faster than they can be run: whether a request gets
 //! its turn then depends less on the length of the queue than on how much faster it drains than
@@ -25,7 +25,7 @@
     had_waiting: [bool; SIZE_CLASSES.len()],
 }
 
-/// Measured drain rate of one service's queue.
+/// Measured drain rate of one pool's queue.
 #[derive(Debug, Clone, Default)]
 pub struct DrainRate {
     buckets: [Bucket; BUCKETS],
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -29,7 +29,7 @@
     relay::{
         directory::endpoint::State,
         model::{EndpointId, EndpointKey, ServiceName},
-        pool::Pool,
+        pool::{Pool, PoolKey},
         region::RegionMap,
         rollout::Version,
     },
@@ -170,17 +170,22 @@
         self.endpoints.values().filter(in_it).count()
     }
 
-    /// Whether a service has endpoints that accept new work, all of them in evacuated data
+    /// Whether a pool has endpoints that accept new work, all of them in evacuated data
     /// centres, and no usable endpoint elsewhere.
-    pub fn is_evacuated(&self, now: Duration, service: &str) -> bool {
+    pub fn is_evacuated(&self, now: Duration, pool: Pool<'_>) -> bool {
         if self.evacuated.is_empty() {
             return false;
         }
-        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let endpoints = keys.iter().map(|key| &self.endpoints[*key]);
-        let mut ready = endpoints.filter(|endpoint| endpoint.is_ready()).peekable();
+        let mut ready = self.ready_in(pool).peekable();
         let are_all = ready.peek().is_some() && ready.all(|it| self.is_in_evacuated(it));
-        are_all && self.usable(now, Pool::of(service)).is_empty()
+        are_all && self.usable(now, pool).is_empty()
+    }
+
+    /// The endpoints of a pool that accept new work, also in evacuated data centres.
+    fn ready_in<'a>(&'a self, pool: Pool<'a>) -> impl Iterator<Item = &'a Endpoint> {
+        let keys = self.by_service.get(pool.service).map_or(&[][..], Vec::as_slice);
+        let endpoints = keys.iter().map(|key| &self.endpoints[*key]);
+        endpoints.filter(move |it| it.is_ready() && self.is_in_region(it, pool.region))
     }
 
     /// Whether an endpoint's data centre is evacuated.
@@ -210,11 +215,16 @@
         region.is_none() || self.regions.region_of(&endpoint.entry.data_centre) == region
     }
 
-    /// The service of the endpoint that listens at an address.
-    pub fn service_at(&self, addr: &str) -> Option<ServiceName> {
+    /// The pool of the endpoint that listens at an address.
+    pub fn pool_at(&self, addr: &str) -> Option<PoolKey> {
         let mut endpoints = self.endpoints.values();
-        let endpoint = endpoints.find(|endpoint| *endpoint.entry.addr == *addr)?;
-        Some(endpoint.entry.service.clone())
+        Some(self.pool_of(endpoints.find(|endpoint| *endpoint.entry.addr == *addr)?))
+    }
+
+    /// The pool whose work an endpoint runs.
+    pub fn pool_of(&self, endpoint: &Endpoint) -> PoolKey {
+        let Entry { service, data_centre, .. } = &endpoint.entry;
+        PoolKey { service: service.clone(), region: self.regions.work_region(data_centre) }
     }
 
     /// The newest incarnation of the endpoint of this name.
@@ -248,10 +258,9 @@
         Some(endpoint.entry.data_centre.clone())
     }
 
-    /// The number of endpoints of a service that accept new work.
-    pub fn ready_count_of(&self, service: &str) -> usize {
-        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        keys.iter().filter(|key| self.endpoints[**key].is_ready()).count()
+    /// The number of endpoints of a pool that accept new work.
+    pub fn ready_count_of(&self, pool: Pool<'_>) -> usize {
+        self.ready_in(pool).count()
     }
 
     /// The number of endpoints that accept new work.
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -9,6 +9,8 @@
         fingerprint::Fingerprint,
         graph::StageGraph,
         model::{Arrival, CallKey, EndpointKey, HandoverKey, RunNumber, ServiceName},
+        pool::{Pool, PoolKey, Track},
+        region::RegionName,
     },
 };
 
@@ -18,6 +20,8 @@
     pub(crate) arrival: Arrival,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
+    /// The region whose endpoints run all of its work; `None` for any region.
+    pub(crate) region: Option<RegionName>,
     pub(crate) team: Option<TeamName>,
     /// Identifies what is requested, and for which team.
     pub(crate) content: Fingerprint,
@@ -56,6 +60,23 @@
     pub(crate) wait_until: Option<Duration>,
 }
 
+impl Exchange {
+    /// The endpoints that the call may go to.
+    pub(crate) fn pool(&self) -> Pool<'_> {
+        Pool { service: &self.service, region: self.region.as_deref(), track: Track::Stable }
+    }
+
+    /// The endpoints that may run the work of a service for it.
+    pub(crate) fn pool_of(&self, service: &ServiceName) -> PoolKey {
+        PoolKey { service: service.clone(), region: self.region.clone() }
+    }
+
+    /// The endpoints that may run a stage.
+    pub(crate) fn stage_pool(&self, stage: usize) -> PoolKey {
+        self.pool_of(&self.route.stages[stage].service)
+    }
+}
+
 /// A call to an endpoint.
 #[derive(Debug)]
 pub(crate) struct CallState {
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -6,7 +6,8 @@
 //! other endpoints; `intake` decides whether a request is admitted; `plan` computes the
 //! deadlines of its stages; `queues` reports backlogs of pieces; `placing` chooses engines
 //! for all instances; `quarantine` stops requests that crash endpoints; `evacuation` keeps
-//! all requests away from evacuated data centres; `pace` limits the calls to endpoints that
+//! all requests away from evacuated data centres; `ranking` selects the instance that does a
+//! task for all; `pace` limits the calls to endpoints that
 //! are cold or state a limit; `terms` processes what endpoints report of themselves;
 //! `policies` runs the operators' programs; `rollouts` moves services to new versions.
 
@@ -21,6 +22,7 @@
 mod policies;
 mod quarantine;
 mod queues;
+mod ranking;
 mod results;
 mod rollouts;
 mod stages;
@@ -276,7 +278,7 @@
 
     /// When [`Relay::tick`] should be called next.
     pub fn next_wake(&self, now: Duration) -> Duration {
-        if self.has_freed_memory && !self.batcher.waiting_services().is_empty() {
+        if self.has_freed_memory && !self.batcher.waiting_pools().is_empty() {
             return now;
         }
         let deadline = self.deadlines.first().map(|(at, _)| *at);
@@ -286,7 +288,7 @@
         let overdue = self.token_deadlines.first().map(|(at, _)| *at);
         let report = self.next_report();
         let backlog =
-            (!self.batcher.waiting_services().is_empty()).then_some(self.next_backlog.max(now));
+            (!self.batcher.waiting_pools().is_empty()).then_some(self.next_backlog.max(now));
         [deadline, overdue, search, evictable, batch, report, backlog]
             .into_iter()
             .flatten()
@@ -394,6 +396,7 @@
             graph: StageGraph::new(route, &arrival.pieces),
             route: route.clone(),
             service,
+            region: self.directory.regions().work_region(&self.settings.data_centre),
             team: team.map(|team| team.name.clone()),
             content: arrival.content.for_team(team.map(|team| &*team.name)),
             priority: team.and_then(|team| team.priority).unwrap_or(route.priority),
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -12,7 +12,6 @@
             Action, Basis, Call, CallKey, EndpointKey, ExchangeKey, Failure, Progress, Refusal,
             ReplyHead, RunNumber, Step,
         },
-        pool::Pool,
     },
 };
 
@@ -260,7 +259,7 @@
             calls: target.map_or(0, |target| target.calls(now)),
             load_age: target.and_then(|target| target.load_age(now)),
             tokens,
-            usable: self.directory.usable(now, Pool::of(&self.exchanges[key].service)).len(),
+            usable: self.directory.usable(now, self.exchanges[key].pool()).len(),
         }
     }
 
--- a/crates/core/src/relay/machine/ending.rs
+++ b/crates/core/src/relay/machine/ending.rs
@@ -120,6 +120,6 @@
             self.actions.push(Action::RecallPieces(handover));
         }
         let unfreed = exchange.graph.take_unfreed();
-        self.free(&exchange.route, unfreed);
+        self.free(&exchange.route, exchange.region.as_deref(), unfreed);
     }
 }
--- a/crates/core/src/relay/machine/evacuation.rs
+++ b/crates/core/src/relay/machine/evacuation.rs
@@ -14,6 +14,7 @@
     machine::Relay,
     model::{ExchangeKey, Refusal},
     operator::OperatorCommand,
+    pool::Pool,
 };
 
 impl Relay {
@@ -50,9 +51,9 @@
         }
         let exchange = &self.exchanges[key];
         let stages = exchange.graph.unstarted();
-        let services = stages.map(|idx| &exchange.route.stages[idx].service);
-        let mut services = services.chain([&exchange.service]);
-        services.any(|service| self.directory.is_evacuated(now, service))
+        let mut pools = stages.map(|idx| exchange.stage_pool(idx));
+        let is_evacuated = |pool: Pool<'_>| self.directory.is_evacuated(now, pool);
+        is_evacuated(exchange.pool()) || pools.any(|key| is_evacuated(key.pool()))
     }
 
     /// Refuses the exchanges that no endpoint can serve any more, at once rather than at
--- a/crates/core/src/relay/machine/intake.rs
+++ b/crates/core/src/relay/machine/intake.rs
@@ -13,10 +13,7 @@
 
 use rand::Rng;
 
-use crate::relay::{
-    machine::Relay,
-    model::{ExchangeKey, ServiceName},
-};
+use crate::relay::{machine::Relay, model::ExchangeKey, pool::PoolKey};
 
 /// Weight of the newest time in the moving average, which covers about the last five.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -29,26 +26,26 @@
 /// difference.
 const STEEPNESS: i32 = 2;
 
-/// Moving averages of how long the stages of each service took, from their start until the
+/// Moving averages of how long the stages of each service took in each region, from their start until the
 /// first of their pieces came back.
 #[derive(Debug, Clone, Default)]
 pub(super) struct StageTimes {
-    times: HashMap<ServiceName, (Duration, Duration)>,
+    times: HashMap<PoolKey, (Duration, Duration)>,
 }
 
 impl StageTimes {
     /// Records how long a stage took, or for how long it ran before it was dropped.
-    pub(super) fn record(&mut self, now: Duration, service: &ServiceName, took: Duration) {
-        let previous = self.recent(now, service);
+    pub(super) fn record(&mut self, now: Duration, pool: PoolKey, took: Duration) {
+        let previous = self.recent(now, &pool);
         let average = previous.map_or(took, |previous| {
             previous.mul_f64(1.0 - NEWEST_WEIGHT) + took.mul_f64(NEWEST_WEIGHT)
         });
-        self.times.insert(service.clone(), (now, average));
+        self.times.insert(pool, (now, average));
     }
 
     /// The moving average; `None` if no time was recorded lately.
-    pub(super) fn recent(&self, now: Duration, service: &str) -> Option<Duration> {
-        let (at, average) = self.times.get(service)?;
+    pub(super) fn recent(&self, now: Duration, pool: &PoolKey) -> Option<Duration> {
+        let (at, average) = self.times.get(pool)?;
         (now < *at + IDLE_AFTER).then_some(*average)
     }
 }
@@ -80,16 +77,16 @@
             .filter(|idx| exchange.route.stages[*idx].after.is_empty())
             .filter(|idx| exchange.graph.piece_count(*idx) > 0);
         let times = first_stages.map(|idx| {
-            let own = self.recent_time(now, &exchange.route.stages[idx].service);
+            let own = self.recent_time(now, &exchange.stage_pool(idx));
             own + self.remaining_after_with(exchange, idx, &adapt, &|service| {
-                self.recent_time(now, service)
+                self.recent_time(now, &exchange.pool_of(service))
             })
         });
         times.max().unwrap_or_default()
     }
 
-    fn recent_time(&self, now: Duration, service: &str) -> Duration {
-        let usual = || self.stage_time(service);
-        self.stage_times.recent(now, service).unwrap_or_else(usual)
+    fn recent_time(&self, now: Duration, pool: &PoolKey) -> Duration {
+        let usual = || self.stage_time(&pool.service);
+        self.stage_times.recent(now, pool).unwrap_or_else(usual)
     }
 }
--- a/crates/core/src/relay/machine/moves.rs
+++ b/crates/core/src/relay/machine/moves.rs
@@ -8,7 +8,6 @@
     exchange::{CallPurpose, Exchange},
     machine::Relay,
     model::{Action, CallKey, EndpointKey, ExchangeKey, Failure, Step},
-    pool::Pool,
 };
 
 /// An engine's first token is overdue after this multiple of the time within which nine of
@@ -83,13 +82,13 @@
 
     /// Whether the call of an exchange may be retried on another endpoint.
     fn may_retry_elsewhere(&self, now: Duration, key: ExchangeKey) -> bool {
-        let Exchange { route, attempts, deadline, has_sent_head, service, tried, .. } =
-            &self.exchanges[key];
+        let exchange = &self.exchanges[key];
+        let Exchange { route, attempts, deadline, has_sent_head, tried, .. } = exchange;
         let may_repeat =
             route.kind.is_repeatable() && !has_sent_head && *attempts < route.max_attempts;
         let is_available =
             |key: &EndpointKey| self.directory.get(*key).is_some_and(|it| !it.is_paused(now));
-        let others = self.directory.usable(now, Pool::of(service)).into_iter();
+        let others = self.directory.usable(now, exchange.pool()).into_iter();
         let has_other = others.filter(|key| !tried.contains(key)).any(|key| is_available(&key));
         may_repeat && has_other && *deadline > now + OVERDUE_SLACK
     }
--- a/crates/core/src/relay/machine/pace.rs
+++ b/crates/core/src/relay/machine/pace.rs
@@ -23,7 +23,7 @@
     directory::Endpoint,
     exchange::Exchange,
     machine::Relay,
-    model::{EndpointKey, ExchangeKey, ServiceName},
+    model::{EndpointKey, ExchangeKey},
     pool::Pool,
     terms::Rate,
 };
@@ -71,16 +71,16 @@
         }
     }
 
-    /// Endpoints of a service that get no call from this instance now: they are on hold, or
+    /// Endpoints of a pool that get no call from this instance now: they are on hold, or
     /// they are cold or state a limit and other instances call them, or their last call was
     /// too recent.
     pub(super) fn withheld(
         &self,
         now: Duration,
-        service: &ServiceName,
+        pool: Pool<'_>,
         chooser: Chooser,
     ) -> Vec<EndpointKey> {
-        let usable = self.directory.usable(now, Pool::of(service));
+        let usable = self.directory.usable(now, pool);
         let known = usable.iter().filter_map(|key| Some((*key, self.directory.get(*key)?)));
         let limited = known.filter_map(|(key, endpoint)| {
             let pace = self.pace(now, endpoint);
@@ -95,7 +95,7 @@
             let is_paced = pace.is_some_and(|pace| {
                 let is_own = match chooser {
                     Chooser::Placer { .. } => !foreign.contains(key),
-                    Chooser::Independent => self.is_caller_of(service, endpoint, pace),
+                    Chooser::Independent => self.is_caller_of(endpoint, pace),
                 };
                 !is_own || endpoint.is_throttled(now, pace.interval)
             });
@@ -107,8 +107,9 @@
     /// When an exchange may first call an endpoint again, if all untried ones are on hold;
     /// `None` if one of them is not, or none is left.
     pub(super) fn first_available(&self, now: Duration, key: ExchangeKey) -> Option<Duration> {
-        let Exchange { service, tried, .. } = &self.exchanges[key];
-        let usable = self.directory.usable(now, Pool::of(service)).into_iter();
+        let exchange = &self.exchanges[key];
+        let Exchange { tried, .. } = exchange;
+        let usable = self.directory.usable(now, exchange.pool()).into_iter();
         let open = usable.filter(|endpoint| !tried.contains(endpoint));
         let known = open.filter_map(|endpoint| self.directory.get(endpoint));
         let first = known.map(|endpoint| endpoint.hold_until).min()?;
@@ -184,12 +185,14 @@
 
     /// Whether this instance is one of an endpoint's callers. An instance that stops is not,
     /// since its peers no longer count it among them.
-    fn is_caller_of(&self, service: &ServiceName, endpoint: &Endpoint, pace: Pace) -> bool {
+    fn is_caller_of(&self, endpoint: &Endpoint, pace: Pace) -> bool {
         let is_stopping = !self.is_batching && !self.peers.is_empty();
-        if self.has_one_caller(service) || is_stopping {
+        if self.has_one_caller(&endpoint.entry.service) || is_stopping {
             return false;
         }
-        let rank = self.rank_of(xxh3::xxh3_64(endpoint.entry.name.as_bytes()));
+        let region = self.directory.regions().work_region(&endpoint.entry.data_centre);
+        let seed = xxh3::xxh3_64(endpoint.entry.name.as_bytes());
+        let rank = self.rank_of(region.as_deref(), seed);
         rank < pace.callers as usize
     }
 }
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -71,12 +71,13 @@
         if self.has_route_policy() {
             return false;
         }
-        let Some(peer) = self.placer(&exchange.service, prompt) else { return false };
+        let Some(peer) = self.placer(exchange.pool(), prompt) else { return false };
         if self.unresponsive_placers.get(&peer).is_some_and(|until| now < *until) {
             return false;
         }
         let request = PlacementRequest {
             service: exchange.service.clone(),
+            region: exchange.region.clone(),
             prompt: prompt.clone(),
             inputs: exchange.graph.outputs_by_data_centre(&exchange.route),
             excluded: self.excluded_engines(now, key),
@@ -126,15 +127,15 @@
         }
     }
 
-    /// Asks engines of a service which prompt parts they hold, if this instance has no record
+    /// Asks engines of a pool which prompt parts they hold, if this instance has no record
     /// of that: it has placed no prompts lately, or the engines are new. Otherwise parts that
     /// were read before a placer started would be read again.
-    fn query_parts(&mut self, now: Duration, service: &str) {
+    fn query_parts(&mut self, now: Duration, pool: Pool<'_>) {
         if now > self.last_placement + prompts::RETENTION {
             self.queried_engines.clear();
         }
         self.last_placement = now;
-        for endpoint in self.directory.usable(now, Pool::of(service)) {
+        for endpoint in self.directory.usable(now, pool) {
             let Some(engine) = self.directory.get(endpoint) else { continue };
             // This request counts as a call too.
             let is_limited = engine.is_on_hold(now) || engine.limit().is_some();
@@ -156,24 +157,25 @@
 
     /// Chooses an engine for a peer. `None` if no engine can take the prompt.
     pub fn place_prompt(&mut self, now: Duration, request: &PlacementRequest) -> Option<Placement> {
-        if self.transfer(&request.service).is_some() {
-            self.query_parts(now, &request.service);
+        let PlacementRequest { service, region, prompt, .. } = request;
+        let pool = Pool { region: region.as_deref(), ..Pool::of(service) };
+        if self.transfer(service).is_some() {
+            self.query_parts(now, pool);
         }
         let excluded = request.excluded.iter().filter_map(|id| self.directory.by_id(id));
         let excluded: Vec<_> = excluded.collect();
-        let chooser = self.placer_chooser(&request.service, &request.prompt);
-        let withheld = self.withheld(now, &request.service, chooser);
+        let chooser = self.placer_chooser(pool, prompt);
+        let withheld = self.withheld(now, pool, chooser);
         let criteria = choice::Criteria {
             tried: &excluded,
             withheld: &withheld,
             max_in_flight: u32::MAX,
             chooser,
-            ..self.criteria(&request.service, &request.inputs)
+            ..self.criteria(service, &request.inputs)
         };
-        let (service, prompt) = (&request.service, &request.prompt);
         let (directory, sent_parts) = (&self.directory, &self.sent_parts);
         let candidates =
-            choice::engine_candidates(directory, sent_parts, now, service, prompt, criteria);
+            choice::engine_candidates(directory, sent_parts, now, pool, prompt, criteria);
         let chosen = choice::cheapest(&candidates)?;
         let number = self.record_placement(now, service, &chosen, prompt);
         let source = self.addr_of(chosen.source);
@@ -307,25 +309,26 @@
     }
 
     /// Whether this instance chooses the engine for a prompt.
-    pub(super) fn is_placer(&self, service: &str, prompt: &Prompt) -> bool {
-        self.placer(service, prompt).is_none()
+    pub(super) fn is_placer(&self, pool: Pool<'_>, prompt: &Prompt) -> bool {
+        self.placer(pool, prompt).is_none()
     }
 
     /// The peer that places a prompt; `None` if this instance does.
-    fn placer(&self, service: &str, prompt: &Prompt) -> Option<InstanceName> {
-        let share = share_of(prompt, self.placer_count(service));
-        self.first_ranked(xxh3::xxh3_64_with_seed(service.as_bytes(), share + 1))
+    fn placer(&self, pool: Pool<'_>, prompt: &Prompt) -> Option<InstanceName> {
+        let share = share_of(prompt, self.placer_count(pool));
+        let seed = xxh3::xxh3_64_with_seed(pool.service.as_bytes(), share + 1);
+        self.first_ranked(pool.region, seed)
     }
 
-    fn placer_chooser(&self, service: &str, prompt: &Prompt) -> Chooser {
-        let shares = self.placer_count(service);
+    fn placer_chooser(&self, pool: Pool<'_>, prompt: &Prompt) -> Chooser {
+        let shares = self.placer_count(pool);
         Chooser::Placer { share: share_of(prompt, shares), shares }
     }
 
-    /// Number of placers of a service.
-    fn placer_count(&self, service: &str) -> u64 {
-        let engines = self.directory.ready_count_of(service);
-        let instances = self.peers.len() + 1;
+    /// Number of placers of a pool.
+    fn placer_count(&self, pool: Pool<'_>) -> u64 {
+        let engines = self.directory.ready_count_of(pool);
+        let instances = self.instances_for(pool.region);
         engines.div_ceil(ENGINES_PER_PLACER).clamp(1, instances) as u64
     }
 
@@ -335,7 +338,7 @@
     fn excluded_engines(&self, now: Duration, key: ExchangeKey) -> Vec<EndpointId> {
         let exchange = &self.exchanges[key];
         let limit = self.connection_limit(&exchange.service);
-        let known = self.directory.usable(now, Pool::of(&exchange.service)).into_iter();
+        let known = self.directory.usable(now, exchange.pool()).into_iter();
         let excluded = known.filter_map(|key| {
             let engine = self.directory.get(key)?;
             let is_full = engine.in_flight >= limit;
@@ -356,8 +359,8 @@
         placement: Placement,
     ) -> Option<Placed> {
         let endpoint = self.directory.by_id(&placement.engine)?;
-        let service = &self.exchanges[key].service;
-        let is_usable = self.directory.usable(now, Pool::of(service)).contains(&endpoint);
+        let pool = self.exchanges[key].pool();
+        let is_usable = self.directory.usable(now, pool).contains(&endpoint);
         let wants_rest = self.directory.get(endpoint).is_some_and(|it| it.is_on_hold(now));
         if !is_usable || wants_rest {
             return None;
@@ -375,29 +378,30 @@
         inputs: &[(DataCentre, u64)],
     ) -> Option<Candidate> {
         let Exchange { service, arrival, .. } = &self.exchanges[key];
-        let (service, prompt) = (service.clone(), arrival.prompt.clone());
-        let is_placer = prompt.as_ref().is_some_and(|prompt| self.is_placer(&service, prompt));
-        if is_placer && self.transfer(&service).is_some() {
-            self.query_parts(now, &service);
+        let (pool, prompt) = (self.exchanges[key].pool_of(service), arrival.prompt.clone());
+        let (service, pool) = (&pool.service, pool.pool());
+        let is_placer = prompt.as_ref().is_some_and(|prompt| self.is_placer(pool, prompt));
+        if is_placer && self.transfer(service).is_some() {
+            self.query_parts(now, pool);
         }
         let mut rng = SmallRng::seed_from_u64(self.rng.random());
         let chooser = match &prompt {
-            Some(prompt) if is_placer => self.placer_chooser(&service, prompt),
+            Some(prompt) if is_placer => self.placer_chooser(pool, prompt),
             _ => Chooser::Independent,
         };
-        let withheld = self.withheld(now, &service, chooser);
+        let withheld = self.withheld(now, pool, chooser);
         let criteria = choice::Criteria {
             tried: &self.exchanges[key].tried,
             withheld: &withheld,
             chooser,
-            ..self.criteria(&service, inputs)
+            ..self.criteria(service, inputs)
         };
         let (directory, sent_parts) = (&self.directory, &self.sent_parts);
         let candidates = match &prompt {
             Some(prompt) => {
-                choice::engine_candidates(directory, sent_parts, now, &service, prompt, criteria)
+                choice::engine_candidates(directory, sent_parts, now, pool, prompt, criteria)
             }
-            None => choice::plain_candidates(directory, now, &service, criteria, || rng.random()),
+            None => choice::plain_candidates(directory, now, pool, criteria, || rng.random()),
         };
         let chosen = self.policy_choice(now, key, &candidates);
         chosen.or_else(|| choice::cheapest(&candidates))
--- a/crates/core/src/relay/machine/plan.rs
+++ b/crates/core/src/relay/machine/plan.rs
@@ -9,7 +9,7 @@
         config::Route,
         exchange::Exchange,
         machine::Relay,
-        model::Piece,
+        model::{Piece, ServiceName},
         reading::PrefillSpeed,
     },
 };
@@ -48,7 +48,7 @@
         exchange: &Exchange,
         stage: usize,
         adapt: &dyn Fn(Duration) -> Duration,
-        stage_time: &dyn Fn(&str) -> Duration,
+        stage_time: &dyn Fn(&ServiceName) -> Duration,
     ) -> Duration {
         let route = &exchange.route;
         let followers = (0..route.stages.len()).filter(|next| {
@@ -98,6 +98,7 @@
         let is_last_reader = self.graph.is_last_reader(&self.route, stage);
         let piece = |number| Piece {
             service: stages[stage].service.clone(),
+            region: self.region.clone(),
             request: self.arrival.id.clone(),
             stage: stage as u16,
             number,
--- a/crates/core/src/relay/machine/policies.rs
+++ b/crates/core/src/relay/machine/policies.rs
@@ -17,7 +17,7 @@
         exchange::Exchange,
         machine::Relay,
         model::ExchangeKey,
-        pool::Pool,
+        pool::{Pool, PoolKey},
     },
 };
 
@@ -100,9 +100,9 @@
         let stages = &exchange.route.stages;
         let next = exchange.graph.first_incomplete();
         let service = next.map_or(&exchange.service, |idx| &stages[idx].service);
+        let pool = &exchange.pool_of(service);
         let (made, all) = exchange.graph.progress();
-        let (left, wait) =
-            (exchange.deadline.saturating_sub(now), self.expected_wait(now, service));
+        let (left, wait) = (exchange.deadline.saturating_sub(now), self.expected_wait(now, pool));
         let work = self.expected_work(exchange, next);
         let teams: HashSet<_> = self.exchanges.values().map(|other| &other.team).collect();
         let team_exchanges = self.exchanges.values().filter(|other| other.team == exchange.team);
@@ -118,8 +118,8 @@
             // The call counts as one piece.
             cost: (all - made + 1) as f64,
             spent: made as f64,
-            waiting: self.batcher.waiting_count(service) as u32,
-            free: self.free_slots(now, service),
+            waiting: self.batcher.waiting_count(pool) as u32,
+            free: self.free_slots(now, pool.pool()),
             team_held: team_exchanges.count() as u32,
             team_share: 1.0 / teams.len().max(1) as f64,
             would_admit: wait + work <= left,
@@ -141,11 +141,11 @@
     }
 
     /// Estimated wait for the pieces that are queued here.
-    fn expected_wait(&self, now: Duration, service: &str) -> Duration {
-        let Some(config) = self.piece_config(service) else { return Duration::ZERO };
-        let endpoints = self.directory.usable(now, Pool::of(service)).len().max(1);
+    fn expected_wait(&self, now: Duration, pool: &PoolKey) -> Duration {
+        let Some(config) = self.piece_config(&pool.service) else { return Duration::ZERO };
+        let endpoints = self.directory.usable(now, pool.pool()).len().max(1);
         let batch = config.batch as usize;
-        let calls = self.batcher.waiting_count(service) as f64 / (endpoints * batch) as f64;
+        let calls = self.batcher.waiting_count(pool) as f64 / (endpoints * batch) as f64;
         Batcher::call_time(&config, batch).mul_f64(calls)
     }
 
@@ -156,8 +156,8 @@
         self.stage_time(service) + self.remaining_after(exchange, stage, &|time| time)
     }
 
-    fn free_slots(&self, now: Duration, service: &str) -> u32 {
-        let usable = self.directory.usable(now, Pool::of(service)).into_iter();
+    fn free_slots(&self, now: Duration, pool: Pool<'_>) -> u32 {
+        let usable = self.directory.usable(now, pool).into_iter();
         let known = usable.filter_map(|key| self.directory.get(key));
         known.map(|endpoint| endpoint.entry.slots.saturating_sub(endpoint.calls(now))).sum()
     }
--- a/crates/core/src/relay/machine/queues.rs
+++ b/crates/core/src/relay/machine/queues.rs
@@ -12,6 +12,7 @@
     relay::{
         machine::Relay,
         model::{Action, ServiceName},
+        pool::{Pool, PoolKey},
     },
 };
 
@@ -43,16 +44,16 @@
         self.next_backlog = now + REPORT_INTERVAL;
         let backlogged: Vec<_> = self
             .batcher
-            .waiting_services()
+            .waiting_pools()
             .into_iter()
             .filter(|it| self.has_backlog(now, it))
             .collect();
         if backlogged.is_empty() {
             return;
         }
-        let peers = self.other_batchers();
-        for service in backlogged {
+        for PoolKey { service, region } in backlogged {
             self.on_backlog_notice(now, service.clone());
+            let peers = self.other_batchers(region.as_deref());
             let announcements = peers
                 .iter()
                 .map(|peer| Action::AnnounceQueue { peer: peer.clone(), service: service.clone() });
@@ -60,17 +61,19 @@
         }
     }
 
-    fn has_backlog(&self, now: Duration, service: &str) -> bool {
-        let Some(config) = self.piece_config(service) else { return false };
-        let wait = self.batcher.backlog(now, service, &config, &self.directory);
+    fn has_backlog(&self, now: Duration, pool: &PoolKey) -> bool {
+        let Some(config) = self.piece_config(&pool.service) else { return false };
+        let wait = self.batcher.backlog(now, pool, &config, &self.directory);
         wait.is_some_and(|wait| wait >= MIN_BACKLOG)
     }
 
-    /// The peers that batch any service.
-    fn other_batchers(&self) -> Vec<InstanceName> {
+    /// The peers that batch any service in a region.
+    fn other_batchers(&self, region: Option<&str>) -> Vec<InstanceName> {
         let Some(config) = &self.config else { return Vec::new() };
         let batched = config.services.iter().filter(|(_, service)| service.pieces.is_some());
-        let mut peers: Vec<_> = batched.filter_map(|(name, _)| self.batcher_peer(name)).collect();
+        let batcher =
+            |service: &ServiceName| self.batcher_peer(Pool { region, ..Pool::of(service) });
+        let mut peers: Vec<_> = batched.filter_map(|(name, _)| batcher(name)).collect();
         peers.sort_unstable();
         peers.dedup();
         peers
--- a/crates/core/src/relay/machine/results.rs
+++ b/crates/core/src/relay/machine/results.rs
@@ -7,6 +7,7 @@
     config::Route,
     machine::Relay,
     model::{Action, ExchangeKey, Handle, ServiceName},
+    pool::{Pool, PoolKey},
 };
 
 /// How long after the start of a call an engine has probably read its inputs, until an engine
@@ -42,8 +43,10 @@
             let route = exchange.route.clone();
             let results = exchange.graph.unfreed(&route, LARGE_RESULT_BYTES);
             exchange.has_evictable_results |= !results.is_empty();
+            let region = exchange.region.clone();
             for (service, handles) in by_service(&route, results) {
-                self.mark_evictable_at_batcher(&service, handles);
+                let pool = Pool { region: region.as_deref(), ..Pool::of(&service) };
+                self.mark_evictable_at_batcher(pool, handles);
             }
         }
     }
@@ -52,31 +55,31 @@
     /// pieces wait there. Elsewhere nothing needs these reports, some 40 messages a second
     /// with 86 instances.
     pub(super) fn report_read_inputs(&mut self, now: Duration) {
-        let mut by_service: Vec<(ServiceName, Vec<Handle>)> = Vec::new();
-        let mut known: Option<(Arc<str>, ServiceName)> = None;
+        let mut by_pool: Vec<(PoolKey, Vec<Handle>)> = Vec::new();
+        let mut known: Option<(Arc<str>, PoolKey)> = None;
         // Handles are sorted, so those of one endpoint are adjacent.
         for handle in self.batcher.take_read(now) {
             let Some(addr) = holder_addr(&handle) else { continue };
             if known.as_ref().is_none_or(|(last, _)| **last != *addr) {
-                let service = self.directory.service_at(addr);
-                known = service.map(|service| (Arc::from(addr), service));
+                let pool = self.directory.pool_at(addr);
+                known = pool.map(|pool| (Arc::from(addr), pool));
             }
-            let Some((_, service)) = &known else { continue };
-            match by_service.iter_mut().find(|(name, _)| name == service) {
+            let Some((_, pool)) = &known else { continue };
+            match by_pool.iter_mut().find(|(other, _)| other == pool) {
                 Some((_, handles)) => handles.push(handle),
-                None => by_service.push((service.clone(), vec![handle])),
+                None => by_pool.push((pool.clone(), vec![handle])),
             }
         }
-        for (service, handles) in by_service {
-            if self.is_backlogged(now, &service) {
-                self.mark_evictable_at_batcher(&service, handles);
+        for (pool, handles) in by_pool {
+            if self.is_backlogged(now, &pool.service) {
+                self.mark_evictable_at_batcher(pool.pool(), handles);
             }
         }
     }
 
-    /// Reports evictable results to the batcher of their service.
-    fn mark_evictable_at_batcher(&mut self, service: &str, handles: Vec<Handle>) {
-        match self.batcher_peer(service) {
+    /// Reports evictable results to the batcher of their pool.
+    fn mark_evictable_at_batcher(&mut self, pool: Pool<'_>, handles: Vec<Handle>) {
+        match self.batcher_peer(pool) {
             Some(peer) => {
                 let is_evictable = true;
                 self.actions.push(Action::FreeViaPeer { peer, handles, is_evictable });
@@ -101,27 +104,33 @@
 
     pub(super) fn free_results(&mut self, key: ExchangeKey) {
         let exchange = &mut self.exchanges[key];
-        let (route, unfreed) = (exchange.route.clone(), exchange.graph.take_unfreed());
-        self.free(&route, unfreed);
+        let (route, region) = (exchange.route.clone(), exchange.region.clone());
+        let unfreed = exchange.graph.take_unfreed();
+        self.free(&route, region.as_deref(), unfreed);
     }
 
     pub(super) fn free_unclaimed(&mut self, outcome: FinishedPiece) {
         if let Ok(handle) = outcome.result {
-            self.free_through_batcher(&outcome.piece.service, vec![handle]);
+            self.free_through_batcher(PoolKey::of(&outcome.piece).pool(), vec![handle]);
         }
     }
 
-    /// Frees results of an exchange's stages.
-    pub(super) fn free(&mut self, route: &Route, results: Vec<(usize, Handle)>) {
+    /// Frees results of an exchange's stages, which ran in a region.
+    pub(super) fn free(
+        &mut self,
+        route: &Route,
+        region: Option<&str>,
+        results: Vec<(usize, Handle)>,
+    ) {
         for (service, handles) in by_service(route, results) {
-            self.free_through_batcher(&service, handles);
+            self.free_through_batcher(Pool { region, ..Pool::of(&service) }, handles);
         }
     }
 
-    /// Frees results through the batcher of their service, which keeps account of the free
+    /// Frees results through the batcher of their pool, which keeps account of the free
     /// result memory of its endpoints.
-    pub(super) fn free_through_batcher(&mut self, service: &str, handles: Vec<Handle>) {
-        match self.batcher_peer(service) {
+    pub(super) fn free_through_batcher(&mut self, pool: Pool<'_>, handles: Vec<Handle>) {
+        match self.batcher_peer(pool) {
             Some(peer) => {
                 let is_evictable = false;
                 self.actions.push(Action::FreeViaPeer { peer, handles, is_evictable });
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -3,8 +3,6 @@
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3;
-
 use crate::{
     model::{InstanceName, Load},
     relay::{
@@ -15,8 +13,9 @@
         machine::{Handover, Relay, Ticket},
         model::{
             Action, CallKey, ExchangeKey, Failure, HandoverKey, Piece, PieceFailure, PieceResult,
-            Refusal, ServiceName, Step,
+            Refusal, Step,
         },
+        pool::PoolKey,
     },
 };
 
@@ -38,20 +37,20 @@
         load: Option<Load>,
     ) {
         self.record_answer(now, call, load);
-        let service = self.service_of_call(call);
+        let pool = self.pool_of_call(call);
         self.end_call(now, call, Step::Ended);
         let (finished, unclaimed) = self.batcher.record_results(now, call, results);
-        if let (Some(service), false) = (service, unclaimed.is_empty()) {
-            self.free_through_batcher(&service, unclaimed);
+        if let (Some(pool), false) = (pool, unclaimed.is_empty()) {
+            self.free_through_batcher(pool.pool(), unclaimed);
         }
         self.process_finished(now, finished);
         self.dispatch_all(now);
     }
 
-    /// The service of the endpoint that a call went to.
-    pub(super) fn service_of_call(&self, call: CallKey) -> Option<ServiceName> {
+    /// The pool of the endpoint that a call went to.
+    pub(super) fn pool_of_call(&self, call: CallKey) -> Option<PoolKey> {
         let endpoint = self.directory.get(self.calls.get(call)?.endpoint)?;
-        Some(endpoint.entry.service.clone())
+        Some(self.directory.pool_of(endpoint))
     }
 
     /// Sends the pieces of stragglers to other endpoints too, within the retry budget.
@@ -145,7 +144,7 @@
     /// them again.
     fn hand_over_again(&mut self, exchange: ExchangeKey, pieces: Vec<Piece>) {
         let Some(first) = pieces.first() else { return };
-        match self.batcher_peer(&first.service) {
+        match self.batcher_peer(PoolKey::of(first).pool()) {
             Some(peer) => self.hand_over(exchange, peer, pieces),
             None => {
                 for piece in pieces {
@@ -168,20 +167,19 @@
                 self.start_stage(now, key, stage);
             }
         }
-        let services = self.batcher.waiting_services();
-        for service in services {
-            self.dispatch(now, &service);
+        for pool in self.batcher.waiting_pools() {
+            self.dispatch(now, &pool);
         }
     }
 
     pub(super) fn start_stage(&mut self, now: Duration, key: ExchangeKey, stage: usize) {
         let Some(exchange) = self.exchanges.get(key) else { return };
-        let service = exchange.route.stages[stage].service.clone();
+        let pool = exchange.stage_pool(stage);
         let pieces = exchange.new_pieces(stage, self.remaining_time(exchange, stage));
         self.exchanges[key].stage_starts.push((stage, now));
-        match self.batcher_peer(&service) {
+        match self.batcher_peer(pool.pool()) {
             None => {
-                self.deposit(now, &service, pieces.len() as u32);
+                self.deposit(now, &pool.service, pieces.len() as u32);
                 let pieces = pieces.into_iter().map(|piece| (piece, Origin::Local(key)));
                 self.admit_pieces(now, pieces.collect());
             }
@@ -196,31 +194,6 @@
         self.actions.push(Action::HandOverPieces { key: handover, peer, pieces });
     }
 
-    /// The peer that batches a service's pieces; `None` if this instance does. The instances
-    /// with the largest CPU shares come first, since all pieces of a service pass through one
-    /// process.
-    pub(super) fn batcher_peer(&self, service: &str) -> Option<InstanceName> {
-        self.first_ranked(xxh3::xxh3_64(service.as_bytes()))
-    }
-
-    /// The peer that ranks first for a task; `None` if this instance does.
-    pub(super) fn first_ranked(&self, seed: u64) -> Option<InstanceName> {
-        let rank = |name: &str, cpu: u32| (cpu, xxh3::xxh3_64_with_seed(name.as_bytes(), seed));
-        let own = rank(&self.settings.name, self.settings.millicores);
-        let peers =
-            self.peers.iter().filter(|peer| !self.unresponsive_peers.contains_key(&peer.name));
-        let ranked = peers.map(|peer| (rank(&peer.name, peer.millicores), &peer.name));
-        let (best, name) = ranked.max()?;
-        (best > own || !self.is_batching).then(|| name.clone())
-    }
-
-    /// How many peers rank before this instance for a task, regardless of their CPU shares.
-    pub(super) fn rank_of(&self, seed: u64) -> usize {
-        let rank = |name: &str| xxh3::xxh3_64_with_seed(name.as_bytes(), seed);
-        let own = rank(&self.settings.name);
-        self.peers.iter().filter(|peer| rank(&peer.name) > own).count()
-    }
-
     /// Queues pieces, except those that cannot be made in time. They are refused at once,
     /// while their callers still have time to retry.
     pub(super) fn admit_pieces(&mut self, now: Duration, pieces: Vec<(Piece, Origin)>) {
@@ -255,24 +228,24 @@
 
     pub(super) fn dispatch_all(&mut self, now: Duration) {
         self.has_freed_memory = false;
-        for service in self.batcher.waiting_services() {
-            self.dispatch(now, &service);
+        for pool in self.batcher.waiting_pools() {
+            self.dispatch(now, &pool);
         }
     }
 
-    /// Sends queued pieces of a service to its idle endpoints.
-    pub(super) fn dispatch(&mut self, now: Duration, service: &str) {
-        let Some(config) = self.piece_config(service) else { return };
-        let evictable = self.batcher.results_to_evict(now, service, &config, &self.directory);
+    /// Sends queued pieces of a pool to its idle endpoints.
+    pub(super) fn dispatch(&mut self, now: Duration, pool: &PoolKey) {
+        let Some(config) = self.piece_config(&pool.service) else { return };
+        let evictable = self.batcher.results_to_evict(now, pool, &config, &self.directory);
         if !evictable.is_empty() {
             self.free_at_endpoints(evictable);
         }
-        let late = match self.directory.is_evacuated(now, service) {
-            true => self.batcher.take_waiting(service),
-            false => self.batcher.take_late(now, service, &config, &self.directory),
+        let late = match self.directory.is_evacuated(now, pool.pool()) {
+            true => self.batcher.take_waiting(pool),
+            false => self.batcher.take_late(now, pool, &config, &self.directory),
         };
         self.process_finished(now, late);
-        for order in self.batcher.plan(now, service, &config, &self.directory) {
+        for order in self.batcher.plan(now, pool, &config, &self.directory) {
             let endpoint = order.endpoint;
             let call = self.calls.insert(CallState {
                 purpose: CallPurpose::Pieces,
@@ -392,7 +365,7 @@
         let stage = usize::from(outcome.piece.stage);
         let Some(idx) = starts.iter().position(|(known, _)| *known == stage) else { return };
         let (_, started) = starts.swap_remove(idx);
-        self.stage_times.record(now, &outcome.piece.service, now.saturating_sub(started));
+        self.stage_times.record(now, PoolKey::of(&outcome.piece), now.saturating_sub(started));
     }
 
     /// Queues the pieces of a failed call again. `is_safe` if certainly no endpoint received
@@ -419,9 +392,9 @@
 
     pub(super) fn advance_after_pieces(&mut self, now: Duration, key: ExchangeKey) {
         let Some(exchange) = self.exchanges.get_mut(key) else { return };
-        let route = exchange.route.clone();
+        let (route, region) = (exchange.route.clone(), exchange.region.clone());
         let used = exchange.graph.take_unneeded(&route);
-        self.free(&route, used);
+        self.free(&route, region.as_deref(), used);
         let has_call = self.exchanges[key].call.is_some();
         if !has_call {
             self.advance(now, key);
@@ -453,9 +426,9 @@
             return;
         }
         let used = exchange.graph.take_unfreed();
-        let (route, pieces) = (exchange.route.clone(), exchange.arrival.pieces.clone());
-        exchange.graph = StageGraph::new(&route, &pieces);
-        self.free(&route, used);
+        let (route, region) = (exchange.route.clone(), exchange.region.clone());
+        exchange.graph = StageGraph::new(&route, &exchange.arrival.pieces);
+        self.free(&route, region.as_deref(), used);
         self.advance(now, key);
     }
 
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     model::{DataCentre, EndpointName, Incarnation, InstanceName, Load, TeamName},
-    relay::{fingerprint::Fingerprint, terms::Terms},
+    relay::{fingerprint::Fingerprint, region::RegionName, terms::Terms},
 };
 
 /// A group of endpoints that serve the same routes or stages.
@@ -183,6 +183,8 @@
 pub struct Piece {
     /// The service that produces its result.
     pub service: ServiceName,
+    /// The only region whose endpoints may run it; `None` for any region.
+    pub region: Option<RegionName>,
     /// The caller's id of the request.
     pub request: Arc<str>,
     /// The stage's position in its route.
@@ -236,6 +238,8 @@
 pub struct PlacementRequest {
     /// The service.
     pub service: ServiceName,
+    /// The only region whose engines may run the prompt; `None` for any region.
+    pub region: Option<RegionName>,
     /// The prompt.
     pub prompt: Prompt,
     /// Bytes of the call's inputs, by data centre.
--- a/crates/core/src/relay/pool.rs
+++ b/crates/core/src/relay/pool.rs
@@ -1,5 +1,12 @@
 //! Which endpoints a piece of work may go to.
 
+use peatdeck_macros::id;
+
+use crate::relay::{
+    model::{Piece, ServiceName},
+    region::RegionName,
+};
+
 /// A version of a service's software that work may be sent to on its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 pub enum Track {
@@ -27,3 +34,24 @@
         Pool { service, region: None, track: Track::Stable }
     }
 }
+
+/// The key of the queues and measurements of a service in one region.
+#[id]
+pub struct PoolKey {
+    /// The service.
+    pub service: ServiceName,
+    /// The only region whose endpoints may run the work; `None` for any region.
+    pub region: Option<RegionName>,
+}
+
+impl PoolKey {
+    /// The endpoints that may run a piece.
+    pub fn of(piece: &Piece) -> PoolKey {
+        PoolKey { service: piece.service.clone(), region: piece.region.clone() }
+    }
+
+    /// The stable endpoints of the service in the region.
+    pub fn pool(&self) -> Pool<'_> {
+        Pool { service: &self.service, region: self.region.as_deref(), track: Track::Stable }
+    }
+}
--- a/crates/core/src/relay/region.rs
+++ b/crates/core/src/relay/region.rs
@@ -46,6 +46,12 @@
         Some(self.regions.get(data_centre).map_or(data_centre, |region| region))
     }
 
+    /// The region that work is assigned to if it is to run near a data centre. `None` if the map has
+    /// no more than one region, so that work may run anywhere.
+    pub fn work_region(&self, data_centre: &str) -> Option<RegionName> {
+        self.has_several().then(|| self.region_of(data_centre)).flatten().map(Arc::from)
+    }
+
     /// The distance between two data centres.
     pub fn distance(&self, a: &str, b: &str) -> Distance {
         if a == b {
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -26,6 +26,7 @@
 mod quarantine;
 mod readers;
 mod reads;
+mod regions;
 mod rests;
 mod stages;
 mod streams;
--- a/crates/core/tests/testsuite/relay/cold.rs
+++ b/crates/core/tests/testsuite/relay/cold.rs
@@ -123,6 +123,7 @@
         );
         let request = |shared| PlacementRequest {
             service: "llm".into(),
+            region: None,
             prompt: prompt(shared, 2),
             inputs: Vec::new(),
             excluded: Vec::new(),
--- a/crates/core/tests/testsuite/relay/evacuation.rs
+++ b/crates/core/tests/testsuite/relay/evacuation.rs
@@ -269,6 +269,7 @@
     let mut world = engines();
     let request = PlacementRequest {
         service: "llm".into(),
+        region: None,
         prompt: prompt(1, 2),
         inputs: Vec::new(),
         excluded: Vec::new(),
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -167,6 +167,19 @@
     ReplyHead { is_not_run: true, is_sealed: false, ..head(status) }
 }
 
+/// Settings of an instance in data centre `east` of a deployment without regions.
+pub fn settings(name: &str) -> Settings {
+    Settings {
+        name: Arc::from(name),
+        data_centre: Arc::from("east"),
+        retry_budget: RetryBudgetConfig { ratio: 0.2, slack: 40.0, window: ms(10_000) },
+        min_instances: 1,
+        millicores: 250,
+        regions: Default::default(),
+        rollout: None,
+    }
+}
+
 /// A relay under test, its clock and the actions that the test has not consumed yet.
 pub struct World {
     pub relay: Relay,
@@ -191,15 +204,12 @@
     }
 
     fn with_name(config: Arc<Config>, budget: RetryBudgetConfig, name: &str) -> World {
-        let settings = Settings {
-            name: Arc::from(name),
-            data_centre: Arc::from("east"),
-            retry_budget: budget,
-            min_instances: 1,
-            millicores: 250,
-            regions: Default::default(),
-            rollout: None,
-        };
+        let settings = Settings { retry_budget: budget, ..settings(name) };
+        World::with_settings(config, settings)
+    }
+
+    /// An instance with the given settings.
+    pub fn with_settings(config: Arc<Config>, settings: Settings) -> World {
         let mut relay = Relay::new(settings, 7);
         relay.configure(config);
         relay.mark_quarantine_read();
--- a/crates/core/tests/testsuite/relay/placing.rs
+++ b/crates/core/tests/testsuite/relay/placing.rs
@@ -127,6 +127,7 @@
     world.relay.set_peers(world.now, Vec::new(), 1);
     let request = PlacementRequest {
         service: "llm".into(),
+        region: None,
         prompt: prompt(1, 2),
         inputs: Vec::new(),
         excluded: vec![endpoint_id("a", 1)],
@@ -172,6 +173,7 @@
     world.relay.set_peers(world.now, Vec::new(), 1);
     let request = PlacementRequest {
         service: "llm".into(),
+        region: None,
         prompt: prompt(1, 2),
         inputs: Vec::new(),
         excluded: vec![endpoint_id("a", 1), endpoint_id("b", 1)],
@@ -190,6 +192,7 @@
         world.relay.on_parts_listed(world.now, engine, &held);
         let request = PlacementRequest {
             service: "llm".into(),
+            region: None,
             prompt: prompt(1, 2),
             inputs: Vec::new(),
             excluded: vec![endpoint_id("b", 1)],
@@ -210,6 +213,7 @@
     }
     let request = |own: u64, excluded: &str| PlacementRequest {
         service: "llm".into(),
+        region: None,
         prompt: prompt(1, own),
         inputs: Vec::new(),
         excluded: vec![endpoint_id(excluded, 1)],
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -223,6 +223,7 @@
     });
     Ok(PlacementRequest {
         service: text(from.get_service()?)?,
+        region: None,
         prompt,
         inputs: inputs.collect::<Result<_, Error>>()?,
         excluded: excluded.collect::<Result<_, Error>>()?,
@@ -421,6 +422,7 @@
     let inputs = from.get_inputs()?.iter().map(|input| text(input?));
     Ok(Piece {
         service: text(from.get_service()?)?,
+        region: None,
         request: text(from.get_request()?)?,
         stage: from.get_stage(),
         number: from.get_number(),
