Serve requests only in their allowed regions

Routes and teams may name the only regions where their requests may be served, and a region that is full refused requests that another one had time for.

The lists are intersected at intake and kept in the exchange. Before an exchange continues, and when endpoints or lists change, its work region is checked: it moves to another allowed region that has usable endpoints of all services it needs, or is refused with 503 no_allowed_region. Stages that have begun in a region that is no longer allowed are recalled and made again elsewhere; their late results are freed. Calls that run end where they run.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -31,14 +31,17 @@
 //! copies, [`readers`] selects the instances that read from the platform;
 //! [`directory`] holds the endpoints, [`engine`] estimates the load of those that
 //! generate; [`allowance`] is the retry budget; [`fingerprint`] identifies equal
-//! requests, [`quarantine`] those that crash endpoints; [`region`] maps data centres to regions;
-//! [`rollout`] moves a service to a new version; [`pool`] names the endpoints that work may go to; [`terms`] are the conditions
-//! that endpoints state in replies; [`graph`] holds the stages of one exchange;
+//! requests, [`quarantine`] those that crash endpoints; [`region`] maps data centres to
+//! regions, [`allowed`] are the regions where a request may be served, [`overflow`] decides
+//! which requests leave a full region; [`rollout`] moves a service to a new version;
+//! [`pool`] names the endpoints that work may go to; [`terms`] are the conditions that
+//! endpoints state in replies; [`graph`] holds the stages of one exchange;
 //! [`batch`] groups pieces of all exchanges into calls; [`choice`] selects an
 //! endpoint; [`events`] splits a stream into server-sent events; `machine` combines
 //! these, `exchange` is its state.
 
 pub mod allowance;
+pub mod allowed;
 pub mod backoff;
 pub mod batch;
 pub mod catch_up;
@@ -51,6 +54,7 @@
 pub mod graph;
 pub mod model;
 pub mod operator;
+pub mod overflow;
 pub mod pool;
 pub mod position;
 pub mod quarantine;
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -211,6 +211,19 @@
         keys.filter(is_usable).copied().collect()
     }
 
+    /// Whether [`Directory::usable`] lists any endpoint.
+    pub fn has_usable(&self, now: Duration, pool: Pool<'_>) -> bool {
+        let has_ready = self.ready_in(pool).any(|endpoint| !self.is_in_evacuated(endpoint));
+        has_ready || !self.usable(now, pool).is_empty()
+    }
+
+    /// The regions of a service's endpoints, by name; none if regions have no names.
+    pub fn regions_of(&self, service: &str) -> BTreeSet<&str> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let data_centres = keys.iter().map(|key| &self.endpoints[*key].entry.data_centre);
+        data_centres.filter_map(|data_centre| self.regions.region_of(data_centre)).collect()
+    }
+
     fn is_in_region(&self, endpoint: &Endpoint, region: Option<&str>) -> bool {
         region.is_none() || self.regions.region_of(&endpoint.entry.data_centre) == region
     }
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -5,6 +5,7 @@
 use crate::{
     model::{DataCentre, InstanceName, TeamName},
     relay::{
+        allowed::AllowedRegions,
         config::Route,
         fingerprint::Fingerprint,
         graph::StageGraph,
@@ -20,6 +21,8 @@
     pub(crate) arrival: Arrival,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
+    /// The regions where it may be served.
+    pub(crate) allowed: AllowedRegions,
     /// The region whose endpoints run all of its work; `None` for any region.
     pub(crate) region: Option<RegionName>,
     pub(crate) team: Option<TeamName>,
--- a/crates/core/src/relay/graph.rs
+++ b/crates/core/src/relay/graph.rs
@@ -94,6 +94,11 @@
         (0..self.stages.len()).any(|idx| self.successors(route, idx).next().is_some())
     }
 
+    /// Whether any stage has been started.
+    pub fn has_begun(&self) -> bool {
+        self.stages.iter().any(|stage| stage.is_started && !stage.results.is_empty())
+    }
+
     /// The stages that have not been started.
     pub fn unstarted(&self) -> impl Iterator<Item = usize> {
         let waiting = self.stages.iter().enumerate().filter(|(_, stage)| !stage.is_started);
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -7,9 +7,9 @@
 //! deadlines of its stages; `queues` reports backlogs of pieces; `placing` chooses engines
 //! for all instances; `quarantine` stops requests that crash endpoints; `evacuation` keeps
 //! all requests away from evacuated data centres; `ranking` selects the instance that does a
-//! task for all; `pace` limits the calls to endpoints that
-//! are cold or state a limit; `terms` processes what endpoints report of themselves;
-//! `policies` runs the operators' programs; `rollouts` moves services to new versions.
+//! task for all; `regions` assigns each request to a region; `pace` limits the calls to
+//! endpoints that are cold or state a limit; `terms` processes what endpoints report of
+//! themselves; `policies` runs the operators' programs; `rollouts` moves services to new versions.
 
 mod calls;
 mod ending;
@@ -23,6 +23,7 @@
 mod quarantine;
 mod queues;
 mod ranking;
+mod regions;
 mod results;
 mod rollouts;
 mod stages;
@@ -43,6 +44,7 @@
     policy::Program,
     relay::{
         allowance::{RetryBudget, RetryBudgetConfig},
+        allowed::AllowedRegions,
         batch::Batcher,
         choice,
         config::Config,
@@ -64,6 +66,8 @@
 
 /// Interval between two clean-ups of expired state.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
+/// How often the stages of an exchange are started at most.
+const MAX_ROUNDS: u8 = 2;
 /// Time limit of a request that states no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(600);
 
@@ -301,6 +305,7 @@
         if self.config.as_ref().is_some_and(|known| known.version >= config.version) {
             return false;
         }
+        self.update_allowed_regions(&config);
         self.config = Some(config);
         true
     }
@@ -313,6 +318,7 @@
             self.end_incarnation(now, endpoint, is_planned);
         }
         if changed.is_new {
+            self.recheck_restricted(now);
             self.search(now);
             self.dispatch_all(now);
         }
@@ -396,6 +402,10 @@
             graph: StageGraph::new(route, &arrival.pieces),
             route: route.clone(),
             service,
+            allowed: AllowedRegions::intersect(
+                route.allowed_regions.as_deref(),
+                team.and_then(|team| team.allowed_regions.as_deref()),
+            ),
             region: self.directory.regions().work_region(&self.settings.data_centre),
             team: team.map(|team| team.name.clone()),
             content: arrival.content.for_team(team.map(|team| &*team.name)),
@@ -423,6 +433,9 @@
         let deadline = exchange.deadline;
         let key = self.exchanges.insert(exchange);
         self.deadlines.insert((deadline, key));
+        if !self.ensure_region(now, key) {
+            return Ok(key);
+        }
         if !self.admits(now, key) {
             self.give_up(now, key, Refusal::Infeasible);
         } else if self.policy_admits(now, key) {
@@ -463,6 +476,9 @@
             self.refuse_quarantined(now, key);
             return;
         }
+        if !self.ensure_region(now, key) {
+            return;
+        }
         if self.needs_evacuated_service(now, key) {
             self.give_up(now, key, Refusal::Evacuated);
             return;
--- a/crates/core/src/relay/machine/ending.rs
+++ b/crates/core/src/relay/machine/ending.rs
@@ -101,8 +101,10 @@
             return self.quarantined_for(now, key).unwrap_or_default();
         }
         let usual = match refusal {
-            // An evacuation ends when the operators end it, so the longest pause is stated.
-            Refusal::Infeasible | Refusal::Evacuated => OVERLOAD_RETRY_AFTER,
+            // Operators end an evacuation or a restriction, so the longest pause is stated.
+            Refusal::Infeasible | Refusal::Evacuated | Refusal::NoAllowedRegion => {
+                OVERLOAD_RETRY_AFTER
+            }
             _ => DEFAULT_RETRY_AFTER,
         };
         let remaining = self.exchanges[key].deadline.saturating_sub(now);
--- a/crates/core/src/relay/machine/evacuation.rs
+++ b/crates/core/src/relay/machine/evacuation.rs
@@ -27,6 +27,7 @@
     ) -> Vec<bool> {
         let results =
             commands.into_iter().map(|command| self.apply_operator_change(command)).collect();
+        self.recheck_regions(now);
         self.refuse_evacuated(now);
         self.search(now);
         self.dispatch_all(now);
--- a/crates/core/src/relay/machine/intake.rs
+++ b/crates/core/src/relay/machine/intake.rs
@@ -8,12 +8,20 @@
 //! of those that would be too late. Since only part of them is refused, the measurements go
 //! on, and the load settles where admitted requests are just in time. Instances exchange no
 //! messages for this: all of them see the same queues.
+//!
+//! A request that would be refused goes to another region instead, if that one has time.
 
 use std::{collections::HashMap, time::Duration};
 
 use rand::Rng;
 
-use crate::relay::{machine::Relay, model::ExchangeKey, pool::PoolKey};
+use crate::relay::{
+    exchange::Exchange,
+    machine::Relay,
+    model::{ExchangeKey, ServiceName},
+    pool::PoolKey,
+    region::RegionName,
+};
 
 /// Weight of the newest time in the moving average, which covers about the last five.
 const NEWEST_WEIGHT: f64 = 0.2;
@@ -26,8 +34,8 @@
 /// difference.
 const STEEPNESS: i32 = 2;
 
-/// Moving averages of how long the stages of each service took in each region, from their start until the
-/// first of their pieces came back.
+/// Moving averages of how long the stages of each service took in each region, from their start
+/// until the first of their pieces came back.
 #[derive(Debug, Clone, Default)]
 pub(super) struct StageTimes {
     times: HashMap<PoolKey, (Duration, Duration)>,
@@ -60,26 +68,32 @@
             return true;
         }
         let objective = exchange.target.saturating_sub(exchange.started_at);
-        let expected = self.expected_time(now, key);
+        let expected = self.expected_time(now, exchange, exchange.region.as_ref());
         if expected <= objective {
             return true;
         }
         let ratio = objective.as_secs_f64() / expected.as_secs_f64();
         let chance = ratio.powi(STEEPNESS * (1 + i32::from(exchange.priority)));
-        self.rng.random_bool(chance.clamp(0.0, 1.0))
+        self.rng.random_bool(chance.clamp(0.0, 1.0)) || self.leave_full_region(now, key)
     }
 
-    /// The expected time until the first token, at the stage times measured lately.
-    fn expected_time(&self, now: Duration, key: ExchangeKey) -> Duration {
-        let exchange = &self.exchanges[key];
+    /// The expected time until the first token in a region, at the stage times measured lately.
+    pub(super) fn expected_time(
+        &self,
+        now: Duration,
+        exchange: &Exchange,
+        region: Option<&RegionName>,
+    ) -> Duration {
+        let pool =
+            |service: &ServiceName| PoolKey { service: service.clone(), region: region.cloned() };
         let adapt = |time| time;
         let first_stages = (0..exchange.route.stages.len())
             .filter(|idx| exchange.route.stages[*idx].after.is_empty())
             .filter(|idx| exchange.graph.piece_count(*idx) > 0);
         let times = first_stages.map(|idx| {
-            let own = self.recent_time(now, &exchange.stage_pool(idx));
+            let own = self.recent_time(now, &pool(&exchange.route.stages[idx].service));
             own + self.remaining_after_with(exchange, idx, &adapt, &|service| {
-                self.recent_time(now, &exchange.pool_of(service))
+                self.recent_time(now, &pool(service))
             })
         });
         times.max().unwrap_or_default()
--- a/crates/core/src/relay/machine/moves.rs
+++ b/crates/core/src/relay/machine/moves.rs
@@ -90,6 +90,7 @@
             |key: &EndpointKey| self.directory.get(*key).is_some_and(|it| !it.is_paused(now));
         let others = self.directory.usable(now, exchange.pool()).into_iter();
         let has_other = others.filter(|key| !tried.contains(key)).any(|key| is_available(&key));
-        may_repeat && has_other && *deadline > now + OVERDUE_SLACK
+        let may_leave = exchange.allowed.allows(exchange.region.as_deref());
+        may_repeat && may_leave && has_other && *deadline > now + OVERDUE_SLACK
     }
 }
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -366,11 +366,18 @@
             return None;
         }
         let Placement { tokens, wait, source, number, .. } = placement;
+        let source = source.filter(|addr| self.is_source_in(addr, pool.region));
         let copy_time = Duration::ZERO;
         let chosen = Candidate { endpoint, tokens, source: None, wait, copy_time, cost: 0.0 };
         Some(Placed { chosen, source, placer: Some((peer.clone(), number)) })
     }
 
+    /// Whether prompt parts may be fetched from an address for work of a region.
+    fn is_source_in(&self, addr: &str, region: Option<&str>) -> bool {
+        let source = || self.directory.pool_at(addr);
+        region.is_none() || source().is_some_and(|pool| pool.region.as_deref() == region)
+    }
+
     pub(super) fn choose(
         &mut self,
         now: Duration,
--- a/crates/core/src/relay/machine/ranking.rs
+++ b/crates/core/src/relay/machine/ranking.rs
@@ -1,5 +1,5 @@
-//! Which instance does a task for all: the batcher of a pool, the placer of a prompt, the callers of
-//! an endpoint.
+//! Which instance does a task for all: the batcher of a pool, the placer of a prompt, the callers
+//! of an endpoint.
 //!
 //! All instances rank each other by rendezvous hash. The work of a region is done by its own
 //! instances. If none of them is alive, each other region has an instance that does it for that
@@ -56,6 +56,13 @@
         }
     }
 
+    /// Whether a region has a live instance that answers this one, or this is its instance.
+    pub(super) fn has_responsive_instance(&self, region: &str) -> bool {
+        let mut peers = self.peers_in(Some(region));
+        self.is_in(Some(region))
+            || peers.any(|peer| !self.unresponsive_peers.contains_key(&peer.name))
+    }
+
     /// The region of this instance; `None` if the deployment has one region without a name.
     pub(super) fn own_region(&self) -> Option<&str> {
         self.directory.regions().region_of(&self.settings.data_centre)
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -10,7 +10,7 @@
         config::Pieces,
         exchange::{CallPurpose, CallState},
         graph::{LocatedResult, StageGraph},
-        machine::{Handover, Relay, Ticket},
+        machine::{Handover, MAX_ROUNDS, Relay, Ticket},
         model::{
             Action, CallKey, ExchangeKey, Failure, HandoverKey, Piece, PieceFailure, PieceResult,
             Refusal, Step,
@@ -19,8 +19,6 @@
     },
 };
 
-/// How often the stages of an exchange are started at most.
-const MAX_ROUNDS: u8 = 2;
 /// A peer that did not answer a hand-over gets no pieces for this long. After that its
 /// liveness counter shows whether it is alive.
 const AVOID_TIME: Duration = Duration::from_secs(2);
@@ -333,6 +331,11 @@
             return;
         };
         exchange.has_run |= !is_unmade(&outcome);
+        if outcome.piece.region != exchange.region {
+            // The exchange has moved since, and its results may not be stored there any more.
+            self.free_unclaimed(outcome);
+            return;
+        }
         let is_stale = outcome.piece.round != exchange.rounds;
         self.record_stage_time(now, key, &outcome);
         let exchange = &mut self.exchanges[key];
@@ -346,7 +349,11 @@
                     (usize::from(outcome.piece.stage), usize::from(outcome.piece.number));
                 exchange.graph.record_result(stage, number, made);
             }
-            Err(PieceFailure::Late) => self.give_up(now, key, Refusal::Infeasible),
+            Err(PieceFailure::Late) => {
+                if exchange.has_run || !self.leave_full_region(now, key) {
+                    self.give_up(now, key, Refusal::Infeasible);
+                }
+            }
             Err(PieceFailure::InputGone) => self.restart_stages(now, key),
             Err(_) => {
                 let piece = retry_piece(&outcome);
@@ -374,7 +381,11 @@
         let mut failed = Vec::new();
         for outcome in finished {
             let is_wanted = match outcome.origin {
-                Origin::Local(key) => self.exchanges.contains_key(key),
+                Origin::Local(key) => {
+                    let exchange = self.exchanges.get(key);
+                    // An exchange that has moved makes its stages again in another region.
+                    exchange.is_some_and(|exchange| exchange.region == outcome.piece.region)
+                }
                 Origin::Peer { ticket, .. } => self.tickets.contains_key(&ticket),
             };
             if !is_wanted {
--- a/crates/core/src/relay/model/refusal.rs
+++ b/crates/core/src/relay/model/refusal.rs
@@ -26,6 +26,9 @@
     /// Nothing ran and nothing will: all endpoints of a service that it needs are in
     /// evacuated data centres.
     Evacuated,
+    /// Nothing ran and nothing will: no region where it may be served has usable endpoints of
+    /// all services that it needs.
+    NoAllowedRegion,
     /// The deadline passed; something may have run.
     TimedOut,
     /// An endpoint failed; something may have run.
@@ -42,6 +45,7 @@
             | Refusal::Policy
             | Refusal::Quarantined
             | Refusal::Evacuated
+            | Refusal::NoAllowedRegion
                 if has_run =>
             {
                 Refusal::Failed
@@ -58,7 +62,8 @@
             | Refusal::Infeasible
             | Refusal::Policy
             | Refusal::Quarantined
-            | Refusal::Evacuated => 503,
+            | Refusal::Evacuated
+            | Refusal::NoAllowedRegion => 503,
             Refusal::NoRoute => 404,
             Refusal::UnknownKey => 401,
             Refusal::Malformed => 400,
@@ -79,6 +84,7 @@
             Refusal::Policy => "policy",
             Refusal::Quarantined => "quarantined",
             Refusal::Evacuated => "evacuated",
+            Refusal::NoAllowedRegion => "no_allowed_region",
             Refusal::TimedOut => "timed_out",
             Refusal::Failed => "failed",
         }
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -26,6 +26,7 @@
 mod quarantine;
 mod readers;
 mod reads;
+mod region_failures;
 mod regions;
 mod rests;
 mod stages;
