--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -27,6 +27,7 @@
 mod readers;
 mod reads;
 mod region_failures;
+mod region_fuzz;
 mod regions;
 mod rests;
 mod stages;
