Keep the region of each endpoint in the directory

Directory::usable looked the region of each endpoint up by its data centre. A request calls it some fifteen times, and at the design size that lookup alone would have taken most of an instance's share of a core.

--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -185,7 +185,7 @@
     fn ready_in<'a>(&'a self, pool: Pool<'a>) -> impl Iterator<Item = &'a Endpoint> {
         let keys = self.by_service.get(pool.service).map_or(&[][..], Vec::as_slice);
         let endpoints = keys.iter().map(|key| &self.endpoints[*key]);
-        endpoints.filter(move |it| it.is_ready() && self.is_in_region(it, pool.region))
+        endpoints.filter(move |it| it.is_ready() && is_in_region(it, pool.region))
     }
 
     /// Whether an endpoint's data centre is evacuated.
@@ -201,7 +201,7 @@
         let keys = self.by_service.get(pool.service).map_or(&[][..], Vec::as_slice);
         let keys = keys.iter().filter(|key| {
             let endpoint = &self.endpoints[**key];
-            !self.is_in_evacuated(endpoint) && self.is_in_region(endpoint, pool.region)
+            is_in_region(endpoint, pool.region) && !self.is_in_evacuated(endpoint)
         });
         let is_ready = |key: &EndpointKey| self.endpoints[*key].is_ready();
         let has_expired = |key: &EndpointKey| self.endpoints[*key].is_last_resort(now);
@@ -220,12 +220,7 @@
     /// The regions of a service's endpoints, by name; none if regions have no names.
     pub fn regions_of(&self, service: &str) -> BTreeSet<&str> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let data_centres = keys.iter().map(|key| &self.endpoints[*key].entry.data_centre);
-        data_centres.filter_map(|data_centre| self.regions.region_of(data_centre)).collect()
-    }
-
-    fn is_in_region(&self, endpoint: &Endpoint, region: Option<&str>) -> bool {
-        region.is_none() || self.regions.region_of(&endpoint.entry.data_centre) == region
+        keys.iter().filter_map(|key| self.endpoints[*key].region.as_deref()).collect()
     }
 
     /// The pool of the endpoint that listens at an address.
@@ -353,6 +348,7 @@
         if matches!(endpoint.state, State::Leaving(_)) {
             return ChangeEffect::default();
         }
+        endpoint.region = self.regions.region_name(&entry.data_centre);
         let was_ready = endpoint.is_ready();
         endpoint.state = if entry.is_leaving { State::Leaving(now) } else { State::Ready };
         let is_newly_cold = entry.cold_left.is_some_and(|left| endpoint.set_cold(now, left));
@@ -363,7 +359,8 @@
 
     fn insert(&mut self, now: Duration, entry: Entry) -> ChangeEffect {
         let (name, service) = (entry.name.clone(), entry.service.clone());
-        let mut endpoint = Endpoint::new(now, entry);
+        let region = self.regions.region_name(&entry.data_centre);
+        let mut endpoint = Endpoint::new(now, entry, region);
         if endpoint.entry.is_leaving {
             endpoint.state = State::Leaving(now);
         }
@@ -385,3 +382,7 @@
         ChangeEffect { is_new: was_ready, ..ChangeEffect::default() }
     }
 }
+
+fn is_in_region(endpoint: &Endpoint, region: Option<&str>) -> bool {
+    region.is_none() || endpoint.region.as_deref() == region
+}
--- a/crates/core/src/relay/directory/endpoint.rs
+++ b/crates/core/src/relay/directory/endpoint.rs
@@ -11,6 +11,7 @@
         directory::Entry,
         engine::EngineModel,
         model::{EndpointId, Failure, Step},
+        region::RegionName,
         terms::{LimitReport, Notice, Rate},
     },
 };
@@ -51,6 +52,8 @@
 pub struct Endpoint {
     /// Its entry in the directory.
     pub entry: Entry,
+    /// The region of its data centre; `None` if the deployment's regions have no names.
+    pub(super) region: Option<RegionName>,
     /// This instance's calls in flight.
     pub in_flight: u32,
     /// The model of its load, if it generates, from the calls that this instance placed
@@ -80,7 +83,7 @@
 
 impl Endpoint {
     /// An endpoint whose entry has just been read for the first time.
-    pub(super) fn new(now: Duration, entry: Entry) -> Endpoint {
+    pub(super) fn new(now: Duration, entry: Entry, region: Option<RegionName>) -> Endpoint {
         Endpoint {
             cold_until: now + entry.cold_left.unwrap_or_default(),
             hold_until: Duration::ZERO,
@@ -88,6 +91,7 @@
             limit_report: None,
             last_slot: None,
             entry,
+            region,
             in_flight: 0,
             engine: EngineModel::default(),
             response_time: None,
--- a/crates/core/src/relay/region.rs
+++ b/crates/core/src/relay/region.rs
@@ -49,7 +49,13 @@
     /// The region that work is assigned to if it is to run near a data centre. `None` if the map has
     /// no more than one region, so that work may run anywhere.
     pub fn work_region(&self, data_centre: &str) -> Option<RegionName> {
-        self.has_several().then(|| self.region_of(data_centre)).flatten().map(Arc::from)
+        self.has_several().then(|| self.region_name(data_centre)).flatten()
+    }
+
+    /// [`RegionMap::region_of`] as a name to keep.
+    pub fn region_name(&self, data_centre: &str) -> Option<RegionName> {
+        let known = || self.regions.get(data_centre).cloned();
+        (!self.regions.is_empty()).then(|| known().unwrap_or_else(|| Arc::from(data_centre)))
     }
 
     /// The distance between two data centres.
--- a/crates/core/tests/testsuite/relay/region_failures.rs
+++ b/crates/core/tests/testsuite/relay/region_failures.rs
@@ -330,6 +330,21 @@
     }
 }
 
+/// Guards against refusals of pieces that their queue has no time for, while another region is idle.
+#[test]
+fn a_request_that_a_queue_rejects_leaves_the_region() {
+    let mut world = restricted(None);
+    world.relay.set_peers(world.now, vec![peer("far", "coast-a")], 3);
+    let mut left = 0;
+    for id in 0..60 {
+        world.submit(Arrival { pieces: vec![4], ..arrival(&id.to_string(), "r") });
+        let away = handovers(&mut world).into_iter().map(|(_, pieces)| pieces);
+        left += away.filter(|it| it[0].region.as_deref() == Some("coast")).count();
+    }
+    assert!(left > 0);
+    assert!(world.refusals().is_empty());
+}
+
 /// Guards against a changed choice in deployments with one region.
 #[test]
 fn one_region_chooses_as_without_a_map() {
