--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -6,9 +6,10 @@
 //! other endpoints; `intake` decides whether a request is admitted; `plan` computes the
 //! deadlines of its stages; `queues` reports backlogs of pieces; `placing` chooses engines
 //! for all instances; `quarantine` stops requests that crash endpoints; `evacuation` keeps
-//! all requests away from evacuated data centres; `pace` limits the calls to endpoints that
-//! are cold or state a limit; `terms` processes what endpoints report of themselves;
-//! `policies` runs the operators' programs; `rollouts` moves services to new versions.
+//! all requests away from evacuated data centres; `ranking` selects the instance that does a
+//! task for all; `regions` assigns each request to a region; `pace` limits the calls to
+//! endpoints that are cold or state a limit; `terms` processes what endpoints report of
+//! themselves; `policies` runs the operators' programs; `rollouts` moves services to new versions.
 
 mod calls;
 mod ending;
@@ -21,6 +22,8 @@
 mod policies;
 mod quarantine;
 mod queues;
+mod ranking;
+mod regions;
 mod results;
 mod rollouts;
 mod stages;
@@ -41,6 +44,7 @@
     policy::Program,
     relay::{
         allowance::{RetryBudget, RetryBudgetConfig},
+        allowed::AllowedRegions,
         batch::Batcher,
         choice,
         config::Config,
@@ -62,6 +66,8 @@
 
 /// Interval between two clean-ups of expired state.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
+/// How often the stages of an exchange are started at most.
+const MAX_ROUNDS: u8 = 2;
 /// Time limit of a request that states no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(600);
 
@@ -276,7 +282,7 @@
 
     /// When [`Relay::tick`] should be called next.
     pub fn next_wake(&self, now: Duration) -> Duration {
-        if self.has_freed_memory && !self.batcher.waiting_services().is_empty() {
+        if self.has_freed_memory && !self.batcher.waiting_pools().is_empty() {
             return now;
         }
         let deadline = self.deadlines.first().map(|(at, _)| *at);
@@ -286,7 +292,7 @@
         let overdue = self.token_deadlines.first().map(|(at, _)| *at);
         let report = self.next_report();
         let backlog =
-            (!self.batcher.waiting_services().is_empty()).then_some(self.next_backlog.max(now));
+            (!self.batcher.waiting_pools().is_empty()).then_some(self.next_backlog.max(now));
         [deadline, overdue, search, evictable, batch, report, backlog]
             .into_iter()
             .flatten()
@@ -299,6 +305,7 @@
         if self.config.as_ref().is_some_and(|known| known.version >= config.version) {
             return false;
         }
+        self.update_allowed_regions(&config);
         self.config = Some(config);
         true
     }
@@ -311,6 +318,7 @@
             self.end_incarnation(now, endpoint, is_planned);
         }
         if changed.is_new {
+            self.recheck_restricted(now);
             self.search(now);
             self.dispatch_all(now);
         }
@@ -394,6 +402,11 @@
             graph: StageGraph::new(route, &arrival.pieces),
             route: route.clone(),
             service,
+            allowed: AllowedRegions::intersect(
+                route.allowed_regions.as_deref(),
+                team.and_then(|team| team.allowed_regions.as_deref()),
+            ),
+            region: self.directory.regions().work_region(&self.settings.data_centre),
             team: team.map(|team| team.name.clone()),
             content: arrival.content.for_team(team.map(|team| &*team.name)),
             priority: team.and_then(|team| team.priority).unwrap_or(route.priority),
@@ -420,6 +433,9 @@
         let deadline = exchange.deadline;
         let key = self.exchanges.insert(exchange);
         self.deadlines.insert((deadline, key));
+        if !self.ensure_region(now, key) {
+            return Ok(key);
+        }
         if !self.admits(now, key) {
             self.give_up(now, key, Refusal::Infeasible);
         } else if self.policy_admits(now, key) {
@@ -460,6 +476,9 @@
             self.refuse_quarantined(now, key);
             return;
         }
+        if !self.ensure_region(now, key) {
+            return;
+        }
         if self.needs_evacuated_service(now, key) {
             self.give_up(now, key, Refusal::Evacuated);
             return;
--- a/crates/core/src/relay/machine/ending.rs
+++ b/crates/core/src/relay/machine/ending.rs
@@ -104,8 +104,10 @@
             return self.quarantined_for(now, key).unwrap_or_default();
         }
         let usual = match refusal {
-            // An evacuation ends when the operators end it, so the longest pause is stated.
-            Refusal::Infeasible | Refusal::Evacuated => OVERLOAD_RETRY_AFTER,
+            // Operators end an evacuation or a restriction, so the longest pause is stated.
+            Refusal::Infeasible | Refusal::Evacuated | Refusal::NoAllowedRegion => {
+                OVERLOAD_RETRY_AFTER
+            }
             _ => DEFAULT_RETRY_AFTER,
         };
         let remaining = self.exchanges[key].deadline.saturating_sub(now);
@@ -123,6 +125,6 @@
             self.actions.push(Action::RecallPieces(handover));
         }
         let unfreed = exchange.graph.take_unfreed();
-        self.free(&exchange.route, unfreed);
+        self.free(&exchange.route, exchange.region.as_deref(), unfreed);
     }
 }
--- a/crates/core/tests/testsuite/relay/fuzz/peer.rs
+++ b/crates/core/tests/testsuite/relay/fuzz/peer.rs
@@ -175,5 +175,6 @@
         content: Fingerprint(u128::from(number) + 1000),
         is_isolated: false,
         is_last_reader: false,
+        region: None,
     }
 }
