Settings: regions of the data centres

A data centre that the map does not list is logged once, and an accepted configuration logs the routes and teams with an empty list of allowed regions and the names in lists that are no region, one line each.

--- a/crates/core/src/relay/region.rs
+++ b/crates/core/src/relay/region.rs
@@ -46,6 +46,16 @@
         Some(self.regions.get(data_centre).map_or(data_centre, |region| region))
     }
 
+    /// Whether the map lists a data centre. An empty map needs no entries and lists all of them.
+    pub fn lists(&self, data_centre: &str) -> bool {
+        self.regions.is_empty() || self.regions.contains_key(data_centre)
+    }
+
+    /// Whether a data centre of the map is in this region.
+    pub fn has_region(&self, region: &str) -> bool {
+        self.regions.values().any(|name| **name == *region)
+    }
+
     /// The distance between two data centres.
     pub fn distance(&self, a: &str, b: &str) -> Distance {
         if a == b {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 //! - [`repair`]: writes records again that the platform's store has lost.
 //! - [`policy`]: loads the operators' policy from a file.
 //! - [`decisions`]: one log line for each decision.
+//! - [`regions`]: log lines about regions.
 
 pub mod calls;
 pub mod decisions;
@@ -40,6 +41,7 @@
 pub mod policy;
 pub mod pool;
 pub mod records;
+pub mod regions;
 pub mod repair;
 pub mod server;
 pub mod settings;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -47,6 +47,7 @@
 
 use crate::{
     driver::Driver,
+    regions::Unlisted,
     settings::Settings,
     surroundings::TableName,
     tables::{self, Tables},
@@ -98,6 +99,8 @@
     open_exchanges: Cell<u64>,
     /// The configuration's record in force, and the peer that has a newer one.
     versions: versions::Versions,
+    /// Data centres that the region map does not list.
+    pub unlisted: Unlisted,
 }
 
 impl Peers {
@@ -125,6 +128,7 @@
             usable_names: RefCell::default(),
             open_exchanges: Cell::new(0),
             versions: versions::Versions::default(),
+            unlisted: Unlisted::default(),
         }
     }
 
@@ -134,7 +138,7 @@
     }
 
     /// Applies a record of the table of instances.
-    pub fn apply_announcement(&self, now: Duration, record: &Record) {
+    pub fn apply_announcement(&self, driver: &Driver, record: &Record) {
         let mut announced = self.announced.borrow_mut();
         let value = record.value.as_deref();
         match value.map(serde_json::from_slice::<Announcement>) {
@@ -147,6 +151,7 @@
                 announced.remove(&record.key);
             }
             Some(Ok(announcement)) => {
+                self.unlisted.check(&driver.settings.regions, &announcement.place);
                 let entry = InstanceEntry {
                     name: record.key.clone(),
                     peer_addr: announcement.peers.clone(),
@@ -159,7 +164,7 @@
             }
         }
         let entries: Vec<_> = announced.values().map(|instance| instance.entry.clone()).collect();
-        self.members.borrow_mut().apply_listing(now, &entries);
+        self.members.borrow_mut().apply_listing(driver.now(), &entries);
     }
 
     /// Whether this instance reads the platform's tables from the store itself: it is one of
--- a/crates/relay/src/tables.rs
+++ b/crates/relay/src/tables.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     driver::Driver,
-    peers, records,
+    peers, records, regions,
     surroundings::{TABLES, TableName},
 };
 
@@ -184,7 +184,7 @@
         TableName::Config => apply_commands(driver, source, &changed),
         TableName::Endpoints => apply_endpoints(driver, source, &changed),
         TableName::Instances => {
-            changed.iter().for_each(|record| driver.peers.apply_announcement(driver.now(), record));
+            changed.iter().for_each(|record| driver.peers.apply_announcement(driver, record));
         }
         TableName::Quarantine => changed.iter().for_each(|record| records::apply(driver, record)),
     }
@@ -269,6 +269,11 @@
             let (version, routes) = (config.version, config.routes.len());
             driver.metrics.gauge("relay.config_version", version);
             tracing::info!(event = "config", version, offset, source, routes, taken = is_accepted);
+            if is_accepted {
+                let map = &driver.settings.regions;
+                let faults = regions::check_lists(config, map, &driver.peers.unlisted);
+                regions::log_list_faults(version, &faults);
+            }
         }
         OperatorCommand::Evacuate(name) => {
             let endpoints = ready(name);
@@ -341,6 +346,9 @@
         }
     };
     let is_join = matches!(&change, Change::Put(entry) if !entry.is_leaving);
+    if let Change::Put(entry) = &change {
+        driver.peers.unlisted.check(&driver.settings.regions, &entry.data_centre);
+    }
     let change_text = format!("{change:?}");
     let changed = driver.feed(|machine, now| machine.apply_change(now, change));
     driver.metrics.count("relay.endpoints_cooled", u64::from(changed.is_newly_cold));
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -11,6 +11,7 @@
 mod pages;
 mod peers;
 mod policy;
+mod regions;
 mod replies;
 mod standins;
 mod stop;
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -82,7 +82,7 @@
 
 /// The configuration of all tests. It has a route for each kind, one with a stage, and one that
 /// is unique to the version.
-fn config(version: u64) -> Config {
+pub fn config(version: u64) -> Config {
     let kinds = [
         ("idempotent", RequestKind::Idempotent),
         ("once", RequestKind::Once),
