Readers of the store by region

Readers were selected among all instances and asked at random, so with two regions most requests for tables, and a configuration of 1.4 MB for each of 37 instances, would have crossed the link between them.

Each region now has readers of its own: two, and one for each 18 of its live instances. Instances ask those of their region. Large records (the configuration) are read from the store only by the first two instances of a region. These take records from other regions' instances once their copies have been old for 2 s; the others do so, and read the store, after 3 s and in pairs a second apart. An instance that starts counts listed peers as alive for 2 s, so that a region that restarts does not read all tables once for each instance, and instances that are no readers spread their retries when a link returns. With one region nothing changes.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -48,7 +48,7 @@
     let mut failures = 0_u32;
     tokio::time::sleep(START_JITTER.mul_f64(rand::rng().random())).await;
     loop {
-        if !driver.peers.reads_store(driver.now()) {
+        if !driver.peers.reads_store(driver.now(), name) {
             tokio::time::sleep(CHECK_INTERVAL).await;
             continue;
         }
@@ -76,13 +76,22 @@
                     }
                 }
                 failures += 1;
-                let pause = INITIAL_BACKOFF * 2_u32.saturating_pow(failures.min(8) - 1);
-                tokio::time::sleep(jittered(pause.min(MAX_BACKOFF))).await;
+                tokio::time::sleep(backoff(&driver, failures)).await;
             }
         }
     }
 }
 
+/// How long to wait after consecutive failed calls.
+fn backoff(driver: &Driver, failures: u32) -> Duration {
+    let pause = INITIAL_BACKOFF * 2_u32.saturating_pow(failures.min(8) - 1);
+    let turn = driver.peers.turn(driver.now());
+    match turn.map(|turn| turn.max_backoff(MAX_BACKOFF)) {
+        Some(max) if max > MAX_BACKOFF => pause + max.mul_f64(rand::rng().random()),
+        _ => jittered(pause.min(MAX_BACKOFF)),
+    }
+}
+
 /// How long to wait between two reads of a table. Changes of the configuration and the
 /// quarantine table are awaited by long polling; the other tables change all the time,
 /// so a long poll would return at once.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -7,6 +7,7 @@
 //! that batches their service; if that peer stops answering, they are recalled.
 //!
 //! - [`gossip`]: rounds of gossip.
+//! - `regions`: how far peers are, and which instances take records from other regions.
 //! - [`learn`]: receives the contents of the tables from peers.
 //! - `work`: pieces, placements and results.
 //! - `verdicts`: contents that crash the endpoints that run them.
@@ -15,6 +16,7 @@
 
 pub mod gossip;
 pub mod learn;
+mod regions;
 mod service;
 mod verdicts;
 pub mod versions;
@@ -34,10 +36,11 @@
 use peatdeck_core::{
     instance::input::Identity,
     membership::{self, Members},
-    model::{InstanceEntry, InstanceName, Presence},
+    model::{DataCentre, InstanceEntry, InstanceName, Presence},
     relay::{
         model::{HandoverKey, Peer, PieceResult},
         readers,
+        region::RegionMap,
         table::Record,
     },
 };
@@ -101,6 +104,9 @@
     versions: versions::Versions,
     /// Data centres that the region map does not list.
     pub unlisted: Unlisted,
+    regions: RegionMap,
+    own_name: InstanceName,
+    own_data_centre: DataCentre,
 }
 
 impl Peers {
@@ -129,6 +135,9 @@
             open_exchanges: Cell::new(0),
             versions: versions::Versions::default(),
             unlisted: Unlisted::default(),
+            regions: settings.regions.clone(),
+            own_name: settings.name.clone(),
+            own_data_centre: settings.data_centre.clone(),
         }
     }
 
@@ -167,9 +176,12 @@
         self.members.borrow_mut().apply_listing(driver.now(), &entries);
     }
 
-    /// Whether this instance reads the platform's tables from the store itself: it is one of
-    /// the readers, or has no fresh copies.
-    pub fn reads_store(&self, now: Duration) -> bool {
+    /// Whether this instance reads one of the platform's tables from the store itself: it is one
+    /// of the readers, or has no fresh copies.
+    pub fn reads_store(&self, now: Duration, name: TableName) -> bool {
+        if let Some(turn) = self.turn(now) {
+            return self.reads_store_in_region(now, name, turn);
+        }
         if !self.tables.are_loaded() || self.is_stale(now) {
             return true;
         }
@@ -197,12 +209,18 @@
 
     /// The readers among the instances that are considered alive.
     fn readers(&self, now: Duration) -> Vec<InstanceName> {
+        readers::select_readers(&self.live_instances(now), &self.regions)
+    }
+
+    /// The instances that are considered alive and can be reached, including this one.
+    fn live_instances(&self, now: Duration) -> Vec<Peer> {
         let members = self.members.borrow();
         let alive = members.alive(now).into_iter();
         let reachable = alive.filter(|name| members.addr(name).is_some());
         let mut instances: Vec<_> = reachable.map(|name| self.peer(name)).collect();
         instances.push(self.peer(members.identity().name.clone()));
-        readers::select_readers(&instances)
+        instances.extend(self.unknown_at_start(now));
+        instances
     }
 
     /// An instance with its announced CPU share; 0 if it has no announcement.
@@ -210,8 +228,12 @@
         let announced = self.announced.borrow();
         let announced = announced.get(&name);
         let millicores = announced.map_or(0, |instance| instance.millicores);
-        let data_centre = announced.map(|instance| instance.entry.data_centre.clone());
-        Peer { name, millicores, data_centre: data_centre.unwrap_or_default() }
+        let data_centre = match announced {
+            Some(instance) => instance.entry.data_centre.clone(),
+            None if name == self.own_name => self.own_data_centre.clone(),
+            None => Arc::default(),
+        };
+        Peer { name, millicores, data_centre }
     }
 
     /// Logs which peers have become able to batch pieces, and which no longer are.
--- a/crates/relay/src/peers/learn.rs
+++ b/crates/relay/src/peers/learn.rs
@@ -43,6 +43,10 @@
 struct AheadPeer {
     addr: Arc<str>,
     positions: Vec<Position>,
+    /// Whether it is in another region.
+    is_remote: bool,
+    /// Since when such peers have had records that this instance lacks.
+    since: Duration,
 }
 
 /// The peer to request tables from.
@@ -68,7 +72,7 @@
         let pause = tokio::time::sleep(next_read.saturating_sub(driver.now()));
         let woken = Box::pin(driver.peers.learn_state.wake.notified());
         future::select(Box::pin(pause), woken).await;
-        let ahead = driver.peers.learn_state.ahead.borrow_mut().take();
+        let ahead = take_ahead(&driver);
         let is_due = driver.now() >= next_read;
         if is_due {
             next_read =
@@ -95,7 +99,7 @@
     positions: &[Position],
     compared: Option<Duration>,
 ) {
-    let (tables, learn_state) = (&driver.peers.tables, &driver.peers.learn_state);
+    let (tables, now) = (&driver.peers.tables, driver.now());
     for (name, theirs) in TABLES.into_iter().zip(positions) {
         let own = tables.position(name);
         let is_level = own.timeline == theirs.timeline && own >= *theirs;
@@ -105,11 +109,35 @@
     }
     if lacks(driver, positions) {
         let positions = positions.to_vec();
-        *learn_state.ahead.borrow_mut() = Some(AheadPeer { addr: addr.clone(), positions });
-        learn_state.wake.notify_one();
+        let is_remote = driver.peers.is_remote_addr(addr);
+        note_ahead(driver, AheadPeer { addr: addr.clone(), positions, is_remote, since: now });
     }
 }
 
+/// Remembers a peer that is ahead. One of another region does not replace one of this region, and
+/// the waiting time for it counts from when the first one was noticed.
+fn note_ahead(driver: &Driver, mut peer: AheadPeer) {
+    let learn_state = &driver.peers.learn_state;
+    let mut ahead = learn_state.ahead.borrow_mut();
+    if let Some(known) = ahead.as_ref().filter(|known| lacks(driver, &known.positions)) {
+        if peer.is_remote && !known.is_remote {
+            return;
+        }
+        peer.since = peer.since.min(known.since);
+    }
+    *ahead = Some(peer);
+    learn_state.wake.notify_one();
+}
+
+/// The peer that is ahead, if records may be requested from it now.
+fn take_ahead(driver: &Driver) -> Option<AheadPeer> {
+    let now = driver.now();
+    let may_ask = |peer: &mut AheadPeer| {
+        !peer.is_remote || driver.peers.may_cross(now, now.saturating_sub(peer.since))
+    };
+    driver.peers.learn_state.ahead.borrow_mut().take_if(may_ask)
+}
+
 /// Whether a peer at these positions has records that this instance lacks.
 fn lacks(driver: &Driver, positions: &[Position]) -> bool {
     driver.peers.tables.positions().iter().zip(positions).any(|(own, theirs)| own < theirs)
@@ -125,14 +153,7 @@
 /// A random reader to request tables from; `None` if this instance is a reader with fresh
 /// copies, or no other reader is known.
 fn reader(driver: &Driver) -> Option<Source> {
-    let now = driver.now();
-    let own = &driver.settings.name;
-    let readers = driver.peers.readers(now);
-    if readers.contains(own) && !driver.peers.is_stale(now) {
-        return None;
-    }
-    let others: Vec<_> = readers.into_iter().filter(|name| name != own).collect();
-    let name = others.choose(&mut rand::rng())?.clone();
+    let name = driver.peers.sources(driver.now()).choose(&mut rand::rng())?.clone();
     let addr = driver.peers.members.borrow().addr(&name)?;
     Some(Source { name: Some(name), addr })
 }
--- a/crates/relay/src/peers/versions.rs
+++ b/crates/relay/src/peers/versions.rs
@@ -40,6 +40,10 @@
 struct NewerVersion {
     addr: Arc<str>,
     version: u64,
+    /// Whether the peer is in another region.
+    is_remote: bool,
+    /// Since when such a version has been known.
+    since: Duration,
 }
 
 /// A slice of the record of a configuration.
@@ -66,17 +70,34 @@
 pub fn note_version(driver: &Driver, addr: &Arc<str>, positions: &[Position], version: u64) {
     let is_table_behind = learn::lacks_config(driver, positions);
     if version > own_version(driver) && !is_table_behind {
-        let newer = NewerVersion { addr: addr.clone(), version };
-        *driver.peers.versions.newer.borrow_mut() = Some(newer);
+        let (since, is_remote) = (driver.now(), driver.peers.is_remote_addr(addr));
+        note_newer(driver, NewerVersion { addr: addr.clone(), version, is_remote, since });
     }
 }
 
+/// Notes a peer with a newer version. One of another region does not replace one of this region,
+/// and the waiting time for it counts from when the first one was noted.
+fn note_newer(driver: &Driver, mut peer: NewerVersion) {
+    let own = own_version(driver);
+    let mut newer = driver.peers.versions.newer.borrow_mut();
+    if let Some(known) = newer.as_ref().filter(|known| known.version > own) {
+        if peer.is_remote && !known.is_remote {
+            return;
+        }
+        peer.since = peer.since.min(known.since);
+    }
+    *newer = Some(peer);
+}
+
 /// Fetches the newer version noted last, unless it has arrived in the meantime.
 pub async fn catch_up(driver: &Rc<Driver>) {
     let versions = &driver.peers.versions;
-    let newer = versions.newer.borrow_mut().take();
-    let Some(NewerVersion { addr, version }) = newer else { return };
     let now = driver.now();
+    let may_ask = |peer: &mut NewerVersion| {
+        !peer.is_remote || driver.peers.may_cross(now, now.saturating_sub(peer.since))
+    };
+    let newer = versions.newer.borrow_mut().take_if(may_ask);
+    let Some(NewerVersion { addr, version, .. }) = newer else { return };
     let was_requested = versions.requested_at.get().is_some_and(|at| now < at + RETRY_DELAY);
     if was_requested || version <= own_version(driver) {
         return;
--- a/crates/relay/tests/relay/regions.rs
+++ b/crates/relay/tests/relay/regions.rs
@@ -1,11 +1,25 @@
-//! Tests of the checks on regions in a configuration.
+//! Instances in two regions, and the checks on regions in a configuration.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use peatdeck_core::relay::region::RegionMap;
-use peatdeck_relay::regions::{Unlisted, check_lists};
+use peatdeck_relay::{
+    regions::{Unlisted, check_lists},
+    surroundings::TableName,
+};
 
-use crate::standins;
+use crate::standins::{self, MemoryStore, Relay, ScriptedEndpoint, exchange, wait_for};
+
+/// Size of a large configuration.
+const LARGE_BYTES: u64 = 1_400_000;
+/// Delay of the store's replies: a round trip between two regions.
+const STORE_DELAY: Duration = Duration::from_millis(60);
+/// How long a change may take until it is in force everywhere.
+const APPLY_LIMIT: Duration = Duration::from_secs(4);
 
 fn names(list: &[&str]) -> Option<Arc<[Arc<str>]>> {
     Some(list.iter().map(|name| Arc::from(*name)).collect())
@@ -34,3 +48,91 @@
     assert_eq!(faults.empty, [format!("route {empty}"), "team markets".to_owned()]);
     assert_eq!(faults.unknown, Vec::<Arc<str>>::new());
 }
+
+/// A configuration of this version, padded with blanks.
+fn large(version: u64) -> Vec<u8> {
+    let mut value = vec![b' '; LARGE_BYTES as usize];
+    value.extend(version.to_string().bytes());
+    value
+}
+
+/// Starts instances in two regions, whose store answers as over a link between them.
+fn start_instances(store: &MemoryStore) -> (Vec<Relay>, Vec<Relay>) {
+    store.put(TableName::Config, "config", b"1".to_vec());
+    store.add_endpoint("desk", "desk", ScriptedEndpoint::answering("x").addr);
+    store.set_delay(STORE_DELAY);
+    let start = |centre: &str, count: usize| -> Vec<Relay> {
+        let name = |idx| format!("{centre}-{idx}");
+        let builder = |idx| Relay::builder(&name(idx), store).in_region_of(centre);
+        (0..count).map(|idx| builder(idx).start()).collect()
+    };
+    let (east, west) = (start("east", 2), start("west", 6));
+    for relay in east.iter().chain(&west) {
+        wait_for("the instance has found its peers", || relay.counter("peatdeck.relay.peers") == 7);
+    }
+    (east, west)
+}
+
+fn sum(relays: &[Relay], counter: &str) -> u64 {
+    relays.iter().map(|relay| relay.counter(counter)).sum()
+}
+
+/// Waits until a version is in force at all instances.
+fn wait_for_version(relays: &[Relay], version: u64) {
+    let path = format!("/since-{version}/x");
+    for relay in relays {
+        wait_for("the version is in force", || exchange(relay.front, &path, "").status == 200);
+    }
+}
+
+// Guards against a configuration that crosses the link once for each instance of a region, which
+// takes 7 s for 37 of them, and against instances that wait too long for it instead.
+#[test]
+fn a_configuration_crosses_the_link_twice_and_is_in_force_in_time() {
+    let store = MemoryStore::default();
+    let (east, west) = start_instances(&store);
+    let before = sum(&west, "peatdeck.relay.store_bytes");
+    let written = Instant::now();
+    store.put(TableName::Config, "config", large(2));
+    wait_for_version(&east, 2);
+    wait_for_version(&west, 2);
+    let took = written.elapsed();
+    assert!(took < APPLY_LIMIT, "{took:?}");
+    let crossed = sum(&west, "peatdeck.relay.store_bytes") - before;
+    assert!((LARGE_BYTES..3 * LARGE_BYTES).contains(&crossed), "{crossed} bytes");
+}
+
+// Guards against a joining instance that reads all tables over the link, although its region has
+// them.
+#[test]
+fn a_joining_instance_receives_the_tables_from_its_region() {
+    let store = MemoryStore::default();
+    let (_east, west) = start_instances(&store);
+    store.put(TableName::Config, "config", large(2));
+    wait_for_version(&west, 2);
+    let late = Relay::builder("west-9", &store).in_region_of("west").millicores(1).start();
+    late.wait_ready();
+    let read = late.counter("peatdeck.relay.store_bytes");
+    assert!(read < LARGE_BYTES / 10, "{read} bytes from the store");
+    wait_for_version(&[late], 2);
+}
+
+// Guards against a region that never receives a change, since its own readers cannot reach the
+// store and no instance asks another region.
+#[test]
+fn a_region_cut_off_from_the_store_receives_changes_from_the_other() {
+    let shared = MemoryStore::default();
+    let (east, west) = start_instances(&shared);
+    let _ = west;
+    let own = MemoryStore::default();
+    own.set_unavailable(true);
+    let seeds: Vec<_> = east.iter().map(|relay| relay.peers).collect();
+    let start = |name: &str| Relay::builder(name, &own).in_region_of("north").seeds(&seeds).start();
+    let north: Vec<_> = ["north-0", "north-1"].map(start).into();
+    north.iter().for_each(Relay::wait_ready);
+    let written = Instant::now();
+    shared.put(TableName::Config, "config", b"2".to_vec());
+    wait_for_version(&north, 2);
+    let took = written.elapsed();
+    assert!(took < Duration::from_secs(6), "{took:?}");
+}
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -22,6 +22,7 @@
         config::{Config, Limits, Pieces, RequestKind, Route, Service, Stage, Target, Team},
         directory::{Change, Entry},
         operator::OperatorCommand,
+        region::RegionMap,
         table::Record,
     },
 };
@@ -152,6 +153,8 @@
     store: MemoryStore,
     seeds: Vec<SocketAddr>,
     policy: Option<Arc<str>>,
+    data_centre: Arc<str>,
+    regions: RegionMap,
     millicores: u32,
     link: Option<SlowLink>,
     clock: JumpingClock,
@@ -178,6 +181,14 @@
         RelayBuilder { millicores, ..self }
     }
 
+    /// Sets the data centre, in a deployment where `east` and `west` are different regions.
+    pub fn in_region_of(self, data_centre: &str) -> RelayBuilder {
+        let regions = [("east", "r"), ("west", "s")];
+        let regions = regions.map(|(centre, region)| (Arc::from(centre), Arc::from(region)));
+        let regions = RegionMap::new(regions.into());
+        RelayBuilder { data_centre: Arc::from(data_centre), regions, ..self }
+    }
+
     /// Makes peers reach the instance over a link.
     pub fn behind_link(self, link: &SlowLink) -> RelayBuilder {
         RelayBuilder { link: Some(link.clone()), ..self }
@@ -188,7 +199,7 @@
         let mut settings = Settings {
             name: self.name,
             incarnation: Incarnation(1),
-            data_centre: Arc::from("east"),
+            data_centre: self.data_centre,
             front: any,
             ready: any,
             metrics: any,
@@ -203,7 +214,7 @@
             grace: Duration::from_secs(60),
             body_memory: 1 << 24,
             millicores: self.millicores,
-            regions: Default::default(),
+            regions: self.regions,
             rollout: None,
             policy: self.policy,
             connections: 200,
@@ -249,6 +260,8 @@
             seeds: Vec::new(),
             policy: None,
             millicores: 250,
+            data_centre: Arc::from("east"),
+            regions: RegionMap::default(),
             link: None,
             clock: JumpingClock::default(),
         }
