Gossip by region

Receivers of gossip were chosen among all peers, so with two regions half of the messages crossed the link between them.

With several regions the messages of a round stay within the region, and for each seven of them one to another region is added: one in eight. It carries the counters of its own region's instances only, since the receiver's region has its own sooner. An instance that lacks a configuration asks a peer of its region first. With one region nothing changes.

--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -21,6 +21,11 @@
 const MAX_UNLISTED: usize = 1024;
 /// Every this many rounds, one peer that is not known to be alive gets a message.
 const PROBE_ROUNDS: u64 = 4;
+/// With several regions, a message to another region is added to this many messages within the
+/// region, so that it is one in eight. A byte between regions costs about thirty times as much. If
+/// it replaced one within the region, counters would spread a seventh more slowly there, and among
+/// 300 instances in two regions four times as many would be mistaken for dead at a time.
+const NEAR_MESSAGES: u64 = 7;
 /// If the clock advances by more than this many rounds at once, this instance was paused.
 const PAUSE_ROUNDS: u32 = 4;
 
@@ -119,6 +124,8 @@
     leaving: LeavingSelector,
     endpoints: EndpointSelector,
     heartbeat: u64,
+    /// Number of messages of rounds sent within the region; determines when one is added.
+    next_slot: u64,
     next_tick: Duration,
     last_now: Duration,
     last_received: Option<Duration>,
@@ -137,6 +144,8 @@
             leaving: LeavingSelector::default(),
             endpoints: EndpointSelector::default(),
             heartbeat: 0,
+            // Instances begin at different positions of the interval.
+            next_slot: seed % NEAR_MESSAGES,
             next_tick: Duration::ZERO,
             last_now: Duration::ZERO,
             last_received: None,
@@ -161,6 +170,10 @@
             }
             let key = self.key_for(now, &entry.name);
             self.peers[key].apply_entry(now, entry);
+            let region = self.settings.regions.region_of(&entry.data_centre);
+            let own = self.settings.regions.region_of(&self.identity.data_centre);
+            self.peers[key].is_remote = region != own;
+            self.peers[key].region = region.map(Arc::from);
         }
     }
 
@@ -374,9 +387,14 @@
         reachable.map(|(key, _)| key).partition(may_be_alive)
     }
 
-    /// A random peer that has a newer configuration, if there is one.
+    /// A random peer that has a newer configuration, if there is one; one of this region if
+    /// possible.
     fn choose_ahead(&mut self, now: Duration, mark: ConfigMark) -> Option<PeerKey> {
-        let (live, _) = self.reachable(now);
+        let (mut live, _) = self.reachable(now);
+        let is_ahead = |key: &PeerKey| self.peers[*key].is_ahead(mark);
+        if live.iter().any(|key| !self.peers[*key].is_remote && is_ahead(key)) {
+            live.retain(|key| !self.peers[*key].is_remote);
+        }
         let ahead = live.into_iter().filter(|key| self.peers[*key].is_ahead(mark));
         ahead.choose(&mut self.rng)
     }
@@ -385,7 +403,7 @@
     /// configuration, and every few rounds one that seems dead.
     fn targets(&mut self, now: Duration, ahead: Option<PeerKey>) -> Vec<PeerKey> {
         let (live, dead) = self.reachable(now);
-        let mut targets = live.into_iter().choose_multiple(&mut self.rng, self.settings.fanout);
+        let mut targets = self.choose_live(live);
         targets.extend(ahead.filter(|key| !targets.contains(key)));
         if self.heartbeat.is_multiple_of(PROBE_ROUNDS) || targets.is_empty() {
             targets.extend(dead.into_iter().choose(&mut self.rng));
@@ -393,6 +411,24 @@
         targets
     }
 
+    /// Random peers among those that may be alive. With several regions, they are in this region,
+    /// and for each [`NEAR_MESSAGES`] messages one of another region is added.
+    fn choose_live(&mut self, live: Vec<PeerKey>) -> Vec<PeerKey> {
+        let fanout = self.settings.fanout;
+        let (remote, near): (Vec<_>, Vec<_>) =
+            live.into_iter().partition(|key| self.peers[*key].is_remote);
+        if remote.is_empty() || near.is_empty() {
+            let live = near.into_iter().chain(remote);
+            return live.choose_multiple(&mut self.rng, fanout);
+        }
+        let slots = self.next_slot..self.next_slot + fanout as u64;
+        self.next_slot = slots.end;
+        let remote_count = slots.filter(|slot| slot.is_multiple_of(NEAR_MESSAGES)).count();
+        let mut targets = near.into_iter().choose_multiple(&mut self.rng, fanout);
+        targets.extend(remote.into_iter().choose_multiple(&mut self.rng, remote_count));
+        targets
+    }
+
     /// Records that a peer is asked for its configuration. Returns `false` if another peer may
     /// still be sending its own: copies sent at the same time would delay each other past their
     /// timeout.
@@ -447,16 +483,20 @@
         local: &LocalState<'_>,
     ) -> Vec<MemberState> {
         let dead_after = self.dead_after();
+        // The receiver's region has its own counters sooner than another one.
+        let receiver = self.peers[to].region.clone().filter(|_| self.peers[to].is_remote);
         let others = self.peers.iter().filter(|&(key, peer)| {
             let has_state = peer.updated_at.is_some();
-            key != to && has_state && peer.is_alive(now, dead_after)
+            let is_known_there = receiver.is_some() && peer.region == receiver;
+            key != to && has_state && !is_known_there && peer.is_alive(now, dead_after)
         });
         let news = others.map(|(key, peer)| (key, peer.sends));
         let picked = spread::least_sent(&mut self.rng, news, limit, max.saturating_sub(1));
         let mut states = vec![self.own_state(local)];
         for key in picked {
             let peer = &mut self.peers[key];
-            peer.sends += 1;
+            // A message to another region does not spread the counter within this one.
+            peer.sends += u32::from(receiver.is_none());
             states.push(peer.state.clone());
         }
         states
--- a/crates/core/src/membership/peer.rs
+++ b/crates/core/src/membership/peer.rs
@@ -6,6 +6,7 @@
     membership::{ConfigMark, EndpointState, MemberState},
     model::{EndpointName, Incarnation, InstanceEntry, InstanceName, Presence},
     record::Version,
+    relay::region::RegionName,
 };
 
 /// Consecutive failed messages, without a new counter in between, after which a peer is considered
@@ -18,6 +19,10 @@
     pub name: InstanceName,
     /// The address on which it listens; `None` until a list has named it.
     pub addr: Option<Arc<str>>,
+    /// Its region; `None` if there is one region, or no list has named the peer.
+    pub region: Option<RegionName>,
+    /// Whether it is in another region than this instance.
+    pub is_remote: bool,
     /// Its presence in the newest list; `None` if the list doesn't name it.
     pub presence: Option<Presence>,
     /// Its newest state that was received.
@@ -53,6 +58,8 @@
         Peer {
             name,
             addr: None,
+            region: None,
+            is_remote: false,
             presence: None,
             state,
             updated_at: None,
--- a/crates/core/src/membership/settings.rs
+++ b/crates/core/src/membership/settings.rs
@@ -4,6 +4,8 @@
 
 use peatdeck_macros::data;
 
+use crate::relay::region::RegionMap;
+
 /// Settings of gossip. Each has a default.
 #[data]
 pub struct Settings {
@@ -28,6 +30,8 @@
     pub max_leaving: usize,
     /// The most endpoint states in a message.
     pub max_endpoints: usize,
+    /// The regions of the deployment. With several, most messages stay within the region.
+    pub regions: RegionMap,
 }
 
 impl Default for Settings {
@@ -42,6 +46,7 @@
             max_members: 64,
             max_leaving: 32,
             max_endpoints: 32,
+            regions: RegionMap::default(),
         }
     }
 }
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod latency;
 mod limits;
 mod membership;
+mod membership_regions;
 mod policy;
 mod queue;
 mod queue_states;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -120,6 +120,7 @@
         let gossip = membership::Settings {
             tick: GOSSIP_INTERVAL,
             dead_after: DEAD_AFTER,
+            regions: settings.regions.clone(),
             ..membership::Settings::default()
         };
         Peers {
