Count and limit control traffic between regions

Nothing showed what instances send over the link between regions, and nothing kept gossip and tables from taking it from callers.

relay.remote_bytes.KIND counts the bytes of requests and replies that this instance sends to other regions, for gossip, tables, configuration, pieces, placements and others. An incoming connection belongs to the peer that names itself on it, before that to the region of its IP address. Gossip and tables share a token bucket: a tenth of the link divided by the live instances of the region, at most this on average over any 10 s. Tables wait up to 1 s and leave a quarter of the burst to gossip, which leaves out messages (relay.remote_deferred) instead of waiting. The configuration is not limited. The link's capacity is the setting link_mbps, 60 by default. A placement request to another region may take 150 ms longer.

--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -8,6 +8,7 @@
 //!
 //! - [`gossip`]: rounds of gossip.
 //! - `regions`: how far peers are, and which instances take records from other regions.
+//! - [`remote`]: control traffic to other regions, counted and limited.
 //! - [`learn`]: receives the contents of the tables from peers.
 //! - `work`: pieces, placements and results.
 //! - `verdicts`: contents that crash the endpoints that run them.
@@ -17,6 +18,7 @@
 pub mod gossip;
 pub mod learn;
 mod regions;
+pub mod remote;
 mod service;
 mod verdicts;
 pub mod versions;
@@ -104,6 +106,8 @@
     versions: versions::Versions,
     /// Data centres that the region map does not list.
     pub unlisted: Unlisted,
+    /// What this instance may still send to other regions for control.
+    budget: RefCell<remote::Bucket>,
     regions: RegionMap,
     own_name: InstanceName,
     own_data_centre: DataCentre,
@@ -136,6 +140,7 @@
             open_exchanges: Cell::new(0),
             versions: versions::Versions::default(),
             unlisted: Unlisted::default(),
+            budget: RefCell::default(),
             regions: settings.regions.clone(),
             own_name: settings.name.clone(),
             own_data_centre: settings.data_centre.clone(),
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     driver::Driver,
-    peers::{self, EXCHANGE_TIMEOUT, GOSSIP_INTERVAL, learn, versions},
+    peers::{self, EXCHANGE_TIMEOUT, GOSSIP_INTERVAL, learn, remote::Kind, versions},
 };
 
 /// Sends gossip for as long as the process runs.
@@ -29,6 +29,10 @@
             greet_seed(&driver);
         }
         for envelope in envelopes {
+            if driver.peers.is_remote(&envelope.to) && !driver.peers.may_gossip_remotely(&driver) {
+                driver.metrics.count("relay.remote_deferred", 1);
+                continue;
+            }
             ntex::rt::spawn(send(driver.clone(), envelope));
         }
         peers::update_peers(&driver);
@@ -67,6 +71,8 @@
         peer_wire::write_gossip(&message, request.get().init_message())?;
         let notice_list = request.get().init_notices(notices.len() as u32);
         wire::write_notices(&notices, notice_list);
+        let size = || request.get().into_reader().total_size();
+        driver.peers.count_request(&driver, &addr, Kind::Gossip, size);
         let response = request.send().promise.await?;
         let response = response.get()?;
         let reply = response.get_reply()?;
--- a/crates/relay/src/peers/learn.rs
+++ b/crates/relay/src/peers/learn.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     driver::Driver,
-    peers::{EXCHANGE_TIMEOUT, versions},
+    peers::{EXCHANGE_TIMEOUT, remote::Kind, versions},
     surroundings::{TABLES, TableName},
     tables::{self, MIN_LOGGED_BYTES},
 };
@@ -227,6 +227,8 @@
         for (idx, ask) in (0..).zip(&requests) {
             wire::write_portion_request(ask, list.reborrow().get(idx));
         }
+        let size = || request.get().into_reader().total_size();
+        driver.peers.count_request(driver, addr, Kind::Tables, size);
         let response = request.send().promise.await?;
         let response = response.get()?;
         let portions = response.get_portions()?.iter().map(wire::read_portion);
--- a/crates/relay/src/peers/regions.rs
+++ b/crates/relay/src/peers/regions.rs
@@ -82,7 +82,7 @@
         announced.get(name).is_some_and(|it| self.is_remote_place(&it.entry.data_centre))
     }
 
-    fn is_remote_place(&self, data_centre: &str) -> bool {
+    pub(super) fn is_remote_place(&self, data_centre: &str) -> bool {
         self.regions.distance(&self.own_data_centre, data_centre) == Distance::Remote
     }
 }
--- a/crates/relay/src/peers/service.rs
+++ b/crates/relay/src/peers/service.rs
@@ -9,7 +9,12 @@
 
 use crate::{
     driver::Driver,
-    peers::{gossip, versions},
+    peers::{
+        gossip,
+        remote::{self, Caller, Kind},
+        versions,
+    },
+    surroundings::TableName,
 };
 
 /// Delay after a failed accept, for example when no file descriptor is free.
@@ -17,11 +22,12 @@
 
 /// Serves peers for as long as the process runs.
 pub async fn serve(driver: Rc<Driver>, listener: TcpListener) {
-    let service: relay::Client = capnp_rpc::new_client(Service { driver });
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                ntex::rt::spawn(link::serve(service.clone(), stream));
+            Ok((stream, addr)) => {
+                let service = Service { driver: driver.clone(), caller: Caller::new(addr.ip()) };
+                let service: relay::Client = capnp_rpc::new_client(service);
+                ntex::rt::spawn(link::serve(service, stream));
             }
             Err(error) => {
                 tracing::warn!(event = "peer_not_accepted", error = %error);
@@ -34,6 +40,8 @@
 /// Implements the calls of peers.
 struct Service {
     driver: Rc<Driver>,
+    /// The peer that opened the connection.
+    caller: Caller,
 }
 
 impl relay::Server for Service {
@@ -46,6 +54,7 @@
         let params = params.get()?;
         let message = peer_wire::read_gossip(params.get_message()?).map_err(to_capnp_error)?;
         let notices = wire::read_notices(params.get_notices()?).map_err(to_capnp_error)?;
+        self.caller.set_name(&message.from);
         driver.feed(|machine, now| machine.on_peer_notices(now, &message.from, &notices));
         let local = gossip::local(driver);
         let reply = driver.peers.members.borrow_mut().receive(driver.now(), &message, &local);
@@ -65,6 +74,7 @@
         for (idx, position) in (0..).zip(&positions) {
             timelines.set(idx, position.timeline.0);
         }
+        self.caller.count_reply(driver, Kind::Gossip, || results.get().into_reader().total_size());
         Ok(())
     }
 
@@ -76,6 +86,9 @@
         let driver = &self.driver;
         let requests: Vec<_> =
             params.get()?.get_asks()?.iter().map(wire::read_portion_request).collect();
+        if self.caller.is_remote(&driver.peers) {
+            tokio::time::sleep(driver.peers.table_delay(driver)).await;
+        }
         let portions = driver.peers.tables.read_portions(&requests);
         let bytes = portions.iter().map(Portion::bytes).sum::<usize>() as u64;
         driver.metrics.count("relay.told_bytes", bytes);
@@ -84,6 +97,12 @@
         for (idx, portion) in (0..).zip(&portions) {
             wire::write_portion(portion, list.reborrow().get(idx));
         }
+        if self.caller.is_remote(&driver.peers) {
+            let config = portions[TableName::Config as usize].bytes() as u64;
+            let all = remote::message_bytes(results.get().into_reader().total_size());
+            driver.peers.count_sent(driver, Kind::Configuration, config);
+            driver.peers.count_sent(driver, Kind::Tables, all.saturating_sub(config));
+        }
         Ok(())
     }
 
@@ -108,6 +127,7 @@
         let output = rx.await.map_err(to_capnp_error)?;
         drop(guard);
         wire::write_results(&output, results.get().init_results(output.len() as u32));
+        self.caller.count_reply(driver, Kind::Pieces, || results.get().into_reader().total_size());
         Ok(())
     }
 
@@ -137,6 +157,8 @@
         if let Some(placement) = placement {
             wire::write_placement(&placement, results.get().init_placement());
         }
+        let size = || results.get().into_reader().total_size();
+        self.caller.count_reply(&self.driver, Kind::Placements, size);
         Ok(())
     }
 
@@ -150,6 +172,7 @@
         let progress = progress.collect::<Result<Vec<_>, _>>().map_err(to_capnp_error)?;
         let notices = wire::read_notices(params.get_notices()?).map_err(to_capnp_error)?;
         let from = wire::read_name(params.get_from()?).map_err(to_capnp_error)?;
+        self.caller.set_name(&from);
         self.driver.feed(|machine, now| {
             machine.on_peer_notices(now, &from, &notices);
             for one in progress {
@@ -196,6 +219,8 @@
         let since = self.driver.now().saturating_sub(age);
         let was_answered = self.driver.inspect(|machine| machine.was_answered(content, since));
         results.get().set_was_answered(was_answered);
+        let size = || results.get().into_reader().total_size();
+        self.caller.count_reply(&self.driver, Kind::Others, size);
         Ok(())
     }
 
@@ -224,6 +249,8 @@
             results.set_size(slice.size);
             results.set_bytes(&slice.bytes);
         }
+        let size = || results.get().into_reader().total_size();
+        self.caller.count_reply(&self.driver, Kind::Configuration, size);
         Ok(())
     }
 
--- a/crates/relay/src/peers/verdicts.rs
+++ b/crates/relay/src/peers/verdicts.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     driver::Driver,
-    peers::{EXCHANGE_TIMEOUT, Peers},
+    peers::{EXCHANGE_TIMEOUT, Peers, remote::Kind},
 };
 
 /// Time limit for peers to report whether an endpoint answered a content. A peer that does
@@ -72,6 +72,8 @@
     let exchange = async |client: relay::Client| {
         let mut request = client.accuse_request();
         wire::write_crashes(crashes, request.get().init_crashes(crashes.len() as u32));
+        let size = || request.get().into_reader().total_size();
+        driver.peers.count_request(driver, &addr, Kind::Others, size);
         request.send().promise.await?;
         Ok(())
     };
@@ -88,6 +90,8 @@
         let mut request = client.consult_request();
         request.get().set_content(&wire::write_content(content));
         request.get().set_age_ms(wire::write_age(age));
+        let size = || request.get().into_reader().total_size();
+        driver.peers.count_request(driver, &addr, Kind::Others, size);
         Ok(request.send().promise.await?.get()?.get_was_answered())
     };
     // As with placements, a slow reply must not close the connection.
@@ -105,6 +109,8 @@
         let mut request = client.quarantine_request();
         request.get().set_content(&wire::write_content(content));
         request.get().set_crashes(crashes);
+        let size = || request.get().into_reader().total_size();
+        driver.peers.count_request(driver, addr, Kind::Others, size);
         request.send().promise.await?;
         Ok(())
     };
--- a/crates/relay/src/peers/versions.rs
+++ b/crates/relay/src/peers/versions.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     driver::Driver,
-    peers::{EXCHANGE_TIMEOUT, learn},
+    peers::{EXCHANGE_TIMEOUT, learn, remote::Kind},
     surroundings::TableName,
     tables::{self, PORTION_BYTES},
 };
@@ -156,6 +156,8 @@
     let exchange = async |client: relay::Client| {
         let mut request = client.config_request();
         request.get().set_at(at as u64);
+        let size = || request.get().into_reader().total_size();
+        driver.peers.count_request(driver, addr, Kind::Configuration, size);
         let response = request.send().promise.await?;
         let response = response.get()?;
         let slice = ConfigSlice {
--- a/crates/relay/src/peers/work.rs
+++ b/crates/relay/src/peers/work.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     driver::Driver,
-    peers::{self, EXCHANGE_TIMEOUT, Peers},
+    peers::{self, EXCHANGE_TIMEOUT, Peers, remote::Kind},
 };
 
 /// Time limit for a peer to answer a ping.
@@ -29,6 +29,9 @@
 /// Time limit of a placement request: somewhat above the longest round trip within a
 /// region, and short compared with any latency objective.
 const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(80);
+/// Additional time for a reply from another region: two round trips of 60 ms, since the connection
+/// may have to be opened, and the variation of a busy link.
+const REMOTE_ALLOWANCE: Duration = Duration::from_millis(150);
 
 impl Peers {
     /// Hands pieces over to a peer, and passes its results to the machine.
@@ -160,6 +163,8 @@
         let mut request = client.make_request();
         let list = request.get().init_pieces(pieces.len() as u32);
         wire::write_pieces(driver.now(), pieces, list);
+        let size = || request.get().into_reader().total_size();
+        driver.peers.count_request(driver, &addr, Kind::Pieces, size);
         let mut reply = request.send().promise;
         loop {
             let pause = Box::pin(tokio::time::sleep(PING_INTERVAL));
@@ -189,6 +194,8 @@
         for (idx, handle) in (0..).zip(handles) {
             list.set(idx, &**handle);
         }
+        let size = || request.get().into_reader().total_size();
+        driver.peers.count_request(driver, &addr, Kind::Others, size);
         request.send().promise.await?;
         Ok(())
     };
@@ -204,13 +211,19 @@
     let exchange = async |client: relay::Client| {
         let mut request = client.place_request();
         wire::write_placement_request(placement_request, request.get().init_question());
+        let size = || request.get().into_reader().total_size();
+        driver.peers.count_request(driver, &addr, Kind::Placements, size);
         let response = request.send().promise.await?;
         Ok(wire::read_placement(response.get()?.get_placement()?)?)
     };
     // A slow reply must not close the connection, since pieces handed over on it may still
     // be running.
     let placement = driver.peers.links.exchange(&addr, EXCHANGE_TIMEOUT, exchange);
-    tokio::time::timeout(PLACEMENT_TIMEOUT, placement).await.unwrap_or(Err(Error::TimedOut))
+    let limit = match driver.peers.is_remote(peer) {
+        true => PLACEMENT_TIMEOUT + REMOTE_ALLOWANCE,
+        false => PLACEMENT_TIMEOUT,
+    };
+    tokio::time::timeout(limit, placement).await.unwrap_or(Err(Error::TimedOut))
 }
 
 async fn report(
@@ -225,6 +238,8 @@
         wire::write_progress(progress, request.get().init_progress(progress.len() as u32));
         request.get().set_from(&*driver.settings.name);
         wire::write_notices(notices, request.get().init_notices(notices.len() as u32));
+        let size = || request.get().into_reader().total_size();
+        driver.peers.count_request(driver, &addr, Kind::Placements, size);
         request.send().promise.await?;
         Ok(())
     };
@@ -236,6 +251,8 @@
     let exchange = async |client: relay::Client| {
         let mut request = client.queue_request();
         request.get().set_service(service);
+        let size = || request.get().into_reader().total_size();
+        driver.peers.count_request(driver, &addr, Kind::Others, size);
         request.send().promise.await?;
         Ok(())
     };
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -8,6 +8,9 @@
 };
 use peatdeck_macros::data;
 
+/// Assumed capacity of the link between two regions, in Mbit/s; the platform does not state it.
+pub const DEFAULT_LINK_MBPS: u32 = 60;
+
 /// The settings that a relay instance reads at its start.
 #[data]
 pub struct Settings {
@@ -19,6 +22,8 @@
     pub data_centre: Arc<str>,
     /// The regions of the deployment.
     pub regions: RegionMap,
+    /// Capacity of the link between two regions, in Mbit/s in each direction.
+    pub link_mbps: u32,
     /// Limits of rollouts; `None` if the deployment has none, and versions are ignored.
     pub rollout: Option<rollout::Limits>,
     /// Address that callers connect to.
--- a/crates/relay/tests/relay/regions.rs
+++ b/crates/relay/tests/relay/regions.rs
@@ -8,6 +8,7 @@
 
 use peatdeck_core::relay::region::RegionMap;
 use peatdeck_relay::{
+    peers::remote::Bucket,
     regions::{Unlisted, check_lists},
     surroundings::TableName,
 };
@@ -136,3 +137,58 @@
     let took = written.elapsed();
     assert!(took < Duration::from_secs(6), "{took:?}");
 }
+
+// Guards against control traffic that takes the link from callers without being noticed, and
+// against traffic within a region that is counted as if it crossed the link.
+#[test]
+fn bytes_sent_to_another_region_are_counted_by_kind() {
+    let store = MemoryStore::default();
+    let (east, _west) = start_instances(&store);
+    wait_for("gossip was sent", || sum(&east, "peatdeck.relay.remote_bytes.gossip") > 1000);
+    assert_eq!(sum(&east, "peatdeck.relay.remote_bytes.pieces"), 0);
+
+    let store = MemoryStore::default();
+    store.put(TableName::Config, "config", b"1".to_vec());
+    store.add_endpoint("desk", "desk", ScriptedEndpoint::answering("x").addr);
+    let one = ["a", "b"].map(|name| Relay::start(name, &store, &[]));
+    wait_for("gossip was sent", || sum(&one, "peatdeck.relay.gossip") > 8);
+    assert_eq!(sum(&one, "peatdeck.relay.remote_bytes.gossip"), 0);
+}
+
+/// The most bytes in any 10 s that the bucket lets pass in messages of this size, which are sent
+/// as soon as `may_send` allows.
+fn greatest_load(bytes: u64, may_send: impl Fn(&mut Bucket, Duration) -> bool) -> u64 {
+    let mut bucket = Bucket::default();
+    let mut sent = Vec::new();
+    for at in (0..60_000).step_by(10).map(Duration::from_millis) {
+        if may_send(&mut bucket, at) {
+            bucket.spend(at, SHARE, bytes);
+            sent.push(at);
+        }
+    }
+    let window = |from: &Duration| {
+        let window = *from..*from + Duration::from_secs(10);
+        sent.iter().filter(|at| window.contains(*at)).count()
+    };
+    sent.iter().map(window).max().unwrap() as u64 * bytes
+}
+
+/// An instance's share of a link of 60 Mbit/s in a region of 37, in bytes per second.
+const SHARE: f64 = 60e6 / 8.0 * 0.1 / 37.0;
+
+// Guards against bursts that exceed a tenth of the link over 10 s, for example after a cut.
+#[test]
+fn gossip_and_tables_stay_within_the_share_of_the_link() {
+    let limit = (SHARE * 10.0) as u64;
+    let gossip = greatest_load(4_500, |bucket, now| bucket.available(now, SHARE) > 0.0);
+    assert!(gossip <= limit + 4_500, "{gossip} of {limit}");
+    assert!(gossip > limit / 2, "{gossip} of {limit}");
+    let tables =
+        greatest_load(32_768, |bucket, now| bucket.table_delay(now, SHARE) == Duration::ZERO);
+    assert!(tables <= limit, "{tables} of {limit}");
+    // Gossip still passes after tables have taken what they may.
+    let mut bucket = Bucket::default();
+    bucket.spend(Duration::ZERO, SHARE, (SHARE * 4.0) as u64);
+    assert!(bucket.table_delay(Duration::ZERO, SHARE) > Duration::ZERO);
+    assert!(bucket.available(Duration::ZERO, SHARE) > 0.0);
+}
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -29,7 +29,7 @@
 use peatdeck_relay::{
     native,
     server::{self, Control, Listeners},
-    settings::Settings,
+    settings::{DEFAULT_LINK_MBPS, Settings},
     surroundings::{Platform, TableName},
 };
 use peatdeck_util::clock::Clock;
@@ -215,6 +215,7 @@
             body_memory: 1 << 24,
             millicores: self.millicores,
             regions: self.regions,
+            link_mbps: DEFAULT_LINK_MBPS,
             rollout: None,
             policy: self.policy,
             connections: 200,
