--- a/crates/core/src/relay/region.rs
+++ b/crates/core/src/relay/region.rs
@@ -51,6 +51,11 @@
         self.regions.is_empty() || self.regions.contains_key(data_centre)
     }
 
+    /// Whether the map is empty.
+    pub fn is_empty(&self) -> bool {
+        self.regions.is_empty()
+    }
+
     /// Whether a data centre of the map is in this region.
     pub fn has_region(&self, region: &str) -> bool {
         self.regions.values().any(|name| **name == *region)
--- a/crates/relay/src/peers/regions.rs
+++ b/crates/relay/src/peers/regions.rs
@@ -17,6 +17,9 @@
 impl Peers {
     /// The rank of this instance in its region; `None` if there is one region.
     pub fn turn(&self, now: Duration) -> Option<Turn> {
+        if self.regions.is_empty() {
+            return None;
+        }
         Turn::of(&self.live_instances(now), &self.regions, &self.own_name)
     }
 
