--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -7,6 +7,7 @@
 //! theirs any more come after all that still can.
 
 mod admission;
+mod canary;
 pub mod drain;
 mod places;
 pub mod queue;
--- a/crates/core/src/relay/batch/queue.rs
+++ b/crates/core/src/relay/batch/queue.rs
@@ -75,6 +75,8 @@
     is_begun: bool,
     /// Whether it must run in a call without other groups.
     is_isolated: bool,
+    /// Whether some of its pieces ran or may have run before.
+    pub has_repeats: bool,
     priority: u8,
 }
 
@@ -140,9 +142,11 @@
             deadline: piece.deadline,
             is_begun: piece.is_begun,
             is_isolated: false,
+            has_repeats: false,
             priority: piece.priority,
         });
         group.is_isolated |= piece.is_isolated;
+        group.has_repeats |= piece.is_repeat || piece.tries > 0;
         group.keys.push(key);
         self.by_deadline.insert((piece.deadline, key));
         let is_new = self.group_keys.insert(key, (class, group_key)).is_none();
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -138,11 +138,11 @@
 pub fn plain_candidates(
     directory: &Directory,
     now: Duration,
-    service: &str,
+    pool: Pool<'_>,
     criteria: Criteria<'_>,
     mut jitter: impl FnMut() -> f64,
 ) -> Vec<Candidate> {
-    let candidates = candidates(directory, now, service, criteria);
+    let candidates = candidates(directory, now, pool, criteria);
     let fastest = candidates.iter().filter_map(|(_, endpoint)| endpoint.response_time).min();
     let interval_factor = criteria.instances.div_ceil(INSTANCES_PER_TRIAL) as u32;
     let time = |endpoint: &Endpoint| {
@@ -189,15 +189,15 @@
     directory: &Directory,
     sent_parts: &SentParts,
     now: Duration,
-    service: &str,
+    pool: Pool<'_>,
     prompt: &Prompt,
     criteria: Criteria<'_>,
 ) -> Vec<Candidate> {
-    let candidates = candidates(directory, now, service, criteria);
+    let candidates = candidates(directory, now, pool, criteria);
     let median = median_response_time(&candidates);
     let is_independent = criteria.chooser == Chooser::Independent;
     let owners = if is_independent { &candidates[..] } else { &[] };
-    let engines = directory.usable(now, Pool::of(service));
+    let engines = directory.usable(now, pool);
     let others = criteria.chooser.owned_by_others(directory, &engines);
     let sources = prompts::fetch_sources(directory, now, &engines);
     let rates = PrefillRates { transfer: criteria.transfer, token_millis: criteria.token_millis };
@@ -268,10 +268,10 @@
 fn candidates<'a>(
     directory: &'a Directory,
     now: Duration,
-    service: &str,
+    pool: Pool<'_>,
     criteria: Criteria<'_>,
 ) -> Vec<(EndpointKey, &'a Endpoint)> {
-    let usable = directory.usable(now, Pool::of(service)).into_iter();
+    let usable = directory.usable(now, pool).into_iter();
     let open = usable.filter(|key| !criteria.withheld.contains(key));
     let untried = open.filter(|key| !criteria.tried.contains(key));
     let endpoints = untried.filter_map(|key| Some((key, directory.get(key)?)));
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -29,9 +29,12 @@
     relay::{
         directory::endpoint::State,
         model::{EndpointId, EndpointKey, ServiceName},
-        pool::Pool,
+        pool::{Pool, Track},
         region::RegionMap,
-        rollout::Version,
+        rollout::{
+            Version,
+            gate::{Gate, Gates},
+        },
     },
 };
 
@@ -106,6 +109,8 @@
     /// Data centres whose endpoints receive no calls because operators evacuated them.
     evacuated: BTreeSet<DataCentre>,
     regions: RegionMap,
+    /// Which versions get work; `None` if versions are ignored.
+    gates: Option<Gates>,
 }
 
 impl Directory {
@@ -114,6 +119,30 @@
         Directory { regions, ..Directory::default() }
     }
 
+    /// From now on the versions of endpoints decide which of them get work.
+    pub fn heed_versions(&mut self) {
+        self.gates.get_or_insert_default();
+    }
+
+    /// Sets which versions of a service get work. Returns whether that changes it.
+    pub fn set_gate(&mut self, service: &ServiceName, gate: Gate) -> bool {
+        self.gates.as_mut().is_some_and(|gates| gates.set(service, gate))
+    }
+
+    /// The version of the endpoint of a service that started first among those seen.
+    pub fn earliest_version(&self, service: &str) -> Option<&Version> {
+        self.gates.as_ref()?.earliest(service)
+    }
+
+    /// Whether an endpoint's version gets the work of a track.
+    fn is_on_track(&self, endpoint: &Endpoint, track: Track) -> bool {
+        let Entry { service, version, .. } = &endpoint.entry;
+        match &self.gates {
+            Some(gates) => gates.admits(service, track, version),
+            None => track == Track::Stable,
+        }
+    }
+
     /// The regions of the deployment.
     pub fn regions(&self) -> &RegionMap {
         &self.regions
@@ -178,7 +207,8 @@
         }
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let endpoints = keys.iter().map(|key| &self.endpoints[*key]);
-        let mut ready = endpoints.filter(|endpoint| endpoint.is_ready()).peekable();
+        let in_force = endpoints.filter(|endpoint| self.is_on_track(endpoint, Track::Stable));
+        let mut ready = in_force.filter(|endpoint| endpoint.is_ready()).peekable();
         let are_all = ready.peek().is_some() && ready.all(|it| self.is_in_evacuated(it));
         are_all && self.usable(now, Pool::of(service)).is_empty()
     }
@@ -196,7 +226,9 @@
         let keys = self.by_service.get(pool.service).map_or(&[][..], Vec::as_slice);
         let keys = keys.iter().filter(|key| {
             let endpoint = &self.endpoints[**key];
-            !self.is_in_evacuated(endpoint) && self.is_in_region(endpoint, pool.region)
+            let is_in_pool =
+                self.is_in_region(endpoint, pool.region) && self.is_on_track(endpoint, pool.track);
+            !self.is_in_evacuated(endpoint) && is_in_pool
         });
         let is_ready = |key: &EndpointKey| self.endpoints[*key].is_ready();
         let has_expired = |key: &EndpointKey| self.endpoints[*key].is_last_resort(now);
@@ -248,10 +280,12 @@
         Some(endpoint.entry.data_centre.clone())
     }
 
-    /// The number of endpoints of a service that accept new work.
+    /// The number of endpoints of a service that accept new work, of the version in force.
     pub fn ready_count_of(&self, service: &str) -> usize {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        keys.iter().filter(|key| self.endpoints[**key].is_ready()).count()
+        let endpoints = keys.iter().map(|key| &self.endpoints[*key]);
+        let in_force = endpoints.filter(|endpoint| self.is_on_track(endpoint, Track::Stable));
+        in_force.filter(|endpoint| endpoint.is_ready()).count()
     }
 
     /// The number of endpoints that accept new work.
@@ -306,6 +340,9 @@
     }
 
     fn put(&mut self, now: Duration, entry: Entry) -> ChangeEffect {
+        if let Some(gates) = &mut self.gates {
+            gates.record_endpoint(&entry.service, entry.incarnation, &entry.version);
+        }
         let Some(&key) = self.by_name.get(&entry.name) else {
             return self.insert(now, entry);
         };
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -9,6 +9,7 @@
         fingerprint::Fingerprint,
         graph::StageGraph,
         model::{Arrival, CallKey, EndpointKey, HandoverKey, RunNumber, ServiceName},
+        pool::{Pool, Track},
     },
 };
 
@@ -33,6 +34,8 @@
     pub(crate) destination: Option<DataCentre>,
     pub(crate) handovers: Vec<HandoverKey>,
     pub(crate) call: Option<CallKey>,
+    /// Which version its call goes to; `None` until that is decided.
+    pub(crate) track: Option<Track>,
     /// Whether a placer was asked for an engine and has not replied.
     pub(crate) is_placement_pending: bool,
     pub(crate) tried: Vec<EndpointKey>,
@@ -56,6 +59,13 @@
     pub(crate) wait_until: Option<Duration>,
 }
 
+impl Exchange {
+    /// The endpoints that its call may go to.
+    pub(crate) fn pool(&self) -> Pool<'_> {
+        Pool { track: self.track.unwrap_or_default(), ..Pool::of(&self.service) }
+    }
+}
+
 /// A call to an endpoint.
 #[derive(Debug)]
 pub(crate) struct CallState {
@@ -72,6 +82,8 @@
     pub(crate) answered_at: Option<Duration>,
     /// When the call is given up unless its reply has begun.
     pub(crate) overdue_at: Option<Duration>,
+    /// Whether its reply was counted for a rollout.
+    pub(crate) is_counted: bool,
 }
 
 /// What a call is for.
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -8,9 +8,11 @@
 //! for all instances; `quarantine` stops requests that crash endpoints; `evacuation` keeps
 //! all requests away from evacuated data centres; `pace` limits the calls to endpoints that
 //! are cold or state a limit; `terms` processes what endpoints report of themselves;
-//! `policies` runs the operators' programs; `rollouts` moves services to new versions.
+//! `policies` runs the operators' programs; `rollouts` moves services to new versions: `canary`
+//! selects the requests that go there, `replies` counts how they end.
 
 mod calls;
+mod canary;
 mod ending;
 mod evacuation;
 mod intake;
@@ -21,6 +23,7 @@
 mod policies;
 mod quarantine;
 mod queues;
+mod replies;
 mod results;
 mod rollouts;
 mod stages;
@@ -133,6 +136,7 @@
     /// Runs whose connection was cut lately, by the incarnation of their endpoint.
     cut_runs: HashMap<EndpointKey, quarantine::CutRuns>,
     policy: Option<Program>,
+    rollouts: rollouts::Rollouts,
     /// Whether result memory has become free that waiting pieces may need.
     has_freed_memory: bool,
     deadlines: BTreeSet<(Duration, ExchangeKey)>,
@@ -189,8 +193,12 @@
         // Peers may still report progress under numbers of an earlier incarnation of this
         // instance.
         let next_run = u64::from(SmallRng::seed_from_u64(!seed).random::<u32>()) << 32;
+        let mut directory = Directory::new(settings.regions.clone());
+        if settings.rollout.is_some() {
+            directory.heed_versions();
+        }
         Relay {
-            directory: Directory::new(settings.regions.clone()),
+            directory,
             settings,
             rng: SmallRng::seed_from_u64(seed),
             config: None,
@@ -222,6 +230,7 @@
             is_quarantine_read: false,
             cut_runs: HashMap::new(),
             policy: None,
+            rollouts: rollouts::Rollouts::default(),
             has_freed_memory: false,
             deadlines: BTreeSet::new(),
             token_deadlines: BTreeSet::new(),
@@ -287,7 +296,8 @@
         let report = self.next_report();
         let backlog =
             (!self.batcher.waiting_services().is_empty()).then_some(self.next_backlog.max(now));
-        [deadline, overdue, search, evictable, batch, report, backlog]
+        let rollout = self.rollouts.next_wake(now);
+        [deadline, overdue, search, evictable, batch, report, backlog, rollout]
             .into_iter()
             .flatten()
             .min()
@@ -363,6 +373,7 @@
     /// outdated routes until it first read the tables.
     pub fn hold_for_tables(&mut self, until: Duration) {
         self.tables_deadline = until;
+        self.rollouts.forget_verdicts();
     }
 
     /// The tables have been read again: requests that wait for them go on.
@@ -403,6 +414,7 @@
             destination: None,
             handovers: Vec::new(),
             call: None,
+            track: None,
             is_placement_pending: false,
             tried: Vec::new(),
             attempts: 0,
@@ -434,6 +446,7 @@
     /// Handles all timers that have expired.
     pub fn tick(&mut self, now: Duration) {
         self.time_out_due(now);
+        self.tick_rollouts(now);
         if now >= self.next_search && !self.searching.is_empty() {
             self.search(now);
         }
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -12,7 +12,8 @@
             Action, Basis, Call, CallKey, EndpointKey, ExchangeKey, Failure, Progress, Refusal,
             ReplyHead, RunNumber, Step,
         },
-        pool::Pool,
+        pool::Track,
+        rollout::counting::Ending,
     },
 };
 
@@ -65,6 +66,7 @@
     pub fn on_stream_end(&mut self, now: Duration, call: CallKey) {
         let Some(key) = self.exchange_of(call) else { return };
         self.quarantine.record_answer(now, self.exchanges[key].content);
+        self.count_ending(now, call, Ending::Complete);
         self.end_call(now, call, Step::Ended);
         if !self.exchanges[key].has_sent_head {
             self.actions.push(Action::BeginStream { exchange: key, call });
@@ -77,6 +79,7 @@
     pub fn on_reply(&mut self, now: Duration, call: CallKey, head: &ReplyHead) {
         let Some(key) = self.exchange_of(call) else { return };
         let endpoint = self.calls[call].endpoint;
+        self.count_reply(now, call, head);
         if head.is_refusal() {
             self.end_call(now, call, Step::Refused(head.load));
         } else if head.is_not_run {
@@ -122,6 +125,7 @@
             let runs = self.runs_of_call(now, call);
             self.on_cut(now, self.calls[call].endpoint, runs);
         }
+        self.count_failure(now, call, failure);
         self.end_call(now, call, Step::Failed(failure));
         let exchange = &mut self.exchanges[key];
         match failure {
@@ -162,11 +166,30 @@
             self.time_out(now, key);
             return;
         }
-        if !self.ask_placer(now, key) {
+        self.choose_track(now, key);
+        if !self.try_canary(now, key) && !self.ask_placer(now, key) {
             self.call_without_placer(now, key);
         }
     }
 
+    /// Calls an endpoint of the version on trial if the request is to go there. Returns false if
+    /// it is not, or if none can be called.
+    fn try_canary(&mut self, now: Duration, key: ExchangeKey) -> bool {
+        let exchange = &self.exchanges[key];
+        if exchange.track != Some(Track::Canary) {
+            return false;
+        }
+        let inputs = exchange.graph.outputs_by_data_centre(&exchange.route);
+        let Some(chosen) = self.choose(now, key, &inputs) else {
+            self.exchanges[key].track = Some(Track::Stable);
+            return false;
+        };
+        self.take_canary_call(key);
+        let placed = Placed { chosen, source: self.addr_of(chosen.source), placer: None };
+        self.send_call(now, key, placed);
+        true
+    }
+
     /// Whether enough time is left for a call.
     pub(super) fn has_time_for_call(&self, now: Duration, key: ExchangeKey) -> bool {
         self.exchanges[key].deadline >= now + MIN_CALL_TIME
@@ -204,6 +227,7 @@
             placer,
             answered_at: None,
             overdue_at: None,
+            is_counted: false,
         });
         if run.is_some() {
             self.watch_first_token(now, call, &chosen);
@@ -260,7 +284,7 @@
             calls: target.map_or(0, |target| target.calls(now)),
             load_age: target.and_then(|target| target.load_age(now)),
             tokens,
-            usable: self.directory.usable(now, Pool::of(&self.exchanges[key].service)).len(),
+            usable: self.directory.usable(now, self.exchanges[key].pool()).len(),
         }
     }
 
@@ -380,6 +404,7 @@
 
     pub(super) fn cancel(&mut self, now: Duration, call: CallKey) {
         self.actions.push(Action::Cancel(call));
+        self.count_ending(now, call, Ending::Open);
         self.end_call(now, call, Step::Ended);
     }
 
@@ -396,6 +421,8 @@
             && let Some(exchange) = self.exchanges.get_mut(key)
         {
             exchange.call = None;
+            // A retry runs on the version in force.
+            exchange.track = exchange.track.map(|_| Track::Stable);
         }
     }
 }
--- a/crates/core/src/relay/machine/evacuation.rs
+++ b/crates/core/src/relay/machine/evacuation.rs
@@ -24,20 +24,20 @@
         now: Duration,
         commands: Vec<OperatorCommand>,
     ) -> Vec<bool> {
-        let results =
-            commands.into_iter().map(|command| self.apply_operator_change(command)).collect();
+        let results = commands.into_iter().map(|it| self.apply_operator_change(now, it)).collect();
+        self.refresh_gates(now);
         self.refuse_evacuated(now);
         self.search(now);
         self.dispatch_all(now);
         results
     }
 
-    fn apply_operator_change(&mut self, command: OperatorCommand) -> bool {
+    fn apply_operator_change(&mut self, now: Duration, command: OperatorCommand) -> bool {
         match command {
             OperatorCommand::Configure(config) => self.configure(config.into()),
             OperatorCommand::Evacuate(data_centre) => self.directory.evacuate(data_centre),
             OperatorCommand::Restore(data_centre) => self.directory.restore(&data_centre),
-            OperatorCommand::RollOut(order) => self.apply_order(order),
+            OperatorCommand::RollOut(order) => self.apply_order(now, order),
             OperatorCommand::WithdrawRollout(service) => self.withdraw_order(&service),
         }
     }
--- a/crates/core/src/relay/machine/moves.rs
+++ b/crates/core/src/relay/machine/moves.rs
@@ -9,6 +9,7 @@
     machine::Relay,
     model::{Action, CallKey, EndpointKey, ExchangeKey, Failure, Step},
     pool::Pool,
+    rollout::counting::Ending,
 };
 
 /// An engine's first token is overdue after this multiple of the time within which nine of
@@ -74,6 +75,7 @@
             let service = self.exchanges[key].service.clone();
             if self.try_withdraw(now, &service, 1) {
                 self.actions.push(Action::Cancel(call));
+                self.count_ending(now, call, Ending::Open);
                 self.end_call(now, call, Step::Failed(Failure::Cut));
                 self.exchanges[key].was_called = true;
                 self.advance(now, key);
--- a/crates/core/src/relay/machine/pace.rs
+++ b/crates/core/src/relay/machine/pace.rs
@@ -23,8 +23,8 @@
     directory::Endpoint,
     exchange::Exchange,
     machine::Relay,
-    model::{EndpointKey, ExchangeKey, ServiceName},
-    pool::Pool,
+    model::{EndpointKey, ExchangeKey},
+    pool::{Pool, Track},
     terms::Rate,
 };
 
@@ -77,10 +77,15 @@
     pub(super) fn withheld(
         &self,
         now: Duration,
-        service: &ServiceName,
+        pool: Pool<'_>,
         chooser: Chooser,
     ) -> Vec<EndpointKey> {
-        let usable = self.directory.usable(now, Pool::of(service));
+        let usable = self.directory.usable(now, pool);
+        if pool.track == Track::Canary {
+            let canaries = self.canaries(now, pool.service);
+            return usable.into_iter().filter(|key| !canaries.contains(key)).collect();
+        }
+        let service = pool.service;
         let known = usable.iter().filter_map(|key| Some((*key, self.directory.get(*key)?)));
         let limited = known.filter_map(|(key, endpoint)| {
             let pace = self.pace(now, endpoint);
@@ -107,8 +112,8 @@
     /// When an exchange may first call an endpoint again, if all untried ones are on hold;
     /// `None` if one of them is not, or none is left.
     pub(super) fn first_available(&self, now: Duration, key: ExchangeKey) -> Option<Duration> {
-        let Exchange { service, tried, .. } = &self.exchanges[key];
-        let usable = self.directory.usable(now, Pool::of(service)).into_iter();
+        let Exchange { tried, .. } = &self.exchanges[key];
+        let usable = self.directory.usable(now, self.exchanges[key].pool()).into_iter();
         let open = usable.filter(|endpoint| !tried.contains(endpoint));
         let known = open.filter_map(|endpoint| self.directory.get(endpoint));
         let first = known.map(|endpoint| endpoint.hold_until).min()?;
@@ -184,7 +189,7 @@
 
     /// Whether this instance is one of an endpoint's callers. An instance that stops is not,
     /// since its peers no longer count it among them.
-    fn is_caller_of(&self, service: &ServiceName, endpoint: &Endpoint, pace: Pace) -> bool {
+    fn is_caller_of(&self, service: &str, endpoint: &Endpoint, pace: Pace) -> bool {
         let is_stopping = !self.is_batching && !self.peers.is_empty();
         if self.has_one_caller(service) || is_stopping {
             return false;
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -34,7 +34,7 @@
             Action, EndpointId, EndpointKey, ExchangeKey, HeldParts, Placement, PlacementRequest,
             Progress, Prompt, RunNumber, Step,
         },
-        pool::Pool,
+        pool::{Pool, Track},
         reading::PrefillSpeed,
     },
 };
@@ -162,7 +162,8 @@
         let excluded = request.excluded.iter().filter_map(|id| self.directory.by_id(id));
         let excluded: Vec<_> = excluded.collect();
         let chooser = self.placer_chooser(&request.service, &request.prompt);
-        let withheld = self.withheld(now, &request.service, chooser);
+        let pool = Pool::of(&request.service);
+        let withheld = self.withheld(now, pool, chooser);
         let criteria = choice::Criteria {
             tried: &excluded,
             withheld: &withheld,
@@ -173,7 +174,7 @@
         let (service, prompt) = (&request.service, &request.prompt);
         let (directory, sent_parts) = (&self.directory, &self.sent_parts);
         let candidates =
-            choice::engine_candidates(directory, sent_parts, now, service, prompt, criteria);
+            choice::engine_candidates(directory, sent_parts, now, pool, prompt, criteria);
         let chosen = choice::cheapest(&candidates)?;
         let number = self.record_placement(now, service, &chosen, prompt);
         let source = self.addr_of(chosen.source);
@@ -335,7 +336,7 @@
     fn excluded_engines(&self, now: Duration, key: ExchangeKey) -> Vec<EndpointId> {
         let exchange = &self.exchanges[key];
         let limit = self.connection_limit(&exchange.service);
-        let known = self.directory.usable(now, Pool::of(&exchange.service)).into_iter();
+        let known = self.directory.usable(now, exchange.pool()).into_iter();
         let excluded = known.filter_map(|key| {
             let engine = self.directory.get(key)?;
             let is_full = engine.in_flight >= limit;
@@ -356,8 +357,8 @@
         placement: Placement,
     ) -> Option<Placed> {
         let endpoint = self.directory.by_id(&placement.engine)?;
-        let service = &self.exchanges[key].service;
-        let is_usable = self.directory.usable(now, Pool::of(service)).contains(&endpoint);
+        let pool = self.exchanges[key].pool();
+        let is_usable = self.directory.usable(now, pool).contains(&endpoint);
         let wants_rest = self.directory.get(endpoint).is_some_and(|it| it.is_on_hold(now));
         if !is_usable || wants_rest {
             return None;
@@ -376,7 +377,10 @@
     ) -> Option<Candidate> {
         let Exchange { service, arrival, .. } = &self.exchanges[key];
         let (service, prompt) = (service.clone(), arrival.prompt.clone());
-        let is_placer = prompt.as_ref().is_some_and(|prompt| self.is_placer(&service, prompt));
+        let track = self.exchanges[key].track.unwrap_or_default();
+        let pool = Pool { track, ..Pool::of(&service) };
+        let is_placer = track == Track::Stable
+            && prompt.as_ref().is_some_and(|prompt| self.is_placer(&service, prompt));
         if is_placer && self.transfer(&service).is_some() {
             self.query_parts(now, &service);
         }
@@ -385,7 +389,7 @@
             Some(prompt) if is_placer => self.placer_chooser(&service, prompt),
             _ => Chooser::Independent,
         };
-        let withheld = self.withheld(now, &service, chooser);
+        let withheld = self.withheld(now, pool, chooser);
         let criteria = choice::Criteria {
             tried: &self.exchanges[key].tried,
             withheld: &withheld,
@@ -395,9 +399,9 @@
         let (directory, sent_parts) = (&self.directory, &self.sent_parts);
         let candidates = match &prompt {
             Some(prompt) => {
-                choice::engine_candidates(directory, sent_parts, now, &service, prompt, criteria)
+                choice::engine_candidates(directory, sent_parts, now, pool, prompt, criteria)
             }
-            None => choice::plain_candidates(directory, now, &service, criteria, || rng.random()),
+            None => choice::plain_candidates(directory, now, pool, criteria, || rng.random()),
         };
         let chosen = self.policy_choice(now, key, &candidates);
         chosen.or_else(|| choice::cheapest(&candidates))
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -8,7 +8,9 @@
 use crate::{
     model::{InstanceName, Load},
     relay::{
-        batch::{Batcher, FinishedPiece, Origin, Requester, queue::LARGE_RESULT_BYTES},
+        batch::{
+            Batcher, FinishedPiece, Origin, PlannedCall, Requester, queue::LARGE_RESULT_BYTES,
+        },
         config::Pieces,
         exchange::{CallPurpose, CallState},
         graph::{LocatedResult, StageGraph},
@@ -17,6 +19,7 @@
             Action, CallKey, ExchangeKey, Failure, HandoverKey, Piece, PieceFailure, PieceResult,
             Refusal, ServiceName, Step,
         },
+        pool::Track,
     },
 };
 
@@ -39,6 +42,7 @@
     ) {
         self.record_answer(now, call, load);
         let service = self.service_of_call(call);
+        self.count_piece_results(now, call, &results);
         self.end_call(now, call, Step::Ended);
         let (finished, unclaimed) = self.batcher.record_results(now, call, results);
         if let (Some(service), false) = (service, unclaimed.is_empty()) {
@@ -78,6 +82,9 @@
             let (endpoint, runs) = (state.endpoint, self.runs_of_call(now, call));
             self.on_cut(now, endpoint, runs);
         }
+        if !is_not_run {
+            self.count_piece_failure(now, call, failure);
+        }
         self.end_call(now, call, step);
         let mut finished = self.batcher.record_failure(now, call, is_not_run);
         let is_safe = is_not_run || failure == Failure::Unsent;
@@ -272,7 +279,26 @@
             false => self.batcher.take_late(now, service, &config, &self.directory),
         };
         self.process_finished(now, late);
-        for order in self.batcher.plan(now, service, &config, &self.directory) {
+        if let Some((endpoints, max_pieces)) = self.piece_canaries(now, service, &config) {
+            let limits = (&endpoints[..], max_pieces);
+            let planned = self.batcher.plan_canary(now, service, &config, &self.directory, limits);
+            self.send_pieces(now, service, &config, planned.into_iter().collect(), Track::Canary);
+        }
+        let planned = self.batcher.plan(now, service, &config, &self.directory);
+        self.send_pieces(now, service, &config, planned, Track::Stable);
+    }
+
+    /// Sends planned calls for pieces.
+    fn send_pieces(
+        &mut self,
+        now: Duration,
+        service: &str,
+        config: &Pieces,
+        planned: Vec<PlannedCall>,
+        track: Track,
+    ) {
+        for order in planned {
+            self.count_pieces(now, service, order.pieces.len(), track);
             let endpoint = order.endpoint;
             let call = self.calls.insert(CallState {
                 purpose: CallPurpose::Pieces,
@@ -283,8 +309,9 @@
                 placer: None,
                 answered_at: None,
                 overdue_at: None,
+                is_counted: false,
             });
-            self.batcher.record_start(now, call, &order, &config);
+            self.batcher.record_start(now, call, &order, config);
             self.pace_call(now, endpoint);
             let target =
                 self.directory.get_mut(endpoint).expect("the directory has the planned endpoint");
--- a/crates/core/src/relay/rollout.rs
+++ b/crates/core/src/relay/rollout.rs
@@ -4,6 +4,19 @@
 //! canary). If its replies are as good and as fast as those of the version in force, all requests
 //! move there, else it gets none any more. One instance decides for each service, from counts that
 //! all instances send it; a record in the platform's store makes the decision last.
+//!
+//! [`gate`] states which versions get work, [`exposure`] how many requests the canary gets.
+//! [`counting`] counts the replies of one instance, [`tally`] tests the counts of several with
+//! [`sprt`]. [`progress`] is the state of a rollout at an instance, [`controller`] decides on its
+//! next phase.
+
+pub mod controller;
+pub mod counting;
+pub mod exposure;
+pub mod gate;
+pub mod progress;
+pub mod sprt;
+pub mod tally;
 
 use std::{sync::Arc, time::Duration};
 
@@ -45,6 +58,27 @@
     pub position: Position,
 }
 
+impl Order {
+    /// Whether a record at a position of the operators' log with the same destination and duration
+    /// is this order. In another timeline it is: the store was restored from an older copy, and the
+    /// record was written again.
+    pub fn is_at(&self, position: Position) -> bool {
+        self.position == position || self.position.timeline != position.timeline
+    }
+
+    /// Whether another order is this one.
+    pub fn is_same(&self, other: &Order) -> bool {
+        let content = |it: &Order| (it.service.clone(), it.destination.clone(), it.duration);
+        content(self) == content(other) && self.is_at(other.position)
+    }
+
+    /// Whether a record is that of this order.
+    pub fn is_of(&self, record: &RolloutRecord) -> bool {
+        let is_equal = self.destination == record.destination && self.duration == record.duration;
+        is_equal && self.is_at(record.order)
+    }
+}
+
 /// How far a rollout has got.
 #[id]
 #[derive(Copy)]
@@ -59,6 +93,13 @@
     RolledBack,
 }
 
+impl Phase {
+    /// Whether the order has ended.
+    pub fn is_final(self) -> bool {
+        matches!(self, Phase::Completed | Phase::RolledBack)
+    }
+}
+
 /// The state of a service's last rollout, as its record in the platform's store holds it.
 #[data]
 pub struct RolloutRecord {
@@ -95,6 +136,39 @@
     pub slow: u32,
 }
 
+impl Counts {
+    /// Adds other counts.
+    pub fn add(&mut self, other: Counts) {
+        self.good = self.good.saturating_add(other.good);
+        self.failed = self.failed.saturating_add(other.failed);
+        self.slow = self.slow.saturating_add(other.slow);
+    }
+
+    /// The counts beyond earlier ones.
+    pub fn since(self, earlier: Counts) -> Counts {
+        Counts {
+            good: self.good.saturating_sub(earlier.good),
+            failed: self.failed.saturating_sub(earlier.failed),
+            slow: self.slow.saturating_sub(earlier.slow),
+        }
+    }
+
+    /// Whether none of the counts is below the other's.
+    pub fn has_all_of(self, other: Counts) -> bool {
+        self.good >= other.good && self.failed >= other.failed && self.slow >= other.slow
+    }
+
+    /// Failures and slow replies.
+    pub fn bad(self) -> u32 {
+        self.failed.saturating_add(self.slow)
+    }
+
+    /// All replies.
+    pub fn all(self) -> u32 {
+        self.good.saturating_add(self.bad())
+    }
+}
+
 /// Counts of the replies to requests of one route.
 #[data]
 pub struct RouteCounts {
