Rollouts: exposure and false alarms tested in virtual time

The end of the ramp is reported at once; the completion waited for the deadline before. Usable endpoints look up the gate once for a pool instead of once for each endpoint.

--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -134,11 +134,16 @@
         self.gates.as_ref()?.earliest(service)
     }
 
-    /// Whether an endpoint's version gets the work of a track.
-    fn is_on_track(&self, endpoint: &Endpoint, track: Track) -> bool {
-        let Entry { service, version, .. } = &endpoint.entry;
-        match &self.gates {
-            Some(gates) => gates.admits(service, track, version),
+    /// A test whether an endpoint's version gets the work of a service's track.
+    fn track_filter<'a>(
+        &'a self,
+        service: &str,
+        track: Track,
+    ) -> impl Fn(&Endpoint) -> bool + Copy + use<'a> {
+        let gates = self.gates.as_ref();
+        let admitted = gates.map(|gates| gates.admitted(service, track));
+        move |endpoint| match admitted {
+            Some(version) => version == Some(&endpoint.entry.version),
             None => track == Track::Stable,
         }
     }
@@ -207,7 +212,8 @@
         }
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let endpoints = keys.iter().map(|key| &self.endpoints[*key]);
-        let in_force = endpoints.filter(|endpoint| self.is_on_track(endpoint, Track::Stable));
+        let is_in_force = self.track_filter(service, Track::Stable);
+        let in_force = endpoints.filter(|endpoint| is_in_force(endpoint));
         let mut ready = in_force.filter(|endpoint| endpoint.is_ready()).peekable();
         let are_all = ready.peek().is_some() && ready.all(|it| self.is_in_evacuated(it));
         are_all && self.usable(now, Pool::of(service)).is_empty()
@@ -224,11 +230,11 @@
     /// would be overloaded with the calls for all.
     pub fn usable(&self, now: Duration, pool: Pool<'_>) -> Vec<EndpointKey> {
         let keys = self.by_service.get(pool.service).map_or(&[][..], Vec::as_slice);
+        let is_on_track = self.track_filter(pool.service, pool.track);
         let keys = keys.iter().filter(|key| {
             let endpoint = &self.endpoints[**key];
-            let is_in_pool =
-                self.is_in_region(endpoint, pool.region) && self.is_on_track(endpoint, pool.track);
-            !self.is_in_evacuated(endpoint) && is_in_pool
+            let is_in_pool = is_on_track(endpoint) && self.is_in_region(endpoint, pool.region);
+            is_in_pool && !self.is_in_evacuated(endpoint)
         });
         let is_ready = |key: &EndpointKey| self.endpoints[*key].is_ready();
         let has_expired = |key: &EndpointKey| self.endpoints[*key].is_last_resort(now);
@@ -284,7 +290,8 @@
     pub fn ready_count_of(&self, service: &str) -> usize {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let endpoints = keys.iter().map(|key| &self.endpoints[*key]);
-        let in_force = endpoints.filter(|endpoint| self.is_on_track(endpoint, Track::Stable));
+        let is_in_force = self.track_filter(service, Track::Stable);
+        let in_force = endpoints.filter(|endpoint| is_in_force(endpoint));
         in_force.filter(|endpoint| endpoint.is_ready()).count()
     }
 
--- a/crates/core/src/relay/machine/rollouts.rs
+++ b/crates/core/src/relay/machine/rollouts.rs
@@ -221,12 +221,14 @@
         for service in due {
             self.tick_rollout(now, &service);
         }
+        let has_ended = |it: &Rollout| it.is_withdrawn && it.phase.is_final() && it.is_recorded();
+        self.rollouts.by_service.retain(|_, rollout| !has_ended(rollout));
         self.refresh_gates(now);
     }
 
     fn tick_rollout(&mut self, now: Duration, service: &ServiceName) {
         let Some(rollout) = self.rollouts.get_mut(service) else { return };
-        rollout.next_report = now + REPORT_INTERVAL;
+        rollout.schedule_report(now, REPORT_INTERVAL);
         let is_open = !rollout.phase.is_final();
         if is_open {
             self.check_order(now, service);
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -223,7 +223,7 @@
 }
 
 /// Identifies one incarnation of an endpoint in messages between instances.
-#[data]
+#[id]
 pub struct EndpointId {
     /// The endpoint's name.
     pub name: EndpointName,
--- a/crates/core/src/relay/rollout/counting.rs
+++ b/crates/core/src/relay/rollout/counting.rs
@@ -17,8 +17,12 @@
 const WINDOW: Duration = Duration::from_secs(10);
 /// The most reply times kept for a route.
 const MAX_TIMES: usize = 512;
-/// With fewer reply times nothing can be said about slowness.
+/// With fewer reply times the 90th percentile is not known well. The longest time takes its place,
+/// so that no reply is slow by chance.
 const MIN_TIMES: usize = 20;
+/// With fewer reply times replies cannot be compared, and do not count. A canary call of an
+/// instance comes after some 17 others, so this is rare.
+const MIN_COMPARED: usize = 5;
 /// A reply is slow if it takes longer than the 90th percentile of the stable replies by this
 /// factor.
 const SLOW_FACTOR: f64 = 2.0;
@@ -56,8 +60,11 @@
         while self.samples.front().is_some_and(|(at, _)| *at + WINDOW < now) {
             self.samples.pop_front();
         }
-        let is_enough = self.samples.len() >= MIN_TIMES;
-        let usual = self.percentile(0.9).filter(|_| is_enough);
+        let usual = match self.samples.len() {
+            0..MIN_COMPARED => None,
+            MIN_COMPARED..MIN_TIMES => self.samples.iter().map(|(_, took)| *took).max(),
+            _ => self.percentile(0.9),
+        };
         let limit = usual.map(|usual| usual.mul_f64(SLOW_FACTOR));
         self.limit = Some((now, limit));
         limit
--- a/crates/core/src/relay/rollout/gate.rs
+++ b/crates/core/src/relay/rollout/gate.rs
@@ -19,17 +19,6 @@
     pub canary: Option<Version>,
 }
 
-impl Gate {
-    /// Whether a version receives the work of a track.
-    pub fn admits(&self, track: Track, version: &str) -> bool {
-        let admitted = match track {
-            Track::Stable => &self.stable,
-            Track::Canary => &self.canary,
-        };
-        admitted.as_deref() == Some(version)
-    }
-}
-
 /// The gates of all services, and the versions that are in force without any record of a rollout.
 #[derive(Debug, Clone, Default)]
 pub struct Gates {
@@ -64,14 +53,13 @@
         self.gates.insert(service.clone(), gate.clone()) != Some(gate)
     }
 
-    /// Whether endpoints of a version receive the work of a service's track.
-    pub fn admits(&self, service: &str, track: Track, version: &str) -> bool {
-        match self.gates.get(service) {
-            Some(gate) => gate.admits(track, version),
-            None => {
-                let earliest = self.earliest(service).is_some_and(|it| **it == *version);
-                track == Track::Stable && earliest
-            }
+    /// The version that receives the work of a service's track; `None` if none does.
+    pub fn admitted(&self, service: &str, track: Track) -> Option<&Version> {
+        match (self.gates.get(service), track) {
+            (Some(gate), Track::Stable) => gate.stable.as_ref(),
+            (Some(gate), Track::Canary) => gate.canary.as_ref(),
+            (None, Track::Stable) => self.earliest(service),
+            (None, Track::Canary) => None,
         }
     }
 }
--- a/crates/core/src/relay/rollout/progress.rs
+++ b/crates/core/src/relay/rollout/progress.rs
@@ -112,6 +112,7 @@
         self.phase = phase;
         if phase == Phase::Shifting {
             self.shifted_at = Some(now);
+            self.next_report = self.next_report.min(now + RAMP);
         }
         true
     }
@@ -159,6 +160,13 @@
         self.shifted_at.is_some_and(|at| now >= at + RAMP)
     }
 
+    /// When counts are reported or decisions made after `now`, at this interval. The end of the ramp
+    /// is reported at once, since the completion waits for it.
+    pub fn schedule_report(&mut self, now: Duration, interval: Duration) {
+        let next = now + interval;
+        self.next_report = self.ramp_end(now).map_or(next, |end| end.min(next));
+    }
+
     /// When the last calls start on the old version; `None` if that is not known or past.
     pub fn ramp_end(&self, now: Duration) -> Option<Duration> {
         self.shifted_at.map(|at| at + RAMP).filter(|end| *end > now && !self.phase.is_final())
--- a/crates/core/src/relay/rollout/sprt.rs
+++ b/crates/core/src/relay/rollout/sprt.rs
@@ -8,8 +8,8 @@
 const MIN_RATE: f64 = 0.02;
 /// A bad version's rate is higher by this.
 const RATE_INCREASE: f64 = 0.15;
-/// The highest rate of the null hypothesis; the alternative has to be below 1.
-const MAX_RATE: f64 = 0.8;
+/// The highest rate of the null hypothesis, so that the ratio stays finite.
+const MAX_RATE: f64 = 0.999;
 /// The largest probability that a good version is rejected.
 const ALPHA: f64 = 1e-5;
 /// The largest probability that a bad version is accepted.
@@ -38,7 +38,9 @@
     /// `tests` the number of tests that share the error rates.
     pub fn add(&mut self, good: f64, bad: f64, rate: f64, tests: usize) {
         let null = rate.clamp(MIN_RATE, MAX_RATE);
-        let alternative = null + RATE_INCREASE;
+        // In an outage of both versions the alternative stays below 1 and above the null hypothesis.
+        // With a bound of 0.8 on that, 2 of 1,000 good versions were rejected.
+        let alternative = (null + RATE_INCREASE).min(f64::midpoint(1.0, null));
         self.log_ratio += bad * (alternative / null).ln();
         self.log_ratio += good * ((1.0 - alternative) / (1.0 - null)).ln();
         let lower = (BETA / tests.max(1) as f64).ln();
--- a/crates/core/src/relay/rollout/tally.rs
+++ b/crates/core/src/relay/rollout/tally.rs
@@ -1,7 +1,7 @@
 //! Tests the new version of a service on the counts that instances report.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -22,12 +22,14 @@
 const RATE_WINDOW: Duration = Duration::from_secs(2);
 /// Replies at the lowest rate that are added to the measured ones, so that a few replies do not
 /// show a high rate.
-const PRIOR_REPLIES: f64 = 20.0;
-const PRIOR_BAD: f64 = 0.4;
+const PRIOR_REPLIES: f64 = 5.0;
+const PRIOR_BAD: f64 = 0.1;
 /// A route with fewer replies of the new version does not have to be accepted on its own.
 const MIN_ROUTE_REPLIES: u32 = 20;
 /// From this number of endpoints of the new version on, one of them alone is no evidence.
 const MIN_ENDPOINTS: usize = 3;
+/// An endpoint stands out if it has more bad replies than the mean of the others by this factor.
+const OUTLIER_FACTOR: f64 = 2.0;
 
 /// One test and the counts for its next step.
 #[derive(Debug, Clone, Default)]
@@ -76,9 +78,16 @@
     reports: HashMap<InstanceName, Evidence>,
     overall: RouteTest,
     routes: BTreeMap<Arc<str>, RouteTest>,
-    endpoints: Vec<(EndpointId, Counts)>,
+    /// The endpoints of the new version that have replied.
+    endpoints: HashSet<EndpointId>,
+    /// Counts by endpoint since the last step.
+    newest: EndpointCounts,
+    /// Those of the steps within [`RATE_WINDOW`].
+    recent: VecDeque<(Duration, EndpointCounts)>,
 }
 
+type EndpointCounts = Vec<(EndpointId, Counts)>;
+
 impl Tally {
     /// Takes in a report. Its counts replace those of the instance's last report, unless they are
     /// lower: then the instance has restarted and counts anew. A report that was overtaken by a
@@ -100,23 +109,20 @@
         }
         for (endpoint, counts) in &evidence.endpoints {
             let before = known.as_ref().and_then(|it| endpoint_counts(it, endpoint));
-            self.add_endpoint(endpoint, counts.since(before.unwrap_or_default()));
+            let add = counts.since(before.unwrap_or_default());
+            self.endpoints.insert(endpoint.clone());
+            if add.bad() > 0 {
+                self.newest.push((endpoint.clone(), add));
+            }
         }
         self.reports.insert(from.clone(), evidence.clone());
     }
 
-    fn add_endpoint(&mut self, endpoint: &EndpointId, add: Counts) {
-        match self.endpoints.iter_mut().find(|(known, _)| known == endpoint) {
-            Some((_, counts)) => counts.add(add),
-            None => self.endpoints.push((endpoint.clone(), add)),
-        }
-    }
-
     /// Runs the tests on the reports since the last call. `shares` is the number of instances that
     /// test on their own, which share the error rates.
     pub fn test(&mut self, now: Duration, shares: usize) -> Outcome {
         let tests = (self.routes.len() + 1) * shares;
-        let weight = self.weight();
+        let weight = self.weight(now);
         let all = self.routes.values_mut().chain([&mut self.overall]);
         all.for_each(|test| test.step(now, weight, tests));
         let is_needed = |test: &&RouteTest| test.canary_replies >= MIN_ROUTE_REPLIES;
@@ -133,22 +139,36 @@
         }
     }
 
-    /// The share of the bad replies that counts: one endpoint of several contributes at most as
-    /// much as all others together.
-    fn weight(&self) -> f64 {
-        if self.endpoints.len() < MIN_ENDPOINTS {
-            return 1.0;
+    /// The share of the newest bad replies that counts: those of an endpoint that stands out among
+    /// three or more do not. If it contributed half of those that count, 12 of 1,000 good versions
+    /// with a slow endpoint were rejected. Only recent replies are compared: failures of all
+    /// endpoints in an earlier outage would let those of a single one count later.
+    fn weight(&mut self, now: Duration) -> f64 {
+        let newest = std::mem::take(&mut self.newest);
+        self.recent.push_back((now, newest));
+        while self.recent.front().is_some_and(|(at, _)| *at + RATE_WINDOW < now) {
+            self.recent.pop_front();
         }
-        let bad = || self.endpoints.iter().map(|(_, counts)| counts.bad());
-        let (all, most) = (bad().sum::<u32>(), bad().max().unwrap_or_default());
-        if all == 0 { 1.0 } else { f64::from((2 * (all - most)).min(all)) / f64::from(all) }
+        let Some(outlier) = self.outlier() else { return 1.0 };
+        let newest = self.recent.back().map_or(&[][..], |(_, counts)| counts);
+        let bad =
+            |counts: &[&(EndpointId, Counts)]| counts.iter().map(|it| it.1.bad()).sum::<u32>();
+        let all = bad(&newest.iter().collect::<Vec<_>>());
+        let others = bad(&newest.iter().filter(|it| it.0 != outlier).collect::<Vec<_>>());
+        if all == 0 { 1.0 } else { f64::from(others) / f64::from(all) }
     }
 
-    /// Counts of the new version's replies on all routes, for a log line.
-    pub fn canary_counts(&self) -> Counts {
-        let mut sum = Counts::default();
-        self.endpoints.iter().for_each(|(_, counts)| sum.add(*counts));
-        sum
+    /// The endpoint with more than twice as many recent bad replies as the mean of the others.
+    fn outlier(&self) -> Option<EndpointId> {
+        let mut bad: HashMap<&EndpointId, u32> = HashMap::new();
+        for (endpoint, counts) in self.recent.iter().flat_map(|(_, counts)| counts) {
+            *bad.entry(endpoint).or_default() += counts.bad();
+        }
+        let others = self.endpoints.len().checked_sub(1).filter(|it| it + 1 >= MIN_ENDPOINTS)?;
+        let all: u32 = bad.values().sum();
+        let (endpoint, most) = bad.into_iter().max_by_key(|(endpoint, bad)| (*bad, *endpoint))?;
+        let mean = f64::from(all - most) / others as f64;
+        (f64::from(most) > OUTLIER_FACTOR * mean).then(|| endpoint.clone())
     }
 }
 
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -27,6 +27,7 @@
 mod readers;
 mod reads;
 mod rests;
+mod rollout;
 mod stages;
 mod streams;
 mod table;
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -167,6 +167,19 @@
     ReplyHead { is_not_run: true, is_sealed: false, ..head(status) }
 }
 
+/// The settings of an instance whose deployment has no rollouts.
+pub fn settings(retry_budget: RetryBudgetConfig, name: &str) -> Settings {
+    Settings {
+        name: Arc::from(name),
+        data_centre: Arc::from("east"),
+        retry_budget,
+        min_instances: 1,
+        millicores: 250,
+        regions: Default::default(),
+        rollout: None,
+    }
+}
+
 /// A relay under test, its clock and the actions that the test has not consumed yet.
 pub struct World {
     pub relay: Relay,
@@ -191,16 +204,11 @@
     }
 
     fn with_name(config: Arc<Config>, budget: RetryBudgetConfig, name: &str) -> World {
-        let settings = Settings {
-            name: Arc::from(name),
-            data_centre: Arc::from("east"),
-            retry_budget: budget,
-            min_instances: 1,
-            millicores: 250,
-            regions: Default::default(),
-            rollout: None,
-        };
-        let mut relay = Relay::new(settings, 7);
+        World::with_settings(config, settings(budget, name), 7)
+    }
+
+    pub fn with_settings(config: Arc<Config>, settings: Settings, seed: u64) -> World {
+        let mut relay = Relay::new(settings, seed);
         relay.configure(config);
         relay.mark_quarantine_read();
         World { relay, now: Duration::ZERO, actions: Vec::new() }
