--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -32,8 +32,9 @@
 //! [`directory`] holds the endpoints, [`engine`] estimates the load of those that
 //! generate; [`allowance`] is the retry budget; [`fingerprint`] identifies equal
 //! requests, [`quarantine`] those that crash endpoints; [`region`] maps data centres to regions;
-//! [`rollout`] moves a service to a new version; [`pool`] names the endpoints that work may go to; [`terms`] are the conditions
-//! that endpoints state in replies; [`graph`] holds the stages of one exchange;
+//! [`rollout`] moves a service to a new version; [`pool`] names the endpoints that work may
+//! go to; [`terms`] are the conditions that endpoints state in replies; [`graph`] holds the
+//! stages of one exchange;
 //! [`batch`] groups pieces of all exchanges into calls; [`choice`] selects an
 //! endpoint; [`events`] splits a stream into server-sent events; `machine` combines
 //! these, `exchange` is its state.
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -9,10 +9,12 @@
 //! all requests away from evacuated data centres; `pace` limits the calls to endpoints that
 //! are cold or state a limit; `terms` processes what endpoints report of themselves;
 //! `policies` runs the operators' programs; `rollouts` moves services to new versions: `canary`
-//! selects the requests that go there, `replies` counts how they end.
+//! selects the requests that go there, `replies` counts how they end, `deciding` writes what
+//! is decided.
 
 mod calls;
 mod canary;
+mod deciding;
 mod ending;
 mod evacuation;
 mod intake;
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -27,6 +27,7 @@
     relay::{
         choice::{self, Candidate, Chooser, prompts},
         config::{self, Transfer},
+        directory,
         engine::CallEstimate,
         exchange::Exchange,
         machine::Relay,
@@ -364,11 +365,23 @@
             return None;
         }
         let Placement { tokens, wait, source, number, .. } = placement;
+        let source = source.filter(|addr| self.may_fetch(endpoint, addr));
         let copy_time = Duration::ZERO;
         let chosen = Candidate { endpoint, tokens, source: None, wait, copy_time, cost: 0.0 };
         Some(Placed { chosen, source, placer: Some((peer.clone(), number)) })
     }
 
+    /// Whether an engine may fetch prompt parts from an address. A placer that has not read of a
+    /// rollout yet may name an engine of another version.
+    fn may_fetch(&self, engine: EndpointKey, addr: &str) -> bool {
+        let Some(engine) = self.directory.get(engine) else { return false };
+        let is_rolling = self.rollouts.get(&engine.entry.service).is_some();
+        let is_other = |source: &directory::Endpoint| {
+            *source.entry.addr == *addr && source.entry.version != engine.entry.version
+        };
+        !is_rolling || !self.directory.all().any(is_other)
+    }
+
     pub(super) fn choose(
         &mut self,
         now: Duration,
--- a/crates/core/src/relay/machine/rollouts.rs
+++ b/crates/core/src/relay/machine/rollouts.rs
@@ -7,8 +7,6 @@
     time::Duration,
 };
 
-use xxhash_rust::xxh3;
-
 use crate::{
     model::InstanceName,
     relay::{
@@ -16,7 +14,7 @@
         model::{Action, ServiceName},
         rollout::{
             Evidence, Order, Phase, RolloutRecord, Verdict, Version, controller::Controller,
-            controller::Situation, gate::Gate, progress::Rollout, sprt::Outcome,
+            gate::Gate, progress::Rollout, sprt::Outcome,
         },
     },
 };
@@ -27,12 +25,12 @@
 /// The rollouts that were ordered.
 #[derive(Debug, Default)]
 pub(super) struct Rollouts {
-    by_service: BTreeMap<ServiceName, Rollout>,
+    pub(super) by_service: BTreeMap<ServiceName, Rollout>,
     /// The versions in force by the last records.
     baselines: HashMap<ServiceName, Version>,
     /// Whether the records have been read since there were orders. Until then an order may have
     /// ended already.
-    are_records_read: bool,
+    pub(super) are_records_read: bool,
 }
 
 impl Rollouts {
@@ -249,19 +247,6 @@
         }
     }
 
-    /// Halts an order that cannot be carried out.
-    fn check_order(&mut self, now: Duration, service: &ServiceName) {
-        let Some(rollout) = self.rollouts.get(service) else { return };
-        let services = self.config.as_ref().map(|config| &config.services);
-        let is_unknown = services.is_some_and(|known| !known.contains_key(service));
-        let reason = match rollout.order.duration.is_zero() {
-            true => "the duration is zero; order it with a positive `duration-s`",
-            false if is_unknown => "the service is unknown; order a service of the configuration",
-            false => return,
-        };
-        self.halt_rollout(now, service, reason.into());
-    }
-
     /// Tests the replies to this instance alone, so that it stops at once if they are bad.
     pub(super) fn test_own_replies(&mut self, now: Duration, service: &str) {
         let Some(evidence) = self.evidence(now, service) else { return };
@@ -275,87 +260,8 @@
         }
     }
 
-    /// Decides on a rollout, and writes the decision if the record does not state it.
-    fn decide_rollout(&mut self, now: Duration, service: &ServiceName) {
-        let Some(evidence) = self.evidence(now, service) else { return };
-        let baseline = self.baseline(service);
-        let names: Vec<_> = self.peers.iter().map(|peer| peer.name.clone()).collect();
-        let own = self.settings.name.clone();
-        let Some(rollout) = self.rollouts.by_service.get_mut(service) else { return };
-        let controller = rollout.controller.get_or_insert_with(|| Controller::new(now));
-        controller.on_evidence(now, &own, &evidence);
-        if !controller.is_settled(now) {
-            return;
-        }
-        let situation = Situation {
-            age: evidence.age,
-            duration: rollout.order.duration,
-            phase: rollout.phase,
-            is_withdrawn: rollout.is_withdrawn,
-            halt: rollout.halt.clone(),
-            is_in_force: baseline.as_ref() == Some(&rollout.order.destination),
-            outcome: controller.tally.test(now, 1),
-            long_call: rollout.replies.long_call(),
-            has_moved: controller.have_moved(now, names.iter().chain([&own])),
-        };
-        let decision = situation.decide();
-        if let Some((Phase::RolledBack, reason)) = &decision {
-            self.halt_rollout(now, service, reason.clone());
-        }
-        self.write_rollout(now, service, decision);
-    }
-
-    /// Writes the record of a decision, or of the phase in force if the record does not state it.
-    fn write_rollout(
-        &mut self,
-        now: Duration,
-        service: &ServiceName,
-        decision: Option<(Phase, Arc<str>)>,
-    ) {
-        let baseline = self.baseline(service);
-        let by = self.settings.name.clone();
-        let Some(rollout) = self.rollouts.get_mut(service) else { return };
-        let (phase, reason) = decision.unwrap_or_else(|| (rollout.phase, "in progress".into()));
-        let is_written = rollout.record.as_ref().is_some_and(|record| record.phase == phase);
-        let Some(controller) = rollout.controller.as_mut() else { return };
-        if is_written || !controller.begin_write(now, phase) {
-            return;
-        }
-        let order = &rollout.order;
-        let destination = order.destination.clone();
-        let baseline = if phase == Phase::Completed { Some(destination.clone()) } else { baseline };
-        let record = RolloutRecord {
-            service: service.clone(),
-            phase,
-            destination,
-            baseline,
-            duration: order.duration,
-            order: order.position,
-            by,
-            age: rollout.age(now),
-            reason,
-        };
-        self.actions.push(Action::WriteRollout(record));
-    }
-
-    /// Whether this instance has all that decisions are based on.
-    fn may_decide(&self, now: Duration) -> bool {
-        let is_stopping = !self.is_batching && !self.peers.is_empty();
-        let are_peers_known = now >= self.peers_deadline && now >= self.tables_deadline;
-        self.rollouts.are_records_read && are_peers_known && !is_stopping
-    }
-
-    /// The peer that decides on the rollout of a service; `None` if this instance does.
-    fn deciding_peer(&self, service: &str) -> Option<InstanceName> {
-        let seed = xxh3::xxh3_64(service.as_bytes());
-        let rank = |name: &str| xxh3::xxh3_64_with_seed(name.as_bytes(), seed);
-        let best = self.peers.iter().max_by_key(|peer| rank(&peer.name))?;
-        let is_first = rank(&best.name) > rank(&self.settings.name);
-        (is_first || !self.is_batching).then(|| best.name.clone())
-    }
-
     /// The version of a service in force besides one that is being rolled out.
-    fn baseline(&self, service: &str) -> Option<Version> {
+    pub(super) fn baseline(&self, service: &str) -> Option<Version> {
         let recorded = self.rollouts.baselines.get(service);
         recorded.or_else(|| self.directory.earliest_version(service)).cloned()
     }
--- /dev/null
+++ b/crates/core/tests/testsuite/relay/rollout/work.rs
@@ -0,0 +1,178 @@
+//! Prompts, streams and pieces of a service that is being rolled out.
+
+use peatdeck_core::{
+    model::Incarnation,
+    relay::{
+        config::{Engine, RequestKind, Transfer},
+        model::{Action, Arrival, EndpointId, Peer, PieceFailure, Placement, PlacementRequest},
+        rollout::Order,
+    },
+};
+
+use crate::relay::{
+    fixture::{ConfigBuilder, World, arrival, ms, prompt, route, stage},
+    rollout::{order, rollout_settings, start, versioned, wait},
+};
+
+/// Engines `a` and `b` of version 1, `c` and `d` of version 2 with an order.
+fn engines() -> World {
+    let transfer = Some(Transfer { token_bytes: 160_000.0, rate: 32e6 });
+    let engine = Engine { slots: 640, memory: 30_000_000, max_gap: None, transfer };
+    let config = ConfigBuilder::new(1).engine_service("llm", engine);
+    let config = config.route(route("r", RequestKind::Resumable, "llm")).build();
+    let mut world = World::with_settings(config, rollout_settings("own"), 7);
+    for (name, version) in [("a", 1), ("b", 1), ("c", 2), ("d", 2)] {
+        world.put(versioned(name, "llm", version));
+    }
+    start(&mut world, Order { service: "llm".into(), ..order("v2", ms(12_000), 1) });
+    wait(&mut world, 600);
+    world
+}
+
+fn is_new(endpoint: &str) -> bool {
+    ["c", "d"].contains(&endpoint)
+}
+
+/// Memory of prompts differs between versions.
+#[test]
+fn prompt_parts_are_fetched_from_engines_of_the_same_version_only() {
+    let mut world = engines();
+    let mut canaries = 0;
+    for idx in 0..100 {
+        world.submit(Arrival {
+            prompt: Some(prompt(1, 100 + idx)),
+            ..arrival(&idx.to_string(), "r")
+        });
+        let call = world.call();
+        canaries += usize::from(is_new(&call.endpoint));
+        let source = call.source.map(|addr| is_new(addr.trim_end_matches(":80")));
+        assert!(source.is_none_or(|source| source == is_new(&call.endpoint)));
+    }
+    assert_eq!(canaries, 6);
+}
+
+/// The placer serves the version in force.
+#[test]
+fn an_instance_chooses_the_canary_engine_itself() {
+    let mut world = engines();
+    let peer = Peer { name: "peer".into(), millicores: 500, data_centre: "east".into() };
+    world.relay.set_peers(world.now, vec![peer], 2);
+    let mut asked = 0;
+    for idx in 0..40 {
+        world.submit(Arrival {
+            prompt: Some(prompt(1, 100 + idx)),
+            ..arrival(&idx.to_string(), "r")
+        });
+        asked += world
+            .take(|action| matches!(action, Action::RequestPlacement { .. }).then_some(()))
+            .len();
+    }
+    let calls = world.calls();
+    assert!(calls.iter().all(|call| is_new(&call.endpoint)));
+    assert_eq!(asked + calls.len(), 40);
+}
+
+/// A stream continues with the memory of the version that began it.
+#[test]
+fn a_resumed_stream_goes_to_the_version_in_force() {
+    let mut world = engines();
+    for idx in 0..100 {
+        world.submit(Arrival { resume: Some(3), ..arrival(&idx.to_string(), "r") });
+        assert!(!is_new(&world.call().endpoint));
+    }
+}
+
+/// Endpoints `a` and `b` of version 1 run pieces, and `c` and `d` of version 2 with an order.
+fn workers() -> World {
+    let mut staged = route("r", RequestKind::Idempotent, "desk");
+    staged.stages = vec![stage("maker", &[], 1000)];
+    let config = ConfigBuilder::new(1).service("desk").piece_service("maker", 1 << 20);
+    let mut world = World::with_settings(config.route(staged).build(), rollout_settings("own"), 7);
+    world.put(versioned("x", "desk", 1));
+    for (name, version) in [("a", 1), ("b", 1), ("c", 2), ("d", 2)] {
+        world.put(versioned(name, "maker", version));
+    }
+    start(&mut world, Order { service: "maker".into(), ..order("v2", ms(60_000), 1) });
+    wait(&mut world, 600);
+    world
+}
+
+/// Runs requests of four pieces; version 2 fails. Returns the numbers of pieces sent to each
+/// version, without repeated ones to version 1.
+fn run_pieces(world: &mut World, requests: usize) -> (usize, usize) {
+    let (mut old, mut new) = (0, 0);
+    for idx in 0..requests {
+        world.submit(Arrival { pieces: vec![4], ..arrival(&idx.to_string(), "r") });
+        loop {
+            let batches = world.batches();
+            if batches.is_empty() {
+                break;
+            }
+            for batch in batches {
+                if is_new(&batch.endpoint) {
+                    assert!(batch.pieces.iter().all(|piece| !piece.is_repeat));
+                    new += batch.pieces.len();
+                    world.complete_with(batch.call, batch.all_failed(PieceFailure::Failed));
+                } else {
+                    old += batch.pieces.iter().filter(|piece| !piece.is_repeat).count();
+                    world.complete(&batch);
+                }
+            }
+        }
+        world.calls();
+        world.advance(ms(20));
+    }
+    (old, new)
+}
+
+#[test]
+fn a_share_of_the_pieces_goes_to_the_new_version_in_whole_calls() {
+    let mut world = workers();
+    let (old, new) = run_pieces(&mut world, 60);
+    assert!(new >= 4, "{old} {new}");
+    assert!(new as f64 <= 0.1 * (old + new) as f64, "{old} {new}");
+}
+
+#[test]
+fn a_version_whose_pieces_fail_is_halted() {
+    let mut world = workers();
+    run_pieces(&mut world, 400);
+    let halted = world.take(|action| matches!(action, Action::RolloutHalted { .. }).then_some(()));
+    assert_eq!(halted.len(), 1);
+    assert_eq!(run_pieces(&mut world, 60).1, 0);
+}
+
+/// A placer that has not read of the rollout yet may name an engine of another version as source.
+#[test]
+fn a_placer_cannot_name_a_source_of_another_version() {
+    for (source, expected) in [("b:80", Some("b:80")), ("c:80", None)] {
+        let mut world = engines();
+        let peer = Peer { name: "peer".into(), millicores: 500, data_centre: "east".into() };
+        world.relay.set_peers(world.now, vec![peer], 2);
+        let prompt = Some(prompt(1, 2));
+        let key = world.submit(Arrival { prompt, ..arrival("1", "r") });
+        let engine = EndpointId { name: "a".into(), incarnation: Incarnation(1) };
+        let source = Some(source.into());
+        let placement = Placement { engine, source, tokens: 1000, wait: ms(5), number: 77 };
+        world.relay.on_placement(world.now, key, &"peer".into(), Some(placement));
+        world.collect();
+        let call = world.call();
+        assert_eq!((&*call.endpoint, call.source.as_deref()), ("a", expected));
+    }
+}
+
+/// A placer must not place requests of others on a version that is on trial.
+#[test]
+fn a_placer_serves_the_version_in_force() {
+    let mut world = engines();
+    for idx in 0..50 {
+        let request = PlacementRequest {
+            service: "llm".into(),
+            prompt: prompt(idx, 100 + idx),
+            inputs: Vec::new(),
+            excluded: Vec::new(),
+        };
+        let placement = world.relay.place_prompt(world.now, &request).unwrap();
+        assert!(!is_new(&placement.engine.name));
+    }
+}
