Rollouts: random orders, records, verdicts and replies

A property test checks that no request reaches a version that is neither in force nor ordered, and that the share on trial is kept. It found that a retry of a request from before the order was counted as a request; it is not any more. The version that a verdict completes is in force for the next order, too.

--- a/crates/core/src/relay/machine/canary.rs
+++ b/crates/core/src/relay/machine/canary.rs
@@ -27,8 +27,9 @@
             return;
         }
         let share = rollout.share(now, &limits);
-        let is_allowed = rollout.exposure.count_call(&route, share) && rollout.may_try(now);
-        let track = if is_new && is_allowed { Track::Canary } else { Track::Stable };
+        let is_allowed =
+            is_new && rollout.exposure.count_call(&route, share) && rollout.may_try(now);
+        let track = if is_allowed { Track::Canary } else { Track::Stable };
         self.exchanges[key].track = Some(track);
     }
 
--- a/crates/core/src/relay/machine/rollouts.rs
+++ b/crates/core/src/relay/machine/rollouts.rs
@@ -195,6 +195,11 @@
             return;
         }
         rollout.on_verdict(now, &verdict);
+        if rollout.phase == Phase::Completed {
+            // The record may not have been read yet when the next order is.
+            let destination = rollout.order.destination.clone();
+            self.rollouts.baselines.insert(service.into(), destination);
+        }
         if verdict.is_halted {
             self.halt_rollout(now, service, "halted by the deciding instance".into());
         }
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -28,6 +28,7 @@
 mod reads;
 mod rests;
 mod rollout;
+mod rollout_fuzz;
 mod stages;
 mod streams;
 mod table;
