--- a/crates/core/tests/testsuite/relay/rollout/fleet.rs
+++ b/crates/core/tests/testsuite/relay/rollout/fleet.rs
@@ -1,6 +1,6 @@
 //! Instances of one deployment in virtual time, with two versions of a service and a store.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, ops::Range, sync::Arc, time::Duration};
 
 use peatdeck_core::{
     model::Incarnation,
@@ -30,6 +30,8 @@
 const REPLY_MS: u64 = 30;
 /// How long a run goes on after the version was rolled back.
 const AFTERMATH: Duration = Duration::from_millis(1500);
+/// Time after which instances find that another one has ended.
+const LIVENESS: Duration = Duration::from_millis(1500);
 /// Messages between instances, and to the store, take this long.
 const MESSAGE: Duration = Duration::from_millis(3);
 
@@ -48,6 +50,8 @@
     UnderLoad,
     /// Half of the replies of the rarer route are failures.
     OneRoute,
+    /// Half of the replies are failures once calls have begun to move.
+    AfterShift,
 }
 
 enum Event {
@@ -55,12 +59,35 @@
     Order,
     Register,
     Wake(usize),
-    Reply { instance: usize, call: CallKey, endpoint: usize, status: u16 },
-    Evidence { to: usize, from: usize, evidence: Evidence },
-    Verdict { to: usize, verdict: Option<Verdict> },
-    Write { from: usize, seen: u64, record: RolloutRecord },
+    Reply {
+        instance: usize,
+        call: CallKey,
+        endpoint: usize,
+        status: u16,
+    },
+    Evidence {
+        to: usize,
+        from: usize,
+        evidence: Evidence,
+    },
+    Verdict {
+        to: usize,
+        verdict: Option<Verdict>,
+    },
+    Write {
+        from: usize,
+        seen: u64,
+        record: RolloutRecord,
+    },
     Unwritten(usize),
-    Read { to: usize, revision: u64 },
+    Read {
+        to: usize,
+        revision: u64,
+    },
+    /// The instance that wrote the last record ends.
+    Kill,
+    /// The others find that it has ended.
+    Bury,
 }
 
 /// What a run showed.
@@ -102,6 +129,9 @@
     interval: Duration,
     outcome: Outcome,
     requests: u64,
+    dead: Option<usize>,
+    /// When the store is unreachable.
+    outage: Range<Duration>,
 }
 
 impl Fleet {
@@ -114,13 +144,7 @@
         let relay = |idx: usize| {
             let settings = rollout_settings(&names[idx]);
             let mut relay = World::with_settings(config.clone(), settings, idx as u64).relay;
-            let others = names.iter().filter(|name| **name != names[idx]);
-            let peer = |name: &Arc<str>| Peer {
-                name: name.clone(),
-                millicores: 250,
-                data_centre: "east".into(),
-            };
-            relay.set_peers(Duration::ZERO, others.map(peer).collect(), instances);
+            relay.set_peers(Duration::ZERO, peers_of(&names, &names[idx], None), instances);
             for endpoint in 0..ENDPOINTS {
                 relay.apply_change(Duration::ZERO, Change::Put(entry_of(endpoint)));
             }
@@ -143,6 +167,8 @@
             interval: Duration::from_secs(1) / rate,
             outcome: Outcome::default(),
             requests: 0,
+            dead: None,
+            outage: Duration::ZERO..Duration::ZERO,
         };
         fleet.schedule(Duration::ZERO, Event::Arrive);
         fleet.schedule(ORDERED_AT, Event::Order);
@@ -150,6 +176,19 @@
         fleet
     }
 
+    /// The deciding instance ends some time after the order.
+    pub fn kill_deciding(mut self, after: Duration) -> Fleet {
+        self.schedule(ORDERED_AT + after, Event::Kill);
+        self.schedule(ORDERED_AT + after + LIVENESS, Event::Bury);
+        self
+    }
+
+    /// The store is unreachable for all instances until some time after the order.
+    pub fn with_outage(mut self, until: Duration) -> Fleet {
+        self.outage = ORDERED_AT + ms(100)..ORDERED_AT + until;
+        self
+    }
+
     /// Runs until some time after the deadline, or after the version was rolled back.
     pub fn run(mut self) -> Outcome {
         let mut end = ORDERED_AT + DURATION + ms(500);
@@ -173,7 +212,24 @@
 
     fn handle(&mut self, event: Event) {
         let now = self.now;
+        let is_dead = |idx: usize| self.dead == Some(idx);
         match event {
+            Event::Evidence { to, from, .. } if is_dead(to) => {
+                self.schedule(MESSAGE, Event::Verdict { to: from, verdict: None });
+            }
+            Event::Wake(idx) | Event::Unwritten(idx) if is_dead(idx) => {}
+            Event::Reply { instance, endpoint, .. } if is_dead(instance) => {
+                self.in_flight[endpoint] -= 1;
+            }
+            Event::Verdict { to, .. } | Event::Read { to, .. } if is_dead(to) => {}
+            Event::Kill => {
+                let by = self.record.as_ref().map(|record| record.by.clone()).unwrap();
+                self.dead = self.names.iter().position(|name| *name == by);
+            }
+            Event::Bury => self.bury(),
+            Event::Write { from, .. } if self.outage.contains(&now) => {
+                self.schedule(MESSAGE, Event::Unwritten(from));
+            }
             Event::Arrive => self.arrive(),
             Event::Order => self.for_all(|relay| {
                 let order = OperatorCommand::RollOut(order("v2", DURATION, 1));
@@ -256,9 +312,20 @@
         }
     }
 
+    fn bury(&mut self) {
+        let dead = self.dead.map(|idx| self.names[idx].clone());
+        for (relay, own) in self.relays.iter_mut().zip(&self.names) {
+            let peers = peers_of(&self.names, own, dead.as_ref());
+            relay.set_peers(self.now, peers, self.names.len());
+        }
+    }
+
     fn arrive(&mut self) {
         self.schedule(self.interval, Event::Arrive);
         let instance = self.rng.random_range(0..self.relays.len());
+        if self.dead == Some(instance) {
+            return;
+        }
         let name = if self.rng.random_bool(0.2) { "b" } else { "a" };
         self.requests += 1;
         let arrival = Arrival { piece_key: None, ..arrival(&self.requests.to_string(), name) };
@@ -310,6 +377,7 @@
             Fault::AfterWhile => self.now > ORDERED_AT + ms(5000),
             Fault::UnderLoad => is_busy,
             Fault::OneRoute => route == "b",
+            Fault::AfterShift => self.outcome.shifted.is_some(),
         };
         let has_failed = may_fail && (fault == Fault::UnderLoad || self.rng.random_bool(0.5));
         let factor = if fault == Fault::Slow { 5 } else { 1 };
@@ -322,6 +390,14 @@
     }
 }
 
+/// The peers of an instance but for one that has ended.
+fn peers_of(names: &[Arc<str>], own: &Arc<str>, dead: Option<&Arc<str>>) -> Vec<Peer> {
+    let others = names.iter().filter(|name| *name != own && Some(*name) != dead);
+    let peer =
+        |name: &Arc<str>| Peer { name: name.clone(), millicores: 250, data_centre: "east".into() };
+    others.map(peer).collect()
+}
+
 /// Endpoints from [`ENDPOINTS`] on are of the new version.
 fn entry_of(idx: usize) -> Entry {
     let is_new = idx >= ENDPOINTS;
--- a/crates/core/tests/testsuite/relay/rollout/work.rs
+++ b/crates/core/tests/testsuite/relay/rollout/work.rs
@@ -5,13 +5,13 @@
     relay::{
         config::{Engine, RequestKind, Transfer},
         model::{Action, Arrival, EndpointId, Peer, PieceFailure, Placement, PlacementRequest},
-        rollout::Order,
+        rollout::{Order, Phase, RolloutRecord},
     },
 };
 
 use crate::relay::{
     fixture::{ConfigBuilder, World, arrival, ms, prompt, route, stage},
-    rollout::{order, rollout_settings, start, versioned, wait},
+    rollout::{order, record, rollout_settings, start, versioned, wait},
 };
 
 /// Engines `a` and `b` of version 1, `c` and `d` of version 2 with an order.
@@ -176,3 +176,40 @@
         assert!(!is_new(&placement.engine.name));
     }
 }
+
+/// Calls that start on old endpoints after the ramp are lost when these stop.
+#[test]
+fn all_prompts_move_within_a_second() {
+    let mut world = engines();
+    read_shifting(&mut world, "llm");
+    let mut send = |millis: u64, count: u64| {
+        world.advance(ms(millis));
+        let calls = (0..count).map(|idx| {
+            let id = format!("{millis} {idx}");
+            let prompt = Some(prompt(1, 100 + idx));
+            world.submit(Arrival { prompt, ..arrival(&id, "r") });
+            is_new(&world.call().endpoint)
+        });
+        calls.filter(|is_new| *is_new).count()
+    };
+    let begun = send(500, 100);
+    assert!((40..65).contains(&begun), "{begun}");
+    assert_eq!(send(501, 100), 100);
+}
+
+#[test]
+fn all_pieces_move_within_a_second() {
+    let mut world = workers();
+    read_shifting(&mut world, "maker");
+    world.advance(ms(1001));
+    world.submit(Arrival { pieces: vec![4], ..arrival("1", "r") });
+    let batches = world.batches();
+    assert!(!batches.is_empty() && batches.iter().all(|batch| is_new(&batch.endpoint)));
+}
+
+fn read_shifting(world: &mut World, service: &str) {
+    let duration = if service == "maker" { ms(60_000) } else { ms(12_000) };
+    let record = RolloutRecord { service: service.into(), duration, ..record(Phase::Shifting) };
+    world.relay.on_rollout_record(world.now, service, Some(record));
+    world.collect();
+}
