Replies to pieces are counted by route and stage

Replies to pieces of all routes were counted together, which hides a fault on one route. A piece names its route now; pieces that a peer hands over do not yet, since the message has no field for it.

--- a/crates/core/examples/batch_cost.rs
+++ b/crates/core/examples/batch_cost.rs
@@ -113,6 +113,7 @@
 fn pieces(request: u64, bytes: u64) -> Vec<Piece> {
     let piece = |number| Piece {
         service: Arc::from(SERVICE),
+        route: Arc::from("route"),
         request: Arc::from(format!("{request:016x}")),
         stage: 0,
         number,
--- a/crates/core/src/relay/batch/canary.rs
+++ b/crates/core/src/relay/batch/canary.rs
@@ -1,13 +1,13 @@
 //! Calls for pieces to a version on trial.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use crate::relay::{
     batch::{Batcher, PieceKey, PlannedCall, queue::CallCapacity},
     config::Pieces,
     directory::Directory,
     fingerprint::Fingerprint,
-    model::{CallKey, EndpointKey},
+    model::{CallKey, EndpointKey, Piece},
 };
 
 impl Batcher {
@@ -37,12 +37,13 @@
         (!keys.is_empty()).then_some(PlannedCall { endpoint, pieces, keys })
     }
 
-    /// Stage and content of each piece of a running call, in the order of their results; `None`
-    /// for pieces that are no longer tracked.
-    pub fn running_pieces(&self, call: CallKey) -> Vec<Option<(u16, Fingerprint)>> {
+    /// Stage with its route, and content, of each piece of a running call, in the order of their
+    /// results; `None` for pieces that are no longer tracked.
+    pub fn running_pieces(&self, call: CallKey) -> Vec<Option<(Arc<str>, Fingerprint)>> {
         let keys = self.running.get(&call).map_or(&[][..], |running| &running.keys);
         let piece = |key: &PieceKey| self.pieces.get(*key).map(|entry| &entry.piece);
-        keys.iter().map(|key| piece(key).map(|it| (it.stage, it.content))).collect()
+        let label = |it: &Piece| format!("{} stage {}", it.route, it.stage).into();
+        keys.iter().map(|key| piece(key).map(|it| (label(it), it.content))).collect()
     }
 
     /// The expected time of a running call.
--- a/crates/core/src/relay/machine/plan.rs
+++ b/crates/core/src/relay/machine/plan.rs
@@ -98,6 +98,7 @@
         let is_last_reader = self.graph.is_last_reader(&self.route, stage);
         let piece = |number| Piece {
             service: stages[stage].service.clone(),
+            route: self.route.name.clone(),
             request: self.arrival.id.clone(),
             stage: stage as u16,
             number,
--- a/crates/core/src/relay/machine/replies.rs
+++ b/crates/core/src/relay/machine/replies.rs
@@ -101,12 +101,11 @@
         // Calls differ in their numbers of pieces, so their times are compared per expected second.
         let total = counted.total.div_f64(expected.as_secs_f64().max(1e-3));
         let counted = CountedCall { total, first: None, ..counted };
-        for ((stage, content), has_failed) in groups {
+        for ((route, content), has_failed) in groups {
             let ending = if has_failed { Ending::Failed } else { Ending::Complete };
             if let (false, Some(rollout)) = (has_failed, self.rollouts.get_mut(&counted.service)) {
                 rollout.replies.record_answer(content);
             }
-            let route = stage_label(stage);
             let is_slow = self.is_slow(now, &counted, &route);
             self.count(now, &counted, &route, ending);
             if is_slow {
@@ -121,7 +120,7 @@
         let mut pieces: Vec<_> = self.batcher.running_pieces(call).into_iter().flatten().collect();
         pieces.sort_unstable();
         pieces.dedup();
-        let Some((stage, _)) = pieces.first().copied() else { return };
+        let Some((route, _)) = pieces.first().cloned() else { return };
         let is_counted = match failure {
             Failure::Unsent => false,
             Failure::Foreign => true,
@@ -132,7 +131,7 @@
             }),
         };
         if is_counted {
-            self.count(now, &counted, &stage_label(stage), Ending::Failed);
+            self.count(now, &counted, &route, Ending::Failed);
         }
     }
 
@@ -209,8 +208,3 @@
         u32::try_from(running.count()).unwrap_or(u32::MAX)
     }
 }
-
-/// The name under which replies to pieces of a stage are counted.
-fn stage_label(stage: u16) -> Arc<str> {
-    format!("stage {stage}").into()
-}
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -183,6 +183,8 @@
 pub struct Piece {
     /// The service that produces its result.
     pub service: ServiceName,
+    /// The route of the request; empty if the peer that handed it over did not state it.
+    pub route: Arc<str>,
     /// The caller's id of the request.
     pub request: Arc<str>,
     /// The stage's position in its route.
--- a/crates/core/tests/testsuite/relay/reads.rs
+++ b/crates/core/tests/testsuite/relay/reads.rs
@@ -204,6 +204,7 @@
 fn piece_for(service: &str) -> Piece {
     Piece {
         service: service.into(),
+        route: "r".into(),
         request: "r".into(),
         stage: 1,
         number: 0,
--- a/crates/core/tests/testsuite/relay/rollout.rs
+++ b/crates/core/tests/testsuite/relay/rollout.rs
@@ -3,6 +3,7 @@
 mod decisions;
 mod exposure;
 mod failures;
+mod faults;
 mod fleet;
 mod good;
 mod orders;
--- a/crates/core/tests/testsuite/relay/rollout/exposure.rs
+++ b/crates/core/tests/testsuite/relay/rollout/exposure.rs
@@ -4,7 +4,10 @@
 
 use peatdeck_core::relay::rollout::Phase;
 
-use crate::relay::rollout::fleet::{DURATION, Fault, Fleet, Outcome};
+use crate::relay::rollout::{
+    faults::Fault,
+    fleet::{DURATION, Fleet, Outcome},
+};
 
 /// Instances and requests a second.
 const SIZES: [(usize, u32); 3] = [(8, 600), (86, 1200), (300, 3000)];
--- a/crates/core/tests/testsuite/relay/rollout/fleet.rs
+++ b/crates/core/tests/testsuite/relay/rollout/fleet.rs
@@ -17,7 +17,10 @@
 
 use crate::relay::{
     fixture::{ConfigBuilder, World, arrival, entry, head, ms, route},
-    rollout::{order, rollout_settings},
+    rollout::{
+        faults::{Conditions, Fault},
+        order, rollout_settings,
+    },
 };
 
 /// When the order is written.
@@ -26,8 +29,6 @@
 pub const DURATION: Duration = Duration::from_secs(12);
 /// Endpoints of each version.
 const ENDPOINTS: usize = 40;
-/// Usual time of a reply.
-const REPLY_MS: u64 = 30;
 /// How long a run goes on after the version was rolled back.
 const AFTERMATH: Duration = Duration::from_millis(1500);
 /// Time after which instances find that another one has ended.
@@ -35,25 +36,6 @@
 /// Messages between instances, and to the store, take this long.
 const MESSAGE: Duration = Duration::from_millis(3);
 
-/// How the new version replies.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fault {
-    /// As well as the old one.
-    None,
-    /// Half of the replies are failures.
-    Failing,
-    /// Replies take five times as long.
-    Slow,
-    /// Half of the replies are failures from five seconds after the order on.
-    AfterWhile,
-    /// A reply is a failure if the endpoint has another call.
-    UnderLoad,
-    /// Half of the replies of the rarer route are failures.
-    OneRoute,
-    /// Half of the replies are failures once calls have begun to move.
-    AfterShift,
-}
-
 enum Event {
     Arrive,
     Order,
@@ -368,24 +350,18 @@
             self.outcome.exposed += u64::from(is_open);
             self.outcome.last_exposed = self.now - ORDERED_AT;
         }
-        let is_busy = self.in_flight[endpoint] > 0;
+        let conditions = Conditions {
+            age: self.now.saturating_sub(ORDERED_AT),
+            is_busy: self.in_flight[endpoint] > 0,
+            route,
+            has_shifted: self.outcome.shifted.is_some(),
+        };
         self.in_flight[endpoint] += 1;
         let fault = if is_new { self.fault } else { Fault::None };
-        let may_fail = match fault {
-            Fault::None | Fault::Slow => false,
-            Fault::Failing => true,
-            Fault::AfterWhile => self.now > ORDERED_AT + ms(5000),
-            Fault::UnderLoad => is_busy,
-            Fault::OneRoute => route == "b",
-            Fault::AfterShift => self.outcome.shifted.is_some(),
-        };
-        let has_failed = may_fail && (fault == Fault::UnderLoad || self.rng.random_bool(0.5));
-        let factor = if fault == Fault::Slow { 5 } else { 1 };
-        let took = ms(self.rng.random_range(REPLY_MS / 2..REPLY_MS * 3 / 2) * factor);
+        let (status, took) = fault.reply(&mut self.rng, &conditions);
         if fault == Fault::Slow {
             self.outcome.bad_replies.push(self.now + took - ORDERED_AT);
         }
-        let status = if has_failed { 500 } else { 200 };
         self.schedule(took, Event::Reply { instance, call, endpoint, status });
     }
 }
--- a/crates/core/tests/testsuite/relay/rollout/work.rs
+++ b/crates/core/tests/testsuite/relay/rollout/work.rs
@@ -133,6 +133,28 @@
     assert!(new as f64 <= 0.1 * (old + new) as f64, "{old} {new}");
 }
 
+/// Faults on one route would be hidden by the good replies of the others.
+#[test]
+fn replies_to_pieces_are_counted_by_route_and_stage() {
+    let mut world = workers();
+    run_pieces(&mut world, 30);
+    let peer = Peer { name: "peer".into(), millicores: 10, data_centre: "east".into() };
+    let decides = |world: &mut World| {
+        world.advance(ms(250));
+        world.take(|action| match action {
+            Action::ReportEvidence { evidence, .. } => Some(evidence.clone()),
+            _ => None,
+        })
+    };
+    let evidence = (0..50).find_map(|idx| {
+        let peer = Peer { name: format!("peer{idx}").into(), ..peer.clone() };
+        world.relay.set_peers(world.now, vec![peer], 2);
+        decides(&mut world).pop()
+    });
+    let routes: Vec<_> = evidence.unwrap().routes.into_iter().map(|it| it.route).collect();
+    assert_eq!(routes, ["r stage 0".into()]);
+}
+
 #[test]
 fn a_version_whose_pieces_fail_is_halted() {
     let mut world = workers();
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -421,6 +421,8 @@
     let inputs = from.get_inputs()?.iter().map(|input| text(input?));
     Ok(Piece {
         service: text(from.get_service()?)?,
+        // The message does not state the route.
+        route: Arc::default(),
         request: text(from.get_request()?)?,
         stage: from.get_stage(),
         number: from.get_number(),
