The gate follows the directory at once

An endpoint that started earlier than those seen moved the baseline of an ordered service only at the next report, up to 250 ms later.

--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -323,6 +323,7 @@
             self.end_incarnation(now, endpoint, is_planned);
         }
         if changed.is_new {
+            self.refresh_gates(now);
             self.search(now);
             self.dispatch_all(now);
         }
--- a/crates/core/src/relay/machine/canary.rs
+++ b/crates/core/src/relay/machine/canary.rs
@@ -75,8 +75,11 @@
     ) -> Option<(Vec<EndpointKey>, usize)> {
         let rollout = self.rollouts.get(service).filter(|it| it.may_try(now))?;
         let allowed = rollout.exposure.allowed_pieces(config.batch as usize);
+        if allowed == 0 {
+            return None;
+        }
         let endpoints = self.canaries(now, service);
-        (allowed > 0 && !endpoints.is_empty()).then_some((endpoints, allowed))
+        (!endpoints.is_empty()).then_some((endpoints, allowed))
     }
 
     /// Counts the pieces of a call that was sent.
--- a/crates/core/tests/testsuite/relay/rollout/orders.rs
+++ b/crates/core/tests/testsuite/relay/rollout/orders.rs
@@ -52,6 +52,17 @@
     assert!(wait(&mut world, 1000).is_empty());
 }
 
+/// The order may be read before the directory.
+#[test]
+fn the_endpoint_that_started_first_is_of_the_version_in_force() {
+    let mut world = ordered();
+    world.put(versioned("z", "desk", 0));
+    for idx in 0..10 {
+        world.submit(arrival(&idx.to_string(), "r"));
+        assert_eq!(&*world.call().endpoint, "z");
+    }
+}
+
 #[test]
 fn nothing_is_written_while_no_order_exists() {
     let mut world = world();
