--- a/crates/core/examples/batch_cost.rs
+++ b/crates/core/examples/batch_cost.rs
@@ -114,6 +114,7 @@
     let piece = |number| Piece {
         service: Arc::from(SERVICE),
         region: None,
+        route: Arc::from("route"),
         request: Arc::from(format!("{request:016x}")),
         stage: 0,
         number,
--- a/crates/core/src/relay/batch.rs
+++ b/crates/core/src/relay/batch.rs
@@ -11,6 +11,7 @@
 //! `memory` and `reads` keep account of the results that endpoints hold.
 
 mod admission;
+mod canary;
 pub mod drain;
 mod memory;
 mod outcomes;
--- a/crates/core/src/relay/batch/planning.rs
+++ b/crates/core/src/relay/batch/planning.rs
@@ -26,7 +26,7 @@
     pub endpoint: EndpointKey,
     /// The pieces of the call.
     pub pieces: Vec<Piece>,
-    keys: Vec<PieceKey>,
+    pub(super) keys: Vec<PieceKey>,
 }
 
 impl Batcher {
@@ -106,7 +106,7 @@
     }
 
     /// The endpoints that can take a call, fastest first.
-    fn idle_endpoints(
+    pub(super) fn idle_endpoints(
         &self,
         now: Duration,
         usable: &[EndpointKey],
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -29,9 +29,12 @@
     relay::{
         directory::endpoint::State,
         model::{EndpointId, EndpointKey, ServiceName},
-        pool::{Pool, PoolKey},
+        pool::{Pool, PoolKey, Track},
         region::RegionMap,
-        rollout::Version,
+        rollout::{
+            Version,
+            gate::{Gate, Gates},
+        },
     },
 };
 
@@ -106,6 +109,8 @@
     /// Data centres whose endpoints receive no calls because operators evacuated them.
     evacuated: BTreeSet<DataCentre>,
     regions: RegionMap,
+    /// Which versions get work; `None` if versions are ignored.
+    gates: Option<Gates>,
 }
 
 impl Directory {
@@ -114,6 +119,35 @@
         Directory { regions, ..Directory::default() }
     }
 
+    /// From now on the versions of endpoints decide which of them get work.
+    pub fn heed_versions(&mut self) {
+        self.gates.get_or_insert_default();
+    }
+
+    /// Sets which versions of a service get work. Returns whether that changes it.
+    pub fn set_gate(&mut self, service: &ServiceName, gate: Gate) -> bool {
+        self.gates.as_mut().is_some_and(|gates| gates.set(service, gate))
+    }
+
+    /// The version of the endpoint of a service that started first among those seen.
+    pub fn earliest_version(&self, service: &str) -> Option<&Version> {
+        self.gates.as_ref()?.earliest(service)
+    }
+
+    /// A test whether an endpoint's version gets the work of a service's track.
+    fn track_filter<'a>(
+        &'a self,
+        service: &str,
+        track: Track,
+    ) -> impl Fn(&Endpoint) -> bool + Copy + use<'a> {
+        let gates = self.gates.as_ref();
+        let admitted = gates.map(|gates| gates.admitted(service, track));
+        move |endpoint| match admitted {
+            Some(version) => version == Some(&endpoint.entry.version),
+            None => track == Track::Stable,
+        }
+    }
+
     /// The regions of the deployment.
     pub fn regions(&self) -> &RegionMap {
         &self.regions
@@ -185,7 +219,9 @@
     fn ready_in<'a>(&'a self, pool: Pool<'a>) -> impl Iterator<Item = &'a Endpoint> {
         let keys = self.by_service.get(pool.service).map_or(&[][..], Vec::as_slice);
         let endpoints = keys.iter().map(|key| &self.endpoints[*key]);
-        endpoints.filter(move |it| it.is_ready() && is_in_region(it, pool.region))
+        let is_on_track = self.track_filter(pool.service, pool.track);
+        endpoints
+            .filter(move |it| it.is_ready() && is_on_track(it) && is_in_region(it, pool.region))
     }
 
     /// Whether an endpoint's data centre is evacuated.
@@ -199,9 +235,11 @@
     /// would be overloaded with the calls for all.
     pub fn usable(&self, now: Duration, pool: Pool<'_>) -> Vec<EndpointKey> {
         let keys = self.by_service.get(pool.service).map_or(&[][..], Vec::as_slice);
+        let is_on_track = self.track_filter(pool.service, pool.track);
         let keys = keys.iter().filter(|key| {
             let endpoint = &self.endpoints[**key];
-            is_in_region(endpoint, pool.region) && !self.is_in_evacuated(endpoint)
+            let is_in_pool = is_on_track(endpoint) && is_in_region(endpoint, pool.region);
+            is_in_pool && !self.is_in_evacuated(endpoint)
         });
         let is_ready = |key: &EndpointKey| self.endpoints[*key].is_ready();
         let has_expired = |key: &EndpointKey| self.endpoints[*key].is_last_resort(now);
@@ -323,6 +361,9 @@
     }
 
     fn put(&mut self, now: Duration, entry: Entry) -> ChangeEffect {
+        if let Some(gates) = &mut self.gates {
+            gates.record_endpoint(&entry.service, entry.incarnation, &entry.version);
+        }
         let Some(&key) = self.by_name.get(&entry.name) else {
             return self.insert(now, entry);
         };
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -40,6 +40,8 @@
     pub(crate) destination: Option<DataCentre>,
     pub(crate) handovers: Vec<HandoverKey>,
     pub(crate) call: Option<CallKey>,
+    /// Which version its call goes to; `None` until that is decided.
+    pub(crate) track: Option<Track>,
     /// Whether a placer was asked for an engine and has not replied.
     pub(crate) is_placement_pending: bool,
     pub(crate) tried: Vec<EndpointKey>,
@@ -66,7 +68,11 @@
 impl Exchange {
     /// The endpoints that the call may go to.
     pub(crate) fn pool(&self) -> Pool<'_> {
-        Pool { service: &self.service, region: self.region.as_deref(), track: Track::Stable }
+        Pool {
+            service: &self.service,
+            region: self.region.as_deref(),
+            track: self.track.unwrap_or_default(),
+        }
     }
 
     /// The endpoints that may run the work of a service for it.
@@ -96,6 +102,8 @@
     pub(crate) answered_at: Option<Duration>,
     /// When the call is given up unless its reply has begun.
     pub(crate) overdue_at: Option<Duration>,
+    /// Whether its reply was counted for a rollout.
+    pub(crate) is_counted: bool,
 }
 
 /// What a call is for.
--- a/crates/core/src/relay/machine/moves.rs
+++ b/crates/core/src/relay/machine/moves.rs
@@ -8,6 +8,7 @@
     exchange::{CallPurpose, Exchange},
     machine::Relay,
     model::{Action, CallKey, EndpointKey, ExchangeKey, Failure, Step},
+    rollout::counting::Ending,
 };
 
 /// An engine's first token is overdue after this multiple of the time within which nine of
@@ -73,6 +74,7 @@
             let service = self.exchanges[key].service.clone();
             if self.try_withdraw(now, &service, 1) {
                 self.actions.push(Action::Cancel(call));
+                self.count_ending(now, call, Ending::Open);
                 self.end_call(now, call, Step::Failed(Failure::Cut));
                 self.exchanges[key].was_called = true;
                 self.advance(now, key);
--- a/crates/core/src/relay/machine/pace.rs
+++ b/crates/core/src/relay/machine/pace.rs
@@ -24,7 +24,7 @@
     exchange::Exchange,
     machine::Relay,
     model::{EndpointKey, ExchangeKey},
-    pool::Pool,
+    pool::{Pool, Track},
     terms::Rate,
 };
 
@@ -81,6 +81,10 @@
         chooser: Chooser,
     ) -> Vec<EndpointKey> {
         let usable = self.directory.usable(now, pool);
+        if pool.track == Track::Canary {
+            let canaries = self.canaries(now, pool);
+            return usable.into_iter().filter(|key| !canaries.contains(key)).collect();
+        }
         let known = usable.iter().filter_map(|key| Some((*key, self.directory.get(*key)?)));
         let limited = known.filter_map(|(key, endpoint)| {
             let pace = self.pace(now, endpoint);
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -27,6 +27,7 @@
     relay::{
         choice::{self, Candidate, Chooser, prompts},
         config::{self, Transfer},
+        directory,
         engine::CallEstimate,
         exchange::Exchange,
         machine::Relay,
@@ -34,7 +35,7 @@
             Action, EndpointId, EndpointKey, ExchangeKey, HeldParts, Placement, PlacementRequest,
             Progress, Prompt, RunNumber, Step,
         },
-        pool::Pool,
+        pool::{Pool, Track},
         reading::PrefillSpeed,
     },
 };
@@ -370,7 +371,10 @@
         let prompt = &self.exchanges[key].arrival.prompt;
         let input = prompt.as_ref().map_or(0, |prompt| prompt.input);
         let tokens = tokens.min(u64::from(input));
-        let source = source.filter(|addr| self.is_source_in(addr, pool.region));
+        let is_source = |addr: &Arc<str>| {
+            self.is_source_in(addr, pool.region) && self.may_fetch(endpoint, addr)
+        };
+        let source = source.filter(is_source);
         let copy_time = Duration::ZERO;
         let chosen = Candidate { endpoint, tokens, source: None, wait, copy_time, cost: 0.0 };
         Some(Placed { chosen, source, placer: Some((peer.clone(), number)) })
@@ -382,16 +386,29 @@
         region.is_none() || source().is_some_and(|pool| pool.region.as_deref() == region)
     }
 
+    /// Whether an engine may fetch prompt parts from an address. A placer that has not read of a
+    /// rollout yet may name an engine of another version.
+    fn may_fetch(&self, engine: EndpointKey, addr: &str) -> bool {
+        let Some(engine) = self.directory.get(engine) else { return false };
+        let is_rolling = self.rollouts.get(&engine.entry.service).is_some();
+        let is_other = |source: &directory::Endpoint| {
+            *source.entry.addr == *addr && source.entry.version != engine.entry.version
+        };
+        !is_rolling || !self.directory.all().any(is_other)
+    }
+
     pub(super) fn choose(
         &mut self,
         now: Duration,
         key: ExchangeKey,
         inputs: &[(DataCentre, u64)],
     ) -> Option<Candidate> {
-        let Exchange { service, arrival, .. } = &self.exchanges[key];
+        let Exchange { service, arrival, track, .. } = &self.exchanges[key];
         let (pool, prompt) = (self.exchanges[key].pool_of(service), arrival.prompt.clone());
-        let (service, pool) = (&pool.service, pool.pool());
-        let is_placer = prompt.as_ref().is_some_and(|prompt| self.is_placer(pool, prompt));
+        let track = track.unwrap_or_default();
+        let (service, pool) = (&pool.service, Pool { track, ..pool.pool() });
+        let is_placer = track == Track::Stable
+            && prompt.as_ref().is_some_and(|prompt| self.is_placer(pool, prompt));
         if is_placer && self.transfer(service).is_some() {
             self.query_parts(now, pool);
         }
--- a/crates/core/src/relay/machine/plan.rs
+++ b/crates/core/src/relay/machine/plan.rs
@@ -107,6 +107,7 @@
         let piece = |number| Piece {
             service: stages[stage].service.clone(),
             region: self.region.clone(),
+            route: self.route.name.clone(),
             request: self.arrival.id.clone(),
             stage: stage as u16,
             number,
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -185,6 +185,8 @@
     pub service: ServiceName,
     /// The only region whose endpoints may run it; `None` for any region.
     pub region: Option<RegionName>,
+    /// The route of the request; empty if the peer that handed it over did not state it.
+    pub route: Arc<str>,
     /// The caller's id of the request.
     pub request: Arc<str>,
     /// The stage's position in its route.
@@ -225,7 +227,7 @@
 }
 
 /// Identifies one incarnation of an endpoint in messages between instances.
-#[data]
+#[id]
 pub struct EndpointId {
     /// The endpoint's name.
     pub name: EndpointName,
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -31,6 +31,8 @@
 mod region_overflow;
 mod regions;
 mod rests;
+mod rollout;
+mod rollout_fuzz;
 mod stages;
 mod streams;
 mod table;
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -210,7 +210,12 @@
 
     /// An instance with the given settings.
     pub fn with_settings(config: Arc<Config>, settings: Settings) -> World {
-        let mut relay = Relay::new(settings, 7);
+        World::seeded(config, settings, 7)
+    }
+
+    /// An instance with the given settings and seed.
+    pub fn seeded(config: Arc<Config>, settings: Settings, seed: u64) -> World {
+        let mut relay = Relay::new(settings, seed);
         relay.configure(config);
         relay.mark_quarantine_read();
         World { relay, now: Duration::ZERO, actions: Vec::new() }
--- a/crates/core/tests/testsuite/relay/fuzz/peer.rs
+++ b/crates/core/tests/testsuite/relay/fuzz/peer.rs
@@ -176,5 +176,6 @@
         is_isolated: false,
         is_last_reader: false,
         region: None,
+        route: "r".into(),
     }
 }
--- a/crates/core/tests/testsuite/relay/reads.rs
+++ b/crates/core/tests/testsuite/relay/reads.rs
@@ -205,6 +205,7 @@
     Piece {
         service: service.into(),
         region: None,
+        route: "r".into(),
         request: "r".into(),
         stage: 1,
         number: 0,
--- a/crates/relay/tests/relay/wire.rs
+++ b/crates/relay/tests/relay/wire.rs
@@ -14,6 +14,7 @@
 
 fn piece(region: Option<&str>) -> Piece {
     Piece {
+        route: Default::default(),
         service: "maker".into(),
         request: "r".into(),
         stage: 0,
