Read and write the table of rollouts

Instances need the operators' orders and the states of rollouts. The event loop reads a fifth table while the machine has an order, and only then: without one the store gets no call for it and peers are sent four tables as before.

A state is written on the condition that the log ends where this instance has read it, and not at all if the record of its service has changed since the decision. The table is read back after each write, so a lost answer leads to no second record.

An operators' record that cannot be read may name a command that takes its place, so that an invalid order does not leave the one before it in force.

--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -38,6 +38,7 @@
     peers::Peers,
     pool::Pool,
     records,
+    rollouts::{self, Rollouts},
     settings::Settings,
     surroundings::{Platform, TableName},
 };
@@ -149,6 +150,8 @@
     pub settings: Settings,
     /// The other instances.
     pub peers: Peers,
+    /// Orders and states of rollouts.
+    pub rollouts: Rollouts,
     /// Counters and timings.
     pub metrics: Metrics,
     /// State that other threads read.
@@ -193,6 +196,7 @@
             platform: parts.platform,
             settings: parts.settings,
             peers,
+            rollouts: Rollouts::default(),
             metrics: parts.metrics,
             shared: parts.shared,
         })
@@ -248,7 +252,10 @@
         let Some(resumed) = self.resumed_at.get() else { return };
         let now = self.now();
         let is_fresh = |age: Duration| age <= now.saturating_sub(resumed);
-        if self.peers.tables.age(now).is_some_and(is_fresh) {
+        let tables = &self.peers.tables;
+        let has_rollouts =
+            tables.rollouts_since().is_none() || tables.rollouts_age(now).is_some_and(is_fresh);
+        if has_rollouts && tables.age(now).is_some_and(is_fresh) {
             self.resumed_at.set(None);
             self.feed(Relay::mark_tables_read);
             self.tables_read.notify_waiters();
@@ -504,8 +511,16 @@
                 let limited = self.inspect(Relay::limited_count);
                 self.metrics.gauge("relay.endpoints_limited", limited as u64);
             }
-            Action::ReportEvidence { .. } | Action::WriteRollout(_) => {}
-            Action::RolloutHalted { .. } => self.metrics.count("relay.rollouts_halted", 1),
+            Action::ReportEvidence { peer, evidence } => {
+                self.rollouts.on_report(&self.settings.name, &evidence);
+                self.peers.report_evidence(self, peer, evidence);
+            }
+            Action::WriteRollout(record) => rollouts::write(self, record),
+            Action::RolloutHalted { service, reason } => {
+                self.metrics.count("relay.rollouts_halted", 1);
+                self.rollouts.on_halted(&service, reason);
+                rollouts::log_evidence(self, &service);
+            }
             Action::RecallPieces(key) => self.peers.recall(key),
             Action::ReturnResults { ticket, results } => self.peers.return_results(ticket, results),
         }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     driver::Driver,
+    rollouts,
     surroundings::{Page, Read, StoreCall, StoreError, TableName},
     tables,
 };
@@ -48,7 +49,10 @@
     let mut failures = 0_u32;
     tokio::time::sleep(START_JITTER.mul_f64(rand::rng().random())).await;
     loop {
-        if !driver.peers.reads_store(driver.now()) {
+        if name == TableName::Rollouts {
+            rollouts::update_followed(&driver);
+        }
+        if !driver.peers.reads_store(driver.now(), name) {
             tokio::time::sleep(CHECK_INTERVAL).await;
             continue;
         }
@@ -83,15 +87,15 @@
     }
 }
 
-/// How long to wait between two reads of a table. Changes of the configuration and the
-/// quarantine table are awaited by long polling; the other tables change all the time,
-/// so a long poll would return at once.
+/// How long to wait between two reads of a table. Changes of the configuration, the
+/// quarantine table and the table of rollouts are awaited by long polling; the other
+/// tables change all the time, so a long poll would return at once.
 fn pause_after(name: TableName) -> Option<Duration> {
     match name {
         TableName::Config => None,
         TableName::Endpoints => Some(readers::READ_INTERVAL),
         TableName::Instances => Some(readers::INSTANCES_INTERVAL),
-        TableName::Quarantine => None,
+        TableName::Quarantine | TableName::Rollouts => None,
     }
 }
 
@@ -135,9 +139,10 @@
 
 /// Reads all tables that requests depend on, without waiting for the next regular read.
 pub async fn refresh_tables(driver: Rc<Driver>) {
-    let urgent = [TableName::Config, TableName::Endpoints, TableName::Quarantine];
-    let reads = urgent.map(|name| read_back(&driver, name));
-    for (name, read) in urgent.into_iter().zip(future::join_all(reads).await) {
+    let followed = driver.peers.tables.followed().iter();
+    let urgent: Vec<_> = followed.filter(|name| **name != TableName::Instances).collect();
+    let reads = urgent.iter().map(|name| read_back(&driver, **name));
+    for (name, read) in urgent.iter().zip(future::join_all(reads).await) {
         if let Err(error) = read {
             tracing::info!(event = "look_failed", table = name.name(), error = %error);
         }
@@ -152,7 +157,7 @@
     }
     let wait = match name {
         TableName::Config => readers::READ_INTERVAL,
-        TableName::Quarantine => readers::LONG_POLL_WAIT,
+        TableName::Quarantine | TableName::Rollouts => readers::LONG_POLL_WAIT,
         TableName::Endpoints | TableName::Instances => Duration::ZERO,
     };
     let read = Box::pin(read_on(driver, name, tables.position(name), wait));
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`operators`]: the operators' HTTP interface of an instance.
 //! - [`peers`]: communication with the other instances, over Cap'n Proto.
 //! - [`records`]: records of the platform's quarantine table.
+//! - [`rollouts`]: states of rollouts, their records and reports.
 //! - [`repair`]: writes records again that the platform's store has lost.
 //! - [`policy`]: loads the operators' policy from a file.
 //! - [`decisions`]: one log line for each decision.
@@ -41,6 +42,7 @@
 pub mod pool;
 pub mod records;
 pub mod repair;
+pub mod rollouts;
 pub mod server;
 pub mod settings;
 pub mod surroundings;
--- a/crates/relay/src/operators.rs
+++ b/crates/relay/src/operators.rs
@@ -6,6 +6,7 @@
 //! | `DELETE /quarantine/FINGERPRINT` | releases that content at all instances |
 //! | `GET /evacuations` | the evacuated data centres, as JSON ([`EvacuatedDataCentre`]) |
 //! | `GET /terms` | the terms that endpoints have stated, as JSON ([`EndpointTerms`]) |
+//! | `GET /rollouts` | the last rollout of each service, as JSON ([`RolloutOverview`]) |
 //! | anything else | counters and timings, as text |
 //!
 //! The HTTP server may run on another thread than the event loop, so queries go to the
@@ -21,11 +22,12 @@
 use peatdeck_core::relay::{directory::Endpoint, fingerprint::Fingerprint, terms::Rate};
 use peatdeck_util::metrics::Registry;
 use peatdeck_wire::operators::{
-    EVACUATIONS, EndpointTerms, EvacuatedDataCentre, QUARANTINE, QuarantinedContent, TERMS,
+    EVACUATIONS, EndpointTerms, EvacuatedDataCentre, QUARANTINE, QuarantinedContent, ROLLOUTS,
+    RolloutOverview, TERMS,
 };
 use serde::Serialize;
 
-use crate::{driver::Driver, records};
+use crate::{driver::Driver, records, rollouts};
 
 /// An operator's query to the event loop, with the channel for the result.
 #[derive(Debug)]
@@ -36,6 +38,8 @@
     Evacuated(oneshot::Sender<Vec<EvacuatedDataCentre>>),
     /// Lists the terms that endpoints have stated.
     Terms(oneshot::Sender<Vec<EndpointTerms>>),
+    /// Lists the last rollout of each service.
+    Rollouts(oneshot::Sender<Vec<RolloutOverview>>),
     /// Releases a content. The result is whether it was quarantined here.
     Release(Fingerprint, oneshot::Sender<bool>),
 }
@@ -55,6 +59,9 @@
     if req.path() == TERMS {
         return Ok(query_list(&queries, Query::Terms).await);
     }
+    if req.path() == ROLLOUTS {
+        return Ok(query_list(&queries, Query::Rollouts).await);
+    }
     let Some(rest) = req.path().strip_prefix(QUARANTINE) else {
         return Ok(Response::Ok().body(metrics.render()));
     };
@@ -125,6 +132,9 @@
             Query::Terms(answer) => {
                 answer.send(list_terms(&driver)).ok();
             }
+            Query::Rollouts(answer) => {
+                answer.send(rollouts::list(&driver)).ok();
+            }
             Query::Release(content, answer) => {
                 let was_held = driver.feed(|machine, _| machine.release_content(content));
                 tracing::warn!(event = "quarantine_lifted", %content, was_held);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -9,10 +9,12 @@
 //! - [`gossip`]: rounds of gossip.
 //! - [`learn`]: receives the contents of the tables from peers.
 //! - `work`: pieces, placements and results.
+//! - `evidence`: counts of rollouts, for the instance that decides on them.
 //! - `verdicts`: contents that crash the endpoints that run them.
 //! - [`versions`]: configurations newer than the platform's table has.
 //! - `service`: the interface that this instance offers to its peers.
 
+mod evidence;
 pub mod gossip;
 pub mod learn;
 mod service;
@@ -162,13 +164,21 @@
         self.members.borrow_mut().apply_listing(now, &entries);
     }
 
-    /// Whether this instance reads the platform's tables from the store itself: it is one of
-    /// the readers, or has no fresh copies.
-    pub fn reads_store(&self, now: Duration) -> bool {
-        if !self.tables.are_loaded() || self.is_stale(now) {
-            return true;
-        }
-        self.is_reader(now)
+    /// Whether this instance reads a table from the store itself: it is one of the readers,
+    /// or has no fresh copy.
+    /// Peers of a build without rollouts do not send their table, so its age counts apart.
+    pub fn reads_store(&self, now: Duration, name: TableName) -> bool {
+        let is_behind = match name {
+            TableName::Rollouts => match self.tables.rollouts_since() {
+                None => return false,
+                Some(since) => {
+                    let compared = self.tables.compared_at(name).max(Some(since));
+                    compared.is_some_and(|at| now.saturating_sub(at) > readers::STALE_AFTER)
+                }
+            },
+            _ => !self.tables.are_loaded() || self.is_stale(now),
+        };
+        is_behind || self.is_reader(now)
     }
 
     /// Whether this instance is one of those that read the platform's tables for all others.
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -3,7 +3,6 @@
 use std::{
     rc::Rc,
     sync::{Arc, atomic::Ordering},
-    time::Duration,
 };
 
 use peatdeck_core::{
@@ -72,9 +71,10 @@
         let reply = response.get_reply()?;
         let reply = if reply.has_from() { Some(peer_wire::read_gossip(reply)?) } else { None };
         let positions = wire::read_positions(response.get_timelines()?, response.get_ends()?);
-        let age = Duration::from_millis(u64::from(response.get_age_ms()));
+        let (urgent_ms, rollouts_ms) = (response.get_age_ms(), response.get_rollouts_age_ms());
+        let compared = learn::Compared::from_ages(sent_at, urgent_ms, rollouts_ms);
         let peer_notices = wire::read_notices(response.get_notices()?)?;
-        Ok((reply, positions, age, peer_notices))
+        Ok((reply, positions, compared, peer_notices))
     };
     driver.metrics.count("relay.gossip", 1);
     let open_exchanges = &driver.peers.open_exchanges;
@@ -83,9 +83,9 @@
     let result = driver.peers.links.exchange(&addr, EXCHANGE_TIMEOUT, exchange).await;
     open_exchanges.set(open_exchanges.get() - 1);
     match result {
-        Ok((reply, positions, age, peer_notices)) => {
+        Ok((reply, positions, compared, peer_notices)) => {
             driver.feed(|machine, now| machine.on_peer_notices(now, &to, &peer_notices));
-            learn::compare_positions(&driver, &addr, &positions, sent_at.checked_sub(age));
+            learn::compare_positions(&driver, &addr, &positions, compared);
             if let Some(reply) = reply {
                 versions::note_version(&driver, &addr, &positions, reply.mark.version);
                 let local = local(&driver);
--- a/crates/relay/src/peers/learn.rs
+++ b/crates/relay/src/peers/learn.rs
@@ -52,6 +52,30 @@
     addr: Arc<str>,
 }
 
+/// When a peer's copies were last compared with the store, by the clock of this instance.
+#[derive(Debug, Clone, Copy)]
+pub struct Compared {
+    urgent: Option<Duration>,
+    rollouts: Option<Duration>,
+}
+
+impl Compared {
+    /// From the ages that a peer stated in reply to a message sent at `sent_at`.
+    pub fn from_ages(sent_at: Duration, urgent_ms: u32, rollouts_ms: u32) -> Compared {
+        let at = |ms: u32| {
+            // The largest number stands for copies that were never compared.
+            let age = (ms < u32::MAX).then(|| Duration::from_millis(u64::from(ms)))?;
+            sent_at.checked_sub(age)
+        };
+        Compared { urgent: at(urgent_ms), rollouts: at(rollouts_ms) }
+    }
+
+    /// When the copy of a table was compared.
+    fn of(self, name: TableName) -> Option<Duration> {
+        if name == TableName::Rollouts { self.rollouts } else { self.urgent }
+    }
+}
+
 impl LearnState {
     /// Whether a peer that is up to date is sending what this instance lacks, so that it
     /// need not read the same from the store.
@@ -93,14 +117,14 @@
     driver: &Driver,
     addr: &Arc<str>,
     positions: &[Position],
-    compared: Option<Duration>,
+    compared: Compared,
 ) {
     let (tables, learn_state) = (&driver.peers.tables, &driver.peers.learn_state);
-    for (name, theirs) in TABLES.into_iter().zip(positions) {
-        let own = tables.position(name);
+    for (name, theirs) in tables.followed().iter().zip(positions) {
+        let own = tables.position(*name);
         let is_level = own.timeline == theirs.timeline && own >= *theirs;
-        if let Some(at) = compared.filter(|_| is_level) {
-            tables.mark_compared(name, at);
+        if let Some(at) = compared.of(*name).filter(|_| is_level) {
+            tables.mark_compared(*name, at);
         }
     }
     if lacks(driver, positions) {
@@ -174,7 +198,7 @@
 
 async fn step(driver: &Rc<Driver>, source_peer: &Source, source: &str) -> Result<Step, Error> {
     let sent_at = driver.now();
-    let (portions, age) = request_portions(driver, &source_peer.addr).await?;
+    let (portions, compared) = request_portions(driver, &source_peer.addr, sent_at).await?;
     let bytes = portions.iter().map(Portion::bytes).sum::<usize>() as u64;
     driver.metrics.count("relay.heard_bytes", bytes);
     let (tables, mut has_more) = (&driver.peers.tables, false);
@@ -182,23 +206,26 @@
         let before = (tables.is_loaded(name), tables.position(name));
         let learned = tables.apply_portion(name, portion);
         tables::record_timeline(driver, name, source, before);
-        if let Some(at) = sent_at.checked_sub(age).filter(|_| learned.is_caught_up) {
+        if let Some(at) = compared.of(name).filter(|_| learned.is_caught_up) {
             tables.mark_compared(name, at);
         }
         has_more |= learned.has_more;
         tables::apply(driver, name, source, learned.changed);
     }
-    if has_more && age <= readers::STALE_AFTER {
+    let is_fresh =
+        compared.urgent.is_some_and(|at| sent_at.saturating_sub(at) <= readers::STALE_AFTER);
+    if has_more && is_fresh {
         driver.peers.learn_state.progressed.set(Some(driver.now()));
     }
     Ok(Step { bytes, has_more })
 }
 
-/// Sends one request. Returns the portions and the age of the peer's copies.
+/// Sends one request. Returns the portions and when the peer's copies were compared.
 async fn request_portions(
     driver: &Driver,
     addr: &Arc<str>,
-) -> Result<(Vec<Portion>, Duration), Error> {
+    sent_at: Duration,
+) -> Result<(Vec<Portion>, Compared), Error> {
     let requests = driver.peers.tables.next_requests();
     let exchange = async |client: relay::Client| {
         let mut request = client.learn_request();
@@ -209,8 +236,9 @@
         let response = request.send().promise.await?;
         let response = response.get()?;
         let portions = response.get_portions()?.iter().map(wire::read_portion);
-        let age = Duration::from_millis(u64::from(response.get_age_ms()));
-        Ok((portions.collect::<Result<_, _>>()?, age))
+        let (urgent_ms, rollouts_ms) = (response.get_age_ms(), response.get_rollouts_age_ms());
+        let compared = Compared::from_ages(sent_at, urgent_ms, rollouts_ms);
+        Ok((portions.collect::<Result<_, _>>()?, compared))
     };
     driver.peers.links.exchange(addr, EXCHANGE_TIMEOUT, exchange).await
 }
--- a/crates/relay/src/peers/service.rs
+++ b/crates/relay/src/peers/service.rs
@@ -4,12 +4,13 @@
 
 use futures::channel::oneshot;
 use peatdeck_core::relay::{Relay, table::Portion};
-use peatdeck_wire::{link, peer as peer_wire, relay as wire, relay_capnp::relay};
+use peatdeck_wire::{link, peer as peer_wire, relay as wire, relay_capnp::relay, rollout};
 use tokio::net::TcpListener;
 
 use crate::{
     driver::Driver,
     peers::{gossip, versions},
+    rollouts,
 };
 
 /// Delay after a failed accept, for example when no file descriptor is free.
@@ -56,6 +57,7 @@
         let notices = driver.feed(Relay::peer_notices);
         wire::write_notices(&notices, results.get().init_notices(notices.len() as u32));
         results.get().set_age_ms(age_ms(driver));
+        results.get().set_rollouts_age_ms(rollouts_age_ms(driver));
         let positions = driver.peers.tables.positions();
         let mut ends = results.get().init_ends(positions.len() as u32);
         for (idx, position) in (0..).zip(&positions) {
@@ -80,6 +82,7 @@
         let bytes = portions.iter().map(Portion::bytes).sum::<usize>() as u64;
         driver.metrics.count("relay.told_bytes", bytes);
         results.get().set_age_ms(age_ms(driver));
+        results.get().set_rollouts_age_ms(rollouts_age_ms(driver));
         let mut list = results.get().init_portions(portions.len() as u32);
         for (idx, portion) in (0..).zip(&portions) {
             wire::write_portion(portion, list.reborrow().get(idx));
@@ -227,6 +230,21 @@
         Ok(())
     }
 
+    async fn evidence(
+        self: Rc<Self>,
+        params: relay::EvidenceParams,
+        mut results: relay::EvidenceResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let from = wire::read_name(params.get_from()?).map_err(to_capnp_error)?;
+        let evidence = rollout::read_evidence(params.get_evidence()?).map_err(to_capnp_error)?;
+        if let Some(verdict) = rollouts::on_evidence(&self.driver, &from, evidence) {
+            results.get().set_decides(true);
+            rollout::write_verdict(&verdict, results.get().init_verdict());
+        }
+        Ok(())
+    }
+
     async fn ping(
         self: Rc<Self>,
         _params: relay::PingParams,
@@ -258,6 +276,12 @@
     u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
 }
 
+/// The same for the copy of the table of rollouts.
+fn rollouts_age_ms(driver: &Driver) -> u32 {
+    let age = driver.peers.tables.rollouts_age(driver.now()).unwrap_or(Duration::MAX);
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn to_capnp_error(error: impl ToString) -> capnp::Error {
     capnp::Error::failed(error.to_string())
 }
--- a/crates/relay/src/repair.rs
+++ b/crates/relay/src/repair.rs
@@ -2,7 +2,8 @@
 //!
 //! A write that the store has acknowledged is durable only within one timeline of its
 //! log. The operators and the endpoints write their own records again, each instance its
-//! announcement, and all instances together the quarantine table's records and removals.
+//! announcement, and all instances together the records and removals of the quarantine table
+//! and of the table of rollouts.
 //! None of this relies on detecting a loss: the expected records are compared with those
 //! in the table.
 
@@ -20,12 +21,13 @@
     driver::Driver,
     follow,
     peers::Announcement,
+    rollouts,
     surroundings::{StoreError, TableName},
     tables,
 };
 
 /// Time limit of one write.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
+pub const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Delay before this instance retries to write its announcement.
 const ANNOUNCE_DELAY: Duration = Duration::from_millis(600);
 /// Interval of the checks for records that have to be written again.
@@ -117,6 +119,7 @@
     loop {
         tokio::time::sleep(CHECK_INTERVAL.mul_f64(rand::rng().random_range(0.8..1.2))).await;
         rewrite_lost(&driver).await;
+        rewrite_lost_rollouts(&driver).await;
         drop_carried_over(&driver, TableName::Endpoints, ENDPOINTS_GRACE);
         drop_carried_over(&driver, TableName::Config, COMMANDS_GRACE);
         drop_carried_over(&driver, TableName::Instances, INSTANCES_GRACE);
@@ -147,6 +150,30 @@
     }
 }
 
+/// Writes states of rollouts again, while a rollout is ordered. As with all writes to that
+/// table, each is conditional.
+async fn rewrite_lost_rollouts(driver: &Rc<Driver>) {
+    let (tables, table) = (&driver.peers.tables, TableName::Rollouts);
+    let Some(since) = tables.renewed_at(table).filter(|_| tables.rollouts_since().is_some()) else {
+        return;
+    };
+    for record in tables.carried_over(table) {
+        let is_ours = matches!((driver.platform.read_rollout)(&record), Ok(Some(_)));
+        let write_at = since + FIRST_WRITER_DELAY + NEXT_WRITER_DELAY * rank(driver, &record.key);
+        if !is_ours || driver.now() < write_at {
+            continue;
+        }
+        let key = tables::truncate(&record.key);
+        match rollouts::rewrite(driver, &record).await {
+            Ok(()) => {
+                driver.metrics.count("relay.records_rewritten", 1);
+                tracing::warn!(event = "rollout_rewritten", key);
+            }
+            Err(error) => tracing::warn!(event = "rollout_unwritten", key, error),
+        }
+    }
+}
+
 /// This instance's rank among those that may write a record again, by rendezvous hashing,
 /// so that all instances agree on the order.
 fn rank(driver: &Driver, key: &str) -> u32 {
--- a/crates/relay/src/surroundings.rs
+++ b/crates/relay/src/surroundings.rs
@@ -1,16 +1,22 @@
 //! The interface to the platform that a relay runs on.
 //!
-//! The platform keeps four tables for the relay: the operators' configuration, the
-//! directory of endpoints, the instances of the relay, and the quarantined contents.
+//! The platform keeps five tables for the relay: the operators' commands, the directory
+//! of endpoints, the instances of the relay, the quarantined contents, and the states of
+//! rollouts.
 //! Each is a log of keyed records; the newest record of a key is in force. A platform
 //! adapter provides a [`Platform`]; tests provide one with stand-ins.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
 
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use peatdeck_core::relay::{
-    directory::Change, operator::OperatorCommand, position::Timeline, table::Record,
+    directory::Change, model::ServiceName, operator::OperatorCommand, position::Timeline,
+    rollout::RolloutRecord, table::Record,
 };
 use peatdeck_macros::{data, id};
 
@@ -20,7 +26,8 @@
 #[id]
 #[derive(Copy)]
 pub enum TableName {
-    /// The operators' commands: the configuration and the evacuated data centres.
+    /// The operators' commands: the configuration, the evacuated data centres and the
+    /// ordered rollouts.
     Config,
     /// The directory of endpoints.
     Endpoints,
@@ -28,11 +35,19 @@
     Instances,
     /// Quarantined contents: those that crash the endpoints that run them.
     Quarantine,
+    /// The states of rollouts. Read only while a rollout is ordered.
+    Rollouts,
 }
 
-/// All tables, in the order in which they stand in messages between instances.
-pub const TABLES: [TableName; 4] =
-    [TableName::Config, TableName::Endpoints, TableName::Instances, TableName::Quarantine];
+/// All tables, in the order in which they stand in messages between instances. Builds
+/// without rollouts send and accept the first four.
+pub const TABLES: [TableName; 5] = [
+    TableName::Config,
+    TableName::Endpoints,
+    TableName::Instances,
+    TableName::Quarantine,
+    TableName::Rollouts,
+];
 
 impl TableName {
     /// The table's name in log lines.
@@ -42,6 +57,7 @@
             TableName::Endpoints => "endpoints",
             TableName::Instances => "instances",
             TableName::Quarantine => "quarantine",
+            TableName::Rollouts => "rollouts",
         }
     }
 }
@@ -90,6 +106,9 @@
     /// The store refused the call with this HTTP status.
     #[error("the store refused with status {0}; the call will be retried later")]
     Refused(u16),
+    /// The log did not end where a conditional write required it; nothing was written.
+    #[error("the log no longer ends at {0}; it is read again before the next write")]
+    Advanced(u64),
     /// The store's answer cannot be parsed.
     #[error("the store's answer cannot be read: {0}; check that the adapter fits its version")]
     Malformed(String),
@@ -127,6 +146,8 @@
 pub type ReadFrom = Rc<dyn Fn(TableName, u64, Duration) -> StoreCall<Read>>;
 /// Writes a record of one of the relay's own tables; without a value it removes the key.
 pub type Write = Rc<dyn Fn(TableName, Arc<str>, Option<Bytes>) -> StoreCall<()>>;
+/// Writes a record on the condition that the table's log ends at this offset.
+pub type WriteAt = Rc<dyn Fn(TableName, Arc<str>, Option<Bytes>, u64) -> StoreCall<()>>;
 
 /// The platform's store.
 #[derive(Clone)]
@@ -137,10 +158,41 @@
     pub read: ReadFrom,
     /// Writes to one of the relay's own tables.
     pub write: Write,
+    /// Writes on a condition; fails with [`StoreError::Advanced`] if that does not hold.
+    pub write_at: WriteAt,
     /// The newest timeline that any answer named, refusals included.
     pub timeline: Rc<dyn Fn() -> Timeline>,
 }
 
+/// The state of a rollout, as its record in the platform's store holds it. The record
+/// states when the order was first seen; its age is computed from that.
+#[data]
+pub struct RolloutStatus {
+    /// The state, whose age is only valid once the event loop has set it.
+    pub record: RolloutRecord,
+    /// When the order was first seen, by the clock of the instance that wrote the record.
+    pub begun: SystemTime,
+}
+
+/// A record of the table of rollouts: the service, and its state unless it was removed.
+pub type RolloutEntry = (ServiceName, Option<RolloutStatus>);
+
+/// An operators' record that cannot be used.
+#[data]
+pub struct CommandError {
+    /// The field that is wrong, and the remedy.
+    pub message: String,
+    /// The command that takes the place of the record's, so that the one before it does
+    /// not stay in force.
+    pub replacement: Option<Box<OperatorCommand>>,
+}
+
+impl From<String> for CommandError {
+    fn from(message: String) -> CommandError {
+        CommandError { message, replacement: None }
+    }
+}
+
 /// The platform that a relay runs on.
 #[derive(Clone)]
 pub struct Platform {
@@ -149,9 +201,13 @@
     /// Client of the platform's store.
     pub store: Store,
     /// Parses a record of the operators' table; `Ok(None)` if it does not concern the relay.
-    pub read_command: fn(&Record) -> Result<Option<OperatorCommand>, String>,
+    pub read_command: fn(&Record) -> Result<Option<OperatorCommand>, CommandError>,
     /// Parses a record of the endpoints' table.
     pub read_endpoint: fn(&Record) -> Result<Change, String>,
+    /// Parses a record of the table of rollouts; `Ok(None)` if it does not concern the relay.
+    pub read_rollout: fn(&Record) -> Result<Option<RolloutEntry>, String>,
+    /// The key and the value of the record for a rollout's state.
+    pub encode_rollout: fn(&RolloutStatus) -> (Arc<str>, Bytes),
     /// Number of log lines dropped since the start.
     pub dropped_lines: Rc<dyn Fn() -> u64>,
 }
--- a/crates/relay/src/tables.rs
+++ b/crates/relay/src/tables.rs
@@ -17,8 +17,8 @@
 
 use crate::{
     driver::Driver,
-    peers, records,
-    surroundings::{TABLES, TableName},
+    peers, records, rollouts,
+    surroundings::{CommandError, TABLES, TableName},
 };
 
 /// Most bytes of a table in one reply to a peer. The narrowest links that are planned
@@ -39,6 +39,9 @@
 /// fill the logs.
 const MAX_QUOTE_BYTES: usize = 200;
 
+/// The first tables of [`TABLES`], which requests depend on and every build has.
+const REQUIRED: usize = 4;
+
 /// The copy of one table.
 #[derive(Debug, Default)]
 struct Copy {
@@ -54,6 +57,9 @@
 #[derive(Debug, Default)]
 pub struct Tables {
     copies: [Copy; TABLES.len()],
+    /// Since when the table of rollouts is kept up to date; `None` while no rollout is
+    /// ordered. The copy may be out of date then, so peers are sent nothing of it.
+    rollouts_since: Cell<Option<Duration>>,
 }
 
 impl Tables {
@@ -71,9 +77,33 @@
         self.copy(name).table.borrow().position()
     }
 
-    /// The positions of all copies, in the order of [`TABLES`].
+    /// Starts or stops to keep the table of rollouts up to date.
+    pub fn follow_rollouts(&self, now: Duration, is_wanted: bool) {
+        let since = self.rollouts_since.get().unwrap_or(now);
+        self.rollouts_since.set(is_wanted.then_some(since));
+    }
+
+    /// Since when the table of rollouts is kept up to date; `None` if it is not.
+    pub fn rollouts_since(&self) -> Option<Duration> {
+        self.rollouts_since.get()
+    }
+
+    /// Whether the table of rollouts has been read whole since it is kept up to date.
+    pub fn has_read_rollouts(&self) -> bool {
+        let compared = self.compared_at(TableName::Rollouts);
+        let was_compared = self.rollouts_since.get().is_some_and(|since| compared >= Some(since));
+        was_compared && self.is_loaded(TableName::Rollouts)
+    }
+
+    /// The tables that are kept up to date, in the order of [`TABLES`].
+    pub fn followed(&self) -> &'static [TableName] {
+        let count = if self.rollouts_since.get().is_some() { TABLES.len() } else { REQUIRED };
+        &TABLES[..count]
+    }
+
+    /// The positions of the copies that are kept up to date, in the order of [`TABLES`].
     pub fn positions(&self) -> Vec<Position> {
-        TABLES.into_iter().map(|name| self.position(name)).collect()
+        self.followed().iter().map(|name| self.position(*name)).collect()
     }
 
     /// Whether the platform's table has this value for a key; `None` stands for no record.
@@ -110,9 +140,16 @@
         compared?.into_iter().min().map(|at| now.saturating_sub(at))
     }
 
-    /// Whether all copies have been read whole.
+    /// Age of the copy of the table of rollouts; `None` if it was not compared with the
+    /// store since it is kept up to date.
+    pub fn rollouts_age(&self, now: Duration) -> Option<Duration> {
+        let compared = self.compared_at(TableName::Rollouts);
+        compared.filter(|_| self.has_read_rollouts()).map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether the copies that requests depend on have been read whole.
     pub fn are_loaded(&self) -> bool {
-        TABLES.into_iter().all(|name| self.is_loaded(name))
+        TABLES[..REQUIRED].iter().all(|name| self.is_loaded(*name))
     }
 
     /// Records that a copy held what the store held at time `at`.
@@ -139,16 +176,21 @@
 
     /// The portions that answer a peer's requests, in the order of [`TABLES`].
     pub fn read_portions(&self, requests: &[PortionRequest]) -> Vec<Portion> {
-        let pairs = self.copies.iter().zip(requests);
-        pairs
-            .map(|(copy, request)| copy.table.borrow().read_portion(request, PORTION_BYTES))
-            .collect()
+        let followed = self.followed();
+        let pairs = TABLES.iter().zip(requests);
+        let portion = |(name, request): (&TableName, &PortionRequest)| match followed.contains(name)
+        {
+            true => self.copy(*name).table.borrow().read_portion(request, PORTION_BYTES),
+            // Starts after any copy's end, so that no copy counts as caught up by it.
+            false => Portion { from: u64::MAX, ..Portion::default() },
+        };
+        pairs.map(portion).collect()
     }
 
     /// The requests to send to a peer, in the order of [`TABLES`].
     pub fn next_requests(&self) -> Vec<PortionRequest> {
         let request = |copy: &Copy| copy.catch_up.borrow().next_request(&copy.table.borrow());
-        self.copies.iter().map(request).collect()
+        self.followed().iter().map(|name| request(self.copy(*name))).collect()
     }
 
     /// Applies a portion of a table that a peer sent.
@@ -187,6 +229,7 @@
             changed.iter().for_each(|record| driver.peers.apply_announcement(driver.now(), record));
         }
         TableName::Quarantine => changed.iter().for_each(|record| records::apply(driver, record)),
+        TableName::Rollouts => rollouts::apply(driver, &changed),
     }
     if name == TableName::Quarantine && driver.peers.tables.is_loaded(name) {
         driver.feed(|machine, _| machine.mark_quarantine_read());
@@ -206,16 +249,24 @@
         match read_command(driver, record) {
             Ok(Some(command)) => commands.push((record, command)),
             Ok(None) => {}
-            Err(error) => {
+            Err(CommandError { message, replacement }) => {
                 driver.metrics.count("relay.config_unreadable", 1);
-                let (key, offset, error) = (truncate(&record.key), record.offset, truncate(&error));
+                let (key, offset) = (truncate(&record.key), record.offset);
+                let error = truncate(&message);
                 tracing::error!(event = "config_unreadable", key, offset, source, error);
+                commands.extend(replacement.map(|command| (record, *command)));
             }
         }
     }
     if commands.is_empty() {
         return;
     }
+    let timeline = driver.peers.tables.position(TableName::Config).timeline;
+    for (record, command) in &mut commands {
+        if let OperatorCommand::RollOut(order) = command {
+            order.position = Position { timeline, offset: record.offset };
+        }
+    }
     let changes = commands.iter().map(|(_, command)| command.clone()).collect();
     let accepted = driver.feed(|machine, now| machine.apply_operator_changes(now, changes));
     for ((record, command), is_accepted) in commands.iter().zip(accepted) {
@@ -223,12 +274,14 @@
             driver.peers.set_config((*record).clone());
         }
         log_command(driver, command, record.offset, source, is_accepted);
+        driver.rollouts.on_command(driver.now(), command, is_accepted);
     }
+    rollouts::update_followed(driver);
     let evacuated = driver.inspect(|machine| machine.directory().evacuated().count());
     driver.metrics.gauge("relay.evacuated", evacuated as u64);
 }
 
-fn read_command(driver: &Driver, record: &Record) -> Result<Option<OperatorCommand>, String> {
+fn read_command(driver: &Driver, record: &Record) -> Result<Option<OperatorCommand>, CommandError> {
     let command = (driver.platform.read_command)(record)?;
     if let Some(OperatorCommand::Configure(config)) = &command {
         config.check().map_err(|flaw| flaw.to_string())?;
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod policy;
 mod replies;
+mod rollouts;
 mod standins;
 mod stop;
 mod store;
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -3,6 +3,7 @@
 
 mod clock;
 mod endpoint;
+mod rollout;
 mod store;
 
 use std::{
@@ -29,7 +30,7 @@
     native,
     server::{self, Control, Listeners},
     settings::Settings,
-    surroundings::{Platform, TableName},
+    surroundings::{CommandError, Platform, TableName},
 };
 use peatdeck_util::clock::Clock;
 
@@ -45,9 +46,12 @@
 /// How long tests wait for something before they fail.
 pub const TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Reads a record of the operators. A key under `evacuate/` names a data centre; any other record
-/// is a configuration, whose value is the version after any number of blanks as padding.
-fn read_command(record: &Record) -> Result<Option<OperatorCommand>, String> {
+/// Reads a record of the operators. A key under `evacuate/` names a data centre, one under
+/// `rollout/` a service; any other record is a configuration, whose value is the version after any number of blanks as padding.
+fn read_command(record: &Record) -> Result<Option<OperatorCommand>, CommandError> {
+    if let Some(order) = rollout::read_order(record) {
+        return order.map(Some);
+    }
     if let Some(name) = record.key.strip_prefix("evacuate/") {
         let name = Arc::from(name);
         let command = if record.value.is_some() {
@@ -66,14 +70,16 @@
 fn read_endpoint(record: &Record) -> Result<Change, String> {
     let Some(value) = &record.value else { return Ok(Change::Removed(record.key.clone())) };
     let text = String::from_utf8_lossy(value).into_owned();
-    let (service, addr) = text.split_once(' ').ok_or("the entry lacks a service or an address")?;
+    let mut words = text.split(' ');
+    let mut word = || words.next().ok_or("the entry lacks a service, an address or a version");
+    let (service, addr, version) = (word()?, word()?, word()?);
     Ok(Change::Put(Entry {
         name: record.key.clone(),
         incarnation: Incarnation(1),
         service: Arc::from(service),
         addr: Arc::from(addr),
         data_centre: Arc::from("east"),
-        version: Arc::from("v1"),
+        version: Arc::from(version),
         slots: 4,
         is_leaving: false,
         cold_left: None,
@@ -136,6 +142,19 @@
     }
 }
 
+/// The platform of all tests.
+pub fn platform(store: &MemoryStore) -> Platform {
+    Platform {
+        dialect: native::dialect(),
+        store: store.client(),
+        read_command,
+        read_endpoint,
+        read_rollout: rollout::read_status,
+        encode_rollout: rollout::encode_status,
+        dropped_lines: Rc::new(|| 0),
+    }
+}
+
 /// A relay instance that runs on its own thread.
 pub struct Relay {
     pub front: SocketAddr,
@@ -155,9 +174,15 @@
     millicores: u32,
     link: Option<SlowLink>,
     clock: JumpingClock,
+    rollout: Option<rollout::Limits>,
 }
 
 impl RelayBuilder {
+    /// Turns rollouts on.
+    pub fn rollouts(self) -> RelayBuilder {
+        RelayBuilder { rollout: Some(rollout::LIMITS), ..self }
+    }
+
     /// Sets a clock that the test can advance.
     pub fn clock(self, clock: &JumpingClock) -> RelayBuilder {
         RelayBuilder { clock: clock.clone(), ..self }
@@ -183,10 +208,11 @@
         RelayBuilder { link: Some(link.clone()), ..self }
     }
 
-    pub fn start(self) -> Relay {
+    /// The settings of the instance, whose addresses have no ports yet.
+    pub fn settings(&self) -> Settings {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut settings = Settings {
-            name: self.name,
+        Settings {
+            name: self.name.clone(),
             incarnation: Incarnation(1),
             data_centre: Arc::from("east"),
             front: any,
@@ -204,10 +230,14 @@
             body_memory: 1 << 24,
             millicores: self.millicores,
             regions: Default::default(),
-            rollout: None,
-            policy: self.policy,
+            rollout: self.rollout,
+            policy: self.policy.clone(),
             connections: 200,
-        };
+        }
+    }
+
+    pub fn start(self) -> Relay {
+        let mut settings = self.settings();
         let listeners = Listeners::bind(&settings).unwrap();
         settings.front = listeners.front.local_addr().unwrap();
         settings.ready = listeners.ready.local_addr().unwrap();
@@ -220,13 +250,7 @@
         let (control, signals) = unbounded();
         let (store, clock) = (self.store, self.clock);
         let thread = thread::spawn(move || {
-            let surroundings = move |_pool| Platform {
-                dialect: native::dialect(),
-                store: store.client(),
-                read_command,
-                read_endpoint,
-                dropped_lines: Rc::new(|| 0),
-            };
+            let surroundings = move |_pool| platform(&store);
             let system = ntex::rt::System::new("relay", ntex::rt::DefaultRuntime);
             let clock = move || -> Rc<dyn Clock> { Rc::new(clock) };
             let run = server::run_on(listeners, settings, signals, surroundings, clock);
@@ -251,6 +275,7 @@
             millicores: 250,
             link: None,
             clock: JumpingClock::default(),
+            rollout: None,
         }
     }
 
--- a/crates/relay/tests/relay/standins/store.rs
+++ b/crates/relay/tests/relay/standins/store.rs
@@ -1,7 +1,7 @@
 //! A fake of the platform's store, in memory.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, Mutex},
@@ -27,6 +27,12 @@
     /// Whether its replies omit the timeline.
     is_timeline_hidden: bool,
     delay: Duration,
+    /// Number of reads of a table, listings included.
+    reads: HashMap<TableName, u64>,
+    /// Number of conditional writes whose answers are lost from now on.
+    lost_answers: usize,
+    /// Records that others write right before the next conditional writes.
+    rivals: VecDeque<(String, Bytes)>,
 }
 
 impl Inner {
@@ -50,7 +56,65 @@
 
     /// Writes an endpoint's entry to the directory.
     pub fn add_endpoint(&self, name: &str, service: &str, addr: SocketAddr) {
-        self.put(TableName::Endpoints, name, format!("{service} {addr}").into_bytes());
+        self.add_version(name, service, addr, "v1");
+    }
+
+    /// Writes the entry of an endpoint of this version.
+    pub fn add_version(&self, name: &str, service: &str, addr: SocketAddr, version: &str) {
+        self.put(TableName::Endpoints, name, format!("{service} {addr} {version}").into_bytes());
+    }
+
+    /// Number of reads of a table, listings included.
+    pub fn reads(&self, table: TableName) -> u64 {
+        self.inner.lock().unwrap().reads.get(&table).copied().unwrap_or_default()
+    }
+
+    /// Loses the answers to the next conditional writes, which take effect.
+    pub fn lose_answers(&self, count: usize) {
+        self.inner.lock().unwrap().lost_answers = count;
+    }
+
+    /// Writes a record right before the next conditional write.
+    pub fn write_before_next(&self, key: &str, value: &str) {
+        let rival = (key.to_owned(), Bytes::copy_from_slice(value.as_bytes()));
+        self.inner.lock().unwrap().rivals.push_back(rival);
+    }
+
+    /// The newest value of a key.
+    pub fn value(&self, table: TableName, key: &str) -> Option<Bytes> {
+        let inner = self.inner.lock().unwrap();
+        let mut records = inner.tables.get(&table)?.iter().rev();
+        records.find(|record| &*record.key == key)?.value.clone()
+    }
+
+    fn count_read(&self, table: TableName) {
+        *self.inner.lock().unwrap().reads.entry(table).or_default() += 1;
+    }
+
+    fn write_at(
+        &self,
+        table: TableName,
+        key: &str,
+        value: Option<Bytes>,
+        end: u64,
+    ) -> Result<(), StoreError> {
+        let rival = self.inner.lock().unwrap().rivals.pop_front();
+        if let Some((key, value)) = rival {
+            self.write(table, &key, Some(value));
+        }
+        if self.inner.lock().unwrap().is_unavailable {
+            return Err(StoreError::Refused(503));
+        }
+        if self.len(table) as u64 != end {
+            return Err(StoreError::Advanced(end));
+        }
+        self.write(table, key, value);
+        let mut inner = self.inner.lock().unwrap();
+        if inner.lost_answers > 0 {
+            inner.lost_answers -= 1;
+            return Err(StoreError::Unreachable("the answer was lost".to_owned()));
+        }
+        Ok(())
     }
 
     /// Number of records in the log of a table.
@@ -91,6 +155,7 @@
     }
 
     fn newest(&self, table: TableName) -> Result<Page, StoreError> {
+        self.count_read(table);
         let inner = self.inner.lock().unwrap();
         if inner.is_unavailable {
             return Err(StoreError::Refused(503));
@@ -107,6 +172,7 @@
     }
 
     fn read(&self, table: TableName, from: u64) -> Result<surroundings::Read, StoreError> {
+        self.count_read(table);
         let inner = self.inner.lock().unwrap();
         if inner.is_unavailable {
             return Err(StoreError::Refused(503));
@@ -126,8 +192,12 @@
 
     pub fn client(&self) -> Store {
         let (newest, read, write) = (self.clone(), self.clone(), self.clone());
-        let current = self.clone();
+        let (current, conditional) = (self.clone(), self.clone());
         Store {
+            write_at: Rc::new(move |table, key, value, end| {
+                let store = conditional.clone();
+                Box::pin(async move { store.write_at(table, &key, value, end) })
+            }),
             timeline: Rc::new(move || Timeline(current.inner.lock().unwrap().timeline)),
             newest: Rc::new(move |table, _| {
                 let (page, delay) = (newest.newest(table), newest.delay());
