--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -5,7 +5,7 @@
 use crate::{
     commands::{
         burn, check, drain, evacuate, evacuations, explain, publish, quarantine, replay, restore,
-        show, status, terms,
+        rollouts, show, status, terms,
     },
     error::Error,
     shell::{Environment, Output},
@@ -40,6 +40,8 @@
     Quarantine(quarantine::Args),
     /// `peatdeck terms`.
     Terms(terms::Args),
+    /// `peatdeck rollouts`.
+    Rollouts(rollouts::Args),
 }
 
 /// The parser of the whole command line.
@@ -57,6 +59,7 @@
     let evacuations = evacuations::cli().command("evacuations").map(Command::Evacuations);
     let quarantine = quarantine::cli().command("quarantine").map(Command::Quarantine);
     let terms = terms::cli().command("terms").map(Command::Terms);
+    let rollouts = rollouts::cli().command("rollouts").map(Command::Rollouts);
     construct!([
         check,
         publish,
@@ -70,7 +73,8 @@
         explain,
         quarantine,
         evacuations,
-        terms
+        terms,
+        rollouts
     ])
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
@@ -109,5 +113,6 @@
         Command::Evacuations(args) => evacuations::exec(env, args).await,
         Command::Quarantine(args) => quarantine::exec(env, args).await,
         Command::Terms(args) => terms::exec(env, args).await,
+        Command::Rollouts(args) => rollouts::exec(env, args).await,
     }
 }
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -15,6 +15,7 @@
 pub mod quarantine;
 pub mod replay;
 pub mod restore;
+pub mod rollouts;
 pub mod show;
 pub mod status;
 pub mod terms;
--- a/crates/cli/src/ops/explain.rs
+++ b/crates/cli/src/ops/explain.rs
@@ -7,6 +7,7 @@
 //! - crashes under the same content, whichever request had it, and its quarantine;
 //! - if the request was refused because of an evacuation, the evacuations that the refusing
 //!   instance had applied or ended before;
+//! - the rollouts of the services that the request used;
 //! - the limits and departures announced by the endpoints that the request was sent to;
 //! - reports that the platform's store was restored from an older copy, from the instances
 //!   that sent or refused the request, up to that decision.
@@ -53,11 +54,13 @@
     let content = lines.iter().find_map(|line| content_of(line, id));
     let refused_by = lines.iter().find_map(|line| evacuation_refusal(line, id));
     let deciders: Vec<_> = lines.iter().filter_map(|line| decision(line, id)).collect();
+    let services = services_of(&lines, id);
     let called: HashSet<_> = lines.iter().filter_map(|line| called_endpoint(line, id)).collect();
     lines.retain(|line| {
         belongs_to(line, id, &mut links)
             || is_crash_or_quarantine(line, content.as_deref())
             || is_evacuation(line, refused_by.as_ref())
+            || is_rollout(line, &services)
             || is_endpoint_terms(line, &called)
             || is_older_copy(line, &deciders)
     });
@@ -80,6 +83,20 @@
     is_order && line.instance == *instance && line.time <= *time
 }
 
+/// The services that the request, or its pieces, were to run on.
+fn services_of(lines: &[LogLine], id: &str) -> HashSet<String> {
+    let mut links = HashSet::new();
+    let text = |line: &LogLine| line.fields.get("service")?.as_str().map(str::to_owned);
+    let own = lines.iter().filter(|line| belongs_to(line, id, &mut links));
+    own.filter_map(text).collect()
+}
+
+/// Whether a line reports on a rollout of one of these services.
+fn is_rollout(line: &LogLine, services: &HashSet<String>) -> bool {
+    let service = line.fields.get("service").and_then(Value::as_str);
+    line.event.starts_with("rollout_") && service.is_some_and(|name| services.contains(name))
+}
+
 /// The endpoint that the request was sent to.
 fn called_endpoint(line: &LogLine, id: &str) -> Option<String> {
     let text = |name: &str| line.fields.get(name).and_then(Value::as_str);
--- a/crates/cli/tests/testsuite/explain.rs
+++ b/crates/cli/tests/testsuite/explain.rs
@@ -105,6 +105,29 @@
     .assert_eq(&shown);
 }
 
+const ROLLOUT_LOG: &str = r#"
+{"timestamp":"2026-05-01T04:00:00.000000Z","level":"WARN","event":"rollout_ordered","service":"desk","version":"v2","offset":7}
+{"timestamp":"2026-05-01T04:00:00.500000Z","level":"WARN","event":"rollout_ordered","service":"maker","version":"v2","offset":8}
+{"timestamp":"2026-05-01T04:00:01.000000Z","level":"INFO","event":"arrive","id":"r1","service":"desk","content":"00ff"}
+{"timestamp":"2026-05-01T04:00:02.000000Z","level":"WARN","event":"rollout_evidence","service":"desk","route":"draft","canary":"30 good 24 failed 1 slow"}
+{"timestamp":"2026-05-01T04:00:02.100000Z","level":"WARN","event":"rollout_written","service":"desk","version":"v2","phase":"RolledBack"}
+"#;
+
+/// From a request to the evidence of the rollout that may have caused its outcome.
+#[peatdeck_macros::on_system]
+async fn rollouts_of_the_services_used_are_included() {
+    let bench = Bench::start("explain-rollout").await;
+    let logs = bench.file("edge-1.log", ROLLOUT_LOG);
+    let shown = support::run(None, &["explain", "r1", &logs]).await;
+    expect![[r#"
+        exit 0
+        04:00:00.000000Z  edge-1  rollout_ordered level=WARN offset=7 service=desk version=v2
+        04:00:01.000000Z  edge-1  arrive         content=00ff id=r1 level=INFO service=desk
+        04:00:02.000000Z  edge-1  rollout_evidence canary=30 good 24 failed 1 slow level=WARN route=draft service=desk
+        04:00:02.100000Z  edge-1  rollout_written level=WARN phase=RolledBack service=desk version=v2
+    "#]].assert_eq(&shown);
+}
+
 const LIMITS_LOG: &str = r#"
 {"timestamp":"2026-05-01T04:00:01.000000Z","level":"INFO","event":"endpoint_limit","endpoint":"e1","limit":0.5}
 {"timestamp":"2026-05-01T04:00:01.100000Z","level":"INFO","event":"endpoint_leaves","endpoint":"e2","source":"edge-2"}
--- a/crates/cli/tests/testsuite/main.rs
+++ b/crates/cli/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod quarantine;
 mod replay;
 mod restore;
+mod rollouts;
 mod show;
 mod status;
 mod support;
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -59,7 +59,9 @@
                 .iter()
                 .map(|piece| format!("{}/{}/{}", piece.request, piece.stage, piece.number))
                 .collect();
-            tracing::info!(event = "make", call = ?call, endpoint = &**endpoint, pieces = requests.join(" "));
+            let (endpoint, requests) = (&**endpoint, requests.join(" "));
+            let service = pieces.first().map(|piece| &*piece.service);
+            tracing::info!(event = "make", call = ?call, endpoint, service, pieces = requests);
         }
         Action::HandOverPieces { key, peer, pieces } => {
             let stage = pieces.first().map_or(0, |piece| piece.stage);
