Tests of an older build's tables and of the messages of rollouts

Guards against a copy that counts as fresh although the peer does not have the table, and against an old state that an instance without an order would send.

--- a/crates/relay/tests/relay/rollouts.rs
+++ b/crates/relay/tests/relay/rollouts.rs
@@ -2,22 +2,30 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use peatdeck_core::relay::{
-    self,
-    position::Position,
-    rollout::{Phase, RolloutRecord},
+use peatdeck_core::{
+    model::Incarnation,
+    relay::{
+        self,
+        catch_up::CatchUp,
+        model::EndpointId,
+        position::{Position, Timeline},
+        rollout::{Counts, Evidence, Phase, RolloutRecord, RouteCounts, Verdict},
+        table::{PortionRequest, Table},
+    },
 };
 use peatdeck_relay::{
     driver::{Components, Driver},
     follow,
+    peers::learn,
     pool::Pool,
     rollouts,
-    surroundings::TableName,
+    surroundings::{TABLES, TableName},
 };
 use peatdeck_util::{
     clock::SystemClock,
     metrics::{Metrics, Registry},
 };
+use peatdeck_wire::rollout as wire;
 
 use crate::standins::{MemoryStore, Relay, ScriptedEndpoint, exchange, platform, wait_for};
 
@@ -193,6 +201,96 @@
     });
 }
 
+/// When a peer's copies were compared, as this instance receives it.
+fn compared_now(driver: &Driver) -> learn::Compared {
+    learn::Compared::from_ages(driver.now(), 0, 0)
+}
+
+/// Guards against a copy that counts as fresh although the peer does not have the table, and
+/// against messages that grow without an order.
+#[test]
+fn a_peer_of_an_older_build_sends_and_receives_four_tables() {
+    on_event_loop(async {
+        let store = MemoryStore::default();
+        let (driver, _) = driver(&store);
+        let (tables, addr) = (&driver.peers.tables, Arc::from("127.0.0.1:9"));
+        assert_eq!((tables.positions().len(), tables.next_requests().len()), (4, 4));
+        tables.follow_rollouts(driver.now(), true);
+        assert_eq!((tables.positions().len(), tables.next_requests().len()), (5, 5));
+        for name in TABLES {
+            follow::read_back(&driver, name).await.unwrap();
+        }
+        let requests = tables.next_requests();
+        assert_eq!(tables.read_portions(&requests[..4]).len(), 4);
+        let (before, positions) = (tables.compared_at(TABLE), tables.positions());
+        let of_config = tables.compared_at(TableName::Config);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        learn::compare_positions(&driver, &addr, &positions[..4], compared_now(&driver));
+        assert_eq!(tables.compared_at(TABLE), before);
+        assert!(tables.compared_at(TableName::Config) > of_config);
+        learn::compare_positions(&driver, &addr, &positions, compared_now(&driver));
+        assert!(tables.compared_at(TABLE) > before);
+    });
+}
+
+/// Guards against an old state that peers take for the newest one: an instance without an order
+/// keeps its copy, but does not read the table.
+#[test]
+fn a_copy_that_is_not_kept_up_to_date_is_sent_to_nobody() {
+    on_event_loop(async {
+        let store = MemoryStore::default();
+        store.put(TABLE, KEY, FINAL.into());
+        let (driver, _) = driver(&store);
+        let tables = &driver.peers.tables;
+        tables.follow_rollouts(driver.now(), true);
+        follow::read_back(&driver, TABLE).await.unwrap();
+        let requests = tables.next_requests();
+        let whole = PortionRequest { from: 0, ..requests[4].clone() };
+        let requests = [&requests[..4], &[whole]].concat();
+        assert_eq!(tables.read_portions(&requests)[4].records.len(), 1);
+        tables.follow_rollouts(driver.now(), false);
+        let portion = tables.read_portions(&requests)[4].clone();
+        assert!(portion.records.is_empty());
+        let mut copy = Table::default();
+        copy.apply_listing(Vec::new(), Position::default());
+        assert!(!CatchUp::default().apply(&mut copy, portion).is_caught_up);
+    });
+}
+
+/// Guards against a verdict or counts that change on their way between instances.
+#[test]
+fn counts_and_verdicts_are_read_as_they_were_written() {
+    let order = Position { timeline: Timeline(2), offset: 7 };
+    let counts = |good| Counts { good, failed: good + 1, slow: good + 2 };
+    let endpoint = EndpointId { name: Arc::from("desk-1"), incarnation: Incarnation(9) };
+    let evidence = Evidence {
+        service: Arc::from("desk"),
+        order,
+        age: Duration::from_millis(250),
+        phase: Phase::Shifting,
+        is_halted: true,
+        old_calls: 3,
+        routes: vec![RouteCounts {
+            route: Arc::from("draft"),
+            stable: counts(1),
+            canary: counts(5),
+        }],
+        endpoints: vec![(endpoint, counts(11))],
+    };
+    let mut message = capnp::message::Builder::new_default();
+    wire::write_evidence(&evidence, message.init_root());
+    let read = message.get_root_as_reader().map_err(Into::into).and_then(wire::read_evidence);
+    assert_eq!(read.unwrap(), evidence);
+    for phase in [Phase::Canary, Phase::Shifting, Phase::Completed, Phase::RolledBack] {
+        let (service, age) = (Arc::from("desk"), Duration::from_millis(4200));
+        let verdict = Verdict { service, order, phase, is_halted: false, age };
+        let mut message = capnp::message::Builder::new_default();
+        wire::write_verdict(&verdict, message.init_root());
+        let read = message.get_root_as_reader().map_err(Into::into).and_then(wire::read_verdict);
+        assert_eq!(read.unwrap(), verdict);
+    }
+}
+
 /// Without an order the table costs nothing, as before rollouts.
 #[test]
 fn the_table_is_not_read_without_an_order() {
