Reports to an older build, rewriting of lost states, readiness with an order

A report to a peer of a build without rollouts failed and closed the connection, which also carries pieces, every 250 ms. It now counts as no verdict.

An instance that starts while a rollout is ordered becomes ready once it has read the table of rollouts; an order does not take one out of service that already serves.

--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -348,15 +348,21 @@
         }
     }
 
-    /// Updates whether the instance accepts requests: it has read the quarantine table,
-    /// has a configuration and at least one ready endpoint, and is not stopping.
+    /// Updates whether the instance accepts requests: it has read the quarantine table and,
+    /// at its start with an ordered rollout, the table of rollouts, has a configuration and
+    /// at least one ready endpoint, and is not stopping.
     pub fn update_ready(&self) {
-        let knows_quarantine = self.peers.tables.is_loaded(TableName::Quarantine);
+        let (tables, shared) = (&self.peers.tables, &self.shared);
+        let knows_quarantine = tables.is_loaded(TableName::Quarantine);
+        // An order must not take an instance out of service that already serves.
+        let knows_rollouts = shared.is_ready.load(Ordering::Relaxed)
+            || tables.rollouts_since().is_none()
+            || tables.has_read_rollouts();
         let has_endpoints = self
             .inspect(|machine| machine.config().is_some() && machine.directory().ready_count() > 0);
-        let knows_enough = knows_quarantine && has_endpoints;
+        let knows_enough = knows_quarantine && knows_rollouts && has_endpoints;
         let is_ready = knows_enough && !self.is_stopping();
-        let was_ready = self.shared.is_ready.swap(is_ready, Ordering::Relaxed);
+        let was_ready = shared.is_ready.swap(is_ready, Ordering::Relaxed);
         if was_ready != is_ready {
             let stopping = self.is_stopping();
             tracing::info!(event = "ready", ready = is_ready, stopping, knows_enough);
--- a/crates/relay/src/peers/evidence.rs
+++ b/crates/relay/src/peers/evidence.rs
@@ -19,7 +19,6 @@
     pub fn report_evidence(&self, driver: &Rc<Driver>, peer: InstanceName, evidence: Evidence) {
         let driver = driver.clone();
         ntex::rt::spawn(async move {
-            driver.metrics.count("relay.evidence", 1);
             let verdict = match send_evidence(&driver, &peer, &evidence).await {
                 Ok(verdict) => verdict,
                 Err(error) => {
@@ -29,6 +28,7 @@
                     None
                 }
             };
+            driver.metrics.count("relay.evidence", 1);
             driver.feed(|machine, now| machine.on_verdict(now, &evidence.service, verdict));
         });
     }
@@ -45,7 +45,12 @@
         let mut request = client.evidence_request();
         request.get().set_from(&*driver.settings.name);
         wire::write_evidence(evidence, request.get().init_evidence());
-        let response = request.send().promise.await?;
+        let response = match request.send().promise.await {
+            // A peer of a build without rollouts; an error would close the connection, which
+            // also carries pieces.
+            Err(error) if error.kind == capnp::ErrorKind::Unimplemented => return Ok(None),
+            response => response?,
+        };
         let response = response.get()?;
         let verdict = wire::read_verdict(response.get_verdict()?)?;
         Ok(response.get_decides().then_some(verdict))
--- a/crates/relay/tests/relay/rollouts.rs
+++ b/crates/relay/tests/relay/rollouts.rs
@@ -1,17 +1,15 @@
 //! The table of rollouts: when it is read, and how it is written.
 
+mod messages;
+
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use peatdeck_core::{
-    model::Incarnation,
-    relay::{
-        self,
-        catch_up::CatchUp,
-        model::EndpointId,
-        position::{Position, Timeline},
-        rollout::{Counts, Evidence, Phase, RolloutRecord, RouteCounts, Verdict},
-        table::{PortionRequest, Table},
-    },
+use peatdeck_core::relay::{
+    self,
+    catch_up::CatchUp,
+    position::Position,
+    rollout::{Phase, RolloutRecord},
+    table::{PortionRequest, Table},
 };
 use peatdeck_relay::{
     driver::{Components, Driver},
@@ -25,9 +23,8 @@
     clock::SystemClock,
     metrics::{Metrics, Registry},
 };
-use peatdeck_wire::rollout as wire;
 
-use crate::standins::{MemoryStore, Relay, ScriptedEndpoint, exchange, platform, wait_for};
+use crate::standins::{MemoryStore, Relay, ScriptedEndpoint, exchange, get, platform, wait_for};
 
 const TABLE: TableName = TableName::Rollouts;
 const KEY: &str = "rollout/desk";
@@ -257,38 +254,26 @@
     });
 }
 
-/// Guards against a verdict or counts that change on their way between instances.
+/// Guards against a state that is lost with the store's newest records, and against one that is
+/// written over a newer state.
 #[test]
-fn counts_and_verdicts_are_read_as_they_were_written() {
-    let order = Position { timeline: Timeline(2), offset: 7 };
-    let counts = |good| Counts { good, failed: good + 1, slow: good + 2 };
-    let endpoint = EndpointId { name: Arc::from("desk-1"), incarnation: Incarnation(9) };
-    let evidence = Evidence {
-        service: Arc::from("desk"),
-        order,
-        age: Duration::from_millis(250),
-        phase: Phase::Shifting,
-        is_halted: true,
-        old_calls: 3,
-        routes: vec![RouteCounts {
-            route: Arc::from("draft"),
-            stable: counts(1),
-            canary: counts(5),
-        }],
-        endpoints: vec![(endpoint, counts(11))],
-    };
-    let mut message = capnp::message::Builder::new_default();
-    wire::write_evidence(&evidence, message.init_root());
-    let read = message.get_root_as_reader().map_err(Into::into).and_then(wire::read_evidence);
-    assert_eq!(read.unwrap(), evidence);
-    for phase in [Phase::Canary, Phase::Shifting, Phase::Completed, Phase::RolledBack] {
-        let (service, age) = (Arc::from("desk"), Duration::from_millis(4200));
-        let verdict = Verdict { service, order, phase, is_halted: false, age };
-        let mut message = capnp::message::Builder::new_default();
-        wire::write_verdict(&verdict, message.init_root());
-        let read = message.get_root_as_reader().map_err(Into::into).and_then(wire::read_verdict);
-        assert_eq!(read.unwrap(), verdict);
-    }
+fn a_lost_state_is_written_again_unless_there_is_a_newer_one() {
+    on_event_loop(async {
+        for newer in [None, Some("completed v3 v2 9000 1 1 0 other because")] {
+            let store = MemoryStore::default();
+            let (driver, _) = driver(&store);
+            store.put(TABLE, KEY, FINAL.into());
+            follow::read_back(&driver, TABLE).await.unwrap();
+            store.restore(TABLE, 1);
+            follow::read_back(&driver, TABLE).await.unwrap();
+            let lost = driver.peers.tables.carried_over(TABLE);
+            assert_eq!(lost.len(), 1);
+            newer.into_iter().for_each(|text| store.write_before_next(KEY, text));
+            let written = rollouts::rewrite(&driver, &lost[0]).await;
+            assert_eq!(written.is_ok(), newer.is_none());
+            assert_eq!((store.len(TABLE), value(&store).as_str()), (1, newer.unwrap_or(FINAL)));
+        }
+    });
 }
 
 /// Without an order the table costs nothing, as before rollouts.
@@ -302,6 +287,7 @@
     wait_for("the other tables were read again", || store.reads(TableName::Endpoints) > 4);
     assert_eq!(exchange(relay.front, "/once/x", "").status, 200);
     assert_eq!(store.reads(TABLE), 0);
+    assert_eq!(get(relay.metrics, "/rollouts").body, "[]");
 }
 
 /// Guards against an instance that follows no order since it never reads the states.
