Instances that the store refuses read the table of rollouts from peers

A trial with has_rollout_orders constantly true left such instances unready. Readers compared their copies only at the end of a poll of 10 s, so other copies counted as stale; the poll now takes 450 ms, as for the configuration. The position of an empty table equals that of one never read, so nothing was requested: a copy not read yet is left out of the positions, and one that is missing is requested. A comparison by gossip did not tell the machine that the table is read.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -156,8 +156,10 @@
         return read_whole(driver, name).await.map(drop);
     }
     let wait = match name {
-        TableName::Config => readers::READ_INTERVAL,
-        TableName::Quarantine | TableName::Rollouts => readers::LONG_POLL_WAIT,
+        // A copy counts as compared once a poll has ended, and copies of these tables must not
+        // be older than `readers::STALE_AFTER`.
+        TableName::Config | TableName::Rollouts => readers::READ_INTERVAL,
+        TableName::Quarantine => readers::LONG_POLL_WAIT,
         TableName::Endpoints | TableName::Instances => Duration::ZERO,
     };
     let read = Box::pin(read_on(driver, name, tables.position(name), wait));
--- a/crates/relay/src/peers/learn.rs
+++ b/crates/relay/src/peers/learn.rs
@@ -114,12 +114,13 @@
 /// copies were last compared with the store; it applies also to copies here that are at
 /// least as new, of the same timeline. Requests the tables if the peer is ahead.
 pub fn compare_positions(
-    driver: &Driver,
+    driver: &Rc<Driver>,
     addr: &Arc<str>,
     positions: &[Position],
     compared: Compared,
 ) {
     let (tables, learn_state) = (&driver.peers.tables, &driver.peers.learn_state);
+    let had_read = tables.has_read_rollouts();
     for (name, theirs) in tables.followed().iter().zip(positions) {
         let own = tables.position(*name);
         let is_level = own.timeline == theirs.timeline && own >= *theirs;
@@ -127,6 +128,10 @@
             tables.mark_compared(*name, at);
         }
     }
+    if !had_read && tables.has_read_rollouts() {
+        // The copy was read for an earlier order, and the peer confirms that it is the newest.
+        tables::apply(driver, TableName::Rollouts, addr, Vec::new());
+    }
     if lacks(driver, positions) {
         let positions = positions.to_vec();
         *learn_state.ahead.borrow_mut() = Some(AheadPeer { addr: addr.clone(), positions });
@@ -136,7 +141,12 @@
 
 /// Whether a peer at these positions has records that this instance lacks.
 fn lacks(driver: &Driver, positions: &[Position]) -> bool {
-    driver.peers.tables.positions().iter().zip(positions).any(|(own, theirs)| own < theirs)
+    let tables = &driver.peers.tables;
+    let mut pairs = tables.followed().iter().zip(positions);
+    pairs.any(|(name, theirs)| {
+        let is_missing = *name == TableName::Rollouts && !tables.is_loaded(*name);
+        is_missing || tables.position(*name) < *theirs
+    })
 }
 
 /// Whether a peer at these positions has a newer configuration table. That may be large, so
--- a/crates/relay/src/tables.rs
+++ b/crates/relay/src/tables.rs
@@ -101,9 +101,14 @@
         &TABLES[..count]
     }
 
-    /// The positions of the copies that are kept up to date, in the order of [`TABLES`].
+    /// The positions of the copies that are kept up to date, in the order of [`TABLES`]. A
+    /// copy of the table of rollouts that has not been read yet is left out, since a table
+    /// that is empty has the same position.
     pub fn positions(&self) -> Vec<Position> {
-        self.followed().iter().map(|name| self.position(*name)).collect()
+        let is_sent = |name: &&TableName| {
+            **name != TableName::Rollouts || self.is_loaded(TableName::Rollouts)
+        };
+        self.followed().iter().filter(is_sent).map(|name| self.position(*name)).collect()
     }
 
     /// Whether the platform's table has this value for a key; `None` stands for no record.
