Counts of one order are kept across timelines of the store

Instances that read an order before and after the store was restored have different positions of it; their reports replaced each other in the list for operators.

--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -23,6 +23,7 @@
     relay::{
         model::ServiceName,
         operator::OperatorCommand,
+        position::Position,
         rollout::{Evidence, Order, RolloutRecord, Verdict},
         table::Record,
     },
@@ -86,7 +87,7 @@
     pub fn on_report(&self, from: &InstanceName, evidence: &Evidence) {
         let mut services = self.services.borrow_mut();
         let Some(rollout) = services.get_mut(&evidence.service) else { return };
-        rollout.reports.retain(|_, report| report.order == evidence.order);
+        rollout.reports.retain(|_, report| is_same_order(report.order, evidence.order));
         rollout.reports.insert(from.clone(), evidence.clone());
     }
 
@@ -102,6 +103,13 @@
     }
 }
 
+/// Whether two positions are those of one order, if all else of it is equal. Offsets of
+/// different timelines cannot be compared: instances that read the order before and after
+/// the store was restored from an older copy have different positions of it.
+fn is_same_order(one: Position, other: Position) -> bool {
+    one == other || one.timeline != other.timeline
+}
+
 /// Reads the table of rollouts from now on if a rollout is ordered, else no more.
 pub fn update_followed(driver: &Driver) {
     let is_wanted = driver.inspect(peatdeck_core::relay::Relay::has_rollout_orders);
--- a/crates/relay/src/rollouts/overview.rs
+++ b/crates/relay/src/rollouts/overview.rs
@@ -5,7 +5,10 @@
 use peatdeck_core::relay::rollout::{Counts, Phase, RouteCounts};
 use peatdeck_wire::operators::{ReplyCounts, RolloutOverview, RouteEvidence};
 
-use crate::{driver::Driver, rollouts::Rollout};
+use crate::{
+    driver::Driver,
+    rollouts::{self, Rollout},
+};
 
 /// Most routes whose counts are logged at a decision.
 const MAX_ROUTES: usize = 12;
@@ -67,8 +70,7 @@
         (Some(order), Some((record, _))) => {
             order.destination == record.destination
                 && order.duration == record.duration
-                && (order.position == record.order
-                    || order.position.timeline != record.order.timeline)
+                && rollouts::is_same_order(order.position, record.order)
         }
         (None, Some(_)) => true,
         (_, None) => false,
