--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -11,10 +11,12 @@
 //! - [`remote`]: control traffic to other regions, counted and limited.
 //! - [`learn`]: receives the contents of the tables from peers.
 //! - `work`: pieces, placements and results.
+//! - `evidence`: counts of rollouts, for the instance that decides on them.
 //! - `verdicts`: contents that crash the endpoints that run them.
 //! - [`versions`]: configurations newer than the platform's table has.
 //! - `service`: the interface that this instance offers to its peers.
 
+mod evidence;
 pub mod gossip;
 pub mod learn;
 mod regions;
@@ -182,16 +184,25 @@
         self.members.borrow_mut().apply_listing(driver.now(), &entries);
     }
 
-    /// Whether this instance reads one of the platform's tables from the store itself: it is one
-    /// of the readers, or has no fresh copies.
+    /// Whether this instance reads a table from the store itself: it is one of the readers,
+    /// or has no fresh copy.
+    /// Peers of a build without rollouts do not send their table, so its age counts apart.
     pub fn reads_store(&self, now: Duration, name: TableName) -> bool {
+        let rollouts_since = self.tables.rollouts_since();
+        if name == TableName::Rollouts && rollouts_since.is_none() {
+            return false;
+        }
         if let Some(turn) = self.turn(now) {
             return self.reads_store_in_region(now, name, turn);
         }
-        if !self.tables.are_loaded() || self.is_stale(now) {
-            return true;
-        }
-        self.is_reader(now)
+        let is_behind = match name {
+            TableName::Rollouts => {
+                let compared = self.tables.compared_at(name).max(rollouts_since);
+                compared.is_some_and(|at| now.saturating_sub(at) > readers::STALE_AFTER)
+            }
+            _ => !self.tables.are_loaded() || self.is_stale(now),
+        };
+        is_behind || self.is_reader(now)
     }
 
     /// Whether this instance is one of those that read the platform's tables for all others.
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod policy;
 mod regions;
 mod replies;
+mod rollouts;
 mod standins;
 mod stop;
 mod store;
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -121,6 +121,7 @@
         to.set_is_apart(piece.is_isolated);
         to.set_is_last_reader(piece.is_last_reader);
         to.set_region(piece.region.as_deref().unwrap_or_default());
+        to.set_route(&*piece.route);
         to.set_tries(piece.tries);
         to.set_round(piece.round);
         let mut inputs = to.init_inputs(len(&piece.inputs));
@@ -424,8 +425,7 @@
     let inputs = from.get_inputs()?.iter().map(|input| text(input?));
     Ok(Piece {
         service: text(from.get_service()?)?,
-        // The message does not state the route.
-        route: Arc::default(),
+        route: text(from.get_route()?)?,
         request: text(from.get_request()?)?,
         stage: from.get_stage(),
         number: from.get_number(),
