Test a configuration that arrives over a busy link

Instances whose copies are stale read the store themselves. While a reader's transfer of a large configuration takes longer than that, the transfers of the others would delay it further.

--- a/crates/relay/tests/relay/regions.rs
+++ b/crates/relay/tests/relay/regions.rs
@@ -19,6 +19,8 @@
 const LARGE_BYTES: u64 = 1_400_000;
 /// Delay of the store's replies: a round trip between two regions.
 const STORE_DELAY: Duration = Duration::from_millis(60);
+/// Bytes per second that callers leave of the link. Two copies of the configuration take 1.9 s.
+const BUSY_LINK: f64 = 1_500_000.0;
 /// How long a change may take until it is in force everywhere.
 const APPLY_LIMIT: Duration = Duration::from_secs(4);
 
@@ -59,11 +61,17 @@
 
 /// Starts instances in two regions, whose store answers as over a link between them.
 fn start_instances(store: &MemoryStore) -> (Vec<Relay>, Vec<Relay>) {
+    start_instances_with(store, store)
+}
+
+/// The same with the store as the second region reaches it.
+fn start_instances_with(store: &MemoryStore, remote: &MemoryStore) -> (Vec<Relay>, Vec<Relay>) {
     store.put(TableName::Config, "config", b"1".to_vec());
     store.add_endpoint("desk", "desk", ScriptedEndpoint::answering("x").addr);
     store.set_delay(STORE_DELAY);
     let start = |centre: &str, count: usize| -> Vec<Relay> {
         let name = |idx| format!("{centre}-{idx}");
+        let store = if centre == "east" { store } else { remote };
         let builder = |idx| Relay::builder(&name(idx), store).in_region_of(centre);
         (0..count).map(|idx| builder(idx).start()).collect()
     };
@@ -103,6 +111,24 @@
     assert!((LARGE_BYTES..3 * LARGE_BYTES).contains(&crossed), "{crossed} bytes");
 }
 
+// Guards against instances that read the store themselves while a transfer over a busy link takes
+// longer than their copies may be old: the transfers would delay each other.
+#[test]
+fn a_configuration_is_in_force_in_time_over_a_busy_link() {
+    let store = MemoryStore::default();
+    let remote = store.behind_link(BUSY_LINK);
+    let (_east, west) = start_instances_with(&store, &remote);
+    let before = sum(&west, "peatdeck.relay.store_bytes");
+    let written = Instant::now();
+    store.put(TableName::Config, "config", large(2));
+    wait_for_version(&west, 2);
+    let took = written.elapsed();
+    assert!(took < APPLY_LIMIT, "{took:?}");
+    let crossed = sum(&west, "peatdeck.relay.store_bytes") - before;
+    assert!(crossed < 3 * LARGE_BYTES, "{crossed} bytes");
+    println!("in force after {took:?}, {crossed} bytes from the store");
+}
+
 // Guards against a joining instance that reads all tables over the link, although its region has
 // them.
 #[test]
--- a/crates/relay/tests/relay/standins/store.rs
+++ b/crates/relay/tests/relay/standins/store.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -16,6 +16,26 @@
 #[derive(Clone, Default)]
 pub struct MemoryStore {
     inner: Arc<Mutex<Inner>>,
+    link: Option<NarrowLink>,
+}
+
+/// A link that limits the data rate of all replies of the store together. Clones share it.
+#[derive(Clone)]
+struct NarrowLink {
+    rate: f64,
+    free_at: Arc<Mutex<Instant>>,
+}
+
+impl NarrowLink {
+    /// How long until the link has transferred a reply to a read.
+    fn carry(&self, read: &Result<surroundings::Read, StoreError>) -> Duration {
+        let Ok(surroundings::Read::Records { records, .. }) = read else { return Duration::ZERO };
+        let bytes = records.iter().map(Record::bytes).sum::<usize>();
+        let mut free_at = self.free_at.lock().unwrap();
+        let now = Instant::now();
+        *free_at = (*free_at).max(now) + Duration::from_secs_f64(bytes as f64 / self.rate);
+        *free_at - now
+    }
 }
 
 #[derive(Default)]
@@ -36,6 +56,12 @@
 }
 
 impl MemoryStore {
+    /// The same store for instances that reach it over a link of this many bytes per second.
+    pub fn behind_link(&self, rate: f64) -> MemoryStore {
+        let link = NarrowLink { rate, free_at: Arc::new(Mutex::new(Instant::now())) };
+        MemoryStore { inner: self.inner.clone(), link: Some(link) }
+    }
+
     pub fn put(&self, table: TableName, key: &str, value: Vec<u8>) {
         self.write(table, key, Some(value.into()));
     }
@@ -146,7 +172,8 @@
                         tokio::time::sleep(wait).await;
                     }
                     let read = store.read(table, from);
-                    tokio::time::sleep(store.delay()).await;
+                    let transfer = store.link.as_ref().map(|link| link.carry(&read));
+                    tokio::time::sleep(store.delay() + transfer.unwrap_or_default()).await;
                     read
                 })
             }),
