Faults found in the review of rollouts and regions

- The version in force was that of the endpoint read first if endpoints state no start, as most do; among equal starts it is now the lower version, never one that is ordered, and endpoints that appear later or are rejected do not change it.
- 86 instances with 15 requests each sent almost no canary call (counters per route, from zero), so a good version lacked evidence: one counter a service, and 40 calls to start with over all instances.
A route needs 70 replies to be tested alone; with 20 to 69 it could never be accepted.
- Pieces of a request that a new list has just restricted could be sent while other requests were rechecked; a deleted route freed its requests of their list.
- A region that refuses pieces at once looked like the fastest one.
- Replies with a configuration to another region waited for the byte budget.
- An instance without a data centre counted as a second region.

--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -129,9 +129,10 @@
         self.gates.as_mut().is_some_and(|gates| gates.set(service, gate))
     }
 
-    /// The version of the endpoint of a service that started first among those seen.
-    pub fn earliest_version(&self, service: &str) -> Option<&Version> {
-        self.gates.as_ref()?.earliest(service)
+    /// The version of a service that was in force first as far as its endpoints show, besides one
+    /// that is ordered to be rolled out.
+    pub fn first_version(&self, service: &str, ordered: Option<&Version>) -> Option<&Version> {
+        self.gates.as_ref()?.first(service, ordered)
     }
 
     /// A test whether an endpoint's version gets the work of a service's track.
@@ -361,9 +362,6 @@
     }
 
     fn put(&mut self, now: Duration, entry: Entry) -> ChangeEffect {
-        if let Some(gates) = &mut self.gates {
-            gates.record_endpoint(&entry.service, entry.incarnation, &entry.version);
-        }
         let Some(&key) = self.by_name.get(&entry.name) else {
             return self.insert(now, entry);
         };
@@ -399,6 +397,9 @@
     }
 
     fn insert(&mut self, now: Duration, entry: Entry) -> ChangeEffect {
+        if let Some(gates) = &mut self.gates {
+            gates.record_endpoint(now, &entry.service, entry.incarnation, &entry.version);
+        }
         let (name, service) = (entry.name.clone(), entry.service.clone());
         let region = self.regions.region_name(&entry.data_centre);
         let mut endpoint = Endpoint::new(now, entry, region);
--- a/crates/core/src/relay/machine/canary.rs
+++ b/crates/core/src/relay/machine/canary.rs
@@ -21,14 +21,12 @@
             return;
         }
         let is_new = exchange.arrival.resume.is_none() && exchange.attempts == 0;
-        let route = exchange.route.name.clone();
         let Some(rollout) = self.rollouts.get_mut(&exchange.service) else { return };
         if rollout.phase.is_final() {
             return;
         }
         let share = rollout.share(now, &limits);
-        let is_allowed =
-            is_new && rollout.exposure.count_call(&route, share) && rollout.may_try(now);
+        let is_allowed = is_new && rollout.exposure.count_call(share) && rollout.may_try(now);
         let track = if is_allowed { Track::Canary } else { Track::Stable };
         self.exchanges[key].track = Some(track);
     }
@@ -39,7 +37,7 @@
         if exchange.track == Some(Track::Canary)
             && let Some(rollout) = self.rollouts.get_mut(&exchange.service)
         {
-            rollout.exposure.take_call(&exchange.route.name);
+            rollout.exposure.take_call();
         }
     }
 
--- a/crates/core/src/relay/machine/evacuation.rs
+++ b/crates/core/src/relay/machine/evacuation.rs
@@ -26,8 +26,8 @@
         commands: Vec<OperatorCommand>,
     ) -> Vec<bool> {
         let results = commands.into_iter().map(|it| self.apply_operator_change(now, it)).collect();
-        self.refresh_gates(now);
         self.recheck_regions(now);
+        self.refresh_gates(now);
         self.refuse_evacuated(now);
         self.search(now);
         self.dispatch_all(now);
--- a/crates/core/src/relay/machine/regions.rs
+++ b/crates/core/src/relay/machine/regions.rs
@@ -14,7 +14,7 @@
 use crate::relay::{
     allowed::AllowedRegions,
     batch::Requester,
-    config::{Config, Route},
+    config::Config,
     exchange::Exchange,
     graph::StageGraph,
     machine::{MAX_ROUNDS, Relay},
@@ -37,9 +37,16 @@
     pub(super) fn recheck_regions(&mut self, now: Duration) {
         let waiting = self.exchanges.iter().filter(|(_, exchange)| exchange.call.is_none());
         let waiting: Vec<_> = waiting.map(|(key, it)| (key, it.region.clone())).collect();
+        let mut moved = Vec::new();
         for (key, region) in waiting {
             let is_open = self.exchanges.contains_key(key) && self.ensure_region(now, key);
             if is_open && self.exchanges[key].region != region {
+                moved.push(key);
+            }
+        }
+        // Nothing is sent before all are checked, since any of them sends all queued pieces.
+        for key in moved {
+            if self.exchanges.contains_key(key) {
                 self.advance(now, key);
             }
         }
@@ -173,14 +180,12 @@
 /// The lists of a route or team that it no longer contains stay in force.
 fn newly_allowed(exchange: &Exchange, config: &Config) -> AllowedRegions {
     let named = config.routes.iter().find(|route| route.name == exchange.route.name);
-    let route: &Route = named.unwrap_or(&exchange.route);
-    let route = route.allowed_regions.as_deref();
     let team = config.team(exchange.arrival.key.as_deref());
+    let team_list = team.and_then(|team| team.allowed_regions.as_deref());
+    let Some(route) = named else { return exchange.allowed.restrict(team_list) };
+    let route = route.allowed_regions.as_deref();
     match (team, &exchange.team) {
         (None, Some(_)) => exchange.allowed.restrict(route),
-        (team, _) => {
-            let team = team.and_then(|team| team.allowed_regions.as_deref());
-            AllowedRegions::intersect(route, team)
-        }
+        _ => AllowedRegions::intersect(route, team_list),
     }
 }
--- a/crates/core/src/relay/machine/rollouts.rs
+++ b/crates/core/src/relay/machine/rollouts.rs
@@ -7,6 +7,8 @@
     time::Duration,
 };
 
+use xxhash_rust::xxh3;
+
 use crate::{
     model::InstanceName,
     relay::{
@@ -14,7 +16,7 @@
         model::{Action, ServiceName},
         rollout::{
             Evidence, Order, Phase, RolloutRecord, Verdict, Version, controller::Controller,
-            gate::Gate, progress::Rollout, sprt::Outcome,
+            exposure::Exposure, gate::Gate, progress::Rollout, sprt::Outcome,
         },
     },
 };
@@ -72,7 +74,12 @@
         if self.rollouts.by_service.is_empty() {
             self.rollouts.are_records_read = false;
         }
-        self.rollouts.by_service.insert(service, Rollout::new(now, order));
+        let mut rollout = Rollout::new(now, order);
+        let seed = xxh3::xxh3_64(service.as_bytes());
+        let hash = xxh3::xxh3_64_with_seed(self.settings.name.as_bytes(), seed);
+        let position = hash as f64 / u64::MAX as f64;
+        rollout.exposure = Exposure::new(self.instance_count(), position);
+        self.rollouts.by_service.insert(service, rollout);
         true
     }
 
@@ -267,8 +274,11 @@
 
     /// The version of a service in force besides one that is being rolled out.
     pub(super) fn baseline(&self, service: &str) -> Option<Version> {
-        let recorded = self.rollouts.baselines.get(service);
-        recorded.or_else(|| self.directory.earliest_version(service)).cloned()
+        if let Some(recorded) = self.rollouts.baselines.get(service) {
+            return Some(recorded.clone());
+        }
+        let destination = self.rollouts.get(service).map(|it| &it.order.destination);
+        self.directory.first_version(service, destination).cloned()
     }
 
     /// Applies the versions that get work; exchanges and pieces that wait for them go on.
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -416,6 +416,10 @@
         let stage = usize::from(outcome.piece.stage);
         let Some(idx) = starts.iter().position(|(known, _)| *known == stage) else { return };
         let (_, started) = starts.swap_remove(idx);
+        if outcome.piece.region.is_some() && is_unmade(outcome) {
+            // A full region would look like a fast one to the requests that leave another.
+            return;
+        }
         self.stage_times.record(now, PoolKey::of(&outcome.piece), now.saturating_sub(started));
     }
 
--- a/crates/core/src/relay/readers.rs
+++ b/crates/core/src/relay/readers.rs
@@ -94,7 +94,7 @@
     /// The rank of an instance among those given; `None` if there is one region.
     pub fn of(instances: &[Peer], regions: &RegionMap, name: &str) -> Option<Turn> {
         let by_region = rank_by_region(instances, regions);
-        if by_region.len() < 2 && !regions.has_several() {
+        if !regions.has_several() {
             return None;
         }
         let find = |ranked: Vec<&Peer>| {
--- a/crates/core/src/relay/rollout/exposure.rs
+++ b/crates/core/src/relay/rollout/exposure.rs
@@ -1,39 +1,48 @@
 //! How many requests the version on trial gets.
 //!
-//! Each instance counts its own requests from zero, so the sum over all instances stays within the
-//! share although they agree on nothing, and also while they cannot reach each other.
-
-use std::{collections::HashMap, sync::Arc};
+//! Each instance counts its own requests, so the sum over all instances stays within the share and
+//! the calls that they start with, although they agree on nothing, and also while they cannot reach
+//! each other.
 
 /// The part of the largest share that is used. The rest is a reserve for retries, which count as
 /// requests to the service but never go to the version on trial.
 pub const USED_PART: f64 = 0.6;
-/// The most calls of a route that are saved up while the version on trial gets none. More would
+/// Calls that all instances together may start with. Without any, an instance would send its first
+/// call after 17 requests, and of 86 instances most would send none in a rollout of seconds. It is
+/// less than the requests allowed on top of the share.
+const STARTING_CALLS: f64 = 40.0;
+/// The most that one instance may start with.
+const MAX_STARTING_CALLS: f64 = 0.5;
+/// The most calls that are saved up while the version on trial gets none. More would
 /// reach its few endpoints at once.
 const MAX_SAVED_CALLS: f64 = 2.0;
 
 /// Counters of one service.
 #[derive(Debug, Clone, Default)]
 pub struct Exposure {
-    /// Calls that may go to the version on trial, by route.
-    calls: HashMap<Arc<str>, f64>,
+    /// Calls that may go to the version on trial.
+    calls: f64,
     /// Pieces that may go there.
     pieces: f64,
 }
 
 impl Exposure {
-    /// Counts a request of a route. Returns whether it may go to the version on trial.
-    pub fn count_call(&mut self, route: &Arc<str>, share: f64) -> bool {
-        let saved = self.calls.entry(route.clone()).or_default();
-        *saved = (*saved + share).min(MAX_SAVED_CALLS);
-        *saved >= 1.0
+    /// Counters of one of `instances`. `position` is a number from 0 to 1 that differs between
+    /// instances, so that they do not all send their first call at once.
+    pub fn new(instances: usize, position: f64) -> Exposure {
+        let calls = position * (STARTING_CALLS / instances.max(1) as f64).min(MAX_STARTING_CALLS);
+        Exposure { calls, pieces: 0.0 }
+    }
+
+    /// Counts a request. Returns whether it may go to the version on trial.
+    pub fn count_call(&mut self, share: f64) -> bool {
+        self.calls = (self.calls + share).min(MAX_SAVED_CALLS);
+        self.calls >= 1.0
     }
 
-    /// A request of a route goes to the version on trial.
-    pub fn take_call(&mut self, route: &str) {
-        if let Some(saved) = self.calls.get_mut(route) {
-            *saved -= 1.0;
-        }
+    /// A request goes to the version on trial.
+    pub fn take_call(&mut self) {
+        self.calls -= 1.0;
     }
 
     /// Counts pieces that were sent; at most two calls of `batch` pieces are saved up.
--- a/crates/core/src/relay/rollout/tally.rs
+++ b/crates/core/src/relay/rollout/tally.rs
@@ -24,8 +24,9 @@
 /// show a high rate.
 const PRIOR_REPLIES: f64 = 5.0;
 const PRIOR_BAD: f64 = 0.1;
-/// A route with fewer replies of the new version does not have to be accepted on its own.
-const MIN_ROUTE_REPLIES: u32 = 20;
+/// A route with fewer replies of the new version does not have to be accepted on its own. The test
+/// accepts after 46 to 69 replies, depending on the number of routes and on a bad one among them.
+const MIN_ROUTE_REPLIES: u32 = 70;
 /// From this number of endpoints of the new version on, one of them alone is no evidence.
 const MIN_ENDPOINTS: usize = 3;
 /// An endpoint stands out if it has more bad replies than the mean of the others by this factor.
--- a/crates/relay/src/peers/service.rs
+++ b/crates/relay/src/peers/service.rs
@@ -88,10 +88,11 @@
         let driver = &self.driver;
         let requests: Vec<_> =
             params.get()?.get_asks()?.iter().map(wire::read_portion_request).collect();
-        if self.caller.is_remote(&driver.peers) {
+        let portions = driver.peers.tables.read_portions(&requests);
+        let has_config = portions[TableName::Config as usize].bytes() > 0;
+        if self.caller.is_remote(&driver.peers) && !has_config {
             tokio::time::sleep(driver.peers.table_delay(driver)).await;
         }
-        let portions = driver.peers.tables.read_portions(&requests);
         let bytes = portions.iter().map(Portion::bytes).sum::<usize>() as u64;
         driver.metrics.count("relay.told_bytes", bytes);
         results.get().set_age_ms(age_ms(driver));
