List of rollouts includes the counts of the deciding instance

Cause: the deciding instance sends no report, so GET /rollouts and the rollout_evidence lines left out its own counts.

Change: Relay::own_evidence returns them, and the list and the log lines use them in place of this instance's last report.

--- a/crates/core/src/relay/machine/rollouts.rs
+++ b/crates/core/src/relay/machine/rollouts.rs
@@ -91,6 +91,12 @@
         !self.rollouts.by_service.is_empty()
     }
 
+    /// What this instance has counted of the replies of a service since its last order; `None`
+    /// without an order.
+    pub fn own_evidence(&self, now: Duration, service: &str) -> Option<Evidence> {
+        self.evidence(now, service)
+    }
+
     /// Takes in the record of a service's rollout; `None` if it was removed.
     pub fn on_rollout_record(
         &mut self,
--- a/crates/relay/src/rollouts/overview.rs
+++ b/crates/relay/src/rollouts/overview.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use peatdeck_core::relay::rollout::{Counts, Phase, RouteCounts};
+use peatdeck_core::relay::rollout::{Counts, Evidence, Phase, RouteCounts};
 use peatdeck_wire::operators::{ReplyCounts, RolloutOverview, RouteEvidence};
 
 use crate::{
@@ -19,6 +19,7 @@
     let services = driver.rollouts.services.borrow();
     let listed = services.iter().filter_map(|(service, rollout)| {
         let (state, phase) = state_and_phase(rollout);
+        let reports = reports(driver, service, rollout);
         Some(RolloutOverview {
             service: service.clone(),
             version: version(rollout)?,
@@ -30,8 +31,8 @@
             by: rollout.state.as_ref().map(|(record, _)| record.by.clone()),
             reason: rollout.state.as_ref().map(|(record, _)| record.reason.clone()),
             halt: rollout.halt.clone(),
-            instances: rollout.reports.len(),
-            routes: routes(rollout),
+            instances: reports.len(),
+            routes: routes(&reports),
         })
     });
     let mut listed: Vec<_> = listed.collect();
@@ -43,9 +44,10 @@
 pub fn log_evidence(driver: &Driver, service: &str) {
     let services = driver.rollouts.services.borrow();
     let Some(rollout) = services.get(service) else { return };
-    let (instances, order) = (rollout.reports.len(), rollout.order.as_ref());
+    let reports = reports(driver, service, rollout);
+    let (instances, order) = (reports.len(), rollout.order.as_ref());
     let version = order.map(|order| &*order.destination);
-    for RouteEvidence { route, stable, canary } in routes(rollout).into_iter().take(MAX_ROUTES) {
+    for RouteEvidence { route, stable, canary } in routes(&reports).into_iter().take(MAX_ROUTES) {
         let (route, stable, canary) = (&*route, text(stable), text(canary));
         tracing::warn!(
             event = "rollout_evidence",
@@ -108,12 +110,20 @@
     ordered.or(recorded).unwrap_or_default()
 }
 
+/// The newest counts of each instance. Those of this instance are read from the machine, since
+/// the deciding instance sends no report of its own.
+fn reports(driver: &Driver, service: &str, rollout: &Rollout) -> Vec<Evidence> {
+    let own_name = &driver.settings.name;
+    let own = driver.inspect(|machine| machine.own_evidence(driver.now(), service));
+    let own = own.or_else(|| rollout.reports.get(own_name).cloned());
+    let others = rollout.reports.iter().filter(|(name, _)| *name != own_name);
+    others.map(|(_, report)| report.clone()).chain(own).collect()
+}
+
 /// The counts of all reports together, by route.
-fn routes(rollout: &Rollout) -> Vec<RouteEvidence> {
+fn routes(reports: &[Evidence]) -> Vec<RouteEvidence> {
     let mut sums: BTreeMap<Arc<str>, (ReplyCounts, ReplyCounts)> = BTreeMap::new();
-    for RouteCounts { route, stable, canary } in
-        rollout.reports.values().flat_map(|report| &report.routes)
-    {
+    for RouteCounts { route, stable, canary } in reports.iter().flat_map(|report| &report.routes) {
         let sum = sums.entry(route.clone()).or_default();
         add(&mut sum.0, *stable);
         add(&mut sum.1, *canary);
--- a/crates/relay/tests/relay/rollouts.rs
+++ b/crates/relay/tests/relay/rollouts.rs
@@ -23,6 +23,7 @@
     clock::SystemClock,
     metrics::{Metrics, Registry},
 };
+use peatdeck_wire::operators::RolloutOverview;
 
 use crate::standins::{MemoryStore, Relay, ScriptedEndpoint, exchange, get, platform, wait_for};
 
@@ -310,6 +311,27 @@
     wait_for("the table was read", || store.reads(TABLE) > 0);
 }
 
+/// Guards against a list without the counts of the deciding instance, which reports to nobody.
+#[test]
+fn the_deciding_instance_lists_its_own_counts() {
+    let store = MemoryStore::default();
+    store.put(TableName::Config, "config", b"1".to_vec());
+    store.add_endpoint("desk", "desk", ScriptedEndpoint::answering("x").addr);
+    let relay = Relay::builder("own", &store).rollouts().start();
+    relay.wait_ready();
+    store.put(TableName::Config, KEY, b"v2 12".to_vec());
+    let listed = || -> Vec<RolloutOverview> {
+        serde_json::from_str(&get(relay.metrics, "/rollouts").body).unwrap()
+    };
+    wait_for("the order was received", || !listed().is_empty());
+    // The first replies of a route have none to be compared with, and do not count.
+    wait_for("replies are counted", || {
+        assert_eq!(exchange(relay.front, "/once/x", "").status, 200);
+        let rollout = listed().remove(0);
+        rollout.instances == 1 && rollout.routes.iter().any(|route| route.stable.good > 0)
+    });
+}
+
 /// Guards against an instance that waits for the table of rollouts forever, since the copies of
 /// its peers are empty, or older than its own order.
 #[test]
