Tests of verdicts that are given on the order before

Cause: the deciding instance answers a report on an order that it has not read yet with its verdict on the order before, if that was read in another timeline of the store: Order::is_at holds for all positions of other timelines, and reports do not state the destination.

Change: two tests, without a mend.

--- a/crates/core/tests/testsuite/relay/rollout/failures.rs
+++ b/crates/core/tests/testsuite/relay/rollout/failures.rs
@@ -3,6 +3,7 @@
 use peatdeck_core::relay::{
     model::{Failure, ProbeResult},
     operator::OperatorCommand,
+    position::Timeline,
     rollout::{Phase, Verdict},
 };
 
@@ -264,3 +265,34 @@
     }
     assert_eq!(retried, 6);
 }
+
+/// Guards against a good version that is rolled back since the deciding instance, which has not
+/// read the new order yet, replies with its verdict on the one before from an earlier timeline.
+#[test]
+fn a_verdict_on_an_earlier_order_of_another_timeline_is_ignored() {
+    let mut decider = ordered();
+    let mut world = world();
+    let mut next = order("v3", ms(8000), 11);
+    next.position.timeline = Timeline(2);
+    start(&mut world, next);
+    set_peer(&mut world, true);
+    world.advance(ms(250));
+    let report = reports(&mut world).remove(0);
+    read(&mut decider, record(Phase::RolledBack));
+    decider.advance(ms(1000));
+    let verdict = decider.relay.on_evidence(decider.now, &"peer".into(), report);
+    assert_eq!(verdict, None);
+}
+
+/// Guards against a good version that is rolled back by a verdict on the order before it.
+#[test]
+fn a_verdict_of_another_timeline_does_not_end_the_next_order() {
+    let mut world = world();
+    let mut next = order("v3", ms(8000), 11);
+    next.position.timeline = Timeline(2);
+    start(&mut world, next);
+    set_peer(&mut world, true);
+    hear(&mut world, verdict(Phase::RolledBack, true));
+    world.advance(ms(250));
+    assert!(!reports(&mut world).is_empty());
+}
