--- a/crates/core/src/relay/readers.rs
+++ b/crates/core/src/relay/readers.rs
@@ -84,15 +84,15 @@
 /// link between regions to the first instances only; the others receive them from these.
 #[data]
 #[derive(Copy)]
-pub struct Turn {
+pub struct RegionRank {
     rank: usize,
     readers: usize,
     instances: usize,
 }
 
-impl Turn {
+impl RegionRank {
     /// The rank of an instance among those given; `None` if there is one region.
-    pub fn of(instances: &[Peer], regions: &RegionMap, name: &str) -> Option<Turn> {
+    pub fn of(instances: &[Peer], regions: &RegionMap, name: &str) -> Option<RegionRank> {
         let by_region = rank_by_region(instances, regions);
         if !regions.has_several() {
             return None;
@@ -100,7 +100,7 @@
         let find = |ranked: Vec<&Peer>| {
             let rank = ranked.iter().position(|peer| *peer.name == *name)?;
             let (readers, instances) = (reader_count(ranked.len()), ranked.len());
-            Some(Turn { rank, readers, instances })
+            Some(RegionRank { rank, readers, instances })
         };
         by_region.into_values().find_map(find)
     }
--- a/crates/core/tests/testsuite/relay/readers.rs
+++ b/crates/core/tests/testsuite/relay/readers.rs
@@ -4,7 +4,7 @@
 
 use peatdeck_core::relay::{
     model::Peer,
-    readers::{Turn, select_readers},
+    readers::{RegionRank, select_readers},
     region::RegionMap,
 };
 
@@ -75,15 +75,16 @@
     let peers = instances_of_two_regions();
     let map = RegionMap::new(map);
     assert_eq!(select_readers(&peers, &map), select_readers(&peers, &one()));
-    assert_eq!(Turn::of(&peers, &map, &peers[0].name), None);
-    assert_eq!(Turn::of(&peers, &one(), &peers[0].name), None);
+    assert_eq!(RegionRank::of(&peers, &map, &peers[0].name), None);
+    assert_eq!(RegionRank::of(&peers, &one(), &peers[0].name), None);
 }
 
 /// How many instances of each region read a table from the store while all copies are this old.
 fn reading(is_large: bool, age: Duration) -> (usize, usize) {
     let peers = instances_of_two_regions();
-    let reads =
-        |peer: &&Peer| Turn::of(&peers, &two(), &peer.name).unwrap().reads_store(is_large, age);
+    let reads = |peer: &&Peer| {
+        RegionRank::of(&peers, &two(), &peer.name).unwrap().reads_store(is_large, age)
+    };
     (peers[..37].iter().filter(reads).count(), peers[37..].iter().filter(reads).count())
 }
 
@@ -102,7 +103,7 @@
 fn other_instances_retry_the_store_rarely() {
     let peers = instances_of_two_regions();
     let backoff = |peer: &Peer| {
-        Turn::of(&peers, &two(), &peer.name).unwrap().max_backoff(Duration::from_secs(1))
+        RegionRank::of(&peers, &two(), &peer.name).unwrap().max_backoff(Duration::from_secs(1))
     };
     let long = peers[37..].iter().filter(|peer| backoff(peer) >= Duration::from_secs(19)).count();
     assert_eq!(long, 35);
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -89,8 +89,8 @@
 /// How long to wait after consecutive failed calls.
 fn backoff(driver: &Driver, failures: u32) -> Duration {
     let pause = INITIAL_BACKOFF * 2_u32.saturating_pow(failures.min(8) - 1);
-    let turn = driver.peers.turn(driver.now());
-    match turn.map(|turn| turn.max_backoff(MAX_BACKOFF)) {
+    let region_rank = driver.peers.region_rank(driver.now());
+    match region_rank.map(|region_rank| region_rank.max_backoff(MAX_BACKOFF)) {
         Some(max) if max > MAX_BACKOFF => pause + max.mul_f64(rand::rng().random()),
         _ => jittered(pause.min(MAX_BACKOFF)),
     }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -192,8 +192,8 @@
         if name == TableName::Rollouts && rollouts_since.is_none() {
             return false;
         }
-        if let Some(turn) = self.turn(now) {
-            return self.reads_store_in_region(now, name, turn);
+        if let Some(region_rank) = self.region_rank(now) {
+            return self.reads_store_in_region(now, name, region_rank);
         }
         let is_behind = match name {
             TableName::Rollouts => {
--- a/crates/relay/src/peers/regions.rs
+++ b/crates/relay/src/peers/regions.rs
@@ -4,7 +4,7 @@
 
 use peatdeck_core::{
     model::InstanceName,
-    relay::{model::Peer, readers::Turn, region::Distance},
+    relay::{model::Peer, readers::RegionRank, region::Distance},
 };
 
 use crate::{peers::Peers, surroundings::TableName};
@@ -16,11 +16,11 @@
 
 impl Peers {
     /// The rank of this instance in its region; `None` if there is one region.
-    pub fn turn(&self, now: Duration) -> Option<Turn> {
+    pub fn region_rank(&self, now: Duration) -> Option<RegionRank> {
         if self.regions.is_empty() {
             return None;
         }
-        Turn::of(&self.live_instances(now), &self.regions, &self.own_name)
+        RegionRank::of(&self.live_instances(now), &self.regions, &self.own_name)
     }
 
     /// Listed peers of which nothing was received yet, right after the start of this instance.
@@ -34,7 +34,12 @@
     }
 
     /// [`Peers::reads_store`] in a deployment of several regions.
-    pub(super) fn reads_store_in_region(&self, now: Duration, name: TableName, turn: Turn) -> bool {
+    pub(super) fn reads_store_in_region(
+        &self,
+        now: Duration,
+        name: TableName,
+        region_rank: RegionRank,
+    ) -> bool {
         let is_loaded = self.tables.is_loaded(name);
         if name == TableName::Instances && !is_loaded {
             return true;
@@ -44,16 +49,16 @@
         let is_underway = self.learn_state.is_underway(now);
         let age = self.tables.age(now).filter(|_| is_loaded).unwrap_or(now);
         let age = if is_underway { Duration::ZERO } else { age };
-        is_ranked && turn.reads_store(name == TableName::Config, age)
+        is_ranked && region_rank.reads_store(name == TableName::Config, age)
     }
 
     /// The readers to request tables from: those of this region, or those of all regions if the
     /// copies here have been old for too long. Empty if this instance needs none.
     pub(super) fn sources(&self, now: Duration) -> Vec<InstanceName> {
         let mut readers = self.readers(now);
-        let turn = self.turn(now);
-        let is_served =
-            turn.map_or_else(|| readers.contains(&self.own_name), |turn| turn.is_first());
+        let region_rank = self.region_rank(now);
+        let is_served = region_rank
+            .map_or_else(|| readers.contains(&self.own_name), |region_rank| region_rank.is_first());
         if is_served && !self.is_stale(now) {
             return Vec::new();
         }
@@ -68,7 +73,7 @@
     /// Whether this instance may take records from a peer of another region, after its own region
     /// has had nothing newer for `waited`.
     pub fn may_cross(&self, now: Duration, waited: Duration) -> bool {
-        self.turn(now).is_none_or(|turn| waited > turn.patience())
+        self.region_rank(now).is_none_or(|region_rank| waited > region_rank.patience())
     }
 
     /// Whether the instance that listens on an address is in another region.
