--- a/crates/relay/tests/relay/wire.rs
+++ b/crates/relay/tests/relay/wire.rs
@@ -50,7 +50,7 @@
 // A region that is lost on the way lets a bound request run anywhere.
 #[test]
 fn the_region_of_a_piece_and_of_a_placement_request_is_sent() {
-    for region in [Some("litoral"), None] {
+    for region in [Some("south"), None] {
         let mut message = message::Builder::new_default();
         let mut params = message.init_root::<relay::make_params::Builder<'_>>();
         wire::write_pieces(NOW, &[piece(region)], params.reborrow().init_pieces(1));
