Log and count the endpoints that an instance cannot connect to

Cause: eight logs had to be read side by side to see that some instances reached no endpoint and the others all. Change: a line for each endpoint whose new connections begin to fail or work again, a gauge of the unreachable ones; no decision depends on it yet. The parser of directory entries becomes a closure, so that tests can give each instance links of its own, which they can cut.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -55,6 +55,7 @@
 pub mod model;
 pub mod operator;
 pub mod overflow;
+pub mod paths;
 pub mod pool;
 pub mod position;
 pub mod quarantine;
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -268,6 +268,13 @@
         Some(self.pool_of(endpoints.find(|endpoint| *endpoint.entry.addr == *addr)?))
     }
 
+    /// The endpoint that accepts new work at an address.
+    pub fn at_addr(&self, addr: &str) -> Option<EndpointKey> {
+        let is_there =
+            |(_, endpoint): &(_, &Endpoint)| *endpoint.entry.addr == *addr && endpoint.is_ready();
+        self.endpoints.iter().find(is_there).map(|(key, _)| key)
+    }
+
     /// The pool whose work an endpoint runs.
     pub fn pool_of(&self, endpoint: &Endpoint) -> PoolKey {
         let Entry { service, data_centre, .. } = &endpoint.entry;
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -8,7 +8,8 @@
 //! for all instances; `quarantine` stops requests that crash endpoints; `evacuation` keeps
 //! all requests away from evacuated data centres; `ranking` selects the instance that does a
 //! task for all; `regions` assigns each request to a region; `pace` limits the calls to
-//! endpoints that are cold or state a limit; `terms` processes what endpoints report of
+//! endpoints that are cold or state a limit; `paths` records which endpoints this instance can
+//! connect to; `terms` processes what endpoints report of
 //! themselves; `policies` runs the operators' programs; `rollouts` moves services to new
 //! versions: `canary` selects the requests that go there, `replies` counts how they end,
 //! `deciding` writes what is decided.
@@ -21,6 +22,7 @@
 mod intake;
 mod moves;
 mod pace;
+mod paths;
 mod placing;
 mod plan;
 mod policies;
@@ -61,6 +63,7 @@
             Action, Arrival, CallKey, EndpointKey, ExchangeKey, HandoverKey, Peer, Piece,
             PieceResult, Progress, Refusal, RunNumber, ServiceName,
         },
+        paths::Paths,
         quarantine::Quarantine,
         reading::PrefillSpeed,
         region::RegionMap,
@@ -138,6 +141,7 @@
     pending_notices: HashMap<InstanceName, Vec<Notice>>,
     report_at: Duration,
     is_batching: bool,
+    paths: Paths,
     quarantine: Quarantine,
     /// Whether the quarantine table has been read. No request is admitted before.
     is_quarantine_read: bool,
@@ -234,6 +238,7 @@
             pending_notices: HashMap::new(),
             report_at: Duration::ZERO,
             is_batching: true,
+            paths: Paths::default(),
             quarantine: Quarantine::default(),
             is_quarantine_read: false,
             cut_runs: HashMap::new(),
@@ -481,6 +486,7 @@
             self.directory.forget(now);
             self.release_expired(now);
             self.forget_runs();
+            self.forget_paths();
             self.expire_limits(now);
             self.batcher.forget_removed(&self.directory);
         }
--- a/crates/core/src/relay/model/action.rs
+++ b/crates/core/src/relay/model/action.rs
@@ -125,6 +125,17 @@
         /// Where it listens.
         addr: Arc<str>,
     },
+    /// Log and count that new connections to an endpoint have begun to fail, or to work again.
+    PathChanged {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// Whether they work again.
+        is_open: bool,
+        /// The number of endpoints that this instance cannot connect to.
+        unreachable: usize,
+        /// The number of endpoints that accept new work.
+        ready: usize,
+    },
     /// Log and count that an endpoint crashed during these runs.
     EndpointCrashed {
         /// The endpoint's incarnation.
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -76,6 +76,10 @@
             tracing::debug!(event = "list_parts", addr = &**addr);
         }
         Action::Probe { addr, .. } => tracing::debug!(event = "probe", addr = &**addr),
+        Action::PathChanged { endpoint, is_open, unreachable, ready } => {
+            let endpoint = &**endpoint;
+            tracing::warn!(event = "path", endpoint, open = is_open, unreachable, ready);
+        }
         Action::EndpointCrashed { endpoint, crashes } => log_crash(endpoint, crashes),
         Action::ReportCrashes { peer, crashes } => {
             tracing::debug!(event = "accuse", peer = &**peer, count = crashes.len());
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -181,7 +181,7 @@
     pub fn new(parts: Components) -> Rc<Driver> {
         let peers = Peers::new(&parts.settings);
         let last_active = Cell::new(parts.clock.now());
-        Rc::new(Driver {
+        let driver = Rc::new(Driver {
             machine: RefCell::new(parts.machine),
             clock: parts.clock,
             callers: RefCell::default(),
@@ -199,7 +199,14 @@
             rollouts: Rollouts::default(),
             metrics: parts.metrics,
             shared: parts.shared,
-        })
+        });
+        let observer = Rc::downgrade(&driver);
+        driver.pool.observe(Box::new(move |addr, is_open| {
+            if let Some(driver) = observer.upgrade() {
+                driver.feed(|machine, now| machine.on_connection(now, addr, is_open));
+            }
+        }));
+        driver
     }
 
     /// Time since the start of the clock.
@@ -487,6 +494,9 @@
             Action::Probe { endpoint, addr } => {
                 ntex::rt::spawn(calls::probe(self.clone(), endpoint, addr));
             }
+            Action::PathChanged { unreachable, .. } => {
+                self.metrics.gauge("relay.endpoints_unreachable", unreachable as u64);
+            }
             Action::EndpointCrashed { crashes, .. } => {
                 self.metrics.count("relay.crashed_runs", crashes.len() as u64);
             }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -5,7 +5,14 @@
 //! pool polls it, and unsolicited bytes close it. A connection that is dropped instead
 //! of being returned is closed at once, which is how a call is cancelled.
 
-use std::{cell::RefCell, collections::HashMap, io, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{OnceCell, RefCell},
+    collections::HashMap,
+    io,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use futures::future::{AbortHandle, Abortable};
@@ -113,9 +120,14 @@
     pub reused: u64,
 }
 
+/// Called with the address of each new connection that a request needs, and whether it could
+/// be opened.
+pub type ConnectionObserver = Box<dyn Fn(&str, bool)>;
+
 /// A pool of idle connections, by address.
 pub struct Pool {
     clock: Rc<dyn Clock>,
+    observer: OnceCell<ConnectionObserver>,
     idle: RefCell<HashMap<Arc<str>, Vec<Idle>>>,
     counts: RefCell<Counts>,
 }
@@ -123,7 +135,18 @@
 impl Pool {
     /// Creates an empty pool.
     pub fn new(clock: Rc<dyn Clock>) -> Rc<Pool> {
-        Rc::new(Pool { clock, idle: RefCell::default(), counts: RefCell::default() })
+        Rc::new(Pool {
+            clock,
+            observer: OnceCell::new(),
+            idle: RefCell::default(),
+            counts: RefCell::default(),
+        })
+    }
+
+    /// Sets what is called with the outcome of opening a connection. Only the first call has
+    /// an effect.
+    pub fn observe(&self, observer: ConnectionObserver) {
+        self.observer.set(observer).ok();
     }
 
     /// The counters so far.
@@ -169,7 +192,7 @@
         loop {
             let (mut lease, is_fresh) = match self.take_idle(addr) {
                 Some(lease) => (lease, false),
-                None => (connect(addr).await?, true),
+                None => (self.connect(addr).await?, true),
             };
             self.count(is_fresh);
             let sender = &mut lease.connection.sender;
@@ -259,6 +282,14 @@
         Some(Lease { addr: addr.clone(), connection, max_idle: Duration::ZERO })
     }
 
+    async fn connect(&self, addr: &Arc<str>) -> Result<Lease, Error> {
+        let opened = open(addr).await;
+        if let Some(observer) = self.observer.get() {
+            observer(addr, opened.is_ok());
+        }
+        handshake(addr, opened.map_err(|error| unsent(addr, error))?).await
+    }
+
     fn count(&self, is_fresh: bool) {
         let mut counts = self.counts.borrow_mut();
         match is_fresh {
@@ -268,11 +299,6 @@
     }
 }
 
-async fn connect(addr: &Arc<str>) -> Result<Lease, Error> {
-    let stream = open(addr).await.map_err(|error| unsent(addr, error))?;
-    handshake(addr, stream).await
-}
-
 async fn open(addr: &str) -> io::Result<TcpStream> {
     let opening = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr));
     opening.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
--- a/crates/relay/src/surroundings.rs
+++ b/crates/relay/src/surroundings.rs
@@ -193,6 +193,9 @@
     }
 }
 
+/// Parses a record of the endpoints' table.
+pub type ReadEndpoint = Rc<dyn Fn(&Record) -> Result<Change, String>>;
+
 /// The platform that a relay runs on.
 #[derive(Clone)]
 pub struct Platform {
@@ -203,7 +206,7 @@
     /// Parses a record of the operators' table; `Ok(None)` if it does not concern the relay.
     pub read_command: fn(&Record) -> Result<Option<OperatorCommand>, CommandError>,
     /// Parses a record of the endpoints' table.
-    pub read_endpoint: fn(&Record) -> Result<Change, String>,
+    pub read_endpoint: ReadEndpoint,
     /// Parses a record of the table of rollouts; `Ok(None)` if it does not concern the relay.
     pub read_rollout: fn(&Record) -> Result<Option<RolloutEntry>, String>,
     /// The key and the value of the record for a rollout's state.
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -2,6 +2,7 @@
 //! write and read raw bytes.
 
 mod clock;
+mod cut;
 mod endpoint;
 mod rollout;
 mod store;
@@ -38,9 +39,10 @@
 use crate::link::SlowLink;
 
 pub use clock::JumpingClock;
+pub use cut::{Cut, EndpointLinks};
 pub use endpoint::{
     Conn, Reply, ScriptedEndpoint, event_chunk, exchange, full_reply, get, read_reply,
-    request_head, send, stream_head,
+    request_head, request_within, send, stream_head,
 };
 pub use store::MemoryStore;
 
@@ -151,7 +153,7 @@
         dialect: native::dialect(),
         store: store.client(),
         read_command,
-        read_endpoint,
+        read_endpoint: Rc::new(read_endpoint),
         read_rollout: rollout::read_status,
         encode_rollout: rollout::encode_status,
         dropped_lines: Rc::new(|| 0),
@@ -180,9 +182,15 @@
     link: Option<SlowLink>,
     clock: JumpingClock,
     rollout: Option<rollout::Limits>,
+    endpoint_links: Option<EndpointLinks>,
 }
 
 impl RelayBuilder {
+    /// Makes the instance reach its endpoints over links that the test can cut.
+    pub fn endpoint_links(self, links: &EndpointLinks) -> RelayBuilder {
+        RelayBuilder { endpoint_links: Some(links.clone()), ..self }
+    }
+
     /// Turns rollouts on.
     pub fn rollouts(self) -> RelayBuilder {
         RelayBuilder { rollout: Some(rollout::LIMITS), ..self }
@@ -262,9 +270,15 @@
         }
         let Settings { front, ready, metrics, peers, .. } = settings.clone();
         let (control, signals) = unbounded();
-        let (store, clock) = (self.store, self.clock);
+        let (store, clock, links) = (self.store, self.clock, self.endpoint_links);
         let thread = thread::spawn(move || {
-            let surroundings = move |_pool| platform(&store);
+            let surroundings = move |_pool| match links {
+                Some(links) => Platform {
+                    read_endpoint: Rc::new(move |record| links.redirect(read_endpoint(record))),
+                    ..platform(&store)
+                },
+                None => platform(&store),
+            };
             let system = ntex::rt::System::new("relay", ntex::rt::DefaultRuntime);
             let clock = move || -> Rc<dyn Clock> { Rc::new(clock) };
             let run = server::run_on(listeners, settings, signals, surroundings, clock);
@@ -292,6 +306,7 @@
             link: None,
             clock: JumpingClock::default(),
             rollout: None,
+            endpoint_links: None,
         }
     }
 
--- a/crates/relay/tests/relay/standins/endpoint.rs
+++ b/crates/relay/tests/relay/standins/endpoint.rs
@@ -8,6 +8,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
+    time::Duration,
 };
 
 use crate::standins::TIMEOUT;
@@ -241,6 +242,12 @@
     )
 }
 
+/// The head of a request that closes its connection, whose caller waits for so long.
+pub fn request_within(path: &str, deadline: Duration) -> String {
+    let head = request_head(path, "connection: close\r\n");
+    head.replace("deadline-ms: 20000", &format!("deadline-ms: {}", deadline.as_millis()))
+}
+
 /// Sends a request on a new connection and reads the reply to its end.
 pub fn exchange(front: SocketAddr, path: &str, headers: &str) -> Reply {
     let mut conn = Conn::open(front);
