Failing tests of instances that are cut off from all endpoints

Four instances with links of their own to three endpoints; two or three are cut off, by silence, refusals, refusals of new connections alone, or resets.

--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod bodies;
 mod catch_up;
 mod crashes;
+mod cut_off;
 mod headers;
 mod link;
 mod older_copy;
