--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -268,6 +268,22 @@
         Some(self.pool_of(endpoints.find(|endpoint| *endpoint.entry.addr == *addr)?))
     }
 
+    /// The keys of all endpoints that have not been forgotten.
+    pub fn keys(&self) -> impl Iterator<Item = EndpointKey> {
+        self.endpoints.keys()
+    }
+
+    /// The keys of the endpoints that accept new work.
+    pub fn ready_keys(&self) -> impl Iterator<Item = EndpointKey> {
+        self.endpoints.iter().filter(|(_, endpoint)| endpoint.is_ready()).map(|(key, _)| key)
+    }
+
+    /// The track that an endpoint's version belongs to.
+    pub fn track_of(&self, endpoint: &Endpoint) -> Track {
+        let is_canary = self.track_filter(&endpoint.entry.service, Track::Canary)(endpoint);
+        if is_canary { Track::Canary } else { Track::Stable }
+    }
+
     /// The endpoint that accepts new work at an address.
     pub fn at_addr(&self, addr: &str) -> Option<EndpointKey> {
         let is_there =
@@ -334,15 +350,32 @@
     }
 
     /// Marks an endpoint at whose address nothing listens any more: it receives no calls
-    /// until its entry is written again. The entry itself expires only some two seconds
+    /// until its entry is written again, or a connection is accepted there. The entry itself expires only some two seconds
     /// later, and each of 18 engines that crashed was called two or three more times
     /// meanwhile.
     pub fn mark_gone(&mut self, now: Duration, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.get_mut(key).filter(|known| known.is_ready()) {
-            endpoint.state = State::Suspended(now);
+            endpoint.state = State::Gone(now);
         }
     }
 
+    /// A connection was accepted at the address of an endpoint. Returns whether that makes it
+    /// usable again.
+    pub fn mark_found(&mut self, key: EndpointKey) -> bool {
+        let gone = self.endpoints.get_mut(key);
+        let Some(endpoint) = gone.filter(|known| matches!(known.state, State::Gone(_))) else {
+            return false;
+        };
+        endpoint.state = State::Ready;
+        true
+    }
+
+    /// Whether an endpoint accepts new work, or would if something listened at its address.
+    pub fn is_expected(&self, key: EndpointKey) -> bool {
+        let state = self.endpoints.get(key).map(|endpoint| endpoint.state);
+        matches!(state, Some(State::Ready | State::Gone(_)))
+    }
+
     /// Forgets endpoints that have been gone for long.
     pub fn forget(&mut self, now: Duration) {
         for endpoint in self.endpoints.values_mut() {
@@ -353,7 +386,10 @@
         self.endpoints.retain(|key, endpoint| {
             let since = match endpoint.state {
                 State::Ready => return true,
-                State::Missing(since) | State::Suspended(since) | State::Leaving(since) => since,
+                State::Missing(since)
+                | State::Suspended(since)
+                | State::Gone(since)
+                | State::Leaving(since) => since,
             };
             let is_kept = endpoint.in_flight > 0 || now < since + RETENTION;
             if !is_kept {
--- a/crates/core/src/relay/directory/endpoint.rs
+++ b/crates/core/src/relay/directory/endpoint.rs
@@ -41,8 +41,10 @@
     Ready,
     /// Its entry has disappeared.
     Missing(Duration),
-    /// Its entry was overwritten with an invalid one, or nothing listens at its address.
+    /// Its entry was overwritten with an invalid one.
     Suspended(Duration),
+    /// Nothing listens at its address.
+    Gone(Duration),
     /// It is leaving, or has left.
     Leaving(Duration),
 }
@@ -299,6 +301,11 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
+    /// Forgets that calls failed: not the endpoint, but the path to it was the cause.
+    pub fn clear_failures(&mut self) {
+        self.failures = Backoff::default();
+    }
+
     /// Records that a call failed. Returns whether that begins or extends a pause.
     pub fn record_failure(&mut self, now: Duration, failure: Failure) -> bool {
         if self.failures.is_paused(now) && failure != Failure::Unsent {
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -10,6 +10,7 @@
         fingerprint::Fingerprint,
         graph::StageGraph,
         model::{Arrival, CallKey, EndpointKey, HandoverKey, RunNumber, ServiceName},
+        paths::Detour,
         pool::{Pool, PoolKey, Track},
         region::RegionName,
     },
@@ -98,6 +99,8 @@
     pub(crate) run: Option<RunNumber>,
     /// The peer that placed the call, and its number there.
     pub(crate) placer: Option<(InstanceName, RunNumber)>,
+    /// The peer that makes it for this instance.
+    pub(crate) via: Option<Detour>,
     /// When its reply began.
     pub(crate) answered_at: Option<Duration>,
     /// When the call is given up unless its reply has begun.
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -8,8 +8,8 @@
 //! for all instances; `quarantine` stops requests that crash endpoints; `evacuation` keeps
 //! all requests away from evacuated data centres; `ranking` selects the instance that does a
 //! task for all; `regions` assigns each request to a region; `pace` limits the calls to
-//! endpoints that are cold or state a limit; `paths` records which endpoints this instance can
-//! connect to; `terms` processes what endpoints report of
+//! endpoints that are cold or state a limit; `paths` calls endpoints through peers that this
+//! instance cannot connect to; `terms` processes what endpoints report of
 //! themselves; `policies` runs the operators' programs; `rollouts` moves services to new
 //! versions: `canary` selects the requests that go there, `replies` counts how they end,
 //! `deciding` writes what is decided.
@@ -310,7 +310,8 @@
         let backlog =
             (!self.batcher.waiting_pools().is_empty()).then_some(self.next_backlog.max(now));
         let rollout = self.rollouts.next_wake(now);
-        [deadline, overdue, search, evictable, batch, report, backlog, rollout]
+        let path = self.paths.next_check();
+        [deadline, overdue, search, evictable, batch, report, backlog, rollout, path]
             .into_iter()
             .flatten()
             .min()
@@ -480,6 +481,7 @@
         self.report_backlogs(now);
         self.report_read_inputs(now);
         self.duplicate_stragglers(now);
+        self.check_paths(now);
         self.dispatch_all(now);
         if now >= self.next_cleanup {
             self.next_cleanup = now + CLEANUP_INTERVAL;
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -218,6 +218,7 @@
         self.searching.remove(&key);
         let run = self.record_prompt(now, key, &chosen);
         let basis = self.choice_basis(now, key, endpoint, tokens);
+        let via = self.detour_to(now, endpoint);
         let call = self.calls.insert(CallState {
             purpose: CallPurpose::Exchange(key),
             endpoint,
@@ -225,6 +226,7 @@
             tokens,
             run,
             placer,
+            via: via.clone(),
             answered_at: None,
             overdue_at: None,
             is_counted: false,
@@ -246,6 +248,7 @@
             exchange: key,
             endpoint: target.entry.name.clone(),
             addr: target.entry.addr.clone(),
+            via,
             remaining: exchange.deadline.saturating_sub(now),
             team: exchange.team.clone(),
             inputs: exchange.graph.outputs(&exchange.route),
@@ -411,6 +414,9 @@
     pub(super) fn end_call(&mut self, now: Duration, call: CallKey, step: Step) {
         self.record_step(now, call, step);
         let Some(state) = self.calls.remove(call) else { return };
+        if let Some(detour) = &state.via {
+            self.paths.record_end(&detour.peer);
+        }
         if let Some(at) = state.overdue_at {
             self.token_deadlines.remove(&(at, call));
         }
--- a/crates/core/src/relay/machine/pace.rs
+++ b/crates/core/src/relay/machine/pace.rs
@@ -73,7 +73,7 @@
 
     /// Endpoints of a pool that get no call from this instance now: they are on hold, or
     /// they are cold or state a limit and other instances call them, or their last call was
-    /// too recent.
+    /// too recent; or neither this instance nor a peer reaches them.
     pub(super) fn withheld(
         &self,
         now: Duration,
@@ -91,8 +91,9 @@
             (pace.is_some() || endpoint.is_on_hold(now)).then_some((key, endpoint, pace))
         });
         let limited: Vec<_> = limited.collect();
+        let unreachable = self.unreachable_of(now, pool);
         if limited.is_empty() {
-            return Vec::new();
+            return unreachable;
         }
         let foreign = chooser.owned_by_others(&self.directory, &usable);
         let is_withheld = |(key, endpoint, pace): &(EndpointKey, &Endpoint, Option<Pace>)| {
@@ -105,7 +106,8 @@
             });
             is_paced || endpoint.is_on_hold(now)
         };
-        limited.into_iter().filter(is_withheld).map(|(key, ..)| key).collect()
+        let paced = limited.into_iter().filter(is_withheld).map(|(key, ..)| key);
+        paced.chain(unreachable).collect()
     }
 
     /// When an exchange may first call an endpoint again, if all untried ones are on hold;
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -140,7 +140,8 @@
             let Some(engine) = self.directory.get(endpoint) else { continue };
             // This request counts as a call too.
             let is_limited = engine.is_on_hold(now) || engine.limit().is_some();
-            if !is_limited && self.queried_engines.insert(endpoint) {
+            let is_reached = !self.paths.is_interrupted(endpoint);
+            if !is_limited && is_reached && self.queried_engines.insert(endpoint) {
                 let addr = engine.entry.addr.clone();
                 self.actions.push(Action::ListParts { endpoint, addr });
             }
--- a/crates/core/src/relay/machine/quarantine.rs
+++ b/crates/core/src/relay/machine/quarantine.rs
@@ -47,6 +47,11 @@
         self.gone_at.is_some_and(|at| now < at + CUT_RETENTION)
     }
 
+    /// Records that a probe of the endpoint is under way.
+    pub(super) fn mark_probed(&mut self) {
+        self.is_probed = true;
+    }
+
     fn add(&mut self, now: Duration, runs: Vec<Run>) {
         let cut = |run: Run| CutRun { content: run.content, at: now, is_late: run.is_late };
         self.runs.extend(runs.into_iter().map(cut));
@@ -99,6 +104,25 @@
 
     /// Takes in the result of probing an endpoint that cut runs.
     pub fn on_probe(&mut self, now: Duration, endpoint: EndpointKey, probed: ProbeResult) {
+        if !self.cut_runs.contains_key(&endpoint) {
+            return;
+        }
+        if probed == ProbeResult::There {
+            self.record_connected(now, endpoint);
+            self.conclude_probe(now, endpoint, probed);
+        } else if !self.ask_peers(now, endpoint, probed) {
+            self.conclude_probe(now, endpoint, probed);
+        }
+    }
+
+    /// Draws the conclusion from the probe of an endpoint. Where peers could be asked, one that
+    /// reaches other endpoints has confirmed that this one does not answer.
+    pub(super) fn conclude_probe(
+        &mut self,
+        now: Duration,
+        endpoint: EndpointKey,
+        probed: ProbeResult,
+    ) {
         let Some(cuts) = self.cut_runs.get_mut(&endpoint) else { return };
         cuts.is_probed = false;
         if probed == ProbeResult::Gone {
@@ -107,6 +131,11 @@
         }
     }
 
+    /// Runs were cut at an endpoint because the path to it is interrupted, not by its end.
+    pub(super) fn clear_cut_runs(&mut self, endpoint: EndpointKey) {
+        self.cut_runs.remove(&endpoint);
+    }
+
     /// An incarnation of an endpoint has ended without notice, together with these runs. Runs
     /// that are cut there from now on ended with it too.
     pub(super) fn record_endpoint_end(
--- a/crates/core/src/relay/machine/ranking.rs
+++ b/crates/core/src/relay/machine/ranking.rs
@@ -69,7 +69,10 @@
     }
 
     /// The peers in a region; all if it is `None`.
-    fn peers_in<'a>(&'a self, region: Option<&'a str>) -> impl Iterator<Item = &'a Peer> {
+    pub(super) fn peers_in<'a>(
+        &'a self,
+        region: Option<&'a str>,
+    ) -> impl Iterator<Item = &'a Peer> {
         self.peers.iter().filter(move |peer| self.is_peer_in(peer, region))
     }
 
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -283,6 +283,7 @@
         for order in planned {
             self.count_pieces(now, service, order.pieces.len(), track);
             let endpoint = order.endpoint;
+            let via = self.detour_to(now, endpoint);
             let call = self.calls.insert(CallState {
                 purpose: CallPurpose::Pieces,
                 endpoint,
@@ -290,6 +291,7 @@
                 tokens: 0,
                 run: None,
                 placer: None,
+                via: via.clone(),
                 answered_at: None,
                 overdue_at: None,
                 is_counted: false,
@@ -300,7 +302,8 @@
                 self.directory.get_mut(endpoint).expect("the directory has the planned endpoint");
             target.record_sent();
             let (endpoint, addr) = (target.entry.name.clone(), target.entry.addr.clone());
-            self.actions.push(Action::MakePieces { call, endpoint, addr, pieces: order.pieces });
+            let pieces = order.pieces;
+            self.actions.push(Action::MakePieces { call, endpoint, addr, via, pieces });
         }
     }
 
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     model::{DataCentre, EndpointName, Incarnation, InstanceName, Load, TeamName},
-    relay::{fingerprint::Fingerprint, region::RegionName, terms::Terms},
+    relay::{fingerprint::Fingerprint, paths::Detour, region::RegionName, terms::Terms},
 };
 
 /// A group of endpoints that serve the same routes or stages.
@@ -143,6 +143,8 @@
     pub endpoint: EndpointName,
     /// Where it listens, `ip:port`.
     pub addr: Arc<str>,
+    /// The peer that makes the call for this instance, if it needs one.
+    pub via: Option<Detour>,
     /// How much longer the caller waits.
     pub remaining: Duration,
     /// The team that the caller's key belongs to; `None` if there is no such team.
--- a/crates/core/src/relay/model/action.rs
+++ b/crates/core/src/relay/model/action.rs
@@ -10,8 +10,9 @@
         fingerprint::Fingerprint,
         model::{
             Call, CallKey, EndpointId, EndpointKey, ExchangeKey, Handle, HandoverKey, Piece,
-            PieceResult, PlacementRequest, Progress, Refusal, ServiceName,
+            PieceResult, PlacementRequest, ProbeResult, Progress, Refusal, ServiceName,
         },
+        paths::Detour,
         quarantine::Crash,
         rollout::{Evidence, RolloutRecord},
         terms::{Notice, Rate},
@@ -60,6 +61,8 @@
         endpoint: EndpointName,
         /// Where it listens.
         addr: Arc<str>,
+        /// The peer that makes the call for this instance, if it needs one.
+        via: Option<Detour>,
         /// The pieces.
         pieces: Vec<Piece>,
     },
@@ -125,6 +128,27 @@
         /// Where it listens.
         addr: Arc<str>,
     },
+    /// Ask peers whether they can connect to an endpoint; the answers are passed to
+    /// `Relay::on_path_answers`.
+    AskPeers {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// Its name and incarnation.
+        id: EndpointId,
+        /// How this instance's own attempt ended.
+        own: ProbeResult,
+        /// The peers.
+        peers: Vec<InstanceName>,
+    },
+    /// Open a new connection to find out whether the path to an endpoint works again.
+    CheckPath {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// Where it listens.
+        addr: Arc<str>,
+    },
+    /// Log and count that this instance reaches no endpoint any more, or does again.
+    CutOff(bool),
     /// Log and count that new connections to an endpoint have begun to fail, or to work again.
     PathChanged {
         /// The endpoint.
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -19,6 +19,7 @@
 mod leaving;
 mod limits;
 mod load;
+mod paths;
 mod peers;
 mod placing;
 mod policies;
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -314,7 +314,7 @@
     /// Removes all batches from the actions and returns them.
     pub fn batches(&mut self) -> Vec<Batch> {
         self.take(|action| match action {
-            Action::MakePieces { call, endpoint, addr, pieces } => {
+            Action::MakePieces { call, endpoint, addr, pieces, .. } => {
                 let (endpoint, addr, pieces) = (endpoint.clone(), addr.clone(), pieces.clone());
                 Some(Batch { call: *call, endpoint, addr, pieces })
             }
--- a/crates/core/tests/testsuite/relay/fuzz/oracle.rs
+++ b/crates/core/tests/testsuite/relay/fuzz/oracle.rs
@@ -12,6 +12,7 @@
         config::RequestKind,
         fingerprint::Fingerprint,
         model::{Action, CallKey, ExchangeKey, HandoverKey, Piece, RunNumber, Step::Answered},
+        paths::Reach,
         terms::Rate,
     },
 };
@@ -66,17 +67,26 @@
 /// Endpoints are still called for this long after most entries of their service disappeared.
 const MISSING_GRACE: Duration = Duration::from_millis(1500);
 
+/// What the peers answer, by the name of the endpoint.
+const REACHES: [Reach; 4] = [Reach::Unreached, Reach::Reached, Reach::CutOff, Reach::Unknown];
+
 /// Time between two calls of a cold endpoint.
 pub const COLD_INTERVAL: Duration = Duration::from_millis(150);
 
 impl Oracle {
     pub fn check(&mut self, world: &mut World) {
-        let mut queries = Vec::new();
+        let (mut queries, mut asked, mut checks) = (Vec::new(), Vec::new(), Vec::new());
         for action in std::mem::take(&mut world.actions) {
             match action {
                 Action::Quarantined { content, .. } => drop(self.quarantined.insert(content)),
                 Action::Released(content) => drop(self.quarantined.remove(&content)),
                 Action::QueryAnswered { content, .. } => queries.push(content),
+                Action::AskPeers { endpoint, id, own, peers } => {
+                    let number = id.name.bytes().map(usize::from).sum::<usize>();
+                    let answers = peers.into_iter().map(|peer| (peer, REACHES[number % 4]));
+                    asked.push((endpoint, own, answers.collect::<Vec<_>>()));
+                }
+                Action::CheckPath { endpoint, .. } => checks.push(endpoint),
                 Action::Send(call) => {
                     let content = self.contents.get(&call.exchange);
                     let is_quarantined =
@@ -93,7 +103,7 @@
                     self.endpoint_of.insert(call.key, call.endpoint.to_string());
                     self.calls.push((call.key, call.exchange));
                 }
-                Action::MakePieces { call, endpoint, addr, pieces } => {
+                Action::MakePieces { call, endpoint, addr, pieces, .. } => {
                     let is_quarantined =
                         pieces.iter().any(|piece| self.quarantined.contains(&piece.content));
                     assert!(!is_quarantined, "run although it is quarantined");
@@ -141,6 +151,16 @@
                 _ => {}
             }
         }
+        for (endpoint, own, answers) in asked {
+            world.relay.on_path_answers(world.now, endpoint, own, &answers);
+            world.collect();
+            self.check(world);
+        }
+        for endpoint in checks {
+            world.relay.on_path_check(world.now, endpoint, true);
+            world.collect();
+            self.check(world);
+        }
         for content in queries {
             let was_answered = content.0 % 2 == 0;
             world.relay.on_query_result(world.now, content, was_answered);
--- a/crates/core/tests/testsuite/relay/load/fleet/actions.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet/actions.rs
@@ -53,8 +53,12 @@
             | Action::EndpointLimit { .. }
             | Action::EndpointLeaving { .. }
             | Action::RecallPieces(_) => {}
-            // No endpoint of this fleet crashes, and nothing is rolled out.
+            // No endpoint of this fleet crashes or is cut off, and nothing is rolled out.
             Action::Probe { .. }
+            | Action::AskPeers { .. }
+            | Action::CheckPath { .. }
+            | Action::CutOff(_)
+            | Action::PathChanged { .. }
             | Action::EndpointCrashed { .. }
             | Action::ReportCrashes { .. }
             | Action::QueryAnswered { .. }
--- a/crates/core/tests/testsuite/relay/quarantine.rs
+++ b/crates/core/tests/testsuite/relay/quarantine.rs
@@ -18,6 +18,7 @@
         directory::Entry,
         fingerprint::Fingerprint,
         model::{Action, Arrival, Call, EndpointKey, Failure, Peer, ProbeResult},
+        paths::Reach,
         quarantine::{EARLY_PERIOD, WINDOW},
     },
 };
@@ -63,6 +64,20 @@
         world.relay.on_probe(world.now, endpoint, result);
         world.collect();
     }
+    confirm_probes(world);
+}
+
+/// Peers do not reach the probed endpoints either, but others.
+fn confirm_probes(world: &mut World) {
+    let asked = world.take(|action| match action {
+        Action::AskPeers { endpoint, own, peers, .. } => Some((*endpoint, *own, peers.clone())),
+        _ => None,
+    });
+    for (endpoint, own, peers) in asked {
+        let answers: Vec<_> = peers.into_iter().map(|peer| (peer, Reach::Unreached)).collect();
+        world.relay.on_path_answers(world.now, endpoint, own, &answers);
+        world.collect();
+    }
 }
 
 /// Submits the content, which crashes its endpoint.
--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -4,13 +4,14 @@
 
 use bytes::Bytes;
 use http::{Request, header};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use peatdeck_core::{
     model::{EndpointName, Load},
     relay::{
         events::Splitter,
-        model::{Call, CallKey, EndpointKey, Failure, Handle, Piece, PieceResult, ReplyHead},
+        model::{
+            Call, CallKey, EndpointKey, Failure, Handle, Piece, PieceResult, ProbeResult, ReplyHead,
+        },
+        paths::Detour,
     },
 };
 
@@ -18,7 +19,7 @@
     decisions,
     dialect::PostRequest,
     driver::{self, Driver, Reply},
-    pool::{self, Lease},
+    outgoing,
 };
 
 /// Largest whole reply that is forwarded to a caller, in bytes.
@@ -33,16 +34,38 @@
 /// Time limit of a call that frees results.
 const FREE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Why a call got no complete reply.
+struct Failed {
+    failure: Failure,
+    cause: String,
+    /// Whether a peer did not make the call, for a reason that does not concern the endpoint.
+    is_detour_refused: bool,
+}
+
+impl Failed {
+    fn new(failure: Failure, cause: impl ToString) -> Failed {
+        Failed { failure, cause: cause.to_string(), is_detour_refused: false }
+    }
+}
+
+impl From<outgoing::Error> for Failed {
+    fn from(error: outgoing::Error) -> Failed {
+        let is_detour_refused = error.is_detour_refused();
+        Failed { is_detour_refused, ..Failed::new(error.failure(), error) }
+    }
+}
+
 /// Makes a call for an exchange and reports the outcome to the machine.
 pub async fn run(driver: Rc<Driver>, call: Call) {
     let Some(request) = driver.request_of(call.exchange) else { return };
     let started = driver.now();
     let outcome = call_endpoint(&driver, &call, &request).await;
-    let Err((failure, cause)) = outcome else { return };
+    let Err(failed) = outcome else { return };
     let took = driver.now().saturating_sub(started).as_millis() as u64;
+    let Failed { failure, cause, is_detour_refused } = failed;
     decisions::log_failure(&request.id, &call.endpoint, failure, &cause, took);
     driver.metrics.count("relay.calls_failed", 1);
-    driver.on_call_failure(call.key, failure);
+    driver.on_call_failure(call.key, failure, is_detour_refused);
 }
 
 /// Probes whether an endpoint that cut calls has crashed or only its connections broke.
@@ -53,33 +76,39 @@
     driver.feed(|machine, now| machine.on_probe(now, endpoint, probed));
 }
 
+/// Tries whether a new connection to an endpoint can be opened again.
+pub async fn check_path(driver: Rc<Driver>, endpoint: EndpointKey, addr: Arc<str>) {
+    let is_open = driver.pool.probe(&addr).await == ProbeResult::There;
+    driver.feed(|machine, now| machine.on_path_check(now, endpoint, is_open));
+}
+
 async fn call_endpoint(
     driver: &Rc<Driver>,
     call: &Call,
     request: &driver::Request,
-) -> Result<(), (Failure, String)> {
+) -> Result<(), Failed> {
     let started = driver.now();
-    let outgoing = outgoing_request(driver, call, request);
-    let outgoing = outgoing.map_err(|error| (Failure::Unsent, error.to_string()))?;
-    let sent = driver.pool.send(&call.addr, outgoing).await;
-    let (response, lease) = sent.map_err(|error| (failure_of(&error), error.to_string()))?;
-    let (parts, body) = response.into_parts();
+    let request_out = outgoing_request(driver, call, request);
+    let request_out = request_out.map_err(|error| Failed::new(Failure::Unsent, error))?;
+    let sent = outgoing::send(driver, &call.addr, call.via.as_ref(), request_out).await;
+    let (parts, mut body) = sent?;
     let dialect = &driver.platform.dialect;
     let head = dialect.reply_head(&request.id, parts.status, &parts.headers);
     let took = driver.now().saturating_sub(started);
     driver.metrics.time("relay.first_byte", took);
     decisions::log_reply(&request.id, &call.endpoint, &head, took.as_millis() as u64);
     if !head.has_request_id {
-        return Err((Failure::Foreign, "the reply belongs to another request".to_owned()));
+        return Err(Failed::new(Failure::Foreign, "the reply belongs to another request"));
     }
     let headers = dialect.reply_headers(parts.headers);
     let mut reply = Reply { status: parts.status, headers, body: Bytes::new() };
     if driver.feed(|machine, now| machine.on_reply_head(now, call.key, &head)) {
         driver.store_head(call.key, reply);
-        return forward_stream(driver, call, body, lease).await;
+        return forward_stream(driver, call, body).await;
     }
-    reply.body = read_whole(body, MAX_REPLY_BYTES).await.map_err(|cause| (Failure::Cut, cause))?;
-    driver.pool.put_back(lease);
+    let whole = body.read_whole(MAX_REPLY_BYTES).await;
+    reply.body = whole.map_err(|cause| Failed::new(Failure::Cut, cause))?;
+    body.release(&driver.pool);
     driver.on_reply(call.key, &head, reply);
     Ok(())
 }
@@ -88,13 +117,11 @@
 async fn forward_stream(
     driver: &Rc<Driver>,
     call: &Call,
-    mut body: Incoming,
-    lease: Lease,
-) -> Result<(), (Failure, String)> {
+    mut body: outgoing::Body,
+) -> Result<(), Failed> {
     let mut splitter = Splitter::default();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| (Failure::Cut, error.to_string()))?;
-        let Ok(data) = frame.into_data() else { continue };
+    while let Some(data) = body.next_data().await {
+        let data = data.map_err(|cause| Failed::new(Failure::Cut, cause))?;
         splitter.push(&data);
         while let Some(event) = splitter.next_event() {
             if driver.feed(|machine, now| machine.on_stream_event(now, call.key, event.id)) {
@@ -103,9 +130,9 @@
         }
     }
     if !splitter.incomplete().is_empty() {
-        return Err((Failure::Cut, "the stream ended in the middle of an event".to_owned()));
+        return Err(Failed::new(Failure::Cut, "the stream ended in the middle of an event"));
     }
-    driver.pool.put_back(lease);
+    body.release(&driver.pool);
     driver.forget_call(call.key);
     driver.feed(|machine, now| machine.on_stream_end(now, call.key));
     Ok(())
@@ -117,15 +144,16 @@
     call: CallKey,
     endpoint: EndpointName,
     addr: Arc<str>,
+    via: Option<Detour>,
     pieces: Vec<Piece>,
 ) {
     let dialect = &driver.platform.dialect;
     let request = (dialect.encode_pieces)(&pieces, driver.now());
     let started = driver.now();
-    let posted = post(&driver, &addr, Some(&endpoint), request);
+    let posted = post(&driver, &addr, via.as_ref(), Some(&endpoint), request);
     let reply = match tokio::time::timeout(PIECES_TIMEOUT, posted).await {
         Ok(reply) => reply,
-        Err(_) => Err((Failure::Cut, "no reply in time".to_owned())),
+        Err(_) => Err(Failed::new(Failure::Cut, "no reply in time")),
     };
     let took = driver.now().saturating_sub(started).as_millis() as u64;
     driver.forget_call(call);
@@ -133,9 +161,12 @@
         driver.feed(|machine, now| machine.on_reply_terms(now, call, head));
     }
     match reply {
-        Err((failure, cause)) => {
+        Err(Failed { failure, cause, is_detour_refused }) => {
             tracing::warn!(event = "make_failed", call = ?call, endpoint = &*endpoint, failure = ?failure, cause, took_ms = took);
-            driver.feed(|machine, now| machine.on_pieces_failure(now, call, failure, false));
+            driver.feed(|machine, now| match is_detour_refused {
+                true => machine.on_detour_refused(now, call),
+                false => machine.on_pieces_failure(now, call, failure, false),
+            });
         }
         Ok((head, _)) if head.is_not_run => {
             tracing::info!(event = "make_refused", call = ?call, endpoint = &*endpoint, status = head.status, took_ms = took);
@@ -183,7 +214,8 @@
 /// Frees results at an endpoint. A failure is not retried, since results expire.
 pub async fn free_results(driver: Rc<Driver>, addr: Arc<str>, handles: Vec<Handle>) {
     let request = (driver.platform.dialect.encode_free)(&handles);
-    let posted = post(&driver, &addr, None, request);
+    let via = driver.feed(|machine, now| machine.detour_to_addr(now, &addr));
+    let posted = post(&driver, &addr, via.as_ref(), None, request);
     if !matches!(tokio::time::timeout(FREE_TIMEOUT, posted).await, Ok(Ok(_))) {
         driver.metrics.count("relay.frees_failed", 1);
     }
@@ -193,10 +225,10 @@
 /// assumed to hold none.
 pub async fn list_parts(driver: Rc<Driver>, endpoint: EndpointKey, addr: Arc<str>) {
     let path = driver.platform.dialect.parts_path;
-    let request = Request::get(path).header(header::HOST, &*addr).body(Full::default());
+    let request = Request::get(path).header(header::HOST, &*addr).body(Bytes::new());
     let listed = async {
-        let request = request.map_err(|error| (Failure::Unsent, error.to_string()))?;
-        fetch(&driver, &addr, request).await
+        let request = request.map_err(|error| Failed::new(Failure::Unsent, error))?;
+        fetch(&driver, &addr, None, request).await
     };
     let listed = match tokio::time::timeout(LIST_TIMEOUT, listed).await {
         Ok(Ok((head, body))) if head.status == 200 => (driver.platform.dialect.decode_parts)(&body),
@@ -213,9 +245,10 @@
 async fn post(
     driver: &Rc<Driver>,
     addr: &Arc<str>,
+    via: Option<&Detour>,
     endpoint: Option<&str>,
     post_request: PostRequest,
-) -> Result<(ReplyHead, Bytes), (Failure, String)> {
+) -> Result<(ReplyHead, Bytes), Failed> {
     let names = &driver.platform.dialect.names;
     let mut request = Request::post(post_request.path)
         .header(header::HOST, &**addr)
@@ -223,44 +256,34 @@
     if let Some(endpoint) = endpoint {
         request = request.header(&names.endpoint, endpoint);
     }
-    let request = request.body(Full::new(post_request.body));
-    let request = request.map_err(|error| (Failure::Unsent, error.to_string()))?;
-    fetch(driver, addr, request).await
+    let request = request.body(post_request.body);
+    let request = request.map_err(|error| Failed::new(Failure::Unsent, error))?;
+    fetch(driver, addr, via, request).await
 }
 
 /// Makes a call of the relay's own, for no caller, and reads its whole reply.
 async fn fetch(
     driver: &Rc<Driver>,
     addr: &Arc<str>,
-    request: Request<Full<Bytes>>,
-) -> Result<(ReplyHead, Bytes), (Failure, String)> {
+    via: Option<&Detour>,
+    request: Request<Bytes>,
+) -> Result<(ReplyHead, Bytes), Failed> {
     let dialect = &driver.platform.dialect;
-    let sent = driver.pool.send(addr, request).await;
-    let (response, lease) = sent.map_err(|error| (failure_of(&error), error.to_string()))?;
-    let (parts, body) = response.into_parts();
-    let body =
-        read_whole(body, MAX_OWN_REPLY_BYTES).await.map_err(|cause| (Failure::Cut, cause))?;
-    driver.pool.put_back(lease);
-    Ok((dialect.reply_head("", parts.status, &parts.headers), body))
+    let (parts, mut body) = outgoing::send(driver, addr, via, request).await?;
+    let whole = body.read_whole(MAX_OWN_REPLY_BYTES).await;
+    let whole = whole.map_err(|cause| Failed::new(Failure::Cut, cause))?;
+    body.release(&driver.pool);
+    Ok((dialect.reply_head("", parts.status, &parts.headers), whole))
 }
 
 fn outgoing_request(
     driver: &Driver,
     call: &Call,
     request: &driver::Request,
-) -> Result<Request<Full<Bytes>>, http::uri::InvalidUri> {
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
+) -> Result<Request<Bytes>, http::uri::InvalidUri> {
+    let mut outgoing = Request::new(request.body.clone());
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.target.parse()?;
     *outgoing.headers_mut() = driver.platform.dialect.call_headers(call, &request.headers);
     Ok(outgoing)
 }
-
-async fn read_whole(body: Incoming, limit: usize) -> Result<Bytes, String> {
-    let whole = Limited::new(body, limit).collect().await;
-    whole.map(|whole| whole.to_bytes()).map_err(|error| error.to_string())
-}
-
-fn failure_of(error: &pool::Error) -> Failure {
-    if error.is_unsent() { Failure::Unsent } else { Failure::Cut }
-}
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -76,6 +76,11 @@
             tracing::debug!(event = "list_parts", addr = &**addr);
         }
         Action::Probe { addr, .. } => tracing::debug!(event = "probe", addr = &**addr),
+        Action::AskPeers { id, .. } => {
+            tracing::debug!(event = "path_question", endpoint = &*id.name);
+        }
+        Action::CheckPath { addr, .. } => tracing::debug!(event = "path_check", addr = &**addr),
+        Action::CutOff(is_cut_off) => tracing::warn!(event = "cut_off", is_cut_off),
         Action::PathChanged { endpoint, is_open, unreachable, ready } => {
             let endpoint = &**endpoint;
             tracing::warn!(event = "path", endpoint, open = is_open, unreachable, ready);
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -390,9 +390,17 @@
     }
 
     /// A call failed before its reply was complete.
-    pub fn on_call_failure(self: &Rc<Self>, call: CallKey, failure: Failure) {
+    pub fn on_call_failure(
+        self: &Rc<Self>,
+        call: CallKey,
+        failure: Failure,
+        is_detour_refused: bool,
+    ) {
         self.forget_call(call);
-        self.feed(|machine, now| machine.on_call_failure(now, call, failure));
+        self.feed(|machine, now| match is_detour_refused {
+            true => machine.on_detour_refused(now, call),
+            false => machine.on_call_failure(now, call, failure),
+        });
     }
 
     /// A call's task has finished and need not be aborted any more.
@@ -462,10 +470,11 @@
                 self.count_refusal(refusal);
                 self.end(exchange, ReplyPart::Refused { refusal, retry_after });
             }
-            Action::MakePieces { call, endpoint, addr, pieces } => {
+            Action::MakePieces { call, endpoint, addr, via, pieces } => {
                 self.metrics.count("relay.piece_calls", 1);
                 self.metrics.count("relay.pieces", pieces.len() as u64);
-                self.spawn(call, calls::run_pieces(self.clone(), call, endpoint, addr, pieces));
+                let task = calls::run_pieces(self.clone(), call, endpoint, addr, via, pieces);
+                self.spawn(call, task);
             }
             Action::FreeResults { addr, handles } => {
                 ntex::rt::spawn(calls::free_results(self.clone(), addr, handles));
@@ -494,6 +503,15 @@
             Action::Probe { endpoint, addr } => {
                 ntex::rt::spawn(calls::probe(self.clone(), endpoint, addr));
             }
+            Action::AskPeers { endpoint, id, own, peers } => {
+                self.peers.ask_reach(self, endpoint, id, own, peers);
+            }
+            Action::CheckPath { endpoint, addr } => {
+                ntex::rt::spawn(calls::check_path(self.clone(), endpoint, addr));
+            }
+            Action::CutOff(is_cut_off) => {
+                self.metrics.gauge("relay.cut_off", u64::from(is_cut_off));
+            }
             Action::PathChanged { unreachable, .. } => {
                 self.metrics.gauge("relay.endpoints_unreachable", unreachable as u64);
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`front`]: callers' requests and the responses to them.
 //! - [`driver`]: the state machine and the resources that its actions use.
 //! - [`calls`]: calls to endpoints and their results.
+//! - [`outgoing`]: requests to endpoints, sent directly or through a peer.
 //! - [`pool`]: connections to endpoints and the platform.
 //! - [`dialect`]: headers and bodies exchanged with callers and endpoints.
 //! - [`native`]: the product's own dialect.
@@ -38,6 +39,7 @@
 pub mod front;
 pub mod native;
 pub mod operators;
+pub mod outgoing;
 pub mod peers;
 pub mod policy;
 pub mod pool;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -10,12 +10,14 @@
 //! - `regions`: how far peers are, and which instances take records from other regions.
 //! - [`remote`]: control traffic to other regions, counted and limited.
 //! - [`learn`]: receives the contents of the tables from peers.
+//! - [`detour`]: calls to endpoints that only peers reach.
 //! - `work`: pieces, placements and results.
 //! - `evidence`: counts of rollouts, for the instance that decides on them.
 //! - `verdicts`: contents that crash the endpoints that run them.
 //! - [`versions`]: configurations newer than the platform's table has.
 //! - `service`: the interface that this instance offers to its peers.
 
+pub mod detour;
 mod evidence;
 pub mod gossip;
 pub mod learn;
--- /dev/null
+++ b/crates/relay/src/peers/detour.rs
@@ -0,0 +1,295 @@
+//! Calls to endpoints that this instance cannot connect to: a peer makes them.
+//!
+//! The reply of the endpoint comes back piece by piece. It is whole only if the peer says so
+//! in the end, since a connection that just ends may have been cut on either way.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::{
+    StreamExt,
+    channel::mpsc,
+    future::{self, AbortHandle, Abortable, Either},
+};
+use http::{Request, Response, StatusCode, response};
+use http_body_util::{BodyExt, Full};
+use peatdeck_core::{
+    model::InstanceName,
+    relay::{
+        model::{EndpointId, EndpointKey, ProbeResult},
+        paths::{Detour, Reach},
+    },
+};
+use peatdeck_wire::{
+    detour as wire,
+    relay_capnp::{DetourEnd, relay, reply_sink},
+};
+
+use crate::{
+    driver::Driver,
+    outgoing,
+    peers::{EXCHANGE_TIMEOUT, Peers, remote::Kind, work},
+};
+
+/// Time limit for a peer to answer whether it reaches an endpoint: it tries to connect to two.
+const REACH_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest call. Callers' deadlines are shorter, and end a call by themselves.
+const CALL_TIMEOUT: Duration = Duration::from_secs(600);
+
+/// A part of a reply that comes through a peer.
+enum Part {
+    Head(response::Parts),
+    Data(Bytes),
+    End(Result<(), outgoing::Error>),
+}
+
+/// The body of a reply that comes through a peer. Dropping it cancels the call.
+pub struct Body {
+    parts: mpsc::UnboundedReceiver<Part>,
+    task: AbortHandle,
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Body {
+    /// The next bytes; `None` once the reply is whole.
+    pub async fn next_data(&mut self) -> Option<Result<Bytes, String>> {
+        match self.parts.next().await {
+            Some(Part::Data(data)) => Some(Ok(data)),
+            Some(Part::End(Ok(()))) => None,
+            Some(Part::End(Err(error))) => Some(Err(error.to_string())),
+            Some(Part::Head(_)) | None => Some(Err("the peer's reply broke off".to_owned())),
+        }
+    }
+}
+
+/// Has a peer send a request to an endpoint, and waits for the head of the reply.
+///
+/// # Errors
+/// Any [`outgoing::Error`].
+pub async fn send(
+    driver: &Rc<Driver>,
+    detour: &Detour,
+    request: Request<Bytes>,
+) -> Result<(response::Parts, Body), outgoing::Error> {
+    let (tx, parts) = mpsc::unbounded();
+    let (task, registration) = AbortHandle::new_pair();
+    let mut body = Body { parts, task };
+    let call = run_call(driver.clone(), detour.clone(), request, tx);
+    ntex::rt::spawn(Abortable::new(call, registration));
+    driver.metrics.count("relay.detours", 1);
+    match body.parts.next().await {
+        Some(Part::Head(head)) => Ok((head, body)),
+        Some(Part::End(Err(error))) => Err(error),
+        _ => Err(outgoing::Error::Cut("the peer sent no reply".to_owned())),
+    }
+}
+
+async fn run_call(
+    driver: Rc<Driver>,
+    detour: Detour,
+    request: Request<Bytes>,
+    parts: mpsc::UnboundedSender<Part>,
+) {
+    let end = call(&driver, &detour, &request, &parts).await;
+    // The receiver is gone if the call was cancelled.
+    parts.unbounded_send(Part::End(end)).ok();
+}
+
+async fn call(
+    driver: &Rc<Driver>,
+    detour: &Detour,
+    request: &Request<Bytes>,
+    parts: &mpsc::UnboundedSender<Part>,
+) -> Result<(), outgoing::Error> {
+    let refused = |cause: String| outgoing::Error::NoDetour(detour.peer.clone(), cause);
+    let addr = driver.peers.members.borrow().addr(&detour.peer);
+    let addr = addr.ok_or_else(|| refused("its address is not known".to_owned()))?;
+    let is_sent = std::cell::Cell::new(false);
+    let exchange = async |client: relay::Client| {
+        let mut message = client.detour_request();
+        message.get().set_endpoint(&*detour.endpoint.name);
+        message.get().set_incarnation(detour.endpoint.incarnation.0);
+        wire::write_request(request, message.get().init_request());
+        message.get().set_sink(capnp_rpc::new_client(Sink { parts: parts.clone() }));
+        is_sent.set(true);
+        let mut reply = message.send().promise;
+        loop {
+            let pause = Box::pin(tokio::time::sleep(work::PING_INTERVAL));
+            match future::select(reply, pause).await {
+                Either::Left((response, _)) => {
+                    let response = response?;
+                    let response = response.get()?;
+                    let end = response.get_end().map_err(capnp::Error::from)?;
+                    let cause =
+                        response.get_cause()?.to_str().map_err(capnp::Error::from)?.to_owned();
+                    return Ok((end, cause));
+                }
+                Either::Right((_, unfinished)) => reply = unfinished,
+            }
+            work::ping(&client).await?;
+        }
+    };
+    match driver.peers.links.exchange(&addr, CALL_TIMEOUT, exchange).await {
+        Ok((DetourEnd::Whole, _)) => Ok(()),
+        Ok((DetourEnd::Refused, cause)) => Err(refused(cause)),
+        Ok((DetourEnd::Unsent, cause)) => Err(outgoing::Error::Unsent(cause)),
+        Ok((DetourEnd::Cut, cause)) => Err(outgoing::Error::Cut(cause)),
+        Err(error) if is_sent.get() => Err(outgoing::Error::Cut(error.to_string())),
+        Err(error) => Err(refused(error.to_string())),
+    }
+}
+
+/// Receives the reply of an endpoint from a peer.
+struct Sink {
+    parts: mpsc::UnboundedSender<Part>,
+}
+
+impl reply_sink::Server for Sink {
+    async fn head(
+        self: Rc<Self>,
+        params: reply_sink::HeadParams,
+        _results: reply_sink::HeadResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let status = StatusCode::from_u16(params.get_status()).map_err(to_capnp_error)?;
+        let (mut head, ()) = Response::new(()).into_parts();
+        head.status = status;
+        head.headers = wire::read_headers(params.get_headers()?).map_err(to_capnp_error)?;
+        self.parts.unbounded_send(Part::Head(head)).map_err(to_capnp_error)
+    }
+
+    async fn data(
+        self: Rc<Self>,
+        params: reply_sink::DataParams,
+        _results: reply_sink::DataResults,
+    ) -> Result<(), capnp::Error> {
+        let data = Bytes::copy_from_slice(params.get()?.get_bytes()?);
+        self.parts.unbounded_send(Part::Data(data)).map_err(to_capnp_error)
+    }
+}
+
+/// Makes a call to an endpoint for a peer. Returns how it ended and why.
+pub async fn serve(
+    driver: &Rc<Driver>,
+    endpoint: &EndpointId,
+    request: Request<Bytes>,
+    sink: &reply_sink::Client,
+) -> (DetourEnd, String) {
+    let addr = driver.inspect(|machine| machine.detour_target(driver.now(), endpoint));
+    let Some(addr) = addr else {
+        return (DetourEnd::Refused, "the peer does not reach the endpoint".to_owned());
+    };
+    driver.metrics.count("relay.detours_served", 1);
+    let (response, lease) = match driver.pool.send(&addr, request.map(Full::new)).await {
+        Ok(sent) => sent,
+        Err(error) if error.is_unsent() => return (DetourEnd::Unsent, error.to_string()),
+        Err(error) => return (DetourEnd::Cut, error.to_string()),
+    };
+    match forward(response, sink).await {
+        Ok(()) => {
+            driver.pool.put_back(lease);
+            (DetourEnd::Whole, String::new())
+        }
+        Err(cause) => (DetourEnd::Cut, cause),
+    }
+}
+
+async fn forward(
+    response: Response<hyper::body::Incoming>,
+    sink: &reply_sink::Client,
+) -> Result<(), String> {
+    let (head, mut body) = response.into_parts();
+    let mut message = sink.head_request();
+    message.get().set_status(head.status.as_u16());
+    wire::write_headers(&head.headers, message.get().init_headers(head.headers.len() as u32));
+    message.send().promise.await.map_err(|error| error.to_string())?;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        let Ok(data) = frame.into_data() else { continue };
+        let mut message = sink.data_request();
+        message.get().set_bytes(&data);
+        message.send().promise.await.map_err(|error| error.to_string())?;
+    }
+    Ok(())
+}
+
+/// Answers a peer whether this instance can connect to an endpoint.
+pub async fn reach(driver: &Rc<Driver>, endpoint: &EndpointId) -> Reach {
+    if driver.inspect(|machine| machine.is_cut_off()) {
+        return Reach::CutOff;
+    }
+    let addr = driver.inspect(|machine| machine.detour_target(driver.now(), endpoint));
+    let Some(addr) = addr else { return Reach::Unknown };
+    if try_connect(driver, &addr).await {
+        return Reach::Reached;
+    }
+    let other = driver.feed(|machine, _| machine.another_endpoint(&addr));
+    match other {
+        Some(other) if driver.pool.can_open(&other).await => Reach::Unreached,
+        _ => Reach::CutOff,
+    }
+}
+
+async fn try_connect(driver: &Rc<Driver>, addr: &Arc<str>) -> bool {
+    let is_open = driver.pool.probe(addr).await == ProbeResult::There;
+    driver.feed(|machine, now| machine.on_connection(now, addr, is_open));
+    is_open
+}
+
+impl Peers {
+    /// Asks peers whether they can connect to an endpoint, and passes the answers to the
+    /// machine. The first peer that can is enough.
+    pub fn ask_reach(
+        &self,
+        driver: &Rc<Driver>,
+        endpoint: EndpointKey,
+        id: EndpointId,
+        own: ProbeResult,
+        peers: Vec<InstanceName>,
+    ) {
+        let driver = driver.clone();
+        ntex::rt::spawn(async move {
+            let questions = peers.iter().map(|peer| Box::pin(ask(&driver, peer, &id)));
+            let mut open: futures::stream::FuturesUnordered<_> = questions.collect();
+            let mut answers = Vec::new();
+            while let Some((peer, reach)) = open.next().await {
+                answers.push((peer, reach));
+                if reach == Reach::Reached {
+                    break;
+                }
+            }
+            drop(open);
+            tracing::info!(event = "path_asked", endpoint = &*id.name, answers = ?answers);
+            driver.feed(|machine, now| machine.on_path_answers(now, endpoint, own, &answers));
+        });
+    }
+}
+
+async fn ask(driver: &Rc<Driver>, peer: &InstanceName, id: &EndpointId) -> (InstanceName, Reach) {
+    let Some(addr) = driver.peers.members.borrow().addr(peer) else {
+        return (peer.clone(), Reach::Unknown);
+    };
+    let exchange = async |client: relay::Client| {
+        let mut request = client.reach_request();
+        request.get().set_endpoint(&*id.name);
+        request.get().set_incarnation(id.incarnation.0);
+        let size = || request.get().into_reader().total_size();
+        driver.peers.count_request(driver, &addr, Kind::Others, size);
+        let response = request.send().promise.await?;
+        let reach = response.get()?.get_answer().map_err(capnp::Error::from)?;
+        Ok(wire::read_reach(reach))
+    };
+    // As with placements, a slow reply must not close the connection.
+    let asked = driver.peers.links.exchange(&addr, EXCHANGE_TIMEOUT, exchange);
+    let answer = tokio::time::timeout(REACH_TIMEOUT, asked).await;
+    (peer.clone(), answer.map_or(Reach::Unknown, |answer| answer.unwrap_or(Reach::Unknown)))
+}
+
+fn to_capnp_error(error: impl ToString) -> capnp::Error {
+    capnp::Error::failed(error.to_string())
+}
--- a/crates/relay/src/peers/service.rs
+++ b/crates/relay/src/peers/service.rs
@@ -3,14 +3,19 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use futures::channel::oneshot;
-use peatdeck_core::relay::{Relay, table::Portion};
-use peatdeck_wire::{link, peer as peer_wire, relay as wire, relay_capnp::relay, rollout};
+use peatdeck_core::{
+    model::Incarnation,
+    relay::{Relay, model::EndpointId, table::Portion},
+};
+use peatdeck_wire::{
+    detour as detour_wire, link, peer as peer_wire, relay as wire, relay_capnp::relay, rollout,
+};
 use tokio::net::TcpListener;
 
 use crate::{
     driver::Driver,
     peers::{
-        gossip,
+        detour, gossip,
         remote::{self, Caller, Kind},
         versions,
     },
@@ -273,6 +278,35 @@
         Ok(())
     }
 
+    async fn reach(
+        self: Rc<Self>,
+        params: relay::ReachParams,
+        mut results: relay::ReachResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let endpoint = endpoint_id(params.get_endpoint()?, params.get_incarnation())?;
+        let reach = detour::reach(&self.driver, &endpoint).await;
+        results.get().set_answer(detour_wire::write_reach(reach));
+        let size = || results.get().into_reader().total_size();
+        self.caller.count_reply(&self.driver, Kind::Others, size);
+        Ok(())
+    }
+
+    async fn detour(
+        self: Rc<Self>,
+        params: relay::DetourParams,
+        mut results: relay::DetourResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let endpoint = endpoint_id(params.get_endpoint()?, params.get_incarnation())?;
+        let request = detour_wire::read_request(params.get_request()?).map_err(to_capnp_error)?;
+        let sink = params.get_sink()?;
+        let (end, cause) = detour::serve(&self.driver, &endpoint, request, &sink).await;
+        results.get().set_end(end);
+        results.get().set_cause(&*cause);
+        Ok(())
+    }
+
     async fn ping(
         self: Rc<Self>,
         _params: relay::PingParams,
@@ -282,6 +316,10 @@
     }
 }
 
+fn endpoint_id(name: capnp::text::Reader<'_>, incarnation: u64) -> capnp::Result<EndpointId> {
+    Ok(EndpointId { name: Arc::from(name.to_str()?), incarnation: Incarnation(incarnation) })
+}
+
 /// Pieces handed over by a peer that are running here. Dropping it before the results are
 /// returned, as when the peer cancels its call, recalls them.
 struct Ticket {
--- a/crates/relay/src/peers/work.rs
+++ b/crates/relay/src/peers/work.rs
@@ -23,7 +23,7 @@
 /// Time limit for a peer to answer a ping.
 const PING_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval of pings while a peer runs pieces of this instance.
-const PING_INTERVAL: Duration = Duration::from_millis(300);
+pub(super) const PING_INTERVAL: Duration = Duration::from_millis(300);
 /// Time limit for a peer to run the pieces handed over to it.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time limit of a placement request: somewhat above the longest round trip within a
@@ -259,7 +259,7 @@
     driver.peers.links.exchange(&addr, EXCHANGE_TIMEOUT, exchange).await
 }
 
-async fn ping(client: &relay::Client) -> Result<(), Error> {
+pub(super) async fn ping(client: &relay::Client) -> Result<(), Error> {
     let answer = client.ping_request().send().promise;
     match tokio::time::timeout(PING_TIMEOUT, answer).await {
         Ok(answer) => Ok(answer.map(|_| ())?),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -120,8 +120,8 @@
     pub reused: u64,
 }
 
-/// Called with the address of each new connection that a request needs, and whether it could
-/// be opened.
+/// Called with an address when a new connection has served a request (true), or could not be
+/// opened (false).
 pub type ConnectionObserver = Box<dyn Fn(&str, bool)>;
 
 /// A pool of idle connections, by address.
@@ -204,6 +204,9 @@
             }
             match sender.try_send_request(request).await {
                 Ok(response) => {
+                    if is_fresh {
+                        self.notify(addr, true);
+                    }
                     lease.max_idle = keep_alive_time(response.headers());
                     return Ok((response, lease));
                 }
@@ -228,17 +231,34 @@
             Ok(stream) => stream,
             Err(error) => return probe_failure(&error),
         };
-        let Ok(lease) = handshake(addr, stream).await else { return ProbeResult::Unknown };
+        let Ok(mut lease) = handshake(addr, stream).await else { return ProbeResult::Unknown };
         tokio::time::sleep(PROBE_PAUSE).await;
         if lease.connection.sender.is_closed() {
-            let again = open(addr).await;
-            return again.map_or_else(|error| probe_failure(&error), |_| ProbeResult::There);
+            let stream = match open(addr).await {
+                Ok(stream) => stream,
+                Err(error) => return probe_failure(&error),
+            };
+            let Ok(again) = handshake(addr, stream).await else { return ProbeResult::Unknown };
+            lease = again;
+            tokio::time::sleep(PROBE_PAUSE).await;
+            if lease.connection.sender.is_closed() {
+                return ProbeResult::Unknown;
+            }
         }
         self.count(true);
         self.put_back(Lease { max_idle: DEFAULT_IDLE_TIME, ..lease });
         ProbeResult::There
     }
 
+    /// Whether a connection to an address can be opened. It is kept for the next call.
+    pub async fn can_open(&self, addr: &Arc<str>) -> bool {
+        let Ok(stream) = open(addr).await else { return false };
+        let Ok(lease) = handshake(addr, stream).await else { return false };
+        self.count(true);
+        self.put_back(Lease { max_idle: DEFAULT_IDLE_TIME, ..lease });
+        true
+    }
+
     /// Returns a connection to the pool after its reply was read whole.
     pub fn put_back(&self, lease: Lease) {
         if lease.max_idle.is_zero() || lease.connection.sender.is_closed() {
@@ -284,12 +304,18 @@
 
     async fn connect(&self, addr: &Arc<str>) -> Result<Lease, Error> {
         let opened = open(addr).await;
-        if let Some(observer) = self.observer.get() {
-            observer(addr, opened.is_ok());
+        if opened.is_err() {
+            self.notify(addr, false);
         }
         handshake(addr, opened.map_err(|error| unsent(addr, error))?).await
     }
 
+    fn notify(&self, addr: &str, is_open: bool) {
+        if let Some(observer) = self.observer.get() {
+            observer(addr, is_open);
+        }
+    }
+
     fn count(&self, is_fresh: bool) {
         let mut counts = self.counts.borrow_mut();
         match is_fresh {
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -57,6 +57,51 @@
   evidence @12 (from :Text, evidence :Evidence) -> (decides :Bool, verdict :Verdict);
   # Sends the sender's counts of a rollout to the instance that decides on it. `verdict`
   # is valid only if the receiver decides on the service.
+
+  reach @13 (endpoint :Text, incarnation :UInt64) -> (answer :Reach);
+  # Asks whether the receiver can open a connection to an endpoint.
+
+  detour @14 (endpoint :Text, incarnation :UInt64, request :Request, sink :ReplySink)
+      -> (end :DetourEnd, cause :Text);
+  # Has the receiver make a call to an endpoint that the sender cannot connect to. The
+  # reply goes to `sink`; it is whole only if `end` says so. Dropping the call cancels it.
+}
+
+enum Reach {
+  unknown @0;
+  # The receiver does not use the endpoint.
+  reached @1;
+  unreached @2;
+  # The receiver reaches other endpoints.
+  cutOff @3;
+  # The receiver reaches no other endpoint either.
+}
+
+struct Request {
+  method @0 :Text;
+  target @1 :Text;
+  headers @2 :List(Header);
+  body @3 :Data;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Data;
+}
+
+interface ReplySink {
+  head @0 (status :UInt16, headers :List(Header)) -> ();
+  data @1 (bytes :Data) -> ();
+}
+
+enum DetourEnd {
+  whole @0;
+  refused @1;
+  # Nothing was sent: the receiver does not use the endpoint, or is cut off itself.
+  unsent @2;
+  # Nothing was sent: the receiver could not connect to the endpoint.
+  cut @3;
+  # The connection to the endpoint ended after bytes of the request were sent.
 }
 
 enum Phase {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`socket`]: socket options that detect dead connections.
 //! - [`peer`]: gossip between instances, Cap'n Proto.
 //! - [`relay`]: table copies and pieces between instances, Cap'n Proto.
+//! - [`detour`]: calls to endpoints through a peer, Cap'n Proto.
 //! - [`rollout`]: counts and verdicts of rollouts between instances, Cap'n Proto.
 //!
 //! These types only define the format. `peatdeck-core` interprets the values and
@@ -17,6 +18,7 @@
 
 pub mod admin;
 pub mod caller;
+pub mod detour;
 pub mod endpoint;
 pub mod link;
 pub mod operators;
--- a/crates/wire/src/relay_capnp.rs
+++ b/crates/wire/src/relay_capnp.rs
@@ -34,6 +34,10 @@
     pub type ConfigResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::config_results::Owned>;
     pub type EvidenceParams<> = ::capnp::capability::Params<crate::relay_capnp::relay::evidence_params::Owned>;
     pub type EvidenceResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::evidence_results::Owned>;
+    pub type ReachParams<> = ::capnp::capability::Params<crate::relay_capnp::relay::reach_params::Owned>;
+    pub type ReachResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::reach_results::Owned>;
+    pub type DetourParams<> = ::capnp::capability::Params<crate::relay_capnp::relay::detour_params::Owned>;
+    pub type DetourResults<> = ::capnp::capability::Results<crate::relay_capnp::relay::detour_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -122,6 +126,12 @@
         pub fn evidence_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay::evidence_params::Owned,crate::relay_capnp::relay::evidence_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 12, ::core::option::Option::None)
         }
+        pub fn reach_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay::reach_params::Owned,crate::relay_capnp::relay::reach_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 13, ::core::option::Option::None)
+        }
+        pub fn detour_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::relay::detour_params::Owned,crate::relay_capnp::relay::detour_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 14, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn gossip(self: ::capnp::capability::Rc<Self>, _: GossipParams<>, _: GossipResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::gossip not implemented".to_string()))) }
@@ -137,6 +147,8 @@
         fn queue(self: ::capnp::capability::Rc<Self>, _: QueueParams<>, _: QueueResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::queue not implemented".to_string()))) }
         fn config(self: ::capnp::capability::Rc<Self>, _: ConfigParams<>, _: ConfigResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::config not implemented".to_string()))) }
         fn evidence(self: ::capnp::capability::Rc<Self>, _: EvidenceParams<>, _: EvidenceResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::evidence not implemented".to_string()))) }
+        fn reach(self: ::capnp::capability::Rc<Self>, _: ReachParams<>, _: ReachResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::reach not implemented".to_string()))) }
+        fn detour(self: ::capnp::capability::Rc<Self>, _: DetourParams<>, _: DetourResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method relay::Server::detour not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -179,6 +191,8 @@
                 10 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::queue(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 11 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::config(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 12 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::evidence(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                13 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::reach(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                14 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::detour(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -6013,6 +6027,2608 @@
             pub(crate) const TYPE_ID: u64 = 0xec3a_c7b6_cb32_42c9;
         }
     }
+
+    pub mod reach_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_incarnation(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_incarnation(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_incarnation(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(243, 22, 110, 81, 248, 146, 96, 238),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 114, 101, 97, 99, 104, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(49, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+                ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0xee60_92f8_516e_16f3;
+        }
+    }
+
+    pub mod reach_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_answer(self) -> ::core::result::Result<crate::relay_capnp::Reach,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_answer(self) -> ::core::result::Result<crate::relay_capnp::Reach,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn set_answer(&mut self, value: crate::relay_capnp::Reach)  {
+                self.builder.set_data_field::<u16>(0, value as u16);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(176, 192, 38, 168, 13, 226, 248, 138),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 114, 101, 97, 99, 104, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 110, 115, 119, 101, 114, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(254, 121, 179, 195, 69, 145, 92, 230),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::relay_capnp::Reach as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x8af8_e20d_a826_c0b0;
+        }
+    }
+
+    pub mod detour_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_incarnation(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_request(self) -> ::capnp::Result<crate::relay_capnp::request::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_request(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn get_sink(self) -> ::capnp::Result<crate::relay_capnp::reply_sink::Client> {
+                match self.reader.get_pointer_field(2).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            }
+            #[inline]
+            pub fn has_sink(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_incarnation(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_incarnation(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_request(self) -> ::capnp::Result<crate::relay_capnp::request::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_request(&mut self, value: crate::relay_capnp::request::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            }
+            #[inline]
+            pub fn init_request(self, ) -> crate::relay_capnp::request::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+            }
+            #[inline]
+            pub fn has_request(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_sink(self) -> ::capnp::Result<crate::relay_capnp::reply_sink::Client> {
+                match self.builder.get_pointer_field(2).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            }
+            #[inline]
+            pub fn set_sink(&mut self, value: crate::relay_capnp::reply_sink::Client)  {
+                self.builder.reborrow().get_pointer_field(2).set_capability(value.client.hook);
+            }
+            #[inline]
+            pub fn has_sink(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_request(&self) -> crate::relay_capnp::request::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+            }
+            pub fn get_sink(&self) -> crate::relay_capnp::reply_sink::Client {
+                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(2).as_cap())
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(138, 132, 220, 251, 75, 137, 232, 235),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 100, 101, 116, 111, 117, 114),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+                ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(178, 134, 79, 196, 79, 94, 0, 204),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 105, 110, 107, 0, 0, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(139, 9, 68, 90, 140, 173, 116, 179),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::relay_capnp::request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <crate::relay_capnp::reply_sink::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2,3];
+            pub(crate) const TYPE_ID: u64 = 0xebe8_894b_fbdc_848a;
+        }
+    }
+
+    pub mod detour_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_end(self) -> ::core::result::Result<crate::relay_capnp::DetourEnd,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn get_cause(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_cause(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_end(self) -> ::core::result::Result<crate::relay_capnp::DetourEnd,::capnp::NotInSchema> {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn set_end(&mut self, value: crate::relay_capnp::DetourEnd)  {
+                self.builder.set_data_field::<u16>(0, value as u16);
+            }
+            #[inline]
+            pub fn get_cause(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_cause(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_cause(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_cause(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(169, 89, 160, 174, 144, 252, 225, 216),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
+                ::capnp::word(121, 46, 100, 101, 116, 111, 117, 114),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 100, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(201, 187, 42, 59, 41, 55, 249, 213),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 97, 117, 115, 101, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::relay_capnp::DetourEnd as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xd8e1_fc90_aea0_59a9;
+        }
+    }
+}
+
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    Unknown = 0,
+    Reached = 1,
+    Unreached = 2,
+    CutOff = 3,
+}
+
+impl ::capnp::introspect::Introspect for Reach {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&reach::ARENA, reach::get_annotation_types)).into() }
+}
+impl ::core::convert::From<Reach> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Reach) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&reach::ARENA, reach::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for Reach {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <Reach as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Unknown),
+            1 => ::core::result::Result::Ok(Self::Reached),
+            2 => ::core::result::Result::Ok(Self::Unreached),
+            3 => ::core::result::Result::Ok(Self::CutOff),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Reach> for u16 {
+    #[inline]
+    fn from(x: Reach) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for Reach {
+    const TYPE_ID: u64 = 0xe65c_9145_c3b3_79feu64;
+}
+mod reach {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(254, 121, 179, 195, 69, 145, 92, 230),
+    ::capnp::word(12, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 103, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+    ::capnp::word(112, 110, 112, 58, 82, 101, 97, 99),
+    ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
+    ::capnp::word(114, 101, 97, 99, 104, 101, 100, 0),
+    ::capnp::word(117, 110, 114, 101, 97, 99, 104, 101),
+    ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(99, 117, 116, 79, 102, 102, 0, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
+pub mod request {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_method(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_method(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_target(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_target(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_headers(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::header::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_headers(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_body(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 4 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_method(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_method(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_method(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_method(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_target(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_target(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_target(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_target(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_headers(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::header::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_headers(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::header::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_headers(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::header::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_headers(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(3).set_data(value);
+        }
+        #[inline]
+        pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(3).init_data(size)
+        }
+        #[inline]
+        pub fn has_body(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(178, 134, 79, 196, 79, 94, 0, 204),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 82, 101, 113, 117),
+            ::capnp::word(101, 115, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(109, 101, 116, 104, 111, 100, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 97, 100, 101, 114, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 165, 213, 212, 13, 190, 239, 221),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::relay_capnp::header::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,0,1];
+        pub(crate) const TYPE_ID: u64 = 0xcc00_5e4f_c44f_86b2;
+    }
+}
+
+pub mod header {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_name(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_name(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_value(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_name(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_name(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_name(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_name(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_value(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
+        }
+        #[inline]
+        pub fn init_value(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
+        }
+        #[inline]
+        pub fn has_value(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(117, 165, 213, 212, 13, 190, 239, 221),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 72, 101, 97, 100),
+            ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 97, 108, 117, 101, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xddef_be0d_d4d5_a575;
+    }
+}
+
+
+pub mod reply_sink {
+    #![allow(unused_variables)]
+    pub type HeadParams<> = ::capnp::capability::Params<crate::relay_capnp::reply_sink::head_params::Owned>;
+    pub type HeadResults<> = ::capnp::capability::Results<crate::relay_capnp::reply_sink::head_results::Owned>;
+    pub type DataParams<> = ::capnp::capability::Params<crate::relay_capnp::reply_sink::data_params::Owned>;
+    pub type DataResults<> = ::capnp::capability::Results<crate::relay_capnp::reply_sink::data_results::Owned>;
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl  ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook),  }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+        }
+    }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl  ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl  Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone(),  }
+        }
+    }
+    impl  Client {
+        pub fn head_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::reply_sink::head_params::Owned,crate::relay_capnp::reply_sink::head_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+        pub fn data_request(&self) -> ::capnp::capability::Request<crate::relay_capnp::reply_sink::data_params::Owned,crate::relay_capnp::reply_sink::data_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
+    }
+    pub trait Server<> : 'static  {
+        fn head(self: ::capnp::capability::Rc<Self>, _: HeadParams<>, _: HeadResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method reply_sink::Server::head not implemented".to_string()))) }
+        fn data(self: ::capnp::capability::Rc<Self>, _: DataParams<>, _: DataResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method reply_sink::Server::data not implemented".to_string()))) }
+    }
+    pub struct ServerDispatch<_T,> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
+        type Dispatch = ServerDispatch<_S, >;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
+            ServerDispatch { server: s,  }
+        }
+    }
+    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T { &self.server}
+    }
+    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
+    }
+    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::head(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::data(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xb374_ad8c_5a44_098b;
+    }
+
+    pub mod head_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_status(self) -> u16 {
+                self.reader.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn get_headers(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::header::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_headers(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_status(self) -> u16 {
+                self.builder.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn set_status(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(0, value);
+            }
+            #[inline]
+            pub fn get_headers(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::header::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_headers(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::header::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_headers(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::header::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_headers(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(203, 203, 63, 236, 186, 92, 121, 165),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 112, 108),
+                ::capnp::word(121, 83, 105, 110, 107, 46, 104, 101),
+                ::capnp::word(97, 100, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 97, 116, 117, 115, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 101, 97, 100, 101, 114, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 165, 213, 212, 13, 190, 239, 221),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::struct_list::Owned<crate::relay_capnp::header::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xa579_5cba_ec3f_cbcb;
+        }
+    }
+
+    pub mod head_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(112, 99, 159, 114, 75, 19, 121, 161),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 112, 108),
+                ::capnp::word(121, 83, 105, 110, 107, 46, 104, 101),
+                ::capnp::word(97, 100, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xa179_134b_729f_6370;
+        }
+    }
+
+    pub mod data_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_bytes(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_bytes(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_bytes(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_bytes(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_bytes(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(95, 180, 35, 36, 29, 222, 62, 140),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 82, 101, 112, 108),
+                ::capnp::word(121, 83, 105, 110, 107, 46, 100, 97),
+                ::capnp::word(116, 97, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 121, 116, 101, 115, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x8c3e_de1d_2423_b45f;
+        }
+    }
+
+    pub mod data_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(153, 181, 151, 165, 56, 236, 56, 255),
+                ::capnp::word(22, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
