A peer's failed connections keep no engine from the prompts of others

The same cause elsewhere: the placer of an engine took a report "not sent" of any instance for the engine's failure and avoided it, so an instance that was cut off from all engines had them avoided for everybody. An engine that has answered another call since is not avoided now. Test: failed before with the engine paused; an engine that nobody reached since is avoided as before.

--- a/crates/core/src/relay/directory/endpoint.rs
+++ b/crates/core/src/relay/directory/endpoint.rs
@@ -10,7 +10,7 @@
         backoff::{self, Backoff, Delays},
         directory::Entry,
         engine::EngineModel,
-        model::{EndpointId, Failure, Step},
+        model::{EndpointId, Failure, RunNumber, Step},
         region::RegionName,
         terms::{LimitReport, Notice, Rate},
     },
@@ -301,6 +301,12 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
+    /// Whether it has answered another call since a call was placed there.
+    pub fn has_answered_since(&self, number: RunNumber) -> bool {
+        let placed_at = self.engine.placed_at(number);
+        self.response_time.is_some() && placed_at.is_some_and(|at| self.answered_at > at)
+    }
+
     /// Forgets that calls failed: not the endpoint, but the path to it was the cause.
     pub fn clear_failures(&mut self) {
         self.failures = Backoff::default();
--- a/crates/core/src/relay/engine.rs
+++ b/crates/core/src/relay/engine.rs
@@ -133,6 +133,11 @@
         Some(now.saturating_sub(run.placed_at))
     }
 
+    /// When a call was placed; `None` if it has ended.
+    pub fn placed_at(&self, number: RunNumber) -> Option<Duration> {
+        self.runs.get(&number).map(|run| run.placed_at)
+    }
+
     /// Drops calls whose end was not reported.
     pub fn expire_runs(&mut self, now: Duration) {
         let is_lost = |run: &Run| now > run.placed_at + MAX_RUN_TIME;
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -32,8 +32,8 @@
         exchange::Exchange,
         machine::Relay,
         model::{
-            Action, EndpointId, EndpointKey, ExchangeKey, HeldParts, Placement, PlacementRequest,
-            Progress, Prompt, RunNumber, Step,
+            Action, EndpointId, EndpointKey, ExchangeKey, Failure, HeldParts, Placement,
+            PlacementRequest, Progress, Prompt, RunNumber, Step,
         },
         pool::{Pool, Track},
         reading::PrefillSpeed,
@@ -218,6 +218,22 @@
         number
     }
 
+    /// Takes in a peer's report on a call that this instance placed. A peer that could not
+    /// connect to an engine which has answered others meanwhile has an interrupted path; the
+    /// engine is not avoided for that.
+    pub fn on_peer_progress(&mut self, now: Duration, progress: Progress) {
+        let Progress { number, step } = progress;
+        let engine = self.runs.get(&number).and_then(|key| self.directory.get_mut(*key));
+        if let (Some(engine), Step::Failed(Failure::Unsent)) = (engine, step)
+            && engine.has_answered_since(number)
+        {
+            engine.engine.remove_run(now, number);
+            self.runs.remove(&number);
+            return;
+        }
+        self.on_progress(now, progress);
+    }
+
     /// Takes in the progress of a call that this instance placed.
     pub fn on_progress(&mut self, now: Duration, progress: Progress) {
         let Progress { number, step } = progress;
--- a/crates/core/tests/testsuite/relay/placing.rs
+++ b/crates/core/tests/testsuite/relay/placing.rs
@@ -8,8 +8,8 @@
         config::{Engine, RequestKind, Transfer},
         directory::{Change, Entry},
         model::{
-            Action, Arrival, EndpointId, ExchangeKey, HeldParts, Peer, Placement, PlacementRequest,
-            Progress, Step,
+            Action, Arrival, EndpointId, ExchangeKey, Failure, HeldParts, Peer, Placement,
+            PlacementRequest, Progress, Step,
         },
     },
 };
@@ -261,3 +261,33 @@
     assert_eq!(&*engine_chosen_beside_streams(4, Some(ms(100))), "b");
     assert_eq!(&*engine_chosen_beside_streams(4, None), "a");
 }
+
+/// A peer that is cut off from all engines reports calls that were not sent.
+#[test]
+fn a_peer_that_cannot_connect_keeps_no_engine_from_the_prompts_of_others() {
+    for has_answered in [false, true] {
+        let transfer = Some(Transfer { token_bytes: 160_000.0, rate: 32e6 });
+        let engine = Engine { slots: 64, memory: 300_000, max_gap: None, transfer };
+        let config = ConfigBuilder::new(1).engine_service("llm", engine);
+        let mut world = World::new(config.build());
+        world.put(entry("a", "llm"));
+        let request = PlacementRequest {
+            service: "llm".into(),
+            region: None,
+            prompt: prompt(1, 2),
+            inputs: Vec::new(),
+            excluded: Vec::new(),
+        };
+        let place = |world: &mut World| world.relay.place_prompt(world.now, &request).unwrap();
+        let (unsent, other) = (place(&mut world), place(&mut world));
+        world.advance(ms(50));
+        if has_answered {
+            let step = Step::Answered(None);
+            world.relay.on_peer_progress(world.now, Progress { number: other.number, step });
+        }
+        let step = Step::Failed(Failure::Unsent);
+        world.relay.on_peer_progress(world.now, Progress { number: unsent.number, step });
+        let engine = world.relay.directory().all().next().unwrap();
+        assert_eq!(engine.is_paused(world.now), !has_answered);
+    }
+}
--- a/crates/relay/src/peers/service.rs
+++ b/crates/relay/src/peers/service.rs
@@ -185,7 +185,7 @@
         self.driver.feed(|machine, now| {
             machine.on_peer_notices(now, &from, &notices);
             for one in progress {
-                machine.on_progress(now, one);
+                machine.on_peer_progress(now, one);
             }
         });
         Ok(())
