Log which parts the prompt of a request shares with others

Nothing told whether the interrupted runs of ended endpoints had a part of their prompts in common: the content of each is another one. No decision depends on it.

--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -179,6 +179,8 @@
     pub team: Option<TeamName>,
     /// Fingerprint of the request and its team.
     pub content: Fingerprint,
+    /// Ids of the parts of its prompt, without the one of its own; empty without a prompt.
+    pub parts: Vec<u64>,
     /// Time from the arrival to the deadline.
     pub wait: Duration,
     /// Number of pieces of each stage.
@@ -281,6 +283,7 @@
             service: exchange.service.clone(),
             team: exchange.team.clone(),
             content: exchange.content,
+            parts: shared_parts(&exchange.arrival),
             wait: exchange.deadline.saturating_sub(exchange.started_at),
             pieces: exchange.arrival.pieces.clone(),
         })
@@ -540,3 +543,9 @@
         self.retry_budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(config))
     }
 }
+
+/// Ids of the parts of a request's prompt, without the one of its own.
+fn shared_parts(arrival: &Arrival) -> Vec<u64> {
+    let parts = arrival.prompt.as_ref().map_or(&[][..], |prompt| prompt.shared());
+    parts.iter().map(|part| part.id).collect()
+}
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -33,6 +33,7 @@
         service = &*summary.service,
         team = summary.team.as_deref(),
         content = %summary.content,
+        parts = (!summary.parts.is_empty()).then(|| part_names(&summary.parts)),
         wait_ms = millis(summary.wait),
         pieces = ?summary.pieces,
         version = config.version,
@@ -40,6 +41,12 @@
     );
 }
 
+/// The first [`MAX_NAMED`] parts of a prompt, for a log line.
+fn part_names(parts: &[u64]) -> String {
+    let names = parts.iter().take(MAX_NAMED).map(|part| format!("{part:x}"));
+    names.collect::<Vec<_>>().join(" ")
+}
+
 /// Logs an action of the machine. `id` is the id that the caller gave its request,
 /// empty if the action concerns none.
 pub fn log_action(action: &Action, id: &str, config: ConfigState) {
