Failing test of a part of prompts that crashes endpoints

Two instances before 20 endpoints, each of which ends when it begins to answer a prompt with one part; no two requests are alike, sound ones share the caller and the first part.

--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -16,7 +16,10 @@
 use peatdeck_relay::{server::Control, surroundings::TableName};
 use peatdeck_wire::operators::QuarantinedContent;
 
-use crate::standins::{MemoryStore, Relay, ScriptedEndpoint, exchange, get, send, wait_for};
+use crate::standins::{
+    Conn, MemoryStore, ReceivedRequest, Relay, ScriptedEndpoint, exchange, get, send, stream_head,
+    wait_for,
+};
 
 /// Endpoints that one content may crash before it is quarantined, and as many that it may reach
 /// while the quarantine is on its way to the instances.
@@ -161,3 +164,35 @@
     }
     assert_eq!(send(relays[1].metrics, "DELETE", "/quarantine/none").status, 400);
 }
+
+/// Endpoints that a part of prompts may crash before it is quarantined, and those that it may
+/// reach while the quarantine is on its way to the instances.
+const MAX_CRASHED_BY_PART: usize = 5 + 3;
+
+fn prompt_status(front: SocketAddr, path: &str, parts: &str) -> u16 {
+    let headers = format!("peatdeck-tokens: 1000,50\r\npeatdeck-parts: {parts}\r\n");
+    exchange(front, path, &headers).status
+}
+
+/// No two of the requests are alike, and sound ones share their caller and their other parts.
+#[test]
+fn a_prompt_part_that_crashes_endpoints_is_quarantined_and_the_other_parts_are_not() {
+    let begin =
+        |conn: &mut Conn, request: &ReceivedRequest| conn.write(&stream_head(&request.id()));
+    let endpoints: Vec<_> =
+        (0..20).map(|_| ScriptedEndpoint::crashing_after(",bad:", begin)).collect();
+    let (_store, relays) = site(&endpoints);
+    for turn in 0..30 {
+        let front = relays[turn % 2].front;
+        let sound = prompt_status(
+            front,
+            &format!("/idempotent/s{turn}"),
+            &format!("a1:600,b2:200,{turn:x}:9"),
+        );
+        assert_eq!(sound, 200, "sound request {turn}");
+        let path = format!("/resumable/p{turn}");
+        prompt_status(front, &path, &format!("a1:600,bad:200,{turn:x}:9"));
+    }
+    let crashed = crashed(&endpoints, ",bad:");
+    assert!(crashed <= MAX_CRASHED_BY_PART, "{crashed} endpoints crashed on one part");
+}
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -41,8 +41,8 @@
 pub use clock::JumpingClock;
 pub use cut::{Cut, EndpointLinks};
 pub use endpoint::{
-    Conn, Reply, ScriptedEndpoint, event_chunk, exchange, full_reply, get, read_reply,
-    request_head, request_within, send, stream_head,
+    Conn, ReceivedRequest, Reply, ScriptedEndpoint, event_chunk, exchange, full_reply, get,
+    read_reply, request_head, request_within, send, stream_head,
 };
 pub use store::MemoryStore;
 
--- a/crates/relay/tests/relay/standins/endpoint.rs
+++ b/crates/relay/tests/relay/standins/endpoint.rs
@@ -50,6 +50,14 @@
     /// Starts an endpoint that answers requests until one has this word in its head. Then it
     /// crashes: it stops listening and closes all its connections.
     pub fn crashing_at(word: &'static str) -> ScriptedEndpoint {
+        ScriptedEndpoint::crashing_after(word, |_, _| {})
+    }
+
+    /// The same, but `begin` is called with the connection and the request before the crash.
+    pub fn crashing_after(
+        word: &'static str,
+        begin: fn(&mut Conn, &ReceivedRequest),
+    ) -> ScriptedEndpoint {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
         let received = Arc::new(Mutex::new(Vec::new()));
@@ -67,6 +75,7 @@
                     let mut conn = Conn { stream, buffer: Vec::new(), heads };
                     while let Some(request) = conn.read_request() {
                         if request.head.contains(word) {
+                            begin(&mut conn, &request);
                             is_over.store(true, Ordering::SeqCst);
                             // Wakes the listening thread.
                             TcpStream::connect(addr).ok();
