Quarantine parts of prompts that crash endpoints, not only whole contents

Cause: the memory of crashes was kept by whole content. Requests that share nothing but a part of their prompts each began anew: three ends each, and no two are alike. The class: memory of a failure that is scoped more narrowly than its cause (before: to the attempt).

Ruled out: overload (the interrupted runs that had just begun to be answered, 45 to 140 ms before, are of one route and team at each end; others were at the engines by chance), and a quarantine that is merely late (77 lines, no end).

Change: the parts of interrupted runs, but for the last, go through collectors, questions to the peers and announcements under fingerprints of their own, without the team. Four endpoints that ended as they began to answer a part are needed; runs that nobody had begun to answer weigh half. Answers clear the parts of sound requests: whole successes, and streams that have gone on for a second. Bounded to 16 parts a request.

The bound on suspects grows to 16,384, the test that fills it with it.

--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -29,6 +29,8 @@
     pub(crate) team: Option<TeamName>,
     /// Identifies what is requested, and for which team.
     pub(crate) content: Fingerprint,
+    /// Identify the parts of its prompt that other requests may share.
+    pub(crate) parts: Vec<Fingerprint>,
     pub(crate) priority: u8,
     /// When the request arrived.
     pub(crate) started_at: Duration,
@@ -76,6 +78,11 @@
         }
     }
 
+    /// The fingerprints under which it may be quarantined.
+    pub(crate) fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+        std::iter::once(self.content).chain(self.parts.iter().copied())
+    }
+
     /// The endpoints that may run the work of a service for it.
     pub(crate) fn pool_of(&self, service: &ServiceName) -> PoolKey {
         PoolKey { service: service.clone(), region: self.region.clone() }
--- a/crates/core/src/relay/fingerprint.rs
+++ b/crates/core/src/relay/fingerprint.rs
@@ -4,6 +4,9 @@
 //! caller sends. Two requests ask for the same work if method, host, path with query,
 //! body and team are equal. Headers are left out: deadlines and positions to resume
 //! from differ between attempts at the same work.
+//!
+//! A part that several prompts share has a fingerprint too, since it may be what makes
+//! requests with different contents fail.
 
 use std::fmt;
 
@@ -32,6 +35,12 @@
         digest(&[&self.0.to_be_bytes(), team.unwrap_or_default().as_bytes()])
     }
 
+    /// The fingerprint of a part of prompts for a service. It includes no team: what a part
+    /// does to an endpoint does not depend on who sends it.
+    pub fn of_part(service: &str, part: u64) -> Fingerprint {
+        digest(&[b"part", service.as_bytes(), &part.to_be_bytes()])
+    }
+
     /// Parses the form that logs contain; `None` if `text` is not a fingerprint.
     pub fn parse(text: &str) -> Option<Fingerprint> {
         let is_whole = text.len() == 32;
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -76,6 +76,8 @@
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
 /// How often the stages of an exchange are started at most.
 const MAX_ROUNDS: u8 = 2;
+/// Number of parts of a prompt that are watched for crashes; callers may send any number.
+const MAX_TRACKED_PARTS: usize = 16;
 /// Time limit of a request that states no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(600);
 
@@ -421,6 +423,8 @@
         }
         let service = route.target(self.rng.random()).ok_or(Refusal::Unserved)?.clone();
         let wait = arrival.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
+        let parts = shared_parts(&arrival).into_iter().take(MAX_TRACKED_PARTS);
+        let parts = parts.map(|part| Fingerprint::of_part(&service, part)).collect();
         let exchange = Exchange {
             graph: StageGraph::new(route, &arrival.pieces),
             route: route.clone(),
@@ -432,6 +436,7 @@
             region: self.directory.regions().work_region(&self.settings.data_centre),
             team: team.map(|team| team.name.clone()),
             content: arrival.content.for_team(team.map(|team| &*team.name)),
+            parts,
             priority: team.and_then(|team| team.priority).unwrap_or(route.priority),
             started_at: now,
             deadline: now + wait,
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -13,6 +13,7 @@
             ReplyHead, RunNumber, Step,
         },
         pool::Track,
+        quarantine,
         rollout::counting::Ending,
     },
 };
@@ -58,6 +59,10 @@
             self.actions.push(Action::BeginStream { exchange: key, call });
             self.free_results(key);
         }
+        let answered_at = self.calls[call].answered_at;
+        if answered_at.is_some_and(|at| now >= at + quarantine::EARLY_PERIOD) {
+            self.record_survival(now, key);
+        }
         self.time_out_due(now);
         true
     }
@@ -66,6 +71,7 @@
     pub fn on_stream_end(&mut self, now: Duration, call: CallKey) {
         let Some(key) = self.exchange_of(call) else { return };
         self.quarantine.record_answer(now, self.exchanges[key].content);
+        self.record_survival(now, key);
         self.count_ending(now, call, Ending::Complete);
         self.end_call(now, call, Step::Ended);
         if !self.exchanges[key].has_sent_head {
@@ -94,6 +100,9 @@
             self.directory.mark_leaving(now, endpoint);
         }
         let is_success = (200..300).contains(&head.status);
+        if is_success {
+            self.record_survival(now, key);
+        }
         let is_failure = head.status >= 500 || head.is_not_run;
         if !is_failure && (!is_success || head.is_sealed) {
             self.actions.push(Action::Answer { exchange: key, call });
--- a/crates/core/src/relay/machine/quarantine.rs
+++ b/crates/core/src/relay/machine/quarantine.rs
@@ -35,9 +35,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct CutRun {
-    content: Fingerprint,
+    run: Run,
     at: Duration,
-    is_late: bool,
 }
 
 impl CutRuns {
@@ -53,8 +52,7 @@
     }
 
     fn add(&mut self, now: Duration, runs: Vec<Run>) {
-        let cut = |run: Run| CutRun { content: run.content, at: now, is_late: run.is_late };
-        self.runs.extend(runs.into_iter().map(cut));
+        self.runs.extend(runs.into_iter().map(|run| CutRun { run, at: now }));
     }
 }
 
@@ -74,11 +72,15 @@
     pub(super) fn runs_of_call(&self, now: Duration, call: CallKey) -> Vec<Run> {
         let Some(state) = self.calls.get(call) else { return Vec::new() };
         let is_late = state.answered_at.is_some_and(|at| now >= at + quarantine::EARLY_PERIOD);
-        let run = |content| Run { content, is_late };
+        let run = |content| Run { content, is_late, is_part: false };
+        let is_weak = is_late || state.answered_at.is_none();
+        let part = |content| Run { content, is_late: is_weak, is_part: true };
         match state.purpose {
             CallPurpose::Pieces => self.batcher.contents_of(call).into_iter().map(run).collect(),
             CallPurpose::Exchange(key) => {
-                self.exchanges.get(key).map(|it| run(it.content)).into_iter().collect()
+                let Some(exchange) = self.exchanges.get(key) else { return Vec::new() };
+                let parts = exchange.parts.iter().copied().map(part);
+                std::iter::once(run(exchange.content)).chain(parts).collect()
             }
         }
     }
@@ -156,13 +158,14 @@
         cuts.gone_at = Some(now);
         let runs = std::mem::take(&mut cuts.runs);
         let recent = runs.into_iter().filter(|cut| now < cut.at + CUT_RETENTION);
-        let crash = |CutRun { content, at, is_late }| Crash {
+        let crash = |CutRun { run: Run { content, is_late, is_part }, at }| Crash {
             content,
             endpoint: endpoint.clone(),
             age: now.saturating_sub(at),
             is_late,
+            is_part,
         };
-        let crashes: Vec<_> = recent.map(crash).collect();
+        let crashes = distinct(recent.map(crash));
         if crashes.is_empty() {
             return;
         }
@@ -259,14 +262,29 @@
 
     /// How long an exchange's content remains quarantined; `None` if it may be sent.
     pub(super) fn quarantined_for(&self, now: Duration, key: ExchangeKey) -> Option<Duration> {
-        let hold = self.quarantine.get(self.exchanges[key].content)?;
+        let hold = self.quarantine.get(self.quarantined_fingerprint(key)?)?;
         Some(hold.until.saturating_sub(now))
     }
 
+    /// The fingerprint under which an exchange is quarantined; `None` if it is not.
+    fn quarantined_fingerprint(&self, key: ExchangeKey) -> Option<Fingerprint> {
+        let mut fingerprints = self.exchanges[key].fingerprints();
+        fingerprints.find(|content| self.quarantine.get(*content).is_some())
+    }
+
+    /// An endpoint has answered an exchange, or has been answering it for longer than it takes
+    /// a content to crash it.
+    pub(super) fn record_survival(&mut self, now: Duration, key: ExchangeKey) {
+        for part in &self.exchanges[key].parts {
+            self.quarantine.record_answer(now, *part);
+        }
+    }
+
     /// Refuses an exchange whose content is quarantined.
     pub(super) fn refuse_quarantined(&mut self, now: Duration, key: ExchangeKey) {
-        let content = self.exchanges[key].content;
-        if let Some(crashes) = self.quarantine.record_refusal(now, content) {
+        if let Some(content) = self.quarantined_fingerprint(key)
+            && let Some(crashes) = self.quarantine.record_refusal(now, content)
+        {
             self.actions.push(Action::WriteQuarantine { content, crashes });
         }
         self.give_up(now, key, Refusal::Quarantined);
@@ -286,8 +304,9 @@
     /// its endpoint survived the beginning of the run.
     fn stop_content(&mut self, now: Duration, content: Fingerprint) {
         let open = self.exchanges.iter();
-        let is_affected =
-            |exchange: &Exchange| exchange.content == content && !exchange.has_sent_head;
+        let is_affected = |exchange: &Exchange| {
+            exchange.fingerprints().any(|other| other == content) && !exchange.has_sent_head
+        };
         let open: Vec<_> = open.filter(|(_, it)| is_affected(it)).map(|(key, _)| key).collect();
         for key in open {
             self.stop_work(now, key);
@@ -335,4 +354,19 @@
 pub(super) struct Run {
     pub(super) content: Fingerprint,
     pub(super) is_late: bool,
+    /// Whether `content` identifies a part of prompts.
+    pub(super) is_part: bool,
+}
+
+/// One crash for each content: several runs at an endpoint may share a part. The strongest
+/// evidence counts.
+fn distinct(crashes: impl Iterator<Item = Crash>) -> Vec<Crash> {
+    let mut distinct: Vec<Crash> = Vec::new();
+    for crash in crashes {
+        match distinct.iter_mut().find(|known| known.content == crash.content) {
+            Some(known) => known.is_late &= crash.is_late,
+            None => distinct.push(crash),
+        }
+    }
+    distinct
 }
--- a/crates/core/src/relay/quarantine.rs
+++ b/crates/core/src/relay/quarantine.rs
@@ -17,6 +17,10 @@
 //! 4. Content that no caller has sent for a while is released; operators can release it
 //!    earlier.
 //!
+//! What crashes endpoints may also be a part that many prompts share, whatever else they hold.
+//! The parts of interrupted runs go the same way under fingerprints of their own. The other
+//! parts of the same requests are cleared by the answers to sound requests that share them.
+//!
 //! Pitfalls:
 //!
 //! - An interrupted run is not yet a crash: connections fail, and endpoints stop as
@@ -41,6 +45,9 @@
 /// interrupted twice, in four teams, although as far as is known one team's request was
 /// the cause.
 const CRASH_THRESHOLD: u32 = 3 * EARLY_WEIGHT;
+/// The same for a part of prompts, which is quarantined for requests of all contents: four
+/// endpoints that crashed as they began to answer it.
+const PART_THRESHOLD: u32 = 4 * EARLY_WEIGHT;
 /// The weight of a crash early in a run.
 const EARLY_WEIGHT: u32 = 2;
 /// The weight of a crash late in a run. Content that crashes endpoints as it begins has
@@ -55,9 +62,9 @@
 /// The range of the random delay of a release, so that one instance releases a content
 /// first, and thereby for all.
 const RELEASE_SPREAD: Duration = Duration::from_secs(60);
-/// The most contents whose crashes are stored. An endpoint that crashes has some 30 runs,
-/// so this covers more than a hundred crashes, in some 0.5 MB.
-const MAX_SUSPECTS: usize = 4096;
+/// The most contents and parts whose crashes are stored. An endpoint that crashes has some 30
+/// runs with up to three parts each, so this covers more than a hundred crashes, in some 2 MB.
+const MAX_SUSPECTS: usize = 16384;
 /// The most quarantined contents. Each costs a record of some 100 bytes at each instance,
 /// and more of them would indicate a fault of another kind.
 const MAX_QUARANTINED: usize = 1024;
@@ -74,8 +81,11 @@
     pub endpoint: EndpointId,
     /// How long ago the run was interrupted.
     pub age: Duration,
-    /// Whether the answer had begun more than [`EARLY_PERIOD`] before.
+    /// Whether it is weak evidence: the answer had begun more than [`EARLY_PERIOD`] before, or,
+    /// for a part of prompts, had not begun.
     pub is_late: bool,
+    /// Whether `content` identifies a part of prompts.
+    pub is_part: bool,
 }
 
 /// A content that is to be quarantined unless an endpoint has answered it.
@@ -121,7 +131,8 @@
     queried: HashSet<Fingerprint>,
     entries: HashMap<Fingerprint, QuarantineEntry>,
     answers: HashMap<Fingerprint, Duration>,
-    /// The same by time, oldest first. A content that was answered again occurs twice.
+    /// The same by the time of their first answer, or of the one that was known when they were
+    /// last looked at; each content once.
     answer_log: VecDeque<(Duration, Fingerprint)>,
 }
 
@@ -129,7 +140,7 @@
     /// Records a crash. Returns the content as a suspect once the weight of its crashes
     /// reaches the threshold.
     pub fn add_crash(&mut self, now: Duration, crash: &Crash) -> Option<Suspect> {
-        let Crash { content, endpoint, age, is_late } = crash;
+        let Crash { content, endpoint, age, is_late, is_part } = crash;
         let is_known = *content != Fingerprint::UNKNOWN;
         if !is_known || self.entries.contains_key(content) || *age > WINDOW {
             return None;
@@ -149,7 +160,8 @@
         let since = seen.iter().map(|seen| seen.at).min().unwrap_or(now);
         self.bound_suspects();
         let has_room = self.entries.len() < MAX_QUARANTINED;
-        let is_query_due = total >= CRASH_THRESHOLD && has_room && self.queried.insert(*content);
+        let threshold = if *is_part { PART_THRESHOLD } else { CRASH_THRESHOLD };
+        let is_query_due = total >= threshold && has_room && self.queried.insert(*content);
         is_query_due.then_some(Suspect { content: *content, since })
     }
 
@@ -174,13 +186,17 @@
     /// Records that an endpoint has answered a content.
     pub fn record_answer(&mut self, now: Duration, content: Fingerprint) {
         self.suspects.remove(&content);
-        self.answers.insert(content, now);
-        self.answer_log.push_back((now, content));
-        if self.answer_log.len() > MAX_ANSWERS
+        if self.answers.insert(content, now).is_none() {
+            self.answer_log.push_back((now, content));
+        }
+        while self.answers.len() > MAX_ANSWERS
             && let Some((at, oldest)) = self.answer_log.pop_front()
-            && self.answers.get(&oldest) == Some(&at)
         {
-            self.answers.remove(&oldest);
+            match self.answers.get(&oldest) {
+                // It was answered again and goes behind the others.
+                Some(newest) if *newest != at => self.answer_log.push_back((*newest, oldest)),
+                _ => drop(self.answers.remove(&oldest)),
+            }
         }
     }
 
--- a/crates/core/tests/testsuite/relay/quarantine.rs
+++ b/crates/core/tests/testsuite/relay/quarantine.rs
@@ -2,11 +2,12 @@
 //!
 //! Guards against a content that crashes one endpoint after another because nothing is remembered
 //! of it after its exchange has ended; `crashes` in the relay's tests describes the incident and
-//! tests whole instances. This module: what counts as a crash, how many are enough, and which
+//! tests whole instances. `parts`: parts of prompts. This module: what counts as a crash, how many are enough, and which
 //! content is not suspected. `work`: what happens to work in progress. `keeping`: who collects
 //! crashes, who is notified, and how long content stays quarantined.
 
 mod keeping;
+mod parts;
 mod work;
 
 use std::sync::Arc;
--- a/crates/core/tests/testsuite/relay/quarantine/keeping.rs
+++ b/crates/core/tests/testsuite/relay/quarantine/keeping.rs
@@ -47,7 +47,13 @@
     for (idx, name) in ["x", "y", "z"].into_iter().enumerate() {
         assert!(queries(&mut world).is_empty(), "after {idx}");
         let id = EndpointId { name: Arc::from(name), incarnation: Incarnation(1) };
-        let crash = Crash { content: team_content(), endpoint: id, age: ms(5), is_late: false };
+        let crash = Crash {
+            content: team_content(),
+            endpoint: id,
+            age: ms(5),
+            is_late: false,
+            is_part: false,
+        };
         world.relay.on_crash(world.now, &crash);
         world.relay.on_crash(world.now, &crash);
         world.collect();
@@ -71,7 +77,8 @@
     let mut world = quarantined_world(RequestKind::Once);
     assert_eq!(announcements(&mut world), 1);
     let id = EndpointId { name: Arc::from("x"), incarnation: Incarnation(1) };
-    let crash = Crash { content: team_content(), endpoint: id, age: ms(5), is_late: false };
+    let crash =
+        Crash { content: team_content(), endpoint: id, age: ms(5), is_late: false, is_part: false };
     world.relay.on_crash(world.now, &crash);
     world.collect();
     assert_eq!(announcements(&mut world), 1);
@@ -98,7 +105,7 @@
     for name in ["x", "y", "z"] {
         let id = EndpointId { name: Arc::from(name), incarnation: Incarnation(1) };
         let content = Fingerprint::UNKNOWN;
-        let crash = Crash { content, endpoint: id, age: ms(5), is_late: false };
+        let crash = Crash { content, endpoint: id, age: ms(5), is_late: false, is_part: false };
         world.relay.on_crash(world.now, &crash);
     }
     world.collect();
@@ -216,17 +223,18 @@
         endpoint: EndpointId { name: Arc::from(name), incarnation: Incarnation(1) },
         age: ms(age),
         is_late: false,
+        is_part: false,
     };
-    for content in 1..=6000 {
-        world.relay.on_crash(world.now, &crash(content, "x", 6000 - content as u64));
+    for content in 1..=20_000 {
+        world.relay.on_crash(world.now, &crash(content, "x", 20_000 - content as u64));
     }
     // The newest crashes are kept, the oldest are dropped.
     for name in ["y", "z"] {
-        world.relay.on_crash(world.now, &crash(6000, name, 0));
+        world.relay.on_crash(world.now, &crash(20_000, name, 0));
         world.relay.on_crash(world.now, &crash(1, name, 0));
     }
     world.collect();
-    assert_eq!(queries(&mut world), [Fingerprint(6000)]);
+    assert_eq!(queries(&mut world), [Fingerprint(20_000)]);
 }
 
 #[test]
@@ -235,8 +243,13 @@
     for content in 1..=3000 {
         for name in ["x", "y", "z"] {
             let id = EndpointId { name: Arc::from(name), incarnation: Incarnation(1) };
-            let crash =
-                Crash { content: Fingerprint(content), endpoint: id, age: ms(0), is_late: false };
+            let crash = Crash {
+                content: Fingerprint(content),
+                endpoint: id,
+                age: ms(0),
+                is_late: false,
+                is_part: false,
+            };
             world.relay.on_crash(world.now, &crash);
         }
         world.collect();
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -181,6 +181,8 @@
   ageMs @3 :UInt32;
   isLate @4 :Bool;
   # Whether the run had gone on for a while.
+  isPart @5 :Bool;
+  # Whether `content` identifies a part of prompts. False from an earlier build.
 }
 
 struct Progress {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -306,6 +306,7 @@
         to.set_incarnation(crash.endpoint.incarnation.0);
         to.set_age_ms(write_age(crash.age));
         to.set_is_late(crash.is_late);
+        to.set_is_part(crash.is_part);
     }
 }
 
@@ -320,6 +321,7 @@
         endpoint: EndpointId { name, incarnation: Incarnation(from.get_incarnation()) },
         age: Duration::from_millis(u64::from(from.get_age_ms())),
         is_late: from.get_is_late(),
+        is_part: from.get_is_part(),
     })
 }
 
--- a/crates/wire/src/relay_capnp.rs
+++ b/crates/wire/src/relay_capnp.rs
@@ -10849,6 +10849,10 @@
         pub fn get_is_late(self) -> bool {
             self.reader.get_bool_field(96)
         }
+        #[inline]
+        pub fn get_is_part(self) -> bool {
+            self.reader.get_bool_field(97)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -10959,6 +10963,14 @@
         pub fn set_is_late(&mut self, value: bool)  {
             self.builder.set_bool_field(96, value);
         }
+        #[inline]
+        pub fn get_is_part(self) -> bool {
+            self.builder.get_bool_field(97)
+        }
+        #[inline]
+        pub fn set_is_part(&mut self, value: bool)  {
+            self.builder.set_bool_field(97, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -10970,7 +10982,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(115, 225, 190, 220, 93, 228, 139, 178),
             ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
@@ -10980,49 +10992,56 @@
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 67, 114, 97, 115),
             ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 96, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 97, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 110, 116, 101, 110, 116, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -11065,6 +11084,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 80, 97, 114, 116, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -11073,6 +11100,7 @@
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -11086,9 +11114,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,2,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,1,2,4,5];
         pub(crate) const TYPE_ID: u64 = 0xb28b_e45d_dcbe_e173;
     }
 }
