A connection is dead after 2.2 s without an acknowledgement, not 1.2 s

A sound endpoint may be silent for a second or so. The timeout also ends keep-alive probes whatever their count, so an idle connection was closed at the probe after 1.2 s, that is after 2 s of silence, and one with unacknowledged bytes after 1.2 s; now 3 s and 2.2 s. Instances that are cut off notice by connections that fail and by their peers' answers. Not shown by a test: the loopback acknowledges whatever a stand-in does.

--- a/crates/wire/src/socket.rs
+++ b/crates/wire/src/socket.rs
@@ -11,8 +11,9 @@
 use tokio::net::TcpStream;
 
 /// Time after which unacknowledged bytes mean that the connection is dead. A lost
-/// packet is retransmitted several times within it.
-const ACK_TIMEOUT: Duration = Duration::from_millis(1200);
+/// packet is retransmitted several times within it, and a peer that is silent for a
+/// second or so goes on. It also ends the keep-alive probes, whatever their number.
+const ACK_TIMEOUT: Duration = Duration::from_millis(2200);
 /// Delay before and between keep-alive probes of an idle connection; the kernel's
 /// resolution is one second.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
