Call endpoints that refusals make fall over within their slots

New: endpoints may state in their replies how many calls a second they can refuse without falling over. While an endpoint states it, it gets no call when it probably has no room, counting an even share of its slots for each instance where all call it; after a refusal an instance avoids it for the number of instances divided by what it survives, 0.4 to 5 s.

--- a/crates/core/src/relay/directory/endpoint.rs
+++ b/crates/core/src/relay/directory/endpoint.rs
@@ -30,6 +30,11 @@
 const TRIAL_INTERVAL: Duration = Duration::from_secs(3);
 /// The longest such time. It doubles with each trial call that was still slow.
 const MAX_TRIAL_INTERVAL: Duration = Duration::from_secs(48);
+/// How long an endpoint counts as fragile after the last reply that stated it.
+const FRAGILE_TIME: Duration = Duration::from_secs(10);
+/// Range of the time for which an instance avoids a fragile endpoint that refused a call.
+const MIN_FRAGILE_PAUSE: Duration = Duration::from_millis(400);
+const MAX_FRAGILE_PAUSE: Duration = Duration::from_secs(5);
 /// The age beyond which a load report is ignored.
 const MAX_LOAD_AGE: Duration = Duration::from_secs(2);
 
@@ -79,6 +84,8 @@
     pub(in crate::relay) leaving_at: Option<Duration>,
     /// What it last stated about its limit; `None` if it never stated one.
     pub(in crate::relay) limit_report: Option<LimitReport>,
+    /// How many refusals per second it survives, and until when that is believed.
+    max_refusals: Option<(u32, Duration)>,
     /// The last time slot used for a call, if the rate of its calls is limited.
     pub(in crate::relay) last_slot: Option<Duration>,
 }
@@ -92,6 +99,7 @@
             leaving_at: None,
             limit_report: None,
             last_slot: None,
+            max_refusals: None,
             entry,
             region,
             in_flight: 0,
@@ -182,6 +190,31 @@
         before != report.limit
     }
 
+    /// Applies what a reply states about the refusals that it survives.
+    pub fn set_max_refusals(&mut self, now: Duration, max_refusals: Option<u32>) {
+        self.max_refusals = max_refusals.map(|max| (max, now + FRAGILE_TIME));
+    }
+
+    /// How many refusals per second it survives; `None` if it is not fragile.
+    pub fn max_refusals(&self, now: Duration) -> Option<u32> {
+        self.max_refusals.filter(|(_, until)| now < *until).map(|(max, _)| max)
+    }
+
+    /// Whether it is fragile and probably has no room for another call of this instance, which
+    /// may use `share` of its slots.
+    pub fn is_fragile_and_full(&self, now: Duration, share: u32) -> bool {
+        let is_full = || self.calls(now) >= self.entry.slots || self.in_flight >= share;
+        self.max_refusals(now).is_some() && is_full()
+    }
+
+    /// Avoids it after a refusal, so that `instances` callers cause no more refusals than it
+    /// survives.
+    pub fn avoid_refusals(&mut self, now: Duration, instances: u32) {
+        let Some(max) = self.max_refusals(now) else { return };
+        let pause = Duration::from_secs(u64::from(instances)) / max.max(1);
+        self.extend_hold(now, pause.clamp(MIN_FRAGILE_PAUSE, MAX_FRAGILE_PAUSE));
+    }
+
     /// Marks it as cold for `left` from now on, as it states itself. Returns whether it was
     /// not cold before.
     pub fn set_cold(&mut self, now: Duration, left: Duration) -> bool {
--- a/crates/core/src/relay/machine/pace.rs
+++ b/crates/core/src/relay/machine/pace.rs
@@ -73,7 +73,7 @@
 
     /// Endpoints of a pool that get no call from this instance now: they are on hold, or
     /// they are cold or state a limit and other instances call them, or their last call was
-    /// too recent; or neither this instance nor a peer reaches them.
+    /// too recent; or neither this instance nor a peer reaches them, or they are fragile and full.
     pub(super) fn withheld(
         &self,
         now: Duration,
@@ -91,9 +91,10 @@
             (pace.is_some() || endpoint.is_on_hold(now)).then_some((key, endpoint, pace))
         });
         let limited: Vec<_> = limited.collect();
-        let unreachable = self.unreachable_of(now, pool);
+        let mut barred = self.unreachable_of(now, pool);
+        barred.extend(self.fragile_and_full(now, &usable));
         if limited.is_empty() {
-            return unreachable;
+            return barred;
         }
         let foreign = chooser.owned_by_others(&self.directory, &usable);
         let is_withheld = |(key, endpoint, pace): &(EndpointKey, &Endpoint, Option<Pace>)| {
@@ -107,7 +108,23 @@
             is_paced || endpoint.is_on_hold(now)
         };
         let paced = limited.into_iter().filter(is_withheld).map(|(key, ..)| key);
-        paced.chain(unreachable).collect()
+        paced.chain(barred).collect()
+    }
+
+    /// Endpoints that refusals would make fall over, and that have no room for another call. An
+    /// endpoint that every instance calls itself is shared evenly, since load reports are late.
+    fn fragile_and_full(&self, now: Duration, usable: &[EndpointKey]) -> Vec<EndpointKey> {
+        let instances = self.instance_count() as u32;
+        let is_full = |key: &&EndpointKey| {
+            let Some(endpoint) = self.directory.get(**key) else { return false };
+            let slots = endpoint.entry.slots;
+            let share = match self.has_one_caller(&endpoint.entry.service) {
+                true => slots,
+                false => (slots / instances).max(1),
+            };
+            endpoint.is_fragile_and_full(now, share)
+        };
+        usable.iter().filter(is_full).copied().collect()
     }
 
     /// When an exchange may first call an endpoint again, if all untried ones are on hold;
--- a/crates/core/src/relay/machine/terms.rs
+++ b/crates/core/src/relay/machine/terms.rs
@@ -30,6 +30,7 @@
         }
         let Some(state) = self.calls.get(call) else { return };
         let (key, placer) = (state.endpoint, state.placer.clone());
+        let instances = self.instance_count() as u32;
         let Some(endpoint) = self.directory.get_mut(key) else { return };
         if let Some(cold_left) = head.terms.cold_left {
             endpoint.set_cold(now, cold_left);
@@ -37,6 +38,10 @@
         if let Some(hold) = head.terms.hold {
             endpoint.extend_hold(now, hold);
         }
+        endpoint.set_max_refusals(now, head.terms.max_refusals);
+        if head.is_refusal() {
+            endpoint.avoid_refusals(now, instances);
+        }
         let is_news = endpoint.update_limit(LimitReport { limit: head.terms.limit, at: now });
         let is_notable = is_news || endpoint.limit().is_some() || head.terms.is_leaving;
         if let (Some((peer, _)), true) = (placer, is_notable) {
@@ -46,7 +51,7 @@
         if is_news {
             self.report_limit(now, key, None);
         }
-        if head.terms.hold.is_some() {
+        if head.terms.hold.is_some() || head.terms.max_refusals.is_some() {
             self.pace_pieces(now, key);
         }
         if head.terms.is_leaving {
--- a/crates/core/src/relay/terms.rs
+++ b/crates/core/src/relay/terms.rs
@@ -43,6 +43,9 @@
     pub cold_left: Option<Duration>,
     /// The rate that it accepts from all instances together; `None` if it states no limit.
     pub limit: Option<Rate>,
+    /// The number of calls per second that it may refuse without falling over; `None` if it does
+    /// not state that it is fragile.
+    pub max_refusals: Option<u32>,
     /// Whether it is leaving and accepts no new work.
     pub is_leaving: bool,
     /// How long this instance is to send it nothing; `None` if it does not ask for that.
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -14,6 +14,7 @@
 mod events;
 mod fixture;
 mod forgotten;
+mod fragile;
 mod fuzz;
 mod intake;
 mod leaving;
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -168,6 +168,7 @@
         ours = head.has_request_id,
         load,
         limit = terms.limit.map(Rate::calls),
+        max_refusals = terms.max_refusals,
         leaving = terms.is_leaving.then_some(true),
         rest_ms = terms.hold.map(millis),
         took_ms
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -162,6 +162,8 @@
         Terms {
             cold_left: text(headers, &names.cold).and_then(cold_left),
             limit: text(headers, &names.limit).and_then(rate),
+            max_refusals: text(headers, &names.max_refusals)
+                .and_then(|text| text.trim().parse().ok()),
             is_leaving: text(headers, &names.leaving).is_some_and(|text| text.trim() != "0"),
             hold: hold.filter(|_| is_refusal),
         }
--- a/crates/relay/src/dialect/names.rs
+++ b/crates/relay/src/dialect/names.rs
@@ -71,6 +71,8 @@
     pub limit: HeaderName,
     /// States that an endpoint accepts no new work any more.
     pub leaving: HeaderName,
+    /// The number of calls per second that an endpoint may refuse without falling over.
+    pub max_refusals: HeaderName,
     /// Further headers that callers may set for endpoints.
     pub extra: Vec<HeaderName>,
     /// Further headers that endpoints act on and that neither side may set.
@@ -101,6 +103,7 @@
             cold,
             limit,
             leaving,
+            max_refusals,
             extra,
             reserved,
         } = self;
@@ -126,6 +129,7 @@
             rule(cold, Setter::Nobody, false),
             rule(limit, Setter::Nobody, false),
             rule(leaving, Setter::Nobody, false),
+            rule(max_refusals, Setter::Nobody, false),
         ];
         let extra = extra.iter().map(move |name| rule(name, Setter::Caller, true));
         let reserved = reserved.iter().map(move |name| rule(name, Setter::Nobody, false));
--- a/crates/relay/src/native.rs
+++ b/crates/relay/src/native.rs
@@ -99,6 +99,7 @@
             cold: name("peatdeck-cold-ms"),
             limit: name("peatdeck-limit"),
             leaving: name("peatdeck-leaving"),
+            max_refusals: name("peatdeck-max-refusals"),
             extra: Vec::new(),
             // How much memory an engine keeps free, and from whose memory it continues a run.
             reserved: vec![name("peatdeck-hold"), name("peatdeck-from")],
