--- a/crates/core/src/relay/machine/quarantine.rs
+++ b/crates/core/src/relay/machine/quarantine.rs
@@ -282,10 +282,11 @@
 
     /// Refuses an exchange whose content is quarantined.
     pub(super) fn refuse_quarantined(&mut self, now: Duration, key: ExchangeKey) {
-        if let Some(content) = self.quarantined_fingerprint(key)
-            && let Some(crashes) = self.quarantine.record_refusal(now, content)
-        {
-            self.actions.push(Action::WriteQuarantine { content, crashes });
+        if let Some(content) = self.quarantined_fingerprint(key) {
+            self.actions.push(Action::QuarantineHit { exchange: key, content });
+            if let Some(crashes) = self.quarantine.record_refusal(now, content) {
+                self.actions.push(Action::WriteQuarantine { content, crashes });
+            }
         }
         self.give_up(now, key, Refusal::Quarantined);
     }
--- a/crates/core/src/relay/model/action.rs
+++ b/crates/core/src/relay/model/action.rs
@@ -191,6 +191,13 @@
         /// The number of endpoints that crashed while they ran it.
         crashes: u32,
     },
+    /// Log which quarantined content or part of prompts an exchange is refused for.
+    QuarantineHit {
+        /// The exchange.
+        exchange: ExchangeKey,
+        /// The content or part.
+        content: Fingerprint,
+    },
     /// Announce to all peers that a content is quarantined, and write the platform's record
     /// of it.
     AnnounceQuarantine {
--- a/crates/core/tests/testsuite/relay/load/fleet/actions.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet/actions.rs
@@ -64,6 +64,7 @@
             | Action::QueryAnswered { .. }
             | Action::SuspicionCleared(_)
             | Action::Quarantined { .. }
+            | Action::QuarantineHit { .. }
             | Action::AnnounceQuarantine { .. }
             | Action::WriteQuarantine { .. }
             | Action::DeleteQuarantine(_)
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -103,6 +103,9 @@
         Action::Quarantined { content, crashes } => {
             tracing::warn!(event = "quarantined", %content, crashes);
         }
+        Action::QuarantineHit { content, .. } => {
+            tracing::info!(event = "quarantine_hit", id, %content);
+        }
         Action::AnnounceQuarantine { content, .. } => {
             tracing::debug!(event = "quarantine_told", %content)
         }
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -539,6 +539,7 @@
                 let count = self.inspect(|machine| machine.quarantined().count());
                 self.metrics.gauge("relay.quarantined", count as u64);
             }
+            Action::QuarantineHit { .. } => {}
             Action::SuspicionCleared(_) => self.metrics.count("relay.quarantines_dropped", 1),
             Action::EndpointLeaving { .. } => self.metrics.count("relay.endpoints_leaving", 1),
             Action::EndpointLimit { .. } => {
@@ -572,6 +573,7 @@
             Action::Answer { exchange, .. }
             | Action::BeginStream { exchange, .. }
             | Action::Refuse { exchange, .. }
+            | Action::QuarantineHit { exchange, .. }
             | Action::FinishStream(exchange)
             | Action::AbortStream(exchange) => Some(*exchange),
             _ => None,
