A part that was answered lately needs six crashes to be quarantined

Callers would have seen: sound requests refused for ten minutes, because the part that they share with those that crash endpoints was quarantined with the true cause.

Cause: all parts of the requests that crashed endpoints reach four crashes together, and a shared one was cleared only by an answer since the first of them. Where the crashes follow each other quickly, there is none yet.

Change: after four crashes answers of the last two minutes count; a part that has one is only quarantined after six crashes without an answer since the first. An answer that comes while the peers are asked clears too (before, it left a verdict of no crashes). Ruled out: crashing endpoints that the sound request met (it was refused with the time of a quarantine).

--- a/crates/core/src/relay/machine/quarantine.rs
+++ b/crates/core/src/relay/machine/quarantine.rs
@@ -13,7 +13,7 @@
         fingerprint::Fingerprint,
         machine::Relay,
         model::{Action, CallKey, EndpointKey, ExchangeKey, ProbeResult, Refusal},
-        quarantine::{self, Crash, QuarantineEntry, Suspect},
+        quarantine::{self, Crash, QuarantineEntry, QueryOutcome, Suspect},
     },
 };
 
@@ -202,12 +202,13 @@
     /// All reachable instances have reported whether an endpoint answered the content for
     /// them since its first crash.
     pub fn on_query_result(&mut self, now: Duration, content: Fingerprint, was_answered: bool) {
-        if was_answered {
-            self.actions.push(Action::SuspicionCleared(content));
-        }
-        if let Some(crashes) = self.quarantine.finish_query(content, was_answered) {
-            self.quarantine_content(now, content, crashes);
-            self.actions.push(Action::AnnounceQuarantine { content, crashes });
+        match self.quarantine.finish_query(content, was_answered) {
+            QueryOutcome::Unasked | QueryOutcome::Deferred => {}
+            QueryOutcome::Cleared => self.actions.push(Action::SuspicionCleared(content)),
+            QueryOutcome::Guilty(crashes) => {
+                self.quarantine_content(now, content, crashes);
+                self.actions.push(Action::AnnounceQuarantine { content, crashes });
+            }
         }
     }
 
--- a/crates/core/src/relay/quarantine.rs
+++ b/crates/core/src/relay/quarantine.rs
@@ -35,7 +35,7 @@
     time::Duration,
 };
 
-use peatdeck_macros::data;
+use peatdeck_macros::{data, id};
 
 use crate::relay::{fingerprint::Fingerprint, model::EndpointId};
 
@@ -45,9 +45,14 @@
 /// interrupted twice, in four teams, although as far as is known one team's request was
 /// the cause.
 const CRASH_THRESHOLD: u32 = 3 * EARLY_WEIGHT;
-/// The same for a part of prompts, which is quarantined for requests of all contents: four
-/// endpoints that crashed as they began to answer it.
+/// The same for a part of prompts that no endpoint has answered lately: four endpoints that
+/// crashed as they began to answer it.
 const PART_THRESHOLD: u32 = 4 * EARLY_WEIGHT;
+/// The same for a part that was answered lately, before the crashes or between them. Sound
+/// requests may share it with those that crash endpoints, and are answered sooner or later.
+const KNOWN_PART_THRESHOLD: u32 = 6 * EARLY_WEIGHT;
+/// How long ago an answer still shows that a part was sound.
+const HISTORY: Duration = Duration::from_secs(120);
 /// The weight of a crash early in a run.
 const EARLY_WEIGHT: u32 = 2;
 /// The weight of a crash late in a run. Content that crashes endpoints as it begins has
@@ -94,7 +99,7 @@
 pub struct Suspect {
     /// The content.
     pub content: Fingerprint,
-    /// When the first of its crashes happened.
+    /// The time since which an answer matters: that of the first of its crashes, or earlier.
     pub since: Duration,
 }
 
@@ -116,6 +121,52 @@
     pub is_recorded: bool,
 }
 
+/// How a query for answers to a content ended.
+#[id]
+#[derive(Copy)]
+pub enum QueryOutcome {
+    /// Nobody had asked.
+    Unasked,
+    /// An answer clears it.
+    Cleared,
+    /// An answer that may be older than the crashes: more of them are needed.
+    Deferred,
+    /// It is to be quarantined: the number of endpoints that it crashed.
+    Guilty(u32),
+}
+
+/// What is known against a content or part.
+#[derive(Debug, Default)]
+struct Suspicion {
+    crashes: Vec<SeenCrash>,
+    is_part: bool,
+    /// Whether it is a part that was answered lately.
+    is_known: bool,
+}
+
+impl Suspicion {
+    fn threshold(&self) -> u32 {
+        match (self.is_part, self.is_known) {
+            (false, _) => CRASH_THRESHOLD,
+            (true, false) => PART_THRESHOLD,
+            (true, true) => KNOWN_PART_THRESHOLD,
+        }
+    }
+
+    fn weight(&self) -> u32 {
+        self.crashes.iter().map(|seen| seen.weight).sum()
+    }
+
+    /// The time since which an answer matters.
+    fn since(&self, now: Duration) -> Duration {
+        let first = self.crashes.iter().map(|seen| seen.at).min().unwrap_or(now);
+        match self.is_part && !self.is_known {
+            true => first.min(now.saturating_sub(HISTORY)),
+            false => first,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct SeenCrash {
     endpoint: EndpointId,
@@ -126,7 +177,7 @@
 /// Suspected and quarantined contents, and the evidence for and against them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    suspects: HashMap<Fingerprint, Vec<SeenCrash>>,
+    suspects: HashMap<Fingerprint, Suspicion>,
     /// Contents about which all instances are being queried.
     queried: HashSet<Fingerprint>,
     entries: HashMap<Fingerprint, QuarantineEntry>,
@@ -146,7 +197,9 @@
             return None;
         }
         let weight = if *is_late { LATE_WEIGHT } else { EARLY_WEIGHT };
-        let seen = self.suspects.entry(*content).or_default();
+        let suspicion = self.suspects.entry(*content).or_default();
+        suspicion.is_part = *is_part;
+        let seen = &mut suspicion.crashes;
         seen.retain(|seen| now < seen.at + WINDOW);
         match seen.iter_mut().find(|seen| seen.endpoint == *endpoint) {
             Some(known) => known.weight = known.weight.max(weight),
@@ -156,31 +209,34 @@
                 weight,
             }),
         }
-        let total: u32 = seen.iter().map(|seen| seen.weight).sum();
-        let since = seen.iter().map(|seen| seen.at).min().unwrap_or(now);
+        let is_enough = suspicion.weight() >= suspicion.threshold();
+        let since = suspicion.since(now);
         self.bound_suspects();
         let has_room = self.entries.len() < MAX_QUARANTINED;
-        let threshold = if *is_part { PART_THRESHOLD } else { CRASH_THRESHOLD };
-        let is_query_due = total >= threshold && has_room && self.queried.insert(*content);
+        let is_query_due = is_enough && has_room && self.queried.insert(*content);
         is_query_due.then_some(Suspect { content: *content, since })
     }
 
-    /// Ends the query for answers to a content. Returns the number of endpoints that it
-    /// crashed if it is to be quarantined.
-    pub fn finish_query(&mut self, content: Fingerprint, was_answered: bool) -> Option<u32> {
+    /// Ends the query for answers to a content.
+    pub fn finish_query(&mut self, content: Fingerprint, was_answered: bool) -> QueryOutcome {
         if !self.queried.remove(&content) {
-            return None;
+            return QueryOutcome::Unasked;
         }
-        if was_answered {
-            self.suspects.remove(&content);
-            return None;
+        let suspicion = self.suspects.get_mut(&content);
+        match suspicion {
+            Some(part) if was_answered && part.is_part && !part.is_known => {
+                part.is_known = true;
+                QueryOutcome::Deferred
+            }
+            Some(suspicion) if !was_answered => {
+                QueryOutcome::Guilty(suspicion.crashes.len() as u32)
+            }
+            // It was answered, also here while the peers were asked.
+            _ => {
+                self.suspects.remove(&content);
+                QueryOutcome::Cleared
+            }
         }
-        Some(self.crashes_of(content))
-    }
-
-    /// The number of incarnations known to have crashed while they ran a content.
-    fn crashes_of(&self, content: Fingerprint) -> u32 {
-        self.suspects.get(&content).map_or(0, |seen| seen.len() as u32)
     }
 
     /// Records that an endpoint has answered a content.
@@ -264,7 +320,7 @@
     /// platform's table does not contain, and returns the others, which stay quarantined
     /// until their records are removed.
     pub fn expire(&mut self, now: Duration) -> Vec<Fingerprint> {
-        self.suspects.retain(|_, seen| seen.iter().any(|seen| now < seen.at + WINDOW));
+        self.suspects.retain(|_, it| it.crashes.iter().any(|seen| now < seen.at + WINDOW));
         let expired = self.entries.iter().filter(|(_, entry)| entry.until <= now);
         let expired: Vec<_> =
             expired.map(|(content, entry)| (*content, entry.is_recorded)).collect();
@@ -286,8 +342,8 @@
         if self.suspects.len() <= MAX_SUSPECTS {
             return;
         }
-        let newest = |seen: &Vec<SeenCrash>| seen.iter().map(|seen| seen.at).max();
-        let oldest = self.suspects.iter().min_by_key(|(_, seen)| newest(seen));
+        let newest = |it: &Suspicion| it.crashes.iter().map(|seen| seen.at).max();
+        let oldest = self.suspects.iter().min_by_key(|(_, suspicion)| newest(suspicion));
         if let Some(content) = oldest.map(|(content, _)| *content) {
             self.suspects.remove(&content);
         }
--- a/crates/core/tests/testsuite/relay/quarantine/parts.rs
+++ b/crates/core/tests/testsuite/relay/quarantine/parts.rs
@@ -76,6 +76,38 @@
     assert_eq!(queries(&mut world), [part(GUILTY)]);
 }
 
+/// A part that was answered before the first crash may be one that sound requests share, so more
+/// crashes without an answer are needed.
+#[test]
+fn a_part_that_was_answered_before_is_quarantined_after_six_crashes() {
+    let mut world = world(RequestKind::Resumable);
+    let sound = send(&mut world, "s", &[SHARED]);
+    begin(&mut world, &sound);
+    world.relay.on_stream_end(world.now, sound.key);
+    world.collect();
+    for id in ["1", "2", "3", "4", "5"] {
+        crash(&mut world, id, &[SHARED]);
+        assert!(queries(&mut world).is_empty(), "{id}");
+    }
+    crash(&mut world, "6", &[SHARED]);
+    assert_eq!(queries(&mut world), [part(SHARED)]);
+}
+
+/// Peers that answered it lately count as this instance does.
+#[test]
+fn a_part_that_a_peer_answered_lately_is_not_quarantined_after_four_crashes() {
+    let mut world = world(RequestKind::Resumable);
+    for id in ["1", "2", "3", "4"] {
+        crash(&mut world, id, &[SHARED]);
+    }
+    answer_queries(&mut world, true);
+    crash(&mut world, "5", &[SHARED]);
+    assert!(!is_refused(&mut world, "r", &[SHARED]));
+    crash(&mut world, "6", &[SHARED]);
+    answer_queries(&mut world, false);
+    assert!(is_refused(&mut world, "7", &[SHARED]));
+}
+
 /// A stream that has lasted longer than a guilty part lets its endpoint live clears its parts.
 #[test]
 fn a_part_is_cleared_by_a_stream_that_has_gone_on_for_a_while() {
