Log the software version of each call, and the attempt that a stream began with

For the incident of streams of two versions. The `send` line says the version of the endpoint (`software`), the `arrive` line the event behind which a stream is taken up and the attempt that began it (`resume`, `first_attempt`), so that the two ways to a mixed stream and a mistaken version can be told apart. Two gauges: endpoints that accept work, and the most versions in one service.

The header that names the first attempt is read by the dialects and passed on as before.

--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -278,6 +278,19 @@
         self.endpoints.iter().filter(|(_, endpoint)| endpoint.is_ready()).map(|(key, _)| key)
     }
 
+    /// The versions of a service's endpoints, also of those that left lately.
+    pub fn versions_of(&self, service: &str) -> BTreeSet<&Version> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().map(|key| &self.endpoints[*key].entry.version).collect()
+    }
+
+    /// The largest number of versions that any service has, as [`Directory::versions_of`] counts
+    /// them.
+    pub fn max_versions(&self) -> usize {
+        let services = self.by_service.keys();
+        services.map(|service| self.versions_of(service).len()).max().unwrap_or(0)
+    }
+
     /// The track that an endpoint's version belongs to.
     pub fn track_of(&self, endpoint: &Endpoint) -> Track {
         let is_canary = self.track_filter(&endpoint.entry.service, Track::Canary)(endpoint);
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -187,6 +187,10 @@
     pub wait: Duration,
     /// Number of pieces of each stage.
     pub pieces: Vec<u16>,
+    /// The last event that the caller has of a stream that it takes up.
+    pub resume: Option<u64>,
+    /// The id of the attempt that brought the first event of that stream.
+    pub first_attempt: Option<Arc<str>>,
 }
 
 /// Pieces of an exchange that were handed to a peer, until it returns their results.
@@ -288,6 +292,8 @@
             parts: shared_parts(&exchange.arrival),
             wait: exchange.deadline.saturating_sub(exchange.started_at),
             pieces: exchange.arrival.pieces.clone(),
+            resume: exchange.arrival.resume,
+            first_attempt: exchange.arrival.first_attempt.clone(),
         })
     }
 
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -257,6 +257,7 @@
             exchange: key,
             endpoint: target.entry.name.clone(),
             addr: target.entry.addr.clone(),
+            software: target.entry.version.clone(),
             via,
             remaining: exchange.deadline.saturating_sub(now),
             team: exchange.team.clone(),
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -9,7 +9,9 @@
 
 use crate::{
     model::{DataCentre, EndpointName, Incarnation, InstanceName, Load, TeamName},
-    relay::{fingerprint::Fingerprint, paths::Detour, region::RegionName, terms::Terms},
+    relay::{
+        fingerprint::Fingerprint, paths::Detour, region::RegionName, rollout::Version, terms::Terms,
+    },
 };
 
 /// A group of endpoints that serve the same routes or stages.
@@ -86,6 +88,9 @@
     pub deadline: Option<Duration>,
     /// The last event that the caller received of an interrupted stream.
     pub resume: Option<u64>,
+    /// The id of the attempt that brought the first event of the stream that this request takes
+    /// up; `None` if the caller names none.
+    pub first_attempt: Option<Arc<str>>,
     /// The prompt, if the request is for a generation.
     pub prompt: Option<Prompt>,
     /// The number of pieces of each stage, in the order of the route's stages.
@@ -143,6 +148,8 @@
     pub endpoint: EndpointName,
     /// Where it listens, `ip:port`.
     pub addr: Arc<str>,
+    /// The version of its software.
+    pub software: Version,
     /// The peer that makes the call for this instance, if it needs one.
     pub via: Option<Detour>,
     /// How much longer the caller waits.
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -137,6 +137,7 @@
         key: None,
         deadline: Some(ms(2000)),
         resume: None,
+        first_attempt: None,
         prompt: None,
         pieces: Vec::new(),
         piece_key: Some(Arc::from("key")),
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -36,6 +36,8 @@
         parts = (!summary.parts.is_empty()).then(|| part_names(&summary.parts)),
         wait_ms = millis(summary.wait),
         pieces = ?summary.pieces,
+        resume = summary.resume,
+        first_attempt = summary.first_attempt.as_deref(),
         version = config.version,
         age_ms = config.age.map(millis),
     );
@@ -214,6 +216,7 @@
         id,
         call = ?call.key,
         endpoint = &*call.endpoint,
+        software = &*call.software,
         attempt = call.attempt,
         left_ms = millis(call.remaining),
         inputs = call.inputs.len(),
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -97,6 +97,7 @@
             key: text(headers, &names.key).map(Arc::from),
             deadline: deadline.map(Duration::from_millis),
             resume: text(headers, &names.resume).and_then(|text| text.trim().parse().ok()),
+            first_attempt: text(headers, &names.first_attempt).map(Arc::from),
             prompt: self.prompt(headers),
             pieces: text(headers, &names.pieces).map(counts).unwrap_or_default(),
             piece_key: text(headers, &names.piece_key).map(Arc::from),
--- a/crates/relay/src/dialect/names.rs
+++ b/crates/relay/src/dialect/names.rs
@@ -45,6 +45,8 @@
     pub endpoint: HeaderName,
     /// Id of the last event of a stream that the caller has received.
     pub resume: HeaderName,
+    /// Id of the attempt that brought the first event of a stream that the caller takes up.
+    pub first_attempt: HeaderName,
     /// States that an endpoint did not run the request.
     pub not_run: HeaderName,
     /// An endpoint's load: running calls, queued calls, slots.
@@ -90,6 +92,7 @@
             team,
             endpoint,
             resume,
+            first_attempt,
             not_run,
             load,
             seal,
@@ -115,6 +118,7 @@
             rule(team, Setter::Relay, false),
             rule(endpoint, Setter::Relay, false),
             rule(resume, Setter::Relay, false),
+            rule(first_attempt, Setter::Caller, false),
             // Replies only: whether a request ran and the load concern the relay alone.
             rule(not_run, Setter::Nobody, false),
             rule(load, Setter::Nobody, false),
--- a/crates/relay/src/native.rs
+++ b/crates/relay/src/native.rs
@@ -86,6 +86,7 @@
             team: name("peatdeck-team"),
             endpoint: name("peatdeck-endpoint"),
             resume: name("last-event-id"),
+            first_attempt: name("peatdeck-first-attempt"),
             not_run: name("peatdeck-not-run"),
             load: name("peatdeck-load"),
             seal: name("peatdeck-seal"),
--- a/crates/relay/src/tables.rs
+++ b/crates/relay/src/tables.rs
@@ -380,6 +380,10 @@
     if cooled > 0 {
         tracing::info!(event = "endpoints_cold", count = cooled, source);
     }
+    let (ready, versions) = driver
+        .inspect(|machine| (machine.directory().ready_count(), machine.directory().max_versions()));
+    driver.metrics.gauge("relay.endpoints_ready", ready as u64);
+    driver.metrics.gauge("relay.versions", versions as u64);
 }
 
 /// Counts of endpoints that are logged together, since many changed at once.
