--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -18,6 +18,7 @@
 mod standins;
 mod stop;
 mod store;
+mod stream_versions;
 mod streams;
 mod suspension;
 mod terms;
--- /dev/null
+++ b/crates/relay/tests/relay/stream_versions.rs
@@ -0,0 +1,245 @@
+//! Streams of a service whose endpoints have several versions: none holds events of two.
+
+use std::time::{Duration, Instant};
+
+use peatdeck_relay::{server::Control, surroundings::TableName};
+
+use crate::standins::{
+    Conn, MemoryStore, Relay, ScriptedEndpoint, TIMEOUT, exchange, read_reply, request_head,
+    stream_head, wait_for,
+};
+
+/// The events of a whole stream.
+const EVENTS: u64 = 8;
+/// The last event of a stream that an endpoint breaks off.
+const BREAK_AFTER: u64 = 3;
+/// Streams that a test begins. If each went on at a version by chance, one in 16 million tests
+/// would see none that holds events of two.
+const STREAMS: usize = 24;
+/// Longest time of a refusal that is known at once: a question to the peers, on a busy machine.
+const AT_ONCE: Duration = Duration::from_millis(1500);
+
+/// An event that names the version that wrote it, as a chunk.
+fn event(id: u64, version: &str) -> String {
+    let event = format!("id: {id}\ndata: {version}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
+/// An endpoint whose streams begin after the event that the request names. It breaks off each
+/// stream that begins with the first event.
+fn breaking(version: &'static str) -> ScriptedEndpoint {
+    endpoint(version, |conn| conn.close())
+}
+
+/// An endpoint that stops in the middle of each stream that begins with the first event, until
+/// its caller leaves.
+fn pausing(version: &'static str) -> ScriptedEndpoint {
+    endpoint(version, |conn| drop(conn.read_to_end()))
+}
+
+fn endpoint(version: &'static str, interrupt: fn(&mut Conn)) -> ScriptedEndpoint {
+    ScriptedEndpoint::start(move |_, conn| {
+        while let Some(request) = conn.read_request() {
+            let last = request.header("last-event-id").map(|id| id.parse().unwrap());
+            conn.write(&stream_head(&request.id()));
+            let end = if last.is_none() { BREAK_AFTER } else { EVENTS };
+            for id in last.unwrap_or(0) + 1..=end {
+                conn.write(&event(id, version));
+            }
+            if last.is_none() {
+                interrupt(conn);
+                return;
+            }
+            conn.write("0\r\n\r\n");
+        }
+    })
+}
+
+/// The versions of the events in a reply, in order and without repetitions.
+fn versions(text: &str) -> Vec<String> {
+    let data = text.lines().filter_map(|line| line.strip_prefix("data: "));
+    let mut versions: Vec<_> = data.map(str::to_owned).collect();
+    versions.dedup();
+    versions
+}
+
+/// Instances and the endpoints that their store lists.
+struct Site {
+    store: MemoryStore,
+    relays: Vec<Relay>,
+    endpoints: Vec<ScriptedEndpoint>,
+}
+
+impl Site {
+    /// Starts instances before two endpoints of each version.
+    fn start(
+        instances: usize,
+        versions: &[&'static str],
+        start: fn(&'static str) -> ScriptedEndpoint,
+    ) -> Site {
+        let store = MemoryStore::default();
+        store.put(TableName::Config, "config", b"1".to_vec());
+        let mut site = Site { store, relays: Vec::new(), endpoints: Vec::new() };
+        for version in versions {
+            site.add_endpoint(version, start(version));
+            site.add_endpoint(version, start(version));
+        }
+        site.start_relays(instances, "r");
+        site
+    }
+
+    fn add_endpoint(&mut self, version: &str, endpoint: ScriptedEndpoint) {
+        let name = format!("desk-{}", self.endpoints.len());
+        self.store.add_version(&name, "desk", endpoint.addr, version);
+        self.endpoints.push(endpoint);
+    }
+
+    fn start_relays(&mut self, count: usize, prefix: &str) {
+        let start = |idx| Relay::start(&format!("{prefix}{idx}"), &self.store, &[]);
+        self.relays = (0..count).map(start).collect();
+        for relay in &self.relays {
+            relay.wait_ready();
+            wait_for("the instance has found its peers", || {
+                relay.counter("peatdeck.relay.peers") >= count as u64 - 1
+            });
+            self.wait_ready_endpoints(relay, self.endpoints.len());
+        }
+    }
+
+    /// Waits until an instance has read the entries of so many endpoints.
+    fn wait_ready_endpoints(&self, relay: &Relay, count: usize) {
+        wait_for("the instance has read the directory", || {
+            relay.counter("peatdeck.relay.endpoints_ready") == count as u64
+        });
+    }
+
+    /// Begins a stream and leaves it after its first events. Returns its id and version.
+    fn begin(&self, instance: usize) -> (String, String) {
+        let head = request_head("/resumable/x", "");
+        let id = head.lines().find_map(|line| line.strip_prefix("peatdeck-request: "));
+        let id = id.unwrap().to_owned();
+        let mut conn = Conn::open(self.relays[instance].front);
+        conn.write(&head);
+        assert!(conn.read_until(&format!("id: {BREAK_AFTER}\n")), "the stream did not begin");
+        conn.close();
+        let begun = versions(&conn.read_to_end());
+        assert_eq!(begun.len(), 1, "{begun:?}");
+        (id, begun[0].clone())
+    }
+
+    /// Takes a stream up at an instance. Returns the status and the versions of its events.
+    fn take_up(&self, instance: usize, id: &str) -> (u16, Vec<String>) {
+        let headers = format!("last-event-id: {BREAK_AFTER}\r\npeatdeck-first-attempt: {id}\r\n");
+        let reply = exchange(self.relays[instance].front, "/resumable/x", &headers);
+        (reply.status, versions(&reply.body))
+    }
+
+    /// Begins streams at the first instance and takes each up at the others in turn. Returns how
+    /// many went on; panics if one did at another version.
+    fn count_continued(&self, streams: usize) -> usize {
+        let begun: Vec<_> = (0..streams).map(|_| self.begin(0)).collect();
+        self.count_taken_up(&begun)
+    }
+
+    fn count_taken_up(&self, begun: &[(String, String)]) -> usize {
+        let others = self.relays.len().max(2) - 1;
+        let went_on = begun.iter().enumerate().filter(|(number, (id, version))| {
+            let instance = (1 + number % others).min(self.relays.len() - 1);
+            let (status, versions) = self.take_up(instance, id);
+            assert!(versions.iter().all(|it| it == version), "{id}: {version}, then {versions:?}");
+            status == 200
+        });
+        went_on.count()
+    }
+}
+
+#[test]
+fn an_answer_whose_endpoint_breaks_off_never_goes_on_at_another_version() {
+    let site = Site::start(1, &["v1", "v2"], breaking);
+    let front = site.relays[0].front;
+    let mut whole = 0;
+    for _ in 0..STREAMS {
+        let mut conn = Conn::open(front);
+        conn.write(&request_head("/resumable/x", "connection: close\r\n"));
+        let reply = read_reply(&mut conn);
+        let seen = versions(&reply.body);
+        assert_eq!(seen.len(), 1, "{seen:?}");
+        whole += usize::from(reply.body.contains(&format!("id: {EVENTS}\n")));
+    }
+    assert!(whole * 2 >= STREAMS, "{whole} of {STREAMS} were whole");
+}
+
+#[test]
+fn a_stream_taken_up_at_another_instance_never_goes_on_at_another_version() {
+    let site = Site::start(4, &["v1", "v2"], pausing);
+    let went_on = site.count_continued(STREAMS);
+    assert!(went_on * 2 >= STREAMS, "{went_on} of {STREAMS} went on");
+}
+
+#[test]
+fn a_stream_that_began_before_a_second_version_came_never_goes_on_there() {
+    let mut site = Site::start(3, &["v1"], pausing);
+    let mut conns: Vec<_> = (0..STREAMS).map(|_| Conn::open(site.relays[0].front)).collect();
+    let mut ids = Vec::new();
+    for conn in &mut conns {
+        let head = request_head("/resumable/x", "");
+        let id = head.lines().find_map(|line| line.strip_prefix("peatdeck-request: "));
+        ids.push((id.unwrap().to_owned(), "v1".to_owned()));
+        conn.write(&head);
+        assert!(conn.read_until(&format!("id: {BREAK_AFTER}\n")));
+    }
+    for _ in 0..2 {
+        site.add_endpoint("v2", pausing("v2"));
+    }
+    for relay in &site.relays {
+        site.wait_ready_endpoints(relay, 4);
+    }
+    drop(conns);
+    let went_on = site.count_taken_up(&ids);
+    assert!(went_on * 2 >= STREAMS, "{went_on} of {STREAMS} went on");
+}
+
+#[test]
+fn a_stream_that_nobody_remembers_is_refused_while_two_versions_serve() {
+    let mut site = Site::start(3, &["v1", "v2"], pausing);
+    let begun: Vec<_> = (0..STREAMS).map(|_| site.begin(0)).collect();
+    for relay in std::mem::take(&mut site.relays) {
+        relay.send_control(Control::Stop);
+        relay.join();
+    }
+    site.start_relays(3, "s");
+    let started = Instant::now();
+    let went_on = site.count_taken_up(&begun);
+    assert_eq!(went_on, 0);
+    assert!(started.elapsed() < AT_ONCE * STREAMS as u32, "{:?}", started.elapsed());
+    // New streams begin.
+    site.begin(1);
+}
+
+#[test]
+fn a_stream_goes_on_after_all_instances_have_restarted_where_one_version_serves() {
+    let mut site = Site::start(3, &["v1"], pausing);
+    let begun: Vec<_> = (0..STREAMS).map(|_| site.begin(0)).collect();
+    for relay in std::mem::take(&mut site.relays) {
+        relay.send_control(Control::Stop);
+        relay.join();
+    }
+    site.start_relays(3, "s");
+    assert_eq!(site.count_taken_up(&begun), STREAMS);
+}
+
+#[test]
+fn a_stream_whose_version_has_left_is_refused_at_once() {
+    let site = Site::start(3, &["v1", "v2"], pausing);
+    let begun: Vec<_> = (0..STREAMS).map(|_| site.begin(0)).collect();
+    for name in ["desk-0", "desk-1"] {
+        site.store.write(TableName::Endpoints, name, None);
+    }
+    // An entry that disappears may have expired, so its endpoint is used for a while.
+    std::thread::sleep(Duration::from_secs(2));
+    let started = Instant::now();
+    let v1 = begun.iter().filter(|(_, version)| version == "v1").count();
+    let went_on = site.count_taken_up(&begun);
+    assert!(went_on <= STREAMS - v1, "{went_on} went on, {v1} began at the version that left");
+    assert!(started.elapsed() < TIMEOUT, "{:?}", started.elapsed());
+}
