Engines fetch parts of prompts from engines of their own version only

What two versions write, the memory of prompts among it, need not fit together.

Sources and owners of parts are now looked for among the engines of the candidate's own version; an instance drops a source of another version that a placer names, whenever the service has several. The test failed before (source of v2 for an engine of v1).

--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -9,7 +9,10 @@
 
 pub mod prompts;
 
-use std::{collections::HashSet, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use peatdeck_macros::data;
 use xxhash_rust::xxh3;
@@ -22,6 +25,7 @@
         directory::{Directory, Endpoint},
         model::{EndpointKey, Prompt},
         pool::Pool,
+        rollout::Version,
     },
 };
 
@@ -195,15 +199,13 @@
 ) -> Vec<Candidate> {
     let candidates = candidates(directory, now, pool, criteria);
     let median = median_response_time(&candidates);
-    let is_independent = criteria.chooser == Chooser::Independent;
-    let owners = if is_independent { &candidates[..] } else { &[] };
     let engines = directory.usable(now, pool);
     let others = criteria.chooser.owned_by_others(directory, &engines);
-    let sources = prompts::fetch_sources(directory, now, &engines);
-    let rates = PrefillRates { transfer: criteria.transfer, token_millis: criteria.token_millis };
-    let locations = PartLocations::new(sent_parts, prompt, owners, &sources, rates);
+    let locations =
+        part_locations(directory, sent_parts, now, prompt, &candidates, &engines, criteria);
     let candidates = candidates.iter().map(|&(key, endpoint)| {
-        let PrefillPlan { tokens, fetched, source, source_wait } = locations.plan(key);
+        let PrefillPlan { tokens, fetched, source, source_wait } =
+            locations[&endpoint.entry.version].plan(key);
         let wait = endpoint.engine.prefill_wait(now);
         let copy_millis = criteria.transfer.map_or(0.0, |transfer| transfer.millis(fetched));
         let copy_wait = match fetched {
@@ -225,6 +227,35 @@
     candidates.collect()
 }
 
+/// Which engines hold which parts of a prompt, for the candidates of each version: what an engine
+/// of another version holds is of no use to them.
+fn part_locations<'a>(
+    directory: &Directory,
+    sent_parts: &'a SentParts,
+    now: Duration,
+    prompt: &'a Prompt,
+    candidates: &[(EndpointKey, &'a Endpoint)],
+    engines: &[EndpointKey],
+    criteria: Criteria<'_>,
+) -> HashMap<&'a Version, PartLocations<'a>> {
+    let rates = PrefillRates { transfer: criteria.transfer, token_millis: criteria.token_millis };
+    let versions: HashSet<_> = candidates.iter().map(|(_, it)| &it.entry.version).collect();
+    let locations = versions.into_iter().map(|version| {
+        let has_version = |key: &EndpointKey| {
+            directory.get(*key).is_some_and(|engine| engine.entry.version == *version)
+        };
+        let engines: Vec<_> = engines.iter().copied().filter(has_version).collect();
+        let sources = prompts::fetch_sources(directory, now, &engines);
+        let owners = candidates.iter().filter(|(_, it)| it.entry.version == *version);
+        let owners: Vec<_> = match criteria.chooser {
+            Chooser::Independent => owners.copied().collect(),
+            Chooser::Placer { .. } => Vec::new(),
+        };
+        (version, PartLocations::new(sent_parts, prompt, &owners, &sources, rates))
+    });
+    locations.collect()
+}
+
 /// Cost of a prefill to the streams that run on an engine. Meanwhile their tokens come some twenty
 /// times slower, so each of them is late by the time by which the prefill exceeds the allowed gap
 /// between tokens.
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -405,15 +405,15 @@
         region.is_none() || source().is_some_and(|pool| pool.region.as_deref() == region)
     }
 
-    /// Whether an engine may fetch prompt parts from an address. A placer that has not read of a
-    /// rollout yet may name an engine of another version.
+    /// Whether an engine may fetch prompt parts from an address. A placer that has not read an
+    /// entry yet may name an engine of another version.
     fn may_fetch(&self, engine: EndpointKey, addr: &str) -> bool {
         let Some(engine) = self.directory.get(engine) else { return false };
-        let is_rolling = self.rollouts.get(&engine.entry.service).is_some();
+        let has_several = self.directory.version_count(&engine.entry.service) > 1;
         let is_other = |source: &directory::Endpoint| {
             *source.entry.addr == *addr && source.entry.version != engine.entry.version
         };
-        !is_rolling || !self.directory.all().any(is_other)
+        !has_several || !self.directory.all().any(is_other)
     }
 
     pub(super) fn choose(
--- a/crates/core/tests/testsuite/relay/prompts.rs
+++ b/crates/core/tests/testsuite/relay/prompts.rs
@@ -4,6 +4,7 @@
 
 use peatdeck_core::relay::{
     config::{Engine, RequestKind, Transfer},
+    directory::Entry,
     model::{Arrival, Call},
 };
 
@@ -49,6 +50,24 @@
     assert_eq!(holders.len(), 3);
 }
 
+#[test]
+fn a_part_is_never_fetched_from_an_engine_of_another_version() {
+    let mut world = world(Some(TRANSFER));
+    for name in ["d", "e", "f"] {
+        world.put(Entry { version: "v2".into(), ..entry(name, "llm") });
+    }
+    let version_at = |addr: &str| if addr < "d" { "v1" } else { "v2" };
+    let calls = (0..120).map(|own| submit_prompt(&mut world, &format!("{own}"), 1, 100 + own));
+    let calls: Vec<_> = calls.collect();
+    let sources = calls.iter().filter_map(|call| Some((call, call.source.as_deref()?)));
+    let sources: Vec<_> = sources.collect();
+    // Of each version, two engines lack the part.
+    assert!(sources.len() >= 4, "{} fetches", sources.len());
+    assert!(sources.iter().all(|(call, source)| *call.software == *version_at(source)));
+    let software: HashSet<_> = calls.iter().map(|call| &call.software).collect();
+    assert_eq!(software.len(), 2);
+}
+
 #[test]
 fn without_transfers_more_calls_stay_at_the_engine_that_holds_the_part() {
     let moved_calls = |transfer| {
