--- a/crates/relay/tests/relay/standins/endpoint.rs
+++ b/crates/relay/tests/relay/standins/endpoint.rs
@@ -204,6 +204,11 @@
         true
     }
 
+    /// What has arrived and was not read as a head.
+    pub fn read_text(&self) -> String {
+        String::from_utf8_lossy(&self.buffer).into_owned()
+    }
+
     /// Reads everything until the connection ends.
     pub fn read_to_end(&mut self) -> String {
         while self.fill() {}
--- a/crates/relay/tests/relay/stream_versions.rs
+++ b/crates/relay/tests/relay/stream_versions.rs
@@ -118,46 +118,63 @@
         });
     }
 
-    /// Begins a stream and leaves it after its first events. Returns its id and version.
-    fn begin(&self, instance: usize) -> (String, String) {
-        let head = request_head("/resumable/x", "");
-        let id = head.lines().find_map(|line| line.strip_prefix("peatdeck-request: "));
-        let id = id.unwrap().to_owned();
-        let mut conn = Conn::open(self.relays[instance].front);
-        conn.write(&head);
-        assert!(conn.read_until(&format!("id: {BREAK_AFTER}\n")), "the stream did not begin");
-        conn.close();
-        let begun = versions(&conn.read_to_end());
-        assert_eq!(begun.len(), 1, "{begun:?}");
-        (id, begun[0].clone())
+    /// Begins streams at the first instance, all at once, so that all endpoints get some. Their
+    /// callers stay.
+    fn begin(&self) -> Vec<Begun> {
+        (0..STREAMS).map(|_| Begun::new(&self.relays[0])).collect()
+    }
+
+    /// Has the callers of streams leave, and takes each up at the other instances in turn.
+    /// Returns how many went on; panics if one did at another version.
+    fn count_taken_up(&self, begun: Vec<Begun>) -> usize {
+        let others = &self.relays[1..];
+        let went_on = begun.into_iter().enumerate().filter(|(number, stream)| {
+            let Begun { id, version, .. } = stream;
+            let (status, versions) = take_up(&others[number % others.len()], id);
+            assert!(versions.iter().all(|it| it == version), "{id}: {version}, then {versions:?}");
+            status == 200
+        });
+        went_on.count()
     }
 
-    /// Takes a stream up at an instance. Returns the status and the versions of its events.
-    fn take_up(&self, instance: usize, id: &str) -> (u16, Vec<String>) {
-        let headers = format!("last-event-id: {BREAK_AFTER}\r\npeatdeck-first-attempt: {id}\r\n");
-        let reply = exchange(self.relays[instance].front, "/resumable/x", &headers);
-        (reply.status, versions(&reply.body))
+    /// Has the callers of streams leave, stops all instances and starts others.
+    fn replace_relays(&mut self, begun: &mut [Begun]) {
+        begun.iter_mut().for_each(|stream| stream.conn.close());
+        for relay in std::mem::take(&mut self.relays) {
+            relay.send_control(Control::Stop);
+            relay.join();
+        }
+        self.start_relays(3, "s");
     }
+}
 
-    /// Begins streams at the first instance and takes each up at the others in turn. Returns how
-    /// many went on; panics if one did at another version.
-    fn count_continued(&self, streams: usize) -> usize {
-        let begun: Vec<_> = (0..streams).map(|_| self.begin(0)).collect();
-        self.count_taken_up(&begun)
-    }
+/// A stream that has brought its first events.
+struct Begun {
+    id: String,
+    version: String,
+    conn: Conn,
+}
 
-    fn count_taken_up(&self, begun: &[(String, String)]) -> usize {
-        let others = self.relays.len().max(2) - 1;
-        let went_on = begun.iter().enumerate().filter(|(number, (id, version))| {
-            let instance = (1 + number % others).min(self.relays.len() - 1);
-            let (status, versions) = self.take_up(instance, id);
-            assert!(versions.iter().all(|it| it == version), "{id}: {version}, then {versions:?}");
-            status == 200
-        });
-        went_on.count()
+impl Begun {
+    fn new(relay: &Relay) -> Begun {
+        let head = request_head("/resumable/x", "");
+        let id = head.lines().find_map(|line| line.strip_prefix("peatdeck-request: "));
+        let mut conn = Conn::open(relay.front);
+        conn.write(&head);
+        assert!(conn.read_until(&format!("id: {BREAK_AFTER}\n")), "the stream did not begin");
+        let seen = versions(&conn.read_text());
+        assert_eq!(seen.len(), 1, "{seen:?}");
+        Begun { id: id.unwrap().to_owned(), version: seen[0].clone(), conn }
     }
 }
 
+/// Takes a stream up at an instance. Returns the status and the versions of its events.
+fn take_up(relay: &Relay, id: &str) -> (u16, Vec<String>) {
+    let headers = format!("last-event-id: {BREAK_AFTER}\r\npeatdeck-first-attempt: {id}\r\n");
+    let reply = exchange(relay.front, "/resumable/x", &headers);
+    (reply.status, versions(&reply.body))
+}
+
 #[test]
 fn an_answer_whose_endpoint_breaks_off_never_goes_on_at_another_version() {
     let site = Site::start(1, &["v1", "v2"], breaking);
@@ -177,66 +194,48 @@
 #[test]
 fn a_stream_taken_up_at_another_instance_never_goes_on_at_another_version() {
     let site = Site::start(4, &["v1", "v2"], pausing);
-    let went_on = site.count_continued(STREAMS);
+    let went_on = site.count_taken_up(site.begin());
     assert!(went_on * 2 >= STREAMS, "{went_on} of {STREAMS} went on");
 }
 
 #[test]
 fn a_stream_that_began_before_a_second_version_came_never_goes_on_there() {
     let mut site = Site::start(3, &["v1"], pausing);
-    let mut conns: Vec<_> = (0..STREAMS).map(|_| Conn::open(site.relays[0].front)).collect();
-    let mut ids = Vec::new();
-    for conn in &mut conns {
-        let head = request_head("/resumable/x", "");
-        let id = head.lines().find_map(|line| line.strip_prefix("peatdeck-request: "));
-        ids.push((id.unwrap().to_owned(), "v1".to_owned()));
-        conn.write(&head);
-        assert!(conn.read_until(&format!("id: {BREAK_AFTER}\n")));
-    }
+    let begun = site.begin();
     for _ in 0..2 {
         site.add_endpoint("v2", pausing("v2"));
     }
     for relay in &site.relays {
         site.wait_ready_endpoints(relay, 4);
     }
-    drop(conns);
-    let went_on = site.count_taken_up(&ids);
+    let went_on = site.count_taken_up(begun);
     assert!(went_on * 2 >= STREAMS, "{went_on} of {STREAMS} went on");
 }
 
 #[test]
 fn a_stream_that_nobody_remembers_is_refused_while_two_versions_serve() {
     let mut site = Site::start(3, &["v1", "v2"], pausing);
-    let begun: Vec<_> = (0..STREAMS).map(|_| site.begin(0)).collect();
-    for relay in std::mem::take(&mut site.relays) {
-        relay.send_control(Control::Stop);
-        relay.join();
-    }
-    site.start_relays(3, "s");
+    let mut begun = site.begin();
+    site.replace_relays(&mut begun);
     let started = Instant::now();
-    let went_on = site.count_taken_up(&begun);
-    assert_eq!(went_on, 0);
+    assert_eq!(site.count_taken_up(begun), 0);
     assert!(started.elapsed() < AT_ONCE * STREAMS as u32, "{:?}", started.elapsed());
     // New streams begin.
-    site.begin(1);
+    Begun::new(&site.relays[1]);
 }
 
 #[test]
 fn a_stream_goes_on_after_all_instances_have_restarted_where_one_version_serves() {
     let mut site = Site::start(3, &["v1"], pausing);
-    let begun: Vec<_> = (0..STREAMS).map(|_| site.begin(0)).collect();
-    for relay in std::mem::take(&mut site.relays) {
-        relay.send_control(Control::Stop);
-        relay.join();
-    }
-    site.start_relays(3, "s");
-    assert_eq!(site.count_taken_up(&begun), STREAMS);
+    let mut begun = site.begin();
+    site.replace_relays(&mut begun);
+    assert_eq!(site.count_taken_up(begun), STREAMS);
 }
 
 #[test]
 fn a_stream_whose_version_has_left_is_refused_at_once() {
     let mut site = Site::start(3, &["v1"], pausing);
-    let begun: Vec<_> = (0..STREAMS).map(|_| site.begin(0)).collect();
+    let begun = site.begin();
     for _ in 0..2 {
         site.add_endpoint("v2", pausing("v2"));
     }
@@ -249,6 +248,6 @@
     // An entry that disappears may have expired, so its endpoint is used for a while.
     thread::sleep(ENTRY_GRACE);
     let started = Instant::now();
-    assert_eq!(site.count_taken_up(&begun), 0);
+    assert_eq!(site.count_taken_up(begun), 0);
     assert!(started.elapsed() < AT_ONCE * STREAMS as u32, "{:?}", started.elapsed());
 }
