A call that receives bytes without end is given up at a bound and retried

Cause: the HTTP library bounds a status line and headers, but skips any number of interim replies, and reads a chunk's size of zeros without end, which was found on the way; the splitter of events had no bound; nor had the replies that are read at the same time, or the events that wait for a caller who does not read.

All that is read of a connection now counts against an allowance of 256 kB, which body data that was taken in restores, so whatever is no body ends there. An event has 256 kB at the most. Replies that are read whole share the memory that bodies of requests have; when it is exhausted, those above 1 MB are given up. A stream whose caller has 256 kB waiting is not read on, and neither is one that comes through a peer.

Tests over sockets, 11 forms: on the code before, six failed (504 after the deadline of 20 s). The one for a caller that does not read passed there, since it timed the machine; it waits for a counter now. 608 tests of core, 124 over sockets, 73 of the adapter pass.

--- a/crates/core/src/relay/events.rs
+++ b/crates/core/src/relay/events.rs
@@ -6,6 +6,8 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
+/// The largest event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 /// The field that holds the number of an event.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -18,6 +20,11 @@
     pub bytes: Bytes,
 }
 
+/// An event is larger than any that is passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("an event has more than {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
+
 /// Splits a stream of bytes into events.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -32,11 +39,18 @@
     }
 
     /// Removes and returns the next whole event; `None` until more bytes are received.
-    pub fn next_event(&mut self) -> Option<Event> {
-        let end = self.find_end()?;
+    ///
+    /// # Errors
+    /// [`EventTooLong`] if the next event is too long, even if its end has not been received.
+    pub fn next_event(&mut self) -> Result<Option<Event>, EventTooLong> {
+        let end = self.find_end();
+        if end.unwrap_or(self.buffer.len()) > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        let Some(end) = end else { return Ok(None) };
         self.scanned = 0;
         let bytes = self.buffer.split_to(end).freeze();
-        Some(Event { id: number(&bytes), bytes })
+        Ok(Some(Event { id: number(&bytes), bytes }))
     }
 
     /// Received bytes that do not form a whole event yet.
--- a/crates/core/tests/testsuite/relay/events.rs
+++ b/crates/core/tests/testsuite/relay/events.rs
@@ -1,13 +1,13 @@
 //! Splitting a byte stream into server-sent events.
 
-use peatdeck_core::relay::events::Splitter;
+use peatdeck_core::relay::events::{EventTooLong, Splitter};
 
 fn split(chunks: &[&str]) -> (Vec<(Option<u64>, String)>, String) {
     let mut splitter = Splitter::default();
     let mut events = Vec::new();
     for chunk in chunks {
         splitter.push(chunk.as_bytes());
-        while let Some(event) = splitter.next_event() {
+        while let Some(event) = splitter.next_event().unwrap() {
             events.push((event.id, String::from_utf8(event.bytes.to_vec()).unwrap()));
         }
     }
@@ -33,3 +33,14 @@
     }
     assert_eq!(whole.0.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [Some(7), None, Some(8)]);
 }
+
+#[test]
+fn an_event_without_end_is_given_up() {
+    let mut splitter = Splitter::default();
+    let chunk = [b'x'; 1 << 10];
+    let chunks = (0..).take_while(|_| {
+        splitter.push(&chunk);
+        splitter.next_event() != Err(EventTooLong)
+    });
+    assert_eq!(chunks.count(), 256);
+}
--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -106,7 +106,7 @@
         driver.store_head(call.key, reply);
         return forward_stream(driver, call, body).await;
     }
-    let whole = body.read_whole(MAX_REPLY_BYTES).await;
+    let whole = body.read_whole(MAX_REPLY_BYTES, &driver.reply_memory).await;
     reply.body = whole.map_err(|cause| Failed::new(Failure::Cut, cause))?;
     body.release(&driver.pool);
     driver.on_reply(call.key, &head, reply);
@@ -123,11 +123,15 @@
     while let Some(data) = body.next_data().await {
         let data = data.map_err(|cause| Failed::new(Failure::Cut, cause))?;
         splitter.push(&data);
-        while let Some(event) = splitter.next_event() {
+        let next = |splitter: &mut Splitter| {
+            splitter.next_event().map_err(|error| Failed::new(Failure::Foreign, error))
+        };
+        while let Some(event) = next(&mut splitter)? {
             if driver.feed(|machine, now| machine.on_stream_event(now, call.key, event.id)) {
                 driver.send_event(call.exchange, event.bytes);
             }
         }
+        driver.wait_for_caller(call.exchange).await;
     }
     if !splitter.incomplete().is_empty() {
         return Err(Failed::new(Failure::Cut, "the stream ended in the middle of an event"));
@@ -270,7 +274,7 @@
 ) -> Result<(ReplyHead, Bytes), Failed> {
     let dialect = &driver.platform.dialect;
     let (parts, mut body) = outgoing::send(driver, addr, via, request).await?;
-    let whole = body.read_whole(MAX_OWN_REPLY_BYTES).await;
+    let whole = body.read_whole(MAX_OWN_REPLY_BYTES, &driver.reply_memory).await;
     let whole = whole.map_err(|cause| Failed::new(Failure::Cut, cause))?;
     body.release(&driver.pool);
     Ok((dialect.reply_head("", parts.status, &parts.headers), whole))
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -31,6 +31,7 @@
 
 use crate::{
     decisions, follow,
+    memory::{BodyMemory, WaitingEvents},
     peers::Peers,
     pool::Pool,
     rollouts::Rollouts,
@@ -110,6 +111,7 @@
 struct Caller {
     request: Rc<Request>,
     parts: mpsc::UnboundedSender<ReplyPart>,
+    waiting: Rc<WaitingEvents>,
     arrived: Duration,
 }
 
@@ -147,6 +149,8 @@
     pub peers: Peers,
     /// Orders and states of rollouts.
     pub rollouts: Rollouts,
+    /// Memory for replies that are read whole.
+    pub reply_memory: Rc<BodyMemory>,
     /// Counters and timings.
     pub metrics: Metrics,
     /// State that other threads read.
@@ -176,6 +180,7 @@
     pub fn new(parts: Components) -> Rc<Driver> {
         let peers = Peers::new(&parts.settings);
         let last_active = Cell::new(parts.clock.now());
+        let reply_memory = BodyMemory::new(parts.settings.body_memory);
         let driver = Rc::new(Driver {
             machine: RefCell::new(parts.machine),
             clock: parts.clock,
@@ -192,6 +197,7 @@
             settings: parts.settings,
             peers,
             rollouts: Rollouts::default(),
+            reply_memory,
             metrics: parts.metrics,
             shared: parts.shared,
         });
@@ -321,13 +327,15 @@
         if let Some(summary) = self.inspect(|machine| machine.describe(key)) {
             decisions::log_admitted(&id, &summary, self.config_state());
         }
-        let caller = Caller { request, parts: tx, arrived: now };
+        let waiting = Rc::new(WaitingEvents::default());
+        let caller = Caller { request, parts: tx, waiting: waiting.clone(), arrived: now };
         self.callers.borrow_mut().insert(key, caller);
         for action in actions {
             self.perform(action);
         }
         self.rearm.notify_one();
-        Ok(ReplyReceiver { parts, guard: DisconnectGuard { driver: self.clone(), key } })
+        let guard = DisconnectGuard { driver: self.clone(), key };
+        Ok(ReplyReceiver { parts, waiting, guard })
     }
 
     /// Whether the instance was told to stop.
@@ -405,9 +413,21 @@
 
     /// Sends the caller of an exchange one event of its stream.
     pub fn send_event(&self, exchange: ExchangeKey, bytes: Bytes) {
+        if let Some(caller) = self.callers.borrow().get(exchange) {
+            caller.waiting.add(bytes.len());
+        }
         self.send(exchange, ReplyPart::Event(bytes));
     }
 
+    /// Waits until the caller of an exchange has taken most events that were sent to it, so that
+    /// one that reads slowly does not fill the memory.
+    pub async fn wait_for_caller(&self, exchange: ExchangeKey) {
+        let waiting = self.callers.borrow().get(exchange).map(|caller| caller.waiting.clone());
+        let Some(waiting) = waiting.filter(|waiting| waiting.is_full()) else { return };
+        self.metrics.count("relay.streams_paused", 1);
+        waiting.wait_for_room().await;
+    }
+
     /// Stores the head of a stream until the machine returns [`Action::BeginStream`](peatdeck_core::relay::model::Action::BeginStream).
     pub fn store_head(&self, call: CallKey, reply: Reply) {
         self.replies.borrow_mut().insert(call, reply);
@@ -467,6 +487,8 @@
 pub struct ReplyReceiver {
     /// The parts, in order; closed after the last one.
     pub parts: mpsc::UnboundedReceiver<ReplyPart>,
+    /// The events that are in `parts`.
+    pub waiting: Rc<WaitingEvents>,
     /// Reports the disconnect when it is dropped.
     pub guard: DisconnectGuard,
 }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -1,6 +1,6 @@
 //! Callers' requests and the responses to them.
 
-use std::{cell::Cell, io, rc::Rc};
+use std::{io, rc::Rc};
 
 use bytes::{Bytes, BytesMut};
 use futures::{Stream, StreamExt, future::Either};
@@ -11,7 +11,10 @@
 };
 use peatdeck_core::relay::model::{Arrival, Refusal};
 
-use crate::driver::{Driver, Reply, ReplyPart, ReplyReceiver, Request};
+use crate::{
+    driver::{Driver, Reply, ReplyPart, ReplyReceiver, Request},
+    memory::{BodyMemory, Reservation},
+};
 
 /// Value of `Retry-After`, in seconds, for a request that a stopping instance refuses:
 /// the caller should retry at once, at another instance.
@@ -27,36 +30,6 @@
     Incomplete,
 }
 
-/// Accounts for the bytes of the bodies of all active requests.
-#[derive(Debug, Default)]
-pub struct BodyMemory {
-    held: Cell<usize>,
-}
-
-/// The share of one body in [`BodyMemory`], released when dropped.
-struct BodyReservation {
-    memory: Rc<BodyMemory>,
-    bytes: usize,
-}
-
-impl BodyReservation {
-    fn grow(&mut self, bytes: usize, limit: usize) -> bool {
-        let total = self.memory.held.get() + bytes;
-        if total > limit {
-            return false;
-        }
-        self.memory.held.set(total);
-        self.bytes += bytes;
-        true
-    }
-}
-
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        self.memory.held.set(self.memory.held.get() - self.bytes);
-    }
-}
-
 /// Serves one request of a caller.
 ///
 /// # Errors
@@ -75,7 +48,7 @@
             return Ok(text_response(&driver, 400, &error.to_string()));
         }
     };
-    let mut reservation = BodyReservation { memory, bytes: 0 };
+    let mut reservation = memory.reserve();
     let body = match read_body(&driver, &mut req, &mut reservation).await {
         Ok(body) => body,
         Err(error) => return Ok(body_error(&driver, &arrival.id, &error)),
@@ -131,17 +104,17 @@
 async fn read_body(
     driver: &Driver,
     req: &mut server::Request,
-    reservation: &mut BodyReservation,
+    reservation: &mut Reservation,
 ) -> Result<Bytes, BodyError> {
     let limit = driver.inspect(|machine| machine.config().map(|config| config.limits.max_body));
-    let limit = limit.unwrap_or(driver.settings.body_memory);
+    let limit = limit.unwrap_or(reservation.limit());
     let mut body = BytesMut::new();
     while let Some(chunk) = req.payload().next().await {
         let chunk = chunk.map_err(|_| BodyError::Incomplete)?;
         if body.len() + chunk.len() > limit {
             return Err(BodyError::TooLarge);
         }
-        if !reservation.grow(chunk.len(), driver.settings.body_memory) {
+        if !reservation.grow(chunk.len()) {
             return Err(BodyError::NoMemory);
         }
         body.extend_from_slice(&chunk);
@@ -172,7 +145,7 @@
     head: Reply,
     receiver: ReplyReceiver,
     io: Option<IoRef>,
-    reservation: BodyReservation,
+    reservation: Reservation,
 ) -> Response {
     response_with_head(driver, &head).streaming(Box::pin(events(receiver, io, reservation)))
 }
@@ -181,13 +154,14 @@
 fn events(
     receiver: ReplyReceiver,
     io: Option<IoRef>,
-    reservation: BodyReservation,
+    reservation: Reservation,
 ) -> impl Stream<Item = Result<ntex::util::Bytes, io::Error>> {
     let state = Some((receiver, io, reservation));
     futures::stream::unfold(state, async |state| {
         let (mut receiver, io, reservation) = state?;
         match next_part(&mut receiver, io.as_ref()).await {
             Some(ReplyPart::Event(bytes)) => {
+                receiver.waiting.remove(bytes.len());
                 let bytes = ntex::util::Bytes::copy_from_slice(&bytes);
                 Some((Ok(bytes), Some((receiver, io, reservation))))
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`settings`]: settings of an instance, read at its start.
 //! - [`server`]: binds the sockets, starts the event loop, shuts it down.
 //! - [`front`]: callers' requests and the responses to them.
+//! - [`memory`]: accounts for the memory of bodies and events.
 //! - [`driver`]: the state machine and the resources that its actions use.
 //! - [`calls`]: calls to endpoints and their results.
 //! - [`outgoing`]: requests to endpoints, sent directly or through a peer.
@@ -37,6 +38,7 @@
 pub mod driver;
 pub mod follow;
 pub mod front;
+pub mod memory;
 pub mod native;
 pub mod operators;
 pub mod outgoing;
--- a/crates/relay/src/outgoing.rs
+++ b/crates/relay/src/outgoing.rs
@@ -4,8 +4,7 @@
 
 use bytes::Bytes;
 use http::{Request, response};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use peatdeck_core::{
     model::InstanceName,
     relay::{model::Failure, paths::Detour},
@@ -13,10 +12,14 @@
 
 use crate::{
     driver::Driver,
+    memory::BodyMemory,
     peers::detour,
-    pool::{self, Lease, Pool},
+    pool::{self, Pool},
 };
 
+/// A reply up to this size, in bytes, is read also while large ones have exhausted the memory.
+const SMALL_REPLY_BYTES: usize = 1 << 20;
+
 /// A request that got no complete reply.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -54,7 +57,7 @@
 /// The body of an endpoint's reply.
 pub enum Body {
     /// It comes from the endpoint.
-    Direct(Incoming, Lease),
+    Direct(pool::Body),
     /// It comes through a peer.
     Detoured(detour::Body),
 }
@@ -63,14 +66,10 @@
     /// The next bytes; `None` once the reply is whole.
     pub async fn next_data(&mut self) -> Option<Result<Bytes, String>> {
         match self {
-            Body::Direct(body, _) => loop {
-                match body.frame().await?.map(|frame| frame.into_data()) {
-                    Ok(Ok(data)) => return Some(Ok(data)),
-                    // Trailers.
-                    Ok(Err(_)) => {}
-                    Err(error) => return Some(Err(error.to_string())),
-                }
-            },
+            Body::Direct(body) => {
+                let data = body.next_data().await?;
+                Some(data.map_err(|error| error.to_string()))
+            }
             Body::Detoured(body) => body.next_data().await,
         }
     }
@@ -78,14 +77,24 @@
     /// Reads all of it.
     ///
     /// # Errors
-    /// Why it broke off, or that it has more than `limit` bytes.
-    pub async fn read_whole(&mut self, limit: usize) -> Result<Bytes, String> {
+    /// Why it broke off, or that it has more than `limit` bytes, or that it is large and no memory
+    /// is left.
+    pub async fn read_whole(
+        &mut self,
+        limit: usize,
+        memory: &Rc<BodyMemory>,
+    ) -> Result<Bytes, String> {
         let mut whole = bytes::BytesMut::new();
+        let mut reservation = memory.reserve();
         while let Some(data) = self.next_data().await {
             let data = data?;
-            if whole.len() + data.len() > limit {
+            let size = whole.len() + data.len();
+            if size > limit {
                 return Err(format!("the reply has more than {limit} bytes"));
             }
+            if !reservation.grow(data.len()) && size > SMALL_REPLY_BYTES {
+                return Err("no memory is left for a large reply".to_owned());
+            }
             whole.extend_from_slice(&data);
         }
         Ok(whole.freeze())
@@ -93,8 +102,8 @@
 
     /// Returns the connection to the pool after the reply was read whole.
     pub fn release(self, pool: &Pool) {
-        if let Body::Direct(_, lease) = self {
-            pool.put_back(lease);
+        if let Body::Direct(body) = self {
+            pool.release(body);
         }
     }
 }
@@ -113,7 +122,6 @@
         let (head, body) = detour::send(driver, detour, request).await?;
         return Ok((head, Body::Detoured(body)));
     }
-    let (response, lease) = driver.pool.send(addr, request.map(Full::new)).await?;
-    let (head, body) = response.into_parts();
-    Ok((head, Body::Direct(body, lease)))
+    let (head, body) = driver.pool.send(addr, request.map(Full::new)).await?;
+    Ok((head, Body::Direct(body)))
 }
--- a/crates/relay/src/peers/detour.rs
+++ b/crates/relay/src/peers/detour.rs
@@ -7,12 +7,12 @@
 
 use bytes::Bytes;
 use futures::{
-    StreamExt,
+    SinkExt, StreamExt,
     channel::mpsc,
     future::{self, AbortHandle, Abortable, Either},
 };
 use http::{Request, Response, StatusCode, response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use peatdeck_core::{
     model::InstanceName,
     relay::{
@@ -29,10 +29,13 @@
     driver::Driver,
     outgoing,
     peers::{EXCHANGE_TIMEOUT, Peers, remote::Kind, work},
+    pool,
 };
 
 /// Time limit for a peer to answer whether it reaches an endpoint: it tries to connect to two.
 const REACH_TIMEOUT: Duration = Duration::from_millis(900);
+/// Parts of a reply that wait here before the peer has to wait too.
+const MAX_WAITING_PARTS: usize = 4;
 /// Longest call. Callers' deadlines are shorter, and end a call by themselves.
 const CALL_TIMEOUT: Duration = Duration::from_secs(600);
 
@@ -45,7 +48,7 @@
 
 /// The body of a reply that comes through a peer. Dropping it cancels the call.
 pub struct Body {
-    parts: mpsc::UnboundedReceiver<Part>,
+    parts: mpsc::Receiver<Part>,
     task: AbortHandle,
 }
 
@@ -76,7 +79,7 @@
     detour: &Detour,
     request: Request<Bytes>,
 ) -> Result<(response::Parts, Body), outgoing::Error> {
-    let (tx, parts) = mpsc::unbounded();
+    let (tx, parts) = mpsc::channel(MAX_WAITING_PARTS);
     let (task, registration) = AbortHandle::new_pair();
     let mut body = Body { parts, task };
     let call = run_call(driver.clone(), detour.clone(), request, tx);
@@ -93,18 +96,18 @@
     driver: Rc<Driver>,
     detour: Detour,
     request: Request<Bytes>,
-    parts: mpsc::UnboundedSender<Part>,
+    mut parts: mpsc::Sender<Part>,
 ) {
     let end = call(&driver, &detour, &request, &parts).await;
     // The receiver is gone if the call was cancelled.
-    parts.unbounded_send(Part::End(end)).ok();
+    parts.send(Part::End(end)).await.ok();
 }
 
 async fn call(
     driver: &Rc<Driver>,
     detour: &Detour,
     request: &Request<Bytes>,
-    parts: &mpsc::UnboundedSender<Part>,
+    parts: &mpsc::Sender<Part>,
 ) -> Result<(), outgoing::Error> {
     let refused = |cause: String| outgoing::Error::NoDetour(detour.peer.clone(), cause);
     let addr = driver.peers.members.borrow().addr(&detour.peer);
@@ -146,7 +149,7 @@
 
 /// Receives the reply of an endpoint from a peer.
 struct Sink {
-    parts: mpsc::UnboundedSender<Part>,
+    parts: mpsc::Sender<Part>,
 }
 
 impl reply_sink::Server for Sink {
@@ -160,7 +163,7 @@
         let (mut head, ()) = Response::new(()).into_parts();
         head.status = status;
         head.headers = wire::read_headers(params.get_headers()?).map_err(to_capnp_error)?;
-        self.parts.unbounded_send(Part::Head(head)).map_err(to_capnp_error)
+        self.parts.clone().send(Part::Head(head)).await.map_err(to_capnp_error)
     }
 
     async fn data(
@@ -169,7 +172,7 @@
         _results: reply_sink::DataResults,
     ) -> Result<(), capnp::Error> {
         let data = Bytes::copy_from_slice(params.get()?.get_bytes()?);
-        self.parts.unbounded_send(Part::Data(data)).map_err(to_capnp_error)
+        self.parts.clone().send(Part::Data(data)).await.map_err(to_capnp_error)
     }
 }
 
@@ -185,14 +188,14 @@
         return (DetourEnd::Refused, "the peer does not reach the endpoint".to_owned());
     };
     driver.metrics.count("relay.detours_served", 1);
-    let (response, lease) = match driver.pool.send(&addr, request.map(Full::new)).await {
+    let (head, mut body) = match driver.pool.send(&addr, request.map(Full::new)).await {
         Ok(sent) => sent,
         Err(error) if error.is_unsent() => return (DetourEnd::Unsent, error.to_string()),
         Err(error) => return (DetourEnd::Cut, error.to_string()),
     };
-    match forward(response, sink).await {
+    match forward(head, &mut body, sink).await {
         Ok(()) => {
-            driver.pool.put_back(lease);
+            driver.pool.release(body);
             (DetourEnd::Whole, String::new())
         }
         Err(cause) => (DetourEnd::Cut, cause),
@@ -200,17 +203,16 @@
 }
 
 async fn forward(
-    response: Response<hyper::body::Incoming>,
+    head: response::Parts,
+    body: &mut pool::Body,
     sink: &reply_sink::Client,
 ) -> Result<(), String> {
-    let (head, mut body) = response.into_parts();
     let mut message = sink.head_request();
     message.get().set_status(head.status.as_u16());
     wire::write_headers(&head.headers, message.get().init_headers(head.headers.len() as u32));
     message.send().promise.await.map_err(|error| error.to_string())?;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| error.to_string())?;
-        let Ok(data) = frame.into_data() else { continue };
+    while let Some(data) = body.next_data().await {
+        let data = data.map_err(|error| error.to_string())?;
         let mut message = sink.data_request();
         message.get().set_bytes(&data);
         message.send().promise.await.map_err(|error| error.to_string())?;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -4,6 +4,11 @@
 //! reply was read whole and no bytes followed it. While a connection is idle, the
 //! pool polls it, and unsolicited bytes close it. A connection that is dropped instead
 //! of being returned is closed at once, which is how a call is cancelled.
+//!
+//! What a peer may send besides the body of a reply is bounded (`metered`); how much of a body is
+//! read is up to the caller.
+
+mod metered;
 
 use std::{
     cell::{OnceCell, RefCell},
@@ -16,7 +21,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::future::{AbortHandle, Abortable};
-use http::{HeaderMap, Request, Response, header};
+use http::{HeaderMap, Request, Response, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -25,6 +30,8 @@
 use peatdeck_wire::socket;
 use tokio::net::TcpStream;
 
+use crate::pool::metered::{Allowance, Metered};
+
 /// Time limit for opening a connection. Data centres are a few milliseconds apart. A
 /// lost SYN packet is sent again only after a second; by then another endpoint is the
 /// better choice.
@@ -85,6 +92,7 @@
 struct Connection {
     sender: Sender,
     task: AbortHandle,
+    allowance: Allowance,
 }
 
 impl Drop for Connection {
@@ -94,12 +102,35 @@
 }
 
 /// A connection that carries one exchange. Dropping it closes it.
-pub struct Lease {
+struct Lease {
     addr: Arc<str>,
     connection: Connection,
     max_idle: Duration,
 }
 
+/// The body of a reply. Dropping it closes the connection.
+pub struct Body {
+    incoming: Incoming,
+    lease: Lease,
+}
+
+impl Body {
+    /// The next bytes; `None` once the reply is whole.
+    pub async fn next_data(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        loop {
+            match self.incoming.frame().await?.map(|frame| frame.into_data()) {
+                Ok(Ok(data)) => {
+                    self.lease.connection.allowance.restore(data.len());
+                    return Some(Ok(data));
+                }
+                // Trailers.
+                Ok(Err(_)) => {}
+                Err(error) => return Some(Err(error)),
+            }
+        }
+    }
+}
+
 struct Idle {
     connection: Connection,
     until: Duration,
@@ -169,14 +200,13 @@
     ) -> Result<Response<Bytes>, Error> {
         let sent =
             with_silence_timeout(addr, wait + SILENCE_TIMEOUT, self.send(addr, request)).await?;
-        let (response, lease) = sent?;
-        let (parts, mut body) = response.into_parts();
+        let (parts, mut body) = sent?;
         let mut bytes = BytesMut::new();
-        while let Some(frame) = with_silence_timeout(addr, SILENCE_TIMEOUT, body.frame()).await? {
-            let frame = frame.map_err(|error| cut(addr, error))?;
-            bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
+        while let Some(data) = with_silence_timeout(addr, SILENCE_TIMEOUT, body.next_data()).await?
+        {
+            bytes.extend_from_slice(&data.map_err(|error| cut(addr, error))?);
         }
-        self.put_back(lease);
+        self.release(body);
         Ok(Response::from_parts(parts, bytes.freeze()))
     }
 
@@ -188,13 +218,14 @@
         &self,
         addr: &Arc<str>,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, Lease), Error> {
+    ) -> Result<(response::Parts, Body), Error> {
         loop {
             let (mut lease, is_fresh) = match self.take_idle(addr) {
                 Some(lease) => (lease, false),
                 None => (self.connect(addr).await?, true),
             };
             self.count(is_fresh);
+            lease.connection.allowance.reset();
             let sender = &mut lease.connection.sender;
             if sender.ready().await.is_err() {
                 if is_fresh {
@@ -208,7 +239,8 @@
                         self.notify(addr, true);
                     }
                     lease.max_idle = keep_alive_time(response.headers());
-                    return Ok((response, lease));
+                    let (parts, incoming) = response.into_parts();
+                    return Ok((parts, Body { incoming, lease }));
                 }
                 Err(mut error) => {
                     let Some(unused) = error.take_message() else {
@@ -259,8 +291,12 @@
         true
     }
 
-    /// Returns a connection to the pool after its reply was read whole.
-    pub fn put_back(&self, lease: Lease) {
+    /// Returns the connection of a body that was read whole to the pool.
+    pub fn release(&self, body: Body) {
+        self.put_back(body.lease);
+    }
+
+    fn put_back(&self, lease: Lease) {
         if lease.max_idle.is_zero() || lease.connection.sender.is_closed() {
             return;
         }
@@ -332,7 +368,10 @@
 
 async fn handshake(addr: &Arc<str>, stream: TcpStream) -> Result<Lease, Error> {
     socket::set_dead_peer_detection(&stream).map_err(|error| unsent(addr, error))?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let allowance = Allowance::default();
+    let stream = Metered::new(stream, allowance.clone());
+    let mut builder = http1::Builder::new();
+    let handshake = builder.max_buf_size(metered::MAX_READ).handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| unsent(addr, error))?;
     let (task, registration) = AbortHandle::new_pair();
     ntex::rt::spawn(Abortable::new(
@@ -342,7 +381,7 @@
         },
         registration,
     ));
-    let connection = Connection { sender, task };
+    let connection = Connection { sender, task, allowance };
     Ok(Lease { addr: addr.clone(), connection, max_idle: Duration::ZERO })
 }
 
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -26,8 +26,8 @@
 
 use crate::{
     driver::{Components, Driver, SharedState},
-    follow,
-    front::{self, BodyMemory},
+    follow, front,
+    memory::BodyMemory,
     operators::{self, Query},
     peers, policy,
     pool::Pool,
@@ -178,7 +178,7 @@
         .listen("front", front, async move |_| {
             let setup = setup.lock().ok().and_then(|mut setup| setup.take());
             let driver = start(setup.expect("the event loop is started once"));
-            let memory = Rc::new(BodyMemory::default());
+            let memory = BodyMemory::new(driver.settings.body_memory);
             HttpService::h1(move |req: Request| front::answer(driver.clone(), memory.clone(), req))
         })
         .into_diagnostic()?
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod catch_up;
 mod crashes;
 mod cut_off;
+mod endless;
 mod headers;
 mod link;
 mod older_copy;
--- a/crates/relay/tests/relay/standins/endpoint.rs
+++ b/crates/relay/tests/relay/standins/endpoint.rs
@@ -161,6 +161,11 @@
         self.stream.write_all(text.as_bytes()).ok();
     }
 
+    /// Writes, and returns whether the connection is still open.
+    pub fn try_write(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).is_ok()
+    }
+
     pub fn close(&mut self) {
         self.stream.shutdown(Shutdown::Both).ok();
     }
