--- a/crates/core/tests/testsuite/relay/fuzz.rs
+++ b/crates/core/tests/testsuite/relay/fuzz.rs
@@ -2,8 +2,8 @@
 //!
 //! Whatever endpoints answer, lose or refuse, and in whatever order: each exchange ends exactly
 //! once, a request that may run once is not called again after it may have run, a refusal states
-//! "not run" only if nothing may have run, nothing is sent to a leaving endpoint, and no state
-//! remains at the end.
+//! "not run" only if nothing may have run, nothing is sent to a leaving endpoint, a stream holds
+//! events of one version, and no state remains at the end.
 
 mod oracle;
 mod peer;
@@ -16,6 +16,7 @@
 use run::{run, run_in};
 use steps::{
     Step, step, step_with_crashes, step_with_evacuations, step_with_peer, step_with_terms,
+    step_with_versions,
 };
 use world::world_with_peer;
 
@@ -85,6 +86,14 @@
         run(steps);
     }
 
+    /// The property includes streams whose version has left or that nobody remembers.
+    #[test]
+    fn streams_hold_events_of_one_version(
+        steps in proptest::collection::vec(step_with_versions(), 1..160)
+    ) {
+        run(steps);
+    }
+
     /// The property includes work in progress when the content is quarantined.
     #[test]
     fn quarantined_content_is_not_sent(
--- a/crates/core/tests/testsuite/relay/fuzz/oracle.rs
+++ b/crates/core/tests/testsuite/relay/fuzz/oracle.rs
@@ -1,7 +1,7 @@
 //! What the instance may do, derived from what its endpoints and its peer did.
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -13,6 +13,7 @@
         fingerprint::Fingerprint,
         model::{Action, CallKey, ExchangeKey, HandoverKey, Piece, RunNumber, Step::Answered},
         paths::Reach,
+        rollout::Version,
         terms::Rate,
     },
 };
@@ -62,6 +63,12 @@
     pub handovers: Vec<(HandoverKey, Vec<Piece>)>,
     /// Pieces that the peer handed over and that have not been returned.
     pub tickets: BTreeSet<u64>,
+    /// The first attempt of each exchange's stream.
+    pub first_attempts: HashMap<ExchangeKey, String>,
+    /// The version that wrote the events of each stream, and the last event.
+    pub streams: BTreeMap<String, (Version, u64)>,
+    /// The version of each call's endpoint.
+    pub software: HashMap<CallKey, Version>,
 }
 
 /// Endpoints are still called for this long after most entries of their service disappeared.
@@ -101,6 +108,7 @@
                     assert!(self.open.contains_key(&call.exchange), "sent for an ended exchange");
                     self.check_target(world.now, &call.endpoint);
                     self.endpoint_of.insert(call.key, call.endpoint.to_string());
+                    self.software.insert(call.key, call.software.clone());
                     self.calls.push((call.key, call.exchange));
                 }
                 Action::MakePieces { call, endpoint, addr, pieces, .. } => {
@@ -194,6 +202,37 @@
         *last = Some(now);
     }
 
+    /// An event is passed on to the caller of an exchange.
+    pub fn record_event(&mut self, call: CallKey, exchange: ExchangeKey, event: u64) {
+        let Some(first) = self.first_attempts.get(&exchange).cloned() else { return };
+        let version = &self.software[&call];
+        let (known, last) = self.streams.entry(first).or_insert((version.clone(), 0));
+        assert_eq!(known, version, "a stream went on at another version");
+        *last = event;
+    }
+
+    /// A stream that has brought events, and the last one.
+    pub fn stream(&self, pick: u8) -> Option<(String, u64)> {
+        let count = self.streams.len().max(1);
+        let (first, (_, last)) = self.streams.iter().nth(usize::from(pick) % count)?;
+        Some((first.clone(), *last))
+    }
+
+    /// The instance ends, and another one takes its place.
+    pub fn replace_instance(&mut self) {
+        // The other instance uses the same keys again.
+        self.open.clear();
+        self.ran.clear();
+        self.made.clear();
+        self.first_attempts.clear();
+        self.calls.clear();
+        self.batches.clear();
+        self.next_event.clear();
+        self.exchange_of_id.clear();
+        self.on_hold.clear();
+        self.limited.clear();
+    }
+
     /// The open calls to an endpoint.
     pub fn calls_at(&self, name: &str) -> Vec<(CallKey, ExchangeKey)> {
         self.calls.iter().filter(|(call, _)| self.endpoint_of[call] == name).copied().collect()
--- a/crates/core/tests/testsuite/relay/fuzz/run.rs
+++ b/crates/core/tests/testsuite/relay/fuzz/run.rs
@@ -41,8 +41,35 @@
                 let key = world.relay.on_request(world.now, request).unwrap();
                 oracle.open.insert(key, KINDS[kind]);
                 oracle.exchange_of_id.insert(id.as_str().into(), key);
+                oracle.first_attempts.insert(key, id);
                 world.collect();
             }
+            Step::TakeUp(pick) => {
+                let Some((first, last)) = oracle.stream(pick) else { continue };
+                let (resume, first_attempt) = (Some(last), Some(first.as_str().into()));
+                let request =
+                    Arrival { resume, first_attempt, ..arrival(&idx.to_string(), "plain3") };
+                let key = world.relay.on_request(world.now, request).unwrap();
+                oracle.open.insert(key, KINDS[3]);
+                oracle.first_attempts.insert(key, first);
+                oracle.next_event.insert(key, last);
+                world.collect();
+            }
+            Step::Replace => {
+                let config = world.relay.config().unwrap().clone();
+                let entries = world.relay.directory().all().map(|it| it.entry.clone());
+                let mut fresh = World::new(config);
+                fresh.now = world.now;
+                entries.collect::<Vec<_>>().into_iter().for_each(|entry| fresh.put(entry));
+                world = fresh;
+                oracle.replace_instance();
+            }
+            Step::JoinAs(is_new) => {
+                joined += 1;
+                let version = if is_new { "v2" } else { "v1" };
+                let entry = entry_of(&format!("new{joined}"), "desk");
+                world.put(Entry { version: version.into(), ..entry });
+            }
             Step::Reply(pick, how) => {
                 let Some((call, exchange)) = oracle.call(pick) else { continue };
                 let head = match how % 6 {
@@ -74,7 +101,9 @@
                 let next = oracle.next_event.entry(exchange).or_default();
                 *next += 1;
                 let id = *next;
-                world.stream_event(call, id);
+                if world.stream_event(call, id) {
+                    oracle.record_event(call, exchange, id);
+                }
             }
             Step::End(pick) => {
                 let Some((call, exchange)) = oracle.call(pick) else { continue };
--- a/crates/core/tests/testsuite/relay/fuzz/steps.rs
+++ b/crates/core/tests/testsuite/relay/fuzz/steps.rs
@@ -32,6 +32,12 @@
     ReportCold(u8, u16),
     /// A reply reports something about its endpoint.
     ReplyWith(u8, Report),
+    /// A stream that has brought events is taken up.
+    TakeUp(u8),
+    /// An endpoint of the new version joins, or of the old one.
+    JoinAs(bool),
+    /// The instance is killed; another one that knows nothing but the directory takes its place.
+    Replace,
     /// A step of the peer that places prompts and makes pieces.
     Peer(PeerStep),
 }
@@ -119,6 +125,19 @@
     ]
 }
 
+/// Steps in which endpoints have two versions and callers take streams up.
+pub fn step_with_versions() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        16 => step(),
+        8 => any::<u8>().prop_map(Step::Event),
+        6 => any::<u8>().prop_map(Step::TakeUp),
+        4 => any::<bool>().prop_map(Step::JoinAs),
+        // Resumable streams.
+        4 => (0_u8..32).prop_map(|pick| Step::Arrive(4 * pick + 3)),
+        1 => Just(Step::Replace),
+    ]
+}
+
 /// Steps with a peer that places prompts and makes pieces.
 pub fn step_with_peer() -> impl Strategy<Value = Step> {
     prop_oneof![
