An interrupted generation goes on only at the version of the engine that began it

An endpoint's entry may name the version of its software now (empty if it does not, so that lists as before mean one version). A stage remembers the version of its first piece, and the choice of an endpoint keeps to it. Where that version has left, a generation of which the caller has received nothing begins anew; one that was streamed ends as failed.

--- a/crates/core/examples/instance_cost.rs
+++ b/crates/core/examples/instance_cost.rs
@@ -328,6 +328,7 @@
         data_centre: Arc::from("dc07"),
         incarnation: Incarnation(1),
         presence: Presence::Live,
+        software: Arc::default(),
     };
     Listing {
         instances: (0..peers).map(instance).collect(),
--- a/crates/core/examples/pool/world.rs
+++ b/crates/core/examples/pool/world.rs
@@ -305,7 +305,8 @@
             return names.choose(&mut self.choices).map(|name| (*name).clone());
         }
         let peers = |name: &str| inst.peers.get(name).copied().unwrap_or(0);
-        let criteria = Criteria { pool: POOL, prefix: None, exclude: &tried, peers: &peers };
+        let criteria =
+            Criteria { pool: POOL, prefix: None, exclude: &tried, software: None, peers: &peers };
         routing::choose(&inst.table, self.now, &criteria, &mut self.choices)
     }
 
--- a/crates/core/examples/pool/world/fresh.rs
+++ b/crates/core/examples/pool/world/fresh.rs
@@ -45,6 +45,7 @@
         data_centre: Arc::from("data-centre"),
         incarnation: Incarnation(1),
         presence: Presence::Live,
+        software: Arc::default(),
     }
 }
 
--- a/crates/core/examples/record_cost.rs
+++ b/crates/core/examples/record_cost.rs
@@ -132,6 +132,7 @@
         data_centre: Arc::from("dc07"),
         incarnation: Incarnation(1_700_000_000_000),
         presence: Presence::Live,
+        software: Arc::default(),
     }
 }
 
--- a/crates/core/examples/subset_spread.rs
+++ b/crates/core/examples/subset_spread.rs
@@ -75,6 +75,7 @@
         data_centre: data_centre(idx).into(),
         incarnation: Incarnation(1),
         presence: Presence::Live,
+        software: "".into(),
     }
 }
 
--- a/crates/core/src/endpoints/entry.rs
+++ b/crates/core/src/endpoints/entry.rs
@@ -10,7 +10,9 @@
     instance::input::RefuseReason,
     limits::AdaptiveLimit,
     membership::EndpointState,
-    model::{DataCentre, EndpointEntry, EndpointName, Incarnation, Load, PoolName},
+    model::{
+        DataCentre, EndpointEntry, EndpointName, Incarnation, Load, PoolName, SoftwareVersion,
+    },
 };
 
 /// Whether an endpoint gets calls, and if not, why.
@@ -53,6 +55,8 @@
     pub addr: Arc<str>,
     /// Its data centre.
     pub data_centre: DataCentre,
+    /// The version of its software.
+    pub software: SoftwareVersion,
     /// The newest incarnation that was listed.
     pub incarnation: Incarnation,
     /// Calls of this instance that are in flight to this incarnation.
@@ -125,6 +129,7 @@
             pool: entry.pool.clone(),
             addr: entry.addr.clone(),
             data_centre: entry.data_centre.clone(),
+            software: entry.software.clone(),
             incarnation: entry.incarnation,
             in_flight: 0,
             stale_calls: 0,
@@ -237,6 +242,7 @@
         self.pool = entry.pool.clone();
         self.addr = entry.addr.clone();
         self.data_centre = entry.data_centre.clone();
+        self.software = entry.software.clone();
     }
 
     /// Records whether the newest list has it; it counts as gone once it was missing for `after`.
--- a/crates/core/src/instance/held.rs
+++ b/crates/core/src/instance/held.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     document::{Pipeline, Stage},
-    model::{CallId, CallerId, EndpointName, Request, StageReport, Text},
+    model::{CallId, CallerId, EndpointName, Request, SoftwareVersion, StageReport, Text},
 };
 
 slotmap::new_key_type! {
@@ -104,6 +104,9 @@
     pub tried: Vec<EndpointName>,
     /// Pieces of text received so far; another engine continues after them if the call is cut.
     pub pieces: Vec<Text>,
+    /// The version of the software that generated the pieces; `None` before the first. What two
+    /// versions generate does not fit together.
+    pub software: Option<SoftwareVersion>,
     /// Whether it waits in its pool's queue.
     pub is_queued: bool,
 }
@@ -119,6 +122,7 @@
             calls: Vec::new(),
             tried: Vec::new(),
             pieces: Vec::new(),
+            software: None,
             is_queued: false,
         }
     }
@@ -131,6 +135,8 @@
     pub request: RequestKey,
     /// Endpoint that was called.
     pub endpoint: EndpointName,
+    /// The version of its software.
+    pub software: SoftwareVersion,
     /// Index of the stage in its pipeline.
     pub stage: u32,
     /// Number of the attempt at the stage, from 1.
--- a/crates/core/src/instance/replies.rs
+++ b/crates/core/src/instance/replies.rs
@@ -104,7 +104,8 @@
     /// Moves the pieces that are next in order to the request and streams them to its caller.
     fn deliver_pieces(&mut self, key: RequestKey, call: CallKey) {
         let active = &mut self.requests[key];
-        let out_of_order = &mut self.calls[call].out_of_order;
+        let flight = &mut self.calls[call];
+        let (out_of_order, software) = (&mut flight.out_of_order, &flight.software);
         let is_last = active.progress.stage + 1 == active.pipeline.stages.len();
         let caller = active.caller.filter(|_| active.request.stream && is_last);
         while let Some((index, text)) = out_of_order.pop_first() {
@@ -113,6 +114,7 @@
                 return;
             }
             active.progress.pieces.push(text.clone());
+            active.progress.software.get_or_insert_with(|| software.clone());
             if let Some(caller) = caller {
                 self.actions.push(Action::Stream { caller, text });
             }
--- a/crates/core/src/instance/stages.rs
+++ b/crates/core/src/instance/stages.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     document::{PoolKind, Stage},
-    endpoints::{CallEnd, CallResult, Endpoint},
+    endpoints::{CallEnd, CallResult, Endpoint, State},
     instance::{
         Instance,
         action::{Action, Call},
@@ -94,7 +94,8 @@
     /// Sends one call. False if no endpoint may get it now.
     fn send_call(&mut self, key: RequestKey, reason: CallReason) -> bool {
         let Some(endpoint) = self.choose_endpoint(key, reason) else { return false };
-        let Some(addr) = self.table.endpoint(&endpoint).map(|known| known.addr.clone()) else {
+        let known = self.table.endpoint(&endpoint);
+        let Some((addr, software)) = known.map(|it| (it.addr.clone(), it.software.clone())) else {
             return false;
         };
         let active = &mut self.requests[key];
@@ -104,6 +105,7 @@
         let call = self.calls.insert(CallInFlight {
             request: key,
             endpoint: endpoint.clone(),
+            software,
             stage: u32::try_from(active.progress.stage)
                 .expect("a pipeline has fewer than 2^32 stages"),
             attempt: active.progress.attempts,
@@ -144,7 +146,9 @@
         let prefix = uses_prefix.then(|| self.content.prefix(&active.progress.input));
         let mut rng = self.rng.clone();
         let peers = |name: &str| self.members.in_flight(self.now, name);
-        let criteria = routing::Criteria { pool: &stage.pool, prefix, exclude, peers: &peers };
+        let software = active.progress.software.as_deref();
+        let criteria =
+            routing::Criteria { pool: &stage.pool, prefix, exclude, software, peers: &peers };
         let chosen = if !decisions.load_aware {
             routing::choose_scored(&self.table, self.now, &criteria, &mut rng, &|_| Some(0.0))
         } else if let Some(program) =
@@ -253,12 +257,37 @@
         if !self.is_repeatable(key) || !self.may_retry(key) {
             return self.conclude_failed(key);
         }
+        if !self.ensure_version_left(key) {
+            return self.conclude_failed(key);
+        }
         if !self.requests[key].progress.pieces.is_empty() {
             self.counters.resumes += 1;
         }
         self.begin_stage(key);
     }
 
+    /// Whether an interrupted generation can go on: at the version that began it, or from its
+    /// start if that version has no endpoint left and the caller has received nothing.
+    fn ensure_version_left(&mut self, key: RequestKey) -> bool {
+        let active = &self.requests[key];
+        let Some(software) = &active.progress.software else { return true };
+        let is_expected = |endpoint: &Endpoint| {
+            let is_listed = matches!(endpoint.state(), State::Usable | State::Ejected);
+            is_listed && endpoint.software == *software
+        };
+        if self.table.pool(&active.stage().pool).any(is_expected) {
+            return true;
+        }
+        let is_last = active.progress.stage + 1 == active.pipeline.stages.len();
+        if active.caller.is_some() && active.request.stream && is_last {
+            return false;
+        }
+        let progress = &mut self.requests[key].progress;
+        progress.pieces.clear();
+        progress.software = None;
+        true
+    }
+
     fn may_retry(&mut self, key: RequestKey) -> bool {
         let attempts = self.requests[key].progress.attempts;
         if !self.settings.decisions.budget {
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -15,6 +15,8 @@
 pub type PoolName = Arc<str>;
 /// The name of an endpoint, as in the platform's list.
 pub type EndpointName = Arc<str>;
+/// The version of an endpoint's software, as in the platform's list.
+pub type SoftwareVersion = Arc<str>;
 /// The name of one of our instances, as in the platform's list.
 pub type InstanceName = Arc<str>;
 /// The name of a data centre.
@@ -241,6 +243,9 @@
     pub incarnation: Incarnation,
     /// Whether it serves or is leaving.
     pub presence: Presence,
+    /// The version of its software; empty if the list does not state it.
+    #[serde(default)]
+    pub software: SoftwareVersion,
 }
 
 /// One of our instances in the platform's list.
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -31,6 +31,8 @@
     pub prefix: Option<u64>,
     /// Endpoints not to be chosen because they were already tried.
     pub exclude: &'a [EndpointName],
+    /// The only version of the software that may be chosen; `None` for any.
+    pub software: Option<&'a str>,
     /// Returns how many calls the peers have in flight at an endpoint.
     pub peers: &'a dyn Fn(&str) -> u32,
 }
@@ -129,7 +131,9 @@
 ) -> impl Iterator<Item = &'t Endpoint> {
     let pool = table.pool(criteria.pool);
     pool.filter(move |endpoint| {
-        endpoint.free(now) > 0 && !criteria.exclude.contains(&endpoint.name)
+        let is_excluded = criteria.exclude.contains(&endpoint.name);
+        let has_version = criteria.software.is_none_or(|it| *it == *endpoint.software);
+        endpoint.free(now) > 0 && !is_excluded && has_version
     })
 }
 
--- a/crates/core/tests/testsuite/endpoint_states.rs
+++ b/crates/core/tests/testsuite/endpoint_states.rs
@@ -98,7 +98,8 @@
 
 impl Fixture {
     fn call(&mut self, oracle: &Oracle) {
-        let criteria = Criteria { pool: POOL, prefix: None, exclude: &[], peers: &|_| 0 };
+        let criteria =
+            Criteria { pool: POOL, prefix: None, exclude: &[], software: None, peers: &|_| 0 };
         let Some(name) = routing::choose(&self.table, self.now, &criteria, &mut self.rng) else {
             return;
         };
--- a/crates/core/tests/testsuite/endpoints.rs
+++ b/crates/core/tests/testsuite/endpoints.rs
@@ -21,6 +21,7 @@
         data_centre: Arc::from("north"),
         incarnation: Incarnation(incarnation),
         presence: Presence::Live,
+        software: Arc::default(),
     }
 }
 
--- a/crates/core/tests/testsuite/instances/endpoints.rs
+++ b/crates/core/tests/testsuite/instances/endpoints.rs
@@ -79,6 +79,7 @@
                 data_centre: "north".into(),
                 incarnation: Incarnation(1),
                 presence: Presence::Live,
+                software: "".into(),
             },
             fault: Fault::None,
             leaving: None,
--- a/crates/core/tests/testsuite/main.rs
+++ b/crates/core/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod relay;
 mod routing;
 mod single;
+mod software;
 mod subset;
 mod teams;
 mod timing;
--- a/crates/core/tests/testsuite/routing.rs
+++ b/crates/core/tests/testsuite/routing.rs
@@ -19,7 +19,7 @@
 const NOW: Duration = Duration::from_secs(1);
 
 fn criteria() -> Criteria<'static> {
-    Criteria { pool: POOL, prefix: None, exclude: &[], peers: &|_| 0 }
+    Criteria { pool: POOL, prefix: None, exclude: &[], software: None, peers: &|_| 0 }
 }
 
 fn four_endpoints() -> Table {
--- a/crates/core/tests/testsuite/single.rs
+++ b/crates/core/tests/testsuite/single.rs
@@ -9,7 +9,7 @@
     instance::{
         Instance,
         action::{Action, Call},
-        input::{CallEvent, Identity, Input},
+        input::{CallEvent, CallFailure, Identity, Input},
         settings::Settings,
     },
     model::{CallerId, EndpointEntry, Incarnation, Listing, Presence, Request, RequestId},
@@ -28,8 +28,8 @@
     Team { name: name.into(), weight, max_running: None }
 }
 
-fn document(teams: Vec<Team>) -> Document {
-    let pool = Pool { name: "pool".into(), kind: PoolKind::Service, cost: 1.0, fenced: false };
+fn document(teams: Vec<Team>, kind: PoolKind) -> Document {
+    let pool = Pool { name: "pool".into(), kind, cost: 1.0, fenced: false };
     let stage =
         Stage { name: "stage".into(), pool: "pool".into(), repeatable: true, max_tokens: None };
     let pipeline = Pipeline {
@@ -42,7 +42,7 @@
     Document { pools: vec![pool], pipelines: vec![pipeline], teams, policies: Vec::new() }
 }
 
-fn endpoint(name: &str) -> EndpointEntry {
+fn endpoint(name: &str, software: &str) -> EndpointEntry {
     EndpointEntry {
         name: name.into(),
         pool: "pool".into(),
@@ -50,6 +50,7 @@
         data_centre: "east".into(),
         incarnation: Incarnation(1),
         presence: Presence::Live,
+        software: software.into(),
     }
 }
 
@@ -66,6 +67,17 @@
     }
 
     pub fn with_teams(teams: Vec<Team>) -> World {
+        let mut world = World::with_endpoints(teams, PoolKind::Service, &[("a", ""), ("b", "")]);
+        for _ in 0..SAMPLES {
+            let call = world.submit().expect("an idle pool takes the call");
+            world.now += ms(10);
+            world.reply(&call);
+        }
+        world
+    }
+
+    /// An instance with endpoints of these names and versions of software.
+    pub fn with_endpoints(teams: Vec<Team>, kind: PoolKind, endpoints: &[(&str, &str)]) -> World {
         let identity = Identity {
             name: "own".into(),
             incarnation: Incarnation(1),
@@ -77,7 +89,7 @@
             id: "first".into(),
             base: 0,
             author: "operator".into(),
-            document: Arc::new(document(teams)),
+            document: Arc::new(document(teams, kind)),
         };
         let record = ConfigRecord::Publish(publish);
         let entries = vec![Entry { offset: 0, time_ms: 0, record }];
@@ -85,16 +97,33 @@
         world.feed(Input::ConfigRead(read));
         let end = Batch { from: 1, earliest: 0, next: 1, now_ms: 0, entries: Vec::new() };
         world.feed(Input::ConfigRead(end));
-        let endpoints = vec![endpoint("a"), endpoint("b")];
-        world.feed(Input::Listed(Listing { instances: Vec::new(), endpoints }));
-        for _ in 0..SAMPLES {
-            let call = world.submit().expect("an idle pool takes the call");
-            world.now += ms(10);
-            world.reply(&call);
-        }
+        world.list(endpoints, None);
         world
     }
 
+    /// The platform lists these endpoints; those of the version `leaving` leave.
+    pub fn list(&mut self, endpoints: &[(&str, &str)], leaving: Option<&str>) -> Vec<Call> {
+        let listed = endpoints.iter().map(|(name, software)| {
+            let is_leaving = leaving == Some(*software);
+            let presence = if is_leaving { Presence::Leaving } else { Presence::Live };
+            EndpointEntry { presence, ..endpoint(name, software) }
+        });
+        let endpoints = listed.collect();
+        self.feed(Input::Listed(Listing { instances: Vec::new(), endpoints }))
+    }
+
+    /// A piece of a call's output arrives.
+    pub fn piece(&mut self, call: &Call, index: u32) -> Vec<Call> {
+        let event = CallEvent::Chunk { echo: call.echo.clone(), index, text: "piece".into() };
+        self.feed(Input::Call { call: call.id, event })
+    }
+
+    /// A call is interrupted.
+    pub fn cut(&mut self, call: &Call) -> Vec<Call> {
+        let event = CallEvent::Failed(CallFailure::Cut);
+        self.feed(Input::Call { call: call.id, event })
+    }
+
     fn feed(&mut self, input: Input) -> Vec<Call> {
         let actions = self.instance.handle(self.now, input);
         let calls = actions.into_iter().filter_map(|action| match action {
--- a/crates/core/tests/testsuite/subset.rs
+++ b/crates/core/tests/testsuite/subset.rs
@@ -16,6 +16,7 @@
         data_centre: format!("dc-{}", idx % data_centres).into(),
         incarnation: Incarnation(1),
         presence: Presence::Live,
+        software: "".into(),
     };
     (0..count).map(entry).collect()
 }
--- a/crates/entry/tests/entry/support.rs
+++ b/crates/entry/tests/entry/support.rs
@@ -286,6 +286,7 @@
         data_centre: Arc::from("d"),
         incarnation: Incarnation(1),
         presence: Presence::Live,
+        software: Arc::default(),
     }
 }
 
--- a/crates/load/examples/rest_cost.rs
+++ b/crates/load/examples/rest_cost.rs
@@ -182,6 +182,7 @@
         data_centre: Arc::from("dc07"),
         incarnation: Incarnation(1),
         presence: Presence::Live,
+        software: Arc::default(),
     };
     Listing {
         instances: started.iter().enumerate().map(instance).collect(),
--- a/crates/load/src/launch.rs
+++ b/crates/load/src/launch.rs
@@ -120,6 +120,7 @@
                 data_centre: data_centre(preset, index),
                 incarnation: Incarnation(1),
                 presence: Presence::Live,
+                software: Arc::default(),
             });
         }
     }
--- a/crates/test-support/src/platform.rs
+++ b/crates/test-support/src/platform.rs
@@ -120,6 +120,7 @@
             data_centre: "dc1".into(),
             incarnation: Incarnation(incarnation),
             presence: Presence::Live,
+            software: Arc::default(),
         });
     }
 
--- a/crates/test-support/src/processes/node.rs
+++ b/crates/test-support/src/processes/node.rs
@@ -72,6 +72,7 @@
             data_centre: self.data_centre.clone(),
             incarnation: Incarnation(self.incarnation),
             presence: self.presence,
+            software: Arc::default(),
         }
     }
 }
