Instances whose connections to endpoints carry nothing call them through peers

Cause: a connection that opened counted as a path that works, and a call without an answer taught nothing about its path, only about its endpoint.

If no byte has come from any endpoint for 0.6 s while calls wait, the endpoints that they wait for get a request on a new connection, addressed to no endpoint, which each refuses at once. If none comes, peers try the same; one that is answered shows that this instance hears nothing. It is cut off then: calls go through peers that were answered, those that wait are repeated where they may be, and a path works again only with an answer. Tried and dropped: asking peers whether they got answers lately, since they may not have called that endpoint.

Two tests over sockets (two and three of four instances; the others of the cut still pass), three in virtual time; the fuzz test answers the checks at random.

--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -9,7 +9,7 @@
 //! all requests away from evacuated data centres; `ranking` selects the instance that does a
 //! task for all; `regions` assigns each request to a region; `pace` limits the calls to
 //! endpoints that are cold or state a limit; `paths` calls endpoints through peers that this
-//! instance cannot connect to; `terms` processes what endpoints report of
+//! instance cannot connect to, `silence` finds connections that carry nothing; `terms` processes what endpoints report of
 //! themselves; `policies` runs the operators' programs; `rollouts` moves services to new
 //! versions: `canary` selects the requests that go there, `replies` counts how they end,
 //! `deciding` writes what is decided; `streams` keeps a stream at the version that began it.
@@ -33,6 +33,7 @@
 mod replies;
 mod results;
 mod rollouts;
+mod silence;
 mod stages;
 mod streams;
 mod terms;
@@ -146,6 +147,13 @@
     report_at: Duration,
     is_batching: bool,
     paths: Paths,
+    /// Calls on connections of this instance that have got no byte yet, by the time at which they
+    /// were sent.
+    waiting_calls: BTreeSet<(Duration, CallKey)>,
+    /// When the last byte came from any endpoint.
+    heard_at: Duration,
+    /// When paths were last checked because no byte came from any endpoint.
+    silence_checked_at: Duration,
     quarantine: Quarantine,
     /// Whether the quarantine table has been read. No request is admitted before.
     is_quarantine_read: bool,
@@ -254,6 +262,9 @@
             report_at: Duration::ZERO,
             is_batching: true,
             paths: Paths::default(),
+            waiting_calls: BTreeSet::new(),
+            heard_at: Duration::ZERO,
+            silence_checked_at: Duration::ZERO,
             quarantine: Quarantine::default(),
             is_quarantine_read: false,
             cut_runs: HashMap::new(),
@@ -333,8 +344,11 @@
         let rollout = self.rollouts.next_wake(now);
         let path = self.paths.next_check();
         let stream = self.next_stream_report();
-        [deadline, overdue, search, evictable, batch, report, backlog, rollout, path, stream]
+        let silence = self.next_silence_check().filter(|_| !self.paths.is_cut_off());
+        let batches = [batch, evictable, backlog];
+        [deadline, overdue, search, report, rollout, path, stream, silence]
             .into_iter()
+            .chain(batches)
             .flatten()
             .min()
             .unwrap_or(self.next_cleanup)
@@ -532,6 +546,7 @@
         self.report_read_inputs(now);
         self.duplicate_stragglers(now);
         self.check_paths(now);
+        self.check_silence(now);
         self.dispatch_all(now);
         if now >= self.next_cleanup {
             self.next_cleanup = now + CLEANUP_INTERVAL;
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -32,6 +32,7 @@
     /// which is to be passed to [`Relay::on_stream_event`]; false if the body is to be read
     /// whole first.
     pub fn on_reply_head(&mut self, now: Duration, call: CallKey, head: &ReplyHead) -> bool {
+        self.record_heard(now, call);
         self.on_reply_terms(now, call, head);
         let Some(exchange) = self.exchange_of(call) else { return false };
         let is_stream = self.exchanges[exchange].route.kind.is_stream();
@@ -45,6 +46,7 @@
 
     /// Takes in an event of a stream. Returns whether it is to be passed on to the caller.
     pub fn on_stream_event(&mut self, now: Duration, call: CallKey, id: Option<u64>) -> bool {
+        self.record_heard(now, call);
         let Some(key) = self.exchange_of(call) else { return false };
         let exchange = &mut self.exchanges[key];
         if let (Some(id), Some(last)) = (id, exchange.last_event)
@@ -245,6 +247,9 @@
             overdue_at: None,
             is_counted: false,
         });
+        if self.calls[call].via.is_none() {
+            self.record_waiting(now, call);
+        }
         if run.is_some() {
             self.watch_first_token(now, call, &chosen);
         }
@@ -429,6 +434,7 @@
     pub(super) fn end_call(&mut self, now: Duration, call: CallKey, step: Step) {
         self.record_step(now, call, step);
         let Some(state) = self.calls.remove(call) else { return };
+        self.record_not_waiting(state.started_at, call);
         if let Some(detour) = &state.via {
             self.paths.record_end(&detour.peer);
         }
--- a/crates/core/src/relay/machine/paths.rs
+++ b/crates/core/src/relay/machine/paths.rs
@@ -30,6 +30,14 @@
         self.paths.is_cut_off()
     }
 
+    /// A new connection to an address was opened, or could not be. Addresses of no endpoint are
+    /// ignored.
+    pub fn on_connect(&mut self, now: Duration, addr: &str, is_open: bool) {
+        if !is_open || !self.paths.has_silent() {
+            self.on_connection(now, addr, is_open);
+        }
+    }
+
     /// A new connection to an address served a call, or could not be opened. Addresses of no
     /// endpoint are ignored.
     pub fn on_connection(&mut self, now: Duration, addr: &str, is_open: bool) {
@@ -68,7 +76,7 @@
             match reach {
                 Reach::Reached => self.paths.record_help(now, peer, true),
                 Reach::CutOff => self.paths.record_help(now, peer, false),
-                Reach::Unreached | Reach::Unknown => {}
+                Reach::Unreached | Reach::Unknown | Reach::Answered => {}
             }
         }
         let has = |wanted| answers.iter().any(|(_, reach)| *reach == wanted);
@@ -119,7 +127,11 @@
             return None;
         }
         let id = self.directory.get(endpoint)?.id();
-        let peers = self.detour_peers(now, endpoint);
+        let mut peers = self.detour_peers(now, endpoint);
+        if self.paths.has_silent() && peers.iter().any(|peer| self.paths.is_proved(peer)) {
+            // The connections of others may carry nothing either, without their knowing it yet.
+            peers.retain(|peer| self.paths.is_proved(peer));
+        }
         let (one, other) = (peers.choose(&mut self.rng)?, peers.choose(&mut self.rng)?);
         let peer = self.paths.better(one, other).clone();
         Some(Detour { peer, endpoint: id })
@@ -177,7 +189,8 @@
     pub(super) fn check_paths(&mut self, now: Duration) {
         let Some(endpoint) = self.paths.take_check(now) else { return };
         if let Some(known) = self.directory.get(endpoint) {
-            self.actions.push(Action::CheckPath { endpoint, addr: known.entry.addr.clone() });
+            let (addr, is_silent) = (known.entry.addr.clone(), self.paths.is_silent(endpoint));
+            self.actions.push(Action::CheckPath { endpoint, addr, is_silent });
         }
     }
 
@@ -189,7 +202,7 @@
 
     /// Peers that may call an endpoint for this instance: those in its region, so that a
     /// request stays where it may be served.
-    fn detour_peers(&self, now: Duration, endpoint: EndpointKey) -> Vec<InstanceName> {
+    pub(super) fn detour_peers(&self, now: Duration, endpoint: EndpointKey) -> Vec<InstanceName> {
         let Some(known) = self.directory.get(endpoint) else { return Vec::new() };
         let region = self.directory.regions().work_region(&known.entry.data_centre);
         let peers = self.peers_in(region.as_deref());
@@ -221,7 +234,7 @@
         if self.paths.record_interruption(now, endpoint) {
             self.actions.push(Action::CutOff(true));
             affected = self.directory.keys().collect();
-        } else if !self.paths.is_cut_off() {
+        } else if !self.paths.is_cut_off() && !self.paths.has_silent() {
             self.probe_another(endpoint);
         }
         for key in affected {
@@ -233,6 +246,12 @@
         self.dispatch_all(now);
     }
 
+    /// The same for a path whose connections open and carry nothing.
+    pub(super) fn interrupt_silent_path(&mut self, now: Duration, endpoint: EndpointKey) {
+        self.paths.record_silence(now, endpoint);
+        self.interrupt_path(now, endpoint);
+    }
+
     /// Finds out whether the path to another endpoint is interrupted too.
     fn probe_another(&mut self, endpoint: EndpointKey) {
         let is_open = |key: &EndpointKey| *key != endpoint && !self.paths.is_interrupted(*key);
--- a/crates/core/src/relay/machine/quarantine.rs
+++ b/crates/core/src/relay/machine/quarantine.rs
@@ -110,7 +110,9 @@
             return;
         }
         if probed == ProbeResult::There {
-            self.record_connected(now, endpoint);
+            if !self.paths.has_silent() {
+                self.record_connected(now, endpoint);
+            }
             self.conclude_probe(now, endpoint, probed);
         } else if !self.ask_peers(now, endpoint, probed) {
             self.conclude_probe(now, endpoint, probed);
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -297,6 +297,9 @@
                 overdue_at: None,
                 is_counted: false,
             });
+            if via.is_none() {
+                self.record_waiting(now, call);
+            }
             self.batcher.record_start(now, call, &order, config);
             self.pace_call(now, endpoint);
             let target =
--- a/crates/core/src/relay/machine/terms.rs
+++ b/crates/core/src/relay/machine/terms.rs
@@ -25,6 +25,7 @@
     /// Takes in the head of a reply. What the endpoint reports of itself holds however the
     /// call ends, unless another endpoint answered at its address.
     pub fn on_reply_terms(&mut self, now: Duration, call: CallKey, head: &ReplyHead) {
+        self.record_heard(now, call);
         if head.status == 421 {
             return;
         }
--- a/crates/core/src/relay/model/action.rs
+++ b/crates/core/src/relay/model/action.rs
@@ -160,12 +160,32 @@
         /// The peers.
         peers: Vec<InstanceName>,
     },
+    /// Check whether an endpoint answers: a request that it refuses at once is sent on a new
+    /// connection. The result is passed to `Relay::on_answer_check`.
+    CheckAnswer {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// Where it listens.
+        addr: Arc<str>,
+    },
+    /// Have peers check whether an endpoint from which this instance hears nothing answers them;
+    /// those that it answered are passed to `Relay::on_silence_answers`.
+    AskAnswered {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// Its name and incarnation.
+        id: EndpointId,
+        /// The peers.
+        peers: Vec<InstanceName>,
+    },
     /// Open a new connection to find out whether the path to an endpoint works again.
     CheckPath {
         /// The endpoint.
         endpoint: EndpointKey,
         /// Where it listens.
         addr: Arc<str>,
+        /// Whether connections open and carry nothing, so that an answer has to come.
+        is_silent: bool,
     },
     /// Log and count that this instance reaches no endpoint any more, or does again.
     CutOff(bool),
--- a/crates/core/src/relay/paths.rs
+++ b/crates/core/src/relay/paths.rs
@@ -49,6 +49,8 @@
     Unreached,
     /// It cannot connect to any endpoint that it tried.
     CutOff,
+    /// The endpoint answered it just now.
+    Answered,
 }
 
 /// How a call reaches an endpoint that this instance cannot connect to.
@@ -65,6 +67,8 @@
 struct FailedPath {
     /// Whether a peer reached it meanwhile.
     is_interrupted: bool,
+    /// Whether connections open and carry nothing, so that only an answer shows that they work.
+    is_silent: bool,
     asked_at: Option<Duration>,
     checked_at: Duration,
     /// Attempts to connect in a row that succeeded.
@@ -130,13 +134,39 @@
         let path = self.failed.entry(endpoint).or_default();
         path.is_interrupted = true;
         path.checked_at = now;
+        // Paths are found silent only while nothing comes from any endpoint.
+        let hears_nothing = path.is_silent;
         self.next_check = now + CHECK_INTERVAL;
         self.streak.insert(endpoint);
         let was_cut_off = self.is_cut_off;
-        self.is_cut_off |= self.streak.len() >= CUT_OFF_COUNT;
+        self.is_cut_off |= hears_nothing || self.streak.len() >= CUT_OFF_COUNT;
         self.is_cut_off && !was_cut_off
     }
 
+    /// Records that connections to an endpoint open and carry nothing.
+    pub fn record_silence(&mut self, now: Duration, endpoint: EndpointKey) {
+        self.record_failure(now, endpoint);
+        let path = self.failed.entry(endpoint).or_default();
+        path.is_silent = true;
+        path.successes = 0;
+    }
+
+    /// Whether connections of this instance were found to carry nothing, so that one that opens
+    /// proves nothing.
+    pub fn has_silent(&self) -> bool {
+        self.failed.values().any(|path| path.is_silent)
+    }
+
+    /// Whether a peer reached an endpoint when it last tried.
+    pub fn is_proved(&self, peer: &InstanceName) -> bool {
+        self.helpers.get(peer).is_some_and(|helper| helper.is_proved)
+    }
+
+    /// Whether connections to an endpoint were found to carry nothing.
+    pub fn is_silent(&self, endpoint: EndpointKey) -> bool {
+        self.failed.get(&endpoint).is_some_and(|path| path.is_silent)
+    }
+
     /// Whether calls to an endpoint need a detour.
     pub fn is_interrupted(&self, endpoint: EndpointKey) -> bool {
         self.is_cut_off || self.failed.get(&endpoint).is_some_and(|path| path.is_interrupted)
--- a/crates/core/tests/testsuite/relay/fuzz/oracle.rs
+++ b/crates/core/tests/testsuite/relay/fuzz/oracle.rs
@@ -83,6 +83,7 @@
 impl Oracle {
     pub fn check(&mut self, world: &mut World) {
         let (mut queries, mut asked, mut checks) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut answers, mut witnesses) = (Vec::new(), Vec::new());
         for action in std::mem::take(&mut world.actions) {
             match action {
                 Action::Quarantined { content, .. } => drop(self.quarantined.insert(content)),
@@ -94,6 +95,8 @@
                     asked.push((endpoint, own, answers.collect::<Vec<_>>()));
                 }
                 Action::CheckPath { endpoint, .. } => checks.push(endpoint),
+                Action::CheckAnswer { endpoint, addr } => answers.push((endpoint, addr)),
+                Action::AskAnswered { endpoint, peers, .. } => witnesses.push((endpoint, peers)),
                 Action::Send(call) => {
                     let content = self.contents.get(&call.exchange);
                     let is_quarantined =
@@ -164,6 +167,17 @@
             world.collect();
             self.check(world);
         }
+        for (endpoint, addr) in answers {
+            let has_answered = addr.bytes().map(usize::from).sum::<usize>() % 2 == 0;
+            world.relay.on_answer_check(world.now, endpoint, has_answered);
+            world.collect();
+            self.check(world);
+        }
+        for (endpoint, peers) in witnesses {
+            world.relay.on_silence_answers(world.now, endpoint, &peers);
+            world.collect();
+            self.check(world);
+        }
         for endpoint in checks {
             world.relay.on_path_check(world.now, endpoint, true);
             world.collect();
--- a/crates/core/tests/testsuite/relay/load/fleet.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet.rs
@@ -54,6 +54,7 @@
     FirstToken { to: usize, call: CallKey, terms: Terms },
     Finished { to: usize, call: CallKey },
     PartsListed { to: usize, endpoint: EndpointKey },
+    PathChecked { to: usize, endpoint: EndpointKey },
     Change { to: usize, change: Change },
     Backlog { to: usize, service: Arc<str> },
 }
@@ -277,6 +278,9 @@
                     relay.on_stream_event(now, call, Some(1));
                 }
             }),
+            Event::PathChecked { to, endpoint } => {
+                self.with_relay(to, |relay| relay.on_answer_check(now, endpoint, true));
+            }
             Event::PartsListed { to, endpoint } => {
                 self.with_relay(to, |relay| {
                     relay.on_parts_listed(
--- a/crates/core/tests/testsuite/relay/load/fleet/actions.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet/actions.rs
@@ -35,6 +35,9 @@
             Action::ListParts { endpoint, .. } => {
                 self.after_hop(Event::PartsListed { to: idx, endpoint });
             }
+            Action::CheckAnswer { endpoint, .. } => {
+                self.after_hop(Event::PathChecked { to: idx, endpoint });
+            }
             Action::AnnounceQueue { peer, service } => {
                 self.after_hop(Event::Backlog { to: index_of(&peer), service });
             }
@@ -59,6 +62,7 @@
             | Action::AskOrigin { .. }
             | Action::Probe { .. }
             | Action::AskPeers { .. }
+            | Action::AskAnswered { .. }
             | Action::CheckPath { .. }
             | Action::CutOff(_)
             | Action::PathChanged { .. }
--- a/crates/core/tests/testsuite/relay/paths.rs
+++ b/crates/core/tests/testsuite/relay/paths.rs
@@ -211,3 +211,67 @@
     }
     assert_eq!(world.relay.directory().ready_count(), 1);
 }
+
+/// The endpoints whose paths are checked for an answer.
+fn answer_checks(world: &mut World) -> Vec<EndpointKey> {
+    world.take(|action| match action {
+        Action::CheckAnswer { endpoint, .. } => Some(*endpoint),
+        _ => None,
+    })
+}
+
+/// No endpoint answers this instance, and a peer says that they answer it.
+fn hear_nothing(world: &mut World) {
+    for endpoint in answer_checks(world) {
+        world.relay.on_answer_check(world.now, endpoint, false);
+        world.collect();
+    }
+    let asked = world.take(|action| match action {
+        Action::AskAnswered { endpoint, peers, .. } => Some((*endpoint, peers.clone())),
+        _ => None,
+    });
+    for (endpoint, peers) in asked {
+        world.relay.on_silence_answers(world.now, endpoint, &peers[..1]);
+        world.collect();
+    }
+}
+
+#[test]
+fn slow_calls_are_left_alone_while_any_endpoint_sends_bytes() {
+    let mut world = world(2);
+    request(&mut world, "slow");
+    for idx in 0..10 {
+        world.advance(ms(150));
+        let call = request(&mut world, &idx.to_string());
+        world.relay.on_reply_head(world.now, call.key, &head(200));
+        world.reply(call.key, &head(200));
+    }
+    assert_eq!(answer_checks(&mut world), []);
+}
+
+#[test]
+fn calls_on_connections_that_carry_nothing_are_repeated_through_the_peer_that_is_answered() {
+    let mut world = world(2);
+    let call = request(&mut world, "1");
+    world.advance(ms(700));
+    hear_nothing(&mut world);
+    let again = world.call();
+    assert_eq!(again.exchange, call.exchange);
+    assert!(again.via.is_some());
+    // A connection that opens proves nothing now.
+    world.relay.on_connect(world.now, &call.addr, true);
+    world.collect();
+    assert!(request(&mut world, "2").via.is_some());
+}
+
+#[test]
+fn a_slow_endpoint_that_answers_a_check_is_waited_for() {
+    let mut world = world(2);
+    request(&mut world, "1");
+    world.advance(ms(700));
+    for endpoint in answer_checks(&mut world) {
+        world.relay.on_answer_check(world.now, endpoint, true);
+        world.collect();
+    }
+    assert!(world.calls().is_empty() && world.actions.is_empty());
+}
--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -31,6 +31,10 @@
 const PIECES_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time limit for an engine to list its prompt parts. A later list is of little use.
 const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+/// The name of no endpoint.
+const NOBODY: &str = "nobody";
+/// Time limit for an endpoint to refuse a request that is addressed to no endpoint.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit of a call that frees results.
 const FREE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -76,12 +80,41 @@
     driver.feed(|machine, now| machine.on_probe(now, endpoint, probed));
 }
 
-/// Tries whether a new connection to an endpoint can be opened again.
-pub async fn check_path(driver: Rc<Driver>, endpoint: EndpointKey, addr: Arc<str>) {
-    let is_open = driver.pool.probe(&addr).await == ProbeResult::There;
+/// Tries whether a new connection to an endpoint can be opened again, and with `is_silent`
+/// whether an answer comes on it.
+pub async fn check_path(
+    driver: Rc<Driver>,
+    endpoint: EndpointKey,
+    addr: Arc<str>,
+    is_silent: bool,
+) {
+    let is_open = match is_silent {
+        true => has_answer(&driver, &addr).await,
+        false => driver.pool.probe(&addr).await == ProbeResult::There,
+    };
     driver.feed(|machine, now| machine.on_path_check(now, endpoint, is_open));
 }
 
+/// Checks whether an endpoint from which nothing has come for a while answers.
+pub async fn check_answer(driver: Rc<Driver>, endpoint: EndpointKey, addr: Arc<str>) {
+    let has_answered = has_answer(&driver, &addr).await;
+    driver.metrics.count("relay.silences_checked", 1);
+    driver.feed(|machine, now| machine.on_answer_check(now, endpoint, has_answered));
+}
+
+/// Whether anything answers at an address, on a new connection. The request is addressed to no
+/// endpoint, so each one refuses it at once without running it.
+pub async fn has_answer(driver: &Rc<Driver>, addr: &Arc<str>) -> bool {
+    let request = Request::get("/")
+        .header(header::HOST, &**addr)
+        .header(&driver.platform.dialect.names.endpoint, NOBODY)
+        .body(Bytes::new());
+    let Ok(request) = request else { return false };
+    driver.pool.disconnect(addr);
+    let sent = outgoing::send(driver, addr, None, request);
+    matches!(tokio::time::timeout(ANSWER_TIMEOUT, sent).await, Ok(Ok(_)))
+}
+
 async fn call_endpoint(
     driver: &Rc<Driver>,
     call: &Call,
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -94,6 +94,12 @@
         Action::AskPeers { id, .. } => {
             tracing::debug!(event = "path_question", endpoint = &*id.name);
         }
+        Action::CheckAnswer { addr, .. } => {
+            tracing::debug!(event = "silence_check", addr = &**addr);
+        }
+        Action::AskAnswered { id, .. } => {
+            tracing::debug!(event = "silence_question", endpoint = &*id.name);
+        }
         Action::CheckPath { addr, .. } => tracing::debug!(event = "path_check", addr = &**addr),
         Action::CutOff(is_cut_off) => tracing::warn!(event = "cut_off", is_cut_off),
         Action::PathChanged { endpoint, is_open, unreachable, ready } => {
--- a/crates/relay/src/driver/actions.rs
+++ b/crates/relay/src/driver/actions.rs
@@ -94,8 +94,14 @@
             Action::AskPeers { endpoint, id, own, peers } => {
                 self.peers.ask_reach(self, endpoint, id, own, peers);
             }
-            Action::CheckPath { endpoint, addr } => {
-                ntex::rt::spawn(calls::check_path(self.clone(), endpoint, addr));
+            Action::CheckAnswer { endpoint, addr } => {
+                ntex::rt::spawn(calls::check_answer(self.clone(), endpoint, addr));
+            }
+            Action::AskAnswered { endpoint, id, peers } => {
+                self.peers.ask_answered(self, endpoint, id, peers);
+            }
+            Action::CheckPath { endpoint, addr, is_silent } => {
+                ntex::rt::spawn(calls::check_path(self.clone(), endpoint, addr, is_silent));
             }
             Action::CutOff(is_cut_off) => {
                 self.metrics.gauge("relay.cut_off", u64::from(is_cut_off));
--- a/crates/relay/src/peers/detour.rs
+++ b/crates/relay/src/peers/detour.rs
@@ -26,6 +26,7 @@
 };
 
 use crate::{
+    calls,
     driver::Driver,
     outgoing,
     peers::{EXCHANGE_TIMEOUT, Peers, remote::Kind, work},
@@ -237,9 +238,19 @@
     }
 }
 
+/// Answers a peer whether an endpoint answers this instance.
+pub async fn has_answer(driver: &Rc<Driver>, endpoint: &EndpointId) -> Reach {
+    let addr = driver.inspect(|machine| machine.detour_target(driver.now(), endpoint));
+    let Some(addr) = addr else { return Reach::Unknown };
+    match calls::has_answer(driver, &addr).await {
+        true => Reach::Answered,
+        false => Reach::Unknown,
+    }
+}
+
 async fn try_connect(driver: &Rc<Driver>, addr: &Arc<str>) -> bool {
     let is_open = driver.pool.probe(addr).await == ProbeResult::There;
-    driver.feed(|machine, now| machine.on_connection(now, addr, is_open));
+    driver.feed(|machine, now| machine.on_connect(now, addr, is_open));
     is_open
 }
 
@@ -256,7 +267,7 @@
     ) {
         let driver = driver.clone();
         ntex::rt::spawn(async move {
-            let questions = peers.iter().map(|peer| Box::pin(ask(&driver, peer, &id)));
+            let questions = peers.iter().map(|peer| Box::pin(ask(&driver, peer, &id, false)));
             let mut open: futures::stream::FuturesUnordered<_> = questions.collect();
             let mut answers = Vec::new();
             while let Some((peer, reach)) = open.next().await {
@@ -272,7 +283,37 @@
     }
 }
 
-async fn ask(driver: &Rc<Driver>, peer: &InstanceName, id: &EndpointId) -> (InstanceName, Reach) {
+impl Peers {
+    /// Asks peers whether an endpoint answers them, and passes those that it answered to the
+    /// machine.
+    pub fn ask_answered(
+        &self,
+        driver: &Rc<Driver>,
+        endpoint: EndpointKey,
+        id: EndpointId,
+        peers: Vec<InstanceName>,
+    ) {
+        let driver = driver.clone();
+        ntex::rt::spawn(async move {
+            let questions = peers.iter().map(|peer| ask(&driver, peer, &id, true));
+            let answers = future::join_all(questions).await;
+            let witnesses = answers.into_iter().filter(|(_, reach)| *reach == Reach::Answered);
+            let witnesses: Vec<_> = witnesses.map(|(peer, _)| peer).collect();
+            let (asked, answered) = (peers.len(), witnesses.len());
+            tracing::info!(event = "silence_asked", endpoint = &*id.name, asked, answered);
+            driver.feed(|machine, now| machine.on_silence_answers(now, endpoint, &witnesses));
+        });
+    }
+}
+
+/// A peer's answer to the question whether it can connect to an endpoint or, with `is_silent`,
+/// whether the endpoint answers it.
+async fn ask(
+    driver: &Rc<Driver>,
+    peer: &InstanceName,
+    id: &EndpointId,
+    is_silent: bool,
+) -> (InstanceName, Reach) {
     let Some(addr) = driver.peers.members.borrow().addr(peer) else {
         return (peer.clone(), Reach::Unknown);
     };
@@ -280,6 +321,7 @@
         let mut request = client.reach_request();
         request.get().set_endpoint(&*id.name);
         request.get().set_incarnation(id.incarnation.0);
+        request.get().set_is_silent(is_silent);
         let size = || request.get().into_reader().total_size();
         driver.peers.count_request(driver, &addr, Kind::Others, size);
         let response = request.send().promise.await?;
--- a/crates/relay/src/peers/service.rs
+++ b/crates/relay/src/peers/service.rs
@@ -286,7 +286,10 @@
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let endpoint = endpoint_id(params.get_endpoint()?, params.get_incarnation())?;
-        let reach = detour::reach(&self.driver, &endpoint).await;
+        let reach = match params.get_is_silent() {
+            true => detour::has_answer(&self.driver, &endpoint).await,
+            false => detour::reach(&self.driver, &endpoint).await,
+        };
         results.get().set_answer(detour_wire::write_reach(reach));
         let size = || results.get().into_reader().total_size();
         self.caller.count_reply(&self.driver, Kind::Others, size);
--- a/crates/relay/tests/relay/cut_off.rs
+++ b/crates/relay/tests/relay/cut_off.rs
@@ -128,3 +128,13 @@
 fn the_last_connected_instance_serves_the_callers_of_all() {
     check_cut(3, Cut::Hang);
 }
+
+#[test]
+fn instances_whose_connections_to_endpoints_carry_nothing_serve_their_callers() {
+    check_cut(2, Cut::Silent);
+}
+
+#[test]
+fn the_last_instance_whose_connections_carry_anything_serves_the_callers_of_all() {
+    check_cut(3, Cut::Silent);
+}
--- a/crates/relay/tests/relay/standins/cut.rs
+++ b/crates/relay/tests/relay/standins/cut.rs
@@ -34,9 +34,11 @@
     RefuseNew,
     /// Open connections are reset, and new ones as soon as they are open.
     Reset,
+    /// Open connections carry nothing, and neither do new ones, which open.
+    Silent,
 }
 
-const CUTS: [Cut; 5] = [Cut::None, Cut::Hang, Cut::Refuse, Cut::RefuseNew, Cut::Reset];
+const CUTS: [Cut; 6] = [Cut::None, Cut::Hang, Cut::Refuse, Cut::RefuseNew, Cut::Reset, Cut::Silent];
 
 /// The links of one instance. Clones share them.
 #[derive(Clone, Default)]
@@ -128,7 +130,7 @@
         let mut chunk = [0; 4096];
         loop {
             match self.state() {
-                Cut::Hang => {
+                Cut::Hang | Cut::Silent => {
                     thread::sleep(POLL_INTERVAL);
                     continue;
                 }
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -58,8 +58,9 @@
   # Sends the sender's counts of a rollout to the instance that decides on it. `verdict`
   # is valid only if the receiver decides on the service.
 
-  reach @13 (endpoint :Text, incarnation :UInt64) -> (answer :Reach);
-  # Asks whether the receiver can open a connection to an endpoint.
+  reach @13 (endpoint :Text, incarnation :UInt64, isSilent :Bool) -> (answer :Reach);
+  # Asks whether the receiver can open a connection to an endpoint. With `isSilent`, asks
+  # instead whether the endpoint answers a request of the receiver.
 
   detour @14 (endpoint :Text, incarnation :UInt64, request :Request, sink :ReplySink)
       -> (end :DetourEnd, cause :Text);
@@ -95,6 +96,8 @@
   # The receiver reaches other endpoints.
   cutOff @3;
   # The receiver reaches no other endpoint either.
+  answered @4;
+  # The endpoint answers the receiver.
 }
 
 struct Request {
--- a/crates/wire/src/detour.rs
+++ b/crates/wire/src/detour.rs
@@ -16,6 +16,7 @@
         Reach::Reached => relay_capnp::Reach::Reached,
         Reach::Unreached => relay_capnp::Reach::Unreached,
         Reach::CutOff => relay_capnp::Reach::CutOff,
+        Reach::Answered => relay_capnp::Reach::Answered,
     }
 }
 
@@ -26,6 +27,7 @@
         relay_capnp::Reach::Reached => Reach::Reached,
         relay_capnp::Reach::Unreached => Reach::Unreached,
         relay_capnp::Reach::CutOff => Reach::CutOff,
+        relay_capnp::Reach::Answered => Reach::Answered,
     }
 }
 
--- a/crates/wire/src/relay_capnp.rs
+++ b/crates/wire/src/relay_capnp.rs
@@ -6115,11 +6115,15 @@
             pub fn get_incarnation(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
+            #[inline]
+            pub fn get_is_silent(self) -> bool {
+                self.reader.get_bool_field(64)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6193,6 +6197,14 @@
             pub fn set_incarnation(&mut self, value: u64)  {
                 self.builder.set_data_field::<u64>(0, value);
             }
+            #[inline]
+            pub fn get_is_silent(self) -> bool {
+                self.builder.get_bool_field(64)
+            }
+            #[inline]
+            pub fn set_is_silent(&mut self, value: bool)  {
+                self.builder.set_bool_field(64, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6204,38 +6216,45 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(243, 22, 110, 81, 248, 146, 96, 238),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 82, 101, 108, 97),
                 ::capnp::word(121, 46, 114, 101, 97, 99, 104, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(85, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -6254,11 +6273,21 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 115, 83, 105, 108, 101, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6272,9 +6301,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
             pub(crate) const TYPE_ID: u64 = 0xee60_92f8_516e_16f3;
         }
     }
@@ -8218,6 +8247,7 @@
     Reached = 1,
     Unreached = 2,
     CutOff = 3,
+    Answered = 4,
 }
 
 impl ::capnp::introspect::Introspect for Reach {
@@ -8234,6 +8264,7 @@
             1 => ::core::result::Result::Ok(Self::Reached),
             2 => ::core::result::Result::Ok(Self::Unreached),
             3 => ::core::result::Result::Ok(Self::CutOff),
+            4 => ::core::result::Result::Ok(Self::Answered),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -8246,7 +8277,7 @@
     const TYPE_ID: u64 = 0xe65c_9145_c3b3_79feu64;
 }
 mod reach {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 39] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(254, 121, 179, 195, 69, 145, 92, 230),
     ::capnp::word(12, 0, 0, 0, 2, 0, 0, 0),
@@ -8256,31 +8287,36 @@
     ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 103, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 127, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
     ::capnp::word(112, 110, 112, 58, 82, 101, 97, 99),
     ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(53, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(33, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(37, 0, 0, 0, 82, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(21, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
     ::capnp::word(114, 101, 97, 99, 104, 101, 100, 0),
     ::capnp::word(117, 110, 114, 101, 97, 99, 104, 101),
     ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(99, 117, 116, 79, 102, 102, 0, 0),
+    ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
