A call of a stage without samples is hedged after half of the stage's time

Suspected cause of the known failure of the test of misbehaving services ("late-4" ends 504 at its deadline in its first stage, not hedged): a stage with fewer than 20 samples got no hedge timer at all, so a call that hangs there is waited for until the deadline. That this is what the test meets is not shown, so its entry stays. The new test in virtual time failed before (no second call).

--- a/crates/core/src/instance/stages.rs
+++ b/crates/core/src/instance/stages.rs
@@ -326,7 +326,9 @@
         }
         let estimator = self.estimator(&active.pipeline.name, &active.stage().name);
         let Some(left) = self.stage_time(key) else { return };
-        let Some(after) = estimator.and_then(|e| timing::hedge_delay(e, left)) else { return };
+        let early = timing::early_hedge_delay(estimator, left);
+        let after = early.or_else(|| timing::hedge_delay(estimator?, left));
+        let Some(after) = after else { return };
         self.timers.set(self.now + after.max(MIN_HEDGE_DELAY), Timer::Hedge(call));
     }
 
--- a/crates/core/src/timing.rs
+++ b/crates/core/src/timing.rs
@@ -25,6 +25,8 @@
 /// How far a hedge is postponed from the straggler time towards the latest useful time, as a
 /// fraction.
 const POSTPONEMENT: f64 = 0.5;
+/// Share of a stage's time after which a call is hedged before its quantiles are trusted.
+const EARLY_HEDGE_SHARE: f64 = 0.5;
 /// Samples before a stage's quantiles are trusted for hedging.
 const MIN_SAMPLES: u64 = 20;
 
@@ -71,6 +73,13 @@
     (delay >= run).then_some(delay)
 }
 
+/// The same for a stage of which too little is known to tell a straggler; `None` if enough is. A
+/// call that takes half of its time may be one, and a hedge has the other half.
+pub fn early_hedge_delay(stage: Option<&Estimator>, time: Duration) -> Option<Duration> {
+    let samples = stage.map_or(0, Estimator::count);
+    (samples < MIN_SAMPLES).then(|| time.mul_f64(EARLY_HEDGE_SHARE))
+}
+
 /// The stage's part of `left` if all stages have to run proportionally faster.
 fn proportional_share(left: Duration, stage: Duration, later: Duration) -> Duration {
     let total = (stage + later).as_secs_f64();
