--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -13,10 +13,11 @@
 //! carried over from one incarnation to the next.
 
 mod endpoint;
+mod versions;
 
 use std::{
     cmp::Ordering,
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -27,7 +28,7 @@
 use crate::{
     model::{DataCentre, EndpointName, Incarnation},
     relay::{
-        directory::endpoint::State,
+        directory::{endpoint::State, versions::VersionCounts},
         model::{EndpointId, EndpointKey, ServiceName},
         pool::{Pool, PoolKey, Track},
         region::RegionMap,
@@ -88,6 +89,8 @@
     pub ended: Option<EndedEndpoint>,
     /// Whether the endpoint is cold and was not known to be.
     pub is_newly_cold: bool,
+    /// Whether its service has endpoints of a second version since.
+    pub is_second_version: bool,
 }
 
 /// An incarnation of an endpoint that has ended.
@@ -106,8 +109,7 @@
     endpoints: SlotMap<EndpointKey, Endpoint>,
     by_name: HashMap<EndpointName, EndpointKey>,
     by_service: HashMap<ServiceName, Vec<EndpointKey>>,
-    /// The number of endpoints of each version of each service.
-    versions: HashMap<ServiceName, BTreeMap<Version, usize>>,
+    versions: VersionCounts,
     /// When the first entry was applied.
     known_since: Option<Duration>,
     /// Data centres whose endpoints receive no calls because operators evacuated them.
@@ -285,12 +287,12 @@
 
     /// The number of versions that a service's endpoints have, with those that left lately.
     pub fn version_count(&self, service: &str) -> usize {
-        self.versions.get(service).map_or(0, BTreeMap::len)
+        self.versions.of(service)
     }
 
     /// The largest [`Directory::version_count`] of any service.
     pub fn max_versions(&self) -> usize {
-        self.versions.values().map(BTreeMap::len).max().unwrap_or(0)
+        self.versions.max()
     }
 
     /// When the first entry was applied; `None` before.
@@ -437,7 +439,7 @@
                 if let Some(keys) = by_service.get_mut(&endpoint.entry.service) {
                     keys.retain(|other| *other != key);
                 }
-                discount_version(versions, &endpoint.entry);
+                versions.remove(&endpoint.entry);
             }
             is_kept
         });
@@ -473,13 +475,11 @@
         let was_ready = endpoint.is_ready();
         endpoint.state = if entry.is_leaving { State::Leaving(now) } else { State::Ready };
         let is_newly_cold = entry.cold_left.is_some_and(|left| endpoint.set_cold(now, left));
-        if entry.version != endpoint.entry.version {
-            discount_version(&mut self.versions, &endpoint.entry);
-            count_version(&mut self.versions, &entry);
-        }
+        let is_second_version = self.versions.add(&entry);
+        self.versions.remove(&endpoint.entry);
         endpoint.entry = entry;
         let is_new = was_ready != endpoint.is_ready();
-        ChangeEffect { is_new, ended: None, is_newly_cold }
+        ChangeEffect { is_new, ended: None, is_newly_cold, is_second_version }
     }
 
     fn insert(&mut self, now: Duration, entry: Entry) -> ChangeEffect {
@@ -487,7 +487,7 @@
             gates.record_endpoint(now, &entry.service, entry.incarnation, &entry.version);
         }
         self.known_since.get_or_insert(now);
-        count_version(&mut self.versions, &entry);
+        let is_second_version = self.versions.add(&entry);
         let (name, service) = (entry.name.clone(), entry.service.clone());
         let region = self.regions.region_name(&entry.data_centre);
         let mut endpoint = Endpoint::new(now, entry, region);
@@ -498,7 +498,7 @@
         let key = self.endpoints.insert(endpoint);
         self.by_name.insert(name, key);
         self.by_service.entry(service).or_default().push(key);
-        ChangeEffect { is_new: true, ended: None, is_newly_cold }
+        ChangeEffect { is_new: true, ended: None, is_newly_cold, is_second_version }
     }
 
     /// Sets the state of an endpoint that was ready and has no valid entry any more.
@@ -516,19 +516,3 @@
 fn is_in_region(endpoint: &Endpoint, region: Option<&str>) -> bool {
     region.is_none() || endpoint.region.as_deref() == region
 }
-
-type VersionCounts = HashMap<ServiceName, BTreeMap<Version, usize>>;
-
-fn count_version(versions: &mut VersionCounts, entry: &Entry) {
-    let counts = versions.entry(entry.service.clone()).or_default();
-    *counts.entry(entry.version.clone()).or_default() += 1;
-}
-
-fn discount_version(versions: &mut VersionCounts, entry: &Entry) {
-    let Some(counts) = versions.get_mut(&entry.service) else { return };
-    let Some(count) = counts.get_mut(&entry.version) else { return };
-    *count -= 1;
-    if *count == 0 {
-        counts.remove(&entry.version);
-    }
-}
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -117,6 +117,15 @@
 }
 
 impl Binding {
+    /// The binding of a request that has just arrived.
+    pub(crate) fn of(route: &Route, arrival: &Arrival) -> Binding {
+        let is_taken_up = arrival.resume.is_some() || arrival.first_attempt.is_some();
+        match route.kind.is_stream() && is_taken_up {
+            true => Binding::Unasked,
+            false => Binding::Open,
+        }
+    }
+
     /// The only version that may answer, if it is known.
     pub(crate) fn version(&self) -> Option<&str> {
         match self {
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -9,8 +9,8 @@
 //! all requests away from evacuated data centres; `ranking` selects the instance that does a
 //! task for all; `regions` assigns each request to a region; `pace` limits the calls to
 //! endpoints that are cold or state a limit; `paths` calls endpoints through peers that this
-//! instance cannot connect to, `silence` finds connections that carry nothing; `terms` processes what endpoints report of
-//! themselves; `policies` runs the operators' programs; `rollouts` moves services to new
+//! instance cannot connect to, `silence` finds connections that carry nothing; `terms` processes
+//! what endpoints report of themselves; `policies` runs the operators' programs; `rollouts` moves services to new
 //! versions: `canary` selects the requests that go there, `replies` counts how they end,
 //! `deciding` writes what is decided; `streams` keeps a stream at the version that began it.
 
@@ -345,13 +345,9 @@
         let path = self.paths.next_check();
         let stream = self.next_stream_report();
         let silence = self.next_silence_check().filter(|_| !self.paths.is_cut_off());
-        let batches = [batch, evictable, backlog];
-        [deadline, overdue, search, report, rollout, path, stream, silence]
-            .into_iter()
-            .chain(batches)
-            .flatten()
-            .min()
-            .unwrap_or(self.next_cleanup)
+        let work = [deadline, overdue, search, evictable, batch, report, backlog];
+        let others = [rollout, path, stream, silence];
+        work.into_iter().chain(others).flatten().min().unwrap_or(self.next_cleanup)
     }
 
     /// Applies a configuration. Returns false if the one in force is as new or newer.
@@ -371,16 +367,9 @@
             Change::Put(entry) => Some(entry.service.clone()),
             Change::Removed(_) | Change::Unreadable(_) => None,
         };
-        let count = |relay: &Relay| {
-            service.as_ref().map_or(0, |service| relay.directory.version_count(service))
-        };
-        let versions = count(self);
         let changed = self.directory.apply_change(now, change);
-        if let Some(service) = &service
-            && versions == 1
-            && count(self) > 1
-        {
-            self.report_open_streams(now, service);
+        if let Some(service) = service.filter(|_| changed.is_second_version) {
+            self.report_open_streams(now, &service);
         }
         if let Some(EndedEndpoint { endpoint, is_planned }) = changed.ended {
             self.end_incarnation(now, endpoint, is_planned);
@@ -471,11 +460,6 @@
         let team_name = team.map(|team| &*team.name);
         let first_attempt = arrival.first_attempt.as_deref().unwrap_or(&arrival.id);
         let stream = StreamId::new(team_name, first_attempt);
-        let is_taken_up = arrival.resume.is_some() || arrival.first_attempt.is_some();
-        let binding = match route.kind.is_stream() && is_taken_up {
-            true => Binding::Unasked,
-            false => Binding::Open,
-        };
         let parts = shared_parts(&arrival).into_iter().take(MAX_TRACKED_PARTS);
         let parts = parts.map(|part| Fingerprint::of_part(&service, part)).collect();
         let exchange = Exchange {
@@ -505,7 +489,7 @@
             was_called: false,
             last_event: arrival.resume,
             stream,
-            binding,
+            binding: Binding::of(route, &arrival),
             has_sent_head: false,
             stage_starts: Vec::new(),
             has_evictable_results: false,
