Pieces of a reply count as 256 bytes at least

An endless body of 16 MB in chunks of eight bytes is two million pieces, which keep the event loop busy for all calls; it costs its caller more than a retry. Such a body is given up after 65,536 pieces now.

--- a/crates/relay/src/outgoing.rs
+++ b/crates/relay/src/outgoing.rs
@@ -17,6 +17,9 @@
     pool::{self, Pool},
 };
 
+/// Each piece of a reply counts as this many bytes at least. Without that, a body of 16 MB in chunks
+/// of a few bytes keeps the event loop busy for seconds.
+const MIN_PIECE_BYTES: usize = 256;
 /// A reply up to this size, in bytes, is read also while large ones have exhausted the memory.
 const SMALL_REPLY_BYTES: usize = 1 << 20;
 
@@ -86,11 +89,12 @@
     ) -> Result<Bytes, String> {
         let mut whole = bytes::BytesMut::new();
         let mut reservation = memory.reserve();
+        let mut size = 0;
         while let Some(data) = self.next_data().await {
             let data = data?;
-            let size = whole.len() + data.len();
+            size += data.len().max(MIN_PIECE_BYTES);
             if size > limit {
-                return Err(format!("the reply has more than {limit} bytes"));
+                return Err(format!("the reply has more than {limit} bytes, or too many pieces"));
             }
             if !reservation.grow(data.len()) && size > SMALL_REPLY_BYTES {
                 return Err("no memory is left for a large reply".to_owned());
