--- a/review/common.rs
+++ b/review/common.rs
@@ -7,6 +7,7 @@
     fs::{self, File},
     io::{self, BufRead, BufReader, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Condvar, Mutex, MutexGuard},
@@ -20,12 +21,14 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn connect(fd: i32, addr: *const u8, len: u32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
 }
 
 const SIGKILL: i32 = 9;
+const PR_SET_PDEATHSIG: i32 = 1;
 pub const SIGTERM: i32 = 15;
 
 /// Whether the case runs with its disruption.
@@ -418,7 +421,16 @@
         let log = File::create(dir.join(format!("{name}.log")));
         let log = log.unwrap_or_else(|_| fail("the log cannot be written"));
         // The command of `deploy/system.toml`.
-        let child = Command::new("target/release/peatdeck-edge")
+        let mut command = Command::new("target/release/peatdeck-edge");
+        // SAFETY: between fork and exec only a system call is made. It ends the process with this
+        // one, also if this one is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command
             .args(["--policy", "deploy/policies/default.rhai"])
             .env("PEATDECK_NODE_FILE", &path)
             .stdin(Stdio::null())
