--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -1,12 +1,13 @@
-//! Two of a zone's four machines are lost for good. The others get twice as many new channels, which
-//! their clients leave open, until they take no new channel any more.
+//! A release takes away the last workers of an old version while all machines are down. Requesters then
+//! take their streams up again.
 
 #[path = "../lib-2/mod.rs"]
 mod lib;
 
 use std::{
-    io::{self, BufReader, Write},
-    net::{SocketAddr, TcpStream},
+    collections::BTreeSet,
+    io::{self, BufRead, BufReader, Write},
+    net::{Shutdown, SocketAddr, TcpStream},
     process::exit,
     sync::{
         Arc, Mutex,
@@ -18,262 +19,306 @@
 
 use lib::{Outcome, Record, Site, Store};
 
-const ZONES: [&str; 1] = ["llandeilo-hall"];
-const MACHINES: usize = 4;
-/// Machines that are lost for good, and when.
-const LOST: usize = 2;
-const LOST_AFTER: Duration = Duration::from_secs(15);
-/// Requests of the zone per second: a quarter of the sheet's 347.
-const RATE: usize = 87;
-/// `stable-window-ms` of the sheet.
-const STABLE_WINDOW: Duration = Duration::from_millis(4000);
-const RUN: Duration = Duration::from_secs(90);
-const DEADLINE_MS: u64 = 600;
+const ZONES: [&str; 4] = ["hall-a", "hall-b", "hall-c", "hall-d"];
+/// Workers of each of the two versions that serve side by side.
+const EACH: usize = 2;
+/// `heartbeat-ms`.
+const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// `drain-ms` and a little longer: how long a worker serves on after it has reported `draining`.
+const SERVES_ON: Duration = Duration::from_millis(2300);
+/// The release replaces the workers of the old version one after the other, from this time on and
+/// with this gap; the new one starts first.
+const RELEASE_AT: Duration = Duration::from_millis(3000);
+const RELEASE_GAP: Duration = Duration::from_millis(800);
+/// All machines are killed, and are back after this time (`down_s` of `kill_all` in the site file).
+const KILL_AT: Duration = Duration::from_millis(5600);
+const DOWN: Duration = Duration::from_millis(1500);
+const RUN: Duration = Duration::from_secs(18);
+const STREAMS: usize = 16;
+/// A stream: 90 events in 9 s.
+const EVENTS: u64 = 90;
+const EVENT_GAP: Duration = Duration::from_millis(100);
+const DEADLINE_MS: u64 = 15_000;
+/// Tries of a requester, each after this pause.
+const TRIES: usize = 5;
+const PAUSE: Duration = Duration::from_millis(700);
+/// The rule allows two.
+const ALLOWED: usize = 2;
 
-#[repr(C)]
-struct Limit {
-    now: u64,
-    max: u64,
+struct Worker {
+    name: String,
+    addr: SocketAddr,
+    zone: &'static str,
+    version: &'static str,
+    state: Mutex<&'static str>,
+    has_exited: Arc<AtomicBool>,
+    channels: Arc<Mutex<Vec<TcpStream>>>,
 }
 
-unsafe extern "C" {
-    fn getrlimit(what: i32, limit: *mut Limit) -> i32;
-    fn setrlimit(what: i32, limit: *const Limit) -> i32;
-}
+impl Worker {
+    fn entry(&self, sequence: u32) -> String {
+        let state = *self.state.lock().unwrap();
+        let entry =
+            lib::entry_in_state("reviewer-pool", self.addr, self.zone, 128, sequence, state);
+        entry.replace(r#""version":"v1""#, &format!(r#""version":"{}""#, self.version))
+    }
 
-/// Uses all descriptors that this process may have. Returns how many these are.
-fn raise_descriptors() -> u64 {
-    const RLIMIT_NOFILE: i32 = 7;
-    let mut limit = Limit { now: 0, max: 0 };
-    // SAFETY: the structure is that of the platform and outlives the calls.
-    unsafe {
-        getrlimit(RLIMIT_NOFILE, &mut limit);
-        limit.now = limit.max;
-        setrlimit(RLIMIT_NOFILE, &limit);
+    fn exit(&self) {
+        self.has_exited.store(true, Ordering::SeqCst);
+        for channel in self.channels.lock().unwrap().drain(..) {
+            channel.shutdown(Shutdown::Both).ok();
+        }
     }
-    limit.now
 }
 
-fn worker(name: &str, stream: TcpStream) -> io::Result<()> {
+fn serve(
+    record: &Record,
+    name: &str,
+    version: &str,
+    has_exited: &AtomicBool,
+    stream: TcpStream,
+) -> io::Result<()> {
     let mut to = stream.try_clone()?;
     let mut from = BufReader::new(stream);
     while let Some(request) = lib::read_message(&mut from, false)? {
+        if has_exited.load(Ordering::SeqCst) {
+            return Ok(());
+        }
         let id = request.header("x-peatdeck-attempt-id").unwrap_or_default().to_owned();
+        if request.path() == "/kv-list" {
+            let body = br#"{"epoch":1,"next":0,"held":[]}"#;
+            lib::write_response(&mut to, "200 OK", &[("Keep-Alive", "timeout=10")], body)?;
+            continue;
+        }
         if request.header("x-peatdeck-expect-instance").is_some_and(|it| it != name) {
-            lib::write_response(&mut to, "421 Misdirected Request", &[], b"")?;
+            let headers = [("X-Peatdeck-Attempt-Id", &*id), ("X-Peatdeck-Instance-Id", name)];
+            lib::write_response(&mut to, "421 Misdirected Request", &headers, b"")?;
             continue;
         }
-        thread::sleep(Duration::from_millis(15));
-        let seal = format!("seal-{id}");
-        let headers = [
-            ("X-Peatdeck-Attempt-Id", &*id),
-            ("X-Peatdeck-Server-Seal", &*seal),
-            ("Keep-Alive", "timeout=10"),
-        ];
-        lib::write_response(&mut to, "200 OK", &headers, &[b'x'; 800])?;
+        let last = request.header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
+        record.line(format!("{name} ({version}) runs {id}, after event {last}"));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
+             Keep-Alive: timeout=10\r\nX-Peatdeck-Attempt-Id: {id}\r\n\
+             X-Peatdeck-Server-Seal: seal-{id}\r\n\r\n"
+        );
+        thread::sleep(Duration::from_millis(64));
+        to.write_all(head.as_bytes())?;
+        for number in last + 1..=EVENTS {
+            let event = format!("id: {number}\ndata: {version}\n\n");
+            to.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            thread::sleep(EVENT_GAP);
+        }
+        to.write_all(b"0\r\n\r\n")?;
     }
     Ok(())
 }
 
-/// A machine, as the platform and the requesters see it.
+/// What a requester has of its stream.
 #[derive(Default)]
-struct Machine {
-    /// Whether it said that it is ready when it was last asked.
-    is_ready: AtomicBool,
-    /// Misses in a row.
-    misses: AtomicUsize,
-    /// Whether it was lost for good, so that it is not judged.
-    is_lost: AtomicBool,
-    /// The requesters that have tried in vain to be served on a new channel since one was, and
-    /// since when.
-    in_vain: Mutex<Option<(Instant, usize)>>,
-    channels: AtomicUsize,
+struct Received {
+    last: u64,
+    versions: BTreeSet<String>,
+    /// The requester attempt that brought the first event.
+    first: Option<String>,
+    is_complete: bool,
 }
 
-struct World {
-    record: Record,
-    machines: Vec<Machine>,
-    fronts: Vec<SocketAddr>,
-    /// The channels that requesters leave open.
-    open: Mutex<Vec<TcpStream>>,
-    next: AtomicUsize,
-    served: AtomicUsize,
-    broken: Mutex<Option<String>>,
-    is_over: AtomicBool,
-}
-
-impl World {
-    /// Asks a machine once a second whether it is ready, on a channel that is kept.
-    fn ask_ready(&self, number: usize, ready: SocketAddr) {
-        let mut kept: Option<TcpStream> = None;
-        while !self.is_over.load(Ordering::Relaxed) {
-            let answer = (|| -> io::Result<bool> {
-                let stream = match kept.take() {
-                    Some(stream) => stream,
-                    None => TcpStream::connect_timeout(&ready, Duration::from_millis(900))?,
-                };
-                stream.set_read_timeout(Some(Duration::from_millis(900)))?;
-                (&stream).write_all(b"GET /ready HTTP/1.1\r\nHost: ready\r\n\r\n")?;
-                let answer = lib::read_message(&mut BufReader::new(&stream), true)?;
-                let is_ready = answer.is_some_and(|it| it.is_whole && it.status() == 200);
-                kept = Some(stream);
-                Ok(is_ready)
-            })();
-            let machine = &self.machines[number];
-            let is_ready = answer.unwrap_or(false);
-            machine.is_ready.store(is_ready, Ordering::Relaxed);
-            match is_ready {
-                true => machine.misses.store(0, Ordering::Relaxed),
-                false => drop(machine.misses.fetch_add(1, Ordering::Relaxed)),
-            }
-            thread::sleep(Duration::from_secs(1));
-        }
+/// One requester attempt: reads events until the stream ends or breaks off.
+fn attempt(front: SocketAddr, id: &str, received: &mut Received) -> io::Result<u16> {
+    let stream = TcpStream::connect_timeout(&front, Duration::from_secs(1))?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(Duration::from_secs(3)))?;
+    let resumed = match &received.first {
+        Some(first) => format!("Last-Event-Id: {}\r\nResumes: {first}\r\n", received.last),
+        None => String::new(),
+    };
+    let body = "prompt";
+    let request = format!(
+        "POST /puxa400/2f HTTP/1.1\r\nHost: pule25.example\r\nX-Peatdeck-Attempt-Id: {id}\r\n\
+         {resumed}X-Peatdeck-Model: m\r\nX-Peatdeck-Token-Counts: 715,80\r\n\
+         X-Peatdeck-Prompt-Prefix: 5c1e07a2:172,{id}:543\r\nX-Peatdeck-Deadline-Ms: {DEADLINE_MS}\r\n\
+         Api-Key: 9dnn2ctnfzs989anu6ws\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    (&stream).write_all(request.as_bytes())?;
+    let mut from = BufReader::new(&stream);
+    let head = lib::read_head(&mut from)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    if head.status() != 200 {
+        return Ok(head.status());
     }
-
-    /// The machine that the platform gives a new channel: in turn, of those in rotation.
-    fn balance(&self, turn: usize) -> Option<usize> {
-        let in_rotation = |it: &usize| self.machines[*it].misses.load(Ordering::Relaxed) < 2;
-        let rotation: Vec<_> = (0..MACHINES).filter(in_rotation).collect();
-        (!rotation.is_empty()).then(|| rotation[turn % rotation.len()])
-    }
-
-    /// A requester: one request on a new channel, which it leaves open.
-    fn request(&self) {
-        let turn = self.next.fetch_add(1, Ordering::Relaxed);
-        let Some(number) = self.balance(turn) else { return };
-        let machine = &self.machines[number];
-        let id = format!("9c41d07b{turn:08x}");
-        let exchange = || -> io::Result<(u16, TcpStream)> {
-            let stream = TcpStream::connect_timeout(&self.fronts[number], Duration::from_secs(1))?;
-            stream.set_read_timeout(Some(Duration::from_millis(DEADLINE_MS)))?;
-            let request = format!(
-                "GET /wuhu344/2f HTTP/1.1\r\nHost: pule25.example\r\nX-Peatdeck-Attempt-Id: {id}\r\n\
-                 X-Peatdeck-Deadline-Ms: {DEADLINE_MS}\r\nApi-Key: 9dnn2ctnfzs989anu6ws\r\n\r\n"
-            );
-            (&stream).write_all(request.as_bytes())?;
-            let answer = lib::read_message(&mut BufReader::new(&stream), true)?;
-            Ok((answer.ok_or(io::ErrorKind::UnexpectedEof)?.status(), stream))
-        };
-        match exchange() {
-            Ok((status, stream)) => {
-                *machine.in_vain.lock().unwrap() = None;
-                machine.channels.fetch_add(1, Ordering::Relaxed);
-                self.served.fetch_add(usize::from(status == 200), Ordering::Relaxed);
-                self.open.lock().unwrap().push(stream);
+    let mut text = Vec::new();
+    loop {
+        let chunk = lib::read_chunk(&mut from)?;
+        if chunk.is_empty() {
+            received.is_complete = true;
+            return Ok(200);
+        }
+        text.extend(chunk);
+        while let Some(end) = text.windows(2).position(|pair| pair == b"\n\n") {
+            let event: Vec<u8> = text.drain(..end + 2).collect();
+            for line in event.lines().map_while(Result::ok) {
+                if let Some(number) = line.strip_prefix("id: ") {
+                    received.last = number.parse().unwrap_or(received.last);
+                } else if let Some(version) = line.strip_prefix("data: ") {
+                    received.versions.insert(version.to_owned());
+                }
             }
-            Err(error) => self.note_in_vain(number, &id, &error),
+            received.first.get_or_insert_with(|| id.to_owned());
         }
     }
+}
 
-    fn note_in_vain(&self, number: usize, id: &str, error: &io::Error) {
-        let machine = &self.machines[number];
-        let mut in_vain = machine.in_vain.lock().unwrap();
-        let is_judged = machine.is_ready.load(Ordering::Relaxed)
-            && !machine.is_lost.load(Ordering::Relaxed);
-        if !is_judged {
-            // A machine that does not say that it is ready may turn requesters away.
-            *in_vain = None;
-            return;
-        }
-        let (since, tries) = in_vain.get_or_insert((Instant::now(), 0));
-        *tries += 1;
-        let (since, tries) = (*since, *tries);
-        let channels = machine.channels.load(Ordering::Relaxed);
-        self.record.line(format!(
-            "machine {number}, which says it is ready, does not serve {id} on a new channel: \
-             {error}; {tries} tries in {} ms, {channels} channels were taken before",
-            since.elapsed().as_millis()
+fn requester(record: &Record, fronts: &[SocketAddr], number: usize) -> Received {
+    let mut received = Received::default();
+    for tried in 0..TRIES {
+        let id = format!("{:08x}{tried:08x}", 0x9c41_d07b_u32 + number as u32);
+        let before = received.last;
+        let ended = attempt(fronts[(number + tried) % fronts.len()], &id, &mut received);
+        let (last, versions) = (received.last, &received.versions);
+        record.line(format!(
+            "requester {number}, {id}: {ended:?}, events {} to {last}, versions so far {versions:?}",
+            before + 1
         ));
-        if tries >= 7 && since.elapsed() >= STABLE_WINDOW {
-            self.broken.lock().unwrap().get_or_insert(format!(
-                "machine {number} says that it is ready and takes no new channel for {} ms, while \
-                 {tries} requesters try",
-                since.elapsed().as_millis()
-            ));
+        if received.is_complete {
+            break;
         }
+        thread::sleep(PAUSE);
     }
+    received
 }
 
 fn config() -> &'static str {
-    r#"{"version":7,"routes":[{"name":"r-check","host":"pule25.example","path-prefix":"/wuhu344/","kind":"idempotent","timeout-ms":600,"target-latency-ms":120,"priority":2,"service":"bay-desk","max-attempts":2,"stages":[],"public":false,"sticky":false,"resumable":false}],"services":[{"name":"bay-desk","health-path":"/health","max-conns":580,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"bozi300","api-keys":["9dnn2ctnfzs989anu6ws"]}]}"#
+    r#"{"version":7,"routes":[{"name":"r-chat","host":"pule25.example","path-prefix":"/puxa400/","kind":"streaming","timeout-ms":15000,"target-latency-ms":2700,"priority":2,"service":"reviewer-pool","max-attempts":2,"stages":[],"public":false,"sticky":true,"resumable":true,"gap-aim-ms":500}],"services":[{"name":"reviewer-pool","health-path":"/health","max-conns":500,"protocol":"h1","tls":false,"engine":{"slots":128,"kv-capacity":244943,"kv-token-bytes":131072,"link-mbps":130000.0,"moves":true,"backups":true,"stride":3,"most":12,"pin-ms":4000.0,"hold-ms":2000.0,"handle-s":5.0,"models":[{"name":"m"}]}}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"bozi300","api-keys":["9dnn2ctnfzs989anu6ws"]}]}"#
 }
 
 fn run(record: &Record) -> Outcome {
-    let descriptors = raise_descriptors();
-    if descriptors < 9000 {
-        return Outcome::Unrun(format!("only {descriptors} descriptors for the requesters"));
-    }
     let mut site = Site::create();
     let store = Store::default();
     let store_addr = store.start(site.ip());
     store.put("keyed.op", "config", config().as_bytes());
-    for number in 0..4 {
-        let name = format!("i-bay-desk-{number}");
-        let own = name.clone();
-        let addr = lib::serve(site.ip(), move |stream| drop(worker(&own, stream)));
-        store.put("keyed.servers", &name, lib::entry("bay-desk", addr, ZONES[0], 6, 1).as_bytes());
+    let next = AtomicUsize::new(0);
+    let start_worker = |version: &'static str, ip| {
+        let number = next.fetch_add(1, Ordering::Relaxed);
+        let name = format!("i-7f3a91c{number}");
+        let has_exited = Arc::new(AtomicBool::new(false));
+        let channels: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let (record, own) = (record.clone(), name.clone());
+        let (exited, open) = (has_exited.clone(), channels.clone());
+        let addr = lib::serve(ip, move |stream| {
+            if exited.load(Ordering::SeqCst) {
+                return;
+            }
+            open.lock().unwrap().extend(stream.try_clone());
+            serve(&record, &own, version, &exited, stream).ok();
+        });
+        let zone = ZONES[number % ZONES.len()];
+        Arc::new(Worker { name, addr, zone, version, state: Mutex::new("ready"), has_exited, channels })
+    };
+    let workers: Arc<Mutex<Vec<Arc<Worker>>>> = Arc::default();
+    for version in ["v1", "v1.1"] {
+        for _ in 0..EACH {
+            workers.lock().unwrap().push(start_worker(version, site.ip()));
+        }
     }
-    let mut edges: Vec<_> = (0..MACHINES)
-        .map(|it| site.edge(&format!("edge-{}-{it}", ZONES[0]), ZONES[0], &ZONES, store_addr))
+    let write = {
+        let (record, store) = (record.clone(), store.clone());
+        move |worker: &Worker, sequence| {
+            let entry = worker.entry(sequence);
+            let offset = store.put("keyed.servers", &worker.name, entry.as_bytes());
+            record.line(format!("servers/{} at {offset}: {entry}", worker.name));
+        }
+    };
+    let is_over = Arc::new(AtomicBool::new(false));
+    {
+        let (workers, write, is_over) = (workers.clone(), write.clone(), is_over.clone());
+        thread::spawn(move || {
+            for sequence in 1.. {
+                for worker in workers.lock().unwrap().iter() {
+                    if !worker.has_exited.load(Ordering::SeqCst) {
+                        write(worker, sequence);
+                    }
+                }
+                thread::sleep(HEARTBEAT);
+                if is_over.load(Ordering::Relaxed) {
+                    return;
+                }
+            }
+        });
+    }
+    let mut edges: Vec<_> = ZONES[..2]
+        .iter()
+        .map(|zone| site.edge(&format!("edge-{zone}-1"), zone, &ZONES, store_addr))
         .collect();
     edges.iter_mut().for_each(lib::Edge::start);
     if !lib::wait_ready(&edges) {
         return Outcome::Unrun("the processes were not ready within 15 s".to_owned());
     }
-    let world = Arc::new(World {
-        record: record.clone(),
-        machines: edges.iter().map(|_| Machine::default()).collect(),
-        fronts: edges.iter().map(|edge| edge.front).collect(),
-        open: Mutex::default(),
-        next: AtomicUsize::new(0),
-        served: AtomicUsize::new(0),
-        broken: Mutex::default(),
-        is_over: AtomicBool::new(false),
-    });
-    for (number, edge) in edges.iter().enumerate() {
-        let (world, ready) = (world.clone(), edge.ready);
-        thread::spawn(move || world.ask_ready(number, ready));
-    }
-    thread::sleep(Duration::from_secs(1));
+    thread::sleep(Duration::from_secs(3));
     let started = Instant::now();
-    let mut is_lost = false;
-    let mut next_report = Duration::ZERO;
-    for sent in 0.. {
+    let fronts: Vec<_> = edges.iter().map(|edge| edge.front).collect();
+    let streams: Vec<_> = (0..STREAMS)
+        .map(|number| {
+            let (record, fronts) = (record.clone(), fronts.clone());
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(150 * number as u64));
+                requester(&record, &fronts, number)
+            })
+        })
+        .collect();
+    // The release: for each old worker a new one starts, the old one reports `draining` 0.4 s later,
+    // serves on, and exits.
+    let old: Vec<_> = workers.lock().unwrap()[..EACH].to_vec();
+    let mut replaced = 0;
+    let mut draining: Vec<(Instant, Arc<Worker>)> = Vec::new();
+    let (mut killed, mut is_back) = (None::<Instant>, false);
+    while started.elapsed() < RUN {
+        thread::sleep(Duration::from_millis(5));
         let at = started.elapsed();
-        if at >= RUN || world.broken.lock().unwrap().is_some() {
-            break;
+        if replaced < EACH && at >= RELEASE_AT + RELEASE_GAP * replaced as u32 {
+            let new = start_worker("v1.1", site.ip());
+            write(&new, 1);
+            workers.lock().unwrap().push(new);
+            let leaving = old[replaced].clone();
+            *leaving.state.lock().unwrap() = "draining";
+            write(&leaving, 1000);
+            draining.push((Instant::now() + SERVES_ON, leaving));
+            replaced += 1;
         }
-        if lib::has_trouble() && !is_lost && at >= LOST_AFTER {
-            is_lost = true;
-            for number in MACHINES - LOST..MACHINES {
-                record.line(format!("{} is lost for good", edges[number].name));
-                world.machines[number].is_lost.store(true, Ordering::Relaxed);
-                edges[number].kill();
+        draining.retain(|(until, worker)| {
+            if Instant::now() < *until {
+                return true;
             }
+            worker.exit();
+            let offset = store.put("keyed.servers", &worker.name, b"");
+            record.line(format!("{} exits, and its entry is removed at {offset}", worker.name));
+            false
+        });
+        if lib::has_trouble() && killed.is_none() && at >= KILL_AT {
+            record.line("all processes are killed");
+            edges.iter_mut().for_each(lib::Edge::kill);
+            killed = Some(Instant::now());
         }
-        if at >= next_report {
-            next_report += Duration::from_secs(5);
-            let channels: Vec<_> = world
-                .machines
-                .iter()
-                .map(|it| (it.is_ready.load(Ordering::Relaxed), it.channels.load(Ordering::Relaxed)))
-                .collect();
-            let served = world.served.load(Ordering::Relaxed);
-            record.line(format!("{sent} sent, {served} served; ready, channels: {channels:?}"));
+        if !is_back && killed.is_some_and(|at| at.elapsed() >= DOWN) {
+            is_back = true;
+            edges.iter_mut().for_each(lib::Edge::start);
+            record.line("the processes are back");
         }
-        let requester = world.clone();
-        thread::spawn(move || requester.request());
-        let due = Duration::from_secs_f64((sent + 1) as f64 / RATE as f64);
-        thread::sleep(due.saturating_sub(started.elapsed()));
     }
-    world.is_over.store(true, Ordering::Relaxed);
-    let served = world.served.load(Ordering::Relaxed);
-    record.line(format!("{served} requests served"));
-    let broken = world.broken.lock().unwrap().clone();
-    match broken {
-        Some(what) => Outcome::Broken(what),
-        None if served > 0 => Outcome::Held,
-        None => Outcome::Unrun("no request was served".to_owned()),
+    is_over.store(true, Ordering::Relaxed);
+    let streams: Vec<_> = streams.into_iter().filter_map(|it| it.join().ok()).collect();
+    let mixed = streams.iter().filter(|it| it.versions.len() > 1).count();
+    let whole = streams.iter().filter(|it| it.is_complete).count();
+    record.line(format!(
+        "{} streams, {whole} complete, {mixed} with events of two versions",
+        streams.len()
+    ));
+    if whole == 0 {
+        return Outcome::Unrun("no stream was complete".to_owned());
+    }
+    match mixed > ALLOWED {
+        true => Outcome::Broken(format!("{mixed} streams hold events of two versions")),
+        false => Outcome::Held,
     }
 }
 
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,5 +1,5 @@
-//! A release takes away the last workers of an old version while all machines are down. Requesters then
-//! take their streams up again.
+//! Workers of two versions serve side by side, and all machines are killed once. Requesters then take
+//! their streams up again.
 
 #[path = "../lib-2/mod.rs"]
 mod lib;
@@ -7,10 +7,10 @@
 use std::{
     collections::BTreeSet,
     io::{self, BufRead, BufReader, Write},
-    net::{Shutdown, SocketAddr, TcpStream},
+    net::{SocketAddr, TcpStream},
     process::exit,
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
@@ -20,70 +20,50 @@
 use lib::{Outcome, Record, Site, Store};
 
 const ZONES: [&str; 4] = ["hall-a", "hall-b", "hall-c", "hall-d"];
-/// Workers of each of the two versions that serve side by side.
-const EACH: usize = 2;
 /// `heartbeat-ms`.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
-/// `drain-ms` and a little longer: how long a worker serves on after it has reported `draining`.
-const SERVES_ON: Duration = Duration::from_millis(2300);
-/// The release replaces the workers of the old version one after the other, from this time on and
-/// with this gap; the new one starts first.
-const RELEASE_AT: Duration = Duration::from_millis(3000);
-const RELEASE_GAP: Duration = Duration::from_millis(800);
 /// All machines are killed, and are back after this time (`down_s` of `kill_all` in the site file).
 const KILL_AT: Duration = Duration::from_millis(5600);
 const DOWN: Duration = Duration::from_millis(1500);
-const RUN: Duration = Duration::from_secs(18);
-const STREAMS: usize = 16;
-/// A stream: 90 events in 9 s.
-const EVENTS: u64 = 90;
+/// `stable-window-ms`: from so long after the processes are back they are in touch.
+const STABLE_WINDOW: Duration = Duration::from_millis(3000);
+const RUN: Duration = Duration::from_secs(22);
+/// Streams that are taken up, and streams that begin while the others are taken up.
+const STREAMS: usize = 20;
+const NEW_STREAMS: usize = 20;
+/// A stream: 120 events in 12 s.
+const EVENTS: u64 = 120;
 const EVENT_GAP: Duration = Duration::from_millis(100);
 const DEADLINE_MS: u64 = 15_000;
-/// Tries of a requester, each after this pause.
-const TRIES: usize = 5;
-const PAUSE: Duration = Duration::from_millis(700);
-/// The rule allows two.
-const ALLOWED: usize = 2;
+/// The pause after a requester attempt, and until when a requester tries, from its first attempt.
+const PAUSE: Duration = Duration::from_millis(1900);
+const TRIES_UNTIL: Duration = Duration::from_secs(14);
+/// The rule counts from so many streams on.
+const COUNTED_FROM: usize = 12;
 
 struct Worker {
     name: String,
     addr: SocketAddr,
     zone: &'static str,
     version: &'static str,
-    state: Mutex<&'static str>,
-    has_exited: Arc<AtomicBool>,
-    channels: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Worker {
     fn entry(&self, sequence: u32) -> String {
-        let state = *self.state.lock().unwrap();
-        let entry =
-            lib::entry_in_state("reviewer-pool", self.addr, self.zone, 128, sequence, state);
+        let entry = lib::entry("reviewer-pool", self.addr, self.zone, 128, sequence);
         entry.replace(r#""version":"v1""#, &format!(r#""version":"{}""#, self.version))
     }
-
-    fn exit(&self) {
-        self.has_exited.store(true, Ordering::SeqCst);
-        for channel in self.channels.lock().unwrap().drain(..) {
-            channel.shutdown(Shutdown::Both).ok();
-        }
-    }
 }
 
 fn serve(
     record: &Record,
     name: &str,
     version: &str,
-    has_exited: &AtomicBool,
     stream: TcpStream,
 ) -> io::Result<()> {
     let mut to = stream.try_clone()?;
     let mut from = BufReader::new(stream);
     while let Some(request) = lib::read_message(&mut from, false)? {
-        if has_exited.load(Ordering::SeqCst) {
-            return Ok(());
-        }
         let id = request.header("x-peatdeck-attempt-id").unwrap_or_default().to_owned();
         if request.path() == "/kv-list" {
             let body = br#"{"epoch":1,"next":0,"held":[]}"#;
@@ -122,10 +102,27 @@
     /// The requester attempt that brought the first event.
     first: Option<String>,
     is_complete: bool,
+    /// Whether it was taken up at a machine in touch, and whether it went on then.
+    was_counted: bool,
+    went_on: bool,
+}
+
+/// The moments of a run.
+#[derive(Clone, Copy)]
+struct Times {
+    started: Instant,
+    /// When the processes are back and in touch.
+    in_touch: Instant,
 }
 
 /// One requester attempt: reads events until the stream ends or breaks off.
-fn attempt(front: SocketAddr, id: &str, received: &mut Received) -> io::Result<u16> {
+/// A requester leaves its first attempt at `until`.
+fn attempt(
+    front: SocketAddr,
+    id: &str,
+    received: &mut Received,
+    until: Option<Instant>,
+) -> io::Result<u16> {
     let stream = TcpStream::connect_timeout(&front, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(Duration::from_secs(3)))?;
@@ -149,6 +146,9 @@
     }
     let mut text = Vec::new();
     loop {
+        if until.is_some_and(|until| Instant::now() >= until) {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
         let chunk = lib::read_chunk(&mut from)?;
         if chunk.is_empty() {
             received.is_complete = true;
@@ -169,18 +169,27 @@
     }
 }
 
-fn requester(record: &Record, fronts: &[SocketAddr], number: usize) -> Received {
+/// A requester whose channel breaks at `KILL_AT` (with the kill, or since it leaves), and that takes
+/// its stream up.
+fn requester(record: &Record, fronts: &[SocketAddr], number: usize, times: Times) -> Received {
     let mut received = Received::default();
-    for tried in 0..TRIES {
+    let begun = Instant::now();
+    let leaves = times.started + KILL_AT;
+    for tried in 0.. {
         let id = format!("{:08x}{tried:08x}", 0x9c41_d07b_u32 + number as u32);
         let before = received.last;
-        let ended = attempt(fronts[(number + tried) % fronts.len()], &id, &mut received);
-        let (last, versions) = (received.last, &received.versions);
+        let until = (tried == 0).then_some(leaves);
+        let is_counted = tried > 0 && before > 0 && Instant::now() >= times.in_touch;
+        let ended = attempt(fronts[(number + tried) % fronts.len()], &id, &mut received, until);
+        let (last, versions) = (received.last, received.versions.clone());
+        received.was_counted |= is_counted;
+        received.went_on |= is_counted && last > before;
         record.line(format!(
-            "requester {number}, {id}: {ended:?}, events {} to {last}, versions so far {versions:?}",
-            before + 1
+            "requester {number}, {id}: {ended:?}, events {} to {last}, versions {versions:?}{}",
+            before + 1,
+            if is_counted { ", counted" } else { "" }
         ));
-        if received.is_complete {
+        if received.is_complete || begun.elapsed() >= TRIES_UNTIL {
             break;
         }
         thread::sleep(PAUSE);
@@ -197,47 +206,23 @@
     let store = Store::default();
     let store_addr = store.start(site.ip());
     store.put("keyed.op", "config", config().as_bytes());
-    let next = AtomicUsize::new(0);
-    let start_worker = |version: &'static str, ip| {
-        let number = next.fetch_add(1, Ordering::Relaxed);
+    let mut workers = Vec::new();
+    for (number, version) in ["v1", "v1", "v1.1", "v1.1"].into_iter().enumerate() {
         let name = format!("i-7f3a91c{number}");
-        let has_exited = Arc::new(AtomicBool::new(false));
-        let channels: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let (record, own) = (record.clone(), name.clone());
-        let (exited, open) = (has_exited.clone(), channels.clone());
-        let addr = lib::serve(ip, move |stream| {
-            if exited.load(Ordering::SeqCst) {
-                return;
-            }
-            open.lock().unwrap().extend(stream.try_clone());
-            serve(&record, &own, version, &exited, stream).ok();
-        });
-        let zone = ZONES[number % ZONES.len()];
-        Arc::new(Worker { name, addr, zone, version, state: Mutex::new("ready"), has_exited, channels })
-    };
-    let workers: Arc<Mutex<Vec<Arc<Worker>>>> = Arc::default();
-    for version in ["v1", "v1.1"] {
-        for _ in 0..EACH {
-            workers.lock().unwrap().push(start_worker(version, site.ip()));
-        }
+        let addr =
+            lib::serve(site.ip(), move |stream| drop(serve(&record, &own, version, stream)));
+        workers.push(Worker { name, addr, zone: ZONES[number], version });
     }
-    let write = {
-        let (record, store) = (record.clone(), store.clone());
-        move |worker: &Worker, sequence| {
-            let entry = worker.entry(sequence);
-            let offset = store.put("keyed.servers", &worker.name, entry.as_bytes());
-            record.line(format!("servers/{} at {offset}: {entry}", worker.name));
-        }
-    };
     let is_over = Arc::new(AtomicBool::new(false));
     {
-        let (workers, write, is_over) = (workers.clone(), write.clone(), is_over.clone());
+        let (record, store, is_over) = (record.clone(), store.clone(), is_over.clone());
         thread::spawn(move || {
             for sequence in 1.. {
-                for worker in workers.lock().unwrap().iter() {
-                    if !worker.has_exited.load(Ordering::SeqCst) {
-                        write(worker, sequence);
-                    }
+                for worker in &workers {
+                    let entry = worker.entry(sequence);
+                    let offset = store.put("keyed.servers", &worker.name, entry.as_bytes());
+                    record.line(format!("servers/{} at {offset}: {entry}", worker.name));
                 }
                 thread::sleep(HEARTBEAT);
                 if is_over.load(Ordering::Relaxed) {
@@ -246,6 +231,7 @@
             }
         });
     }
+    thread::sleep(Duration::from_millis(100));
     let mut edges: Vec<_> = ZONES[..2]
         .iter()
         .map(|zone| site.edge(&format!("edge-{zone}-1"), zone, &ZONES, store_addr))
@@ -256,68 +242,67 @@
     }
     thread::sleep(Duration::from_secs(3));
     let started = Instant::now();
+    let down = if lib::has_trouble() { DOWN + Duration::from_millis(100) } else { Duration::ZERO };
+    let times = Times { started, in_touch: started + KILL_AT + down + STABLE_WINDOW };
     let fronts: Vec<_> = edges.iter().map(|edge| edge.front).collect();
     let streams: Vec<_> = (0..STREAMS)
         .map(|number| {
             let (record, fronts) = (record.clone(), fronts.clone());
             thread::spawn(move || {
-                thread::sleep(Duration::from_millis(150 * number as u64));
-                requester(&record, &fronts, number)
+                thread::sleep(Duration::from_millis(100 * number as u64));
+                requester(&record, &fronts, number, times)
             })
         })
         .collect();
-    // The release: for each old worker a new one starts, the old one reports `draining` 0.4 s later,
-    // serves on, and exits.
-    let old: Vec<_> = workers.lock().unwrap()[..EACH].to_vec();
-    let mut replaced = 0;
-    let mut draining: Vec<(Instant, Arc<Worker>)> = Vec::new();
-    let (mut killed, mut is_back) = (None::<Instant>, false);
-    while started.elapsed() < RUN {
-        thread::sleep(Duration::from_millis(5));
-        let at = started.elapsed();
-        if replaced < EACH && at >= RELEASE_AT + RELEASE_GAP * replaced as u32 {
-            let new = start_worker("v1.1", site.ip());
-            write(&new, 1);
-            workers.lock().unwrap().push(new);
-            let leaving = old[replaced].clone();
-            *leaving.state.lock().unwrap() = "draining";
-            write(&leaving, 1000);
-            draining.push((Instant::now() + SERVES_ON, leaving));
-            replaced += 1;
-        }
-        draining.retain(|(until, worker)| {
-            if Instant::now() < *until {
-                return true;
-            }
-            worker.exit();
-            let offset = store.put("keyed.servers", &worker.name, b"");
-            record.line(format!("{} exits, and its entry is removed at {offset}", worker.name));
-            false
-        });
-        if lib::has_trouble() && killed.is_none() && at >= KILL_AT {
-            record.line("all processes are killed");
-            edges.iter_mut().for_each(lib::Edge::kill);
-            killed = Some(Instant::now());
-        }
-        if !is_back && killed.is_some_and(|at| at.elapsed() >= DOWN) {
-            is_back = true;
-            edges.iter_mut().for_each(lib::Edge::start);
-            record.line("the processes are back");
-        }
+    let begun = Arc::new(AtomicUsize::new(0));
+    let new_streams: Vec<_> = (0..NEW_STREAMS)
+        .map(|number| {
+            let (record, fronts, begun) = (record.clone(), fronts.clone(), begun.clone());
+            thread::spawn(move || {
+                let at = times.in_touch + Duration::from_millis(150 * number as u64);
+                thread::sleep(at.saturating_duration_since(Instant::now()));
+                let id = format!("{:016x}", 0x7b00 + number);
+                let mut received = Received::default();
+                let until = Some(Instant::now() + Duration::from_secs(1));
+                let front = fronts[number % fronts.len()];
+                let ended = attempt(front, &id, &mut received, until);
+                record.line(format!("new stream {id}: {ended:?}, {} events", received.last));
+                begun.fetch_add(usize::from(received.last > 0), Ordering::Relaxed);
+            })
+        })
+        .collect();
+    if lib::has_trouble() {
+        thread::sleep(KILL_AT.saturating_sub(started.elapsed()));
+        record.line("all processes are killed");
+        edges.iter_mut().for_each(lib::Edge::kill);
+        thread::sleep(DOWN);
+        edges.iter_mut().for_each(lib::Edge::start);
+        record.line("the processes are back");
     }
-    is_over.store(true, Ordering::Relaxed);
+    thread::sleep(RUN.saturating_sub(started.elapsed()));
     let streams: Vec<_> = streams.into_iter().filter_map(|it| it.join().ok()).collect();
+    new_streams.into_iter().for_each(|it| drop(it.join()));
+    is_over.store(true, Ordering::Relaxed);
+    let counted = streams.iter().filter(|it| it.was_counted).count();
+    let went_on = streams.iter().filter(|it| it.went_on).count();
     let mixed = streams.iter().filter(|it| it.versions.len() > 1).count();
+    let begun = begun.load(Ordering::Relaxed);
+    // In a calm run the streams are taken up before they would count, and end.
     let whole = streams.iter().filter(|it| it.is_complete).count();
     record.line(format!(
-        "{} streams, {whole} complete, {mixed} with events of two versions",
-        streams.len()
+        "of {STREAMS} streams {whole} complete, {mixed} with two versions; {counted} taken up at \
+         machines in touch, {went_on} of these went on; of {NEW_STREAMS} new streams {begun} began"
     ));
-    if whole == 0 {
-        return Outcome::Unrun("no stream was complete".to_owned());
+    if begun == 0 {
+        return Outcome::Unrun("no new stream began".to_owned());
     }
-    match mixed > ALLOWED {
-        true => Outcome::Broken(format!("{mixed} streams hold events of two versions")),
+    let share = went_on as f64 / counted.max(1) as f64;
+    let usual = begun as f64 / NEW_STREAMS as f64;
+    match counted >= COUNTED_FROM && share < usual / 2.0 {
+        true => Outcome::Broken(format!(
+            "of {counted} streams taken up at machines in touch {went_on} go on; of {NEW_STREAMS} \
+             new ones {begun} begin"
+        )),
         false => Outcome::Held,
     }
 }
