Tests over sockets: all instances are killed at once while several versions serve

Callers saw streams that hold events of two versions, or were refused for good, after all instances had been killed at once.

--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -4,6 +4,7 @@
 
 mod bodies;
 mod catch_up;
+mod common_kill;
 mod crashes;
 mod cut_off;
 mod endless;
--- a/crates/relay/tests/relay/stream_versions.rs
+++ b/crates/relay/tests/relay/stream_versions.rs
@@ -25,7 +25,7 @@
 const ENTRY_GRACE: Duration = Duration::from_secs(2);
 
 /// An event that names the version that wrote it, as a chunk.
-fn event(id: u64, version: &str) -> String {
+pub fn event(id: u64, version: &str) -> String {
     let event = format!("id: {id}\ndata: {version}\n\n");
     format!("{:x}\r\n{event}\r\n", event.len())
 }
@@ -61,7 +61,7 @@
 }
 
 /// The versions of the events in a reply, in order and without repetitions.
-fn versions(text: &str) -> Vec<String> {
+pub fn versions(text: &str) -> Vec<String> {
     let data = text.lines().filter_map(|line| line.strip_prefix("data: "));
     let mut versions: Vec<_> = data.map(str::to_owned).collect();
     versions.dedup();
