--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod catch_up;
 mod cold;
+mod common_kill;
 mod config;
 mod directory;
 mod engine;
