--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -63,6 +63,7 @@
 pub mod readers;
 pub mod reading;
 pub mod region;
+pub mod registry;
 pub mod rollout;
 pub mod streams;
 pub mod table;
@@ -71,4 +72,4 @@
 mod exchange;
 mod machine;
 
-pub use machine::{ExchangeSummary, Relay, Settings};
+pub use machine::{ExchangeSummary, Relay, Settings, StoredOrigins};
--- a/crates/core/src/relay/config.rs
+++ b/crates/core/src/relay/config.rs
@@ -65,6 +65,11 @@
         matches!(self, RequestKind::Idempotent | RequestKind::Resumable)
     }
 
+    /// Whether the answer is a stream that another endpoint can resume.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, RequestKind::Resumable)
+    }
+
     /// Whether the answer is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, RequestKind::Stream | RequestKind::Resumable)
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -32,6 +32,7 @@
         model::{EndpointId, EndpointKey, ServiceName},
         pool::{Pool, PoolKey, Track},
         region::RegionMap,
+        registry::Versions,
         rollout::{
             Version,
             gate::{Gate, Gates},
@@ -89,8 +90,8 @@
     pub ended: Option<EndedEndpoint>,
     /// Whether the endpoint is cold and was not known to be.
     pub is_newly_cold: bool,
-    /// Whether its service has endpoints of a second version since.
-    pub is_second_version: bool,
+    /// Whether its service had no endpoint of this version before.
+    pub is_new_version: bool,
 }
 
 /// An incarnation of an endpoint that has ended.
@@ -117,6 +118,8 @@
     regions: RegionMap,
     /// Which versions get work; `None` if versions are ignored.
     gates: Option<Gates>,
+    /// Versions that get no new work while another one of their service serves.
+    held: HashMap<ServiceName, Versions>,
 }
 
 impl Directory {
@@ -141,12 +144,34 @@
         self.gates.as_ref()?.first(service, ordered)
     }
 
+    /// Keeps new work from these versions of a service while another one has endpoints that
+    /// accept it.
+    pub fn hold_versions(&mut self, service: &ServiceName, held: Versions) {
+        match held.is_empty() {
+            true => self.held.remove(service),
+            false => self.held.insert(service.clone(), held),
+        };
+    }
+
+    /// The versions of a service that get no new work.
+    fn held_versions(&self, service: &str) -> Option<&Versions> {
+        let held = self.held.get(service)?;
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let mut endpoints = keys.iter().map(|key| &self.endpoints[*key]);
+        let has_other = endpoints.any(|it| it.is_ready() && !held.contains(&it.entry.version));
+        has_other.then_some(held)
+    }
+
     /// A test whether an endpoint's version gets the work of a pool.
     fn version_filter<'a>(&'a self, pool: Pool<'a>) -> impl Fn(&Endpoint) -> bool + Copy + use<'a> {
         let gates = self.gates.as_ref();
+        let held = self.held_versions(pool.service).filter(|_| pool.version.is_none());
         let of_track = gates.map(|gates| gates.admitted(pool.service, pool.track));
         move |endpoint| {
             let version = &endpoint.entry.version;
+            if held.is_some_and(|held| held.contains(version)) {
+                return false;
+            }
             match (pool.version, of_track) {
                 (Some(bound), _) if *bound != **version => false,
                 (Some(_), _) => gates.is_none_or(|it| it.may_resume(pool.service, version)),
@@ -290,6 +315,11 @@
         self.versions.of(service)
     }
 
+    /// The versions that a service's endpoints have, with those that left lately.
+    pub fn versions(&self, service: &str) -> Versions {
+        self.versions.versions(service)
+    }
+
     /// The largest [`Directory::version_count`] of any service.
     pub fn max_versions(&self) -> usize {
         self.versions.max()
@@ -475,11 +505,11 @@
         let was_ready = endpoint.is_ready();
         endpoint.state = if entry.is_leaving { State::Leaving(now) } else { State::Ready };
         let is_newly_cold = entry.cold_left.is_some_and(|left| endpoint.set_cold(now, left));
-        let is_second_version = self.versions.add(&entry);
+        let is_new_version = self.versions.add(&entry);
         self.versions.remove(&endpoint.entry);
         endpoint.entry = entry;
         let is_new = was_ready != endpoint.is_ready();
-        ChangeEffect { is_new, ended: None, is_newly_cold, is_second_version }
+        ChangeEffect { is_new, ended: None, is_newly_cold, is_new_version }
     }
 
     fn insert(&mut self, now: Duration, entry: Entry) -> ChangeEffect {
@@ -487,7 +517,7 @@
             gates.record_endpoint(now, &entry.service, entry.incarnation, &entry.version);
         }
         self.known_since.get_or_insert(now);
-        let is_second_version = self.versions.add(&entry);
+        let is_new_version = self.versions.add(&entry);
         let (name, service) = (entry.name.clone(), entry.service.clone());
         let region = self.regions.region_name(&entry.data_centre);
         let mut endpoint = Endpoint::new(now, entry, region);
@@ -498,7 +528,7 @@
         let key = self.endpoints.insert(endpoint);
         self.by_name.insert(name, key);
         self.by_service.entry(service).or_default().push(key);
-        ChangeEffect { is_new: true, ended: None, is_newly_cold, is_second_version }
+        ChangeEffect { is_new: true, ended: None, is_newly_cold, is_new_version }
     }
 
     /// Sets the state of an endpoint that was ready and has no valid entry any more.
--- a/crates/core/src/relay/directory/versions.rs
+++ b/crates/core/src/relay/directory/versions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::relay::{directory::Entry, model::ServiceName, rollout::Version};
+use crate::relay::{directory::Entry, model::ServiceName, registry::Versions, rollout::Version};
 
 /// The number of endpoints of each version of each service.
 #[derive(Debug, Clone, Default)]
@@ -11,12 +11,12 @@
 }
 
 impl VersionCounts {
-    /// Counts the endpoint of an entry. Returns whether it gives its service a second version.
+    /// Counts the endpoint of an entry. Returns whether its service did not have the version.
     pub(super) fn add(&mut self, entry: &Entry) -> bool {
         let counts = self.counts.entry(entry.service.clone()).or_default();
-        let had_one = counts.len() == 1;
-        *counts.entry(entry.version.clone()).or_default() += 1;
-        had_one && counts.len() == 2
+        let count = counts.entry(entry.version.clone()).or_default();
+        *count += 1;
+        *count == 1
     }
 
     /// Counts the endpoint of an entry no more.
@@ -29,6 +29,11 @@
         }
     }
 
+    /// The versions of a service.
+    pub(super) fn versions(&self, service: &str) -> Versions {
+        self.counts.get(service).map(|counts| counts.keys().cloned().collect()).unwrap_or_default()
+    }
+
     /// The number of versions of a service.
     pub(super) fn of(&self, service: &str) -> usize {
         self.counts.get(service).map_or(0, BTreeMap::len)
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -110,6 +110,8 @@
     Unasked,
     /// The same; peers have been asked for it.
     Asked,
+    /// The same; the platform's store is being read.
+    Reading,
     /// The same, but nobody remembers it.
     Unknown,
     /// This one, which began its stream.
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -12,7 +12,9 @@
 //! instance cannot connect to, `silence` finds connections that carry nothing; `terms` processes
 //! what endpoints report of themselves; `policies` runs the operators' programs; `rollouts` moves services to new
 //! versions: `canary` selects the requests that go there, `replies` counts how they end,
-//! `deciding` writes what is decided; `streams` keeps a stream at the version that began it.
+//! `deciding` writes what is decided; `streams` keeps a stream at the version that began
+//! it, `stream_records` has others remember that version, and `versions` has the platform's store
+//! list all versions.
 
 mod calls;
 mod canary;
@@ -35,8 +37,12 @@
 mod rollouts;
 mod silence;
 mod stages;
+mod stream_records;
 mod streams;
 mod terms;
+mod versions;
+
+pub use streams::StoredOrigins;
 
 use std::{
     collections::{BTreeSet, HashMap, HashSet},
@@ -69,6 +75,7 @@
         quarantine::Quarantine,
         reading::PrefillSpeed,
         region::RegionMap,
+        registry::VersionRegistry,
         rollout,
         streams::{StreamId, StreamRecord, StreamVersions},
         terms::Notice,
@@ -166,6 +173,18 @@
     /// Records of streams that are to be sent to peers at `streams_at`.
     stream_reports: HashMap<InstanceName, Vec<StreamRecord>>,
     streams_at: Duration,
+    /// Records of streams that are to be appended to the store's log at `log_at`.
+    unlogged: Vec<StreamRecord>,
+    log_at: Duration,
+    /// Exchanges that wait for the store to be read.
+    readers: streams::OriginReaders,
+    registry: VersionRegistry,
+    /// When the store has to be asked to list versions again, or versions are held back no longer.
+    registry_at: Option<Duration>,
+    /// Since when this instance has run without a suspension.
+    observed_since: Duration,
+    /// When the copy of the directory was last the same as the store's.
+    directory_read_at: Duration,
     /// Whether result memory has become free that waiting pieces may need.
     has_freed_memory: bool,
     deadlines: BTreeSet<(Duration, ExchangeKey)>,
@@ -273,6 +292,13 @@
             streams: StreamVersions::default(),
             stream_reports: HashMap::new(),
             streams_at: Duration::ZERO,
+            unlogged: Vec::new(),
+            log_at: Duration::ZERO,
+            readers: streams::OriginReaders::default(),
+            registry: VersionRegistry::default(),
+            registry_at: None,
+            observed_since: Duration::ZERO,
+            directory_read_at: Duration::ZERO,
             has_freed_memory: false,
             deadlines: BTreeSet::new(),
             token_deadlines: BTreeSet::new(),
@@ -344,9 +370,10 @@
         let rollout = self.rollouts.next_wake(now);
         let path = self.paths.next_check();
         let stream = self.next_stream_report();
+        let log = self.next_log();
         let silence = self.next_silence_check().filter(|_| !self.paths.is_cut_off());
         let work = [deadline, overdue, search, evictable, batch, report, backlog];
-        let others = [rollout, path, stream, silence];
+        let others = [rollout, path, stream, log, self.registry_at, silence];
         work.into_iter().chain(others).flatten().min().unwrap_or(self.next_cleanup)
     }
 
@@ -367,9 +394,13 @@
             Change::Put(entry) => Some(entry.service.clone()),
             Change::Removed(_) | Change::Unreadable(_) => None,
         };
+        let had_several = service.as_ref().is_some_and(|it| self.has_several_versions(it));
         let changed = self.directory.apply_change(now, change);
-        if let Some(service) = service.filter(|_| changed.is_second_version) {
-            self.report_open_streams(now, &service);
+        if let Some(service) = service.filter(|_| changed.is_new_version) {
+            if !had_several && self.has_several_versions(&service) {
+                self.report_streams(now, &service);
+            }
+            self.register_versions(now);
         }
         if let Some(EndedEndpoint { endpoint, is_planned }) = changed.ended {
             self.end_incarnation(now, endpoint, is_planned);
@@ -430,6 +461,7 @@
     pub fn hold_for_tables(&mut self, until: Duration) {
         self.tables_deadline = until;
         self.rollouts.forget_verdicts();
+        self.observed_since = until;
     }
 
     /// The tables have been read again: requests that wait for them go on.
@@ -525,6 +557,10 @@
         self.retry_overdue(now);
         self.send_reports(now);
         self.send_stream_records(now);
+        self.log_streams(now);
+        if self.registry_at.is_some_and(|at| at <= now) {
+            self.register_versions(now);
+        }
         self.report_evictable(now);
         self.report_backlogs(now);
         self.report_read_inputs(now);
@@ -538,6 +574,7 @@
             self.release_expired(now);
             self.forget_runs();
             self.streams.expire(now);
+            self.prune_versions(now);
             self.forget_paths();
             self.expire_limits(now);
             self.batcher.forget_removed(&self.directory);
--- a/crates/core/src/relay/machine/ending.rs
+++ b/crates/core/src/relay/machine/ending.rs
@@ -15,6 +15,8 @@
 /// `retry_after` of other refusals: the usual time until an endpoint that failed is usable
 /// again.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// `retry_after` while the platform's store cannot be read.
+const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `retry_after` while queues are too long. It is not computed from the queue, since
 /// [`RETRY_AFTER_SHARE`] of the time left is nearly always less.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(3);
@@ -110,6 +112,7 @@
             Refusal::Infeasible | Refusal::Evacuated | Refusal::NoAllowedRegion => {
                 OVERLOAD_RETRY_AFTER
             }
+            Refusal::OriginUnavailable => STORE_RETRY_AFTER,
             _ => DEFAULT_RETRY_AFTER,
         };
         let remaining = self.exchanges[key].deadline.saturating_sub(now);
--- a/crates/core/src/relay/machine/evacuation.rs
+++ b/crates/core/src/relay/machine/evacuation.rs
@@ -28,6 +28,7 @@
         let results = commands.into_iter().map(|it| self.apply_operator_change(now, it)).collect();
         self.recheck_regions(now);
         self.refresh_gates(now);
+        self.register_versions(now);
         self.refuse_evacuated(now);
         self.search(now);
         self.dispatch_all(now);
--- a/crates/core/src/relay/machine/streams.rs
+++ b/crates/core/src/relay/machine/streams.rs
@@ -1,62 +1,62 @@
 //! Streams go on only at the version of the service's software that began them.
 //!
 //! A version is bound to an exchange with the first event that is passed on. A request that
-//! takes a stream up is bound from the start: to the version that this instance or a peer
-//! remembers. Where nobody remembers it, it may go on only if the service has had a single
-//! version; otherwise it is refused at once, since a guess would join two versions.
-
-use std::time::Duration;
-
-use xxhash_rust::xxh3;
-
-use crate::{
-    model::InstanceName,
-    relay::{
-        exchange::Binding,
-        machine::{Relay, placing::Placed},
-        model::{Action, CallKey, EndpointKey, ExchangeKey, Refusal, ServiceName},
-        pool::{Pool, Track},
-        rollout::Version,
-        streams::{Origin, StreamId, StreamRecord},
-    },
+//! takes a stream up is bound from the start: to the version that this instance, a peer or the
+//! platform's store remembers. Where nobody remembers it, it may go on only if the store lists a
+//! single version of the service; otherwise it is refused at once, since a guess would join two
+//! versions.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::relay::{
+    exchange::Binding,
+    machine::{Relay, placing::Placed},
+    model::{Action, EndpointKey, ExchangeKey, Refusal, ServiceName},
+    pool::{Pool, Track},
+    registry::Versions,
+    rollout::Version,
+    streams::{Origin, PeerAnswer, Source, StoredRecord, StreamId},
 };
 
-/// Number of peers that remember the version of a stream beside the instance that began it.
-const HOLDERS: usize = 3;
-/// Streams are divided into this many groups with the same holders, so that in a large
-/// deployment an instance sends its records to a few peers only.
-const HOLDER_GROUPS: u128 = 8;
-/// Records of streams are collected for this long for each instance of the deployment. All
-/// instances together thus send the same number of messages, however many they are.
-const REPORT_INTERVAL: Duration = Duration::from_micros(2500);
-/// The longest time for which they are collected.
-const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(1);
-/// Up to this many peers are all asked about a stream, in larger deployments the holders only.
-const MAX_ASKED: usize = 16;
-/// An instance that has known the directory for this long has seen all versions whose streams
-/// may still be taken up.
-const SETTLING_TIME: Duration = Duration::from_secs(60);
+/// What the platform's store has of versions and streams.
+#[derive(Debug, Clone, Default)]
+pub struct StoredOrigins {
+    /// The listed versions of each service.
+    pub versions: HashMap<ServiceName, Versions>,
+    /// Streams of the log that this instance has not read before.
+    pub streams: Vec<StoredRecord>,
+}
+
+/// Exchanges that wait for the store to be read.
+#[derive(Debug, Default)]
+pub(super) struct OriginReaders {
+    /// For the read that is under way.
+    current: Vec<ExchangeKey>,
+    /// For the next one, since they came after it had begun.
+    next: Vec<ExchangeKey>,
+}
 
 impl Relay {
-    /// Whether an exchange may go on: it is known which versions may answer. If not, peers are
-    /// asked, or the exchange has been refused.
+    /// Whether an exchange may go on: it is known which versions may answer. If not, peers or the
+    /// store are asked, or the exchange has been refused.
     pub(super) fn ensure_bound(&mut self, now: Duration, key: ExchangeKey) -> bool {
         match &self.exchanges[key].binding {
             Binding::Open => true,
             Binding::Version(_) => self.is_version_left(now, key),
-            Binding::Asked => false,
+            Binding::Asked | Binding::Reading => false,
             Binding::Unknown => self.may_go_on_unbound(now, key),
             Binding::Unasked => self.look_up_origin(now, key) && self.ensure_bound(now, key),
         }
     }
 
     /// Finds out which version began the stream that an exchange takes up. Returns false if
-    /// peers have to be asked.
+    /// peers or the store have to be asked.
     fn look_up_origin(&mut self, now: Duration, key: ExchangeKey) -> bool {
-        let (stream, service) = (self.exchanges[key].stream, self.exchanges[key].service.clone());
+        let stream = self.exchanges[key].stream;
         match self.streams.origin(stream) {
             Some(Origin::Version(version)) => {
-                self.exchanges[key].binding = Binding::Version(version);
+                let age = self.streams.age(now, stream).unwrap_or_default();
+                self.bind_to_origin(key, version, Source::Memory, age);
                 return true;
             }
             Some(_) => {
@@ -66,137 +66,148 @@
             None => {}
         }
         let peers = self.asked_about(stream);
-        if peers.is_empty() || self.is_settled(now, &service) {
-            self.exchanges[key].binding = Binding::Unknown;
-            return true;
+        if peers.is_empty() {
+            return self.settle_unrecorded(now, key);
         }
-        self.exchanges[key].binding = Binding::Asked;
+        let exchange = &mut self.exchanges[key];
+        exchange.binding = Binding::Asked;
+        let service = exchange.service.clone();
         self.actions.push(Action::AskOrigin { exchange: key, stream, service, peers });
         false
     }
 
-    /// A stream of an unknown version goes on only where there is a single version. Refuses the
-    /// exchange otherwise.
-    fn may_go_on_unbound(&mut self, now: Duration, key: ExchangeKey) -> bool {
-        let Some(exchange) = self.exchanges.get(key) else { return false };
-        if self.directory.version_count(&exchange.service) <= 1 {
+    /// Nobody in touch has a record of the stream that an exchange takes up. Returns false if the
+    /// store has to be read.
+    fn settle_unrecorded(&mut self, now: Duration, key: ExchangeKey) -> bool {
+        let service = self.exchanges[key].service.clone();
+        if self.is_settled(now, &service) {
+            self.leave_unbound(now, key);
             return true;
         }
-        self.give_up(now, key, Refusal::UnknownVersion);
+        self.exchanges[key].binding = Binding::Reading;
+        self.readers.next.push(key);
+        self.read_origins();
         false
     }
 
-    /// Whether the service has had a single version for as long as any stream lasts.
-    fn is_settled(&self, now: Duration, service: &str) -> bool {
-        let is_old = self.directory.known_since().is_some_and(|at| now >= at + SETTLING_TIME);
-        is_old && self.directory.version_count(service) <= 1
+    /// Reads the store for the exchanges that wait for that, unless a read is under way.
+    fn read_origins(&mut self) {
+        if self.readers.current.is_empty() && !self.readers.next.is_empty() {
+            self.readers.current = std::mem::take(&mut self.readers.next);
+            self.actions.push(Action::ReadOrigins);
+        }
     }
 
-    /// What this instance knows of the version that began a stream of a service.
-    pub fn stream_origin(&self, stream: StreamId, service: &str) -> Origin {
-        let unrecorded = || match self.directory.version_count(service) {
-            0 | 1 => Origin::Unrecorded,
-            _ => Origin::Ambiguous,
-        };
-        self.streams.origin(stream).unwrap_or_else(unrecorded)
+    /// Takes in what the store has of versions and streams; `None` if it could not be read.
+    pub fn on_origins_read(&mut self, now: Duration, stored: Option<StoredOrigins>) {
+        let is_read = stored.is_some();
+        let StoredOrigins { versions, streams } = stored.unwrap_or_default();
+        for stored in &streams {
+            self.streams.record_stored(now, stored);
+        }
+        for (service, listed) in versions {
+            self.on_versions_listed(now, &service, listed);
+        }
+        for key in std::mem::take(&mut self.readers.current) {
+            self.on_origin_read(now, key, is_read);
+        }
+        self.read_origins();
     }
 
-    /// Takes in what peers know of the stream that an exchange takes up.
-    pub fn on_origin(&mut self, now: Duration, key: ExchangeKey, origin: Origin) {
-        let asked = self.exchanges.get_mut(key).filter(|it| it.binding == Binding::Asked);
-        let Some(exchange) = asked else { return };
-        match origin {
-            Origin::Version(version) => exchange.binding = Binding::Version(version),
-            Origin::Unrecorded => exchange.binding = Binding::Unknown,
-            Origin::Ambiguous => {
-                self.give_up(now, key, Refusal::UnknownVersion);
+    fn on_origin_read(&mut self, now: Duration, key: ExchangeKey, is_read: bool) {
+        let waiting = self.exchanges.get(key).filter(|it| it.binding == Binding::Reading);
+        let Some(exchange) = waiting else { return };
+        match self.streams.origin(exchange.stream) {
+            Some(Origin::Version(version)) => {
+                let age = self.streams.age(now, exchange.stream).unwrap_or_default();
+                self.bind_to_origin(key, version, Source::Log, age);
+            }
+            _ if !is_read => {
+                self.give_up(now, key, Refusal::OriginUnavailable);
                 return;
             }
+            _ => self.leave_unbound(now, key),
         }
         self.advance(now, key);
     }
 
-    /// The first event of a call is passed on: from now on the exchange's stream goes on only at
-    /// the version of its endpoint.
-    pub(super) fn bind(&mut self, now: Duration, key: ExchangeKey, call: CallKey) {
-        let version = self.calls[call].version.clone();
-        let exchange = &mut self.exchanges[key];
-        exchange.binding = Binding::Version(version.clone());
-        let record = StreamRecord { stream: exchange.stream, version };
-        self.streams.record(now, &record);
-        if self.directory.version_count(&exchange.service) > 1 {
-            self.queue_record(now, record);
-        }
+    fn bind_to_origin(
+        &mut self,
+        key: ExchangeKey,
+        version: Version,
+        source: Source,
+        age: Duration,
+    ) {
+        self.exchanges[key].binding = Binding::Version(version.clone());
+        let version = Some(version);
+        self.actions.push(Action::OriginKnown { exchange: key, version, source, age });
     }
 
-    /// The version of an endpoint's software.
-    pub(super) fn version_of(&self, endpoint: EndpointKey) -> Version {
-        let known = self.directory.get(endpoint);
-        known.map(|endpoint| endpoint.entry.version.clone()).unwrap_or_default()
-    }
-
-    /// A service has got a second version: peers have to remember the streams under way.
-    pub(super) fn report_open_streams(&mut self, now: Duration, service: &ServiceName) {
-        let open = self.exchanges.values().filter(|exchange| exchange.service == *service);
-        let records = open.filter_map(|exchange| match &exchange.binding {
-            Binding::Version(version) => {
-                Some(StreamRecord { stream: exchange.stream, version: version.clone() })
-            }
-            _ => None,
-        });
-        for record in records.collect::<Vec<_>>() {
-            self.queue_record(now, record);
+    /// Nobody knows which version began the stream that an exchange takes up.
+    fn leave_unbound(&mut self, now: Duration, key: ExchangeKey) {
+        let exchange = &mut self.exchanges[key];
+        exchange.binding = Binding::Unknown;
+        let service = exchange.service.clone();
+        if !self.has_several_versions(&service) {
+            let age = self.directory.known_since().map_or(now, |at| now.saturating_sub(at));
+            let source = Source::SingleVersion;
+            self.actions.push(Action::OriginKnown { exchange: key, version: None, source, age });
         }
     }
 
-    /// Takes in the versions of streams that a peer passes on.
-    pub fn on_stream_records(&mut self, now: Duration, records: &[StreamRecord]) {
-        for record in records {
-            self.streams.record(now, record);
+    /// A stream of an unknown version goes on only where there is a single version. Refuses the
+    /// exchange otherwise.
+    fn may_go_on_unbound(&mut self, now: Duration, key: ExchangeKey) -> bool {
+        let Some(exchange) = self.exchanges.get(key) else { return false };
+        if !self.has_several_versions(&exchange.service) {
+            return true;
         }
+        self.give_up(now, key, Refusal::UnknownVersion);
+        false
     }
 
-    fn queue_record(&mut self, now: Duration, record: StreamRecord) {
-        if self.stream_reports.is_empty() {
-            let interval = REPORT_INTERVAL * self.instance_count() as u32;
-            self.streams_at = now + interval.min(MAX_REPORT_INTERVAL);
-        }
-        for peer in self.holders(record.stream).into_iter().take(HOLDERS) {
-            self.stream_reports.entry(peer).or_default().push(record.clone());
-        }
+    /// How long ago the record of a stream was written.
+    pub fn stream_age(&self, now: Duration, stream: StreamId) -> Option<Duration> {
+        self.streams.age(now, stream)
     }
 
-    /// When records of streams are to be sent to peers; `None` if there are none.
-    pub(super) fn next_stream_report(&self) -> Option<Duration> {
-        (!self.stream_reports.is_empty()).then_some(self.streams_at)
+    /// What this instance knows of the version that began a stream of a service.
+    pub fn stream_origin(&self, stream: StreamId, service: &str) -> Origin {
+        let unrecorded = || match self.has_several_versions(service) {
+            false => Origin::Unrecorded,
+            true => Origin::Ambiguous,
+        };
+        self.streams.origin(stream).unwrap_or_else(unrecorded)
     }
 
-    /// Sends the collected records of streams to the peers that remember them.
-    pub(super) fn send_stream_records(&mut self, now: Duration) {
-        if now < self.streams_at {
+    /// Takes in what peers know of the stream that an exchange takes up.
+    pub fn on_origin(&mut self, now: Duration, key: ExchangeKey, answer: PeerAnswer) {
+        let asked = self.exchanges.get(key).filter(|it| it.binding == Binding::Asked);
+        if asked.is_none() {
             return;
         }
-        for (peer, records) in std::mem::take(&mut self.stream_reports) {
-            self.actions.push(Action::RecordStreams { peer, records });
+        match answer.origin {
+            Origin::Version(version) => {
+                self.bind_to_origin(key, version, Source::Peer, answer.age);
+                self.advance(now, key);
+            }
+            Origin::Unrecorded if answer.answered > 0 => {
+                if self.settle_unrecorded(now, key) {
+                    self.advance(now, key);
+                }
+            }
+            Origin::Unrecorded | Origin::Ambiguous => {
+                self.exchanges[key].binding = Binding::Reading;
+                self.readers.next.push(key);
+                self.read_origins();
+            }
         }
     }
 
-    /// The peers in the order in which they remember a stream.
-    fn holders(&self, stream: StreamId) -> Vec<InstanceName> {
-        let group = (stream.0.0 % HOLDER_GROUPS) as u64;
-        let mut names: Vec<_> = self.peers.iter().map(|peer| peer.name.clone()).collect();
-        names.sort_by_cached_key(|name| xxh3::xxh3_64_with_seed(name.as_bytes(), group));
-        names
-    }
-
-    /// The peers that are asked about a stream. Instances may differ in whom they take for alive,
-    /// so more are asked than remember it.
-    fn asked_about(&self, stream: StreamId) -> Vec<InstanceName> {
-        let mut peers = self.holders(stream);
-        if peers.len() > MAX_ASKED {
-            peers.truncate(2 * HOLDERS);
-        }
-        peers
+    /// The version of an endpoint's software.
+    pub(super) fn version_of(&self, endpoint: EndpointKey) -> Version {
+        let known = self.directory.get(endpoint);
+        known.map(|endpoint| endpoint.entry.version.clone()).unwrap_or_default()
     }
 
     /// Whether the version that an exchange is bound to has endpoints that may be called. Refuses
--- /dev/null
+++ b/crates/core/src/relay/machine/versions.rs
@@ -0,0 +1,121 @@
+//! Has the platform's store list the versions of each service whose streams can be taken up.
+//!
+//! A version is listed before it gets work beside another one, and is removed from the list once
+//! this instance has seen a single version for longer than any stream lasts. Each instance asks
+//! for itself, those that rank first without delay, so that the others mostly find the version
+//! listed.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3;
+
+use crate::relay::{
+    machine::Relay,
+    model::{Action, ServiceName},
+    registry::Versions,
+};
+
+/// An instance that has seen the directory for this long has seen all versions whose streams
+/// may still be taken up.
+const SETTLING_TIME: Duration = Duration::from_secs(60);
+/// An instance whose copy of the directory is older than this may not have seen a new version.
+const MAX_DIRECTORY_AGE: Duration = Duration::from_secs(2);
+/// Delay of a request for each instance that ranks before this one.
+const RANK_DELAY: Duration = Duration::from_millis(50);
+/// The longest such delay.
+const MAX_RANK_DELAY: Duration = Duration::from_millis(500);
+
+impl Relay {
+    /// Has the store list the versions that endpoints of services with resumable streams have.
+    pub(super) fn register_versions(&mut self, now: Duration) {
+        for service in self.resumable_services() {
+            let seen = self.directory.versions(&service);
+            if seen.is_empty() || !self.registry.request(now, &service, &seen) {
+                continue;
+            }
+            let delay = (RANK_DELAY * self.version_rank(&service)).min(MAX_RANK_DELAY);
+            self.actions.push(Action::ListVersions { service, versions: seen, delay });
+        }
+        self.update_held(now);
+    }
+
+    /// The store lists these versions of a service.
+    pub fn on_versions_listed(&mut self, now: Duration, service: &ServiceName, listed: Versions) {
+        let had_several = self.has_several_versions(service);
+        self.registry.set_listed(service, listed);
+        if !had_several && self.has_several_versions(service) {
+            self.report_streams(now, service);
+        }
+        self.update_held(now);
+        self.search(now);
+    }
+
+    /// The store was restored from an older copy: versions and streams are written again.
+    pub fn on_store_restored(&mut self, now: Duration) {
+        self.registry.clear();
+        self.register_versions(now);
+        for service in self.resumable_services() {
+            if self.has_several_versions(&service) {
+                self.report_streams(now, &service);
+            }
+        }
+    }
+
+    /// This instance's copy of the directory is the same as the store's.
+    pub fn mark_directory_read(&mut self, now: Duration) {
+        self.directory_read_at = now;
+    }
+
+    /// Whether several versions of a service serve, or did so lately.
+    pub(super) fn has_several_versions(&self, service: &str) -> bool {
+        self.registry.count_with(service, &self.directory.versions(service)) > 1
+    }
+
+    /// Whether this instance has seen a single version of a service for as long as any stream
+    /// lasts.
+    pub(super) fn is_settled(&self, now: Duration, service: &str) -> bool {
+        let since = self.directory.known_since().map(|at| at.max(self.observed_since));
+        let is_old = since.is_some_and(|at| now >= at + SETTLING_TIME);
+        let is_fresh = now <= self.directory_read_at + MAX_DIRECTORY_AGE;
+        is_old && is_fresh && self.directory.version_count(service) <= 1
+    }
+
+    /// Removes versions from the store's list that have not served for longer than any stream
+    /// lasts.
+    pub(super) fn prune_versions(&mut self, now: Duration) {
+        for service in self.resumable_services() {
+            let seen = self.directory.versions(&service);
+            let is_outdated = self.registry.count_with(&service, &seen) > seen.len();
+            let may_prune = self.is_settled(now, &service) && seen.len() == 1;
+            if is_outdated && may_prune && self.version_rank(&service) == 0 {
+                self.actions.push(Action::PruneVersions { service, versions: seen });
+            }
+        }
+    }
+
+    /// Keeps new work from versions that the store does not list yet.
+    fn update_held(&mut self, now: Duration) {
+        self.registry_at = self.registry.next_wake(now);
+        for service in self.resumable_services() {
+            let held = self.registry.held(now, &service);
+            self.directory.hold_versions(&service, held);
+        }
+    }
+
+    /// How many peers rank before this instance as the one that writes a service's versions.
+    fn version_rank(&self, service: &str) -> u32 {
+        let rank = self.rank_of(None, xxh3::xxh3_64(service.as_bytes()));
+        u32::try_from(rank).unwrap_or(u32::MAX)
+    }
+
+    /// The services that answer with streams which can be taken up.
+    fn resumable_services(&self) -> Vec<ServiceName> {
+        let Some(config) = &self.config else { return Vec::new() };
+        let routes = config.routes.iter().filter(|route| route.kind.is_resumable());
+        let targets = routes.flat_map(|route| &route.targets);
+        let mut services: Vec<_> = targets.map(|target| target.service.clone()).collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+}
--- a/crates/core/src/relay/model/action.rs
+++ b/crates/core/src/relay/model/action.rs
@@ -14,8 +14,9 @@
         },
         paths::Detour,
         quarantine::Crash,
-        rollout::{Evidence, RolloutRecord},
-        streams::{StreamId, StreamRecord},
+        registry::Versions,
+        rollout::{Evidence, RolloutRecord, Version},
+        streams::{Source, StreamId, StreamRecord},
         terms::{Notice, Rate},
     },
 };
@@ -131,6 +132,40 @@
         /// The peers.
         peers: Vec<InstanceName>,
     },
+    /// Read the store's list of versions, and its log of streams if a service has several
+    /// versions. What it has is passed to `Relay::on_origins_read`.
+    ReadOrigins,
+    /// Append the versions that began streams to the store's log. Those that could not be
+    /// appended are passed to `Relay::on_streams_unlogged`.
+    LogStreams(Vec<StreamRecord>),
+    /// Have the store list versions of a service. What it then lists is passed to
+    /// `Relay::on_versions_listed`.
+    ListVersions {
+        /// The service.
+        service: ServiceName,
+        /// Its versions.
+        versions: Versions,
+        /// How long to wait for another instance to do so.
+        delay: Duration,
+    },
+    /// Have the store list no other versions of a service.
+    PruneVersions {
+        /// The service.
+        service: ServiceName,
+        /// Its versions.
+        versions: Versions,
+    },
+    /// An exchange takes up a stream that was begun at this version, as far as it is known.
+    OriginKnown {
+        /// The exchange.
+        exchange: ExchangeKey,
+        /// The version; `None` if any may go on with it.
+        version: Option<Version>,
+        /// Where that is known from.
+        source: Source,
+        /// Since when this instance knows it.
+        age: Duration,
+    },
     /// Report the progress of calls to the placer that placed them.
     ReportProgress {
         /// The placer.
--- a/crates/core/src/relay/model/refusal.rs
+++ b/crates/core/src/relay/model/refusal.rs
@@ -32,6 +32,9 @@
     /// Nothing ran and nothing will: the stream that the request takes up may go on only at the
     /// version that began it, and nobody remembers which of several that is.
     UnknownVersion,
+    /// Nothing ran and nothing will: the version that began the stream is not known yet, since
+    /// neither a peer nor the platform's store has told it.
+    OriginUnavailable,
     /// Nothing ran and nothing will: no endpoint is left of the version that began the stream.
     VersionGone,
     /// The deadline passed; something may have run.
@@ -52,6 +55,7 @@
             | Refusal::Evacuated
             | Refusal::NoAllowedRegion
             | Refusal::UnknownVersion
+            | Refusal::OriginUnavailable
             | Refusal::VersionGone
                 if has_run =>
             {
@@ -72,6 +76,7 @@
             | Refusal::Evacuated
             | Refusal::NoAllowedRegion
             | Refusal::UnknownVersion
+            | Refusal::OriginUnavailable
             | Refusal::VersionGone => 503,
             Refusal::NoRoute => 404,
             Refusal::UnknownKey => 401,
@@ -95,6 +100,7 @@
             Refusal::Evacuated => "evacuated",
             Refusal::NoAllowedRegion => "no_allowed_region",
             Refusal::UnknownVersion => "unknown_version",
+            Refusal::OriginUnavailable => "origin_unavailable",
             Refusal::VersionGone => "version_gone",
             Refusal::TimedOut => "timed_out",
             Refusal::Failed => "failed",
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -40,3 +40,4 @@
 mod streams;
 mod table;
 mod timelines;
+mod version_list;
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -5,7 +5,7 @@
 use peatdeck_core::{
     model::Incarnation,
     relay::{
-        Relay, Settings,
+        Relay, Settings, StoredOrigins,
         allowance::RetryBudgetConfig,
         config::{
             Config, Engine, Limits, Pieces, RequestKind, Route, Service, Stage, Target, Team,
@@ -295,6 +295,12 @@
         self.complete_with(batch.call, results);
     }
 
+    /// The store is read, and has no list of versions and no log of streams.
+    pub fn read_empty_store(&mut self) {
+        self.relay.on_origins_read(self.now, Some(StoredOrigins::default()));
+        self.collect();
+    }
+
     pub fn collect(&mut self) {
         self.actions.extend(self.relay.take_actions());
     }
--- a/crates/core/tests/testsuite/relay/load/fleet/actions.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet/actions.rs
@@ -55,11 +55,16 @@
             | Action::Cancel(_)
             | Action::EndpointLimit { .. }
             | Action::EndpointLeaving { .. }
+            | Action::ListVersions { .. }
             | Action::RecallPieces(_) => {}
             // No endpoint of this fleet crashes or is cut off, nothing is rolled out, and all
             // endpoints have one version.
             Action::RecordStreams { .. }
             | Action::AskOrigin { .. }
+            | Action::ReadOrigins
+            | Action::LogStreams(_)
+            | Action::PruneVersions { .. }
+            | Action::OriginKnown { .. }
             | Action::Probe { .. }
             | Action::AskPeers { .. }
             | Action::AskAnswered { .. }
--- a/crates/core/tests/testsuite/relay/rollout/work.rs
+++ b/crates/core/tests/testsuite/relay/rollout/work.rs
@@ -104,6 +104,7 @@
     }
     assert!(canaries > 0);
     world.submit(Arrival { resume: Some(3), ..arrival("unnamed", "r") });
+    world.read_empty_store();
     assert_eq!(world.refusals(), ["503 unknown_version never"]);
 }
 
--- a/crates/core/tests/testsuite/relay/stream_versions.rs
+++ b/crates/core/tests/testsuite/relay/stream_versions.rs
@@ -1,13 +1,14 @@
 //! Streams go on only at the version that began them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use peatdeck_core::relay::{
+    StoredOrigins,
     config::RequestKind,
     directory::Entry,
     model::{Action, Arrival, Call, ExchangeKey, Failure, Peer},
     operator::OperatorCommand,
-    streams::{Origin, StreamId, StreamRecord},
+    streams::{Origin, PeerAnswer, StoredRecord, StreamId, StreamRecord},
 };
 
 use super::fixture::{ConfigBuilder, World, arrival, entry, head, ms, route};
@@ -68,8 +69,40 @@
 }
 
 fn answer(world: &mut World, origin: Origin) {
+    answered_by(world, origin, 3);
+}
+
+/// So many peers answer.
+fn answered_by(world: &mut World, origin: Origin, answered: usize) {
     let (exchange, ..) = questions(world).remove(0);
-    world.relay.on_origin(world.now, exchange, origin);
+    let answer = PeerAnswer { origin, answered, age: Duration::ZERO };
+    world.relay.on_origin(world.now, exchange, answer);
+    world.collect();
+}
+
+fn reads(world: &mut World) -> usize {
+    world.take(|action| matches!(action, Action::ReadOrigins).then_some(())).len()
+}
+
+/// The store is read once: it lists these versions, and its log has these streams.
+fn read_store(world: &mut World, versions: &[&str], streams: &[(&str, &str)]) {
+    assert_eq!(reads(world), 1);
+    let listed = versions.iter().map(|it| Arc::from(*it)).collect();
+    let stored = |(attempt, version): &(&str, &str)| {
+        let stream = StreamId::from_short(StreamId::new(Some("one"), attempt).short());
+        let record = StreamRecord { stream, version: Arc::from(*version) };
+        StoredRecord { record, age: ms(1500) }
+    };
+    let streams = streams.iter().map(stored).collect();
+    let stored = StoredOrigins { versions: [("desk".into(), listed)].into(), streams };
+    world.relay.on_origins_read(world.now, Some(stored));
+    world.collect();
+}
+
+/// The store cannot be read.
+fn lose_store(world: &mut World) {
+    assert_eq!(reads(world), 1);
+    world.relay.on_origins_read(world.now, None);
     world.collect();
 }
 
@@ -149,13 +182,16 @@
         let mut world = world(3);
         world.submit(taken_up("2", "1"));
         answer(&mut world, origin);
+        read_store(&mut world, &["v1", "v2"], &[]);
         assert_eq!(world.refusals(), ["503 unknown_version never"]);
     }
     let mut alone = world(0);
     alone.submit(taken_up("2", "1"));
+    read_store(&mut alone, &["v1", "v2"], &[]);
     assert_eq!(alone.refusals(), ["503 unknown_version never"]);
     // Its caller names no attempt.
     alone.submit(Arrival { resume: Some(2), ..new("3") });
+    read_store(&mut alone, &["v1", "v2"], &[]);
     assert_eq!(alone.refusals(), ["503 unknown_version never"]);
 }
 
@@ -165,10 +201,14 @@
     remove_version(&mut world, "v2");
     world.submit(taken_up("2", "1"));
     answer(&mut world, Origin::Unrecorded);
+    read_store(&mut world, &["v1", "v2"], &[]);
     assert_eq!(world.refusals(), ["503 unknown_version never"], "v2 has just left");
     world.advance(ms(70_000));
+    world.relay.on_versions_listed(world.now, &"desk".into(), ["v1".into()].into());
+    world.relay.mark_directory_read(world.now);
     world.submit(taken_up("3", "1"));
-    assert_eq!(questions(&mut world), [], "nobody can have seen another version");
+    answer(&mut world, Origin::Unrecorded);
+    assert_eq!(reads(&mut world), 0, "nobody can have seen another version");
     assert_eq!(&*world.call().software, "v1");
 }
 
@@ -183,9 +223,11 @@
     young.relay.set_peers(young.now, vec![peer], 2);
     young.submit(taken_up("2", "1"));
     answer(&mut young, Origin::Ambiguous);
+    read_store(&mut young, &["v1", "v2"], &[]);
     assert_eq!(young.refusals(), ["503 unknown_version never"]);
     young.submit(taken_up("3", "1"));
     answer(&mut young, Origin::Unrecorded);
+    read_store(&mut young, &["v1"], &[]);
     assert_eq!(&*young.call().software, "v1");
 }
 
@@ -265,3 +307,137 @@
     world.submit(taken_up("4", "1"));
     assert_eq!(world.refusals(), ["503 version_gone never"]);
 }
+
+#[test]
+fn an_instance_that_has_just_started_takes_the_version_from_the_log() {
+    for version in ["v1", "v2"] {
+        let mut world = world(3);
+        world.submit(taken_up("2", "1"));
+        answer(&mut world, Origin::Unrecorded);
+        read_store(&mut world, &["v1", "v2"], &[("1", version)]);
+        assert_eq!(&*world.call().software, version);
+        // What was read is remembered, and what it lacks is looked for again.
+        world.submit(taken_up("3", "1"));
+        assert_eq!((&*world.call().software, reads(&mut world)), (version, 0));
+    }
+}
+
+#[test]
+fn a_single_version_in_the_directory_is_no_proof_that_there_was_no_other() {
+    for listed in [&["v1", "v2"][..], &["v2"]] {
+        let mut world = world(0);
+        remove_version(&mut world, "v2");
+        let mut young = World::new(world.relay.config().unwrap().clone());
+        young.put(versioned("a", "v1"));
+        young.submit(taken_up("2", "1"));
+        assert_eq!(young.calls().len(), 0);
+        read_store(&mut young, listed, &[]);
+        assert_eq!(young.refusals(), ["503 unknown_version never"]);
+    }
+}
+
+#[test]
+fn a_stream_goes_on_after_a_restart_where_the_store_lists_a_single_version() {
+    for listed in [&["v1"][..], &[]] {
+        let mut world = world(0);
+        let mut young = World::new(world.relay.config().unwrap().clone());
+        young.put(versioned("a", "v1"));
+        young.submit(taken_up("2", "1"));
+        read_store(&mut young, listed, &[]);
+        assert_eq!(&*young.call().software, "v1");
+        world.collect();
+    }
+}
+
+#[test]
+fn a_stream_is_refused_with_a_time_to_come_back_while_the_store_cannot_be_read() {
+    let mut world = world(0);
+    world.submit(taken_up("2", "1"));
+    lose_store(&mut world);
+    assert_eq!(world.refusals(), ["503 origin_unavailable 600ms"]);
+    world.submit(taken_up("3", "1"));
+    read_store(&mut world, &["v1", "v2"], &[("1", "v2")]);
+    assert_eq!(&*world.call().software, "v2");
+}
+
+#[test]
+fn streams_that_are_taken_up_together_share_reads_of_the_store() {
+    let mut world = world(0);
+    for id in ["2", "3", "4"] {
+        world.submit(taken_up(id, id));
+    }
+    // The first read may have begun before the others came, so there is one more for these.
+    read_store(&mut world, &["v1", "v2"], &[("2", "v1")]);
+    assert_eq!(&*world.call().software, "v1");
+    read_store(&mut world, &["v1", "v2"], &[("3", "v1"), ("4", "v2")]);
+    assert_eq!(world.calls().len(), 2);
+    assert_eq!(reads(&mut world), 0);
+}
+
+#[test]
+fn a_settled_instance_that_no_peer_answers_reads_the_store() {
+    let mut world = world(3);
+    remove_version(&mut world, "v2");
+    world.advance(ms(70_000));
+    world.relay.mark_directory_read(world.now);
+    world.submit(taken_up("2", "1"));
+    answered_by(&mut world, Origin::Unrecorded, 0);
+    lose_store(&mut world);
+    assert_eq!(world.refusals(), ["503 origin_unavailable 600ms"]);
+}
+
+#[test]
+fn an_outdated_copy_of_the_directory_proves_nothing() {
+    let mut world = world(0);
+    remove_version(&mut world, "v2");
+    world.advance(ms(70_000));
+    world.submit(taken_up("2", "1"));
+    assert_eq!((world.calls().len(), reads(&mut world)), (0, 1));
+}
+
+/// The versions that are appended to the log.
+fn logged(world: &mut World) -> Vec<StreamRecord> {
+    let logs = world.take(|action| match action {
+        Action::LogStreams(records) => Some(records.clone()),
+        _ => None,
+    });
+    logs.into_iter().flatten().collect()
+}
+
+#[test]
+fn streams_are_logged_while_several_versions_serve() {
+    let mut world = world(7);
+    let (_, call) = begin(&mut world, new("1"));
+    world.advance(ms(200));
+    let stream = StreamId::new(Some("one"), "1");
+    assert_eq!(logged(&mut world), [StreamRecord { stream, version: call.software.clone() }]);
+    world.advance(ms(200));
+    assert_eq!(logged(&mut world), []);
+}
+
+#[test]
+fn streams_from_before_a_second_version_are_logged_when_it_comes() {
+    let mut world = world(3);
+    remove_version(&mut world, "v2");
+    world.advance(ms(70_000));
+    world.relay.on_versions_listed(world.now, &"desk".into(), ["v1".into()].into());
+    let (broken, _) = begin(&mut world, new("1"));
+    world.disconnect(broken);
+    begin(&mut world, new("2"));
+    world.advance(ms(1000));
+    assert_eq!(logged(&mut world), []);
+    world.put(versioned("e", "v3"));
+    world.advance(ms(1000));
+    assert_eq!(logged(&mut world).len(), 2);
+}
+
+#[test]
+fn streams_that_could_not_be_logged_are_logged_later() {
+    let mut world = world(0);
+    begin(&mut world, new("1"));
+    world.advance(ms(200));
+    let lost = logged(&mut world);
+    world.relay.on_streams_unlogged(world.now, lost.clone());
+    world.advance(ms(200));
+    assert_eq!(logged(&mut world), lost);
+}
--- a/crates/core/tests/testsuite/relay/streams.rs
+++ b/crates/core/tests/testsuite/relay/streams.rs
@@ -81,6 +81,7 @@
     let mut again = arrival("1", "r");
     again.resume = Some(5);
     world.submit(again);
+    world.read_empty_store();
     let call = world.call();
     assert_eq!(call.resume, Some(5));
     world.relay.on_reply_head(world.now, call.key, &head(200));
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -86,6 +86,20 @@
         Action::AskOrigin { peers, .. } => {
             tracing::debug!(event = "ask_origin", count = peers.len());
         }
+        Action::OriginKnown { version, source, age, .. } => {
+            let (version, age_ms) = (version.as_deref(), millis(*age));
+            tracing::info!(event = "origin", id, version, source = source.name(), age_ms);
+        }
+        Action::ReadOrigins => tracing::debug!(event = "read_origins"),
+        Action::LogStreams(records) => {
+            tracing::debug!(event = "log_streams", count = records.len());
+        }
+        Action::ListVersions { service, versions, .. } => {
+            tracing::info!(event = "list_versions", service = &**service, versions = ?versions);
+        }
+        Action::PruneVersions { service, versions } => {
+            tracing::info!(event = "prune_versions", service = &**service, versions = ?versions);
+        }
         Action::Disconnect(addr) => tracing::info!(event = "disconnect", addr = &**addr),
         Action::ListParts { addr, .. } => {
             tracing::debug!(event = "list_parts", addr = &**addr);
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -32,6 +32,7 @@
 use crate::{
     decisions, follow,
     memory::{BodyMemory, WaitingEvents},
+    origins::Origins,
     peers::Peers,
     pool::Pool,
     rollouts::Rollouts,
@@ -149,6 +150,8 @@
     pub peers: Peers,
     /// Orders and states of rollouts.
     pub rollouts: Rollouts,
+    /// The platform's log of streams.
+    pub origins: Origins,
     /// Memory for replies that are read whole.
     pub reply_memory: Rc<BodyMemory>,
     /// Counters and timings.
@@ -197,6 +200,7 @@
             settings: parts.settings,
             peers,
             rollouts: Rollouts::default(),
+            origins: Origins::default(),
             reply_memory,
             metrics: parts.metrics,
             shared: parts.shared,
@@ -224,6 +228,7 @@
     pub fn feed<T>(self: &Rc<Self>, event: impl FnOnce(&mut Relay, Duration) -> T) -> T {
         let now = self.check_suspension();
         let mut machine = self.machine.borrow_mut();
+        self.mark_directory_read(&mut machine);
         let output = event(&mut machine, now);
         let actions = machine.take_actions();
         drop(machine);
@@ -234,6 +239,13 @@
         output
     }
 
+    /// Tells the machine how old the copy of the directory is.
+    fn mark_directory_read(&self, machine: &mut Relay) {
+        if let Some(at) = self.peers.tables.compared_at(TableName::Endpoints) {
+            machine.mark_directory_read(at);
+        }
+    }
+
     /// Returns the current time, and checks how long the event loop was idle before.
     /// After a suspension it sends nothing until the tables have been read: meanwhile
     /// routes may have moved, keys been revoked and endpoints removed, and the first
@@ -320,6 +332,7 @@
         let request = Rc::new(request);
         let now = self.check_suspension();
         let mut machine = self.machine.borrow_mut();
+        self.mark_directory_read(&mut machine);
         let admitted = machine.on_request(now, arrival);
         let actions = machine.take_actions();
         drop(machine);
--- a/crates/relay/src/driver/actions.rs
+++ b/crates/relay/src/driver/actions.rs
@@ -11,7 +11,7 @@
 use crate::{
     calls, decisions,
     driver::{Driver, ReplyPart},
-    records, rollouts,
+    origins, records, rollouts,
 };
 
 impl Driver {
@@ -88,6 +88,21 @@
             Action::AskOrigin { exchange, stream, service, peers } => {
                 self.peers.ask_origin(self, exchange, stream, service, peers);
             }
+            Action::ReadOrigins => {
+                ntex::rt::spawn(origins::read(self.clone()));
+            }
+            Action::LogStreams(records) => {
+                ntex::rt::spawn(origins::append(self.clone(), records));
+            }
+            Action::ListVersions { service, versions, delay } => {
+                ntex::rt::spawn(origins::list(self.clone(), service, versions, delay));
+            }
+            Action::PruneVersions { service, versions } => {
+                ntex::rt::spawn(origins::prune(self.clone(), service, versions));
+            }
+            Action::OriginKnown { source, .. } => {
+                self.metrics.count(&format!("relay.origins_known.{}", source.name()), 1);
+            }
             Action::Probe { endpoint, addr } => {
                 ntex::rt::spawn(calls::probe(self.clone(), endpoint, addr));
             }
@@ -167,6 +182,7 @@
             Action::Answer { exchange, .. }
             | Action::BeginStream { exchange, .. }
             | Action::Refuse { exchange, .. }
+            | Action::OriginKnown { exchange, .. }
             | Action::QuarantineHit { exchange, .. }
             | Action::FinishStream(exchange)
             | Action::AbortStream(exchange) => Some(*exchange),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`tables`]: the copies of the platform's tables.
 //! - [`follow`]: keeps the copies up to date from the platform's store.
 //! - [`operators`]: the operators' HTTP interface of an instance.
+//! - [`origins`]: the platform's list of versions and its log of streams.
 //! - [`peers`]: communication with the other instances, over Cap'n Proto.
 //! - [`records`]: records of the platform's quarantine table.
 //! - [`rollouts`]: states of rollouts, their records and reports.
@@ -41,6 +42,7 @@
 pub mod memory;
 pub mod native;
 pub mod operators;
+pub mod origins;
 pub mod outgoing;
 pub mod peers;
 pub mod policy;
--- a/crates/relay/src/peers/service.rs
+++ b/crates/relay/src/peers/service.rs
@@ -330,10 +330,15 @@
         let params = params.get()?;
         let stream = streams::read_stream(params.get_stream()?);
         let service = params.get_service()?.to_str()?;
-        let origin = self.driver.inspect(|machine| machine.stream_origin(stream, service));
+        let now = self.driver.now();
+        let (origin, age) = self.driver.inspect(|machine| {
+            (machine.stream_origin(stream, service), machine.stream_age(now, stream))
+        });
+        let age_ms = age.unwrap_or_default().as_millis();
         let (origin, version) = streams::write_origin(&origin);
         results.get().set_origin(origin);
         results.get().set_version(version);
+        results.get().set_age_ms(u32::try_from(age_ms).unwrap_or(u32::MAX));
         let size = || results.get().into_reader().total_size();
         self.caller.count_reply(&self.driver, Kind::Others, size);
         Ok(())
--- a/crates/relay/src/peers/streams.rs
+++ b/crates/relay/src/peers/streams.rs
@@ -7,7 +7,7 @@
     model::InstanceName,
     relay::{
         model::{ExchangeKey, ServiceName},
-        streams::{Origin, StreamId, StreamRecord},
+        streams::{Origin, PeerAnswer, StreamId, StreamRecord},
     },
 };
 use peatdeck_wire::{link::Error, relay_capnp::relay, streams as wire};
@@ -56,25 +56,34 @@
             let asked_at = driver.now();
             let questions = peers.iter().map(|peer| ask(&driver, peer, stream, &service));
             let mut answers: FuturesUnordered<_> = questions.map(Box::pin).collect();
-            let (mut origin, mut answered) = (Origin::Unrecorded, 0);
-            while let Some(answer) = answers.next().await {
-                answered += u32::from(answer.is_some());
-                match answer {
-                    Some(Origin::Version(version)) => {
-                        origin = Origin::Version(version);
+            let mut answer =
+                PeerAnswer { origin: Origin::Unrecorded, answered: 0, age: Duration::ZERO };
+            while let Some(known) = answers.next().await {
+                let Some((origin, age)) = known else { continue };
+                answer.answered += 1;
+                match origin {
+                    Origin::Version(_) => {
+                        (answer.origin, answer.age) = (origin, age);
                         break;
                     }
-                    Some(Origin::Ambiguous) => origin = Origin::Ambiguous,
-                    Some(Origin::Unrecorded) | None => {}
+                    Origin::Ambiguous => answer.origin = origin,
+                    Origin::Unrecorded => {}
                 }
             }
             drop(answers);
             if let Some(request) = driver.request_of(key) {
                 let took_ms = driver.now().saturating_sub(asked_at).as_millis() as u64;
-                let asked = peers.len();
-                tracing::info!(event = "stream_origin", id = &*request.id, origin = ?origin, asked, answered, took_ms);
+                let (asked, answered) = (peers.len(), answer.answered);
+                tracing::info!(
+                    event = "stream_origin",
+                    id = &*request.id,
+                    origin = ?answer.origin,
+                    asked,
+                    answered,
+                    took_ms
+                );
             }
-            driver.feed(|machine, now| machine.on_origin(now, key, origin));
+            driver.feed(|machine, now| machine.on_origin(now, key, answer));
         });
     }
 }
@@ -97,13 +106,13 @@
     driver.peers.links.exchange(&addr, EXCHANGE_TIMEOUT, exchange).await
 }
 
-/// What a peer knows of a stream; `None` if it does not answer.
+/// What a peer knows of a stream, and for how long; `None` if it does not answer.
 async fn ask(
     driver: &Rc<Driver>,
     peer: &str,
     stream: StreamId,
     service: &ServiceName,
-) -> Option<Origin> {
+) -> Option<(Origin, Duration)> {
     let addr = driver.peers.members.borrow().addr(peer)?;
     let exchange = async |client: relay::Client| {
         let mut request = client.stream_origin_request();
@@ -115,7 +124,8 @@
         let response = response.get()?;
         let origin = response.get_origin().map_err(capnp::Error::from)?;
         let version = response.get_version()?.to_str().map_err(capnp::Error::from)?;
-        Ok(wire::read_origin(origin, version))
+        let age = Duration::from_millis(u64::from(response.get_age_ms()));
+        Ok((wire::read_origin(origin, version), age))
     };
     // As with placements, a slow reply must not close the connection.
     let asked = driver.peers.links.exchange(&addr, EXCHANGE_TIMEOUT, exchange);
--- a/crates/relay/src/repair.rs
+++ b/crates/relay/src/repair.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     driver::Driver,
-    follow,
+    follow, origins,
     peers::Announcement,
     rollouts,
     surroundings::{StoreError, TableName},
@@ -118,6 +118,7 @@
 pub async fn run(driver: Rc<Driver>) {
     loop {
         tokio::time::sleep(CHECK_INTERVAL.mul_f64(rand::rng().random_range(0.8..1.2))).await;
+        origins::note_timeline(&driver);
         rewrite_lost(&driver).await;
         rewrite_lost_rollouts(&driver).await;
         drop_carried_over(&driver, TableName::Endpoints, ENDPOINTS_GRACE);
--- a/crates/relay/src/surroundings.rs
+++ b/crates/relay/src/surroundings.rs
@@ -5,8 +5,12 @@
 //! rollouts.
 //! Each is a log of keyed records; the newest record of a key is in force. A platform
 //! adapter provides a [`Platform`]; tests provide one with stand-ins.
+//!
+//! Besides it keeps a list of the versions of services and a log of the streams that they began
+//! ([`OriginStore`]), which are read only when they are needed.
 
 use std::{
+    collections::HashMap,
     rc::Rc,
     sync::Arc,
     time::{Duration, SystemTime},
@@ -16,7 +20,7 @@
 use futures::future::LocalBoxFuture;
 use peatdeck_core::relay::{
     directory::Change, model::ServiceName, operator::OperatorCommand, position::Timeline,
-    rollout::RolloutRecord, table::Record,
+    registry::Versions, rollout::RolloutRecord, table::Record,
 };
 use peatdeck_macros::{data, id};
 
@@ -149,6 +153,53 @@
 /// Writes a record on the condition that the table's log ends at this offset.
 pub type WriteAt = Rc<dyn Fn(TableName, Arc<str>, Option<Bytes>, u64) -> StoreCall<()>>;
 
+/// The versions that the platform's store lists.
+#[data]
+pub struct VersionList {
+    /// The versions of each service.
+    pub services: HashMap<ServiceName, Versions>,
+    /// Offset at which the list's log ended.
+    pub end: u64,
+}
+
+/// Result of reading the log of streams from an offset.
+#[data]
+pub enum LogRead {
+    /// The records from the requested offset up to `end`.
+    Records {
+        /// The records.
+        records: Vec<Bytes>,
+        /// The offset after the last of them.
+        end: u64,
+        /// Whether the log has records after `end`.
+        has_more: bool,
+    },
+    /// The log does not have the requested offset; it begins at this one.
+    Expired(u64),
+}
+
+/// Reads the list of versions.
+pub type ReadVersions = Rc<dyn Fn() -> StoreCall<VersionList>>;
+/// Writes the versions of a service on the condition that the list's log ends at this offset.
+pub type WriteVersions = Rc<dyn Fn(ServiceName, Versions, u64) -> StoreCall<()>>;
+/// Appends a record to the log of streams.
+pub type AppendStreams = Rc<dyn Fn(Bytes) -> StoreCall<()>>;
+/// Reads the log of streams from an offset on.
+pub type ReadStreams = Rc<dyn Fn(u64) -> StoreCall<LogRead>>;
+
+/// What the platform's store keeps of versions and of the streams that they began.
+#[derive(Clone)]
+pub struct OriginStore {
+    /// Reads the list of versions.
+    pub read_versions: ReadVersions,
+    /// Writes to the list; fails with [`StoreError::Advanced`] if the condition does not hold.
+    pub write_versions: WriteVersions,
+    /// Appends to the log of streams, whose records expire after a time that the store sets.
+    pub append_streams: AppendStreams,
+    /// Reads the log of streams.
+    pub read_streams: ReadStreams,
+}
+
 /// The platform's store.
 #[derive(Clone)]
 pub struct Store {
@@ -160,6 +211,8 @@
     pub write: Write,
     /// Writes on a condition; fails with [`StoreError::Advanced`] if that does not hold.
     pub write_at: WriteAt,
+    /// Versions, and the streams that they began.
+    pub origins: OriginStore,
     /// The newest timeline that any answer named, refusals included.
     pub timeline: Rc<dyn Fn() -> Timeline>,
 }
--- a/crates/relay/tests/relay/standins/store.rs
+++ b/crates/relay/tests/relay/standins/store.rs
@@ -9,8 +9,12 @@
 };
 
 use bytes::Bytes;
-use peatdeck_core::relay::{position::Timeline, table::Record};
-use peatdeck_relay::surroundings::{self, Page, Store, StoreError, TableName};
+use peatdeck_core::relay::{
+    model::ServiceName, position::Timeline, registry::Versions, table::Record,
+};
+use peatdeck_relay::surroundings::{
+    self, LogRead, OriginStore, Page, Store, StoreError, TableName, VersionList,
+};
 
 /// The platform's store in memory. Clones share its contents.
 #[derive(Clone, Default)]
@@ -51,6 +55,10 @@
     reads: HashMap<TableName, u64>,
     /// Number of conditional writes whose answers are lost from now on.
     lost_answers: usize,
+    /// All writes to the list of versions.
+    versions: Vec<(ServiceName, Versions)>,
+    /// The log of streams.
+    streams: Vec<Bytes>,
     /// Records that others write right before the next conditional writes.
     rivals: VecDeque<(String, Bytes)>,
 }
@@ -216,6 +224,77 @@
         Ok(surroundings::Read::Records { records, end, has_more: false, timeline })
     }
 
+    fn check_available(&self) -> Result<(), StoreError> {
+        match self.inner.lock().unwrap().is_unavailable {
+            true => Err(StoreError::Refused(503)),
+            false => Ok(()),
+        }
+    }
+
+    fn read_versions(&self) -> Result<VersionList, StoreError> {
+        self.check_available()?;
+        let inner = self.inner.lock().unwrap();
+        let services = inner.versions.iter().cloned().collect();
+        Ok(VersionList { services, end: inner.versions.len() as u64 })
+    }
+
+    fn write_versions(
+        &self,
+        service: ServiceName,
+        versions: Versions,
+        end: u64,
+    ) -> Result<(), StoreError> {
+        self.check_available()?;
+        let mut inner = self.inner.lock().unwrap();
+        if inner.versions.len() as u64 != end {
+            return Err(StoreError::Advanced(end));
+        }
+        inner.versions.push((service, versions));
+        Ok(())
+    }
+
+    fn append_streams(&self, record: Bytes) -> Result<(), StoreError> {
+        self.check_available()?;
+        self.inner.lock().unwrap().streams.push(record);
+        Ok(())
+    }
+
+    fn read_streams(&self, from: u64) -> Result<LogRead, StoreError> {
+        self.check_available()?;
+        let inner = self.inner.lock().unwrap();
+        let records: Vec<_> = inner.streams.iter().skip(from as usize).cloned().collect();
+        Ok(LogRead::Records { records, end: inner.streams.len() as u64, has_more: false })
+    }
+
+    fn origins(&self) -> OriginStore {
+        let (versions, write, append, read) =
+            (self.clone(), self.clone(), self.clone(), self.clone());
+        OriginStore {
+            read_versions: Rc::new(move || {
+                let (list, delay) = (versions.read_versions(), versions.delay());
+                Box::pin(async move {
+                    tokio::time::sleep(delay).await;
+                    list
+                })
+            }),
+            write_versions: Rc::new(move |service, versions, end| {
+                let written = write.write_versions(service, versions, end);
+                Box::pin(async move { written })
+            }),
+            append_streams: Rc::new(move |record| {
+                let appended = append.append_streams(record);
+                Box::pin(async move { appended })
+            }),
+            read_streams: Rc::new(move |from| {
+                let (read, delay) = (read.read_streams(from), read.delay());
+                Box::pin(async move {
+                    tokio::time::sleep(delay).await;
+                    read
+                })
+            }),
+        }
+    }
+
     pub fn client(&self) -> Store {
         let (newest, read, write) = (self.clone(), self.clone(), self.clone());
         let (current, conditional) = (self.clone(), self.clone());
@@ -224,6 +303,7 @@
                 let store = conditional.clone();
                 Box::pin(async move { store.write_at(table, &key, value, end) })
             }),
+            origins: self.origins(),
             timeline: Rc::new(move || Timeline(current.inner.lock().unwrap().timeline)),
             newest: Rc::new(move |table, _| {
                 let (page, delay) = (newest.newest(table), newest.delay());
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -70,8 +70,9 @@
   recordStreams @15 (records :List(StreamRecords)) -> ();
   # Has the receiver remember which versions began streams.
 
-  streamOrigin @16 (stream :Data, service :Text) -> (origin :Origin, version :Text);
-  # Asks which version of a service began a stream.
+  streamOrigin @16 (stream :Data, service :Text) -> (origin :Origin, version :Text, ageMs :UInt32);
+  # Asks which version of a service began a stream. `ageMs` is how long the receiver has
+  # known the version.
 }
 
 struct StreamRecords {
@@ -80,6 +81,14 @@
   # The ids of the streams that it began, 16 bytes each.
 }
 
+struct LoggedStreams {
+  # A record of the platform's log of streams.
+  records @0 :List(StreamRecords);
+  # As above, but with the lower 8 bytes of each id, in big-endian order.
+  writtenMs @1 :UInt64;
+  # When it was written, in Unix milliseconds by the writer's clock; for log lines only.
+}
+
 enum Origin {
   ambiguous @0;
   # Not known, and the receiver knows several versions of the service.
--- a/crates/wire/src/relay_capnp.rs
+++ b/crates/wire/src/relay_capnp.rs
@@ -7756,6 +7756,10 @@
             pub fn has_version(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_age_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -7834,6 +7838,14 @@
             pub fn has_version(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_age_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn set_age_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7845,7 +7857,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(51, 65, 213, 111, 236, 117, 130, 244),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
@@ -7855,7 +7867,7 @@
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
@@ -7863,21 +7875,28 @@
                 ::capnp::word(121, 46, 115, 116, 114, 101, 97, 109),
                 ::capnp::word(79, 114, 105, 103, 105, 110, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(111, 114, 105, 103, 105, 110, 0, 0),
                 ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 169, 177, 207, 155, 38, 114, 225),
@@ -7894,11 +7913,20 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::relay_capnp::Origin as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7912,9 +7940,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
             pub(crate) const TYPE_ID: u64 = 0xf482_75ec_6fd5_4133;
         }
     }
@@ -8168,6 +8196,247 @@
     }
 }
 
+pub mod logged_streams {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::relay_capnp::stream_records::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_records(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_written_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::relay_capnp::stream_records::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_records(&mut self, value: ::capnp::struct_list::Reader<'_,crate::relay_capnp::stream_records::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_records(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::relay_capnp::stream_records::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_records(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_written_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_written_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(165, 166, 30, 1, 246, 93, 221, 217),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(71, 152, 44, 94, 31, 11, 61, 166),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 76, 111, 103, 103),
+            ::capnp::word(101, 100, 83, 116, 114, 101, 97, 109),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 101, 99, 111, 114, 100, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 130, 12, 245, 57, 201, 65, 247),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 114, 105, 116, 116, 101, 110, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::relay_capnp::stream_records::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xd9dd_5df6_011e_a6a5;
+    }
+}
+
 #[repr(u16)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
