A request to an instance that has not read its tables is told when to come back

Callers saw 503 without a time to come back right after all instances had been killed while the store was dark, and so could not tell it from a refusal for good.

Cause: a refusal on arrival carried no Retry-After at all. An instance that has just started usually reads its tables within half a second.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -19,6 +19,9 @@
 /// Value of `Retry-After`, in seconds, for a request that a stopping instance refuses:
 /// the caller should retry at once, at another instance.
 const RETRY_AFTER_STOP: f64 = 0.05;
+/// The same for an instance that has not read the platform's tables yet: how long that usually
+/// takes after a start.
+const RETRY_AFTER_START: f64 = 0.5;
 
 /// Why the body of a request was not accepted.
 enum BodyError {
@@ -66,7 +69,10 @@
     let arrival = Arrival { deadline, ..arrival };
     let mut receiver = match driver.submit(arrival, request) {
         Ok(receiver) => receiver,
-        Err(refusal) => return Ok(refusal_response(&driver, refusal, None)),
+        Err(refusal) => {
+            let retry_after = (refusal == Refusal::NotReady).then_some(RETRY_AFTER_START);
+            return Ok(refusal_response(&driver, refusal, retry_after));
+        }
     };
     let response = match receiver.parts.next().await {
         Some(ReplyPart::Whole(reply)) => whole_response(&driver, reply),
