--- a/crates/relay/tests/relay/wire.rs
+++ b/crates/relay/tests/relay/wire.rs
@@ -1,4 +1,4 @@
-//! The region in messages between instances.
+//! The region in messages between instances, and records of the log of streams.
 
 use std::{sync::Arc, time::Duration};
 
@@ -7,8 +7,13 @@
     fingerprint::Fingerprint,
     model::{Piece, PlacementRequest, Prompt},
     region::RegionName,
+    streams::{StreamId, StreamRecord},
+};
+use peatdeck_wire::{
+    relay as wire,
+    relay_capnp::relay,
+    streams::{LoggedStreams, read_logged, write_logged},
 };
-use peatdeck_wire::{relay as wire, relay_capnp::relay};
 
 const NOW: Duration = Duration::from_secs(5);
 
@@ -76,3 +81,30 @@
     let region: Option<RegionName> = pieces[0].region.clone();
     assert_eq!((&*pieces[0].service, region), ("maker", None));
 }
+
+/// A record of the log with this number of streams of two versions.
+fn logged(count: u64) -> LoggedStreams {
+    let record = |idx: u64| {
+        let version = Arc::from(if idx < count / 2 { "v1" } else { "v2" });
+        StreamRecord { stream: StreamId::from_short(idx + 1), version }
+    };
+    LoggedStreams { records: (0..count).map(record).collect(), written: NOW }
+}
+
+// A second of streams at the design size must cost less than a third of 2 kB.
+#[test]
+fn a_record_of_the_log_of_streams_is_read_as_it_was_written() {
+    let bytes = write_logged(&logged(62));
+    assert_eq!(read_logged(&bytes).unwrap(), logged(62));
+    assert!(bytes.len() < 650, "{} bytes", bytes.len());
+}
+
+// Any process may write to the platform's topics.
+#[test]
+fn a_record_of_the_log_that_is_cut_or_foreign_is_an_error() {
+    let bytes = write_logged(&logged(62));
+    for len in [0, 1, 40, bytes.len() - 8] {
+        assert!(read_logged(&bytes[..len]).is_err(), "{len} bytes");
+    }
+    assert!(read_logged(b"{\"not\": \"ours\"}").is_err());
+}
