The list of versions survives late writes, and streams a release during a kill

Callers would have seen: all streams of the one version refused for good if a second version's first entry was written while all instances were down; streams joined after a removal from the list that was decided before a version came and written after; streams refused at instances that believed an outdated list; streams refused since part of the log that had been read was dropped when the rest could not be.

An instance had the list changed before it knew what its predecessors had there; a removal was tried again on a judgement that did not cover what had changed meanwhile; only the instance that removed a version learned of it.

Change: an instance reads the list first, and instances that start together leave each other a second for that, holding the new version back meanwhile; a stream from before the start that no peer and no log knows goes on at the version that was listed alone then. A removal is tried once; a listed version that comes back is written anew, which moves the log's end, so that a late removal fails. A settled instance with several listed versions reads the store, and others than the first in rank read the list again every 30 s while it seems outdated. Parts of the log are kept until all of it is read, reads begin 200 ms apart at least, a full queue for the log drops its oldest record in constant time. An instance that has no endpoints yet says when to come back. Ages of log records are no longer capped at the uptime.

--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -144,13 +144,10 @@
         self.gates.as_ref()?.first(service, ordered)
     }
 
-    /// Keeps new work from these versions of a service while another one has endpoints that
-    /// accept it.
-    pub fn hold_versions(&mut self, service: &ServiceName, held: Versions) {
-        match held.is_empty() {
-            true => self.held.remove(service),
-            false => self.held.insert(service.clone(), held),
-        };
+    /// Keeps new work from these versions of services while another version of the service has
+    /// endpoints that accept it.
+    pub fn hold_versions(&mut self, held: HashMap<ServiceName, Versions>) {
+        self.held = held;
     }
 
     /// The versions of a service that get no new work.
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -45,7 +45,7 @@
 pub use streams::StoredOrigins;
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -174,13 +174,15 @@
     stream_reports: HashMap<InstanceName, Vec<StreamRecord>>,
     streams_at: Duration,
     /// Records of streams that are to be appended to the store's log at `log_at`.
-    unlogged: Vec<StreamRecord>,
+    unlogged: VecDeque<StreamRecord>,
     log_at: Duration,
     /// Exchanges that wait for the store to be read.
     readers: streams::OriginReaders,
     registry: VersionRegistry,
     /// When the store has to be asked to list versions again, or versions are held back no longer.
     registry_at: Option<Duration>,
+    /// When the list of versions may be read again to see whether it is outdated.
+    reread_at: Duration,
     /// Since when this instance has run without a suspension.
     observed_since: Duration,
     /// When the copy of the directory was last the same as the store's.
@@ -292,11 +294,12 @@
             streams: StreamVersions::default(),
             stream_reports: HashMap::new(),
             streams_at: Duration::ZERO,
-            unlogged: Vec::new(),
+            unlogged: VecDeque::new(),
             log_at: Duration::ZERO,
             readers: streams::OriginReaders::default(),
             registry: VersionRegistry::default(),
             registry_at: None,
+            reread_at: Duration::ZERO,
             observed_since: Duration::ZERO,
             directory_read_at: Duration::ZERO,
             has_freed_memory: false,
@@ -401,6 +404,7 @@
                 self.report_streams(now, &service);
             }
             self.register_versions(now);
+            self.confirm_version(&service);
         }
         if let Some(EndedEndpoint { endpoint, is_planned }) = changed.ended {
             self.end_incarnation(now, endpoint, is_planned);
--- a/crates/core/src/relay/machine/stream_records.rs
+++ b/crates/core/src/relay/machine/stream_records.rs
@@ -28,9 +28,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_micros(2500);
 /// The longest time for which they are collected.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_secs(1);
-/// Records are collected for this long for each instance before they are appended to the log:
-/// all instances together make up to 40 calls a second, a tenth of what the smallest store
-/// allows.
+/// Records are collected for this long for each instance before they are appended to the log.
+/// Up to 40 instances together make 40 calls a second at the most, a tenth of what the smallest
+/// store allows; each further one makes one call a second.
 const LOG_INTERVAL: Duration = Duration::from_millis(25);
 /// The longest time for which they are collected for the log.
 const MAX_LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -99,9 +99,10 @@
             let interval = LOG_INTERVAL * self.instance_count() as u32;
             self.log_at = now + interval.min(MAX_LOG_INTERVAL);
         }
-        self.unlogged.push(record);
-        let excess = self.unlogged.len().saturating_sub(MAX_UNLOGGED);
-        self.unlogged.drain(..excess);
+        self.unlogged.push_back(record);
+        if self.unlogged.len() > MAX_UNLOGGED {
+            self.unlogged.pop_front();
+        }
     }
 
     /// When records of streams are to be sent to peers; `None` if there are none.
@@ -127,7 +128,8 @@
     /// Appends the collected records of streams to the log.
     pub(super) fn log_streams(&mut self, now: Duration) {
         if !self.unlogged.is_empty() && now >= self.log_at {
-            self.actions.push(Action::LogStreams(std::mem::take(&mut self.unlogged)));
+            let records = std::mem::take(&mut self.unlogged);
+            self.actions.push(Action::LogStreams(records.into()));
         }
     }
 
--- a/crates/core/src/relay/machine/streams.rs
+++ b/crates/core/src/relay/machine/streams.rs
@@ -80,7 +80,7 @@
     /// store has to be read.
     fn settle_unrecorded(&mut self, now: Duration, key: ExchangeKey) -> bool {
         let service = self.exchanges[key].service.clone();
-        if self.is_settled(now, &service) {
+        if self.is_settled(now, &service) && !self.has_several_versions(&service) {
             self.leave_unbound(now, key);
             return true;
         }
@@ -105,8 +105,8 @@
         for stored in &streams {
             self.streams.record_stored(now, stored);
         }
-        for (service, listed) in versions {
-            self.on_versions_listed(now, &service, listed);
+        if is_read {
+            self.on_versions_read(now, versions);
         }
         for key in std::mem::take(&mut self.readers.current) {
             self.on_origin_read(now, key, is_read);
@@ -145,9 +145,12 @@
 
     /// Nobody knows which version began the stream that an exchange takes up.
     fn leave_unbound(&mut self, now: Duration, key: ExchangeKey) {
-        let exchange = &mut self.exchanges[key];
-        exchange.binding = Binding::Unknown;
-        let service = exchange.service.clone();
+        let service = self.exchanges[key].service.clone();
+        if let Some(version) = self.version_before_start(now, &service) {
+            self.bind_to_origin(key, version, Source::SingleVersion, Duration::ZERO);
+            return;
+        }
+        self.exchanges[key].binding = Binding::Unknown;
         if !self.has_several_versions(&service) {
             let age = self.directory.known_since().map_or(now, |at| now.saturating_sub(at));
             let source = Source::SingleVersion;
@@ -215,6 +218,11 @@
     fn is_version_left(&mut self, now: Duration, key: ExchangeKey) -> bool {
         let exchange = &self.exchanges[key];
         let Binding::Version(version) = &exchange.binding else { return true };
+        if self.directory.versions(&exchange.service).is_empty() {
+            // The endpoints have not been read yet.
+            self.give_up(now, key, Refusal::Unserved);
+            return false;
+        }
         let track = self.directory.track_of_version(&exchange.service, version);
         let may_try = track == Track::Stable
             || self.rollouts.get(&exchange.service).is_some_and(|rollout| rollout.may_try(now));
--- a/crates/core/src/relay/model/action.rs
+++ b/crates/core/src/relay/model/action.rs
@@ -135,6 +135,8 @@
     /// Read the store's list of versions, and its log of streams if a service has several
     /// versions. What it has is passed to `Relay::on_origins_read`.
     ReadOrigins,
+    /// Read the store's list of versions. It is passed to `Relay::on_versions_read`.
+    ReadVersions,
     /// Append the versions that began streams to the store's log. Those that could not be
     /// appended are passed to `Relay::on_streams_unlogged`.
     LogStreams(Vec<StreamRecord>),
--- a/crates/core/src/relay/registry.rs
+++ b/crates/core/src/relay/registry.rs
@@ -1,8 +1,8 @@
 //! Which versions of each service the platform's store lists.
 //!
-//! A stream begins at a version only once the store lists the version. The list outlives all
-//! instances, so those that are started afterwards can tell whether a stream that none of them
-//! remembers may have begun at another version than the one that serves now.
+//! A version gets no work beside another one before the store lists it, unless the store accepts
+//! no writes for seconds. The list outlives all instances, so those that are started afterwards
+//! can tell at which versions a stream that none of them remembers may have begun.
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -28,8 +28,11 @@
 
 #[derive(Debug, Clone, Default)]
 struct Registration {
-    /// The versions that the store listed when it was last read or written.
-    listed: Versions,
+    /// The versions that the store listed when it was last read or written; `None` before.
+    listed: Option<Versions>,
+    /// The versions that the store listed when it was first read: no stream that began before
+    /// this instance has begun at another one.
+    first: Versions,
     /// Versions that the store was asked to list, until it does.
     requested: Option<Request>,
 }
@@ -44,10 +47,27 @@
 impl VersionRegistry {
     /// The number of versions in the list and among those given.
     pub(crate) fn count_with(&self, service: &str, seen: &Versions) -> usize {
-        let listed = self.services.get(service).map(|it| &it.listed);
+        let listed = self.services.get(service).and_then(|it| it.listed.as_ref());
         listed.map_or(seen.len(), |listed| listed.union(seen).count())
     }
 
+    /// Whether the list of a service has been read.
+    pub(crate) fn is_read(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|it| it.listed.is_some())
+    }
+
+    /// Whether the store lists all of these versions.
+    pub(crate) fn lists(&self, service: &str, seen: &Versions) -> bool {
+        let listed = self.services.get(service).and_then(|it| it.listed.as_ref());
+        listed.is_some_and(|listed| listed.is_superset(seen))
+    }
+
+    /// The only version that the store listed when this instance first read it.
+    pub(crate) fn first_only(&self, service: &str) -> Option<&Version> {
+        let first = &self.services.get(service)?.first;
+        first.first().filter(|_| first.len() == 1)
+    }
+
     /// Whether the store has to be asked to list versions now. Notes that it is.
     pub(crate) fn request(
         &mut self,
@@ -55,8 +75,9 @@
         service: &ServiceName,
         seen: &Versions,
     ) -> bool {
+        let is_listed = self.lists(service, seen);
         let registration = self.services.entry(service.clone()).or_default();
-        if registration.listed.is_superset(seen) {
+        if is_listed {
             registration.requested = None;
             return false;
         }
@@ -74,7 +95,11 @@
     pub(crate) fn set_listed(&mut self, service: &ServiceName, listed: Versions) {
         let registration = self.services.entry(service.clone()).or_default();
         registration.requested.take_if(|it| listed.is_superset(&it.versions));
-        registration.listed = listed;
+        if registration.listed.is_none() {
+            registration.first = listed.clone();
+            registration.requested = None;
+        }
+        registration.listed = Some(listed);
     }
 
     /// Forgets what the store lists, since it may have lost records.
@@ -82,14 +107,16 @@
         self.services.clear();
     }
 
-    /// The versions of a service that get no work yet. An instance that has just started holds
-    /// none back: it does not know which ones the store listed before.
+    /// The versions of a service that get no work yet. Before the list has been read, none is
+    /// held back.
     pub(crate) fn held(&self, now: Duration, service: &str) -> Versions {
-        let Some(registration) = self.services.get(service) else { return Versions::new() };
-        let requested = registration.requested.as_ref().filter(|it| now < it.since + MAX_HOLD);
-        match requested.filter(|_| !registration.listed.is_empty()) {
-            Some(request) => request.versions.difference(&registration.listed).cloned().collect(),
-            None => Versions::new(),
+        let registration = self.services.get(service);
+        let listed = registration.and_then(|it| it.listed.as_ref()).filter(|it| !it.is_empty());
+        let requested = registration.and_then(|it| it.requested.as_ref());
+        let requested = requested.filter(|it| now < it.since + MAX_HOLD);
+        match (listed, requested) {
+            (Some(listed), Some(request)) => request.versions.difference(listed).cloned().collect(),
+            _ => Versions::new(),
         }
     }
 
--- a/crates/core/src/relay/streams.rs
+++ b/crates/core/src/relay/streams.rs
@@ -124,8 +124,8 @@
 #[derive(Debug, Clone)]
 struct Known {
     recorded_at: Duration,
-    /// When the record was written, here or elsewhere.
-    written_at: Duration,
+    /// How old the record was then.
+    age: Duration,
     /// `None` if two streams of different versions have the same id.
     version: Option<Version>,
 }
@@ -134,20 +134,20 @@
     /// Records the version that began a stream, or that an attempt to go on with it brought
     /// events.
     pub fn record(&mut self, now: Duration, record: &StreamRecord) {
-        self.record_written(now, now, record);
+        self.record_aged(now, Duration::ZERO, record);
     }
 
     /// Records what the store's log has.
     pub fn record_stored(&mut self, now: Duration, stored: &StoredRecord) {
-        self.record_written(now, now.saturating_sub(stored.age), &stored.record);
+        self.record_aged(now, stored.age, &stored.record);
     }
 
-    fn record_written(&mut self, now: Duration, written_at: Duration, record: &StreamRecord) {
+    fn record_aged(&mut self, now: Duration, age: Duration, record: &StreamRecord) {
         let StreamRecord { stream, version } = record;
-        let new = || Known { recorded_at: now, written_at, version: Some(version.clone()) };
+        let new = || Known { recorded_at: now, age, version: Some(version.clone()) };
         let known = self.known.entry(stream.short()).or_insert_with(new);
         known.recorded_at = now;
-        known.written_at = written_at;
+        known.age = age;
         known.version.take_if(|known| known != version);
         self.order.push_back((now, stream.short()));
         while self.order.len() > MAX_STREAMS {
@@ -165,7 +165,7 @@
     /// How long ago the record of a stream was written, here or elsewhere.
     pub fn age(&self, now: Duration, stream: StreamId) -> Option<Duration> {
         let known = self.known.get(&stream.short())?;
-        Some(now.saturating_sub(known.written_at))
+        Some(now.saturating_sub(known.recorded_at).saturating_add(known.age))
     }
 
     /// All streams whose version is known.
--- a/crates/core/tests/testsuite/relay/load/fleet/actions.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet/actions.rs
@@ -56,6 +56,7 @@
             | Action::EndpointLimit { .. }
             | Action::EndpointLeaving { .. }
             | Action::ListVersions { .. }
+            | Action::ReadVersions
             | Action::RecallPieces(_) => {}
             // No endpoint of this fleet crashes or is cut off, nothing is rolled out, and all
             // endpoints have one version.
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -91,6 +91,7 @@
             tracing::info!(event = "origin", id, version, source = source.name(), age_ms);
         }
         Action::ReadOrigins => tracing::debug!(event = "read_origins"),
+        Action::ReadVersions => tracing::debug!(event = "read_versions"),
         Action::LogStreams(records) => {
             tracing::debug!(event = "log_streams", count = records.len());
         }
--- a/crates/relay/src/driver/actions.rs
+++ b/crates/relay/src/driver/actions.rs
@@ -91,6 +91,9 @@
             Action::ReadOrigins => {
                 ntex::rt::spawn(origins::read(self.clone()));
             }
+            Action::ReadVersions => {
+                ntex::rt::spawn(origins::read_list(self.clone()));
+            }
             Action::LogStreams(records) => {
                 ntex::rt::spawn(origins::append(self.clone(), records));
             }
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -6,7 +6,7 @@
 //! another one has just added.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     collections::BTreeSet,
     rc::Rc,
     time::{Duration, SystemTime},
@@ -29,7 +29,10 @@
 };
 
 /// Longest time of a read. Callers wait for it.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Shortest time between the beginnings of two reads, so that many streams that are taken up
+/// one after the other do not use up the calls that the store allows.
+const READ_INTERVAL: Duration = Duration::from_millis(200);
 /// Attempts to write to the list while other instances write to it too.
 const MAX_ATTEMPTS: usize = 8;
 /// Calls for one read of the log, of a megabyte each.
@@ -42,6 +45,10 @@
 pub struct Origins {
     /// The offset from which the log is read next.
     next: Cell<u64>,
+    /// Streams that were read while a later part of the log could not be.
+    pending: RefCell<Vec<StoredRecord>>,
+    /// When the last read began.
+    read_at: Cell<Option<Duration>>,
     /// The store's timeline of that offset and of the list.
     timeline: Cell<Timeline>,
 }
@@ -49,17 +56,19 @@
 /// Has the store list versions of a service, unless it does.
 pub async fn list(driver: Rc<Driver>, service: ServiceName, versions: Versions, delay: Duration) {
     tokio::time::sleep(delay).await;
-    let listed = update(&driver, &service, |listed| {
+    // An instance that does not wait for others writes in any case.
+    let is_forced = delay.is_zero();
+    let listed = update(&driver, &service, MAX_ATTEMPTS, |listed| {
         let all: Versions = listed.union(&versions).cloned().collect();
-        (all != *listed).then_some(all)
+        (is_forced || all != *listed).then_some(all)
     });
     finish(&driver, &service, listed.await);
 }
 
 /// Has the store list these versions of a service only, unless another instance changes the list
-/// meanwhile.
+/// meanwhile: versions may have come that the decision did not take into account.
 pub async fn prune(driver: Rc<Driver>, service: ServiceName, versions: Versions) {
-    let listed = update(&driver, &service, |listed| {
+    let listed = update(&driver, &service, 1, |listed| {
         let left: Versions = listed.intersection(&versions).cloned().collect();
         (left != *listed && !left.is_empty()).then_some(left)
     });
@@ -86,10 +95,11 @@
 async fn update(
     driver: &Rc<Driver>,
     service: &ServiceName,
+    attempts: usize,
     change: impl Fn(&Versions) -> Option<Versions>,
 ) -> Result<Versions, StoreError> {
     let store = &driver.platform.store.origins;
-    for _ in 0..MAX_ATTEMPTS {
+    for _ in 0..attempts {
         let VersionList { mut services, end } =
             within(WRITE_TIMEOUT, (store.read_versions)()).await?;
         note_timeline(driver);
@@ -126,10 +136,29 @@
     }
 }
 
+/// Reads the list of versions and passes it to the machine, which asks again after a failure.
+pub async fn read_list(driver: Rc<Driver>) {
+    let read = within(WRITE_TIMEOUT, (driver.platform.store.origins.read_versions)()).await;
+    note_timeline(&driver);
+    match read {
+        Ok(list) => {
+            driver.metrics.count("relay.versions_listed", 1);
+            driver.feed(|machine, now| machine.on_versions_read(now, list.services));
+        }
+        Err(error) => {
+            driver.metrics.count("relay.versions_unlisted", 1);
+            tracing::warn!(event = "versions_unread", error = %error);
+        }
+    }
+}
+
 /// Reads the list of versions, and the log of streams if a service has several versions, and
 /// passes them to the machine.
 pub async fn read(driver: Rc<Driver>) {
+    let next_read = driver.origins.read_at.get().map_or(Duration::ZERO, |at| at + READ_INTERVAL);
+    tokio::time::sleep(next_read.saturating_sub(driver.now())).await;
     let started = driver.now();
+    driver.origins.read_at.set(Some(started));
     driver.metrics.count("relay.origins_read", 1);
     let read = within(READ_TIMEOUT, Box::pin(read_all(driver.clone()))).await;
     let took_ms = driver.now().saturating_sub(started).as_millis() as u64;
@@ -154,7 +183,8 @@
         let seen = driver.inspect(|machine| machine.directory().versions(service));
         listed.union(&seen).collect::<BTreeSet<_>>().len() > 1
     };
-    let streams = match versions.iter().any(has_several) {
+    let serve_several = driver.inspect(|machine| machine.directory().max_versions() > 1);
+    let streams = match serve_several || versions.iter().any(has_several) {
         true => read_streams(&driver).await?,
         false => Vec::new(),
     };
@@ -165,23 +195,21 @@
 async fn read_streams(driver: &Rc<Driver>) -> Result<Vec<StoredRecord>, StoreError> {
     let origins = &driver.origins;
     let wall = driver.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    let mut streams = Vec::new();
     for _ in 0..MAX_READS {
         let read = (driver.platform.store.origins.read_streams)(origins.next.get()).await?;
         match read {
             LogRead::Expired(first) => origins.next.set(first),
             LogRead::Records { records, end, has_more } => {
-                for record in records {
-                    streams.extend(decode(driver, &record, wall));
-                }
+                let streams = records.iter().flat_map(|record| decode(driver, record, wall));
+                origins.pending.borrow_mut().extend(streams);
                 origins.next.set(end);
                 if !has_more {
-                    break;
+                    return Ok(origins.pending.take());
                 }
             }
         }
     }
-    Ok(streams)
+    Err(StoreError::TimedOut)
 }
 
 /// The streams of a record. One that cannot be read is ignored, since anybody may write to the
