relay: keep a connection to an endpoint only after a reply that names its request

What callers saw: after an endpoint had sent a reply a second time, late, a request was run with a stage's result of another caller's request, and its caller got a whole 200. A refusal without an id that came a second time was taken for the next request's: its caller was told that nothing ran, and it ran.

Cause: replies to calls for pieces bear no id, nor do some refusals. The connection went back to the pool all the same, and the copy was read as the reply to its next call.

Change: a connection is kept only after a reply that bears the id of its own request, since a copy of that one is rejected by its id. Calls for pieces, lists and refusals without an id end with their connection, whether the call is made directly or for a peer (the class; the peer's side had the same fault). Calls that free results, whose replies are ignored, keep connections of their own and share them with no other call. A reply to one of the relay's own calls that bears a request's id is rejected. Nothing on the wire shows that a late copy is due, and a second run could even name new results, so a rule that closes less would not be safe.

Not covered: the copy of a refusal that bears an id, where the same request is sent to the same endpoint again on that connection.

The price in new connections is not measured.

--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -20,6 +20,7 @@
     dialect::PostRequest,
     driver::{self, Driver, Reply},
     outgoing,
+    pool::Lane,
 };
 
 /// Largest whole reply that is forwarded to a caller, in bytes.
@@ -111,7 +112,7 @@
         .body(Bytes::new());
     let Ok(request) = request else { return false };
     driver.pool.disconnect(addr);
-    let sent = outgoing::send(driver, addr, None, request);
+    let sent = outgoing::send(driver, addr, None, Lane::Checked, request);
     matches!(tokio::time::timeout(ANSWER_TIMEOUT, sent).await, Ok(Ok(_)))
 }
 
@@ -123,7 +124,8 @@
     let started = driver.now();
     let request_out = outgoing_request(driver, call, request);
     let request_out = request_out.map_err(|error| Failed::new(Failure::Unsent, error))?;
-    let sent = outgoing::send(driver, &call.addr, call.via.as_ref(), request_out).await;
+    let via = call.via.as_ref();
+    let sent = outgoing::send(driver, &call.addr, via, Lane::Checked, request_out).await;
     let (parts, mut body) = sent?;
     let dialect = &driver.platform.dialect;
     let head = dialect.reply_head(&request.id, parts.status, &parts.headers);
@@ -187,7 +189,7 @@
     let dialect = &driver.platform.dialect;
     let request = (dialect.encode_pieces)(&pieces, driver.now());
     let started = driver.now();
-    let posted = post(&driver, &addr, via.as_ref(), Some(&endpoint), request);
+    let posted = post(&driver, &addr, via.as_ref(), Lane::Checked, Some(&endpoint), request);
     let reply = match tokio::time::timeout(PIECES_TIMEOUT, posted).await {
         Ok(reply) => reply,
         Err(_) => Err(Failed::new(Failure::Cut, "no reply in time")),
@@ -252,7 +254,7 @@
 pub async fn free_results(driver: Rc<Driver>, addr: Arc<str>, handles: Vec<Handle>) {
     let request = (driver.platform.dialect.encode_free)(&handles);
     let via = driver.feed(|machine, now| machine.detour_to_addr(now, &addr));
-    let posted = post(&driver, &addr, via.as_ref(), None, request);
+    let posted = post(&driver, &addr, via.as_ref(), Lane::Ignored, None, request);
     if !matches!(tokio::time::timeout(FREE_TIMEOUT, posted).await, Ok(Ok(_))) {
         driver.metrics.count("relay.frees_failed", 1);
     }
@@ -265,7 +267,7 @@
     let request = Request::get(path).header(header::HOST, &*addr).body(Bytes::new());
     let listed = async {
         let request = request.map_err(|error| Failed::new(Failure::Unsent, error))?;
-        fetch(&driver, &addr, None, request).await
+        fetch(&driver, &addr, None, Lane::Checked, request).await
     };
     let listed = match tokio::time::timeout(LIST_TIMEOUT, listed).await {
         Ok(Ok((head, body))) if head.status == 200 => (driver.platform.dialect.decode_parts)(&body),
@@ -283,6 +285,7 @@
     driver: &Rc<Driver>,
     addr: &Arc<str>,
     via: Option<&Detour>,
+    lane: Lane,
     endpoint: Option<&str>,
     post_request: PostRequest,
 ) -> Result<(ReplyHead, Bytes), Failed> {
@@ -295,7 +298,7 @@
     }
     let request = request.body(post_request.body);
     let request = request.map_err(|error| Failed::new(Failure::Unsent, error))?;
-    fetch(driver, addr, via, request).await
+    fetch(driver, addr, via, lane, request).await
 }
 
 /// Makes a call of the relay's own, for no caller, and reads its whole reply.
@@ -303,10 +306,14 @@
     driver: &Rc<Driver>,
     addr: &Arc<str>,
     via: Option<&Detour>,
+    lane: Lane,
     request: Request<Bytes>,
 ) -> Result<(ReplyHead, Bytes), Failed> {
     let dialect = &driver.platform.dialect;
-    let (parts, mut body) = outgoing::send(driver, addr, via, request).await?;
+    let (parts, mut body) = outgoing::send(driver, addr, via, lane, request).await?;
+    if parts.headers.contains_key(&dialect.names.request) {
+        return Err(Failed::new(Failure::Foreign, "the reply belongs to a caller's request"));
+    }
     let whole = body.read_whole(MAX_OWN_REPLY_BYTES, &driver.reply_memory).await;
     let whole = whole.map_err(|cause| Failed::new(Failure::Cut, cause))?;
     body.release(&driver.pool);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`driver`]: the state machine and the resources that its actions use.
 //! - [`calls`]: calls to endpoints and their results.
 //! - [`outgoing`]: requests to endpoints, sent directly or through a peer.
+//! - [`step`]: direct calls to endpoints, and which of their connections are kept.
 //! - [`pool`]: connections to endpoints and the platform.
 //! - [`dialect`]: headers and bodies exchanged with callers and endpoints.
 //! - [`native`]: the product's own dialect.
@@ -51,5 +52,6 @@
 pub mod rollouts;
 pub mod server;
 pub mod settings;
+pub mod step;
 pub mod surroundings;
 pub mod tables;
--- a/crates/relay/src/outgoing.rs
+++ b/crates/relay/src/outgoing.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http::{Request, response};
-use http_body_util::Full;
 use peatdeck_core::{
     model::InstanceName,
     relay::{model::Failure, paths::Detour},
@@ -14,7 +13,8 @@
     driver::Driver,
     memory::BodyMemory,
     peers::detour,
-    pool::{self, Pool},
+    pool::{self, Lane},
+    step::{self, Direct},
 };
 
 /// Each piece of a reply counts as this many bytes at least. Without that, a body of 16 MB in chunks
@@ -60,7 +60,7 @@
 /// The body of an endpoint's reply.
 pub enum Body {
     /// It comes from the endpoint.
-    Direct(pool::Body),
+    Direct(Direct),
     /// It comes through a peer.
     Detoured(detour::Body),
 }
@@ -69,10 +69,7 @@
     /// The next bytes; `None` once the reply is whole.
     pub async fn next_data(&mut self) -> Option<Result<Bytes, String>> {
         match self {
-            Body::Direct(body) => {
-                let data = body.next_data().await?;
-                Some(data.map_err(|error| error.to_string()))
-            }
+            Body::Direct(body) => body.next_data().await,
             Body::Detoured(body) => body.next_data().await,
         }
     }
@@ -104,10 +101,10 @@
         Ok(whole.freeze())
     }
 
-    /// Returns the connection to the pool after the reply was read whole.
-    pub fn release(self, pool: &Pool) {
+    /// Releases the connection after the reply was read whole.
+    pub fn release(self, pool: &pool::Pool) {
         if let Body::Direct(body) = self {
-            pool.release(body);
+            body.release(pool);
         }
     }
 }
@@ -120,12 +117,13 @@
     driver: &Rc<Driver>,
     addr: &Arc<str>,
     via: Option<&Detour>,
+    lane: Lane,
     request: Request<Bytes>,
 ) -> Result<(response::Parts, Body), Error> {
     if let Some(detour) = via {
         let (head, body) = detour::send(driver, detour, request).await?;
         return Ok((head, Body::Detoured(body)));
     }
-    let (head, body) = driver.pool.send(addr, request.map(Full::new)).await?;
+    let (head, body) = step::send(driver, addr, lane, request).await?;
     Ok((head, Body::Direct(body)))
 }
--- a/crates/relay/src/peers/detour.rs
+++ b/crates/relay/src/peers/detour.rs
@@ -12,7 +12,6 @@
     future::{self, AbortHandle, Abortable, Either},
 };
 use http::{Request, Response, StatusCode, response};
-use http_body_util::Full;
 use peatdeck_core::{
     model::InstanceName,
     relay::{
@@ -30,7 +29,8 @@
     driver::Driver,
     outgoing,
     peers::{EXCHANGE_TIMEOUT, Peers, remote::Kind, work},
-    pool,
+    pool::Lane,
+    step,
 };
 
 /// Time limit for a peer to answer whether it reaches an endpoint: it tries to connect to two.
@@ -189,14 +189,14 @@
         return (DetourEnd::Refused, "the peer does not reach the endpoint".to_owned());
     };
     driver.metrics.count("relay.detours_served", 1);
-    let (head, mut body) = match driver.pool.send(&addr, request.map(Full::new)).await {
+    let (head, mut body) = match step::send(driver, &addr, Lane::Checked, request).await {
         Ok(sent) => sent,
         Err(error) if error.is_unsent() => return (DetourEnd::Unsent, error.to_string()),
         Err(error) => return (DetourEnd::Cut, error.to_string()),
     };
     match forward(head, &mut body, sink).await {
         Ok(()) => {
-            driver.pool.release(body);
+            body.release(&driver.pool);
             (DetourEnd::Whole, String::new())
         }
         Err(cause) => (DetourEnd::Cut, cause),
@@ -205,7 +205,7 @@
 
 async fn forward(
     head: response::Parts,
-    body: &mut pool::Body,
+    body: &mut step::Direct,
     sink: &reply_sink::Client,
 ) -> Result<(), String> {
     let mut message = sink.head_request();
@@ -213,7 +213,7 @@
     wire::write_headers(&head.headers, message.get().init_headers(head.headers.len() as u32));
     message.send().promise.await.map_err(|error| error.to_string())?;
     while let Some(data) = body.next_data().await {
-        let data = data.map_err(|error| error.to_string())?;
+        let data = data?;
         let mut message = sink.data_request();
         message.get().set_bytes(&data);
         message.send().promise.await.map_err(|error| error.to_string())?;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -101,9 +101,19 @@
     }
 }
 
+/// Which calls share their connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lane {
+    /// Those whose replies matter.
+    Checked,
+    /// Those whose replies are ignored, so that a late one of another call does no harm.
+    Ignored,
+}
+
 /// A connection that carries one exchange. Dropping it closes it.
 struct Lease {
     addr: Arc<str>,
+    lane: Lane,
     connection: Connection,
     max_idle: Duration,
 }
@@ -132,6 +142,7 @@
 }
 
 struct Idle {
+    lane: Lane,
     connection: Connection,
     until: Duration,
 }
@@ -198,8 +209,12 @@
         request: Request<Full<Bytes>>,
         wait: Duration,
     ) -> Result<Response<Bytes>, Error> {
-        let sent =
-            with_silence_timeout(addr, wait + SILENCE_TIMEOUT, self.send(addr, request)).await?;
+        let sent = with_silence_timeout(
+            addr,
+            wait + SILENCE_TIMEOUT,
+            self.send(addr, Lane::Checked, request),
+        )
+        .await?;
         let (parts, mut body) = sent?;
         let mut bytes = BytesMut::new();
         while let Some(data) = with_silence_timeout(addr, SILENCE_TIMEOUT, body.next_data()).await?
@@ -217,12 +232,13 @@
     pub async fn send(
         &self,
         addr: &Arc<str>,
+        lane: Lane,
         mut request: Request<Full<Bytes>>,
     ) -> Result<(response::Parts, Body), Error> {
         loop {
-            let (mut lease, is_fresh) = match self.take_idle(addr) {
+            let (mut lease, is_fresh) = match self.take_idle(addr, lane) {
                 Some(lease) => (lease, false),
-                None => (self.connect(addr).await?, true),
+                None => (Lease { lane, ..self.connect(addr).await? }, true),
             };
             self.count(is_fresh);
             lease.connection.allowance.reset();
@@ -305,7 +321,8 @@
         let now = self.clock.now();
         list.retain(|idle| idle.is_usable(now));
         if list.len() < MAX_IDLE_CONNECTIONS {
-            list.push(Idle { connection: lease.connection, until: now + lease.max_idle });
+            let Lease { lane, connection, max_idle, .. } = lease;
+            list.push(Idle { lane, connection, until: now + max_idle });
         }
     }
 
@@ -328,14 +345,15 @@
         });
     }
 
-    /// Takes the most recently used connection, so that surplus ones expire.
-    fn take_idle(&self, addr: &Arc<str>) -> Option<Lease> {
+    /// Takes the most recently used connection of a lane, so that surplus ones expire.
+    fn take_idle(&self, addr: &Arc<str>, lane: Lane) -> Option<Lease> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(addr)?;
         let now = self.clock.now();
         list.retain(|idle| idle.is_usable(now));
-        let Idle { connection, .. } = list.pop()?;
-        Some(Lease { addr: addr.clone(), connection, max_idle: Duration::ZERO })
+        let newest = list.iter().rposition(|idle| idle.lane == lane)?;
+        let Idle { connection, .. } = list.remove(newest);
+        Some(Lease { addr: addr.clone(), lane, connection, max_idle: Duration::ZERO })
     }
 
     async fn connect(&self, addr: &Arc<str>) -> Result<Lease, Error> {
@@ -382,7 +400,7 @@
         registration,
     ));
     let connection = Connection { sender, task, allowance };
-    Ok(Lease { addr: addr.clone(), connection, max_idle: Duration::ZERO })
+    Ok(Lease { addr: addr.clone(), lane: Lane::Checked, connection, max_idle: Duration::ZERO })
 }
 
 /// The probe result for a failed connection attempt.
