relay: a stopping instance waits until callers have taken their responses

What callers saw: an instance that was told to stop exited after 3.85 of its 8 s and cut answers of 4 MB that four callers were still reading; the requests had run and were not idempotent.

Cause: an exchange counted as finished once its answer was handed to the HTTP server. The drain did not see what lay in the connections' write buffers, or the events that a slow caller had not taken.

Change: `connections` keeps account of the callers' connections. A response is under way from the arrival of the whole request until the caller's socket has taken its last byte; the drain waits for that up to its limit, the grace less 600 ms, as for active requests. A caller that reads nothing delays the exit to that limit.

The class: `peatdeck-entry` has such an account already (`flush`) and waits up to 5 s for it; that is left as it is.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -12,6 +12,7 @@
 use peatdeck_core::relay::model::{Arrival, Refusal};
 
 use crate::{
+    connections::{Connections, Pending},
     driver::{Driver, Reply, ReplyPart, ReplyReceiver, Request},
     memory::{BodyMemory, Reservation},
 };
@@ -37,6 +38,7 @@
 pub async fn answer(
     driver: Rc<Driver>,
     memory: Rc<BodyMemory>,
+    connections: Rc<Connections>,
     mut req: server::Request,
 ) -> Result<Response, io::Error> {
     let headers = read_headers(&req);
@@ -53,6 +55,7 @@
         Ok(body) => body,
         Err(error) => return Ok(body_error(&driver, &arrival.id, &error)),
     };
+    let pending = connections.begin(req.io());
     let target = request_target(req.uri());
     let method = req.method().clone();
     let request = Request { id: arrival.id.clone(), method, target, headers, body };
@@ -71,7 +74,8 @@
     let response = match receiver.parts.next().await {
         Some(ReplyPart::Whole(reply)) => whole_response(&driver, reply),
         Some(ReplyPart::Head(head)) => {
-            stream_response(&driver, head, receiver, req.io().cloned(), reservation)
+            let io = req.io().cloned();
+            stream_response(&driver, head, receiver, Caller { io, reservation, pending })
         }
         Some(ReplyPart::Refused { refusal, retry_after }) => {
             refusal_response(&driver, refusal, retry_after.map(|after| after.as_secs_f64()))
@@ -144,29 +148,36 @@
     driver: &Driver,
     head: Reply,
     receiver: ReplyReceiver,
+    caller: Caller,
+) -> Response {
+    response_with_head(driver, &head).streaming(Box::pin(events(receiver, caller)))
+}
+
+/// What the response to a caller holds until its end.
+struct Caller {
     io: Option<IoRef>,
+    #[expect(dead_code, reason = "held until the response ends")]
     reservation: Reservation,
-) -> Response {
-    response_with_head(driver, &head).streaming(Box::pin(events(receiver, io, reservation)))
+    #[expect(dead_code, reason = "held until the response ends")]
+    pending: Pending,
 }
 
 /// A stream's events, until it ends or the caller disconnects.
 fn events(
     receiver: ReplyReceiver,
-    io: Option<IoRef>,
-    reservation: Reservation,
+    caller: Caller,
 ) -> impl Stream<Item = Result<ntex::util::Bytes, io::Error>> {
-    let state = Some((receiver, io, reservation));
+    let state = Some((receiver, caller));
     futures::stream::unfold(state, async |state| {
-        let (mut receiver, io, reservation) = state?;
-        match next_part(&mut receiver, io.as_ref()).await {
+        let (mut receiver, caller) = state?;
+        match next_part(&mut receiver, caller.io.as_ref()).await {
             Some(ReplyPart::Event(bytes)) => {
                 receiver.waiting.remove(bytes.len());
                 let bytes = ntex::util::Bytes::copy_from_slice(&bytes);
-                Some((Ok(bytes), Some((receiver, io, reservation))))
+                Some((Ok(bytes), Some((receiver, caller))))
             }
             Some(ReplyPart::End) => None,
-            _ => Some((Err(abort_stream(io.as_ref()).await), None)),
+            _ => Some((Err(abort_stream(caller.io.as_ref()).await), None)),
         }
     })
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 //!
 //! - [`settings`]: settings of an instance, read at its start.
 //! - [`server`]: binds the sockets, starts the event loop, shuts it down.
+//! - [`connections`]: callers' connections, and the responses that are under way on them.
 //! - [`front`]: callers' requests and the responses to them.
 //! - [`memory`]: accounts for the memory of bodies and events.
 //! - [`driver`]: the state machine and the resources that its actions use.
@@ -34,6 +35,7 @@
 //! - [`regions`]: log lines about regions.
 
 pub mod calls;
+pub mod connections;
 pub mod decisions;
 pub mod dialect;
 pub mod driver;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -25,6 +25,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::{
+    connections::Connections,
     driver::{Components, Driver, SharedState},
     follow, front,
     memory::BodyMemory,
@@ -43,7 +44,7 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
 /// Interval at which a stopping instance checks whether all requests have finished.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
-/// Time for the last responses to leave the process.
+/// Time for the refusals of requests that were still active to leave the process.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Time limit for the HTTP server to stop its threads.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(200);
@@ -177,9 +178,14 @@
         .shutdown_timeout(Seconds(1))
         .listen("front", front, async move |_| {
             let setup = setup.lock().ok().and_then(|mut setup| setup.take());
-            let driver = start(setup.expect("the event loop is started once"));
+            let connections = Rc::new(Connections::default());
+            let setup = setup.expect("the event loop is started once");
+            let driver = start(setup, connections.clone());
             let memory = BodyMemory::new(driver.settings.body_memory);
-            HttpService::h1(move |req: Request| front::answer(driver.clone(), memory.clone(), req))
+            let tracked = connections.clone();
+            tracked.track(HttpService::h1(move |req: Request| {
+                front::answer(driver.clone(), memory.clone(), connections.clone(), req)
+            }))
         })
         .into_diagnostic()?
         .listen("ready", ready, async move |_| {
@@ -220,7 +226,7 @@
 }
 
 /// Starts the event loop on the current thread.
-fn start(setup: Setup) -> Rc<Driver> {
+fn start(setup: Setup, connections: Rc<Connections>) -> Rc<Driver> {
     let Setup { settings, platform, clock, peers, signals, queries, exited, metrics, shared } =
         setup;
     let clock = clock();
@@ -259,12 +265,13 @@
     ntex::rt::spawn(peers::serve(driver.clone(), into_tokio(peers)));
     ntex::rt::spawn(prune(driver.clone()));
     ntex::rt::spawn(operators::serve(driver.clone(), queries));
-    ntex::rt::spawn(handle_signals(driver.clone(), signals, exited));
+    ntex::rt::spawn(handle_signals(driver.clone(), connections, signals, exited));
     driver
 }
 
 async fn handle_signals(
     driver: Rc<Driver>,
+    connections: Rc<Connections>,
     mut signals: mpsc::UnboundedReceiver<Control>,
     exited: oneshot::Sender<()>,
 ) {
@@ -280,7 +287,7 @@
     let open = driver.inspect(Relay::open_exchanges);
     tracing::info!(event = "stopping", open);
     driver.stop();
-    drain(&driver).await;
+    drain(&driver, &connections).await;
     driver.feed(Relay::end_all_exchanges);
     tokio::time::sleep(FLUSH_TIME).await;
     // The receiver exists for as long as the process runs.
@@ -304,16 +311,18 @@
     }
 }
 
-/// Waits until no request is active any more, or until shortly before the process
-/// would be killed.
-async fn drain(driver: &Driver) {
+/// Waits until no request is active any more and callers have taken all responses, or until
+/// shortly before the process would be killed.
+async fn drain(driver: &Driver, connections: &Connections) {
     let started = driver.now();
     let limit = driver.settings.grace.saturating_sub(EXIT_MARGIN);
     loop {
         let waited = driver.now().saturating_sub(started);
         let held = driver.inspect(|machine| machine.open_exchanges() + machine.open_tickets());
-        if waited >= limit || (held == 0 && waited >= MIN_DRAIN_TIME) {
-            tracing::info!(event = "finished", held, waited_ms = waited.as_millis() as u64);
+        let answering = connections.answering();
+        if waited >= limit || (held + answering == 0 && waited >= MIN_DRAIN_TIME) {
+            let waited_ms = waited.as_millis() as u64;
+            tracing::info!(event = "finished", held, answering, waited_ms);
             break;
         }
         tokio::time::sleep(DRAIN_INTERVAL).await;
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -329,6 +329,11 @@
         line.map_or(0, |value| value.parse().unwrap())
     }
 
+    /// Whether the instance has ended.
+    pub fn has_stopped(&self) -> bool {
+        self.thread.as_ref().is_some_and(thread::JoinHandle::is_finished)
+    }
+
     pub fn join(mut self) {
         self.thread.take().unwrap().join().unwrap();
     }
--- a/crates/relay/tests/relay/standins/endpoint.rs
+++ b/crates/relay/tests/relay/standins/endpoint.rs
@@ -11,6 +11,8 @@
     time::Duration,
 };
 
+use socket2::{Domain, Socket, Type};
+
 use crate::standins::TIMEOUT;
 
 /// An endpoint that runs a script for each connection.
@@ -156,6 +158,19 @@
         Conn { stream, buffer: Vec::new(), heads: Arc::default() }
     }
 
+    /// Opens a connection on which little arrives that is not read: the segments are those of an
+    /// Ethernet link, and the window is small.
+    pub fn open_narrow(addr: SocketAddr) -> Conn {
+        const WINDOW_BYTES: usize = 16 << 10;
+        const SEGMENT_BYTES: u32 = 1448;
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(WINDOW_BYTES).unwrap();
+        socket.set_tcp_mss(SEGMENT_BYTES).unwrap();
+        socket.connect(&addr.into()).unwrap();
+        socket.set_read_timeout(Some(TIMEOUT)).unwrap();
+        Conn { stream: socket.into(), buffer: Vec::new(), heads: Arc::default() }
+    }
+
     pub fn write(&mut self, text: &str) {
         // If the peer has closed the connection, the next read reports it.
         self.stream.write_all(text.as_bytes()).ok();
