relay, entry: a response that closes its connection is not cut after a second

What callers saw: a caller that sends `Connection: close`, or whose answer comes from a stopping instance, and that reads slowly, lost the last bytes of its answer: 222,440 of 229,376 came.

Cause: the HTTP library gives a connection that is closing one second to write what it still holds, and then drops it.

A test in stop.rs with replies of 40 sizes, seen to fail before as above.

Change: the relay gives a closing connection 60 s, the entry its idle timeout. The connection ends as soon as the bytes are written; the instance's exit is bounded by its drain. The entry's setting has no test of its own.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -19,6 +19,7 @@
 use miette::{IntoDiagnostic, WrapErr, miette};
 use ntex::{
     http::HttpServiceConfig,
+    io::IoConfig,
     service::cfg::SharedCfg,
     time::Seconds,
     web::{self, App},
@@ -222,5 +223,7 @@
             Seconds(idle.saturating_mul(MAX_BODY_TIMEOUTS)),
             MIN_BODY_RATE,
         );
-    SharedCfg::new("peatdeck-entry").add(config).build()
+    // Once this has passed, the library drops what a closing connection still has to write.
+    let io = IoConfig::new().set_disconnect_timeout(Seconds(idle));
+    SharedCfg::new("peatdeck-entry").add(config).add(io).build()
 }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -14,6 +14,7 @@
 use miette::{IntoDiagnostic, WrapErr, miette};
 use ntex::{
     http::{HttpService, HttpServiceConfig, Request, Response},
+    io::IoConfig,
     service::cfg::SharedCfg,
     time::Seconds,
 };
@@ -59,6 +60,8 @@
 const BODY_TIMEOUT: Seconds = Seconds(60);
 /// Bytes per second below which a head or a body counts as stalled.
 const MIN_RATE: u32 = 64;
+/// Time limit for a caller to take the rest of a response that closes its connection.
+const CLOSE_TIMEOUT: Seconds = Seconds(60);
 /// Interval at which idle connections are pruned.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -390,5 +393,6 @@
         .set_keepalive(Seconds(KEEP_ALIVE))
         .set_client_timeout(READ_TIMEOUT)
         .set_payload_read_rate(READ_TIMEOUT, BODY_TIMEOUT, MIN_RATE);
-    SharedCfg::new("peatdeck-relay").add(config).build()
+    let io = IoConfig::new().set_disconnect_timeout(CLOSE_TIMEOUT);
+    SharedCfg::new("peatdeck-relay").add(config).add(io).build()
 }
--- a/crates/relay/tests/relay/stop.rs
+++ b/crates/relay/tests/relay/stop.rs
@@ -15,6 +15,8 @@
 
 /// A reply that is larger than the kernel's buffers of a narrow connection, in bytes.
 const LONG_REPLY: usize = 15 << 20;
+/// Steps in the size of replies, in bytes; less than the server may hold of one that ends.
+const REPLY_STEP: usize = 16 << 10;
 /// Longer than a stopping instance waits if nothing is under way, and shorter than its grace.
 const LONGER_THAN_AN_EMPTY_DRAIN: Duration = Duration::from_secs(10);
 /// Time in which the caller of a long reply reads nothing: longer than a connection was given to
@@ -80,6 +82,25 @@
     relay.join();
 }
 
+#[test]
+fn the_end_of_a_reply_that_closes_its_connection_is_not_cut_while_its_caller_reads_slowly() {
+    let relay = relay_with_long_replies(&JumpingClock::default());
+    // Of some of these, only the end does not fit into the kernel's buffers.
+    let sizes = (1..=40).map(|number| number * REPLY_STEP);
+    let calls = sizes.map(|size| {
+        let mut conn = Conn::open_narrow(relay.front);
+        conn.write(&request_head(&format!("/once/{size}"), "connection: close\r\n"));
+        (size, conn)
+    });
+    let calls: Vec<_> = calls.collect();
+    let count = calls.len() as u64;
+    wait_for("the replies are whole", || relay.counter("peatdeck.relay.answered") == count);
+    thread::sleep(SLOW_CALLER);
+    for (size, mut conn) in calls {
+        assert_eq!(read_reply(&mut conn).body.len(), size);
+    }
+}
+
 /// Starts an instance whose endpoint answers with so many bytes as the path says.
 fn relay_with_long_replies(clock: &JumpingClock) -> Relay {
     let endpoint = ScriptedEndpoint::start(|_, conn| {
