relay: callers' idle connections end after the configured time and make room

What callers saw: an instance that got 43 new connections a second which their callers left open took no new one after about a minute, while nothing was under way; its listeners for readiness and metrics share the limit.

Cause: idle connections were kept for a fixed 75 s whatever the operators' limit says, and nothing was closed when the number of connections reached its limit.

Change: the event loop closes callers' connections that have been idle for the configured time, which is at most 2 s late and never earlier than what callers may reuse; 75 s while no configuration is known. A connection with a request, a response or unread bytes is not idle. The limits of the HTTP server move into their own module.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -12,7 +12,7 @@
 use peatdeck_core::relay::model::{Arrival, Refusal};
 
 use crate::{
-    connections::{Connections, Pending},
+    connections::{Connections, Exchange},
     driver::{Driver, Reply, ReplyPart, ReplyReceiver, Request},
     memory::{BodyMemory, Reservation},
 };
@@ -41,6 +41,7 @@
     connections: Rc<Connections>,
     mut req: server::Request,
 ) -> Result<Response, io::Error> {
+    let mut exchange = connections.begin(req.io());
     let headers = read_headers(&req);
     let arrival = match driver.platform.dialect.arrival(req.path(), &headers) {
         Ok(arrival) => arrival,
@@ -55,7 +56,7 @@
         Ok(body) => body,
         Err(error) => return Ok(body_error(&driver, &arrival.id, &error)),
     };
-    let pending = connections.begin(req.io());
+    exchange.set_whole();
     let target = request_target(req.uri());
     let method = req.method().clone();
     let request = Request { id: arrival.id.clone(), method, target, headers, body };
@@ -75,7 +76,7 @@
         Some(ReplyPart::Whole(reply)) => whole_response(&driver, reply),
         Some(ReplyPart::Head(head)) => {
             let io = req.io().cloned();
-            stream_response(&driver, head, receiver, Caller { io, reservation, pending })
+            stream_response(&driver, head, receiver, Caller { io, reservation, exchange })
         }
         Some(ReplyPart::Refused { refusal, retry_after }) => {
             refusal_response(&driver, refusal, retry_after.map(|after| after.as_secs_f64()))
@@ -159,7 +160,7 @@
     #[expect(dead_code, reason = "held until the response ends")]
     reservation: Reservation,
     #[expect(dead_code, reason = "held until the response ends")]
-    pending: Pending,
+    exchange: Exchange,
 }
 
 /// A stream's events, until it ends or the caller disconnects.
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -1,5 +1,7 @@
 //! Binds the sockets, starts the event loop, and shuts it down.
 
+mod http;
+
 use std::{
     net::{SocketAddr, TcpListener},
     rc::Rc,
@@ -13,9 +15,7 @@
 };
 use miette::{IntoDiagnostic, WrapErr, miette};
 use ntex::{
-    http::{HttpService, HttpServiceConfig, Request, Response},
-    io::IoConfig,
-    service::cfg::SharedCfg,
+    http::{HttpService, KeepAlive, Request, Response},
     time::Seconds,
 };
 use peatdeck_core::relay::{self, Relay};
@@ -49,19 +49,10 @@
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Time limit for the HTTP server to stop its threads.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(200);
-/// Largest head of a request, in bytes. Above the limit that operators set.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-/// How long a caller's connection may be idle, in seconds. Longer than operators
-/// state, so that a connection which callers may still reuse is open.
-const KEEP_ALIVE: u16 = 75;
-/// Time limit for a request's head, and for a body that has stalled.
-const READ_TIMEOUT: Seconds = Seconds(10);
-/// Time limit for a whole body.
-const BODY_TIMEOUT: Seconds = Seconds(60);
-/// Bytes per second below which a head or a body counts as stalled.
-const MIN_RATE: u32 = 64;
-/// Time limit for a caller to take the rest of a response that closes its connection.
-const CLOSE_TIMEOUT: Seconds = Seconds(60);
+/// How long a caller's connection may be idle while no limit is configured.
+const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(75);
+/// How long a connection for readiness checks or metrics may be idle.
+const KEEP_ALIVE: Seconds = Seconds(75);
 /// Interval at which idle connections are pruned.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -173,7 +164,9 @@
         shared: shared.clone(),
     };
     let setup = Arc::new(Mutex::new(Some(setup)));
-    let config = http_config();
+    // The event loop itself closes idle connections of callers, by a limit that may change.
+    let front_config = http::config(KeepAlive::Os);
+    let config = http::config(KeepAlive::Timeout(KEEP_ALIVE));
     let server = ntex::server::build()
         .workers(1)
         .maxconn(connections)
@@ -181,9 +174,8 @@
         .shutdown_timeout(Seconds(1))
         .listen("front", front, async move |_| {
             let setup = setup.lock().ok().and_then(|mut setup| setup.take());
-            let connections = Rc::new(Connections::default());
             let setup = setup.expect("the event loop is started once");
-            let driver = start(setup, connections.clone());
+            let (driver, connections) = start(setup);
             let memory = BodyMemory::new(driver.settings.body_memory);
             let tracked = connections.clone();
             tracked.track(HttpService::h1(move |req: Request| {
@@ -206,7 +198,7 @@
             })
         })
         .into_diagnostic()?
-        .config("front", config.clone())
+        .config("front", front_config)
         .config("ready", config.clone())
         .config("metrics", config)
         .run();
@@ -229,11 +221,12 @@
 }
 
 /// Starts the event loop on the current thread.
-fn start(setup: Setup, connections: Rc<Connections>) -> Rc<Driver> {
+fn start(setup: Setup) -> (Rc<Driver>, Rc<Connections>) {
     let Setup { settings, platform, clock, peers, signals, queries, exited, metrics, shared } =
         setup;
     let clock = clock();
     let pool = Pool::new(clock.clone());
+    let connections = Connections::new(clock.clone(), settings.connections);
     let machine = Relay::new(
         relay::Settings {
             name: settings.name.clone(),
@@ -266,10 +259,10 @@
     ntex::rt::spawn(peers::gossip::run(driver.clone()));
     ntex::rt::spawn(peers::learn::run(driver.clone()));
     ntex::rt::spawn(peers::serve(driver.clone(), into_tokio(peers)));
-    ntex::rt::spawn(prune(driver.clone()));
+    ntex::rt::spawn(prune(driver.clone(), connections.clone()));
     ntex::rt::spawn(operators::serve(driver.clone(), queries));
-    ntex::rt::spawn(handle_signals(driver.clone(), connections, signals, exited));
-    driver
+    ntex::rt::spawn(handle_signals(driver.clone(), connections.clone(), signals, exited));
+    (driver, connections)
 }
 
 async fn handle_signals(
@@ -332,10 +325,12 @@
     }
 }
 
-async fn prune(driver: Rc<Driver>) {
+async fn prune(driver: Rc<Driver>, connections: Rc<Connections>) {
     loop {
         tokio::time::sleep(PRUNE_INTERVAL).await;
         driver.pool.prune();
+        let idle_time = driver.inspect(|machine| Some(machine.config()?.limits.idle_timeout));
+        connections.close_idle(idle_time.unwrap_or(DEFAULT_IDLE_TIME));
         let counts = driver.pool.counts();
         driver.metrics.gauge("relay.connections_opened", counts.opened);
         driver.metrics.gauge("relay.connections_reused", counts.reused);
@@ -386,13 +381,3 @@
         version = env!("CARGO_PKG_VERSION"),
     );
 }
-
-fn http_config() -> SharedCfg {
-    let config = HttpServiceConfig::new()
-        .set_max_buf_size(MAX_HEAD_BYTES)
-        .set_keepalive(Seconds(KEEP_ALIVE))
-        .set_client_timeout(READ_TIMEOUT)
-        .set_payload_read_rate(READ_TIMEOUT, BODY_TIMEOUT, MIN_RATE);
-    let io = IoConfig::new().set_disconnect_timeout(CLOSE_TIMEOUT);
-    SharedCfg::new("peatdeck-relay").add(config).add(io).build()
-}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod cut_off;
 mod endless;
 mod headers;
+mod idle;
 mod late_replies;
 mod link;
 mod older_copy;
--- a/crates/relay/tests/relay/standins/endpoint.rs
+++ b/crates/relay/tests/relay/standins/endpoint.rs
@@ -224,6 +224,11 @@
         true
     }
 
+    /// Drops what has arrived and was not read as a head.
+    pub fn discard(&mut self) {
+        self.buffer.clear();
+    }
+
     /// What has arrived and was not read as a head.
     pub fn read_text(&self) -> String {
         String::from_utf8_lossy(&self.buffer).into_owned()
