relay: a request that offers another protocol is served at once

What callers saw: a `GET` with `Connection: Upgrade` and `Upgrade: h2c` got a 408 after ten seconds.

Cause: the HTTP server hands all bytes that follow such a request to it as its body, until the connection ends, and the relay waited for that end.

Evidence: a test in bodies.rs, with and without `Content-Length: 0`, for h2c and websocket, seen to fail before (408).

Change: the body is read only if the request states one. The offer is not taken up, as before; the server closes the connection after the response.

Not changed: a chunked body with a trailer and two equal `Content-Length` headers still get 400. The library's decoder rejects both, and no setting allows them.

--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -111,6 +111,9 @@
     req: &mut server::Request,
     reservation: &mut Reservation,
 ) -> Result<Bytes, BodyError> {
+    if !has_body(req) {
+        return Ok(Bytes::new());
+    }
     let limit = driver.inspect(|machine| machine.config().map(|config| config.limits.max_body));
     let limit = limit.unwrap_or(reservation.limit());
     let mut body = BytesMut::new();
@@ -127,6 +130,14 @@
     Ok(body.freeze())
 }
 
+/// Whether a request states that a body follows. To the HTTP server all that follows an offer to
+/// change the protocol belongs to the request, until the connection ends.
+fn has_body(req: &server::Request) -> bool {
+    let length = req.headers().get(server::header::CONTENT_LENGTH);
+    length.is_some_and(|length| length.as_bytes() != b"0")
+        || req.headers().contains_key(server::header::TRANSFER_ENCODING)
+}
+
 fn body_error(driver: &Driver, id: &str, error: &BodyError) -> Response {
     let (status, reason) = match error {
         BodyError::TooLarge => (413, "the body is larger than allowed; send less"),
--- a/crates/relay/tests/relay/bodies.rs
+++ b/crates/relay/tests/relay/bodies.rs
@@ -26,3 +26,17 @@
     assert_eq!(site.exchange("/once/x").status, 200);
     assert_eq!(endpoint.received().len(), 1);
 }
+
+#[test]
+fn a_request_that_offers_another_protocol_is_answered_without_waiting_for_a_body() {
+    let site = Site::start(&[ScriptedEndpoint::answering("x")]);
+    for length in ["", "content-length: 0\r\n"] {
+        for protocol in ["h2c", "websocket"] {
+            let mut conn = Conn::open(site.relay.front);
+            let headers = format!("connection: upgrade\r\nupgrade: {protocol}\r\n{length}");
+            conn.write(&request_head("/once/x", &headers));
+            let reply = read_reply(&mut conn);
+            assert_eq!((reply.status, reply.body.as_str()), (200, "x"), "{protocol} {length}");
+        }
+    }
+}
