--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -12,6 +12,7 @@
 use peatdeck_core::relay::model::{Arrival, Refusal};
 
 use crate::{
+    connections::{Connections, Exchange},
     driver::{Driver, Reply, ReplyPart, ReplyReceiver, Request},
     memory::{BodyMemory, Reservation},
 };
@@ -40,8 +41,10 @@
 pub async fn answer(
     driver: Rc<Driver>,
     memory: Rc<BodyMemory>,
+    connections: Rc<Connections>,
     mut req: server::Request,
 ) -> Result<Response, io::Error> {
+    let mut exchange = connections.begin(req.io());
     let headers = read_headers(&req);
     let arrival = match driver.platform.dialect.arrival(req.path(), &headers) {
         Ok(arrival) => arrival,
@@ -56,6 +59,7 @@
         Ok(body) => body,
         Err(error) => return Ok(body_error(&driver, &arrival.id, &error)),
     };
+    exchange.set_whole();
     let target = request_target(req.uri());
     let method = req.method().clone();
     let request = Request { id: arrival.id.clone(), method, target, headers, body };
@@ -77,7 +81,8 @@
     let response = match receiver.parts.next().await {
         Some(ReplyPart::Whole(reply)) => whole_response(&driver, reply),
         Some(ReplyPart::Head(head)) => {
-            stream_response(&driver, head, receiver, req.io().cloned(), reservation)
+            let io = req.io().cloned();
+            stream_response(&driver, head, receiver, Caller { io, reservation, exchange })
         }
         Some(ReplyPart::Refused { refusal, retry_after }) => {
             refusal_response(&driver, refusal, retry_after.map(|after| after.as_secs_f64()))
@@ -112,6 +117,9 @@
     req: &mut server::Request,
     reservation: &mut Reservation,
 ) -> Result<Bytes, BodyError> {
+    if !has_body(req) {
+        return Ok(Bytes::new());
+    }
     let limit = driver.inspect(|machine| machine.config().map(|config| config.limits.max_body));
     let limit = limit.unwrap_or(reservation.limit());
     let mut body = BytesMut::new();
@@ -128,6 +136,14 @@
     Ok(body.freeze())
 }
 
+/// Whether a request states that a body follows. To the HTTP server all that follows an offer to
+/// change the protocol belongs to the request, until the connection ends.
+fn has_body(req: &server::Request) -> bool {
+    let length = req.headers().get(server::header::CONTENT_LENGTH);
+    length.is_some_and(|length| length.as_bytes() != b"0")
+        || req.headers().contains_key(server::header::TRANSFER_ENCODING)
+}
+
 fn body_error(driver: &Driver, id: &str, error: &BodyError) -> Response {
     let (status, reason) = match error {
         BodyError::TooLarge => (413, "the body is larger than allowed; send less"),
@@ -150,29 +166,36 @@
     driver: &Driver,
     head: Reply,
     receiver: ReplyReceiver,
+    caller: Caller,
+) -> Response {
+    response_with_head(driver, &head).streaming(Box::pin(events(receiver, caller)))
+}
+
+/// What the response to a caller holds until its end.
+struct Caller {
     io: Option<IoRef>,
+    #[expect(dead_code, reason = "held until the response ends")]
     reservation: Reservation,
-) -> Response {
-    response_with_head(driver, &head).streaming(Box::pin(events(receiver, io, reservation)))
+    #[expect(dead_code, reason = "held until the response ends")]
+    exchange: Exchange,
 }
 
 /// A stream's events, until it ends or the caller disconnects.
 fn events(
     receiver: ReplyReceiver,
-    io: Option<IoRef>,
-    reservation: Reservation,
+    caller: Caller,
 ) -> impl Stream<Item = Result<ntex::util::Bytes, io::Error>> {
-    let state = Some((receiver, io, reservation));
+    let state = Some((receiver, caller));
     futures::stream::unfold(state, async |state| {
-        let (mut receiver, io, reservation) = state?;
-        match next_part(&mut receiver, io.as_ref()).await {
+        let (mut receiver, caller) = state?;
+        match next_part(&mut receiver, caller.io.as_ref()).await {
             Some(ReplyPart::Event(bytes)) => {
                 receiver.waiting.remove(bytes.len());
                 let bytes = ntex::util::Bytes::copy_from_slice(&bytes);
-                Some((Ok(bytes), Some((receiver, io, reservation))))
+                Some((Ok(bytes), Some((receiver, caller))))
             }
             Some(ReplyPart::End) => None,
-            _ => Some((Err(abort_stream(io.as_ref()).await), None)),
+            _ => Some((Err(abort_stream(caller.io.as_ref()).await), None)),
         }
     })
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,11 +12,13 @@
 //!
 //! - [`settings`]: settings of an instance, read at its start.
 //! - [`server`]: binds the sockets, starts the event loop, shuts it down.
+//! - [`connections`]: callers' connections, and the responses that are under way on them.
 //! - [`front`]: callers' requests and the responses to them.
 //! - [`memory`]: accounts for the memory of bodies and events.
 //! - [`driver`]: the state machine and the resources that its actions use.
 //! - [`calls`]: calls to endpoints and their results.
 //! - [`outgoing`]: requests to endpoints, sent directly or through a peer.
+//! - [`step`]: direct calls to endpoints, and which of their connections are kept.
 //! - [`pool`]: connections to endpoints and the platform.
 //! - [`dialect`]: headers and bodies exchanged with callers and endpoints.
 //! - [`native`]: the product's own dialect.
@@ -34,6 +36,7 @@
 //! - [`regions`]: log lines about regions.
 
 pub mod calls;
+pub mod connections;
 pub mod decisions;
 pub mod dialect;
 pub mod driver;
@@ -53,5 +56,6 @@
 pub mod rollouts;
 pub mod server;
 pub mod settings;
+pub mod step;
 pub mod surroundings;
 pub mod tables;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -1,5 +1,7 @@
 //! Binds the sockets, starts the event loop, and shuts it down.
 
+mod http;
+
 use std::{
     net::{SocketAddr, TcpListener},
     rc::Rc,
@@ -13,8 +15,7 @@
 };
 use miette::{IntoDiagnostic, WrapErr, miette};
 use ntex::{
-    http::{HttpService, HttpServiceConfig, Request, Response},
-    service::cfg::SharedCfg,
+    http::{HttpService, KeepAlive, Request, Response},
     time::Seconds,
 };
 use peatdeck_core::relay::{self, Relay};
@@ -25,6 +26,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::{
+    connections::Connections,
     driver::{Components, Driver, SharedState},
     follow, front,
     memory::BodyMemory,
@@ -43,21 +45,14 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
 /// Interval at which a stopping instance checks whether all requests have finished.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
-/// Time for the last responses to leave the process.
+/// Time for the refusals of requests that were still active to leave the process.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Time limit for the HTTP server to stop its threads.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(200);
-/// Largest head of a request, in bytes. Above the limit that operators set.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-/// How long a caller's connection may be idle, in seconds. Longer than operators
-/// state, so that a connection which callers may still reuse is open.
-const KEEP_ALIVE: u16 = 75;
-/// Time limit for a request's head, and for a body that has stalled.
-const READ_TIMEOUT: Seconds = Seconds(10);
-/// Time limit for a whole body.
-const BODY_TIMEOUT: Seconds = Seconds(60);
-/// Bytes per second below which a head or a body counts as stalled.
-const MIN_RATE: u32 = 64;
+/// How long a caller's connection may be idle while no limit is configured.
+const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(75);
+/// How long a connection for readiness checks or metrics may be idle.
+const KEEP_ALIVE: Seconds = Seconds(75);
 /// Interval at which idle connections are pruned.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -169,7 +164,9 @@
         shared: shared.clone(),
     };
     let setup = Arc::new(Mutex::new(Some(setup)));
-    let config = http_config();
+    // The event loop itself closes idle connections of callers, by a limit that may change.
+    let front_config = http::config(KeepAlive::Os);
+    let config = http::config(KeepAlive::Timeout(KEEP_ALIVE));
     let server = ntex::server::build()
         .workers(1)
         .maxconn(connections)
@@ -177,9 +174,13 @@
         .shutdown_timeout(Seconds(1))
         .listen("front", front, async move |_| {
             let setup = setup.lock().ok().and_then(|mut setup| setup.take());
-            let driver = start(setup.expect("the event loop is started once"));
+            let setup = setup.expect("the event loop is started once");
+            let (driver, connections) = start(setup);
             let memory = BodyMemory::new(driver.settings.body_memory);
-            HttpService::h1(move |req: Request| front::answer(driver.clone(), memory.clone(), req))
+            let tracked = connections.clone();
+            tracked.track(HttpService::h1(move |req: Request| {
+                front::answer(driver.clone(), memory.clone(), connections.clone(), req)
+            }))
         })
         .into_diagnostic()?
         .listen("ready", ready, async move |_| {
@@ -197,7 +198,7 @@
             })
         })
         .into_diagnostic()?
-        .config("front", config.clone())
+        .config("front", front_config)
         .config("ready", config.clone())
         .config("metrics", config)
         .run();
@@ -220,11 +221,12 @@
 }
 
 /// Starts the event loop on the current thread.
-fn start(setup: Setup) -> Rc<Driver> {
+fn start(setup: Setup) -> (Rc<Driver>, Rc<Connections>) {
     let Setup { settings, platform, clock, peers, signals, queries, exited, metrics, shared } =
         setup;
     let clock = clock();
     let pool = Pool::new(clock.clone());
+    let connections = Connections::new(clock.clone(), settings.connections);
     let machine = Relay::new(
         relay::Settings {
             name: settings.name.clone(),
@@ -257,14 +259,15 @@
     ntex::rt::spawn(peers::gossip::run(driver.clone()));
     ntex::rt::spawn(peers::learn::run(driver.clone()));
     ntex::rt::spawn(peers::serve(driver.clone(), into_tokio(peers)));
-    ntex::rt::spawn(prune(driver.clone()));
+    ntex::rt::spawn(prune(driver.clone(), connections.clone()));
     ntex::rt::spawn(operators::serve(driver.clone(), queries));
-    ntex::rt::spawn(handle_signals(driver.clone(), signals, exited));
-    driver
+    ntex::rt::spawn(handle_signals(driver.clone(), connections.clone(), signals, exited));
+    (driver, connections)
 }
 
 async fn handle_signals(
     driver: Rc<Driver>,
+    connections: Rc<Connections>,
     mut signals: mpsc::UnboundedReceiver<Control>,
     exited: oneshot::Sender<()>,
 ) {
@@ -280,7 +283,7 @@
     let open = driver.inspect(Relay::open_exchanges);
     tracing::info!(event = "stopping", open);
     driver.stop();
-    drain(&driver).await;
+    drain(&driver, &connections).await;
     driver.feed(Relay::end_all_exchanges);
     tokio::time::sleep(FLUSH_TIME).await;
     // The receiver exists for as long as the process runs.
@@ -304,26 +307,30 @@
     }
 }
 
-/// Waits until no request is active any more, or until shortly before the process
-/// would be killed.
-async fn drain(driver: &Driver) {
+/// Waits until no request is active any more and callers have taken all responses, or until
+/// shortly before the process would be killed.
+async fn drain(driver: &Driver, connections: &Connections) {
     let started = driver.now();
     let limit = driver.settings.grace.saturating_sub(EXIT_MARGIN);
     loop {
         let waited = driver.now().saturating_sub(started);
         let held = driver.inspect(|machine| machine.open_exchanges() + machine.open_tickets());
-        if waited >= limit || (held == 0 && waited >= MIN_DRAIN_TIME) {
-            tracing::info!(event = "finished", held, waited_ms = waited.as_millis() as u64);
+        let answering = connections.answering();
+        if waited >= limit || (held + answering == 0 && waited >= MIN_DRAIN_TIME) {
+            let waited_ms = waited.as_millis() as u64;
+            tracing::info!(event = "finished", held, answering, waited_ms);
             break;
         }
         tokio::time::sleep(DRAIN_INTERVAL).await;
     }
 }
 
-async fn prune(driver: Rc<Driver>) {
+async fn prune(driver: Rc<Driver>, connections: Rc<Connections>) {
     loop {
         tokio::time::sleep(PRUNE_INTERVAL).await;
         driver.pool.prune();
+        let idle_time = driver.inspect(|machine| Some(machine.config()?.limits.idle_timeout));
+        connections.close_idle(idle_time.unwrap_or(DEFAULT_IDLE_TIME));
         let counts = driver.pool.counts();
         driver.metrics.gauge("relay.connections_opened", counts.opened);
         driver.metrics.gauge("relay.connections_reused", counts.reused);
@@ -374,12 +381,3 @@
         version = env!("CARGO_PKG_VERSION"),
     );
 }
-
-fn http_config() -> SharedCfg {
-    let config = HttpServiceConfig::new()
-        .set_max_buf_size(MAX_HEAD_BYTES)
-        .set_keepalive(Seconds(KEEP_ALIVE))
-        .set_client_timeout(READ_TIMEOUT)
-        .set_payload_read_rate(READ_TIMEOUT, BODY_TIMEOUT, MIN_RATE);
-    SharedCfg::new("peatdeck-relay").add(config).build()
-}
