Directory: an entry that names no service of ours hides no endpoint

What callers saw: after all instances were killed while the newest entry of each endpoint of a service was another writer's, requests for that service got 503 for about a minute.

Cause: the first entry of a name was taken whatever its service. The endpoint's own entries then had the same incarnation and another service, so they counted as another writer's until the endpoint was forgotten. Only for endpoints known already was such an entry refused.

Change: one rule at first sight and later. An entry that names no service of the configuration is applied as an unreadable record, and the endpoint's own next entry makes it usable. Such an entry is kept until the configuration names its service, since the directory may be read before the configuration and endpoints may join before their service is configured.

Ruled out: to displace a foreign entry only once the endpoint's own arrives. It would have stood in the directory with its address and data centre meanwhile.

--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -10,7 +10,8 @@
 //! task for all; `regions` assigns each request to a region; `pace` limits the calls to
 //! endpoints that are cold or state a limit; `paths` calls endpoints through peers that this
 //! instance cannot connect to, `silence` finds connections that carry nothing; `terms` processes
-//! what endpoints report of themselves; `policies` runs the operators' programs; `rollouts` moves services to new
+//! what endpoints report of themselves; `unassigned` keeps entries whose service is not
+//! configured; `policies` runs the operators' programs; `rollouts` moves services to new
 //! versions: `canary` selects the requests that go there, `replies` counts how they end,
 //! `deciding` writes what is decided; `streams` keeps a stream at the version that began it.
 
@@ -37,9 +38,10 @@
 mod stages;
 mod streams;
 mod terms;
+mod unassigned;
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -49,7 +51,7 @@
 use slotmap::SlotMap;
 
 use crate::{
-    model::{DataCentre, InstanceName, TeamName},
+    model::{DataCentre, EndpointName, InstanceName, TeamName},
     policy::Program,
     relay::{
         allowance::{RetryBudget, RetryBudgetConfig},
@@ -57,7 +59,7 @@
         batch::Batcher,
         choice,
         config::Config,
-        directory::{Change, ChangeEffect, Directory, EndedEndpoint},
+        directory::{Change, ChangeEffect, Directory, EndedEndpoint, Entry},
         exchange::{Binding, CallState, Exchange},
         fingerprint::Fingerprint,
         graph::StageGraph,
@@ -109,6 +111,8 @@
     rng: SmallRng,
     config: Option<Arc<Config>>,
     directory: Directory,
+    /// The newest entry of each name that names no service of the configuration.
+    unassigned: BTreeMap<EndpointName, Entry>,
     sent_parts: choice::prompts::SentParts,
     exchanges: SlotMap<ExchangeKey, Exchange>,
     calls: SlotMap<CallKey, CallState>,
@@ -235,6 +239,7 @@
         Relay {
             directory,
             settings,
+            unassigned: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             config: None,
             sent_parts: choice::prompts::SentParts::default(),
@@ -362,7 +367,7 @@
 
     /// Applies a change of the directory.
     pub fn apply_change(&mut self, now: Duration, change: Change) -> ChangeEffect {
-        let change = self.reject_unknown_service(change);
+        let change = self.keep_unassigned(change);
         let service = match &change {
             Change::Put(entry) => Some(entry.service.clone()),
             Change::Removed(_) | Change::Unreadable(_) => None,
@@ -383,19 +388,6 @@
         changed
     }
 
-    /// Treats an entry that moves a known endpoint to a service that the configuration does
-    /// not name as unreadable, since any process may write to the directory.
-    fn reject_unknown_service(&self, change: Change) -> Change {
-        let Change::Put(entry) = &change else { return change };
-        let Some(config) = &self.config else { return change };
-        let known = self.directory.service_of(&entry.name);
-        let is_moved = known.is_some_and(|known| *known != entry.service);
-        match is_moved && !config.services.contains_key(&entry.service) {
-            true => Change::Unreadable(entry.name.clone()),
-            false => change,
-        }
-    }
-
     /// Stops batching pieces wherever a peer can do so. Peers exclude this instance as a
     /// batcher from now on.
     pub fn stop_batching(&mut self) {
--- a/crates/core/src/relay/machine/evacuation.rs
+++ b/crates/core/src/relay/machine/evacuation.rs
@@ -26,6 +26,7 @@
         commands: Vec<OperatorCommand>,
     ) -> Vec<bool> {
         let results = commands.into_iter().map(|it| self.apply_operator_change(now, it)).collect();
+        self.assign_entries(now);
         self.recheck_regions(now);
         self.refresh_gates(now);
         self.refuse_evacuated(now);
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -13,6 +13,7 @@
 mod evacuation;
 mod events;
 mod fixture;
+mod foreign;
 mod forgotten;
 mod fragile;
 mod fuzz;
