Directory: an entry that is written late makes no removed endpoint usable

What callers saw: an endpoint that had left got requests again, 2.2 to 5.7 s after its removal was acknowledged; those that ran there when it exited were lost.

Cause: the number of an entry within its incarnation was read and dropped. An earlier heartbeat that the store executed after the removal counted as a new entry.

Change: an entry has its number, and one with a smaller number than the newest known of its incarnation changes nothing, unless it says that its endpoint is leaving, which is final.

Class: the same for an endpoint whose port is closed or whose record was overwritten. Open: an instance that starts between the removal and the late write does not know the newer number.

--- a/crates/core/examples/batch_cost.rs
+++ b/crates/core/examples/batch_cost.rs
@@ -96,6 +96,7 @@
         let entry = Entry {
             name: Arc::from(format!("endpoint-{idx}")),
             incarnation: Incarnation(1),
+            number: 1,
             service: Arc::from(SERVICE),
             addr: Arc::from(format!("10.0.0.{idx}:80")),
             data_centre: Arc::from(format!("dc-{}", idx % DATA_CENTRES)),
--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -8,6 +8,9 @@
 //! entries of a service disappeared together, their endpoints are used normally for
 //! that time.
 //!
+//! Records of one incarnation are judged by their own numbers, since the store may execute
+//! a write seconds after later ones.
+//!
 //! An endpoint may restart under its name. Each incarnation is an [`Endpoint`] with a
 //! key of its own, so that neither load and speed nor the contents of its memory are
 //! carried over from one incarnation to the next.
@@ -52,6 +55,8 @@
     pub name: EndpointName,
     /// The incarnation; a later one has a larger number.
     pub incarnation: Incarnation,
+    /// Its number among the entries of the incarnation; a later one has a larger number.
+    pub number: u64,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it listens, `ip:port`.
@@ -451,6 +456,7 @@
         };
         match entry.incarnation.cmp(&self.endpoints[key].entry.incarnation) {
             Ordering::Less => ChangeEffect::default(),
+            Ordering::Equal if self.is_late(key, &entry) => ChangeEffect::default(),
             // An incarnation never changes its service, so another process wrote this entry.
             Ordering::Equal if entry.service != self.endpoints[key].entry.service => {
                 self.mark_lost(&entry.name, State::Suspended(now))
@@ -465,6 +471,12 @@
         }
     }
 
+    /// Whether an entry was written before the newest one that is known of its incarnation, and
+    /// says no more. That its endpoint is leaving stays true.
+    fn is_late(&self, key: EndpointKey, entry: &Entry) -> bool {
+        entry.number < self.endpoints[key].entry.number && !entry.is_leaving
+    }
+
     /// Applies a further entry of the same incarnation.
     fn update(&mut self, now: Duration, key: EndpointKey, entry: Entry) -> ChangeEffect {
         let endpoint = &mut self.endpoints[key];
--- a/crates/core/tests/testsuite/relay/directory.rs
+++ b/crates/core/tests/testsuite/relay/directory.rs
@@ -175,6 +175,63 @@
     );
 }
 
+fn numbered(number: u64) -> Entry {
+    Entry { number, ..entry("a", "desk") }
+}
+
+/// Guards against calls to an endpoint that has left, since the store executed one of its earlier
+/// writes after the removal.
+#[test]
+fn an_earlier_entry_that_is_written_late_makes_no_removed_endpoint_usable() {
+    let mut directory = directory(&["b"]);
+    for number in [7, 8] {
+        directory.apply_change(ms(10), Change::Put(numbered(number)));
+    }
+    directory.apply_change(ms(100), Change::Removed(Arc::from("a")));
+    assert_eq!(directory.apply_change(ms(200), Change::Put(numbered(7))), Default::default());
+    assert_eq!(usable(&directory, 200), ["b"]);
+    directory.apply_change(ms(300), Change::Put(numbered(9)));
+    assert_eq!(usable(&directory, 300), ["b", "a"], "it was alive after its removal");
+}
+
+#[test]
+fn an_earlier_entry_that_is_written_late_changes_no_endpoint() {
+    let mut directory = directory(&[]);
+    directory.apply_change(ms(10), Change::Put(numbered(8)));
+    let late = Entry { slots: 1, ..numbered(7) };
+    assert_eq!(directory.apply_change(ms(20), Change::Put(late)), Default::default());
+    let key = directory.by_name("a").unwrap();
+    assert_eq!(directory.get(key).unwrap().entry, numbered(8));
+    // A closed port and an unreadable record say more than an earlier entry.
+    directory.mark_gone(ms(30), key);
+    directory.apply_change(ms(40), Change::Put(numbered(7)));
+    assert_eq!(usable(&directory, 40), Vec::<String>::new());
+    directory.apply_change(ms(50), Change::Put(numbered(9)));
+    directory.apply_change(ms(60), Change::Unreadable(Arc::from("a")));
+    directory.apply_change(ms(70), Change::Put(numbered(8)));
+    assert_eq!(usable(&directory, 70), Vec::<String>::new());
+}
+
+/// Leaving is final, whenever it is learned.
+#[test]
+fn an_earlier_entry_of_a_leaving_endpoint_counts_though_it_is_written_late() {
+    let mut directory = directory(&[]);
+    directory.apply_change(ms(10), Change::Put(numbered(8)));
+    let leaving = Entry { is_leaving: true, ..numbered(7) };
+    directory.apply_change(ms(20), Change::Put(leaving));
+    assert_eq!(usable(&directory, 30), Vec::<String>::new());
+}
+
+#[test]
+fn an_incarnation_numbers_its_entries_anew() {
+    let mut directory = directory(&[]);
+    directory.apply_change(ms(10), Change::Put(numbered(8)));
+    directory.apply_change(ms(20), Change::Removed(Arc::from("a")));
+    let restarted = Entry { incarnation: Incarnation(2), ..numbered(1) };
+    directory.apply_change(ms(30), Change::Put(restarted));
+    assert_eq!(usable(&directory, 30), ["a"]);
+}
+
 #[test]
 fn an_entry_that_moves_an_incarnation_to_another_service_disables_it() {
     let mut directory = directory(&["a", "b"]);
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -119,6 +119,7 @@
     Entry {
         name: Arc::from(name),
         incarnation: Incarnation(1),
+        number: 1,
         service: Arc::from(service),
         addr: Arc::from(format!("{name}:80")),
         data_centre: Arc::from("east"),
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -79,6 +79,7 @@
     Ok(Change::Put(Entry {
         name: record.key.clone(),
         incarnation: Incarnation(1),
+        number: 1,
         service: Arc::from(service),
         addr: Arc::from(addr),
         data_centre: Arc::from("east"),
