Tables: a peer receives a removal though its key was written again

An instance that receives the directory from a peer got only the newest record of a key. If an entry was removed and an earlier one written late between two of its requests (0.45 s), it did not learn of the removal, and would have used the endpoint until that entry expired.

Change: a copy keeps the last removal of each key that was written again, and sends it before the newer record. Receivers apply records in order, so the format between instances is unchanged. Listings contain no removals, as before.

Evidence: a_removal_is_sent_to_peers_though_the_key_was_written_again fails without the change.

--- a/crates/core/src/relay/table.rs
+++ b/crates/core/src/relay/table.rs
@@ -126,6 +126,9 @@
     records: HashMap<Arc<str>, Record>,
     /// The offset of the last value before a removal, by key.
     removed: HashMap<Arc<str>, u64>,
+    /// The last removal of each key that was written again since. Other copies need it, since a
+    /// write may be older than the removal that it follows in the log.
+    revoked: HashMap<Arc<str>, Record>,
     /// Records of an earlier timeline that stay in force until they are written again.
     /// Those without a value are removals that the new timeline lacks.
     carried_over: HashMap<Arc<str>, Record>,
@@ -229,7 +232,8 @@
         let (timeline, base) = (self.timeline, self.base);
         let portion = Portion { timeline, base, from, is_listing, ..Portion::default() };
         let is_lacking = |record: &&Record| record.offset >= from && self.is_included(record);
-        let mut lacking: Vec<_> = self.records.values().filter(is_lacking).collect();
+        let revoked = self.revoked.values().filter(|_| !is_listing);
+        let mut lacking: Vec<_> = self.records.values().chain(revoked).filter(is_lacking).collect();
         lacking.sort_unstable_by_key(|record| record.offset);
         let next = lacking.first().map_or(u64::MAX, |record| record.offset);
         let partial = request
@@ -296,6 +300,7 @@
         earlier.extend(mem::take(&mut self.carried_over));
         let removed = mem::take(&mut self.removed);
         self.replaced.clear();
+        self.revoked.clear();
         let (mut changed, mut diverged) = (Vec::new(), 0);
         for record in records {
             match earlier.remove(&record.key) {
@@ -338,6 +343,7 @@
         self.carried_over.remove(&record.key);
         let before = self.records.insert(record.key.clone(), record.clone());
         self.update_removed(record, before.as_ref());
+        self.update_revoked(record, before.as_ref());
         let is_large = |record: &Record| record.bytes() >= LARGE_RECORD;
         self.replaced.extend(before.filter(is_large));
         if self.replaced.len() > MAX_REPLACED {
@@ -346,6 +352,14 @@
         true
     }
 
+    fn update_revoked(&mut self, record: &Record, before: Option<&Record>) {
+        match before.filter(|before| before.value.is_none()) {
+            _ if record.value.is_none() => drop(self.revoked.remove(&record.key)),
+            Some(removal) => drop(self.revoked.insert(record.key.clone(), removal.clone())),
+            None => {}
+        }
+    }
+
     fn update_removed(&mut self, record: &Record, before: Option<&Record>) {
         match before {
             _ if record.value.is_some() => drop(self.removed.remove(&record.key)),
--- a/crates/core/tests/testsuite/relay/table.rs
+++ b/crates/core/tests/testsuite/relay/table.rs
@@ -125,6 +125,18 @@
     assert_eq!(describe(&sync(&mut loaded(), &other)), ["a gone"]);
 }
 
+/// Guards against instances that do not learn that an endpoint has left, since an earlier record of
+/// it was written late.
+#[test]
+fn a_removal_is_sent_to_peers_though_the_key_was_written_again() {
+    let mut other = loaded();
+    other.apply_changes(vec![record("a", 5, None), record("a", 6, Some("6"))], 7);
+    assert_eq!(describe(&sync(&mut loaded(), &other)), ["a gone", "a=6"]);
+    assert_eq!(describe(&sync(&mut Table::default(), &other)), ["a=6", "b=3"]);
+    other.apply_changes(vec![record("a", 7, None)], 8);
+    assert_eq!(describe(&sync(&mut loaded(), &other)), ["a gone"]);
+}
+
 /// An instance that starts after the removal of a key has been dropped from the log has never seen
 /// that key.
 #[test]
