Directory: a removed endpoint is used only if the store was away before

What callers saw: where most endpoints of a service left at once without notice, requests still reached them later than the drain time, and those under way when they exited got 502.

Cause: if more entries of a service had vanished than were left, they counted as expired by an outage of the store, and were used for 1.5 s from when the instance read the removal, though the store had served all the while.

Change: the event loop reports when the copy of the directory could not be compared with the store for two seconds or more. Entries that disappear from two seconds into such an outage until 1.5 s after the store could be read again count as expired, and their endpoints are used until then, however many they are. Any other removal is a removal. A counter and a log line state each outage.

Ruled out: failed calls of this instance as the sign. In a deployment of several regions most instances do not call the store for three to twelve seconds of an outage.

Tests changed: an_expired_entry_is_briefly_a_last_resort, expired_entries_stay_usable_briefly and two tests of evacuation.rs removed entries with the store up and expected them to be used, which is the fault; they now report the outage first and keep their bounds. The first one also expected an expired endpoint to be spared while others are ready: that was the rule by count. It is replaced by an_entry_that_expired_while_the_store_was_away_is_briefly_usable, and two new tests hold that removals at any other time end all use. The oracle of the fuzz test allows no call to a removed engine any more, before 1.5 s.

--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -2,11 +2,10 @@
 //!
 //! The platform's directory lists the endpoints; the outcomes of their calls show
 //! their health and speed. Leaving is final: an incarnation that was seen to leave
-//! receives no more calls, even if an older record is read later. An entry that
-//! disappeared without notice may only have expired while the platform was
-//! unavailable, so its endpoint remains a last resort for a short time; if most
-//! entries of a service disappeared together, their endpoints are used normally for
-//! that time.
+//! receives no more calls, even if an older record is read later. An endpoint whose entry
+//! disappeared without notice has left, too, unless the platform's store was away before
+//! ([`Outage`]): entries expire then, and their endpoints are used until they had time to
+//! write them again.
 //!
 //! Records of one incarnation are judged by their own numbers, since the store may execute
 //! a write seconds after later ones.
@@ -16,6 +15,7 @@
 //! carried over from one incarnation to the next.
 
 mod endpoint;
+mod outage;
 mod versions;
 
 use std::{
@@ -43,6 +43,7 @@
 };
 
 pub use endpoint::Endpoint;
+pub use outage::Outage;
 
 /// How long an endpoint that is gone is kept, so that an old record cannot make it
 /// usable again.
@@ -117,6 +118,8 @@
     versions: VersionCounts,
     /// When the first entry was applied.
     known_since: Option<Duration>,
+    /// The last time in which the platform's store was away.
+    outage: Option<Outage>,
     /// Data centres whose endpoints receive no calls because operators evacuated them.
     evacuated: BTreeSet<DataCentre>,
     regions: RegionMap,
@@ -242,24 +245,29 @@
         self.evacuated.contains(&endpoint.entry.data_centre)
     }
 
-    /// The endpoints of a pool that accept new work, except in evacuated data centres.
-    /// If more than half of the entries disappeared recently, they are considered expired
-    /// and their endpoints are included: the few endpoints whose entries return first
-    /// would be overloaded with the calls for all.
+    /// The endpoints of a pool that accept new work, except in evacuated data centres, and those
+    /// whose entries have only expired.
     pub fn usable(&self, now: Duration, pool: Pool<'_>) -> Vec<EndpointKey> {
         let keys = self.by_service.get(pool.service).map_or(&[][..], Vec::as_slice);
         let has_version = self.version_filter(pool);
-        let keys = keys.iter().filter(|key| {
+        let is_usable = |key: &&EndpointKey| {
             let endpoint = &self.endpoints[**key];
             let is_in_pool = has_version(endpoint) && is_in_region(endpoint, pool.region);
-            is_in_pool && !self.is_in_evacuated(endpoint)
-        });
-        let is_ready = |key: &EndpointKey| self.endpoints[*key].is_ready();
-        let has_expired = |key: &EndpointKey| self.endpoints[*key].is_last_resort(now);
-        let ready = keys.clone().filter(|key| is_ready(key)).count();
-        let expired = keys.clone().filter(|key| has_expired(key)).count();
-        let is_usable = |key: &&EndpointKey| is_ready(key) || (expired > ready && has_expired(key));
-        keys.filter(is_usable).copied().collect()
+            let is_alive = endpoint.is_ready() || self.has_expired(now, endpoint);
+            is_in_pool && is_alive && !self.is_in_evacuated(endpoint)
+        };
+        keys.iter().filter(is_usable).copied().collect()
+    }
+
+    /// Records that the platform's store was away.
+    pub fn record_outage(&mut self, outage: Outage) {
+        self.outage = Some(outage);
+    }
+
+    /// Whether an endpoint's entry has disappeared only because the store was away.
+    fn has_expired(&self, now: Duration, endpoint: &Endpoint) -> bool {
+        let lost_at = endpoint.missing_since();
+        self.outage.zip(lost_at).is_some_and(|(outage, lost_at)| outage.excuses(now, lost_at))
     }
 
     /// Whether [`Directory::usable`] lists any endpoint.
@@ -313,7 +321,7 @@
         endpoints.any(|it| {
             let is_in_pool = has_version(it) && is_in_region(it, pool.region);
             let is_expected = matches!(it.state, State::Ready | State::Gone(_));
-            is_in_pool && (is_expected || it.is_last_resort(now)) && !self.is_in_evacuated(it)
+            is_in_pool && (is_expected || self.has_expired(now, it)) && !self.is_in_evacuated(it)
         })
     }
 
--- a/crates/core/src/relay/directory/endpoint.rs
+++ b/crates/core/src/relay/directory/endpoint.rs
@@ -16,10 +16,6 @@
     },
 };
 
-/// How long an endpoint whose entry disappeared may still be used where few others are
-/// left. Entries that expired while the platform's store was unavailable are written again
-/// within about two seconds of its return, and their loss is noticed half a second late.
-const MISSING_GRACE: Duration = Duration::from_millis(1500);
 /// How long an endpoint is avoided after its calls failed.
 const FAILURE_DELAYS: Delays =
     Delays { initial: Duration::from_millis(400), max: Duration::from_secs(4) };
@@ -230,10 +226,9 @@
         self.last_slot = Some(due.max(now.saturating_sub(slack)));
     }
 
-    /// Whether it may be used where few others are left, since its entry has just
-    /// disappeared.
-    pub fn is_last_resort(&self, now: Duration) -> bool {
-        matches!(self.state, State::Missing(since) if now < since + MISSING_GRACE)
+    /// Since when its entry has been missing; `None` if that is not why it is not used.
+    pub(super) fn missing_since(&self) -> Option<Duration> {
+        if let State::Missing(since) = self.state { Some(since) } else { None }
     }
 
     /// Whether it is avoided because its last calls failed or were refused. After failures,
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -59,7 +59,7 @@
         batch::Batcher,
         choice,
         config::Config,
-        directory::{Change, ChangeEffect, Directory, EndedEndpoint, Entry},
+        directory::{Change, ChangeEffect, Directory, EndedEndpoint, Entry, Outage},
         exchange::{Binding, CallState, Exchange},
         fingerprint::Fingerprint,
         graph::StageGraph,
@@ -365,6 +365,12 @@
         true
     }
 
+    /// Records that the platform's store was away. Removals that are applied from then on may be
+    /// expiries.
+    pub fn record_outage(&mut self, outage: Outage) {
+        self.directory.record_outage(outage);
+    }
+
     /// Applies a change of the directory.
     pub fn apply_change(&mut self, now: Duration, change: Change) -> ChangeEffect {
         let change = self.keep_unassigned(change);
--- a/crates/core/tests/testsuite/relay/directory.rs
+++ b/crates/core/tests/testsuite/relay/directory.rs
@@ -5,7 +5,7 @@
 use peatdeck_core::{
     model::{Incarnation, Load},
     relay::{
-        directory::{Change, Directory, EndedEndpoint, Entry},
+        directory::{Change, Directory, EndedEndpoint, Entry, Outage},
         engine::CallEstimate,
         model::Failure,
         pool::Pool,
@@ -44,14 +44,59 @@
     assert_eq!(usable(&directory, 30), ["b"]);
 }
 
+/// The store was away for five seconds and returns at `at`.
+fn return_store(directory: &mut Directory, at: u64) {
+    directory.record_outage(Outage::between(ms(at - 5000), ms(at)).unwrap());
+}
+
+fn remove(directory: &mut Directory, at: u64, names: &[&str]) {
+    for name in names {
+        directory.apply_change(ms(at), Change::Removed(Arc::from(*name)));
+    }
+}
+
 #[test]
-fn an_expired_entry_is_briefly_a_last_resort() {
+fn an_entry_that_expired_while_the_store_was_away_is_briefly_usable() {
     let mut directory = directory(&["a", "b"]);
-    directory.apply_change(ms(100), Change::Removed(Arc::from("a")));
-    assert_eq!(usable(&directory, 200), ["b"]);
-    directory.apply_change(ms(100), Change::Removed(Arc::from("b")));
-    assert_eq!(usable(&directory, 1500), ["a", "b"]);
-    assert_eq!(usable(&directory, 1700), Vec::<String>::new());
+    return_store(&mut directory, 5100);
+    remove(&mut directory, 5100, &["a"]);
+    assert_eq!(usable(&directory, 5200), ["a", "b"]);
+    remove(&mut directory, 5100, &["b"]);
+    assert_eq!(usable(&directory, 6500), ["a", "b"]);
+    assert_eq!(usable(&directory, 6700), Vec::<String>::new());
+}
+
+/// Guards against requests to endpoints that have left: those of a service may leave together.
+#[test]
+fn an_endpoint_that_is_removed_while_the_store_serves_is_not_used_again() {
+    let mut directory = directory(&["a", "b", "c", "d"]);
+    remove(&mut directory, 100, &["a"]);
+    assert_eq!(usable(&directory, 100), ["b", "c", "d"]);
+    remove(&mut directory, 200, &["b", "c"]);
+    assert_eq!(usable(&directory, 200), ["d"]);
+    remove(&mut directory, 300, &["d"]);
+    assert_eq!(usable(&directory, 300), Vec::<String>::new());
+}
+
+/// Guards against the same before and after an outage: only what it may have made expire is excused.
+#[test]
+fn an_outage_excuses_no_removal_of_another_time() {
+    let mut directory = directory(&["a", "b", "c", "d"]);
+    remove(&mut directory, 200, &["a"]);
+    return_store(&mut directory, 5100);
+    assert_eq!(usable(&directory, 5100), ["b", "c", "d"], "it was removed before");
+    remove(&mut directory, 5500, &["b"]);
+    assert_eq!(usable(&directory, 6599), ["b", "c", "d"]);
+    remove(&mut directory, 6600, &["c"]);
+    assert_eq!(usable(&directory, 6600), ["d"], "missing two seconds after the store's return");
+}
+
+/// Entries outlive it.
+#[test]
+fn a_store_that_is_away_briefly_has_no_outage() {
+    assert_eq!(Outage::between(ms(1000), ms(2999)), None);
+    assert_eq!(Outage::between(ms(1000), ms(500)), None);
+    assert_eq!(Outage::between(ms(1000), ms(3000)).unwrap().length(), ms(2000));
 }
 
 #[test]
@@ -163,13 +208,12 @@
 #[test]
 fn expired_entries_stay_usable_briefly_if_most_of_a_service_expired() {
     let mut directory = directory(&["a", "b", "c", "d"]);
-    for name in ["a", "b", "c", "d"] {
-        directory.apply_change(ms(100), Change::Removed(Arc::from(name)));
-    }
-    directory.apply_change(ms(400), Change::Put(entry("a", "desk")));
-    assert_eq!(usable(&directory, 500), ["a", "b", "c", "d"]);
+    return_store(&mut directory, 5100);
+    remove(&mut directory, 5100, &["a", "b", "c", "d"]);
+    directory.apply_change(ms(5400), Change::Put(entry("a", "desk")));
+    assert_eq!(usable(&directory, 5500), ["a", "b", "c", "d"]);
     assert_eq!(
-        usable(&directory, 1700),
+        usable(&directory, 6700),
         ["a"],
         "entries that are not written again by then are gone"
     );
@@ -187,7 +231,7 @@
     for number in [7, 8] {
         directory.apply_change(ms(10), Change::Put(numbered(number)));
     }
-    directory.apply_change(ms(100), Change::Removed(Arc::from("a")));
+    remove(&mut directory, 100, &["a"]);
     assert_eq!(directory.apply_change(ms(200), Change::Put(numbered(7))), Default::default());
     assert_eq!(usable(&directory, 200), ["b"]);
     directory.apply_change(ms(300), Change::Put(numbered(9)));
@@ -226,7 +270,7 @@
 fn an_incarnation_numbers_its_entries_anew() {
     let mut directory = directory(&[]);
     directory.apply_change(ms(10), Change::Put(numbered(8)));
-    directory.apply_change(ms(20), Change::Removed(Arc::from("a")));
+    remove(&mut directory, 20, &["a"]);
     let restarted = Entry { incarnation: Incarnation(2), ..numbered(1) };
     directory.apply_change(ms(30), Change::Put(restarted));
     assert_eq!(usable(&directory, 30), ["a"]);
--- a/crates/core/tests/testsuite/relay/evacuation.rs
+++ b/crates/core/tests/testsuite/relay/evacuation.rs
@@ -315,6 +315,7 @@
 #[test]
 fn an_expired_entry_of_an_evacuated_endpoint_is_no_last_resort() {
     let mut world = two_data_centres(RequestKind::Idempotent);
+    world.return_store();
     for name in ["a", "b"] {
         world.relay.apply_change(world.now, Change::Removed(name.into()));
     }
@@ -326,6 +327,7 @@
 #[test]
 fn expired_entries_elsewhere_are_used_before_requests_are_refused() {
     let mut world = two_data_centres(RequestKind::Idempotent);
+    world.return_store();
     world.relay.apply_change(world.now, Change::Removed("b".into()));
     world.apply_command(evacuate("east"));
     assert_eq!(called_endpoints(&mut world, 10), ["b"]);
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -10,7 +10,7 @@
         config::{
             Config, Engine, Limits, Pieces, RequestKind, Route, Service, Stage, Target, Team,
         },
-        directory::{Change, Entry},
+        directory::{Change, Entry, Outage},
         fingerprint::Fingerprint,
         model::{
             Action, Arrival, Call, CallKey, ExchangeKey, Failure, Handle, Part, Piece,
@@ -237,6 +237,13 @@
         self.collect();
     }
 
+    /// The platform's store was away for a while and returns now.
+    pub fn return_store(&mut self) {
+        let last = self.now;
+        self.advance(ms(5000));
+        self.relay.record_outage(Outage::between(last, self.now).unwrap());
+    }
+
     pub fn submit(&mut self, arrival: Arrival) -> ExchangeKey {
         self.try_submit(arrival).unwrap()
     }
--- a/crates/core/tests/testsuite/relay/fuzz/oracle.rs
+++ b/crates/core/tests/testsuite/relay/fuzz/oracle.rs
@@ -71,9 +71,6 @@
     pub software: HashMap<CallKey, Version>,
 }
 
-/// Endpoints are still called for this long after most entries of their service disappeared.
-const MISSING_GRACE: Duration = Duration::from_millis(1500);
-
 /// What the peers answer, by the name of the endpoint.
 const REACHES: [Reach; 4] = [Reach::Unreached, Reach::Reached, Reach::CutOff, Reach::Unknown];
 
@@ -193,8 +190,7 @@
 
     /// Checks that an endpoint may be sent something now.
     fn check_target(&mut self, now: Duration, name: &str) {
-        let gone = self.gone.get(name);
-        assert!(gone.is_none_or(|at| now < *at + MISSING_GRACE), "sent to an engine that is gone");
+        assert!(!self.gone.contains_key(name), "sent to an engine that is gone");
         assert!(!self.evacuated.contains(data_centre_of(name)), "sent to an evacuated data centre");
         assert!(
             self.on_hold.get(name).is_none_or(|until| now >= *until),
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -206,7 +206,7 @@
             }
             let changed = tables.apply_changes(name, records, end);
             if !has_more {
-                tables.mark_compared(name, started);
+                tables::mark_compared(driver, name, started);
             }
             tables::apply(driver, name, "store", changed);
             Ok(())
@@ -245,7 +245,7 @@
     let before = (tables.is_loaded(name), previous);
     let changed = tables.apply_listing(name, records, end);
     tables::record_timeline(driver, name, "store", before);
-    tables.mark_compared(name, started);
+    tables::mark_compared(driver, name, started);
     tables::apply(driver, name, "store", changed);
     Ok(end)
 }
--- a/crates/relay/src/peers/learn.rs
+++ b/crates/relay/src/peers/learn.rs
@@ -129,7 +129,7 @@
         let own = tables.position(*name);
         let is_level = own.timeline == theirs.timeline && own >= *theirs;
         if let Some(at) = compared.of(*name).filter(|_| is_level) {
-            tables.mark_compared(*name, at);
+            tables::mark_compared(driver, *name, at);
         }
     }
     if !had_read && tables.has_read_rollouts() {
@@ -238,7 +238,7 @@
         let learned = tables.apply_portion(name, portion);
         tables::record_timeline(driver, name, source, before);
         if let Some(at) = compared.of(name).filter(|_| learned.is_caught_up) {
-            tables.mark_compared(name, at);
+            tables::mark_compared(driver, name, at);
         }
         has_more |= learned.has_more;
         tables::apply(driver, name, source, learned.changed);
--- a/crates/relay/src/tables.rs
+++ b/crates/relay/src/tables.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use peatdeck_core::relay::{
     catch_up::{CatchUp, PortionEffect},
-    directory::Change,
+    directory::{Change, Outage},
     operator::OperatorCommand,
     position::{Position, Timeline},
     table::{Portion, PortionRequest, Record, Table},
@@ -157,10 +157,13 @@
         TABLES[..REQUIRED].iter().all(|name| self.is_loaded(*name))
     }
 
-    /// Records that a copy held what the store held at time `at`.
-    pub fn mark_compared(&self, name: TableName, at: Duration) {
+    /// Records that a copy held what the store held at time `at`. Returns the outage that
+    /// this ends for the copy, if there was one.
+    fn set_compared(&self, name: TableName, at: Duration) -> Option<Outage> {
         let compared = &self.copy(name).compared_at;
-        compared.set(compared.get().max(Some(at)));
+        let before = compared.get();
+        compared.set(before.max(Some(at)));
+        before.and_then(|before| Outage::between(before, at))
     }
 
     /// Applies consecutive records of the store's log up to `end`. Returns what changed.
@@ -223,6 +226,17 @@
     tracing::warn!(event = "table_copied", table, source, from, timeline, end_before, end, awaited);
 }
 
+/// Records that a copy held what the store held at time `at`. That the store was away before is
+/// to be recorded before the changes that were read.
+pub fn mark_compared(driver: &Rc<Driver>, name: TableName, at: Duration) {
+    let outage = driver.peers.tables.set_compared(name, at);
+    let Some(outage) = outage.filter(|_| name == TableName::Endpoints) else { return };
+    driver.metrics.count("relay.store_outages", 1);
+    let away_ms = outage.length().as_millis() as u64;
+    tracing::warn!(event = "store_was_away", away_ms);
+    driver.feed(|machine, _| machine.record_outage(outage));
+}
+
 /// Passes the changes of a table to the machine. `source` is the peer or the store that
 /// they come from.
 pub fn apply(driver: &Rc<Driver>, name: TableName, source: &str, changed: Vec<Record>) {
--- a/crates/relay/tests/relay/store.rs
+++ b/crates/relay/tests/relay/store.rs
@@ -4,7 +4,9 @@
 
 use peatdeck_relay::surroundings::TableName;
 
-use crate::standins::{MemoryStore, Relay, ScriptedEndpoint, Site, exchange, wait_for};
+use crate::standins::{
+    JumpingClock, MemoryStore, Relay, ScriptedEndpoint, Site, exchange, wait_for,
+};
 
 #[test]
 fn an_instance_without_tables_is_not_ready_and_refuses_requests() {
@@ -58,3 +60,36 @@
     site.store.put(TableName::Config, "config", b"2".to_vec());
     wait_for("version 2 is in force", || site.exchange("/since-2/x").status == 200);
 }
+
+/// Guards against calls to endpoints that have left without notice, and against refusals after an
+/// outage of the store that made the entries of endpoints expire.
+#[test]
+fn an_entry_that_disappears_has_expired_only_if_the_store_was_away() {
+    for was_away in [false, true] {
+        let store = MemoryStore::default();
+        store.put(TableName::Config, "config", b"1".to_vec());
+        store.add_endpoint("desk", "desk", ScriptedEndpoint::answering("x").addr);
+        let clock = JumpingClock::default();
+        let relay = Relay::builder("own", &store).clock(&clock).start();
+        relay.wait_ready();
+        assert_eq!(exchange(relay.front, "/once/x", "").status, 200);
+        let ready = || relay.counter("peatdeck.relay.endpoints_ready");
+        wait_for("the entry is counted", || ready() == 1);
+        let failed = || relay.counter("peatdeck.relay.store_failed") > 0;
+        if was_away {
+            store.set_unavailable(true);
+            wait_for("a read failed", failed);
+            clock.jump(Duration::from_secs(60));
+        }
+        store.write(TableName::Endpoints, "desk", None);
+        store.set_unavailable(false);
+        wait_for("the removal was read", || ready() == 0);
+        let outages = || relay.counter("peatdeck.relay.store_outages");
+        // A process that gets no time for two seconds counts them as an outage, too.
+        let is_used = exchange(relay.front, "/once/x", "").status == 200;
+        assert!(!is_used || outages() > 0, "the endpoint has left");
+        if was_away {
+            wait_for("the outage is counted", || outages() > 0);
+        }
+    }
+}
