--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -19,6 +19,7 @@
 mod standins;
 mod stop;
 mod store;
+mod stream_ends;
 mod stream_versions;
 mod streams;
 mod suspension;
