A stream without length is broken off if its endpoint has ended with it

Callers got a stream as complete before its last event when its endpoint was killed. Cause: the operating system closes the connections of a process that ends, and of a reply without a length that is also the proper end.

After the end of a stream without a length, a new connection to the endpoint is tried, as after a cut; if it is refused, the stream counts as cut and is taken up or broken off as usual. Otherwise the connection is kept for the next call.

--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -169,6 +169,9 @@
     if !splitter.incomplete().is_empty() {
         return Err(Failed::new(Failure::Cut, "the stream ended in the middle of an event"));
     }
+    if !body.is_whole(&driver.pool).await {
+        return Err(Failed::new(Failure::Cut, "the endpoint ended, and the stream has no length"));
+    }
     body.release(&driver.pool);
     driver.forget_call(call.key);
     driver.feed(|machine, now| machine.on_stream_end(now, call.key));
--- a/crates/relay/src/outgoing.rs
+++ b/crates/relay/src/outgoing.rs
@@ -104,6 +104,14 @@
         Ok(whole.freeze())
     }
 
+    /// Whether it is whole after its end, which a peer that made the call has checked.
+    pub async fn is_whole(&self, pool: &Pool) -> bool {
+        match self {
+            Body::Direct(body) => pool.is_whole(body).await,
+            Body::Detoured(_) => true,
+        }
+    }
+
     /// Returns the connection to the pool after the reply was read whole.
     pub fn release(self, pool: &Pool) {
         if let Body::Direct(body) = self {
--- a/crates/relay/src/peers/detour.rs
+++ b/crates/relay/src/peers/detour.rs
@@ -195,6 +195,9 @@
         Err(error) => return (DetourEnd::Cut, error.to_string()),
     };
     match forward(head, &mut body, sink).await {
+        Ok(()) if !driver.pool.is_whole(&body).await => {
+            (DetourEnd::Cut, "the endpoint ended, and the reply has no length".to_owned())
+        }
         Ok(()) => {
             driver.pool.release(body);
             (DetourEnd::Whole, String::new())
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -23,7 +23,10 @@
 use futures::future::{AbortHandle, Abortable};
 use http::{HeaderMap, Request, Response, header, response};
 use http_body_util::{BodyExt, Full};
-use hyper::{body::Incoming, client::conn::http1};
+use hyper::{
+    body::{Body as _, Incoming},
+    client::conn::http1,
+};
 use hyper_util::rt::TokioIo;
 use peatdeck_core::relay::model::ProbeResult;
 use peatdeck_util::clock::Clock;
@@ -112,6 +115,8 @@
 pub struct Body {
     incoming: Incoming,
     lease: Lease,
+    /// Whether only the end of the connection ends it.
+    is_unframed: bool,
 }
 
 impl Body {
@@ -240,7 +245,8 @@
                     }
                     lease.max_idle = keep_alive_time(response.headers());
                     let (parts, incoming) = response.into_parts();
-                    return Ok((parts, Body { incoming, lease }));
+                    let is_unframed = !incoming.is_end_stream() && !has_length(&parts.headers);
+                    return Ok((parts, Body { incoming, lease, is_unframed }));
                 }
                 Err(mut error) => {
                     let Some(unused) = error.take_message() else {
@@ -291,6 +297,12 @@
         true
     }
 
+    /// Whether a body that has ended is whole. The operating system closes the connections of a
+    /// process that ends, so one without a length is not whole if its peer has gone.
+    pub async fn is_whole(&self, body: &Body) -> bool {
+        !body.is_unframed || self.probe(&body.lease.addr).await != ProbeResult::Gone
+    }
+
     /// Returns the connection of a body that was read whole to the pool.
     pub fn release(&self, body: Body) {
         self.put_back(body.lease);
@@ -393,6 +405,11 @@
     }
 }
 
+/// Whether a reply states where its body ends.
+fn has_length(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// How long a connection may be idle, by the headers of a reply; zero if it closes.
 fn keep_alive_time(headers: &HeaderMap) -> Duration {
     let value = |name: &http::HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
