--- a/crates/relay/src/outgoing.rs
+++ b/crates/relay/src/outgoing.rs
@@ -101,6 +101,14 @@
         Ok(whole.freeze())
     }
 
+    /// Whether it is whole after its end, which a peer that made the call has checked.
+    pub async fn is_whole(&self, pool: &pool::Pool) -> bool {
+        match self {
+            Body::Direct(body) => body.is_whole(pool).await,
+            Body::Detoured(_) => true,
+        }
+    }
+
     /// Releases the connection after the reply was read whole.
     pub fn release(self, pool: &pool::Pool) {
         if let Body::Direct(body) = self {
--- a/crates/relay/src/peers/detour.rs
+++ b/crates/relay/src/peers/detour.rs
@@ -195,6 +195,9 @@
         Err(error) => return (DetourEnd::Cut, error.to_string()),
     };
     match forward(head, &mut body, sink).await {
+        Ok(()) if !body.is_whole(&driver.pool).await => {
+            (DetourEnd::Cut, "the endpoint ended, and the reply has no length".to_owned())
+        }
         Ok(()) => {
             body.release(&driver.pool);
             (DetourEnd::Whole, String::new())
--- a/crates/relay/src/step.rs
+++ b/crates/relay/src/step.rs
@@ -31,6 +31,11 @@
         Some(data.map_err(|error| error.to_string()))
     }
 
+    /// Whether it is whole after its end.
+    pub async fn is_whole(&self, pool: &Pool) -> bool {
+        pool.is_whole(&self.body).await
+    }
+
     /// Returns the connection to the pool after the reply was read whole, or closes it if a late
     /// copy of the reply could be taken for the reply to another call.
     pub fn release(self, pool: &Pool) {
