--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -9,7 +9,8 @@
 //! all requests away from evacuated data centres; `ranking` selects the instance that does a
 //! task for all; `regions` assigns each request to a region; `pace` limits the calls to
 //! endpoints that are cold or state a limit; `paths` calls endpoints through peers that this
-//! instance cannot connect to, `silence` finds connections that carry nothing; `terms` processes
+//! instance cannot connect to, `silence` finds connections that carry nothing; `surroundings` takes in the
+//! configuration, the directory and the peers; `terms` processes
 //! what endpoints report of themselves; `unassigned` keeps entries whose service is not
 //! configured; `policies` runs the operators' programs; `rollouts` moves services to new
 //! versions: `canary` selects the requests that go there, `replies` counts how they end,
@@ -40,6 +41,7 @@
 mod stages;
 mod stream_records;
 mod streams;
+mod surroundings;
 mod terms;
 mod unassigned;
 mod versions;
@@ -65,7 +67,7 @@
         batch::Batcher,
         choice,
         config::Config,
-        directory::{Change, ChangeEffect, Directory, EndedEndpoint, Entry, Outage},
+        directory::{Directory, Entry},
         exchange::{Binding, CallState, Exchange},
         fingerprint::Fingerprint,
         graph::StageGraph,
@@ -385,101 +387,6 @@
         work.into_iter().chain(others).flatten().min().unwrap_or(self.next_cleanup)
     }
 
-    /// Applies a configuration. Returns false if the one in force is as new or newer.
-    pub fn configure(&mut self, config: Arc<Config>) -> bool {
-        if self.config.as_ref().is_some_and(|known| known.version >= config.version) {
-            return false;
-        }
-        self.update_allowed_regions(&config);
-        self.config = Some(config);
-        true
-    }
-
-    /// Records that the platform's store was away. Removals that are applied from then on may be
-    /// expiries.
-    pub fn record_outage(&mut self, outage: Outage) {
-        self.directory.record_outage(outage);
-    }
-
-    /// Applies a change of the directory.
-    pub fn apply_change(&mut self, now: Duration, change: Change) -> ChangeEffect {
-        let change = self.keep_unassigned(change);
-        let service = match &change {
-            Change::Put(entry) => Some(entry.service.clone()),
-            Change::Removed(_) | Change::Unreadable(_) => None,
-        };
-        let had_several = service.as_ref().is_some_and(|it| self.has_several_versions(it));
-        let changed = self.directory.apply_change(now, change);
-        if let Some(service) = service.filter(|_| changed.is_new_version) {
-            if !had_several && self.has_several_versions(&service) {
-                self.report_streams(now, &service);
-            }
-            self.register_versions(now);
-            self.confirm_version(&service);
-        }
-        if let Some(EndedEndpoint { endpoint, is_planned }) = changed.ended {
-            self.end_incarnation(now, endpoint, is_planned);
-        }
-        if changed.is_new {
-            self.refresh_gates(now);
-            self.recheck_restricted(now);
-            self.search(now);
-            self.dispatch_all(now);
-        }
-        changed
-    }
-
-    /// Stops batching pieces wherever a peer can do so. Peers exclude this instance as a
-    /// batcher from now on.
-    pub fn stop_batching(&mut self) {
-        self.is_batching = false;
-    }
-
-    /// Replaces the list of live peers. `announced` is the number of instances that ever
-    /// announced themselves, an upper bound of those that are alive.
-    pub fn set_peers(&mut self, now: Duration, peers: Vec<Peer>, announced: usize) {
-        self.unresponsive_peers.retain(|_, until| now < *until);
-        self.unresponsive_placers.retain(|_, until| now < *until);
-        let is_known = |peer: &Peer| self.peers.iter().any(|known| known.name == peer.name);
-        let has_joined = !peers.iter().all(is_known);
-        self.peers = peers;
-        self.announced_count = announced;
-        if has_joined {
-            self.notify_new_peers();
-        }
-    }
-
-    /// Makes requests with stages or prompts wait until the peers are known, or until the
-    /// given time. An instance that has just started has no list of peers yet. When 295
-    /// instances were restarted together, 173 of them sent calls for pieces themselves in the
-    /// 0.2 s before they had the list, and 8,000 of these calls found their endpoint full.
-    pub fn hold_for_peers(&mut self, until: Duration) {
-        self.peers_deadline = until;
-    }
-
-    /// Makes all requests wait until the tables have been read again, or until the given
-    /// time, after the event loop stood still. An instance that was suspended for 30 s used
-    /// outdated routes until it first read the tables.
-    pub fn hold_for_tables(&mut self, until: Duration) {
-        self.tables_deadline = until;
-        self.rollouts.forget_verdicts();
-        self.observed_since = until;
-    }
-
-    /// The tables have been read again: requests that wait for them go on.
-    pub fn mark_tables_read(&mut self, now: Duration) {
-        if now < std::mem::take(&mut self.tables_deadline) {
-            self.search(now);
-        }
-    }
-
-    /// The peers are known: requests that wait for them go on.
-    pub fn mark_peers_known(&mut self, now: Duration) {
-        if now < std::mem::take(&mut self.peers_deadline) {
-            self.search(now);
-        }
-    }
-
     /// Takes in a caller's request that has been read whole.
     pub fn on_request(&mut self, now: Duration, arrival: Arrival) -> Result<ExchangeKey, Refusal> {
         let config = self.config.clone().filter(|_| self.is_quarantine_read);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -8,8 +8,11 @@
 //! What a peer may send besides the body of a reply is bounded (`metered`); how much of a body is
 //! read is up to the caller.
 
+mod error;
 mod metered;
 
+pub use error::Error;
+
 use std::{
     cell::{OnceCell, RefCell},
     collections::HashMap,
@@ -53,42 +56,6 @@
 /// Most idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
-/// A request that got no complete reply.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// No byte of the request was sent.
-    #[error("no connection to {addr}: {cause}; check that it runs and can be reached")]
-    Unsent {
-        /// Address of the peer.
-        addr: Arc<str>,
-        /// Error of the connection attempt.
-        cause: String,
-    },
-    /// The peer sent nothing within the time limit.
-    #[error("no data from {addr} within the time limit; check that it runs and can be reached")]
-    Silent {
-        /// Address of the peer.
-        addr: Arc<str>,
-    },
-    /// The connection broke after bytes of the request were sent.
-    #[error(
-        "the connection to {addr} closed before the reply ended: {cause}; the request may have run"
-    )]
-    Cut {
-        /// Address of the peer.
-        addr: Arc<str>,
-        /// Error of the connection.
-        cause: String,
-    },
-}
-
-impl Error {
-    /// Whether it is certain that no byte was sent.
-    pub fn is_unsent(&self) -> bool {
-        matches!(self, Error::Unsent { .. })
-    }
-}
-
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// An open connection. Dropping it closes it.
