A stream is not taken for one from before the start if its id is ambiguous or not named

By reading the change: the version that was listed alone when an instance started was also taken for streams whose id two streams of different versions have in the log, and where the caller names no attempt, so that its stream may be recorded under another id.

The extended test failed before on the ambiguous id (the stream went on) and passes now.

--- a/crates/core/src/relay/machine/streams.rs
+++ b/crates/core/src/relay/machine/streams.rs
@@ -126,7 +126,9 @@
                 self.give_up(now, key, Refusal::OriginUnavailable);
                 return;
             }
-            _ => self.leave_unbound(now, key),
+            // Streams of several versions have its id.
+            Some(_) => self.exchanges[key].binding = Binding::Unknown,
+            None => self.leave_unbound(now, key),
         }
         self.advance(now, key);
     }
@@ -145,8 +147,12 @@
 
     /// Nobody knows which version began the stream that an exchange takes up.
     fn leave_unbound(&mut self, now: Duration, key: ExchangeKey) {
-        let service = self.exchanges[key].service.clone();
-        if let Some(version) = self.version_before_start(now, &service) {
+        let exchange = &self.exchanges[key];
+        let service = exchange.service.clone();
+        // A caller that does not name the attempt may mean a stream that was recorded under it.
+        let is_named = exchange.arrival.first_attempt.is_some();
+        let before = self.version_before_start(now, &service).filter(|_| is_named);
+        if let Some(version) = before {
             self.bind_to_origin(key, version, Source::SingleVersion, Duration::ZERO);
             return;
         }
--- a/crates/core/tests/testsuite/relay/stream_versions.rs
+++ b/crates/core/tests/testsuite/relay/stream_versions.rs
@@ -348,6 +348,12 @@
     world.submit(taken_up("4", "3"));
     read_store(&mut world, &["v1", "v2"], &[("3", "v2")]);
     assert_eq!(&*world.call().software, "v2");
+    world.submit(taken_up("8", "7"));
+    read_store(&mut world, &["v1", "v2"], &[("7", "v1"), ("7", "v2")]);
+    assert_eq!(world.refusals(), ["503 unknown_version never"], "two streams have its id");
+    world.submit(Arrival { resume: Some(2), ..new("9") });
+    read_store(&mut world, &["v1", "v2"], &[]);
+    assert_eq!(world.refusals(), ["503 unknown_version never"], "its caller names no attempt");
     world.advance(ms(30_000));
     world.refusals();
     world.submit(taken_up("6", "5"));
