A reply without a length is whole only if the process that sent it still runs

Cause: such a reply ends with its connection, which the operating system closes at the end of a process as well. The end was believed if anybody listened at the address afterwards, which may be a new process; for replies that are read whole nothing was checked.

Ruled out: the name of the endpoint (it may stay), counting events (nobody knows their number), taking no such reply for whole (each would run twice).

Change: a second connection that was open while the reply still came in; an answer on it after the end shows that the same process still runs. Where nobody can tell, a reply is taken for whole only if its request may not be repeated.

--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -20,7 +20,8 @@
     dialect::PostRequest,
     driver::{self, Driver, Reply},
     outgoing,
-    pool::Lane,
+    pool::{BodyEnd, Lane},
+    step,
 };
 
 /// Largest whole reply that is forwarded to a caller, in bytes.
@@ -32,8 +33,6 @@
 const PIECES_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time limit for an engine to list its prompt parts. A later list is of little use.
 const LIST_TIMEOUT: Duration = Duration::from_secs(1);
-/// The name of no endpoint.
-const NOBODY: &str = "nobody";
 /// Time limit for an endpoint to refuse a request that is addressed to no endpoint.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit of a call that frees results.
@@ -103,14 +102,9 @@
     driver.feed(|machine, now| machine.on_answer_check(now, endpoint, has_answered));
 }
 
-/// Whether anything answers at an address, on a new connection. The request is addressed to no
-/// endpoint, so each one refuses it at once without running it.
+/// Whether anything answers at an address, on a new connection.
 pub async fn has_answer(driver: &Rc<Driver>, addr: &Arc<str>) -> bool {
-    let request = Request::get("/")
-        .header(header::HOST, &**addr)
-        .header(&driver.platform.dialect.names.endpoint, NOBODY)
-        .body(Bytes::new());
-    let Ok(request) = request else { return false };
+    let Some(request) = step::refused_request(driver, addr) else { return false };
     driver.pool.disconnect(addr);
     let sent = outgoing::send(driver, addr, None, Lane::Checked, request);
     matches!(tokio::time::timeout(ANSWER_TIMEOUT, sent).await, Ok(Ok(_)))
@@ -143,6 +137,7 @@
     }
     let whole = body.read_whole(MAX_REPLY_BYTES, &driver.reply_memory).await;
     reply.body = whole.map_err(|cause| Failed::new(Failure::Cut, cause))?;
+    ensure_whole(driver, call, &mut body, false).await?;
     body.release(&driver.pool);
     driver.on_reply(call.key, &head, reply);
     Ok(())
@@ -171,15 +166,40 @@
     if !splitter.incomplete().is_empty() {
         return Err(Failed::new(Failure::Cut, "the stream ended in the middle of an event"));
     }
-    if !body.is_whole(&driver.pool).await {
-        return Err(Failed::new(Failure::Cut, "the endpoint ended, and the stream has no length"));
-    }
+    ensure_whole(driver, call, &mut body, true).await?;
     body.release(&driver.pool);
     driver.forget_call(call.key);
     driver.feed(|machine, now| machine.on_stream_end(now, call.key));
     Ok(())
 }
 
+/// Fails unless a reply that has ended is whole. Where nobody can tell, it is taken for whole only
+/// if the request may not be repeated. A whole stream is seldom there at once, so one of which
+/// nothing had to be waited for is continued elsewhere, if that is still possible.
+async fn ensure_whole(
+    driver: &Rc<Driver>,
+    call: &Call,
+    body: &mut outgoing::Body,
+    is_stream: bool,
+) -> Result<(), Failed> {
+    let end = body.check_end(driver).await;
+    let may_repeat = || driver.inspect(|machine| machine.may_repeat(call.exchange));
+    let is_whole = match end {
+        BodyEnd::Whole => true,
+        BodyEnd::Likely => !(is_stream && driver.inspect(|it| it.may_call_again(call.exchange))),
+        BodyEnd::Cut => false,
+        BodyEnd::Unknown => !may_repeat(),
+    };
+    if end != BodyEnd::Whole {
+        driver.metrics.count("relay.ends_doubted", 1);
+        tracing::info!(event = "end_doubted", endpoint = &*call.endpoint, end = ?end, is_whole);
+    }
+    match is_whole {
+        true => Ok(()),
+        false => Err(Failed::new(Failure::Cut, "the endpoint ended, and the reply has no length")),
+    }
+}
+
 /// Calls an endpoint to run pieces and reports the outcome to the machine.
 pub async fn run_pieces(
     driver: Rc<Driver>,
--- a/crates/relay/src/outgoing.rs
+++ b/crates/relay/src/outgoing.rs
@@ -13,7 +13,7 @@
     driver::Driver,
     memory::BodyMemory,
     peers::detour,
-    pool::{self, Lane},
+    pool::{self, BodyEnd, Lane},
     step::{self, Direct},
 };
 
@@ -101,11 +101,11 @@
         Ok(whole.freeze())
     }
 
-    /// Whether it is whole after its end, which a peer that made the call has checked.
-    pub async fn is_whole(&self, pool: &pool::Pool) -> bool {
+    /// What is known of it after its end, which a peer that made the call has checked.
+    pub async fn check_end(&mut self, driver: &Driver) -> BodyEnd {
         match self {
-            Body::Direct(body) => body.is_whole(pool).await,
-            Body::Detoured(_) => true,
+            Body::Direct(body) => body.check_end(driver).await,
+            Body::Detoured(_) => BodyEnd::Whole,
         }
     }
 
--- a/crates/relay/src/peers/detour.rs
+++ b/crates/relay/src/peers/detour.rs
@@ -11,7 +11,7 @@
     channel::mpsc,
     future::{self, AbortHandle, Abortable, Either},
 };
-use http::{Request, Response, StatusCode, response};
+use http::{Request, Response, StatusCode, header, response};
 use peatdeck_core::{
     model::InstanceName,
     relay::{
@@ -29,7 +29,7 @@
     driver::Driver,
     outgoing,
     peers::{EXCHANGE_TIMEOUT, Peers, remote::Kind, work},
-    pool::Lane,
+    pool::{BodyEnd, Lane},
     step,
 };
 
@@ -194,16 +194,27 @@
         Err(error) if error.is_unsent() => return (DetourEnd::Unsent, error.to_string()),
         Err(error) => return (DetourEnd::Cut, error.to_string()),
     };
-    match forward(head, &mut body, sink).await {
-        Ok(()) if !body.is_whole(&driver.pool).await => {
-            (DetourEnd::Cut, "the endpoint ended, and the reply has no length".to_owned())
-        }
-        Ok(()) => {
-            body.release(&driver.pool);
-            (DetourEnd::Whole, String::new())
-        }
-        Err(cause) => (DetourEnd::Cut, cause),
+    let is_stream = is_event_stream(&head);
+    if let Err(cause) = forward(head, &mut body, sink).await {
+        return (DetourEnd::Cut, cause);
+    }
+    // Only the peer knows whether the request may be repeated; streams mostly are.
+    let is_whole = match body.check_end(driver).await {
+        BodyEnd::Whole => true,
+        BodyEnd::Cut => false,
+        BodyEnd::Likely | BodyEnd::Unknown => !is_stream,
+    };
+    if !is_whole {
+        return (DetourEnd::Cut, "the endpoint ended, and the reply has no length".to_owned());
     }
+    body.release(&driver.pool);
+    (DetourEnd::Whole, String::new())
+}
+
+fn is_event_stream(head: &response::Parts) -> bool {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    let text = content_type.and_then(|value| value.to_str().ok());
+    text.is_some_and(|text| text.starts_with("text/event-stream"))
 }
 
 async fn forward(
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -6,12 +6,15 @@
 //! of being returned is closed at once, which is how a call is cancelled.
 //!
 //! What a peer may send besides the body of a reply is bounded (`metered`); how much of a body is
-//! read is up to the caller.
+//! read is up to the caller. Whether a body without a length is whole is found out by a second
+//! connection (`sentinel`).
 
 mod error;
 mod metered;
+mod sentinel;
 
 pub use error::Error;
+pub use sentinel::BodyEnd;
 
 use std::{
     cell::{OnceCell, RefCell},
@@ -36,7 +39,10 @@
 use peatdeck_wire::socket;
 use tokio::net::TcpStream;
 
-use crate::pool::metered::{Allowance, Metered};
+use crate::pool::{
+    metered::{Allowance, Metered},
+    sentinel::{Opener, Sentinel},
+};
 
 /// Time limit for opening a connection. Data centres are a few milliseconds apart. A
 /// lost SYN packet is sent again only after a second; by then another endpoint is the
@@ -92,15 +98,26 @@
 pub struct Body {
     incoming: Incoming,
     lease: Lease,
-    /// Whether only the end of the connection ends it.
-    is_unframed: bool,
+    /// Shows whether the process that sends it still runs, if only the end of the connection ends
+    /// it.
+    sentinel: Option<Box<Sentinel>>,
 }
 
 impl Body {
+    /// The address that it comes from.
+    pub fn addr(&self) -> &Arc<str> {
+        &self.lease.addr
+    }
+
     /// The next bytes; `None` once the reply is whole.
     pub async fn next_data(&mut self) -> Option<Result<Bytes, hyper::Error>> {
         loop {
-            match self.incoming.frame().await?.map(|frame| frame.into_data()) {
+            let next = self.incoming.frame();
+            let frame = match &mut self.sentinel {
+                Some(sentinel) => sentinel.watch(next).await,
+                None => next.await,
+            };
+            match frame?.map(|frame| frame.into_data()) {
                 Ok(Ok(data)) => {
                     self.lease.connection.allowance.restore(data.len());
                     return Some(Ok(data));
@@ -143,7 +160,7 @@
     clock: Rc<dyn Clock>,
     observer: OnceCell<ConnectionObserver>,
     idle: RefCell<HashMap<Arc<str>, Vec<Idle>>>,
-    counts: RefCell<Counts>,
+    counts: Rc<RefCell<Counts>>,
 }
 
 impl Pool {
@@ -153,7 +170,7 @@
             clock,
             observer: OnceCell::new(),
             idle: RefCell::default(),
-            counts: RefCell::default(),
+            counts: Rc::default(),
         })
     }
 
@@ -229,7 +246,8 @@
                     lease.max_idle = keep_alive_time(response.headers());
                     let (parts, incoming) = response.into_parts();
                     let is_unframed = !incoming.is_end_stream() && !has_length(&parts.headers);
-                    return Ok((parts, Body { incoming, lease, is_unframed }));
+                    let sentinel = is_unframed.then(|| Box::new(self.sentinel(addr, lane)));
+                    return Ok((parts, Body { incoming, lease, sentinel }));
                 }
                 Err(mut error) => {
                     let Some(unused) = error.take_message() else {
@@ -280,12 +298,6 @@
         true
     }
 
-    /// Whether a body that has ended is whole. The operating system closes the connections of a
-    /// process that ends, so one without a length is not whole if its peer has gone.
-    pub async fn is_whole(&self, body: &Body) -> bool {
-        !body.is_unframed || self.probe(&body.lease.addr).await != ProbeResult::Gone
-    }
-
     /// Returns the connection of a body that was read whole to the pool.
     pub fn release(&self, body: Body) {
         self.put_back(body.lease);
@@ -335,6 +347,21 @@
         Some(Lease { addr: addr.clone(), lane, connection, max_idle: Duration::ZERO })
     }
 
+    /// A second connection to an address, besides one that carries a reply without a length.
+    fn sentinel(&self, addr: &Arc<str>, lane: Lane) -> Sentinel {
+        // Those that were closed before the request was sent have been removed then.
+        let was_closed = self.idle.borrow().get(addr).is_some_and(|list| {
+            let now = self.clock.now();
+            list.iter().any(|idle| now < idle.until && !idle.is_usable(now))
+        });
+        let (clock, counts) = (self.clock.clone(), self.counts.clone());
+        let opener = Opener { addr: addr.clone(), clock, counts };
+        match self.take_idle(addr, lane) {
+            Some(lease) => Sentinel::with(lease, opener),
+            None => Sentinel::open(opener, was_closed),
+        }
+    }
+
     async fn connect(&self, addr: &Arc<str>) -> Result<Lease, Error> {
         let opened = open(addr).await;
         if opened.is_err() {
--- /dev/null
+++ b/crates/relay/src/pool/sentinel.rs
@@ -0,0 +1,244 @@
+//! Tells whether a process has outlived the end of a reply that it sent without a length.
+//!
+//! Such a reply ends with its connection. The operating system closes the connections of a
+//! process that ends, too, so the end alone does not say whether the reply is whole, and a
+//! process that listens at the same address afterwards may be another one. A second connection,
+//! which was open while the reply still came in, tells them apart: only the same process can
+//! answer on it after the end.
+
+use std::{cell::RefCell, pin::pin, rc::Rc, sync::Arc, task::Poll, time::Duration};
+
+use bytes::Bytes;
+use futures::{
+    channel::oneshot,
+    future::{self, Either},
+};
+use http::Request;
+use http_body_util::Full;
+use hyper::body::Body as _;
+use peatdeck_core::relay::model::ProbeResult;
+use peatdeck_util::clock::Clock;
+
+use crate::pool::{
+    Body, Connection, Counts, Lease, PROBE_PAUSE, Pool, handshake, keep_alive_time, open,
+};
+
+/// Time limit for an answer on the second connection.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// A connection that is opened this long after the head of a reply may lead to another process.
+const OPENING_LIMIT: Duration = Duration::from_millis(100);
+/// What has arrived is read within this time.
+const MIN_WAIT: Duration = Duration::from_millis(20);
+
+/// What is known of a reply after its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// It is whole: it has a length, or the process that sent it still runs.
+    Whole,
+    /// It is probably whole: the process at the address was asked on a connection that was opened
+    /// right after the head had come, but nothing of the reply came after that.
+    Likely,
+    /// The process that sent it has ended before it could end the reply.
+    Cut,
+    /// It has no length, and its process could not be asked.
+    Unknown,
+}
+
+/// A second connection to the process that sends a reply without a length.
+pub(super) struct Sentinel {
+    opener: Opener,
+    state: State,
+    /// Whether the connection was open before the reply began, or while the next part of it had
+    /// not arrived yet, so that it leads to the same process.
+    is_confirmed: bool,
+    /// Whether a confirmed connection was closed, and none has been confirmed since.
+    is_lost: bool,
+}
+
+enum State {
+    Closed,
+    Opening(oneshot::Receiver<Opened>),
+    Open(Opened),
+}
+
+/// Opens connections to an address and counts them.
+#[derive(Clone)]
+pub(super) struct Opener {
+    pub(super) addr: Arc<str>,
+    pub(super) clock: Rc<dyn Clock>,
+    pub(super) counts: Rc<RefCell<Counts>>,
+}
+
+impl Opener {
+    /// Opens a connection in the background.
+    fn begin(&self) -> State {
+        let Opener { addr, clock, counts } = self.clone();
+        let (tx, rx) = oneshot::channel();
+        let started = clock.now();
+        ntex::rt::spawn(async move {
+            let Ok(stream) = open(&addr).await else { return };
+            let Ok(lease) = handshake(&addr, stream).await else { return };
+            counts.borrow_mut().opened += 1;
+            let took = clock.now().saturating_sub(started);
+            // The reply may have been dropped.
+            tx.send(Opened { lease, took }).ok();
+        });
+        State::Opening(rx)
+    }
+}
+
+/// An open connection, and how long it took to open.
+struct Opened {
+    lease: Lease,
+    took: Duration,
+}
+
+impl Sentinel {
+    /// Uses a connection that was open before the reply began.
+    pub(super) fn with(lease: Lease, opener: Opener) -> Sentinel {
+        let state = State::Open(Opened { lease, took: Duration::ZERO });
+        Sentinel { opener, state, is_confirmed: true, is_lost: false }
+    }
+
+    /// Opens a connection in the background. `was_closed` tells whether another one was closed
+    /// before the reply began.
+    pub(super) fn open(opener: Opener, was_closed: bool) -> Sentinel {
+        let state = opener.begin();
+        Sentinel { opener, state, is_confirmed: false, is_lost: was_closed }
+    }
+
+    /// Waits for the next part of the reply, and keeps a connection open meanwhile.
+    pub(super) async fn watch<T>(&mut self, next: impl Future<Output = T>) -> T {
+        let mut next = pin!(next);
+        if let Poll::Ready(part) = futures::poll!(&mut next) {
+            return part;
+        }
+        if self.is_closed() {
+            self.is_lost |= std::mem::take(&mut self.is_confirmed);
+            self.state = self.opener.begin();
+        }
+        if let State::Opening(opening) = &mut self.state {
+            match future::select(&mut next, opening).await {
+                Either::Left((part, _)) => return part,
+                Either::Right((opened, _)) => {
+                    self.state = opened.map_or(State::Closed, State::Open)
+                }
+            }
+        }
+        let is_open = matches!(self.state, State::Open(_));
+        let started = self.opener.clock.now();
+        let part = next.await;
+        if is_open && self.opener.clock.now() >= started + MIN_WAIT {
+            // The process that sends the reply is the one that has accepted the connection.
+            self.is_confirmed = true;
+            self.is_lost = false;
+        }
+        part
+    }
+
+    fn is_closed(&self) -> bool {
+        match &self.state {
+            State::Closed => true,
+            State::Opening(_) => false,
+            State::Open(opened) => opened.lease.connection.sender.is_closed(),
+        }
+    }
+
+    /// Sends a request that is refused at once. `None` if no connection could be opened.
+    async fn ask(self, request: Request<Full<Bytes>>) -> Option<(Witness, Option<Lease>)> {
+        let Sentinel { state, is_confirmed, is_lost, .. } = self;
+        if is_lost {
+            return Some((
+                Witness { answer: Answer::Broke, is_confirmed: true, is_prompt: false },
+                None,
+            ));
+        }
+        let Opened { lease, took } = match state {
+            State::Open(opened) => opened,
+            State::Opening(opening) => opening.await.ok()?,
+            State::Closed => return None,
+        };
+        let answered = tokio::time::timeout(ANSWER_TIMEOUT, exchange(lease, request)).await;
+        let (answer, lease) = match answered {
+            Ok(Ok(lease)) => stays(lease).await,
+            Ok(Err(_)) => (Answer::Broke, None),
+            Err(_) => (Answer::Missing, None),
+        };
+        Some((Witness { answer, is_confirmed, is_prompt: took < OPENING_LIMIT }, lease))
+    }
+}
+
+/// What a second connection shows.
+struct Witness {
+    answer: Answer,
+    is_confirmed: bool,
+    /// Whether it was open right after the head of the reply had come.
+    is_prompt: bool,
+}
+
+impl Witness {
+    /// What is known of the reply; `None` if the connection says nothing.
+    fn end(&self) -> Option<BodyEnd> {
+        match self.answer {
+            Answer::Came if self.is_confirmed => Some(BodyEnd::Whole),
+            Answer::Came if self.is_prompt => Some(BodyEnd::Likely),
+            Answer::Broke if self.is_confirmed => Some(BodyEnd::Cut),
+            Answer::Came | Answer::Broke | Answer::Missing => None,
+        }
+    }
+}
+
+/// What came of the question whether a process still runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Answer {
+    Came,
+    /// The connection has ended.
+    Broke,
+    Missing,
+}
+
+/// Whether a connection on which an answer came stays open: a process that is exiting may still
+/// answer.
+async fn stays(lease: Option<Lease>) -> (Answer, Option<Lease>) {
+    tokio::time::sleep(PROBE_PAUSE).await;
+    match lease {
+        Some(lease) if lease.connection.sender.is_closed() => (Answer::Broke, None),
+        lease => (Answer::Came, lease),
+    }
+}
+
+/// Sends a request on a connection. Returns the connection, if it is to stay open.
+async fn exchange(
+    mut lease: Lease,
+    request: Request<Full<Bytes>>,
+) -> Result<Option<Lease>, hyper::Error> {
+    let Connection { sender, allowance, .. } = &mut lease.connection;
+    allowance.reset();
+    sender.ready().await?;
+    let response = sender.send_request(request).await?;
+    lease.max_idle = keep_alive_time(response.headers());
+    let may_stay = response.body().is_end_stream() && !lease.max_idle.is_zero();
+    Ok(may_stay.then_some(lease))
+}
+
+impl Pool {
+    /// Whether a body that has ended is whole. `request` is one that every endpoint refuses at
+    /// once; it is sent if the body has no length.
+    pub async fn check_end(&self, body: &mut Body, request: Request<Full<Bytes>>) -> BodyEnd {
+        let Some(sentinel) = body.sentinel.take() else { return BodyEnd::Whole };
+        let mut end = None;
+        if let Some((witness, lease)) = sentinel.ask(request).await {
+            end = witness.end();
+            if let Some(lease) = lease {
+                self.put_back(lease);
+            }
+        }
+        match end {
+            Some(end) => end,
+            None => match self.probe(&body.lease.addr).await {
+                ProbeResult::Gone => BodyEnd::Cut,
+                ProbeResult::There | ProbeResult::Unknown => BodyEnd::Unknown,
+            },
+        }
+    }
+}
--- a/crates/relay/src/step.rs
+++ b/crates/relay/src/step.rs
@@ -9,15 +9,18 @@
 use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, response};
+use http::{HeaderMap, Request, header, response};
 use http_body_util::Full;
 
 use crate::{
     dialect::{self, Dialect},
     driver::Driver,
-    pool::{self, Lane, Pool},
+    pool::{self, BodyEnd, Lane, Pool},
 };
 
+/// The name of no endpoint.
+const NOBODY: &str = "nobody";
+
 /// The body of a reply that comes from the endpoint itself. Dropping it closes the connection.
 pub struct Direct {
     body: pool::Body,
@@ -31,9 +34,12 @@
         Some(data.map_err(|error| error.to_string()))
     }
 
-    /// Whether it is whole after its end.
-    pub async fn is_whole(&self, pool: &Pool) -> bool {
-        pool.is_whole(&self.body).await
+    /// What is known of it after its end.
+    pub async fn check_end(&mut self, driver: &Driver) -> BodyEnd {
+        let Some(request) = refused_request(driver, self.body.addr()) else {
+            return BodyEnd::Unknown;
+        };
+        driver.pool.check_end(&mut self.body, request.map(Full::new)).await
     }
 
     /// Returns the connection to the pool after the reply was read whole, or closes it if a late
@@ -62,6 +68,15 @@
     Ok((head, Direct { body, is_kept: has_own_id || lane == Lane::Ignored }))
 }
 
+/// A request that is addressed to no endpoint, so that each one refuses it at once without running
+/// it. `None` if the address is none that a header can state.
+pub fn refused_request(driver: &Driver, addr: &str) -> Option<Request<Bytes>> {
+    let request = Request::get("/")
+        .header(header::HOST, addr)
+        .header(&driver.platform.dialect.names.endpoint, NOBODY);
+    request.body(Bytes::new()).ok()
+}
+
 fn request_id<'a>(dialect: &Dialect, headers: &'a HeaderMap) -> Option<&'a str> {
     dialect::text(headers, &dialect.names.request)
 }
--- a/crates/relay/tests/relay/standins/endpoint.rs
+++ b/crates/relay/tests/relay/standins/endpoint.rs
@@ -4,7 +4,7 @@
     io::{ErrorKind, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex,
+        Arc, Barrier, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -60,6 +60,24 @@
         word: &'static str,
         begin: fn(&mut Conn, &ReceivedRequest),
     ) -> ScriptedEndpoint {
+        ScriptedEndpoint::ending_after(word, begin, false)
+    }
+
+    /// The same, but it listens again at once, as a new process at the same address would. Requests
+    /// with `/warm/` in their heads are answered once two of them have come, on two connections.
+    pub fn restarting_after(
+        word: &'static str,
+        begin: fn(&mut Conn, &ReceivedRequest),
+    ) -> ScriptedEndpoint {
+        ScriptedEndpoint::ending_after(word, begin, true)
+    }
+
+    fn ending_after(
+        word: &'static str,
+        begin: fn(&mut Conn, &ReceivedRequest),
+        listens_again: bool,
+    ) -> ScriptedEndpoint {
+        let both_warm = Arc::new(Barrier::new(2));
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
         let received = Arc::new(Mutex::new(Vec::new()));
@@ -67,12 +85,17 @@
         thread::spawn(move || {
             let mut open = Vec::new();
             for stream in listener.incoming() {
-                if is_over.load(Ordering::SeqCst) {
-                    break;
+                if is_over.swap(false, Ordering::SeqCst) {
+                    if !listens_again {
+                        break;
+                    }
+                    close_all(&mut open);
+                    continue;
                 }
                 let stream = stream.unwrap();
                 open.push(stream.try_clone().unwrap());
                 let (heads, is_over) = (heads.clone(), is_over.clone());
+                let both_warm = both_warm.clone();
                 thread::spawn(move || {
                     let mut conn = Conn { stream, buffer: Vec::new(), heads };
                     while let Some(request) = conn.read_request() {
@@ -83,14 +106,15 @@
                             TcpStream::connect(addr).ok();
                             return;
                         }
+                        if request.head.contains("/warm/") {
+                            both_warm.wait();
+                        }
                         conn.write(&full_reply(&request.id(), 200, "alive"));
                     }
                 });
             }
             drop(listener);
-            for stream in open {
-                stream.shutdown(Shutdown::Both).ok();
-            }
+            close_all(&mut open);
         });
         ScriptedEndpoint { addr, received }
     }
@@ -101,6 +125,12 @@
     }
 }
 
+fn close_all(open: &mut Vec<TcpStream>) {
+    for stream in open.drain(..) {
+        stream.shutdown(Shutdown::Both).ok();
+    }
+}
+
 /// A complete reply to the request with this id.
 pub fn full_reply(id: &str, status: u16, body: &str) -> String {
     let len = body.len();
