Directory: an entry that an instance first sees late has to prove that its endpoint runs

What callers saw: an instance that had started between the removal of an endpoint and a late write of its entry sent requests there, from 2.1 to 5.7 s after the removal had been acknowledged (DRAIN).

Cause: entries are compared by number with what this process has read of the incarnation. One that has just started has read nothing, and took the entry for a new endpoint. The class is that of the common kill: what a process has not seen since its start is taken for proof that it never was.

Ruled out: reading the directory's log from before (the store may delete it; 17 times the bytes), asking peers (a common restart leaves none), holding back all entries (a calm start would wait).

Change: an entry that is first seen with another number than an incarnation's first is unproven until its next one comes. An instance that has followed the directory for 1.6 heartbeat intervals uses none such; before that it uses all, since each is seen for the first time, and sends requests that may run once to proven ones as soon as there are any. Times without the store don't count. The interval comes from the settings (heartbeat-ms).

--- a/crates/core/examples/batch_cost.rs
+++ b/crates/core/examples/batch_cost.rs
@@ -71,6 +71,7 @@
         millicores: 120,
         regions: Default::default(),
         rollout: None,
+        entry_interval: Duration::from_millis(1200),
     };
     let mut relay = Relay::new(settings, 1);
     let slots = if room < 1 << 40 { 2 } else { 1 };
--- a/crates/core/src/relay/directory/endpoint.rs
+++ b/crates/core/src/relay/directory/endpoint.rs
@@ -46,6 +46,8 @@
     Suspended(Duration),
     /// Nothing listens at its address.
     Gone(Duration),
+    /// Its entry may have been written late; the next one has not been seen.
+    Unproven(Duration),
     /// It is leaving, or has left.
     Leaving(Duration),
 }
@@ -69,6 +71,9 @@
     /// How long after the last answer it receives a trial call.
     trial_interval: Duration,
     pub(super) state: State,
+    /// Whether a further entry has followed the one that was seen first, or that was the first one
+    /// of the incarnation.
+    pub(super) is_proven: bool,
     load: Option<(Duration, Load)>,
     sent_since_report: u32,
     failures: Backoff,
@@ -104,6 +109,7 @@
             answered_at: Duration::ZERO,
             trial_interval: TRIAL_INTERVAL,
             state: State::Ready,
+            is_proven: true,
             load: None,
             sent_since_report: 0,
             failures: Backoff::default(),
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -112,6 +112,8 @@
     pub regions: RegionMap,
     /// Limits of rollouts; `None` if the deployment has none, and versions are ignored.
     pub rollout: Option<rollout::Limits>,
+    /// How often endpoints write their entries in the directory at least.
+    pub entry_interval: Duration,
 }
 
 /// The relay's state machine.
@@ -256,6 +258,7 @@
         // instance.
         let next_run = u64::from(SmallRng::seed_from_u64(!seed).random::<u32>()) << 32;
         let mut directory = Directory::new(settings.regions.clone());
+        directory.set_entry_interval(settings.entry_interval);
         if settings.rollout.is_some() {
             directory.heed_versions();
         }
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -438,7 +438,10 @@
             Some(prompt) if is_placer => self.placer_chooser(pool, prompt),
             _ => Chooser::Independent,
         };
-        let withheld = self.withheld(now, pool, chooser);
+        let mut withheld = self.withheld(now, pool, chooser);
+        if !self.exchanges[key].route.kind.is_repeatable() {
+            withheld.extend(self.directory.unproven_beside_others(now, pool));
+        }
         let criteria = choice::Criteria {
             tried: &self.exchanges[key].tried,
             withheld: &withheld,
--- a/crates/core/src/relay/machine/versions.rs
+++ b/crates/core/src/relay/machine/versions.rs
@@ -118,9 +118,14 @@
         }
     }
 
-    /// This instance's copy of the directory is the same as the store's.
-    pub fn mark_directory_read(&mut self, now: Duration) {
-        self.directory_read_at = now;
+    /// This instance's copy of the directory was the same as the store's at time `at`.
+    pub fn mark_directory_read(&mut self, at: Duration) {
+        self.directory_read_at = at;
+        self.directory.mark_read(at);
+        let suspended = self.directory.suspend_unproven(at);
+        if !suspended.is_empty() {
+            self.actions.push(Action::EndpointsSuspended(suspended));
+        }
     }
 
     /// Whether several versions of a service serve, or did so lately.
--- a/crates/core/src/relay/model/action.rs
+++ b/crates/core/src/relay/model/action.rs
@@ -301,6 +301,9 @@
         /// The service, whose pieces this instance batches.
         service: ServiceName,
     },
+    /// Log and count that endpoints get no new work, since their entries may have been written
+    /// late: no further ones have followed.
+    EndpointsSuspended(Vec<EndpointName>),
     /// Log and count that an endpoint stated that it is leaving.
     EndpointLeaving {
         /// The endpoint.
--- a/crates/core/tests/testsuite/relay/config.rs
+++ b/crates/core/tests/testsuite/relay/config.rs
@@ -58,6 +58,7 @@
             millicores: 250,
             regions: Default::default(),
             rollout: None,
+            entry_interval: ms(1200),
         },
         1,
     );
--- a/crates/core/tests/testsuite/relay/fixture.rs
+++ b/crates/core/tests/testsuite/relay/fixture.rs
@@ -179,6 +179,7 @@
         millicores: 250,
         regions: Default::default(),
         rollout: None,
+        entry_interval: ms(1200),
     }
 }
 
--- a/crates/core/tests/testsuite/relay/load/fleet/actions.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet/actions.rs
@@ -54,6 +54,7 @@
             | Action::Answer { .. }
             | Action::Cancel(_)
             | Action::EndpointLimit { .. }
+            | Action::EndpointsSuspended(_)
             | Action::EndpointLeaving { .. }
             | Action::ListVersions { .. }
             | Action::ReadVersions
--- a/crates/core/tests/testsuite/relay/load/fleet/setup.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet/setup.rs
@@ -44,6 +44,7 @@
         millicores: 250,
         regions: Default::default(),
         rollout: None,
+        entry_interval: ms(1200),
     };
     let mut relay = Relay::new(settings, idx as u64);
     relay.mark_quarantine_read();
--- a/crates/core/tests/testsuite/relay/quarantine/keeping.rs
+++ b/crates/core/tests/testsuite/relay/quarantine/keeping.rs
@@ -127,6 +127,7 @@
         millicores: 250,
         regions: Default::default(),
         rollout: None,
+        entry_interval: ms(1200),
     };
     let config = ConfigBuilder::new(1).service("desk").route(route("r", RequestKind::Once, "desk"));
     let mut world = World::new(config.build());
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -143,6 +143,9 @@
         }
         Action::DeleteQuarantine(content) => tracing::info!(event = "quarantine_ends", %content),
         Action::Released(content) => tracing::warn!(event = "quarantine_over", %content),
+        Action::EndpointsSuspended(names) => {
+            tracing::info!(event = "endpoints_suspended", count = names.len(), names = ?names);
+        }
         Action::EndpointLeaving { endpoint, source } => {
             let source = source.as_deref();
             tracing::info!(event = "endpoint_leaves", endpoint = &**endpoint, source);
--- a/crates/relay/src/driver/actions.rs
+++ b/crates/relay/src/driver/actions.rs
@@ -153,6 +153,9 @@
             }
             Action::QuarantineHit { .. } => {}
             Action::SuspicionCleared(_) => self.metrics.count("relay.quarantines_dropped", 1),
+            Action::EndpointsSuspended(names) => {
+                self.metrics.count("relay.endpoints_suspended", names.len() as u64);
+            }
             Action::EndpointLeaving { .. } => self.metrics.count("relay.endpoints_leaving", 1),
             Action::EndpointLimit { .. } => {
                 let limited = self.inspect(Relay::limited_count);
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -236,6 +236,7 @@
             millicores: settings.millicores,
             regions: settings.regions.clone(),
             rollout: settings.rollout,
+            entry_interval: settings.entry_interval,
         },
         rand::random(),
     );
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -38,6 +38,8 @@
     pub seeds: Vec<Arc<str>>,
     /// Limits of the retry budget, shared by all instances.
     pub retry_budget: RetryBudgetConfig,
+    /// How often endpoints write their entries in the directory at least.
+    pub entry_interval: Duration,
     /// Number of instances assumed to share the retry budget while fewer are known.
     pub min_instances: usize,
     /// Time from the signal to stop until the process is killed.
--- a/crates/relay/tests/relay/rollouts.rs
+++ b/crates/relay/tests/relay/rollouts.rs
@@ -44,6 +44,7 @@
             millicores: settings.millicores,
             regions: settings.regions.clone(),
             rollout: settings.rollout,
+            entry_interval: settings.entry_interval,
         },
         7,
     );
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -254,6 +254,7 @@
             regions: self.regions.clone(),
             link_mbps: DEFAULT_LINK_MBPS,
             rollout: self.rollout,
+            entry_interval: Duration::from_millis(1200),
             policy: self.policy.clone(),
             connections: 200,
         }
