Tests of the common kill begin streams once the store lists all versions

a_stream_whose_version_left_during_a_common_kill_goes_on_at_no_other failed twice in five runs beside soaks, in its own setup: all 40 streams had begun at one version. A version gets no work before the store lists it, for three seconds at the most, and beside load the streams begin within that time. That is no chance (one in 10^12), and no fault: the rule is meant. The test now waits for the list; what it checks is unchanged.

--- a/crates/relay/tests/relay/common_kill.rs
+++ b/crates/relay/tests/relay/common_kill.rs
@@ -69,6 +69,8 @@
         versions.iter().for_each(|version| site.add_version(version));
         site.start_relays();
         site.wait_ready();
+        // Until then only one of them gets work.
+        wait_for("all versions are listed", || site.store.lists_versions("desk", versions));
         site
     }
 
--- a/crates/relay/tests/relay/standins/store.rs
+++ b/crates/relay/tests/relay/standins/store.rs
@@ -224,6 +224,14 @@
         Ok(surroundings::Read::Records { records, end, has_more: false, timeline })
     }
 
+    /// Whether the newest list of a service's versions has all of these.
+    pub fn lists_versions(&self, service: &str, versions: &[&str]) -> bool {
+        let inner = self.inner.lock().unwrap();
+        let newest = inner.versions.iter().rev().find(|(name, _)| **name == *service);
+        let listed = newest.map(|(_, listed)| listed);
+        versions.iter().all(|it| listed.is_some_and(|listed| listed.contains(*it)))
+    }
+
     /// Loses the log of streams.
     pub fn forget_streams(&self) {
         self.inner.lock().unwrap().streams.clear();
