Streams that are taken up come before new requests in the queues of their stages

What callers saw: after a common kill under overload, streams that they took up were refused as infeasible, or failed after seconds, although their version served (LOST).

Cause: a request that takes a stream up was a new one until its engine: admission refused part of them by the time that stages take, and their pieces went behind all that had come earlier, and behind all timely ones once they were late.

Ruled out: the log of streams (it knew the versions), places at engines (no refusal named one), hand-overs from instance to instance (they are of pieces, one for each stage).

Change: a piece says whether its request goes on with a stream that has begun. Such pieces come first, never become late, and are refused at once if those before them leave too little time; requests that take streams up are not refused for slow stages.

Open: results of killed instances fill the endpoints' memory for seconds.

--- a/crates/core/examples/batch_cost.rs
+++ b/crates/core/examples/batch_cost.rs
@@ -131,6 +131,7 @@
         tries: 0,
         is_repeat: false,
         is_begun: false,
+        is_resumed: false,
         content: Fingerprint(u128::from(request)),
         is_isolated: false,
         is_last_reader: false,
--- a/crates/core/src/relay/batch/admission.rs
+++ b/crates/core/src/relay/batch/admission.rs
@@ -20,7 +20,7 @@
     /// Whether a new piece will be run before its deadline. A piece that can meet its target time
     /// is queued behind the more urgent ones; any other is queued behind all pieces, at the pace
     /// that new ones leave it. A piece whose request has been worked on only needs the time of its
-    /// own call.
+    /// own call. A piece of a stream that has begun only waits for others of such streams.
     pub fn is_feasible(
         &self,
         now: Duration,
@@ -36,6 +36,11 @@
         };
         let class = SizeClass::of(piece.bytes);
         let configured = configured_rate(now, pool, config, directory);
+        if piece.is_resumed {
+            let ahead = queue.resumed_count(class);
+            let wait = drain_rate.expected_wait(now, class, ahead, configured);
+            return done + wait <= piece.deadline;
+        }
         let wait = drain_rate.expected_wait(
             now,
             class,
--- a/crates/core/src/relay/batch/queue.rs
+++ b/crates/core/src/relay/batch/queue.rs
@@ -1,9 +1,10 @@
 //! The queued pieces of one service, in the order in which they are run.
 //!
 //! The pieces of one stage of one request are a *group* and are run together, since results that
-//! wait for the rest of their stage only take up memory. Groups that can still meet their target
-//! times come first, the most urgent one in front; late groups follow by the priority of their
-//! requests.
+//! wait for the rest of their stage only take up memory. Groups of streams that have begun come
+//! first: if they are not run, all that their callers have got is lost. Groups that can still meet
+//! their target times follow, the most urgent one in front; late groups come last, by the priority
+//! of their requests.
 //!
 //! The batcher of a service uses the queue on every event, so no frequent operation scans all of
 //! it. Groups with large and with small results are kept apart: if there is no memory for large
@@ -49,10 +50,22 @@
     }
 }
 
-/// Position of a group in the queue. Late groups sort after all others.
+/// What a group's position in the queue depends on first.
+#[id]
+#[derive(Copy)]
+enum Rank {
+    /// Its request goes on with a stream that has begun.
+    Resumed,
+    /// It can meet its target time.
+    Timely,
+    /// It cannot meet its target time.
+    Late,
+}
+
+/// Position of a group in the queue.
 #[id]
 pub struct GroupKey {
-    is_late: bool,
+    rank: Rank,
     /// Priority of the request if the group is late, else 0.
     priority: u8,
     target: Duration,
@@ -127,7 +140,7 @@
     /// Adds a piece to the group of its stage.
     pub fn push(&mut self, key: PieceKey, piece: &Piece) {
         let group_key = GroupKey {
-            is_late: false,
+            rank: if piece.is_resumed { Rank::Resumed } else { Rank::Timely },
             priority: 0,
             target: piece.target,
             request: piece.request.clone(),
@@ -167,13 +180,24 @@
         true
     }
 
-    /// The number of pieces in a class that are not late and have this target time or an earlier
-    /// one.
+    /// The number of pieces in a class that a new one with this target time comes after.
     pub fn count_ahead(&self, class: SizeClass, target: Duration) -> usize {
+        self.count_first(class, |group_key| match group_key.rank {
+            Rank::Resumed => true,
+            Rank::Timely => group_key.target <= target,
+            Rank::Late => false,
+        })
+    }
+
+    /// The number of pieces in a class of streams that have begun.
+    pub fn resumed_count(&self, class: SizeClass) -> usize {
+        self.count_first(class, |group_key| group_key.rank == Rank::Resumed)
+    }
+
+    fn count_first(&self, class: SizeClass, is_first: impl Fn(&GroupKey) -> bool) -> usize {
         let groups = self.classes[class as usize].iter();
-        let ahead =
-            groups.take_while(|(group_key, group)| !group_key.is_late && group.target <= target);
-        ahead.map(|(_, group)| group.keys.len()).sum()
+        let first = groups.take_while(|(group_key, _)| is_first(group_key));
+        first.map(|(_, group)| group.keys.len()).sum()
     }
 
     /// Size of one result of a class's first group; `None` if the class is empty.
@@ -204,7 +228,7 @@
         for (class, groups) in SIZE_CLASSES.into_iter().zip(&self.classes) {
             let mut ahead = 0;
             for (group_key, group) in groups {
-                let may_starve = group_key.is_late && !group.is_begun;
+                let may_starve = group_key.rank == Rank::Late && !group.is_begun;
                 if may_starve && now + wait(class, ahead) > group.deadline {
                     out.extend(&group.keys);
                 } else {
@@ -219,12 +243,9 @@
     /// ends at `done`.
     pub fn demote_late(&mut self, done: Duration) {
         for (class, groups) in self.classes.iter_mut().enumerate() {
-            while let Some(first) = groups.first_entry()
-                && !first.key().is_late
-                && first.key().target < done
-            {
-                let (group_key, group) = first.remove_entry();
-                let late = GroupKey { is_late: true, priority: group.priority, ..group_key };
+            while let Some(group_key) = first_timely(groups).filter(|first| first.target < done) {
+                let Some(group) = groups.remove(&group_key) else { break };
+                let late = GroupKey { rank: Rank::Late, priority: group.priority, ..group_key };
                 for key in &group.keys {
                     self.group_keys.insert(*key, (class, late.clone()));
                 }
@@ -264,6 +285,19 @@
     }
 }
 
+/// The first group behind those of streams that have begun, if it is not late.
+fn first_timely(groups: &BTreeMap<GroupKey, Group>) -> Option<GroupKey> {
+    let from = GroupKey {
+        rank: Rank::Timely,
+        priority: 0,
+        target: Duration::ZERO,
+        request: Arc::from(""),
+        stage: 0,
+    };
+    let (first, _) = groups.range(from..).next()?;
+    (first.rank == Rank::Timely).then(|| first.clone())
+}
+
 fn merge(groups: &mut BTreeMap<GroupKey, Group>, group_key: GroupKey, group: Group) {
     match groups.entry(group_key) {
         Entry::Vacant(vacant) => {
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Whether it goes on with a stream of which its caller has events.
+    pub(crate) fn is_resumed(&self) -> bool {
+        self.binding != Binding::Open
+    }
+
     /// The fingerprints under which it may be quarantined.
     pub(crate) fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
         std::iter::once(self.content).chain(self.parts.iter().copied())
--- a/crates/core/src/relay/machine/intake.rs
+++ b/crates/core/src/relay/machine/intake.rs
@@ -61,10 +61,10 @@
 impl Relay {
     /// Whether a new request is admitted; the less urgent, the less likely. A request whose
     /// stages do not form a chain is always admitted and left to the batch queues, which see
-    /// all that it waits for.
+    /// all that it waits for; so is one that takes a stream up, since it comes first there.
     pub(super) fn admits(&mut self, now: Duration, key: ExchangeKey) -> bool {
         let exchange = &self.exchanges[key];
-        if !exchange.graph.has_dependent_stages(&exchange.route) {
+        if exchange.is_resumed() || !exchange.graph.has_dependent_stages(&exchange.route) {
             return true;
         }
         let objective = exchange.target.saturating_sub(exchange.started_at);
--- a/crates/core/src/relay/machine/plan.rs
+++ b/crates/core/src/relay/machine/plan.rs
@@ -122,6 +122,7 @@
             tries: 0,
             is_repeat: self.rounds > 0,
             is_begun,
+            is_resumed: self.is_resumed(),
             content: self.content,
             is_isolated: false,
             is_last_reader,
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -225,6 +225,8 @@
     pub is_repeat: bool,
     /// Whether other work of its request has been done already.
     pub is_begun: bool,
+    /// Whether its request goes on with a stream that has begun.
+    pub is_resumed: bool,
     /// Identifies the work that its request asks for.
     pub content: Fingerprint,
     /// Whether it is never batched with pieces of other requests, because a call that
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -35,6 +35,7 @@
 mod region_overflow;
 mod regions;
 mod rests;
+mod resumed;
 mod rollout;
 mod rollout_fuzz;
 mod stages;
--- a/crates/core/tests/testsuite/relay/fuzz/peer.rs
+++ b/crates/core/tests/testsuite/relay/fuzz/peer.rs
@@ -172,6 +172,7 @@
         tries: 0,
         is_repeat: false,
         is_begun: false,
+        is_resumed: false,
         content: Fingerprint(u128::from(number) + 1000),
         is_isolated: false,
         is_last_reader: false,
--- a/crates/core/tests/testsuite/relay/intake.rs
+++ b/crates/core/tests/testsuite/relay/intake.rs
@@ -75,6 +75,18 @@
     assert_eq!(refused_count(&mut world, "single", &[1]), 0);
 }
 
+#[test]
+fn a_stream_that_is_taken_up_is_not_refused_for_slow_stages() {
+    let mut world = world();
+    slow_stage(&mut world, 1500);
+    for idx in 0..20 {
+        let arrival = staged_arrival(&format!("again-{idx}"), "r", &[1, 1]);
+        let first_attempt = Some(format!("first-{idx}").into());
+        world.submit(Arrival { resume: Some(2), first_attempt, ..arrival });
+    }
+    assert!(world.refusals().is_empty());
+}
+
 #[test]
 fn old_stage_times_no_longer_count() {
     let mut world = world();
--- a/crates/core/tests/testsuite/relay/reads.rs
+++ b/crates/core/tests/testsuite/relay/reads.rs
@@ -220,6 +220,7 @@
         tries: 0,
         is_repeat: false,
         is_begun: false,
+        is_resumed: false,
         content: Fingerprint(1),
         is_isolated: false,
         is_last_reader: true,
--- a/crates/relay/tests/relay/wire.rs
+++ b/crates/relay/tests/relay/wire.rs
@@ -35,6 +35,7 @@
         tries: 0,
         is_repeat: false,
         is_begun: false,
+        is_resumed: false,
         content: Fingerprint(7),
         is_isolated: false,
         is_last_reader: false,
--- a/crates/wire/schema/relay.capnp
+++ b/crates/wire/schema/relay.capnp
@@ -358,6 +358,8 @@
   # The only region of its endpoint. Empty for any, as from an earlier build.
   route @20 :Text;
   # The route of its request. Empty from an earlier build.
+  isResumed @21 :Bool;
+  # Whether its request goes on with a stream that has begun. False from an earlier build.
 }
 
 struct Result {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -117,6 +117,7 @@
         to.set_home(piece.destination.as_deref().unwrap_or_default());
         to.set_is_repeat(piece.is_repeat);
         to.set_is_begun(piece.is_begun);
+        to.set_is_resumed(piece.is_resumed);
         to.set_content(&write_content(piece.content));
         to.set_is_apart(piece.is_isolated);
         to.set_is_last_reader(piece.is_last_reader);
@@ -442,6 +443,7 @@
         tries: from.get_tries(),
         is_repeat: from.get_is_repeat(),
         is_begun: from.get_is_begun(),
+        is_resumed: from.get_is_resumed(),
         content: read_content(from.get_content()?),
         is_isolated: from.get_is_apart(),
         is_last_reader: from.get_is_last_reader(),
