--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -1,8 +1,8 @@
 //! The relay as a state machine without I/O: its methods take in events, and the event loop
 //! carries out the [`Action`]s that they queue.
 //!
-//! This module holds the state and what all submodules need. `calls`, `stages`, `results` and
-//! `ending` implement the phases of an exchange; `moves` cancels calls and retries them on
+//! This module holds the state and what all submodules need. `calls`, `stages`, `handovers`, `results`
+//! and `ending` implement the phases of an exchange; `moves` cancels calls and retries them on
 //! other endpoints; `intake` decides whether a request is admitted; `plan` computes the
 //! deadlines of its stages; `queues` reports backlogs of pieces; `placing` chooses engines
 //! for all instances; `quarantine` stops requests that crash endpoints; `evacuation` keeps
@@ -23,6 +23,7 @@
 mod deciding;
 mod ending;
 mod evacuation;
+mod handovers;
 mod intake;
 mod moves;
 mod pace;
--- a/crates/core/src/relay/machine/stages.rs
+++ b/crates/core/src/relay/machine/stages.rs
@@ -1,29 +1,23 @@
-//! Stages: their pieces are started, batched here or handed over to a peer, and their results
-//! collected.
+//! Stages: their pieces are started, batched here or handed over to a peer (`handovers`), and their
+//! results collected.
 
 use std::time::Duration;
 
 use crate::{
-    model::{InstanceName, Load},
+    model::Load,
     relay::{
-        batch::{
-            Batcher, FinishedPiece, Origin, PlannedCall, Requester, queue::LARGE_RESULT_BYTES,
-        },
-        config::{MAX_SIZE, Pieces},
+        batch::{Batcher, FinishedPiece, Origin, PlannedCall, queue::LARGE_RESULT_BYTES},
+        config::Pieces,
         exchange::{CallPurpose, CallState},
         graph::{LocatedResult, StageGraph},
-        machine::{Handover, MAX_ROUNDS, Relay, Ticket},
+        machine::{MAX_ROUNDS, Relay},
         model::{
-            Action, CallKey, ExchangeKey, Failure, HandoverKey, Piece, PieceFailure, PieceResult,
-            Refusal, Step,
+            Action, CallKey, ExchangeKey, Failure, Piece, PieceFailure, PieceResult, Refusal, Step,
         },
         pool::{PoolKey, Track},
     },
 };
 
-/// A peer that did not answer a hand-over gets no pieces for this long. After that its
-/// liveness counter shows whether it is alive.
-const AVOID_TIME: Duration = Duration::from_secs(2);
 /// How often a piece is sent at most.
 const MAX_TRIES: u8 = 3;
 
@@ -95,76 +89,6 @@
         self.dispatch_all(now);
     }
 
-    /// A peer hands over pieces. Their results are returned under `ticket`.
-    pub fn on_handover(&mut self, now: Duration, ticket: u64, mut pieces: Vec<Piece>) {
-        for piece in &mut pieces {
-            // Sums of sizes within the bound of a configuration do not overflow.
-            piece.bytes = piece.bytes.min(MAX_SIZE);
-        }
-        self.tickets.insert(ticket, Ticket { results: vec![None; pieces.len()] });
-        for piece in &pieces {
-            self.deposit(now, &piece.service, 1);
-        }
-        let origin = |index| Origin::Peer { ticket, index };
-        let pieces = pieces.into_iter().enumerate();
-        let pieces = pieces.map(|(index, piece)| (piece, origin(index)));
-        let (quarantined, others) = pieces.partition(|(piece, _)| self.is_quarantined(piece));
-        self.admit_pieces(now, others);
-        self.process_finished(now, quarantined.into_iter().map(failed_piece).collect());
-        self.dispatch_all(now);
-    }
-
-    /// A peer no longer needs the pieces that it handed over.
-    pub fn on_handover_recall(&mut self, ticket: u64) {
-        self.tickets.remove(&ticket);
-        self.batcher.cancel(Requester::Ticket(ticket));
-    }
-
-    /// A peer returned the results of pieces; `None` if it could not be reached.
-    pub fn on_handover_return(
-        &mut self,
-        now: Duration,
-        key: HandoverKey,
-        results: Option<Vec<PieceResult>>,
-    ) {
-        let Some(Handover { exchange, peer, pieces }) = self.handovers.remove(key) else { return };
-        let Some(state) = self.exchanges.get_mut(exchange) else { return };
-        state.handovers.retain(|other| *other != key);
-        match results {
-            Some(results) => {
-                let origin = Origin::Local(exchange);
-                let finished = pieces
-                    .into_iter()
-                    .zip(results)
-                    .map(|(piece, result)| FinishedPiece { origin, piece, result, endpoint: None });
-                let finished = finished.collect();
-                self.process_finished(now, finished);
-            }
-            None => {
-                // The peer may have had some of them made.
-                self.mark_may_have_run(exchange);
-                self.unresponsive_peers.insert(peer, now + AVOID_TIME);
-                self.hand_over_again(exchange, pieces);
-            }
-        }
-        self.dispatch_all(now);
-    }
-
-    /// Hands pieces that a peer did not make to the peer that ranks next. Other instances
-    /// that handed pieces to the failed peer do the same, so that one instance batches all of
-    /// them again.
-    fn hand_over_again(&mut self, exchange: ExchangeKey, pieces: Vec<Piece>) {
-        let Some(first) = pieces.first() else { return };
-        match self.batcher_peer(PoolKey::of(first).pool()) {
-            Some(peer) => self.hand_over(exchange, peer, pieces),
-            None => {
-                for piece in pieces {
-                    self.batcher.add(piece, Origin::Local(exchange));
-                }
-            }
-        }
-    }
-
     pub(super) fn start_stages(&mut self, now: Duration, key: ExchangeKey) {
         self.predict_destination(now, key);
         // Starting a stage may end the exchange if too little time is left.
@@ -198,13 +122,6 @@
         }
     }
 
-    pub(super) fn hand_over(&mut self, key: ExchangeKey, peer: InstanceName, pieces: Vec<Piece>) {
-        let handover = Handover { exchange: key, peer: peer.clone(), pieces: pieces.clone() };
-        let handover = self.handovers.insert(handover);
-        self.exchanges[key].handovers.push(handover);
-        self.actions.push(Action::HandOverPieces { key: handover, peer, pieces });
-    }
-
     /// Queues pieces, except those that cannot be made in time. They are refused at once,
     /// while their callers still have time to retry.
     pub(super) fn admit_pieces(&mut self, now: Duration, pieces: Vec<(Piece, Origin)>) {
@@ -335,43 +252,6 @@
         }
     }
 
-    pub(super) fn return_to_peer(
-        &mut self,
-        now: Duration,
-        ticket: u64,
-        index: usize,
-        outcome: FinishedPiece,
-    ) {
-        if !self.tickets.contains_key(&ticket) {
-            self.free_unclaimed(outcome);
-            return;
-        }
-        let retry = retry_piece(&outcome).filter(|piece| !self.is_quarantined(piece));
-        let retry = retry.filter(|piece| self.withdraw_for_retry(now, piece));
-        let is_late = outcome.result == Err(PieceFailure::Late);
-        match retry {
-            Some(piece) => self.batcher.add(piece, Origin::Peer { ticket, index }),
-            // The peer must not assume that the piece was never made.
-            None if is_late && !is_unmade(&outcome) => {
-                self.record_ticket_result(ticket, index, Err(PieceFailure::Failed));
-            }
-            None => self.record_ticket_result(ticket, index, outcome.result),
-        }
-    }
-
-    /// Records the result of a peer's piece, and returns all results once they are complete.
-    fn record_ticket_result(&mut self, ticket: u64, index: usize, result: PieceResult) {
-        let Some(open) = self.tickets.get_mut(&ticket) else { return };
-        open.results[index] = Some(result);
-        if open.results.iter().any(Option::is_none) {
-            return;
-        }
-        if let Some(open) = self.tickets.remove(&ticket) {
-            let results = open.results.into_iter().flatten().collect();
-            self.actions.push(Action::ReturnResults { ticket, results });
-        }
-    }
-
     pub(super) fn process_own_piece(
         &mut self,
         now: Duration,
@@ -499,7 +379,7 @@
     }
 
     /// Whether the content of a piece's request is quarantined.
-    fn is_quarantined(&self, piece: &Piece) -> bool {
+    pub(super) fn is_quarantined(&self, piece: &Piece) -> bool {
         self.quarantine.get(piece.content).is_some()
     }
 
@@ -512,17 +392,12 @@
 
 /// Whether a late piece was certainly not made. A piece whose call brought no answer may have
 /// been made all the same.
-fn is_unmade(outcome: &FinishedPiece) -> bool {
+pub(super) fn is_unmade(outcome: &FinishedPiece) -> bool {
     outcome.result == Err(PieceFailure::Late) && !outcome.piece.is_repeat
 }
 
-/// The result of a piece whose content is quarantined.
-fn failed_piece((piece, origin): (Piece, Origin)) -> FinishedPiece {
-    FinishedPiece { origin, piece, result: Err(PieceFailure::Failed), endpoint: None }
-}
-
 /// The piece for another attempt, if that may succeed.
-fn retry_piece(outcome: &FinishedPiece) -> Option<Piece> {
+pub(super) fn retry_piece(outcome: &FinishedPiece) -> Option<Piece> {
     let may_succeed = matches!(outcome.result, Err(PieceFailure::NoRoom | PieceFailure::Failed));
     let piece = &outcome.piece;
     let is_repeat = outcome.result != Err(PieceFailure::NoRoom);
