Directory: silence counts only where most endpoints show further entries, and not for long

Cause: the proof of life waited for an entry's next number. The directory may show an entry anew only when more than its number changes, so endpoints that had come back with a later number stayed suspended at every instance.

Change: at the end of the trial time unproven endpoints are suspended only if most endpoints have shown further entries; otherwise all are used. One that is suspended is used again once its entry has outlived the three intervals after which the platform removes silent ones. A removal ends that.

--- a/crates/core/src/relay/directory/changes.rs
+++ b/crates/core/src/relay/directory/changes.rs
@@ -125,7 +125,9 @@
             return ChangeEffect::default();
         }
         let was_ready = endpoint.is_ready();
-        endpoint.is_proven |= entry.number > endpoint.entry.number;
+        let has_advanced = entry.number > endpoint.entry.number;
+        endpoint.has_advanced |= has_advanced;
+        endpoint.is_proven |= has_advanced;
         let is_proven = endpoint.is_proven;
         let state = match entry.is_leaving {
             true => State::Leaving(now),
@@ -172,7 +174,7 @@
         let Some(&key) = self.by_name.get(name) else { return ChangeEffect::default() };
         let endpoint = &mut self.endpoints[key];
         let was_ready = endpoint.is_ready();
-        if was_ready {
+        if was_ready || matches!(endpoint.state, State::Unproven(_)) {
             endpoint.state = state;
         }
         ChangeEffect { is_new: was_ready, ..ChangeEffect::default() }
--- a/crates/core/src/relay/directory/endpoint.rs
+++ b/crates/core/src/relay/directory/endpoint.rs
@@ -74,6 +74,8 @@
     /// Whether a further entry has followed the one that was seen first, or that was the first one
     /// of the incarnation.
     pub(super) is_proven: bool,
+    /// Whether a further entry has followed the one that was seen first.
+    pub(super) has_advanced: bool,
     load: Option<(Duration, Load)>,
     sent_since_report: u32,
     failures: Backoff,
@@ -110,6 +112,7 @@
             trial_interval: TRIAL_INTERVAL,
             state: State::Ready,
             is_proven: true,
+            has_advanced: false,
             load: None,
             sent_since_report: 0,
             failures: Backoff::default(),
--- a/crates/core/src/relay/machine/versions.rs
+++ b/crates/core/src/relay/machine/versions.rs
@@ -126,6 +126,9 @@
         if !suspended.is_empty() {
             self.actions.push(Action::EndpointsSuspended(suspended));
         }
+        if self.directory.release_unproven() {
+            self.search(at);
+        }
     }
 
     /// Whether several versions of a service serve, or did so lately.
