One append to the log of streams is under way at a time

Cause: each instance began an append every 50 ms, whether or not earlier ones had been answered. A log appends one call after the other; at 100 ms a call it takes ten a second, and eight instances made 160. The queue was full after a quarter of a second, most appends were refused or not answered in time, and the versions of those streams were in no log when the instances were killed. Class: calls are sent at a pace of their own instead of that of the store.

Ruled out: reads of the log (16 to 20 ms each, whole), expired records (13 s old, 20 s kept), mistaken versions (`origin` names the right one for all others).

Change: one append is under way for each instance, and the streams that come meanwhile go with the next one (`relay::stream_log`). Its timeout is 2.5 s, since a store refuses what would wait for 2 s.

Tests: relay/stream_log, two new ones; with the old pace under the new interface both fail (42 streams missing). Three others moved there from stream_versions as they were, but for the method's name.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -34,7 +34,8 @@
 //! requests, [`quarantine`] those that crash endpoints; [`region`] maps data centres to
 //! regions, [`allowed`] are the regions where a request may be served, [`overflow`] decides
 //! which requests leave a full region; [`rollout`] moves a service to a new version;
-//! [`streams`] remembers which version began a stream;
+//! [`streams`] remembers which version began a stream, `stream_log` collects what the store's
+//! log has to be told of that;
 //! [`pool`] names the endpoints that work may go to; [`terms`] are the conditions that
 //! endpoints state in replies; [`graph`] holds the stages of one exchange;
 //! [`batch`] groups pieces of all exchanges into calls; [`choice`] selects an
@@ -71,5 +72,6 @@
 
 mod exchange;
 mod machine;
+mod stream_log;
 
 pub use machine::{ExchangeSummary, Relay, Settings, StoredOrigins};
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -50,7 +50,7 @@
 pub use streams::StoredOrigins;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -82,6 +82,7 @@
         region::RegionMap,
         registry::VersionRegistry,
         rollout,
+        stream_log::StreamLog,
         streams::{StreamId, StreamRecord, StreamVersions},
         terms::Notice,
     },
@@ -182,9 +183,8 @@
     /// Records of streams that are to be sent to peers at `streams_at`.
     stream_reports: HashMap<InstanceName, Vec<StreamRecord>>,
     streams_at: Duration,
-    /// Records of streams that are to be appended to the store's log at `log_at`.
-    unlogged: VecDeque<StreamRecord>,
-    log_at: Duration,
+    /// Records of streams that are to be appended to the store's log.
+    stream_log: StreamLog,
     /// Exchanges that wait for the store to be read.
     readers: streams::OriginReaders,
     registry: VersionRegistry,
@@ -305,8 +305,7 @@
             streams: StreamVersions::default(),
             stream_reports: HashMap::new(),
             streams_at: Duration::ZERO,
-            unlogged: VecDeque::new(),
-            log_at: Duration::ZERO,
+            stream_log: StreamLog::default(),
             readers: streams::OriginReaders::default(),
             registry: VersionRegistry::default(),
             registry_at: None,
@@ -384,7 +383,7 @@
         let rollout = self.rollouts.next_wake(now);
         let path = self.paths.next_check();
         let stream = self.next_stream_report();
-        let log = self.next_log();
+        let log = self.stream_log.next_append();
         let silence = self.next_silence_check().filter(|_| !self.paths.is_cut_off());
         let work = [deadline, overdue, search, evictable, batch, report, backlog];
         let others = [rollout, path, stream, log, self.registry_at, silence];
--- a/crates/core/src/relay/machine/stream_records.rs
+++ b/crates/core/src/relay/machine/stream_records.rs
@@ -39,8 +39,6 @@
 const MAX_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Up to this many peers are all asked about a stream, in larger deployments the holders only.
 const MAX_ASKED: usize = 16;
-/// The most records that wait for the log; the oldest are dropped beyond that.
-const MAX_UNLOGGED: usize = 20_000;
 
 impl Relay {
     /// The first event of a call is passed on: from now on the exchange's stream goes on only at
@@ -80,12 +78,9 @@
         }
     }
 
-    /// Records could not be appended to the store's log. The next attempt is not made at once.
-    pub fn on_streams_unlogged(&mut self, now: Duration, records: Vec<StreamRecord>) {
-        for record in records {
-            self.queue_for_log(now, record);
-        }
-        self.log_at = now + MAX_LOG_INTERVAL;
+    /// An append to the store's log has ended. These records could not be appended.
+    pub fn on_streams_appended(&mut self, now: Duration, failed: Vec<StreamRecord>) {
+        self.stream_log.end_append(now, failed);
     }
 
     fn queue_report(&mut self, now: Duration, record: &StreamRecord) {
@@ -99,14 +94,9 @@
     }
 
     fn queue_for_log(&mut self, now: Duration, record: StreamRecord) {
-        if self.unlogged.is_empty() {
-            let interval = LOG_INTERVAL * self.instance_count() as u32;
-            self.log_at = now + interval.clamp(MIN_LOG_INTERVAL, MAX_LOG_INTERVAL);
-        }
-        self.unlogged.push_back(record);
-        if self.unlogged.len() > MAX_UNLOGGED {
-            self.unlogged.pop_front();
-        }
+        let interval = LOG_INTERVAL * self.instance_count() as u32;
+        let interval = interval.clamp(MIN_LOG_INTERVAL, MAX_LOG_INTERVAL);
+        self.stream_log.push(now, interval, record);
     }
 
     /// When records of streams are to be sent to peers; `None` if there are none.
@@ -114,11 +104,6 @@
         (!self.stream_reports.is_empty()).then_some(self.streams_at)
     }
 
-    /// When records of streams are to be appended to the log; `None` if there are none.
-    pub(super) fn next_log(&self) -> Option<Duration> {
-        (!self.unlogged.is_empty()).then_some(self.log_at)
-    }
-
     /// Sends the collected records of streams to the peers that remember them.
     pub(super) fn send_stream_records(&mut self, now: Duration) {
         if now < self.streams_at {
@@ -131,9 +116,8 @@
 
     /// Appends the collected records of streams to the log.
     pub(super) fn log_streams(&mut self, now: Duration) {
-        if !self.unlogged.is_empty() && now >= self.log_at {
-            let records = std::mem::take(&mut self.unlogged);
-            self.actions.push(Action::LogStreams(records.into()));
+        if let Some(records) = self.stream_log.begin_append(now) {
+            self.actions.push(Action::LogStreams(records));
         }
     }
 
--- a/crates/core/src/relay/model/action.rs
+++ b/crates/core/src/relay/model/action.rs
@@ -137,8 +137,8 @@
     ReadOrigins,
     /// Read the store's list of versions. It is passed to `Relay::on_versions_read`.
     ReadVersions,
-    /// Append the versions that began streams to the store's log. Those that could not be
-    /// appended are passed to `Relay::on_streams_unlogged`.
+    /// Append the versions that began streams to the store's log. Once that has ended, those
+    /// that could not be appended are passed to `Relay::on_streams_appended`.
     LogStreams(Vec<StreamRecord>),
     /// Have the store list versions of a service. What it then lists is passed to
     /// `Relay::on_versions_listed`.
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -39,6 +39,7 @@
 mod rollout;
 mod rollout_fuzz;
 mod stages;
+mod stream_log;
 mod stream_versions;
 mod streams;
 mod table;
--- a/crates/core/tests/testsuite/relay/stream_versions.rs
+++ b/crates/core/tests/testsuite/relay/stream_versions.rs
@@ -13,12 +13,12 @@
 
 use super::fixture::{ConfigBuilder, World, arrival, entry, head, ms, route};
 
-fn versioned(name: &str, version: &str) -> Entry {
+pub fn versioned(name: &str, version: &str) -> Entry {
     Entry { version: version.into(), ..entry(name, "desk") }
 }
 
 /// An instance with endpoints `a` and `b` of v1, `c` and `d` of v2, and some peers.
-fn world(peers: usize) -> World {
+pub fn world(peers: usize) -> World {
     let mut route = route("r", RequestKind::Resumable, "desk");
     route.max_attempts = 4;
     let config = ConfigBuilder::new(1).key("k1", "one").key("k2", "two").service("desk");
@@ -31,7 +31,7 @@
     world
 }
 
-fn new(id: &str) -> Arrival {
+pub fn new(id: &str) -> Arrival {
     Arrival { key: Some("k1".into()), ..arrival(id, "r") }
 }
 
@@ -41,7 +41,7 @@
 }
 
 /// Submits a request and passes on two events of its call.
-fn begin(world: &mut World, arrival: Arrival) -> (ExchangeKey, Call) {
+pub fn begin(world: &mut World, arrival: Arrival) -> (ExchangeKey, Call) {
     let last = arrival.resume.unwrap_or(0);
     let exchange = world.submit(arrival);
     let call = world.call();
@@ -119,7 +119,7 @@
 }
 
 /// All endpoints of a version leave.
-fn remove_version(world: &mut World, version: &str) {
+pub fn remove_version(world: &mut World, version: &str) {
     for (name, its) in [("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")] {
         if its == version {
             world.put(Entry { is_leaving: true, ..versioned(name, its) });
@@ -430,52 +430,3 @@
     world.submit(taken_up("2", "1"));
     assert_eq!((world.calls().len(), reads(&mut world)), (0, 1));
 }
-
-/// The versions that are appended to the log.
-fn logged(world: &mut World) -> Vec<StreamRecord> {
-    let logs = world.take(|action| match action {
-        Action::LogStreams(records) => Some(records.clone()),
-        _ => None,
-    });
-    logs.into_iter().flatten().collect()
-}
-
-#[test]
-fn streams_are_logged_while_several_versions_serve() {
-    let mut world = world(7);
-    let (_, call) = begin(&mut world, new("1"));
-    world.advance(ms(200));
-    let stream = StreamId::new(Some("one"), "1");
-    assert_eq!(logged(&mut world), [StreamRecord { stream, version: call.software.clone() }]);
-    world.advance(ms(200));
-    assert_eq!(logged(&mut world), []);
-}
-
-#[test]
-fn streams_from_before_a_second_version_are_logged_when_it_comes() {
-    let mut world = world(3);
-    remove_version(&mut world, "v2");
-    world.advance(ms(70_000));
-    world.relay.on_versions_listed(world.now, &"desk".into(), ["v1".into()].into());
-    let (broken, _) = begin(&mut world, new("1"));
-    world.disconnect(broken);
-    begin(&mut world, new("2"));
-    world.advance(ms(1000));
-    assert_eq!(logged(&mut world), []);
-    world.put(versioned("e", "v3"));
-    world.advance(ms(1000));
-    assert_eq!(logged(&mut world).len(), 2);
-}
-
-#[test]
-fn streams_that_could_not_be_logged_are_logged_later() {
-    let mut world = world(0);
-    begin(&mut world, new("1"));
-    world.advance(ms(200));
-    let lost = logged(&mut world);
-    world.relay.on_streams_unlogged(world.now, lost.clone());
-    world.advance(ms(900));
-    assert_eq!(logged(&mut world), [], "a store that is away is not asked all the time");
-    world.advance(ms(100));
-    assert_eq!(logged(&mut world), lost);
-}
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -30,6 +30,8 @@
 
 /// Longest time of a read. Callers wait for it.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time of an append to the log: a store refuses one that would wait for two seconds.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Shortest time between the beginnings of two reads, so that many streams that are taken up
 /// one after the other do not use up the calls that the store allows.
 const READ_INTERVAL: Duration = Duration::from_millis(200);
@@ -115,14 +117,16 @@
     Err(StoreError::TimedOut)
 }
 
-/// Appends the versions that began streams to the log.
+/// Appends the versions that began streams to the log, and passes those that could not be
+/// appended to the machine.
 pub async fn append(driver: Rc<Driver>, records: Vec<StreamRecord>) {
     let written = driver.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let mut failed = Vec::new();
     for part in records.chunks(MAX_RECORD) {
         let bytes = wire::write_logged(&LoggedStreams { records: part.to_vec(), written });
         let len = bytes.len() as u64;
         let call = (driver.platform.store.origins.append_streams)(Bytes::from(bytes));
-        match within(WRITE_TIMEOUT, call).await {
+        match within(APPEND_TIMEOUT, call).await {
             Ok(()) => {
                 driver.metrics.count("relay.streams_logged", part.len() as u64);
                 driver.metrics.count("relay.stream_log_bytes", len);
@@ -130,10 +134,11 @@
             Err(error) => {
                 driver.metrics.count("relay.streams_unlogged", part.len() as u64);
                 tracing::info!(event = "streams_unlogged", count = part.len(), error = %error);
-                driver.feed(|machine, now| machine.on_streams_unlogged(now, part.to_vec()));
+                failed.extend_from_slice(part);
             }
         }
     }
+    driver.feed(|machine, now| machine.on_streams_appended(now, failed));
 }
 
 /// Reads the list of versions and passes it to the machine, which asks again after a failure.
