--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -1,22 +1,21 @@
 //! The relay as a state machine without I/O: its methods take in events, and the event loop
 //! carries out the [`Action`]s that they queue.
 //!
-//! This module holds the state and what all submodules need. `calls`, `stages`, `handovers`, `results`
-//! and `ending` implement the phases of an exchange; `moves` cancels calls and retries them on
-//! other endpoints; `intake` decides whether a request is admitted; `plan` computes the
-//! deadlines of its stages; `queues` reports backlogs of pieces; `placing` chooses engines
-//! for all instances; `quarantine` stops requests that crash endpoints; `evacuation` keeps
-//! all requests away from evacuated data centres; `ranking` selects the instance that does a
-//! task for all; `regions` assigns each request to a region; `pace` limits the calls to
-//! endpoints that are cold or state a limit; `paths` calls endpoints through peers that this
-//! instance cannot connect to, `silence` finds connections that carry nothing; `surroundings` takes in the
-//! configuration, the directory and the peers; `terms` processes
-//! what endpoints report of themselves; `unassigned` keeps entries whose service is not
-//! configured; `policies` runs the operators' programs; `rollouts` moves services to new
-//! versions: `canary` selects the requests that go there, `replies` counts how they end,
-//! `deciding` writes what is decided; `streams` keeps a stream at the version that began
-//! it, `stream_records` has others remember that version, and `versions` has the platform's store
-//! list all versions.
+//! This module holds the state and what all submodules need. `calls`, `stages`, `handovers`,
+//! `results` and `ending` implement the phases of an exchange; `moves` cancels calls and retries
+//! them on other endpoints; `intake` decides whether a request is admitted; `plan` computes the
+//! deadlines of its stages; `queues` reports backlogs of pieces; `placing` chooses engines for all
+//! instances, `runs` records the calls that go there; `quarantine` stops requests that crash
+//! endpoints; `evacuation` keeps all requests away from evacuated data centres; `ranking` selects
+//! the instance that does a task for all; `regions` assigns each request to a region; `pace`
+//! limits the calls to endpoints that are cold or state a limit; `paths` calls endpoints through
+//! peers that this instance cannot connect to, `silence` finds connections that carry nothing;
+//! `surroundings` takes in the configuration, the directory and the peers; `terms` processes what
+//! endpoints report of themselves; `unassigned` keeps entries whose service is not configured;
+//! `policies` runs the operators' programs; `rollouts` moves services to new versions: `canary`
+//! selects the requests that go there, `replies` counts how they end, `deciding` writes what is
+//! decided; `streams` keeps a stream at the version that began it, `stream_records` has others
+//! remember that version, and `versions` has the platform's store list all versions.
 
 mod calls;
 mod canary;
@@ -38,6 +37,7 @@
 mod replies;
 mod results;
 mod rollouts;
+mod runs;
 mod silence;
 mod stages;
 mod stream_records;
@@ -288,7 +288,7 @@
             last_placement: Duration::ZERO,
             runs: HashMap::new(),
             next_run,
-            average_run: placing::INITIAL_RUN_TIME,
+            average_run: runs::INITIAL_RUN_TIME,
             progress_reports: HashMap::new(),
             pending_notices: HashMap::new(),
             report_at: Duration::ZERO,
