--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -3,19 +3,20 @@
 //!
 //! This module holds the state and what all submodules need. `calls`, `stages`, `handovers`,
 //! `results` and `ending` implement the phases of an exchange; `moves` cancels calls and retries
-//! them on other endpoints; `intake` decides whether a request is admitted; `plan` computes the
-//! deadlines of its stages; `queues` reports backlogs of pieces; `placing` chooses engines for all
-//! instances, `runs` records the calls that go there; `quarantine` stops requests that crash
-//! endpoints; `evacuation` keeps all requests away from evacuated data centres; `ranking` selects
-//! the instance that does a task for all; `regions` assigns each request to a region; `pace`
-//! limits the calls to endpoints that are cold or state a limit; `paths` calls endpoints through
-//! peers that this instance cannot connect to, `silence` finds connections that carry nothing;
-//! `surroundings` takes in the configuration, the directory and the peers; `terms` processes what
-//! endpoints report of themselves; `unassigned` keeps entries whose service is not configured;
-//! `policies` runs the operators' programs; `rollouts` moves services to new versions: `canary`
-//! selects the requests that go there, `replies` counts how they end, `deciding` writes what is
-//! decided; `streams` keeps a stream at the version that began it, `stream_records` has others
-//! remember that version, and `versions` has the platform's store list all versions.
+//! them on other endpoints; `requests` takes them in, `intake` decides whether a request is
+//! admitted; `plan` computes the deadlines of its stages; `queues` reports backlogs of pieces;
+//! `placing` chooses engines for all instances, `runs` records the calls that go there;
+//! `quarantine` stops requests that crash endpoints; `evacuation` keeps all requests away from
+//! evacuated data centres; `ranking` selects the instance that does a task for all; `regions`
+//! assigns each request to a region; `pace` limits the calls to endpoints that are cold or state a
+//! limit; `paths` calls endpoints through peers that this instance cannot connect to, `silence`
+//! finds connections that carry nothing; `surroundings` takes in the configuration, the directory
+//! and the peers; `terms` processes what endpoints report of themselves; `unassigned` keeps
+//! entries whose service is not configured; `policies` runs the operators' programs; `rollouts`
+//! moves services to new versions: `canary` selects the requests that go there, `replies` counts
+//! how they end, `deciding` writes what is decided; `streams` keeps a stream at the version that
+//! began it, `stream_records` has others remember that version, and `versions` has the platform's
+//! store list all versions.
 
 mod calls;
 mod canary;
@@ -35,6 +36,7 @@
 mod ranking;
 mod regions;
 mod replies;
+mod requests;
 mod results;
 mod rollouts;
 mod runs;
@@ -47,6 +49,7 @@
 mod unassigned;
 mod versions;
 
+pub use requests::ExchangeSummary;
 pub use streams::StoredOrigins;
 
 use std::{
@@ -60,21 +63,18 @@
 use slotmap::SlotMap;
 
 use crate::{
-    model::{DataCentre, EndpointName, InstanceName, TeamName},
+    model::{DataCentre, EndpointName, InstanceName},
     policy::Program,
     relay::{
         allowance::{RetryBudget, RetryBudgetConfig},
-        allowed::AllowedRegions,
         batch::Batcher,
         choice,
         config::Config,
         directory::{Directory, Entry},
-        exchange::{Binding, CallState, Exchange},
-        fingerprint::Fingerprint,
-        graph::StageGraph,
+        exchange::{CallState, Exchange},
         model::{
-            Action, Arrival, CallKey, EndpointKey, ExchangeKey, HandoverKey, Peer, Piece,
-            PieceResult, Progress, Refusal, RunNumber, ServiceName,
+            Action, CallKey, EndpointKey, ExchangeKey, HandoverKey, Peer, Piece, PieceResult,
+            Progress, Refusal, RunNumber, ServiceName,
         },
         paths::Paths,
         quarantine::Quarantine,
@@ -83,7 +83,7 @@
         registry::VersionRegistry,
         rollout,
         stream_log::StreamLog,
-        streams::{StreamId, StreamRecord, StreamVersions},
+        streams::{StreamRecord, StreamVersions},
         terms::Notice,
     },
 };
@@ -92,11 +92,6 @@
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
 /// How often the stages of an exchange are started at most.
 const MAX_ROUNDS: u8 = 2;
-/// Number of parts of a prompt that are watched for crashes; callers may send any number.
-const MAX_TRACKED_PARTS: usize = 16;
-/// Time limit of a request that states no deadline.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(600);
-
 /// Settings of the state machine, fixed at its start.
 #[data]
 pub struct Settings {
@@ -215,29 +210,6 @@
     actions: Vec<Action>,
 }
 
-/// Summary of an exchange, for a log line.
-#[data]
-pub struct ExchangeSummary {
-    /// Name of the route.
-    pub route: Arc<str>,
-    /// The service that answers.
-    pub service: ServiceName,
-    /// The team of the caller's key; `None` without a known key.
-    pub team: Option<TeamName>,
-    /// Fingerprint of the request and its team.
-    pub content: Fingerprint,
-    /// Ids of the parts of its prompt, without the one of its own; empty without a prompt.
-    pub parts: Vec<u64>,
-    /// Time from the arrival to the deadline.
-    pub wait: Duration,
-    /// Number of pieces of each stage.
-    pub pieces: Vec<u16>,
-    /// The last event that the caller has of a stream that it takes up.
-    pub resume: Option<u64>,
-    /// The id of the attempt that brought the first event of that stream.
-    pub first_attempt: Option<Arc<str>>,
-}
-
 /// Pieces of an exchange that were handed to a peer, until it returns their results.
 #[derive(Debug)]
 struct Handover {
@@ -341,22 +313,6 @@
         &self.directory
     }
 
-    /// Summarises an exchange for a log line; `None` once it has ended.
-    pub fn describe(&self, key: ExchangeKey) -> Option<ExchangeSummary> {
-        let exchange = self.exchanges.get(key)?;
-        Some(ExchangeSummary {
-            route: exchange.route.name.clone(),
-            service: exchange.service.clone(),
-            team: exchange.team.clone(),
-            content: exchange.content,
-            parts: shared_parts(&exchange.arrival),
-            wait: exchange.deadline.saturating_sub(exchange.started_at),
-            pieces: exchange.arrival.pieces.clone(),
-            resume: exchange.arrival.resume,
-            first_attempt: exchange.arrival.first_attempt.clone(),
-        })
-    }
-
     /// Number of exchanges that have not ended.
     pub fn open_exchanges(&self) -> usize {
         self.exchanges.len()
@@ -390,75 +346,6 @@
         work.into_iter().chain(others).flatten().min().unwrap_or(self.next_cleanup)
     }
 
-    /// Takes in a caller's request that has been read whole.
-    pub fn on_request(&mut self, now: Duration, arrival: Arrival) -> Result<ExchangeKey, Refusal> {
-        let config = self.config.clone().filter(|_| self.is_quarantine_read);
-        let config = config.ok_or(Refusal::NotReady)?;
-        let route = config.route(&arrival.host, &arrival.path).ok_or(Refusal::NoRoute)?;
-        let team = config.team(arrival.key.as_deref());
-        if config.needs_key() && !route.is_public && team.is_none() {
-            return Err(Refusal::UnknownKey);
-        }
-        let service = route.target(self.rng.random()).ok_or(Refusal::Unserved)?.clone();
-        let wait = arrival.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
-        let team_name = team.map(|team| &*team.name);
-        let first_attempt = arrival.first_attempt.as_deref().unwrap_or(&arrival.id);
-        let stream = StreamId::new(team_name, first_attempt);
-        let parts = shared_parts(&arrival).into_iter().take(MAX_TRACKED_PARTS);
-        let parts = parts.map(|part| Fingerprint::of_part(&service, part)).collect();
-        let exchange = Exchange {
-            graph: StageGraph::new(route, &arrival.pieces),
-            route: route.clone(),
-            service,
-            allowed: AllowedRegions::intersect(
-                route.allowed_regions.as_deref(),
-                team.and_then(|team| team.allowed_regions.as_deref()),
-            ),
-            region: self.directory.regions().work_region(&self.settings.data_centre),
-            team: team.map(|team| team.name.clone()),
-            content: arrival.content.for_team(team_name),
-            parts,
-            priority: team.and_then(|team| team.priority).unwrap_or(route.priority),
-            started_at: now,
-            deadline: now + wait,
-            target: now + route.objective.min(wait),
-            destination: None,
-            handovers: Vec::new(),
-            call: None,
-            track: None,
-            is_placement_pending: false,
-            tried: Vec::new(),
-            attempts: 0,
-            has_run: false,
-            was_called: false,
-            last_event: arrival.resume,
-            stream,
-            binding: Binding::of(route, &arrival),
-            has_sent_head: false,
-            stage_starts: Vec::new(),
-            has_evictable_results: false,
-            rounds: 0,
-            wait_until: None,
-            arrival,
-        };
-        self.deposit(now, &exchange.service, 1);
-        let deadline = exchange.deadline;
-        let key = self.exchanges.insert(exchange);
-        self.deadlines.insert((deadline, key));
-        if !self.ensure_region(now, key) {
-            return Ok(key);
-        }
-        if !self.admits(now, key) {
-            self.give_up(now, key, Refusal::Infeasible);
-        } else if self.policy_admits(now, key) {
-            self.exchanges[key].priority = self.policy_priority(now, key);
-            self.advance(now, key);
-        } else {
-            self.give_up(now, key, Refusal::Policy);
-        }
-        Ok(key)
-    }
-
     /// Handles all timers that have expired.
     pub fn tick(&mut self, now: Duration) {
         self.time_out_due(now);
@@ -539,9 +426,3 @@
         self.retry_budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(config))
     }
 }
-
-/// Ids of the parts of a request's prompt, without the one of its own.
-fn shared_parts(arrival: &Arrival) -> Vec<u64> {
-    let parts = arrival.prompt.as_ref().map_or(&[][..], |prompt| prompt.shared());
-    parts.iter().map(|part| part.id).collect()
-}
