--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -5,6 +5,10 @@
 //! the machine directly; it starts a task, which does so later (`actions`).
 
 mod actions;
+mod callers;
+mod suspension;
+
+pub use callers::{DisconnectGuard, Reply, ReplyPart, ReplyReceiver, Request};
 
 use std::{
     cell::{Cell, RefCell},
@@ -17,12 +21,9 @@
     time::{Duration, SystemTime},
 };
 
-use bytes::Bytes;
 use futures::{channel::mpsc, future::AbortHandle};
-use http::{HeaderMap, Method, StatusCode};
 use peatdeck_core::relay::{
     Relay,
-    fingerprint::Fingerprint,
     model::{Arrival, CallKey, ExchangeKey, Failure, HandoverKey, PieceResult, Refusal, ReplyHead},
 };
 use peatdeck_util::{clock::Clock, metrics::Metrics};
@@ -30,7 +31,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    decisions, follow,
+    decisions,
     memory::{BodyMemory, WaitingEvents},
     origins::Origins,
     peers::Peers,
@@ -44,78 +45,11 @@
 /// balancer notices by two readiness checks a second apart; the rest is margin.
 const SERVE_AFTER_STOP: Duration = Duration::from_millis(2900);
 
-/// Gossip wakes the event loop every 400 ms. If it was idle for five times as long,
-/// the process was stopped or its host suspended.
-const SUSPENSION_THRESHOLD: Duration = Duration::from_secs(2);
-/// How long requests wait for the tables to be read after a suspension: the time of
-/// two reads.
-const TABLES_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest sleep before the timer checks the machine's next wake time. The operating
 /// system's timers do not count a suspension, so a deadline that passed during one is
 /// noticed this late.
 const MAX_SLEEP: Duration = Duration::from_millis(250);
 
-/// A caller's request, as it is forwarded to endpoints.
-#[derive(Debug)]
-pub struct Request {
-    /// The id that the caller gave it.
-    pub id: Arc<str>,
-    /// The HTTP method.
-    pub method: Method,
-    /// Path and query.
-    pub target: String,
-    /// The headers, as the caller sent them.
-    pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
-}
-
-impl Request {
-    fn content(&self, host: &str) -> Fingerprint {
-        Fingerprint::of(self.method.as_str(), host, &self.target, &self.body)
-    }
-}
-
-/// A part of the response to a caller.
-#[derive(Debug)]
-pub enum ReplyPart {
-    /// An endpoint's complete reply.
-    Whole(Reply),
-    /// The head of a stream.
-    Head(Reply),
-    /// One complete event of a stream.
-    Event(Bytes),
-    /// The stream ended after its last event.
-    End,
-    /// The stream ended early.
-    Broken,
-    /// The request is refused; no reply of an endpoint follows.
-    Refused {
-        /// The reason.
-        refusal: Refusal,
-        /// How long the caller should wait before it retries.
-        retry_after: Option<Duration>,
-    },
-}
-
-/// An endpoint's reply. The body is empty if the reply is a stream, whose events follow.
-#[derive(Debug, Clone)]
-pub struct Reply {
-    /// The HTTP status.
-    pub status: StatusCode,
-    /// The headers that the caller may see.
-    pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
-}
-
-struct Caller {
-    request: Rc<Request>,
-    parts: mpsc::UnboundedSender<ReplyPart>,
-    waiting: Rc<WaitingEvents>,
-    arrived: Duration,
-}
-
 /// State of the event loop that other threads read.
 #[derive(Debug, Default)]
 pub struct SharedState {
@@ -127,7 +61,7 @@
 pub struct Driver {
     machine: RefCell<Relay>,
     clock: Rc<dyn Clock>,
-    callers: RefCell<SecondaryMap<ExchangeKey, Caller>>,
+    callers: RefCell<SecondaryMap<ExchangeKey, callers::Caller>>,
     calls: RefCell<SecondaryMap<CallKey, AbortHandle>>,
     replies: RefCell<HashMap<CallKey, Reply>>,
     rearm: Notify,
@@ -246,57 +180,6 @@
         }
     }
 
-    /// Returns the current time, and checks how long the event loop was idle before.
-    /// After a suspension it sends nothing until the tables have been read: meanwhile
-    /// routes may have moved, keys been revoked and endpoints removed, and the first
-    /// event may be an old request.
-    fn check_suspension(self: &Rc<Self>) -> Duration {
-        let now = self.now();
-        let idle = now.saturating_sub(self.last_active.replace(now));
-        if idle < SUSPENSION_THRESHOLD {
-            return now;
-        }
-        let stood_ms = u64::try_from(idle.as_millis()).unwrap_or(u64::MAX);
-        tracing::warn!(event = "resumed", stood_ms);
-        self.metrics.count("relay.resumed", 1);
-        self.pool.clear();
-        self.resumed_at.set(Some(now));
-        self.machine.borrow_mut().hold_for_tables(now + TABLES_TIMEOUT);
-        ntex::rt::spawn(follow::refresh_tables(self.clone()));
-        now
-    }
-
-    /// The copies of the tables have been compared with the store. If that was after the
-    /// last suspension, the requests that wait for it continue.
-    pub fn on_tables_read(self: &Rc<Self>) {
-        let Some(resumed) = self.resumed_at.get() else { return };
-        let now = self.now();
-        let is_fresh = |age: Duration| age <= now.saturating_sub(resumed);
-        let tables = &self.peers.tables;
-        let has_rollouts =
-            tables.rollouts_since().is_none() || tables.rollouts_age(now).is_some_and(is_fresh);
-        if has_rollouts && tables.age(now).is_some_and(is_fresh) {
-            self.resumed_at.set(None);
-            self.feed(Relay::mark_tables_read);
-            self.tables_read.notify_waiters();
-        }
-    }
-
-    /// Waits until requests may be admitted after a suspension, since a request's route
-    /// and key are looked up only once. Returns how long it waited.
-    pub async fn wait_for_tables(self: &Rc<Self>) -> Duration {
-        let started = self.check_suspension();
-        while let Some(resumed) = self.resumed_at.get() {
-            let left = (resumed + TABLES_TIMEOUT).saturating_sub(self.now());
-            if left.is_zero() {
-                break;
-            }
-            // Whether notified or timed out, the loop checks again.
-            tokio::time::timeout(left, self.tables_read.notified()).await.ok();
-        }
-        self.now().saturating_sub(started)
-    }
-
     /// Reads state of the machine.
     pub fn inspect<T>(&self, read: impl FnOnce(&Relay) -> T) -> T {
         read(&self.machine.borrow())
@@ -341,7 +224,7 @@
             decisions::log_admitted(&id, &summary, self.config_state());
         }
         let waiting = Rc::new(WaitingEvents::default());
-        let caller = Caller { request, parts: tx, waiting: waiting.clone(), arrived: now };
+        let caller = callers::Caller { request, parts: tx, waiting: waiting.clone(), arrived: now };
         self.callers.borrow_mut().insert(key, caller);
         for action in actions {
             self.perform(action);
@@ -392,11 +275,6 @@
         }
     }
 
-    /// The request of an exchange; `None` if its caller has disconnected or been answered.
-    pub fn request_of(&self, exchange: ExchangeKey) -> Option<Rc<Request>> {
-        self.callers.borrow().get(exchange).map(|caller| caller.request.clone())
-    }
-
     /// A call's reply has been read whole.
     pub fn on_reply(self: &Rc<Self>, call: CallKey, head: &ReplyHead, reply: Reply) {
         self.replies.borrow_mut().insert(call, reply);
@@ -424,43 +302,11 @@
         self.calls.borrow_mut().remove(call);
     }
 
-    /// Sends the caller of an exchange one event of its stream.
-    pub fn send_event(&self, exchange: ExchangeKey, bytes: Bytes) {
-        if let Some(caller) = self.callers.borrow().get(exchange) {
-            caller.waiting.add(bytes.len());
-        }
-        self.send(exchange, ReplyPart::Event(bytes));
-    }
-
-    /// Waits until the caller of an exchange has taken most events that were sent to it, so that
-    /// one that reads slowly does not fill the memory.
-    pub async fn wait_for_caller(&self, exchange: ExchangeKey) {
-        let waiting = self.callers.borrow().get(exchange).map(|caller| caller.waiting.clone());
-        let Some(waiting) = waiting.filter(|waiting| waiting.is_full()) else { return };
-        self.metrics.count("relay.streams_paused", 1);
-        waiting.wait_for_room().await;
-    }
-
     /// Stores the head of a stream until the machine returns [`Action::BeginStream`](peatdeck_core::relay::model::Action::BeginStream).
     pub fn store_head(&self, call: CallKey, reply: Reply) {
         self.replies.borrow_mut().insert(call, reply);
     }
 
-    fn send(&self, exchange: ExchangeKey, part: ReplyPart) {
-        if let Some(caller) = self.callers.borrow().get(exchange) {
-            // The caller's guard notices a disconnect.
-            caller.parts.unbounded_send(part).ok();
-        }
-    }
-
-    /// Sends the last part of a response and removes the caller.
-    fn end(&self, exchange: ExchangeKey, part: ReplyPart) {
-        let Some(caller) = self.callers.borrow_mut().remove(exchange) else { return };
-        let took = self.now().saturating_sub(caller.arrived);
-        self.metrics.time("relay.exchange", took);
-        caller.parts.unbounded_send(part).ok();
-    }
-
     fn note_refusal(&self, id: &str, refusal: Refusal) {
         self.count_refusal(refusal);
         decisions::log_refusal(id, refusal, None, self.config_state());
@@ -477,13 +323,6 @@
         self.metrics.count(&format!("relay.refused.{}", refusal.name()), 1);
     }
 
-    fn on_caller_gone(self: &Rc<Self>, key: ExchangeKey) {
-        let Some(caller) = self.callers.borrow_mut().remove(key) else { return };
-        self.metrics.count("relay.callers_gone", 1);
-        tracing::info!(event = "caller_gone", id = &*caller.request.id);
-        self.feed(|machine, now| machine.on_caller_disconnect(now, key));
-    }
-
     /// A peer returned the results of pieces that were handed over to it; `None` if it
     /// failed or could not be reached.
     pub fn on_handover_return(
@@ -494,26 +333,3 @@
         self.feed(|machine, now| machine.on_handover_return(now, key, results));
     }
 }
-
-/// Receives the parts of the response to one caller. Dropping it before the last
-/// part reports to the machine that the caller has disconnected.
-pub struct ReplyReceiver {
-    /// The parts, in order; closed after the last one.
-    pub parts: mpsc::UnboundedReceiver<ReplyPart>,
-    /// The events that are in `parts`.
-    pub waiting: Rc<WaitingEvents>,
-    /// Reports the disconnect when it is dropped.
-    pub guard: DisconnectGuard,
-}
-
-/// Reports to the machine, when it is dropped, that the caller has disconnected.
-pub struct DisconnectGuard {
-    driver: Rc<Driver>,
-    key: ExchangeKey,
-}
-
-impl Drop for DisconnectGuard {
-    fn drop(&mut self) {
-        self.driver.on_caller_gone(self.key);
-    }
-}
