Names and keys of the relay have a module of their own

model needs paths, terms and rollout, and these needed model for its names; now they need ids only, which ends that circle. model exports the names as before.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -31,7 +31,7 @@
 //! copies, [`readers`] selects the instances that read from the platform;
 //! [`directory`] holds the endpoints, [`engine`] estimates the load of those that
 //! generate; [`allowance`] is the retry budget; [`fingerprint`] identifies equal
-//! requests, [`quarantine`] those that crash endpoints; [`region`] maps data centres to
+//! requests, [`ids`] holds names and keys, [`quarantine`] finds requests that crash endpoints; [`region`] maps data centres to
 //! regions, [`allowed`] are the regions where a request may be served, [`overflow`] decides
 //! which requests leave a full region; [`rollout`] moves a service to a new version;
 //! [`streams`] remembers which version began a stream, `stream_log` collects what the store's
@@ -54,6 +54,7 @@
 pub mod events;
 pub mod fingerprint;
 pub mod graph;
+pub mod ids;
 pub mod model;
 pub mod operator;
 pub mod overflow;
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -14,27 +14,12 @@
     },
 };
 
-/// A group of endpoints that serve the same routes or stages.
-pub type ServiceName = Arc<str>;
-/// The number that a placer assigns to a call that it placed.
-pub type RunNumber = u64;
-/// An endpoint's reference to a result that it stores, sent on as it is.
-pub type Handle = Arc<str>;
-
+pub use crate::relay::ids::{
+    CallKey, EndpointId, EndpointKey, ExchangeKey, Handle, HandoverKey, RunNumber, ServiceName,
+};
 pub use action::Action;
 pub use refusal::Refusal;
 
-slotmap::new_key_type! {
-    /// One request of a caller, from its arrival to its answer.
-    pub struct ExchangeKey;
-    /// One call to an endpoint.
-    pub struct CallKey;
-    /// One incarnation of an endpoint.
-    pub struct EndpointKey;
-    /// Pieces that were handed over to a peer and have not been returned yet.
-    pub struct HandoverKey;
-}
-
 /// A part of a prompt. Requests whose prompts begin with the same parts share them.
 #[data]
 #[derive(Copy)]
@@ -237,15 +222,6 @@
     pub is_last_reader: bool,
 }
 
-/// Identifies one incarnation of an endpoint in messages between instances.
-#[id]
-pub struct EndpointId {
-    /// The endpoint's name.
-    pub name: EndpointName,
-    /// The incarnation.
-    pub incarnation: Incarnation,
-}
-
 /// Asks a placer which engine should run a prompt.
 #[data]
 pub struct PlacementRequest {
--- a/crates/core/src/relay/paths.rs
+++ b/crates/core/src/relay/paths.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     model::InstanceName,
-    relay::model::{EndpointId, EndpointKey},
+    relay::ids::{EndpointId, EndpointKey},
 };
 
 /// Interrupted paths in a row after which an instance is cut off.
--- a/crates/core/src/relay/rollout.rs
+++ b/crates/core/src/relay/rollout.rs
@@ -26,7 +26,7 @@
 use crate::{
     model::InstanceName,
     relay::{
-        model::{EndpointId, ServiceName},
+        ids::{EndpointId, ServiceName},
         position::Position,
     },
 };
--- a/crates/core/src/relay/rollout/counting.rs
+++ b/crates/core/src/relay/rollout/counting.rs
@@ -8,7 +8,7 @@
 
 use crate::relay::{
     fingerprint::Fingerprint,
-    model::EndpointId,
+    ids::EndpointId,
     pool::Track,
     rollout::{Counts, RouteCounts},
 };
--- a/crates/core/src/relay/rollout/gate.rs
+++ b/crates/core/src/relay/rollout/gate.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     model::Incarnation,
-    relay::{model::ServiceName, pool::Track, rollout::Version},
+    relay::{ids::ServiceName, pool::Track, rollout::Version},
 };
 
 /// The versions of one service that receive work; each track has at most one.
--- a/crates/core/src/relay/rollout/tally.rs
+++ b/crates/core/src/relay/rollout/tally.rs
@@ -9,7 +9,7 @@
 use crate::{
     model::InstanceName,
     relay::{
-        model::EndpointId,
+        ids::EndpointId,
         rollout::{
             Counts, Evidence, RouteCounts,
             sprt::{Outcome, Sprt},
--- a/crates/core/src/relay/terms.rs
+++ b/crates/core/src/relay/terms.rs
@@ -4,7 +4,7 @@
 
 use peatdeck_macros::{data, id};
 
-use crate::relay::model::EndpointId;
+use crate::relay::ids::EndpointId;
 
 /// The longest interval between two calls that results from a rate, however low. Only a
 /// further call can show that the limit no longer applies.
