Relay: a reply without a length that brought nothing is not whole

What callers saw: an endpoint closed its connection right after the head of a reply that has neither a length nor chunks. Callers of a stream got a 200 with no event and a final chunk, callers of an idempotent request a 200 with an empty body and `content-length: 0`.

Cause: an end of the connection was taken for the end of the reply as soon as the process was seen to have outlived it. That tells a process that has ended from one that runs on; it does not tell one that has sent everything from one that has sent nothing.

Class: silence taken for an answer. A head alone carries no part of an answer.

Decision, now `Relay::is_whole` in core, by what a reply has brought: - A stream without a length that brought no event its caller lacks is not whole. It is called elsewhere if it is resumable and attempts and budget allow; else it ends with a 502 before its head was passed on, with an aborted connection after that. - A successful plain reply without a length and without a body is not whole where the request may be repeated: it is called elsewhere within attempts and budget, else it ends with a 502, after which the caller may repeat it too. - A request that may not be repeated keeps its empty answer: it has run, its caller cannot ask again, and the platform allows answers that end with their connection. - Anything else stays as it was. The platform names no last event, so a stream that ends after a whole event counts as whole if its process outlived it, and one that ends inside an event is cut, as before. - An endpoint that means an empty answer states a length of 0, or 204. An instance whose peer makes the call takes the same decision, by the headers that the peer passes on; before, an end that the peer had checked always was whole.

Ruled out: a break inside the head, by close, reset or half-close, also after an interim reply and on a reused connection, misled nobody; nor did one after a head with a length or chunks.

--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -36,6 +36,7 @@
 mod ranking;
 mod regions;
 mod replies;
+mod reply_ends;
 mod results;
 mod rollouts;
 mod silence;
--- a/crates/core/src/relay/machine/calls.rs
+++ b/crates/core/src/relay/machine/calls.rs
@@ -70,17 +70,6 @@
         true
     }
 
-    /// Whether the request of an exchange may run more than once.
-    pub fn may_repeat(&self, key: ExchangeKey) -> bool {
-        self.exchanges.get(key).is_some_and(|exchange| exchange.route.kind.is_repeatable())
-    }
-
-    /// Whether another endpoint may be called for the request of an exchange after this call.
-    pub fn may_call_again(&self, key: ExchangeKey) -> bool {
-        let exchange = self.exchanges.get(key).filter(|_| self.may_repeat(key));
-        exchange.is_some_and(|it| it.attempts < it.route.max_attempts)
-    }
-
     /// A stream has ended completely.
     pub fn on_stream_end(&mut self, now: Duration, call: CallKey) {
         let Some(key) = self.exchange_of(call) else { return };
--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod refusal;
+mod reply_end;
 
 use std::{sync::Arc, time::Duration};
 
@@ -23,6 +24,7 @@
 
 pub use action::Action;
 pub use refusal::Refusal;
+pub use reply_end::{BodyEnd, ReplyContent};
 
 slotmap::new_key_type! {
     /// One request of a caller, from its arrival to its answer.
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -34,6 +34,7 @@
 mod region_fuzz;
 mod region_overflow;
 mod regions;
+mod reply_ends;
 mod rests;
 mod resumed;
 mod rollout;
--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -9,7 +9,8 @@
     relay::{
         events::Splitter,
         model::{
-            Call, CallKey, EndpointKey, Failure, Handle, Piece, PieceResult, ProbeResult, ReplyHead,
+            BodyEnd, Call, CallKey, EndpointKey, Failure, Handle, Piece, PieceResult, ProbeResult,
+            ReplyContent, ReplyHead,
         },
         paths::Detour,
     },
@@ -20,7 +21,7 @@
     dialect::PostRequest,
     driver::{self, Driver, Reply},
     outgoing,
-    pool::{BodyEnd, Lane},
+    pool::Lane,
     step,
 };
 
@@ -137,7 +138,9 @@
     }
     let whole = body.read_whole(MAX_REPLY_BYTES, &driver.reply_memory).await;
     reply.body = whole.map_err(|cause| Failed::new(Failure::Cut, cause))?;
-    ensure_whole(driver, call, &mut body, false).await?;
+    let is_empty = parts.status.is_success() && reply.body.is_empty();
+    let content = if is_empty { ReplyContent::EmptySuccess } else { ReplyContent::Whole };
+    ensure_whole(driver, call, &mut body, content).await?;
     body.release(&driver.pool);
     driver.on_reply(call.key, &head, reply);
     Ok(())
@@ -150,6 +153,7 @@
     mut body: outgoing::Body,
 ) -> Result<(), Failed> {
     let mut splitter = Splitter::default();
+    let mut events = 0;
     while let Some(data) = body.next_data().await {
         let data = data.map_err(|cause| Failed::new(Failure::Cut, cause))?;
         splitter.push(&data);
@@ -158,6 +162,7 @@
         };
         while let Some(event) = next(&mut splitter)? {
             if driver.feed(|machine, now| machine.on_stream_event(now, call.key, event.id)) {
+                events += 1;
                 driver.send_event(call.exchange, event.bytes);
             }
         }
@@ -166,37 +171,29 @@
     if !splitter.incomplete().is_empty() {
         return Err(Failed::new(Failure::Cut, "the stream ended in the middle of an event"));
     }
-    ensure_whole(driver, call, &mut body, true).await?;
+    ensure_whole(driver, call, &mut body, ReplyContent::Events(events)).await?;
     body.release(&driver.pool);
     driver.forget_call(call.key);
     driver.feed(|machine, now| machine.on_stream_end(now, call.key));
     Ok(())
 }
 
-/// Fails unless a reply that has ended is whole. Where nobody can tell, it is taken for whole only
-/// if the request may not be repeated. A whole stream is seldom there at once, so one of which
-/// nothing had to be waited for is continued elsewhere, if that is still possible.
+/// Fails unless a reply that has ended is whole.
 async fn ensure_whole(
     driver: &Rc<Driver>,
     call: &Call,
     body: &mut outgoing::Body,
-    is_stream: bool,
+    content: ReplyContent,
 ) -> Result<(), Failed> {
     let end = body.check_end(driver).await;
-    let may_repeat = || driver.inspect(|machine| machine.may_repeat(call.exchange));
-    let is_whole = match end {
-        BodyEnd::Whole => true,
-        BodyEnd::Likely => !(is_stream && driver.inspect(|it| it.may_call_again(call.exchange))),
-        BodyEnd::Cut => false,
-        BodyEnd::Unknown => !may_repeat(),
-    };
-    if end != BodyEnd::Whole {
+    let is_whole = driver.inspect(|machine| machine.is_whole(call.exchange, end, content));
+    if !is_whole || !matches!(end, BodyEnd::Framed | BodyEnd::Outlived) {
         driver.metrics.count("relay.ends_doubted", 1);
-        tracing::info!(event = "end_doubted", endpoint = &*call.endpoint, end = ?end, is_whole);
+        tracing::info!(event = "end_doubted", endpoint = &*call.endpoint, end = ?end, content = ?content, is_whole);
     }
     match is_whole {
         true => Ok(()),
-        false => Err(Failed::new(Failure::Cut, "the endpoint ended, and the reply has no length")),
+        false => Err(Failed::new(Failure::Cut, "the reply has no length and may not be whole")),
     }
 }
 
--- a/crates/relay/src/outgoing.rs
+++ b/crates/relay/src/outgoing.rs
@@ -6,14 +6,17 @@
 use http::{Request, response};
 use peatdeck_core::{
     model::InstanceName,
-    relay::{model::Failure, paths::Detour},
+    relay::{
+        model::{BodyEnd, Failure},
+        paths::Detour,
+    },
 };
 
 use crate::{
     driver::Driver,
     memory::BodyMemory,
     peers::detour,
-    pool::{self, BodyEnd, Lane},
+    pool::{self, Lane},
     step::{self, Direct},
 };
 
@@ -105,7 +108,7 @@
     pub async fn check_end(&mut self, driver: &Driver) -> BodyEnd {
         match self {
             Body::Direct(body) => body.check_end(driver).await,
-            Body::Detoured(_) => BodyEnd::Whole,
+            Body::Detoured(body) => body.end(),
         }
     }
 
--- a/crates/relay/src/peers/detour.rs
+++ b/crates/relay/src/peers/detour.rs
@@ -11,11 +11,11 @@
     channel::mpsc,
     future::{self, AbortHandle, Abortable, Either},
 };
-use http::{Request, Response, StatusCode, header, response};
+use http::{Method, Request, Response, StatusCode, header, response};
 use peatdeck_core::{
     model::InstanceName,
     relay::{
-        model::{EndpointId, EndpointKey, ProbeResult},
+        model::{BodyEnd, EndpointId, EndpointKey, ProbeResult},
         paths::{Detour, Reach},
     },
 };
@@ -29,7 +29,7 @@
     driver::Driver,
     outgoing,
     peers::{EXCHANGE_TIMEOUT, Peers, remote::Kind, work},
-    pool::{BodyEnd, Lane},
+    pool::{self, Lane},
     step,
 };
 
@@ -51,6 +51,7 @@
 pub struct Body {
     parts: mpsc::Receiver<Part>,
     task: AbortHandle,
+    is_framed: bool,
 }
 
 impl Drop for Body {
@@ -60,6 +61,11 @@
 }
 
 impl Body {
+    /// What is known of it after its end, which the peer has checked.
+    pub fn end(&self) -> BodyEnd {
+        if self.is_framed { BodyEnd::Framed } else { BodyEnd::Outlived }
+    }
+
     /// The next bytes; `None` once the reply is whole.
     pub async fn next_data(&mut self) -> Option<Result<Bytes, String>> {
         match self.parts.next().await {
@@ -82,12 +88,16 @@
 ) -> Result<(response::Parts, Body), outgoing::Error> {
     let (tx, parts) = mpsc::channel(MAX_WAITING_PARTS);
     let (task, registration) = AbortHandle::new_pair();
-    let mut body = Body { parts, task };
+    let mut body = Body { parts, task, is_framed: false };
+    let method = request.method().clone();
     let call = run_call(driver.clone(), detour.clone(), request, tx);
     ntex::rt::spawn(Abortable::new(call, registration));
     driver.metrics.count("relay.detours", 1);
     match body.parts.next().await {
-        Some(Part::Head(head)) => Ok((head, body)),
+        Some(Part::Head(head)) => {
+            body.is_framed = is_framed(&method, &head);
+            Ok((head, body))
+        }
         Some(Part::End(Err(error))) => Err(error),
         _ => Err(outgoing::Error::Cut("the peer sent no reply".to_owned())),
     }
@@ -200,7 +210,7 @@
     }
     // Only the peer knows whether the request may be repeated; streams mostly are.
     let is_whole = match body.check_end(driver).await {
-        BodyEnd::Whole => true,
+        BodyEnd::Framed | BodyEnd::Outlived => true,
         BodyEnd::Cut => false,
         BodyEnd::Likely | BodyEnd::Unknown => !is_stream,
     };
@@ -211,6 +221,13 @@
     (DetourEnd::Whole, String::new())
 }
 
+/// Whether a reply states where it ends, or has no body.
+fn is_framed(method: &Method, head: &response::Parts) -> bool {
+    let has_body = method != Method::HEAD
+        && !matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    !has_body || pool::has_length(head)
+}
+
 fn is_event_stream(head: &response::Parts) -> bool {
     let content_type = head.headers.get(header::CONTENT_TYPE);
     let text = content_type.and_then(|value| value.to_str().ok());
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -14,7 +14,6 @@
 mod sentinel;
 
 pub use error::Error;
-pub use sentinel::BodyEnd;
 
 use std::{
     cell::{OnceCell, RefCell},
@@ -245,7 +244,7 @@
                     }
                     lease.max_idle = keep_alive_time(response.headers());
                     let (parts, incoming) = response.into_parts();
-                    let is_unframed = !incoming.is_end_stream() && !has_length(&parts.headers);
+                    let is_unframed = !incoming.is_end_stream() && !has_length(&parts);
                     let sentinel = is_unframed.then(|| Box::new(self.sentinel(addr, lane)));
                     return Ok((parts, Body { incoming, lease, sentinel }));
                 }
@@ -417,8 +416,9 @@
     }
 }
 
-/// Whether a reply states where its body ends.
-fn has_length(headers: &HeaderMap) -> bool {
+/// Whether a reply with a body states where the body ends.
+pub fn has_length(head: &response::Parts) -> bool {
+    let headers = &head.headers;
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
--- a/crates/relay/src/pool/sentinel.rs
+++ b/crates/relay/src/pool/sentinel.rs
@@ -16,7 +16,7 @@
 use http::Request;
 use http_body_util::Full;
 use hyper::body::Body as _;
-use peatdeck_core::relay::model::ProbeResult;
+use peatdeck_core::relay::model::{BodyEnd, ProbeResult};
 use peatdeck_util::clock::Clock;
 
 use crate::pool::{
@@ -30,20 +30,6 @@
 /// What has arrived is read within this time.
 const MIN_WAIT: Duration = Duration::from_millis(20);
 
-/// What is known of a reply after its end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BodyEnd {
-    /// It is whole: it has a length, or the process that sent it still runs.
-    Whole,
-    /// It is probably whole: the process at the address was asked on a connection that was opened
-    /// right after the head had come, but nothing of the reply came after that.
-    Likely,
-    /// The process that sent it has ended before it could end the reply.
-    Cut,
-    /// It has no length, and its process could not be asked.
-    Unknown,
-}
-
 /// A second connection to the process that sends a reply without a length.
 pub(super) struct Sentinel {
     opener: Opener,
@@ -180,7 +166,7 @@
     /// What is known of the reply; `None` if the connection says nothing.
     fn end(&self) -> Option<BodyEnd> {
         match self.answer {
-            Answer::Came if self.is_confirmed => Some(BodyEnd::Whole),
+            Answer::Came if self.is_confirmed => Some(BodyEnd::Outlived),
             Answer::Came if self.is_prompt => Some(BodyEnd::Likely),
             Answer::Broke if self.is_confirmed => Some(BodyEnd::Cut),
             Answer::Came | Answer::Broke | Answer::Missing => None,
@@ -225,7 +211,7 @@
     /// Whether a body that has ended is whole. `request` is one that every endpoint refuses at
     /// once; it is sent if the body has no length.
     pub async fn check_end(&self, body: &mut Body, request: Request<Full<Bytes>>) -> BodyEnd {
-        let Some(sentinel) = body.sentinel.take() else { return BodyEnd::Whole };
+        let Some(sentinel) = body.sentinel.take() else { return BodyEnd::Framed };
         let mut end = None;
         if let Some((witness, lease)) = sentinel.ask(request).await {
             end = witness.end();
--- a/crates/relay/src/step.rs
+++ b/crates/relay/src/step.rs
@@ -11,11 +11,12 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, header, response};
 use http_body_util::Full;
+use peatdeck_core::relay::model::BodyEnd;
 
 use crate::{
     dialect::{self, Dialect},
     driver::Driver,
-    pool::{self, BodyEnd, Lane, Pool},
+    pool::{self, Lane, Pool},
 };
 
 /// The name of no endpoint.
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod bodies;
+mod broken_heads;
 mod catch_up;
 mod common_kill;
 mod crashes;
--- a/crates/relay/tests/relay/standins/endpoint.rs
+++ b/crates/relay/tests/relay/standins/endpoint.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 use crate::standins::TIMEOUT;
 
@@ -215,6 +215,19 @@
         self.stream.shutdown(Shutdown::Both).ok();
     }
 
+    /// Ends the connection with a reset.
+    pub fn reset(&mut self) {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        self.stream = socket.into();
+    }
+
+    /// Sends no more, and waits until the peer closes the connection.
+    pub fn half_close(&mut self) {
+        self.stream.shutdown(Shutdown::Write).ok();
+        while self.fill() {}
+    }
+
     /// Reads the head of a request or reply, without its body; `None` if the connection ended.
     pub fn read_head(&mut self) -> Option<String> {
         loop {
