--- a/crates/core/src/relay/model.rs
+++ b/crates/core/src/relay/model.rs
@@ -2,6 +2,7 @@
 
 mod action;
 mod refusal;
+mod reply_end;
 
 use std::{sync::Arc, time::Duration};
 
@@ -19,6 +20,7 @@
 };
 pub use action::Action;
 pub use refusal::Refusal;
+pub use reply_end::{BodyEnd, ReplyContent};
 
 /// A part of a prompt. Requests whose prompts begin with the same parts share them.
 #[data]
