Streams: an endpoint that may have restarted under its name is doubted

What callers saw: streams with events of two versions, where an endpoint started again under its name, at its address, with another version.

Cause: a call names the endpoint, and the new process answers to the name. Its entry is read up to half a second after it accepts calls; until then its events are taken for those of the version before, both for a bound stream and for a first event, which is recorded under the wrong version.

Class: what an instance has read of a process is taken for true of the process that follows it.

What was ruled out as evidence: nothing in a reply names the incarnation, and a number further in the entry of the earlier incarnation may have been written before its end. What a process cannot keep is its connections.

The mend: after a sign that its process may have ended (a call that was cut, a connection that could not be opened, an idle connection that was closed before its time) an endpoint gets no stream that can be resumed, neither a bound one nor a new one, until a connection has opened and the directory was read 0.3 s after that: a process writes its entry when it starts. An idle connection's end is noticed at once, by the task that polls it, and is followed by the probe that cut calls have. Endpoints whose entries state no incarnation are left alone: their names are new with each start, and another process refuses the call.

Evidence: four of the six new tests fail without the doubt (`doubt` made to do nothing); the two others guard the other side.

Open: an endpoint that ends and starts while this instance has no connection to it and makes no call shows no sign. Calls through a peer go by the doubt of the instance that asks, not of the peer that connects.

--- a/crates/core/src/relay/directory.rs
+++ b/crates/core/src/relay/directory.rs
@@ -17,6 +17,7 @@
 
 mod changes;
 mod endpoint;
+mod identity;
 mod outage;
 mod proof;
 mod versions;
@@ -122,6 +123,8 @@
     regions: RegionMap,
     /// Which versions get work; `None` if versions are ignored.
     gates: Option<Gates>,
+    /// Whether another process may be at the address of any endpoint.
+    has_doubts: bool,
     /// Versions that get no new work while another one of their service serves.
     held: HashMap<ServiceName, Versions>,
 }
--- a/crates/core/src/relay/directory/endpoint.rs
+++ b/crates/core/src/relay/directory/endpoint.rs
@@ -8,7 +8,7 @@
     model::Load,
     relay::{
         backoff::{self, Backoff, Delays},
-        directory::Entry,
+        directory::{Entry, identity::Identity},
         engine::EngineModel,
         model::{EndpointId, Failure, RunNumber, Step},
         region::RegionName,
@@ -76,6 +76,8 @@
     pub(super) is_proven: bool,
     /// Whether a further entry has followed the one that was seen first.
     pub(super) has_advanced: bool,
+    /// Whether its process is at its address.
+    pub(super) identity: Identity,
     load: Option<(Duration, Load)>,
     sent_since_report: u32,
     failures: Backoff,
@@ -113,6 +115,7 @@
             state: State::Ready,
             is_proven: true,
             has_advanced: false,
+            identity: Identity::default(),
             load: None,
             sent_since_report: 0,
             failures: Backoff::default(),
--- a/crates/core/src/relay/machine/paths.rs
+++ b/crates/core/src/relay/machine/paths.rs
@@ -46,12 +46,24 @@
             self.record_connected(now, endpoint);
             return;
         }
+        self.directory.doubt(now, endpoint);
         self.record_unreachable(now, endpoint);
         if self.paths.take_question(now, endpoint) {
             self.ask_peers(now, endpoint, ProbeResult::Unknown);
         }
     }
 
+    /// The endpoint at an address has closed a connection that no call used, before the time
+    /// until which it keeps such connections.
+    pub fn on_idle_closed(&mut self, now: Duration, addr: &str) {
+        if let Some(endpoint) = self.directory.at_addr(addr) {
+            self.directory.doubt(now, endpoint);
+            if self.directory.is_doubted(endpoint) {
+                self.on_cut(now, endpoint, Vec::new());
+            }
+        }
+    }
+
     /// An attempt to connect to an unreachable endpoint has ended.
     pub fn on_path_check(&mut self, now: Duration, endpoint: EndpointKey, is_open: bool) {
         if self.paths.record_check(now, endpoint, is_open) {
@@ -81,6 +93,7 @@
         }
         let has = |wanted| answers.iter().any(|(_, reach)| *reach == wanted);
         if has(Reach::Reached) {
+            self.directory.mark_connected(now, endpoint);
             self.clear_cut_runs(endpoint);
             self.interrupt_path(now, endpoint);
         } else if has(Reach::Unreached) {
@@ -211,6 +224,7 @@
     }
 
     pub(super) fn record_connected(&mut self, now: Duration, endpoint: EndpointKey) {
+        self.directory.mark_connected(now, endpoint);
         let was_cut_off = self.paths.is_cut_off();
         if self.paths.record_connected(now, endpoint) {
             self.report_path(endpoint, true);
--- a/crates/core/src/relay/machine/placing.rs
+++ b/crates/core/src/relay/machine/placing.rs
@@ -382,7 +382,7 @@
         let pool = self.exchanges[key].pool();
         let is_usable = self.directory.usable(now, pool).contains(&endpoint);
         let wants_rest = self.directory.get(endpoint).is_some_and(|it| it.is_on_hold(now));
-        if !is_usable || wants_rest {
+        if !is_usable || wants_rest || !self.may_serve(key, endpoint) {
             return None;
         }
         let Placement { tokens, wait, source, number, .. } = placement;
@@ -449,12 +449,13 @@
             ..self.criteria(service, inputs)
         };
         let (directory, sent_parts) = (&self.directory, &self.sent_parts);
-        let candidates = match &prompt {
+        let mut candidates = match &prompt {
             Some(prompt) => {
                 choice::engine_candidates(directory, sent_parts, now, pool, prompt, criteria)
             }
             None => choice::plain_candidates(directory, now, pool, criteria, || rng.random()),
         };
+        candidates.retain(|candidate| self.may_serve(key, candidate.endpoint));
         let chosen = self.policy_choice(now, key, &candidates);
         chosen.or_else(|| choice::cheapest(&candidates))
     }
--- a/crates/core/src/relay/machine/quarantine.rs
+++ b/crates/core/src/relay/machine/quarantine.rs
@@ -89,6 +89,7 @@
     /// ended or only lost connections. An endpoint that is leaving is not probed, since it
     /// may end as planned.
     pub(super) fn on_cut(&mut self, now: Duration, endpoint: EndpointKey, runs: Vec<Run>) {
+        self.directory.doubt(now, endpoint);
         if self.cut_runs.get(&endpoint).is_some_and(|cuts| cuts.has_ended(now)) {
             self.record_endpoint_end(now, endpoint, runs);
             return;
@@ -110,6 +111,7 @@
             return;
         }
         if probed == ProbeResult::There {
+            self.directory.mark_connected(now, endpoint);
             if !self.paths.has_silent() {
                 self.record_connected(now, endpoint);
             }
--- a/crates/core/src/relay/machine/streams.rs
+++ b/crates/core/src/relay/machine/streams.rs
@@ -219,6 +219,13 @@
         known.map(|endpoint| endpoint.entry.version.clone()).unwrap_or_default()
     }
 
+    /// Whether an endpoint's entry shows the version that an exchange would be answered by. It
+    /// matters only for streams that can be taken up.
+    pub(super) fn may_serve(&self, key: ExchangeKey, endpoint: EndpointKey) -> bool {
+        let kind = self.exchanges[key].route.kind;
+        !kind.is_resumable() || !self.directory.is_doubted(endpoint)
+    }
+
     /// Whether the version that an exchange is bound to has endpoints that may be called. Refuses
     /// the exchange otherwise.
     fn is_version_left(&mut self, now: Duration, key: ExchangeKey) -> bool {
--- a/crates/core/src/relay/machine/versions.rs
+++ b/crates/core/src/relay/machine/versions.rs
@@ -126,7 +126,9 @@
         if !suspended.is_empty() {
             self.actions.push(Action::EndpointsSuspended(suspended));
         }
-        if self.directory.release_unproven() {
+        let (is_released, is_settled) =
+            (self.directory.release_unproven(), self.directory.settle_doubts(at));
+        if is_released || is_settled {
             self.search(at);
         }
     }
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -19,6 +19,7 @@
 mod fragile;
 mod fuzz;
 mod intake;
+mod kept_names;
 mod leaving;
 mod limits;
 mod load;
--- a/crates/relay/src/driver.rs
+++ b/crates/relay/src/driver.rs
@@ -34,7 +34,7 @@
     memory::{BodyMemory, WaitingEvents},
     origins::Origins,
     peers::Peers,
-    pool::Pool,
+    pool::{ConnectionEvent, Pool},
     rollouts::Rollouts,
     settings::Settings,
     surroundings::{Platform, TableName},
@@ -206,10 +206,13 @@
             shared: parts.shared,
         });
         let observer = Rc::downgrade(&driver);
-        driver.pool.observe(Box::new(move |addr, is_open| {
-            if let Some(driver) = observer.upgrade() {
-                driver.feed(|machine, now| machine.on_connection(now, addr, is_open));
-            }
+        driver.pool.observe(Box::new(move |addr, event| {
+            let Some(driver) = observer.upgrade() else { return };
+            driver.feed(|machine, now| match event {
+                ConnectionEvent::Served => machine.on_connection(now, addr, true),
+                ConnectionEvent::Unopened => machine.on_connection(now, addr, false),
+                ConnectionEvent::IdleClosed => machine.on_idle_closed(now, addr),
+            });
         }));
         driver
     }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -9,21 +9,16 @@
 //! read is up to the caller. Whether a body without a length is whole is found out by a second
 //! connection (`sentinel`).
 
+mod closings;
 mod error;
 mod metered;
 mod sentinel;
 
+pub use closings::{ConnectionEvent, ConnectionObserver};
 pub use error::Error;
 pub use sentinel::BodyEnd;
 
-use std::{
-    cell::{OnceCell, RefCell},
-    collections::HashMap,
-    io,
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::HashMap, io, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures::future::{AbortHandle, Abortable};
@@ -40,6 +35,7 @@
 use tokio::net::TcpStream;
 
 use crate::pool::{
+    closings::{Closings, IdleTime},
     metered::{Allowance, Metered},
     sentinel::{Opener, Sentinel},
 };
@@ -69,6 +65,7 @@
     sender: Sender,
     task: AbortHandle,
     allowance: Allowance,
+    idle_time: IdleTime,
 }
 
 impl Drop for Connection {
@@ -151,14 +148,10 @@
     pub reused: u64,
 }
 
-/// Called with an address when a new connection has served a request (true), or could not be
-/// opened (false).
-pub type ConnectionObserver = Box<dyn Fn(&str, bool)>;
-
 /// A pool of idle connections, by address.
 pub struct Pool {
     clock: Rc<dyn Clock>,
-    observer: OnceCell<ConnectionObserver>,
+    closings: Rc<Closings>,
     idle: RefCell<HashMap<Arc<str>, Vec<Idle>>>,
     counts: Rc<RefCell<Counts>>,
 }
@@ -166,18 +159,13 @@
 impl Pool {
     /// Creates an empty pool.
     pub fn new(clock: Rc<dyn Clock>) -> Rc<Pool> {
-        Rc::new(Pool {
-            clock,
-            observer: OnceCell::new(),
-            idle: RefCell::default(),
-            counts: Rc::default(),
-        })
+        let closings = Closings::new(clock.clone());
+        Rc::new(Pool { clock, closings, idle: RefCell::default(), counts: Rc::default() })
     }
 
-    /// Sets what is called with the outcome of opening a connection. Only the first call has
-    /// an effect.
+    /// Sets what is called with what happens to connections. Only the first call has an effect.
     pub fn observe(&self, observer: ConnectionObserver) {
-        self.observer.set(observer).ok();
+        self.closings.observe(observer);
     }
 
     /// The counters so far.
@@ -241,7 +229,7 @@
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     if is_fresh {
-                        self.notify(addr, true);
+                        self.closings.notify(addr, ConnectionEvent::Served);
                     }
                     lease.max_idle = keep_alive_time(response.headers());
                     let (parts, incoming) = response.into_parts();
@@ -270,14 +258,18 @@
             Ok(stream) => stream,
             Err(error) => return probe_failure(&error),
         };
-        let Ok(mut lease) = handshake(addr, stream).await else { return ProbeResult::Unknown };
+        let Ok(mut lease) = handshake(addr, stream, &self.closings).await else {
+            return ProbeResult::Unknown;
+        };
         tokio::time::sleep(PROBE_PAUSE).await;
         if lease.connection.sender.is_closed() {
             let stream = match open(addr).await {
                 Ok(stream) => stream,
                 Err(error) => return probe_failure(&error),
             };
-            let Ok(again) = handshake(addr, stream).await else { return ProbeResult::Unknown };
+            let Ok(again) = handshake(addr, stream, &self.closings).await else {
+                return ProbeResult::Unknown;
+            };
             lease = again;
             tokio::time::sleep(PROBE_PAUSE).await;
             if lease.connection.sender.is_closed() {
@@ -292,7 +284,7 @@
     /// Whether a connection to an address can be opened. It is kept for the next call.
     pub async fn can_open(&self, addr: &Arc<str>) -> bool {
         let Ok(stream) = open(addr).await else { return false };
-        let Ok(lease) = handshake(addr, stream).await else { return false };
+        let Ok(lease) = handshake(addr, stream, &self.closings).await else { return false };
         self.count(true);
         self.put_back(Lease { max_idle: DEFAULT_IDLE_TIME, ..lease });
         true
@@ -313,6 +305,7 @@
         list.retain(|idle| idle.is_usable(now));
         if list.len() < MAX_IDLE_CONNECTIONS {
             let Lease { lane, connection, max_idle, .. } = lease;
+            connection.idle_time.begin(now + max_idle);
             list.push(Idle { lane, connection, until: now + max_idle });
         }
     }
@@ -344,6 +337,7 @@
         list.retain(|idle| idle.is_usable(now));
         let newest = list.iter().rposition(|idle| idle.lane == lane)?;
         let Idle { connection, .. } = list.remove(newest);
+        connection.idle_time.end();
         Some(Lease { addr: addr.clone(), lane, connection, max_idle: Duration::ZERO })
     }
 
@@ -355,7 +349,8 @@
             list.iter().any(|idle| now < idle.until && !idle.is_usable(now))
         });
         let (clock, counts) = (self.clock.clone(), self.counts.clone());
-        let opener = Opener { addr: addr.clone(), clock, counts };
+        let closings = self.closings.clone();
+        let opener = Opener { addr: addr.clone(), clock, counts, closings };
         match self.take_idle(addr, lane) {
             Some(lease) => Sentinel::with(lease, opener),
             None => Sentinel::open(opener, was_closed),
@@ -365,15 +360,9 @@
     async fn connect(&self, addr: &Arc<str>) -> Result<Lease, Error> {
         let opened = open(addr).await;
         if opened.is_err() {
-            self.notify(addr, false);
-        }
-        handshake(addr, opened.map_err(|error| unsent(addr, error))?).await
-    }
-
-    fn notify(&self, addr: &str, is_open: bool) {
-        if let Some(observer) = self.observer.get() {
-            observer(addr, is_open);
+            self.closings.notify(addr, ConnectionEvent::Unopened);
         }
+        handshake(addr, opened.map_err(|error| unsent(addr, error))?, &self.closings).await
     }
 
     fn count(&self, is_fresh: bool) {
@@ -390,7 +379,11 @@
     opening.await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
 }
 
-async fn handshake(addr: &Arc<str>, stream: TcpStream) -> Result<Lease, Error> {
+async fn handshake(
+    addr: &Arc<str>,
+    stream: TcpStream,
+    closings: &Rc<Closings>,
+) -> Result<Lease, Error> {
     socket::set_dead_peer_detection(&stream).map_err(|error| unsent(addr, error))?;
     let allowance = Allowance::default();
     let stream = Metered::new(stream, allowance.clone());
@@ -398,14 +391,17 @@
     let handshake = builder.max_buf_size(metered::MAX_READ).handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| unsent(addr, error))?;
     let (task, registration) = AbortHandle::new_pair();
+    let idle_time = IdleTime::default();
+    let (closings, own_time, own_addr) = (closings.clone(), idle_time.clone(), addr.clone());
     ntex::rt::spawn(Abortable::new(
         async move {
             // The error also reaches the sender's next request.
             connection.await.ok();
+            closings.on_closed(&own_addr, &own_time);
         },
         registration,
     ));
-    let connection = Connection { sender, task, allowance };
+    let connection = Connection { sender, task, allowance, idle_time };
     Ok(Lease { addr: addr.clone(), lane: Lane::Checked, connection, max_idle: Duration::ZERO })
 }
 
--- a/crates/relay/src/pool/sentinel.rs
+++ b/crates/relay/src/pool/sentinel.rs
@@ -20,7 +20,8 @@
 use peatdeck_util::clock::Clock;
 
 use crate::pool::{
-    Body, Connection, Counts, Lease, PROBE_PAUSE, Pool, handshake, keep_alive_time, open,
+    Body, Connection, Counts, Lease, PROBE_PAUSE, Pool, closings::Closings, handshake,
+    keep_alive_time, open,
 };
 
 /// Time limit for an answer on the second connection.
@@ -67,17 +68,18 @@
     pub(super) addr: Arc<str>,
     pub(super) clock: Rc<dyn Clock>,
     pub(super) counts: Rc<RefCell<Counts>>,
+    pub(super) closings: Rc<Closings>,
 }
 
 impl Opener {
     /// Opens a connection in the background.
     fn begin(&self) -> State {
-        let Opener { addr, clock, counts } = self.clone();
+        let Opener { addr, clock, counts, closings } = self.clone();
         let (tx, rx) = oneshot::channel();
         let started = clock.now();
         ntex::rt::spawn(async move {
             let Ok(stream) = open(&addr).await else { return };
-            let Ok(lease) = handshake(&addr, stream).await else { return };
+            let Ok(lease) = handshake(&addr, stream, &closings).await else { return };
             counts.borrow_mut().opened += 1;
             let took = clock.now().saturating_sub(started);
             // The reply may have been dropped.
