Streams: a list of versions that the store has lost still counts

What callers would see: a stream that began at a version which has left goes on at the other one, if the store loses its list of versions while an instance runs that is too young to have seen the first version itself.

Cause: the newest read replaced what was listed before, and an empty list counts as a single version. The instance then wrote the list again with the versions that it had seen itself, so that others took the short list for whole.

Class: state that a process has not seen since its start is taken for proof that it never was.

The mend: nobody removes a service's last version, so a list that is empty and was not has been lost. What it had still counts, and is written again.

Evidence: both tests of relay/lost_list fail on the code before (the stream goes on at v1; only v1 is written).

What was ruled out: a short list of a running store. A service's versions are one record, which is written on condition that nothing was written since it was read, and a version is removed only by an instance that saw a single one for a minute. Left: instances that all start while the list is empty take it for that of a first start (relay/stream_versions holds that their streams go on).

--- a/crates/core/src/relay/machine/versions.rs
+++ b/crates/core/src/relay/machine/versions.rs
@@ -52,7 +52,8 @@
             }
             let rank_delay = (RANK_DELAY * self.version_rank(&service)).min(MAX_RANK_DELAY);
             let delay = rank_delay + self.start_delay(now, &service);
-            self.actions.push(Action::ListVersions { service, versions: seen, delay });
+            let versions = self.registry.with_lost(&service, seen);
+            self.actions.push(Action::ListVersions { service, versions, delay });
         }
         self.update_held(now);
     }
--- a/crates/core/src/relay/registry.rs
+++ b/crates/core/src/relay/registry.rs
@@ -30,6 +30,8 @@
 struct Registration {
     /// The versions that the store listed when it was last read or written; `None` before.
     listed: Option<Versions>,
+    /// Whether the store has lost these since: nobody removes the last version of a service.
+    is_lost: bool,
     /// The versions that the store listed when it was first read: no stream that began before
     /// this instance has begun at another one.
     first: Versions,
@@ -58,10 +60,18 @@
 
     /// Whether the store lists all of these versions.
     pub(crate) fn lists(&self, service: &str, seen: &Versions) -> bool {
-        let listed = self.services.get(service).and_then(|it| it.listed.as_ref());
+        let registration = self.services.get(service).filter(|it| !it.is_lost);
+        let listed = registration.and_then(|it| it.listed.as_ref());
         listed.is_some_and(|listed| listed.is_superset(seen))
     }
 
+    /// The versions that the store has to list, besides those given: those that it has lost.
+    pub(crate) fn with_lost(&self, service: &str, seen: Versions) -> Versions {
+        let registration = self.services.get(service).filter(|it| it.is_lost);
+        let lost = registration.and_then(|it| it.listed.clone());
+        seen.into_iter().chain(lost.unwrap_or_default()).collect()
+    }
+
     /// The only version that the store listed when this instance first read it.
     pub(crate) fn first_only(&self, service: &str) -> Option<&Version> {
         let first = &self.services.get(service)?.first;
@@ -91,9 +101,15 @@
         true
     }
 
-    /// The store lists these versions of a service.
+    /// The store lists these versions of a service. If it lists none though it did before, it has
+    /// lost them, and they still count.
     pub(crate) fn set_listed(&mut self, service: &ServiceName, listed: Versions) {
         let registration = self.services.entry(service.clone()).or_default();
+        let had_any = registration.listed.as_ref().is_some_and(|known| !known.is_empty());
+        registration.is_lost = had_any && listed.is_empty();
+        if registration.is_lost {
+            return;
+        }
         registration.requested.take_if(|it| listed.is_superset(&it.versions));
         if registration.listed.is_none() {
             registration.first = listed.clone();
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -23,6 +23,7 @@
 mod leaving;
 mod limits;
 mod load;
+mod lost_list;
 mod paths;
 mod peers;
 mod placing;
