Streams: versions that a restored store lacks still count

What callers would see: as with a lost list, after the store came back from a copy that is older than the second version's entry in the list.

Cause: when an answer named a later timeline, the instance forgot what it had read of the list and took the older copy for what was listed at its start. A young instance even bound streams of unknown versions to the only one listed there.

Class: state that a process has not seen since its start is taken for proof that it never was; here it had been seen and was dropped.

The mend: what was read before a restoration is kept as lost, counts until the store lists it again, and is written again with the versions that the instance sees. What was read first stays what was listed at the start.

Evidence: a_stream_of_an_unknown_version_goes_on_nowhere_after_the_store_came_back _from_an_older_copy fails on the code before: the stream goes on at v1. The other new test guards the other side: a list that came back whole is followed again.

--- a/crates/core/src/relay/machine/versions.rs
+++ b/crates/core/src/relay/machine/versions.rs
@@ -110,7 +110,7 @@
 
     /// The store was restored from an older copy: versions and streams are written again.
     pub fn on_store_restored(&mut self, now: Duration) {
-        self.registry.clear();
+        self.registry.mark_lost();
         self.register_versions(now);
         for service in self.resumable_services() {
             if self.has_several_versions(&service) {
--- a/crates/core/src/relay/registry.rs
+++ b/crates/core/src/relay/registry.rs
@@ -30,7 +30,7 @@
 struct Registration {
     /// The versions that the store listed when it was last read or written; `None` before.
     listed: Option<Versions>,
-    /// Whether the store has lost these since: nobody removes the last version of a service.
+    /// Whether the store has lost some of these since, or may have.
     is_lost: bool,
     /// The versions that the store listed when it was first read: no stream that began before
     /// this instance has begun at another one.
@@ -101,13 +101,15 @@
         true
     }
 
-    /// The store lists these versions of a service. If it lists none though it did before, it has
-    /// lost them, and they still count.
+    /// The store lists these versions of a service. Those that it has lost still count: all, if it
+    /// lists none though it did before, since nobody removes the last version of a service.
     pub(crate) fn set_listed(&mut self, service: &ServiceName, listed: Versions) {
         let registration = self.services.entry(service.clone()).or_default();
-        let had_any = registration.listed.as_ref().is_some_and(|known| !known.is_empty());
-        registration.is_lost = had_any && listed.is_empty();
-        if registration.is_lost {
+        if let Some(known) = &mut registration.listed
+            && (registration.is_lost || listed.is_empty())
+        {
+            registration.is_lost = !listed.is_superset(known);
+            known.extend(listed);
             return;
         }
         registration.requested.take_if(|it| listed.is_superset(&it.versions));
@@ -118,9 +120,12 @@
         registration.listed = Some(listed);
     }
 
-    /// Forgets what the store lists, since it may have lost records.
-    pub(crate) fn clear(&mut self) {
-        self.services.clear();
+    /// The store may have lost versions: each list is written again.
+    pub(crate) fn mark_lost(&mut self) {
+        for registration in self.services.values_mut() {
+            registration.is_lost = registration.listed.is_some();
+            registration.requested = None;
+        }
     }
 
     /// The versions of a service that get no work yet. Before the list has been read, none is
--- a/crates/core/tests/testsuite/relay/lost_list.rs
+++ b/crates/core/tests/testsuite/relay/lost_list.rs
@@ -1,4 +1,4 @@
-//! The store's list of versions is lost while instances run.
+//! The store loses its list of versions, or versions of it, while instances run.
 
 use std::sync::Arc;
 
@@ -75,3 +75,29 @@
     read_store(&mut world, &[]);
     assert_eq!(requests(&mut world), [versions(&["v1", "v2"])]);
 }
+
+#[test]
+fn a_stream_of_an_unknown_version_goes_on_nowhere_after_the_store_came_back_from_an_older_copy() {
+    let mut world = started();
+    read_store(&mut world, &["v1", "v2"]);
+    requests(&mut world);
+    world.relay.on_store_restored(world.now);
+    world.collect();
+    world.submit(taken_up("2", "1"));
+    read_store(&mut world, &["v1"]);
+    assert_eq!(world.calls(), []);
+    assert_eq!(world.refusals(), ["503 unknown_version never"]);
+    assert_eq!(requests(&mut world), [versions(&["v1", "v2"])]);
+}
+
+#[test]
+fn a_restored_list_that_has_all_versions_is_taken_as_it_is() {
+    let mut world = started();
+    read_store(&mut world, &["v1", "v2"]);
+    world.relay.on_store_restored(world.now);
+    read_store(&mut world, &["v1", "v2", "v3"]);
+    read_store(&mut world, &["v1"]);
+    world.submit(taken_up("2", "1"));
+    read_store(&mut world, &["v1"]);
+    assert_eq!(&*world.calls().remove(0).endpoint, "a");
+}
