Streams: each version waits on its own to be listed

What callers would see: with a store that refuses writes, a third version gets work at once, unlisted, if a second one waits to be listed for over three seconds. After a common kill the streams that it began go on at another version, if it has left meanwhile.

Cause: the time for which versions are held back was kept once a service, and ran from the first version that came.

Class: state of one writer handed to another.

The mend: each version has its own time. One that the store lists is waited for no longer, and waits anew if it comes back after it was removed.

Evidence: two of the three new tests of relay/version_list fail on the code before (the third version is used at once after the second one's three seconds; and 0.1 s after its own entry). The third guards the other side.

Left, as relay/version_list demands it: after three seconds a version is used unlisted. If all instances end then and it has left before they are back, its streams go on at the version that is listed.

--- a/crates/core/src/relay/registry.rs
+++ b/crates/core/src/relay/registry.rs
@@ -5,7 +5,7 @@
 //! can tell at which versions a stream that none of them remembers may have begun.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -39,13 +39,30 @@
     requested: Option<Request>,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 struct Request {
-    versions: Versions,
-    since: Duration,
+    /// The versions that the store does not list yet, and since when each has been known.
+    waiting: BTreeMap<Version, Duration>,
     retry_at: Duration,
 }
 
+impl Request {
+    /// Sets which versions the store does not list. Returns whether any of them is new.
+    fn set_waiting(&mut self, now: Duration, unlisted: Versions) -> bool {
+        self.waiting.retain(|version, _| unlisted.contains(version));
+        let known = self.waiting.len();
+        for version in unlisted {
+            self.waiting.entry(version).or_insert(now);
+        }
+        self.waiting.len() > known
+    }
+
+    /// A version gets work after this time, listed or not.
+    fn holds(&self) -> impl Iterator<Item = (&Version, Duration)> {
+        self.waiting.iter().map(|(version, since)| (version, *since + MAX_HOLD))
+    }
+}
+
 impl VersionRegistry {
     /// The number of versions in the list and among those given.
     pub(crate) fn count_with(&self, service: &str, seen: &Versions) -> usize {
@@ -91,14 +108,14 @@
             registration.requested = None;
             return false;
         }
-        let known = registration.requested.as_ref();
-        if known.is_some_and(|it| it.versions.is_superset(seen) && now < it.retry_at) {
-            return false;
+        let mut unlisted = seen.clone();
+        unlisted.retain(|it| !registration.listed.as_ref().is_some_and(|known| known.contains(it)));
+        let request = registration.requested.get_or_insert_default();
+        let is_due = request.set_waiting(now, unlisted) || now >= request.retry_at;
+        if is_due {
+            request.retry_at = now + ATTEMPT_INTERVAL;
         }
-        let since = known.map_or(now, |it| it.since);
-        let retry_at = now + ATTEMPT_INTERVAL;
-        registration.requested = Some(Request { versions: seen.clone(), since, retry_at });
-        true
+        is_due
     }
 
     /// The store lists these versions of a service. Those that it has lost still count: all, if it
@@ -112,7 +129,7 @@
             known.extend(listed);
             return;
         }
-        registration.requested.take_if(|it| listed.is_superset(&it.versions));
+        registration.requested.take_if(|it| it.waiting.keys().all(|key| listed.contains(key)));
         if registration.listed.is_none() {
             registration.first = listed.clone();
             registration.requested = None;
@@ -134,17 +151,16 @@
         let registration = self.services.get(service);
         let listed = registration.and_then(|it| it.listed.as_ref()).filter(|it| !it.is_empty());
         let requested = registration.and_then(|it| it.requested.as_ref());
-        let requested = requested.filter(|it| now < it.since + MAX_HOLD);
-        match (listed, requested) {
-            (Some(listed), Some(request)) => request.versions.difference(listed).cloned().collect(),
-            _ => Versions::new(),
-        }
+        let (Some(listed), Some(request)) = (listed, requested) else { return Versions::new() };
+        let held = request.holds().filter(|(it, until)| now < *until && !listed.contains(*it));
+        held.map(|(version, _)| version.clone()).collect()
     }
 
     /// When a request has to be repeated or versions are held back no longer.
     pub(crate) fn next_wake(&self, now: Duration) -> Option<Duration> {
         let requests = self.services.values().filter_map(|it| it.requested.as_ref());
-        let times = requests.flat_map(|it| [it.retry_at, it.since + MAX_HOLD]);
+        let times = requests
+            .flat_map(|it| it.holds().map(|(_, until)| until).chain(std::iter::once(it.retry_at)));
         times.filter(|at| *at > now).min()
     }
 }
--- a/crates/core/tests/testsuite/relay/version_list.rs
+++ b/crates/core/tests/testsuite/relay/version_list.rs
@@ -104,6 +104,41 @@
     assert_eq!(used(&mut world), ["a".into(), "b".into()]);
 }
 
+#[test]
+fn a_third_version_waits_to_be_listed_though_the_second_one_has_waited_long_enough() {
+    let mut world = settled();
+    world.put(versioned("b", "v2"));
+    world.advance(ms(3000));
+    assert_eq!(used(&mut world), ["a".into(), "b".into()]);
+    world.put(versioned("c", "v3"));
+    assert_eq!(used(&mut world), ["a".into(), "b".into()]);
+    world.advance(ms(2999));
+    assert_eq!(used(&mut world), ["a".into(), "b".into()]);
+    world.advance(ms(1));
+    assert_eq!(used(&mut world), ["a".into(), "b".into(), "c".into()]);
+}
+
+#[test]
+fn a_third_version_does_not_make_the_second_one_wait_longer() {
+    let mut world = settled();
+    world.put(versioned("b", "v2"));
+    world.advance(ms(2900));
+    world.put(versioned("c", "v3"));
+    assert_eq!(used(&mut world), ["a".into()]);
+    world.advance(ms(100));
+    assert_eq!(used(&mut world), ["a".into(), "b".into()]);
+}
+
+#[test]
+fn a_version_that_has_left_the_list_waits_again_when_it_comes_back() {
+    let mut world = settled();
+    world.put(versioned("b", "v2"));
+    world.advance(ms(3000));
+    list(&mut world, &["v1", "v2"]);
+    list(&mut world, &["v1"]);
+    assert_eq!(used(&mut world), ["a".into()]);
+}
+
 #[test]
 fn an_instance_that_has_just_started_uses_all_versions_at_once() {
     let mut world = world(RequestKind::Resumable);
