--- a/crates/core/src/relay/machine/versions.rs
+++ b/crates/core/src/relay/machine/versions.rs
@@ -52,7 +52,8 @@
             }
             let rank_delay = (RANK_DELAY * self.version_rank(&service)).min(MAX_RANK_DELAY);
             let delay = rank_delay + self.start_delay(now, &service);
-            self.actions.push(Action::ListVersions { service, versions: seen, delay });
+            let versions = self.registry.with_lost(&service, seen);
+            self.actions.push(Action::ListVersions { service, versions, delay });
         }
         self.update_held(now);
     }
@@ -109,7 +110,7 @@
 
     /// The store was restored from an older copy: versions and streams are written again.
     pub fn on_store_restored(&mut self, now: Duration) {
-        self.registry.clear();
+        self.registry.mark_lost();
         self.register_versions(now);
         for service in self.resumable_services() {
             if self.has_several_versions(&service) {
