Relay: only chunks and a length state where a reply ends

What callers saw: an endpoint closed right after a head with `transfer-encoding: identity`, or after an HTTP/1.0 head with chunks. Callers got a 200 with no event, or with an empty body, framed as whole.

Cause: any `transfer-encoding` counted as a length, so the end of such a reply was neither checked against its process nor judged by what it had brought. Only a last coding `chunked` ends by itself, and versions before 1.1 have none.

Class: two readers of one head that differ on where its body ends.

A peer that makes a call leaves out `transfer-encoding` where it does not apply, since the instance that receives the reply does not know the version.

--- a/crates/relay/src/peers/detour.rs
+++ b/crates/relay/src/peers/detour.rs
@@ -199,12 +199,16 @@
         return (DetourEnd::Refused, "the peer does not reach the endpoint".to_owned());
     };
     driver.metrics.count("relay.detours_served", 1);
-    let (head, mut body) = match step::send(driver, &addr, Lane::Checked, request).await {
+    let (mut head, mut body) = match step::send(driver, &addr, Lane::Checked, request).await {
         Ok(sent) => sent,
         Err(error) if error.is_unsent() => return (DetourEnd::Unsent, error.to_string()),
         Err(error) => return (DetourEnd::Cut, error.to_string()),
     };
     let is_stream = is_event_stream(&head);
+    if body.is_unframed() {
+        // The instance that asked for the call does not know the version of the protocol.
+        head.headers.remove(header::TRANSFER_ENCODING);
+    }
     if let Err(cause) = forward(head, &mut body, sink).await {
         return (DetourEnd::Cut, cause);
     }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -26,7 +26,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::future::{AbortHandle, Abortable};
-use http::{HeaderMap, Request, Response, header, response};
+use http::{HeaderMap, Request, Response, Version, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     body::{Body as _, Incoming},
@@ -108,6 +108,11 @@
         &self.lease.addr
     }
 
+    /// Whether only the end of the connection ends it.
+    pub fn is_unframed(&self) -> bool {
+        self.sentinel.is_some()
+    }
+
     /// The next bytes; `None` once the reply is whole.
     pub async fn next_data(&mut self) -> Option<Result<Bytes, hyper::Error>> {
         loop {
@@ -416,10 +421,14 @@
     }
 }
 
-/// Whether a reply with a body states where the body ends.
+/// Whether a reply with a body states where the body ends. Of the codings only chunks do, and
+/// versions before 1.1 have none.
 pub fn has_length(head: &response::Parts) -> bool {
-    let headers = &head.headers;
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+    let coding = head.headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    match coding.filter(|_| head.version >= Version::HTTP_11) {
+        Some(coding) => coding.as_bytes().to_ascii_lowercase().ends_with(b"chunked"),
+        None => head.headers.contains_key(header::CONTENT_LENGTH),
+    }
 }
 
 /// How long a connection may be idle, by the headers of a reply; zero if it closes.
--- a/crates/relay/src/step.rs
+++ b/crates/relay/src/step.rs
@@ -35,6 +35,11 @@
         Some(data.map_err(|error| error.to_string()))
     }
 
+    /// Whether only the end of the connection ends it.
+    pub fn is_unframed(&self) -> bool {
+        self.body.is_unframed()
+    }
+
     /// What is known of it after its end.
     pub async fn check_end(&mut self, driver: &Driver) -> BodyEnd {
         let Some(request) = refused_request(driver, self.body.addr()) else {
--- a/crates/relay/tests/relay/broken_heads.rs
+++ b/crates/relay/tests/relay/broken_heads.rs
@@ -55,9 +55,20 @@
     Interim,
     /// It does not state it.
     None,
+    /// It names a coding that does not end by itself.
+    Identity,
+    /// The head is of a protocol version without chunks.
+    Old,
 }
 
-const FRAMINGS: [Framing; 4] = [Framing::Length, Framing::Chunks, Framing::Interim, Framing::None];
+const FRAMINGS: [Framing; 6] = [
+    Framing::Length,
+    Framing::Chunks,
+    Framing::Interim,
+    Framing::None,
+    Framing::Identity,
+    Framing::Old,
+];
 
 impl Framing {
     fn has_length(self) -> bool {
@@ -72,9 +83,12 @@
             Framing::Chunks => ("", "transfer-encoding: chunked\r\n"),
             Framing::Interim => ("HTTP/1.1 100 Continue\r\n\r\n", "content-length: 16\r\n"),
             Framing::None => ("", ""),
+            Framing::Identity => ("", "transfer-encoding: identity\r\n"),
+            Framing::Old => ("", "transfer-encoding: chunked\r\n"),
         };
+        let version = if self == Framing::Old { "1.0" } else { "1.1" };
         format!(
-            "{interim}HTTP/1.1 200 OK\r\n{line}content-type: {content_type}\r\n{request}peatdeck-seal: s\r\n\r\n"
+            "{interim}HTTP/{version} 200 OK\r\n{line}content-type: {content_type}\r\n{request}peatdeck-seal: s\r\n\r\n"
         )
     }
 }
