Tests: the instances of each store listen at a loopback address of their own

Seen: common_kill::streams_go_on_after_a_common_kill_while_their_versions_serve timed out once ("the instance has read the directory", 20 s after the restart); here the same wait of stream_versions:: a_stream_goes_on_after_all_instances_have_restarted_where_one_version_serves did, in 1 of 8 runs of the whole test binary beside three busy processes. Class: tests that share what each takes for its own.

Cause: the records of killed instances stay in their store, and the kernel gives their ports out again: 5, 5 and 2 peer addresses in three runs went from an instance of one test to one of another while the binary ran, among them one of r1-2 of common_kill. A restarted instance contacts the addresses that its store lists. With such a record by hand (store of two endpoints, address of an instance of a store with five) it took the tables of the other store, read its own no further (39 reads were "expired"), and counted five endpoints for 20 s and more, where the test waits for two.

That this is what happened in the two runs is inferred from the mechanism, the rate and that both failed after a restart; neither run kept its counters. An instance that fails to read its tables for 20 s was looked for and not seen otherwise.

Evidence: the new test fails before (127.0.0.1 twice).

Left open: that the product takes tables from whatever listens at a listed address. Peers do not say which deployment they belong to.

--- a/crates/relay/tests/relay/link.rs
+++ b/crates/relay/tests/relay/link.rs
@@ -33,7 +33,7 @@
 
     /// Returns an address whose connections lead to `target` over the link.
     pub fn listen_for(&self, target: SocketAddr) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = TcpListener::bind((target.ip(), 0)).unwrap();
         let addr = listener.local_addr().unwrap();
         let link = self.clone();
         thread::spawn(move || {
--- a/crates/relay/tests/relay/standins.rs
+++ b/crates/relay/tests/relay/standins.rs
@@ -232,7 +232,7 @@
 
     /// The settings of the instance, whose addresses have no ports yet.
     pub fn settings(&self) -> Settings {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let any = SocketAddr::from((self.store.host(), 0));
         Settings {
             name: self.name.clone(),
             incarnation: Incarnation(1),
--- a/crates/relay/tests/relay/standins/store.rs
+++ b/crates/relay/tests/relay/standins/store.rs
@@ -2,9 +2,12 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     rc::Rc,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -42,8 +45,20 @@
     }
 }
 
+/// An address of the loopback interface that no other store's instances have.
+struct Host(Ipv4Addr);
+
+impl Default for Host {
+    fn default() -> Host {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let first = u32::from(Ipv4Addr::new(127, 1, 0, 1));
+        Host(Ipv4Addr::from(first + NEXT.fetch_add(1, Ordering::Relaxed)))
+    }
+}
+
 #[derive(Default)]
 struct Inner {
+    host: Host,
     tables: HashMap<TableName, Vec<Record>>,
     expired: HashMap<TableName, u64>,
     is_unavailable: bool,
@@ -76,6 +91,12 @@
         MemoryStore { inner: self.inner.clone(), link: Some(link) }
     }
 
+    /// The address of this store's instances. Their records outlive them, so no other store's
+    /// instance may listen there afterwards.
+    pub fn host(&self) -> Ipv4Addr {
+        self.inner.lock().unwrap().host.0
+    }
+
     pub fn put(&self, table: TableName, key: &str, value: Vec<u8>) {
         self.write(table, key, Some(value.into()));
     }
--- a/crates/relay/tests/relay/store.rs
+++ b/crates/relay/tests/relay/store.rs
@@ -93,3 +93,10 @@
         }
     }
 }
+
+/// Guards against restarted instances of a test that take tables from an instance of another one.
+#[test]
+fn the_address_of_an_instance_is_never_given_to_one_of_another_store() {
+    let relays = ["a", "b"].map(|name| Relay::start(name, &MemoryStore::default(), &[]));
+    assert_ne!(relays[0].peers.ip(), relays[1].peers.ip());
+}
