Appends to the log of streams may wait at the store, and the oldest are dropped after a failure

Callers of streams that began while the store was slow would be refused as of an unknown version, above all with many instances.

Cause: the adapter gave an append up after 1.5 s (it asked the pool for no time to wait), so the 2.5 s of its caller had no effect: appends that the store executed after 1.5 to 2 s counted as failed and were sent again. And what had failed went behind what had come meanwhile, so that a full queue dropped the newest streams. Class: two places that set one limit.

--- a/crates/core/src/relay/stream_log.rs
+++ b/crates/core/src/relay/stream_log.rs
@@ -31,9 +31,7 @@
             self.due_at = now + interval;
         }
         self.waiting.push_back(record);
-        if self.waiting.len() > MAX_WAITING {
-            self.waiting.pop_front();
-        }
+        self.drop_oldest();
     }
 
     /// When the next append is to begin; `None` if no stream waits, or while one is under way.
@@ -49,14 +47,24 @@
         Some(std::mem::take(&mut self.waiting).into())
     }
 
-    /// The append has ended. These streams could not be appended and wait again.
+    /// The append has ended. These streams could not be appended, and wait again before those that
+    /// came meanwhile.
     pub(crate) fn end_append(&mut self, now: Duration, failed: Vec<StreamRecord>) {
         self.is_appending = false;
-        if !failed.is_empty() {
-            self.retry_at = now + RETRY_INTERVAL;
+        if failed.is_empty() {
+            return;
+        }
+        self.retry_at = now + RETRY_INTERVAL;
+        self.due_at = now;
+        for record in failed.into_iter().rev() {
+            self.waiting.push_front(record);
         }
-        for record in failed {
-            self.push(now, Duration::ZERO, record);
+        self.drop_oldest();
+    }
+
+    fn drop_oldest(&mut self) {
+        while self.waiting.len() > MAX_WAITING {
+            self.waiting.pop_front();
         }
     }
 }
--- a/crates/core/tests/testsuite/relay/stream_log.rs
+++ b/crates/core/tests/testsuite/relay/stream_log.rs
@@ -143,3 +143,20 @@
     let missing = old.filter(|(_, stream)| !there.contains(&stream.short())).count();
     assert_eq!(missing, 0);
 }
+
+#[test]
+fn the_oldest_streams_are_dropped_when_too_many_wait_after_a_failure() {
+    const MAX_WAITING: usize = 20_000;
+    let mut world = world(0);
+    for idx in 0..MAX_WAITING {
+        let (exchange, _) = begin(&mut world, new(&format!("old-{idx}")));
+        world.disconnect(exchange);
+    }
+    world.advance(ms(200));
+    let failed = logged(&mut world);
+    begin(&mut world, new("new"));
+    world.relay.on_streams_appended(world.now, failed);
+    world.advance(ms(1100));
+    let newest = logged(&mut world).last().map(|record| record.stream);
+    assert_eq!(newest, Some(StreamId::new(Some("one"), "new")));
+}
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -30,7 +30,7 @@
 
 /// Longest time of a read. Callers wait for it.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest time of an append to the log: a store refuses one that would wait for two seconds.
+/// Longest time of an append to the log, which waits for up to two seconds at the store.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Shortest time between the beginnings of two reads, so that many streams that are taken up
 /// one after the other do not use up the calls that the store allows.
