A stream of an unknown version is not guessed to be from before the start once a peer has ended

Callers would see: a stream with events of two versions. An instance starts while the store lists v1 alone; v2 comes and serves; another instance begins a stream at v2 and is killed together with the peers that remember it, before the log has it; the caller comes to the first instance, which binds the stream to v1, since that was the only version when it started.

Cause: for 30 s after a start, a stream that nobody knows was taken for one from before the start, also if it may have begun after the second version came. Class: what a process has not seen is taken for proof that it never was.

Change: such a stream is bound only if no peer has ended since the service has several versions, by the incarnations that peers report (`relay::peer_losses`), and if all peers that were asked have answered. While one has not, it is refused with a time to come back. Streams from before a common restart go on as before: no peer ends after it. Ruled out: refusing all of them, which would lose every stream from before a restart during which a second version comes.

Tests: relay/lost_peers (3). Without the two conditions two of them fail; the third guards the other side.

--- a/crates/core/src/membership/members/queries.rs
+++ b/crates/core/src/membership/members/queries.rs
@@ -43,6 +43,7 @@
             .values()
             .map(|peer| PeerStatus {
                 name: peer.name.clone(),
+                incarnation: peer.state.incarnation,
                 version: peer.version(),
                 is_ready: peer.state.ready,
                 is_alive: peer.is_alive(time, dead_after),
--- a/crates/core/src/membership/status.rs
+++ b/crates/core/src/membership/status.rs
@@ -4,7 +4,10 @@
 
 use peatdeck_macros::data;
 
-use crate::{model::InstanceName, record::Version};
+use crate::{
+    model::{Incarnation, InstanceName},
+    record::Version,
+};
 
 /// How long it takes until an instance that has just started has received, through gossip, the
 /// counters of all peers that are alive: six rounds of 400 ms.
@@ -15,6 +18,8 @@
 pub struct PeerStatus {
     /// The peer.
     pub name: InstanceName,
+    /// Its incarnation, as it last reported.
+    pub incarnation: Incarnation,
     /// The newest version that the peer has reported as in force.
     pub version: Version,
     /// Whether the peer accepts requests.
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -34,7 +34,7 @@
 //! requests, [`ids`] holds names and keys, [`quarantine`] finds requests that crash endpoints; [`region`] maps data centres to
 //! regions, [`allowed`] are the regions where a request may be served, [`overflow`] decides
 //! which requests leave a full region; [`rollout`] moves a service to a new version;
-//! [`streams`] remembers which version began a stream, `stream_log` collects what the store's
+//! [`streams`] remembers which version began a stream, [`peer_losses`] when peers ended, `stream_log` collects what the store's
 //! log has to be told of that;
 //! [`pool`] names the endpoints that work may go to; [`terms`] are the conditions that
 //! endpoints state in replies; [`graph`] holds the stages of one exchange;
@@ -59,6 +59,7 @@
 pub mod operator;
 pub mod overflow;
 pub mod paths;
+pub mod peer_losses;
 pub mod pool;
 pub mod position;
 pub mod quarantine;
--- a/crates/core/src/relay/exchange.rs
+++ b/crates/core/src/relay/exchange.rs
@@ -64,6 +64,8 @@
     pub(crate) binding: Binding,
     /// Whether the head of a stream was passed on to the caller.
     pub(crate) has_sent_head: bool,
+    /// Whether all peers that were asked which version began its stream have answered.
+    pub(crate) all_answered: bool,
     /// The unfinished stages and when they were started.
     pub(crate) stage_starts: Vec<(usize, Duration)>,
     /// Whether its results were marked as evictable before its answer began, and may be freed.
--- a/crates/core/src/relay/machine.rs
+++ b/crates/core/src/relay/machine.rs
@@ -78,6 +78,7 @@
             Progress, Refusal, RunNumber, ServiceName,
         },
         paths::Paths,
+        peer_losses::PeerLosses,
         quarantine::Quarantine,
         reading::PrefillSpeed,
         region::RegionMap,
@@ -133,6 +134,8 @@
     prefill_speeds: HashMap<ServiceName, PrefillSpeed>,
     stage_times: intake::StageTimes,
     peers: Vec<Peer>,
+    /// When peers have ended.
+    losses: PeerLosses,
     /// Peers that did not answer a hand-over, and until when they get none.
     unresponsive_peers: HashMap<InstanceName, Duration>,
     announced_count: usize,
@@ -252,6 +255,7 @@
             prefill_speeds: HashMap::new(),
             stage_times: intake::StageTimes::default(),
             peers: Vec::new(),
+            losses: PeerLosses::default(),
             unresponsive_peers: HashMap::new(),
             announced_count: 0,
             peers_deadline: Duration::ZERO,
--- a/crates/core/src/relay/machine/requests.rs
+++ b/crates/core/src/relay/machine/requests.rs
@@ -92,6 +92,7 @@
             stream,
             binding: Binding::of(route, &arrival),
             has_sent_head: false,
+            all_answered: true,
             stage_starts: Vec::new(),
             has_evictable_results: false,
             rounds: 0,
--- a/crates/core/src/relay/machine/streams.rs
+++ b/crates/core/src/relay/machine/streams.rs
@@ -128,6 +128,10 @@
             }
             // Streams of several versions have its id.
             Some(_) => self.exchanges[key].binding = Binding::Unknown,
+            None if self.may_be_remembered(now, key) => {
+                self.give_up(now, key, Refusal::OriginUnavailable);
+                return;
+            }
             None => self.leave_unbound(now, key),
         }
         self.advance(now, key);
@@ -145,6 +149,16 @@
         self.actions.push(Action::OriginKnown { exchange: key, version, source, age });
     }
 
+    /// Whether a peer that has not answered may remember the stream that an exchange takes up, and
+    /// it would be taken for one from before this instance.
+    fn may_be_remembered(&self, now: Duration, key: ExchangeKey) -> bool {
+        let exchange = &self.exchanges[key];
+        let is_guessed = self.has_several_versions(&exchange.service)
+            && exchange.arrival.first_attempt.is_some()
+            && self.version_before_start(now, &exchange.service).is_some();
+        is_guessed && !exchange.all_answered
+    }
+
     /// Nobody knows which version began the stream that an exchange takes up.
     fn leave_unbound(&mut self, now: Duration, key: ExchangeKey) {
         let exchange = &self.exchanges[key];
@@ -191,10 +205,9 @@
 
     /// Takes in what peers know of the stream that an exchange takes up.
     pub fn on_origin(&mut self, now: Duration, key: ExchangeKey, answer: PeerAnswer) {
-        let asked = self.exchanges.get(key).filter(|it| it.binding == Binding::Asked);
-        if asked.is_none() {
-            return;
-        }
+        let asked = self.exchanges.get_mut(key).filter(|it| it.binding == Binding::Asked);
+        let Some(exchange) = asked else { return };
+        exchange.all_answered = answer.answered == answer.asked;
         match answer.origin {
             Origin::Version(version) => {
                 self.bind_to_origin(key, version, Source::Peer, answer.age);
--- a/crates/core/src/relay/machine/surroundings.rs
+++ b/crates/core/src/relay/machine/surroundings.rs
@@ -8,6 +8,7 @@
     directory::{Change, ChangeEffect, EndedEndpoint, Outage},
     machine::Relay,
     model::Peer,
+    peer_losses::Incarnations,
 };
 
 impl Relay {
@@ -75,6 +76,11 @@
         }
     }
 
+    /// These incarnations of peers are alive, by what they have reported.
+    pub fn set_live_peers(&mut self, now: Duration, live: Incarnations) {
+        self.losses.observe(now, live);
+    }
+
     /// Makes requests with stages or prompts wait until the peers are known, or until the
     /// given time. An instance that has just started has no list of peers yet. When 295
     /// instances were restarted together, 173 of them sent calls for pieces themselves in the
--- a/crates/core/src/relay/machine/versions.rs
+++ b/crates/core/src/relay/machine/versions.rs
@@ -100,12 +100,15 @@
         self.search(now);
     }
 
-    /// The only version at which a stream of a service can have begun before this instance: it
-    /// was the only one that was listed when this instance started.
+    /// The only version at which a stream of a service can have begun that nobody remembers: it
+    /// was the only one that was listed when this instance started, and no peer has ended since
+    /// another one came, so that all streams which began after that are remembered.
     pub(super) fn version_before_start(&self, now: Duration, service: &str) -> Option<Version> {
-        let since = self.directory.known_since()?;
+        let started_at = self.directory.known_since()?;
         let only = self.registry.first_only(service)?;
-        (now < since + MAX_STREAM_TIME).then(|| only.clone())
+        let several_since = self.registry.several_since(service).unwrap_or(now);
+        let is_from_before = !self.losses.any_since(several_since);
+        (is_from_before && now < started_at + MAX_STREAM_TIME).then(|| only.clone())
     }
 
     /// The store was restored from an older copy: versions and streams are written again.
@@ -169,6 +172,10 @@
 
     /// Keeps new work from versions that the store does not list yet.
     fn update_held(&mut self, now: Duration) {
+        for service in self.resumable_services() {
+            let has_several = self.has_several_versions(&service);
+            self.registry.note_several(now, &service, has_several);
+        }
         self.registry_at = self.registry.next_wake(now);
         let services = self.resumable_services().into_iter();
         let held = services.map(|service| {
--- a/crates/core/src/relay/registry.rs
+++ b/crates/core/src/relay/registry.rs
@@ -35,6 +35,8 @@
     /// The versions that the store listed when it was first read: no stream that began before
     /// this instance has begun at another one.
     first: Versions,
+    /// Since when the service has several versions, as far as this instance knows.
+    several_since: Option<Duration>,
     /// Versions that the store was asked to list, until it does.
     requested: Option<Request>,
 }
@@ -89,6 +91,18 @@
         seen.into_iter().chain(lost.unwrap_or_default()).collect()
     }
 
+    /// Notes whether a service has several versions now.
+    pub(crate) fn note_several(&mut self, now: Duration, service: &ServiceName, has_several: bool) {
+        let registration = self.services.entry(service.clone()).or_default();
+        let since = registration.several_since.unwrap_or(now);
+        registration.several_since = has_several.then_some(since);
+    }
+
+    /// Since when a service has several versions; `None` if it has not.
+    pub(crate) fn several_since(&self, service: &str) -> Option<Duration> {
+        self.services.get(service)?.several_since
+    }
+
     /// The only version that the store listed when this instance first read it.
     pub(crate) fn first_only(&self, service: &str) -> Option<&Version> {
         let first = &self.services.get(service)?.first;
--- a/crates/core/src/relay/streams.rs
+++ b/crates/core/src/relay/streams.rs
@@ -68,6 +68,8 @@
 pub struct PeerAnswer {
     /// What the first one that knows the version said, or else all of them together.
     pub origin: Origin,
+    /// How many were asked.
+    pub asked: usize,
     /// How many have answered.
     pub answered: usize,
     /// How long the peer has known the version.
--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -24,6 +24,7 @@
 mod limits;
 mod load;
 mod lost_list;
+mod lost_peers;
 mod paths;
 mod peers;
 mod placing;
--- a/crates/core/tests/testsuite/relay/stream_versions.rs
+++ b/crates/core/tests/testsuite/relay/stream_versions.rs
@@ -75,7 +75,7 @@
 /// So many peers answer.
 fn answered_by(world: &mut World, origin: Origin, answered: usize) {
     let (exchange, ..) = questions(world).remove(0);
-    let answer = PeerAnswer { origin, answered, age: Duration::ZERO };
+    let answer = PeerAnswer { origin, asked: answered, answered, age: Duration::ZERO };
     world.relay.on_origin(world.now, exchange, answer);
     world.collect();
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -276,6 +276,8 @@
     let now = driver.now();
     let members = driver.peers.members.borrow();
     let statuses = members.peer_statuses(now);
+    let live = statuses.iter().filter(|peer| peer.is_alive);
+    let live = live.map(|peer| (peer.name.clone(), peer.incarnation)).collect();
     let usable = statuses.into_iter().filter(|peer| peer.is_usable(now));
     let peers = usable.filter(|peer| members.addr(&peer.name).is_some());
     let peers: Vec<_> = peers.map(|peer| driver.peers.peer(peer.name)).collect();
@@ -285,6 +287,7 @@
     let announced = driver.peers.announced.borrow().len();
     let are_known = driver.peers.tables.is_loaded(TableName::Instances);
     driver.feed(|machine, now| {
+        machine.set_live_peers(now, live);
         machine.set_peers(now, peers, announced);
         if are_known {
             machine.mark_peers_known(now);
--- a/crates/relay/src/peers/streams.rs
+++ b/crates/relay/src/peers/streams.rs
@@ -56,8 +56,12 @@
             let asked_at = driver.now();
             let questions = peers.iter().map(|peer| ask(&driver, peer, stream, &service));
             let mut answers: FuturesUnordered<_> = questions.map(Box::pin).collect();
-            let mut answer =
-                PeerAnswer { origin: Origin::Unrecorded, answered: 0, age: Duration::ZERO };
+            let mut answer = PeerAnswer {
+                origin: Origin::Unrecorded,
+                asked: peers.len(),
+                answered: 0,
+                age: Duration::ZERO,
+            };
             while let Some(known) = answers.next().await {
                 let Some((origin, age)) = known else { continue };
                 answer.answered += 1;
