Streams: tests of records that the store's log has dropped

A stream whose record has expired cannot go on at another version: its version stays in the list until an instance has seen a single one for a minute without a suspension, twice as long as a stream lasts, and until then an instance that has just started refuses the stream. An instance that remembers the stream itself needs no record.

--- a/crates/core/tests/testsuite/relay.rs
+++ b/crates/core/tests/testsuite/relay.rs
@@ -13,6 +13,7 @@
 mod engine;
 mod evacuation;
 mod events;
+mod expired_records;
 mod fixture;
 mod foreign;
 mod forgotten;
