Tests: an endpoint that has ended answers on none of its connections

Class: a stand-in that does what no process does. No caller is affected.

Cause: the stand-in closes its connections one after the other, while the threads of the others still answer, and its listener stays, so connections that wait there pass on to the next "process". A process that ends answers nothing after the end of its reply, and those that wait are reset with its listener. The instance rightly takes an answer on a connection from before the end for a proof.

Ruled out: the check itself, which is unchanged.

Left open: an endpoint that restarts within the time in which a stalled instance opens its second connection and has not read the end of the reply yet.

--- a/crates/relay/tests/relay/standins/endpoint.rs
+++ b/crates/relay/tests/relay/standins/endpoint.rs
@@ -81,15 +81,17 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
         let received = Arc::new(Mutex::new(Vec::new()));
-        let (heads, is_over) = (received.clone(), Arc::new(AtomicBool::new(false)));
+        let (heads, mut is_over) = (received.clone(), Arc::new(AtomicBool::new(false)));
         thread::spawn(move || {
             let mut open = Vec::new();
             for stream in listener.incoming() {
-                if is_over.swap(false, Ordering::SeqCst) {
+                if is_over.load(Ordering::SeqCst) {
                     if !listens_again {
                         break;
                     }
                     close_all(&mut open);
+                    drop_waiting(&listener);
+                    is_over = Arc::default();
                     continue;
                 }
                 let stream = stream.unwrap();
@@ -109,6 +111,10 @@
                         if request.head.contains("/warm/") {
                             both_warm.wait();
                         }
+                        // Its connections are closed one after the other.
+                        if is_over.load(Ordering::SeqCst) {
+                            return;
+                        }
                         conn.write(&full_reply(&request.id(), 200, "alive"));
                     }
                 });
@@ -125,6 +131,13 @@
     }
 }
 
+/// Closes the connections that were not accepted yet, as the end of a process does.
+fn drop_waiting(listener: &TcpListener) {
+    listener.set_nonblocking(true).unwrap();
+    while listener.accept().is_ok() {}
+    listener.set_nonblocking(false).unwrap();
+}
+
 fn close_all(open: &mut Vec<TcpStream>) {
     for stream in open.drain(..) {
         stream.shutdown(Shutdown::Both).ok();
