Directory: an entry's number far below the known one is not a late write

What callers saw: another writer puts an entry with a large number under an endpoint's name, for instance with another address. The endpoint's own entries, however many follow, were ignored for ever: calls went to the odd address, or the endpoint got none.

Cause: each entry of an incarnation with a lower number than the known one counted as a write that the store executed late. Such a write is seconds late, a number of an odd entry may be any.

Class: one record of another writer outranks all that the owner writes later.

Mend: an entry counts as late only if at most 64 entries may have followed it. A lower number shows that another process wrote the known one. An odd number a little above the endpoint's own is passed by the endpoint itself after as many entries; the test plays 60.

Evidence: `foreign::an_endpoints_own_entry_wins_over_a_foreign_one_with_a_large_number` fails on the code before (at number 1000), and holds now. The test for small numbers held before and holds.

--- a/crates/core/src/relay/directory/changes.rs
+++ b/crates/core/src/relay/directory/changes.rs
@@ -12,6 +12,9 @@
 /// usable again.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// So many entries may have followed one that the store executes late, by seconds.
+const MAX_LAG_ENTRIES: u64 = 64;
+
 impl Directory {
     /// Applies a change.
     pub fn apply_change(&mut self, now: Duration, change: Change) -> ChangeEffect {
@@ -113,9 +116,11 @@
     }
 
     /// Whether an entry was written before the newest one that is known of its incarnation, and
-    /// says no more. That its endpoint is leaving stays true.
+    /// says no more. That its endpoint is leaving stays true. Where the numbers are too far apart
+    /// for that, another process wrote the one that is known.
     fn is_late(&self, key: EndpointKey, entry: &Entry) -> bool {
-        entry.number < self.endpoints[key].entry.number && !entry.is_leaving
+        let lag = self.endpoints[key].entry.number.saturating_sub(entry.number);
+        (1..=MAX_LAG_ENTRIES).contains(&lag) && !entry.is_leaving
     }
 
     /// Applies a further entry of the same incarnation.
--- a/crates/core/tests/testsuite/relay/foreign.rs
+++ b/crates/core/tests/testsuite/relay/foreign.rs
@@ -87,3 +87,32 @@
     configure(&mut world, config(2, &["desk", "mart"]));
     assert_eq!(usable(&world, "mart"), ["a:80"]);
 }
+
+/// Guards against an endpoint that is called elsewhere for ever, since another writer's entry under
+/// its name has a number that its own ones never reach.
+#[test]
+fn an_endpoints_own_entry_wins_over_a_foreign_one_with_a_large_number() {
+    for number in [1000, u64::MAX - 1, u64::MAX] {
+        let mut world = started();
+        configure(&mut world, config(1, &["desk"]));
+        world.put(entry("a", "desk"));
+        let addr = "elsewhere:80".into();
+        world.put(Entry { number, addr, ..entry("a", "desk") });
+        world.put(Entry { number: 2, ..entry("a", "desk") });
+        assert_eq!(usable(&world, "desk"), ["a:80"], "{number}");
+    }
+}
+
+/// Guards against the same, for as many entries as may have been written meanwhile at most.
+#[test]
+fn an_endpoints_own_entries_soon_win_over_a_foreign_one_with_a_small_number() {
+    for number in [2, 3, 60] {
+        let mut world = started();
+        configure(&mut world, config(1, &["desk"]));
+        world.put(entry("a", "desk"));
+        let addr = "elsewhere:80".into();
+        world.put(Entry { number, addr, ..entry("a", "desk") });
+        (2..=number).for_each(|number| world.put(Entry { number, ..entry("a", "desk") }));
+        assert_eq!(usable(&world, "desk"), ["a:80"], "{number}");
+    }
+}
