Quarantine: crashes at one moment count as one against what was answered lately

What callers saw: after all endpoints of a pool crashed once together, requests with a prompt part that most requests of a kind share, and a content that is asked for again and again, were refused as quarantined for as long as anyone asked for them.

Cause: the part ran on all endpoints at that moment and none could answer it until they were back. Each endpoint counted, so six crashes without an answer between them were reached within 300 ms; for a content, three. The class: evidence that has one common cause is counted as independent.

Evidence: eight instances and 18 endpoints in virtual time (quarantine/common.rs, no network), 86 sound requests a second, all endpoints crash within 300 ms.

Change: crashes of three endpoints (five for a part) within 300 ms, and those up to a second later, count as one against what anyone had answered in the two minutes before. Contents are now asked about over these two minutes too, as parts were; if that is no common moment, the answers since the first crash decide at once, as before. Instances state it once a content: line `crashes_combined`, counter `relay.crashes_combined`.

Why it works: what crashes whatever runs it is never answered, so it is never known, and each of its crashes counts: three for a content, four for a part, six for a part that was answered before and crashes endpoints at different moments, as before.

Ruled out: wrong crash reports (each endpoint had crashed), lost answers (the peers had answered the part before, not since).

The rack test, that of a deadly part alone and two others pass on the code as it was and guard the bounds.

--- a/crates/core/src/relay/machine/quarantine.rs
+++ b/crates/core/src/relay/machine/quarantine.rs
@@ -13,7 +13,7 @@
         fingerprint::Fingerprint,
         machine::Relay,
         model::{Action, CallKey, EndpointKey, ExchangeKey, ProbeResult, Refusal},
-        quarantine::{self, Crash, QuarantineEntry, QueryOutcome, Suspect},
+        quarantine::{self, Crash, Evidence, QuarantineEntry, QueryOutcome, Suspect},
     },
 };
 
@@ -186,12 +186,23 @@
             self.actions.push(Action::AnnounceQuarantine { content, crashes });
             return;
         }
-        let Some(Suspect { content, since }) = self.quarantine.add_crash(now, crash) else {
-            return;
-        };
-        match self.was_answered(content, since) {
-            true => self.on_query_result(now, content, true),
-            false => self.actions.push(Action::QueryAnswered { content, since }),
+        let evidence = self.quarantine.add_crash(now, crash);
+        self.weigh(now, crash.content, evidence);
+    }
+
+    /// Acts on what the crashes of a content show.
+    fn weigh(&mut self, now: Duration, content: Fingerprint, evidence: Evidence) {
+        match evidence {
+            Evidence::Weak => {}
+            Evidence::Combined(endpoints) => {
+                self.actions.push(Action::CrashesCombined { content, endpoints });
+            }
+            Evidence::Enough(Suspect { since, .. }) if self.was_answered(content, since) => {
+                self.on_query_result(now, content, true);
+            }
+            Evidence::Enough(Suspect { since, .. }) => {
+                self.actions.push(Action::QueryAnswered { content, since });
+            }
         }
     }
 
@@ -205,7 +216,11 @@
     /// them since its first crash.
     pub fn on_query_result(&mut self, now: Duration, content: Fingerprint, was_answered: bool) {
         match self.quarantine.finish_query(content, was_answered) {
-            QueryOutcome::Unasked | QueryOutcome::Deferred => {}
+            QueryOutcome::Unasked => {}
+            QueryOutcome::Deferred => {
+                let evidence = self.quarantine.evidence(now, content);
+                self.weigh(now, content, evidence);
+            }
             QueryOutcome::Cleared => self.actions.push(Action::SuspicionCleared(content)),
             QueryOutcome::Guilty(crashes) => {
                 self.quarantine_content(now, content, crashes);
--- a/crates/core/src/relay/model/action.rs
+++ b/crates/core/src/relay/model/action.rs
@@ -261,6 +261,14 @@
     /// Log and count that a content is not quarantined, because an endpoint has answered it
     /// since the first of its crashes.
     SuspicionCleared(Fingerprint),
+    /// Log and count that a content is not suspected, because the crashes of endpoints that ran
+    /// it have a common cause and count as one.
+    CrashesCombined {
+        /// The content or part of prompts.
+        content: Fingerprint,
+        /// The number of endpoints.
+        endpoints: u32,
+    },
     /// Log that this instance has quarantined a content, and count such contents.
     Quarantined {
         /// The content.
--- a/crates/core/src/relay/quarantine.rs
+++ b/crates/core/src/relay/quarantine.rs
@@ -29,6 +29,12 @@
 //! - All runs at an endpoint end with it, and at most one of them caused the crash, so a
 //!   single crash is weak evidence against any of them. Frequent content is part of many
 //!   crashes by chance, but it is also answered meanwhile.
+//! - Endpoints that crash at one moment have a common cause. They count as one against content
+//!   that was answered lately. All count against content that nobody has answered, which may be
+//!   the cause of some of them.
+
+mod common;
+mod suspicion;
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
@@ -37,27 +43,15 @@
 
 use peatdeck_macros::{data, id};
 
-use crate::relay::{fingerprint::Fingerprint, model::EndpointId};
+use crate::relay::{
+    fingerprint::Fingerprint,
+    model::EndpointId,
+    quarantine::{
+        common::CrashTimes,
+        suspicion::{EARLY_WEIGHT, LATE_WEIGHT, SeenCrash, Suspicion},
+    },
+};
 
-/// The total weight of crashes that quarantines a content: three endpoints that crashed
-/// early in its run. Any other request at the endpoint takes part in one crash, and with
-/// 18 engines that crash every four seconds, 37 of 146 interrupted requests were
-/// interrupted twice, in four teams, although as far as is known one team's request was
-/// the cause.
-const CRASH_THRESHOLD: u32 = 3 * EARLY_WEIGHT;
-/// The same for a part of prompts that no endpoint has answered lately: four endpoints that
-/// crashed as they began to answer it.
-const PART_THRESHOLD: u32 = 4 * EARLY_WEIGHT;
-/// The same for a part that was answered lately, before the crashes or between them. Sound
-/// requests may share it with those that crash endpoints, and are answered sooner or later.
-const KNOWN_PART_THRESHOLD: u32 = 6 * EARLY_WEIGHT;
-/// How long ago an answer still shows that a part was sound.
-const HISTORY: Duration = Duration::from_secs(120);
-/// The weight of a crash early in a run.
-const EARLY_WEIGHT: u32 = 2;
-/// The weight of a crash late in a run. Content that crashes endpoints as it begins has
-/// done so earlier; content that does so later takes twice as many crashes to detect.
-const LATE_WEIGHT: u32 = 1;
 /// A crash is late in a run if the endpoint's answer began longer ago than this. The runs
 /// that crashed engines did so 42 to 95 ms after their first byte.
 pub const EARLY_PERIOD: Duration = Duration::from_secs(1);
@@ -121,6 +115,18 @@
     pub is_recorded: bool,
 }
 
+/// What the crashes of a content show.
+#[data]
+#[derive(Copy)]
+pub enum Evidence {
+    /// Too little to suspect it, or peers are being queried already.
+    Weak,
+    /// Too little, since crashes of this many endpoints count as one. Stated once.
+    Combined(u32),
+    /// Enough to quarantine it unless an endpoint has answered it.
+    Enough(Suspect),
+}
+
 /// How a query for answers to a content ended.
 #[id]
 #[derive(Copy)]
@@ -129,55 +135,17 @@
     Unasked,
     /// An answer clears it.
     Cleared,
-    /// An answer that may be older than the crashes: more of them are needed.
+    /// An answer that may be older than the crashes: they are to be weighed again.
     Deferred,
     /// It is to be quarantined: the number of endpoints that it crashed.
     Guilty(u32),
 }
 
-/// What is known against a content or part.
-#[derive(Debug, Default)]
-struct Suspicion {
-    crashes: Vec<SeenCrash>,
-    is_part: bool,
-    /// Whether it is a part that was answered lately.
-    is_known: bool,
-}
-
-impl Suspicion {
-    fn threshold(&self) -> u32 {
-        match (self.is_part, self.is_known) {
-            (false, _) => CRASH_THRESHOLD,
-            (true, false) => PART_THRESHOLD,
-            (true, true) => KNOWN_PART_THRESHOLD,
-        }
-    }
-
-    fn weight(&self) -> u32 {
-        self.crashes.iter().map(|seen| seen.weight).sum()
-    }
-
-    /// The time since which an answer matters.
-    fn since(&self, now: Duration) -> Duration {
-        let first = self.crashes.iter().map(|seen| seen.at).min().unwrap_or(now);
-        match self.is_part && !self.is_known {
-            true => first.min(now.saturating_sub(HISTORY)),
-            false => first,
-        }
-    }
-}
-
-#[derive(Debug)]
-struct SeenCrash {
-    endpoint: EndpointId,
-    at: Duration,
-    weight: u32,
-}
-
 /// Suspected and quarantined contents, and the evidence for and against them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: HashMap<Fingerprint, Suspicion>,
+    crash_times: CrashTimes,
     /// Contents about which all instances are being queried.
     queried: HashSet<Fingerprint>,
     entries: HashMap<Fingerprint, QuarantineEntry>,
@@ -188,14 +156,15 @@
 }
 
 impl Quarantine {
-    /// Records a crash. Returns the content as a suspect once the weight of its crashes
-    /// reaches the threshold.
-    pub fn add_crash(&mut self, now: Duration, crash: &Crash) -> Option<Suspect> {
+    /// Records a crash, and returns what it shows together with those before it.
+    pub fn add_crash(&mut self, now: Duration, crash: &Crash) -> Evidence {
         let Crash { content, endpoint, age, is_late, is_part } = crash;
         let is_known = *content != Fingerprint::UNKNOWN;
         if !is_known || self.entries.contains_key(content) || *age > WINDOW {
-            return None;
+            return Evidence::Weak;
         }
+        let at = now.saturating_sub(*age);
+        self.crash_times.add(endpoint, at);
         let weight = if *is_late { LATE_WEIGHT } else { EARLY_WEIGHT };
         let suspicion = self.suspects.entry(*content).or_default();
         suspicion.is_part = *is_part;
@@ -203,18 +172,28 @@
         seen.retain(|seen| now < seen.at + WINDOW);
         match seen.iter_mut().find(|seen| seen.endpoint == *endpoint) {
             Some(known) => known.weight = known.weight.max(weight),
-            None => seen.push(SeenCrash {
-                endpoint: endpoint.clone(),
-                at: now.saturating_sub(*age),
-                weight,
-            }),
+            None => seen.push(SeenCrash { endpoint: endpoint.clone(), at, weight }),
         }
-        let is_enough = suspicion.weight() >= suspicion.threshold();
-        let since = suspicion.since(now);
         self.bound_suspects();
+        self.evidence(now, *content)
+    }
+
+    /// What the crashes of a content show. If they are enough, peers are to be queried.
+    pub fn evidence(&mut self, now: Duration, content: Fingerprint) -> Evidence {
+        let Some(suspicion) = self.suspects.get_mut(&content) else { return Evidence::Weak };
+        if !suspicion.is_enough(&self.crash_times) {
+            let is_combined = suspicion.is_enough_singly();
+            return match is_combined && !std::mem::replace(&mut suspicion.is_combined, true) {
+                true => Evidence::Combined(suspicion.crashes.len() as u32),
+                false => Evidence::Weak,
+            };
+        }
+        let since = suspicion.since(now);
         let has_room = self.entries.len() < MAX_QUARANTINED;
-        let is_query_due = is_enough && has_room && self.queried.insert(*content);
-        is_query_due.then_some(Suspect { content: *content, since })
+        match has_room && self.queried.insert(content) {
+            true => Evidence::Enough(Suspect { content, since }),
+            false => Evidence::Weak,
+        }
     }
 
     /// Ends the query for answers to a content.
@@ -224,8 +203,12 @@
         }
         let suspicion = self.suspects.get_mut(&content);
         match suspicion {
-            Some(part) if was_answered && part.is_part && !part.is_known => {
-                part.is_known = true;
+            Some(suspicion) if was_answered && !suspicion.is_known => {
+                suspicion.is_known = true;
+                QueryOutcome::Deferred
+            }
+            // Further crashes at the same moment were reported while the peers were asked.
+            Some(suspicion) if !was_answered && !suspicion.is_enough(&self.crash_times) => {
                 QueryOutcome::Deferred
             }
             Some(suspicion) if !was_answered => {
@@ -320,6 +303,7 @@
     /// platform's table does not contain, and returns the others, which stay quarantined
     /// until their records are removed.
     pub fn expire(&mut self, now: Duration) -> Vec<Fingerprint> {
+        self.crash_times.expire(now.saturating_sub(WINDOW));
         self.suspects.retain(|_, it| it.crashes.iter().any(|seen| now < seen.at + WINDOW));
         let expired = self.entries.iter().filter(|(_, entry)| entry.until <= now);
         let expired: Vec<_> =
--- a/crates/core/tests/testsuite/relay/load/fleet/actions.rs
+++ b/crates/core/tests/testsuite/relay/load/fleet/actions.rs
@@ -77,6 +77,7 @@
             | Action::ReportCrashes { .. }
             | Action::QueryAnswered { .. }
             | Action::SuspicionCleared(_)
+            | Action::CrashesCombined { .. }
             | Action::Quarantined { .. }
             | Action::QuarantineHit { .. }
             | Action::AnnounceQuarantine { .. }
--- a/crates/core/tests/testsuite/relay/quarantine.rs
+++ b/crates/core/tests/testsuite/relay/quarantine.rs
@@ -6,8 +6,10 @@
 //! content is not suspected. `work`: what happens to work in progress. `keeping`: who collects
 //! crashes, who is notified, and how long content stays quarantined.
 
+mod common;
 mod keeping;
 mod parts;
+mod site;
 mod work;
 
 use std::sync::Arc;
--- a/crates/relay/src/decisions.rs
+++ b/crates/relay/src/decisions.rs
@@ -129,6 +129,9 @@
             tracing::info!(event = "quarantine_considered", %content);
         }
         Action::SuspicionCleared(content) => tracing::info!(event = "quarantine_dropped", %content),
+        Action::CrashesCombined { content, endpoints } => {
+            tracing::info!(event = "crashes_combined", %content, endpoints);
+        }
         Action::Quarantined { content, crashes } => {
             tracing::warn!(event = "quarantined", %content, crashes);
         }
--- a/crates/relay/src/driver/actions.rs
+++ b/crates/relay/src/driver/actions.rs
@@ -152,6 +152,7 @@
                 self.metrics.gauge("relay.quarantined", count as u64);
             }
             Action::QuarantineHit { .. } => {}
+            Action::CrashesCombined { .. } => self.metrics.count("relay.crashes_combined", 1),
             Action::SuspicionCleared(_) => self.metrics.count("relay.quarantines_dropped", 1),
             Action::EndpointsSuspended(names) => {
                 self.metrics.count("relay.endpoints_suspended", names.len() as u64);
