Tests of the common kill: endpoints begin slowly, so that each one is tried

Cause: instances expect 20 ms of an endpoint that has answered nothing yet; one that has answered in a millisecond is preferred until some 200 calls are open there. Three instances that each try one endpoint first choose the same version once in four times. That is meant; the test's endpoints were too fast. Class: a test that relies on a choice that the product makes otherwise. They take 60 ms to begin now. The checks are the same.

--- a/crates/relay/tests/relay/common_kill.rs
+++ b/crates/relay/tests/relay/common_kill.rs
@@ -22,6 +22,9 @@
 /// Of the streams that are taken up while endpoints of their version serve, the part that goes
 /// on at least.
 const GOES_ON: f64 = 0.9;
+/// How long endpoints take to begin: longer than instances expect of those that have answered
+/// nothing yet, so that each of them is tried.
+const RESPONSE_TIME: Duration = Duration::from_millis(60);
 /// How long streams have lasted when all instances are killed.
 const AGE: Duration = Duration::from_secs(2);
 /// How often callers take a stream up before they give up.
@@ -37,6 +40,7 @@
     ScriptedEndpoint::start(move |_, conn| {
         while let Some(request) = conn.read_request() {
             let last = request.header("last-event-id").map_or(0, |id| id.parse().unwrap());
+            thread::sleep(RESPONSE_TIME);
             conn.write(&stream_head(&request.id()));
             let end = (last + LEG).min(EVENTS);
             for id in last + 1..=end {
