--- a/crates/core/tests/testsuite/relay/quarantine/site.rs
+++ b/crates/core/tests/testsuite/relay/quarantine/site.rs
@@ -25,6 +25,8 @@
 use super::{arrival, entry, ms, route};
 use crate::relay::fixture::{ConfigBuilder, settings};
 
+/// How often instances compare their copy of the directory with the store's.
+const READ_INTERVAL: Duration = Duration::from_millis(450);
 /// Parts that the requests of each kind share.
 pub const SHARED: [u64; 3] = [0xa1, 0xa2, 0xa3];
 /// The part that crashes what runs it.
@@ -224,6 +226,9 @@
         if !self.alive[idx] {
             return;
         }
+        // The directory is read anew at this interval.
+        let age = Duration::from_nanos((self.now.as_nanos() % READ_INTERVAL.as_nanos()) as u64);
+        self.relays[idx].mark_directory_read(self.now - age);
         run(&mut self.relays[idx]);
         for action in self.relays[idx].take_actions() {
             self.perform(idx, action);
