--- a/crates/core/tests/testsuite/relay/lost_list.rs
+++ b/crates/core/tests/testsuite/relay/lost_list.rs
@@ -10,7 +10,7 @@
     registry::Versions,
 };
 
-use super::fixture::{ConfigBuilder, World, arrival, entry, route};
+use super::fixture::{ConfigBuilder, World, arrival, entry, ms, route};
 
 fn versioned(name: &str, version: &str) -> Entry {
     Entry { version: version.into(), ..entry(name, "desk") }
@@ -101,3 +101,24 @@
     read_store(&mut world, &["v1"]);
     assert_eq!(&*world.calls().remove(0).endpoint, "a");
 }
+
+/// Guards against a guess at the listed version after another one had to be used unlisted.
+#[test]
+fn a_stream_of_a_version_that_was_used_unlisted_goes_on_at_no_other_after_a_common_kill() {
+    let mut before = started();
+    read_store(&mut before, &["v1"]);
+    before.put(versioned("c", "v2"));
+    before.advance(ms(3100));
+    let mut used = Vec::new();
+    for idx in 0..20 {
+        let exchange = before.submit(new(&format!("n{idx}")));
+        used.push(before.call().software);
+        before.disconnect(exchange);
+    }
+    assert!(used.contains(&"v2".into()), "v2 is used unlisted");
+    let mut after = started();
+    after.put(versioned("c", "v2"));
+    after.submit(taken_up("2", "1"));
+    read_store(&mut after, &["v1"]);
+    assert_eq!(after.calls(), []);
+}
--- a/crates/relay/tests/relay/common_kill.rs
+++ b/crates/relay/tests/relay/common_kill.rs
@@ -309,3 +309,18 @@
     let mut taken_up = streams.iter_mut().zip(relays).map(|(stream, relay)| stream.take_up(relay));
     assert!(taken_up.all(|it| matches!(it, TakenUp::GoesOn)));
 }
+
+#[test]
+fn a_stream_goes_on_at_no_other_version_if_the_list_was_lost_during_a_common_kill() {
+    let mut site = Site::start(&["v1", "v2"]);
+    let mut streams = site.begin();
+    site.kill(&mut streams);
+    site.remove_version("v1");
+    site.store.forget_versions();
+    site.store.set_unavailable(false);
+    site.start_relays();
+    site.wait_ready();
+    let (left, serving): (Vec<_>, Vec<_>) = streams.into_iter().partition(|it| it.version == "v1");
+    assert!(!left.is_empty() && !serving.is_empty());
+    assert_eq!(site.take_up(left).len(), 0);
+}
--- a/crates/relay/tests/relay/standins/store.rs
+++ b/crates/relay/tests/relay/standins/store.rs
@@ -253,6 +253,11 @@
         versions.iter().all(|it| listed.is_some_and(|listed| listed.contains(*it)))
     }
 
+    /// Loses the list of versions.
+    pub fn forget_versions(&self) {
+        self.inner.lock().unwrap().versions.clear();
+    }
+
     /// Loses the log of streams.
     pub fn forget_streams(&self) {
         self.inner.lock().unwrap().streams.clear();
